--- /dev/null
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/HttpAddress.kt
@@ -0,0 +1,18 @@
+package org.parsleymoor.clients
+
+/** A host and port; [text] is `host:port`. */
+public data class HttpAddress(public val host: String, public val port: Int) {
+    /** The address as `host:port`. */
+    public val text: String get() = "$host:$port"
+
+    public companion object {
+        /** Parses `host:port`; throws [IllegalArgumentException] for other text. */
+        public fun parse(text: String): HttpAddress {
+            val port = text.substringAfterLast(':', "").toIntOrNull()
+            require(port != null && port in PORTS) { "expected host:port, found \"$text\"" }
+            return HttpAddress(text.substringBeforeLast(':'), port)
+        }
+
+        private val PORTS = 1..65_535
+    }
+}
--- /dev/null
+++ b/libraries/context/src/main/kotlin/org/parsleymoor/context/Placeholder.kt
@@ -0,0 +1,3 @@
+package org.parsleymoor.context
+
+internal object Placeholder
--- /dev/null
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/Placeholder.kt
@@ -0,0 +1,3 @@
+package org.parsleymoor.coordination
+
+internal object Placeholder
--- /dev/null
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/Placeholder.kt
@@ -0,0 +1,3 @@
+package org.parsleymoor.execution
+
+internal object Placeholder
--- /dev/null
+++ b/libraries/limits/src/main/kotlin/org/parsleymoor/limits/Placeholder.kt
@@ -0,0 +1,3 @@
+package org.parsleymoor.limits
+
+internal object Placeholder
--- /dev/null
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/Placeholder.kt
@@ -0,0 +1,3 @@
+package org.parsleymoor.peering
+
+internal object Placeholder
--- /dev/null
+++ b/libraries/placement/src/main/kotlin/org/parsleymoor/placement/Placeholder.kt
@@ -0,0 +1,3 @@
+package org.parsleymoor.placement
+
+internal object Placeholder
--- /dev/null
+++ b/programs/bench/src/main/kotlin/org/parsleymoor/bench/Placeholder.kt
@@ -0,0 +1,3 @@
+package org.parsleymoor.bench
+
+internal object Placeholder
--- /dev/null
+++ b/programs/explore/src/main/kotlin/org/parsleymoor/explore/Placeholder.kt
@@ -0,0 +1,3 @@
+package org.parsleymoor.explore
+
+internal object Placeholder
--- /dev/null
+++ b/programs/operator/src/main/kotlin/org/parsleymoor/operator/Placeholder.kt
@@ -0,0 +1,3 @@
+package org.parsleymoor.operator
+
+internal object Placeholder
--- /dev/null
+++ b/programs/trials/src/main/kotlin/org/parsleymoor/trials/Placeholder.kt
@@ -0,0 +1,3 @@
+package org.parsleymoor.trials
+
+internal object Placeholder
