Assemble answer streams from attempts and add the platform, service and store clients

Cause: a stream was forwarded as it arrived, so a late, crossed or truncated chunk could have reached a caller, and no client existed for the object service, the plain services and the KV cache stores. Change: StreamAssembler and AttemptMachine decide on chunks and retries without I/O; VertxPlatformClient, VertxServiceClient and VertxStoreClient speak the protocols; an abandoned stream closes its connection and a silent one replaces the pool.

--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/EngineWire.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/EngineWire.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.Transient
 import org.parsleymoor.core.AdapterId
 import org.parsleymoor.core.AttemptId
 import org.parsleymoor.core.EndpointId
@@ -14,6 +15,7 @@
  * Asks an engine to generate. [pieces] are the chained hashes of the prompt's full pieces, in order, in lower-case
  * hexadecimal; [prompt] is the whole text. [resumeAfterTokens] is the number of tokens that the caller already has,
  * whose text is [resumeText]; the engine's first token follows them.
+ * [traceParent] travels in the `traceparent` header.
  */
 @Serializable
 public data class GenerateRequest(
@@ -29,6 +31,8 @@
     public val maximumTokens: Int,
     public val resumeAfterTokens: Int = 0,
     public val resumeText: String = "",
+    @Transient
+    public val traceParent: String = "",
 )
 
 /** One line of an engine's answer stream, in newline-delimited JSON. */
--- /dev/null
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/HttpExchanges.kt
@@ -0,0 +1,75 @@
+package org.parsleymoor.clients
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
+import com.github.michaelbull.result.map
+import io.vertx.core.MultiMap
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpClient
+import io.vertx.core.http.HttpClientRequest
+import io.vertx.core.http.HttpMethod
+import io.vertx.core.http.RequestOptions
+import kotlinx.coroutines.withTimeoutOrNull
+import java.net.HttpURLConnection
+
+/** A whole answer of any status. */
+internal class HttpAnswer(val status: Int, val headers: MultiMap, val body: Buffer) {
+    val text: String get() = body.toString()
+}
+
+/** A request to be sent; [path] starts with a slash and holds the query. */
+internal class Outgoing(
+    val method: HttpMethod,
+    val path: String,
+    val body: Buffer? = null,
+    val headers: MultiMap = MultiMap.caseInsensitiveMultiMap(),
+) {
+    fun to(address: HttpAddress): RequestOptions = RequestOptions().setHost(address.host).setPort(address.port)
+        .setMethod(method).setURI(path).setHeaders(headers)
+}
+
+/** Whole exchanges with one address; each ends within [timeoutMillis]. */
+internal class HttpExchanges(
+    private val http: HttpClient,
+    private val address: HttpAddress,
+    private val timeoutMillis: Long,
+) {
+    /**
+     * Sends [outgoing]. A time-out before a connection is made is [BackEndFailure.NotConnected]; a later one closes
+     * the connection and is [BackEndFailure.Silent].
+     */
+    suspend fun send(outgoing: Outgoing): Result<HttpAnswer, BackEndFailure> {
+        val opened = withTimeoutOrNull(timeoutMillis) {
+            http.request(outgoing.to(address)).awaitOr { BackEndFailure.NotConnected(address.text, it) }
+        } ?: Err(BackEndFailure.NotConnected(address.text, "no connection within $timeoutMillis ms"))
+        return opened.andThen { exchange(it, outgoing.body) }
+    }
+
+    private suspend fun exchange(request: HttpClientRequest, body: Buffer?): Result<HttpAnswer, BackEndFailure> {
+        var finished = false
+        try {
+            val answer = withTimeoutOrNull(timeoutMillis) { answer(request, body) }
+                ?: return Err(BackEndFailure.Silent(address.text, timeoutMillis))
+            finished = true
+            return answer
+        } finally {
+            if (!finished) request.reset()
+        }
+    }
+
+    private suspend fun answer(request: HttpClientRequest, body: Buffer?): Result<HttpAnswer, BackEndFailure> {
+        val sent = if (body == null) request.send() else request.send(body)
+        return sent.awaitOr { BackEndFailure.Broken(address.text, it) }.andThen { response ->
+            response.body().awaitOr { BackEndFailure.Broken(address.text, it) }
+                .map { HttpAnswer(response.statusCode(), response.headers(), it) }
+        }
+    }
+}
+
+private val SUCCESS = HttpURLConnection.HTTP_OK until HttpURLConnection.HTTP_MULT_CHOICE
+
+/** Returns the body of a successful answer, or the refusal that it carries. */
+internal fun HttpAnswer.successText(address: HttpAddress): Result<String, BackEndFailure> =
+    if (status in SUCCESS) Ok(text) else Err(refusalOf(address, status, text))
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/PlatformClient.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/PlatformClient.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.Result
 import kotlinx.coroutines.flow.Flow
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import org.parsleymoor.core.Failure
 import org.parsleymoor.core.InstanceId
@@ -56,14 +57,17 @@
 public sealed interface WatchEvent {
     /** An object was created or changed. */
     @Serializable
+    @SerialName("changed")
     public data class Changed(public val stored: StoredObject) : WatchEvent
 
     /** An object was deleted at [revision]. */
     @Serializable
+    @SerialName("deleted")
     public data class Deleted(public val kind: String, public val name: String, public val revision: Long) : WatchEvent
 
     /** Nothing changed; the watch is alive and complete up to [revision]. */
     @Serializable
+    @SerialName("heartbeat")
     public data class Heartbeat(public val revision: Long) : WatchEvent
 }
 
--- /dev/null
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/StoreClient.kt
@@ -0,0 +1,33 @@
+package org.parsleymoor.clients
+
+import com.github.michaelbull.result.Result
+import kotlinx.serialization.Serializable
+
+/** A KV cache store at one address. Every function suspends until the store has answered or its time is up. */
+public interface StoreClient {
+    /** Writes the whole block [piece] under [generation]; it is readable once its last byte is committed. */
+    public suspend fun write(piece: String, generation: Long, bytes: ByteArray): Result<Unit, BackEndFailure>
+
+    /** Reads the block [piece] of [generation]; bytes whose SHA-256 differs are [BackEndFailure.Malformed] (I1). */
+    public suspend fun read(piece: String, generation: Long): Result<ByteArray, BackEndFailure>
+
+    /** Frees the block [piece]. */
+    public suspend fun delete(piece: String): Result<Unit, BackEndFailure>
+
+    /** Reads the load report. */
+    public suspend fun load(): Result<StoreLoad, BackEndFailure>
+
+    /** Reads the cache events after [sequence]. */
+    public suspend fun cacheEvents(sequence: Long): Result<CacheEvents, BackEndFailure>
+}
+
+/** A store's load report. Sizes are bytes. */
+@Serializable
+public data class StoreLoad(
+    public val startCount: Long,
+    public val memoryBytes: Long,
+    public val memoryCapacityBytes: Long,
+    public val diskBytes: Long,
+    public val diskCapacityBytes: Long,
+    public val queuedBytes: Long,
+)
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/VertxEngineClient.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/VertxEngineClient.kt
@@ -2,29 +2,40 @@
 
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.map
+import io.vertx.core.MultiMap
 import io.vertx.core.Vertx
+import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpClient
-import io.vertx.core.http.HttpClientOptions
 import io.vertx.core.http.HttpMethod
-import io.vertx.core.http.PoolOptions
 import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.catch
+import kotlinx.coroutines.flow.emitAll
+import kotlinx.coroutines.flow.flow
 import org.parsleymoor.core.AttemptId
+import org.parsleymoor.core.FailureException
 
-/** [EngineClient] over HTTP with newline-delimited JSON streams. Owns a connection pool of [poolSize] connections. */
+/**
+ * [EngineClient] over HTTP with newline-delimited JSON streams. Owns a connection pool of [poolSize] connections and
+ * replaces it after a silent stream, because open connections can go silent while new ones work.
+ */
 public class VertxEngineClient(
     private val vertx: Vertx,
     private val address: HttpAddress,
     poolSize: Int = DEFAULT_POOL_SIZE,
-    callTimeoutMillis: Long = DEFAULT_CALL_TIMEOUT_MILLIS,
+    private val callTimeoutMillis: Long = DEFAULT_CALL_TIMEOUT_MILLIS,
 ) : EngineClient, AutoCloseable {
-    private val http: HttpClient = vertx.createHttpClient(
-        HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS).setKeepAlive(true),
-        PoolOptions().setHttp1MaxSize(poolSize),
-    )
-    private val calls = JsonCalls(http, address, callTimeoutMillis)
+    private val pool = RenewablePool(vertx, poolSize)
+    private val calls = JsonCalls({ HttpExchanges(pool.current, address, callTimeoutMillis) }, address)
 
-    override fun generate(request: GenerateRequest, silenceMillis: Long): Flow<EngineEvent> =
-        EngineStream(vertx, http, address, silenceMillis).events(request)
+    override fun generate(request: GenerateRequest, silenceMillis: Long): Flow<EngineEvent> = flow {
+        val http = pool.current
+        emitAll(
+            stream(http, request, silenceMillis).catch { cause ->
+                if ((cause as? FailureException)?.failure is BackEndFailure.Silent) pool.renew(http)
+                throw cause
+            }
+        )
+    }
 
     override suspend fun cancel(attempt: AttemptId): Result<Unit, BackEndFailure> =
         calls.send(HttpMethod.DELETE, "/v1/generate/$attempt").map { }
@@ -45,12 +56,21 @@
     override suspend fun order(order: EngineOrder): Result<EngineLoad, BackEndFailure> = calls.post("/v1/orders", order)
 
     override fun close() {
-        http.close()
+        pool.close()
+    }
+
+    private fun stream(http: HttpClient, request: GenerateRequest, silenceMillis: Long): Flow<EngineEvent> {
+        val body = Buffer.buffer(WireJson.encodeToString(GenerateRequest.serializer(), request))
+        val headers = MultiMap.caseInsensitiveMultiMap().add("Content-Type", "application/json")
+        if (request.traceParent.isNotEmpty()) headers.add("traceparent", request.traceParent)
+        return JsonLines(vertx, http, address, silenceMillis)
+            .read(Outgoing(HttpMethod.POST, "/v1/generate", body, headers), EngineEvent.serializer()) {
+                it is EngineEvent.Final && it.attempt == request.attempt
+            }
     }
 
     private companion object {
         const val DEFAULT_POOL_SIZE = 256
         const val DEFAULT_CALL_TIMEOUT_MILLIS = 5_000L
-        const val CONNECT_TIMEOUT_MILLIS = 1_000
     }
 }
--- /dev/null
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/VertxStoreClient.kt
@@ -0,0 +1,65 @@
+package org.parsleymoor.clients
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
+import com.github.michaelbull.result.map
+import io.vertx.core.MultiMap
+import io.vertx.core.Vertx
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpMethod
+import java.security.MessageDigest
+
+/** [StoreClient] over HTTP; the checksum travels in the `Content-Digest` header in hexadecimal. */
+public class VertxStoreClient(
+    vertx: Vertx,
+    private val address: HttpAddress,
+    callTimeoutMillis: Long = DEFAULT_CALL_TIMEOUT_MILLIS,
+) : StoreClient, AutoCloseable {
+    private val pool = RenewablePool(vertx, POOL_SIZE)
+    private val exchanges = { HttpExchanges(pool.current, address, callTimeoutMillis) }
+    private val calls = JsonCalls(exchanges, address)
+
+    override suspend fun write(piece: String, generation: Long, bytes: ByteArray): Result<Unit, BackEndFailure> {
+        val headers = MultiMap.caseInsensitiveMultiMap().add(CHECKSUM_HEADER, sha256(bytes))
+        val outgoing = Outgoing(HttpMethod.PUT, blockPath(piece, generation), Buffer.buffer(bytes), headers)
+        return exchanges().send(outgoing)
+            .andThen { it.successText(address) }.map { }
+    }
+
+    override suspend fun read(piece: String, generation: Long): Result<ByteArray, BackEndFailure> =
+        exchanges().send(Outgoing(HttpMethod.GET, blockPath(piece, generation))).andThen { answer ->
+            answer.successText(address).andThen { verified(answer) }
+        }
+
+    override suspend fun delete(piece: String): Result<Unit, BackEndFailure> =
+        calls.send(HttpMethod.DELETE, "/v1/blocks/$piece").map { }
+
+    override suspend fun load(): Result<StoreLoad, BackEndFailure> = calls.get("/v1/load")
+
+    override suspend fun cacheEvents(sequence: Long): Result<CacheEvents, BackEndFailure> =
+        calls.get("/v1/cache/events?after=$sequence")
+
+    override fun close() {
+        pool.close()
+    }
+
+    private fun verified(answer: HttpAnswer): Result<ByteArray, BackEndFailure> {
+        val expected = answer.headers[CHECKSUM_HEADER].orEmpty()
+        val found = sha256(answer.body.bytes)
+        if (expected == found) return Ok(answer.body.bytes)
+        return Err(BackEndFailure.Malformed(address.text, "a block with SHA-256 \"$expected\"", found))
+    }
+
+    private fun blockPath(piece: String, generation: Long) = "/v1/blocks/$piece?generation=$generation"
+
+    private fun sha256(bytes: ByteArray): String =
+        MessageDigest.getInstance("SHA-256").digest(bytes).joinToString("") { "%02x".format(it) }
+
+    private companion object {
+        const val CHECKSUM_HEADER = "Content-Digest"
+        const val DEFAULT_CALL_TIMEOUT_MILLIS = 10_000L
+        const val POOL_SIZE = 32
+    }
+}
--- /dev/null
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/ChunkVerdict.kt
@@ -0,0 +1,28 @@
+package org.parsleymoor.execution
+
+/** What a [StreamAssembler] decides about one chunk. */
+public sealed interface ChunkVerdict {
+    /** The next part of the answer; its [text] goes to the caller. */
+    public data class Deliver(public val text: String) : ChunkVerdict
+
+    /** The answer is whole; [reason] is the endpoint's finish reason and [tokens] counts all attempts. */
+    public data class Complete(public val reason: String, public val tokens: Int) : ChunkVerdict
+
+    /** The chunk is not part of the answer and is dropped. */
+    public data class Dropped(public val cause: DropCause) : ChunkVerdict
+
+    /** The attempt has to be abandoned. */
+    public data class Faulty(public val fault: StreamFault) : ChunkVerdict
+}
+
+/** Why a chunk is dropped. */
+public enum class DropCause {
+    /** It belongs to an earlier attempt of this request, or arrived after the end. */
+    LATE,
+
+    /** It belongs to another request. */
+    CROSSED,
+
+    /** It was already delivered. */
+    REPEATED,
+}
--- a/libraries/execution/src/main/kotlin/org/parsleymoor/execution/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package org.parsleymoor.execution
-
-internal object Placeholder
--- /dev/null
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/StreamAssembler.kt
@@ -0,0 +1,63 @@
+package org.parsleymoor.execution
+
+import org.parsleymoor.core.AttemptId
+
+/** Where an attempt continues: the number of tokens that the caller already has, and their [text]. */
+public data class ResumePoint(public val tokens: Int, public val text: String)
+
+/**
+ * Assembles the answer to one request from the streams of its attempts (I6). Only chunks of the current attempt are
+ * delivered, in sequence and once; an answer is complete only when the end marker's count equals the tokens received.
+ * Not safe for use by several threads at once.
+ */
+public class StreamAssembler {
+    private val delivered = StringBuilder()
+    private val earlier = mutableSetOf<AttemptId>()
+    private var current: AttemptId? = null
+    private var deliveredTokens = 0
+    private var nextSequence = 0
+    private var complete = false
+
+    /** Makes [attempt] the current one and returns where it continues. */
+    public fun begin(attempt: AttemptId): ResumePoint {
+        current?.let { earlier += it }
+        current = attempt
+        nextSequence = 0
+        return ResumePoint(deliveredTokens, delivered.toString())
+    }
+
+    /** Decides what happens to [chunk]. */
+    public fun accept(chunk: StreamChunk): ChunkVerdict = when {
+        chunk.attempt in earlier -> ChunkVerdict.Dropped(DropCause.LATE)
+        chunk.attempt != current -> ChunkVerdict.Dropped(DropCause.CROSSED)
+        complete -> ChunkVerdict.Dropped(DropCause.LATE)
+        else -> acceptCurrent(chunk)
+    }
+
+    private fun acceptCurrent(chunk: StreamChunk): ChunkVerdict = when (chunk) {
+        is StreamChunk.Token -> acceptToken(chunk)
+        is StreamChunk.Final -> acceptFinal(chunk)
+    }
+
+    private fun acceptToken(token: StreamChunk.Token): ChunkVerdict = when {
+        token.sequence < nextSequence -> ChunkVerdict.Dropped(DropCause.REPEATED)
+        token.sequence > nextSequence ->
+            ChunkVerdict.Faulty(StreamFault.Gap(token.attempt, nextSequence, token.sequence))
+        else -> deliver(token.text)
+    }
+
+    private fun deliver(text: String): ChunkVerdict {
+        nextSequence++
+        deliveredTokens++
+        delivered.append(text)
+        return ChunkVerdict.Deliver(text)
+    }
+
+    private fun acceptFinal(final: StreamChunk.Final): ChunkVerdict {
+        if (final.tokens != nextSequence) {
+            return ChunkVerdict.Faulty(StreamFault.WrongCount(final.attempt, nextSequence, final.tokens))
+        }
+        complete = true
+        return ChunkVerdict.Complete(final.reason, deliveredTokens)
+    }
+}
