Connect gateways over Ktor sockets with CBOR messages

Cause: gateways need to pass on completions, tickets, claims, configuration and heartbeats. Conclusion: the transport is ready for the control loops and for forwarding.

--- /dev/null
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/FrameCodec.kt
@@ -0,0 +1,47 @@
+package org.parsleymoor.peering
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.readByteArray
+import io.ktor.utils.io.readInt
+import io.ktor.utils.io.writeByteArray
+import io.ktor.utils.io.writeInt
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.cbor.Cbor
+
+/** Reads and writes CBOR messages behind a four-byte length of at most [limitBytes]. */
+@OptIn(ExperimentalSerializationApi::class)
+internal class FrameCodec(private val limitBytes: Int) {
+    private val cbor = Cbor { ignoreUnknownKeys = true }
+
+    fun encode(message: PeerMessage): Result<ByteArray, PeerFailure> {
+        val bytes = cbor.encodeToByteArray(PeerMessage.serializer(), message)
+        return if (bytes.size <= limitBytes) Ok(bytes) else Err(PeerFailure.FrameSize(bytes.size.toLong(), limitBytes))
+    }
+
+    suspend fun write(channel: ByteWriteChannel, frame: ByteArray) {
+        channel.writeInt(frame.size)
+        channel.writeByteArray(frame)
+        channel.flush()
+    }
+
+    /** Suspends until a whole frame has arrived; throws [java.io.IOException] when the connection ends. */
+    suspend fun read(channel: ByteReadChannel): Result<PeerMessage, PeerFailure> {
+        val size = channel.readInt()
+        if (size !in 1..limitBytes) return Err(PeerFailure.FrameSize(size.toUInt().toLong(), limitBytes))
+        return decode(channel.readByteArray(size))
+    }
+
+    // The decoder reports malformed input by either exception, depending on where it stops.
+    private fun decode(bytes: ByteArray): Result<PeerMessage, PeerFailure> = try {
+        Ok(cbor.decodeFromByteArray(PeerMessage.serializer(), bytes))
+    } catch (cause: SerializationException) {
+        Err(PeerFailure.UnknownFrame(bytes.size, cause.toString()))
+    } catch (cause: IllegalArgumentException) {
+        Err(PeerFailure.UnknownFrame(bytes.size, cause.toString()))
+    }
+}
--- /dev/null
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerMessage.kt
@@ -0,0 +1,221 @@
+package org.parsleymoor.peering
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import org.parsleymoor.core.AdapterId
+import org.parsleymoor.core.AttemptId
+import org.parsleymoor.core.EndpointId
+import org.parsleymoor.core.Incarnation
+import org.parsleymoor.core.ModelId
+import org.parsleymoor.core.OrganisationId
+import org.parsleymoor.core.RegionId
+import org.parsleymoor.core.RequestId
+import org.parsleymoor.core.WeightVersion
+import org.parsleymoor.core.ZoneId
+
+/** A message between two gateways. The first message on a connection in each direction is [Hello]. */
+@Serializable
+public sealed interface PeerMessage {
+    /** Says who is calling. A peer with another [protocolVersion] is refused. */
+    @Serializable
+    @SerialName("hello")
+    public data class Hello(
+        public val incarnation: Incarnation,
+        public val zone: ZoneId,
+        public val region: RegionId,
+        public val address: String,
+        public val protocolVersion: Int = PROTOCOL_VERSION,
+    ) : PeerMessage
+
+    /**
+     * Shows that the sender is alive. [linkBytesPerSecond] is the sender's recent use of the inter-region link and
+     * [loads] are the load reports of endpoints that the receiver does not poll itself.
+     */
+    @Serializable
+    @SerialName("beat")
+    public data class Heartbeat(
+        public val configurationRevision: Long,
+        public val linkBytesPerSecond: Long = 0,
+        public val leaving: Boolean = false,
+        public val loads: List<EndpointLoadDigest> = emptyList(),
+    ) : PeerMessage
+
+    /** Asks for the root when it is newer than [haveRevision], and for the [sections] with these content hashes. */
+    @Serializable
+    @SerialName("cwant")
+    public data class ConfigurationWanted(
+        public val haveRevision: Long,
+        public val sections: List<String> = emptyList(),
+    ) : PeerMessage
+
+    /** Offers the encoded configuration [root] of [revision] and encoded [sections] by content hash. */
+    @Serializable
+    @SerialName("coffer")
+    public data class ConfigurationOffered(
+        public val revision: Long,
+        public val root: String,
+        public val sections: Map<String, String> = emptyMap(),
+    ) : PeerMessage
+
+    /** Tells which blocks an endpoint or store holds, as the leading hash bytes of each piece. */
+    @Serializable
+    @SerialName("cache")
+    public data class CacheDigest(
+        public val source: EndpointId,
+        public val startCount: Long,
+        public val sequence: Long,
+        public val whole: Boolean,
+        public val stored: List<Long> = emptyList(),
+        public val evicted: List<Long> = emptyList(),
+    ) : PeerMessage
+
+    /** A message that belongs to one exchange; the side that opened the exchange chose the number. */
+    @Serializable
+    public sealed interface OfExchange : PeerMessage {
+        /** Number of the exchange, unique among those that one side opened on one connection. */
+        public val exchange: Long
+    }
+
+    /** Hands a completion to a gateway of another region; pieces of the prompt's text are named by hash. */
+    @Serializable
+    @SerialName("fwd")
+    public data class Forward(
+        override val exchange: Long,
+        public val completion: ForwardedCompletion,
+    ) : OfExchange
+
+    /** Asks for the texts of the pieces with these hashes. */
+    @Serializable
+    @SerialName("pwant")
+    public data class PiecesWanted(override val exchange: Long, public val hashes: List<String>) : OfExchange
+
+    /** Delivers texts of pieces. */
+    @Serializable
+    @SerialName("pieces")
+    public data class Pieces(override val exchange: Long, public val pieces: List<TextPiece>) : OfExchange
+
+    /** One token of a forwarded completion; [sequence] counts from 0 over the whole answer. */
+    @Serializable
+    @SerialName("chunk")
+    public data class Chunk(
+        override val exchange: Long,
+        public val sequence: Int,
+        public val text: String,
+    ) : OfExchange
+
+    /** End of a forwarded completion after [tokens] chunks. */
+    @Serializable
+    @SerialName("fin")
+    public data class Finished(
+        override val exchange: Long,
+        public val attempt: AttemptId,
+        public val tokens: Int,
+        public val reason: String,
+        public val cachedPieces: Int,
+        public val recomputedPieces: Int,
+    ) : OfExchange
+
+    /** The exchange ended without an answer; [execution] is what the caller may be told. */
+    @Serializable
+    @SerialName("refused")
+    public data class Refused(
+        override val exchange: Long,
+        public val type: String,
+        public val detail: String,
+        public val execution: Execution,
+        public val retryAfterMillis: Long = 0,
+    ) : OfExchange
+
+    /** The opener no longer wants the exchange. */
+    @Serializable
+    @SerialName("cancel")
+    public data class Cancel(override val exchange: Long) : OfExchange
+
+    /** Asks the issuer of [ticket] to run [call] once. */
+    @Serializable
+    @SerialName("ticket")
+    public data class ExecuteTicket(
+        override val exchange: Long,
+        public val ticket: String,
+        public val call: ForwardedCall,
+    ) : OfExchange
+
+    /** Asks the owner of the key's shard, or the process that claimed it, to run [call] at most once. */
+    @Serializable
+    @SerialName("claim")
+    public data class ExecuteClaim(
+        override val exchange: Long,
+        public val key: String,
+        public val call: ForwardedCall,
+    ) : OfExchange
+
+    /** The answer of a call that ran. */
+    @Serializable
+    @SerialName("answer")
+    public data class ExecutionAnswer(
+        override val exchange: Long,
+        public val answer: ForwardedAnswer,
+    ) : OfExchange
+
+    public companion object {
+        /** Version of the messages in this file; raised by a change that an older peer cannot read. */
+        public const val PROTOCOL_VERSION: Int = 1
+    }
+}
+
+/** Whether a request that was refused or lost has been run. */
+@Serializable
+public enum class Execution { NOT_RUN, RUN, UNKNOWN }
+
+/** An endpoint's load as one gateway read it [ageMillis] ago. */
+@Serializable
+public data class EndpointLoadDigest(
+    public val endpoint: EndpointId,
+    public val startCount: Long,
+    public val running: Int,
+    public val queuedTokens: Long,
+    public val cold: Boolean,
+    public val ageMillis: Long,
+)
+
+/** A completion whose prompt is the texts of [pieces] in order followed by [tail]. */
+@Serializable
+public data class ForwardedCompletion(
+    public val request: RequestId,
+    public val organisation: OrganisationId,
+    public val model: ModelId,
+    public val version: WeightVersion,
+    public val adapter: AdapterId = AdapterId.None,
+    public val priority: Int = 0,
+    public val maximumTokens: Int,
+    public val remainingMillis: Long,
+    public val pieces: List<String>,
+    public val tail: String,
+    public val traceParent: String = "",
+)
+
+/** The text of one piece of a prompt and its hash, salted with the organisation. */
+@Serializable
+public data class TextPiece(public val hash: String, public val text: String)
+
+/** A call to a service group, passed on unchanged. */
+@Serializable
+public data class ForwardedCall(
+    public val request: RequestId,
+    public val organisation: OrganisationId,
+    public val service: String,
+    public val method: String,
+    public val path: String,
+    public val contentType: String = "",
+    public val body: String = "",
+    public val remainingMillis: Long,
+    public val traceParent: String = "",
+)
+
+/** The answer of a service call. */
+@Serializable
+public data class ForwardedAnswer(
+    public val status: Int,
+    public val contentType: String = "",
+    public val body: String = "",
+)
--- /dev/null
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerNode.kt
@@ -0,0 +1,139 @@
+package org.parsleymoor.peering
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.map
+import com.github.michaelbull.result.onFailure
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.ktor.network.selector.SelectorManager
+import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
+import org.parsleymoor.core.Incarnation
+import org.parsleymoor.core.InstanceId
+import org.parsleymoor.core.RegionId
+import org.parsleymoor.core.ZoneId
+import java.util.concurrent.ConcurrentHashMap
+
+private val logger = KotlinLogging.logger {}
+
+/** What a gateway says of itself to its peers. */
+public data class PeerIdentity(
+    public val incarnation: Incarnation,
+    public val zone: ZoneId,
+    public val region: RegionId,
+) {
+    internal fun hello(address: String): PeerMessage.Hello = PeerMessage.Hello(incarnation, zone, region, address)
+}
+
+/**
+ * A gateway's connections to other gateways: accepts theirs, keeps one to each neighbour open and replaces those that
+ * break or fall silent. Connects to others on demand. [close] ends all of them.
+ */
+public class PeerNode(
+    private val identity: PeerIdentity,
+    private val handler: PeerHandler,
+    private val options: PeerOptions = PeerOptions(),
+    dispatcher: CoroutineDispatcher = Dispatchers.Default,
+) : AutoCloseable {
+    private val scope = CoroutineScope(SupervisorJob() + dispatcher)
+    private val selector = SelectorManager(dispatcher)
+    private val links = ConcurrentHashMap<InstanceId, PeerLink>()
+    private val dialling = ConcurrentHashMap<InstanceId, Mutex>()
+    private val server = PeerServer(selector, scope, options) { serve(PeerLink(it, false, handler, QUEUED_MESSAGES)) }
+
+    @Volatile
+    private var neighbours: Map<InstanceId, String> = emptyMap()
+
+    @Volatile
+    private var dialer: PeerDialer? = null
+
+    /** The open connections, at most one for each remote instance. */
+    public val connected: List<PeerLink> get() = links.values.filter { it.failure == null }
+
+    /** Binds [host] and [port] (0 for a free one), starts accepting and returns the bound port. */
+    public suspend fun start(host: String, port: Int): Int {
+        val bound = server.start(host, port) { identity.hello("$host:$it") }
+        dialer = PeerDialer(selector, scope, identity.hello("$host:$bound"), options)
+        scope.launch { keepNeighbours() }
+        return bound
+    }
+
+    /** Sets the instances (with `host:port`) that connections are kept to. */
+    public fun keepConnectedTo(peers: Map<InstanceId, String>) {
+        neighbours = peers - identity.incarnation.instance
+    }
+
+    /** Returns the open connection to [instance] or makes one to [address]. */
+    public suspend fun connect(instance: InstanceId, address: String): Result<PeerLink, PeerFailure> =
+        dialling.computeIfAbsent(instance) { Mutex() }.withLock {
+            val open = openLink(instance)
+            if (open != null) Ok(open) else dial(address)
+        }
+
+    /** Sends [message] on every open connection, without waiting for a slow one longer than its queue. */
+    public suspend fun broadcast(message: PeerMessage) {
+        connected.forEach { link ->
+            link.send(message).onFailure { logger.debug { "${link.remote.incarnation}: ${it.message}" } }
+        }
+    }
+
+    override fun close() {
+        server.close()
+        links.values.forEach { it.close() }
+        scope.cancel()
+        selector.close()
+    }
+
+    private suspend fun dial(address: String): Result<PeerLink, PeerFailure> {
+        val started = dialer
+        val port = address.substringAfterLast(':').toIntOrNull()
+        return when {
+            started == null -> Err(PeerFailure.Closed("this gateway has not started"))
+            port == null -> Err(PeerFailure.NotConnected(address, "not of the form host:port"))
+            else -> started.dial(address.substringBeforeLast(':'), port).map { adopt(it) }
+        }
+    }
+
+    private fun adopt(connection: PeerConnection): PeerLink {
+        val link = PeerLink(connection, true, handler, QUEUED_MESSAGES)
+        links[link.remote.incarnation.instance] = link
+        scope.launch { serve(link) }
+        return link
+    }
+
+    private fun openLink(instance: InstanceId): PeerLink? = links[instance]?.takeIf { it.failure == null }
+
+    private suspend fun serve(link: PeerLink) {
+        val instance = link.remote.incarnation.instance
+        links.compute(instance) { _, present -> present?.takeIf { it.failure == null } ?: link }
+        try {
+            handler.onConnected(link)
+            link.run(scope)
+        } finally {
+            links.remove(instance, link)
+            handler.onEnded(link)
+        }
+    }
+
+    private suspend fun keepNeighbours() {
+        while (scope.isActive) {
+            neighbours.filterKeys { openLink(it) == null }.forEach { (instance, address) ->
+                scope.launch { connect(instance, address).onFailure { logger.debug { it.message } } }
+            }
+            delay(options.heartbeatMillis)
+        }
+    }
+
+    private companion object {
+        const val QUEUED_MESSAGES = 4_096
+    }
+}
--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package org.parsleymoor.peering
-
-internal object Placeholder
