--- /dev/null
+++ b/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/ConfigurationSections.kt
@@ -0,0 +1,173 @@
+package org.parsleymoor.configuration
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.combine
+import com.github.michaelbull.result.map
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.parsleymoor.core.Failure
+import java.security.MessageDigest
+
+/**
+ * The object `configuration/root`. A set of changes takes effect by one conditional update of it. [author],
+ * [change] and [changedAtMillis] describe the change that made this revision; [writeId] recognises it on reading back.
+ */
+@Serializable
+public data class ConfigurationRoot(
+    public val revision: Long,
+    public val writeId: String,
+    public val sections: List<SectionReference>,
+    public val author: String = "",
+    public val change: String = "",
+    public val changedAtMillis: Long = 0,
+) {
+    /** Returns the JSON form that the platform keeps. */
+    public fun toJson(): String = ConfigurationJson.encodeToString(serializer(), this)
+
+    public companion object {
+        /** The kind of the root and of every section in the platform's object service. */
+        public const val KIND: String = "configuration"
+
+        /** The name of the root object. */
+        public const val NAME: String = "root"
+
+        /** The root before the first change. */
+        public val Empty: ConfigurationRoot = ConfigurationRoot(0, "", emptyList())
+
+        /** Reads the JSON form; returns [SectionFailure.Unreadable] for other text. */
+        public fun parse(text: String): Result<ConfigurationRoot, SectionFailure> = try {
+            Ok(ConfigurationJson.decodeFromString(serializer(), text))
+        } catch (cause: SerializationException) {
+            Err(SectionFailure.Unreadable(NAME, cause.message.orEmpty()))
+        }
+    }
+}
+
+/** Names a section and the SHA-256 digest (lower-case hexadecimal) of its text. */
+@Serializable
+public data class SectionReference(public val name: String, public val hash: String) {
+    /** The name of the section's object in the platform; objects of that name never change. */
+    public val objectName: String get() = "section.$hash"
+}
+
+/** A section's name and its JSON [text]. */
+public data class ConfigurationSection(public val name: String, public val text: String) {
+    /** The reference that the root holds. */
+    public val reference: SectionReference by lazy { SectionReference(name, sha256(text)) }
+}
+
+/** Why a configuration could not be put together from its root. */
+public sealed interface SectionFailure : Failure {
+    /** The root names a section that the caller does not have. */
+    public data class Missing(public val reference: SectionReference) : SectionFailure {
+        override val message: String
+            get() = "expected the text of section ${reference.name} with hash ${reference.hash}, found nothing"
+    }
+
+    /** The text has another hash than the root says. */
+    public data class Altered(public val reference: SectionReference, public val foundHash: String) : SectionFailure {
+        override val message: String
+            get() = "section ${reference.name}: expected hash ${reference.hash}, found $foundHash"
+    }
+
+    /** The text is no section of this version's form. */
+    public data class Unreadable(public val name: String, public val cause: String) : SectionFailure {
+        override val message: String get() = "$name: expected a JSON configuration section, found: $cause"
+    }
+}
+
+/** The items of one section; a section fills one list and leaves the others empty. */
+@Serializable
+internal data class SectionContent(
+    val zones: List<ZoneDeclaration> = emptyList(),
+    val endpoints: List<EndpointDeclaration> = emptyList(),
+    val organisations: List<OrganisationDeclaration> = emptyList(),
+    val models: List<ModelDeclaration> = emptyList(),
+    val services: List<ServiceDeclaration> = emptyList(),
+    val limits: LimitsDeclaration? = null,
+    val rollouts: List<RolloutDeclaration> = emptyList(),
+)
+
+/** Returns the configuration with every list sorted by name, so that equal content has equal sections. */
+public fun Configuration.sorted(): Configuration = copy(
+    zones = zones.sortedBy { it.name.value },
+    endpoints = endpoints.sortedBy { it.name.value },
+    organisations = organisations.sortedBy { it.name.value },
+    models = models.sortedBy { it.name.value },
+    services = services.sortedBy { it.name },
+    rollouts = rollouts.sortedBy { it.name },
+)
+
+/**
+ * Divides the configuration into sections: one for each zone's endpoints, [ORGANISATION_SECTIONS] for organisations
+ * and one for each other list. A change of one item rewrites one section, which stays far below a megabyte.
+ */
+public fun Configuration.toSections(): List<ConfigurationSection> {
+    val sorted = sorted()
+    val endpoints = sorted.endpoints.groupBy { it.zone.value }.toSortedMap()
+        .map { (zone, list) -> section("endpoints.$zone", SectionContent(endpoints = list)) }
+    val organisations = sorted.organisations.groupBy { organisationSection(it.name.value) }.toSortedMap()
+        .map { (name, list) -> section(name, SectionContent(organisations = list)) }
+    return listOf(
+        section("limits", SectionContent(limits = sorted.limits)),
+        section("zones", SectionContent(zones = sorted.zones)),
+        section("models", SectionContent(models = sorted.models)),
+        section("services", SectionContent(services = sorted.services)),
+        section("rollouts", SectionContent(rollouts = sorted.rollouts)),
+    ) + endpoints + organisations
+}
+
+/**
+ * Puts the configuration of [root] together. [text] returns a section's text, or null when the caller lacks it;
+ * each text's hash is checked.
+ */
+public fun assembleConfiguration(
+    root: ConfigurationRoot,
+    text: (SectionReference) -> String?,
+): Result<Configuration, SectionFailure> = root.sections.map { readSection(it, text(it)) }.combine()
+    .map { join(root.revision, it) }
+
+private fun readSection(reference: SectionReference, text: String?): Result<SectionContent, SectionFailure> {
+    val hash = text?.let { sha256(it) }
+    return when {
+        text == null || hash == null -> Err(SectionFailure.Missing(reference))
+        hash != reference.hash -> Err(SectionFailure.Altered(reference, hash))
+        else -> decodeSection(reference.name, text)
+    }
+}
+
+private fun decodeSection(name: String, text: String): Result<SectionContent, SectionFailure> = try {
+    Ok(ConfigurationJson.decodeFromString(SectionContent.serializer(), text))
+} catch (cause: SerializationException) {
+    Err(SectionFailure.Unreadable(name, cause.message.orEmpty()))
+}
+
+private fun join(revision: Long, contents: List<SectionContent>): Configuration = Configuration(
+    revision = revision,
+    zones = contents.flatMap { it.zones },
+    endpoints = contents.flatMap { it.endpoints },
+    organisations = contents.flatMap { it.organisations },
+    models = contents.flatMap { it.models },
+    services = contents.flatMap { it.services },
+    limits = contents.firstNotNullOfOrNull { it.limits } ?: LimitsDeclaration(),
+    rollouts = contents.flatMap { it.rollouts },
+).sorted()
+
+private fun section(name: String, content: SectionContent): ConfigurationSection =
+    ConfigurationSection(name, ConfigurationJson.encodeToString(SectionContent.serializer(), content))
+
+private fun organisationSection(name: String): String = "organisations.${sha256(name).first()}"
+
+private fun sha256(text: String): String =
+    MessageDigest.getInstance("SHA-256").digest(text.encodeToByteArray()).joinToString("") { "%02x".format(it) }
+
+/** The number of sections over which organisations are spread by the first hexadecimal digit of their name's hash. */
+public const val ORGANISATION_SECTIONS: Int = 16
+
+private val ConfigurationJson = Json {
+    ignoreUnknownKeys = true
+    encodeDefaults = true
+}
