--- /dev/null
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/LeaseEvent.kt
@@ -0,0 +1,39 @@
+package org.parsleymoor.coordination
+
+/** What a [LeaseHolder] is told. */
+public sealed interface LeaseEvent {
+    /** The caller wants the lease, or no longer wants it. */
+    public data class Wanted(public val wanted: Boolean) : LeaseEvent
+
+    /** A read or a watch shows the lease object; null when there is none. */
+    public data class Seen(public val stored: StoredLease?) : LeaseEvent
+
+    /** A read failed. */
+    public data object ReadFailed : LeaseEvent
+
+    /** The write [writeId] took effect and gave the object [version]. */
+    public data class Written(public val writeId: String, public val version: Long) : LeaseEvent
+
+    /** The write [writeId] was refused because the object has another version. */
+    public data class Conflicted(public val writeId: String, public val current: StoredLease?) : LeaseEvent
+
+    /** The write [writeId] failed; with [mayHaveTakenEffect] its response was lost. */
+    public data class WriteFailed(public val writeId: String, public val mayHaveTakenEffect: Boolean) : LeaseEvent
+
+    /** Time has passed. */
+    public data object Tick : LeaseEvent
+}
+
+/** What a [LeaseHolder] asks its shell to do. */
+public sealed interface LeaseAction {
+    /** Read `leases/{name}` and report [LeaseEvent.Seen] or [LeaseEvent.ReadFailed]. */
+    public data class Read(public val name: String) : LeaseAction
+
+    /** Write [record] to `leases/{name}` when its version is [expectedVersion] and report the outcome. */
+    public data class Write(
+        public val name: String,
+        public val record: LeaseRecord,
+        public val expectedVersion: Long,
+        public val writeId: String,
+    ) : LeaseAction
+}
--- a/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package org.parsleymoor.coordination
-
-internal object Placeholder
