--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerConnection.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerConnection.kt
@@ -52,8 +52,10 @@
     /** Queues [message]; suspends while the queue is full; returns why the connection ended when it has. */
     public suspend fun send(message: PeerMessage): Result<Unit, PeerFailure> {
         val frame = wire.codec.encode(message).getOrElse { return Err(it) }
+        val isControl = message.isControl()
         return try {
-            Ok((if (message.isControl()) control else data).send(frame))
+            (if (isControl) control else data).send(frame)
+            Ok(wire.traffic.count(isControl, frame.size))
         } catch (cause: ClosedSendChannelException) {
             Err(failure ?: PeerFailure.Closed(cause.toString()))
         }
@@ -129,7 +131,7 @@
 }
 
 /** The two directions of a socket and the codec between them. */
-internal class PeerWire(socket: Socket, val codec: FrameCodec) {
+internal class PeerWire(socket: Socket, val codec: FrameCodec, val traffic: TrafficCounter) {
     val input = socket.openReadChannel()
     val output = socket.openWriteChannel()
 }
--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerDialer.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerDialer.kt
@@ -20,11 +20,13 @@
     private val identity: PeerMessage.Hello,
     private val options: PeerOptions = PeerOptions(),
 ) {
+    internal var traffic: TrafficCounter = TrafficCounter()
+
     /** Connects to [host] and [port] and suspends until the handshake ends, within the connect timeout. */
     public suspend fun dial(host: String, port: Int): Result<PeerConnection, PeerFailure> {
         val opened = withTimeoutOrNull(options.connectTimeoutMillis) { open(host, port) }
             ?: Err(PeerFailure.NotConnected("$host:$port", "no answer in ${options.connectTimeoutMillis} ms"))
-        return opened.andThen { handshake(it, identity, options) }.onSuccess { it.start(scope) }
+        return opened.andThen { handshake(it, identity, options, traffic) }.onSuccess { it.start(scope) }
     }
 
     private suspend fun open(host: String, port: Int): Result<Socket, PeerFailure> = try {
@@ -41,8 +43,9 @@
     socket: Socket,
     identity: PeerMessage.Hello,
     options: PeerOptions,
+    traffic: TrafficCounter,
 ): Result<PeerConnection, PeerFailure> {
-    val wire = PeerWire(socket, FrameCodec(options.frameLimitBytes))
+    val wire = PeerWire(socket, FrameCodec(options.frameLimitBytes), traffic)
     val greeting = withTimeoutOrNull(options.silenceMillis) { greet(wire, identity) }
         ?: Err(PeerFailure.Silent(options.silenceMillis))
     val outcome = greeting.andThen { checkGreeting(it) }.andThen { Ok(PeerConnection(socket, wire, it, options)) }
--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerNode.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerNode.kt
@@ -48,6 +48,7 @@
     private val selector = SelectorManager(dispatcher)
     private val links = ConcurrentHashMap<InstanceId, PeerLink>()
     private val dialling = ConcurrentHashMap<InstanceId, Mutex>()
+    private val counter = TrafficCounter()
     private val server = PeerServer(selector, scope, options) { serve(PeerLink(it, false, handler, QUEUED_MESSAGES)) }
 
     @Volatile
@@ -59,10 +60,14 @@
     /** The open connections, at most one for each remote instance. */
     public val connected: List<PeerLink> get() = links.values.filter { it.failure == null }
 
+    /** What this node has sent since its start. */
+    public val traffic: PeerTraffic get() = counter.total()
+
     /** Binds [host] and [port] (0 for a free one), starts accepting and returns the bound port. */
     public suspend fun start(host: String, port: Int): Int {
+        server.traffic = counter
         val bound = server.start(host, port) { identity.hello("$host:$it") }
-        dialer = PeerDialer(selector, scope, identity.hello("$host:$bound"), options)
+        dialer = PeerDialer(selector, scope, identity.hello("$host:$bound"), options).also { it.traffic = counter }
         scope.launch { keepNeighbours() }
         return bound
     }
--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerServer.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerServer.kt
@@ -22,6 +22,7 @@
     private val options: PeerOptions = PeerOptions(),
     private val onConnection: suspend (PeerConnection) -> Unit,
 ) : AutoCloseable {
+    internal var traffic: TrafficCounter = TrafficCounter()
     private var listener: ServerSocket? = null
 
     /** Binds [host] and [port] (0 for a free one), accepts in the background and returns the bound port. */
@@ -54,7 +55,7 @@
 
     private suspend fun serve(socket: Socket, hello: PeerMessage.Hello) {
         val caller = socket.remoteAddress
-        handshake(socket, hello, options)
+        handshake(socket, hello, options, traffic)
             .onSuccess {
                 it.start(scope)
                 onConnection(it)
