--- a/libraries/context/src/main/kotlin/org/parsleymoor/context/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package org.parsleymoor.context
-
-internal object Placeholder
--- /dev/null
+++ b/libraries/limits/src/main/kotlin/org/parsleymoor/limits/FairQueue.kt
@@ -0,0 +1,106 @@
+package org.parsleymoor.limits
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import org.parsleymoor.core.Failure
+import org.parsleymoor.core.OrganisationId
+import org.parsleymoor.core.RequestId
+import java.util.TreeSet
+
+/** Bounds of a [FairQueue] in requests. */
+public data class FairQueueLimits(public val length: Int = 1_000, public val lengthPerOrganisation: Int = 400)
+
+/** The queue of [limit] requests is full; [organisation] is null when the bound is that of the whole queue. */
+public data class QueueFull(public val limit: Int, public val organisation: OrganisationId? = null) : Failure {
+    override val message: String
+        get() = "expected fewer than $limit queued requests${organisation?.let { " of $it" }.orEmpty()}, found $limit"
+}
+
+/**
+ * Start-time fair queue: requests of one priority are served in order of their start tags, so that organisations with
+ * work waiting get tokens in proportion to their weights whatever their request sizes. A higher priority is always
+ * served first; deadlines bound how long lower ones wait. Not safe for use from several threads.
+ */
+public class FairQueue(private val limits: FairQueueLimits = FairQueueLimits()) {
+    private val waiting = TreeSet<Entry>(
+        compareByDescending<Entry> { it.item.priority }.thenBy { it.startTag }.thenBy { it.arrival },
+    )
+    private val byDeadline = TreeSet<Entry>(compareBy<Entry> { it.item.deadlineMillis }.thenBy { it.arrival })
+    private val byRequest = HashMap<String, Entry>()
+    private val flows = HashMap<String, Flow>()
+    private var virtualTime = 0.0
+    private var arrivals = 0L
+
+    /** Number of waiting requests. */
+    public val size: Int get() = waiting.size
+
+    /** Tokens of all waiting requests. */
+    public var tokens: Long = 0
+        private set
+
+    /** Appends [item]; returns [QueueFull], and keeps nothing, when a bound is reached. */
+    public fun offer(item: QueuedRequest): Result<Unit, QueueFull> {
+        require(item.weight > 0) { "expected a weight above 0, got ${item.weight}" }
+        val full = reachedBound(item.organisation)
+        if (full != null) return Err(full)
+        append(item, flows.getOrPut(item.organisation.value) { Flow() })
+        return Ok(Unit)
+    }
+
+    /** Removes and returns the next request whose deadline is after [nowMillis]; null when none waits. */
+    public fun poll(nowMillis: Long): QueuedRequest? {
+        val entry = waiting.firstOrNull { it.item.deadlineMillis > nowMillis } ?: return null
+        virtualTime = maxOf(virtualTime, entry.startTag)
+        take(entry)
+        return entry.item
+    }
+
+    /** Removes and returns the requests whose deadline has passed at [nowMillis], earliest first; none of them ran. */
+    public fun expire(nowMillis: Long): List<QueuedRequest> {
+        val expired = byDeadline.takeWhile { it.item.deadlineMillis <= nowMillis }
+        expired.forEach { take(it) }
+        return expired.map { it.item }
+    }
+
+    /** Removes the waiting [request], for example when its caller has gone; returns whether it was waiting. */
+    public fun cancel(request: RequestId): Boolean {
+        val entry = byRequest[request.value] ?: return false
+        take(entry)
+        return true
+    }
+
+    private fun reachedBound(organisation: OrganisationId): QueueFull? {
+        val waitingThere = flows[organisation.value]?.waiting ?: 0
+        return when {
+            size >= limits.length -> QueueFull(limits.length)
+            waitingThere >= limits.lengthPerOrganisation -> QueueFull(limits.lengthPerOrganisation, organisation)
+            else -> null
+        }
+    }
+
+    private fun append(item: QueuedRequest, flow: Flow) {
+        val startTag = maxOf(virtualTime, flow.finishTag)
+        flow.finishTag = startTag + item.tokens.toDouble() / item.weight
+        flow.waiting++
+        val entry = Entry(item, startTag, arrivals++)
+        waiting += entry
+        byDeadline += entry
+        byRequest[item.request.value] = entry
+        tokens += item.tokens
+    }
+
+    private fun take(entry: Entry) {
+        waiting -= entry
+        byDeadline -= entry
+        byRequest -= entry.item.request.value
+        tokens -= entry.item.tokens
+        val flow = flows.getValue(entry.item.organisation.value)
+        flow.waiting--
+        if (flow.waiting == 0 && flow.finishTag <= virtualTime) flows -= entry.item.organisation.value
+    }
+
+    private class Entry(val item: QueuedRequest, val startTag: Double, val arrival: Long)
+
+    private class Flow(var finishTag: Double = 0.0, var waiting: Int = 0)
+}
--- a/libraries/limits/src/main/kotlin/org/parsleymoor/limits/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package org.parsleymoor.limits
-
-internal object Placeholder
--- /dev/null
+++ b/libraries/placement/src/main/kotlin/org/parsleymoor/placement/FleetView.kt
@@ -0,0 +1,65 @@
+package org.parsleymoor.placement
+
+import org.parsleymoor.core.EndpointId
+import org.parsleymoor.core.RegionId
+import org.parsleymoor.core.ZoneId
+
+/**
+ * An engine as a gateway sees it: the last load report plus the gateway's own dispatches since. [acceptsWork] is false
+ * for an engine that is drained, out, suspect, at its limit, or cold without a slot of this gateway. [correction] is
+ * the smoothed ratio of observed to estimated time to first token.
+ */
+public data class EngineView(
+    public val endpoint: EndpointId,
+    public val zone: ZoneId,
+    public val region: RegionId,
+    public val acceptsWork: Boolean = true,
+    public val running: Int = 0,
+    public val queuedPrefillTokens: Long = 0,
+    public val prefillTokensPerSecond: Double,
+    public val correction: Double = 1.0,
+)
+
+/**
+ * A KV cache store. Rates are the observed ones of the store's outgoing link; the queued bytes are what is waiting on
+ * it. A store that is lost or excluded has [available] false.
+ */
+public data class StoreView(
+    public val endpoint: EndpointId,
+    public val region: RegionId,
+    public val available: Boolean = true,
+    public val memoryBytesPerSecond: Double,
+    public val diskBytesPerSecond: Double,
+    public val queuedMemoryBytes: Long = 0,
+    public val queuedDiskBytes: Long = 0,
+)
+
+/** The link between two regions as this gateway may use it; [waitMillis] is the delay of its own queue. */
+public data class RegionLinkView(
+    public val bytesPerSecond: Double,
+    public val waitMillis: Double = 0.0,
+    public val latencyMillis: Double = 20.0,
+)
+
+/** Everything that a placement decision reads, except the request. [engines] serve the wanted model and version. */
+public class FleetView(
+    public val engines: List<EngineView>,
+    public val stores: List<StoreView> = emptyList(),
+    public val regionLink: RegionLinkView = RegionLinkView(DEFAULT_LINK_BYTES_PER_SECOND),
+) {
+    private val engineIndex: Map<String, Int> = indexBy(engines) { it.endpoint }
+    private val storeIndex: Map<String, Int> = indexBy(stores) { it.endpoint }
+
+    /** Returns the position of [endpoint] in [engines], or -1. */
+    public fun engineIndex(endpoint: EndpointId): Int = engineIndex[endpoint.value] ?: -1
+
+    /** Returns the store [endpoint], or null when it is not in the view. */
+    public fun store(endpoint: EndpointId): StoreView? = storeIndex[endpoint.value]?.let { stores[it] }
+
+    private companion object {
+        const val DEFAULT_LINK_BYTES_PER_SECOND = 2_500_000.0
+
+        fun <T> indexBy(items: List<T>, name: (T) -> EndpointId): Map<String, Int> =
+            items.withIndex().associate { (index, item) -> name(item).value to index }
+    }
+}
--- a/libraries/placement/src/main/kotlin/org/parsleymoor/placement/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package org.parsleymoor.placement
-
-internal object Placeholder
--- /dev/null
+++ b/libraries/placement/src/main/kotlin/org/parsleymoor/placement/PrefixAffinityPolicy.kt
@@ -0,0 +1,24 @@
+package org.parsleymoor.placement
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import org.apache.commons.rng.UniformRandomProvider
+
+/** Baseline: the engines that hold the longest prefix, and the least loaded of them. */
+public class PrefixAffinityPolicy : PlacementPolicy() {
+    override val name: String get() = "prefix-affinity"
+
+    override fun place(
+        request: PlacementRequest,
+        fleet: FleetView,
+        random: UniformRandomProvider,
+    ): Result<Placement, NoEngineAvailable> {
+        val held = request.matches.associate { it.endpoint.value to it.pieces }
+        val accepting = fleet.engines.filter { it.acceptsWork }
+        val longest = accepting.maxOfOrNull { held[it.endpoint.value] ?: 0 } ?: 0
+        val engine = leastLoaded(accepting.filter { (held[it.endpoint.value] ?: 0) == longest }, random)
+            ?: return Err(NoEngineAvailable(fleet.engines.size))
+        return Ok(placementOnEngine(request, fleet, engine))
+    }
+}
