--- /dev/null
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ClaimRequests.kt
@@ -0,0 +1,60 @@
+package org.parsleymoor.execution.atmostonce
+
+import org.parsleymoor.core.Incarnation
+
+/** Reads and writes the objects of one shard. A segment is named by the head version whose claims it holds. */
+internal class ClaimRequests(
+    private val shard: Int,
+    private val self: Incarnation,
+    private val settings: ClaimSettings,
+    private val calls: ClaimCalls,
+) {
+    private var writeCount = 0L
+
+    /** Writes a claim for every call in [queue], or first seals a head that has no room for them. */
+    fun commit(nowMillis: Long, stored: StoredHead, queue: ClaimQueue): List<ClaimAction> {
+        if (queue.isEmpty || !calls.mayWrite(nowMillis)) return emptyList()
+        val full = stored.head.encodedBytes > settings.sealBytes
+        return listOf(if (full) seal(nowMillis, stored) else append(nowMillis, stored, queue))
+    }
+
+    /** Replaces the claims of [stored], which are in the segment of its version, by the ones that wait. */
+    fun commitSealed(nowMillis: Long, stored: StoredHead, queue: ClaimQueue): List<ClaimAction> {
+        val oldestMillis = nowMillis - settings.retentionMillis
+        val (kept, expired) = stored.head.segments.partition { it.newestMillis >= oldestMillis }
+        val sealed = SegmentReference(stored.version, stored.head.claims.maxOf { it.claimedMillis })
+        val head = ClaimHead(queue.batch(nowMillis), kept + sealed)
+        val deletions = expired.map { ClaimAction.DeleteSegment(shard, it.number) }
+        return listOf(write(nowMillis, stored, head, queue.callCount())) + deletions
+    }
+
+    /** Reads the head, unless that is under way or has just failed. */
+    fun readHead(nowMillis: Long): List<ClaimAction> {
+        if (calls.headReadMillis != null || calls.failedRecently(nowMillis)) return emptyList()
+        calls.headReadMillis = nowMillis
+        return listOf(ClaimAction.ReadHead(shard))
+    }
+
+    /** Reads the segments [numbers], unless that is under way. */
+    fun readSegments(nowMillis: Long, numbers: List<Long>): List<ClaimAction> {
+        if (calls.segmentReadMillis != null) return emptyList()
+        calls.segmentReadMillis = nowMillis
+        return numbers.map { ClaimAction.ReadSegment(shard, it) }
+    }
+
+    private fun seal(nowMillis: Long, stored: StoredHead): ClaimAction {
+        calls.sealMillis = nowMillis
+        return ClaimAction.WriteSegment(shard, stored.version, stored.head.claims)
+    }
+
+    private fun append(nowMillis: Long, stored: StoredHead, queue: ClaimQueue): ClaimAction {
+        val head = stored.head.copy(claims = stored.head.claims + queue.batch(nowMillis))
+        return write(nowMillis, stored, head, queue.callCount())
+    }
+
+    private fun write(nowMillis: Long, stored: StoredHead, head: ClaimHead, waitingCalls: Int): ClaimAction {
+        val writeId = "$self/$shard/${writeCount++}"
+        calls.startWrite(PendingHead(writeId, nowMillis, head))
+        return ClaimAction.WriteHead(shard, head, stored.version, writeId, waitingCalls)
+    }
+}
