Declare the calls of a gateway's operations port

Cause: the operators' program and the gateway have to agree on GET /status, POST /configuration and GET /requests/{id} before either is written.

--- /dev/null
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/OperationsClient.kt
@@ -0,0 +1,16 @@
+package org.parsleymoor.clients
+
+import com.github.michaelbull.result.Result
+import org.parsleymoor.core.RequestId
+
+/** A gateway's operations port. Every function suspends until an answer or a [BackEndFailure]. */
+public interface OperationsClient {
+    /** Reads the live status. */
+    public suspend fun status(): Result<GatewayStatus, BackEndFailure>
+
+    /** Offers a configuration that the platform has accepted; an older one than that in effect changes nothing. */
+    public suspend fun offer(offer: ConfigurationOffer): Result<ConfigurationInEffect, BackEndFailure>
+
+    /** Reads the steps of [request]; a gateway that did not see it answers with no steps. */
+    public suspend fun history(request: RequestId): Result<RequestHistory, BackEndFailure>
+}
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/PlatformClient.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/PlatformClient.kt
@@ -67,13 +67,17 @@
     public data class Heartbeat(public val revision: Long) : WatchEvent
 }
 
-/** An entry of the platform's instance list; [peerAddress] is `host:port` of the gateway's peer socket. */
+/**
+ * An entry of the platform's instance list; [peerAddress] is `host:port` of the gateway's peer socket and
+ * [operationsAddress] that of its operations port, empty when the platform does not list it.
+ */
 @Serializable
 public data class ListedInstance(
     public val instance: InstanceId,
     public val zone: ZoneId,
     public val peerAddress: String,
     public val leaving: Boolean = false,
+    public val operationsAddress: String = "",
 )
 
 /** Why a call to the platform failed. */
