Forward completions to a gateway of another region by text hash

Cause: the link between regions is narrow and billed, and a prompt's text must cross it once only. Change: ForwardingEngineClient looks like an engine; it names pieces of text by salted hash and sends those that the peer has not had, the peer asks for any that it dropped, and the chained context hash proves the prompt.

--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerLink.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerLink.kt
@@ -87,8 +87,8 @@
 
     private fun PeerMessage.OfExchange.isOpening(): Boolean = when (this) {
         is PeerMessage.Forward, is PeerMessage.ExecuteTicket, is PeerMessage.ExecuteClaim -> true
-        is PeerMessage.PiecesWanted, is PeerMessage.Pieces, is PeerMessage.Chunk, is PeerMessage.Finished,
-        is PeerMessage.Refused, is PeerMessage.Cancel, is PeerMessage.ExecutionAnswer,
+        is PeerMessage.PiecesWanted, is PeerMessage.Pieces, is PeerMessage.Started, is PeerMessage.Chunk,
+        is PeerMessage.Finished, is PeerMessage.Refused, is PeerMessage.Cancel, is PeerMessage.ExecutionAnswer,
         -> false
     }
 }
--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerMessage.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerMessage.kt
@@ -1,7 +1,9 @@
 package org.parsleymoor.peering
 
+import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.ByteString
 import org.parsleymoor.core.AdapterId
 import org.parsleymoor.core.AttemptId
 import org.parsleymoor.core.EndpointId
@@ -76,25 +78,45 @@
         public val exchange: Long
     }
 
-    /** Hands a completion to a gateway of another region; pieces of the prompt's text are named by hash. */
+    /**
+     * Asks a gateway of another region to run [completion] on [endpoint]. Pieces of the prompt's text are named by
+     * hash; [inline] has those that the sender has not sent on this connection before.
+     */
     @Serializable
     @SerialName("fwd")
     public data class Forward(
         override val exchange: Long,
+        public val endpoint: EndpointId,
         public val completion: ForwardedCompletion,
+        public val inline: List<TextPiece> = emptyList(),
     ) : OfExchange
 
-    /** Asks for the texts of the pieces with these hashes. */
+    /** Asks for the texts of the pieces with these hashes, joined as in [ForwardedCompletion.textPieces]. */
+    @OptIn(ExperimentalSerializationApi::class)
     @Serializable
     @SerialName("pwant")
-    public data class PiecesWanted(override val exchange: Long, public val hashes: List<String>) : OfExchange
+    public data class PiecesWanted(
+        override val exchange: Long,
+        @ByteString public val hashes: ByteArray,
+    ) : OfExchange
 
     /** Delivers texts of pieces. */
     @Serializable
     @SerialName("pieces")
     public data class Pieces(override val exchange: Long, public val pieces: List<TextPiece>) : OfExchange
 
-    /** One token of a forwarded completion; [sequence] counts from 0 over the whole answer. */
+    /** The endpoint has started a forwarded completion; the fields are those of the engine's own report. */
+    @Serializable
+    @SerialName("started")
+    public data class Started(
+        override val exchange: Long,
+        public val startCount: Long,
+        public val version: WeightVersion,
+        public val cachedPieces: Int,
+        public val recomputedPieces: Int,
+    ) : OfExchange
+
+    /** One token of a forwarded completion; [sequence] counts from 0 within the attempt. */
     @Serializable
     @SerialName("chunk")
     public data class Chunk(
@@ -108,11 +130,8 @@
     @SerialName("fin")
     public data class Finished(
         override val exchange: Long,
-        public val attempt: AttemptId,
         public val tokens: Int,
         public val reason: String,
-        public val cachedPieces: Int,
-        public val recomputedPieces: Int,
     ) : OfExchange
 
     /** The exchange ended without an answer; [execution] is what the caller may be told. */
@@ -178,25 +197,35 @@
     public val ageMillis: Long,
 )
 
-/** A completion whose prompt is the texts of [pieces] in order followed by [tail]. */
+/**
+ * A completion whose prompt is the texts of [textPieces] in order followed by [tail]. [textPieces] joins the hashes of
+ * [TextHash.BYTES] bytes each. [contextHash] is the chained hash of the last full context piece, in lower-case
+ * hexadecimal, and empty when there is none; it proves that the prompt was put together right. Texts are UTF-8 that may
+ * end inside a character.
+ */
+@OptIn(ExperimentalSerializationApi::class)
 @Serializable
 public data class ForwardedCompletion(
     public val request: RequestId,
+    public val attempt: AttemptId,
     public val organisation: OrganisationId,
     public val model: ModelId,
     public val version: WeightVersion,
     public val adapter: AdapterId = AdapterId.None,
     public val priority: Int = 0,
     public val maximumTokens: Int,
-    public val remainingMillis: Long,
-    public val pieces: List<String>,
-    public val tail: String,
+    public val resumeAfterTokens: Int = 0,
+    public val resumeText: String = "",
+    @ByteString public val textPieces: ByteArray,
+    public val contextHash: String,
+    @ByteString public val tail: ByteArray,
     public val traceParent: String = "",
 )
 
 /** The text of one piece of a prompt and its hash, salted with the organisation. */
+@OptIn(ExperimentalSerializationApi::class)
 @Serializable
-public data class TextPiece(public val hash: String, public val text: String)
+public data class TextPiece(public val hash: TextHash, @ByteString public val text: ByteArray)
 
 /** A call to a service group, passed on unchanged. */
 @Serializable
--- a/libraries/peering/src/test/kotlin/org/parsleymoor/peering/PeerNodeTest.kt
+++ b/libraries/peering/src/test/kotlin/org/parsleymoor/peering/PeerNodeTest.kt
@@ -18,6 +18,7 @@
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import org.parsleymoor.core.AttemptId
+import org.parsleymoor.core.EndpointId
 import org.parsleymoor.core.Incarnation
 import org.parsleymoor.core.InstanceId
 import org.parsleymoor.core.ModelId
@@ -177,15 +178,17 @@
 
     private fun forward(exchange: Long, text: String) = PeerMessage.Forward(
         exchange,
+        EndpointId("engine"),
         ForwardedCompletion(
             request = RequestId("r"),
+            attempt = AttemptId("r.0"),
             organisation = OrganisationId("o"),
             model = ModelId("m"),
             version = WeightVersion("1"),
             maximumTokens = 1,
-            remainingMillis = 1_000,
-            pieces = emptyList(),
-            tail = text,
+            textPieces = ByteArray(0),
+            contextHash = "",
+            tail = text.encodeToByteArray(),
         ),
     )
 
@@ -199,8 +202,8 @@
 
         override suspend fun onExchange(exchange: PeerExchange, opening: PeerMessage.OfExchange) {
             val completion = (opening as PeerMessage.Forward).completion
-            exchange.send(PeerMessage.Chunk(exchange.number, 0, completion.tail))
-            exchange.send(PeerMessage.Finished(exchange.number, AttemptId("r.0"), 1, "stop", 0, 0))
+            exchange.send(PeerMessage.Chunk(exchange.number, 0, completion.tail.decodeToString()))
+            exchange.send(PeerMessage.Finished(exchange.number, 1, "stop"))
         }
     }
 
