--- /dev/null
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/FreshStart.kt
@@ -0,0 +1,20 @@
+package org.parsleymoor.coordination
+
+/**
+ * Decides when a new instance has heard enough to apply its first configuration: when the platform answered, or when
+ * the time in which peers may offer theirs is over.
+ */
+internal class FreshStart(private val settings: SpreadSettings) {
+    private var startedMillis: Long? = null
+    private var platformAnswered = false
+
+    fun observe(nowMillis: Long, event: SpreadEvent) {
+        if (startedMillis == null) startedMillis = nowMillis
+        if (event is SpreadEvent.PlatformRoot) platformAnswered = true
+    }
+
+    fun complete(nowMillis: Long): Boolean {
+        val waitedMillis = nowMillis - (startedMillis ?: nowMillis)
+        return platformAnswered || waitedMillis >= settings.startMillis
+    }
+}
--- /dev/null
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/Membership.kt
@@ -0,0 +1,100 @@
+package org.parsleymoor.coordination
+
+import org.parsleymoor.core.Incarnation
+import org.parsleymoor.core.InstanceId
+import org.parsleymoor.core.rendezvousOrder
+
+/**
+ * The gateways that are believed to run: the platform's list joined with heartbeats. Views of different gateways may
+ * differ; they only decide who tries first. Not safe for use from several threads.
+ */
+public class Membership(
+    private val self: Member,
+    private val settings: MembershipSettings = MembershipSettings(),
+) {
+    private var listed: Map<InstanceId, Member> = emptyMap()
+    private val heard = HashMap<InstanceId, Heartbeat>()
+    private var neighbourSinceMillis: Map<InstanceId, Long> = emptyMap()
+
+    /** The members that connections are kept to. */
+    public val neighbours: Set<InstanceId> get() = neighbourSinceMillis.keys
+
+    /** Applies [event] at [nowMillis]. */
+    public fun handle(nowMillis: Long, event: MembershipEvent): List<MembershipAction> {
+        when (event) {
+            is MembershipEvent.Listed -> listed = event.members.associateBy { it.instance }
+            is MembershipEvent.Heard -> hear(nowMillis, event)
+            is MembershipEvent.Tick -> forget(nowMillis)
+        }
+        return chooseNeighbours(nowMillis)
+    }
+
+    /** Returns the view at [nowMillis], this gateway included, by instance. */
+    public fun view(nowMillis: Long): List<ViewedMember> =
+        known().map { ViewedMember(it, stateOf(it, nowMillis), heard[it.instance]?.incarnation) }
+            .sortedBy { it.member.instance.value }
+
+    /**
+     * Returns the members that do not leave in the order in which they try for [key]; those that fell silent come last.
+     */
+    public fun order(key: String, nowMillis: Long): List<Member> {
+        val staying = view(nowMillis).filter { it.state != MemberState.LEAVING }
+        return rendezvousOrder(key, staying) { it.member.instance.value }
+            .sortedBy { it.state == MemberState.SILENT }
+            .map { it.member }
+    }
+
+    /** Returns the incarnation of [instance] that the last heartbeat named. */
+    public fun incarnationOf(instance: InstanceId): Incarnation? = heard[instance]?.incarnation
+
+    private fun hear(nowMillis: Long, event: MembershipEvent.Heard) {
+        val known = heard[event.member.instance]
+        if (known != null && event.incarnation.startMillis < known.incarnation.startMillis) return
+        heard[event.member.instance] = Heartbeat(event.member, event.incarnation, nowMillis)
+    }
+
+    private fun forget(nowMillis: Long) {
+        heard.values.removeIf { it.member.instance !in listed && nowMillis - it.atMillis > settings.forgetMillis }
+    }
+
+    private fun known(): Collection<Member> {
+        val members = HashMap(listed)
+        heard.values.forEach { heartbeat ->
+            val leaving = heartbeat.member.leaving || listed[heartbeat.member.instance]?.leaving == true
+            members[heartbeat.member.instance] = heartbeat.member.copy(leaving = leaving)
+        }
+        members[self.instance] = self.copy(leaving = listed[self.instance]?.leaving == true)
+        return members.values
+    }
+
+    private fun stateOf(member: Member, nowMillis: Long): MemberState {
+        val heardMillis = heard[member.instance]?.atMillis ?: Long.MIN_VALUE
+        val expectedMillis = neighbourSinceMillis[member.instance]?.let { maxOf(it, heardMillis) }
+        return when {
+            member.leaving -> MemberState.LEAVING
+            member.instance == self.instance -> MemberState.LIVE
+            heardMillis >= nowMillis - settings.silenceMillis -> MemberState.LIVE
+            expectedMillis != null && expectedMillis < nowMillis - settings.silenceMillis -> MemberState.SILENT
+            else -> MemberState.LISTED
+        }
+    }
+
+    private fun chooseNeighbours(nowMillis: Long): List<MembershipAction> {
+        val candidates = known().filter { it.instance != self.instance && !it.leaving }
+        val chosen = if (candidates.size < settings.connectAll) candidates else settings.nearest(self, candidates)
+        val names = chosen.mapTo(HashSet()) { it.instance }
+        if (names == neighbourSinceMillis.keys) return emptyList()
+        neighbourSinceMillis = names.associateWith { neighbourSinceMillis[it] ?: nowMillis }
+        return listOf(MembershipAction.KeepConnectedTo(chosen.sortedBy { it.instance.value }))
+    }
+
+    private class Heartbeat(val member: Member, val incarnation: Incarnation, val atMillis: Long)
+}
+
+private fun MembershipSettings.nearest(self: Member, candidates: List<Member>): List<Member> {
+    val ordered = rendezvousOrder(self.instance.value, candidates) { it.instance.value }
+    val inZone = ordered.filter { it.zone == self.zone }.take(neighboursInZone)
+    val inRegion = ordered.filter { it.region == self.region && it.zone != self.zone }.take(neighboursInRegion)
+    val elsewhere = ordered.filter { it.region != self.region }.take(neighboursElsewhere)
+    return inZone + inRegion + elsewhere
+}
--- a/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/SpreadEvent.kt
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/SpreadEvent.kt
@@ -1,5 +1,6 @@
 package org.parsleymoor.coordination
 
+import org.parsleymoor.configuration.ConfigurationRoot
 import org.parsleymoor.core.InstanceId
 
 /** What a [ConfigurationSpread] is told. */
@@ -13,8 +14,8 @@
     /** A read of the platform or a watch shows [root]; null when the platform holds no configuration. */
     public data class PlatformRoot(public val root: ConfigurationRoot?) : SpreadEvent
 
-    /** The platform returned a section. */
-    public data class PlatformSection(public val hash: String, public val content: String) : SpreadEvent
+    /** The platform returned the section with content hash [hash]. */
+    public data class PlatformSection(public val hash: String, public val text: String) : SpreadEvent
 
     /** A read of the platform failed. */
     public data object PlatformFailed : SpreadEvent
@@ -25,20 +26,21 @@
     /** The watch ended or could not be opened. */
     public data object WatchEnded : SpreadEvent
 
-    /** A heartbeat of [peer] or the operators' program names [revision] as in effect there. */
+    /** A heartbeat of [peer] names [revision] as in effect there. */
     public data class PeerRevision(public val peer: InstanceId, public val revision: Long) : SpreadEvent
 
-    /** [peer] asks for what is above [aboveRevision] and holds the sections [held] already. */
+    /** [peer] asks for the root when it is newer than [haveRevision], and for [sections] by content hash. */
     public data class PeerWants(
         public val peer: InstanceId,
-        public val aboveRevision: Long,
-        public val held: Set<String>,
+        public val haveRevision: Long,
+        public val sections: List<String>,
     ) : SpreadEvent
 
-    /** [peer] offers a root and sections; null when it has nothing above the revision that was asked for. */
+    /** [peer] or the operators' program offers a [root] (null when it has none to offer) and section texts by hash. */
     public data class PeerOffers(
-        public val peer: InstanceId,
-        public val offer: ConfigurationRevision?,
+        public val peer: InstanceId?,
+        public val root: ConfigurationRoot?,
+        public val sections: Map<String, String>,
     ) : SpreadEvent
 
     /** Time has passed. */
@@ -59,19 +61,23 @@
     /** Read the section with content hash [hash] from the platform. */
     public data class ReadSection(public val hash: String) : SpreadAction
 
-    /** Ask [peer] for a revision above [aboveRevision], naming the sections that are [held] here. */
+    /** Ask [peer] for a root newer than [haveRevision] and for [sections]. */
     public data class AskPeer(
         public val peer: InstanceId,
-        public val aboveRevision: Long,
-        public val held: Set<String>,
+        public val haveRevision: Long,
+        public val sections: List<String>,
     ) : SpreadAction
 
-    /** Send [offer] to [peer]. */
+    /** Send [root] and [sections] to [peer]. */
     public data class OfferPeer(
         public val peer: InstanceId,
-        public val offer: ConfigurationRevision?,
+        public val root: ConfigurationRoot?,
+        public val sections: Map<String, String>,
     ) : SpreadAction
 
-    /** Put [configuration] into effect. */
-    public data class Apply(public val configuration: ConfigurationRevision) : SpreadAction
+    /** Put the configuration of [root] into effect; [sections] holds the text of each section by content hash. */
+    public data class Apply(
+        public val root: ConfigurationRoot,
+        public val sections: Map<String, String>,
+    ) : SpreadAction
 }
