--- /dev/null
+++ b/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/EndpointLabels.kt
@@ -0,0 +1,46 @@
+package org.parsleymoor.configuration
+
+import com.github.michaelbull.result.get
+import org.parsleymoor.core.EndpointId
+import org.parsleymoor.core.Labels
+import org.parsleymoor.core.ModelId
+import org.parsleymoor.core.Selector
+
+/** Labels that every endpoint has without declaring them; a declaration may not set them. */
+public val ImpliedLabels: Set<String> = setOf("name", "kind", "zone", "region", "state")
+
+/** Returns the labels that selectors see: those declared and the [ImpliedLabels]; `state` is that of [stateOf]. */
+public fun Configuration.labelsOf(endpoint: EndpointDeclaration): Labels {
+    val region = zones.firstOrNull { it.name == endpoint.zone }?.region?.value.orEmpty()
+    return Labels.of(endpoint.labels)
+        .with("name", endpoint.name.value)
+        .with("kind", endpoint.kind.name.lowercase())
+        .with("zone", endpoint.zone.value)
+        .with("region", region)
+        .with("state", stateOf(endpoint).name.lowercase())
+}
+
+/** Returns the stricter of the endpoint's own state and that of its zone. */
+public fun Configuration.stateOf(endpoint: EndpointDeclaration): PlacementState {
+    val zone = zones.firstOrNull { it.name == endpoint.zone }
+    return maxOf(endpoint.state, zone?.state ?: PlacementState.IN)
+}
+
+/** Returns whether new work may be sent to the endpoint. */
+public fun Configuration.takesNewWork(endpoint: EndpointDeclaration): Boolean = stateOf(endpoint) == PlacementState.IN
+
+/** Returns the endpoints of [kind] that the [selector] matches; text that is no selector matches none. */
+public fun Configuration.endpointsMatching(kind: EndpointKind, selector: String): List<EndpointDeclaration> {
+    val parsed = Selector.parse(selector).get() ?: return emptyList()
+    return endpoints.filter { it.kind == kind && parsed.matches(labelsOf(it)) }
+}
+
+/** Returns the engines that may serve [model], in service or not. */
+public fun Configuration.enginesOf(model: ModelId): List<EndpointDeclaration> =
+    models.firstOrNull { it.name == model }?.let { endpointsMatching(EndpointKind.ENGINE, it.selector) }.orEmpty()
+
+/** Returns the engines that a rollout moves: those of its model that its own selector matches as well. */
+public fun Configuration.enginesOf(rollout: RolloutDeclaration): List<EndpointDeclaration> {
+    val ofModel: Set<EndpointId> = enginesOf(rollout.model).map { it.name }.toSet()
+    return endpointsMatching(EndpointKind.ENGINE, rollout.selector).filter { it.name in ofModel }
+}
--- a/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/SettingsReader.kt
+++ b/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/SettingsReader.kt
@@ -23,13 +23,21 @@
         return if (mistakes.isEmpty()) Ok(value) else Err(Mistakes(mistakes.sortedBy { it.line }))
     }
 
+    /** Returns the keys that [read] asks for, in that order, without any file. */
+    public fun describe(read: (TomlSection) -> Unit): List<KeyDescription> {
+        val described = mutableListOf<KeyDescription>()
+        read(TomlSection(TomlReading("", mutableListOf(), described), "", TomlItem.Table(0, emptyMap())))
+        return described
+    }
+
     internal fun <T> parseInto(
         file: String,
         text: String,
         mistakes: MutableList<Mistake>,
         read: (TomlSection) -> T,
     ): T {
-        val root = TomlSection(file, "", TomlDocument(file, text, mistakes).root, mistakes)
+        val document = TomlDocument(file, text, mistakes)
+        val root = TomlSection(TomlReading(file, mistakes, isWhole = document.isWhole), "", document.root)
         val value = read(root)
         root.reportUnreadKeys()
         return value
@@ -38,3 +46,9 @@
     internal fun unreadable(path: Path, cause: IOException): Mistake =
         Mistake(path.toString(), 0, "", cause.toString(), "a readable file in UTF-8")
 }
+
+/**
+ * A key that a program reads from its settings: its dotted [path], where `[]` marks repeated tables, what it accepts,
+ * and its [default] as it is written in TOML, or null when the key is required.
+ */
+public data class KeyDescription(public val path: String, public val expected: String, public val default: String?)
--- a/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/TomlDocument.kt
+++ b/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/TomlDocument.kt
@@ -18,6 +18,10 @@
 
 /** The items of one TOML [file]; lines that are no TOML and keys set twice are added to [mistakes]. */
 internal class TomlDocument(private val file: String, text: String, private val mistakes: MutableList<Mistake>) {
+    /** Whether every line is TOML. */
+    var isWhole: Boolean = true
+        private set
+
     val root: TomlItem.Table = parse(text)
 
     private fun parse(text: String): TomlItem.Table {
@@ -37,6 +41,7 @@
 
     private fun blank(message: String, lines: MutableList<String>): Attempt {
         val line = LINE.find(message)?.groupValues?.get(1)?.toIntOrNull() ?: 0
+        isWhole = false
         mistakes += syntaxMistake(line, lines, message)
         val blanked = lines.getOrNull(line - 1)?.isNotBlank() == true
         if (blanked) lines[line - 1] = ""
--- a/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/TomlSection.kt
+++ b/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/TomlSection.kt
@@ -5,31 +5,30 @@
  * and yields a stand-in value, so that reading goes on and the caller sees every mistake at the end.
  */
 public class TomlSection internal constructor(
-    private val file: String,
+    private val reading: TomlReading,
     private val path: String,
     private val table: TomlItem.Table,
-    private val mistakes: MutableList<Mistake>,
 ) {
     private val read = mutableSetOf<String>()
+
+    /** The keys about which a mistake has been added. */
+    internal val faulty: MutableSet<String> = mutableSetOf()
     private val children = mutableListOf<TomlSection>()
 
     /** The line on which the section starts, from 1. */
     public val line: Int get() = table.line
 
     /** The file that the section belongs to. */
-    public val source: String get() = file
+    public val source: String get() = reading.file
 
     /** The keys that are set, in the order of the file. */
     public val keys: List<String> get() = table.entries.keys.toList()
 
-    /** Returns whether [key] is set. */
-    public fun has(key: String): Boolean = key in table.entries
-
     /** Reads the table [key], or returns null when it is not set. */
     public fun section(key: String): TomlSection? {
         read += key
         return when (val item = table.entries[key]) {
-            null -> null
+            null -> if (reading.described == null) null else child("$path$key.", NoTable)
             is TomlItem.Table -> child("$path$key.", item)
             else -> null.also { mistake(key, item, "a table") }
         }
@@ -39,7 +38,7 @@
     public fun sections(key: String): List<TomlSection> {
         read += key
         return when (val item = table.entries[key]) {
-            null -> emptyList()
+            null -> if (reading.described == null) emptyList() else listOf(child("$path$key[].", NoTable))
             is TomlItem.TableArray -> item.tables.map { child("$path$key.", it) }
             else -> emptyList<TomlSection>().also { mistake(key, item, "tables headed [[$path$key]]") }
         }
@@ -47,8 +46,17 @@
 
     /** Adds a mistake about [key] that only the caller can see, for example a reference to something not declared. */
     public fun mistake(key: String, expected: String, found: String? = null) {
-        val item = table.entries[key]
-        mistakes += Mistake(file, item?.line ?: line, "$path$key", found ?: item?.shown ?: "nothing", expected)
+        faulty += key
+        val item = itemAt(key)
+        val shown = found ?: item?.shown ?: "nothing"
+        reading.mistakes += Mistake(reading.file, item?.line ?: line, "$path$key", shown, expected)
+    }
+
+    /** Adds a mistake about [key], or a key below it, unless reading it has already added one. */
+    internal fun mistakeUnlessKnown(key: String, expected: String, found: String) {
+        val below = children.flatMap { child -> child.faulty.map { child.path + it } }
+        val known = key in faulty || path + key in below
+        if (!known) mistake(key, expected, found)
     }
 
     /** Adds a mistake for every key, here and below, that no caller asked for. */
@@ -59,22 +67,54 @@
         children.forEach { it.reportUnreadKeys() }
     }
 
+    /** Returns the item at a key or at a dotted key below it. */
+    private fun itemAt(key: String): TomlItem? {
+        val below = table.entries[key.substringBefore('.')]
+        return if (below is TomlItem.Table) below.entries[key.substringAfter('.')] ?: below else below
+    }
+
     private fun child(childPath: String, item: TomlItem.Table): TomlSection {
-        val section = TomlSection(file, childPath, item, mistakes)
+        val section = TomlSection(reading, childPath, item)
         children += section
         return section
     }
 
     internal fun <T> value(key: String, default: T?, standIn: T, expected: String, convert: (TomlItem) -> T?): T {
         read += key
+        reading.described?.add(KeyDescription("$path$key", expected, default?.let { shownDefault(it) }))
         val item = table.entries[key]
-        if (item == null) return default ?: standIn.also { mistake(key, expected) }
+        if (item == null) return default ?: standIn.also { missing(key, expected) }
         val converted = convert(item)
         if (converted == null) mistake(key, item, expected)
         return converted ?: standIn
     }
 
+    /** A key may be missing because its line is no TOML, which has been said already. */
+    private fun missing(key: String, expected: String) {
+        if (reading.isWhole) mistake(key, expected) else faulty += key
+    }
+
     private fun mistake(key: String, item: TomlItem, expected: String, found: String = item.shown) {
-        mistakes += Mistake(file, item.line, "$path$key", found, expected)
+        faulty += key
+        reading.mistakes += Mistake(reading.file, item.line, "$path$key", found, expected)
     }
 }
+
+/** Returns whether [key] is set. */
+public fun TomlSection.has(key: String): Boolean = key in keys
+
+/** What the sections of one file share; [isWhole] is false when a line of the file is no TOML. */
+internal class TomlReading(
+    val file: String,
+    val mistakes: MutableList<Mistake>,
+    val described: MutableList<KeyDescription>? = null,
+    val isWhole: Boolean = true,
+)
+
+private val NoTable = TomlItem.Table(0, emptyMap())
+
+private fun shownDefault(default: Any): String = when (default) {
+    is String -> "\"$default\""
+    is Enum<*> -> "\"${default.name.lowercase()}\""
+    else -> default.toString()
+}
--- a/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/TomlValues.kt
+++ b/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/TomlValues.kt
@@ -10,7 +10,7 @@
 
 /** Reads a whole number within [range]; without a [default] the key is required. */
 public fun TomlSection.whole(key: String, default: Long? = null, range: LongRange = 0L..Long.MAX_VALUE): Long =
-    value(key, default, range.first, "a whole number ${shown(range)}") { item ->
+    value(key, default, range.first, "a whole number ${shown(range)}".trim()) { item ->
         (item as? TomlItem.Whole)?.value?.takeIf { it in range }
     }
 
@@ -67,6 +67,7 @@
 }
 
 private fun shown(range: LongRange): String = when {
+    range.first <= Int.MIN_VALUE -> ""
     range.last >= Int.MAX_VALUE -> "of at least ${range.first}"
     else -> "from ${range.first} to ${range.last}"
 }
