Plan a change of configuration with its dangers

Change: ConfigurationPlan lists typed changes and dangers (last zone, group left without an endpoint, selector that matches nothing or all, capacity under today's load, endpoint removed in service, version switched with no rollout, organisation removed).

--- /dev/null
+++ b/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/DangerCheck.kt
@@ -0,0 +1,99 @@
+package org.parsleymoor.configuration
+
+import org.parsleymoor.core.ModelId
+
+/** Finds the dangers of a change; the first configuration of a deployment endangers nothing that is in service. */
+internal class DangerCheck(
+    private val before: Configuration,
+    private val after: Configuration,
+    private val changes: List<ConfigurationChange>,
+) {
+    private val changed = changes.map { it.item }.toSet()
+
+    fun dangers(demand: List<ModelDemand>): List<Danger> {
+        if (changes.isEmpty()) return emptyList()
+        return lastZone() + noneLeft() + selectors() + capacity(demand) + removed() + versions()
+    }
+
+    private fun lastZone(): List<Danger> {
+        val inService = before.zones.filter { it.state == PlacementState.IN }
+        val left = after.zones.any { it.state == PlacementState.IN }
+        return if (inService.isEmpty() || left) {
+            emptyList()
+        } else {
+            listOf(
+                Danger.LastZone(inService.map { it.name.value })
+            )
+        }
+    }
+
+    private fun noneLeft(): List<Danger> {
+        val models = after.models.mapNotNull { model ->
+            noneLeft(ItemKind.MODEL, model.name.value, before.enginesOf(model.name), after.enginesOf(model.name))
+        }
+        val services = after.services.mapNotNull { service ->
+            noneLeft(ItemKind.SERVICE, service.name, before.replicasOf(service.name), after.replicasOf(service.name))
+        }
+        return models + services
+    }
+
+    private fun noneLeft(
+        kind: ItemKind,
+        name: String,
+        old: List<EndpointDeclaration>,
+        new: List<EndpointDeclaration>,
+    ): Danger? {
+        val served = old.any { before.takesNewWork(it) }
+        val lost = new.isNotEmpty() && new.none { after.takesNewWork(it) }
+        return if (served && lost) Danger.NoneLeft(ItemReference(kind, name), new.size) else null
+    }
+
+    private fun selectors(): List<Danger> = after.models.mapNotNull {
+        matches(ItemReference(ItemKind.MODEL, it.name.value), it.selector, EndpointKind.ENGINE)
+    } + after.services.mapNotNull {
+        matches(ItemReference(ItemKind.SERVICE, it.name), it.selector, EndpointKind.SERVICE)
+    } + after.rollouts.mapNotNull {
+        matches(ItemReference(ItemKind.ROLLOUT, it.name), it.selector, EndpointKind.ENGINE)
+    }
+
+    /** A selector is shown when its own item changed, or when the change leaves it with nothing to match. */
+    private fun matches(item: ItemReference, selector: String, kind: EndpointKind): Danger? {
+        val matched = after.endpointsMatching(kind, selector).size
+        val all = after.endpoints.count { it.kind == kind }
+        val matchedBefore = before.endpointsMatching(kind, selector).size
+        val widened = item in changed && before.endpoints.isNotEmpty() && selector.isNotBlank()
+        return when {
+            matched == 0 && (item in changed || matchedBefore > 0) -> Danger.MatchesNothing(item.toString(), selector)
+            matched == all && all > 1 && widened -> Danger.MatchesAll(item.toString(), selector, all)
+            else -> null
+        }
+    }
+
+    private fun capacity(demand: List<ModelDemand>): List<Danger> = demand.mapNotNull { (model, requests) ->
+        val places = after.placesOf(model)
+        val shrinks = places < before.placesOf(model)
+        if (shrinks && requests > places) Danger.Capacity(model.value, requests, places) else null
+    }
+
+    private fun removed(): List<Danger> {
+        val endpoints = (before.endpoints.map { it.name } - after.endpoints.map { it.name }.toSet()).toSet()
+        val organisations = before.organisations.map { it.name } - after.organisations.map { it.name }.toSet()
+        return before.endpoints.filter { it.name in endpoints && before.takesNewWork(it) }
+            .map { Danger.RemovedInService(it.name.value) } + organisations.map { Danger.OrganisationRemoved(it.value) }
+    }
+
+    private fun versions(): List<Danger> = after.models.mapNotNull { model ->
+        val old = before.models.firstOrNull { it.name == model.name }
+        val rolled = before.rollouts.any { it.model == model.name && it.version == model.version }
+        val switched = old != null && old.version != model.version && !rolled
+        if (switched) Danger.VersionSwitched(model.name.value, old.version.value, model.version.value) else null
+    }
+}
+
+/** Returns how many requests of [model] its engines in service hold at once. */
+public fun Configuration.placesOf(model: ModelId): Int =
+    enginesOf(model).count { takesNewWork(it) } * limits.concurrentPerEngine
+
+/** Returns the application replicas of the service [name], in service or not. */
+public fun Configuration.replicasOf(name: String): List<EndpointDeclaration> =
+    services.firstOrNull { it.name == name }?.let { endpointsMatching(EndpointKind.SERVICE, it.selector) }.orEmpty()
