Serve callers with admission, placement, resumed streams and typed refusals

Cause: the gateway forwarded one unauthenticated route to one engine; a broken stream, a bad request or a stop ended in a hanging or truncated answer. Change: completions, models, service groups and tickets with bearer keys; refusals as problem documents with a truthful execution member; attempts resumed on another replica of the same weight version; fair admission and placement from the libraries; deadlines, cancellation when the caller goes, graceful stop, settings checked whole, JSON logs, spans with OTLP export, Prometheus metrics and the operations port. The caller's server offers no HTTP/2 upgrade, because with it a slow head is not seen until it is whole. Claims and cold start leases use simple stand-ins behind AtMostOnce and ColdStartGuard until the control loops land.

--- /dev/null
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/Gateway.kt
@@ -0,0 +1,156 @@
+package org.parsleymoor.gateway
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.vertx.core.Vertx
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.parsleymoor.clients.GatewayStatus
+import org.parsleymoor.clients.VertxPlatformClient
+import org.parsleymoor.configuration.Configuration
+import org.parsleymoor.core.Clock
+import org.parsleymoor.core.Incarnation
+import org.parsleymoor.gateway.callers.CallerEntry
+import org.parsleymoor.gateway.callers.CallerRoutes
+import org.parsleymoor.gateway.callers.CallerServer
+import org.parsleymoor.gateway.callers.CompletionRoutes
+import org.parsleymoor.gateway.callers.ServiceRoutes
+import org.parsleymoor.gateway.operations.GatewayMetrics
+import org.parsleymoor.gateway.operations.OperationsServer
+import org.parsleymoor.gateway.operations.RequestRecords
+import org.parsleymoor.gateway.operations.Tracing
+import org.parsleymoor.gateway.operations.WorkCount
+import org.parsleymoor.gateway.serving.BackEnds
+import org.parsleymoor.gateway.serving.CompletionRunner
+import org.parsleymoor.gateway.serving.EngineFleet
+import org.parsleymoor.gateway.serving.EngineObserver
+import org.parsleymoor.gateway.serving.FleetReports
+import org.parsleymoor.gateway.serving.FleetState
+import org.parsleymoor.gateway.serving.ReportedColdStart
+import org.parsleymoor.gateway.serving.ServiceRunner
+import org.parsleymoor.gateway.serving.ServingTools
+import org.parsleymoor.gateway.serving.Telemetry
+import org.parsleymoor.gateway.serving.TicketDesk
+
+/** The ports that a started gateway listens on. */
+public data class GatewayPorts(public val callers: Int, public val operations: Int)
+
+/** One gateway process: the data path and its operations port. */
+public class Gateway(
+    private val vertx: Vertx,
+    private val settings: GatewaySettings,
+    private val clock: Clock = Clock.System,
+) {
+    private val background = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val incarnation = Incarnation(settings.instance, clock.nowMillis())
+    private val holder = ConfigurationHolder()
+    private val work = WorkCount()
+    private val metrics = GatewayMetrics()
+    private val tracing = Tracing.of(settings.instance, settings.tracing)
+    private val telemetry = Telemetry(RequestRecords(settings.instance, clock), metrics, tracing)
+    private val backEnds = BackEnds(vertx)
+    private val cold = ReportedColdStart { holder.current?.configuration?.limits?.coldLimit ?: 0 }
+    private val fleetState = FleetState(clock, settings.region, cold)
+    private val reports = FleetReports(holder, fleetState)
+    private val tools = ServingTools(
+        configuration = holder,
+        backEnds = backEnds,
+        telemetry = telemetry,
+        clock = clock,
+        streams = settings.streams,
+        background = background,
+    )
+    private val completions = CompletionRunner(tools, EngineFleet(holder, fleetState))
+    private val platform = settings.platform?.let { VertxPlatformClient(vertx, it) }
+    private val callers = CallerServer(vertx, settings.callers, routes())
+    private val operations =
+        OperationsServer(vertx, settings.operations, holder, telemetry, ::status)
+
+    /** Suspends until both servers accept connections; returns their ports. */
+    public suspend fun start(): GatewayPorts {
+        registerGauges()
+        platform?.let { background.launch { PlatformConfiguration(it, holder).run() } }
+        background.launch { EngineObserver(holder, backEnds, reports, clock).run() }
+        background.launch { pump() }
+        background.launch { holder.changes.collect { it?.let { view -> applied(view) } } }
+        val ports = GatewayPorts(callers.start(), operations.start())
+        logger.info { "gateway ${settings.instance} accepts callers on port ${ports.callers}" }
+        return ports
+    }
+
+    /** Puts [configuration] into effect unless a later revision is; returns the revision in effect. */
+    public fun accept(configuration: Configuration): Long = holder.accept(configuration)
+
+    /**
+     * Stops gracefully: refuses new requests, suspends until the running ones have ended or the drain limit has passed,
+     * and closes. Returns whether all requests ended by themselves.
+     */
+    public suspend fun stop(): Boolean {
+        logger.info { "gateway ${settings.instance} is leaving with ${work.running} requests in progress" }
+        val drained = work.drain(settings.drainMillis)
+        if (!drained) logger.warn { "${work.running} requests are cut off after ${settings.drainMillis} ms" }
+        callers.close()
+        operations.close()
+        background.cancel()
+        platform?.close()
+        backEnds.close()
+        tracing.close()
+        return drained
+    }
+
+    private fun routes(): CallerRoutes {
+        val senderMillis = settings.callers.senderMillis
+        val desk = TicketDesk(incarnation, background)
+        return CallerRoutes(
+            CallerEntry(vertx, tools, work, background),
+            CompletionRoutes(completions, senderMillis),
+            ServiceRoutes(ServiceRunner(tools), desk, senderMillis),
+        )
+    }
+
+    private fun status() = GatewayStatus(
+        instance = settings.instance,
+        zone = settings.zone,
+        startMillis = incarnation.startMillis,
+        revision = holder.revision,
+        ready = holder.current != null && !work.leaving,
+        leaving = work.leaving,
+        models = completions.traffic(),
+        endpoints = reports.status(),
+    )
+
+    private fun applied(view: ServingView) {
+        logger.info { "configuration revision ${view.configuration.revision} is in effect" }
+        backEnds.retain(view.configuration.endpoints.map { it.address }.toSet())
+        completions.pump()
+    }
+
+    private suspend fun pump() {
+        while (true) {
+            delay(PUMP_MILLIS)
+            completions.pump()
+        }
+    }
+
+    private fun registerGauges() {
+        metrics.gauge("parsleymoor.running.requests") { work.running }
+        metrics.gauge("parsleymoor.queued.requests") { completions.traffic().sumOf { it.queued } }
+        metrics.gauge("parsleymoor.configuration.revision") { holder.revision }
+        metrics.gauge("parsleymoor.limit", "limit", "queue_length") {
+            holder.current?.configuration?.limits?.queueLength ?: 0
+        }
+        metrics.gauge("parsleymoor.limit", "limit", "concurrent_per_engine") {
+            holder.current?.configuration?.limits?.concurrentPerEngine ?: 0
+        }
+    }
+
+    private companion object {
+        val logger = KotlinLogging.logger {}
+
+        // Capacity also grows with time alone, when a suspect engine is tried again.
+        const val PUMP_MILLIS = 200L
+    }
+}
--- /dev/null
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/BackEnds.kt
@@ -0,0 +1,45 @@
+package org.parsleymoor.gateway.serving
+
+import io.vertx.core.Vertx
+import org.parsleymoor.clients.EngineClient
+import org.parsleymoor.clients.HttpAddress
+import org.parsleymoor.clients.ServiceClient
+import org.parsleymoor.clients.VertxEngineClient
+import org.parsleymoor.clients.VertxServiceClient
+import org.parsleymoor.configuration.EndpointDeclaration
+import java.util.concurrent.ConcurrentHashMap
+
+/** Decides how an engine is reached, for example through a gateway of its region; `direct` goes to its address. */
+internal fun interface EngineRoute {
+    fun route(endpoint: EndpointDeclaration, direct: EngineClient): EngineClient
+}
+
+/** The clients of the endpoints, one for each address. */
+internal class BackEnds(
+    private val vertx: Vertx,
+    private val route: EngineRoute = EngineRoute { _, direct -> direct },
+) : AutoCloseable {
+    private val engines = ConcurrentHashMap<String, VertxEngineClient>()
+    private val services = ConcurrentHashMap<String, VertxServiceClient>()
+
+    /** The client of an engine's own address. */
+    fun direct(endpoint: EndpointDeclaration): EngineClient =
+        engines.computeIfAbsent(endpoint.address) { VertxEngineClient(vertx, HttpAddress.parse(it)) }
+
+    /** The client that new work for an engine goes through. */
+    fun engine(endpoint: EndpointDeclaration): EngineClient = route.route(endpoint, direct(endpoint))
+
+    /** The client of an application replica. */
+    fun service(endpoint: EndpointDeclaration): ServiceClient =
+        services.computeIfAbsent(endpoint.address) { VertxServiceClient(vertx, HttpAddress.parse(it)) }
+
+    /** Closes the clients of addresses that are no longer declared. */
+    fun retain(addresses: Set<String>) {
+        engines.keys.filter { it !in addresses }.forEach { engines.remove(it)?.close() }
+        services.keys.filter { it !in addresses }.forEach { services.remove(it)?.close() }
+    }
+
+    override fun close() {
+        retain(emptySet())
+    }
+}
--- /dev/null
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/CompletionRunner.kt
@@ -0,0 +1,63 @@
+package org.parsleymoor.gateway.serving
+
+import kotlinx.coroutines.withTimeoutOrNull
+import org.parsleymoor.clients.ModelTraffic
+import org.parsleymoor.clients.RequestStepKind
+import org.parsleymoor.core.ModelId
+import org.parsleymoor.gateway.callers.Refusal
+import org.parsleymoor.gateway.callers.RefusalKind
+import org.parsleymoor.limits.FairQueueLimits
+import org.parsleymoor.limits.QueuedRequest
+import java.util.concurrent.ConcurrentHashMap
+
+/** Admits and runs completions. */
+internal class CompletionRunner(private val tools: ServingTools, private val chooser: EndpointChooser) {
+    private val gates = ConcurrentHashMap<ModelId, AdmissionGate>()
+
+    /**
+     * Runs [call] and hands its answer to [sink]. Suspends until the answer is whole; fails with a [Refusal] otherwise.
+     * A cancellation stops the attempt at the engine.
+     */
+    suspend fun run(call: CompletionCall, sink: CompletionSink) {
+        val gate = gate(call.model.name)
+        gate.enter(queued(call), FairQueueLimits(call.limits.queueLength, call.limits.queueLengthPerOrganisation))
+        try {
+            tools.records.add(call.request, RequestStepKind.ADMITTED, call.model.name.value, "there is room")
+            val attempts = CompletionAttempts(tools, chooser, call, sink)
+            withTimeoutOrNull(call.deadlineMillis - tools.clock.nowMillis()) { attempts.run() }
+                ?: throw deadlinePassed(call, attempts).toException()
+        } finally {
+            gate.release()
+        }
+    }
+
+    /** Starts waiting requests for which there may be room now. */
+    fun pump() {
+        gates.values.forEach { it.pump() }
+    }
+
+    /** The requests that run and wait, by model. */
+    fun traffic(): List<ModelTraffic> = gates.map { ModelTraffic(it.key, it.value.running, it.value.queued) }
+
+    private fun gate(model: ModelId): AdmissionGate =
+        gates.computeIfAbsent(model) { AdmissionGate(tools.clock) { chooser.capacity(model) } }
+
+    private fun queued(call: CompletionCall) = QueuedRequest(
+        request = call.request,
+        organisation = call.organisation.name,
+        tokens = (call.prompt.length / BYTES_PER_TOKEN + call.maximumTokens).toLong(),
+        deadlineMillis = call.deadlineMillis,
+        weight = call.organisation.weight,
+        priority = call.organisation.priority,
+    )
+
+    private fun deadlinePassed(call: CompletionCall, attempts: CompletionAttempts) = Refusal(
+        RefusalKind.DEADLINE_PASSED,
+        "expected a whole answer within ${call.limits.requestDeadlineMillis} ms",
+        attempts.execution,
+    )
+
+    private companion object {
+        const val BYTES_PER_TOKEN = 4
+    }
+}
--- /dev/null
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/EndpointChooser.kt
@@ -0,0 +1,45 @@
+package org.parsleymoor.gateway.serving
+
+import com.github.michaelbull.result.Result
+import org.parsleymoor.context.ContextIdentity
+import org.parsleymoor.core.AttemptId
+import org.parsleymoor.core.EndpointId
+import org.parsleymoor.core.ModelId
+import org.parsleymoor.core.WeightVersion
+import org.parsleymoor.placement.NoEngineAvailable
+import org.parsleymoor.placement.Placement
+
+/** What a request needs of an engine; the engines in [avoid] have failed it. */
+internal data class EngineNeed(
+    val model: ModelId,
+    val version: WeightVersion,
+    val context: ContextIdentity,
+    val avoid: Set<EndpointId> = emptySet(),
+)
+
+/** Chooses engines and is told how attempts go. Functions return without waiting and are safe from any thread. */
+internal interface EndpointChooser {
+    /** Number of requests of [model] that the engines in service may run at once. */
+    fun capacity(model: ModelId): Int
+
+    /** Chooses an engine for [need] and counts [attempt] there until [finished]. */
+    fun choose(need: EngineNeed, attempt: AttemptId): Result<Placement, NoEngineAvailable>
+
+    /** Counts another attempt at an engine that was chosen before. */
+    fun repeat(endpoint: EndpointId, need: EngineNeed, attempt: AttemptId)
+
+    /** An engine began [attempt]; [startCount] is from the stream's header. */
+    fun started(endpoint: EndpointId, startCount: Long)
+
+    /** The first token of [attempt] came after [observedMillis] where [estimatedMillis] had been expected. */
+    fun firstToken(endpoint: EndpointId, attempt: AttemptId, observedMillis: Long, estimatedMillis: Double)
+
+    /** [attempt] has ended. */
+    fun finished(attempt: AttemptId)
+
+    /** [endpoint] refused because it is cold. */
+    fun refusedAsCold(endpoint: EndpointId)
+
+    /** [endpoint] failed also over a new connection, or cannot be reached. */
+    fun suspect(endpoint: EndpointId)
+}
--- /dev/null
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/EngineFleet.kt
@@ -0,0 +1,83 @@
+package org.parsleymoor.gateway.serving
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.onSuccess
+import org.apache.commons.rng.simple.RandomSource
+import org.parsleymoor.context.ContextIdentity
+import org.parsleymoor.core.AttemptId
+import org.parsleymoor.core.EndpointId
+import org.parsleymoor.core.ModelId
+import org.parsleymoor.gateway.ConfigurationHolder
+import org.parsleymoor.limits.ColdStartEvent
+import org.parsleymoor.placement.NoEngineAvailable
+import org.parsleymoor.placement.ParsleymoorPolicy
+import org.parsleymoor.placement.Placement
+import org.parsleymoor.placement.PlacementPolicy
+
+/** Chooses engines with the placement library. */
+internal class EngineFleet(
+    private val configuration: ConfigurationHolder,
+    private val state: FleetState,
+    private val policy: PlacementPolicy = ParsleymoorPolicy(),
+) : EndpointChooser {
+    private val random = RandomSource.XO_SHI_RO_256_PP.create()
+
+    override fun capacity(model: ModelId): Int {
+        val view = configuration.current ?: return 0
+        return synchronized(state.lock) {
+            view.enginesOf(model).filter { view.takesNewWork(it.name) && !state.isSuspect(it.name) }
+                .sumOf { state.limit(it.name, view) }
+        }
+    }
+
+    override fun choose(need: EngineNeed, attempt: AttemptId): Result<Placement, NoEngineAvailable> =
+        synchronized(state.lock) {
+            policy.place(state.placementRequest(need), state.fleet(need, configuration.current), random)
+                .onSuccess { dispatched(it.endpoint, need, attempt) }
+        }
+
+    override fun repeat(endpoint: EndpointId, need: EngineNeed, attempt: AttemptId) {
+        synchronized(state.lock) { dispatched(endpoint, need, attempt) }
+    }
+
+    override fun started(endpoint: EndpointId, startCount: Long) {
+        synchronized(state.lock) {
+            val reportedCold = state.engine(endpoint).load?.cold ?: false
+            state.cold.accept(ColdStartEvent.Seen(endpoint, startCount, reportedCold), state.clock.nowMillis())
+        }
+    }
+
+    override fun firstToken(endpoint: EndpointId, attempt: AttemptId, observedMillis: Long, estimatedMillis: Double) {
+        val event = ColdStartEvent.Answered(endpoint, observedMillis.toDouble(), estimatedMillis)
+        synchronized(state.lock) {
+            state.loads.firstToken(attempt)
+            state.engine(endpoint).observe(observedMillis.toDouble(), estimatedMillis)
+            state.cold.accept(event, state.clock.nowMillis())
+        }
+    }
+
+    override fun finished(attempt: AttemptId) {
+        synchronized(state.lock) { state.loads.finished(attempt) }
+    }
+
+    override fun refusedAsCold(endpoint: EndpointId) {
+        synchronized(state.lock) {
+            state.cold.accept(ColdStartEvent.RefusedAsCold(endpoint), state.clock.nowMillis())
+        }
+    }
+
+    override fun suspect(endpoint: EndpointId) {
+        synchronized(state.lock) {
+            state.engine(endpoint).suspectUntilMillis = state.clock.nowMillis() + SUSPECT_MILLIS
+        }
+    }
+
+    private fun dispatched(endpoint: EndpointId, need: EngineNeed, attempt: AttemptId) {
+        val tokens = need.context.pieces.size.toLong() * ContextIdentity.PIECE_TOKENS
+        state.loads.dispatched(endpoint, attempt, tokens, state.clock.nowMillis())
+    }
+
+    private companion object {
+        const val SUSPECT_MILLIS = 2_000L
+    }
+}
--- /dev/null
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/FleetState.kt
@@ -0,0 +1,97 @@
+package org.parsleymoor.gateway.serving
+
+import org.parsleymoor.clients.EngineLoad
+import org.parsleymoor.configuration.EndpointDeclaration
+import org.parsleymoor.context.CacheDirectory
+import org.parsleymoor.context.ContextIdentity
+import org.parsleymoor.core.Clock
+import org.parsleymoor.core.EndpointId
+import org.parsleymoor.core.RegionId
+import org.parsleymoor.gateway.ServingView
+import org.parsleymoor.limits.EndpointLoad
+import org.parsleymoor.limits.LoadView
+import org.parsleymoor.placement.EngineView
+import org.parsleymoor.placement.FleetView
+import org.parsleymoor.placement.PlacementRequest
+
+/** What this gateway knows of the engines. Every use holds [lock]. */
+internal class FleetState(val clock: Clock, val region: RegionId, val cold: ColdStartGuard) {
+    val lock: Any = Any()
+    val loads: LoadView = LoadView()
+    val directory: CacheDirectory = CacheDirectory()
+    private val engines = HashMap<EndpointId, EngineState>()
+
+    fun engine(endpoint: EndpointId): EngineState = engines.getOrPut(endpoint) { EngineState() }
+
+    fun isSuspect(endpoint: EndpointId): Boolean = clock.nowMillis() < engine(endpoint).suspectUntilMillis
+
+    fun load(endpoint: EndpointId): EndpointLoad =
+        loads.load(endpoint, PREFILL_TOKENS_PER_SECOND, clock.nowMillis())
+
+    /** The number of requests that [endpoint] may run at once. */
+    fun limit(endpoint: EndpointId, view: ServingView): Int {
+        val limits = view.configuration.limits
+        return if (cold.isCold(endpoint)) limits.coldLimit else limits.concurrentPerEngine
+    }
+
+    fun placementRequest(need: EngineNeed) = PlacementRequest(
+        contextPieces = need.context.pieces.size,
+        remainderTokens = need.context.remainderBytes / BYTES_PER_TOKEN,
+        region = region,
+        textBytesToCross = need.context.textPieces.size.toLong() * ContextIdentity.PIECE_BYTES,
+        matches = directory.match(need.context.pieces),
+    )
+
+    fun fleet(need: EngineNeed, view: ServingView?): FleetView =
+        FleetView(view?.enginesOf(need.model).orEmpty().map { engineView(it, need, checkNotNull(view)) })
+
+    private fun engineView(engine: EndpointDeclaration, need: EngineNeed, view: ServingView): EngineView {
+        val load = load(engine.name)
+        val state = engine(engine.name)
+        val usable = view.takesNewWork(engine.name) && engine.name !in need.avoid && !isSuspect(engine.name)
+        val room = load.running < limit(engine.name, view) &&
+            cold.maySend(engine.name, load.running, clock.nowMillis())
+        return EngineView(
+            endpoint = engine.name,
+            zone = engine.zone,
+            region = view.regionOf(engine.zone) ?: region,
+            acceptsWork = usable && room && state.holds(need),
+            running = load.running,
+            queuedPrefillTokens = load.queuedPrefillTokens,
+            prefillTokensPerSecond = PREFILL_TOKENS_PER_SECOND,
+            correction = state.correction,
+        )
+    }
+
+    private companion object {
+        const val PREFILL_TOKENS_PER_SECOND = 20_000.0
+        const val BYTES_PER_TOKEN = ContextIdentity.PIECE_BYTES / ContextIdentity.PIECE_TOKENS
+    }
+}
+
+/** What this gateway knows of one engine; [correction] is the smoothed ratio of observed to estimated time. */
+internal class EngineState {
+    var load: EngineLoad? = null
+    var suspectUntilMillis: Long = 0
+    var correction: Double = 1.0
+        private set
+
+    /** Whether the engine holds the version; an engine without a report is tried and refuses when it does not. */
+    fun holds(need: EngineNeed): Boolean {
+        val versions = load?.versions ?: return true
+        return versions.any { it.model == need.model && it.version == need.version && !it.loading }
+    }
+
+    /** Corrects later estimates by one observation. */
+    fun observe(observedMillis: Double, estimatedMillis: Double) {
+        if (estimatedMillis < MINIMUM_ESTIMATE_MILLIS) return
+        val ratio = (correction * observedMillis / estimatedMillis).coerceIn(CORRECTIONS)
+        correction += SMOOTHING * (ratio - correction)
+    }
+
+    private companion object {
+        const val MINIMUM_ESTIMATE_MILLIS = 1.0
+        const val SMOOTHING = 0.1
+        val CORRECTIONS = 0.05..20.0
+    }
+}
--- /dev/null
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/ServingTools.kt
@@ -0,0 +1,27 @@
+package org.parsleymoor.gateway.serving
+
+import kotlinx.coroutines.CoroutineScope
+import org.parsleymoor.core.Clock
+import org.parsleymoor.gateway.ConfigurationHolder
+import org.parsleymoor.gateway.StreamSettings
+import org.parsleymoor.gateway.operations.GatewayMetrics
+import org.parsleymoor.gateway.operations.RequestRecords
+import org.parsleymoor.gateway.operations.Tracing
+
+/** Where requests leave their traces. */
+internal class Telemetry(val records: RequestRecords, val metrics: GatewayMetrics, val tracing: Tracing)
+
+/** What every runner of requests uses. Work in [background] outlives the request that started it. */
+internal class ServingTools(
+    val configuration: ConfigurationHolder,
+    val backEnds: BackEnds,
+    private val telemetry: Telemetry,
+    val clock: Clock,
+    val streams: StreamSettings,
+    val background: CoroutineScope,
+) {
+    val budget: SharedRetryBudget = SharedRetryBudget()
+    val records: RequestRecords get() = telemetry.records
+    val metrics: GatewayMetrics get() = telemetry.metrics
+    val tracing: Tracing get() = telemetry.tracing
+}
