Keep one connection between gateways that dial each other and shrink their state

Cause: bin/slopes showed neighbours dropped as silent: two gateways that dial each other had two connections and each sent heartbeats on the other one; membership chose neighbours anew for each heartbeat (1.8 ms at 750 daemons); the directory took 250 bytes a block; a gateway alone in its zone had 3 neighbours, not 8. Change: both sides prefer the same connection; neighbours are chosen only when members change and free places are filled; rendezvous weights are computed once a candidate; blocks are rows in parallel arrays; load digests are CBOR arrays.

--- a/libraries/context/src/main/kotlin/org/parsleymoor/context/BlockIndex.kt
+++ b/libraries/context/src/main/kotlin/org/parsleymoor/context/BlockIndex.kt
@@ -2,47 +2,61 @@
 
 import org.parsleymoor.core.EndpointId
 
+/** A block and the endpoint that holds it. */
+internal data class Holding(val endpoint: EndpointId, val block: HeldBlock)
+
 /** Maps each piece to its holders, in order of last confirmation, with a bound on the number of blocks. */
 internal class BlockIndex {
-    private val holders = LinkedHashMap<PieceHash, PieceHolders>()
+    private val sources = SourceTable()
+    private val table = BlockTable()
+
+    /** Number of blocks over all sources. */
+    val size: Int get() = table.size
 
-    var size: Int = 0
-        private set
+    /** Returns the block of [piece] at [source], or null when it is not known to be there. */
+    fun find(source: EndpointId, piece: PieceHash): HeldBlock? {
+        val row = table.find(sources.find(source), piece)
+        return if (row == NO_ROW) null else table.columns.block(row)
+    }
 
-    operator fun get(piece: PieceHash): PieceHolders? = holders[piece]
+    /** Returns every endpoint that holds [piece]. */
+    fun holders(piece: PieceHash): List<EndpointId> =
+        table.rowsOf(piece).map { sources.name(table.columns.source(it)) }.toList()
 
     fun store(source: EndpointId, block: HeldBlock, nowMillis: Long) {
-        val known = holders.remove(block.piece) ?: PieceHolders()
-        if (known.put(source, block)) size++
-        known.confirmedMillis = nowMillis
-        holders[block.piece] = known
+        val number = sources.number(source)
+        val row = table.find(number, block.piece)
+        if (row == NO_ROW) table.add(number, block, nowMillis) else table.confirm(row, block, nowMillis)
     }
 
     fun remove(source: EndpointId, piece: PieceHash) {
-        val known = holders[piece] ?: return
-        if (known.remove(source)) size--
-        if (known.isEmpty()) holders.remove(piece)
+        val row = table.find(sources.find(source), piece)
+        if (row != NO_ROW) table.remove(row)
     }
 
     fun dropSource(source: EndpointId) {
-        holders.values.removeIf { known ->
-            if (known.remove(source)) size--
-            known.isEmpty()
-        }
+        val number = sources.find(source)
+        val rows = walk(
+            table.order.eldest
+        ) { table.order.newer(it) }.filter { table.columns.source(it) == number }.toList()
+        rows.forEach { table.remove(it) }
+        sources.release(source)
     }
 
     /** Drops entries confirmed before [oldestMillis], and the oldest beyond [maximumBlocks]. */
     fun trim(oldestMillis: Long, maximumBlocks: Int) {
-        val iterator = holders.values.iterator()
-        while (iterator.hasNext()) {
-            val eldest = iterator.next()
-            if (eldest.confirmedMillis >= oldestMillis && size <= maximumBlocks) return
-            size -= eldest.size
-            iterator.remove()
+        var eldest = table.order.eldest
+        while (eldest != NO_ROW && isSurplus(eldest, oldestMillis, maximumBlocks)) {
+            table.remove(eldest)
+            eldest = table.order.eldest
         }
     }
 
-    /** Returns the holders confirmed at or after [sinceMillis], newest first. */
-    fun confirmedSince(sinceMillis: Long): Sequence<PieceHolders> =
-        holders.values.toList().asReversed().asSequence().takeWhile { it.confirmedMillis >= sinceMillis }
+    /** Returns the holdings confirmed at or after [sinceMillis], newest first. */
+    fun confirmedSince(sinceMillis: Long): Sequence<Holding> = walk(table.order.newest) { table.order.older(it) }
+        .takeWhile { table.columns.confirmedMillis(it) >= sinceMillis }
+        .map { Holding(sources.name(table.columns.source(it)), table.columns.block(it)) }
+
+    private fun isSurplus(row: Int, oldestMillis: Long, maximumBlocks: Int): Boolean =
+        table.columns.confirmedMillis(row) < oldestMillis || table.size > maximumBlocks
 }
--- a/libraries/context/src/main/kotlin/org/parsleymoor/context/CacheDirectory.kt
+++ b/libraries/context/src/main/kotlin/org/parsleymoor/context/CacheDirectory.kt
@@ -63,26 +63,23 @@
 
     /** Returns for every endpoint that holds the first piece the length of its unbroken prefix of [pieces]. */
     public fun match(pieces: List<PieceHash>): List<PrefixMatch> {
-        val first = pieces.firstOrNull()?.let { holders[it] } ?: return emptyList()
-        return first.endpoints().map { endpoint ->
-            val blocks = pieces.asSequence().map { holders[it]?.get(endpoint) }.takeWhile { it != null }
-            val held = blocks.filterNotNull().toList()
-            PrefixMatch(endpoint, held.size, held)
+        val first = pieces.firstOrNull() ?: return emptyList()
+        return holders.holders(first).map { endpoint ->
+            val held = pieces.asSequence().map { holders.find(endpoint, it) }.takeWhile { it != null }.filterNotNull()
+            val blocks = held.toList()
+            PrefixMatch(endpoint, blocks.size, blocks)
         }
     }
 
     /** Returns whether [endpoint] is known to hold [piece]. */
-    public fun holds(endpoint: EndpointId, piece: PieceHash): Boolean = holders[piece]?.get(endpoint) != null
+    public fun holds(endpoint: EndpointId, piece: PieceHash): Boolean = holders.find(endpoint, piece) != null
 
     /** Returns the endpoints known to hold [piece]. */
-    public fun holdersOf(piece: PieceHash): List<EndpointId> = holders[piece]?.endpoints().orEmpty()
+    public fun holdersOf(piece: PieceHash): List<EndpointId> = holders.holders(piece)
 
     /** Returns what was confirmed since [sinceMillis], newest first and at most [maximumBlocks], for other gateways. */
     public fun digest(sinceMillis: Long, maximumBlocks: Int): List<CacheReport.Digest> {
-        val recent = holders.confirmedSince(sinceMillis)
-            .flatMap { piece -> piece.entries() }
-            .take(maximumBlocks)
-            .groupBy({ it.first }, { it.second })
+        val recent = holders.confirmedSince(sinceMillis).take(maximumBlocks).groupBy({ it.endpoint }, { it.block })
         return recent.map { (source, blocks) ->
             CacheReport.Digest(source, sources.getValue(source).startCount, blocks)
         }
--- /dev/null
+++ b/libraries/context/src/test/kotlin/org/parsleymoor/context/BlockIndexTest.kt
@@ -0,0 +1,58 @@
+package org.parsleymoor.context
+
+import org.junit.jupiter.api.Test
+import org.parsleymoor.core.EndpointId
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import kotlin.random.Random
+
+class BlockIndexTest {
+    @Test
+    fun `a long random history leaves the same blocks as a map does`() {
+        val random = Random(seed = 7)
+        val index = BlockIndex()
+        val expected = LinkedHashMap<Pair<EndpointId, PieceHash>, Long>()
+        repeat(200_000) { step ->
+            val source = EndpointId("cache-${random.nextInt(5)}")
+            val piece = PieceHash(random.nextLong(40), random.nextLong(40))
+            val dice = random.nextInt(1_000)
+            when {
+                dice < 600 -> {
+                    index.store(source, HeldBlock(piece, CacheTier.ENGINE, step.toLong()), step.toLong())
+                    expected.remove(source to piece)
+                    expected[source to piece] = step.toLong()
+                }
+                dice < 996 -> {
+                    index.remove(source, piece)
+                    expected.remove(source to piece)
+                }
+                dice < 998 -> {
+                    index.dropSource(source)
+                    expected.keys.removeIf { it.first == source }
+                }
+                else -> {
+                    index.trim(step - 3_000L, 1_500)
+                    expected.values.removeIf { it < step - 3_000L }
+                    while (expected.size > 1_500) expected.remove(expected.keys.first())
+                }
+            }
+        }
+        val found = index.confirmedSince(0).toList().asReversed()
+        expectThat(index.size).isEqualTo(expected.size)
+        expectThat(found.map { Triple(it.endpoint, it.block.piece, it.block.generation) })
+            .isEqualTo(expected.map { (key, generation) -> Triple(key.first, key.second, generation) })
+        expected.forEach { (key, generation) ->
+            expectThat(index.find(key.first, key.second)?.generation).isEqualTo(generation)
+        }
+    }
+
+    @Test
+    fun `the number of a source that left is used again for another`() {
+        val index = BlockIndex()
+        val piece = PieceHash(1, 1)
+        index.store(EndpointId("gone"), HeldBlock(piece, CacheTier.ENGINE), 0)
+        index.dropSource(EndpointId("gone"))
+        index.store(EndpointId("new"), HeldBlock(piece, CacheTier.STORE_DISK), 1)
+        expectThat(index.holders(piece)).isEqualTo(listOf(EndpointId("new")))
+    }
+}
--- a/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/Membership.kt
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/Membership.kt
@@ -16,17 +16,21 @@
     private val heard = HashMap<InstanceId, Heartbeat>()
     private var neighbourSinceMillis: Map<InstanceId, Long> = emptyMap()
 
+    // Set when the members may differ from those that the neighbours were chosen from. Most events are heartbeats that
+    // change nothing, and choosing costs a hash for each of up to 750 members.
+    private var membersChanged = true
+
     /** The members that connections are kept to. */
     public val neighbours: Set<InstanceId> get() = neighbourSinceMillis.keys
 
     /** Applies [event] at [nowMillis]. */
     public fun handle(nowMillis: Long, event: MembershipEvent): List<MembershipAction> {
         when (event) {
-            is MembershipEvent.Listed -> listed = event.members.associateBy { it.instance }
+            is MembershipEvent.Listed -> list(event.members.associateBy { it.instance })
             is MembershipEvent.Heard -> hear(nowMillis, event)
             is MembershipEvent.Tick -> forget(nowMillis)
         }
-        return chooseNeighbours(nowMillis)
+        return if (membersChanged) chooseNeighbours(nowMillis) else emptyList()
     }
 
     /** Returns the view at [nowMillis], this gateway included, by instance. */
@@ -47,14 +51,22 @@
     /** Returns the incarnation of [instance] that the last heartbeat named. */
     public fun incarnationOf(instance: InstanceId): Incarnation? = heard[instance]?.incarnation
 
+    private fun list(members: Map<InstanceId, Member>) {
+        if (members != listed) membersChanged = true
+        listed = members
+    }
+
     private fun hear(nowMillis: Long, event: MembershipEvent.Heard) {
         val known = heard[event.member.instance]
         if (known != null && event.incarnation.startMillis < known.incarnation.startMillis) return
+        if (known?.member != event.member) membersChanged = true
         heard[event.member.instance] = Heartbeat(event.member, event.incarnation, nowMillis)
     }
 
     private fun forget(nowMillis: Long) {
-        heard.values.removeIf { it.member.instance !in listed && nowMillis - it.atMillis > settings.forgetMillis }
+        val forgotten =
+            heard.values.removeIf { it.member.instance !in listed && nowMillis - it.atMillis > settings.forgetMillis }
+        if (forgotten) membersChanged = true
     }
 
     private fun known(): Collection<Member> {
@@ -80,6 +92,7 @@
     }
 
     private fun chooseNeighbours(nowMillis: Long): List<MembershipAction> {
+        membersChanged = false
         val candidates = known().filter { it.instance != self.instance && !it.leaving }
         val chosen = if (candidates.size < settings.connectAll) candidates else settings.nearest(self, candidates)
         val names = chosen.mapTo(HashSet()) { it.instance }
@@ -96,5 +109,8 @@
     val inZone = ordered.filter { it.zone == self.zone }.take(neighboursInZone)
     val inRegion = ordered.filter { it.region == self.region && it.zone != self.zone }.take(neighboursInRegion)
     val elsewhere = ordered.filter { it.region != self.region }.take(neighboursElsewhere)
-    return inZone + inRegion + elsewhere
+    val chosen = inZone + inRegion + elsewhere
+    val total = neighboursInZone + neighboursInRegion + neighboursElsewhere
+    // A small zone or region leaves places free; few connections could split the gateways into groups that never talk.
+    return chosen + (ordered - chosen.toSet()).take(total - chosen.size)
 }
--- a/libraries/core/src/main/kotlin/org/parsleymoor/core/RendezvousHash.kt
+++ b/libraries/core/src/main/kotlin/org/parsleymoor/core/RendezvousHash.kt
@@ -6,10 +6,15 @@
  * Orders [candidates] for [key] by highest random weight, best first. Every caller with the same candidates gets the
  * same order, and the loss of one candidate moves only the keys that it held.
  */
-public fun <T> rendezvousOrder(key: String, candidates: Collection<T>, name: (T) -> String): List<T> =
-    candidates.sortedWith(compareByDescending<T> { rendezvousWeight(key, name(it)) }.thenBy(name))
-
-private fun rendezvousWeight(key: String, candidate: String): Long {
+public fun <T> rendezvousOrder(key: String, candidates: Collection<T>, name: (T) -> String): List<T> {
     val seed = LongHashFunction.xx3().hashChars(key)
-    return LongHashFunction.xx3(seed).hashChars(candidate)
+    val weighted = candidates.map { candidate ->
+        val ownName = name(candidate)
+        Weighted(candidate, ownName, LongHashFunction.xx3(seed).hashChars(ownName))
+    }
+    return weighted.sortedWith(byWeight).map { it.candidate }
 }
+
+private class Weighted<T>(val candidate: T, val name: String, val weight: Long)
+
+private val byWeight = compareByDescending<Weighted<*>> { it.weight }.thenBy { it.name }
--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerLink.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerLink.kt
@@ -17,7 +17,7 @@
  */
 public class PeerLink internal constructor(
     private val connection: PeerConnection,
-    dialled: Boolean,
+    internal val dialled: Boolean,
     private val handler: PeerHandler,
     private val queuedMessages: Int,
 ) : AutoCloseable {
@@ -31,6 +31,8 @@
     /** Why the connection ended, or null while it is open. */
     public val failure: PeerFailure? get() = connection.failure
 
+    internal val isIdle: Boolean get() = exchanges.isEmpty()
+
     /** Queues a message. */
     public suspend fun send(message: PeerMessage): Result<Unit, PeerFailure> = connection.send(message)
 
--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerMessage.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerMessage.kt
@@ -4,6 +4,7 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.ByteString
+import kotlinx.serialization.cbor.CborArray
 import org.parsleymoor.core.AdapterId
 import org.parsleymoor.core.AttemptId
 import org.parsleymoor.core.EndpointId
@@ -186,7 +187,9 @@
 @Serializable
 public enum class Execution { NOT_RUN, RUN, UNKNOWN }
 
-/** An endpoint's load as one gateway read it [ageMillis] ago. */
+/** An endpoint's load as one gateway read it [ageMillis] ago. Member names are left out to keep heartbeats small. */
+@OptIn(ExperimentalSerializationApi::class)
+@CborArray
 @Serializable
 public data class EndpointLoadDigest(
     public val endpoint: EndpointId,
@@ -224,6 +227,7 @@
 
 /** The text of one piece of a prompt and its hash, salted with the organisation. */
 @OptIn(ExperimentalSerializationApi::class)
+@CborArray
 @Serializable
 public data class TextPiece(public val hash: TextHash, @ByteString public val text: ByteArray)
 
--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerNode.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerNode.kt
@@ -46,7 +46,7 @@
 ) : AutoCloseable {
     private val scope = CoroutineScope(SupervisorJob() + dispatcher)
     private val selector = SelectorManager(dispatcher)
-    private val links = ConcurrentHashMap<InstanceId, PeerLink>()
+    private val links = PeerLinks(identity.incarnation.instance)
     private val dialling = ConcurrentHashMap<InstanceId, Mutex>()
     private val counter = TrafficCounter()
     private val server = PeerServer(selector, scope, options) { serve(PeerLink(it, false, handler, QUEUED_MESSAGES)) }
@@ -58,7 +58,7 @@
     private var dialer: PeerDialer? = null
 
     /** The open connections, at most one for each remote instance. */
-    public val connected: List<PeerLink> get() = links.values.filter { it.failure == null }
+    public val connected: List<PeerLink> get() = links.preferred()
 
     /** What this node has sent since its start. */
     public val traffic: PeerTraffic get() = counter.total()
@@ -80,20 +80,20 @@
     /** Returns the open connection to [instance] or makes one to [address]. */
     public suspend fun connect(instance: InstanceId, address: String): Result<PeerLink, PeerFailure> =
         dialling.computeIfAbsent(instance) { Mutex() }.withLock {
-            val open = openLink(instance)
+            val open = links[instance]
             if (open != null) Ok(open) else dial(address)
         }
 
     /** Sends [message] on every open connection, without waiting for a slow one longer than its queue. */
     public suspend fun broadcast(message: PeerMessage) {
-        connected.forEach { link ->
+        links.all().forEach { link ->
             link.send(message).onFailure { logger.debug { "${link.remote.incarnation}: ${it.message}" } }
         }
     }
 
     override fun close() {
         server.close()
-        links.values.forEach { it.close() }
+        links.all().forEach { it.close() }
         scope.cancel()
         selector.close()
     }
@@ -110,30 +110,28 @@
 
     private fun adopt(connection: PeerConnection): PeerLink {
         val link = PeerLink(connection, true, handler, QUEUED_MESSAGES)
-        links[link.remote.incarnation.instance] = link
+        links.add(link)
         scope.launch { serve(link) }
         return link
     }
 
-    private fun openLink(instance: InstanceId): PeerLink? = links[instance]?.takeIf { it.failure == null }
-
     private suspend fun serve(link: PeerLink) {
-        val instance = link.remote.incarnation.instance
-        links.compute(instance) { _, present -> present?.takeIf { it.failure == null } ?: link }
+        links.add(link)
         try {
             handler.onConnected(link)
             link.run(scope)
         } finally {
-            links.remove(instance, link)
+            links.remove(link)
             handler.onEnded(link)
         }
     }
 
     private suspend fun keepNeighbours() {
         while (scope.isActive) {
-            neighbours.filterKeys { openLink(it) == null }.forEach { (instance, address) ->
+            neighbours.filterKeys { links[it] == null }.forEach { (instance, address) ->
                 scope.launch { connect(instance, address).onFailure { logger.debug { it.message } } }
             }
+            links.surplus().forEach { it.close() }
             delay(options.heartbeatMillis)
         }
     }
--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/TextHash.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/TextHash.kt
@@ -1,9 +1,13 @@
 package org.parsleymoor.peering
 
+import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.CborArray
 import java.nio.ByteBuffer
 
 /** The first 16 bytes of the salted SHA-256 digest of a piece of prompt text. */
+@OptIn(ExperimentalSerializationApi::class)
+@CborArray
 @Serializable
 public data class TextHash(public val high: Long, public val low: Long) {
     public companion object {
--- a/libraries/peering/src/test/kotlin/org/parsleymoor/peering/PeerNodeTest.kt
+++ b/libraries/peering/src/test/kotlin/org/parsleymoor/peering/PeerNodeTest.kt
@@ -13,6 +13,7 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
 import org.junit.jupiter.api.AfterEach
@@ -28,6 +29,7 @@
 import org.parsleymoor.core.WeightVersion
 import org.parsleymoor.core.ZoneId
 import strikt.api.expectThat
+import strikt.assertions.hasSize
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNotNull
@@ -128,6 +130,29 @@
         expectThat(withTimeout(WAIT_MILLIS) { connections.receive() }.failure).isNull()
     }
 
+    @Test
+    fun `gateways that dial each other at once keep one connection and lose none to silence`(): Unit = runBlocking {
+        val ended = Channel<PeerFailure?>(Channel.UNLIMITED)
+        val handler = object : EchoHandler() {
+            override suspend fun onEnded(link: PeerLink) {
+                ended.send(link.failure)
+            }
+        }
+        val options = PeerOptions(heartbeatMillis = 50, silenceMillis = 1_000)
+        val one = node("a", handler, options)
+        val other = node("b", handler, options)
+        one.node.keepConnectedTo(mapOf(InstanceId("b") to other.address))
+        other.node.keepConnectedTo(mapOf(InstanceId("a") to one.address))
+        repeat(60) {
+            listOf(one, other).forEach { it.node.broadcast(PeerMessage.Heartbeat(1)) }
+            delay(50)
+        }
+        val failures = generateSequence { ended.tryReceive().getOrNull() }.toList()
+        expectThat(failures.filterIsInstance<PeerFailure.Silent>()).isEqualTo(emptyList())
+        expectThat(one.node.connected).hasSize(1)
+        expectThat(other.node.connected).hasSize(1)
+    }
+
     @Test
     fun `a peer of another protocol version is refused`(): Unit = runBlocking {
         val server = node("a", EchoHandler())
--- a/programs/bench/src/main/kotlin/org/parsleymoor/bench/slopes/ConfigurationSlopes.kt
+++ b/programs/bench/src/main/kotlin/org/parsleymoor/bench/slopes/ConfigurationSlopes.kt
@@ -50,7 +50,7 @@
         val different = changed.filter { one -> sections.none { it.reference == one.reference } }
         val newRoot = rootOf(changed, revision = 2)
         apply(newRoot, changed)
-        val nanos = ProcessMeter.processorNanos { repeat(changes) { apply(newRoot, changed) } }
+        val nanos = ProcessMeter.threadNanos { repeat(changes) { apply(newRoot, changed) } }
         return Run(
             totalBytes = sections.sumOf { it.text.length } + root.toJson().length.toDouble(),
             changeBytes = different.sumOf { it.text.length } + newRoot.toJson().length.toDouble(),
--- a/programs/bench/src/main/kotlin/org/parsleymoor/bench/slopes/DirectorySlopes.kt
+++ b/programs/bench/src/main/kotlin/org/parsleymoor/bench/slopes/DirectorySlopes.kt
@@ -32,7 +32,7 @@
         var processorNanos = 0L
         val retained = ProcessMeter.retainedBytes {
             CacheDirectory(CacheDirectorySettings(maximumBlocks = Int.MAX_VALUE)).also { directory ->
-                processorNanos = ProcessMeter.processorNanos { fill(directory, contexts) }
+                processorNanos = ProcessMeter.threadNanos { fill(directory, contexts) }
             }
         }
         val events = contexts.toLong() * piecesPerContext
--- a/programs/bench/src/main/kotlin/org/parsleymoor/bench/slopes/LoadViewSlopes.kt
+++ b/programs/bench/src/main/kotlin/org/parsleymoor/bench/slopes/LoadViewSlopes.kt
@@ -23,7 +23,7 @@
         val endpoints = List(replicas) { EndpointId("engine-$it") }
         val retained = ProcessMeter.retainedBytes { LoadView().also { report(it, endpoints, 0) } }
         repeat(rounds) { report(retained.result, endpoints, it + 1) }
-        val nanos = ProcessMeter.processorNanos {
+        val nanos = ProcessMeter.threadNanos {
             repeat(rounds) { report(retained.result, endpoints, rounds + it + 1) }
         }
         return Run(retained.bytes.toDouble(), nanos / NANOS_PER_MICROSECOND / rounds / replicas)
--- a/programs/bench/src/main/kotlin/org/parsleymoor/bench/slopes/MembershipSlopes.kt
+++ b/programs/bench/src/main/kotlin/org/parsleymoor/bench/slopes/MembershipSlopes.kt
@@ -51,7 +51,7 @@
 
     private fun warmed(work: () -> Unit): Long {
         work()
-        return ProcessMeter.processorNanos(work)
+        return ProcessMeter.threadNanos(work)
     }
 
     private fun beat(membership: Membership, neighbours: List<Member>, second: Int) = neighbours.forEach {
--- a/programs/bench/src/main/kotlin/org/parsleymoor/bench/slopes/PeerControlSlopes.kt
+++ b/programs/bench/src/main/kotlin/org/parsleymoor/bench/slopes/PeerControlSlopes.kt
@@ -38,10 +38,10 @@
 
     private suspend fun run(size: Int): Run {
         val nodes = start(size)
-        delay(SETTLE_MILLIS)
+        awaitConnections(nodes)
         val sentBefore = nodes.sumOf { it.traffic.controlBytes }
         val startNanos = System.nanoTime()
-        val processorNanos = ProcessMeter.processorNanos { beat(nodes) }
+        val processorNanos = ProcessMeter.processNanos { beat(nodes) }
         val elapsedNanos = System.nanoTime() - startNanos
         val sent = nodes.sumOf { it.traffic.controlBytes } - sentBefore
         val links = nodes.sumOf { it.connected.size }
@@ -64,6 +64,18 @@
         return nodes
     }
 
+    /** Waits until every node has its neighbours, and then until start-up work is over. */
+    private suspend fun awaitConnections(nodes: List<PeerNode>) {
+        val expected = minOf(NEIGHBOURS, nodes.size - 1)
+        var checks = 0
+        while (nodes.any { it.connected.size < expected } && checks++ < CONNECT_CHECKS) {
+            nodes.forEach { it.broadcast(PeerMessage.Heartbeat(0)) }
+            delay(SETTLE_MILLIS)
+        }
+        check(nodes.all { it.connected.size >= expected }) { "expected $expected connections of each node" }
+        beat(nodes)
+    }
+
     private suspend fun beat(nodes: List<PeerNode>) {
         val loads = (1..loadDigests).map { loadDigest(it) }
         repeat(seconds) { second ->
@@ -97,7 +109,8 @@
         const val NEIGHBOURS = 8
         const val LOAD_DIGESTS = 4
         const val HEARTBEAT_MILLIS = 1_000L
-        const val SETTLE_MILLIS = 2_000L
+        const val SETTLE_MILLIS = 1_000L
+        const val CONNECT_CHECKS = 30
         const val NANOS_PER_SECOND = 1e9
         const val PERCENT = 100.0
         val zone = ZoneId("north-1")
--- a/programs/bench/src/main/kotlin/org/parsleymoor/bench/slopes/PlacementMeasurement.kt
+++ b/programs/bench/src/main/kotlin/org/parsleymoor/bench/slopes/PlacementMeasurement.kt
@@ -30,7 +30,7 @@
         val requests = List(REQUESTS) { request(it, replicas) }
         fun decide(count: Int) = repeat(count) { policy.place(requests[it % REQUESTS], fleet, random) }
         decide(decisions)
-        return ProcessMeter.processorNanos { decide(decisions) } / NANOS_PER_MICROSECOND / decisions
+        return ProcessMeter.threadNanos { decide(decisions) } / NANOS_PER_MICROSECOND / decisions
     }
 
     private fun fleet(replicas: Int) = FleetView(
--- a/programs/bench/src/main/kotlin/org/parsleymoor/bench/slopes/ProcessMeter.kt
+++ b/programs/bench/src/main/kotlin/org/parsleymoor/bench/slopes/ProcessMeter.kt
@@ -4,11 +4,22 @@
 
 /** Reads this process's processor time and live heap. */
 internal object ProcessMeter {
+    private val threads = ManagementFactory.getThreadMXBean()
     private val system =
         ManagementFactory.getOperatingSystemMXBean() as com.sun.management.OperatingSystemMXBean
 
-    /** Returns the processor time in nanoseconds that [work] and all threads of the process used meanwhile. */
-    inline fun processorNanos(work: () -> Unit): Long {
+    /** Returns the processor time in nanoseconds that [work] used on the calling thread. */
+    inline fun threadNanos(work: () -> Unit): Long {
+        val before = threads.currentThreadCpuTime
+        work()
+        return threads.currentThreadCpuTime - before
+    }
+
+    /**
+     * Returns the processor time in nanoseconds that all threads of the process used during [work], in steps of the
+     * system's clock tick of 10 ms.
+     */
+    inline fun processNanos(work: () -> Unit): Long {
         val before = system.processCpuTime
         work()
         return system.processCpuTime - before
