--- a/libraries/limits/src/main/kotlin/org/parsleymoor/limits/Admission.kt
+++ b/libraries/limits/src/main/kotlin/org/parsleymoor/limits/Admission.kt
@@ -50,6 +50,9 @@
         return item
     }
 
+    /** Removes and returns the requests whose deadline has passed at [nowMillis]; call it before each [offer]. */
+    public fun expire(nowMillis: Long): List<QueuedRequest> = queue.expire(nowMillis)
+
     /** Returns the estimated wait of a request that arrives now, in milliseconds. */
     public fun expectedWaitMillis(): Long {
         val rate = tokensPerMilli ?: return 0
--- a/libraries/placement/src/main/kotlin/org/parsleymoor/placement/PlacementSettings.kt
+++ b/libraries/placement/src/main/kotlin/org/parsleymoor/placement/PlacementSettings.kt
@@ -11,7 +11,7 @@
 public data class PlacementSettings(
     public val blockBytes: Long = 100_000_000,
     public val pieceTokens: Int = ContextIdentity.PIECE_TOKENS,
-    public val regionLinkPriceMillisPerMegabyte: Double = 4_000.0,
+    public val regionLinkPriceMillisPerMegabyte: Double = 40_000.0,
     public val storeLinkPrice: Double = 0.2,
     public val prefillPrice: Double = 0.3,
     public val nearEqualShare: Double = 0.05,
--- /dev/null
+++ b/libraries/placement/src/main/kotlin/org/parsleymoor/placement/ReturnModel.kt
@@ -0,0 +1,94 @@
+package org.parsleymoor.placement
+
+import org.parsleymoor.context.PieceHash
+import org.parsleymoor.core.OrganisationId
+
+/** Bounds and resolutions of a [ReturnModel]. Uses closer together than [sessionGapMillis] count as one session. */
+public data class ReturnModelSettings(
+    public val sessionGapMillis: Long = 600_000,
+    public val periodMillis: Long = 86_400_000,
+    public val sameTimeMillis: Long = 3_600_000,
+    public val maximumPieces: Int = 500_000,
+)
+
+/** The [probability] that a block is used again, and the expected time until then if it is. */
+public data class ExpectedReturn(public val probability: Double, public val remainingMillis: Long)
+
+/**
+ * Learns when blocks are used again. A block whose sessions repeat with the period (a day) is expected at the interval
+ * that followed its session one period ago; any other block gets the distribution of its organisation's intervals.
+ * Not safe for use from several threads.
+ */
+public class ReturnModel(private val settings: ReturnModelSettings = ReturnModelSettings()) {
+    private val uses = object : LinkedHashMap<PieceHash, PieceUses>(INITIAL_CAPACITY, LOAD_FACTOR, true) {
+        override fun removeEldestEntry(eldest: Map.Entry<PieceHash, PieceUses>): Boolean =
+            size > settings.maximumPieces
+    }
+    private val groups = HashMap<String, IntervalHistogram>()
+
+    /** Records at [nowMillis] that a request of [organisation] used [pieces]. */
+    public fun used(organisation: OrganisationId, pieces: List<PieceHash>, nowMillis: Long) {
+        val group = groups.getOrPut(organisation.value) { IntervalHistogram() }
+        pieces.forEachIndexed { depth, piece ->
+            val known = uses[piece]
+            if (known == null) {
+                uses[piece] = PieceUses(group, depth, nowMillis)
+                group.sessionStarted(isFirst = true)
+            } else {
+                useAgain(known, nowMillis)
+            }
+        }
+    }
+
+    /** Returns when [piece] is expected to be used after [nowMillis]; an unknown piece is not expected. */
+    public fun expect(piece: PieceHash, nowMillis: Long): ExpectedReturn {
+        val known = uses[piece] ?: return ExpectedReturn(0.0, settings.periodMillis)
+        val idle = nowMillis - known.lastMillis
+        val returns = known.group.returnAfter(idle, known.sessions == 1)
+        val own = ownInterval(known)?.let { it - idle }?.takeIf { it > -settings.sameTimeMillis / 2 }
+        return if (own == null) returns else ExpectedReturn(returns.probability, maxOf(0, own))
+    }
+
+    /** Returns the position of [piece] in its prompt when it was first used. */
+    public fun depth(piece: PieceHash): Int = uses[piece]?.depth ?: 0
+
+    private fun useAgain(known: PieceUses, nowMillis: Long) {
+        val interval = nowMillis - known.lastMillis
+        if (interval >= settings.sessionGapMillis) {
+            known.group.returned(interval, known.sessions == 1)
+            known.group.sessionStarted(isFirst = false)
+            known.startSession(nowMillis)
+        }
+        known.lastMillis = nowMillis
+    }
+
+    private fun ownInterval(known: PieceUses): Long? {
+        val latest = known.starts.last()
+        val position = known.starts.indexOfFirst {
+            val distance = latest - it - settings.periodMillis
+            distance > -settings.sameTimeMillis && distance < settings.sameTimeMillis
+        }
+        if (position < 0 || position + 1 >= known.starts.size) return null
+        return known.starts[position + 1] - known.starts[position]
+    }
+
+    private class PieceUses(val group: IntervalHistogram, val depth: Int, startMillis: Long) {
+        val starts = ArrayList<Long>(MAXIMUM_STARTS).apply { add(startMillis) }
+        var sessions = 1
+        var lastMillis = startMillis
+
+        fun startSession(millis: Long) {
+            if (starts.size == MAXIMUM_STARTS) starts.removeAt(0)
+            starts += millis
+            sessions++
+        }
+    }
+
+    private companion object {
+        const val INITIAL_CAPACITY = 1_024
+        const val LOAD_FACTOR = 0.75f
+
+        /** A day of three sessions and the one that shows the period. */
+        const val MAXIMUM_STARTS = 5
+    }
+}
--- a/programs/bench/src/main/kotlin/org/parsleymoor/bench/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package org.parsleymoor.bench
-
-internal object Placeholder
