--- a/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/EngineProgress.kt
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/EngineProgress.kt
@@ -10,45 +10,50 @@
 ) {
     val read = StateRead()
     private var orderId = ""
-    private var orderSentMillis: Long? = null
+    private var outstanding = false
     private var unsettled = false
+    private var answeredMillis = Long.MIN_VALUE
+    private var deliveredMillis = Long.MIN_VALUE
     private var fenced = fencing == Fencing.IGNORED
 
     val state: EngineState? get() = read.state
 
     fun acceptRead(id: Long, found: EngineState?) {
-        if (read.accept(id, found) && found != null && read.sentMillis > lastOrderMillis()) unsettled = false
+        val latest = read.accept(id, found) && found != null
+        if (latest && !outstanding && read.sentMillis >= answeredMillis) unsettled = false
     }
 
-    fun startOrder(nowMillis: Long, id: String) {
+    fun startOrder(id: String) {
         orderId = id
-        orderSentMillis = nowMillis
+        outstanding = true
         unsettled = true
     }
 
-    /** A refused order leaves nothing behind; any other outcome is settled by the next read. */
-    fun acceptAnswer(id: String, outcome: OrderOutcome) {
-        if (id != orderId) return
+    /** A lost order may arrive until the longest delivery time is over, and so may a copy of one that was answered. */
+    fun acceptAnswer(nowMillis: Long, id: String, outcome: OrderOutcome) {
+        if (id != orderId || !outstanding) return
+        outstanding = false
+        deliveredMillis = nowMillis + settings.longestDeliveryMillis
+        answeredMillis = if (outcome == OrderOutcome.LOST) deliveredMillis else nowMillis
         if (outcome == OrderOutcome.ACCEPTED) fenced = true
-        if (outcome == OrderOutcome.REFUSED) unsettled = false
     }
 
-    fun readDue(nowMillis: Long, desired: WeightVersion?): Boolean {
-        val busy = unsettled || !reached(desired)
-        return read.due(nowMillis, settings, busy)
-    }
+    fun readDue(nowMillis: Long, desired: WeightVersion?): Boolean =
+        read.due(nowMillis, settings, busy = unsettled || !reached(desired))
 
     /** Returns whether an order that confirms the state is needed, after which the engine refuses older holders. */
     fun confirmationDue(nowMillis: Long): Boolean =
-        !fenced && state != null && (!unsettled || orderDelivered(nowMillis))
+        !fenced && state != null && !outstanding && nowMillis >= deliveredMillis
 
     /** Returns whether the engine may be loading now or begin to because of an order that is under way. */
     fun mayLoad(nowMillis: Long, desired: WeightVersion?): Boolean {
         val known = state
+        val recent = nowMillis - maxOf(takenMillis, answeredMillis) < settings.loadMillis
         return when {
-            known == null || !fenced -> nowMillis - maxOf(takenMillis, lastOrderMillis()) < settings.loadMillis
+            outstanding -> true
+            known == null -> recent
             known.loading != null || unsettled -> true
-            else -> !reached(desired) && !orderDelivered(nowMillis)
+            else -> (!fenced && recent) || (!reached(desired) && nowMillis < deliveredMillis)
         }
     }
 
@@ -57,11 +62,6 @@
         fenced && state != null && !reached(desired) && !mayLoad(nowMillis, desired)
 
     fun reached(desired: WeightVersion?): Boolean = state?.version == desired && state?.loading == null
-
-    private fun lastOrderMillis(): Long = orderSentMillis ?: Long.MIN_VALUE
-
-    private fun orderDelivered(nowMillis: Long): Boolean =
-        orderSentMillis?.let { nowMillis - it >= settings.longestDeliveryMillis } ?: true
 }
 
 /** The reads of one engine's state; only the answer to the latest read counts. */
--- a/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/LeaseCalls.kt
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/LeaseCalls.kt
@@ -49,8 +49,8 @@
         postpone(nowMillis)
     }
 
-    fun postpone(nowMillis: Long, millis: Long = settings.retryMillis) {
-        nextAttemptMillis = nowMillis + millis
+    fun postpone(nowMillis: Long) {
+        nextAttemptMillis = nowMillis + settings.retryMillis
     }
 
     /** Returns whether another call may be started; gives up waiting for responses that are overdue. */
--- a/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/LeaseHolder.kt
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/LeaseHolder.kt
@@ -29,6 +29,7 @@
     private var storedSeenMillis: Long? = null
     private var held: HeldLease? = null
     private var unfencedFromMillis: Long? = null
+    private var nextPollMillis = Long.MIN_VALUE
     private var writeCount = 0L
 
     /** Returns the lease when it may be used at [nowMillis]; to be asked again immediately before each order. */
@@ -57,7 +58,8 @@
             !wanted -> write(nowMillis, released = true)
             own && !renewalDue(nowMillis) -> null
             own || mayTake(nowMillis) -> write(nowMillis, released = false)
-            else -> read(nowMillis)
+            nowMillis >= nextPollMillis -> read(nowMillis)
+            else -> null
         }
     }
 
@@ -74,7 +76,8 @@
 
     private fun read(nowMillis: Long): LeaseAction {
         calls.startRead(nowMillis)
-        calls.postpone(nowMillis, if (calls.write == null) settings.renewMillis else settings.retryMillis)
+        calls.postpone(nowMillis)
+        nextPollMillis = nowMillis + settings.renewMillis
         return LeaseAction.Read(name)
     }
 
@@ -107,7 +110,9 @@
         calls.endWrite()
         stored = StoredLease(LeaseRecord(self, settings.durationMillis, pending.released), version, writeId)
         storedSeenMillis = nowMillis
-        val unfenced = unfencedFromMillis ?: (pending.sentMillis + settings.longestDeliveryMillis)
+        val continued = held?.let { pending.sentMillis < it.untilMillis } ?: false
+        val unfenced = unfencedFromMillis?.takeIf { continued }
+            ?: (pending.sentMillis + settings.longestDeliveryMillis)
         unfencedFromMillis = unfenced.takeUnless { pending.released }
         held = HeldLease(version, pending.sentMillis + settings.usableMillis, unfenced).takeUnless { pending.released }
     }
--- a/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/OrderEvent.kt
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/OrderEvent.kt
@@ -63,8 +63,9 @@
     public data class ReadState(public val endpoint: EndpointId, public val readId: Long) : OrderAction
 
     /**
-     * Send an order to [endpoint]. The shell asks for the lease again immediately before the write, gives the order
-     * up when it is not delivered within the longest delivery time, and never repeats it by itself.
+     * Send an order to [endpoint]. Immediately before the write the shell asks for the lease again and refuses the
+     * order when that is lost or has another token. It gives the order up when it is not delivered within nine tenths
+     * of the longest delivery time, never repeats it by itself, and always reports an outcome.
      */
     public data class SendOrder(
         public val endpoint: EndpointId,
--- a/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/OrderPlan.kt
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/OrderPlan.kt
@@ -10,7 +10,7 @@
  * before its first order, so that loads which its predecessor began are counted. An engine that checks fencing tokens
  * first gets an order that confirms its state, after which it refuses a late order of any earlier holder. Every engine
  * is read back after an order and corrected. A further order to an engine waits until the one before cannot arrive any
- * more.
+ * more, also when the lease lapsed for a moment and no other holder came between.
  */
 public class OrderPlan(
     private val self: Incarnation,
@@ -27,10 +27,10 @@
         when (event) {
             is OrderEvent.Targets -> retarget(event)
             is OrderEvent.StateRead -> engines[event.endpoint]?.acceptRead(event.readId, event.state)
-            is OrderEvent.Answered -> engines[event.endpoint]?.acceptAnswer(event.orderId, event.outcome)
+            is OrderEvent.Answered -> engines[event.endpoint]?.acceptAnswer(nowMillis, event.orderId, event.outcome)
             is OrderEvent.Tick -> Unit
         }
-        return if (lease == null) suspendPlan() else progress(nowMillis, lease)
+        return if (lease == null) emptyList() else progress(nowMillis, lease)
     }
 
     /** Returns the engines whose version is not known to be the desired one. */
@@ -42,14 +42,8 @@
         targets = event.targets.associateBy { it.endpoint }
     }
 
-    private fun suspendPlan(): List<OrderAction> {
-        engines.clear()
-        takenMillis = null
-        return emptyList()
-    }
-
     private fun progress(nowMillis: Long, lease: HeldLease): List<OrderAction> {
-        if (takenMillis != lease.unfencedFromMillis) suspendPlan()
+        if (takenMillis != lease.unfencedFromMillis) engines.clear()
         if (nowMillis < lease.unfencedFromMillis) return emptyList()
         takenMillis = lease.unfencedFromMillis
         targets.values.forEach { target ->
@@ -68,7 +62,7 @@
         if (targets.values.all { engines[it.endpoint]?.reached(it.version) == true }) return emptyList()
         val due = targets.keys.filter { engines[it]?.confirmationDue(nowMillis) == true }
         return due.take(settings.concurrentConfirmations).mapNotNull { endpoint ->
-            engines[endpoint]?.state?.let { send(nowMillis, endpoint, it.loading ?: it.version, lease) }
+            engines[endpoint]?.state?.let { send(endpoint, it.loading ?: it.version, lease) }
         }
     }
 
@@ -77,12 +71,12 @@
         return targets.values
             .filter { engines[it.endpoint]?.orderDue(nowMillis, it.version) == true }
             .take(maxOf(settings.concurrentLoads - loading, 0))
-            .map { send(nowMillis, it.endpoint, it.version, lease) }
+            .map { send(it.endpoint, it.version, lease) }
     }
 
-    private fun send(nowMillis: Long, endpoint: EndpointId, version: WeightVersion, lease: HeldLease): OrderAction {
+    private fun send(endpoint: EndpointId, version: WeightVersion, lease: HeldLease): OrderAction {
         val orderId = "$self/${orderCount++}"
-        engines[endpoint]?.startOrder(nowMillis, orderId)
+        engines[endpoint]?.startOrder(orderId)
         return OrderAction.SendOrder(endpoint, orderId, lease.fencingToken, version)
     }
 }
--- a/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ClaimIndex.kt
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ClaimIndex.kt
@@ -15,14 +15,17 @@
     /** Returns the claim on [key]; meaningful when nothing is missing. */
     fun claimOf(key: String): Claim? = claims[key]
 
-    /** Takes in a head, unless a newer one is known. */
+    /**
+     * Takes in a head, unless a newer one is known. Segments that it does not refer to are dropped before its claims
+     * are added: the claims of a segment whose head write was lost are still in the head.
+     */
     fun accept(stored: StoredHead?) {
         val current = stored ?: StoredHead(ClaimHead(), 0, "")
         if (current.version < (known?.version ?: 0)) return
         known = current
-        current.head.claims.forEach { claims[it.key] = it }
         val referenced = current.head.segments.mapTo(HashSet()) { it.number }
         (segments.keys - referenced).forEach { number -> segments.remove(number)?.forEach { claims -= it.key } }
+        current.head.claims.forEach { claims[it.key] = it }
     }
 
     /** Takes in a segment that the head refers to. */
--- a/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ClaimLedger.kt
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ClaimLedger.kt
@@ -23,8 +23,12 @@
     /** Takes in [call] at [nowMillis]. */
     public fun call(nowMillis: Long, call: KeyedCall): List<ClaimAction> {
         val key = digest(call.organisation, call.key)
-        if (runs.knows(key)) return listOfNotNull(runs.offer(key, call, fresh = false)?.let { ClaimAction.Execute(it) })
-        return shard(shardOfDigest(key)).call(nowMillis, key, call)
+        val refused = runs.refusedBefore(call)
+        return when {
+            refused != null -> listOf(ClaimAction.Execute(refused))
+            runs.knows(key) -> listOfNotNull(runs.offer(key, call, fresh = false)).map { ClaimAction.Execute(it) }
+            else -> shard(shardOfDigest(key)).call(nowMillis, key, call)
+        }
     }
 
     /** Takes in what the platform answered. */
--- a/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/KeyedRuns.kt
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/KeyedRuns.kt
@@ -26,18 +26,25 @@
     private val refused = LinkedHashSet<RequestId>()
     private var keptBytes = 0L
 
-    /** Returns whether [offer] can decide on [key] from memory alone. */
-    fun knows(key: String): Boolean = key in running || key in finished || key in idle
+    /**
+     * Returns whether [key] was dispatched by this process and its run is remembered. An idle key does not count: its
+     * claim may not have taken effect, and then another process may run it.
+     */
+    fun knows(key: String): Boolean = key in running || key in finished
+
+    /** Returns the refusal of [call] when a copy of it was refused before. */
+    fun refusedBefore(call: KeyedCall): ExecutionAction? =
+        if (call.request in refused) call.answerNotRun(NotRunReason.ENDPOINT_REFUSED) else null
 
     /** Decides on [call]; null when it waits for the run of its key. [fresh]: the key was never dispatched. */
     fun offer(key: String, call: KeyedCall, fresh: Boolean): ExecutionAction? {
         val run = running[key]
         val result = finished[key]
         return when {
-            call.request in refused -> call.answerNotRun(NotRunReason.ENDPOINT_REFUSED)
+            call.request in refused -> refusedBefore(call)
             run != null -> join(run, call)
             result != null -> repeat(result, call)
-            idle.remove(key) || fresh -> start(key, call)
+            idle.remove(key) || fresh -> ExecutionAction.Run(call).also { running[key] = Running(mutableListOf(call)) }
             else -> call.answerUnknown(UnknownReason.RESPONSE_NOT_KEPT)
         }
     }
@@ -50,23 +57,14 @@
     }
 
     /** Remembers that [key] belongs to this process and was not dispatched. */
-    fun makeIdle(key: String) {
-        idle += key
-        idle.trimTo(settings.idleKeys)
-    }
+    fun makeIdle(key: String) = idle.addWithin(settings.idleKeys, key)
 
     /** Refuses [call]; a copy of it that arrives later is refused as well. */
     fun refuse(call: KeyedCall, reason: NotRunReason): ExecutionAction {
-        refused += call.request
-        refused.trimTo(settings.refusedRequests)
+        refused.addWithin(settings.refusedRequests, call.request)
         return call.answerNotRun(reason)
     }
 
-    private fun start(key: String, call: KeyedCall): ExecutionAction {
-        running[key] = Running(mutableListOf(call))
-        return ExecutionAction.Run(call)
-    }
-
     private fun join(run: Running, call: KeyedCall): ExecutionAction? = when {
         run.calls.any { it.request == call.request } -> null
         run.calls.first().fingerprint != call.fingerprint -> refuse(call, NotRunReason.KEY_REUSED_FOR_ANOTHER_CALL)
@@ -110,7 +108,8 @@
 internal fun KeyedCall.answerUnknown(reason: UnknownReason): ExecutionAction =
     ExecutionAction.Answer(request, ExecutionAnswer.Unknown(reason))
 
-private fun <T> LinkedHashSet<T>.trimTo(limit: Int) {
+private fun <T> LinkedHashSet<T>.addWithin(limit: Int, element: T) {
+    add(element)
     val oldest = iterator()
     while (size > limit) {
         oldest.next()
--- a/programs/explore/src/main/kotlin/org/parsleymoor/explore/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package org.parsleymoor.explore
-
-internal object Placeholder
