Explore the configuration and test each mechanism

The explorer now carries replies only to the process that asked; a restarted instance had acted on replies of the process before it, which was a fault of the model. A head without claims is no longer sealed, which a test with a low seal limit found.

--- a/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ClaimRequests.kt
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ClaimRequests.kt
@@ -14,7 +14,7 @@
     /** Writes a claim for every call in [queue], or first seals a head that has no room for them. */
     fun commit(nowMillis: Long, stored: StoredHead, queue: ClaimQueue): List<ClaimAction> {
         if (queue.isEmpty || !calls.mayWrite(nowMillis)) return emptyList()
-        val full = stored.head.encodedBytes > settings.sealBytes
+        val full = stored.head.claims.isNotEmpty() && stored.head.encodedBytes > settings.sealBytes
         return listOf(if (full) seal(nowMillis, stored) else append(nowMillis, stored, queue))
     }
 
--- a/programs/explore/src/main/kotlin/org/parsleymoor/explore/CallCarrier.kt
+++ b/programs/explore/src/main/kotlin/org/parsleymoor/explore/CallCarrier.kt
@@ -17,11 +17,12 @@
             if (!replied) reply(answer)
             replied = true
         }
+        val receive = host.callback<ExecutionAnswer> { once(it) }
         host.after(FORWARD_MILLIS) { once(unanswered()) }
         world.carry {
             val peer = world.find(to)
             peer?.host?.bound {
-                peer.execute(call) { answer -> world.carry(deliver = host.bound { once(answer) }) }
+                peer.execute(call) { answer -> world.carry { receive(answer) } }
             }?.invoke()
         }
     }
@@ -35,14 +36,15 @@
 
     /** Sends the call to the service, once. The connection may fail before a byte is written, or at any time later. */
     fun dispatch(call: KeyedCall, finish: (KeyedCall, RunOutcome) -> Unit) {
-        val unknown = { host.after(LATE_MILLIS) { finish(call, RunOutcome.Unknown) } }
+        val end = host.callback<RunOutcome> { finish(call, it) }
+        val unknown = { world.scheduler.after(LATE_MILLIS) { end(RunOutcome.Unknown) } }
         world.note { "${host.incarnation} dispatches ${call.request} with key ${call.key}" }
         if (world.chance.happens(world.hazards.loss)) return host.after(1) { finish(call, RunOutcome.NotRun) }
         world.carryOnce(LATE_MILLIS, lost = unknown) {
             world.run(call)
             val response = KeptResponse(STATUS, call.key, ByteArray(0))
             world.carryOnce(LATE_MILLIS, lost = unknown) {
-                host.bound { finish(call, RunOutcome.Responded(response)) }()
+                end(RunOutcome.Responded(response))
             }
         }
     }
--- a/programs/explore/src/main/kotlin/org/parsleymoor/explore/ColdProcess.kt
+++ b/programs/explore/src/main/kotlin/org/parsleymoor/explore/ColdProcess.kt
@@ -2,7 +2,6 @@
 
 import org.parsleymoor.coordination.ColdLeaseEvent
 import org.parsleymoor.coordination.ColdStartLeases
-import org.parsleymoor.coordination.LeaseAction
 import org.parsleymoor.coordination.LeaseEvent
 import org.parsleymoor.coordination.LeaseRecord
 import org.parsleymoor.core.EndpointId
@@ -25,7 +24,8 @@
     /** Reports a change of a lease object, as a watch does. */
     fun watch(name: String, changed: SimulatedObject<LeaseRecord>) {
         val endpoint = world.endpoints.first { "cold.${it.name}" == name }.name
-        world.carry(deliver = host.bound { lease(endpoint, ColdLeaseEvent.Lease(seen(changed))) })
+        val seen = LeaseEvent.Seen(changed.asLease())
+        world.carry(deliver = host.bound { lease(endpoint, ColdLeaseEvent.Lease(seen)) })
     }
 
     private fun start() {
@@ -39,21 +39,20 @@
 
     private fun readLoad(endpoint: ColdEndpointModel) {
         val sentMillis = host.clockMillis
+        val receive = host.callback<LoadReport> { accept(endpoint, sentMillis, it) }
         world.carry {
-            val startCount = endpoint.startCount
-            val cold = endpoint.cold
-            val count = endpoint.runningCount
-            world.carry(
-                deliver = host.bound {
-                    accept(ColdStartEvent.Seen(endpoint.name, startCount, cold))
-                    knownStarts.merge(endpoint.name, startCount, ::maxOf)
-                    lease(endpoint.name, ColdLeaseEvent.LoadRead(sentMillis, count))
-                    lease(endpoint.name, ColdLeaseEvent.Warmth(limit.isCold(endpoint.name), contends(endpoint)))
-                },
-            )
+            val report = LoadReport(endpoint.startCount, endpoint.cold, endpoint.runningCount)
+            world.carry { receive(report) }
         }
     }
 
+    private fun accept(endpoint: ColdEndpointModel, sentMillis: Long, report: LoadReport) {
+        accept(ColdStartEvent.Seen(endpoint.name, report.startCount, report.cold))
+        knownStarts.merge(endpoint.name, report.startCount, ::maxOf)
+        lease(endpoint.name, ColdLeaseEvent.LoadRead(sentMillis, report.running))
+        lease(endpoint.name, ColdLeaseEvent.Warmth(limit.isCold(endpoint.name), contends(endpoint)))
+    }
+
     private fun contends(endpoint: ColdEndpointModel): Boolean =
         (number + endpoint.name.hashCode()) % ColdWorld.GATEWAYS < CONTENDERS
 
@@ -62,11 +61,9 @@
     }
 
     private fun lease(endpoint: EndpointId, event: ColdLeaseEvent) {
-        leases.handle(host.clockMillis, endpoint, event).forEach { perform(endpoint, it) }
-    }
-
-    private fun perform(endpoint: EndpointId, action: LeaseAction) {
-        client.perform(action) { lease(endpoint, ColdLeaseEvent.Lease(it)) }
+        leases.handle(host.clockMillis, endpoint, event).forEach { action ->
+            client.perform(action) { lease(endpoint, ColdLeaseEvent.Lease(it)) }
+        }
     }
 
     private fun request(endpoint: ColdEndpointModel) {
@@ -99,8 +96,7 @@
         }
     }
 
-    private fun seen(changed: SimulatedObject<LeaseRecord>) =
-        LeaseEvent.Seen(changed.asLease())
+    private class LoadReport(val startCount: Long, val cold: Boolean, val running: Int)
 
     private companion object {
         const val REPORT_MILLIS = 500L
--- a/programs/explore/src/main/kotlin/org/parsleymoor/explore/Exploration.kt
+++ b/programs/explore/src/main/kotlin/org/parsleymoor/explore/Exploration.kt
@@ -37,7 +37,7 @@
         world.check()
     }
     world.calm()
-    val settledMillis = world.nowMillis + World.SETTLE_MILLIS
+    val settledMillis = world.nowMillis + world.settleMillis
     while (world.nowMillis < settledMillis && world.violation == null && world.scheduler.step()) {
         steps++
         world.check()
@@ -57,7 +57,7 @@
     WorldKind.LEASES -> LeaseWorld(settings)
     WorldKind.COLD_START -> ColdWorld(settings)
     WorldKind.EXECUTION -> ExecutionWorld(settings)
-    WorldKind.CONFIGURATION -> LeaseWorld(settings)
+    WorldKind.CONFIGURATION -> ConfigurationWorld(settings)
 }
 
 private const val HAZARDOUS_STEPS = 6_000L
--- a/programs/explore/src/main/kotlin/org/parsleymoor/explore/Host.kt
+++ b/programs/explore/src/main/kotlin/org/parsleymoor/explore/Host.kt
@@ -39,12 +39,23 @@
         pausedUntilMillis = maxOf(pausedUntilMillis, world.nowMillis + millis)
     }
 
+    /** Ends a pause. What waits for its end runs within a second. */
+    fun resume() {
+        pausedUntilMillis = world.nowMillis
+    }
+
     /** Returns [task] bound to the process that runs now: it waits while paused and is dropped after a restart. */
     fun bound(task: () -> Unit): () -> Unit {
         val bornIn = generation
         return { runIn(bornIn, task) }
     }
 
+    /** Returns [task] bound to the process that runs now, to be called with what arrives for it. */
+    fun <T> callback(task: (T) -> Unit): (T) -> Unit {
+        val bornIn = generation
+        return { arrived -> runIn(bornIn) { task(arrived) } }
+    }
+
     /** Runs [task] in this process after [delayMillis]. */
     fun after(delayMillis: Long, task: () -> Unit) = world.scheduler.after(delayMillis, bound(task))
 
@@ -69,7 +80,7 @@
         val waitMillis = pausedUntilMillis - world.nowMillis
         when {
             bornIn != generation -> Unit
-            waitMillis > 0 -> world.scheduler.after(waitMillis) { runIn(bornIn, task) }
+            waitMillis > 0 -> world.scheduler.after(minOf(waitMillis, SECOND_MILLIS)) { runIn(bornIn, task) }
             else -> task()
         }
     }
--- a/programs/explore/src/main/kotlin/org/parsleymoor/explore/OrderClient.kt
+++ b/programs/explore/src/main/kotlin/org/parsleymoor/explore/OrderClient.kt
@@ -1,5 +1,6 @@
 package org.parsleymoor.explore
 
+import org.parsleymoor.coordination.EngineState
 import org.parsleymoor.coordination.Fencing
 import org.parsleymoor.coordination.HeldLease
 import org.parsleymoor.coordination.OrderAction
@@ -30,9 +31,10 @@
             val idle = engine.state.copy(loading = null)
             return host.after(1) { handle(OrderEvent.StateRead(action.endpoint, action.readId, idle)) }
         }
+        val receive = host.callback<EngineState> { handle(OrderEvent.StateRead(action.endpoint, action.readId, it)) }
         world.carry {
             val state = engine.state
-            world.carry(deliver = host.bound { handle(OrderEvent.StateRead(action.endpoint, action.readId, state)) })
+            world.carry { receive(state) }
         }
     }
 
@@ -59,10 +61,11 @@
             if (!answered) handle(OrderEvent.Answered(action.endpoint, action.orderId, outcome))
             answered = true
         }
+        val receive = host.callback<OrderOutcome> { answer(it) }
         host.after(DELIVERY_DEADLINE_MILLIS) { answer(OrderOutcome.LOST) }
         world.carry(DELIVERY_DEADLINE_MILLIS) {
             val outcome = engine.order(action.fencingToken, action.version)
-            world.carry(DELIVERY_DEADLINE_MILLIS, host.bound { answer(outcome) })
+            world.carry(DELIVERY_DEADLINE_MILLIS) { receive(outcome) }
         }
     }
 
--- a/programs/explore/src/main/kotlin/org/parsleymoor/explore/SimulatedPlatform.kt
+++ b/programs/explore/src/main/kotlin/org/parsleymoor/explore/SimulatedPlatform.kt
@@ -25,22 +25,29 @@
 
     operator fun get(name: String): SimulatedObject<V>? = objects[name]
 
+    /** Stores [value] under [name] for a writer outside of the simulation. */
+    fun put(name: String, value: V, writeId: String) {
+        apply(name, SimulatedObject(value, objects[name]?.version ?: 0, writeId))
+    }
+
     /** Reads [name] for [host]. A failure is mostly reported; sometimes the caller's own deadline has to do. */
     fun read(host: Host, name: String, onReply: (SimulatedObject<V>?) -> Unit, onFailure: () -> Unit) {
         val call = PendingCall(host, onFailure)
+        val receive = host.callback<() -> Unit> { call.reply(it) }
         world.carry {
             val found = objects[name]
             val answered = up
-            world.carry(deliver = host.bound { call.reply { if (answered) onReply(found) else onFailure() } })
+            world.carry { receive { if (answered) onReply(found) else onFailure() } }
         }
     }
 
     /** Writes [value] for [host] when the version of [name] is [expectedVersion]. */
     fun write(host: Host, name: String, next: SimulatedObject<V>, onReply: (WriteReply<V>) -> Unit) {
         val call = PendingCall(host) { onReply(WriteReply.Failed(mayHaveTakenEffect = true)) }
+        val receive = host.callback<() -> Unit> { call.reply(it) }
         world.carry {
             val reply = if (up) apply(name, next) else WriteReply.Failed(world.chance.happens(HALF))
-            world.carry(deliver = host.bound { call.reply { onReply(reply) } })
+            world.carry { receive { onReply(reply) } }
         }
     }
 
@@ -52,6 +59,11 @@
         }
     }
 
+    /** Ends an outage. */
+    fun calm() {
+        up = true
+    }
+
     private fun goDown(millis: Long) {
         up = false
         world.note { "the platform is down for $millis ms" }
--- a/programs/explore/src/main/kotlin/org/parsleymoor/explore/World.kt
+++ b/programs/explore/src/main/kotlin/org/parsleymoor/explore/World.kt
@@ -26,7 +26,10 @@
     /** Checks the invariants; called after each step. */
     abstract fun check()
 
-    /** Checks what has to be true [SETTLE_MILLIS] after the failures have ended. */
+    /** How long the history goes on after its failures have ended. */
+    open val settleMillis: Long get() = USUAL_SETTLE_MILLIS
+
+    /** Checks what has to be true [settleMillis] after the failures have ended. */
     open fun checkSettled() {
         // Not every world has a state to come to rest in.
     }
@@ -65,9 +68,7 @@
 
     companion object {
         const val KEPT_EVENTS = 60
-
-        /** How long a history goes on after its failures have ended. */
-        const val SETTLE_MILLIS = 60_000L
+        private const val USUAL_SETTLE_MILLIS = 60_000L
         private const val USUAL_MILLIS = 30L
         private const val LATE_MILLIS = 6_000L
     }
