--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/HttpExchanges.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/HttpExchanges.kt
@@ -4,7 +4,6 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.andThen
-import com.github.michaelbull.result.map
 import io.vertx.core.MultiMap
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpClient
@@ -61,10 +60,11 @@
 
     private suspend fun answer(request: HttpClientRequest, body: Buffer?): Result<HttpAnswer, BackEndFailure> {
         val sent = if (body == null) request.send() else request.send(body)
-        return sent.awaitOr { BackEndFailure.Broken(address.text, it) }.andThen { response ->
-            response.body().awaitOr { BackEndFailure.Broken(address.text, it) }
-                .map { HttpAnswer(response.statusCode(), response.headers(), it) }
+        // The body is asked for on the connection's thread; from another one, chunks that came first would be missed.
+        val answer = sent.compose { response ->
+            response.body().map { HttpAnswer(response.statusCode(), response.headers(), it) }
         }
+        return answer.awaitOr { BackEndFailure.Broken(address.text, it) }
     }
 }
 
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/JsonLines.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/JsonLines.kt
@@ -98,6 +98,7 @@
 
     private companion object {
         const val HTTP_OK = 200
+
         // A pooled connection is used again only after the end of the answer; a sender that delays it is cut off.
         const val END_MILLIS = 200L
         const val MAXIMUM_LINE_BYTES = 1_048_576
--- a/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/ConfigurationSections.kt
+++ b/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/ConfigurationSections.kt
@@ -12,17 +12,15 @@
 import java.security.MessageDigest
 
 /**
- * The object `configuration/root`. A set of changes takes effect by one conditional update of it. [author],
- * [change] and [changedAtMillis] describe the change that made this revision; [writeId] recognises it on reading back.
+ * The object `configuration/root`. A set of changes takes effect by one conditional update of it. [writeId] recognises
+ * the write on reading back. [recent] holds the latest changes, newest first, of which the first made this revision.
  */
 @Serializable
 public data class ConfigurationRoot(
     public val revision: Long,
     public val writeId: String,
     public val sections: List<SectionReference>,
-    public val author: String = "",
-    public val change: String = "",
-    public val changedAtMillis: Long = 0,
+    public val recent: List<ChangeRecord> = emptyList(),
 ) {
     /** Returns the JSON form that the platform keeps. */
     public fun toJson(): String = ConfigurationJson.encodeToString(serializer(), this)
@@ -34,6 +32,9 @@
         /** The name of the root object. */
         public const val NAME: String = "root"
 
+        /** The number of changes that [recent] keeps; a lost response is recognised among as many later changes. */
+        public const val RECENT_CHANGES: Int = 20
+
         /** The root before the first change. */
         public val Empty: ConfigurationRoot = ConfigurationRoot(0, "", emptyList())
 
@@ -46,6 +47,16 @@
     }
 }
 
+/** Who changed the configuration to [revision], what the change was, and the id of its write. */
+@Serializable
+public data class ChangeRecord(
+    public val revision: Long,
+    public val writeId: String,
+    public val author: String,
+    public val change: String,
+    public val atMillis: Long,
+)
+
 /** Names a section and the SHA-256 digest (lower-case hexadecimal) of its text. */
 @Serializable
 public data class SectionReference(public val name: String, public val hash: String) {
--- a/programs/operator/src/main/kotlin/org/parsleymoor/operator/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package org.parsleymoor.operator
-
-internal object Placeholder
