--- a/programs/standins/src/main/kotlin/org/parsleymoor/standins/EngineStandIn.kt
+++ b/programs/standins/src/main/kotlin/org/parsleymoor/standins/EngineStandIn.kt
@@ -1,76 +1,97 @@
 package org.parsleymoor.standins
 
 import io.vertx.core.Vertx
-import io.vertx.core.http.HttpServer
-import io.vertx.core.http.HttpServerRequest
-import io.vertx.core.http.HttpServerResponse
 import io.vertx.ext.web.Router
 import io.vertx.ext.web.RoutingContext
-import io.vertx.ext.web.handler.BodyHandler
-import io.vertx.kotlin.coroutines.coAwait
-import io.vertx.kotlin.coroutines.dispatcher
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Job
-import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import org.parsleymoor.clients.EngineEvent
-import org.parsleymoor.clients.GenerateRequest
-import org.parsleymoor.clients.WireJson
-import java.util.concurrent.ConcurrentHashMap
+import kotlinx.serialization.builtins.ListSerializer
+import org.parsleymoor.clients.CacheEvents
+import org.parsleymoor.clients.CacheSnapshot
+import org.parsleymoor.clients.EngineLoad
+import org.parsleymoor.clients.EngineOrder
+import org.parsleymoor.clients.EngineRefusal
+import org.parsleymoor.clients.EngineRefusalReason
+import org.parsleymoor.core.Clock
 
-/** A model engine that answers with [ModelText] at a set speed. */
-public class EngineStandIn(private val vertx: Vertx, private val settings: EngineSettings) {
-    private val scope = CoroutineScope(SupervisorJob() + vertx.dispatcher())
-    private val running = ConcurrentHashMap<String, Job>()
+/**
+ * A model engine that answers with [ModelText]: continuous batching with a queue and priorities, a bounded prefix
+ * cache, cold start, orders and faults on demand. `docs/engine-protocol.md` lists its calls.
+ */
+public class EngineStandIn(
+    private val vertx: Vertx,
+    private val settings: EngineSettings,
+    clock: Clock = Clock.System,
+) {
+    private val server = StandInServer(vertx, settings.host, settings.port, ::route)
+    private val state = EngineState(settings, clock)
 
     /** Binds the port and suspends until it accepts connections; returns the bound port. */
-    public suspend fun start(): Int {
-        val router = Router.router(vertx)
-        router.route().handler(BodyHandler.create(false))
-        router.post("/v1/generate").handler { generate(it) }
-        router.delete("/v1/generate/:attempt").handler { cancel(it) }
-        val server: HttpServer = vertx.createHttpServer().requestHandler(router)
-        return server.listen(settings.port, settings.host).coAwait().actualPort()
-    }
-
-    private fun generate(context: RoutingContext) {
-        val request = WireJson.decodeFromString(GenerateRequest.serializer(), context.body().asString())
-        val response = context.response().setChunked(true).putHeader("Content-Type", "application/x-ndjson")
-        val job = scope.launch { stream(request, response) }
-        running[request.attempt.value] = job
-        job.invokeOnCompletion { running.remove(request.attempt.value) }
-        closeOnDisconnect(context.request(), job)
-    }
+    public suspend fun start(): Int = server.start()
 
-    private fun closeOnDisconnect(request: HttpServerRequest, job: Job) {
-        request.connection().closeHandler { job.cancel() }
+    private fun route(router: Router, scope: CoroutineScope) {
+        val runs = EngineRuns(state, server, scope)
+        val transfers = BlockTransfers(vertx, state)
+        scope.launch { report() }
+        router.route("/v1/*").handler { if (state.isDown) it.drop() else it.next() }
+        router.post("/v1/generate").handler { runs.arrive(it) }
+        router.delete("/v1/generate/:attempt").handler {
+            runs.cancel(it.pathParam("attempt"))
+            it.response().setStatusCode(HttpStatus.NO_CONTENT).end()
+        }
+        router.get("/v1/load").handler { it.answer(EngineLoad.serializer(), shownReport()) }
+        router.get("/v1/cache/events").handler { events(it) }
+        router.get("/v1/cache/snapshot").handler { it.answer(CacheSnapshot.serializer(), snapshot()) }
+        router.post("/v1/cache/export").handler { scope.launch { transfers.export(it) } }
+        router.post("/v1/cache/import").handler { scope.launch { transfers.import(it) } }
+        router.post("/v1/orders").handler { order(it, scope) }
+        router.get("/v1/orders").handler { it.answer(ListSerializer(EngineOrder.serializer()), state.orders.orders) }
+        router.get("/journal").handler { it.response().end(runs.journalJson()) }
+        router.post("/faults").handler { setFaults(it, runs) }
     }
 
-    private suspend fun stream(request: GenerateRequest, response: HttpServerResponse) {
-        val pieces = request.pieces.size
-        write(response, EngineEvent.Started(request.attempt, settings.startCount, request.version, 0, pieces))
-        delay(pieces * settings.prefillMillisPerPiece)
-        val indices = request.resumeAfterTokens until request.maximumTokens
-        for (index in indices) {
-            delay(settings.millisPerToken)
-            val text = ModelText.token(request.model.value, request.prompt, index)
-            write(response, EngineEvent.Token(request.attempt, index - request.resumeAfterTokens, text))
+    private suspend fun report() {
+        while (true) {
+            state.takeReport()
+            delay(settings.loadReportMillis)
         }
-        write(response, EngineEvent.Final(request.attempt, indices.count()))
-        response.end().coAwait()
     }
 
-    private suspend fun write(response: HttpServerResponse, event: EngineEvent) {
-        response.write(WireJson.encodeToString(EngineEvent.serializer(), event) + "\n").coAwait()
+    private fun shownReport(): EngineLoad = state.reports.shown(state.clock.nowMillis()) ?: state.report()
+
+    private fun events(context: RoutingContext) {
+        val after = context.request().getParam("after")?.toLongOrNull() ?: 0
+        val events = state.feed.after(after, state.startCount, state.clock.nowMillis())
+        context.answer(CacheEvents.serializer(), events)
     }
 
-    private fun cancel(context: RoutingContext) {
-        running.remove(context.pathParam("attempt"))?.cancel()
-        context.response().setStatusCode(NO_CONTENT).end()
+    private fun snapshot() = CacheSnapshot(state.startCount, state.feed.sequence, state.cache.content())
+
+    private fun order(context: RoutingContext, scope: CoroutineScope) {
+        val order = context.readBody(EngineOrder.serializer()) ?: return
+        if (state.orders.isStale(order)) {
+            val detail = "expected a fencing token of at least ${state.orders.highest}, found ${order.fencing}"
+            val refusal = EngineRefusal(EngineRefusalReason.STALE_FENCING, detail)
+            context.answer(EngineRefusal.serializer(), refusal, HttpStatus.CONFLICT)
+            return
+        }
+        state.orders.accept(order)?.let { version ->
+            scope.launch {
+                WeightLoad(vertx, settings).run(version)
+                state.orders.loaded(version)
+            }
+        }
+        context.answer(EngineLoad.serializer(), state.report())
     }
 
-    private companion object {
-        const val NO_CONTENT = 204
+    private fun setFaults(context: RoutingContext, runs: EngineRuns) {
+        val faults = context.readBody(EngineFaults.serializer()) ?: return
+        state.faults = faults
+        state.feed.dropNext(faults.dropCacheEvents)
+        context.answer(EngineFaults.serializer(), faults)
+        if (faults.silenceOpenConnections) server.silenceOpenConnections()
+        if (faults.turnCold) state.restart(0)
+        if (faults.fallOver) runs.fallOver()
     }
 }
--- a/programs/standins/src/main/kotlin/org/parsleymoor/standins/ModelText.kt
+++ b/programs/standins/src/main/kotlin/org/parsleymoor/standins/ModelText.kt
@@ -8,18 +8,35 @@
  */
 public object ModelText {
     /** Returns the token at [index] of the answer to [prompt] by [model]. */
-    public fun token(model: String, prompt: String, index: Int): String = "${digest(model, prompt).substring(
-        (index * DIGITS) % (HEX_LENGTH - DIGITS),
-    ).take(DIGITS)}$index "
+    public fun token(model: String, prompt: String, index: Int): String = answerTo(model, prompt).token(index)
 
     /** Returns the first [count] tokens of the answer to [prompt] by [model] as one text. */
-    public fun answer(model: String, prompt: String, count: Int): String =
-        (0 until count).joinToString("") { token(model, prompt, it) }
+    public fun answer(model: String, prompt: String, count: Int): String {
+        val answer = answerTo(model, prompt)
+        return (0 until count).joinToString("") { answer.token(it) }
+    }
 
-    private fun digest(model: String, prompt: String): String =
-        MessageDigest.getInstance("SHA-256").digest("$model\n$prompt".toByteArray())
-            .joinToString("") { "%02x".format(it) }
+    /** Returns the answer to [prompt] by [model], whose tokens are cheap to read one by one. */
+    public fun answerTo(model: String, prompt: String): ModelAnswer = ModelAnswer(hexDigest("$model\n$prompt"))
 
-    private const val DIGITS = 4
-    private const val HEX_LENGTH = 64
+    /** Returns a digest that names [prompt] in journals. */
+    public fun promptDigest(prompt: String): String = hexDigest(prompt).take(PROMPT_DIGEST_LENGTH)
+
+    private fun hexDigest(text: String): String =
+        MessageDigest.getInstance("SHA-256").digest(text.toByteArray()).joinToString("") { "%02x".format(it) }
+
+    private const val PROMPT_DIGEST_LENGTH = 32
+}
+
+/** The tokens of one answer. */
+public class ModelAnswer internal constructor(private val digest: String) {
+    /** Returns the token at [index]. */
+    public fun token(index: Int): String {
+        val start = (index * DIGITS) % (digest.length - DIGITS)
+        return "${digest.substring(start, start + DIGITS)}$index "
+    }
+
+    private companion object {
+        const val DIGITS = 4
+    }
 }
--- a/programs/standins/src/main/kotlin/org/parsleymoor/standins/StandInServer.kt
+++ b/programs/standins/src/main/kotlin/org/parsleymoor/standins/StandInServer.kt
@@ -1,6 +1,7 @@
 package org.parsleymoor.standins
 
 import io.vertx.core.Vertx
+import io.vertx.core.http.HttpConnection
 import io.vertx.ext.web.Router
 import io.vertx.ext.web.RoutingContext
 import io.vertx.ext.web.handler.BodyHandler
@@ -18,6 +19,9 @@
     private val port: Int,
     private val routes: (Router, CoroutineScope) -> Unit,
 ) {
+    private val open = LinkedHashSet<HttpConnection>()
+    private val silent = HashSet<HttpConnection>()
+
     /** Suspends until connections are accepted and returns the bound port. */
     suspend fun start(): Int {
         val verticle = Listener()
@@ -25,19 +29,44 @@
         return verticle.boundPort
     }
 
+    /** Lets the connections that are open now stay open and answer nothing more. */
+    fun silenceOpenConnections() {
+        silent += open
+    }
+
+    /** Closes every connection with no answer. */
+    fun closeConnections() {
+        open.toList().forEach { it.close() }
+    }
+
+    /** Whether nothing more may be sent to the sender of [context]. The checker's calls are always answered. */
+    fun isSilent(context: RoutingContext): Boolean =
+        context.request().connection() in silent && context.normalizedPath() !in CONTROL_PATHS
+
+    private fun accept(connection: HttpConnection) {
+        open += connection
+        connection.closeHandler {
+            open -= connection
+            silent -= connection
+        }
+    }
+
     private inner class Listener : CoroutineVerticle() {
         var boundPort: Int = 0
 
         override suspend fun start() {
             val router = Router.router(vertx)
+            router.route().handler { if (isSilent(it)) it.request().resume() else it.next() }
             router.route().handler(BodyHandler.create(false).setBodyLimit(MAXIMUM_BODY_BYTES))
             routes(router, this)
-            boundPort = vertx.createHttpServer().requestHandler(router).listen(port, host).coAwait().actualPort()
+            val server = vertx.createHttpServer().connectionHandler(::accept).requestHandler(router)
+            boundPort = server.listen(port, host).coAwait().actualPort()
         }
     }
 
     private companion object {
         const val MAXIMUM_BODY_BYTES = 67_108_864L
+        val CONTROL_PATHS = setOf("/faults", "/journal", "/calls")
     }
 }
 
