--- a/libraries/peering/src/test/kotlin/org/parsleymoor/peering/PeerNodeTest.kt
+++ b/libraries/peering/src/test/kotlin/org/parsleymoor/peering/PeerNodeTest.kt
@@ -13,11 +13,13 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import org.parsleymoor.core.AttemptId
+import org.parsleymoor.core.EndpointId
 import org.parsleymoor.core.Incarnation
 import org.parsleymoor.core.InstanceId
 import org.parsleymoor.core.ModelId
@@ -27,6 +29,7 @@
 import org.parsleymoor.core.WeightVersion
 import org.parsleymoor.core.ZoneId
 import strikt.api.expectThat
+import strikt.assertions.hasSize
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNotNull
@@ -127,6 +130,29 @@
         expectThat(withTimeout(WAIT_MILLIS) { connections.receive() }.failure).isNull()
     }
 
+    @Test
+    fun `gateways that dial each other at once keep one connection and lose none to silence`(): Unit = runBlocking {
+        val ended = Channel<PeerFailure?>(Channel.UNLIMITED)
+        val handler = object : EchoHandler() {
+            override suspend fun onEnded(link: PeerLink) {
+                ended.send(link.failure)
+            }
+        }
+        val options = PeerOptions(heartbeatMillis = 50, silenceMillis = 1_000)
+        val one = node("a", handler, options)
+        val other = node("b", handler, options)
+        one.node.keepConnectedTo(mapOf(InstanceId("b") to other.address))
+        other.node.keepConnectedTo(mapOf(InstanceId("a") to one.address))
+        repeat(60) {
+            listOf(one, other).forEach { it.node.broadcast(PeerMessage.Heartbeat(1)) }
+            delay(50)
+        }
+        val failures = generateSequence { ended.tryReceive().getOrNull() }.toList()
+        expectThat(failures.filterIsInstance<PeerFailure.Silent>()).isEqualTo(emptyList())
+        expectThat(one.node.connected).hasSize(1)
+        expectThat(other.node.connected).hasSize(1)
+    }
+
     @Test
     fun `a peer of another protocol version is refused`(): Unit = runBlocking {
         val server = node("a", EchoHandler())
@@ -177,15 +203,17 @@
 
     private fun forward(exchange: Long, text: String) = PeerMessage.Forward(
         exchange,
+        EndpointId("engine"),
         ForwardedCompletion(
             request = RequestId("r"),
+            attempt = AttemptId("r.0"),
             organisation = OrganisationId("o"),
             model = ModelId("m"),
             version = WeightVersion("1"),
             maximumTokens = 1,
-            remainingMillis = 1_000,
-            pieces = emptyList(),
-            tail = text,
+            textPieces = ByteArray(0),
+            contextHash = "",
+            tail = text.encodeToByteArray(),
         ),
     )
 
@@ -199,8 +227,8 @@
 
         override suspend fun onExchange(exchange: PeerExchange, opening: PeerMessage.OfExchange) {
             val completion = (opening as PeerMessage.Forward).completion
-            exchange.send(PeerMessage.Chunk(exchange.number, 0, completion.tail))
-            exchange.send(PeerMessage.Finished(exchange.number, AttemptId("r.0"), 1, "stop", 0, 0))
+            exchange.send(PeerMessage.Chunk(exchange.number, 0, completion.tail.decodeToString()))
+            exchange.send(PeerMessage.Finished(exchange.number, 1, "stop"))
         }
     }
 
