--- a/libraries/placement/src/main/kotlin/org/parsleymoor/placement/PlacementSettings.kt
+++ b/libraries/placement/src/main/kotlin/org/parsleymoor/placement/PlacementSettings.kt
@@ -13,7 +13,7 @@
     public val pieceTokens: Int = ContextIdentity.PIECE_TOKENS,
     public val regionLinkPriceMillisPerMegabyte: Double = 40_000.0,
     public val storeLinkPrice: Double = 0.2,
-    public val prefillPrice: Double = 0.3,
+    public val prefillPrice: Double = 1.0,
     public val nearEqualShare: Double = 0.05,
     public val nearEqualMillis: Double = 5.0,
 )
--- a/libraries/placement/src/main/kotlin/org/parsleymoor/placement/ReturnModel.kt
+++ b/libraries/placement/src/main/kotlin/org/parsleymoor/placement/ReturnModel.kt
@@ -15,8 +15,8 @@
 public data class ExpectedReturn(public val probability: Double, public val remainingMillis: Long)
 
 /**
- * Learns when blocks are used again. A block whose sessions repeat with the period (a day) is expected at the interval
- * that followed its session one period ago; any other block gets the distribution of its organisation's intervals.
+ * Learns when blocks are used again. How likely that is comes from the intervals of the organisation's other blocks. A
+ * block with more than one session is expected at the next of its own times of day, any other after the mean interval.
  * Not safe for use from several threads.
  */
 public class ReturnModel(private val settings: ReturnModelSettings = ReturnModelSettings()) {
@@ -43,10 +43,9 @@
     /** Returns when [piece] is expected to be used after [nowMillis]; an unknown piece is not expected. */
     public fun expect(piece: PieceHash, nowMillis: Long): ExpectedReturn {
         val known = uses[piece] ?: return ExpectedReturn(0.0, settings.periodMillis)
-        val idle = nowMillis - known.lastMillis
-        val returns = known.group.returnAfter(idle, known.sessions == 1, nowMillis)
-        val own = ownInterval(known)?.let { it - idle }?.takeIf { it > -settings.sameTimeMillis / 2 }
-        return if (own == null) returns else ExpectedReturn(returns.probability, maxOf(0, own))
+        val isFirst = known.sessions == 1
+        val returns = known.group.returnAfter(nowMillis - known.lastMillis, isFirst, nowMillis)
+        return if (isFirst) returns else returns.copy(remainingMillis = usualMillis(known, nowMillis) - nowMillis)
     }
 
     /** Returns the position of [piece] in its prompt when it was first used. */
@@ -62,14 +61,14 @@
         known.lastMillis = nowMillis
     }
 
-    private fun ownInterval(known: PieceUses): Long? {
-        val latest = known.starts.last()
-        val position = known.starts.indexOfFirst {
-            val distance = latest - it - settings.periodMillis
-            distance > -settings.sameTimeMillis && distance < settings.sameTimeMillis
+    /** The earliest time of day of a recent session that is still to come or is overdue by less than the tolerance. */
+    private fun usualMillis(known: PieceUses, nowMillis: Long): Long {
+        val from = maxOf(nowMillis - settings.sameTimeMillis / 2, known.lastMillis + settings.sameTimeMillis)
+        val next = known.starts.minOf { start ->
+            val periods = Math.floorDiv(from - start + settings.periodMillis - 1, settings.periodMillis)
+            start + periods * settings.periodMillis
         }
-        if (position < 0 || position + 1 >= known.starts.size) return null
-        return known.starts[position + 1] - known.starts[position]
+        return maxOf(next, nowMillis)
     }
 
     private class PieceUses(val group: IntervalHistogram, val depth: Int, startMillis: Long) {
