--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/GatewayMain.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/GatewayMain.kt
@@ -9,6 +9,7 @@
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.types.path
 import com.github.michaelbull.result.getOrElse
+import io.github.oshai.kotlinlogging.KotlinLoggingConfiguration
 import io.vertx.core.Vertx
 import io.vertx.core.VertxOptions
 import io.vertx.core.file.FileSystemOptions
@@ -75,5 +76,7 @@
 
 /** Entry point of `bin/gateway`. */
 public fun main(arguments: Array<String>) {
+    // Standard output is for the answers of commands.
+    KotlinLoggingConfiguration.logStartupMessage = false
     GatewayCommand().subcommands(CheckCommand()).main(arguments)
 }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/operations/Tracing.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/operations/Tracing.kt
@@ -11,7 +11,10 @@
 import io.opentelemetry.exporter.otlp.trace.OtlpGrpcSpanExporter
 import io.opentelemetry.sdk.OpenTelemetrySdk
 import io.opentelemetry.sdk.resources.Resource
+import io.opentelemetry.sdk.trace.ReadWriteSpan
+import io.opentelemetry.sdk.trace.ReadableSpan
 import io.opentelemetry.sdk.trace.SdkTracerProvider
+import io.opentelemetry.sdk.trace.SpanProcessor
 import io.opentelemetry.sdk.trace.export.BatchSpanProcessor
 import io.opentelemetry.sdk.trace.export.SpanExporter
 import io.vertx.core.MultiMap
@@ -45,6 +48,11 @@
         return value
     }
 
+    /** Exports what has ended so far. */
+    fun flush() {
+        provider.forceFlush().join(FLUSH_SECONDS, TimeUnit.SECONDS)
+    }
+
     override fun close() {
         provider.shutdown().join(FLUSH_SECONDS, TimeUnit.SECONDS)
     }
@@ -55,6 +63,17 @@
         override fun get(carrier: MultiMap?, key: String): String? = carrier?.get(key)
     }
 
+    /** Keeps spans real when nothing is exported; a provider without a processor makes spans that have no trace id. */
+    private object NoExport : SpanProcessor {
+        override fun onStart(parentContext: Context, span: ReadWriteSpan) = Unit
+
+        override fun isStartRequired(): Boolean = false
+
+        override fun onEnd(span: ReadableSpan) = Unit
+
+        override fun isEndRequired(): Boolean = false
+    }
+
     companion object {
         private const val FLUSH_SECONDS = 2L
         private val TARGET: AttributeKey<String> = AttributeKey.stringKey("server.address")
@@ -72,7 +91,7 @@
             val resource = Resource.getDefault().toBuilder()
                 .put(SERVICE, "parsleymoor-gateway").put(INSTANCE, instance.value).build()
             val builder = SdkTracerProvider.builder().setResource(resource)
-            if (exporter != null) builder.addSpanProcessor(BatchSpanProcessor.builder(exporter).build())
+            builder.addSpanProcessor(exporter?.let { BatchSpanProcessor.builder(it).build() } ?: NoExport)
             return builder.build()
         }
     }
--- a/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/CompletionTest.kt
+++ b/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/CompletionTest.kt
@@ -185,6 +185,14 @@
         harness.eventually { engine.cancelled.isNotEmpty() }
     }
 
+    @Test
+    fun `a request without a trace gets a trace id although nothing is exported`(): Unit = runBlocking {
+        val engine = ScriptedEngine(harness.vertx) { request, response -> response.answer(request, text) }
+        start(engine)
+        chat()
+        expectThat(engine.traceParents.single()).not().contains("0".repeat(32))
+    }
+
     @Test
     fun `the engine continues the trace of the caller`(): Unit = runBlocking {
         val engine = ScriptedEngine(harness.vertx) { request, response -> response.answer(request, text) }
@@ -198,5 +206,6 @@
         )
         expectThat(engine.traceParents).isNotEmpty()
         expectThat(engine.traceParents.first()).contains(trace)
+        expectThat(engine.traceParents.first()).not().contains("00f067aa0ba902b7")
     }
 }
