--- a/programs/explore/src/main/kotlin/org/parsleymoor/explore/Main.kt
+++ b/programs/explore/src/main/kotlin/org/parsleymoor/explore/Main.kt
@@ -29,7 +29,17 @@
     private val fault by option(help = "Seed this fault into its mechanism.").enum<SeededFault>()
     private val json by option(help = "Print one JSON object.").flag()
 
+    private val claimLoad by option(help = "Measure platform writes for claimed calls at this rate per second.").long()
+
     override fun run() {
+        val rate = claimLoad
+        if (rate == null) exploreWorlds() else echo(measureClaims(rate))
+    }
+
+    private fun measureClaims(rate: Long): String =
+        Json.encodeToString(ClaimLoadResult.serializer(), ClaimLoad(rate, seed).run())
+
+    private fun exploreWorlds() {
         val kinds = listOfNotNull(fault?.world ?: world).ifEmpty { WorldKind.entries }
         val explorations = kinds.map { explore(it, seed, fault, untilTime(seconds / kinds.size.toDouble())) }
         val found = explorations.mapNotNull { it.counterexample }
--- a/programs/explore/src/test/kotlin/org/parsleymoor/explore/ExplorationTest.kt
+++ b/programs/explore/src/test/kotlin/org/parsleymoor/explore/ExplorationTest.kt
@@ -8,7 +8,7 @@
 import strikt.assertions.isNull
 
 /** Guards the invariants against every combination of failures that the fixed seeds draw, a million steps in all. */
-class ExplorationTest {
+internal class ExplorationTest {
     @ParameterizedTest
     @EnumSource(WorldKind::class)
     fun `no invariant is violated`(kind: WorldKind) {
