Estimate returns without letting the prior add up over the intervals

Cause: a test failed after the estimator had begun to leave sessions out that are too young to tell. The estimate for a session that outlasts the longest interval stayed at the prior of one half, and the prior's weight of ten sessions counted once for each of 40 intervals. Change: such a session is taken not to return, and the prior weighs a quarter of a session an interval.

--- a/libraries/placement/src/main/kotlin/org/parsleymoor/placement/IntervalHistogram.kt
+++ b/libraries/placement/src/main/kotlin/org/parsleymoor/placement/IntervalHistogram.kt
@@ -59,15 +59,17 @@
         changes = 0
         refreshedMillis = nowMillis
         val atRisk = atRisk(nowMillis)
-        var probability = PRIOR
-        var weighted = PRIOR * UNKNOWN_MILLIS
+        // A session that outlasts the longest interval is taken not to return.
+        var probability = 0.0
+        var weighted = 0.0
         for (index in returns.indices.reversed()) {
             val open = maxOf(atRisk[index], returns[index]) + PRIOR_SESSIONS
             val hazard = returns[index] / open
             // Where few sessions are old enough to tell, the estimate stays near the prior.
             val known = atRisk[index] / open
             val tail = known * probability + (1 - known) * PRIOR
-            weighted = hazard * middle(index) + (1 - hazard) * weighted * (tail / probability)
+            val weightedTail = known * weighted + (1 - known) * PRIOR * UNKNOWN_MILLIS
+            weighted = hazard * middle(index) + (1 - hazard) * weightedTail
             probability = (hazard + (1 - hazard) * tail).coerceIn(SMALLEST, 1.0)
             probabilities[index] = probability
             meanIntervals[index] = weighted / probability
@@ -90,7 +92,9 @@
         const val HALF = 0.5
         const val PRIOR = 0.5
         const val SMALLEST = 1e-6
-        const val PRIOR_SESSIONS = 10.0
+
+        // Counts once for each bucket, so that 40 buckets together weigh as much as ten sessions.
+        const val PRIOR_SESSIONS = 0.25
         const val UNKNOWN_MILLIS = 43_200_000.0
         const val HOUR_MILLIS = 3_600_000L
         const val MAXIMUM_HOURS = 96
