--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/HttpExchanges.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/HttpExchanges.kt
@@ -59,11 +59,12 @@
     }
 
     private suspend fun answer(request: HttpClientRequest, body: Buffer?): Result<HttpAnswer, BackEndFailure> {
-        val sent = if (body == null) request.send() else request.send(body)
-        // The body is asked for on the connection's thread; from another one, chunks that came first would be missed.
-        val answer = sent.compose { response ->
+        // Asked for before the request is sent, the body is read on the connection's thread; asked for later, from
+        // another thread, it may miss the chunks that came first.
+        val answer = request.response().compose { response ->
             response.body().map { HttpAnswer(response.statusCode(), response.headers(), it) }
         }
+        if (body == null) request.send() else request.send(body)
         return answer.awaitOr { BackEndFailure.Broken(address.text, it) }
     }
 }
--- a/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/Configuration.kt
+++ b/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/Configuration.kt
@@ -1,5 +1,6 @@
 package org.parsleymoor.configuration
 
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import org.parsleymoor.core.EndpointId
 import org.parsleymoor.core.ModelId
@@ -26,7 +27,16 @@
 
 /** Whether new work may be sent to an availability zone or an endpoint. */
 @Serializable
-public enum class PlacementState { IN, DRAIN, OUT }
+public enum class PlacementState {
+    @SerialName("in")
+    IN,
+
+    @SerialName("drain")
+    DRAIN,
+
+    @SerialName("out")
+    OUT,
+}
 
 /** An availability zone, the region that holds it and its labels. */
 @Serializable
@@ -39,7 +49,16 @@
 
 /** What an endpoint is: a model replica, an application replica or a KV cache store. */
 @Serializable
-public enum class EndpointKind { ENGINE, SERVICE, STORE }
+public enum class EndpointKind {
+    @SerialName("engine")
+    ENGINE,
+
+    @SerialName("service")
+    SERVICE,
+
+    @SerialName("store")
+    STORE,
+}
 
 /** A back end at [address] (`host:port`) in [zone]. */
 @Serializable
--- a/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/Danger.kt
+++ b/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/Danger.kt
@@ -72,6 +72,20 @@
             get() = "switches model $model from version $before to $after with no rollout: its cached context is void"
     }
 
+    /** Only [loaded] of [engines] hold the version that new requests are about to use. */
+    @Serializable
+    @SerialName("not-loaded")
+    public data class NotLoaded(
+        public val model: String,
+        public val version: String,
+        public val loaded: Int,
+        public val engines: Int,
+    ) : Danger {
+        override val effect: String
+            get() = "uses version $version of model $model, which $loaded of $engines engines hold: the others get " +
+                "no requests until it is loaded"
+    }
+
     /** Callers of the organisation are refused. */
     @Serializable
     @SerialName("organisation-removed")
--- a/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/DangerCheck.kt
+++ b/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/DangerCheck.kt
@@ -56,14 +56,15 @@
         matches(ItemReference(ItemKind.ROLLOUT, it.name), it.selector, EndpointKind.ENGINE)
     }
 
-    /** A selector is shown when its own item changed, or when the change leaves it with nothing to match. */
+    /** A selector is shown when it changed, or when the change leaves it with nothing to match. */
     private fun matches(item: ItemReference, selector: String, kind: EndpointKind): Danger? {
         val matched = after.endpointsMatching(kind, selector).size
         val all = after.endpoints.count { it.kind == kind }
         val matchedBefore = before.endpointsMatching(kind, selector).size
-        val widened = item in changed && before.endpoints.isNotEmpty() && selector.isNotBlank()
+        val isNew = item in changed && before.selectorOf(item) != selector
+        val widened = isNew && before.endpoints.isNotEmpty() && selector.isNotBlank()
         return when {
-            matched == 0 && (item in changed || matchedBefore > 0) -> Danger.MatchesNothing(item.toString(), selector)
+            matched == 0 && (isNew || matchedBefore > 0) -> Danger.MatchesNothing(item.toString(), selector)
             matched == all && all > 1 && widened -> Danger.MatchesAll(item.toString(), selector, all)
             else -> null
         }
@@ -97,3 +98,10 @@
 /** Returns the application replicas of the service [name], in service or not. */
 public fun Configuration.replicasOf(name: String): List<EndpointDeclaration> =
     services.firstOrNull { it.name == name }?.let { endpointsMatching(EndpointKind.SERVICE, it.selector) }.orEmpty()
+
+private fun Configuration.selectorOf(item: ItemReference): String? = when (item.kind) {
+    ItemKind.MODEL -> models.firstOrNull { it.name.value == item.name }?.selector
+    ItemKind.SERVICE -> services.firstOrNull { it.name == item.name }?.selector
+    ItemKind.ROLLOUT -> rollouts.firstOrNull { it.name == item.name }?.selector
+    ItemKind.ZONE, ItemKind.ENDPOINT, ItemKind.ORGANISATION, ItemKind.LIMITS -> null
+}
--- a/programs/operator/src/main/kotlin/org/parsleymoor/operator/ChangeMaker.kt
+++ b/programs/operator/src/main/kotlin/org/parsleymoor/operator/ChangeMaker.kt
@@ -7,6 +7,7 @@
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getOrElse
 import kotlinx.serialization.Serializable
+import org.parsleymoor.clients.GatewayStatus
 import org.parsleymoor.configuration.Configuration
 import org.parsleymoor.configuration.ConfigurationChange
 import org.parsleymoor.configuration.ConfigurationPlan
@@ -51,9 +52,10 @@
     ): Result<ConfigurationPlan, OperatorFailure> {
         val mistakes = checkConfiguration(after)
         if (mistakes.isNotEmpty()) return Err(OperatorFailure.InvalidChange(mistakes))
-        val demand = demandOf(deployment.statuses().get().orEmpty())
-        val plan = ConfigurationPlan.of(before, after, demand)
-        return Ok(plan.copy(dangers = selectorDangers(before, edit) + plan.dangers))
+        val statuses = deployment.statuses().get().orEmpty()
+        val plan = ConfigurationPlan.of(before, after, demandOf(statuses))
+        val ofCommand = selectorDangers(before, edit) + loadDangers(before, edit, statuses)
+        return Ok(plan.copy(dangers = ofCommand + plan.dangers))
     }
 
     private suspend fun proceed(
@@ -98,6 +100,20 @@
     }
 }
 
+/** Finishing a rollout before all its engines hold the version takes the others out of use. */
+private fun loadDangers(
+    current: Configuration,
+    edit: ConfigurationEdit,
+    statuses: List<GatewayAnswer<GatewayStatus>>,
+): List<Danger> {
+    val finished = (edit as? ConfigurationEdit.RolloutEnd)?.takeIf { it.keep }
+    val rollout = current.rollouts.firstOrNull { it.model.value == finished?.model } ?: return emptyList()
+    val progress = rolloutProgress(current, rollout, statuses)
+    val isMissing = progress.loaded.size < progress.engines
+    val danger = Danger.NotLoaded(progress.model, progress.to, progress.loaded.size, progress.engines)
+    return listOf(danger).filter { isMissing }
+}
+
 /** Returns the changes and dangers of [plan] as lines. */
 internal fun planLines(plan: ConfigurationPlan): List<String> =
     plan.changes.map { it.toString() } + plan.dangers.map { "danger: ${it.effect}" }
--- a/programs/operator/src/main/kotlin/org/parsleymoor/operator/ItemTable.kt
+++ b/programs/operator/src/main/kotlin/org/parsleymoor/operator/ItemTable.kt
@@ -8,7 +8,6 @@
 import org.parsleymoor.configuration.labelsOf
 import org.parsleymoor.configuration.stateOf
 import org.parsleymoor.core.Labels
-import java.time.Instant
 
 /** The kinds that `get` lists, with their columns; [rows] reads them from the configuration. */
 internal enum class ItemTable(val columns: List<String>, val rows: (StoredConfiguration) -> List<ItemRow>) {
@@ -48,7 +47,7 @@
     }),
     CHANGES(listOf("revision", "author", "change", "time"), { stored ->
         stored.root.recent.map {
-            ItemRow(listOf(it.revision.toString(), it.author, it.change, Instant.ofEpochMilli(it.atMillis).toString()))
+            ItemRow(listOf(it.revision.toString(), it.author, it.change, shownTime(it.atMillis)))
         }
     }),
     ;
--- a/programs/operator/src/main/kotlin/org/parsleymoor/operator/OperatorFailure.kt
+++ b/programs/operator/src/main/kotlin/org/parsleymoor/operator/OperatorFailure.kt
@@ -5,7 +5,6 @@
 import org.parsleymoor.configuration.Danger
 import org.parsleymoor.configuration.Mistakes
 import org.parsleymoor.core.Failure
-import java.time.Instant
 
 /** Why a command failed. [next] is the command to try next. */
 internal sealed interface OperatorFailure : Failure {
@@ -31,7 +30,7 @@
         override val status get() = ExitStatus.CONFLICT
         override val message: String
             get() = "expected revision $expectedRevision, found revision ${other.revision}: ${other.author} made " +
-                "the change \"${other.change}\" at ${Instant.ofEpochMilli(other.atMillis)}; nothing was changed"
+                "the change \"${other.change}\" at ${shownTime(other.atMillis)}; nothing was changed"
         override val next get() = "parsleymoor get changes, then the same command again"
     }
 
