--- a/programs/standins/src/main/kotlin/org/parsleymoor/standins/StoreSettings.kt
+++ b/programs/standins/src/main/kotlin/org/parsleymoor/standins/StoreSettings.kt
@@ -50,14 +50,3 @@
     public val bytes: Long,
     public val atMillis: Long,
 )
-
-/** A store's load report. Sizes are bytes. */
-@Serializable
-internal data class StoreReport(
-    val startCount: Long,
-    val memoryBytes: Long,
-    val memoryCapacityBytes: Long,
-    val diskBytes: Long,
-    val diskCapacityBytes: Long,
-    val queuedBytes: Long,
-)
--- a/programs/standins/src/main/kotlin/org/parsleymoor/standins/StoreStandIn.kt
+++ b/programs/standins/src/main/kotlin/org/parsleymoor/standins/StoreStandIn.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.launch
 import org.parsleymoor.clients.CacheEvents
 import org.parsleymoor.clients.CacheSnapshot
+import org.parsleymoor.clients.StoreLoad
 import org.parsleymoor.clients.TransferPiece
 import org.parsleymoor.core.Clock
 
@@ -37,7 +38,7 @@
         router.delete("/v1/blocks/:piece").handler { delete(it) }
         router.get(
             "/v1/load"
-        ).handler { it.answer(StoreReport.serializer(), blocks.report(settings, link.queuedBytes)) }
+        ).handler { it.answer(StoreLoad.serializer(), blocks.report(settings, link.queuedBytes)) }
         router.get("/v1/cache/events").handler { events(it) }
         router.get("/v1/cache/snapshot").handler {
             it.answer(CacheSnapshot.serializer(), CacheSnapshot(settings.startCount, feed.sequence, blocks.content()))
@@ -121,7 +122,7 @@
     }
 }
 
-private fun BlockTable.report(settings: StoreSettings, queuedBytes: Long) = StoreReport(
+private fun BlockTable.report(settings: StoreSettings, queuedBytes: Long) = StoreLoad(
     startCount = settings.startCount,
     memoryBytes = memoryUsed,
     memoryCapacityBytes = settings.memoryBytes,
