--- a/libraries/placement/src/main/kotlin/org/parsleymoor/placement/IntervalHistogram.kt
+++ b/libraries/placement/src/main/kotlin/org/parsleymoor/placement/IntervalHistogram.kt
@@ -30,7 +30,6 @@
     private var sessions = 0L
     private var changes = 0
     private var refreshedMillis = Long.MIN_VALUE / 2
-    private var halvedMillis = 0L
     private val probabilities = DoubleArray(BUCKETS) { PRIOR }
     private val meanIntervals = DoubleArray(BUCKETS) { UNKNOWN_MILLIS }
 
@@ -59,7 +58,6 @@
     private fun refresh(nowMillis: Long) {
         changes = 0
         refreshedMillis = nowMillis
-        if (nowMillis - halvedMillis >= HALF_LIFE_MILLIS) halve(nowMillis)
         val atRisk = atRisk(nowMillis)
         var probability = PRIOR
         var weighted = PRIOR * UNKNOWN_MILLIS
@@ -76,15 +74,6 @@
         }
     }
 
-    /** Old observations fade, so that the estimate follows a changed mix of contexts. */
-    private fun halve(nowMillis: Long) {
-        halvedMillis = nowMillis
-        returns.indices.forEach { returns[it] /= 2 }
-        sessionsByHour.forEach { it[1] /= 2 }
-        olderSessions /= 2
-        sessions /= 2
-    }
-
     /** Sessions that began at least an interval ago and had not returned within a shorter one. */
     private fun atRisk(nowMillis: Long): LongArray {
         var earlier = 0L
@@ -104,7 +93,6 @@
         const val PRIOR_SESSIONS = 10.0
         const val UNKNOWN_MILLIS = 43_200_000.0
         const val HOUR_MILLIS = 3_600_000L
-        const val HALF_LIFE_MILLIS = 12 * HOUR_MILLIS
         const val MAXIMUM_HOURS = 96
 
         /** Sums are renewed after a change of one in a hundred sessions, since they are read far more often. */
