--- a/libraries/placement/src/main/kotlin/org/parsleymoor/placement/IntervalHistogram.kt
+++ b/libraries/placement/src/main/kotlin/org/parsleymoor/placement/IntervalHistogram.kt
@@ -59,13 +59,12 @@
         changes = 0
         refreshedMillis = nowMillis
         val atRisk = atRisk(nowMillis)
-        var probability = PRIOR
-        var weighted = PRIOR * UNKNOWN_MILLIS
+        var probability = SMALLEST
+        var weighted = SMALLEST * UNKNOWN_MILLIS
         for (index in returns.indices.reversed()) {
-            val open = maxOf(atRisk[index], returns[index]) + PRIOR_SESSIONS
-            val hazard = returns[index] / open
-            // Where few sessions are old enough to tell, the estimate stays near the prior.
-            val known = atRisk[index] / open
+            val hazard = returns[index] / maxOf(PRIOR_SESSIONS, maxOf(atRisk[index], returns[index]).toDouble())
+            // Where few sessions are old enough to tell, the estimate is mixed with the prior.
+            val known = minOf(1.0, atRisk[index] / PRIOR_SESSIONS)
             val tail = known * probability + (1 - known) * PRIOR
             weighted = hazard * middle(index) + (1 - hazard) * weighted * (tail / probability)
             probability = (hazard + (1 - hazard) * tail).coerceIn(SMALLEST, 1.0)
--- a/libraries/placement/src/main/kotlin/org/parsleymoor/placement/ReturnAwareRetention.kt
+++ b/libraries/placement/src/main/kotlin/org/parsleymoor/placement/ReturnAwareRetention.kt
@@ -14,6 +14,7 @@
     public val minimumReturnProbability: Double = 0.05,
     public val prefetchLeadMillis: Long = 1_800_000,
     public val planMillis: Long = 60_000,
+    public val idlePlanMillis: Long = 300_000,
     public val prefetchBlocks: Int = 15,
     public val smallestRemainingMillis: Long = 60_000,
 )
@@ -28,6 +29,7 @@
 ) : RetentionPolicy() {
     private val planned = ArrayDeque<Swap>()
     private var plannedMillis = Long.MIN_VALUE / 2
+    private var plannedAny = false
 
     override fun used(organisation: OrganisationId, pieces: List<PieceHash>, nowMillis: Long): Unit =
         model.used(organisation, pieces, nowMillis)
@@ -46,7 +48,8 @@
         arrange(content, incoming) { value(it, nowMillis) }
 
     override fun prefetch(content: StoreContent, nowMillis: Long): List<RetentionAction> {
-        if (nowMillis - plannedMillis >= settings.planMillis) plan(content, nowMillis)
+        val interval = if (plannedAny) settings.planMillis else settings.idlePlanMillis
+        if (nowMillis - plannedMillis >= interval) plan(content, nowMillis)
         val next = List(minOf(settings.prefetchBlocks, planned.size)) { planned.removeFirst() }
         return next.mapNotNull { it.displaced }.map { RetentionAction.MoveToDisk(it, content.store) } +
             next.map { RetentionAction.Prefetch(it.wanted, content.store) }
@@ -61,6 +64,7 @@
         val displaced = memory.map { it.piece to value(it, nowMillis) }.sortedBy { it.second }
         val swaps = due.drop(room).zip(displaced).takeWhile { (wanted, given) -> wanted.second > SWAP * given.second }
         plannedMillis = nowMillis
+        plannedAny = due.isNotEmpty()
         planned.clear()
         due.take(room).mapTo(planned) { Swap(it.first, null) }
         swaps.mapTo(planned) { (wanted, given) -> Swap(wanted.first, given.first) }
--- a/programs/bench/src/main/kotlin/org/parsleymoor/bench/RunCommand.kt
+++ b/programs/bench/src/main/kotlin/org/parsleymoor/bench/RunCommand.kt
@@ -46,6 +46,7 @@
         val results = chosen.map { readWorkload(it) }.flatMap { runPolicies(it, seeds, zoneOut) }
         if (json) results.forEach { echo(Json.encodeToString(BenchResult.serializer(), it)) }
         echo(table(results))
+        results.groupBy { it.workload }.values.forEach { runs -> checkTargets(runs).forEach { echo(it) } }
         writePlots(results, plots)
         echo("plots: $plots")
     }
