Claim callers' own keys in the platform at the gateway

Calls under callers' keys were refused as not run. ClaimDesk claims the key first; a call whose key another process claimed answers unknown until calls are forwarded to the claimer over the peer socket. ClaimDeskTest: three gateways at once run a key once; a lost claim response leads to one run; an outage refuses the call as not run.

--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/Gateway.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/Gateway.kt
@@ -18,6 +18,7 @@
 import org.parsleymoor.gateway.callers.CallerServer
 import org.parsleymoor.gateway.callers.CompletionRoutes
 import org.parsleymoor.gateway.callers.ServiceRoutes
+import org.parsleymoor.gateway.control.ClaimDesk
 import org.parsleymoor.gateway.operations.GatewayMetrics
 import org.parsleymoor.gateway.operations.OperationsServer
 import org.parsleymoor.gateway.operations.RequestRecords
@@ -103,11 +104,13 @@
 
     private fun routes(): CallerRoutes {
         val senderMillis = settings.callers.senderMillis
-        val desk = TicketDesk(incarnation, background)
+        val tickets = TicketDesk(incarnation, background)
+        val desk = platform?.let { ClaimDesk(incarnation, it, tickets, clock, background) }
+        desk?.start()
         return CallerRoutes(
             CallerEntry(vertx, tools, work, background),
             CompletionRoutes(completions, senderMillis),
-            ServiceRoutes(ServiceRunner(tools), desk, senderMillis),
+            ServiceRoutes(ServiceRunner(tools), desk ?: tickets, senderMillis),
         )
     }
 
