Let running exchanges finish on an endpoint that leaves the configuration

Change: a retired client drains its exchanges, and a call on a closed client is a typed NotConnected. The new test was not run against the old code. Conclusion: a removed endpoint finishes its streams.

--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/FutureOutcome.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/FutureOutcome.kt
@@ -5,8 +5,11 @@
 import com.github.michaelbull.result.Result
 import io.vertx.core.Future
 import io.vertx.core.VertxException
+import io.vertx.core.http.HttpClient
+import io.vertx.core.http.HttpClientRequest
 import io.vertx.kotlin.coroutines.coAwait
 import java.io.IOException
+import kotlin.coroutines.cancellation.CancellationException
 
 /** Suspends until the future completes; a connection error becomes the [failure] made from its text. */
 internal suspend fun <T> Future<T>.awaitOr(failure: (String) -> BackEndFailure): Result<T, BackEndFailure> = try {
@@ -16,3 +19,15 @@
 } catch (cause: VertxException) {
     Err(failure(cause.toString()))
 }
+
+/** Opens a request to [address]; a client that was closed in the meantime makes no connection. */
+internal suspend fun HttpClient.open(
+    outgoing: Outgoing,
+    address: HttpAddress,
+): Result<HttpClientRequest, BackEndFailure> = try {
+    request(outgoing.to(address)).awaitOr { BackEndFailure.NotConnected(address.text, it) }
+} catch (cause: CancellationException) {
+    throw cause
+} catch (cause: IllegalStateException) {
+    Err(BackEndFailure.NotConnected(address.text, cause.toString()))
+}
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/HttpExchanges.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/HttpExchanges.kt
@@ -41,7 +41,7 @@
      */
     suspend fun send(outgoing: Outgoing): Result<HttpAnswer, BackEndFailure> {
         val opened = withTimeoutOrNull(timeoutMillis) {
-            http.request(outgoing.to(address)).awaitOr { BackEndFailure.NotConnected(address.text, it) }
+            http.open(outgoing, address)
         } ?: Err(BackEndFailure.NotConnected(address.text, "no connection within $timeoutMillis ms"))
         return opened.andThen { exchange(it, outgoing.body) }
     }
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/JsonLines.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/JsonLines.kt
@@ -55,7 +55,7 @@
 
     private suspend fun open(outgoing: Outgoing): HttpClientRequest {
         val outcome = withTimeoutOrNull(silenceMillis) {
-            http.request(outgoing.to(address)).awaitOr { BackEndFailure.NotConnected(address.text, it) }
+            http.open(outgoing, address)
         } ?: Err(BackEndFailure.NotConnected(address.text, "no connection within $silenceMillis ms"))
         return outcome.getOrElse { throw FailureException(it) }
     }
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/RenewablePool.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/RenewablePool.kt
@@ -25,7 +25,8 @@
     }
 
     override fun close() {
-        pool.get().close()
+        // An endpoint that is no longer declared finishes the exchanges that run there.
+        pool.get().shutdown(DRAIN_MINUTES, TimeUnit.MINUTES)
     }
 
     private fun create(): HttpClient = vertx.createHttpClient(
--- a/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/CompletionTest.kt
+++ b/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/CompletionTest.kt
@@ -193,6 +193,22 @@
         expectThat(engine.traceParents.single()).not().contains("0".repeat(32))
     }
 
+    @Test
+    fun `a stream on an engine that is removed from the configuration is finished`(): Unit = runBlocking {
+        val running = mutableListOf<() -> Unit>()
+        val engine = ScriptedEngine(harness.vertx) { request, response ->
+            response.begin(request)
+            running += { response.token(request.attempt, 0, "one ").finish(request.attempt, 1) }
+        }
+        start(engine)
+        val answer = async { chat() }
+        harness.eventually { engine.requests.isNotEmpty() }
+        harness.gateway.accept(GatewayHarness.configuration().copy(revision = 6))
+        harness.eventually { "\"endpoints\":[]" in harness.operations("/status").bodyAsString() }
+        running.single().invoke()
+        expectThat(answer.await()).contains("\"content\":\"one \"")
+    }
+
     @Test
     fun `the engine continues the trace of the caller`(): Unit = runBlocking {
         val engine = ScriptedEngine(harness.vertx) { request, response -> response.answer(request, text) }
