--- a/libraries/placement/src/main/kotlin/org/parsleymoor/placement/IntervalHistogram.kt
+++ b/libraries/placement/src/main/kotlin/org/parsleymoor/placement/IntervalHistogram.kt
@@ -59,14 +59,16 @@
         changes = 0
         refreshedMillis = nowMillis
         val atRisk = atRisk(nowMillis)
-        var probability = SMALLEST
-        var weighted = SMALLEST * UNKNOWN_MILLIS
+        // A session that outlasts the longest interval is taken not to return.
+        var probability = 0.0
+        var weighted = 0.0
         for (index in returns.indices.reversed()) {
             val hazard = returns[index] / maxOf(PRIOR_SESSIONS, maxOf(atRisk[index], returns[index]).toDouble())
             // Where few sessions are old enough to tell, the estimate is mixed with the prior.
             val known = minOf(1.0, atRisk[index] / PRIOR_SESSIONS)
             val tail = known * probability + (1 - known) * PRIOR
-            weighted = hazard * middle(index) + (1 - hazard) * weighted * (tail / probability)
+            val weightedTail = known * weighted + (1 - known) * PRIOR * UNKNOWN_MILLIS
+            weighted = hazard * middle(index) + (1 - hazard) * weightedTail
             probability = (hazard + (1 - hazard) * tail).coerceIn(SMALLEST, 1.0)
             probabilities[index] = probability
             meanIntervals[index] = weighted / probability
@@ -89,6 +91,8 @@
         const val HALF = 0.5
         const val PRIOR = 0.5
         const val SMALLEST = 1e-6
+
+        // Counts once for each bucket, so that 40 buckets together weigh as much as ten sessions.
         const val PRIOR_SESSIONS = 10.0
         const val UNKNOWN_MILLIS = 43_200_000.0
         const val HOUR_MILLIS = 3_600_000L
