--- a/programs/standins/src/main/kotlin/org/parsleymoor/standins/EngineRun.kt
+++ b/programs/standins/src/main/kotlin/org/parsleymoor/standins/EngineRun.kt
@@ -40,25 +40,24 @@
     public val tokens: Int = 0,
     public val outcome: RunOutcome = RunOutcome.QUEUED,
     public val refusal: EngineRefusalReason? = null,
-) {
-    internal companion object {
-        fun of(number: Long, request: GenerateRequest, state: ArrivalState): EngineRun = EngineRun(
-            number = number,
-            request = request.request,
-            attempt = request.attempt,
-            organisation = request.organisation,
-            model = request.model,
-            version = request.version,
-            promptDigest = ModelText.promptDigest(request.prompt),
-            startCount = state.startCount,
-            arrivedAtMillis = state.nowMillis,
-            othersAtArrival = state.others,
-            coldSinceMillis = state.coldSinceMillis,
-            resumedAfterTokens = request.resumeAfterTokens,
-            pieces = request.pieces.size,
-        )
-    }
-}
+)
+
+/** The entry of a request as it arrives. */
+internal fun engineRun(number: Long, request: GenerateRequest, state: ArrivalState): EngineRun = EngineRun(
+    number = number,
+    request = request.request,
+    attempt = request.attempt,
+    organisation = request.organisation,
+    model = request.model,
+    version = request.version,
+    promptDigest = ModelText.promptDigest(request.prompt),
+    startCount = state.startCount,
+    arrivedAtMillis = state.nowMillis,
+    othersAtArrival = state.others,
+    coldSinceMillis = state.coldSinceMillis,
+    resumedAfterTokens = request.resumeAfterTokens,
+    pieces = request.pieces.size,
+)
 
 /** What an engine was like when a request arrived. */
 internal data class ArrivalState(
--- a/programs/standins/src/main/kotlin/org/parsleymoor/standins/EngineRuns.kt
+++ b/programs/standins/src/main/kotlin/org/parsleymoor/standins/EngineRuns.kt
@@ -21,7 +21,7 @@
     /** Takes or refuses a request; a cold engine that falls over breaks every connection instead of refusing. */
     fun arrive(context: RoutingContext) {
         val request = context.readBody(GenerateRequest.serializer()) ?: return
-        val run = EngineRun.of(journal.next, request, arrivalState())
+        val run = engineRun(journal.next, request, arrivalState())
         val refusal = state.refusalOf(request)
         journal.put(run.copy(refusal = refusal?.reason, outcome = firstOutcome(refusal)))
         when {
--- a/programs/standins/src/main/kotlin/org/parsleymoor/standins/Journal.kt
+++ b/programs/standins/src/main/kotlin/org/parsleymoor/standins/Journal.kt
@@ -44,7 +44,7 @@
 }
 
 /** Reads the lines of a journal file; the caller merges lines with the same number. A torn last line is skipped. */
-internal fun <T> readJournal(serializer: KSerializer<T>, file: Path): List<T> =
+public fun <T> readJournal(serializer: KSerializer<T>, file: Path): List<T> =
     if (!Files.exists(file)) {
         emptyList()
     } else {
--- /dev/null
+++ b/programs/trials/src/main/kotlin/org/parsleymoor/trials/JournalCheck.kt
@@ -0,0 +1,54 @@
+package org.parsleymoor.trials
+
+import org.parsleymoor.configuration.EndpointKind
+import org.parsleymoor.standins.EngineRun
+import org.parsleymoor.standins.RunOutcome
+import org.parsleymoor.standins.ServiceEffect
+import org.parsleymoor.standins.readJournal
+
+/** Compares what callers were told with what the stand-ins' journals say. */
+internal class JournalCheck(private val fleet: Fleet, private val outcomes: List<Outcome>) {
+    private val runs: List<EngineRun> = sites(EndpointKind.ENGINE).flatMap { site ->
+        readJournal(EngineRun.serializer(), fleet.journal(site.name)).associateBy { it.number }.values
+    }
+    private val effects: List<ServiceEffect> = sites(EndpointKind.SERVICE).flatMap { site ->
+        readJournal(ServiceEffect.serializer(), fleet.journal(site.name))
+    }
+
+    /** Service calls that took effect more than once (I8). */
+    fun doubled(): List<String> = effects.groupingBy { it.path }.eachCount().filter { it.value > 1 }.keys.toList()
+
+    /** Calls that were refused as not run and that a journal has all the same (I7). */
+    fun falseNotRun(): List<String> {
+        val effectPaths = effects.map { it.path }.toSet()
+        val prompts = runs.filter { it.outcome != RunOutcome.REFUSED }.map { it.promptDigest }.toSet()
+        return outcomes.filter { it.told == Told.NOT_RUN }
+            .filter { it.effect in effectPaths || it.promptDigest in prompts }
+            .map { "${it.effect}${it.promptDigest}: ${it.detail}" }
+    }
+
+    /** What the journals show against I2, I3 and I4, one line each. */
+    fun violations(): List<String> = foreignBlocks() + wrongOrganisations() + overColdLimit()
+
+    /** The share of the pieces of accepted prompts that was computed again, of those computed before. */
+    fun recomputedShare(): Double {
+        val done = runs.filter { it.startedAtMillis > 0 }.sortedBy { it.startedAtMillis }
+        val pieces = done.sumOf { it.pieces }
+        return if (pieces == 0) 0.0 else 1.0 - done.sumOf { it.cachedPieces }.toDouble() / pieces
+    }
+
+    private fun foreignBlocks() = runs.filter { it.foreignPieces > 0 }
+        .map { "I2/I3 ${it.attempt} of ${it.organisation} used ${it.foreignPieces} blocks of another owner" }
+
+    private fun wrongOrganisations(): List<String> {
+        val senders = outcomes.filter { it.promptDigest.isNotEmpty() }.associate { it.promptDigest to it.organisation }
+        return runs.filter { run -> senders[run.promptDigest]?.let { it != run.organisation.value } == true }
+            .map { "I2 ${it.attempt} ran as ${it.organisation}, sent by ${senders[it.promptDigest]}" }
+    }
+
+    private fun overColdLimit() = runs
+        .filter { it.coldSinceMillis > 0 && it.othersAtArrival >= Deployment.COLD_LIMIT }
+        .map { "I4 ${it.attempt} arrived at a cold engine that had ${it.othersAtArrival} requests" }
+
+    private fun sites(kind: EndpointKind) = Deployment.sites.filter { it.kind == kind }
+}
--- a/programs/trials/src/main/kotlin/org/parsleymoor/trials/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package org.parsleymoor.trials
-
-internal object Placeholder
