--- a/programs/trials/src/main/kotlin/org/parsleymoor/trials/Traffic.kt
+++ b/programs/trials/src/main/kotlin/org/parsleymoor/trials/Traffic.kt
@@ -73,7 +73,9 @@
             val other = gateways[(gateways.indexOf(gateway) + 1) % gateways.size]
             val keyed = headers(organisation) + ("Idempotency-Key" to key)
             val first = web.post(url, WEIGHING, keyed)
-            web.post("${other.callers}/services/${Deployment.SERVICE}$path", WEIGHING, keyed)
+            if (first.status == OK) {
+                web.post("${other.callers}/services/${Deployment.SERVICE}$path", WEIGHING, keyed)
+            }
             judge(first) { path in it.body }
         }
     }
