--- a/programs/operator/src/test/kotlin/org/parsleymoor/operator/ReferencePage.kt
+++ b/programs/operator/src/test/kotlin/org/parsleymoor/operator/ReferencePage.kt
@@ -59,7 +59,7 @@
         val tags = Tag.findAll(meter.groupValues[TAGS]).map { it.groupValues[1] }.toList() +
             listOf(meter.groupValues[GAUGE_TAG]).filter { it.isNotEmpty() }
         val name = meter.groupValues[NAME].replace('.', '_') + suffix
-        return "| `$name` | ${type.lowercase()} | ${tags.joinToString { "`$it`" }} |"
+        return "| `$name` | ${type.removePrefix("Distribution").lowercase()} | ${tags.joinToString { "`$it`" }} |"
     }
 
     private fun logEvents(): String {
