Declare the loaded version in the test that uses the engine stand-in

Cause: the stand-in now reports which versions it holds, none by default, and the gateway rightly sends nothing to an engine without the wanted version. Change: the test states the version; its expectation is unchanged.

--- a/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/CompletionTest.kt
+++ b/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/CompletionTest.kt
@@ -10,9 +10,11 @@
 import org.junit.jupiter.api.Timeout
 import org.parsleymoor.clients.EngineRefusalReason
 import org.parsleymoor.clients.GenerateRequest
+import org.parsleymoor.clients.LoadedVersion
 import org.parsleymoor.configuration.LimitsDeclaration
 import org.parsleymoor.core.AttemptId
 import org.parsleymoor.core.EndpointId
+import org.parsleymoor.core.ModelId
 import org.parsleymoor.core.WeightVersion
 import org.parsleymoor.gateway.ScriptedEngine.Companion.answer
 import org.parsleymoor.gateway.ScriptedEngine.Companion.begin
@@ -45,7 +47,8 @@
 
     @Test
     fun `a whole answer carries every token of the engine`(): Unit = runBlocking {
-        val port = EngineStandIn(harness.vertx, EngineSettings(EndpointId("engine-0"))).start()
+        val loaded = listOf(LoadedVersion(ModelId("leaf"), WeightVersion("1")))
+        val port = EngineStandIn(harness.vertx, EngineSettings(EndpointId("engine-0"), models = loaded)).start()
         harness.start(GatewayHarness.configuration(listOf(port)))
         expectThat(chat()).contains(ModelText.answer("leaf", "user: weigh this", 8))
     }
