--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/EngineFleet.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/EngineFleet.kt
@@ -26,6 +26,7 @@
         val view = configuration.current ?: return 0
         return synchronized(state.lock) {
             view.enginesOf(model).filter { view.takesNewWork(it.name) && !state.isSuspect(it.name) }
+                .filter { state.cold.maySend(it.name, 0, state.clock.nowMillis()) }
                 .sumOf { state.limit(it.name, view) }
         }
     }
--- a/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/control/ControlTest.kt
+++ b/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/control/ControlTest.kt
@@ -112,7 +112,7 @@
     fun `two gateways together send no more to a cold engine than it bears`(): Unit = runBlocking {
         val platform = startPlatform()
         val engine = startEngine(cold = true)
-        val limits = LimitsDeclaration(coldLimit = 1, requestDeadlineMillis = 20_000)
+        val limits = LimitsDeclaration(coldLimit = 1, requestDeadlineMillis = 3_000)
         write(platform, configuration(revision = 1, engines = listOf(engine), limits = limits))
         val (first, second) = startGateways(platform)
         eventually { revision(first) == 1L && revision(second) == 1L }
