--- a/programs/trials/src/main/kotlin/org/parsleymoor/trials/DemoProgram.kt
+++ b/programs/trials/src/main/kotlin/org/parsleymoor/trials/DemoProgram.kt
@@ -29,8 +29,8 @@
     val timeToFirstTokenP50Millis: Long,
     val timeToFirstTokenP95Millis: Long,
     val recomputedShare: Double,
-    val regionLinkBytes: Long,
-    val gatewayPeakMegabytes: Long,
+    val regionLinkBytes: Long = 0,
+    val gatewayPeakMegabytes: Long = 0,
 )
 
 /** Runs the main job on loopback and verifies the content of every answer. */
@@ -49,9 +49,10 @@
         fleet.start()
         val outcomes = runBlocking { Traffic(fleet.gateways, seed).run(REQUESTS, SPREAD_MILLIS) }
         val peak = fleet.gateways.maxOf { ResidentMemory.peakMegabytes(fleet.process(it.name).id) }
+        val linkBytes = fleet.gateways.sumOf { it.regionLinkBytes() }
         val check = JournalCheck(fleet, outcomes)
         show(check, outcomes)
-        val report = report(outcomes, check, peak)
+        val report = report(outcomes, check).copy(regionLinkBytes = linkBytes, gatewayPeakMegabytes = peak)
         echo(if (json) WireJson.encodeToString(DemoReport.serializer(), report) else report.toString())
         fleet.close()
         if (report.wrongAnswers + report.doubled + report.falseNotRun + report.violations > 0) throw ProgramResult(1)
@@ -64,7 +65,7 @@
             .sortedByDescending { it.value }.take(SHOWN).forEach { echo("${it.value} x ${it.key}", err = true) }
     }
 
-    private fun report(outcomes: List<Outcome>, check: JournalCheck, peak: Long): DemoReport {
+    private fun report(outcomes: List<Outcome>, check: JournalCheck): DemoReport {
         val waits = outcomes.filter { it.told == Told.ANSWERED && it.firstTokenMillis > 0 }
             .map { it.firstTokenMillis }.sorted()
         return DemoReport(
@@ -80,8 +81,6 @@
             timeToFirstTokenP50Millis = waits.share(MEDIAN),
             timeToFirstTokenP95Millis = waits.share(HIGH),
             recomputedShare = check.recomputedShare(),
-            regionLinkBytes = UNMEASURED,
-            gatewayPeakMegabytes = peak,
         )
     }
 
@@ -91,15 +90,17 @@
         const val SHOWN = 10
         const val MEDIAN = 0.5
         const val HIGH = 0.95
-
-        // The gateway has no counter of link bytes yet; -1 keeps a missing figure from reading as none sent.
-        const val UNMEASURED = -1L
     }
 }
 
 /** The value below which [share] of the sorted list lies, or 0 for an empty list. */
 internal fun List<Long>.share(share: Double): Long = if (isEmpty()) 0 else this[((size - 1) * share).toInt()]
 
+/** Bytes of prompt text that the gateway has sent to gateways of other regions. */
+private fun GatewayPlace.regionLinkBytes(): Long = Web().get("$operations/metrics").body.lines()
+    .filter { it.startsWith("parsleymoor_region_link_bytes_total") }
+    .sumOf { it.substringAfterLast(' ').toDouble().toLong() }
+
 /** Entry point of `bin/demo`. */
 public fun main(arguments: Array<String>) {
     DemoProgram().main(arguments)
--- a/programs/trials/src/main/kotlin/org/parsleymoor/trials/JournalCheck.kt
+++ b/programs/trials/src/main/kotlin/org/parsleymoor/trials/JournalCheck.kt
@@ -30,7 +30,7 @@
     /** What the journals show against I2, I3 and I4, one line each. */
     fun violations(): List<String> = foreignBlocks() + wrongOrganisations() + overColdLimit()
 
-    /** The share of the pieces of accepted prompts that was computed again, of those computed before. */
+    /** The share of the pieces of accepted prompts that was computed, those of their first use included. */
     fun recomputedShare(): Double {
         val done = runs.filter { it.startedAtMillis > 0 }.sortedBy { it.startedAtMillis }
         val pieces = done.sumOf { it.pieces }
