Wait for a slot when an admitted request finds no engine

Change: as long as no engine has failed the request, placement is tried again every 50 ms for up to 2 s.

--- /dev/null
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/ChooseSoon.kt
@@ -0,0 +1,29 @@
+package org.parsleymoor.gateway.serving
+
+import com.github.michaelbull.result.Result
+import kotlinx.coroutines.delay
+import org.parsleymoor.core.AttemptId
+import org.parsleymoor.core.Clock
+import org.parsleymoor.placement.NoEngineAvailable
+import org.parsleymoor.placement.Placement
+
+/**
+ * Chooses an engine; when none has failed the request yet, suspends up to [waitMillis] for one, since another gateway
+ * may have taken the slot that the request was admitted for.
+ */
+internal suspend fun EndpointChooser.chooseSoon(
+    need: EngineNeed,
+    attempt: AttemptId,
+    clock: Clock,
+    waitMillis: Long = 2_000,
+): Result<Placement, NoEngineAvailable> {
+    val lastMillis = clock.nowMillis() + if (need.avoid.isEmpty()) waitMillis else 0
+    var placement = choose(need, attempt)
+    while (placement.isErr && clock.nowMillis() < lastMillis) {
+        delay(RETRY_MILLIS)
+        placement = choose(need, attempt)
+    }
+    return placement
+}
+
+private const val RETRY_MILLIS = 50L
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/CompletionAttempts.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/CompletionAttempts.kt
@@ -66,7 +66,7 @@
     private suspend fun tryElsewhere(avoid: Set<EndpointId>): AttemptAction? {
         val attempt = machine.nextAttempt()
         val need = call.need(avoid)
-        val placement = chooser.choose(need, attempt).getOrElse {
+        val placement = chooser.chooseSoon(need, attempt, tools.clock).getOrElse {
             lastFailure = lastFailure ?: it
             return machine.noEndpoint()
         }
