Do not take idle time for the rate at which the queue drains

Change: a window starts anew when a request arrives at an empty queue. Checked: the new test in FairQueueTest fails without the change and passes with it.

--- a/libraries/limits/src/main/kotlin/org/parsleymoor/limits/Admission.kt
+++ b/libraries/limits/src/main/kotlin/org/parsleymoor/limits/Admission.kt
@@ -37,6 +37,8 @@
 
     /** Queues [item] at [nowMillis], or refuses it early. */
     public fun offer(item: QueuedRequest, nowMillis: Long): Result<Unit, AdmissionRefusal> {
+        // A window that reached back over idle time would measure a rate near zero and refuse everything.
+        if (queue.size == 0) startWindow(nowMillis)
         val remaining = item.deadlineMillis - nowMillis
         val wait = expectedWaitMillis()
         if (wait > remaining) return Err(AdmissionRefusal.WouldMissDeadline(wait, remaining))
@@ -62,8 +64,7 @@
     /** Only windows that end with requests still waiting measure capacity; others measure demand and are skipped. */
     private fun drained(tokens: Long, nowMillis: Long) {
         if (queue.size == 0 || nowMillis < windowStartMillis) {
-            windowStartMillis = nowMillis
-            windowTokens = 0
+            startWindow(nowMillis)
             return
         }
         windowTokens += tokens
@@ -71,6 +72,10 @@
         if (elapsed < rateWindowMillis) return
         val measured = windowTokens.toDouble() / elapsed
         tokensPerMilli = tokensPerMilli?.let { it + SMOOTHING * (measured - it) } ?: measured
+        startWindow(nowMillis)
+    }
+
+    private fun startWindow(nowMillis: Long) {
         windowStartMillis = nowMillis
         windowTokens = 0
     }
--- a/libraries/limits/src/test/kotlin/org/parsleymoor/limits/FairQueueTest.kt
+++ b/libraries/limits/src/test/kotlin/org/parsleymoor/limits/FairQueueTest.kt
@@ -82,6 +82,20 @@
         expectThat(refusal).isA<AdmissionRefusal.WouldMissDeadline>()
     }
 
+    @Test
+    fun `idle time is not taken for a rate at which the queue drains`() {
+        val admission = Admission(queue, rateWindowMillis = 1_000)
+        val start = 1_800_000_000_000
+        repeat(2) { admission.offer(request("first-$it", "a", deadlineMillis = start + 60_000), start) }
+        admission.next(start)
+        admission.next(start)
+        val later = start + 50_000_000
+        val refusals = List(3) {
+            admission.offer(request("again-$it", "a", deadlineMillis = later + 60_000), later).getError()
+        }
+        expectThat(refusals).containsExactly(null, null, null)
+    }
+
     private fun request(
         name: String,
         organisation: String,
