Keep claims for the configured time and delete segments after the head

Cause: the retention of claims was a constant; claims in a head were never dropped; an expired segment was deleted together with the head write, so a write that failed left a head that refers to a deleted segment, and every process that had not read it refused the shard's calls for ever. Change: ClaimLedger.retain sets the retention; every head write drops expired claims and segments; a segment is deleted once the write has taken effect; a failed read makes a shard read the head again. ClaimLedger.knows says which calls need no other gateway; the reasons for forwarded calls are added. Conclusion: a shard survives a lost write that drops a segment.

--- a/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ClaimCalls.kt
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ClaimCalls.kt
@@ -1,10 +1,14 @@
 package org.parsleymoor.execution.atmostonce
 
-/** A head write whose outcome is not known yet; [uncertain] when it has to be read back. */
+/**
+ * A head write whose outcome is not known yet; [uncertain] when it has to be read back. The segments [dropped] are no
+ * longer referred to once it has taken effect.
+ */
 internal data class PendingHead(
     val writeId: String,
     val sentMillis: Long,
     val head: ClaimHead,
+    val dropped: List<Long> = emptyList(),
     val uncertain: Boolean = false,
 )
 
--- a/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ClaimIndex.kt
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ClaimIndex.kt
@@ -9,6 +9,15 @@
     var known: StoredHead? = null
         private set
 
+    /** Whether the newest head may refer to segments that were deleted since, and has to be read again. */
+    var doubted: Boolean = false
+        private set
+
+    /** Notes that a read failed. */
+    fun doubt() {
+        doubted = true
+    }
+
     /** Returns the sealed segments that the head refers to and that were not read yet. */
     fun missingSegments(): List<Long> = known?.head?.segments.orEmpty().map { it.number }.filter { it !in segments }
 
@@ -16,22 +25,30 @@
     fun claimOf(key: String): Claim? = claims[key]
 
     /**
-     * Takes in a head, unless a newer one is known. Segments that it does not refer to are dropped before its claims
-     * are added: the claims of a segment whose head write was lost are still in the head.
+     * Takes in a head, unless a newer one is known. Claims and segments that it does not refer to are dropped before
+     * its claims are added: the claims of a segment whose head write was lost are still in the head.
      */
     fun accept(stored: StoredHead?) {
+        doubted = false
         val current = stored ?: StoredHead(ClaimHead(), 0, "")
         if (current.version < (known?.version ?: 0)) return
+        val previous = known?.head ?: ClaimHead()
         known = current
         val referenced = current.head.segments.mapTo(HashSet()) { it.number }
         (segments.keys - referenced).forEach { number -> segments.remove(number)?.forEach { claims -= it.key } }
+        previous.claims.forEach { claims -= it.key }
+        (referenced - previous.segments.mapTo(HashSet()) { it.number }).forEach { addSegment(it) }
         current.head.claims.forEach { claims[it.key] = it }
     }
 
     /** Takes in a segment that the head refers to. */
     fun acceptSegment(number: Long, content: List<Claim>) {
         segments[number] = content
-        content.forEach { claims[it.key] = it }
+        addSegment(number)
+    }
+
+    private fun addSegment(number: Long) {
+        segments[number]?.forEach { claims[it.key] = it }
     }
 }
 
--- a/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ClaimLedger.kt
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ClaimLedger.kt
@@ -15,10 +15,23 @@
     private val settings: ClaimSettings = ClaimSettings(),
 ) {
     private val runs = KeyedRuns(settings.memory)
+    private val retention = ClaimRetention(settings.retentionMillis)
     private val shards = HashMap<Int, ClaimShard>()
 
     /** Returns the shard of [key]; its rendezvous owner is the gateway that tries to claim first. */
-    public fun shardOf(organisation: OrganisationId, key: String): Int = shardOfDigest(digest(organisation, key))
+    public fun shardOf(organisation: OrganisationId, key: String): Int {
+        val digest = digest(organisation, key)
+        return settings.shardOfDigest(digest)
+    }
+
+    /** Returns whether this process decides on [call] alone: it ran the key, or it refused a copy of the request. */
+    public fun knows(call: KeyedCall): Boolean =
+        runs.refusedBefore(call) != null || runs.knows(digest(call.organisation, call.key))
+
+    /** Drops claims that are older than [retentionMillis] from the next write of each shard on. */
+    public fun retain(retentionMillis: Long) {
+        retention.millis = retentionMillis
+    }
 
     /** Takes in [call] at [nowMillis]. */
     public fun call(nowMillis: Long, call: KeyedCall): List<ClaimAction> {
@@ -27,7 +40,7 @@
         return when {
             refused != null -> listOf(ClaimAction.Execute(refused))
             runs.knows(key) -> listOfNotNull(runs.offer(key, call, fresh = false)).map { ClaimAction.Execute(it) }
-            else -> shard(shardOfDigest(key)).call(nowMillis, key, call)
+            else -> shard(settings.shardOfDigest(key)).call(nowMillis, key, call)
         }
     }
 
@@ -49,16 +62,14 @@
     public fun tick(nowMillis: Long): List<ClaimAction> = shards.values.flatMap { it.tick(nowMillis) }
 
     private fun shard(number: Int): ClaimShard =
-        shards.getOrPut(number) { ClaimShard(number, self, settings, runs) }
-
-    private fun shardOfDigest(digest: String): Int = Math.floorMod(digest.hashCode(), settings.shards)
+        shards.getOrPut(number) { ClaimShard(number, self, settings, runs, retention) }
+}
 
-    private fun digest(organisation: OrganisationId, key: String): String {
-        val hash = MessageDigest.getInstance("SHA-256").digest("$organisation\n$key".encodeToByteArray())
-        return Base64.getUrlEncoder().withoutPadding().encodeToString(hash.copyOf(DIGEST_BYTES))
-    }
+private const val DIGEST_BYTES = 16
 
-    private companion object {
-        const val DIGEST_BYTES = 16
-    }
+private fun digest(organisation: OrganisationId, key: String): String {
+    val hash = MessageDigest.getInstance("SHA-256").digest("$organisation\n$key".encodeToByteArray())
+    return Base64.getUrlEncoder().withoutPadding().encodeToString(hash.copyOf(DIGEST_BYTES))
 }
+
+private fun ClaimSettings.shardOfDigest(digest: String): Int = Math.floorMod(digest.hashCode(), shards)
--- a/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ClaimRequests.kt
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ClaimRequests.kt
@@ -8,6 +8,7 @@
     private val self: Incarnation,
     private val settings: ClaimSettings,
     private val calls: ClaimCalls,
+    private val retention: ClaimRetention,
 ) {
     private var writeCount = 0L
 
@@ -20,14 +21,15 @@
 
     /** Replaces the claims of [stored], which are in the segment of its version, by the ones that wait. */
     fun commitSealed(nowMillis: Long, stored: StoredHead, queue: ClaimQueue): List<ClaimAction> {
-        val oldestMillis = nowMillis - settings.retentionMillis
-        val (kept, expired) = stored.head.segments.partition { it.newestMillis >= oldestMillis }
         val sealed = SegmentReference(stored.version, stored.head.claims.maxOf { it.claimedMillis })
-        val head = ClaimHead(queue.batch(nowMillis), kept + sealed)
-        val deletions = expired.map { ClaimAction.DeleteSegment(shard, it.number) }
-        return listOf(write(nowMillis, stored, head, queue.callCount())) + deletions
+        val head = ClaimHead(queue.batch(nowMillis), stored.head.segments + sealed)
+        return listOf(write(nowMillis, stored, head, queue.callCount()))
     }
 
+    /** Returns the deletions that follow from the write [writeId], which has taken effect. */
+    fun deletions(writeId: String): List<ClaimAction> =
+        calls.write?.takeIf { it.writeId == writeId }?.dropped.orEmpty().map { ClaimAction.DeleteSegment(shard, it) }
+
     /** Reads the head, unless that is under way or has just failed. */
     fun readHead(nowMillis: Long): List<ClaimAction> {
         if (calls.headReadMillis != null || calls.failedRecently(nowMillis)) return emptyList()
@@ -52,9 +54,14 @@
         return write(nowMillis, stored, head, queue.callCount())
     }
 
-    private fun write(nowMillis: Long, stored: StoredHead, head: ClaimHead, waitingCalls: Int): ClaimAction {
+    // A dropped segment is deleted only when the head no longer refers to it: a reader that cannot find a segment has
+    // to refuse every call of the shard.
+    private fun write(nowMillis: Long, stored: StoredHead, full: ClaimHead, waitingCalls: Int): ClaimAction {
+        val oldestMillis = nowMillis - retention.millis
+        val (kept, expired) = full.segments.partition { it.newestMillis >= oldestMillis }
+        val head = ClaimHead(full.claims.filter { it.claimedMillis >= oldestMillis }, kept)
         val writeId = "$self/$shard/${writeCount++}"
-        calls.startWrite(PendingHead(writeId, nowMillis, head))
+        calls.startWrite(PendingHead(writeId, nowMillis, head, expired.map { it.number }))
         return ClaimAction.WriteHead(shard, head, stored.version, writeId, waitingCalls)
     }
 }
--- a/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ClaimShard.kt
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ClaimShard.kt
@@ -12,11 +12,12 @@
     self: Incarnation,
     settings: ClaimSettings,
     private val runs: KeyedRuns,
+    retention: ClaimRetention,
 ) {
     private val index = ClaimIndex()
     private val calls = ClaimCalls(settings)
     private val queue = ClaimQueue(self, settings, runs)
-    private val requests = ClaimRequests(shard, self, settings, calls)
+    private val requests = ClaimRequests(shard, self, settings, calls, retention)
 
     fun call(nowMillis: Long, key: String, call: KeyedCall): List<ClaimAction> = when {
         queue.isFull -> listOf(runs.refuse(call, NotRunReason.TOO_MANY_WAITING)).asClaimActions()
@@ -31,12 +32,16 @@
     fun handle(nowMillis: Long, event: ClaimEvent): List<ClaimAction> = when (event) {
         is ClaimEvent.HeadRead -> acceptHead(nowMillis, event.stored)
         is ClaimEvent.SegmentRead -> acceptSegment(nowMillis, event)
-        is ClaimEvent.HeadWritten ->
+        is ClaimEvent.HeadWritten -> requests.deletions(event.writeId) +
             settle(nowMillis, event.writeId) { StoredHead(it.head, event.version, event.writeId) }
         is ClaimEvent.HeadConflicted -> settle(nowMillis, event.writeId) { event.current }
         is ClaimEvent.HeadWriteFailed -> failWrite(nowMillis, event)
         is ClaimEvent.SegmentWritten -> commitSealed(nowMillis, event.number)
-        is ClaimEvent.SegmentWriteFailed, is ClaimEvent.ReadFailed -> refuseAll(nowMillis)
+        is ClaimEvent.SegmentWriteFailed -> refuseAll(nowMillis)
+        is ClaimEvent.ReadFailed -> {
+            index.doubt()
+            refuseAll(nowMillis)
+        }
     }
 
     fun tick(nowMillis: Long): List<ClaimAction> {
@@ -49,7 +54,7 @@
         return when {
             calls.write?.uncertain == true -> requests.readHead(nowMillis)
             queue.isEmpty -> emptyList()
-            stored == null -> requests.readHead(nowMillis)
+            stored == null || index.doubted -> requests.readHead(nowMillis)
             index.missingSegments().isNotEmpty() -> requests.readSegments(nowMillis, index.missingSegments())
             else -> queue.resolve(index).asClaimActions() + requests.commit(nowMillis, stored, queue)
         }
--- a/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/Execution.kt
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/Execution.kt
@@ -53,6 +53,9 @@
     INVALID_TICKET,
     KEY_REUSED_FOR_ANOTHER_CALL,
     TOO_MANY_WAITING,
+    PEER_UNREACHABLE,
+    CALL_TOO_LARGE,
+    DEADLINE_PASSED,
 }
 
 /** Why it is unknown whether a call ran. */
@@ -62,6 +65,7 @@
     ENDPOINT_LOST,
     RESPONSE_NOT_KEPT,
     NO_ANSWER_FROM_PEER,
+    RESPONSE_TOO_LARGE,
 }
 
 /** What a ledger asks its shell to do with a call. */
--- a/libraries/execution/src/test/kotlin/org/parsleymoor/execution/atmostonce/ClaimLedgerTest.kt
+++ b/libraries/execution/src/test/kotlin/org/parsleymoor/execution/atmostonce/ClaimLedgerTest.kt
@@ -176,6 +176,84 @@
         expectThat(ledger.tick(1_000)).isEmpty()
     }
 
+    /** Guards against claims that stay in the head for ever at low load. */
+    @Test
+    fun `a write drops claims older than the retention that is in effect`() {
+        val old = Claim("old", other, 0)
+        ledger.retain(1_000)
+        ledger.call(1_001, call("r1", "k1"))
+
+        val write = ledger.handle(1_001, headRead(listOf(old))).filterIsInstance<ClaimAction.WriteHead>().single()
+
+        expectThat(write.head.claims.map { it.claimer }).containsExactly(self)
+    }
+
+    /** Guards against a run of a key whose claim is still retained. */
+    @Test
+    fun `a claim within the retention is kept`() {
+        val claim = Claim("recent", other, 1)
+        ledger.retain(1_000)
+        ledger.call(1_001, call("r1", "k1"))
+
+        val write = ledger.handle(1_001, headRead(listOf(claim))).filterIsInstance<ClaimAction.WriteHead>().single()
+
+        expectThat(write.head.claims).contains(claim)
+    }
+
+    /** Guards against a head that refers to a deleted segment, which no other process can read past. */
+    @Test
+    fun `an expired segment is deleted only when the head no longer refers to it`() {
+        ledger.retain(1_000)
+        ledger.call(1_001, call("r1", "k1"))
+        ledger.handle(1_001, headRead(emptyList(), listOf(SegmentReference(7, 0))))
+
+        val actions = ledger.handle(1_002, ClaimEvent.SegmentRead(0, 7, listOf(Claim("old", other, 0))))
+        val write = actions.filterIsInstance<ClaimAction.WriteHead>().single()
+        val afterwards = ledger.handle(1_003, ClaimEvent.HeadWritten(0, write.writeId, 2))
+
+        expectThat(write.head.segments).isEmpty()
+        expectThat(actions).filterIsInstance<ClaimAction.DeleteSegment>().isEmpty()
+        expectThat(afterwards).contains(ClaimAction.DeleteSegment(0, 7))
+    }
+
+    /** Guards against a shard that refuses for ever because it looks for a segment that another process deleted. */
+    @Test
+    fun `the head is read again when a segment cannot be read`() {
+        ledger.call(0, call("r1", "k1"))
+        ledger.handle(1, headRead(emptyList(), listOf(SegmentReference(7, 0))))
+        ledger.handle(2, ClaimEvent.ReadFailed(0))
+
+        val actions = ledger.call(1_000, call("r2", "k1"))
+
+        expectThat(actions).containsExactly(ClaimAction.ReadHead(0))
+    }
+
+    /** Guards against a call that is sent to a claimer whose claim has been dropped from the head. */
+    @Test
+    fun `a key whose claim was dropped is claimed anew`() {
+        val write = writeOf(ledger, call("r1", "k1"))
+        ledger.handle(
+            10,
+            ClaimEvent.HeadConflicted(0, write.writeId, stored(write.head.claims.map { it.by(other) }, 1))
+        )
+        val second = writeAfter(100, ledger.call(100, call("r2", "k2")))
+        ledger.handle(110, ClaimEvent.HeadConflicted(0, second.writeId, stored(emptyList(), 2)))
+
+        val third = writeAfter(200, ledger.call(200, call("r3", "k1")))
+
+        expectThat(third.head.claims.map { it.claimer }).contains(self)
+    }
+
+    private fun Claim.by(claimer: Incarnation) = copy(claimer = claimer)
+
+    private fun stored(claims: List<Claim>, version: Long) = StoredHead(ClaimHead(claims), version, "w$version")
+
+    private fun writeAfter(nowMillis: Long, actions: List<ClaimAction>): ClaimAction.WriteHead =
+        (actions + ledger.tick(nowMillis)).filterIsInstance<ClaimAction.WriteHead>().first()
+
+    private fun headRead(claims: List<Claim>, segments: List<SegmentReference> = emptyList()) =
+        ClaimEvent.HeadRead(0, StoredHead(ClaimHead(claims, segments), 1, "w1"))
+
     private fun call(request: String, key: String): KeyedCall =
         KeyedCall(RequestId(request), OrganisationId("estate"), key, "fingerprint")
 
