Forward calls with a key to the process that may run them

Cause: a call with another gateway's ticket, or whose key another process claimed, answered unknown at the gateway that got it. Change: ExecuteTicket and ExecuteClaim carry headers, deadline and a body in parts; CallForwarder sends a call to the issuer, the shard's owner or the claimer; CallReceiver runs it or answers from memory. A key whose owner is out of reach is claimed here. Hello carries its protocol version, now 2; the CBOR codec left the default out.

--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerFailure.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerFailure.kt
@@ -33,4 +33,9 @@
     public data class Closed(public val cause: String) : PeerFailure {
         override val message: String get() = "the connection to the peer is closed: $cause"
     }
+
+    /** The parts of a body do not add up to [expectedBytes]. */
+    public data class BrokenBody(public val expectedBytes: Int, public val found: String) : PeerFailure {
+        override val message: String get() = "expected a body of $expectedBytes bytes, found $found"
+    }
 }
--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerLink.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerLink.kt
@@ -91,6 +91,7 @@
         is PeerMessage.Forward, is PeerMessage.ExecuteTicket, is PeerMessage.ExecuteClaim -> true
         is PeerMessage.PiecesWanted, is PeerMessage.Pieces, is PeerMessage.Started, is PeerMessage.Chunk,
         is PeerMessage.Finished, is PeerMessage.Refused, is PeerMessage.Cancel, is PeerMessage.ExecutionAnswer,
+        is PeerMessage.BodyPart,
         -> false
     }
 }
--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerMessage.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerMessage.kt
@@ -1,5 +1,6 @@
 package org.parsleymoor.peering
 
+import kotlinx.serialization.EncodeDefault
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
@@ -20,6 +21,7 @@
 @Serializable
 public sealed interface PeerMessage {
     /** Says who is calling. A peer with another [protocolVersion] is refused. */
+    @OptIn(ExperimentalSerializationApi::class)
     @Serializable
     @SerialName("hello")
     public data class Hello(
@@ -27,7 +29,8 @@
         public val zone: ZoneId,
         public val region: RegionId,
         public val address: String,
-        public val protocolVersion: Int = PROTOCOL_VERSION,
+        // Without this the default would be left out of the frame and a reader would take its own version for it.
+        @EncodeDefault public val protocolVersion: Int = PROTOCOL_VERSION,
     ) : PeerMessage
 
     /**
@@ -151,7 +154,7 @@
     @SerialName("cancel")
     public data class Cancel(override val exchange: Long) : OfExchange
 
-    /** Asks the issuer of [ticket] to run [call] once. */
+    /** Asks the issuer of [ticket] to run [call] once; [BodyPart]s with the rest of its body follow. */
     @Serializable
     @SerialName("ticket")
     public data class ExecuteTicket(
@@ -160,16 +163,29 @@
         public val call: ForwardedCall,
     ) : OfExchange
 
-    /** Asks the owner of the key's shard, or the process that claimed it, to run [call] at most once. */
+    /**
+     * Asks the owner of the key's shard, or with [claimed] the process that claimed it, to run [call] at most once;
+     * [BodyPart]s with the rest of its body follow.
+     */
     @Serializable
     @SerialName("claim")
     public data class ExecuteClaim(
         override val exchange: Long,
         public val key: String,
         public val call: ForwardedCall,
+        public val claimed: Boolean = false,
     ) : OfExchange
 
-    /** The answer of a call that ran. */
+    /** The next bytes of the body of a call or of its answer. */
+    @OptIn(ExperimentalSerializationApi::class)
+    @Serializable
+    @SerialName("part")
+    public data class BodyPart(
+        override val exchange: Long,
+        @ByteString public val bytes: ByteArray,
+    ) : OfExchange
+
+    /** The answer of a call that ran; [BodyPart]s with the rest of its body follow. */
     @Serializable
     @SerialName("answer")
     public data class ExecutionAnswer(
@@ -179,7 +195,7 @@
 
     public companion object {
         /** Version of the messages in this file; raised by a change that an older peer cannot read. */
-        public const val PROTOCOL_VERSION: Int = 1
+        public const val PROTOCOL_VERSION: Int = 2
     }
 }
 
@@ -231,7 +247,17 @@
 @Serializable
 public data class TextPiece(public val hash: TextHash, @ByteString public val text: ByteArray)
 
-/** A call to a service group, passed on unchanged. */
+/** One header field of a forwarded call. */
+@OptIn(ExperimentalSerializationApi::class)
+@CborArray
+@Serializable
+public data class ForwardedHeader(public val name: String, public val value: String)
+
+/**
+ * A call to a service group, passed on unchanged. [body] is the first part of a body of [bodyBytes] bytes, and
+ * [remainingMillis] is the time until its deadline.
+ */
+@OptIn(ExperimentalSerializationApi::class)
 @Serializable
 public data class ForwardedCall(
     public val request: RequestId,
@@ -239,16 +265,19 @@
     public val service: String,
     public val method: String,
     public val path: String,
-    public val contentType: String = "",
-    public val body: String = "",
+    public val headers: List<ForwardedHeader> = emptyList(),
+    public val bodyBytes: Int = 0,
+    @ByteString public val body: ByteArray = ByteArray(0),
     public val remainingMillis: Long,
     public val traceParent: String = "",
 )
 
-/** The answer of a service call. */
+/** The answer of a service call; [body] is the first part of a body of [bodyBytes] bytes. */
+@OptIn(ExperimentalSerializationApi::class)
 @Serializable
 public data class ForwardedAnswer(
     public val status: Int,
     public val contentType: String = "",
-    public val body: String = "",
+    public val bodyBytes: Int = 0,
+    @ByteString public val body: ByteArray = ByteArray(0),
 )
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/Gateway.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/Gateway.kt
@@ -21,6 +21,8 @@
 import org.parsleymoor.gateway.callers.CallerServer
 import org.parsleymoor.gateway.callers.CompletionRoutes
 import org.parsleymoor.gateway.callers.ServiceRoutes
+import org.parsleymoor.gateway.control.CallForwarder
+import org.parsleymoor.gateway.control.CallReceiver
 import org.parsleymoor.gateway.control.ClaimDesk
 import org.parsleymoor.gateway.control.ConfigurationControl
 import org.parsleymoor.gateway.control.LeasedColdStart
@@ -40,6 +42,7 @@
 import org.parsleymoor.gateway.serving.EngineObserver
 import org.parsleymoor.gateway.serving.FleetReports
 import org.parsleymoor.gateway.serving.FleetState
+import org.parsleymoor.gateway.serving.OnceCalls
 import org.parsleymoor.gateway.serving.ReportedColdStart
 import org.parsleymoor.gateway.serving.ServiceRunner
 import org.parsleymoor.gateway.serving.ServingTools
@@ -84,6 +87,11 @@
         background = background,
     )
     private val completions = CompletionRunner(tools, EngineFleet(holder, fleetState))
+    private val onceCalls = OnceCalls(ServiceRunner(tools))
+    private val forwarder = CallForwarder({ peers.directory }, clock, tracing)
+    private val tickets = TicketDesk(incarnation, forwarder, background)
+    private val claims =
+        platform?.let { ClaimDesk(incarnation, it, tickets, forwarder, clock, background) }?.also { it.start() }
     private val callers = CallerServer(vertx, settings.callers, routes())
     private val operations =
         OperationsServer(vertx, settings.operations, holder, telemetry, ::status)
@@ -91,7 +99,8 @@
     /** Suspends until both servers accept connections; returns their ports. */
     public suspend fun start(): GatewayPorts {
         registerGauges()
-        val peerPort = peers.start(settings.peers, configurationControl)
+        val receiver = CallReceiver(tools, work, onceCalls, claims ?: tickets)
+        val peerPort = peers.start(settings.peers, configurationControl, receiver)
         configurationControl.start()
         background.launch { EngineObserver(holder, backEnds, reports, clock).run() }
         background.launch { pump() }
@@ -125,13 +134,10 @@
 
     private fun routes(): CallerRoutes {
         val senderMillis = settings.callers.senderMillis
-        val tickets = TicketDesk(incarnation, background)
-        val desk = platform?.let { ClaimDesk(incarnation, it, tickets, clock, background) }
-        desk?.start()
         return CallerRoutes(
             CallerEntry(vertx, tools, work, background),
             CompletionRoutes(completions, senderMillis),
-            ServiceRoutes(ServiceRunner(tools), desk ?: tickets, senderMillis),
+            ServiceRoutes(ServiceRunner(tools), onceCalls, claims ?: tickets, senderMillis),
         )
     }
 
@@ -163,6 +169,7 @@
     private fun applied(view: ServingView) {
         logger.info { "configuration revision ${view.configuration.revision} is in effect" }
         backEnds.retain(view.configuration.endpoints.map { it.address }.toSet())
+        claims?.retain(view.configuration.limits.claimRetentionHours)
         completions.pump()
     }
 
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/callers/Refusal.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/callers/Refusal.kt
@@ -29,6 +29,7 @@
     STOPPING("stopping", "The gateway is shutting down", HttpStatus.UNAVAILABLE),
     NO_ENDPOINT("no-endpoint", "No endpoint can take the request now", HttpStatus.UNAVAILABLE),
     PLATFORM_UNAVAILABLE("platform-unavailable", "The claim could not be recorded", HttpStatus.UNAVAILABLE),
+    PEER_UNREACHABLE("peer-unreachable", "The gateway for this key is out of reach", HttpStatus.UNAVAILABLE),
     OUTCOME_UNKNOWN("outcome-unknown", "It is not known whether the call ran", HttpStatus.BAD_GATEWAY),
     DEADLINE_PASSED("deadline-passed", "The deadline passed", HttpStatus.GATEWAY_TIMEOUT),
 }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/callers/ServiceRoutes.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/callers/ServiceRoutes.kt
@@ -4,7 +4,6 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.getOrThrow
-import com.github.michaelbull.result.mapBoth
 import io.vertx.core.buffer.Buffer
 import io.vertx.kotlin.coroutines.coAwait
 import org.parsleymoor.clients.HeaderField
@@ -15,19 +14,17 @@
 import org.parsleymoor.execution.Execution
 import org.parsleymoor.execution.RetryRules
 import org.parsleymoor.execution.atmostonce.ExecutionAnswer
-import org.parsleymoor.execution.atmostonce.KeptResponse
-import org.parsleymoor.execution.atmostonce.KeyedCall
 import org.parsleymoor.execution.atmostonce.NotRunReason
-import org.parsleymoor.execution.atmostonce.RunOutcome
 import org.parsleymoor.gateway.serving.AtMostOnce
 import org.parsleymoor.gateway.serving.GroupCall
+import org.parsleymoor.gateway.serving.OnceCalls
 import org.parsleymoor.gateway.serving.ServiceRunner
-import java.security.MessageDigest
-import java.util.HexFormat
+import org.parsleymoor.gateway.serving.toAnswer
 
 /** Serves calls to service groups and issues tickets. */
 internal class ServiceRoutes(
     private val runner: ServiceRunner,
+    private val onceCalls: OnceCalls,
     private val atMostOnce: AtMostOnce,
     private val senderMillis: Long,
 ) {
@@ -66,23 +63,13 @@
         return GroupCall(call.request, group, outgoing, call.deadlineMillis, call.span)
     }
 
-    /** A call with a key is sent at most once whatever its group says. */
-    private suspend fun keyed(call: CallerCall, outgoing: GroupCall, key: String): Result<ServiceAnswer, Refusal> {
-        val once = GroupCall(outgoing.request, outgoing.group, outgoing.call.once(), outgoing.deadlineMillis, call.span)
-        val fingerprint = fingerprint(once)
-        val keyed = KeyedCall(call.request, call.organisation.name, key, fingerprint)
-        return when (val answer = atMostOnce.execute(keyed) { outcome(runner.run(once)) }) {
+    private suspend fun keyed(call: CallerCall, outgoing: GroupCall, key: String): Result<ServiceAnswer, Refusal> =
+        when (val answer = atMostOnce.execute(onceCalls.of(call.organisation.name, key, outgoing))) {
             is ExecutionAnswer.Response -> Ok(answer.response.toAnswer())
             is ExecutionAnswer.NotRun -> Err(notRun(answer.reason))
             is ExecutionAnswer.Unknown ->
                 Err(Refusal(RefusalKind.OUTCOME_UNKNOWN, answer.reason.name.lowercase(), Execution.Unknown))
         }
-    }
-
-    private fun outcome(result: Result<ServiceAnswer, Refusal>): RunOutcome = result.mapBoth(
-        { RunOutcome.Responded(KeptResponse(it.status, it.contentType(), it.body)) },
-        { if (it.execution == Execution.NotRun) RunOutcome.NotRun else RunOutcome.Unknown },
-    )
 
     private suspend fun send(call: CallerCall, answer: ServiceAnswer) {
         val response = call.response.setStatusCode(answer.status)
@@ -91,12 +78,6 @@
         orGone { response.end(Buffer.buffer(answer.body)).coAwait() }
     }
 
-    private fun fingerprint(call: GroupCall): String {
-        val digest = MessageDigest.getInstance("SHA-256")
-        digest.update("${call.group.name}\n${call.call.method}\n${call.call.path}\n".encodeToByteArray())
-        return HexFormat.of().formatHex(digest.digest(call.call.body))
-    }
-
     private companion object {
         const val PREFIX = "/services/"
         const val KEY_HEADER = "Idempotency-Key"
@@ -119,8 +100,6 @@
     }
 }
 
-private const val CONTENT_TYPE = "Content-Type"
-
 private fun notRun(reason: NotRunReason): Refusal {
     val kind = when (reason) {
         NotRunReason.PLATFORM_UNAVAILABLE -> RefusalKind.PLATFORM_UNAVAILABLE
@@ -128,14 +107,12 @@
         NotRunReason.INVALID_TICKET -> RefusalKind.INVALID_TICKET
         NotRunReason.KEY_REUSED_FOR_ANOTHER_CALL -> RefusalKind.KEY_REUSED
         NotRunReason.TOO_MANY_WAITING -> RefusalKind.OVERLOADED
+        NotRunReason.PEER_UNREACHABLE -> RefusalKind.PEER_UNREACHABLE
+        NotRunReason.CALL_TOO_LARGE -> RefusalKind.BODY_TOO_LARGE
+        NotRunReason.DEADLINE_PASSED -> RefusalKind.DEADLINE_PASSED
     }
-    return Refusal(kind, reason.name.lowercase())
+    val passing = kind.status == HttpStatus.UNAVAILABLE || kind == RefusalKind.OVERLOADED
+    return Refusal(kind, reason.name.lowercase(), retryAfterMillis = if (passing) RETRY_MILLIS else 0)
 }
 
-private fun ServiceCall.once() = ServiceCall(method, path, headers, body, repeatable = false)
-
-private fun ServiceAnswer.contentType(): String =
-    headers.firstOrNull { it.name.equals(CONTENT_TYPE, ignoreCase = true) }?.value.orEmpty()
-
-private fun KeptResponse.toAnswer() =
-    ServiceAnswer(status, listOfNotNull(contentType.ifEmpty { null }?.let { HeaderField(CONTENT_TYPE, it) }), body)
+private const val RETRY_MILLIS = 1_000L
--- /dev/null
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/CallReceiver.kt
@@ -0,0 +1,127 @@
+package org.parsleymoor.gateway.control
+
+import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.onFailure
+import io.vertx.core.MultiMap
+import org.parsleymoor.clients.HeaderField
+import org.parsleymoor.clients.ServiceCall
+import org.parsleymoor.execution.atmostonce.ExecutionAnswer
+import org.parsleymoor.execution.atmostonce.KeptResponse
+import org.parsleymoor.execution.atmostonce.NotRunReason
+import org.parsleymoor.execution.atmostonce.UnknownReason
+import org.parsleymoor.gateway.operations.WorkCount
+import org.parsleymoor.gateway.serving.AtMostOnce
+import org.parsleymoor.gateway.serving.CallOrigin
+import org.parsleymoor.gateway.serving.GroupCall
+import org.parsleymoor.gateway.serving.OnceCalls
+import org.parsleymoor.gateway.serving.ServingTools
+import org.parsleymoor.peering.BodyParts
+import org.parsleymoor.peering.Execution
+import org.parsleymoor.peering.ForwardedAnswer
+import org.parsleymoor.peering.ForwardedCall
+import org.parsleymoor.peering.PeerExchange
+import org.parsleymoor.peering.PeerMessage
+import org.parsleymoor.peering.receiveRest
+import org.parsleymoor.peering.sendRest
+
+/** Runs calls with a key that other gateways forward, or answers them from memory. */
+internal class CallReceiver(
+    private val tools: ServingTools,
+    private val work: WorkCount,
+    private val onceCalls: OnceCalls,
+    private val atMostOnce: AtMostOnce,
+) {
+    /** Serves [opening] and suspends until it is answered; returns false when it is not a call with a key. */
+    suspend fun serve(exchange: PeerExchange, opening: PeerMessage.OfExchange): Boolean {
+        when (opening) {
+            is PeerMessage.ExecuteTicket ->
+                serve(exchange, Forwarded(opening.ticket, opening.call, CallOrigin.PROCESS_FORWARD))
+            is PeerMessage.ExecuteClaim -> {
+                val origin = if (opening.claimed) CallOrigin.PROCESS_FORWARD else CallOrigin.SHARD_FORWARD
+                serve(exchange, Forwarded(opening.key, opening.call, origin))
+            }
+            else -> return false
+        }
+        return true
+    }
+
+    private suspend fun serve(exchange: PeerExchange, call: Forwarded) {
+        if (!work.begin()) {
+            exchange.refuse(STOPPING, "this gateway is shutting down", Execution.NOT_RUN)
+            return
+        }
+        try {
+            val group = receive(exchange, call)
+            if (group != null) {
+                val once = onceCalls.of(call.message.organisation, call.key, group)
+                answer(exchange, atMostOnce.execute(once, call.origin))
+                group.span.end()
+            }
+        } finally {
+            work.end()
+        }
+    }
+
+    /** Returns the whole call; null when it was refused or its sender has gone. */
+    private suspend fun receive(exchange: PeerExchange, call: Forwarded): GroupCall? {
+        val message = call.message
+        val view = tools.configuration.current
+        val group = view?.service(message.service)
+        val limit = view?.configuration?.limits?.maximumBodyBytes ?: 0
+        val refusal = when {
+            group == null -> NotRunReason.ENDPOINT_REFUSED
+            message.bodyBytes > limit -> NotRunReason.CALL_TOO_LARGE
+            message.remainingMillis <= 0 -> NotRunReason.DEADLINE_PASSED
+            else -> null
+        }
+        if (refusal != null) exchange.refuse(refusal.name, message.service, Execution.NOT_RUN)
+        if (refusal != null || group == null) return null
+        val deadline = tools.clock.nowMillis() + message.remainingMillis
+        val body = exchange.receiveRest(message.body, message.bodyBytes)
+            .onFailure { exchange.refuse(BAD_REQUEST, it.message, Execution.NOT_RUN) }.getOrElse { null }
+        return body?.let { GroupCall(message.request, group, message.toCall(it), deadline, span(message)) }
+    }
+
+    private suspend fun answer(exchange: PeerExchange, answer: ExecutionAnswer) {
+        when (answer) {
+            is ExecutionAnswer.Response -> respond(exchange, answer.response)
+            is ExecutionAnswer.NotRun -> exchange.refuse(answer.reason.name, "", Execution.NOT_RUN)
+            is ExecutionAnswer.Unknown -> exchange.refuse(answer.reason.name, "", Execution.UNKNOWN)
+        }
+    }
+
+    private suspend fun respond(exchange: PeerExchange, response: KeptResponse) {
+        val body = response.body
+        if (body.size > MAXIMUM_ANSWER_BYTES) {
+            val detail = "expected at most $MAXIMUM_ANSWER_BYTES bytes, found ${body.size}"
+            exchange.refuse(UnknownReason.RESPONSE_TOO_LARGE.name, detail, Execution.RUN)
+        } else {
+            val message = ForwardedAnswer(response.status, response.contentType, body.size, BodyParts.first(body))
+            exchange.send(PeerMessage.ExecutionAnswer(exchange.number, message))
+            exchange.sendRest(body)
+        }
+    }
+
+    private fun span(message: ForwardedCall) = tools.tracing.request(
+        "forwarded call",
+        MultiMap.caseInsensitiveMultiMap().add("traceparent", message.traceParent),
+    )
+
+    private class Forwarded(val key: String, val message: ForwardedCall, val origin: CallOrigin)
+
+    companion object {
+        /** Refusal of a gateway that takes no new work; it has not looked at the key. */
+        const val STOPPING = "STOPPING"
+
+        /** A larger answer is not forwarded, because both gateways hold it in memory. */
+        const val MAXIMUM_ANSWER_BYTES = 16_777_216
+        private const val BAD_REQUEST = "BAD_REQUEST"
+    }
+}
+
+private suspend fun PeerExchange.refuse(type: String, detail: String, execution: Execution) {
+    send(PeerMessage.Refused(number, type, detail, execution))
+}
+
+private fun ForwardedCall.toCall(body: ByteArray) =
+    ServiceCall(method, path, headers.map { HeaderField(it.name, it.value) }, body, repeatable = false)
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/ClaimDesk.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/ClaimDesk.kt
@@ -7,7 +7,6 @@
 import org.parsleymoor.clients.PlatformClient
 import org.parsleymoor.core.Clock
 import org.parsleymoor.core.Incarnation
-import org.parsleymoor.core.OrganisationId
 import org.parsleymoor.core.RequestId
 import org.parsleymoor.execution.atmostonce.ClaimAction
 import org.parsleymoor.execution.atmostonce.ClaimLedger
@@ -16,19 +15,28 @@
 import org.parsleymoor.execution.atmostonce.KeyedCall
 import org.parsleymoor.execution.atmostonce.RunOutcome
 import org.parsleymoor.execution.atmostonce.Ticket
+import org.parsleymoor.execution.atmostonce.UnknownReason
 import org.parsleymoor.gateway.serving.AtMostOnce
+import org.parsleymoor.gateway.serving.CallOrigin
+import org.parsleymoor.gateway.serving.CallRoute
+import org.parsleymoor.gateway.serving.Forwarded
+import org.parsleymoor.gateway.serving.OnceCall
+import org.parsleymoor.gateway.serving.toAnswer
 
 /**
- * Runs calls under callers' own keys with claims in the platform, and leaves calls under tickets to [tickets]. A call
- * whose key another process has claimed answers `unknown`, because it is not forwarded there yet.
+ * Runs calls under callers' own keys with claims in the platform, and leaves calls under tickets to [tickets]. A
+ * caller's call goes to the owner of its key's shard, so that the claims of all gateways share writes. When the owner
+ * cannot be reached, this gateway claims the key: the conditional update admits one claim. A call whose key another
+ * process has claimed goes to that process.
  */
 internal class ClaimDesk(
     self: Incarnation,
     platform: PlatformClient,
     private val tickets: AtMostOnce,
+    private val route: CallRoute,
     private val clock: Clock,
     private val scope: CoroutineScope,
-) : AtMostOnce {
+) : AtMostOnce by tickets {
     private val lock = Any()
     private val ledger = ClaimLedger(self)
     private val objects = ClaimObjects(platform)
@@ -44,14 +52,29 @@
         }
     }
 
-    override fun issue(organisation: OrganisationId): String = tickets.issue(organisation)
+    /** Keeps claims for [hours] from the next write on. */
+    fun retain(hours: Int) {
+        synchronized(lock) { ledger.retain(hours * MILLIS_PER_HOUR) }
+    }
+
+    override suspend fun execute(call: OnceCall, origin: CallOrigin): ExecutionAnswer {
+        if (Ticket.parse(call.keyed.key) != null) return tickets.execute(call, origin)
+        val forwarded = if (origin == CallOrigin.CALLER) toOwner(call) else Forwarded.NotSent
+        return if (forwarded is Forwarded.Answered) forwarded.answer else executeHere(call, origin)
+    }
 
-    override suspend fun execute(call: KeyedCall, dispatch: suspend () -> RunOutcome): ExecutionAnswer {
-        if (Ticket.parse(call.key) != null) return tickets.execute(call, dispatch)
-        val waiter = Waiter(dispatch)
+    private suspend fun toOwner(call: OnceCall): Forwarded {
+        val shard = synchronized(lock) {
+            ledger.shardOf(call.keyed.organisation, call.keyed.key).takeUnless { ledger.knows(call.keyed) }
+        }
+        return if (shard == null) Forwarded.NotSent else route.toOwner(shard, call)
+    }
+
+    private suspend fun executeHere(call: OnceCall, origin: CallOrigin): ExecutionAnswer {
+        val waiter = Waiter(call, origin)
         val actions = synchronized(lock) {
-            waiters[call.request] = waiter
-            ledger.call(clock.nowMillis(), call)
+            waiters[call.keyed.request] = waiter
+            ledger.call(clock.nowMillis(), call.keyed)
         }
         perform(actions)
         return waiter.answer.await()
@@ -68,31 +91,40 @@
 
     private fun execute(action: ExecutionAction) {
         when (action) {
-            is ExecutionAction.Answer -> answer(action)
-            is ExecutionAction.Forward -> perform(listOf(ledger.forwarded(action.call, null)))
+            is ExecutionAction.Answer ->
+                synchronized(lock) { waiters.remove(action.request) }?.answer?.complete(action.answer)
+            is ExecutionAction.Forward -> scope.launch { forward(action) }
             is ExecutionAction.Run -> scope.launch { run(action.call) }
         }
     }
 
+    private suspend fun forward(action: ExecutionAction.Forward) {
+        val waiter = synchronized(lock) { waiters[action.call.request] }
+        var answer: ExecutionAnswer? = ExecutionAnswer.Unknown(UnknownReason.NO_ANSWER_FROM_PEER)
+        try {
+            val mayForward = waiter != null && waiter.origin != CallOrigin.PROCESS_FORWARD
+            answer = if (mayForward) route.toClaimer(action.to, waiter.call).toAnswer() else null
+        } finally {
+            perform(listOf(ledger.forwarded(action.call, answer)))
+        }
+    }
+
     private suspend fun run(call: KeyedCall) {
         val waiter = synchronized(lock) { waiters[call.request] }
         var outcome: RunOutcome = RunOutcome.Unknown
         try {
-            outcome = waiter?.dispatch?.invoke() ?: RunOutcome.NotRun
+            outcome = waiter?.call?.dispatch?.invoke() ?: RunOutcome.NotRun
         } finally {
             perform(synchronized(lock) { ledger.finished(call, outcome) })
         }
     }
 
-    private fun answer(action: ExecutionAction.Answer) {
-        synchronized(lock) { waiters.remove(action.request) }?.answer?.complete(action.answer)
-    }
-
-    private class Waiter(val dispatch: suspend () -> RunOutcome) {
+    private class Waiter(val call: OnceCall, val origin: CallOrigin) {
         val answer = CompletableDeferred<ExecutionAnswer>()
     }
 
     private companion object {
         const val TICK_MILLIS = 10L
+        const val MILLIS_PER_HOUR = 3_600_000L
     }
 }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/GatewayMembers.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/GatewayMembers.kt
@@ -31,6 +31,11 @@
     private val lock = Any()
     private var membership = Membership(identity.member(""))
 
+    /** Whether the platform's list was read; before that, an instance that is not known may still run. */
+    @Volatile
+    var hasList = false
+        private set
+
     /** Starts anew with this gateway at [peerAddress]. */
     fun start(peerAddress: String) {
         synchronized(lock) { membership = Membership(identity.member(peerAddress)) }
@@ -38,7 +43,12 @@
 
     /** Reads the platform's list; without an answer the known members stay. */
     suspend fun readList() {
-        platform?.instances()?.onSuccess { listed -> handle(MembershipEvent.Listed(listed.map { member(it) })) }
+        platform?.instances()?.onSuccess { listed ->
+            handle(
+                MembershipEvent.Listed(listed.map { it.toMember(holder.current?.regionOf(it.zone) ?: identity.region) })
+            )
+            hasList = true
+        }
     }
 
     /** Takes in a sign of life of [remote], which says itself whether it is [leaving]. */
@@ -55,10 +65,11 @@
     fun gatewaysInRegion(): Int = view().count { it.member.region == identity.region }
 
     /** Whether this gateway is among the first two that try for what [key] names. */
-    fun contends(key: String): Boolean {
-        val first = synchronized(lock) { membership.order(key, clock.nowMillis()) }.take(CONTENDERS)
-        return first.any { it.instance == identity.incarnation.instance }
-    }
+    fun contends(key: String): Boolean =
+        order(key).take(CONTENDERS).any { it.instance == identity.incarnation.instance }
+
+    /** The gateways that do not leave, in the order in which they try for what [key] names. */
+    fun order(key: String): List<Member> = synchronized(lock) { membership.order(key, clock.nowMillis()) }
 
     /** The first two gateways of [region] for [key] that are not silent or leaving. */
     fun contenders(region: RegionId, key: String): List<Member> {
@@ -66,7 +77,8 @@
         return rendezvousOrder(key, candidates) { it.instance.value }.take(CONTENDERS)
     }
 
-    private fun view(): List<ViewedMember> = synchronized(lock) { membership.view(clock.nowMillis()) }
+    /** All known gateways with their state. */
+    fun view(): List<ViewedMember> = synchronized(lock) { membership.view(clock.nowMillis()) }
 
     /** Takes in [event] and passes on what follows from it. */
     fun handle(event: MembershipEvent) {
@@ -79,11 +91,6 @@
         }
     }
 
-    private fun member(listed: ListedInstance): Member {
-        val region = holder.current?.regionOf(listed.zone) ?: identity.region
-        return Member(listed.instance, listed.zone, region, listed.peerAddress, listed.leaving)
-    }
-
     private companion object {
         const val CONTENDERS = 2
         val AVAILABLE = setOf(MemberState.LIVE, MemberState.LISTED)
@@ -91,3 +98,5 @@
 }
 
 private fun PeerIdentity.member(peerAddress: String) = Member(incarnation.instance, zone, region, peerAddress)
+
+private fun ListedInstance.toMember(region: RegionId) = Member(instance, zone, region, peerAddress, leaving)
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/PeerControl.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/PeerControl.kt
@@ -28,7 +28,7 @@
 
 /**
  * This gateway's connections to the others: keeps them to its neighbours, passes configuration revisions on and serves
- * forwarded completions.
+ * forwarded completions and calls.
  */
 internal class PeerControl(
     identity: PeerIdentity,
@@ -43,15 +43,22 @@
     /** The gateways that are believed to run. */
     val members: GatewayMembers = GatewayMembers(identity, platform, holder, clock) { node.keepConnectedTo(it) }
 
+    /** Connections to gateways by name. */
+    val directory: PeerDirectory = PeerDirectory(identity.incarnation, node, members, clock)
+
     @Volatile
     private var configuration: ConfigurationControl? = null
 
+    @Volatile
+    private var calls: CallReceiver? = null
+
     @Volatile
     private var leaving = false
 
     /** Binds the peer socket and starts the loops; returns the bound port. */
-    suspend fun start(listen: ListenSettings, control: ConfigurationControl): Int {
+    suspend fun start(listen: ListenSettings, control: ConfigurationControl, receiver: CallReceiver): Int {
         configuration = control
+        calls = receiver
         val port = node.start(listen.host, listen.port)
         members.start("${listen.host}:$port")
         scope.launch { repeatEvery(HEARTBEAT_MILLIS) { beat() } }
@@ -108,11 +115,14 @@
     }
 
     override suspend fun onExchange(exchange: PeerExchange, opening: PeerMessage.OfExchange) {
-        if (opening is PeerMessage.Forward) {
-            receiver.serve(exchange, opening)
-        } else {
-            val detail = "expected a forwarded completion, found ${opening::class.simpleName}"
-            exchange.send(PeerMessage.Refused(exchange.number, "BAD_REQUEST", detail, Execution.NOT_RUN))
+        val served = calls?.serve(exchange, opening) ?: false
+        when {
+            served -> Unit
+            opening is PeerMessage.Forward -> receiver.serve(exchange, opening)
+            else -> {
+                val detail = "expected a call or a completion, found ${opening::class.simpleName}"
+                exchange.send(PeerMessage.Refused(exchange.number, "BAD_REQUEST", detail, Execution.NOT_RUN))
+            }
         }
     }
 
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/forwarding/ForwardingEngineClient.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/forwarding/ForwardingEngineClient.kt
@@ -82,7 +82,7 @@
                     collector.emit(EngineEvent.Final(request.attempt, message.tokens, message.reason))
                 is PeerMessage.Refused -> throw refusal(message)
                 is PeerMessage.Forward, is PeerMessage.Pieces, is PeerMessage.Cancel, is PeerMessage.ExecuteTicket,
-                is PeerMessage.ExecuteClaim, is PeerMessage.ExecutionAnswer,
+                is PeerMessage.ExecuteClaim, is PeerMessage.BodyPart, is PeerMessage.ExecutionAnswer,
                 -> throw broken("expected a part of the answer, found ${message::class.simpleName}")
             }
             return message is PeerMessage.Finished
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/TicketDesk.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/TicketDesk.kt
@@ -8,18 +8,22 @@
 import org.parsleymoor.core.RequestId
 import org.parsleymoor.execution.atmostonce.ExecutionAction
 import org.parsleymoor.execution.atmostonce.ExecutionAnswer
-import org.parsleymoor.execution.atmostonce.KeyedCall
 import org.parsleymoor.execution.atmostonce.NotRunReason
 import org.parsleymoor.execution.atmostonce.RunOutcome
 import org.parsleymoor.execution.atmostonce.Ticket
 import org.parsleymoor.execution.atmostonce.TicketLedger
+import org.parsleymoor.execution.atmostonce.UnknownReason
 import java.security.SecureRandom
 
 /**
- * Runs calls under tickets that this process issued. Calls under callers' own keys are refused, and tickets of other
- * processes answer `unknown`, until claims and peers take part.
+ * Runs calls under tickets that this process issued and sends those with tickets of other processes to the issuer. A
+ * call under a caller's own key is refused; [org.parsleymoor.gateway.control.ClaimDesk] runs those.
  */
-internal class TicketDesk(self: Incarnation, private val scope: CoroutineScope) : AtMostOnce {
+internal class TicketDesk(
+    self: Incarnation,
+    private val route: CallRoute,
+    private val scope: CoroutineScope,
+) : AtMostOnce {
     private val lock = Any()
     private val ledger = TicketLedger(self, ByteArray(MAC_KEY_BYTES).also { SecureRandom().nextBytes(it) })
     private val waiters = HashMap<RequestId, CompletableDeferred<ExecutionAnswer>>()
@@ -28,22 +32,32 @@
         lock
     ) { ledger.issue(organisation) }.toString()
 
-    override suspend fun execute(call: KeyedCall, dispatch: suspend () -> RunOutcome): ExecutionAnswer {
-        val ticket = Ticket.parse(call.key) ?: return ExecutionAnswer.NotRun(NotRunReason.PLATFORM_UNAVAILABLE)
+    override suspend fun execute(call: OnceCall, origin: CallOrigin): ExecutionAnswer {
+        val ticket = Ticket.parse(call.keyed.key) ?: return ExecutionAnswer.NotRun(NotRunReason.PLATFORM_UNAVAILABLE)
         val answer = CompletableDeferred<ExecutionAnswer>()
         val action = synchronized(lock) {
-            waiters[call.request] = answer
-            ledger.call(ticket, call)
+            waiters[call.keyed.request] = answer
+            ledger.call(ticket, call.keyed)
         }
-        if (action != null) perform(ticket, action, dispatch)
+        if (action != null) perform(ticket, action, call, origin)
         return answer.await()
     }
 
-    private fun perform(ticket: Ticket, action: ExecutionAction, dispatch: suspend () -> RunOutcome) {
+    private fun perform(ticket: Ticket, action: ExecutionAction, call: OnceCall, origin: CallOrigin) {
         when (action) {
             is ExecutionAction.Answer -> answer(action)
-            is ExecutionAction.Forward -> answer(synchronized(lock) { ledger.forwarded(action.call, null) })
-            is ExecutionAction.Run -> scope.launch { run(ticket, dispatch) }
+            is ExecutionAction.Forward -> scope.launch { forward(ticket, call, origin) }
+            is ExecutionAction.Run -> scope.launch { run(ticket, call.dispatch) }
+        }
+    }
+
+    private suspend fun forward(ticket: Ticket, call: OnceCall, origin: CallOrigin) {
+        var answer: ExecutionAnswer? = ExecutionAnswer.Unknown(UnknownReason.NO_ANSWER_FROM_PEER)
+        try {
+            val forwarded = if (origin == CallOrigin.CALLER) route.toIssuer(ticket, call) else Forwarded.NotSent
+            answer = forwarded.toAnswer()
+        } finally {
+            answer(synchronized(lock) { ledger.forwarded(call.keyed, answer) })
         }
     }
 
@@ -65,3 +79,10 @@
         const val MAC_KEY_BYTES = 32
     }
 }
+
+/** Returns the answer of a call that only one process may run; null when that process has ended. */
+internal fun Forwarded.toAnswer(): ExecutionAnswer? = when (this) {
+    is Forwarded.Answered -> answer
+    is Forwarded.NotSent -> ExecutionAnswer.NotRun(NotRunReason.PEER_UNREACHABLE)
+    is Forwarded.Gone -> null
+}
--- a/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/control/ClaimDeskTest.kt
+++ b/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/control/ClaimDeskTest.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import io.opentelemetry.api.trace.Span
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.async
@@ -16,8 +17,10 @@
 import org.parsleymoor.clients.ListedInstance
 import org.parsleymoor.clients.PlatformClient
 import org.parsleymoor.clients.PlatformFailure
+import org.parsleymoor.clients.ServiceCall
 import org.parsleymoor.clients.StoredObject
 import org.parsleymoor.clients.WatchEvent
+import org.parsleymoor.configuration.ServiceDeclaration
 import org.parsleymoor.core.Clock
 import org.parsleymoor.core.Incarnation
 import org.parsleymoor.core.InstanceId
@@ -28,6 +31,11 @@
 import org.parsleymoor.execution.atmostonce.KeyedCall
 import org.parsleymoor.execution.atmostonce.NotRunReason
 import org.parsleymoor.execution.atmostonce.RunOutcome
+import org.parsleymoor.execution.atmostonce.Ticket
+import org.parsleymoor.gateway.serving.CallRoute
+import org.parsleymoor.gateway.serving.Forwarded
+import org.parsleymoor.gateway.serving.GroupCall
+import org.parsleymoor.gateway.serving.OnceCall
 import org.parsleymoor.gateway.serving.TicketDesk
 import strikt.api.expectThat
 import strikt.assertions.all
@@ -87,14 +95,29 @@
 
     private fun desk(name: String): ClaimDesk {
         val self = Incarnation(InstanceId(name), 1)
-        return ClaimDesk(self, platform, TicketDesk(self, scope), Clock.System, scope).also { it.start() }
+        return ClaimDesk(self, platform, TicketDesk(self, NoPeers, scope), NoPeers, Clock.System, scope)
+            .also { it.start() }
     }
 
-    private suspend fun run(desk: ClaimDesk, request: String): ExecutionAnswer =
-        desk.execute(KeyedCall(RequestId(request), OrganisationId("estate"), "weighing-1", "fingerprint")) {
+    private suspend fun run(desk: ClaimDesk, request: String): ExecutionAnswer {
+        val keyed = KeyedCall(RequestId(request), OrganisationId("estate"), "weighing-1", "fingerprint")
+        val group = ServiceDeclaration("payouts", "kind=service")
+        val sent = GroupCall(keyed.request, group, ServiceCall("POST", "/pay"), Long.MAX_VALUE, Span.getInvalid())
+        val call = OnceCall(keyed, sent) {
             runs.incrementAndGet()
             RunOutcome.Responded(KeptResponse(200, "text/plain", "done".encodeToByteArray()))
         }
+        return desk.execute(call)
+    }
+}
+
+/** No other gateway can be reached. */
+private object NoPeers : CallRoute {
+    override suspend fun toIssuer(ticket: Ticket, call: OnceCall): Forwarded = Forwarded.NotSent
+
+    override suspend fun toOwner(shard: Int, call: OnceCall): Forwarded = Forwarded.NotSent
+
+    override suspend fun toClaimer(claimer: Incarnation, call: OnceCall): Forwarded = Forwarded.NotSent
 }
 
 /** An object service in memory. */
