--- /dev/null
+++ b/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/control/ThreeGateways.kt
@@ -0,0 +1,161 @@
+package org.parsleymoor.gateway.control
+
+import com.github.michaelbull.result.get
+import io.vertx.core.Vertx
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpMethod
+import io.vertx.ext.web.client.HttpResponse
+import io.vertx.ext.web.client.WebClient
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import kotlinx.serialization.builtins.ListSerializer
+import org.parsleymoor.clients.HttpAddress
+import org.parsleymoor.clients.ListedInstance
+import org.parsleymoor.clients.VertxPlatformClient
+import org.parsleymoor.clients.WireJson
+import org.parsleymoor.configuration.Configuration
+import org.parsleymoor.configuration.ConfigurationRoot
+import org.parsleymoor.configuration.toSections
+import org.parsleymoor.core.EndpointId
+import org.parsleymoor.core.Incarnation
+import org.parsleymoor.core.InstanceId
+import org.parsleymoor.core.OrganisationId
+import org.parsleymoor.core.RegionId
+import org.parsleymoor.core.ZoneId
+import org.parsleymoor.core.rendezvousOrder
+import org.parsleymoor.execution.atmostonce.ClaimLedger
+import org.parsleymoor.gateway.Gateway
+import org.parsleymoor.gateway.GatewayHarness
+import org.parsleymoor.gateway.GatewayPorts
+import org.parsleymoor.gateway.GatewaySettings
+import org.parsleymoor.gateway.ListenSettings
+import org.parsleymoor.gateway.callers.IssuedTicket
+import org.parsleymoor.standins.CallCount
+import org.parsleymoor.standins.PlatformFaults
+import org.parsleymoor.standins.PlatformSettings
+import org.parsleymoor.standins.PlatformStandIn
+import org.parsleymoor.standins.ServiceEffect
+import org.parsleymoor.standins.ServiceFaults
+import org.parsleymoor.standins.ServiceSettings
+import org.parsleymoor.standins.ServiceStandIn
+import java.net.ServerSocket
+
+/** Three gateways of one zone, an object service and one replica of a plain service, over real connections. */
+internal class ThreeGateways : AutoCloseable {
+    private val vertx = Vertx.vertx()
+    private val client = WebClient.create(vertx)
+    private val peerPorts = List(COUNT) { ServerSocket(0).use { it.localPort } }
+    private val gateways = HashMap<Int, Gateway>()
+    private val ports = HashMap<Int, GatewayPorts>()
+    private var platform = 0
+    private var service = 0
+
+    /** Starts all and waits until every gateway is connected to the others. */
+    suspend fun start() {
+        val instances = peerPorts.indices.map {
+            ListedInstance(nameOf(it), ZoneId("north-1"), "127.0.0.1:${peerPorts[it]}")
+        }
+        platform = PlatformStandIn(vertx, PlatformSettings(instances = instances)).start()
+        service = ServiceStandIn(vertx, ServiceSettings(EndpointId("service-0"))).start()
+        publish(GatewayHarness.configuration(services = listOf(service)).copy(revision = 1))
+        peerPorts.indices.forEach { startGateway(it) }
+        delay(SETTLE_MILLIS)
+    }
+
+    suspend fun startGateway(index: Int) {
+        val settings = GatewaySettings(
+            nameOf(index),
+            ZoneId("north-1"),
+            RegionId("north"),
+            peers = ListenSettings(port = peerPorts[index]),
+            platform = HttpAddress("127.0.0.1", platform),
+            drainMillis = 0,
+        )
+        val gateway = Gateway(vertx, settings)
+        gateways[index] = gateway
+        val started = gateway.start()
+        ports[index] = started
+        withTimeout(LIMIT_MILLIS) { while ("\"revision\":1" !in status(started)) delay(POLL_MILLIS) }
+    }
+
+    /** Ends a gateway at once, with all its connections; running calls are cut off. */
+    suspend fun stopGateway(index: Int) {
+        gateways.remove(index)?.stop()
+    }
+
+    /** Sends a call under [key] to the gateway [index]. */
+    suspend fun pay(index: Int, key: String, body: String = "5"): HttpResponse<Buffer> =
+        client.request(HttpMethod.POST, requireNotNull(ports[index]).callers, HOST, "/services/payouts/pay?to=x")
+            .putHeader("Authorization", "Bearer ${GatewayHarness.KEY}").putHeader("Idempotency-Key", key)
+            .timeout(LIMIT_MILLIS).sendBuffer(Buffer.buffer(body)).coAwait()
+
+    suspend fun ticketOf(index: Int): String {
+        val answer = client.post(requireNotNull(ports[index]).callers, HOST, "/tickets")
+            .putHeader("Authorization", "Bearer ${GatewayHarness.KEY}").send().coAwait().bodyAsString()
+        return WireJson.decodeFromString(IssuedTicket.serializer(), answer).ticket
+    }
+
+    /** A key whose shard the gateway [index] owns; [series] tells the keys of one test apart. */
+    fun keyOwnedBy(index: Int, series: String = "weighing"): String = generateSequence(0) { it + 1 }
+        .map { "$series-$it" }.first { key ->
+            val shard = SHARDS.shardOf(OrganisationId("tea"), key)
+            rendezvousOrder("claims.$shard", peerPorts.indices.map { nameOf(it) }) { it.value }.first() == nameOf(index)
+        }
+
+    suspend fun platformFaults(faults: PlatformFaults) {
+        val body = WireJson.encodeToString(PlatformFaults.serializer(), faults)
+        client.post(platform, HOST, "/faults").sendBuffer(Buffer.buffer(body)).coAwait()
+    }
+
+    suspend fun serviceFaults(faults: ServiceFaults) {
+        val body = WireJson.encodeToString(ServiceFaults.serializer(), faults)
+        client.post(service, HOST, "/faults").sendBuffer(Buffer.buffer(body)).coAwait()
+    }
+
+    /** The calls that took effect at the service, in order. */
+    suspend fun journal(): List<ServiceEffect> {
+        val json = client.get(service, HOST, "/journal").send().coAwait().bodyAsString()
+        return WireJson.decodeFromString(ListSerializer(ServiceEffect.serializer()), json)
+    }
+
+    /** Writes that the object service had. */
+    suspend fun platformWrites(): Long {
+        val json = client.get(platform, HOST, "/calls").send().coAwait().bodyAsString()
+        return WireJson.decodeFromString(CallCount.serializer(), json).writes
+    }
+
+    override fun close() {
+        runBlocking { gateways.values.forEach { it.stop() } }
+        vertx.close()
+    }
+
+    private suspend fun status(gateway: GatewayPorts): String =
+        client.get(gateway.operations, HOST, "/status").send().coAwait().bodyAsString()
+
+    private suspend fun publish(configuration: Configuration) {
+        VertxPlatformClient(vertx, HttpAddress(HOST, platform)).use { objects ->
+            val sections = configuration.toSections()
+            sections.forEach {
+                val name = it.reference.objectName
+                objects.write(ConfigurationRoot.KIND, name, it.text, 0, name)
+            }
+            val root = ConfigurationRoot(configuration.revision, "write-1", sections.map { it.reference })
+            objects.write(ConfigurationRoot.KIND, ConfigurationRoot.NAME, root.toJson(), 0, "test").get()
+        }
+    }
+
+    private companion object {
+        const val COUNT = 3
+        const val HOST = "127.0.0.1"
+        const val LIMIT_MILLIS = 20_000L
+        const val POLL_MILLIS = 20L
+
+        // Two periods of the instance list and one of the heartbeat.
+        const val SETTLE_MILLIS = 2_500L
+        val SHARDS = ClaimLedger(Incarnation(InstanceId("test"), 1))
+
+        fun nameOf(index: Int) = InstanceId("gateway-$index")
+    }
+}
