--- a/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/control/ThreeGateways.kt
+++ b/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/control/ThreeGateways.kt
@@ -4,8 +4,10 @@
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpMethod
+import io.vertx.core.http.PoolOptions
 import io.vertx.ext.web.client.HttpResponse
 import io.vertx.ext.web.client.WebClient
+import io.vertx.ext.web.client.WebClientOptions
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
@@ -45,7 +47,8 @@
 /** Three gateways of one zone, an object service and one replica of a plain service, over real connections. */
 internal class ThreeGateways : AutoCloseable {
     private val vertx = Vertx.vertx()
-    private val client = WebClient.create(vertx)
+    private val client =
+        WebClient.create(vertx, WebClientOptions(), PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_GATEWAY))
     private val peerPorts = List(COUNT) { ServerSocket(0).use { it.localPort } }
     private val gateways = HashMap<Int, Gateway>()
     private val ports = HashMap<Int, GatewayPorts>()
@@ -148,6 +151,7 @@
 
     private companion object {
         const val COUNT = 3
+        const val CONNECTIONS_PER_GATEWAY = 256
         const val HOST = "127.0.0.1"
         const val LIMIT_MILLIS = 20_000L
         const val POLL_MILLIS = 20L
