Let the order plan work on any content of an engine

Cause: an engine holds versions of several models and a role, while the plan knew one weight version. Change: OrderPlan, its events and actions take the type of the content. A change of targets may lower the number of concurrent loads. An engine that is no longer a target counts as loading for a bounded time, because it is not read any more.

--- a/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/EngineProgress.kt
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/EngineProgress.kt
@@ -1,14 +1,12 @@
 package org.parsleymoor.coordination
 
-import org.parsleymoor.core.WeightVersion
-
-/** What the lease holder knows of one engine of a rollout since it took the lease at [takenMillis]. */
-internal class EngineProgress(
+/** What the lease holder knows of one engine since it took the lease at [takenMillis]. */
+internal class EngineProgress<C : Any>(
     private val settings: OrderSettings,
     private val takenMillis: Long,
     fencing: Fencing,
 ) {
-    val read = StateRead()
+    val read = StateRead<C>()
     private var orderId = ""
     private var outstanding = false
     private var unsettled = false
@@ -16,9 +14,9 @@
     private var deliveredMillis = Long.MIN_VALUE
     private var fenced = fencing == Fencing.IGNORED
 
-    val state: EngineState? get() = read.state
+    val state: EngineState<C>? get() = read.state
 
-    fun acceptRead(id: Long, found: EngineState?) {
+    fun acceptRead(id: Long, found: EngineState<C>?) {
         val latest = read.accept(id, found) && found != null
         if (latest && !outstanding && read.sentMillis >= answeredMillis) unsettled = false
     }
@@ -38,7 +36,7 @@
         if (outcome == OrderOutcome.ACCEPTED) fenced = true
     }
 
-    fun readDue(nowMillis: Long, desired: WeightVersion?): Boolean =
+    fun readDue(nowMillis: Long, desired: C?): Boolean =
         read.due(nowMillis, settings, busy = unsettled || !reached(desired))
 
     /** Returns whether an order that confirms the state is needed, after which the engine refuses older holders. */
@@ -46,11 +44,13 @@
         !fenced && state != null && !outstanding && nowMillis >= deliveredMillis
 
     /** Returns whether the engine may be loading now or begin to because of an order that is under way. */
-    fun mayLoad(nowMillis: Long, desired: WeightVersion?): Boolean {
+    fun mayLoad(nowMillis: Long, desired: C?): Boolean {
         val known = state
         val recent = nowMillis - maxOf(takenMillis, answeredMillis) < settings.loadMillis
         return when {
             outstanding -> true
+            // An engine that is no longer a target is not read any more.
+            desired == null -> nowMillis - maxOf(takenMillis, answeredMillis, read.sentMillis) < settings.loadMillis
             known == null -> recent
             known.loading != null || unsettled -> true
             else -> (!fenced && recent) || (!reached(desired) && nowMillis < deliveredMillis)
@@ -58,16 +58,16 @@
     }
 
     /** Returns whether an order for [desired] is needed and cannot be overtaken by an earlier one. */
-    fun orderDue(nowMillis: Long, desired: WeightVersion?): Boolean =
+    fun orderDue(nowMillis: Long, desired: C?): Boolean =
         fenced && state != null && !reached(desired) && !mayLoad(nowMillis, desired)
 
-    fun reached(desired: WeightVersion?): Boolean = state?.version == desired && state?.loading == null
+    fun reached(desired: C?): Boolean = state?.content == desired && state?.loading == null
 }
 
 /** The reads of one engine's state; only the answer to the latest read counts. */
-internal class StateRead {
+internal class StateRead<C : Any> {
     /** The state that the last read found; null before the first and when the engine could not be read. */
-    var state: EngineState? = null
+    var state: EngineState<C>? = null
         private set
     var sentMillis = Long.MIN_VALUE
         private set
@@ -80,7 +80,7 @@
         pending = true
     }
 
-    fun accept(readId: Long, found: EngineState?): Boolean {
+    fun accept(readId: Long, found: EngineState<C>?): Boolean {
         val latest = pending && readId == id
         if (latest) {
             pending = false
--- a/libraries/coordination/src/test/kotlin/org/parsleymoor/coordination/OrderPlanTest.kt
+++ b/libraries/coordination/src/test/kotlin/org/parsleymoor/coordination/OrderPlanTest.kt
@@ -16,7 +16,7 @@
     private val old = WeightVersion("1")
     private val new = WeightVersion("2")
     private val lease = HeldLease(fencingToken = 7, untilMillis = 100_000, unfencedFromMillis = 2_000)
-    private val plan = OrderPlan(Incarnation(InstanceId("gateway-1"), 1))
+    private val plan = OrderPlan<WeightVersion>(Incarnation(InstanceId("gateway-1"), 1))
 
     /** Guards against a rollout that takes more replicas out of service than allowed. */
     @Test
@@ -25,7 +25,7 @@
 
         val orders = readAll(5, EngineState(old, null))
 
-        expectThat(orders).hasSize(2).all { get { version }.isEqualTo(new) }
+        expectThat(orders).hasSize(2).all { get { wanted }.isEqualTo(new) }
     }
 
     /** Guards against a new holder that does not count what its predecessor began. */
@@ -57,7 +57,7 @@
 
         val orders = readAll(1, EngineState(old, null))
 
-        expectThat(orders).single().get { version }.isEqualTo(old)
+        expectThat(orders).single().get { wanted }.isEqualTo(old)
     }
 
     /** Guards against orders without a lease. */
@@ -79,7 +79,7 @@
         val answer = OrderEvent.StateRead(read.endpoint, read.readId, EngineState(old, null))
         val orders = orders(plan.handle(6_200, answer, lease))
 
-        expectThat(orders).single().get { version }.isEqualTo(new)
+        expectThat(orders).single().get { wanted }.isEqualTo(new)
     }
 
     /** Guards against the fault of exploration seed 1560: a short lapse made the plan forget its order under way. */
@@ -100,13 +100,14 @@
         plan.handle(0, OrderEvent.Targets(targets), null)
     }
 
-    private fun readAll(count: Int, state: EngineState): List<OrderAction.SendOrder> {
+    private fun readAll(count: Int, state: EngineState<WeightVersion>): List<OrderAction.SendOrder<WeightVersion>> {
         val reads = reads(plan.handle(2_000, OrderEvent.Tick, lease))
         check(reads.size == count) { "expected $count reads, found $reads" }
         return reads.flatMap { orders(plan.handle(2_010, OrderEvent.StateRead(it.endpoint, it.readId, state), lease)) }
     }
 
-    private fun reads(actions: List<OrderAction>) = actions.filterIsInstance<OrderAction.ReadState>()
+    private fun reads(actions: List<OrderAction<WeightVersion>>) = actions.filterIsInstance<OrderAction.ReadState>()
 
-    private fun orders(actions: List<OrderAction>) = actions.filterIsInstance<OrderAction.SendOrder>()
+    private fun orders(actions: List<OrderAction<WeightVersion>>) =
+        actions.filterIsInstance<OrderAction.SendOrder<WeightVersion>>()
 }
--- a/programs/explore/src/main/kotlin/org/parsleymoor/explore/LeaseWorld.kt
+++ b/programs/explore/src/main/kotlin/org/parsleymoor/explore/LeaseWorld.kt
@@ -24,7 +24,7 @@
         restartEngines()
     }
 
-    fun targets(): List<OrderTarget> = engines.map { it.target(WeightVersion(desired.toString())) }
+    fun targets(): List<OrderTarget<WeightVersion>> = engines.map { it.target(WeightVersion(desired.toString())) }
 
     override fun check() {
         val holders = processes.filter { it.held() != null }
@@ -40,7 +40,7 @@
     }
 
     override fun checkSettled() {
-        val wrong = engines.filter { it.state.version.value != desired.toString() }
+        val wrong = engines.filter { it.state.content.value != desired.toString() }
         if (wrong.isNotEmpty()) violate("orders", "version $desired", wrong.joinToString { "${it.name}: ${it.state}" })
     }
 
--- a/programs/explore/src/main/kotlin/org/parsleymoor/explore/OrderClient.kt
+++ b/programs/explore/src/main/kotlin/org/parsleymoor/explore/OrderClient.kt
@@ -7,6 +7,7 @@
 import org.parsleymoor.coordination.OrderEvent
 import org.parsleymoor.coordination.OrderOutcome
 import org.parsleymoor.coordination.OrderPlan
+import org.parsleymoor.core.WeightVersion
 
 /** The order plan of one instance, joined to the simulated engines. */
 internal class OrderClient(
@@ -14,13 +15,13 @@
     private val host: Host,
     private val held: () -> HeldLease?,
 ) {
-    private val plan = OrderPlan(host.incarnation)
+    private val plan = OrderPlan<WeightVersion>(host.incarnation)
 
-    fun handle(event: OrderEvent) {
+    fun handle(event: OrderEvent<WeightVersion>) {
         plan.handle(host.clockMillis, event, held()).forEach { perform(it) }
     }
 
-    private fun perform(action: OrderAction) = when (action) {
+    private fun perform(action: OrderAction<WeightVersion>) = when (action) {
         is OrderAction.ReadState -> readState(action)
         is OrderAction.SendOrder -> sendOrder(action)
     }
@@ -31,7 +32,11 @@
             val idle = engine.state.copy(loading = null)
             return host.after(1) { handle(OrderEvent.StateRead(action.endpoint, action.readId, idle)) }
         }
-        val receive = host.callback<EngineState> { handle(OrderEvent.StateRead(action.endpoint, action.readId, it)) }
+        val receive = host.callback<EngineState<WeightVersion>> {
+            handle(
+                OrderEvent.StateRead(action.endpoint, action.readId, it)
+            )
+        }
         world.carry {
             val state = engine.state
             world.carry { receive(state) }
@@ -42,20 +47,21 @@
      * An engine that checks tokens gets some orders only when a pause of the sender, between its last look at the lease
      * and the write, is over.
      */
-    private fun sendOrder(action: OrderAction.SendOrder) {
+    private fun sendOrder(action: OrderAction.SendOrder<WeightVersion>) {
         val engine = world.engines.first { it.name == action.endpoint }
         val paused = engine.fencing == Fencing.CHECKED && world.chance.happens(world.hazards.pause)
         if (paused) host.pause(world.chance.between(1, LONGEST_PAUSE_MILLIS))
         host.bound { if (paused || stillHeld(action)) write(engine, action) else refuse(action) }()
     }
 
-    private fun stillHeld(action: OrderAction.SendOrder): Boolean = held()?.fencingToken == action.fencingToken
+    private fun stillHeld(action: OrderAction.SendOrder<WeightVersion>): Boolean =
+        held()?.fencingToken == action.fencingToken
 
-    private fun refuse(action: OrderAction.SendOrder) {
+    private fun refuse(action: OrderAction.SendOrder<WeightVersion>) {
         host.after(1) { handle(OrderEvent.Answered(action.endpoint, action.orderId, OrderOutcome.REFUSED)) }
     }
 
-    private fun write(engine: SimulatedEngine, action: OrderAction.SendOrder) {
+    private fun write(engine: SimulatedEngine, action: OrderAction.SendOrder<WeightVersion>) {
         var answered = false
         fun answer(outcome: OrderOutcome) {
             if (!answered) handle(OrderEvent.Answered(action.endpoint, action.orderId, outcome))
@@ -64,7 +70,7 @@
         val receive = host.callback<OrderOutcome> { answer(it) }
         host.after(DELIVERY_DEADLINE_MILLIS) { answer(OrderOutcome.LOST) }
         world.carry(DELIVERY_DEADLINE_MILLIS) {
-            val outcome = engine.order(action.fencingToken, action.version)
+            val outcome = engine.order(action.fencingToken, action.wanted)
             world.carry(DELIVERY_DEADLINE_MILLIS) { receive(outcome) }
         }
     }
--- a/programs/explore/src/main/kotlin/org/parsleymoor/explore/SimulatedEngine.kt
+++ b/programs/explore/src/main/kotlin/org/parsleymoor/explore/SimulatedEngine.kt
@@ -15,9 +15,9 @@
     private var loadNumber = 0
     private var highestToken = 0L
 
-    val state: EngineState get() = EngineState(version, loading)
+    val state: EngineState<WeightVersion> get() = EngineState(version, loading)
 
-    fun target(version: WeightVersion): OrderTarget = OrderTarget(name, version, fencing)
+    fun target(version: WeightVersion): OrderTarget<WeightVersion> = OrderTarget(name, version, fencing)
 
     fun order(token: Long, desired: WeightVersion): OrderOutcome {
         world.note { "$name gets an order for version $desired with token $token, has seen $highestToken" }
