--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/OperationsWire.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/OperationsWire.kt
@@ -18,6 +18,8 @@
     public val leaving: Boolean = false,
     public val models: List<ModelTraffic> = emptyList(),
     public val endpoints: List<EndpointStatus> = emptyList(),
+    public val orders: OrderStatus = OrderStatus(),
+    public val rollouts: List<RolloutStatus> = emptyList(),
 )
 
 /** The requests of a model that one gateway holds now. */
--- a/programs/standins/src/main/kotlin/org/parsleymoor/standins/EngineFaults.kt
+++ b/programs/standins/src/main/kotlin/org/parsleymoor/standins/EngineFaults.kt
@@ -8,7 +8,8 @@
  * engine again without breaking a connection: a higher start count, an empty cache, a cold limit. [fallOver] breaks
  * every connection and starts it again. The next [truncateStreams] streams end half way with no final event, the
  * next [crossTokens] tokens come after a token of another attempt, and the next [dropCacheEvents] cache events are
- * never reported. While [refuseAll], every request is refused as stopping.
+ * never reported. While [refuseAll], every request is refused as stopping. The next [loseOrderAnswers] orders take
+ * effect and their connections close with no answer.
  */
 @Serializable
 public data class EngineFaults(
@@ -20,4 +21,5 @@
     public val crossTokens: Int = 0,
     public val dropCacheEvents: Int = 0,
     public val refuseAll: Boolean = false,
+    public val loseOrderAnswers: Int = 0,
 )
--- a/programs/standins/src/main/kotlin/org/parsleymoor/standins/EngineStandIn.kt
+++ b/programs/standins/src/main/kotlin/org/parsleymoor/standins/EngineStandIn.kt
@@ -11,8 +11,6 @@
 import org.parsleymoor.clients.CacheSnapshot
 import org.parsleymoor.clients.EngineLoad
 import org.parsleymoor.clients.EngineOrder
-import org.parsleymoor.clients.EngineRefusal
-import org.parsleymoor.clients.EngineRefusalReason
 import org.parsleymoor.core.Clock
 
 /**
@@ -32,6 +30,7 @@
 
     private fun route(router: Router, scope: CoroutineScope) {
         val runs = EngineRuns(state, server, scope)
+        val orders = EngineOrders(vertx, state, scope)
         val transfers = BlockTransfers(vertx, state)
         scope.launch { report() }
         router.route("/v1/*").handler { if (state.isDown) it.drop() else it.next() }
@@ -45,8 +44,9 @@
         router.get("/v1/cache/snapshot").handler { it.answer(CacheSnapshot.serializer(), snapshot()) }
         router.post("/v1/cache/export").handler { scope.launch { transfers.export(it) } }
         router.post("/v1/cache/import").handler { scope.launch { transfers.import(it) } }
-        router.post("/v1/orders").handler { order(it, scope) }
+        router.post("/v1/orders").handler { orders.arrive(it) }
         router.get("/v1/orders").handler { it.answer(ListSerializer(EngineOrder.serializer()), state.orders.orders) }
+        router.get("/journal/orders").handler { it.response().end(orders.journalJson()) }
         router.get("/journal").handler { it.response().end(runs.journalJson()) }
         router.post("/faults").handler { setFaults(it, runs) }
     }
@@ -68,23 +68,6 @@
 
     private fun snapshot() = CacheSnapshot(state.startCount, state.feed.sequence, state.cache.content())
 
-    private fun order(context: RoutingContext, scope: CoroutineScope) {
-        val order = context.readBody(EngineOrder.serializer()) ?: return
-        if (state.orders.isStale(order)) {
-            val detail = "expected a fencing token of at least ${state.orders.highest}, found ${order.fencing}"
-            val refusal = EngineRefusal(EngineRefusalReason.STALE_FENCING, detail)
-            context.answer(EngineRefusal.serializer(), refusal, HttpStatus.CONFLICT)
-            return
-        }
-        state.orders.accept(order)?.let { version ->
-            scope.launch {
-                WeightLoad(vertx, settings).run(version)
-                state.orders.loaded(version)
-            }
-        }
-        context.answer(EngineLoad.serializer(), state.report())
-    }
-
     private fun setFaults(context: RoutingContext, runs: EngineRuns) {
         val faults = context.readBody(EngineFaults.serializer()) ?: return
         state.faults = faults
--- a/programs/standins/src/main/kotlin/org/parsleymoor/standins/StandInServer.kt
+++ b/programs/standins/src/main/kotlin/org/parsleymoor/standins/StandInServer.kt
@@ -66,7 +66,7 @@
 
     private companion object {
         const val MAXIMUM_BODY_BYTES = 67_108_864L
-        val CONTROL_PATHS = setOf("/faults", "/journal", "/calls")
+        val CONTROL_PATHS = setOf("/faults", "/journal", "/journal/orders", "/calls")
     }
 }
 
