Send orders to engines under the lease on orders

Cause: the gateway read rollouts and did nothing with them. Change: one gateway holds leases/orders, compares the configuration with the load reports and orders loads, roles and unloads. An order is sent only when the lease is held immediately before, each phase of the call ends within 900 ms, and a client without an answer is replaced. A new version is loaded beside the old one; a version that is no longer wanted is unloaded when no request received under it can still run. /status and the metrics show lease and progress. The lease's duration is the setting orders.leaseMillis.

--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/Gateway.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/Gateway.kt
@@ -10,6 +10,7 @@
 import kotlinx.coroutines.launch
 import org.parsleymoor.clients.EngineClient
 import org.parsleymoor.clients.GatewayStatus
+import org.parsleymoor.clients.OrderStatus
 import org.parsleymoor.clients.VertxPlatformClient
 import org.parsleymoor.configuration.Configuration
 import org.parsleymoor.configuration.EndpointKind
@@ -24,9 +25,14 @@
 import org.parsleymoor.gateway.control.ClaimDesk
 import org.parsleymoor.gateway.control.ConfigurationControl
 import org.parsleymoor.gateway.control.LeasedColdStart
+import org.parsleymoor.gateway.control.OrderClients
+import org.parsleymoor.gateway.control.OrderDriver
+import org.parsleymoor.gateway.control.OrderLease
+import org.parsleymoor.gateway.control.OrderMeters
 import org.parsleymoor.gateway.control.PeerControl
 import org.parsleymoor.gateway.control.RegionLinkMeter
 import org.parsleymoor.gateway.control.RegionRoute
+import org.parsleymoor.gateway.control.RolloutProgress
 import org.parsleymoor.gateway.forwarding.ForwardReceiver
 import org.parsleymoor.gateway.operations.GatewayMetrics
 import org.parsleymoor.gateway.operations.OperationsServer
@@ -75,6 +81,12 @@
     private val cold: ColdStartGuard = coldStart()
     private val fleetState = FleetState(clock, settings.region, cold)
     private val reports = FleetReports(holder, fleetState)
+    private val rollouts = RolloutProgress(holder, reports::status)
+    private val orders = platform?.let {
+        val lease = OrderLease(incarnation, it, settings.orders.lease(), clock, background)
+        val meters = OrderMeters(metrics.registry, rollouts)
+        OrderDriver(incarnation, lease, OrderClients(vertx), holder, meters) { peers.members.contends("orders") }
+    }
     private val tools = ServingTools(
         configuration = holder,
         backEnds = backEnds,
@@ -95,6 +107,7 @@
         configurationControl.start()
         background.launch { EngineObserver(holder, backEnds, reports, clock).run() }
         background.launch { pump() }
+        orders?.start(clock, background)
         background.launch { holder.changes.collect { it?.let { view -> applied(view) } } }
         val ports = GatewayPorts(callers.start(), operations.start(), peerPort)
         logger.info { "gateway ${settings.instance} accepts callers on port ${ports.callers}" }
@@ -111,6 +124,7 @@
     public suspend fun stop(): Boolean {
         logger.info { "gateway ${settings.instance} is leaving with ${work.running} requests in progress" }
         peers.leave()
+        orders?.stop()
         val drained = work.drain(settings.drainMillis)
         if (!drained) logger.warn { "${work.running} requests are cut off after ${settings.drainMillis} ms" }
         callers.close()
@@ -158,6 +172,8 @@
         leaving = work.leaving,
         models = completions.traffic(),
         endpoints = reports.status(),
+        orders = orders?.status() ?: OrderStatus(),
+        rollouts = rollouts.current(),
     )
 
     private fun applied(view: ServingView) {
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/GatewaySettings.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/GatewaySettings.kt
@@ -8,6 +8,7 @@
 import org.parsleymoor.configuration.count
 import org.parsleymoor.configuration.text
 import org.parsleymoor.configuration.whole
+import org.parsleymoor.coordination.LeaseSettings
 import org.parsleymoor.core.InstanceId
 import org.parsleymoor.core.RegionId
 import org.parsleymoor.core.ZoneId
@@ -24,6 +25,7 @@
     public val platform: HttpAddress? = null,
     public val streams: StreamSettings = StreamSettings(),
     public val tracing: TracingSettings = TracingSettings(),
+    public val orders: OrderLeaseSettings = OrderLeaseSettings(),
     public val drainMillis: Long = DEFAULT_DRAIN_MILLIS,
 ) {
     public companion object {
@@ -56,8 +58,18 @@
 /** Export of spans: [endpoint] is the URL of an OTLP collector over gRPC, empty for no export. */
 public data class TracingSettings(public val endpoint: String = "")
 
+/** The lease on orders to engines: a gateway that takes it over first waits for [leaseMillis]. */
+public data class OrderLeaseSettings(public val leaseMillis: Long = 15_000) {
+    internal fun lease() = LeaseSettings(durationMillis = leaseMillis, renewMillis = leaseMillis / RENEWALS)
+
+    private companion object {
+        const val RENEWALS = 3
+    }
+}
+
 private const val MAXIMUM_PORT = 65_535
 private const val MAXIMUM_MILLIS = 3_600_000L
+private const val MINIMUM_LEASE_MILLIS = 3_000L
 private val NAME = Regex("[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 private val URL = Regex("https?://[^\\s/]+.*")
 private const val MINIMUM_HEADER_BYTES = 1_024
@@ -76,6 +88,7 @@
     platform = section.section("platform")?.let { address(it) },
     streams = section.section("streams")?.let { streams(it) } ?: StreamSettings(),
     tracing = section.section("tracing")?.let { tracing(it) } ?: TracingSettings(),
+    orders = section.section("orders")?.let { orders(it) } ?: OrderLeaseSettings(),
     drainMillis = section.whole("drainMillis", GatewaySettings.DEFAULT_DRAIN_MILLIS, 0..MAXIMUM_MILLIS),
 )
 
@@ -106,6 +119,14 @@
     endpoint = section.text("endpoint", "", "a URL such as \"http://10.0.0.9:4317\"") { URL.matches(it) },
 )
 
+private fun orders(section: TomlSection) = OrderLeaseSettings(
+    leaseMillis = section.whole(
+        "leaseMillis",
+        OrderLeaseSettings().leaseMillis,
+        MINIMUM_LEASE_MILLIS..MAXIMUM_MILLIS,
+    ),
+)
+
 private fun address(section: TomlSection): HttpAddress? {
     val text = section.text("address", null, "host:port") { parseAddress(it) != null }
     return parseAddress(text)
--- /dev/null
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/OrderClients.kt
@@ -0,0 +1,64 @@
+package org.parsleymoor.gateway.control
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.onFailure
+import io.vertx.core.Vertx
+import org.parsleymoor.clients.BackEndFailure
+import org.parsleymoor.clients.EngineLoad
+import org.parsleymoor.clients.EngineOrder
+import org.parsleymoor.clients.EngineRefusalReason
+import org.parsleymoor.clients.HttpAddress
+import org.parsleymoor.clients.VertxEngineClient
+import org.parsleymoor.coordination.OrderOutcome
+import java.util.concurrent.ConcurrentHashMap
+
+/**
+ * Clients for orders and the reads around them, one for each address. Connecting and the exchange take at most
+ * [PHASE_MILLIS] each, so that an order is delivered or given up within nine tenths of the longest delivery time. A
+ * client whose call got no answer is replaced, because its open connections may be silent for good.
+ */
+internal class OrderClients(private val vertx: Vertx) : AutoCloseable {
+    private val clients = ConcurrentHashMap<String, VertxEngineClient>()
+
+    /** Reads the load report of the engine at [address]. */
+    suspend fun load(address: String): Result<EngineLoad, BackEndFailure> {
+        val client = client(address)
+        return client.load().onFailure { replace(address, client) }
+    }
+
+    /** Sends [order] once and suspends until its outcome. */
+    suspend fun order(address: String, order: EngineOrder): OrderOutcome {
+        val client = client(address)
+        return client.order(order).onFailure { replace(address, client) }.fold({ OrderOutcome.ACCEPTED }, ::outcomeOf)
+    }
+
+    /** Closes the clients of addresses outside [addresses]. */
+    fun retain(addresses: Set<String>) {
+        clients.keys.filter { it !in addresses }.forEach { clients.remove(it)?.close() }
+    }
+
+    override fun close() {
+        retain(emptySet())
+    }
+
+    private fun client(address: String): VertxEngineClient = clients.computeIfAbsent(address) {
+        VertxEngineClient(vertx, HttpAddress.parse(it), POOL_SIZE, PHASE_MILLIS)
+    }
+
+    private fun replace(address: String, client: VertxEngineClient) {
+        if (clients.remove(address, client)) client.close()
+    }
+
+    private companion object {
+        const val POOL_SIZE = 2
+        const val PHASE_MILLIS = 900L
+    }
+}
+
+private fun outcomeOf(failure: BackEndFailure): OrderOutcome = when (failure) {
+    is BackEndFailure.NotConnected -> OrderOutcome.REFUSED
+    is BackEndFailure.Refused ->
+        if (failure.refusal.reason == EngineRefusalReason.STALE_FENCING) OrderOutcome.STALE else OrderOutcome.REFUSED
+    is BackEndFailure.Broken, is BackEndFailure.Silent, is BackEndFailure.Malformed -> OrderOutcome.LOST
+}
