Show who sends orders in rollout status and test rollouts end to end

Change: rollout status names the gateway that sends orders. The gateways in memory behind the page load versions as engines do. Conclusion: rollout start, status, undo and finish work on running gateways and engine stand-ins.

--- a/programs/operator/src/main/kotlin/org/parsleymoor/operator/RolloutStatusCommand.kt
+++ b/programs/operator/src/main/kotlin/org/parsleymoor/operator/RolloutStatusCommand.kt
@@ -8,6 +8,7 @@
 import com.github.michaelbull.result.map
 import kotlinx.serialization.Serializable
 import org.parsleymoor.clients.GatewayStatus
+import org.parsleymoor.clients.OrderLeaseState
 import org.parsleymoor.configuration.Configuration
 import org.parsleymoor.configuration.RolloutDeclaration
 import org.parsleymoor.configuration.enginesOf
@@ -23,9 +24,9 @@
     val loading: List<String>,
 )
 
-/** Every rollout in effect. */
+/** Every rollout in effect; [ordersFrom] is the gateway that sends orders to engines, null when none says so. */
 @Serializable
-internal data class RolloutsOutput(val rollouts: List<RolloutOutput>)
+internal data class RolloutsOutput(val rollouts: List<RolloutOutput>, val ordersFrom: String?)
 
 internal class RolloutStatusCommand(connector: Connector) : OperatorCommand(
     connector,
@@ -39,18 +40,24 @@
         store(deployment).read().andThen { stored ->
             val rollouts = stored.configuration.rollouts.filter { model == null || it.model.value == model }
             deployment.statuses().map { answers ->
-                report(rollouts.map { rolloutProgress(stored.configuration, it, answers) })
+                report(rollouts.map { rolloutProgress(stored.configuration, it, answers) }, orderHolder(answers))
             }
         }
 
-    private fun report(rollouts: List<RolloutOutput>): Report {
+    private fun orderHolder(answers: List<GatewayAnswer<GatewayStatus>>): String? = answers
+        .mapNotNull { it.answer.get() }
+        .firstOrNull { it.orders.lease != OrderLeaseState.NOT_HELD }?.instance?.value
+
+    private fun report(rollouts: List<RolloutOutput>, ordersFrom: String?): Report {
         val rows = rollouts.map {
             val next = if (it.loaded.size == it.engines) "rollout finish ${it.model}" else "wait"
             listOf(it.model, it.from, it.to, "${it.loaded.size} of ${it.engines}", "${it.loading.size}", next)
         }
         val header = listOf("model", "from", "to", "loaded", "loading", "next")
-        val lines = if (rows.isEmpty()) listOf("no rollout is in effect") else textTable(header, rows)
-        return Report.of(RolloutsOutput.serializer(), RolloutsOutput(rollouts), lines)
+        val sender = ordersFrom?.let { "orders are sent by $it" }
+            ?: "no gateway holds the lease on orders: nothing is loaded until one does"
+        val lines = if (rows.isEmpty()) listOf("no rollout is in effect") else textTable(header, rows) + sender
+        return Report.of(RolloutsOutput.serializer(), RolloutsOutput(rollouts, ordersFrom), lines)
     }
 }
 
--- a/programs/operator/src/test/kotlin/org/parsleymoor/operator/FakeGateway.kt
+++ b/programs/operator/src/test/kotlin/org/parsleymoor/operator/FakeGateway.kt
@@ -7,20 +7,20 @@
 import org.parsleymoor.clients.BackEndFailure
 import org.parsleymoor.clients.ConfigurationInEffect
 import org.parsleymoor.clients.ConfigurationOffer
-import org.parsleymoor.clients.EndpointStatus
 import org.parsleymoor.clients.GatewayStatus
-import org.parsleymoor.clients.LoadedVersion
 import org.parsleymoor.clients.ModelTraffic
 import org.parsleymoor.clients.OperationsClient
+import org.parsleymoor.clients.OrderLeaseState
+import org.parsleymoor.clients.OrderStatus
 import org.parsleymoor.clients.RequestHistory
 import org.parsleymoor.clients.RequestStep
 import org.parsleymoor.clients.RequestStepKind
+import org.parsleymoor.configuration.Configuration
 import org.parsleymoor.configuration.ConfigurationRoot
-import org.parsleymoor.core.EndpointId
+import org.parsleymoor.configuration.assembleConfiguration
 import org.parsleymoor.core.InstanceId
 import org.parsleymoor.core.ModelId
 import org.parsleymoor.core.RequestId
-import org.parsleymoor.core.WeightVersion
 import org.parsleymoor.core.ZoneId
 
 /** A gateway's operations port, in memory. One that [isStuck] keeps its revision; one that [isDown] is silent. */
@@ -29,19 +29,28 @@
     var isDown: Boolean = false
     var running: Int = 0
     private var revision = 0L
+    private var configuration = Configuration()
+    private val engines = FakeEngines()
     private val instance = InstanceId("gateway-$number")
     private val silence = BackEndFailure.NotConnected("127.0.0.1:709$number", "refused")
 
     override suspend fun status(): Result<GatewayStatus, BackEndFailure> =
-        if (isDown) Err(silence) else Ok(live())
+        if (isDown) Err(silence) else Ok(live()).also { engines.step(configuration) }
 
     override suspend fun offer(offer: ConfigurationOffer): Result<ConfigurationInEffect, BackEndFailure> {
         if (isDown) return Err(silence)
         val offered = ConfigurationRoot.parse(offer.root).get()?.revision ?: 0
-        if (!isStuck) revision = maxOf(revision, offered)
+        if (!isStuck && offered > revision) accept(offer)
         return Ok(ConfigurationInEffect(instance, revision))
     }
 
+    private fun accept(offer: ConfigurationOffer) {
+        val root = ConfigurationRoot.parse(offer.root).get() ?: return
+        revision = root.revision
+        configuration = assembleConfiguration(root) { offer.sections[it.hash] }.get() ?: return
+        engines.apply(configuration)
+    }
+
     override suspend fun history(request: RequestId): Result<RequestHistory, BackEndFailure> {
         val steps = listOf(
             step(RequestStepKind.RECEIVED, 0, "hill-estate", "model leaf, 3 pieces"),
@@ -58,9 +67,8 @@
         revision = revision,
         ready = revision > 0,
         models = listOf(ModelTraffic(LEAF, running, queued = 0)),
-        endpoints = listOf(
-            EndpointStatus(EndpointId("engine-1"), versions = listOf(LoadedVersion(LEAF, WeightVersion("1")))),
-        ),
+        endpoints = engines.status(),
+        orders = OrderStatus(if (number == 1) OrderLeaseState.HELD else OrderLeaseState.NOT_HELD),
     )
 
     private fun step(kind: RequestStepKind, atMillis: Long, subject: String, reason: String) =
--- a/programs/operator/src/test/kotlin/org/parsleymoor/operator/RunningGatewayTest.kt
+++ b/programs/operator/src/test/kotlin/org/parsleymoor/operator/RunningGatewayTest.kt
@@ -4,18 +4,27 @@
 import com.github.ajalt.clikt.testing.CliktCommandTestResult
 import com.github.michaelbull.result.getError
 import io.vertx.core.Vertx
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeoutOrNull
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.io.TempDir
 import org.parsleymoor.clients.HttpAddress
+import org.parsleymoor.clients.LoadedVersion
 import org.parsleymoor.clients.VertxOperationsClient
 import org.parsleymoor.clients.VertxPlatformClient
+import org.parsleymoor.core.EndpointId
 import org.parsleymoor.core.InstanceId
+import org.parsleymoor.core.ModelId
 import org.parsleymoor.core.RegionId
+import org.parsleymoor.core.WeightVersion
 import org.parsleymoor.core.ZoneId
 import org.parsleymoor.gateway.Gateway
 import org.parsleymoor.gateway.GatewaySettings
+import org.parsleymoor.gateway.OrderLeaseSettings
+import org.parsleymoor.standins.EngineSettings
+import org.parsleymoor.standins.EngineStandIn
 import org.parsleymoor.standins.PlatformSettings
 import org.parsleymoor.standins.PlatformStandIn
 import strikt.api.expectThat
@@ -23,6 +32,7 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNull
 import java.nio.file.Path
+import kotlin.io.path.createDirectory
 import kotlin.io.path.listDirectoryEntries
 import kotlin.io.path.writeText
 
@@ -48,6 +58,24 @@
         expectThat(run("status", settings).output).contains("revision 2 is in effect everywhere")
     }
 
+    /** Guards against a rollout command that changes the configuration and moves no engine. */
+    @Test
+    fun `a rollout is started, watched, finished and undone on running engines`(): Unit = runBlocking {
+        val engines = List(ENGINES) { startEngine(it) }
+        val settings = startDeployment()
+        writeDeclarations(engines)
+        run("apply ${directory.resolve("declared")}", settings)
+        run("rollout start leaf 2", settings)
+        awaitOutput("rollout status leaf", settings) { "4 of 4" in it && "rollout finish leaf" in it }
+        expectThat(run("rollout finish leaf", settings).statusCode).isEqualTo(0)
+        run("rollout start leaf 3", settings)
+        awaitOutput("rollout status leaf", settings) { "0 of 4" !in it }
+        expectThat(run("rollout undo leaf", settings).statusCode).isEqualTo(0)
+        expectThat(run("rollout status leaf", settings).output).contains("no rollout is in effect")
+        awaitOutput("describe endpoint engine-0", settings) { "holds leaf 2" in it && "leaf 1" !in it }
+        awaitOutput("describe endpoint engine-3", settings) { "holds leaf 2" in it && "leaf 3" !in it }
+    }
+
     @Test
     fun `a request that no running gateway has seen is not found`(): Unit = runBlocking {
         val explained = run("explain 00000000-0000-0000-0000-000000000000", startDeployment())
@@ -65,6 +93,34 @@
         expectThat(files.size).isEqualTo(FILES)
     }
 
+    private suspend fun startEngine(index: Int): Int {
+        val loaded = listOf(LoadedVersion(ModelId("leaf"), WeightVersion("1")))
+        return EngineStandIn(vertx, EngineSettings(EndpointId("engine-$index"), models = loaded)).start()
+    }
+
+    private fun writeDeclarations(engines: List<Int>) {
+        val endpoints = engines.mapIndexed { index, port ->
+            "[[endpoint]]\nname = \"engine-$index\"\nkind = \"engine\"\naddress = \"127.0.0.1:$port\"\n" +
+                "zone = \"north-a\"\nlabels = { fencing = \"checked\" }\n"
+        }
+        val zone = "[[zone]]\nname = \"north-a\"\nregion = \"north\"\n"
+        val model = "[[model]]\nname = \"leaf\"\nversion = \"1\"\n"
+        val limits = "[limits]\nrequestDeadlineMillis = 1000\n"
+        val text = (listOf(zone, model, limits) + endpoints).joinToString("\n")
+        directory.resolve("declared").createDirectory().resolve("all.toml").writeText(text)
+    }
+
+    private suspend fun awaitOutput(line: String, settings: Path, condition: (String) -> Boolean) {
+        var output = ""
+        val met = withTimeoutOrNull(LIMIT_MILLIS) {
+            while (!condition(output)) {
+                output = run(line, settings).output
+                delay(POLL_MILLIS)
+            }
+        }
+        check(met != null) { "expected another output of $line within $LIMIT_MILLIS ms, found $output" }
+    }
+
     private suspend fun startDeployment(): Path {
         val platform = PlatformStandIn(vertx, PlatformSettings()).start()
         val ports = listOf("north-a", "south-a").map { startGateway(it, platform) }
@@ -80,6 +136,7 @@
             zone = ZoneId(zone),
             region = RegionId(zone.substringBefore('-')),
             platform = HttpAddress("127.0.0.1", platform),
+            orders = OrderLeaseSettings(leaseMillis = 3_000),
         )
         return Gateway(vertx, settings).also { gateways += it }.start().operations
     }
@@ -93,5 +150,8 @@
 
     private companion object {
         const val FILES = 8
+        const val ENGINES = 4
+        const val LIMIT_MILLIS = 40_000L
+        const val POLL_MILLIS = 100L
     }
 }
