--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/Gateway.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/Gateway.kt
@@ -84,7 +84,7 @@
     private val rollouts = RolloutProgress(holder, reports::status)
     private val orders = platform?.let {
         val lease = OrderLease(incarnation, it, settings.orders.lease(), clock, background)
-        val meters = OrderMeters(metrics.registry, rollouts)
+        val meters = OrderMeters(metrics, rollouts)
         OrderDriver(incarnation, lease, OrderClients(vertx), holder, meters) { peers.members.contends("orders") }
     }
     private val tools = ServingTools(
--- a/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/GatewayHarness.kt
+++ b/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/GatewayHarness.kt
@@ -61,6 +61,14 @@
         return (if (body == null) request.send() else request.sendBuffer(Buffer.buffer(body))).coAwait()
     }
 
+    /** Calls another server of the test, such as a stand-in's journal; posts [body] when there is one. */
+    suspend fun at(port: Int, path: String, body: String? = null): String {
+        val method = if (body == null) HttpMethod.GET else HttpMethod.POST
+        val request = client.request(method, port, "127.0.0.1", path).timeout(LIMIT_MILLIS)
+        val sent = if (body == null) request.send() else request.sendBuffer(Buffer.buffer(body))
+        return sent.coAwait().bodyAsString().orEmpty()
+    }
+
     /** Waits until [condition] holds; the test fails when it does not within the limit. */
     suspend fun eventually(condition: suspend () -> Boolean) {
         withTimeout(LIMIT_MILLIS) { while (!condition()) delay(POLL_MILLIS) }
--- a/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/control/RolloutTest.kt
+++ b/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/control/RolloutTest.kt
@@ -68,6 +68,7 @@
         expectThat(runs.filter { it.arrivedAtMillis > afterMillis + IN_FLIGHT_MILLIS && it.version.value != "2" })
             .isEmpty()
         expectThat(runs.count { it.version.value == "2" }).isGreaterThan(0)
+        expectThat(unloads()).isEmpty()
         expectOneLoadEachAndTwoAtOnce()
     }
 
