--- /dev/null
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/OrderMeters.kt
@@ -0,0 +1,39 @@
+package org.parsleymoor.gateway.control
+
+import io.micrometer.core.instrument.Counter
+import org.parsleymoor.clients.OrderLeaseState
+import org.parsleymoor.clients.OrderStatus
+import org.parsleymoor.clients.WantedState
+import org.parsleymoor.gateway.operations.GatewayMetrics
+
+/** The meters of the lease on orders, of the orders and of rollouts. */
+internal class OrderMeters(private val metrics: GatewayMetrics, private val rollouts: RolloutProgress) {
+    /** Registers the gauges, which read [status] when they are scraped. */
+    fun register(status: () -> OrderStatus) {
+        metrics.gauge("parsleymoor.orders.lease.held") { if (status().lease == OrderLeaseState.NOT_HELD) 0 else 1 }
+        metrics.gauge("parsleymoor.orders.fencing.token") { status().fencingToken }
+        metrics.gauge("parsleymoor.orders.unfinished.engines") { status().unfinished.size }
+        metrics.gauge("parsleymoor.rollout.engines", "state", "loaded") {
+            rollouts.current().sumOf { it.loaded.size }
+        }
+        metrics.gauge("parsleymoor.rollout.engines", "state", "loading") {
+            rollouts.current().sumOf { it.loading.size }
+        }
+        metrics.gauge("parsleymoor.rollout.engines", "state", "waiting") {
+            rollouts.current().sumOf { it.engines - it.loaded.size - it.loading.size }
+        }
+    }
+
+    /** Counts an order that had [outcome]. */
+    fun sent(wanted: WantedState, outcome: String) {
+        Counter.builder("parsleymoor.orders").tag("kind", kindOf(wanted)).tag("outcome", outcome)
+            .register(metrics.registry).increment()
+    }
+
+    private fun kindOf(wanted: WantedState): String = when (wanted) {
+        is WantedState.Loaded -> "loaded"
+        is WantedState.Unloaded -> "unloaded"
+        is WantedState.AdapterLoaded -> "adapter"
+        is WantedState.Role -> "role"
+    }
+}
