--- a/programs/standins/src/main/kotlin/org/parsleymoor/standins/Journal.kt
+++ b/programs/standins/src/main/kotlin/org/parsleymoor/standins/Journal.kt
@@ -18,18 +18,19 @@
     private val numberOf: (T) -> Long,
 ) {
     private val entries = LinkedHashMap<Long, T>()
+    private var last = 0L
     private val writer = if (file.isEmpty()) null else Files.newBufferedWriter(Path.of(file), CREATE, APPEND)
 
     init {
-        if (file.isNotEmpty()) readJournal(serializer, Path.of(file)).forEach { entries[numberOf(it)] = it }
+        if (file.isNotEmpty()) readJournal(serializer, Path.of(file)).forEach { keep(it) }
     }
 
     /** The number of the next entry. */
-    val next: Long get() = (entries.keys.lastOrNull() ?: 0) + 1
+    val next: Long get() = last + 1
 
     /** Adds [entry] or replaces the one with its number. */
     fun put(entry: T) {
-        entries[numberOf(entry)] = entry
+        keep(entry)
         writer?.apply {
             write(WireJson.encodeToString(serializer, entry))
             newLine()
@@ -39,6 +40,11 @@
 
     operator fun get(number: Long): T? = entries[number]
 
+    private fun keep(entry: T) {
+        entries[numberOf(entry)] = entry
+        last = maxOf(last, numberOf(entry))
+    }
+
     /** All entries as a JSON list. */
     fun json(): String = WireJson.encodeToString(ListSerializer(serializer), entries.values.toList())
 }
--- a/programs/trials/src/main/kotlin/org/parsleymoor/trials/Fleet.kt
+++ b/programs/trials/src/main/kotlin/org/parsleymoor/trials/Fleet.kt
@@ -100,7 +100,8 @@
     val callers: String get() = "http://127.0.0.1:$callerPort"
     val operations: String get() = "http://127.0.0.1:$operationsPort"
 
-    fun settings(platformPort: Int): String = """
+    /** The settings of the gateway; without [platformPort] it is handed its configuration. */
+    fun settings(platformPort: Int? = null): String = """
         instance = "$name"
         zone = "$zone"
         region = "$region"
@@ -110,9 +111,9 @@
         port = $operationsPort
         [peers]
         port = $peerPort
-        [platform]
-        address = "127.0.0.1:$platformPort"
-    """.trimIndent()
+    """.trimIndent() + platformPort?.let {
+        "\n[platform]\naddress = \"127.0.0.1:$it\""
+    }.orEmpty()
 }
 
 /** Ports that were free when asked for; all are held until each is known, so that none is given out twice. */
