--- a/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/control/AtMostOnceAcrossGatewaysTest.kt
+++ b/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/control/AtMostOnceAcrossGatewaysTest.kt
@@ -145,6 +145,19 @@
         expectThat(gateways.journal()).hasSize(1)
     }
 
+    /** Guards against a caller that cannot learn the outcome of its call because the platform failed after it. */
+    @Test
+    fun `a key that ran before the platform failed is answered through every gateway`(): Unit = runBlocking {
+        val key = gateways.keyOwnedBy(1)
+        val first = gateways.pay(0, key)
+        gateways.platformFaults(PlatformFaults(down = true))
+
+        val answers = (0..2).map { gateways.pay(it, key) }
+
+        expectThat(answers.map { it.bodyAsString() }).isEqualTo(List(3) { first.bodyAsString() })
+        expectThat(gateways.journal()).hasSize(1)
+    }
+
     /** Guards against a key that is refused, or run twice, because the response to its claim was lost. */
     @Test
     fun `a call runs once when the platform's answer to its claim is lost`(): Unit = runBlocking {
