Take the ports of a trial from outside of the range for outgoing connections

The ports were asked for in the range from which the system also takes those of outgoing connections, of which the trial and its neighbours open many before the gateways start.

Change: FreePorts chooses free ports from 10000 to 32767, and a broken stream is an IOException for the caller.

--- a/programs/trials/src/main/kotlin/org/parsleymoor/trials/Fleet.kt
+++ b/programs/trials/src/main/kotlin/org/parsleymoor/trials/Fleet.kt
@@ -3,9 +3,12 @@
 import org.parsleymoor.configuration.Configuration
 import org.parsleymoor.configuration.ConfigurationRoot
 import org.parsleymoor.configuration.toSections
+import java.io.IOException
+import java.net.InetAddress
 import java.net.ServerSocket
 import java.nio.file.Files
 import java.nio.file.Path
+import kotlin.random.Random
 
 /** The processes of one trial in [directory]: every stand-in and three gateways. */
 internal class Fleet(private val root: Path, private val directory: Path) : AutoCloseable {
@@ -116,9 +119,23 @@
     }.orEmpty()
 }
 
-/** Ports that were free when asked for; all are held until each is known, so that none is given out twice. */
-internal class FreePorts {
+/**
+ * Ports that were free when asked for, none given out twice. They lie below the range from which systems take the ports
+ * of outgoing connections: such a connection can take a port between the choice and the start of the process.
+ */
+internal class FreePorts(private val random: Random = Random.Default) {
     private val given = HashSet<Int>()
 
-    fun next(): Int = generateSequence { ServerSocket(0).use { it.localPort } }.first { given.add(it) }
+    fun next(): Int = generateSequence { random.nextInt(RANGE.first, RANGE.last) }.first { isFree(it) && given.add(it) }
+
+    private fun isFree(port: Int): Boolean = try {
+        ServerSocket(port, 1, InetAddress.getLoopbackAddress()).close()
+        true
+    } catch (_: IOException) {
+        false
+    }
+
+    companion object {
+        val RANGE = 10_000..32_767
+    }
 }
--- a/programs/trials/src/main/kotlin/org/parsleymoor/trials/Web.kt
+++ b/programs/trials/src/main/kotlin/org/parsleymoor/trials/Web.kt
@@ -1,11 +1,14 @@
 package org.parsleymoor.trials
 
+import java.io.IOException
+import java.io.UncheckedIOException
 import java.net.URI
 import java.net.http.HttpClient
 import java.net.http.HttpRequest
 import java.net.http.HttpRequest.BodyPublishers
 import java.net.http.HttpResponse.BodyHandlers
 import java.time.Duration
+import java.util.stream.Stream
 
 /** A whole answer; [firstTokenMillis] is the time to the first streamed token, or 0 when none was streamed. */
 internal data class WebAnswer(val status: Int, val body: String, val firstTokenMillis: Long = 0)
@@ -27,15 +30,21 @@
         val begin = System.nanoTime()
         val request = request(url, headers).POST(BodyPublishers.ofString(body)).build()
         val response = http.send(request, BodyHandlers.ofLines())
+        return try {
+            response.body().use { lines -> events(response.statusCode(), lines, begin) }
+        } catch (broken: UncheckedIOException) {
+            throw IOException("the stream broke off", broken)
+        }
+    }
+
+    private fun events(status: Int, lines: Stream<String>, begin: Long): WebAnswer {
         var first = 0L
         val text = StringBuilder()
-        response.body().use { lines ->
-            lines.forEach { line ->
-                if (first == 0L && line.startsWith("data:")) first = (System.nanoTime() - begin) / NANOS_PER_MILLI
-                text.append(line).append('\n')
-            }
+        lines.forEach { line ->
+            if (first == 0L && line.startsWith("data:")) first = (System.nanoTime() - begin) / NANOS_PER_MILLI
+            text.append(line).append('\n')
         }
-        return WebAnswer(response.statusCode(), text.toString(), first)
+        return WebAnswer(status, text.toString(), first)
     }
 
     private fun whole(request: HttpRequest): WebAnswer {
