Import prefixes from KV cache stores before an attempt

The gateway placed requests on engines only and recomputed every prefix that an engine had evicted.

It now reads load reports and cache events of the stores, offers them to the placement, and orders the chosen engine to import the chosen blocks under their generation before the attempt. An import may take as long as recomputing its blocks; then it is dropped. A block that the engine could not copy is no longer a hint, and a store that misses a deadline is avoided for 30 s. Each import has a span, a step in the request's record and metrics. Cache events carry the tier of a block, and a store moves a block between tiers on request. The prefill rate of an engine becomes a learned rate with 20,000 tokens a second as its start value; nothing feeds it yet.

StoreImportTest brings about torn, freed, partly written and reused blocks, and a store that is down, silent or slow, over real connections: the answer is that of the model in each case. With whole blocks the engine has all 4 pieces and recomputes none.

--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/EngineWire.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/EngineWire.kt
@@ -112,6 +112,10 @@
 @Serializable
 public enum class CacheEventKind { STORED, EVICTED }
 
+/** The tier of a store that a block lies in; an engine has one tier and reports [MEMORY]. */
+@Serializable
+public enum class BlockTier { MEMORY, DISK }
+
 /** One change of a cache; [sequence] rises by one for each event of one start of the source. */
 @Serializable
 public data class CacheEvent(
@@ -120,6 +124,7 @@
     public val piece: String,
     public val generation: Long,
     public val bytes: Long,
+    public val tier: BlockTier = BlockTier.MEMORY,
 )
 
 /** Events after the sequence asked for; [oldestSequence] above that plus one means that events were dropped. */
@@ -141,7 +146,12 @@
 
 /** One block of a cache. */
 @Serializable
-public data class CachedBlock(public val piece: String, public val generation: Long, public val bytes: Long)
+public data class CachedBlock(
+    public val piece: String,
+    public val generation: Long,
+    public val bytes: Long,
+    public val tier: BlockTier = BlockTier.MEMORY,
+)
 
 /** Copies the blocks of [pieces] between the engine and the store at [storeAddress]. */
 @Serializable
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/OperationsWire.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/OperationsWire.kt
@@ -66,6 +66,8 @@
     QUEUED,
     PLACED,
     FORWARDED,
+    IMPORTED,
+    IMPORT_FAILED,
     ATTEMPTED,
     RESUMED,
     REFUSED,
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/StoreClient.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/StoreClient.kt
@@ -14,11 +14,17 @@
     /** Frees the block [piece]. */
     public suspend fun delete(piece: String): Result<Unit, BackEndFailure>
 
+    /** Moves the block [piece] of [generation] to [tier]; a store without room in memory refuses. */
+    public suspend fun move(piece: String, generation: Long, tier: BlockTier): Result<Unit, BackEndFailure>
+
     /** Reads the load report. */
     public suspend fun load(): Result<StoreLoad, BackEndFailure>
 
     /** Reads the cache events after [sequence]. */
     public suspend fun cacheEvents(sequence: Long): Result<CacheEvents, BackEndFailure>
+
+    /** Reads the whole content of the committed blocks. */
+    public suspend fun cacheSnapshot(): Result<CacheSnapshot, BackEndFailure>
 }
 
 /** A store's load report. Sizes are bytes. */
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/VertxStoreClient.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/VertxStoreClient.kt
@@ -36,11 +36,18 @@
     override suspend fun delete(piece: String): Result<Unit, BackEndFailure> =
         calls.send(HttpMethod.DELETE, "/v1/blocks/$piece").map { }
 
+    override suspend fun move(piece: String, generation: Long, tier: BlockTier): Result<Unit, BackEndFailure> {
+        val path = "/v1/blocks/$piece/tier?generation=$generation&tier=${tier.name.lowercase()}"
+        return calls.send(HttpMethod.POST, path).map { }
+    }
+
     override suspend fun load(): Result<StoreLoad, BackEndFailure> = calls.get("/v1/load")
 
     override suspend fun cacheEvents(sequence: Long): Result<CacheEvents, BackEndFailure> =
         calls.get("/v1/cache/events?after=$sequence")
 
+    override suspend fun cacheSnapshot(): Result<CacheSnapshot, BackEndFailure> = calls.get("/v1/cache/snapshot")
+
     override fun close() {
         pool.close()
     }
@@ -54,12 +61,12 @@
 
     private fun blockPath(piece: String, generation: Long) = "/v1/blocks/$piece?generation=$generation"
 
-    private fun sha256(bytes: ByteArray): String =
-        MessageDigest.getInstance("SHA-256").digest(bytes).joinToString("") { "%02x".format(it) }
-
     private companion object {
         const val CHECKSUM_HEADER = "Content-Digest"
         const val DEFAULT_CALL_TIMEOUT_MILLIS = 10_000L
         const val POOL_SIZE = 32
     }
 }
+
+private fun sha256(bytes: ByteArray): String =
+    MessageDigest.getInstance("SHA-256").digest(bytes).joinToString("") { "%02x".format(it) }
--- a/libraries/context/src/main/kotlin/org/parsleymoor/context/CacheDirectory.kt
+++ b/libraries/context/src/main/kotlin/org/parsleymoor/context/CacheDirectory.kt
@@ -61,6 +61,11 @@
         holders.dropSource(source)
     }
 
+    /** Drops the hint that [source] holds [piece], which a failed read has shown to be wrong. */
+    public fun forget(source: EndpointId, piece: PieceHash) {
+        holders.remove(source, piece)
+    }
+
     /** Returns for every endpoint that holds the first piece the length of its unbroken prefix of [pieces]. */
     public fun match(pieces: List<PieceHash>): List<PrefixMatch> {
         val first = pieces.firstOrNull() ?: return emptyList()
@@ -71,9 +76,6 @@
         }
     }
 
-    /** Returns whether [endpoint] is known to hold [piece]. */
-    public fun holds(endpoint: EndpointId, piece: PieceHash): Boolean = holders.find(endpoint, piece) != null
-
     /** Returns the endpoints known to hold [piece]. */
     public fun holdersOf(piece: PieceHash): List<EndpointId> = holders.holders(piece)
 
@@ -108,3 +110,6 @@
         state.gap = false
     }
 }
+
+/** Returns whether [endpoint] is known to hold [piece]. */
+public fun CacheDirectory.holds(endpoint: EndpointId, piece: PieceHash): Boolean = endpoint in holdersOf(piece)
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/Gateway.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/Gateway.kt
@@ -43,6 +43,8 @@
 import org.parsleymoor.gateway.serving.ReportedColdStart
 import org.parsleymoor.gateway.serving.ServiceRunner
 import org.parsleymoor.gateway.serving.ServingTools
+import org.parsleymoor.gateway.serving.StoreImports
+import org.parsleymoor.gateway.serving.StoreObserver
 import org.parsleymoor.gateway.serving.Telemetry
 import org.parsleymoor.gateway.serving.TicketDesk
 import org.parsleymoor.peering.PeerIdentity
@@ -83,7 +85,7 @@
         streams = settings.streams,
         background = background,
     )
-    private val completions = CompletionRunner(tools, EngineFleet(holder, fleetState))
+    private val completions = CompletionRunner(tools, EngineFleet(holder, fleetState), StoreImports(tools, fleetState))
     private val callers = CallerServer(vertx, settings.callers, routes())
     private val operations =
         OperationsServer(vertx, settings.operations, holder, telemetry, ::status)
@@ -94,6 +96,7 @@
         val peerPort = peers.start(settings.peers, configurationControl)
         configurationControl.start()
         background.launch { EngineObserver(holder, backEnds, reports, clock).run() }
+        background.launch { StoreObserver(holder, backEnds, reports, clock).run() }
         background.launch { pump() }
         background.launch { holder.changes.collect { it?.let { view -> applied(view) } } }
         val ports = GatewayPorts(callers.start(), operations.start(), peerPort)
@@ -177,6 +180,7 @@
         metrics.gauge("parsleymoor.running.requests") { work.running }
         metrics.gauge("parsleymoor.queued.requests") { completions.traffic().sumOf { it.queued } }
         metrics.gauge("parsleymoor.configuration.revision") { holder.revision }
+        metrics.gauge("parsleymoor.cache.directory.blocks") { reports.knownBlocks() }
         metrics.gauge("parsleymoor.limit", "limit", "queue_length") {
             holder.current?.configuration?.limits?.queueLength ?: 0
         }
--- /dev/null
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/operations/StoreMetrics.kt
@@ -0,0 +1,43 @@
+package org.parsleymoor.gateway.operations
+
+import io.micrometer.core.instrument.Counter
+import io.micrometer.core.instrument.MeterRegistry
+import org.parsleymoor.clients.BackEndFailure
+
+/** Why blocks were not copied between an engine and a store; [tag] is the value of the metrics' label. */
+internal enum class TransferFailureReason(val tag: String) {
+    /** The engine could not take or write the block: it is absent, torn, not committed or of another generation. */
+    BLOCK("block"),
+    DEADLINE("deadline"),
+    BUSY("busy"),
+    NOT_CONNECTED("not_connected"),
+    REFUSED("refused"),
+    BROKEN("broken"),
+    SILENT("silent"),
+    MALFORMED("malformed"),
+    ;
+
+    companion object {
+        fun of(failure: BackEndFailure): TransferFailureReason = when (failure) {
+            is BackEndFailure.NotConnected -> NOT_CONNECTED
+            is BackEndFailure.Refused -> REFUSED
+            is BackEndFailure.Broken -> BROKEN
+            is BackEndFailure.Silent -> SILENT
+            is BackEndFailure.Malformed -> MALFORMED
+        }
+    }
+}
+
+/** Meters of the copies between engines and stores. */
+internal class StoreMetrics(private val registry: MeterRegistry) {
+    fun imported(blocks: Int, bytes: Long) {
+        Counter.builder("parsleymoor.store.imported.blocks").register(registry).increment(blocks.toDouble())
+        Counter.builder("parsleymoor.store.imported.bytes").register(registry).increment(bytes.toDouble())
+    }
+
+    fun importFailed(reason: TransferFailureReason, blocks: Int) {
+        if (blocks == 0) return
+        Counter.builder("parsleymoor.store.import.failed.blocks").tag("reason", reason.tag)
+            .register(registry).increment(blocks.toDouble())
+    }
+}
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/CompletionAttempts.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/CompletionAttempts.kt
@@ -27,12 +27,14 @@
 import org.parsleymoor.gateway.callers.Refusal
 import org.parsleymoor.gateway.callers.RefusalKind
 import org.parsleymoor.gateway.operations.fail
+import org.parsleymoor.placement.Placement
 import kotlin.coroutines.cancellation.CancellationException
 
 /** The attempts of one completion. */
 internal class CompletionAttempts(
     private val tools: ServingTools,
     private val chooser: EndpointChooser,
+    private val imports: PrefixImports,
     private val call: CompletionCall,
     private val sink: CompletionSink,
 ) {
@@ -73,19 +75,20 @@
         val reason = "estimated ${placement.estimate.totalMillis.toLong()} ms, " +
             "${placement.recomputedPieces} of ${call.context.pieces.size} pieces to recompute"
         tools.records.add(call.request, RequestStepKind.PLACED, placement.endpoint.value, reason)
-        return attempt(Target(placement.endpoint, attempt, placement.estimate.totalMillis))
+        return attempt(Target(placement.endpoint, attempt, placement))
     }
 
     private suspend fun tryAgain(endpoint: EndpointId): AttemptAction? {
         val attempt = machine.nextAttempt()
         chooser.repeat(endpoint, call.need(emptySet()), attempt)
-        return attempt(Target(endpoint, attempt, 0.0))
+        return attempt(Target(endpoint, attempt, null))
     }
 
     /** Runs one attempt; returns null when the answer is whole. */
     private suspend fun attempt(target: Target): AttemptAction? {
         val span = tools.tracing.hop("generate", target.endpoint.value, call.span)
         val failure = try {
+            target.placement?.let { imports.fetch(call, it) }
             stream(target, span)
         } finally {
             chooser.finished(target.attempt)
@@ -170,11 +173,14 @@
         return Refusal(kind, detail, action.execution, RETRY_MILLIS)
     }
 
-    private class Target(val endpoint: EndpointId, val attempt: AttemptId, val estimateMillis: Double)
+    /** An attempt that begins now; [placement] is null when an engine is tried again. */
+    private inner class Target(val endpoint: EndpointId, val attempt: AttemptId, val placement: Placement?) {
+        val beganMillis = tools.clock.nowMillis()
+        val estimateMillis: Double get() = placement?.estimate?.totalMillis ?: 0.0
+    }
 
     /** Takes the events of one attempt; throws a [FailureException] that ends it. */
     private inner class AttemptReader(private val target: Target) {
-        private val sentMillis = tools.clock.nowMillis()
         private var awaitsFirstToken = true
 
         suspend fun take(event: EngineEvent) {
@@ -219,8 +225,12 @@
         private fun firstToken() {
             val now = tools.clock.nowMillis()
             val estimate = maxOf(target.estimateMillis, 1.0)
-            chooser.firstToken(target.endpoint, target.attempt, now - sentMillis, target.estimateMillis)
-            tools.metrics.firstToken(call.model.name, now - call.caller.receivedMillis, (now - sentMillis) / estimate)
+            chooser.firstToken(target.endpoint, target.attempt, now - target.beganMillis, target.estimateMillis)
+            tools.metrics.firstToken(
+                call.model.name,
+                now - call.caller.receivedMillis,
+                (now - target.beganMillis) / estimate
+            )
         }
 
         private suspend fun complete(verdict: ChunkVerdict.Complete) {
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/CompletionRunner.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/CompletionRunner.kt
@@ -11,7 +11,11 @@
 import java.util.concurrent.ConcurrentHashMap
 
 /** Admits and runs completions. */
-internal class CompletionRunner(private val tools: ServingTools, private val chooser: EndpointChooser) {
+internal class CompletionRunner(
+    private val tools: ServingTools,
+    private val chooser: EndpointChooser,
+    private val imports: PrefixImports,
+) {
     private val gates = ConcurrentHashMap<ModelId, AdmissionGate>()
 
     /**
@@ -23,7 +27,7 @@
         gate.enter(queued(call), FairQueueLimits(call.limits.queueLength, call.limits.queueLengthPerOrganisation))
         try {
             tools.records.add(call.request, RequestStepKind.ADMITTED, call.model.name.value, "there is room")
-            val attempts = CompletionAttempts(tools, chooser, call, sink)
+            val attempts = CompletionAttempts(tools, chooser, imports, call, sink)
             withTimeoutOrNull(call.deadlineMillis - tools.clock.nowMillis()) { attempts.run() }
                 ?: throw deadlinePassed(call, attempts).toException()
         } finally {
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/FleetReports.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/FleetReports.kt
@@ -2,6 +2,7 @@
 
 import org.parsleymoor.clients.EndpointStatus
 import org.parsleymoor.clients.EngineLoad
+import org.parsleymoor.clients.StoreLoad
 import org.parsleymoor.configuration.EndpointKind
 import org.parsleymoor.context.CacheReport
 import org.parsleymoor.context.DirectoryAction
@@ -25,6 +26,11 @@
         }
     }
 
+    /** Takes in a load report of a store that was asked for at [askedMillis]. */
+    fun report(store: EndpointId, load: StoreLoad, askedMillis: Long) {
+        synchronized(state.lock) { state.stores.state(store).report(load, askedMillis) }
+    }
+
     /** Takes in a report of a cache and returns which snapshots to fetch. */
     fun report(report: CacheReport): List<DirectoryAction> =
         synchronized(state.lock) { state.directory.accept(report, state.clock.nowMillis()) }
@@ -32,6 +38,9 @@
     /** The sequence number of the last cache event of [source] that was taken in. */
     fun cacheSequence(source: EndpointId): Long = synchronized(state.lock) { state.directory.sequence(source) }
 
+    /** The number of blocks that engines and stores are known to hold. */
+    fun knownBlocks(): Int = synchronized(state.lock) { state.directory.size }
+
     /** What is known of each engine. */
     fun status(): List<EndpointStatus> {
         val engines = configuration.current?.endpoints(EndpointKind.ENGINE).orEmpty()
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/FleetState.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/FleetState.kt
@@ -19,6 +19,7 @@
     val lock: Any = Any()
     val loads: LoadView = LoadView()
     val directory: CacheDirectory = CacheDirectory()
+    val stores: StoreTable = StoreTable(clock)
     private val engines = HashMap<EndpointId, EngineState>()
 
     fun engine(endpoint: EndpointId): EngineState = engines.getOrPut(endpoint) { EngineState() }
@@ -26,7 +27,7 @@
     fun isSuspect(endpoint: EndpointId): Boolean = clock.nowMillis() < engine(endpoint).suspectUntilMillis
 
     fun load(endpoint: EndpointId): EndpointLoad =
-        loads.load(endpoint, PREFILL_TOKENS_PER_SECOND, clock.nowMillis())
+        loads.load(endpoint, engine(endpoint).prefillRate.perSecond(clock.nowMillis()), clock.nowMillis())
 
     /** The number of requests that [endpoint] may run at once. */
     fun limit(endpoint: EndpointId, view: ServingView): Int {
@@ -44,7 +45,11 @@
     )
 
     fun fleet(need: EngineNeed, view: ServingView?): FleetView =
-        FleetView(view?.enginesOf(need.model).orEmpty().map { engineView(it, need, checkNotNull(view)) })
+        if (view == null) {
+            FleetView(emptyList())
+        } else {
+            FleetView(view.enginesOf(need.model).map { engineView(it, need, view) }, stores.views(view))
+        }
 
     private fun engineView(engine: EndpointDeclaration, need: EngineNeed, view: ServingView): EngineView {
         val load = load(engine.name)
@@ -59,13 +64,12 @@
             acceptsWork = usable && room && state.holds(need),
             running = load.running,
             queuedPrefillTokens = load.queuedPrefillTokens,
-            prefillTokensPerSecond = PREFILL_TOKENS_PER_SECOND,
+            prefillTokensPerSecond = state.prefillRate.perSecond(clock.nowMillis()),
             correction = state.correction,
         )
     }
 
     private companion object {
-        const val PREFILL_TOKENS_PER_SECOND = 20_000.0
         const val BYTES_PER_TOKEN = ContextIdentity.PIECE_BYTES / ContextIdentity.PIECE_TOKENS
     }
 }
@@ -77,6 +81,9 @@
     var correction: Double = 1.0
         private set
 
+    /** Tokens of prefill a second. */
+    val prefillRate: LearnedRate = LearnedRate(PREFILL_TOKENS_PER_SECOND)
+
     /** Whether the engine holds the version; an engine without a report is tried and refuses when it does not. */
     fun holds(need: EngineNeed): Boolean {
         val versions = load?.versions ?: return true
@@ -93,6 +100,7 @@
     private companion object {
         const val MINIMUM_ESTIMATE_MILLIS = 1.0
         const val SMOOTHING = 0.1
+        const val PREFILL_TOKENS_PER_SECOND = 20_000.0
         val CORRECTIONS = 0.05..20.0
     }
 }
--- a/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/GatewayHarness.kt
+++ b/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/GatewayHarness.kt
@@ -96,11 +96,13 @@
             engines: List<Int> = emptyList(),
             services: List<Int> = emptyList(),
             limits: LimitsDeclaration = LimitsDeclaration(),
+            stores: List<Int> = emptyList(),
         ) = Configuration(
             revision = 5,
             zones = listOf(ZoneDeclaration(ZoneId("north-1"), RegionId("north"))),
             endpoints = engines.mapIndexed { index, port -> endpoint("engine-$index", EndpointKind.ENGINE, port) } +
-                services.mapIndexed { index, port -> endpoint("service-$index", EndpointKind.SERVICE, port) },
+                services.mapIndexed { index, port -> endpoint("service-$index", EndpointKind.SERVICE, port) } +
+                stores.mapIndexed { index, port -> endpoint("store-$index", EndpointKind.STORE, port) },
             organisations = listOf(organisation("tea", KEY), organisation("albums", OTHER_KEY)),
             models = listOf(ModelDeclaration(ModelId("leaf"), WeightVersion("1"))),
             services = listOf(ServiceDeclaration("payouts", "kind=service")),
--- /dev/null
+++ b/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/StoreFleet.kt
@@ -0,0 +1,121 @@
+package org.parsleymoor.gateway
+
+import com.github.michaelbull.result.getOrThrow
+import io.vertx.core.buffer.Buffer
+import io.vertx.ext.web.client.WebClient
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.builtins.ListSerializer
+import org.parsleymoor.clients.HttpAddress
+import org.parsleymoor.clients.LoadedVersion
+import org.parsleymoor.clients.RequestStepKind
+import org.parsleymoor.clients.VertxOperationsClient
+import org.parsleymoor.clients.WireJson
+import org.parsleymoor.context.ContextIdentity
+import org.parsleymoor.context.ContextScope
+import org.parsleymoor.core.EndpointId
+import org.parsleymoor.core.FailureException
+import org.parsleymoor.core.ModelId
+import org.parsleymoor.core.OrganisationId
+import org.parsleymoor.core.RequestId
+import org.parsleymoor.core.WeightVersion
+import org.parsleymoor.standins.BlockCall
+import org.parsleymoor.standins.BlockOutcome
+import org.parsleymoor.standins.EngineRun
+import org.parsleymoor.standins.EngineSettings
+import org.parsleymoor.standins.EngineStandIn
+import org.parsleymoor.standins.ModelText
+import org.parsleymoor.standins.StoreFaults
+import org.parsleymoor.standins.StoreSettings
+import org.parsleymoor.standins.StoreStandIn
+import java.security.MessageDigest
+import java.util.HexFormat
+
+/** One gateway, one engine that holds the blocks of one prompt, and one store, over real connections. */
+internal class StoreFleet(private val harness: GatewayHarness) {
+    private val web = WebClient.create(harness.vertx)
+    private var enginePort = 0
+    private var storePort = 0
+
+    suspend fun start(store: (StoreSettings) -> StoreSettings = { it }) {
+        val loaded = listOf(LoadedVersion(ModelId("leaf"), WeightVersion("1")))
+        val engine = EngineSettings(EndpointId("engine-0"), models = loaded, cacheBytes = PIECES * BLOCK_BYTES)
+        enginePort = EngineStandIn(harness.vertx, engine).start()
+        storePort = StoreStandIn(harness.vertx, store(StoreSettings(EndpointId("store-0")))).start()
+        harness.start(GatewayHarness.configuration(engines = listOf(enginePort), stores = listOf(storePort)))
+    }
+
+    /** Writes the blocks of [prompt] as an engine does, and waits until the gateway knows of them. */
+    suspend fun fill(prompt: String) {
+        val known = metric(KNOWN_BLOCKS)
+        pieces(prompt).forEach { write(it) }
+        harness.eventually { metric(KNOWN_BLOCKS) == known + PIECES }
+    }
+
+    /** Writes [piece]; the store drops the connection when a fault asks for a partial write. */
+    suspend fun write(piece: String, generation: Long = 1) {
+        val content = "block $piece".toByteArray()
+        val checksum = HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(content))
+        val request = web.put(storePort, HOST, "/v1/blocks/$piece?generation=$generation")
+            .putHeader("Content-Digest", checksum).putHeader("Block-Bytes", BLOCK_BYTES.toString())
+        runCatching { request.sendBuffer(Buffer.buffer(content)).coAwait() }
+    }
+
+    suspend fun free(piece: String) {
+        web.delete(storePort, HOST, "/v1/blocks/$piece").send().coAwait()
+    }
+
+    suspend fun fault(faults: StoreFaults) {
+        val body = Buffer.buffer(WireJson.encodeToString(StoreFaults.serializer(), faults))
+        web.post(storePort, HOST, "/faults").sendBuffer(body).coAwait()
+    }
+
+    /** Sends [prompt]; the result says whether the answer is the model's. */
+    suspend fun ask(prompt: String): StoreAnswer {
+        val body = """{"model":"leaf","prompt":"$prompt","max_tokens":$TOKENS}"""
+        val answer = harness.post("/v1/completions", body)
+        val client = VertxOperationsClient(harness.vertx, HttpAddress(HOST, harness.ports.operations))
+        val request = RequestId(answer.getHeader("X-Request-Id"))
+        return StoreAnswer(
+            isCorrect = ModelText.answer("leaf", prompt, TOKENS) in answer.bodyAsString(),
+            run = engineRuns().last { it.request == request },
+            steps = client.history(request).getOrThrow { FailureException(it) }.steps.map { it.kind },
+        )
+    }
+
+    /** The value of the first meter whose line begins with [name], 0 when there is none. */
+    suspend fun metric(name: String): Int = harness.operations("/metrics").bodyAsString().lines()
+        .firstOrNull { it.startsWith(name) }?.substringAfterLast(' ')?.toDouble()?.toInt() ?: 0
+
+    suspend fun engineRuns(): List<EngineRun> = journal(enginePort, EngineRun.serializer())
+
+    suspend fun storeOutcomes(): List<BlockOutcome> = storeCalls().map { it.outcome }
+
+    suspend fun storeCalls(): List<BlockCall> = journal(storePort, BlockCall.serializer())
+
+    private suspend fun <T> journal(port: Int, serializer: KSerializer<T>): List<T> =
+        WireJson.decodeFromString(
+            ListSerializer(serializer),
+            web.get(port, HOST, "/journal").send().coAwait().bodyAsString(),
+        )
+
+    companion object {
+        /** Number of blocks of a prompt, and of the engine's cache. */
+        const val PIECES = 4
+        private const val BLOCK_BYTES = 100_000_000L
+        private const val TOKENS = 8
+        private const val KNOWN_BLOCKS = "parsleymoor_cache_directory_blocks"
+        private const val HOST = "127.0.0.1"
+
+        /** A prompt of [PIECES] full pieces that begins with [start]. */
+        fun prompt(start: String): String = start.padEnd(PIECES * ContextIdentity.PIECE_BYTES, '.')
+
+        fun pieces(prompt: String): List<String> {
+            val scope = ContextScope(OrganisationId("tea"), ModelId("leaf"), WeightVersion("1"))
+            return ContextIdentity.of(scope, prompt).pieces.map { it.toString() }
+        }
+    }
+}
+
+/** What a caller got, how the engine ran it and which [steps] the gateway recorded. */
+internal class StoreAnswer(val isCorrect: Boolean, val run: EngineRun, val steps: List<RequestStepKind>)
--- a/programs/standins/src/main/kotlin/org/parsleymoor/standins/BlockTable.kt
+++ b/programs/standins/src/main/kotlin/org/parsleymoor/standins/BlockTable.kt
@@ -1,5 +1,6 @@
 package org.parsleymoor.standins
 
+import org.parsleymoor.clients.BlockTier
 import org.parsleymoor.clients.CacheEventKind
 import org.parsleymoor.clients.CachedBlock
 
@@ -11,24 +12,23 @@
     val checksum: String,
     val committed: Boolean,
 ) {
-    fun cached(piece: String) = CachedBlock(piece, generation, declaredBytes)
+    fun cached(piece: String, tier: BlockTier) = CachedBlock(piece, generation, declaredBytes, tier)
 }
 
-/** The blocks of a store in two tiers, each ordered from the one used longest ago. */
-internal class BlockTable(private val settings: StoreSettings, private val feed: CacheEventFeed) {
-    private val memory = LinkedHashMap<String, StoredBlock>()
-    private val disk = LinkedHashMap<String, StoredBlock>()
+/** The blocks of a store in two tiers. */
+internal class BlockTable(settings: StoreSettings, private val feed: CacheEventFeed) {
+    private val memory = TierBlocks(BlockTier.MEMORY, settings.memoryBytes)
+    private val disk = TierBlocks(BlockTier.DISK, settings.diskBytes)
+    private val largestBytes = settings.memoryBytes
     private var lastGeneration = 0L
 
-    var memoryUsed: Long = 0
-        private set
+    val memoryUsed: Long get() = memory.usedBytes
 
-    var diskUsed: Long = 0
-        private set
+    val diskUsed: Long get() = disk.usedBytes
 
     operator fun get(piece: String): StoredBlock? = memory[piece] ?: disk[piece]
 
-    fun isInMemory(piece: String): Boolean = piece in memory
+    fun isInMemory(piece: String): Boolean = memory[piece] != null
 
     /** Returns the generation for a write that asks for [wanted], or for the next one when that is 0. */
     fun generationFor(wanted: Long): Long {
@@ -38,44 +38,59 @@
 
     fun put(piece: String, block: StoredBlock, nowMillis: Long) {
         remove(piece, nowMillis)
-        if (block.declaredBytes > settings.memoryBytes) return
-        while (memoryUsed + block.declaredBytes > settings.memoryBytes) demoteOldest(nowMillis)
-        memory[piece] = block
-        memoryUsed += block.declaredBytes
-        if (block.committed) feed.add(CacheEventKind.STORED, block.cached(piece), nowMillis)
+        if (block.declaredBytes > largestBytes) return
+        while (!memory.fits(block)) memory.oldest?.let { demote(it, nowMillis) }
+        memory.add(piece, block)
+        feed.report(CacheEventKind.STORED, piece, block, BlockTier.MEMORY, nowMillis)
     }
 
     /** Marks the block as used just now. */
     fun touch(piece: String) {
-        memory.remove(piece)?.let { memory[piece] = it }
-        disk.remove(piece)?.let { disk[piece] = it }
+        memory.touch(piece)
+        disk.touch(piece)
     }
 
     fun remove(piece: String, nowMillis: Long) {
-        memory.remove(piece)?.also { memoryUsed -= it.declaredBytes }?.let { evicted(piece, it, nowMillis) }
-        disk.remove(piece)?.also { diskUsed -= it.declaredBytes }?.let { evicted(piece, it, nowMillis) }
+        listOf(memory, disk).forEach { tier ->
+            tier.remove(piece)?.let { feed.report(CacheEventKind.EVICTED, piece, it, tier.tier, nowMillis) }
+        }
     }
 
-    fun content(): List<CachedBlock> = (memory + disk).filterValues { it.committed }.map { it.value.cached(it.key) }
-
-    private fun demoteOldest(nowMillis: Long) {
-        val (piece, block) = memory.entries.first()
-        memory.remove(piece)
-        memoryUsed -= block.declaredBytes
-        while (disk.isNotEmpty() && diskUsed + block.declaredBytes > settings.diskBytes) freeOldest(nowMillis)
-        if (diskUsed + block.declaredBytes > settings.diskBytes) return evicted(piece, block, nowMillis)
-        disk[piece] = block
-        diskUsed += block.declaredBytes
+    /** Moves a block to [tier]; returns false when memory has no room for it. */
+    fun move(piece: String, tier: BlockTier, nowMillis: Long): Boolean {
+        if (tier == BlockTier.DISK) demote(piece, nowMillis) else promote(piece, nowMillis)
+        return tier == BlockTier.DISK || isInMemory(piece)
     }
 
-    private fun freeOldest(nowMillis: Long) {
-        val (piece, block) = disk.entries.first()
+    private fun promote(piece: String, nowMillis: Long) {
+        val block = disk[piece]?.takeIf { memory.fits(it) } ?: return
         disk.remove(piece)
-        diskUsed -= block.declaredBytes
-        evicted(piece, block, nowMillis)
+        memory.add(piece, block)
+        feed.report(CacheEventKind.STORED, piece, block, BlockTier.MEMORY, nowMillis)
     }
 
-    private fun evicted(piece: String, block: StoredBlock, nowMillis: Long) {
-        if (block.committed) feed.add(CacheEventKind.EVICTED, block.cached(piece), nowMillis)
+    fun content(): List<CachedBlock> = disk.content() + memory.content()
+
+    /** Moves a block to disk, where the blocks used longest ago give way; without room it is freed. */
+    private fun demote(piece: String, nowMillis: Long) {
+        val block = memory.remove(piece) ?: return
+        var oldest = disk.oldest
+        while (oldest != null && !disk.fits(block)) {
+            remove(oldest, nowMillis)
+            oldest = disk.oldest
+        }
+        if (!disk.fits(block)) return feed.report(CacheEventKind.EVICTED, piece, block, BlockTier.MEMORY, nowMillis)
+        disk.add(piece, block)
+        feed.report(CacheEventKind.STORED, piece, block, BlockTier.DISK, nowMillis)
     }
 }
+
+private fun CacheEventFeed.report(
+    kind: CacheEventKind,
+    piece: String,
+    block: StoredBlock,
+    tier: BlockTier,
+    nowMillis: Long,
+) {
+    if (block.committed) add(kind, block.cached(piece, tier), nowMillis)
+}
--- a/programs/standins/src/main/kotlin/org/parsleymoor/standins/CacheEventFeed.kt
+++ b/programs/standins/src/main/kotlin/org/parsleymoor/standins/CacheEventFeed.kt
@@ -21,7 +21,7 @@
             events.clear()
             return
         }
-        events += Timed(nowMillis, CacheEvent(sequence, kind, block.piece, block.generation, block.bytes))
+        events += Timed(nowMillis, CacheEvent(sequence, kind, block.piece, block.generation, block.bytes, block.tier))
         while (events.size > history) events.removeFirst()
     }
 
--- a/programs/standins/src/main/kotlin/org/parsleymoor/standins/StoreSettings.kt
+++ b/programs/standins/src/main/kotlin/org/parsleymoor/standins/StoreSettings.kt
@@ -24,21 +24,34 @@
 /**
  * The faults of a store; a later value replaces an earlier one whole. The next [partialWrites] writes keep half of
  * their bytes with no commit mark and their connections close. While [full], a write is refused. [slowdown] divides
- * the rate of the link. While [down], connections close with no answer. [silenceOpenConnections] makes every open
- * connection stay open and answer nothing more.
+ * the rate of the link. The next [tornReads] reads send half of the bytes under the checksum of all of them. While
+ * [down], connections close with no answer. [silenceOpenConnections] makes every open connection stay open and answer
+ * nothing more; while [silent], so does every new one.
  */
 @Serializable
 public data class StoreFaults(
     public val partialWrites: Int = 0,
     public val full: Boolean = false,
     public val slowdown: Int = 1,
+    public val tornReads: Int = 0,
     public val down: Boolean = false,
     public val silenceOpenConnections: Boolean = false,
+    public val silent: Boolean = false,
 )
 
 /** What became of a call for a block. */
 @Serializable
-public enum class BlockOutcome { WRITTEN, PARTIAL, REFUSED, READ, ABSENT, STALE_GENERATION, NOT_COMMITTED, DELETED }
+public enum class BlockOutcome {
+    WRITTEN,
+    PARTIAL,
+    REFUSED,
+    READ,
+    ABSENT,
+    STALE_GENERATION,
+    NOT_COMMITTED,
+    DELETED,
+    MOVED,
+}
 
 /** One call for a block at a store, at [atMillis] since the epoch. */
 @Serializable
--- a/programs/standins/src/main/kotlin/org/parsleymoor/standins/StoreStandIn.kt
+++ b/programs/standins/src/main/kotlin/org/parsleymoor/standins/StoreStandIn.kt
@@ -6,6 +6,7 @@
 import io.vertx.ext.web.RoutingContext
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
+import org.parsleymoor.clients.BlockTier
 import org.parsleymoor.clients.CacheEvents
 import org.parsleymoor.clients.CacheSnapshot
 import org.parsleymoor.clients.StoreLoad
@@ -32,10 +33,17 @@
     public suspend fun start(): Int = server.start()
 
     private fun route(router: Router, scope: CoroutineScope) {
-        router.route("/v1/*").handler { if (faults.down) it.drop() else it.next() }
+        router.route("/v1/*").handler {
+            when {
+                faults.down -> it.drop()
+                faults.silent -> it.request().resume()
+                else -> it.next()
+            }
+        }
         router.put("/v1/blocks/:piece").handler { scope.launch { write(it) } }
         router.get("/v1/blocks/:piece").handler { scope.launch { read(it) } }
         router.delete("/v1/blocks/:piece").handler { delete(it) }
+        router.post("/v1/blocks/:piece/tier").handler { scope.launch { move(it) } }
         router.get(
             "/v1/load"
         ).handler { it.answer(StoreLoad.serializer(), blocks.report(settings, link.queuedBytes)) }
@@ -82,9 +90,11 @@
             return
         }
         blocks.touch(piece)
+        val torn = faults.tornReads > 0
+        if (torn) faults = faults.copy(tornReads = faults.tornReads - 1)
         context.response().putHeader(BlockHeaders.CHECKSUM, block.checksum)
             .putHeader(BlockHeaders.DECLARED_BYTES, block.declaredBytes.toString())
-            .end(Buffer.buffer(block.content))
+            .end(Buffer.buffer(if (torn) block.content.copyOf(block.content.size / 2) else block.content))
     }
 
     private suspend fun carry(piece: String, block: StoredBlock) {
@@ -92,11 +102,22 @@
         link.carry(block.declaredBytes, rate / faults.slowdown)
     }
 
-    private fun outcomeOf(block: StoredBlock?, generation: Long): BlockOutcome = when {
-        block == null -> BlockOutcome.ABSENT
-        !block.committed -> BlockOutcome.NOT_COMMITTED
-        block.generation != generation -> BlockOutcome.STALE_GENERATION
-        else -> BlockOutcome.READ
+    private suspend fun move(context: RoutingContext) {
+        val piece = context.pathParam("piece")
+        val generation = context.request().getParam("generation")?.toLongOrNull() ?: 0
+        val tier = if (context.request().getParam("tier") == "disk") BlockTier.DISK else BlockTier.MEMORY
+        val block = blocks[piece]
+        val outcome = outcomeOf(block, generation)
+        if (block != null) link.carry(block.declaredBytes, settings.diskBytesPerSecond / faults.slowdown)
+        val status = when {
+            block == null -> HttpStatus.NOT_FOUND
+            outcome != BlockOutcome.READ || blocks[piece] != block -> HttpStatus.CONFLICT
+            !blocks.move(piece, tier, clock.nowMillis()) -> HttpStatus.STORAGE_FULL
+            else -> HttpStatus.NO_CONTENT
+        }
+        val moved = status == HttpStatus.NO_CONTENT
+        record(piece, generation, if (moved) BlockOutcome.MOVED else BlockOutcome.REFUSED, block?.declaredBytes ?: 0)
+        context.response().setStatusCode(status).end()
     }
 
     private fun delete(context: RoutingContext) {
@@ -122,6 +143,13 @@
     }
 }
 
+private fun outcomeOf(block: StoredBlock?, generation: Long): BlockOutcome = when {
+    block == null -> BlockOutcome.ABSENT
+    !block.committed -> BlockOutcome.NOT_COMMITTED
+    block.generation != generation -> BlockOutcome.STALE_GENERATION
+    else -> BlockOutcome.READ
+}
+
 private fun BlockTable.report(settings: StoreSettings, queuedBytes: Long) = StoreLoad(
     startCount = settings.startCount,
     memoryBytes = memoryUsed,
