Export blocks to stores and keep the tiers of the stores

Only tests filled the stores: the gateway never exported a block, so a context that an engine had evicted was lost.

The first gateway of a region for an engine's name now orders exports of what the engine stores, as RetentionPolicy judges, with bounded batches and concurrency and a pause for a store that takes nothing. The first gateway for a store's name makes room, drops and prefetches there. Exports stay in the region, so they use nothing of the inter-region link. Metrics count exported blocks and bytes, failures by reason, and blocks moved and dropped.

StoreRetentionTest, 7 tests over real connections: a context evicted by the engine comes back with 4 of 4 pieces from the store; a partial write is exported again; a full store gets at most 2 batches in 2.5 s and the rest when it has room; full tiers make room; blocks on disk are prefetched; of two gateways one writes each block once.

--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/Gateway.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/Gateway.kt
@@ -25,6 +25,7 @@
 import org.parsleymoor.gateway.control.ConfigurationControl
 import org.parsleymoor.gateway.control.LeasedColdStart
 import org.parsleymoor.gateway.control.PeerControl
+import org.parsleymoor.gateway.control.RegionLeader
 import org.parsleymoor.gateway.control.RegionLinkMeter
 import org.parsleymoor.gateway.control.RegionRoute
 import org.parsleymoor.gateway.forwarding.ForwardReceiver
@@ -44,6 +45,7 @@
 import org.parsleymoor.gateway.serving.ServiceRunner
 import org.parsleymoor.gateway.serving.ServingTools
 import org.parsleymoor.gateway.serving.StoreImports
+import org.parsleymoor.gateway.serving.StoreKeeper
 import org.parsleymoor.gateway.serving.StoreObserver
 import org.parsleymoor.gateway.serving.Telemetry
 import org.parsleymoor.gateway.serving.TicketDesk
@@ -85,7 +87,12 @@
         streams = settings.streams,
         background = background,
     )
-    private val completions = CompletionRunner(tools, EngineFleet(holder, fleetState), StoreImports(tools, fleetState))
+    private val keeper = StoreKeeper(tools, fleetState, RegionLeader(settings.instance, peers.members))
+    private val completions = CompletionRunner(
+        tools,
+        EngineFleet(holder, fleetState),
+        StoreImports(tools, fleetState, keeper.retention),
+    )
     private val callers = CallerServer(vertx, settings.callers, routes())
     private val operations =
         OperationsServer(vertx, settings.operations, holder, telemetry, ::status)
@@ -95,8 +102,9 @@
         registerGauges()
         val peerPort = peers.start(settings.peers, configurationControl)
         configurationControl.start()
-        background.launch { EngineObserver(holder, backEnds, reports, clock).run() }
+        background.launch { EngineObserver(holder, backEnds, reports, clock, onChanges = keeper::changed).run() }
         background.launch { StoreObserver(holder, backEnds, reports, clock).run() }
+        background.launch { keeper.run() }
         background.launch { pump() }
         background.launch { holder.changes.collect { it?.let { view -> applied(view) } } }
         val ports = GatewayPorts(callers.start(), operations.start(), peerPort)
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/operations/StoreMetrics.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/operations/StoreMetrics.kt
@@ -40,4 +40,20 @@
         Counter.builder("parsleymoor.store.import.failed.blocks").tag("reason", reason.tag)
             .register(registry).increment(blocks.toDouble())
     }
+
+    fun exported(blocks: Int, bytes: Long) {
+        Counter.builder("parsleymoor.store.exported.blocks").register(registry).increment(blocks.toDouble())
+        Counter.builder("parsleymoor.store.exported.bytes").register(registry).increment(bytes.toDouble())
+    }
+
+    fun exportFailed(reason: TransferFailureReason, blocks: Int) {
+        if (blocks == 0) return
+        Counter.builder("parsleymoor.store.export.failed.blocks").tag("reason", reason.tag)
+            .register(registry).increment(blocks.toDouble())
+    }
+
+    /** Counts a block that a store has dropped or moved between its tiers. */
+    fun kept(action: String) {
+        Counter.builder("parsleymoor.store.retention.blocks").tag("action", action).register(registry).increment()
+    }
 }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/EngineObserver.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/EngineObserver.kt
@@ -8,8 +8,10 @@
 import kotlinx.coroutines.sync.withPermit
 import org.parsleymoor.configuration.EndpointDeclaration
 import org.parsleymoor.configuration.EndpointKind
+import org.parsleymoor.context.CacheChange
 import org.parsleymoor.context.CacheTier
 import org.parsleymoor.core.Clock
+import org.parsleymoor.core.EndpointId
 import org.parsleymoor.gateway.ConfigurationHolder
 
 /** Reads load reports and cache events of the engines every [intervalMillis] until it is cancelled. */
@@ -19,6 +21,7 @@
     private val reports: FleetReports,
     private val clock: Clock,
     private val intervalMillis: Long = 500,
+    private val onChanges: (EndpointId, List<CacheChange>) -> Unit = { _, _ -> },
 ) {
     private val calls = Semaphore(CONCURRENT_CALLS)
 
@@ -36,7 +39,8 @@
         val client = backEnds.direct(engine)
         val askedMillis = clock.nowMillis()
         client.load().onSuccess { reports.report(engine.name, it, askedMillis) }
-        CacheReader(engine.name, reports) { CacheTier.ENGINE }.read(client::cacheEvents, client::cacheSnapshot)
+        val reader = CacheReader(engine.name, reports) { CacheTier.ENGINE }
+        onChanges(engine.name, reader.read(client::cacheEvents, client::cacheSnapshot))
     }
 
     private companion object {
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/StoreImports.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/StoreImports.kt
@@ -29,11 +29,16 @@
  * Orders engines to import blocks. The engine reads each block under its generation and verifies its checksum (I1). An
  * import may take the time that recomputing its blocks takes, so a slow store at most doubles the time for a prefix.
  */
-internal class StoreImports(private val tools: ServingTools, private val state: FleetState) : PrefixImports {
+internal class StoreImports(
+    private val tools: ServingTools,
+    private val state: FleetState,
+    private val retention: SharedRetention,
+) : PrefixImports {
     private val metrics = StoreMetrics(tools.metrics.registry)
     private val running = Semaphore(CONCURRENT_IMPORTS)
 
     override suspend fun fetch(call: CompletionCall, placement: Placement) {
+        retention.used(call.organisation.name, call.context.pieces, tools.clock.nowMillis())
         val source = placement.prefix as? PrefixSource.Import ?: return
         val order = order(placement.endpoint, source) ?: return
         val span = tools.tracing.hop("import", source.store.value, call.span)
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/StoreObserver.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/StoreObserver.kt
@@ -32,10 +32,11 @@
         val askedMillis = clock.nowMillis()
         client.load().onSuccess { load ->
             reports.report(store.name, load, askedMillis)
-            CacheReader(store.name, reports, ::tierOf).read(client::cacheEvents, client::cacheSnapshot)
+            CacheReader(store.name, reports, ::cacheTierOf).read(client::cacheEvents, client::cacheSnapshot)
         }
     }
 }
 
-private fun tierOf(tier: BlockTier): CacheTier =
+/** The tier of a store's block as the directory has it. */
+internal fun cacheTierOf(tier: BlockTier): CacheTier =
     if (tier == BlockTier.DISK) CacheTier.STORE_DISK else CacheTier.STORE_MEMORY
--- /dev/null
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/StoreTiers.kt
@@ -0,0 +1,124 @@
+package org.parsleymoor.gateway.serving
+
+import com.github.michaelbull.result.onSuccess
+import kotlinx.coroutines.launch
+import org.parsleymoor.clients.BlockTier
+import org.parsleymoor.clients.StoreLoad
+import org.parsleymoor.configuration.EndpointDeclaration
+import org.parsleymoor.configuration.EndpointKind
+import org.parsleymoor.context.CacheReport
+import org.parsleymoor.context.HeldBlock
+import org.parsleymoor.context.PieceHash
+import org.parsleymoor.core.EndpointId
+import org.parsleymoor.gateway.ServingView
+import org.parsleymoor.gateway.operations.StoreMetrics
+import org.parsleymoor.placement.PlacementSettings
+import org.parsleymoor.placement.RetentionAction
+import org.parsleymoor.placement.StoreContent
+import java.util.concurrent.ConcurrentHashMap
+
+/**
+ * Moves blocks between the tiers of the stores that this gateway leads and drops what is worth least. A store carries
+ * out one batch at a time, block after block.
+ */
+internal class StoreTiers(
+    private val tools: ServingTools,
+    private val state: FleetState,
+    private val retention: SharedRetention,
+    private val leads: StoreLeader,
+) {
+    private val metrics = StoreMetrics(tools.metrics.registry)
+    private val busy = ConcurrentHashMap.newKeySet<EndpointId>()
+
+    /** Starts what is due, without waiting for it. */
+    fun tick(view: ServingView) {
+        view.endpoints(EndpointKind.STORE).filter { isLed(it, view) }.forEach { store ->
+            val load = synchronized(state.lock) { state.stores.state(store.name).load }
+            if (load != null) start(store, load)
+        }
+    }
+
+    private fun isLed(store: EndpointDeclaration, view: ServingView): Boolean {
+        val region = view.regionOf(store.zone) ?: return false
+        return leads.leads(region, store.name) && synchronized(state.lock) { state.stores.answers(store.name) }
+    }
+
+    private fun start(store: EndpointDeclaration, load: StoreLoad) {
+        if (!busy.add(store.name)) return
+        val actions = actions(content(store.name, load), load)
+        tools.background.launch {
+            try {
+                actions.forEach { perform(it, store) }
+            } finally {
+                busy -= store.name
+            }
+        }
+    }
+
+    /** Prefetches wait until nothing is queued at the store, so that they do not delay imports. */
+    private fun actions(content: StoreContent, load: StoreLoad): List<RetentionAction> {
+        val incoming = maxOf(1, content.memoryBlocks / ROOM_PARTS)
+        val nowMillis = tools.clock.nowMillis()
+        return when {
+            load.memoryBytes + incoming * BLOCK_BYTES > load.memoryCapacityBytes ->
+                retention.makeRoom(content, incoming, nowMillis)
+            load.queuedBytes == 0L -> retention.prefetch(content, nowMillis)
+            else -> emptyList()
+        }
+    }
+
+    private fun content(store: EndpointId, load: StoreLoad) = StoreContent(
+        store = store,
+        blocks = LazyBlocks { blocksOf(store) },
+        memoryBlocks = (load.memoryCapacityBytes / BLOCK_BYTES).toInt(),
+        diskBlocks = (load.diskCapacityBytes / BLOCK_BYTES).toInt(),
+    )
+
+    private fun blocksOf(store: EndpointId): List<HeldBlock> = synchronized(state.lock) {
+        state.directory.digest(Long.MIN_VALUE, Int.MAX_VALUE).filter { it.source == store }.flatMap { it.blocks }
+    }
+
+    /** What the store has done counts at once, or the next tick would ask for it again before its events arrive. */
+    private suspend fun perform(action: RetentionAction, store: EndpointDeclaration) {
+        when (action) {
+            is RetentionAction.Drop -> tools.backEnds.store(store).delete(action.piece.toString()).onSuccess {
+                metrics.kept("dropped")
+                synchronized(state.lock) { state.directory.forget(store.name, action.piece) }
+            }
+            is RetentionAction.MoveToDisk ->
+                if (move(store, action.piece, BlockTier.DISK)) metrics.kept("moved_to_disk")
+            is RetentionAction.Prefetch ->
+                if (move(store, action.piece, BlockTier.MEMORY)) metrics.kept("prefetched")
+            is RetentionAction.Export -> Unit
+        }
+    }
+
+    private suspend fun move(store: EndpointDeclaration, piece: PieceHash, tier: BlockTier): Boolean {
+        val matches = synchronized(state.lock) { state.directory.match(listOf(piece)) }
+        val block = matches.firstOrNull { it.endpoint == store.name }?.blocks?.firstOrNull() ?: return false
+        val moved = tools.backEnds.store(store).move(piece.toString(), block.generation, tier)
+        moved.onSuccess { confirm(store.name, block.copy(tier = cacheTierOf(tier))) }
+        return moved.isOk
+    }
+
+    private fun confirm(store: EndpointId, block: HeldBlock): Unit = synchronized(state.lock) {
+        val load = state.stores.state(store).load ?: return
+        state.directory.accept(CacheReport.Digest(store, load.startCount, listOf(block)), tools.clock.nowMillis())
+    }
+
+    private companion object {
+        val BLOCK_BYTES = PlacementSettings().blockBytes
+
+        // Room is made for a fiftieth of the memory at once, so that ordering the blocks is not paid for each block.
+        const val ROOM_PARTS = 50
+    }
+}
+
+/** Reads the blocks only when the policy asks for them, which it does when it makes a plan. */
+private class LazyBlocks(read: () -> List<HeldBlock>) : AbstractCollection<HeldBlock>() {
+    private val blocks by lazy(read)
+
+    override val size: Int get() = blocks.size
+
+    override fun iterator(): Iterator<HeldBlock> = blocks.iterator()
+}
--- a/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/StoreFleet.kt
+++ b/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/StoreFleet.kt
@@ -6,11 +6,14 @@
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.builtins.ListSerializer
+import org.parsleymoor.clients.BlockTier
 import org.parsleymoor.clients.HttpAddress
 import org.parsleymoor.clients.LoadedVersion
 import org.parsleymoor.clients.RequestStepKind
 import org.parsleymoor.clients.VertxOperationsClient
+import org.parsleymoor.clients.VertxStoreClient
 import org.parsleymoor.clients.WireJson
+import org.parsleymoor.configuration.Configuration
 import org.parsleymoor.context.ContextIdentity
 import org.parsleymoor.context.ContextScope
 import org.parsleymoor.core.EndpointId
@@ -37,21 +40,32 @@
     private var enginePort = 0
     private var storePort = 0
 
-    suspend fun start(store: (StoreSettings) -> StoreSettings = { it }) {
+    /** What the gateway serves, once [start] has begun. */
+    lateinit var configuration: Configuration
+        private set
+
+    suspend fun start(
+        gateway: (GatewaySettings) -> GatewaySettings = { it },
+        store: (StoreSettings) -> StoreSettings = { it },
+    ) {
         val loaded = listOf(LoadedVersion(ModelId("leaf"), WeightVersion("1")))
         val engine = EngineSettings(EndpointId("engine-0"), models = loaded, cacheBytes = PIECES * BLOCK_BYTES)
         enginePort = EngineStandIn(harness.vertx, engine).start()
         storePort = StoreStandIn(harness.vertx, store(StoreSettings(EndpointId("store-0")))).start()
-        harness.start(GatewayHarness.configuration(engines = listOf(enginePort), stores = listOf(storePort)))
+        configuration = GatewayHarness.configuration(engines = listOf(enginePort), stores = listOf(storePort))
+        harness.start(configuration, gateway)
     }
 
     /** Writes the blocks of [prompt] as an engine does, and waits until the gateway knows of them. */
     suspend fun fill(prompt: String) {
-        val known = metric(KNOWN_BLOCKS)
+        val known = knownBlocks()
         pieces(prompt).forEach { write(it) }
-        harness.eventually { metric(KNOWN_BLOCKS) == known + PIECES }
+        harness.eventually { knownBlocks() == known + PIECES }
     }
 
+    /** The number of blocks that the gateway believes the engine and the store to hold. */
+    suspend fun knownBlocks(): Int = metric("parsleymoor_cache_directory_blocks")
+
     /** Writes [piece]; the store drops the connection when a fault asks for a partial write. */
     suspend fun write(piece: String, generation: Long = 1) {
         val content = "block $piece".toByteArray()
@@ -65,6 +79,15 @@
         web.delete(storePort, HOST, "/v1/blocks/$piece").send().coAwait()
     }
 
+    suspend fun moveToDisk(piece: String) {
+        storeClient().move(piece, 1, BlockTier.DISK).getOrThrow { FailureException(it) }
+    }
+
+    /** The bytes in the store's memory tier. */
+    suspend fun storeMemoryBytes(): Long = storeClient().load().getOrThrow { FailureException(it) }.memoryBytes
+
+    private fun storeClient() = VertxStoreClient(harness.vertx, HttpAddress(HOST, storePort))
+
     suspend fun fault(faults: StoreFaults) {
         val body = Buffer.buffer(WireJson.encodeToString(StoreFaults.serializer(), faults))
         web.post(storePort, HOST, "/faults").sendBuffer(body).coAwait()
@@ -104,7 +127,6 @@
         const val PIECES = 4
         private const val BLOCK_BYTES = 100_000_000L
         private const val TOKENS = 8
-        private const val KNOWN_BLOCKS = "parsleymoor_cache_directory_blocks"
         private const val HOST = "127.0.0.1"
 
         /** A prompt of [PIECES] full pieces that begins with [start]. */
--- a/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/StoreImportTest.kt
+++ b/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/StoreImportTest.kt
@@ -24,7 +24,7 @@
     fun close() = harness.close()
 
     /** Long enough that a change of a block reaches the gateway only after the request that it is to mislead. */
-    private suspend fun startWithLateEvents() = fleet.start { it.copy(eventLagMillis = 1_500) }
+    private suspend fun startWithLateEvents() = fleet.start(store = { it.copy(eventLagMillis = 1_500) })
 
     private suspend fun expectRecomputed(outcome: BlockOutcome, cachedPieces: Int) {
         val answer = fleet.ask(prompt)
