Learn the prefill rate of an engine from its answers

Placements took 20,000 tokens a second for every engine, so a fast engine imported what it would have recomputed sooner.

The rate is now learned from the time between the start of a stream and its first token, for attempts that prefill at least one piece while no other runs on the engine. The old constant is the start value.

StoreImportTest: an engine at 1 ms a piece imports on the first request and recomputes after 12 answers.

--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/CompletionAttempts.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/CompletionAttempts.kt
@@ -10,6 +10,7 @@
 import org.parsleymoor.clients.GenerateRequest
 import org.parsleymoor.clients.RequestStepKind
 import org.parsleymoor.configuration.EndpointKind
+import org.parsleymoor.context.ContextIdentity
 import org.parsleymoor.core.AttemptId
 import org.parsleymoor.core.EndpointId
 import org.parsleymoor.core.Failure
@@ -182,6 +183,8 @@
     /** Takes the events of one attempt; throws a [FailureException] that ends it. */
     private inner class AttemptReader(private val target: Target) {
         private var awaitsFirstToken = true
+        private var startedMillis = 0L
+        private var prefillTokens = 0L
 
         suspend fun take(event: EngineEvent) {
             when (event) {
@@ -192,6 +195,8 @@
         }
 
         private fun started(event: EngineEvent.Started) {
+            startedMillis = tools.clock.nowMillis()
+            prefillTokens = event.recomputedPieces.toLong() * ContextIdentity.PIECE_TOKENS
             chooser.started(target.endpoint, event.startCount)
             tools.metrics.context(event.cachedPieces, event.recomputedPieces)
             if (event.version != call.model.version) {
@@ -225,7 +230,13 @@
         private fun firstToken() {
             val now = tools.clock.nowMillis()
             val estimate = maxOf(target.estimateMillis, 1.0)
-            chooser.firstToken(target.endpoint, target.attempt, now - target.beganMillis, target.estimateMillis)
+            val timing = FirstTokenTiming(
+                observedMillis = now - target.beganMillis,
+                estimatedMillis = target.estimateMillis,
+                prefillTokens = prefillTokens,
+                prefillMillis = now - startedMillis,
+            )
+            chooser.firstToken(target.endpoint, target.attempt, timing)
             tools.metrics.firstToken(
                 call.model.name,
                 now - call.caller.receivedMillis,
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/EndpointChooser.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/EndpointChooser.kt
@@ -17,6 +17,17 @@
     val avoid: Set<EndpointId> = emptySet(),
 )
 
+/**
+ * The first token came [observedMillis] after the attempt began, where [estimatedMillis] had been expected. The engine
+ * prefilled [prefillTokens] in the last [prefillMillis] of that time; 0 tokens when it did not say.
+ */
+internal data class FirstTokenTiming(
+    val observedMillis: Long,
+    val estimatedMillis: Double,
+    val prefillTokens: Long,
+    val prefillMillis: Long,
+)
+
 /** Chooses engines and is told how attempts go. Functions return without waiting and are safe from any thread. */
 internal interface EndpointChooser {
     /** Number of requests of [model] that the engines in service may run at once. */
@@ -31,8 +42,8 @@
     /** An engine began [attempt]; [startCount] is from the stream's header. */
     fun started(endpoint: EndpointId, startCount: Long)
 
-    /** The first token of [attempt] came after [observedMillis] where [estimatedMillis] had been expected. */
-    fun firstToken(endpoint: EndpointId, attempt: AttemptId, observedMillis: Long, estimatedMillis: Double)
+    /** The first token of [attempt] has come as [timing] says. */
+    fun firstToken(endpoint: EndpointId, attempt: AttemptId, timing: FirstTokenTiming)
 
     /** [attempt] has ended. */
     fun finished(attempt: AttemptId)
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/EngineFleet.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/EngineFleet.kt
@@ -49,11 +49,13 @@
         }
     }
 
-    override fun firstToken(endpoint: EndpointId, attempt: AttemptId, observedMillis: Long, estimatedMillis: Double) {
-        val event = ColdStartEvent.Answered(endpoint, observedMillis.toDouble(), estimatedMillis)
+    override fun firstToken(endpoint: EndpointId, attempt: AttemptId, timing: FirstTokenTiming) {
+        val observedMillis = timing.observedMillis.toDouble()
+        val event = ColdStartEvent.Answered(endpoint, observedMillis, timing.estimatedMillis)
         synchronized(state.lock) {
             state.loads.firstToken(attempt)
-            state.engine(endpoint).observe(observedMillis.toDouble(), estimatedMillis)
+            state.observePrefill(endpoint, timing)
+            state.engine(endpoint).observe(observedMillis, timing.estimatedMillis)
             state.cold.accept(event, state.clock.nowMillis())
         }
     }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/FleetState.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/FleetState.kt
@@ -36,6 +36,14 @@
         return if (cold.isCold(endpoint)) minOf(limits.coldLimit, warm) else warm
     }
 
+    /** Learns the rate from an attempt that was alone; beside others its time says nothing about the rate. */
+    fun observePrefill(endpoint: EndpointId, timing: FirstTokenTiming) {
+        val engine = engine(endpoint)
+        val alone = load(endpoint).ownRunning == 1 && engine.load?.let { it.running <= 1 } ?: false
+        if (!alone || timing.prefillTokens < ContextIdentity.PIECE_TOKENS) return
+        engine.prefillRate.observe(timing.prefillTokens, timing.prefillMillis, clock.nowMillis())
+    }
+
     fun placementRequest(need: EngineNeed) = PlacementRequest(
         contextPieces = need.context.pieces.size,
         remainderTokens = need.context.remainderBytes / BYTES_PER_TOKEN,
--- a/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/StoreFleet.kt
+++ b/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/StoreFleet.kt
@@ -46,10 +46,16 @@
 
     suspend fun start(
         gateway: (GatewaySettings) -> GatewaySettings = { it },
+        prefillMillisPerPiece: Long = 20,
         store: (StoreSettings) -> StoreSettings = { it },
     ) {
         val loaded = listOf(LoadedVersion(ModelId("leaf"), WeightVersion("1")))
-        val engine = EngineSettings(EndpointId("engine-0"), models = loaded, cacheBytes = PIECES * BLOCK_BYTES)
+        val engine = EngineSettings(
+            EndpointId("engine-0"),
+            models = loaded,
+            cacheBytes = PIECES * BLOCK_BYTES,
+            prefillMillisPerPiece = prefillMillisPerPiece,
+        )
         enginePort = EngineStandIn(harness.vertx, engine).start()
         storePort = StoreStandIn(harness.vertx, store(StoreSettings(EndpointId("store-0")))).start()
         configuration = GatewayHarness.configuration(engines = listOf(enginePort), stores = listOf(storePort))
--- a/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/StoreImportTest.kt
+++ b/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/StoreImportTest.kt
@@ -126,4 +126,25 @@
         expectThat(first.steps).contains(RequestStepKind.IMPORT_FAILED)
         expectThat(second.steps).doesNotContain(RequestStepKind.IMPORT_FAILED, RequestStepKind.IMPORTED)
     }
+
+    @Test
+    fun `an engine that is known to recompute faster than the store delivers imports nothing`(): Unit = runBlocking {
+        fleet.start(prefillMillisPerPiece = 1)
+        fleet.fill(prompt)
+        repeat(LEARNING_REQUESTS) { fleet.ask(StoreFleet.prompt("request $it")) }
+        val answer = fleet.ask(prompt)
+        expectThat(answer.isCorrect).isTrue()
+        expectThat(answer.steps).doesNotContain(RequestStepKind.IMPORTED, RequestStepKind.IMPORT_FAILED)
+    }
+
+    @Test
+    fun `an engine whose rate is not known yet imports`(): Unit = runBlocking {
+        fleet.start(prefillMillisPerPiece = 1)
+        fleet.fill(prompt)
+        expectThat(fleet.ask(prompt).steps).contains(RequestStepKind.IMPORTED)
+    }
+
+    private companion object {
+        const val LEARNING_REQUESTS = 12
+    }
 }
