--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/Gateway.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/Gateway.kt
@@ -32,6 +32,7 @@
 import org.parsleymoor.gateway.control.OrderLease
 import org.parsleymoor.gateway.control.OrderMeters
 import org.parsleymoor.gateway.control.PeerControl
+import org.parsleymoor.gateway.control.RegionLeader
 import org.parsleymoor.gateway.control.RegionLinkMeter
 import org.parsleymoor.gateway.control.RegionRoute
 import org.parsleymoor.gateway.control.RolloutProgress
@@ -52,6 +53,9 @@
 import org.parsleymoor.gateway.serving.ReportedColdStart
 import org.parsleymoor.gateway.serving.ServiceRunner
 import org.parsleymoor.gateway.serving.ServingTools
+import org.parsleymoor.gateway.serving.StoreImports
+import org.parsleymoor.gateway.serving.StoreKeeper
+import org.parsleymoor.gateway.serving.StoreObserver
 import org.parsleymoor.gateway.serving.Telemetry
 import org.parsleymoor.gateway.serving.TicketDesk
 import org.parsleymoor.peering.PeerIdentity
@@ -98,12 +102,17 @@
         streams = settings.streams,
         background = background,
     )
-    private val completions = CompletionRunner(tools, EngineFleet(holder, fleetState))
     private val onceCalls = OnceCalls(ServiceRunner(tools))
     private val forwarder = CallForwarder({ peers.directory }, clock, tracing)
     private val tickets = TicketDesk(incarnation, forwarder, background)
     private val claims =
         platform?.let { ClaimDesk(incarnation, it, tickets, forwarder, clock, background) }?.also { it.start() }
+    private val keeper = StoreKeeper(tools, fleetState, RegionLeader(settings.instance, peers.members))
+    private val completions = CompletionRunner(
+        tools,
+        EngineFleet(holder, fleetState),
+        StoreImports(tools, fleetState, keeper.retention),
+    )
     private val callers = CallerServer(vertx, settings.callers, routes())
     private val operations =
         OperationsServer(vertx, settings.operations, holder, telemetry, ::status)
@@ -114,7 +123,9 @@
         val receiver = CallReceiver(tools, work, onceCalls, claims ?: tickets)
         val peerPort = peers.start(settings.peers, configurationControl, receiver)
         configurationControl.start()
-        background.launch { EngineObserver(holder, backEnds, reports, clock).run() }
+        background.launch { EngineObserver(holder, backEnds, reports, clock, onChanges = keeper::changed).run() }
+        background.launch { StoreObserver(holder, backEnds, reports, clock).run() }
+        background.launch { keeper.run() }
         background.launch { pump() }
         orders?.start(clock, background)
         background.launch { holder.changes.collect { it?.let { view -> applied(view) } } }
@@ -201,6 +212,7 @@
         metrics.gauge("parsleymoor.queued.requests") { completions.traffic().sumOf { it.queued } }
         metrics.gauge("parsleymoor.request.records") { telemetry.records.size }
         metrics.gauge("parsleymoor.configuration.revision") { holder.revision }
+        metrics.gauge("parsleymoor.cache.directory.blocks") { reports.knownBlocks() }
         metrics.gauge("parsleymoor.limit", "limit", "queue_length") {
             holder.current?.configuration?.limits?.queueLength ?: 0
         }
