Wait until a stopped gateway's peer port is free in the test

Cause: a restart in AtMostOnceAcrossGatewaysTest met 'address already in use' in one of two full builds; a listener's port becomes free a moment later. Change: ThreeGateways.stopGateway waits until the port can be bound. Conclusion: the test restarts on the same port.

--- a/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/control/ThreeGateways.kt
+++ b/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/control/ThreeGateways.kt
@@ -1,6 +1,7 @@
 package org.parsleymoor.gateway.control
 
 import com.github.michaelbull.result.get
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpMethod
@@ -42,6 +43,7 @@
 import org.parsleymoor.standins.ServiceFaults
 import org.parsleymoor.standins.ServiceSettings
 import org.parsleymoor.standins.ServiceStandIn
+import java.net.BindException
 import java.net.ServerSocket
 
 /** Three gateways of one zone, an object service and one replica of a plain service, over real connections. */
@@ -86,6 +88,7 @@
     /** Ends a gateway at once, with all its connections; running calls are cut off. */
     suspend fun stopGateway(index: Int) {
         gateways.remove(index)?.stop()
+        withTimeout(LIMIT_MILLIS) { while (!isFree(peerPorts[index])) delay(POLL_MILLIS) }
     }
 
     /** Sends a call under [key] to the gateway [index]. */
@@ -134,6 +137,15 @@
         vertx.close()
     }
 
+    // A listener's port becomes free a moment after the listener was closed.
+    private fun isFree(port: Int): Boolean = try {
+        ServerSocket(port).close()
+        true
+    } catch (cause: BindException) {
+        logger.debug(cause) { "port $port is still bound" }
+        false
+    }
+
     private suspend fun status(gateway: GatewayPorts): String =
         client.get(gateway.operations, HOST, "/status").send().coAwait().bodyAsString()
 
@@ -150,6 +162,7 @@
     }
 
     private companion object {
+        val logger = KotlinLogging.logger {}
         const val COUNT = 3
         const val CONNECTIONS_PER_GATEWAY = 256
         const val HOST = "127.0.0.1"
