Read every line of an answer whose stream has already ended

The gateways' output shows ClosedSendChannelException in the channel of the line parser: a paused record parser reports its end before the lines it still holds, so that a reader slower than the engine lost the final event.

Change: LineQueue leaves the parser running and pauses the response instead while many lines wait. Tests: a slow reader gets the last line of an answer that has ended, and every line of one longer than what is kept waiting.

The tests were not run against the old code.

--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/JsonLines.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/JsonLines.kt
@@ -3,14 +3,10 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.getOrElse
 import io.vertx.core.Future
-import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpClient
 import io.vertx.core.http.HttpClientRequest
 import io.vertx.core.http.HttpClientResponse
-import io.vertx.core.parsetools.RecordParser
-import io.vertx.kotlin.coroutines.toReceiveChannel
-import kotlinx.coroutines.channels.ReceiveChannel
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.flow
 import kotlinx.coroutines.withTimeoutOrNull
@@ -20,7 +16,6 @@
 
 /** Answers in newline-delimited JSON; the connection, the head and each line have to arrive within [silenceMillis]. */
 internal class JsonLines(
-    private val vertx: Vertx,
     private val http: HttpClient,
     private val address: HttpAddress,
     private val silenceMillis: Long,
@@ -41,13 +36,12 @@
             val response = response(request, outgoing.body)
             finished = response.statusCode() != HTTP_OK
             if (finished) throw refused(response)
-            val lines = RecordParser.newDelimited("\n", response).maxRecordSize(MAXIMUM_LINE_BYTES)
-                .toReceiveChannel(vertx)
+            val lines = LineQueue(response, MAXIMUM_LINE_BYTES)
             do {
                 val item = decode(nextLine(lines), serializer)
                 emit(item)
             } while (!isLast(item))
-            finished = withTimeoutOrNull(END_MILLIS) { lines.receiveCatching() }?.isClosed ?: false
+            finished = withTimeoutOrNull(END_MILLIS) { lines.next() }?.isClosed ?: false
         } finally {
             if (!finished) request.reset()
         }
@@ -79,8 +73,8 @@
         return outcome.getOrElse { throw FailureException(it) }
     }
 
-    private suspend fun nextLine(lines: ReceiveChannel<Buffer>): Buffer {
-        val received = withTimeoutOrNull(silenceMillis) { lines.receiveCatching() }
+    private suspend fun nextLine(lines: LineQueue): Buffer {
+        val received = withTimeoutOrNull(silenceMillis) { lines.next() }
             ?: throw FailureException(BackEndFailure.Silent(address.text, silenceMillis))
         return received.getOrNull()
             ?: throw FailureException(BackEndFailure.Broken(address.text, "the stream ended with no final event"))
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/VertxEngineClient.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/VertxEngineClient.kt
@@ -63,7 +63,7 @@
         val body = Buffer.buffer(WireJson.encodeToString(GenerateRequest.serializer(), request))
         val headers = MultiMap.caseInsensitiveMultiMap().add("Content-Type", "application/json")
         if (request.traceParent.isNotEmpty()) headers.add("traceparent", request.traceParent)
-        return JsonLines(vertx, http, address, silenceMillis)
+        return JsonLines(http, address, silenceMillis)
             .read(Outgoing(HttpMethod.POST, "/v1/generate", body, headers), EngineEvent.serializer()) {
                 it is EngineEvent.Final && it.attempt == request.attempt
             }
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/VertxPlatformClient.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/VertxPlatformClient.kt
@@ -77,7 +77,7 @@
         }
 
     override fun watch(kind: String, revision: Long, silenceMillis: Long): Flow<WatchEvent> =
-        JsonLines(vertx, http, address, silenceMillis)
+        JsonLines(http, address, silenceMillis)
             .read(Outgoing(HttpMethod.GET, "/watch/${encoded(kind)}?after=$revision"), WatchEvent.serializer())
 
     override suspend fun instances(): Result<List<ListedInstance>, PlatformFailure> =
