Add bin/faults with gateway-killed and planned-stop

Cause: section 11.5 had no program. Change: traffic of both deployments at a fixed rate runs before, during and after a fault; answers, journals, configuration changes and the targets of the section are checked.

--- /dev/null
+++ b/programs/trials/src/main/kotlin/org/parsleymoor/trials/FaultReport.kt
@@ -0,0 +1,51 @@
+package org.parsleymoor.trials
+
+import kotlinx.serialization.Serializable
+
+/** The figures of one fault experiment; `docs/design.md` section 11.5 lists them. */
+@Serializable
+internal data class FaultReport(
+    val requests: Int,
+    val answered: Int,
+    val refused: Int,
+    val unknown: Int,
+    val wrongAnswers: Int,
+    val doubled: Int,
+    val falseNotRun: Int,
+    val violations: Int,
+    val newWorkAfterLeaveMillis: Long,
+    val configurationInForceMillis: Long,
+    val timeToFirstTokenP95Millis: PhaseMillis,
+)
+
+/** A time in milliseconds before, during and after the fault. */
+@Serializable
+internal data class PhaseMillis(val before: Long, val during: Long, val after: Long)
+
+/** Sums up [measurement]; [check] has compared its calls with the journals. */
+internal fun faultReport(measurement: Measurement, check: JournalCheck, leave: ZoneLeave?): FaultReport {
+    val told = measurement.calls.groupingBy { it.outcome.told }.eachCount()
+    return FaultReport(
+        requests = measurement.calls.size,
+        answered = told[Told.ANSWERED] ?: 0,
+        refused = told[Told.NOT_RUN] ?: 0,
+        unknown = (told[Told.UNKNOWN] ?: 0) + (told[Told.BROKEN] ?: 0),
+        wrongAnswers = told[Told.WRONG] ?: 0,
+        doubled = check.doubled().size,
+        falseNotRun = check.falseNotRun().size,
+        violations = check.violations().size,
+        newWorkAfterLeaveMillis = leave?.let { check.newWorkAfterMillis(it) } ?: 0,
+        configurationInForceMillis = measurement.configurationInForceMillis,
+        timeToFirstTokenP95Millis = PhaseMillis(
+            before = measurement.firstTokenP95 { it < measurement.faultBeganMillis },
+            during = measurement.firstTokenP95 { it in measurement.faultBeganMillis..measurement.faultEndedMillis },
+            after = measurement.firstTokenP95 { it > measurement.faultEndedMillis },
+        ),
+    )
+}
+
+private fun Measurement.firstTokenP95(isInPhase: (Long) -> Boolean): Long = calls
+    .filter { it.kind == CallKind.STREAMED && it.outcome.told == Told.ANSWERED && isInPhase(it.startedMillis) }
+    .map { it.outcome.firstTokenMillis }.sorted().share(HIGH)
+
+private const val HIGH = 0.95
--- /dev/null
+++ b/programs/trials/src/main/kotlin/org/parsleymoor/trials/FaultRun.kt
@@ -0,0 +1,49 @@
+package org.parsleymoor.trials
+
+import java.nio.file.Path
+
+/** The figures of an experiment, the targets it missed, and what helps to find out why. */
+internal class FaultResult(val report: FaultReport, val failures: List<String>, val details: List<String>)
+
+/** Runs the experiment [name] with a fleet of its own, whose files are kept in [directory]. */
+internal class FaultRun(
+    root: Path,
+    directory: Path,
+    private val name: FaultName,
+    private val seed: Long,
+) : AutoCloseable {
+    private val fleet = Fleet(root, directory)
+    private val onExit = Thread { fleet.close() }
+
+    /** Returns when the experiment is over; throws [IllegalStateException] when the fleet does not start. */
+    fun run(): FaultResult {
+        Runtime.getRuntime().addShutdownHook(onExit)
+        fleet.start()
+        val changes = Changes(fleet)
+        val rounds = faultRounds(name, fleet, seed)
+        val traffic = FaultTraffic(fleet.gateways, seed, REQUESTS_PER_SECOND)
+        val measurement = FaultExperiment(traffic, changes, rounds).run()
+        val check = JournalCheck(fleet, measurement.calls.map { it.outcome })
+        val report = faultReport(measurement, check, null)
+        return FaultResult(report, FaultChecks(name, rounds.flatten()).failures(report, measurement.calls),
+            details(measurement, check))
+    }
+
+    override fun close() {
+        fleet.close()
+        Runtime.getRuntime().removeShutdownHook(onExit)
+    }
+
+    private fun details(measurement: Measurement, check: JournalCheck): List<String> {
+        val faults = check.violations() + check.doubled().map { "I8 $it" } + check.falseNotRun().map { "I7 $it" }
+        val told = measurement.calls.filter { it.outcome.told != Told.ANSWERED }
+            .groupingBy { "${it.kind} ${it.outcome.told}${if (it.movedOn) " moved" else ""}: ${it.outcome.detail}" }
+            .eachCount().entries.sortedByDescending { it.value }.map { "${it.value} x ${it.key}" }
+        return faults.take(SHOWN) + told.take(SHOWN)
+    }
+
+    private companion object {
+        const val REQUESTS_PER_SECOND = 30
+        const val SHOWN = 12
+    }
+}
--- a/programs/trials/src/main/kotlin/org/parsleymoor/trials/Fleet.kt
+++ b/programs/trials/src/main/kotlin/org/parsleymoor/trials/Fleet.kt
@@ -13,6 +13,9 @@
     private val processes = ArrayList<ChildProcess>()
     private val freePorts = FreePorts()
     private val platformPort = freePorts.next()
+
+    /** The address of the object service. */
+    val platform: String get() = "http://127.0.0.1:$platformPort"
     val ports: Map<String, Int> = Deployment.sites.associate { it.name to freePorts.next() }
     val gateways: List<GatewayPlace> = Deployment.zones.entries.mapIndexed { index, (zone, region) ->
         GatewayPlace("gateway-${index + 1}", zone, region, freePorts.next(), freePorts.next(), freePorts.next())
--- a/programs/trials/src/main/kotlin/org/parsleymoor/trials/Web.kt
+++ b/programs/trials/src/main/kotlin/org/parsleymoor/trials/Web.kt
@@ -15,7 +15,8 @@
     private val http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
         .connectTimeout(Duration.ofSeconds(2)).build()
 
-    fun get(url: String): WebAnswer = whole(request(url).GET().build())
+    fun get(url: String, headers: Map<String, String> = emptyMap()): WebAnswer =
+        whole(request(url, headers).GET().build())
 
     fun post(url: String, body: String, headers: Map<String, String> = emptyMap()): WebAnswer =
         whole(request(url, headers).POST(BodyPublishers.ofString(body)).build())
