Stay unready for two seconds before a gateway stops, and add the other fault experiments

Change: a stopping gateway refuses as not run for two seconds at least; the callers of the experiments are behind a stand-in of the load balancer. Stand-in of the platform: open connections can fall silent.

--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/Gateway.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/Gateway.kt
@@ -105,12 +105,15 @@
     public fun accept(configuration: Configuration): Long = holder.accept(configuration)
 
     /**
-     * Stops gracefully: refuses new requests, suspends until the running ones have ended or the drain limit has passed,
-     * and closes. Returns whether all requests ended by themselves.
+     * Stops gracefully: is not ready and refuses new requests, for [noticeMillis] at least, so that the load balancer
+     * sends nothing to a port that closes; suspends until the running requests have ended or the drain limit has
+     * passed, and closes. Returns whether all requests ended by themselves.
      */
-    public suspend fun stop(): Boolean {
+    public suspend fun stop(noticeMillis: Long = 0): Boolean {
         logger.info { "gateway ${settings.instance} is leaving with ${work.running} requests in progress" }
         peers.leave()
+        work.leave()
+        delay(noticeMillis)
         val drained = work.drain(settings.drainMillis)
         if (!drained) logger.warn { "${work.running} requests are cut off after ${settings.drainMillis} ms" }
         callers.close()
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/GatewayMain.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/GatewayMain.kt
@@ -19,6 +19,9 @@
 
 private const val STATUS_BAD_SETTINGS = 2
 
+// Longer than the interval at which a load balancer asks for readiness.
+private const val NOTICE_MILLIS = 2_000L
+
 /** Runs a gateway until SIGTERM, or checks its settings. */
 private class GatewayCommand : CliktCommand(name = "gateway") {
     private val settings by option("--settings", help = "The settings file, in TOML").path()
@@ -62,7 +65,7 @@
     gateway.start()
     // The virtual machine would exit with the signal's status; a finished drain is a success.
     val onSignal = Thread {
-        runBlocking { gateway.stop() }
+        runBlocking { gateway.stop(NOTICE_MILLIS) }
         Runtime.getRuntime().halt(0)
     }
     Runtime.getRuntime().addShutdownHook(onSignal)
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/operations/WorkCount.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/operations/WorkCount.kt
@@ -30,9 +30,14 @@
         count.decrementAndGet()
     }
 
+    /** Refuses new requests from now on. */
+    fun leave() {
+        leaving = true
+    }
+
     /** Stops new work and suspends until none is in progress; returns false when [limitMillis] passed before that. */
     suspend fun drain(limitMillis: Long): Boolean {
-        leaving = true
+        leave()
         return withTimeoutOrNull(limitMillis) { while (count.get() > 0) delay(POLL_MILLIS) } != null
     }
 
--- a/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/OperationsTest.kt
+++ b/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/OperationsTest.kt
@@ -126,4 +126,15 @@
         expectThat(running.await().statusCode()).isEqualTo(200)
         expectThat(stopping.await()).isTrue()
     }
+
+    @Test
+    fun `an idle gateway that stops refuses as not run until the load balancer has seen that it is unready`(): Unit =
+        runBlocking {
+            harness.start(GatewayHarness.configuration())
+            val stopping = async { harness.gateway.stop(noticeMillis = 1_000) }
+            harness.eventually { harness.operations("/ready").statusCode() == 503 }
+            val refused = harness.post("/v1/chat/completions", GatewayHarness.chat())
+            expectThat(refused.bodyAsString()).contains("stopping").contains("\"execution\":\"not_run\"")
+            expectThat(stopping.await()).isTrue()
+        }
 }
--- a/programs/standins/src/main/kotlin/org/parsleymoor/standins/PlatformStandIn.kt
+++ b/programs/standins/src/main/kotlin/org/parsleymoor/standins/PlatformStandIn.kt
@@ -19,7 +19,7 @@
  * in memory and last as long as the process.
  */
 public class PlatformStandIn(
-    private val vertx: Vertx,
+    vertx: Vertx,
     private val settings: PlatformSettings,
     private val clock: Clock = Clock.System,
 ) {
@@ -27,10 +27,11 @@
     private val instances = InstanceRoutes(settings, clock)
     private val meter = CallMeter(settings.readsPerSecond, settings.writesPerSecond)
     private val watches = WatchStreams(objects, meter, settings.heartbeatMillis)
+    private val server = StandInServer(vertx, settings.host, settings.port, ::route)
     private var faults = PlatformFaults()
 
     /** Binds the port and suspends until it accepts connections; returns the bound port. */
-    public suspend fun start(): Int = StandInServer(vertx, settings.host, settings.port, ::route).start()
+    public suspend fun start(): Int = server.start()
 
     private fun route(router: Router, scope: CoroutineScope) {
         router.get("/objects/:kind/:name").handler { scope.launch { call(it, writes = false) { read(it) } } }
@@ -50,6 +51,7 @@
         delay(settings.delayMillis + faults.delayMillis)
         val now = clock.nowMillis()
         when {
+            server.isSilent(context) -> Unit
             faults.down -> context.drop()
             !(if (writes) meter.write(now) else meter.read(now)) ->
                 context.response().setStatusCode(HttpStatus.TOO_MANY).end()
@@ -110,6 +112,7 @@
         faults = context.readBody(PlatformFaults.serializer()) ?: return
         if (faults.down) watches.closeAll()
         if (faults.silenceOpenWatches) watches.silenceAll()
+        if (faults.silenceOpenConnections) server.silenceOpenConnections()
         context.answer(PlatformFaults.serializer(), faults)
     }
 }
--- a/programs/standins/src/test/kotlin/org/parsleymoor/standins/PlatformStandInTest.kt
+++ b/programs/standins/src/test/kotlin/org/parsleymoor/standins/PlatformStandInTest.kt
@@ -81,6 +81,15 @@
         expectThat(withTimeoutOrNull(100) { silenced.next { it is WatchEvent.Changed } }).isNull()
     }
 
+    @Test
+    fun `a silenced connection answers nothing while a new one works`(): Unit = runBlocking {
+        put("root", "first", expectedVersion = 0, writeId = "a")
+        setFaults(PlatformFaults(silenceOpenConnections = true))
+        expectThat(withTimeoutOrNull(200) { read("root") }).isNull()
+        val fresh = WebClient.create(vertx).get(port, HOST, "/objects/leases/root").send().coAwait()
+        expectThat(fresh.statusCode()).isEqualTo(200)
+    }
+
     private suspend fun put(name: String, value: String, expectedVersion: Long, writeId: String) =
         web.put(port, HOST, "/objects/leases/$name?expectedVersion=$expectedVersion&writeId=$writeId")
             .sendBuffer(Buffer.buffer(value)).coAwait()
--- a/programs/trials/src/main/kotlin/org/parsleymoor/trials/Changes.kt
+++ b/programs/trials/src/main/kotlin/org/parsleymoor/trials/Changes.kt
@@ -48,7 +48,8 @@
     }
 
     private fun storedRevision(): Long = try {
-        val objects = web.get("${fleet.platform}/objects/${ConfigurationRoot.KIND}").body
+        // A new client, because a fault may have silenced the connections that an earlier one keeps open.
+        val objects = Web().get("${fleet.platform}/objects/${ConfigurationRoot.KIND}").body
         WireJson.decodeFromString(ListSerializer(StoredObject.serializer()), objects)
             .firstOrNull { it.name == ConfigurationRoot.NAME }?.version ?: 0
     } catch (_: IOException) {
--- a/programs/trials/src/main/kotlin/org/parsleymoor/trials/FaultTraffic.kt
+++ b/programs/trials/src/main/kotlin/org/parsleymoor/trials/FaultTraffic.kt
@@ -12,7 +12,7 @@
 
 /** Verified traffic of both deployments at a fixed rate, drawn from [seed], until it is stopped. */
 internal class FaultTraffic(
-    private val gateways: List<GatewayPlace>,
+    private val balancer: LoadBalancer,
     private val seed: Long,
     private val requestsPerSecond: Int,
 ) {
@@ -38,15 +38,17 @@
     }
 
     private fun draw(number: Int, random: UniformRandomProvider): () -> List<CallRecord> {
-        val home = random.nextInt(gateways.size)
-        val second = gateways[(home + 1) % gateways.size]
+        val home = random.nextInt(Deployment.zones.size)
         val organisation = Deployment.organisations[random.nextInt(Deployment.organisations.size)]
         val context = random.nextInt(CONTEXTS_PER_ORGANISATION)
         val kind = KINDS[random.nextInt(KINDS.size)]
         val repeats = random.nextInt(REPEATED) == 0
-        val caller = Caller(organisation, gateways[home], second)
-        val repeater = if (repeats) Caller(organisation, second, gateways[home]) else null
-        return { send(caller, repeater, kind, Numbered(number, contextText(organisation, context))) }
+        val call = Numbered(number, contextText(organisation, context))
+        return {
+            val caller = Caller(organisation, balancer.choose(home), balancer.choose(home + 1))
+            val repeater = Caller(organisation, balancer.choose(home + 1), balancer.choose(home + 2))
+            send(caller, if (repeats) repeater else null, kind, call)
+        }
     }
 
     private fun send(caller: Caller, repeater: Caller?, kind: CallKind, call: Numbered): List<CallRecord> {
--- a/programs/trials/src/main/kotlin/org/parsleymoor/trials/Fleet.kt
+++ b/programs/trials/src/main/kotlin/org/parsleymoor/trials/Fleet.kt
@@ -58,7 +58,8 @@
 
     private fun put(name: String, value: String, expectedVersion: Long) {
         val path = "objects/${ConfigurationRoot.KIND}/$name?expectedVersion=$expectedVersion&writeId=trial"
-        web.put("http://127.0.0.1:$platformPort/$path", value)
+        // A new client, because a fault may have silenced the connections that an earlier one keeps open.
+        Web().put("http://127.0.0.1:$platformPort/$path", value)
     }
 
     private fun standIn(name: String, kind: String, settings: String) {
--- a/programs/trials/src/main/kotlin/org/parsleymoor/trials/Web.kt
+++ b/programs/trials/src/main/kotlin/org/parsleymoor/trials/Web.kt
@@ -10,8 +10,11 @@
 /** A whole answer; [firstTokenMillis] is the time to the first streamed token, or 0 when none was streamed. */
 internal data class WebAnswer(val status: Int, val body: String, val firstTokenMillis: Long = 0)
 
-/** Blocking HTTP calls of a caller or of the trial itself; each throws [java.io.IOException] when it breaks. */
-internal class Web {
+/**
+ * Blocking HTTP calls of a caller or of the trial itself; each throws [java.io.IOException] when it breaks or has not
+ * been answered within [callSeconds].
+ */
+internal class Web(private val callSeconds: Long = CALL_SECONDS) {
     private val http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
         .connectTimeout(Duration.ofSeconds(2)).build()
 
@@ -45,7 +48,7 @@
     }
 
     private fun request(url: String, headers: Map<String, String> = emptyMap()): HttpRequest.Builder {
-        val builder = HttpRequest.newBuilder(URI(url)).timeout(Duration.ofSeconds(CALL_SECONDS))
+        val builder = HttpRequest.newBuilder(URI(url)).timeout(Duration.ofSeconds(callSeconds))
         headers.forEach { (name, value) -> builder.header(name, value) }
         return builder
     }
