Read what arrived during a pause before a sender's time limit closes its connection

They reached the paused gateway; after SIGCONT its timers ran before it read the sockets, and the limit of 10 s for the head of a request closed their connections. Change: the limit closes a connection 200 ms after it has passed, when nothing was read meanwhile.

--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/callers/CallerServer.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/callers/CallerServer.kt
@@ -115,19 +115,26 @@
 
     /** Closes a connection that does not send the whole head of a request in time. */
     private fun awaitRequest(connection: HttpConnection) {
-        val timer = vertx.setTimer(settings.senderMillis) {
-            idle.remove(connection)
-            connection.close()
+        closeAfter(settings.senderMillis, connection) {
+            // After a pause of the process its timers run before it reads what arrived meanwhile.
+            closeAfter(LATE_READ_MILLIS, connection) {
+                idle.remove(connection)
+                connection.close()
+            }
         }
-        idle.put(connection, timer)?.let { vertx.cancelTimer(it) }
         connection.closeHandler { stopWaiting(connection) }
     }
 
+    private fun closeAfter(millis: Long, connection: HttpConnection, close: () -> Unit) {
+        idle.put(connection, vertx.setTimer(millis) { close() })?.let { vertx.cancelTimer(it) }
+    }
+
     private fun stopWaiting(connection: HttpConnection) {
         idle.remove(connection)?.let { vertx.cancelTimer(it) }
     }
 
     private companion object {
         const val SHARED_RANDOM_PORT = -1
+        const val LATE_READ_MILLIS = 200L
     }
 }
--- a/programs/trials/src/main/kotlin/org/parsleymoor/trials/Fleet.kt
+++ b/programs/trials/src/main/kotlin/org/parsleymoor/trials/Fleet.kt
@@ -7,8 +7,15 @@
 import java.nio.file.Files
 import java.nio.file.Path
 
-/** The processes of one trial in [directory]: every stand-in and three gateways. */
-internal class Fleet(private val root: Path, private val directory: Path) : AutoCloseable {
+/**
+ * The processes of one trial in [directory]: every stand-in and three gateways. They run from the jars under [root], or
+ * from [classPath] when it is given.
+ */
+internal class Fleet(
+    private val root: Path,
+    private val directory: Path,
+    private val classPath: String? = null,
+) : AutoCloseable {
     private val web = Web()
     private val processes = ArrayList<ChildProcess>()
     private val freePorts = FreePorts()
@@ -65,7 +72,7 @@
     private fun standIn(name: String, kind: String, settings: String) {
         val file = Files.writeString(directory.resolve("$name.toml"), settings)
         val target = root.resolve("programs/standins/target")
-        val path = "$target/standins-0.1.0-SNAPSHOT.jar:$target/lib/*"
+        val path = classPath ?: "$target/standins-0.1.0-SNAPSHOT.jar:$target/lib/*"
         val java = listOf("java", "-Xmx256m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp", path)
         val command = java + listOf("org.parsleymoor.standins.StandInProgramKt", kind, "--settings", file.toString())
         processes += ChildProcess(name, command, directory)
@@ -73,7 +80,9 @@
 
     private fun startGateway(place: GatewayPlace) {
         val file = Files.writeString(directory.resolve("${place.name}.toml"), place.settings(platformPort))
-        val command = listOf(root.resolve("bin/gateway").toString(), "--settings", file.toString())
+        val program = classPath?.let { listOf("java", "-Xmx512m", "-cp", it, "org.parsleymoor.gateway.GatewayMainKt") }
+            ?: listOf(root.resolve("bin/gateway").toString())
+        val command = program + listOf("--settings", file.toString())
         processes += ChildProcess(place.name, command, directory)
     }
 
--- a/programs/trials/src/main/kotlin/org/parsleymoor/trials/Web.kt
+++ b/programs/trials/src/main/kotlin/org/parsleymoor/trials/Web.kt
@@ -1,5 +1,7 @@
 package org.parsleymoor.trials
 
+import java.io.IOException
+import java.io.UncheckedIOException
 import java.net.URI
 import java.net.http.HttpClient
 import java.net.http.HttpRequest
@@ -33,11 +35,15 @@
         val response = http.send(request, BodyHandlers.ofLines())
         var first = 0L
         val text = StringBuilder()
-        response.body().use { lines ->
-            lines.forEach { line ->
-                if (first == 0L && line.startsWith("data:")) first = (System.nanoTime() - begin) / NANOS_PER_MILLI
-                text.append(line).append('\n')
+        try {
+            response.body().use { lines ->
+                lines.forEach { line ->
+                    if (first == 0L && line.startsWith("data:")) first = (System.nanoTime() - begin) / NANOS_PER_MILLI
+                    text.append(line).append('\n')
+                }
             }
+        } catch (cause: UncheckedIOException) {
+            throw IOException("the stream broke after: ${text.takeLast(SHOWN)}", cause)
         }
         return WebAnswer(response.statusCode(), text.toString(), first)
     }
@@ -56,5 +62,6 @@
     private companion object {
         const val NANOS_PER_MILLI = 1_000_000L
         const val CALL_SECONDS = 20L
+        const val SHOWN = 300
     }
 }
