--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/ServiceRunner.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/ServiceRunner.kt
@@ -57,7 +57,7 @@
                 machine.noEndpoint()
             } else {
                 machine.nextAttempt()
-                failure = send(call, replica).mapBoth({ return Ok(it) }, { it })
+                failure = send(call, replica, timeoutMillis(call, action)).mapBoth({ return Ok(it) }, { it })
                 afterFailure(machine, replica, failure)
             }
         }
@@ -76,7 +76,18 @@
         }
     }
 
-    private suspend fun send(call: GroupCall, replica: EndpointDeclaration): Result<ServiceAnswer, BackEndFailure> {
+    /** A pooled connection may have gone silent, so a repeatable call waits for the deadline on a fresh one only. */
+    private fun timeoutMillis(call: GroupCall, action: AttemptAction): Long {
+        val remaining = maxOf(1, call.deadlineMillis - tools.clock.nowMillis())
+        val mayBePooled = call.call.repeatable && action !is AttemptAction.TryFreshConnection
+        return if (mayBePooled) minOf(remaining, tools.streams.silenceMillis) else remaining
+    }
+
+    private suspend fun send(
+        call: GroupCall,
+        replica: EndpointDeclaration,
+        timeoutMillis: Long,
+    ): Result<ServiceAnswer, BackEndFailure> {
         val span = tools.tracing.hop("call", replica.name.value, call.span)
         val traced = ServiceCall(
             call.call.method,
@@ -93,8 +104,7 @@
         )
         count(replica.name).incrementAndGet()
         try {
-            val remaining = call.deadlineMillis - tools.clock.nowMillis()
-            val result = tools.backEnds.service(replica).call(traced, maxOf(1, remaining))
+            val result = tools.backEnds.service(replica).call(traced, timeoutMillis)
             return result.onFailure { failure ->
                 span.fail(failure)
                 tools.records.add(call.request, RequestStepKind.REFUSED, replica.name.value, failure.message)
--- a/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/ServiceTest.kt
+++ b/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/ServiceTest.kt
@@ -1,6 +1,7 @@
 package org.parsleymoor.gateway
 
 import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpConnection
 import io.vertx.core.http.HttpMethod
 import io.vertx.core.http.HttpServerRequest
 import io.vertx.ext.web.client.HttpResponse
@@ -72,6 +73,15 @@
         repeat(4) { expectThat(harness.send(HttpMethod.GET, "/services/payouts/x").bodyAsString()).isEqualTo("paid") }
     }
 
+    /** Guards against a read that waits for its whole deadline on a connection that has gone silent. */
+    @Test
+    fun `a read on a pooled connection that has gone silent is answered over a fresh one`(): Unit = runBlocking {
+        val answered = HashSet<HttpConnection>()
+        val port = replica { if (answered.add(it.connection())) it.response().end("paid") }
+        harness.start(GatewayHarness.configuration(services = listOf(port)))
+        repeat(2) { expectThat(harness.send(HttpMethod.GET, "/services/payouts/x").bodyAsString()).isEqualTo("paid") }
+    }
+
     @Test
     fun `a payout that a replica refused before running it says so`(): Unit = runBlocking {
         val port = replica { it.response().setStatusCode(503).end("{\"execution\":\"not_run\"}") }
