Wait for a slot when a broken stream finds every other engine full

Change: a retry waits up to 2 s for an engine, as a first attempt does. Test: CompletionTest, a broken stream is resumed when a slot becomes free; it fails without the change and passes with it.

--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/ChooseSoon.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/ChooseSoon.kt
@@ -8,8 +8,8 @@
 import org.parsleymoor.placement.Placement
 
 /**
- * Chooses an engine; when none has failed the request yet, suspends up to [waitMillis] for one, since another gateway
- * may have taken the slot that the request was admitted for.
+ * Chooses an engine and suspends up to [waitMillis] for one: another gateway may have taken the slot that the request
+ * was admitted for, and the engines that can take over a broken stream may be full for a moment.
  */
 internal suspend fun EndpointChooser.chooseSoon(
     need: EngineNeed,
@@ -17,7 +17,7 @@
     clock: Clock,
     waitMillis: Long = 2_000,
 ): Result<Placement, NoEngineAvailable> {
-    val lastMillis = clock.nowMillis() + if (need.avoid.isEmpty()) waitMillis else 0
+    val lastMillis = clock.nowMillis() + waitMillis
     var placement = choose(need, attempt)
     while (placement.isErr && clock.nowMillis() < lastMillis) {
         delay(RETRY_MILLIS)
--- a/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/CompletionTest.kt
+++ b/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/CompletionTest.kt
@@ -30,6 +30,7 @@
 import strikt.assertions.endsWith
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNotEmpty
+import java.util.concurrent.atomic.AtomicInteger
 
 @Timeout(30)
 class CompletionTest {
@@ -119,6 +120,27 @@
         harness.eventually { engine.cancelled.any { it.endsWith(".0") } }
     }
 
+    /** Guards against giving a broken stream up because the other engines are full at that moment. */
+    @Test
+    fun `a broken stream is resumed when a slot of a full engine becomes free`(): Unit = runBlocking {
+        val arrivals = AtomicInteger()
+        val script = { request: GenerateRequest, response: HttpServerResponse ->
+            when (arrivals.incrementAndGet()) {
+                1 -> harness.vertx.setTimer(800) { response.answer(request, listOf("one")) }.let { }
+                2 -> response.begin(request).end().let { }
+                else -> response.answer(request, listOf("two"))
+            }
+        }
+        val ports = List(2) { ScriptedEngine(harness.vertx, script).start() }
+        harness.start(GatewayHarness.configuration(ports, limits = LimitsDeclaration(concurrentPerEngine = 1))) {
+            it.copy(streams = StreamSettings(silenceMillis = 5_000))
+        }
+        val holding = async { harness.post("/v1/chat/completions", GatewayHarness.chat()) }
+        harness.eventually { arrivals.get() == 1 }
+        expectThat(harness.post("/v1/chat/completions", GatewayHarness.chat()).bodyAsString()).contains("two")
+        expectThat(holding.await().statusCode()).isEqualTo(200)
+    }
+
     @Test
     fun `a streamed answer that cannot be completed has no done marker`(): Unit = runBlocking {
         start(
--- a/programs/trials/src/main/kotlin/org/parsleymoor/trials/Caller.kt
+++ b/programs/trials/src/main/kotlin/org/parsleymoor/trials/Caller.kt
@@ -9,7 +9,11 @@
 import java.net.ConnectException
 
 /** One caller of an organisation at [home]; a refused connection makes it try [second], once. */
-internal class Caller(private val organisation: String, private val home: GatewayPlace, private val second: GatewayPlace) {
+internal class Caller(
+    private val organisation: String,
+    private val home: GatewayPlace,
+    private val second: GatewayPlace
+) {
     private val headers = mapOf(
         "Authorization" to "Bearer ${Deployment.keyOf(organisation)}",
         "Content-Type" to "application/json",
@@ -107,16 +111,18 @@
         Verdict(Told.WRONG, 0, cause.message.orEmpty())
     }
 
-    private fun verdict(answer: WebAnswer, isRight: (WebAnswer) -> Boolean): Verdict {
-        if (answer.status != OK) {
-            val problem = WireJson.decodeFromString(ToldProblem.serializer(), answer.body.trim())
-            val told = if (problem.execution == "not_run") Told.NOT_RUN else Told.UNKNOWN
-            return Verdict(told, 0, "${answer.status} ${problem.title}: ${problem.detail}")
-        }
-        if (isRight(answer)) return Verdict(Told.ANSWERED, answer.firstTokenMillis, "")
+    private fun verdict(answer: WebAnswer, isRight: (WebAnswer) -> Boolean): Verdict = when {
+        answer.status != OK -> refusal(answer)
+        isRight(answer) -> Verdict(Told.ANSWERED, answer.firstTokenMillis, "")
         // A stream that ends with an error event tells the caller that it is not whole.
-        val told = if (ERROR_EVENT in answer.body) Told.UNKNOWN else Told.WRONG
-        return Verdict(told, 0, answer.body.takeLast(SHOWN))
+        ERROR_EVENT in answer.body -> Verdict(Told.UNKNOWN, 0, answer.body.takeLast(SHOWN))
+        else -> Verdict(Told.WRONG, 0, answer.body.takeLast(SHOWN))
+    }
+
+    private fun refusal(answer: WebAnswer): Verdict {
+        val problem = WireJson.decodeFromString(ToldProblem.serializer(), answer.body.trim())
+        val told = if (problem.execution == "not_run") Told.NOT_RUN else Told.UNKNOWN
+        return Verdict(told, 0, "${answer.status} ${problem.title}: ${problem.detail}")
     }
 
     private fun headersWith(key: String) = if (key.isEmpty()) headers else headers + ("Idempotency-Key" to key)
--- a/programs/trials/src/main/kotlin/org/parsleymoor/trials/GatewayFaults.kt
+++ b/programs/trials/src/main/kotlin/org/parsleymoor/trials/GatewayFaults.kt
@@ -18,8 +18,7 @@
 
 /** Suspends a gateway with SIGSTOP for longer than a lease lasts, and then lets it go on. */
 internal class GatewayPaused(private val fleet: Fleet, private val place: GatewayPlace) : Fault() {
-    // The default lease lasts 15 s.
-    override val lastsMillis: Long get() = 17_000
+    override val lastsMillis: Long get() = PAUSE_MILLIS
     override val unreachable: Set<String> get() = setOf(place.name)
 
     override fun begin() = fleet.process(place.name).signal("STOP")
@@ -28,6 +27,11 @@
         fleet.process(place.name).signal("CONT")
         place.awaitReady()
     }
+
+    private companion object {
+        // The default lease lasts 15 s.
+        const val PAUSE_MILLIS = 17_000L
+    }
 }
 
 /** Stops a gateway with SIGTERM and starts it again; it has to finish its requests and exit with status 0. */
--- a/programs/trials/src/main/kotlin/org/parsleymoor/trials/Web.kt
+++ b/programs/trials/src/main/kotlin/org/parsleymoor/trials/Web.kt
@@ -35,13 +35,12 @@
         val response = http.send(request, BodyHandlers.ofLines())
         var first = 0L
         val text = StringBuilder()
+        val take = { line: String ->
+            if (first == 0L && line.startsWith("data:")) first = (System.nanoTime() - begin) / NANOS_PER_MILLI
+            text.append(line).append('\n')
+        }
         try {
-            response.body().use { lines ->
-                lines.forEach { line ->
-                    if (first == 0L && line.startsWith("data:")) first = (System.nanoTime() - begin) / NANOS_PER_MILLI
-                    text.append(line).append('\n')
-                }
-            }
+            response.body().use { lines -> lines.forEach { take(it) } }
         } catch (cause: UncheckedIOException) {
             throw IOException("the stream broke after: ${text.takeLast(SHOWN)}", cause)
         }
