--- a/programs/trials/src/main/kotlin/org/parsleymoor/trials/Caller.kt
+++ b/programs/trials/src/main/kotlin/org/parsleymoor/trials/Caller.kt
@@ -127,8 +127,6 @@
 
     private fun headersWith(key: String) = if (key.isEmpty()) headers else headers + ("Idempotency-Key" to key)
 
-    private fun GatewayPlace.service(path: String) = "$callers/services/${Deployment.SERVICE}$path"
-
     private data class Verdict(val told: Told, val firstTokenMillis: Long, val detail: String)
 
     private data class Subject(
@@ -146,3 +144,5 @@
         val WEB = Web()
     }
 }
+
+private fun GatewayPlace.service(path: String) = "$callers/services/${Deployment.SERVICE}$path"
