--- a/programs/trials/src/main/kotlin/org/parsleymoor/trials/Fleet.kt
+++ b/programs/trials/src/main/kotlin/org/parsleymoor/trials/Fleet.kt
@@ -10,12 +10,22 @@
 import java.nio.file.Path
 import kotlin.random.Random
 
-/** The processes of one trial in [directory]: every stand-in and three gateways. */
-internal class Fleet(private val root: Path, private val directory: Path) : AutoCloseable {
+/**
+ * The processes of one trial in [directory]: every stand-in and three gateways. They run from the jars under [root], or
+ * from [classPath] when it is given.
+ */
+internal class Fleet(
+    private val root: Path,
+    private val directory: Path,
+    private val classPath: String? = null,
+) : AutoCloseable {
     private val web = Web()
     private val processes = ArrayList<ChildProcess>()
     private val freePorts = FreePorts()
     private val platformPort = freePorts.next()
+
+    /** The address of the object service. */
+    val platform: String get() = "http://127.0.0.1:$platformPort"
     val ports: Map<String, Int> = Deployment.sites.associate { it.name to freePorts.next() }
     val gateways: List<GatewayPlace> = Deployment.zones.entries.mapIndexed { index, (zone, region) ->
         GatewayPlace("gateway-${index + 1}", zone, region, freePorts.next(), freePorts.next(), freePorts.next())
@@ -58,13 +68,14 @@
 
     private fun put(name: String, value: String, expectedVersion: Long) {
         val path = "objects/${ConfigurationRoot.KIND}/$name?expectedVersion=$expectedVersion&writeId=trial"
-        web.put("http://127.0.0.1:$platformPort/$path", value)
+        // A new client, because a fault may have silenced the connections that an earlier one keeps open.
+        Web().put("http://127.0.0.1:$platformPort/$path", value)
     }
 
     private fun standIn(name: String, kind: String, settings: String) {
         val file = Files.writeString(directory.resolve("$name.toml"), settings)
         val target = root.resolve("programs/standins/target")
-        val path = "$target/standins-0.1.0-SNAPSHOT.jar:$target/lib/*"
+        val path = classPath ?: "$target/standins-0.1.0-SNAPSHOT.jar:$target/lib/*"
         val java = listOf("java", "-Xmx256m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp", path)
         val command = java + listOf("org.parsleymoor.standins.StandInProgramKt", kind, "--settings", file.toString())
         processes += ChildProcess(name, command, directory)
@@ -72,7 +83,9 @@
 
     private fun startGateway(place: GatewayPlace) {
         val file = Files.writeString(directory.resolve("${place.name}.toml"), place.settings(platformPort))
-        val command = listOf(root.resolve("bin/gateway").toString(), "--settings", file.toString())
+        val program = classPath?.let { listOf("java", "-Xmx512m", "-cp", it, "org.parsleymoor.gateway.GatewayMainKt") }
+            ?: listOf(root.resolve("bin/gateway").toString())
+        val command = program + listOf("--settings", file.toString())
         processes += ChildProcess(place.name, command, directory)
     }
 
--- a/programs/trials/src/main/kotlin/org/parsleymoor/trials/Web.kt
+++ b/programs/trials/src/main/kotlin/org/parsleymoor/trials/Web.kt
@@ -13,12 +13,16 @@
 /** A whole answer; [firstTokenMillis] is the time to the first streamed token, or 0 when none was streamed. */
 internal data class WebAnswer(val status: Int, val body: String, val firstTokenMillis: Long = 0)
 
-/** Blocking HTTP calls of a caller or of the trial itself; each throws [java.io.IOException] when it breaks. */
-internal class Web {
+/**
+ * Blocking HTTP calls of a caller or of the trial itself; each throws [java.io.IOException] when it breaks or has not
+ * been answered within [callSeconds].
+ */
+internal class Web(private val callSeconds: Long = CALL_SECONDS) {
     private val http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
         .connectTimeout(Duration.ofSeconds(2)).build()
 
-    fun get(url: String): WebAnswer = whole(request(url).GET().build())
+    fun get(url: String, headers: Map<String, String> = emptyMap()): WebAnswer =
+        whole(request(url, headers).GET().build())
 
     fun post(url: String, body: String, headers: Map<String, String> = emptyMap()): WebAnswer =
         whole(request(url, headers).POST(BodyPublishers.ofString(body)).build())
@@ -53,7 +57,7 @@
     }
 
     private fun request(url: String, headers: Map<String, String> = emptyMap()): HttpRequest.Builder {
-        val builder = HttpRequest.newBuilder(URI(url)).timeout(Duration.ofSeconds(CALL_SECONDS))
+        val builder = HttpRequest.newBuilder(URI(url)).timeout(Duration.ofSeconds(callSeconds))
         headers.forEach { (name, value) -> builder.header(name, value) }
         return builder
     }
