--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/callers/CallerServer.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/callers/CallerServer.kt
@@ -86,8 +86,11 @@
         return boundPort.get()
     }
 
+    /** Closes the port and its connections; does nothing when that was done before. */
     suspend fun close() {
-        vertx.undeploy(deployment).coAwait()
+        val deployed = deployment
+        deployment = ""
+        if (deployed.isNotEmpty()) vertx.undeploy(deployed).coAwait()
     }
 
     /** One server on an event loop of its own. */
--- a/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/GatewayHarness.kt
+++ b/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/GatewayHarness.kt
@@ -7,7 +7,9 @@
 import io.vertx.ext.web.client.WebClient
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
+import kotlinx.coroutines.withTimeoutOrNull
 import org.parsleymoor.configuration.Configuration
 import org.parsleymoor.configuration.EndpointDeclaration
 import org.parsleymoor.configuration.EndpointKind
@@ -83,7 +85,9 @@
     private suspend fun gauge(name: String): Int = operations("/metrics").bodyAsString().lines()
         .first { it.startsWith(name) }.substringAfterLast(' ').toDouble().toInt()
 
+    /** Stops the gateway too: its loops would go on and slow down the tests that follow. */
     override fun close() {
+        runBlocking { if (::gateway.isInitialized) withTimeoutOrNull(STOP_MILLIS) { gateway.stop() } }
         vertx.close()
     }
 
@@ -92,6 +96,7 @@
         const val OTHER_KEY = "secret-of-albums"
         const val LIMIT_MILLIS = 10_000L
         private const val POLL_MILLIS = 10L
+        private const val STOP_MILLIS = 1_000L
         val SETTINGS = GatewaySettings(
             InstanceId("gateway-1"),
             ZoneId("north-1"),
--- a/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/PlannedStopTest.kt
+++ b/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/PlannedStopTest.kt
@@ -28,7 +28,6 @@
 import strikt.assertions.endsWith
 import strikt.assertions.isEqualTo
 import java.io.IOException
-import java.net.ServerSocket
 import java.nio.file.Path
 import java.util.concurrent.CompletableFuture
 import kotlin.io.path.writeText
@@ -46,7 +45,7 @@
         response.begin(request).token(request.attempt, 0, "first ")
         release.thenRun { response.token(request.attempt, 1, "last").finish(request.attempt, 2) }
     }
-    private val ports = List(PORTS) { ServerSocket(0) }.onEach { it.close() }.map { it.localPort }
+    private val ports = freePorts(PORTS)
 
     @AfterEach
     fun close() {
--- a/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/SettingsCheckTest.kt
+++ b/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/SettingsCheckTest.kt
@@ -78,7 +78,8 @@
 
     private companion object {
         const val NAME = "expected letters, digits, dots, dashes and underscores, at most 63"
-        const val KEYS = "callers, drainMillis, instance, operations, peers, platform, region, streams, tracing, zone"
+        const val KEYS =
+            "callers, drainMillis, instance, operations, orders, peers, platform, region, streams, tracing, zone"
         val MISTAKES = listOf(
             ":1: instance: $NAME, found \"not a name\"",
             ":1: region: $NAME, found nothing",
--- a/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/StoreRetentionTest.kt
+++ b/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/StoreRetentionTest.kt
@@ -40,7 +40,6 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isTrue
-import java.net.ServerSocket
 
 @Timeout(60)
 class StoreRetentionTest {
@@ -151,7 +150,7 @@
 
     @Test
     fun `of two gateways one exports the blocks of an engine`(): Unit = runBlocking {
-        val ports = List(2) { ServerSocket(0).use { it.localPort } }
+        val ports = freePorts(2)
         val listed = ports.mapIndexed { index, port ->
             ListedInstance(InstanceId("gateway-${index + 1}"), ZoneId("north-1"), "127.0.0.1:$port")
         }
--- a/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/control/ControlTest.kt
+++ b/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/control/ControlTest.kt
@@ -39,6 +39,7 @@
 import org.parsleymoor.gateway.GatewayPorts
 import org.parsleymoor.gateway.GatewaySettings
 import org.parsleymoor.gateway.ListenSettings
+import org.parsleymoor.gateway.freePorts
 import org.parsleymoor.standins.ColdOverload
 import org.parsleymoor.standins.EngineSettings
 import org.parsleymoor.standins.EngineStandIn
@@ -51,7 +52,6 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isNotEqualTo
-import java.net.ServerSocket
 import java.security.MessageDigest
 import java.util.HexFormat
 
@@ -59,7 +59,7 @@
 class ControlTest {
     private val vertx = Vertx.vertx()
     private val client = WebClient.create(vertx)
-    private val peerPorts = List(2) { ServerSocket(0).use { it.localPort } }
+    private val peerPorts = freePorts(2)
     private val gateways = mutableListOf<Gateway>()
 
     @AfterEach
--- a/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/control/RolloutHarness.kt
+++ b/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/control/RolloutHarness.kt
@@ -30,6 +30,7 @@
 import org.parsleymoor.gateway.GatewaySettings
 import org.parsleymoor.gateway.ListenSettings
 import org.parsleymoor.gateway.OrderLeaseSettings
+import org.parsleymoor.gateway.freePorts
 import org.parsleymoor.standins.EngineFaults
 import org.parsleymoor.standins.EngineRun
 import org.parsleymoor.standins.EngineSettings
@@ -39,7 +40,6 @@
 import org.parsleymoor.standins.PlatformFaults
 import org.parsleymoor.standins.PlatformSettings
 import org.parsleymoor.standins.PlatformStandIn
-import java.net.ServerSocket
 import java.util.concurrent.atomic.AtomicLong
 
 /** Two gateways, each with its own connections and clock, a platform and engines with weight version 1. */
@@ -47,7 +47,7 @@
     private val vertx = Vertx.vertx()
     private val gatewayVertx = List(GATEWAYS) { Vertx.vertx() }
     private val client = WebClient.create(vertx)
-    private val peerPorts = List(GATEWAYS) { ServerSocket(0).use { it.localPort } }
+    private val peerPorts = freePorts(GATEWAYS)
     private val skews = List(GATEWAYS) { AtomicLong() }
     private val gateways = mutableListOf<Gateway>()
     private var platform = 0
--- a/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/control/ThreeGateways.kt
+++ b/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/control/ThreeGateways.kt
@@ -35,6 +35,7 @@
 import org.parsleymoor.gateway.GatewaySettings
 import org.parsleymoor.gateway.ListenSettings
 import org.parsleymoor.gateway.callers.IssuedTicket
+import org.parsleymoor.gateway.freePorts
 import org.parsleymoor.standins.CallCount
 import org.parsleymoor.standins.PlatformFaults
 import org.parsleymoor.standins.PlatformSettings
@@ -51,7 +52,7 @@
     private val vertx = Vertx.vertx()
     private val client =
         WebClient.create(vertx, WebClientOptions(), PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_GATEWAY))
-    private val peerPorts = List(COUNT) { ServerSocket(0).use { it.localPort } }
+    private val peerPorts = freePorts(COUNT)
     private val gateways = HashMap<Int, Gateway>()
     private val ports = HashMap<Int, GatewayPorts>()
     private var platform = 0
