--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/EngineClient.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/EngineClient.kt
@@ -8,7 +8,7 @@
  * An engine at one address. Another engine is fitted by another implementation; `docs/engine-protocol.md` lists the
  * calls. Every function suspends until the engine has answered or its time is up.
  */
-public interface EngineClient {
+public interface EngineClient : CacheClient {
     /**
      * Starts [request] and returns its events in order of arrival. The flow fails with a
      * [org.parsleymoor.core.FailureException] that carries a [BackEndFailure] when the stream breaks, stays silent for
@@ -22,12 +22,6 @@
     /** Reads the load report. */
     public suspend fun load(): Result<EngineLoad, BackEndFailure>
 
-    /** Reads the cache events after [sequence]. */
-    public suspend fun cacheEvents(sequence: Long): Result<CacheEvents, BackEndFailure>
-
-    /** Reads the whole cache content. */
-    public suspend fun cacheSnapshot(): Result<CacheSnapshot, BackEndFailure>
-
     /** Copies blocks from the engine to a store. */
     public suspend fun export(transfer: TransferRequest): Result<TransferResult, BackEndFailure>
 
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/StoreClient.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/StoreClient.kt
@@ -4,7 +4,7 @@
 import kotlinx.serialization.Serializable
 
 /** A KV cache store at one address. Every function suspends until the store has answered or its time is up. */
-public interface StoreClient {
+public interface StoreClient : CacheClient {
     /** Writes the whole block [piece] under [generation]; it is readable once its last byte is committed. */
     public suspend fun write(piece: String, generation: Long, bytes: ByteArray): Result<Unit, BackEndFailure>
 
@@ -19,12 +19,6 @@
 
     /** Reads the load report. */
     public suspend fun load(): Result<StoreLoad, BackEndFailure>
-
-    /** Reads the cache events after [sequence]. */
-    public suspend fun cacheEvents(sequence: Long): Result<CacheEvents, BackEndFailure>
-
-    /** Reads the whole content of the committed blocks. */
-    public suspend fun cacheSnapshot(): Result<CacheSnapshot, BackEndFailure>
 }
 
 /** A store's load report. Sizes are bytes. */
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/VertxStoreClient.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/VertxStoreClient.kt
@@ -9,7 +9,7 @@
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpMethod
-import java.security.MessageDigest
+import org.parsleymoor.core.sha256Hex
 
 /** [StoreClient] over HTTP; the checksum travels in the `Content-Digest` header in hexadecimal. */
 public class VertxStoreClient(
@@ -22,7 +22,7 @@
     private val calls = JsonCalls(exchanges, address)
 
     override suspend fun write(piece: String, generation: Long, bytes: ByteArray): Result<Unit, BackEndFailure> {
-        val headers = MultiMap.caseInsensitiveMultiMap().add(CHECKSUM_HEADER, sha256(bytes))
+        val headers = MultiMap.caseInsensitiveMultiMap().add(CHECKSUM_HEADER, bytes.sha256Hex())
         val outgoing = Outgoing(HttpMethod.PUT, blockPath(piece, generation), Buffer.buffer(bytes), headers)
         return exchanges().send(outgoing)
             .andThen { it.successText(address) }.map { }
@@ -54,7 +54,7 @@
 
     private fun verified(answer: HttpAnswer): Result<ByteArray, BackEndFailure> {
         val expected = answer.headers[CHECKSUM_HEADER].orEmpty()
-        val found = sha256(answer.body.bytes)
+        val found = answer.body.bytes.sha256Hex()
         if (expected == found) return Ok(answer.body.bytes)
         return Err(BackEndFailure.Malformed(address.text, "a block with SHA-256 \"$expected\"", found))
     }
@@ -67,6 +67,3 @@
         const val POOL_SIZE = 32
     }
 }
-
-private fun sha256(bytes: ByteArray): String =
-    MessageDigest.getInstance("SHA-256").digest(bytes).joinToString("") { "%02x".format(it) }
--- a/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/ConfigurationSections.kt
+++ b/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/ConfigurationSections.kt
@@ -9,7 +9,7 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.parsleymoor.core.Failure
-import java.security.MessageDigest
+import org.parsleymoor.core.sha256Hex
 
 /**
  * The object `configuration/root`. A set of changes takes effect by one conditional update of it. [writeId] recognises
@@ -67,7 +67,7 @@
 /** A section's name and its JSON [text]. */
 public data class ConfigurationSection(public val name: String, public val text: String) {
     /** The reference that the root holds. */
-    public val reference: SectionReference by lazy { SectionReference(name, sha256(text)) }
+    public val reference: SectionReference by lazy { SectionReference(name, text.encodeToByteArray().sha256Hex()) }
 }
 
 /** Why a configuration could not be put together from its root. */
@@ -142,7 +142,7 @@
     .map { join(root.revision, it) }
 
 private fun readSection(reference: SectionReference, text: String?): Result<SectionContent, SectionFailure> {
-    val hash = text?.let { sha256(it) }
+    val hash = text?.encodeToByteArray()?.sha256Hex()
     return when {
         text == null || hash == null -> Err(SectionFailure.Missing(reference))
         hash != reference.hash -> Err(SectionFailure.Altered(reference, hash))
@@ -170,10 +170,7 @@
 private fun section(name: String, content: SectionContent): ConfigurationSection =
     ConfigurationSection(name, ConfigurationJson.encodeToString(SectionContent.serializer(), content))
 
-private fun organisationSection(name: String): String = "organisations.${sha256(name).first()}"
-
-private fun sha256(text: String): String =
-    MessageDigest.getInstance("SHA-256").digest(text.encodeToByteArray()).joinToString("") { "%02x".format(it) }
+private fun organisationSection(name: String): String = "organisations.${name.encodeToByteArray().sha256Hex().first()}"
 
 /** The number of sections over which organisations are spread by the first hexadecimal digit of their name's hash. */
 public const val ORGANISATION_SECTIONS: Int = 16
--- a/libraries/context/src/main/kotlin/org/parsleymoor/context/BlockIndex.kt
+++ b/libraries/context/src/main/kotlin/org/parsleymoor/context/BlockIndex.kt
@@ -35,14 +35,13 @@
     }
 
     fun dropSource(source: EndpointId) {
-        val number = sources.find(source)
-        val rows = walk(
-            table.order.eldest
-        ) { table.order.newer(it) }.filter { table.columns.source(it) == number }.toList()
-        rows.forEach { table.remove(it) }
+        rowsOf(source).toList().forEach { table.remove(it) }
         sources.release(source)
     }
 
+    /** Returns the blocks that [source] is known to hold. */
+    fun blocksOf(source: EndpointId): List<HeldBlock> = rowsOf(source).map { table.columns.block(it) }.toList()
+
     /** Drops entries confirmed before [oldestMillis], and the oldest beyond [maximumBlocks]. */
     fun trim(oldestMillis: Long, maximumBlocks: Int) {
         var eldest = table.order.eldest
@@ -57,6 +56,11 @@
         .takeWhile { table.columns.confirmedMillis(it) >= sinceMillis }
         .map { Holding(sources.name(table.columns.source(it)), table.columns.block(it)) }
 
+    private fun rowsOf(source: EndpointId): Sequence<Int> {
+        val number = sources.find(source)
+        return walk(table.order.eldest) { table.order.newer(it) }.filter { table.columns.source(it) == number }
+    }
+
     private fun isSurplus(row: Int, oldestMillis: Long, maximumBlocks: Int): Boolean =
         table.columns.confirmedMillis(row) < oldestMillis || table.size > maximumBlocks
 }
--- a/libraries/context/src/main/kotlin/org/parsleymoor/context/CacheDirectory.kt
+++ b/libraries/context/src/main/kotlin/org/parsleymoor/context/CacheDirectory.kt
@@ -18,7 +18,7 @@
  * Not safe for use from several threads.
  */
 public class CacheDirectory(private val settings: CacheDirectorySettings = CacheDirectorySettings()) {
-    private val holders = BlockIndex()
+    internal val holders = BlockIndex()
     private val sources = LinkedHashMap<EndpointId, SourceState>()
 
     /** Number of blocks known over all sources. */
@@ -113,3 +113,6 @@
 
 /** Returns whether [endpoint] is known to hold [piece]. */
 public fun CacheDirectory.holds(endpoint: EndpointId, piece: PieceHash): Boolean = endpoint in holdersOf(piece)
+
+/** Returns the blocks that [endpoint] is known to hold. */
+public fun CacheDirectory.blocksOf(endpoint: EndpointId): List<HeldBlock> = holders.blocksOf(endpoint)
--- a/libraries/context/src/main/kotlin/org/parsleymoor/context/CacheReport.kt
+++ b/libraries/context/src/main/kotlin/org/parsleymoor/context/CacheReport.kt
@@ -73,7 +73,4 @@
     public val endpoint: EndpointId,
     public val pieces: Int,
     public val blocks: List<HeldBlock>,
-) {
-    /** Number of the matched pieces in [tier]. */
-    public fun countIn(tier: CacheTier): Int = blocks.count { it.tier == tier }
-}
+)
--- a/libraries/context/src/main/kotlin/org/parsleymoor/context/PieceHash.kt
+++ b/libraries/context/src/main/kotlin/org/parsleymoor/context/PieceHash.kt
@@ -10,9 +10,6 @@
     /** Returns the 32 lower-case hexadecimal digits that the engine and store protocols use. */
     override fun toString(): String = HexFormat.of().toHexDigits(high) + HexFormat.of().toHexDigits(low)
 
-    /** Returns the 16 bytes in network order. */
-    public fun toBytes(): ByteArray = ByteBuffer.allocate(BYTES).putLong(high).putLong(low).array()
-
     public companion object {
         /** Size of a hash in bytes. */
         public const val BYTES: Int = 16
--- a/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/Membership.kt
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/Membership.kt
@@ -48,9 +48,6 @@
             .map { it.member }
     }
 
-    /** Returns the incarnation of [instance] that the last heartbeat named. */
-    public fun incarnationOf(instance: InstanceId): Incarnation? = heard[instance]?.incarnation
-
     private fun list(members: Map<InstanceId, Member>) {
         if (members != listed) membersChanged = true
         listed = members
--- a/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ClaimEvent.kt
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ClaimEvent.kt
@@ -1,7 +1,5 @@
 package org.parsleymoor.execution.atmostonce
 
-import org.parsleymoor.core.RequestId
-
 /** What a [ClaimLedger] is told about the platform. */
 public sealed interface ClaimEvent {
     /** The shard whose objects the event is about. */
@@ -78,9 +76,3 @@
     /** Delete a segment whose claims are all older than the retention. */
     public data class DeleteSegment(public val shard: Int, public val number: Long) : ClaimAction
 }
-
-/** What became of a call that was forwarded to the process that claimed its key. */
-public data class ForwardOutcome(
-    public val request: RequestId,
-    public val answer: ExecutionAnswer?,
-)
--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerExchange.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerExchange.kt
@@ -39,3 +39,11 @@
 
     internal fun offer(message: PeerMessage.OfExchange): Boolean = received.trySend(message).isSuccess
 }
+
+/** Ends the exchange with a refusal of [type]; returns why the connection ended when it has. */
+public suspend fun PeerExchange.refuse(
+    type: String,
+    detail: String,
+    execution: Execution = Execution.NOT_RUN,
+    retryAfterMillis: Long = 0,
+): Result<Unit, PeerFailure> = send(PeerMessage.Refused(number, type, detail, execution, retryAfterMillis))
--- a/programs/bench/src/main/kotlin/org/parsleymoor/bench/slopes/SlopesCommand.kt
+++ b/programs/bench/src/main/kotlin/org/parsleymoor/bench/slopes/SlopesCommand.kt
@@ -6,6 +6,7 @@
 import com.github.ajalt.clikt.parameters.options.flag
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.types.path
+import io.github.oshai.kotlinlogging.KotlinLoggingConfiguration
 import java.nio.file.Files
 
 /** The program `bin/slopes`. */
@@ -28,4 +29,8 @@
 }
 
 /** Runs [SlopesCommand]. */
-public fun main(arguments: Array<String>): Unit = SlopesCommand().main(arguments)
+public fun main(arguments: Array<String>) {
+    // The message would precede the table on standard output.
+    KotlinLoggingConfiguration.logStartupMessage = false
+    SlopesCommand().main(arguments)
+}
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/Gateway.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/Gateway.kt
@@ -179,8 +179,8 @@
     /** The client of an engine of this region that takes new work, for a request from another region. */
     private fun forwardTarget(endpoint: EndpointId): EngineClient? {
         val view = holder.current
-        val declared = view?.endpoints(EndpointKind.ENGINE)?.firstOrNull { it.name == endpoint }
-        return declared?.takeIf { view.takesNewWork(endpoint) }?.let { backEnds.direct(it) }
+        val engine = view?.endpoint(endpoint)?.takeIf { it.kind == EndpointKind.ENGINE && view.takesNewWork(endpoint) }
+        return engine?.let { backEnds.direct(it) }
     }
 
     private fun status() = GatewayStatus(
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/ServingView.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/ServingView.kt
@@ -12,13 +12,14 @@
 import org.parsleymoor.core.ModelId
 import org.parsleymoor.core.RegionId
 import org.parsleymoor.core.ZoneId
-import java.security.MessageDigest
-import java.util.HexFormat
+import org.parsleymoor.core.sha256Hex
 
 /** One configuration with the indexes that the data path reads. Immutable. */
 internal class ServingView(val configuration: Configuration) {
     private val organisations = configuration.organisations
         .flatMap { organisation -> organisation.keyDigests.map { it.lowercase() to organisation } }.toMap()
+    private val endpointsByName = configuration.endpoints.associateBy { it.name }
+    private val endpointsByKind = configuration.endpoints.groupBy { it.kind }
     private val models = configuration.models.associateBy { it.name }
     private val services = configuration.services.associateBy { it.name }
     private val regions = configuration.zones.associate { it.name to it.region }
@@ -31,13 +32,12 @@
     private val accepting = configuration.endpoints.filter { configuration.takesNewWork(it) }.map { it.name }.toSet()
 
     /** All endpoints of [kind]. */
-    fun endpoints(kind: EndpointKind): List<EndpointDeclaration> = configuration.endpoints.filter { it.kind == kind }
+    fun endpoints(kind: EndpointKind): List<EndpointDeclaration> = endpointsByKind[kind].orEmpty()
+
+    fun endpoint(name: EndpointId): EndpointDeclaration? = endpointsByName[name]
 
     /** Returns the organisation that the bearer [key] belongs to. */
-    fun organisationOf(key: String): OrganisationDeclaration? {
-        val digest = MessageDigest.getInstance("SHA-256").digest(key.encodeToByteArray())
-        return organisations[HexFormat.of().formatHex(digest)]
-    }
+    fun organisationOf(key: String): OrganisationDeclaration? = organisations[key.encodeToByteArray().sha256Hex()]
 
     fun model(name: String): ModelDeclaration? = models[ModelId(name)]
 
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/CallForwarder.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/CallForwarder.kt
@@ -50,12 +50,7 @@
     override suspend fun toOwner(shard: Int, call: OnceCall): Forwarded {
         val owner = directory().ownerOf("claims.$shard") ?: return Forwarded.NotSent
         return directory().connect(owner).mapBoth(
-            { link ->
-                send(
-                    link,
-                    call
-                ) { number, message -> PeerMessage.ExecuteClaim(number, call.keyed.key, message) }
-            },
+            { send(it, call) { number, message -> PeerMessage.ExecuteClaim(number, call.keyed.key, message) } },
             { notSent(call, it) },
         )
     }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/CallReceiver.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/CallReceiver.kt
@@ -22,6 +22,7 @@
 import org.parsleymoor.peering.PeerExchange
 import org.parsleymoor.peering.PeerMessage
 import org.parsleymoor.peering.receiveRest
+import org.parsleymoor.peering.refuse
 import org.parsleymoor.peering.sendRest
 
 /** Runs calls with a key that other gateways forward, or answers them from memory. */
@@ -35,19 +36,19 @@
     suspend fun serve(exchange: PeerExchange, opening: PeerMessage.OfExchange): Boolean {
         when (opening) {
             is PeerMessage.ExecuteTicket ->
-                serve(exchange, Forwarded(opening.ticket, opening.call, CallOrigin.PROCESS_FORWARD))
+                serve(exchange, IncomingCall(opening.ticket, opening.call, CallOrigin.PROCESS_FORWARD))
             is PeerMessage.ExecuteClaim -> {
                 val origin = if (opening.claimed) CallOrigin.PROCESS_FORWARD else CallOrigin.SHARD_FORWARD
-                serve(exchange, Forwarded(opening.key, opening.call, origin))
+                serve(exchange, IncomingCall(opening.key, opening.call, origin))
             }
             else -> return false
         }
         return true
     }
 
-    private suspend fun serve(exchange: PeerExchange, call: Forwarded) {
+    private suspend fun serve(exchange: PeerExchange, call: IncomingCall) {
         if (!work.begin()) {
-            exchange.refuse(STOPPING, "this gateway is shutting down", Execution.NOT_RUN)
+            exchange.refuse(STOPPING, "this gateway is shutting down")
             return
         }
         try {
@@ -63,7 +64,7 @@
     }
 
     /** Returns the whole call; null when it was refused or its sender has gone. */
-    private suspend fun receive(exchange: PeerExchange, call: Forwarded): GroupCall? {
+    private suspend fun receive(exchange: PeerExchange, call: IncomingCall): GroupCall? {
         val message = call.message
         val view = tools.configuration.current
         val group = view?.service(message.service)
@@ -74,18 +75,18 @@
             message.remainingMillis <= 0 -> NotRunReason.DEADLINE_PASSED
             else -> null
         }
-        if (refusal != null) exchange.refuse(refusal.name, message.service, Execution.NOT_RUN)
+        if (refusal != null) exchange.refuse(refusal.name, message.service)
         if (refusal != null || group == null) return null
         val deadline = tools.clock.nowMillis() + message.remainingMillis
         val body = exchange.receiveRest(message.body, message.bodyBytes)
-            .onFailure { exchange.refuse(BAD_REQUEST, it.message, Execution.NOT_RUN) }.getOrElse { null }
+            .onFailure { exchange.refuse(BAD_REQUEST, it.message) }.getOrElse { null }
         return body?.let { GroupCall(message.request, group, message.toCall(it), deadline, span(message)) }
     }
 
     private suspend fun answer(exchange: PeerExchange, answer: ExecutionAnswer) {
         when (answer) {
             is ExecutionAnswer.Response -> respond(exchange, answer.response)
-            is ExecutionAnswer.NotRun -> exchange.refuse(answer.reason.name, "", Execution.NOT_RUN)
+            is ExecutionAnswer.NotRun -> exchange.refuse(answer.reason.name, "")
             is ExecutionAnswer.Unknown -> exchange.refuse(answer.reason.name, "", Execution.UNKNOWN)
         }
     }
@@ -107,7 +108,7 @@
         MultiMap.caseInsensitiveMultiMap().add("traceparent", message.traceParent),
     )
 
-    private class Forwarded(val key: String, val message: ForwardedCall, val origin: CallOrigin)
+    private class IncomingCall(val key: String, val message: ForwardedCall, val origin: CallOrigin)
 
     companion object {
         /** Refusal of a gateway that takes no new work; it has not looked at the key. */
@@ -119,9 +120,5 @@
     }
 }
 
-private suspend fun PeerExchange.refuse(type: String, detail: String, execution: Execution) {
-    send(PeerMessage.Refused(number, type, detail, execution))
-}
-
 private fun ForwardedCall.toCall(body: ByteArray) =
     ServiceCall(method, path, headers.map { HeaderField(it.name, it.value) }, body, repeatable = false)
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/ClaimDesk.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/ClaimDesk.kt
@@ -105,7 +105,7 @@
             val mayForward = waiter != null && waiter.origin != CallOrigin.PROCESS_FORWARD
             answer = if (mayForward) route.toClaimer(action.to, waiter.call).toAnswer() else null
         } finally {
-            perform(listOf(ledger.forwarded(action.call, answer)))
+            perform(listOf(synchronized(lock) { ledger.forwarded(action.call, answer) }))
         }
     }
 
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/OrderClients.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/OrderClients.kt
@@ -30,9 +30,8 @@
     /** Sends [order] once and suspends until its outcome. */
     suspend fun order(address: String, order: EngineOrder): OrderOutcome {
         val client = client(address)
-        return client.order(
-            order
-        ).onFailure { replace(address, client, it) }.fold({ OrderOutcome.ACCEPTED }, ::outcomeOf)
+        return client.order(order).onFailure { replace(address, client, it) }
+            .fold({ OrderOutcome.ACCEPTED }, ::outcomeOf)
     }
 
     /** Closes the clients of addresses outside [addresses]. */
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/PeerControl.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/PeerControl.kt
@@ -17,7 +17,6 @@
 import org.parsleymoor.gateway.ConfigurationHolder
 import org.parsleymoor.gateway.ListenSettings
 import org.parsleymoor.gateway.forwarding.ForwardReceiver
-import org.parsleymoor.peering.Execution
 import org.parsleymoor.peering.PeerExchange
 import org.parsleymoor.peering.PeerFailure
 import org.parsleymoor.peering.PeerHandler
@@ -25,6 +24,7 @@
 import org.parsleymoor.peering.PeerLink
 import org.parsleymoor.peering.PeerMessage
 import org.parsleymoor.peering.PeerNode
+import org.parsleymoor.peering.refuse
 
 /**
  * This gateway's connections to the others: keeps them to its neighbours, passes configuration revisions on and serves
@@ -121,7 +121,7 @@
             opening is PeerMessage.Forward -> receiver.serve(exchange, opening)
             else -> {
                 val detail = "expected a call or a completion, found ${opening::class.simpleName}"
-                exchange.send(PeerMessage.Refused(exchange.number, "BAD_REQUEST", detail, Execution.NOT_RUN))
+                exchange.refuse("BAD_REQUEST", detail)
             }
         }
     }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/forwarding/ForwardReceiver.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/forwarding/ForwardReceiver.kt
@@ -20,6 +20,7 @@
 import org.parsleymoor.peering.PeerMessage
 import org.parsleymoor.peering.PieceTextStore
 import org.parsleymoor.peering.TextHash
+import org.parsleymoor.peering.refuse
 import java.io.ByteArrayOutputStream
 
 /**
@@ -34,7 +35,7 @@
     suspend fun serve(exchange: PeerExchange, forward: PeerMessage.Forward) {
         val engine = engineFor(forward.endpoint)
         if (engine == null) {
-            refuse(exchange, "FULL", "endpoint ${forward.endpoint} takes no new work")
+            exchange.refuse("FULL", "endpoint ${forward.endpoint} takes no new work")
             return
         }
         val prompt = assemble(exchange, forward) ?: return
@@ -56,7 +57,7 @@
         val fetched = fetch(exchange, wanted.distinct() - found.keys) ?: return null
         val prompt = join(forward.completion, wanted.map { found[it] ?: fetched[it] })
         if (prompt == null) {
-            refuse(exchange, "BAD_REQUEST", "the texts of the prompt's pieces do not match their hashes")
+            exchange.refuse("BAD_REQUEST", "the texts of the prompt's pieces do not match their hashes")
         }
         return prompt
     }
@@ -86,7 +87,7 @@
             engine.generate(request).collect { event -> exchange.send(event.toMessage(exchange.number)).orStop() }
         } catch (cause: FailureException) {
             val failure = cause.failure as? BackEndFailure ?: throw cause
-            exchange.send(refusal(exchange.number, failure))
+            exchange.refuse(failure)
         }
     }
 
@@ -98,10 +99,6 @@
         }
     }
 
-    private suspend fun refuse(exchange: PeerExchange, type: String, detail: String) {
-        exchange.send(PeerMessage.Refused(exchange.number, type, detail, Execution.NOT_RUN))
-    }
-
     private fun request(completion: ForwardedCompletion, prompt: AssembledPrompt) = GenerateRequest(
         request = completion.request,
         attempt = completion.attempt,
@@ -128,17 +125,12 @@
     is EngineEvent.Final -> PeerMessage.Finished(exchange, tokens, reason)
 }
 
-private fun refusal(exchange: Long, failure: BackEndFailure): PeerMessage.Refused = when (failure) {
-    is BackEndFailure.Refused -> PeerMessage.Refused(
-        exchange,
-        failure.refusal.reason.name,
-        failure.refusal.detail,
-        Execution.NOT_RUN,
-        failure.refusal.retryAfterMillis,
-    )
-    is BackEndFailure.NotConnected -> PeerMessage.Refused(exchange, "FULL", failure.message, Execution.NOT_RUN)
+private suspend fun PeerExchange.refuse(failure: BackEndFailure): Result<Unit, PeerFailure> = when (failure) {
+    is BackEndFailure.Refused ->
+        refuse(failure.refusal.reason.name, failure.refusal.detail, retryAfterMillis = failure.refusal.retryAfterMillis)
+    is BackEndFailure.NotConnected -> refuse("FULL", failure.message)
     is BackEndFailure.Broken, is BackEndFailure.Silent, is BackEndFailure.Malformed ->
-        PeerMessage.Refused(exchange, "BROKEN", failure.message, Execution.UNKNOWN)
+        refuse("BROKEN", failure.message, Execution.UNKNOWN)
 }
 
 /** Ends the answer when the sender's connection is gone; the engine's stream is closed with it. */
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/BackEnds.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/BackEnds.kt
@@ -1,6 +1,7 @@
 package org.parsleymoor.gateway.serving
 
 import io.vertx.core.Vertx
+import org.parsleymoor.clients.CacheClient
 import org.parsleymoor.clients.EngineClient
 import org.parsleymoor.clients.HttpAddress
 import org.parsleymoor.clients.ServiceClient
@@ -9,6 +10,7 @@
 import org.parsleymoor.clients.VertxServiceClient
 import org.parsleymoor.clients.VertxStoreClient
 import org.parsleymoor.configuration.EndpointDeclaration
+import org.parsleymoor.configuration.EndpointKind
 import java.util.concurrent.ConcurrentHashMap
 
 /** Decides how an engine is reached, for example through a gateway of its region; `direct` goes to its address. */
@@ -38,6 +40,13 @@
             VertxStoreClient(vertx, HttpAddress.parse(it), STORE_CALL_MILLIS)
         }
 
+    /** The client of an endpoint that holds blocks; null for an application replica, which holds none. */
+    fun cache(endpoint: EndpointDeclaration): CacheClient? = when (endpoint.kind) {
+        EndpointKind.ENGINE -> direct(endpoint)
+        EndpointKind.STORE -> store(endpoint)
+        EndpointKind.SERVICE -> null
+    }
+
     /** The client of an application replica. */
     fun service(endpoint: EndpointDeclaration): ServiceClient =
         services.computeIfAbsent(endpoint.address) { VertxServiceClient(vertx, HttpAddress.parse(it)) }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/CacheReader.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/CacheReader.kt
@@ -1,54 +1,61 @@
 package org.parsleymoor.gateway.serving
 
-import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.onSuccess
-import org.parsleymoor.clients.BackEndFailure
 import org.parsleymoor.clients.BlockTier
 import org.parsleymoor.clients.CacheEvent
 import org.parsleymoor.clients.CacheEventKind
-import org.parsleymoor.clients.CacheEvents
-import org.parsleymoor.clients.CacheSnapshot
+import org.parsleymoor.configuration.EndpointDeclaration
+import org.parsleymoor.configuration.EndpointKind
 import org.parsleymoor.context.CacheChange
 import org.parsleymoor.context.CacheReport
 import org.parsleymoor.context.CacheTier
+import org.parsleymoor.context.DirectoryAction
 import org.parsleymoor.context.HeldBlock
 import org.parsleymoor.context.PieceHash
 import org.parsleymoor.context.SequencedChange
-import org.parsleymoor.core.EndpointId
+import org.parsleymoor.gateway.ConfigurationHolder
 
-/** Reads the cache events of [source], and its snapshot after a gap; [tier] maps the tiers that it reports. */
+/** Reads the cache events of engines and stores, and the snapshots that the directory asks for. */
 internal class CacheReader(
-    private val source: EndpointId,
+    private val configuration: ConfigurationHolder,
+    private val backEnds: BackEnds,
     private val reports: FleetReports,
-    private val tier: (BlockTier) -> CacheTier,
 ) {
-    /** Takes in the events since the last call and returns what they say. */
-    suspend fun read(
-        events: suspend (Long) -> Result<CacheEvents, BackEndFailure>,
-        snapshot: suspend () -> Result<CacheSnapshot, BackEndFailure>,
-    ): List<CacheChange> {
+    /** Takes in the events of [endpoint] since the last call and returns what they say. */
+    suspend fun read(endpoint: EndpointDeclaration): List<CacheChange> {
         var changes = emptyList<SequencedChange>()
-        val known = reports.cacheSequence(source)
-        events(known).onSuccess { page ->
-            changes = page.events.mapNotNull { change(it) }
-            val report = CacheReport.Changes(source, page.startCount, page.newestSequence, changes)
-            reports.report(report).forEach { _ -> snapshot().onSuccess { take(it) } }
+        backEnds.cache(endpoint)?.cacheEvents(reports.cacheSequence(endpoint.name))?.onSuccess { page ->
+            changes = page.events.mapNotNull { endpoint.change(it) }
+            val report = CacheReport.Changes(endpoint.name, page.startCount, page.newestSequence, changes)
+            reports.report(report).forEach { fetch(it) }
         }
         return changes.map { it.change }
     }
 
-    private fun take(snapshot: CacheSnapshot) {
-        val blocks = snapshot.blocks.mapNotNull { block ->
-            PieceHash.parse(block.piece)?.let { HeldBlock(it, tier(block.tier), block.generation) }
+    /** The directory may ask for another source than the one that has just reported, such as after a lost snapshot. */
+    private suspend fun fetch(action: DirectoryAction) {
+        val endpoint = configuration.current?.endpoint(action.source) ?: return
+        backEnds.cache(endpoint)?.cacheSnapshot()?.onSuccess { snapshot ->
+            val blocks = snapshot.blocks.mapNotNull { block ->
+                PieceHash.parse(block.piece)?.let { HeldBlock(it, endpoint.cacheTier(block.tier), block.generation) }
+            }
+            reports.report(CacheReport.Snapshot(endpoint.name, snapshot.startCount, snapshot.sequence, blocks))
         }
-        reports.report(CacheReport.Snapshot(source, snapshot.startCount, snapshot.sequence, blocks))
     }
 
-    private fun change(event: CacheEvent): SequencedChange? = PieceHash.parse(event.piece)?.let { hash ->
-        val change = when (event.kind) {
-            CacheEventKind.STORED -> CacheChange.Stored(hash, tier(event.tier), event.generation)
-            CacheEventKind.EVICTED -> CacheChange.Evicted(hash)
+    private fun EndpointDeclaration.change(event: CacheEvent): SequencedChange? =
+        PieceHash.parse(event.piece)?.let { hash ->
+            val change = when (event.kind) {
+                CacheEventKind.STORED -> CacheChange.Stored(hash, cacheTier(event.tier), event.generation)
+                CacheEventKind.EVICTED -> CacheChange.Evicted(hash)
+            }
+            SequencedChange(event.sequence, change)
         }
-        SequencedChange(event.sequence, change)
-    }
+
+    private fun EndpointDeclaration.cacheTier(tier: BlockTier): CacheTier =
+        if (kind == EndpointKind.ENGINE) CacheTier.ENGINE else cacheTierOf(tier)
 }
+
+/** The tier of a store's block as the directory has it. */
+internal fun cacheTierOf(tier: BlockTier): CacheTier =
+    if (tier == BlockTier.DISK) CacheTier.STORE_DISK else CacheTier.STORE_MEMORY
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/CompletionAttempts.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/CompletionAttempts.kt
@@ -9,7 +9,6 @@
 import org.parsleymoor.clients.EngineRefusalReason
 import org.parsleymoor.clients.GenerateRequest
 import org.parsleymoor.clients.RequestStepKind
-import org.parsleymoor.configuration.EndpointKind
 import org.parsleymoor.context.ContextIdentity
 import org.parsleymoor.core.AttemptId
 import org.parsleymoor.core.EndpointId
@@ -100,8 +99,7 @@
     }
 
     private suspend fun stream(target: Target, span: Span): Failure? {
-        val engine = tools.configuration.current?.endpoints(EndpointKind.ENGINE)
-            ?.firstOrNull { it.name == target.endpoint }?.let { tools.backEnds.engine(it) }
+        val engine = tools.configuration.current?.endpoint(target.endpoint)?.let { tools.backEnds.engine(it) }
             ?: return BackEndFailure.NotConnected(target.endpoint.value, "the engine is no longer declared")
         val resume = assembler.begin(target.attempt)
         recordAttempt(target, resume)
@@ -154,7 +152,7 @@
         if ((failure as? BackEndFailure.Refused)?.refusal?.reason == EngineRefusalReason.COLD) {
             chooser.refusedAsCold(target.endpoint)
         }
-        val end = endOf(failure)
+        val end = (failure as? BackEndFailure)?.attemptEnd ?: AttemptEnd.BROKEN
         val action = machine.failed(target.endpoint, end, tools.clock.nowMillis())
         inFlight = false
         if (action !is AttemptAction.GiveUp) tools.metrics.retried(end.name.lowercase())
@@ -257,11 +255,4 @@
     }
 }
 
-private fun endOf(failure: Failure): AttemptEnd = when (failure) {
-    is BackEndFailure.NotConnected -> AttemptEnd.NOT_CONNECTED
-    is BackEndFailure.Refused -> AttemptEnd.REFUSED
-    is BackEndFailure.Silent -> AttemptEnd.SILENT
-    else -> AttemptEnd.BROKEN
-}
-
 private fun CompletionCall.need(avoid: Set<EndpointId>) = EngineNeed(model.name, model.version, context, avoid)
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/ServiceRunner.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/ServiceRunner.kt
@@ -16,7 +16,6 @@
 import org.parsleymoor.core.EndpointId
 import org.parsleymoor.core.RequestId
 import org.parsleymoor.execution.AttemptAction
-import org.parsleymoor.execution.AttemptEnd
 import org.parsleymoor.execution.AttemptMachine
 import org.parsleymoor.execution.Execution
 import org.parsleymoor.execution.GiveUpCause
@@ -120,12 +119,7 @@
         replica: EndpointDeclaration,
         failure: BackEndFailure,
     ): AttemptAction {
-        val end = when (failure) {
-            is BackEndFailure.NotConnected -> AttemptEnd.NOT_CONNECTED
-            is BackEndFailure.Refused -> AttemptEnd.REFUSED
-            is BackEndFailure.Silent -> AttemptEnd.SILENT
-            is BackEndFailure.Broken, is BackEndFailure.Malformed -> AttemptEnd.BROKEN
-        }
+        val end = failure.attemptEnd
         val action = machine.failed(replica.name, end, tools.clock.nowMillis())
         if (action !is AttemptAction.GiveUp) tools.metrics.retried(end.name.lowercase())
         return action
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/StoreImports.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/StoreImports.kt
@@ -62,9 +62,9 @@
     }
 
     private fun order(engine: EndpointId, source: PrefixSource.Import): ImportOrder? {
-        val declared = tools.configuration.current?.configuration?.endpoints.orEmpty()
-        val store = declared.firstOrNull { it.name == source.store }
-        val client = declared.firstOrNull { it.name == engine }?.let { tools.backEnds.direct(it) }
+        val view = tools.configuration.current
+        val store = view?.endpoint(source.store)
+        val client = view?.endpoint(engine)?.let { tools.backEnds.direct(it) }
         if (store == null || client == null) return null
         val pieces = source.blocks.map { TransferPiece(it.piece.toString(), it.generation) }
         val transfer = TransferRequest(store.address, pieces)
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/StoreObserver.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/StoreObserver.kt
@@ -1,13 +1,7 @@
 package org.parsleymoor.gateway.serving
 
 import com.github.michaelbull.result.onSuccess
-import kotlinx.coroutines.coroutineScope
-import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
-import org.parsleymoor.clients.BlockTier
-import org.parsleymoor.configuration.EndpointDeclaration
 import org.parsleymoor.configuration.EndpointKind
-import org.parsleymoor.context.CacheTier
 import org.parsleymoor.core.Clock
 import org.parsleymoor.gateway.ConfigurationHolder
 
@@ -19,24 +13,13 @@
     private val clock: Clock,
     private val intervalMillis: Long = 500,
 ) {
-    suspend fun run() {
-        while (true) {
-            val stores = configuration.current?.endpoints(EndpointKind.STORE).orEmpty()
-            coroutineScope { stores.forEach { store -> launch { observe(store) } } }
-            delay(intervalMillis)
-        }
-    }
+    private val caches = CacheReader(configuration, backEnds, reports)
 
-    private suspend fun observe(store: EndpointDeclaration) {
-        val client = backEnds.store(store)
+    suspend fun run(): Unit = configuration.pollEndpoints(EndpointKind.STORE, intervalMillis) { store ->
         val askedMillis = clock.nowMillis()
-        client.load().onSuccess { load ->
+        backEnds.store(store).load().onSuccess { load ->
             reports.report(store.name, load, askedMillis)
-            CacheReader(store.name, reports, ::cacheTierOf).read(client::cacheEvents, client::cacheSnapshot)
+            caches.read(store)
         }
     }
 }
-
-/** The tier of a store's block as the directory has it. */
-internal fun cacheTierOf(tier: BlockTier): CacheTier =
-    if (tier == BlockTier.DISK) CacheTier.STORE_DISK else CacheTier.STORE_MEMORY
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/StoreTable.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/StoreTable.kt
@@ -22,9 +22,8 @@
     }
 
     /** The stores as the placement sees them. */
-    fun views(
-        view: ServingView
-    ): List<StoreView> = view.endpoints(EndpointKind.STORE).mapNotNull { storeView(it, view) }
+    fun views(view: ServingView): List<StoreView> =
+        view.endpoints(EndpointKind.STORE).mapNotNull { storeView(it, view) }
 
     private fun storeView(store: EndpointDeclaration, view: ServingView): StoreView? {
         val region = view.regionOf(store.zone) ?: return null
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/StoreTiers.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/StoreTiers.kt
@@ -9,6 +9,7 @@
 import org.parsleymoor.context.CacheReport
 import org.parsleymoor.context.HeldBlock
 import org.parsleymoor.context.PieceHash
+import org.parsleymoor.context.blocksOf
 import org.parsleymoor.core.EndpointId
 import org.parsleymoor.gateway.ServingView
 import org.parsleymoor.gateway.operations.StoreMetrics
@@ -69,15 +70,11 @@
 
     private fun content(store: EndpointId, load: StoreLoad) = StoreContent(
         store = store,
-        blocks = LazyBlocks { blocksOf(store) },
+        blocks = LazyBlocks { synchronized(state.lock) { state.directory.blocksOf(store) } },
         memoryBlocks = (load.memoryCapacityBytes / BLOCK_BYTES).toInt(),
         diskBlocks = (load.diskCapacityBytes / BLOCK_BYTES).toInt(),
     )
 
-    private fun blocksOf(store: EndpointId): List<HeldBlock> = synchronized(state.lock) {
-        state.directory.digest(Long.MIN_VALUE, Int.MAX_VALUE).filter { it.source == store }.flatMap { it.blocks }
-    }
-
     /** What the store has done counts at once, or the next tick would ask for it again before its events arrive. */
     private suspend fun perform(action: RetentionAction, store: EndpointDeclaration) {
         when (action) {
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/TicketDesk.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/TicketDesk.kt
@@ -28,9 +28,8 @@
     private val ledger = TicketLedger(self, ByteArray(MAC_KEY_BYTES).also { SecureRandom().nextBytes(it) })
     private val waiters = HashMap<RequestId, CompletableDeferred<ExecutionAnswer>>()
 
-    override fun issue(organisation: OrganisationId): String = synchronized(
-        lock
-    ) { ledger.issue(organisation) }.toString()
+    override fun issue(organisation: OrganisationId): String =
+        synchronized(lock) { ledger.issue(organisation) }.toString()
 
     override suspend fun execute(call: OnceCall, origin: CallOrigin): ExecutionAnswer {
         val ticket = Ticket.parse(call.keyed.key) ?: return ExecutionAnswer.NotRun(NotRunReason.PLATFORM_UNAVAILABLE)
--- a/programs/standins/src/main/kotlin/org/parsleymoor/standins/BlockTransfers.kt
+++ b/programs/standins/src/main/kotlin/org/parsleymoor/standins/BlockTransfers.kt
@@ -12,6 +12,7 @@
 import org.parsleymoor.clients.TransferRequest
 import org.parsleymoor.clients.TransferResult
 import org.parsleymoor.clients.WireJson
+import org.parsleymoor.core.sha256Hex
 import java.io.IOException
 
 /** Copies blocks between an engine and a store. A block whose checksum or content is wrong is not taken. */
@@ -52,7 +53,7 @@
     private suspend fun write(store: HttpAddress, piece: TransferPiece): TransferPiece? {
         val content = contentOf(piece.piece)
         val answer = web.put(store.port, store.host, blockPath(piece))
-            .putHeader(BlockHeaders.CHECKSUM, sha256(content))
+            .putHeader(BlockHeaders.CHECKSUM, content.sha256Hex())
             .putHeader(BlockHeaders.DECLARED_BYTES, state.settings.bytesPerPiece.toString())
             .sendBuffer(Buffer.buffer(content)).coAwait()
         if (answer.statusCode() != HttpStatus.OK) return null
@@ -68,7 +69,7 @@
 
     private fun isWhole(answer: HttpResponse<Buffer>, piece: String): Boolean {
         val bytes = answer.bodyAsBuffer()?.bytes ?: ByteArray(0)
-        return sha256(bytes) == answer.getHeader(BlockHeaders.CHECKSUM) && bytes.contentEquals(contentOf(piece))
+        return bytes.sha256Hex() == answer.getHeader(BlockHeaders.CHECKSUM) && bytes.contentEquals(contentOf(piece))
     }
 
     private fun blockPath(piece: TransferPiece) = "/v1/blocks/${piece.piece}?generation=${piece.generation}"
--- a/programs/standins/src/main/kotlin/org/parsleymoor/standins/ModelText.kt
+++ b/programs/standins/src/main/kotlin/org/parsleymoor/standins/ModelText.kt
@@ -1,6 +1,6 @@
 package org.parsleymoor.standins
 
-import java.security.MessageDigest
+import org.parsleymoor.core.sha256Hex
 
 /**
  * The stand-in model: the answer's tokens are a function of prompt and model alone, so that a sender can check every
@@ -17,13 +17,12 @@
     }
 
     /** Returns the answer to [prompt] by [model], whose tokens are cheap to read one by one. */
-    public fun answerTo(model: String, prompt: String): ModelAnswer = ModelAnswer(hexDigest("$model\n$prompt"))
+    public fun answerTo(model: String, prompt: String): ModelAnswer = ModelAnswer(
+        "$model\n$prompt".toByteArray().sha256Hex()
+    )
 
     /** Returns a digest that names [prompt] in journals. */
-    public fun promptDigest(prompt: String): String = hexDigest(prompt).take(PROMPT_DIGEST_LENGTH)
-
-    private fun hexDigest(text: String): String =
-        MessageDigest.getInstance("SHA-256").digest(text.toByteArray()).joinToString("") { "%02x".format(it) }
+    public fun promptDigest(prompt: String): String = prompt.toByteArray().sha256Hex().take(PROMPT_DIGEST_LENGTH)
 
     private const val PROMPT_DIGEST_LENGTH = 32
 }
--- a/programs/trials/src/test/kotlin/org/parsleymoor/trials/FreePortsTest.kt
+++ b/programs/standins/src/test/kotlin/org/parsleymoor/standins/FreePortsTest.kt
@@ -1,4 +1,4 @@
-package org.parsleymoor.trials
+package org.parsleymoor.standins
 
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
--- a/programs/trials/src/main/kotlin/org/parsleymoor/trials/FaultChecks.kt
+++ b/programs/trials/src/main/kotlin/org/parsleymoor/trials/FaultChecks.kt
@@ -22,7 +22,7 @@
 
     private fun repeatable(calls: List<CallRecord>): String? {
         val repeatable = calls.filter { it.outcome.repeatable }
-        val answered = repeatable.count { it.outcome.told == Told.ANSWERED }
+        val answered = repeatable.count { it.outcome.result == CallResult.ANSWERED }
         if (answered >= ANSWERED_SHARE * repeatable.size) return null
         return "repeatable: expected at least 99.9% answered whole, found $answered of ${repeatable.size}"
     }
@@ -32,10 +32,10 @@
      * has left is answered `unknown`, which interrupts nothing when the call is a repetition or was moved to another
      * gateway.
      */
-    private fun CallRecord.isInterrupted(): Boolean = when (outcome.told) {
-        Told.BROKEN -> true
-        Told.UNKNOWN -> kind != CallKind.REPEAT && !movedOn
-        Told.ANSWERED, Told.NOT_RUN, Told.WRONG -> false
+    private fun CallRecord.isInterrupted(): Boolean = when (outcome.result) {
+        CallResult.BROKEN -> true
+        CallResult.UNKNOWN -> kind != CallKind.REPEAT && !movedOn
+        CallResult.ANSWERED, CallResult.NOT_RUN, CallResult.WRONG -> false
     }
 
     private companion object {
--- a/programs/trials/src/main/kotlin/org/parsleymoor/trials/FaultExperiment.kt
+++ b/programs/trials/src/main/kotlin/org/parsleymoor/trials/FaultExperiment.kt
@@ -40,7 +40,7 @@
             val warm = System.currentTimeMillis()
             Thread.sleep(times.beforeMillis)
             val began = System.currentTimeMillis()
-            rounds.forEach { inflict(it) }
+            rounds.forEach { runRound(it) }
             val ended = System.currentTimeMillis()
             change(emptySet())
             Thread.sleep(times.afterMillis)
@@ -51,7 +51,7 @@
         }
     }
 
-    private fun inflict(faults: List<Fault>) {
+    private fun runRound(faults: List<Fault>) {
         faults.forEach { it.begin() }
         val until = System.currentTimeMillis() + faults.maxOf { it.lastsMillis }
         if (faults.all { it.platformAccepts }) change(faults.flatMap { it.unreachable }.toSet())
--- a/programs/trials/src/main/kotlin/org/parsleymoor/trials/FaultName.kt
+++ b/programs/trials/src/main/kotlin/org/parsleymoor/trials/FaultName.kt
@@ -1,7 +1,7 @@
 package org.parsleymoor.trials
 
 /** The experiments of `bin/faults run`, in the order in which the faults of one round are brought about. */
-internal enum class FaultName(val spoken: String, val part: FaultPart) {
+internal enum class FaultName(val argument: String, val part: FaultPart) {
     ZONE_OUT_AND_BACK("zone-out-and-back", FaultPart.ENDPOINTS),
     STORE_KILLED("store-killed", FaultPart.ENDPOINTS),
     SILENT_CONNECTIONS("silent-connections", FaultPart.CONNECTIONS),
--- a/programs/trials/src/main/kotlin/org/parsleymoor/trials/FaultReport.kt
+++ b/programs/trials/src/main/kotlin/org/parsleymoor/trials/FaultReport.kt
@@ -24,13 +24,13 @@
 
 /** Sums up [measurement]; [check] has compared its calls with the journals. */
 internal fun faultReport(measurement: Measurement, check: JournalCheck, leaves: List<ZoneLeave>): FaultReport {
-    val told = measurement.calls.groupingBy { it.outcome.told }.eachCount()
+    val result = measurement.calls.groupingBy { it.outcome.result }.eachCount()
     return FaultReport(
         requests = measurement.calls.size,
-        answered = told[Told.ANSWERED] ?: 0,
-        refused = told[Told.NOT_RUN] ?: 0,
-        unknown = (told[Told.UNKNOWN] ?: 0) + (told[Told.BROKEN] ?: 0),
-        wrongAnswers = told[Told.WRONG] ?: 0,
+        answered = result[CallResult.ANSWERED] ?: 0,
+        refused = result[CallResult.NOT_RUN] ?: 0,
+        unknown = (result[CallResult.UNKNOWN] ?: 0) + (result[CallResult.BROKEN] ?: 0),
+        wrongAnswers = result[CallResult.WRONG] ?: 0,
         doubled = check.doubled().size,
         falseNotRun = check.falseNotRun().size,
         violations = check.violations().size,
@@ -45,7 +45,7 @@
 }
 
 private fun Measurement.firstTokenP95(isInPhase: (Long) -> Boolean): Long = calls
-    .filter { it.kind == CallKind.STREAMED && it.outcome.told == Told.ANSWERED && isInPhase(it.startedMillis) }
+    .filter { it.kind == CallKind.STREAMED && it.outcome.result == CallResult.ANSWERED && isInPhase(it.startedMillis) }
     .map { it.outcome.firstTokenMillis }.sorted().share(HIGH)
 
 private const val HIGH = 0.95
--- a/programs/trials/src/main/kotlin/org/parsleymoor/trials/JournalCheck.kt
+++ b/programs/trials/src/main/kotlin/org/parsleymoor/trials/JournalCheck.kt
@@ -24,7 +24,7 @@
     fun falseNotRun(): List<String> {
         val effectPaths = effects.map { it.path }.toSet()
         val prompts = runs.filter { it.outcome != RunOutcome.REFUSED }.map { it.promptDigest }.toSet()
-        return outcomes.filter { it.told == Told.NOT_RUN }
+        return outcomes.filter { it.result == CallResult.NOT_RUN }
             .filter { it.effect in effectPaths || it.promptDigest in prompts }
             .map { "${it.effect}${it.promptDigest}: ${it.detail}" }
     }
@@ -32,6 +32,9 @@
     /** What the journals show against I2, I3 and I4, one line each. */
     fun violations(): List<String> = foreignBlocks() + wrongOrganisations() + overColdLimit()
 
+    /** Everything that was found, one line each with the number of the invariant. */
+    fun faults(): List<String> = violations() + doubled().map { "I8 $it" } + falseNotRun().map { "I7 $it" }
+
     /** The share of the pieces of accepted prompts that was computed, those of their first use included. */
     fun recomputedShare(): Double {
         val done = runs.filter { it.startedAtMillis > 0 }.sortedBy { it.startedAtMillis }
