--- a/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/LeaseSettings.kt
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/LeaseSettings.kt
@@ -3,7 +3,7 @@
 /**
  * Times of a lease in milliseconds. The holder renews after [renewMillis], a contender polls at the same rate, and a
  * response that is missing for [responseMillis] counts as lost. An order is delivered or given up within
- * [longestDeliveryMillis].
+ * [longestDeliveryMillis]. The holder uses a lease for [usableMillis], counted from before the request that wrote it.
  */
 public data class LeaseSettings(
     public val durationMillis: Long = 15_000,
@@ -11,12 +11,10 @@
     public val retryMillis: Long = 500,
     public val responseMillis: Long = 2_000,
     public val longestDeliveryMillis: Long = 2_000,
+    public val usableMillis: Long = durationMillis * USABLE_THIRDS / THIRDS,
 ) {
-    /** How long the holder uses a lease, counted from before the request that wrote it. */
-    public val usableMillis: Long get() = durationMillis * USABLE_THIRDS / THIRDS
-
     private companion object {
-        const val USABLE_THIRDS = 2
-        const val THIRDS = 3
+        const val USABLE_THIRDS = 2L
+        const val THIRDS = 3L
     }
 }
--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerMessage.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerMessage.kt
@@ -75,6 +75,28 @@
         public val evicted: List<Long> = emptyList(),
     ) : PeerMessage
 
+    /** Tells the load of engines as the sender read it, and what it has sent them; shows that the sender is alive. */
+    @Serializable
+    @SerialName("eloads")
+    public data class EngineLoads(
+        public val reports: List<EngineLoadDigest> = emptyList(),
+        public val sent: List<SentPromptDigest> = emptyList(),
+    ) : PeerMessage
+
+    /** Asks for the objects of [kind] when any of them has changed since [haveRevision]. */
+    @Serializable
+    @SerialName("owant")
+    public data class ObjectsWanted(public val kind: String, public val haveRevision: Long) : PeerMessage
+
+    /** Offers all objects of [kind] as of [revision]. */
+    @Serializable
+    @SerialName("ooffer")
+    public data class ObjectsOffered(
+        public val kind: String,
+        public val revision: Long,
+        public val objects: List<OfferedObject>,
+    ) : PeerMessage
+
     /** A message that belongs to one exchange; the side that opened the exchange chose the number. */
     @Serializable
     public sealed interface OfExchange : PeerMessage {
@@ -216,6 +238,37 @@
     public val ageMillis: Long,
 )
 
+/** Load and memory of an engine, as one instance read them [ageMillis] ago. Memory is counted in tokens. */
+@OptIn(ExperimentalSerializationApi::class)
+@CborArray
+@Serializable
+public data class EngineLoadDigest(
+    public val endpoint: EndpointId,
+    public val running: Int,
+    public val waiting: Int,
+    public val prefilling: Int,
+    public val memoryUsed: Long,
+    public val memoryTotal: Long,
+    public val ageMillis: Long,
+)
+
+/** A prompt that an instance sent to an engine [ageMillis] ago: its [tokens], and those that the engine has to read. */
+@OptIn(ExperimentalSerializationApi::class)
+@CborArray
+@Serializable
+public data class SentPromptDigest(
+    public val endpoint: EndpointId,
+    public val tokens: Long,
+    public val tokensToRead: Long,
+    public val ageMillis: Long,
+)
+
+/** An object of the platform's store at [revision]. */
+@OptIn(ExperimentalSerializationApi::class)
+@CborArray
+@Serializable
+public data class OfferedObject(public val name: String, public val revision: Long, public val content: String)
+
 /**
  * A completion whose prompt is the texts of [textPieces] in order followed by [tail]. [textPieces] joins the hashes of
  * [TextHash.BYTES] bytes each. [contextHash] is the chained hash of the last full context piece, in lower-case
--- /dev/null
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/cache/StoreChoice.kt
@@ -0,0 +1,103 @@
+package org.parsleymoor.relay.cache
+
+import org.parsleymoor.core.RegionId
+import org.parsleymoor.core.ZoneId
+import org.parsleymoor.relay.fleet.SocketAddress
+import org.parsleymoor.relay.placement.Distance
+import org.parsleymoor.relay.placement.Topology
+import org.parsleymoor.relay.prompt.PromptContext
+import org.parsleymoor.relay.prompt.PromptPart
+import org.parsleymoor.relay.routing.StoreTraits
+
+/** A KV cache store that may be used for a prompt. */
+public data class CandidateStore(public val address: SocketAddress, public val traits: StoreTraits)
+
+/** What is known of the engine's side of a transfer: its zone, the name space and the size of a token. */
+public data class TransferSide(public val zone: ZoneId, public val namespace: String, public val tokenBytes: Long)
+
+/**
+ * Decides which stores an engine fetches the shared parts of a prompt from and saves them to. All instances order the
+ * stores alike for the same parts, so that two of them do not save the same part to two stores.
+ */
+public class StoreChoice(private val topology: Topology, private val directory: StoreDirectory) {
+    private val budget = TransferBudget()
+
+    /** Returns the time in milliseconds that [tokens] take from [store] to [side] on an idle link. */
+    public fun transferMillis(store: CandidateStore, side: TransferSide, tokens: Long): Double =
+        tokens * factor(store, side) / tokensPerMilli(store, side)
+
+    /** Returns the store that holds [part] whole and from which it arrives first. */
+    public fun source(
+        part: PromptPart,
+        side: TransferSide,
+        stores: List<CandidateStore>,
+        allowedRegions: List<Set<RegionId>>,
+    ): CandidateStore? = permitted(stores, allowedRegions)
+        .filter { directory.holds(it.address, side.namespace, part) }
+        .minByOrNull { transferMillis(it, side, part.tokens) }
+
+    /** Returns the store to save [part] to, or null when a store of the region holds it or none has room. */
+    public fun target(
+        part: PromptPart,
+        prompt: PromptContext,
+        side: TransferSide,
+        stores: List<CandidateStore>,
+        allowedRegions: List<Set<RegionId>>,
+    ): CandidateStore? {
+        val near = permitted(stores, allowedRegions)
+            .filter { topology.distance(it.traits.zone, side.zone) != Distance.OTHER_REGION }
+        if (near.any { directory.holds(it.address, side.namespace, part) }) return null
+        val rooms = near.filter { hasRoom(it, prompt.sharedTokens) }
+        return rooms.minWithOrNull(compareBy({ transferMillis(it, side, part.tokens) }, { it.address.toString() }))
+    }
+
+    /** Takes a transfer of [tokens] between [store] and [side] from this instance's part of the store's link. */
+    public fun mayTransfer(
+        store: CandidateStore,
+        side: TransferSide,
+        tokens: Long,
+        instances: Int,
+        saving: Boolean,
+        nowMillis: Long,
+    ): Boolean = budget.tryTake(
+        store = store.address,
+        tokens = tokens * factor(store, side),
+        tokensPerMilli = tokensPerMilli(store, side),
+        instances = instances,
+        reserveShare = if (saving) SAVING_RESERVE else 0.0,
+        nowMillis = nowMillis,
+    )
+
+    private fun permitted(stores: List<CandidateStore>, allowedRegions: List<Set<RegionId>>): List<CandidateStore> =
+        stores.filter { store -> allowedRegions.all { topology.isAllowed(store.traits.zone, it) } }
+
+    private fun hasRoom(store: CandidateStore, tokens: Long): Boolean {
+        val used = directory.usedTokens(store.address) ?: return false
+        return store.traits.managed && used + tokens <= store.traits.cacheTokens * FILL_SHARE
+    }
+
+    private fun factor(store: CandidateStore, side: TransferSide): Double =
+        when (topology.distance(store.traits.zone, side.zone)) {
+            Distance.SAME_ZONE -> 1.0
+            Distance.SAME_REGION -> OTHER_ZONE_FACTOR
+            Distance.OTHER_REGION -> OTHER_REGION_FACTOR
+        }
+
+    private fun tokensPerMilli(store: CandidateStore, side: TransferSide): Double =
+        (store.traits.linkMegabits * BYTES_PER_MEGABIT_MILLI / side.tokenBytes.coerceAtLeast(1)).coerceAtLeast(1.0)
+
+    private companion object {
+        // Parts that are being written already have their space and are not in the directory yet.
+        const val FILL_SHARE = 0.95
+
+        // A transfer takes twice as long between zones and ten times as long between regions.
+        const val OTHER_ZONE_FACTOR = 2.0
+        const val OTHER_REGION_FACTOR = 10.0
+
+        // Bytes that a link of one megabit a second carries in a millisecond.
+        const val BYTES_PER_MEGABIT_MILLI = 125.0
+
+        // A save that waits delays nobody, so fetches may use the last part of the link alone.
+        const val SAVING_RESERVE = 0.35
+    }
+}
--- /dev/null
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/cache/StoreDirectory.kt
@@ -0,0 +1,83 @@
+package org.parsleymoor.relay.cache
+
+import org.parsleymoor.relay.fleet.SocketAddress
+import org.parsleymoor.relay.prompt.PromptPart
+
+/** Names a part within one store. */
+public data class CachedPart(public val namespace: String, public val part: String)
+
+/** One change that a store reports: it holds [tokens] tokens of [part] completely, or none of it. */
+public data class StoreChange(public val part: CachedPart, public val tokens: Long, public val held: Boolean)
+
+/**
+ * Which complete parts the KV cache stores hold, from their events and lists. A part that is being written is unknown
+ * here until the store reports it whole. Not safe for use from several threads.
+ */
+public class StoreDirectory {
+    private val stores = HashMap<SocketAddress, Contents>()
+
+    /** Position in the events of [store] from which to read on, or null when its list has to be read first. */
+    public fun position(store: SocketAddress): Long? = stores[store]?.position
+
+    /** Takes in all that [store] holds. */
+    public fun listed(store: SocketAddress, epoch: Long, position: Long, parts: List<StoreChange>) {
+        val contents = Contents(epoch, position)
+        parts.forEach(contents::apply)
+        stores[store] = contents
+    }
+
+    /** Takes in events up to [position]; returns false when they do not join what is known and the list is needed. */
+    public fun changed(
+        store: SocketAddress,
+        epoch: Long,
+        position: Long,
+        gap: Boolean,
+        parts: List<StoreChange>
+    ): Boolean {
+        val contents = stores[store]
+        if (contents == null || gap || contents.epoch != epoch) {
+            stores -= store
+            return false
+        }
+        parts.forEach(contents::apply)
+        contents.position = position
+        return true
+    }
+
+    /** Forgets what [store] holds, because it does not answer. */
+    public fun lost(store: SocketAddress) {
+        stores -= store
+    }
+
+    /** Forgets all stores but [known]. */
+    public fun retain(known: Set<SocketAddress>) {
+        stores.keys.retainAll(known)
+    }
+
+    /** Whether [store] holds [part] of [namespace] whole. */
+    public fun holds(store: SocketAddress, namespace: String, part: PromptPart): Boolean =
+        (stores[store]?.held?.get(CachedPart(namespace, part.id)) ?: -1) >= part.tokens
+
+    /** When [store] started, in its own count, or null when it is unknown. */
+    public fun epoch(store: SocketAddress): Long? = stores[store]?.epoch
+
+    /** Number of tokens that [store] holds, or null when it is unknown. */
+    public fun usedTokens(store: SocketAddress): Long? = stores[store]?.used
+
+    /** Returns the parts of [store] that are in none of the namespaces that [wanted] accepts. */
+    public fun unwanted(store: SocketAddress, wanted: (String) -> Boolean): List<CachedPart> =
+        stores[store]?.held?.keys.orEmpty().filterNot { wanted(it.namespace) }
+
+    private class Contents(val epoch: Long, var position: Long) {
+        val held = HashMap<CachedPart, Long>()
+        var used = 0L
+
+        fun apply(change: StoreChange) {
+            used -= held.remove(change.part) ?: 0
+            if (change.held) {
+                held[change.part] = change.tokens
+                used += change.tokens
+            }
+        }
+    }
+}
--- /dev/null
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/cache/TransferBudget.kt
@@ -0,0 +1,45 @@
+package org.parsleymoor.relay.cache
+
+import org.parsleymoor.relay.fleet.SocketAddress
+
+/**
+ * This instance's part of the links of the KV cache stores. Transfers of all engines queue on a store's link, and a
+ * request waits for its fetch, so a link that is asked for more than it carries delays every request that uses it. Each
+ * instance takes an equal part of [LINK_SHARE] of the link. Not safe for use from several threads.
+ */
+public class TransferBudget {
+    private val levels = HashMap<SocketAddress, Level>()
+
+    /**
+     * Takes [tokens] from the part of [store], whose link carries [tokensPerMilli]; returns false, and takes nothing,
+     * when less than [reserveShare] of a full budget would be left.
+     */
+    public fun tryTake(
+        store: SocketAddress,
+        tokens: Double,
+        tokensPerMilli: Double,
+        instances: Int,
+        reserveShare: Double,
+        nowMillis: Long,
+    ): Boolean {
+        val rate = tokensPerMilli * LINK_SHARE / instances.coerceAtLeast(1)
+        val depth = rate * DEPTH_MILLIS
+        val level = levels.getOrPut(store) { Level(depth, nowMillis) }
+        level.tokens = minOf(depth, level.tokens + rate * (nowMillis - level.atMillis))
+        level.atMillis = nowMillis
+        val full = level.tokens >= depth
+        if (!full && level.tokens - tokens < depth * reserveShare) return false
+        level.tokens -= tokens
+        return true
+    }
+
+    private class Level(var tokens: Double, var atMillis: Long)
+
+    private companion object {
+        // Leaves room for transfers that instances start at the same moment.
+        const val LINK_SHARE = 0.8
+
+        // An instance may use its part of a second at once: a long context takes about half of that.
+        const val DEPTH_MILLIS = 1_000
+    }
+}
--- /dev/null
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointState.kt
@@ -0,0 +1,128 @@
+package org.parsleymoor.relay.fleet
+
+import org.parsleymoor.core.ModelId
+
+/** Load that an endpoint has reported with a response, as of [atMillis]. */
+public data class ReportedLoad(
+    public val running: Int,
+    public val waiting: Int,
+    public val slots: Int,
+    public val atMillis: Long,
+)
+
+/** Load of an engine as of [atMillis]: [prefilling] of the [running] have no token yet; memory is in tokens. */
+public data class EngineLoad(
+    public val running: Int,
+    public val waiting: Int,
+    public val prefilling: Int,
+    public val memoryUsed: Long,
+    public val memoryTotal: Long,
+    public val atMillis: Long,
+)
+
+/** A prompt that an instance sent to an engine: the [tokens] it needs in memory, and those to be read. */
+public data class SentPrompt(public val atMillis: Long, public val tokens: Long, public val tokensToRead: Long)
+
+/** What this instance believes of one endpoint, with the work that it has under way there itself. */
+public class EndpointState internal constructor(entry: EndpointEntry, nowMillis: Long) {
+    /** The newest entry of the discovery list. */
+    public var entry: EndpointEntry = entry
+        private set
+
+    /** When [entry] was received. */
+    public var heardMillis: Long = nowMillis
+        private set
+
+    /** Until when the endpoint counts as cold. */
+    public var coldUntilMillis: Long = nowMillis
+        private set
+
+    /** Since when the entry is missing after an interruption of the list, or null. */
+    public var missingSinceMillis: Long? = null
+        internal set
+
+    /** Requests of this instance that the endpoint has not answered completely. */
+    public var inFlight: Int = 0
+        internal set
+
+    /** Prompt tokens of those requests that have not produced their first event. */
+    public var tokensInFlight: Long = 0
+        internal set
+
+    /** The last load that the endpoint reported. */
+    public var load: ReportedLoad? = null
+
+    /** When the endpoint last sent anything in response to a request of this instance. */
+    public var answeredMillis: Long = Long.MIN_VALUE
+
+    /** When the endpoint last refused a request. */
+    public var refusedMillis: Long = Long.MIN_VALUE
+
+    /** The last load that the engine reported to this instance or one of its peers. */
+    public var engineLoad: EngineLoad? = null
+        private set
+
+    private val sentPrompts = ArrayDeque<SentPrompt>()
+
+    /** Takes in a newer [load]; returns whether it is newer than the known one. */
+    public fun learnLoad(load: EngineLoad): Boolean {
+        val newer = load.atMillis > (engineLoad?.atMillis ?: Long.MIN_VALUE)
+        if (newer) engineLoad = load
+        return newer
+    }
+
+    /** Notes a prompt that this instance or a peer has sent to the engine. */
+    public fun sent(prompt: SentPrompt) {
+        sentPrompts.addLast(prompt)
+        while (sentPrompts.size > KEPT_PROMPTS) sentPrompts.removeFirst()
+    }
+
+    /** Prompts that were sent after [sinceMillis], which a report of that time does not show. */
+    internal fun sentSince(sinceMillis: Long): List<SentPrompt> = sentPrompts.filter { it.atMillis > sinceMillis }
+
+    /** Whether an order of this instance waits for the endpoint to finish its runs. */
+    public var orderPending: Boolean = false
+
+    internal val health = EndpointHealth()
+    private val learnedWeights = HashMap<ModelId, Long>()
+
+    init {
+        accept(entry, nowMillis)
+    }
+
+    internal fun accept(entry: EndpointEntry, nowMillis: Long) {
+        val restarted = entry.bornMillis != this.entry.bornMillis || entry.address != this.entry.address
+        if (restarted) {
+            learnedWeights.clear()
+            health.reset()
+            load = null
+            engineLoad = null
+        }
+        this.entry = entry
+        heardMillis = nowMillis
+        missingSinceMillis = null
+        if (entry.coldMillis > 0) becomeCold(entry.coldMillis, nowMillis)
+    }
+
+    /** Notes that the endpoint said it stays cold for [millis]. */
+    public fun becomeCold(millis: Long, nowMillis: Long) {
+        coldUntilMillis = maxOf(coldUntilMillis, nowMillis + millis)
+    }
+
+    /** Whether the endpoint counts as cold at [nowMillis]. */
+    public fun isCold(nowMillis: Long): Boolean = nowMillis < coldUntilMillis
+
+    /** Notes that the endpoint answered with [version] of [model]. */
+    public fun learnWeights(model: ModelId, version: Long) {
+        learnedWeights[model] = version
+    }
+
+    /** The newest version of [model] that the endpoint is known to have; versions of a model only increase. */
+    public fun weights(model: ModelId): Long? =
+        listOfNotNull(entry.weights[model], learnedWeights[model]).maxOrNull()
+
+    private companion object {
+        // More than all instances send to one engine between two reports.
+        const val KEPT_PROMPTS = 128
+    }
+}
--- /dev/null
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/http/HeadParser.kt
@@ -0,0 +1,98 @@
+package org.parsleymoor.relay.http
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
+import com.github.michaelbull.result.map
+
+/** Parses the head of a request, with the empty line that ends it. */
+public fun parseRequestHead(head: ByteArray): Result<RequestHead, MessageFault> {
+    val lines = headLines(head)
+    val parts = lines.first().split(' ')
+    val minor = parts.lastOrNull()?.let(::minorVersion)
+    if (parts.size != START_LINE_PARTS || minor == null || !isToken(parts[0]) || !isTarget(parts[1])) {
+        return Err(MessageFault.MALFORMED_START_LINE)
+    }
+    return parseFields(lines.drop(1)).andThen { headers ->
+        val request = RequestHead(parts[0], parts[1], headers, minor)
+        if (minor == 1 && headers.all("Host").size != 1) Err(MessageFault.MISSING_HOST) else Ok(request)
+    }
+}
+
+/** Parses the head of a response, with the empty line that ends it. */
+public fun parseResponseHead(head: ByteArray): Result<ResponseHead, MessageFault> {
+    val lines = headLines(head)
+    val parts = lines.first().split(' ', limit = START_LINE_PARTS)
+    val minor = minorVersion(parts[0])
+    val status = parts.getOrNull(1)?.takeIf { it.length == STATUS_DIGITS }?.toIntOrNull()
+    if (minor == null || status == null || status !in STATUSES) return Err(MessageFault.MALFORMED_START_LINE)
+    return parseFields(lines.drop(1)).map { ResponseHead(status, parts.getOrElse(2) { "" }, it, minor) }
+}
+
+/** Tells how the body of this request ends; a request that could be read in two ways is a fault (RFC 9112, 6.3). */
+public fun RequestHead.framing(): Result<BodyFraming, MessageFault> =
+    declaredFraming(headers).map { it ?: BodyFraming.None }
+
+/** Tells how the body of this response to a [method] request ends. */
+public fun ResponseHead.framing(method: String): Result<BodyFraming, MessageFault> =
+    if (method == "HEAD" || isInterim || status in BODILESS) {
+        Ok(BodyFraming.None)
+    } else {
+        declaredFraming(headers).map { it ?: BodyFraming.UntilClose }
+    }
+
+private fun declaredFraming(headers: HeaderFields): Result<BodyFraming?, MessageFault> {
+    val lengths = headers.all("Content-Length")
+    val codings = headers.all("Transfer-Encoding")
+    return when {
+        lengths.isEmpty() && codings.isEmpty() -> Ok(null)
+        lengths.isNotEmpty() && codings.isNotEmpty() -> Err(MessageFault.AMBIGUOUS_LENGTH)
+        lengths.isNotEmpty() -> length(lengths)
+        codings.size == 1 && codings.single().trim().equals("chunked", ignoreCase = true) -> Ok(BodyFraming.Chunked)
+        else -> Err(MessageFault.UNKNOWN_TRANSFER_CODING)
+    }
+}
+
+private fun length(values: List<String>): Result<BodyFraming, MessageFault> {
+    val digits = values.singleOrNull()?.takeIf { it.isNotEmpty() && it.all(Char::isAsciiDigit) }
+    val bytes = digits?.toLongOrNull() ?: return Err(MessageFault.AMBIGUOUS_LENGTH)
+    return Ok(BodyFraming.Length(bytes))
+}
+
+private fun headLines(head: ByteArray): List<String> {
+    val text = String(head, Charsets.ISO_8859_1)
+    return text.removeSuffix("\r\n\r\n").split("\r\n")
+}
+
+private fun parseFields(lines: List<String>): Result<HeaderFields, MessageFault> {
+    val fields = lines.map { line ->
+        val colon = line.indexOf(':')
+        val name = if (colon > 0) line.substring(0, colon) else ""
+        val value = line.substring(colon + 1).trim(' ', '\t')
+        if (!isToken(name) || value.any { it in "\r\n\u0000" }) return Err(MessageFault.MALFORMED_HEADER)
+        HeaderField(name, value)
+    }
+    return Ok(HeaderFields(fields))
+}
+
+private fun minorVersion(text: String): Int? = when (text) {
+    "HTTP/1.1" -> 1
+    "HTTP/1.0" -> 0
+    else -> null
+}
+
+private fun isToken(text: String): Boolean = text.isNotEmpty() && text.all {
+    it.isAsciiLetterOrDigit() || it in "!#$%&'*+-.^_`|~"
+}
+
+private fun isTarget(text: String): Boolean = text.isNotEmpty() && text.all { it in '!'..'~' }
+
+internal fun Char.isAsciiDigit(): Boolean = this in '0'..'9'
+
+private fun Char.isAsciiLetterOrDigit(): Boolean = isAsciiDigit() || this in 'a'..'z' || this in 'A'..'Z'
+
+private const val START_LINE_PARTS = 3
+private const val STATUS_DIGITS = 3
+private val STATUSES = 100..599
+private val BODILESS = setOf(204, 304)
--- /dev/null
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/EnginePlacement.kt
@@ -0,0 +1,167 @@
+package org.parsleymoor.relay.placement
+
+import org.parsleymoor.core.ModelId
+import org.parsleymoor.core.rendezvousOrder
+import org.parsleymoor.relay.fleet.EndpointState
+import org.parsleymoor.relay.fleet.EndpointTable
+import org.parsleymoor.relay.prompt.PromptContext
+import kotlin.random.Random
+
+/** The weights that a model should have: [version], since [sinceMillis]; null before any has been named. */
+public data class NamedWeights(public val model: ModelId, public val version: Long, public val sinceMillis: Long)
+
+/** Figures of [EnginePlacement]. Token rates are those of the engines' data sheets; times are in milliseconds. */
+public data class EnginePlacementSettings(
+    public val prefillTokensPerMilli: Double = 50.0,
+    public val stepMillis: Double = 20.0,
+    public val residenceMillis: Double = 2_000.0,
+    public val meanPrefillMillis: Double = 60.0,
+    public val fullMillis: Double = 120.0,
+    public val homeHitShare: Double = 0.3,
+    public val otherZoneMillis: Double = 3.0,
+    public val otherRegionMillis: Double = 45.0,
+    public val alternatives: Int = 2,
+    public val failureMillis: Double = 2_000.0,
+    public val olderWeightsMillis: Double = 400.0,
+    public val olderWeightsLimitMillis: Long = 7_000,
+)
+
+/** Where a prompt goes, the weights it expects there, and the endpoint that probably has its shared parts cached. */
+public data class EnginePlace(
+    public val place: Place,
+    public val weights: Long? = null,
+    public val cachedAt: EndpointState? = null,
+)
+
+/**
+ * Chooses the engine with the least expected time to the first token. Prompts with the same shared parts go to the same
+ * engine by rendezvous order, so that its cache serves them, until its queue costs more than reading the parts elsewhere.
+ */
+public class EnginePlacement(
+    private val topology: Topology,
+    private val settings: EnginePlacementSettings = EnginePlacementSettings(),
+    private val random: Random = Random.Default,
+) {
+    /** Chooses for [prompt] among the endpoints of [request]'s service; [instances] send work there. */
+    public fun choose(
+        request: PlaceRequest,
+        prompt: PromptContext,
+        table: EndpointTable,
+        named: NamedWeights?,
+        instances: Int,
+        fetchMillis: (EndpointState) -> Double?,
+        nowMillis: Long,
+    ): EnginePlace {
+        val allowed = table.serving(request.service).filter { state ->
+            state.entry.id !in request.tried && request.allowedRegions.all { topology.isAllowed(state.entry.zone, it) }
+        }
+        val usable = allowed.filter { it.weights(prompt.model) != null && isRecent(it, named, nowMillis) }
+        val ready = usable.filterNot { it.orderPending }.ifEmpty { usable }
+        val healthy = ready.filterNot { it.health.isAside(nowMillis) }.ifEmpty { ready }
+        if (healthy.isEmpty()) {
+            val reason = if (allowed.isEmpty()) NoPlaceReason.NO_ENDPOINT else NoPlaceReason.NO_WEIGHTS
+            return EnginePlace(Place.Nowhere(reason, NO_ENDPOINT_RETRY_MILLIS))
+        }
+        return best(request, prompt, healthy, named, instances, fetchMillis, nowMillis)
+    }
+
+    private fun best(
+        request: PlaceRequest,
+        prompt: PromptContext,
+        candidates: List<EndpointState>,
+        named: NamedWeights?,
+        instances: Int,
+        fetchMillis: (EndpointState) -> Double?,
+        nowMillis: Long,
+    ): EnginePlace {
+        val order = rendezvousOrder(prompt.affinityKey, candidates) { it.entry.id.value }
+        val home = order.first()
+        // Instances do not see at once what the others send; if all compared all engines, a burst would meet at one.
+        val compared = listOf(home) + (order - home).shuffled(random).take(settings.alternatives)
+        val costs = compared.map { state ->
+            val read = prompt.sharedTokens / settings.prefillTokensPerMilli
+            val obtain = fetchMillis(state)?.let { minOf(it + FETCH_SETUP_MILLIS, read) } ?: read
+            val expected = if (state === home) obtain * (1 - settings.homeHitShare) else obtain
+            state to expected + firstTokenMillis(state, prompt, instances, nowMillis)
+        }
+        val (chosen, estimate) = costs.minBy { (state, millis) -> millis + penalty(state, prompt, named, nowMillis) }
+        val weights = chosen.weights(prompt.model)
+        if (estimate > minOf(request.remainingMillis.toDouble(), patience(request))) {
+            val later = (estimate - request.objectiveMillis).toLong().coerceIn(RETRY_RANGE_MILLIS)
+            return EnginePlace(Place.Nowhere(NoPlaceReason.OVERLOADED, later))
+        }
+        val cachedAt = home.takeIf { it !== chosen && it.weights(prompt.model) == weights }
+        return EnginePlace(Place.At(chosen, estimate), weights, cachedAt)
+    }
+
+    private fun patience(request: PlaceRequest): Double = request.remainingMillis * PATIENCE_SHARE
+
+    private fun firstTokenMillis(
+        state: EndpointState,
+        prompt: PromptContext,
+        instances: Int,
+        nowMillis: Long,
+    ): Double {
+        val shared = prompt.sharedTokens
+        val own = (prompt.promptTokens - shared).coerceAtLeast(0)
+        val queue = queueMillis(state, prompt, instances, nowMillis)
+        return queue + own / settings.prefillTokensPerMilli + settings.stepMillis + distanceMillis(state)
+    }
+
+    /** Expected wait for memory and for the prompts that are read before. */
+    private fun queueMillis(state: EndpointState, prompt: PromptContext, instances: Int, nowMillis: Long): Double {
+        val load = state.engineLoad?.takeIf { nowMillis - it.atMillis < REPORT_LIFE_MILLIS }
+            ?: return state.tokensInFlight * minOf(instances, FULL_VIEW_INSTANCES) / settings.prefillTokensPerMilli
+        val sent = state.sentSince(load.atMillis - REPORT_LAG_MILLIS)
+        val sentTokens = sent.sumOf { it.tokens }
+        val need = prompt.promptTokens + prompt.outputTokens
+        val meanTokens = if (load.running > 0) load.memoryUsed / load.running else need
+        val deficit = need + sentTokens + load.waiting * meanTokens - (load.memoryTotal - load.memoryUsed)
+        val memory = deficit.coerceAtLeast(0) * settings.residenceMillis / load.memoryTotal.coerceAtLeast(1)
+        val reading = (load.prefilling + load.waiting) * settings.meanPrefillMillis +
+            sent.sumOf { it.tokensToRead } / settings.prefillTokensPerMilli
+        val fullness = load.memoryUsed.toDouble() / load.memoryTotal.coerceAtLeast(1)
+        return memory + reading + fullness * settings.fullMillis
+    }
+
+    private fun penalty(state: EndpointState, prompt: PromptContext, named: NamedWeights?, nowMillis: Long): Double {
+        val older = named != null && (state.weights(prompt.model) ?: 0) < named.version
+        val failures = settings.failureMillis * state.health.recentFailures
+        val cold = if (state.isCold(nowMillis)) COLD_PENALTY_MILLIS else 0.0
+        val refused = if (state.refusedMillis > nowMillis - REFUSAL_MILLIS) REFUSAL_PENALTY_MILLIS else 0.0
+        return failures + cold + refused + if (older) settings.olderWeightsMillis else 0.0
+    }
+
+    private fun isRecent(state: EndpointState, named: NamedWeights?, nowMillis: Long): Boolean =
+        named == null ||
+            (state.weights(named.model) ?: 0) >= named.version ||
+            nowMillis - named.sinceMillis < settings.olderWeightsLimitMillis
+
+    private fun distanceMillis(state: EndpointState): Double = when (topology.distance(state.entry.zone)) {
+        Distance.SAME_ZONE -> 0.0
+        Distance.SAME_REGION -> settings.otherZoneMillis
+        Distance.OTHER_REGION -> settings.otherRegionMillis
+    }
+
+    private companion object {
+        // An engine that restarts registers within a heartbeat, about a second.
+        const val NO_ENDPOINT_RETRY_MILLIS = 700L
+        const val FETCH_SETUP_MILLIS = 9.0
+
+        // Beyond a few instances, requests under way elsewhere are independent of those here.
+        const val FULL_VIEW_INSTANCES = 3
+
+        // Reports are some hundred milliseconds old when they are read, and no longer useful after a while.
+        const val REPORT_LAG_MILLIS = 150L
+        const val REPORT_LIFE_MILLIS = 1_500L
+
+        // An engine that refuses is full or loads weights, which takes about a second.
+        const val REFUSAL_MILLIS = 700L
+        const val REFUSAL_PENALTY_MILLIS = 600.0
+        const val COLD_PENALTY_MILLIS = 300.0
+
+        // A request that would wait longer than this share of its time is refused, so that its caller can return.
+        const val PATIENCE_SHARE = 0.6
+        val RETRY_RANGE_MILLIS = 200L..2_000L
+    }
+}
--- /dev/null
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/ServicePlacement.kt
@@ -0,0 +1,59 @@
+package org.parsleymoor.relay.placement
+
+import org.parsleymoor.relay.fleet.EndpointState
+import org.parsleymoor.relay.fleet.EndpointTable
+
+/** Figures of [ServicePlacement]; a request in another region is as costly as the given number of waiting ones. */
+public data class ServicePlacementSettings(
+    public val otherZoneRequests: Double = 1.5,
+    public val otherRegionRequests: Double = 4.0,
+    public val failureRequests: Double = 12.0,
+    public val expectedRunMillis: Double = 45.0,
+)
+
+/**
+ * Chooses the replica of a plain service with the least expected wait and distance. An endpoint whose requests fail is
+ * charged for it, and one that is set aside is used only when there is no other.
+ */
+public class ServicePlacement(
+    private val topology: Topology,
+    private val settings: ServicePlacementSettings = ServicePlacementSettings(),
+) {
+    /** Chooses among the endpoints of [request]'s service. */
+    public fun choose(request: PlaceRequest, table: EndpointTable, nowMillis: Long): Place {
+        val allowed = table.serving(request.service).filter { state ->
+            state.entry.id !in request.tried &&
+                request.allowedRegions.all { topology.isAllowed(state.entry.zone, it) }
+        }
+        val healthy = allowed.filterNot { it.health.isAside(nowMillis) }.ifEmpty { allowed }
+        val best = healthy.minByOrNull { cost(it, nowMillis) }
+            ?: return Place.Nowhere(NoPlaceReason.NO_ENDPOINT, NO_ENDPOINT_RETRY_MILLIS)
+        val wait = waitMillis(best, nowMillis)
+        return if (wait > request.remainingMillis) {
+            Place.Nowhere(NoPlaceReason.OVERLOADED, wait.toLong())
+        } else {
+            Place.At(best, wait + settings.expectedRunMillis)
+        }
+    }
+
+    private fun cost(state: EndpointState, nowMillis: Long): Double {
+        val distance = when (topology.distance(state.entry.zone)) {
+            Distance.SAME_ZONE -> 0.0
+            Distance.SAME_REGION -> settings.otherZoneRequests
+            Distance.OTHER_REGION -> settings.otherRegionRequests
+        }
+        val excess = (state.estimatedRequests(nowMillis) - state.entry.slots / 2.0).coerceAtLeast(0.0)
+        return distance + state.estimatedRequests(nowMillis) / 2 + excess * 2 +
+            settings.failureRequests * state.health.recentFailures
+    }
+
+    private fun waitMillis(state: EndpointState, nowMillis: Long): Double {
+        val queued = (state.estimatedRequests(nowMillis) - state.entry.slots).coerceAtLeast(0.0)
+        return queued * settings.expectedRunMillis / state.entry.slots.coerceAtLeast(1)
+    }
+
+    private companion object {
+        // An endpoint that restarts registers within a heartbeat, about a second.
+        const val NO_ENDPOINT_RETRY_MILLIS = 700L
+    }
+}
--- /dev/null
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/stream/EventSplitter.kt
@@ -0,0 +1,47 @@
+package org.parsleymoor.relay.stream
+
+/** One complete server-sent event with the empty line that ends it; [id] is null when it carries none. */
+public class StreamEvent(public val bytes: ByteArray, public val id: String?)
+
+/**
+ * Cuts the bytes of an event stream into complete events, so that half an event never reaches a caller. Not safe for
+ * use from several threads.
+ */
+public class EventSplitter {
+    private var pending = ByteArray(0)
+
+    /** Number of bytes of an event whose end has not arrived. */
+    public val pendingBytes: Int get() = pending.size
+
+    /** Appends [bytes] and returns the events that are complete now. */
+    public fun add(bytes: ByteArray): List<StreamEvent> {
+        val all = if (pending.isEmpty()) bytes else pending + bytes
+        val events = ArrayList<StreamEvent>()
+        var start = 0
+        var lineStart = 0
+        for (index in all.indices) {
+            if (all[index] != LINE_FEED) continue
+            if (isEmptyLine(all, lineStart, index)) {
+                events += event(all.copyOfRange(start, index + 1))
+                start = index + 1
+            }
+            lineStart = index + 1
+        }
+        pending = all.copyOfRange(start, all.size)
+        return events
+    }
+
+    private fun isEmptyLine(bytes: ByteArray, from: Int, lineFeed: Int): Boolean =
+        lineFeed == from || (lineFeed == from + 1 && bytes[from] == CARRIAGE_RETURN)
+
+    private fun event(bytes: ByteArray): StreamEvent {
+        val line = String(bytes, Charsets.ISO_8859_1).lineSequence().lastOrNull { it.startsWith(ID_FIELD) }
+        return StreamEvent(bytes, line?.removePrefix(ID_FIELD)?.trim())
+    }
+
+    private companion object {
+        const val LINE_FEED = '\n'.code.toByte()
+        const val CARRIAGE_RETURN = '\r'.code.toByte()
+        const val ID_FIELD = "id:"
+    }
+}
--- /dev/null
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
@@ -0,0 +1,186 @@
+package org.parsleymoor.entry
+
+import io.vertx.core.Vertx
+import io.vertx.core.VertxOptions
+import io.vertx.core.net.NetClientOptions
+import io.vertx.kotlin.coroutines.dispatcher
+import kotlinx.coroutines.CoroutineExceptionHandler
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.json.put
+import org.parsleymoor.core.Clock
+import org.parsleymoor.core.Incarnation
+import org.parsleymoor.entry.callers.CallerContext
+import org.parsleymoor.entry.callers.CallerServer
+import org.parsleymoor.entry.control.ConfigurationListener
+import org.parsleymoor.entry.control.EndpointListener
+import org.parsleymoor.entry.control.EvacuationListener
+import org.parsleymoor.entry.control.LoadLoop
+import org.parsleymoor.entry.control.MemberLoop
+import org.parsleymoor.entry.control.ObjectListener
+import org.parsleymoor.entry.control.ObjectStore
+import org.parsleymoor.entry.control.ObjectWatch
+import org.parsleymoor.entry.control.OrderLease
+import org.parsleymoor.entry.control.Peers
+import org.parsleymoor.entry.control.RolloutLoop
+import org.parsleymoor.entry.control.StoreCacheLoop
+import org.parsleymoor.entry.control.WeightsListener
+import org.parsleymoor.entry.log.DecisionLog
+import org.parsleymoor.entry.log.LibraryLog
+import org.parsleymoor.entry.net.ConnectionPool
+import org.parsleymoor.entry.net.ControlClient
+import org.parsleymoor.entry.protocol.ObjectKind
+import org.parsleymoor.entry.protocol.ServingProtocol
+import org.parsleymoor.entry.serving.Attempts
+import org.parsleymoor.entry.serving.Beliefs
+import org.parsleymoor.entry.serving.Delivery
+import org.parsleymoor.entry.serving.Placer
+import org.parsleymoor.entry.serving.Refusals
+import org.parsleymoor.entry.serving.RelayHandler
+import org.parsleymoor.relay.limits.SharedRetryBudget
+import org.parsleymoor.relay.routing.CallerLimits
+
+/**
+ * One entry daemon: relays callers' requests to endpoints and takes its turn in the control of the deployment. All
+ * state is confined to one event loop. [protocol] translates to and from the deployment's names.
+ */
+public class EntryDaemon(
+    private val settings: EntrySettings,
+    private val protocol: ServingProtocol,
+    private val clock: Clock = Clock.System,
+) {
+    private val log = DecisionLog(clock, settings.instance.value).also { LibraryLog(it).install() }
+    private val vertx = Vertx.vertx(
+        VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1)
+    )
+    private val metrics = EntryMetrics()
+    private val dispatcher = vertx.orCreateContext.dispatcher()
+    private val scope = CoroutineScope(
+        SupervisorJob() + dispatcher + CoroutineExceptionHandler { _, cause ->
+            log.write("coroutine.failed", always = true) { put("cause", cause.stackTraceToString()) }
+        },
+    )
+    private val beliefs = Beliefs(settings.instance)
+    private val client = vertx.createNetClient(
+        NetClientOptions().setTcpNoDelay(true).setConnectTimeout(CONNECT_MILLIS),
+    )
+    private val pool = ConnectionPool(client, clock)
+    private val control = ControlClient(ConnectionPool(client, clock))
+    private val store = ObjectStore(control, settings.objectStore, protocol.objects)
+    private val members = MemberLoop(store, beliefs, settings.listen.peers.toString(), log, clock)
+    private var stopping = false
+    private val callers = CallerServer(vertx, scope, callerContext())
+
+    /** Listens, then starts to follow the object store; returns when the sockets are bound. */
+    public fun start() {
+        runBlocking(dispatcher) {
+            probes(settings.listen.readiness, protocol.readinessPath to ::readiness)
+            callers.start(settings.listen.callers)
+            probes(settings.listen.metrics, METRICS_PATH to { ProbeAnswer(OK, metrics.text()) })
+        }
+        log.write("started", always = true) { put("callers", settings.listen.callers.toString()) }
+        val watches = listeners().mapValues { (kind, listener) -> ObjectWatch(kind, store, listener, log, clock) }
+        watches.values.forEach { scope.launch { it.run() } }
+        scope.launch { members.run() }
+        val incarnation = Incarnation(settings.instance, clock.nowMillis())
+        val peers = Peers(settings, beliefs, incarnation, dispatcher, log, clock)
+        scope.launch { peers.run(watches) }
+        scope.launch { LoadLoop(beliefs, control, protocol.engines, peers, scope, log, clock).run() }
+        val lease = OrderLease(incarnation, store, scope, log, clock)
+        scope.launch { RolloutLoop(beliefs, lease, control, protocol.engines, scope, log, clock).run() }
+        scope.launch { StoreCacheLoop(beliefs, lease, control, protocol.engines, scope, log, clock).run() }
+        scope.launch { housekeeping() }
+    }
+
+    /**
+     * Stops in an orderly way: reports itself as not ready, answers what arrives on open connections, and returns when
+     * nothing is under way or the grace period is nearly over.
+     */
+    public fun stop() {
+        runBlocking(dispatcher) {
+            stopping = true
+            log.write("stopping", always = true) { put("connections", callers.openConnections) }
+            val untilMillis = clock.nowMillis() + settings.times.graceMillis - EXIT_MARGIN_MILLIS
+            withTimeoutOrNull(LEAVE_MILLIS) { members.leave() }
+            val idleMillis = clock.nowMillis() + settings.times.graceMillis / 2
+            while (clock.nowMillis() < untilMillis && callers.openConnections > 0) {
+                if (clock.nowMillis() >= idleMillis) callers.closeIdle()
+                delay(STOP_POLL_MILLIS)
+            }
+            log.write("stopped", always = true) { put("connections", callers.openConnections) }
+        }
+        log.flush(FLUSH_MILLIS)
+    }
+
+    /** Notes that the settings file was read again; addresses and identity apply from the next start. */
+    public fun reloaded() {
+        log.write("reloaded", always = true)
+    }
+
+    private fun callerContext(): CallerContext {
+        val refusals = Refusals(protocol, log, metrics)
+        val placer = Placer(settings, beliefs, clock)
+        val attempts = Attempts(pool, beliefs, protocol.headers, clock, scope)
+        val budget = SharedRetryBudget(settings.retries)
+        val delivery = Delivery(placer, attempts, refusals, budget, beliefs, log, metrics, clock)
+        return CallerContext(
+            clock = clock,
+            handler = RelayHandler(beliefs, protocol.headers, delivery, refusals, log, metrics, clock),
+            limits = { beliefs.routes?.configuration?.limits ?: CallerLimits() },
+            stopping = { stopping },
+            onFault = { fault ->
+                log.write("request.malformed", always = true) {
+                    put("status", fault.status)
+                    put("reason", fault.message)
+                }
+            },
+        )
+    }
+
+    private fun listeners(): Map<ObjectKind, ObjectListener> = mapOf(
+        ObjectKind.CONFIGURATION to ConfigurationListener(beliefs, protocol.content, log),
+        ObjectKind.ENDPOINTS to EndpointListener(beliefs, protocol.content, log, clock),
+        ObjectKind.WEIGHTS to WeightsListener(beliefs, protocol.content, log, clock),
+        ObjectKind.EVACUATIONS to EvacuationListener(beliefs, protocol.content, log),
+    )
+
+    private suspend fun probes(
+        address: org.parsleymoor.relay.fleet.SocketAddress,
+        answer: Pair<String, () -> ProbeAnswer>,
+    ) {
+        ProbeServer(vertx, scope, mapOf(answer)).start(address)
+    }
+
+    private fun readiness(): ProbeAnswer {
+        val ready = !stopping && beliefs.routes != null && beliefs.endpointsKnown
+        return ProbeAnswer(if (ready) OK else UNAVAILABLE)
+    }
+
+    private suspend fun housekeeping() {
+        while (true) {
+            delay(HOUSEKEEPING_MILLIS)
+            pool.expire()
+            beliefs.endpoints.expire(clock.nowMillis()).forEach { gone ->
+                log.write("endpoint.expired") { put("endpoint", gone.value) }
+            }
+        }
+    }
+
+    private companion object {
+        const val OK = 200
+        const val UNAVAILABLE = 503
+        const val METRICS_PATH = "/metrics"
+        const val CONNECT_MILLIS = 2_000
+
+        // Time between the end of the answers and the end of the process.
+        const val EXIT_MARGIN_MILLIS = 1_200L
+        const val LEAVE_MILLIS = 300L
+        const val STOP_POLL_MILLIS = 20L
+        const val FLUSH_MILLIS = 200L
+        const val HOUSEKEEPING_MILLIS = 250L
+    }
+}
--- /dev/null
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryMetrics.kt
@@ -0,0 +1,70 @@
+package org.parsleymoor.entry
+
+import java.util.concurrent.atomic.AtomicLong
+
+/** A count that only grows. */
+public class Counter {
+    private val value = AtomicLong()
+
+    /** Adds one. */
+    public fun increment() {
+        value.incrementAndGet()
+    }
+
+    /** The count. */
+    public val count: Long get() = value.get()
+}
+
+/** A latency histogram with the bounds of [BOUNDS_MILLIS]. */
+public class LatencyHistogram {
+    private val buckets = List(BOUNDS_MILLIS.size + 1) { AtomicLong() }
+    private val sum = AtomicLong()
+
+    /** Counts one observation of [millis]. */
+    public fun record(millis: Long) {
+        val index = BOUNDS_MILLIS.indexOfFirst { millis <= it }
+        buckets[if (index < 0) BOUNDS_MILLIS.size else index].incrementAndGet()
+        sum.addAndGet(millis)
+    }
+
+    /** Writes the histogram in the Prometheus text format under [name]. */
+    public fun text(name: String): String {
+        var total = 0L
+        val lines = BOUNDS_MILLIS.mapIndexed { index, bound ->
+            total += buckets[index].get()
+            "${name}_bucket{le=\"$bound\"} $total"
+        }
+        val count = total + buckets.last().get()
+        return (lines + "${name}_bucket{le=\"+Inf\"} $count" + "${name}_sum ${sum.get()}" + "${name}_count $count")
+            .joinToString("\n")
+    }
+
+    private companion object {
+        val BOUNDS_MILLIS = listOf(10L, 25L, 50L, 100L, 250L, 500L, 1_000L, 2_500L, 5_000L, 10_000L)
+    }
+}
+
+/** Counters and histograms of one entry daemon. */
+public class EntryMetrics {
+    public val requests: Counter = Counter()
+    public val attempts: Counter = Counter()
+    public val latency: LatencyHistogram = LatencyHistogram()
+    private val refusals = sortedMapOf<Int, Counter>()
+
+    /** Counts a refusal of the system with [status]. */
+    public fun refused(status: Int) {
+        synchronized(refusals) { refusals.getOrPut(status) { Counter() } }.increment()
+    }
+
+    /** Writes all metrics in the Prometheus text format. */
+    public fun text(): String {
+        val refused = synchronized(refusals) {
+            refusals.map { (status, counter) -> "parsleymoor_refusals_total{status=\"$status\"} ${counter.count}" }
+        }
+        val lines = listOf(
+            "parsleymoor_requests_total ${requests.count}",
+            "parsleymoor_attempts_total ${attempts.count}",
+        )
+        return (lines + refused + latency.text("parsleymoor_request_duration_milliseconds")).joinToString("\n") + "\n"
+    }
+}
--- /dev/null
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/ProbeServer.kt
@@ -0,0 +1,57 @@
+package org.parsleymoor.entry
+
+import com.github.michaelbull.result.getOrElse
+import io.vertx.core.Vertx
+import io.vertx.core.net.NetServerOptions
+import io.vertx.core.net.NetSocket
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.launch
+import org.parsleymoor.entry.callers.AnswerHead
+import org.parsleymoor.entry.callers.CallerAnswer
+import org.parsleymoor.entry.callers.reasonPhrase
+import org.parsleymoor.entry.net.SocketInput
+import org.parsleymoor.entry.net.readHead
+import org.parsleymoor.relay.fleet.SocketAddress
+import org.parsleymoor.relay.http.HeaderField
+import org.parsleymoor.relay.http.parseRequestHead
+
+/** Response of a [ProbeServer]. */
+internal class ProbeAnswer(val status: Int, val body: String = "")
+
+/** Answers GET requests without a body at its own address: readiness, and metrics. */
+internal class ProbeServer(
+    private val vertx: Vertx,
+    private val scope: CoroutineScope,
+    private val answers: Map<String, () -> ProbeAnswer>,
+) {
+    /** Listens on [address]. */
+    suspend fun start(address: SocketAddress) {
+        val options = NetServerOptions().setHost(address.host).setPort(address.port).setReuseAddress(true)
+        vertx.createNetServer(options).connectHandler(::accept).listen().coAwait()
+    }
+
+    private fun accept(socket: NetSocket) {
+        val input = SocketInput(socket)
+        val job = scope.launch(start = CoroutineStart.UNDISPATCHED) { serve(socket, input) }
+        input.onEnd = { job.cancel() }
+        job.invokeOnCompletion { socket.close() }
+    }
+
+    private suspend fun serve(socket: NetSocket, input: SocketInput) {
+        do {
+            val bytes = input.readHead(HEAD_LIMIT_BYTES).getOrElse { null } ?: return
+            val head = parseRequestHead(bytes).getOrElse { return }
+            val found = answers[head.target.substringBefore('?')]?.invoke() ?: ProbeAnswer(NOT_FOUND)
+            val answer = CallerAnswer(socket, mayKeep = head.keepsAlive, chunked = true, stopping = { false })
+            val fields = listOf(HeaderField("Content-Type", "text/plain; charset=utf-8"))
+            answer.whole(AnswerHead(found.status, reasonPhrase(found.status), fields), found.body.encodeToByteArray())
+        } while (answer.keeps)
+    }
+
+    private companion object {
+        const val HEAD_LIMIT_BYTES = 8_192
+        const val NOT_FOUND = 404
+    }
+}
--- /dev/null
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/CallerAnswer.kt
@@ -0,0 +1,101 @@
+package org.parsleymoor.entry.callers
+
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.net.NetSocket
+import kotlinx.coroutines.suspendCancellableCoroutine
+import org.parsleymoor.entry.net.headBytes
+import org.parsleymoor.entry.net.message
+import org.parsleymoor.relay.http.HeaderField
+import kotlin.coroutines.resume
+
+/** Status line and fields of an answer; fields about connection and framing are added when it is written. */
+internal class AnswerHead(val status: Int, val reason: String, val fields: List<HeaderField>)
+
+/**
+ * Writes the one answer to a request on [socket]. [mayKeep] is false when the caller asked for the connection to be
+ * closed; [stopping] tells whether this instance is shutting down.
+ */
+internal class CallerAnswer(
+    private val socket: NetSocket,
+    private val mayKeep: Boolean,
+    private val chunked: Boolean,
+    private val stopping: () -> Boolean,
+) {
+    /** Status of the answer once its head is written. */
+    var status: Int? = null
+        private set
+
+    /** Whether the whole answer has been written. */
+    var complete = false
+        private set
+
+    /** Whether the connection stays open for another request. */
+    var keeps = mayKeep
+        private set
+
+    /** Writes a whole answer. */
+    fun whole(head: AnswerHead, body: ByteArray) {
+        val length = HeaderField("Content-Length", body.size.toString())
+        socket.write(message(open(head, listOf(length)), body))
+        complete = true
+    }
+
+    /** Writes the head of an answer whose length is not known. */
+    fun startStream(head: AnswerHead) {
+        if (!chunked) keeps = false
+        val framing = if (chunked) listOf(HeaderField("Transfer-Encoding", "chunked")) else emptyList()
+        socket.write(Buffer.buffer(open(head, framing)))
+    }
+
+    /** Writes a part of the body; suspends while the caller does not read. */
+    suspend fun part(bytes: ByteArray) {
+        if (bytes.isEmpty()) return
+        val buffer = Buffer.buffer(bytes.size + CHUNK_OVERHEAD)
+        if (chunked) buffer.appendString(bytes.size.toString(HEXADECIMAL)).appendString(LINE_BREAK)
+        buffer.appendBytes(bytes)
+        if (chunked) buffer.appendString(LINE_BREAK)
+        socket.write(buffer)
+        if (socket.writeQueueFull()) awaitDrain()
+    }
+
+    /** Ends an answer that was started with [startStream]. */
+    fun endStream() {
+        if (chunked) socket.write(Buffer.buffer("0\r\n\r\n"))
+        complete = true
+    }
+
+    /** Closes the connection, so that an answer that was started does not look complete. */
+    fun abort() {
+        keeps = false
+        socket.close()
+    }
+
+    private fun open(head: AnswerHead, framing: List<HeaderField>): ByteArray {
+        if (stopping()) keeps = false
+        status = head.status
+        val connection = if (keeps) emptyList() else listOf(HeaderField("Connection", "close"))
+        return headBytes("HTTP/1.1 ${head.status} ${head.reason}", head.fields + framing + connection)
+    }
+
+    private suspend fun awaitDrain() {
+        suspendCancellableCoroutine { continuation ->
+            socket.drainHandler { if (continuation.isActive) continuation.resume(Unit) }
+        }
+    }
+
+    private companion object {
+        const val HEXADECIMAL = 16
+        const val LINE_BREAK = "\r\n"
+        const val CHUNK_OVERHEAD = 16
+    }
+}
+
+/** Reason phrases of the statuses that the system itself answers with. */
+internal fun reasonPhrase(status: Int): String = REASONS[status] ?: "Unknown"
+
+private val REASONS = mapOf(
+    200 to "OK", 400 to "Bad Request", 401 to "Unauthorized", 404 to "Not Found", 408 to "Request Timeout",
+    413 to "Content Too Large", 421 to "Misdirected Request", 429 to "Too Many Requests",
+    431 to "Request Header Fields Too Large", 500 to "Internal Server Error", 502 to "Bad Gateway",
+    503 to "Service Unavailable", 504 to "Gateway Timeout",
+)
--- /dev/null
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/CallerServer.kt
@@ -0,0 +1,56 @@
+package org.parsleymoor.entry.callers
+
+import io.vertx.core.Vertx
+import io.vertx.core.net.NetServer
+import io.vertx.core.net.NetServerOptions
+import io.vertx.core.net.NetSocket
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.launch
+import org.parsleymoor.relay.fleet.SocketAddress
+
+/** Accepts connections at one address and serves each in a coroutine of [scope]. */
+internal class CallerServer(
+    private val vertx: Vertx,
+    private val scope: CoroutineScope,
+    private val context: CallerContext,
+) {
+    private val connections = HashSet<CallerConnection>()
+    private var server: NetServer? = null
+
+    /** Number of open connections. */
+    val openConnections: Int get() = connections.size
+
+    /** Whether a request is being read or answered. */
+    val busy: Boolean get() = connections.any { !it.idle }
+
+    /** Listens on [address]. */
+    suspend fun start(address: SocketAddress) {
+        val options = NetServerOptions().setHost(address.host).setPort(address.port).setAcceptBacklog(BACKLOG)
+            .setReuseAddress(true).setTcpNoDelay(true)
+        server = vertx.createNetServer(options).connectHandler { accept(it) }.also { it.listen().coAwait() }
+    }
+
+    /** Closes the connections on which no request is being read or answered. */
+    fun closeIdle() {
+        connections.filter { it.idle }.forEach { it.close() }
+    }
+
+    private fun accept(socket: NetSocket) {
+        val connection = CallerConnection(socket, context)
+        connections += connection
+        val job = scope.launch(start = CoroutineStart.UNDISPATCHED) { connection.serve() }
+        connection.input.onEnd = { job.cancel() }
+        job.invokeOnCompletion {
+            connections -= connection
+            socket.close()
+        }
+        if (connection.input.end != null) job.cancel()
+    }
+
+    private companion object {
+        // Connections that arrive together while the event loop is busy; more would wait seconds for their next try.
+        const val BACKLOG = 1_024
+    }
+}
--- /dev/null
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/LoadLoop.kt
@@ -0,0 +1,108 @@
+package org.parsleymoor.entry.control
+
+import com.github.michaelbull.result.andThen
+import com.github.michaelbull.result.mapError
+import com.github.michaelbull.result.onFailure
+import com.github.michaelbull.result.onSuccess
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.serialization.json.put
+import org.parsleymoor.core.Clock
+import org.parsleymoor.core.EndpointId
+import org.parsleymoor.core.InstanceId
+import org.parsleymoor.core.rendezvousOrder
+import org.parsleymoor.entry.log.DecisionLog
+import org.parsleymoor.entry.net.ControlClient
+import org.parsleymoor.entry.protocol.EngineProtocol
+import org.parsleymoor.entry.protocol.EngineReport
+import org.parsleymoor.entry.serving.Beliefs
+import org.parsleymoor.relay.fleet.EndpointState
+import org.parsleymoor.relay.fleet.EngineLoad
+
+/**
+ * Asks engines for their load. Each engine is asked by the first instance in its rendezvous order, which tells the
+ * others; the next in order asks when no report comes, so that no engine is asked by all instances.
+ */
+internal class LoadLoop(
+    private val beliefs: Beliefs,
+    private val client: ControlClient,
+    private val engines: EngineProtocol,
+    private val peers: Peers,
+    private val scope: CoroutineScope,
+    private val log: DecisionLog,
+    private val clock: Clock,
+) {
+    private val asking = HashSet<EndpointId>()
+    private val ranks = HashMap<EndpointId, Int>()
+    private var rankedMembers: Set<InstanceId> = emptySet()
+
+    /** Asks until the coroutine is cancelled. */
+    suspend fun run() {
+        while (true) {
+            val nowMillis = clock.nowMillis()
+            beliefs.endpoints.all.filter { isDue(it, nowMillis) }.forEach { state ->
+                asking += state.entry.id
+                scope.launch { ask(state) }
+            }
+            delay(TICK_MILLIS)
+        }
+    }
+
+    private fun isDue(state: EndpointState, nowMillis: Long): Boolean {
+        val id = state.entry.id
+        if (state.entry.weights.isEmpty() || id in asking) return false
+        val age = nowMillis - (state.engineLoad?.atMillis ?: 0)
+        return age >= PERIOD_MILLIS && age >= PERIOD_MILLIS + minOf(rank(id), LAST_RANK) * TAKEOVER_MILLIS
+    }
+
+    private fun rank(endpoint: EndpointId): Int {
+        val members = beliefs.members.orEmpty()
+        if (members != rankedMembers) {
+            rankedMembers = members
+            ranks.clear()
+        }
+        return ranks.getOrPut(endpoint) {
+            rendezvousOrder(endpoint.value, members + beliefs.self) { it.value }.indexOf(beliefs.self)
+        }
+    }
+
+    private suspend fun ask(state: EndpointState) {
+        val askedMillis = clock.nowMillis()
+        client.call(state.entry.address, engines.report(), CALL_MILLIS).mapError { it.message }
+            .andThen { answer -> engines.report(answer.body).mapError { it.message } }
+            .onSuccess { learn(state, it, askedMillis) }
+            .onFailure { reason ->
+                log.write("load.unknown") {
+                    put("endpoint", state.entry.id.value)
+                    put("reason", reason)
+                }
+                delay(FAILED_MILLIS)
+            }
+        asking -= state.entry.id
+    }
+
+    private fun learn(state: EndpointState, report: EngineReport, askedMillis: Long) {
+        report.weights.forEach { (model, version) -> state.learnWeights(model, version) }
+        val load = EngineLoad(
+            running = report.running,
+            waiting = report.waiting,
+            prefilling = (report.running - report.producing).coerceAtLeast(0),
+            memoryUsed = report.memoryUsed,
+            memoryTotal = report.memoryTotal,
+            atMillis = askedMillis,
+        )
+        if (state.learnLoad(load)) peers.tell(state.entry.id, load)
+    }
+
+    private companion object {
+        const val TICK_MILLIS = 50L
+
+        // Prompts take some hundred milliseconds to read; a report at this rate shows each of them.
+        const val PERIOD_MILLIS = 230L
+        const val TAKEOVER_MILLIS = 400L
+        const val LAST_RANK = 4
+        const val CALL_MILLIS = 400L
+        const val FAILED_MILLIS = 300L
+    }
+}
--- /dev/null
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/MemberRecord.kt
@@ -0,0 +1,7 @@
+package org.parsleymoor.entry.control
+
+import kotlinx.serialization.Serializable
+
+/** What an instance says of itself: where it listens for peers, and a count that shows that it is alive. */
+@Serializable
+internal data class MemberRecord(val address: String, val beats: Long)
--- /dev/null
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectStore.kt
@@ -0,0 +1,132 @@
+package org.parsleymoor.entry.control
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
+import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.map
+import com.github.michaelbull.result.mapError
+import org.parsleymoor.core.Failure
+import org.parsleymoor.entry.net.CallFailure
+import org.parsleymoor.entry.net.ControlAnswer
+import org.parsleymoor.entry.net.ControlClient
+import org.parsleymoor.entry.protocol.ControlCall
+import org.parsleymoor.entry.protocol.DecodeFailure
+import org.parsleymoor.entry.protocol.ObjectChanges
+import org.parsleymoor.entry.protocol.ObjectKind
+import org.parsleymoor.entry.protocol.ObjectProtocol
+import org.parsleymoor.entry.protocol.StoredObject
+import org.parsleymoor.relay.fleet.SocketAddress
+
+/** Why a call to the object store did not do what was asked. */
+internal sealed interface StoreFailure : Failure {
+    /** The store did nothing: it could not be reached or refused. */
+    data class Refused(override val message: String) : StoreFailure
+
+    /** The call may have taken effect, now or later. */
+    data class Unanswered(override val message: String) : StoreFailure
+
+    /** The object has another revision; [current] is the object as it is, when the store says. */
+    data class Conflict(val current: StoredObject?) : StoreFailure {
+        override val message: String get() = "the object has revision ${current?.revision}"
+    }
+
+    /** There is no such object. */
+    data object Absent : StoreFailure {
+        override val message: String get() = "there is no such object"
+    }
+
+    /** The history of a watch is gone: the list has to be read again. */
+    data object HistoryGone : StoreFailure {
+        override val message: String get() = "the history since this revision is gone"
+    }
+
+    /** The response could not be read. */
+    data class Unreadable(val cause: DecodeFailure) : StoreFailure {
+        override val message: String get() = cause.message
+    }
+}
+
+/** All objects of a kind, as of [revision]. */
+internal class ObjectList(val items: List<StoredObject>, val revision: Long)
+
+/** The platform's object store at [address]. */
+internal class ObjectStore(
+    private val client: ControlClient,
+    private val address: SocketAddress,
+    private val protocol: ObjectProtocol,
+) {
+    /** Reads all objects of [kind]. */
+    suspend fun list(kind: ObjectKind, inexpensive: Boolean = false): Result<ObjectList, StoreFailure> {
+        val items = ArrayList<StoredObject>()
+        var after: String? = null
+        var revision: Long? = null
+        do {
+            val page = call(protocol.list(kind, after, inexpensive), CALL_MILLIS)
+                .andThen { answer -> protocol.page(answer.body).mapError { StoreFailure.Unreadable(it) } }
+                .getOrElse { return Err(it) }
+            items += page.items
+            // A change between two pages is seen again by a watch from the first page's revision.
+            revision = revision ?: page.revision
+            after = page.after
+        } while (after != null)
+        return Ok(ObjectList(items, revision ?: 0))
+    }
+
+    /** Waits up to [waitMillis] for changes of [kind] after [revision]. */
+    suspend fun watch(kind: ObjectKind, revision: Long, waitMillis: Long): Result<ObjectChanges, StoreFailure> =
+        call(protocol.watch(kind, revision, waitMillis), waitMillis + CALL_MILLIS)
+            .andThen { answer -> protocol.changes(answer.body).mapError { StoreFailure.Unreadable(it) } }
+
+    /** Reads an object. */
+    suspend fun read(kind: ObjectKind, name: String): Result<StoredObject, StoreFailure> =
+        call(protocol.read(kind, name), CALL_MILLIS).andThen(::stored)
+
+    /** Creates an object; one that exists is a conflict. */
+    suspend fun create(kind: ObjectKind, name: String, content: String): Result<StoredObject, StoreFailure> =
+        call(protocol.create(kind, name, content), CALL_MILLIS).andThen(::stored)
+
+    /** Replaces an object when its revision is [revision]; with null, whatever it is. */
+    suspend fun replace(
+        kind: ObjectKind,
+        name: String,
+        content: String,
+        revision: Long?,
+    ): Result<StoredObject, StoreFailure> =
+        call(protocol.replace(kind, name, content, revision), CALL_MILLIS).andThen(::stored)
+
+    /** Removes an object. */
+    suspend fun remove(kind: ObjectKind, name: String): Result<Unit, StoreFailure> =
+        call(protocol.remove(kind, name), CALL_MILLIS).map { }
+
+    private fun stored(answer: ControlAnswer): Result<StoredObject, StoreFailure> =
+        protocol.stored(answer.body).mapError { StoreFailure.Unreadable(it) }
+
+    private suspend fun call(call: ControlCall, timeoutMillis: Long): Result<ControlAnswer, StoreFailure> {
+        val answer = client.call(address, call, timeoutMillis).getOrElse { failure ->
+            return Err(
+                when (failure) {
+                    is CallFailure.NotSent -> StoreFailure.Refused(failure.message)
+                    is CallFailure.Unanswered -> StoreFailure.Unanswered(failure.message)
+                },
+            )
+        }
+        return when (answer.status) {
+            in SUCCESS -> Ok(answer)
+            NOT_FOUND -> Err(StoreFailure.Absent)
+            GONE -> Err(StoreFailure.HistoryGone)
+            CONFLICT -> Err(StoreFailure.Conflict(protocol.stored(answer.body).getOrElse { null }))
+            else -> Err(StoreFailure.Refused("the object store answered ${answer.status}"))
+        }
+    }
+
+    private companion object {
+        // The store answers in 4 ms, and in up to 300 ms while it is slow.
+        const val CALL_MILLIS = 1_000L
+        val SUCCESS = 200..299
+        const val NOT_FOUND = 404
+        const val CONFLICT = 409
+        const val GONE = 410
+    }
+}
--- /dev/null
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/OrderLease.kt
@@ -0,0 +1,112 @@
+package org.parsleymoor.entry.control
+
+import com.github.michaelbull.result.fold
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.put
+import org.parsleymoor.coordination.HeldLease
+import org.parsleymoor.coordination.LeaseAction
+import org.parsleymoor.coordination.LeaseEvent
+import org.parsleymoor.coordination.LeaseHolder
+import org.parsleymoor.coordination.LeaseSettings
+import org.parsleymoor.coordination.StoredLease
+import org.parsleymoor.core.Clock
+import org.parsleymoor.core.Incarnation
+import org.parsleymoor.entry.log.DecisionLog
+import org.parsleymoor.entry.protocol.ObjectKind
+import org.parsleymoor.entry.protocol.StoredObject
+
+/** The lease that lets one instance give orders to engines; its object is read and written in the object store. */
+internal class OrderLease(
+    self: Incarnation,
+    private val store: ObjectStore,
+    private val scope: CoroutineScope,
+    private val log: DecisionLog,
+    private val clock: Clock,
+) {
+    private val holder = LeaseHolder(NAME, self, SETTINGS)
+    private var refusedToken: Long? = null
+    private var lastToken: Long? = null
+
+    /** Returns the lease when it may be used now. */
+    fun held(): HeldLease? = holder.held(clock.nowMillis())?.takeIf { it.fencingToken != refusedToken }
+
+    /** Notes that an engine has seen a higher token than [token], which is not used again. */
+    fun refused(token: Long) {
+        refusedToken = token
+        log.write("lease.refused", always = true) { put("token", token) }
+    }
+
+    /** Says whether this instance wants to give orders, and lets the time pass. */
+    fun tick(wanted: Boolean) {
+        handle(LeaseEvent.Wanted(wanted))
+        val token = held()?.fencingToken
+        if ((token == null) != (lastToken == null)) {
+            log.write(
+                if (token != null) "lease.held" else "lease.ended",
+                always = true
+            ) { put("token", token ?: lastToken) }
+        }
+        lastToken = token
+    }
+
+    private fun handle(event: LeaseEvent) {
+        holder.handle(clock.nowMillis(), event).forEach { action -> scope.launch { perform(action) } }
+    }
+
+    private suspend fun perform(action: LeaseAction) {
+        when (action) {
+            is LeaseAction.Read -> read()
+            is LeaseAction.Write -> write(action)
+        }
+    }
+
+    private suspend fun read() {
+        val event = store.read(ObjectKind.LEASES, NAME).fold(
+            { LeaseEvent.Seen(stored(it)) },
+            { if (it == StoreFailure.Absent) LeaseEvent.Seen(null) else LeaseEvent.ReadFailed },
+        )
+        handle(event)
+    }
+
+    private suspend fun write(action: LeaseAction.Write) {
+        val text = Json.encodeToString(StoredRecord.serializer(), StoredRecord(action.record, action.writeId))
+        val result = if (action.expectedVersion == 0L) {
+            store.create(ObjectKind.LEASES, NAME, text)
+        } else {
+            store.replace(ObjectKind.LEASES, NAME, text, action.expectedVersion)
+        }
+        handle(result.fold({ LeaseEvent.Written(action.writeId, it.revision) }, { outcome(action, it) }))
+    }
+
+    private fun outcome(action: LeaseAction.Write, failure: StoreFailure): LeaseEvent = when (failure) {
+        is StoreFailure.Conflict -> LeaseEvent.Conflicted(action.writeId, failure.current?.let(::stored))
+        is StoreFailure.Refused, StoreFailure.Absent, StoreFailure.HistoryGone ->
+            LeaseEvent.WriteFailed(action.writeId, mayHaveTakenEffect = false)
+        is StoreFailure.Unanswered, is StoreFailure.Unreadable ->
+            LeaseEvent.WriteFailed(action.writeId, mayHaveTakenEffect = true)
+    }
+
+    private fun stored(value: StoredObject): StoredLease? = try {
+        val record = Json.decodeFromString(StoredRecord.serializer(), value.content)
+        StoredLease(record.record, value.revision, record.writeId)
+    } catch (cause: IllegalArgumentException) {
+        log.write("lease.unreadable", always = true) { put("reason", cause.message) }
+        null
+    }
+
+    private companion object {
+        const val NAME = "orders"
+
+        // The next holder waits for three seconds and more after the last order that the former one could give, so that
+        // orders of two holders never reach an engine within one lease period of the platform.
+        val SETTINGS = LeaseSettings(
+            durationMillis = 4_600,
+            renewMillis = 500,
+            retryMillis = 150,
+            responseMillis = 1_100,
+            usableMillis = 1_500,
+        )
+    }
+}
--- /dev/null
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Peers.kt
@@ -0,0 +1,176 @@
+package org.parsleymoor.entry.control
+
+import com.github.michaelbull.result.onFailure
+import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.delay
+import kotlinx.serialization.json.put
+import org.parsleymoor.core.Clock
+import org.parsleymoor.core.EndpointId
+import org.parsleymoor.core.Incarnation
+import org.parsleymoor.core.InstanceId
+import org.parsleymoor.entry.EntrySettings
+import org.parsleymoor.entry.log.DecisionLog
+import org.parsleymoor.entry.protocol.ObjectKind
+import org.parsleymoor.entry.protocol.StoredObject
+import org.parsleymoor.entry.serving.Beliefs
+import org.parsleymoor.peering.EngineLoadDigest
+import org.parsleymoor.peering.OfferedObject
+import org.parsleymoor.peering.PeerExchange
+import org.parsleymoor.peering.PeerHandler
+import org.parsleymoor.peering.PeerIdentity
+import org.parsleymoor.peering.PeerLink
+import org.parsleymoor.peering.PeerMessage
+import org.parsleymoor.peering.PeerNode
+import org.parsleymoor.peering.SentPromptDigest
+import org.parsleymoor.relay.fleet.EngineLoad
+import org.parsleymoor.relay.fleet.SentPrompt
+
+/**
+ * Exchanges with other instances what each of them reads: the load of engines, and the objects of the store for an
+ * instance that the store does not answer.
+ */
+internal class Peers(
+    private val settings: EntrySettings,
+    private val beliefs: Beliefs,
+    incarnation: Incarnation,
+    dispatcher: CoroutineDispatcher,
+    private val log: DecisionLog,
+    private val clock: Clock,
+) : PeerHandler {
+    private val node = PeerNode(
+        identity = PeerIdentity(incarnation, settings.zone, settings.region),
+        handler = this,
+        dispatcher = dispatcher,
+    )
+    private val loads = HashMap<EndpointId, EngineLoad>()
+    private var watches: Map<String, ObjectWatch> = emptyMap()
+    private val sent = ArrayList<Pair<EndpointId, SentPrompt>>()
+    private var spokenMillis = 0L
+    private var askedMillis = 0L
+
+    /** Listens for peers and exchanges with them until the coroutine is cancelled. */
+    suspend fun run(watched: Map<ObjectKind, ObjectWatch>) {
+        watches = watched.mapKeys { it.key.name }
+        node.start(settings.listen.peers.host, settings.listen.peers.port)
+        beliefs.onSent = { endpoint, prompt -> sent += endpoint to prompt }
+        while (true) {
+            node.keepConnectedTo(neighbours())
+            tellLoads()
+            askForObjects()
+            delay(TICK_MILLIS)
+        }
+    }
+
+    /** Tells peers with the next message that [endpoint] has [load]. */
+    fun tell(endpoint: EndpointId, load: EngineLoad) {
+        loads[endpoint] = load
+    }
+
+    override suspend fun onConnected(link: PeerLink) {
+        log.write("peer.connected") { put("peer", link.remote.incarnation.instance.value) }
+    }
+
+    override suspend fun onEnded(link: PeerLink) {
+        log.write("peer.lost") {
+            put("peer", link.remote.incarnation.instance.value)
+            put("reason", link.failure?.message)
+        }
+    }
+
+    override suspend fun onControl(link: PeerLink, message: PeerMessage) {
+        when (message) {
+            is PeerMessage.EngineLoads -> {
+                message.reports.forEach(::learn)
+                message.sent.forEach(::learn)
+            }
+            is PeerMessage.ObjectsWanted -> offer(link, message)
+            is PeerMessage.ObjectsOffered -> watches[message.kind]?.accept(message.list())
+            else -> log.write("peer.unexpected") { put("message", message::class.simpleName) }
+        }
+    }
+
+    override suspend fun onExchange(exchange: PeerExchange, opening: PeerMessage.OfExchange) {
+        log.write("peer.unexpected") { put("message", opening::class.simpleName) }
+    }
+
+    private fun neighbours(): Map<InstanceId, String> {
+        val addresses = beliefs.memberAddresses
+        if (addresses.size <= FULL_MESH_INSTANCES) return addresses
+        // In a larger deployment each instance keeps to the next in the order of names, which joins all of them.
+        val ring = addresses.keys.sortedBy { it.value }
+        val own = ring.indexOf(beliefs.self).coerceAtLeast(0)
+        return (1..RING_NEIGHBOURS).map { ring[(own + it) % ring.size] }.associateWith { addresses.getValue(it) }
+    }
+
+    private suspend fun tellLoads() {
+        val nowMillis = clock.nowMillis()
+        if (loads.isEmpty() && sent.isEmpty() && nowMillis - spokenMillis < QUIET_MILLIS) return
+        val reports = loads.map { (endpoint, load) -> digest(endpoint, load, nowMillis) }
+        val prompts = sent.map { (endpoint, prompt) ->
+            SentPromptDigest(endpoint, prompt.tokens, prompt.tokensToRead, nowMillis - prompt.atMillis)
+        }
+        loads.clear()
+        sent.clear()
+        spokenMillis = nowMillis
+        node.broadcast(PeerMessage.EngineLoads(reports, prompts))
+    }
+
+    private suspend fun askForObjects() {
+        if (clock.nowMillis() - askedMillis < ASK_MILLIS) return
+        askedMillis = clock.nowMillis()
+        watches.filterValues { it.isLost }.forEach { (kind, watch) ->
+            node.broadcast(PeerMessage.ObjectsWanted(kind, watch.knownRevision))
+        }
+    }
+
+    private suspend fun offer(link: PeerLink, wanted: PeerMessage.ObjectsWanted) {
+        val list = watches[wanted.kind]?.offer(wanted.haveRevision) ?: return
+        val objects = list.items.map { OfferedObject(it.name, it.revision, it.content) }
+        link.send(PeerMessage.ObjectsOffered(wanted.kind, list.revision, objects)).onFailure { failure ->
+            log.write("peer.notOffered") { put("reason", failure.message) }
+        }
+    }
+
+    private fun learn(report: EngineLoadDigest) {
+        val load = EngineLoad(
+            running = report.running,
+            waiting = report.waiting,
+            prefilling = report.prefilling,
+            memoryUsed = report.memoryUsed,
+            memoryTotal = report.memoryTotal,
+            atMillis = clock.nowMillis() - report.ageMillis,
+        )
+        beliefs.endpoints[report.endpoint]?.learnLoad(load)
+    }
+
+    private fun learn(sent: SentPromptDigest) {
+        val prompt = SentPrompt(clock.nowMillis() - sent.ageMillis, sent.tokens, sent.tokensToRead)
+        beliefs.endpoints[sent.endpoint]?.sent(prompt)
+    }
+
+    private fun digest(endpoint: EndpointId, load: EngineLoad, nowMillis: Long) = EngineLoadDigest(
+        endpoint = endpoint,
+        running = load.running,
+        waiting = load.waiting,
+        prefilling = load.prefilling,
+        memoryUsed = load.memoryUsed,
+        memoryTotal = load.memoryTotal,
+        ageMillis = nowMillis - load.atMillis,
+    )
+
+    private fun PeerMessage.ObjectsOffered.list(): ObjectList =
+        ObjectList(objects.map { StoredObject(it.name, it.revision, it.content) }, revision)
+
+    private companion object {
+        // In this time some three requests arrive at all instances together, which choose without knowing of each other.
+        const val TICK_MILLIS = 60L
+
+        // An instance whose store is gone asks at this rate.
+        const val ASK_MILLIS = 250L
+
+        // A peer takes a connection for silent after three seconds.
+        const val QUIET_MILLIS = 900L
+        const val FULL_MESH_INSTANCES = 24
+        const val RING_NEIGHBOURS = 6
+    }
+}
--- /dev/null
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/RolloutLoop.kt
@@ -0,0 +1,142 @@
+package org.parsleymoor.entry.control
+
+import com.github.michaelbull.result.andThen
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.mapError
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.serialization.json.put
+import org.parsleymoor.core.Clock
+import org.parsleymoor.core.rendezvousOrder
+import org.parsleymoor.entry.log.DecisionLog
+import org.parsleymoor.entry.net.ControlClient
+import org.parsleymoor.entry.protocol.EngineProtocol
+import org.parsleymoor.entry.protocol.EngineReport
+import org.parsleymoor.entry.protocol.WeightOrder
+import org.parsleymoor.entry.serving.Beliefs
+import org.parsleymoor.relay.fleet.EndpointState
+import org.parsleymoor.relay.placement.NamedWeights
+import org.parsleymoor.relay.rollout.RolloutPlan
+
+/** Brings engines to the weights that operators have named, while this instance holds the lease for orders. */
+internal class RolloutLoop(
+    private val beliefs: Beliefs,
+    private val lease: OrderLease,
+    private val client: ControlClient,
+    private val engines: EngineProtocol,
+    private val scope: CoroutineScope,
+    private val log: DecisionLog,
+    private val clock: Clock,
+) {
+    private val plan = RolloutPlan()
+    private var wantedSinceMillis: Long? = null
+
+    /** Gives orders until the coroutine is cancelled. */
+    suspend fun run() {
+        while (true) {
+            step()
+            delay(TICK_MILLIS)
+        }
+    }
+
+    private fun step() {
+        val nowMillis = clock.nowMillis()
+        val due = plan.outdated(beliefs.endpoints, beliefs.weights)
+        wantedSinceMillis = if (due.isEmpty()) null else wantedSinceMillis ?: nowMillis
+        val wanted = wantedSinceMillis?.let { nowMillis - it >= turnMillis() } ?: false
+        lease.tick(wanted || lease.held() != null && plan.recentlyActive(nowMillis))
+        if (lease.held() == null) return
+        plan.next(beliefs.endpoints, beliefs.weights, nowMillis).forEach { (state, named) ->
+            plan.started(state.entry.id, nowMillis)
+            scope.launch { bring(state, named) }
+        }
+    }
+
+    /** Instances want the lease one after the other, so that not all of them write it at once. */
+    private fun turnMillis(): Long {
+        val members = beliefs.members.orEmpty() + beliefs.self
+        val rank = rendezvousOrder("orders", members) { it.value }.indexOf(beliefs.self)
+        return minOf(rank * TURN_MILLIS, LAST_TURN_MILLIS)
+    }
+
+    private suspend fun bring(state: EndpointState, named: NamedWeights) {
+        state.orderPending = true
+        val done = try {
+            load(state, named)
+        } finally {
+            state.orderPending = false
+        }
+        plan.ended(state.entry.id, done, clock.nowMillis())
+    }
+
+    private suspend fun load(state: EndpointState, named: NamedWeights): Boolean {
+        val untilMillis = clock.nowMillis() + ORDER_LIFE_MILLIS
+        while (clock.nowMillis() < untilMillis) {
+            val report = report(state) ?: return false
+            report.weights.forEach { (model, version) -> state.learnWeights(model, version) }
+            if ((report.weights[named.model] ?: 0) >= named.version) return true
+            if (!report.busy && !order(state, named, report)) return false
+            delay(POLL_MILLIS)
+        }
+        return false
+    }
+
+    /** Sends one order; returns false when no further order may be given. */
+    private suspend fun order(state: EndpointState, named: NamedWeights, report: EngineReport): Boolean {
+        val held = lease.held() ?: return false
+        val order = WeightOrder(
+            model = named.model,
+            version = named.version,
+            holder = beliefs.self.value,
+            fencingToken = held.fencingToken,
+            afterOrders = report.orders,
+        )
+        plan.active(clock.nowMillis())
+        val call = engines.order(state.entry.id.value, order)
+        val result = client.call(state.entry.address, call, ORDER_MILLIS)
+        val status = result.get()?.status
+        log.write("order.sent", always = true) {
+            put("endpoint", state.entry.id.value)
+            put("version", named.version)
+            put("token", held.fencingToken)
+            put("afterOrders", report.orders)
+            put("status", status)
+            result.getError()?.let { put("reason", it.message) }
+        }
+        if (status == FENCED) lease.refused(held.fencingToken)
+        return status != FENCED && status != MISDIRECTED
+    }
+
+    private suspend fun report(state: EndpointState): EngineReport? =
+        client.call(state.entry.address, engines.report(), REPORT_MILLIS)
+            .mapError { it.message }
+            .andThen { answer -> engines.report(answer.body).mapError { it.message } }
+            .getOrElse { reason ->
+                log.write("order.noReport") {
+                    put("endpoint", state.entry.id.value)
+                    put("reason", reason)
+                }
+                null
+            }
+
+    private companion object {
+        const val TICK_MILLIS = 60L
+        const val TURN_MILLIS = 120L
+
+        // Beyond this rank instances differ by less than a round trip to the store anyway.
+        const val LAST_TURN_MILLIS = 1_500L
+        const val REPORT_MILLIS = 500L
+        const val ORDER_MILLIS = 600L
+
+        // Between two reports of an engine that loads, which takes about a second.
+        const val POLL_MILLIS = 250L
+
+        // Runs that finish first, and the load itself, several times over.
+        const val ORDER_LIFE_MILLIS = 6_000L
+        const val FENCED = 412
+        const val MISDIRECTED = 421
+    }
+}
--- /dev/null
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/StoreCacheLoop.kt
@@ -0,0 +1,144 @@
+package org.parsleymoor.entry.control
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
+import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.mapError
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.serialization.json.put
+import org.parsleymoor.core.Clock
+import org.parsleymoor.entry.log.DecisionLog
+import org.parsleymoor.entry.net.ControlClient
+import org.parsleymoor.entry.protocol.CacheEvents
+import org.parsleymoor.entry.protocol.ControlCall
+import org.parsleymoor.entry.protocol.DecodeFailure
+import org.parsleymoor.entry.protocol.EngineProtocol
+import org.parsleymoor.entry.serving.Beliefs
+import org.parsleymoor.entry.serving.cacheStores
+import org.parsleymoor.relay.fleet.SocketAddress
+import org.parsleymoor.relay.prompt.namespaceWeights
+
+/**
+ * Follows what the KV cache stores hold. The instance that holds the lease for orders also frees what no engine can use
+ * any more, because managed stores drop nothing by themselves.
+ */
+internal class StoreCacheLoop(
+    private val beliefs: Beliefs,
+    private val lease: OrderLease,
+    private val client: ControlClient,
+    private val engines: EngineProtocol,
+    private val scope: CoroutineScope,
+    private val log: DecisionLog,
+    private val clock: Clock,
+) {
+    private val followers = HashMap<SocketAddress, Job>()
+    private var newestSinceMillis: Long? = null
+
+    /** Follows the stores of the configuration in force until the coroutine is cancelled. */
+    suspend fun run() {
+        while (true) {
+            val wanted = beliefs.cacheStores.map { it.address }.toSet()
+            (followers.keys - wanted).toList().forEach { followers.remove(it)?.cancel() }
+            (wanted - followers.keys).forEach { followers[it] = scope.launch { follow(it) } }
+            freeUnusable()
+            delay(RECONCILE_MILLIS)
+        }
+    }
+
+    private suspend fun follow(store: SocketAddress) {
+        while (scope.isActive) {
+            val position = beliefs.stores.position(store)
+            val answered = if (position == null) list(store) else events(store, position)
+            if (!answered) {
+                beliefs.stores.lost(store)
+                delay(RETRY_MILLIS)
+            }
+        }
+    }
+
+    private suspend fun list(store: SocketAddress): Boolean {
+        val contents = call(store, engines.contents(), CALL_MILLIS, engines::contents) ?: return false
+        beliefs.stores.listed(store, contents.epoch, contents.position, contents.changes)
+        log.write("cacheStore.listed") {
+            put("store", store.toString())
+            put("epoch", contents.epoch)
+            put("parts", contents.changes.size)
+        }
+        return true
+    }
+
+    private suspend fun events(store: SocketAddress, position: Long): Boolean {
+        val events = call(store, engines.events(position, WAIT_MILLIS), WAIT_MILLIS + CALL_MILLIS, engines::events)
+            ?: return false
+        val joined = beliefs.stores.changed(store, events.epoch, events.position, events.gap, events.changes)
+        if (!joined) log.write("cacheStore.gap") { put("store", store.toString()) }
+        // A call that returns at once is charged as a probe.
+        if (events.changes.isNotEmpty()) delay(PACE_MILLIS)
+        return true
+    }
+
+    private suspend fun call(
+        store: SocketAddress,
+        call: ControlCall,
+        timeoutMillis: Long,
+        decode: (String) -> Result<CacheEvents, DecodeFailure>,
+    ): CacheEvents? = client.call(store, call, timeoutMillis).mapError { it.message }
+        .andThen { answer -> decode(answer.body).mapError { "status ${answer.status}: ${it.message}" } }
+        .getOrElse { reason ->
+            if (beliefs.stores.position(store) != null) {
+                log.write("cacheStore.lost", always = true) {
+                    put("store", store.toString())
+                    put("reason", reason)
+                }
+            }
+            null
+        }
+
+    /** Frees parts of older weights once all engines have had newer ones for a while, so that no fetch is under way. */
+    private fun freeUnusable() {
+        val nowMillis = clock.nowMillis()
+        val allNew = beliefs.weights.values.all { named ->
+            beliefs.endpoints.all.all { (it.weights(named.model) ?: named.version) >= named.version }
+        }
+        newestSinceMillis = if (allNew && beliefs.weights.isNotEmpty()) newestSinceMillis ?: nowMillis else null
+        val settled = newestSinceMillis?.let { nowMillis - it >= FETCH_MILLIS } ?: false
+        if (!settled || lease.held() == null) return
+        beliefs.cacheStores.filter { it.traits.managed }.forEach { store ->
+            val unusable = beliefs.stores.unwanted(store.address, ::isUsable).take(PARTS_A_CALL)
+            val epoch = beliefs.stores.epoch(store.address)
+            if (unusable.isNotEmpty() && epoch != null) {
+                scope.launch { free(store.address, engines.free(unusable, epoch), unusable.size) }
+            }
+        }
+    }
+
+    private suspend fun free(store: SocketAddress, call: ControlCall, parts: Int) {
+        val answer = client.call(store, call, CALL_MILLIS).mapError { it.message }
+        log.write("cacheStore.freed") {
+            put("store", store.toString())
+            put("parts", parts)
+            put("outcome", answer.getOrElse { null }?.status?.toString() ?: "no response")
+        }
+    }
+
+    private fun isUsable(namespace: String): Boolean {
+        val (model, version) = namespaceWeights(namespace) ?: return true
+        return version >= (beliefs.weights[model]?.version ?: version)
+    }
+
+    private companion object {
+        const val RECONCILE_MILLIS = 1_000L
+        const val RETRY_MILLIS = 600L
+        const val CALL_MILLIS = 1_000L
+        const val WAIT_MILLIS = 1_000L
+        const val PACE_MILLIS = 300L
+
+        // A transfer that would wait more than two seconds is not started.
+        const val FETCH_MILLIS = 3_000L
+        const val PARTS_A_CALL = 2_000
+    }
+}
--- /dev/null
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Beliefs.kt
@@ -0,0 +1,52 @@
+package org.parsleymoor.entry.serving
+
+import org.parsleymoor.core.EndpointId
+import org.parsleymoor.core.InstanceId
+import org.parsleymoor.core.ModelId
+import org.parsleymoor.relay.cache.StoreDirectory
+import org.parsleymoor.relay.fleet.EndpointState
+import org.parsleymoor.relay.fleet.EndpointTable
+import org.parsleymoor.relay.fleet.SentPrompt
+import org.parsleymoor.relay.placement.NamedWeights
+import org.parsleymoor.relay.routing.RouteTable
+
+/** What this instance believes of the deployment. Confined to the event loop. */
+internal class Beliefs(val self: InstanceId) {
+    /** Routes of the newest configuration, or null before any is known. */
+    var routes: RouteTable? = null
+
+    /** The endpoints. */
+    val endpoints = EndpointTable()
+
+    /** Whether the list of endpoints has been read. */
+    var endpointsKnown = false
+
+    /** The weights that operators have named for each model. */
+    var weights: Map<ModelId, NamedWeights> = emptyMap()
+
+    /** Instances that run, this one included; null before the list has been read. */
+    var members: Set<InstanceId>? = null
+
+    /** Where the members listen for peers. */
+    var memberAddresses: Map<InstanceId, String> = emptyMap()
+
+    /** Called with each prompt that this instance sends to an engine. */
+    var onSent: (EndpointId, SentPrompt) -> Unit = { _, _ -> }
+
+    /** Notes that this instance sends [prompt] to [state]. */
+    fun sent(state: EndpointState, prompt: SentPrompt) {
+        state.sent(prompt)
+        onSent(state.entry.id, prompt)
+    }
+
+    /** What the KV cache stores hold. */
+    val stores = StoreDirectory()
+
+    /** Number of instances by which shared limits are divided. */
+    val instances: Int get() = members?.size ?: UNKNOWN_INSTANCES
+
+    private companion object {
+        // Divides shared limits until the members are known: more than a deployment of today has.
+        const val UNKNOWN_INSTANCES = 16
+    }
+}
--- /dev/null
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/CacheTransfers.kt
@@ -0,0 +1,76 @@
+package org.parsleymoor.entry.serving
+
+import org.parsleymoor.core.Clock
+import org.parsleymoor.relay.cache.CandidateStore
+import org.parsleymoor.relay.cache.StoreChoice
+import org.parsleymoor.relay.cache.TransferSide
+import org.parsleymoor.relay.fleet.EndpointState
+import org.parsleymoor.relay.fleet.SocketAddress
+import org.parsleymoor.relay.placement.Distance
+import org.parsleymoor.relay.placement.Topology
+import org.parsleymoor.relay.prompt.PromptContext
+import org.parsleymoor.relay.prompt.PromptPart
+
+/** Decides from where an engine fetches the parts of a prompt and where it saves them. */
+internal class CacheTransfers(
+    private val topology: Topology,
+    private val beliefs: Beliefs,
+    private val clock: Clock,
+) {
+    private val choice = StoreChoice(topology, beliefs.stores)
+
+    /** Returns how long an engine needs to fetch the longest shared part of [prompt], or null when no store has it. */
+    fun fetchMillis(work: Work, prompt: PromptContext, side: TransferSide): Double? {
+        val part = prompt.sharedParts.lastOrNull() ?: return null
+        val store = choice.source(part, side, beliefs.cacheStores, work.allowedRegions) ?: return null
+        return choice.transferMillis(store, side, part.tokens)
+    }
+
+    /** Plans for a request of [work] to the endpoint at [side]; [cachedAt] probably has the shared parts. */
+    fun plan(work: Work, prompt: PromptContext, side: TransferSide, cachedAt: EndpointState?): CacheTransfer {
+        val stores = beliefs.cacheStores
+        val neighbour = cachedAt?.takeIf { topology.distance(it.entry.zone, side.zone) != Distance.OTHER_REGION }
+        val stored = prompt.sharedParts.map { source(work, it, side, stores) }
+        val sources = stored.map { it ?: neighbour?.entry?.address }
+        val fetched = prompt.sharedParts.zip(stored).filter { it.second != null }.sumOf { it.first.tokens }
+        val targets = prompt.sharedParts.map { target(work, prompt, it, side, stores) }
+        val own = prompt.parts.size - prompt.sharedParts.size
+        return CacheTransfer(listed(sources, own), listed(targets, own), fetched)
+    }
+
+    private fun source(
+        work: Work,
+        part: PromptPart,
+        side: TransferSide,
+        stores: List<CandidateStore>,
+    ): SocketAddress? = choice.source(part, side, stores, work.allowedRegions)
+        ?.takeIf { mayTransfer(it, side, part, saving = false) }?.address
+
+    private fun target(
+        work: Work,
+        prompt: PromptContext,
+        part: PromptPart,
+        side: TransferSide,
+        stores: List<CandidateStore>,
+    ): SocketAddress? = choice.target(part, prompt, side, stores, work.allowedRegions)
+        ?.takeIf { mayTransfer(it, side, part, saving = true) }?.address
+
+    private fun mayTransfer(store: CandidateStore, side: TransferSide, part: PromptPart, saving: Boolean): Boolean =
+        choice.mayTransfer(store, side, part.tokens, beliefs.instances, saving, clock.nowMillis())
+
+    /** Writes one address for each part, then none for the [own] parts of the request; null when there is none. */
+    private fun listed(addresses: List<SocketAddress?>, own: Int): String? {
+        if (addresses.all { it == null }) return null
+        return (addresses.map { it?.toString() ?: NONE } + List(own) { NONE }).joinToString(",")
+    }
+
+    private companion object {
+        const val NONE = "-"
+    }
+}
+
+/** The KV cache stores of the configuration in force. */
+internal val Beliefs.cacheStores: List<CandidateStore>
+    get() = routes?.configuration?.services?.values.orEmpty().mapNotNull { service ->
+        service.store?.let { traits -> SocketAddress.parse(traits.address)?.let { CandidateStore(it, traits) } }
+    }
--- /dev/null
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Delivery.kt
@@ -0,0 +1,109 @@
+package org.parsleymoor.entry.serving
+
+import kotlinx.serialization.json.put
+import org.parsleymoor.core.Clock
+import org.parsleymoor.entry.EntryMetrics
+import org.parsleymoor.entry.callers.CallerAnswer
+import org.parsleymoor.entry.log.DecisionLog
+import org.parsleymoor.relay.limits.SharedRetryBudget
+
+/**
+ * Sends a request to one endpoint after the other as far as its kind, its route and the retry budget allow, until it is
+ * answered or given up. A request that may have run and must not run twice is never sent again.
+ */
+internal class Delivery(
+    private val placer: Placer,
+    private val attempts: Attempts,
+    private val refusals: Refusals,
+    private val budget: SharedRetryBudget,
+    private val beliefs: Beliefs,
+    private val log: DecisionLog,
+    private val metrics: EntryMetrics,
+    private val clock: Clock,
+) {
+    /** Delivers [work] through [answer]; suspends until the answer is written or given up. */
+    suspend fun deliver(work: Work, answer: CallerAnswer) {
+        budget.request(work.service.name, clock.nowMillis())
+        var last: AttemptResult = AttemptResult.NotRun("no endpoint was asked", sent = false)
+        while (true) {
+            val choice = placer.choose(work)
+            if (choice is Choice.None) return giveUp(work, answer, last, choice)
+            val target = (choice as Choice.Chosen).target
+            last = attempt(work, target, answer)
+            if (last is AttemptResult.Delivered) return
+            account(work, target, last)
+            if (!mayRepeat(work, last)) return giveUp(work, answer, last, null)
+        }
+    }
+
+    private suspend fun attempt(work: Work, target: Target, answer: CallerAnswer): AttemptResult {
+        val startMillis = clock.nowMillis()
+        val result = attempts.run(work, target, answer)
+        val nowMillis = clock.nowMillis()
+        metrics.attempts.increment()
+        log.write("request.attempt", always = result !is AttemptResult.Delivered) {
+            val endpoint = target.endpoint
+            put("request", work.id.value)
+            put("route", work.route.name)
+            put("endpoint", endpoint.entry.id.value)
+            put("entryAgeMillis", nowMillis - endpoint.heardMillis)
+            put("configuration", beliefs.routes?.configuration?.version)
+            put("estimateMillis", target.estimateMillis.toLong())
+            target.weights?.let { put("weights", it) }
+            target.transfer.source?.let { put("fetchFrom", it) }
+            target.transfer.target?.let { put("saveTo", it) }
+            target.load?.let { load ->
+                put("running", load.running)
+                put("waiting", load.waiting)
+                put("prefilling", load.prefilling)
+                put("memoryUsed", load.memoryUsed)
+                put("loadAgeMillis", startMillis - load.atMillis)
+            }
+            work.firstByteMillis?.let { put("firstByteMillis", it - startMillis) }
+            put("millis", nowMillis - startMillis)
+            put("outcome", result.outcome)
+        }
+        return result
+    }
+
+    private fun account(work: Work, target: Target, result: AttemptResult) {
+        if (result is AttemptResult.Uncertain || result is AttemptResult.Failed) work.runs++
+        work.tried += target.endpoint.entry.id
+    }
+
+    private fun mayRepeat(work: Work, result: AttemptResult): Boolean {
+        val timeLeft = work.limitMillis - clock.nowMillis() > MINIMAL_MILLIS
+        val allowed = when (result) {
+            is AttemptResult.Delivered -> false
+            is AttemptResult.NotRun -> work.runs < work.route.attempts && work.sends < MAXIMAL_SENDS
+            is AttemptResult.Failed, is AttemptResult.Uncertain ->
+                work.route.repeatable && work.runs < work.route.attempts
+        }
+        return timeLeft && allowed && withinBudget(work, result)
+    }
+
+    private fun withinBudget(work: Work, result: AttemptResult): Boolean =
+        (result is AttemptResult.NotRun && !result.sent && work.sends == 0) ||
+            budget.tryRepeat(work.service.name, beliefs.instances, clock.nowMillis())
+
+    private fun giveUp(work: Work, answer: CallerAnswer, last: AttemptResult, choice: Choice.None?) {
+        when {
+            answer.status != null -> answer.abort()
+            last is AttemptResult.Failed -> answer.whole(last.head, last.body)
+            work.runs > 0 && clock.nowMillis() >= work.limitMillis ->
+                refusals.answer(answer, work.id, Refusal.TimedOut(last.outcome))
+            work.runs > 0 -> refusals.answer(answer, work.id, Refusal.OutcomeUnknown(last.outcome))
+            choice != null && work.sends == 0 ->
+                refusals.answer(answer, work.id, Refusal.NoPlace(choice.reason, choice.retryAfterMillis))
+            else -> refusals.answer(answer, work.id, Refusal.EndpointsRefused(last.outcome))
+        }
+    }
+
+    private companion object {
+        // An endpoint with less time than this cannot answer.
+        const val MINIMAL_MILLIS = 30L
+
+        // Endpoints that refuse are asked in turn up to this number of sends.
+        const val MAXIMAL_SENDS = 4
+    }
+}
--- /dev/null
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/EndpointRequest.kt
@@ -0,0 +1,84 @@
+package org.parsleymoor.entry.serving
+
+import org.parsleymoor.entry.net.CONNECTION_FIELDS
+import org.parsleymoor.entry.net.headBytes
+import org.parsleymoor.entry.protocol.HeaderNames
+import org.parsleymoor.relay.fleet.EndpointState
+import org.parsleymoor.relay.fleet.EngineLoad
+import org.parsleymoor.relay.http.HeaderField
+import org.parsleymoor.relay.http.HeaderFields
+
+/** Where an engine finds and leaves the parts of a prompt, in the form of the header fields. */
+internal data class CacheTransfer(
+    val source: String? = null,
+    val target: String? = null,
+    /** Tokens that are fetched from a store, which holds them for sure. */
+    val fetchedTokens: Long = 0,
+)
+
+/** The endpoint chosen for a request, with what the request expects there. */
+internal class Target(
+    val endpoint: EndpointState,
+    val estimateMillis: Double,
+    val weights: Long? = null,
+    val namespace: String? = null,
+    val transfer: CacheTransfer = CacheTransfer(),
+    val tokensToRead: Long = 0,
+) {
+    /** Load of the engine when it was chosen. */
+    val load: EngineLoad? = endpoint.engineLoad
+}
+
+/** Writes the heads of requests to endpoints: the caller's own, without what is not its to set. */
+internal class EndpointRequest(private val names: HeaderNames) {
+    private val dropped = CONNECTION_FIELDS + names.system.all + names.caller.deadlineMillis.lowercase()
+
+    private val described = with(names.caller) {
+        listOf(attemptId, model, tokenUsage, promptParts, lastEventId).map { it.lowercase() }.toSet()
+    }
+
+    /** Returns the head of [work]'s request to [target], which has [remainingMillis] to answer. */
+    fun head(work: Work, target: Target, remainingMillis: Long): ByteArray {
+        val head = work.request.head
+        val fields = ArrayList<HeaderField>(head.headers.fields.size + ADDED_FIELDS)
+        fields += forwarded(head.headers, work)
+        fields += HeaderField(names.caller.deadlineMillis, remainingMillis.toString())
+        fields += HeaderField(names.system.expectedEndpoint, target.endpoint.entry.id.value)
+        work.organisation?.let { fields += HeaderField(names.system.organisation, it.id.value) }
+        work.lastEventId?.let { fields += HeaderField(names.caller.lastEventId, it) }
+        if (work.prompt != null) fields += engineFields(work, target)
+        if (work.request.body.isNotEmpty() || head.method in METHODS_WITH_BODY) {
+            fields += HeaderField("Content-Length", work.request.body.size.toString())
+        }
+        return headBytes("${head.method} ${head.target} HTTP/1.1", fields)
+    }
+
+    private fun engineFields(work: Work, target: Target): List<HeaderField> = listOfNotNull(
+        HeaderField(names.system.urgency, work.urgency.coerceIn(URGENCIES).toString()),
+        target.weights?.let { HeaderField(names.system.expectedWeights, it.toString()) },
+        target.namespace?.let { HeaderField(names.system.cacheNamespace, it) },
+        target.transfer.source?.let { HeaderField(names.system.cacheSource, it) },
+        target.transfer.target?.let { HeaderField(names.system.cacheTarget, it) },
+    )
+
+    private fun forwarded(headers: HeaderFields, work: Work): List<HeaderField> {
+        // A caller could otherwise have the fields removed that identify and describe its request.
+        val listed = headers.tokens("Connection").toSet() - described
+        return headers.fields.filter { field ->
+            val name = field.name.lowercase()
+            name !in dropped && name !in listed && !isReplaced(name, work)
+        }
+    }
+
+    private fun isReplaced(name: String, work: Work): Boolean = when (name) {
+        names.caller.key.lowercase() -> work.keyed
+        names.caller.lastEventId.lowercase() -> work.lastEventId != null
+        else -> false
+    }
+
+    private companion object {
+        const val ADDED_FIELDS = 10
+        val METHODS_WITH_BODY = setOf("POST", "PUT", "PATCH")
+        val URGENCIES = 0..9
+    }
+}
--- /dev/null
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Placer.kt
@@ -0,0 +1,122 @@
+package org.parsleymoor.entry.serving
+
+import org.parsleymoor.core.Clock
+import org.parsleymoor.entry.EntrySettings
+import org.parsleymoor.relay.cache.TransferSide
+import org.parsleymoor.relay.fleet.EndpointState
+import org.parsleymoor.relay.limits.ColdBound
+import org.parsleymoor.relay.limits.ColdShare
+import org.parsleymoor.relay.placement.EnginePlacement
+import org.parsleymoor.relay.placement.EnginePlacementSettings
+import org.parsleymoor.relay.placement.NoPlaceReason
+import org.parsleymoor.relay.placement.Place
+import org.parsleymoor.relay.placement.PlaceRequest
+import org.parsleymoor.relay.placement.ServicePlacement
+import org.parsleymoor.relay.placement.Topology
+import org.parsleymoor.relay.prompt.PromptContext
+import org.parsleymoor.relay.prompt.cacheNamespace
+
+/** Outcome of choosing an endpoint. */
+internal sealed interface Choice {
+    class Chosen(val target: Target) : Choice
+
+    data class None(val reason: NoPlaceReason, val retryAfterMillis: Long) : Choice
+}
+
+/** Chooses endpoints with the decisions of the relay library and what this instance believes. */
+internal class Placer(
+    private val settings: EntrySettings,
+    private val beliefs: Beliefs,
+    private val clock: Clock,
+) {
+    private val topology = Topology(settings.zone, settings.zones)
+    private val transfers = CacheTransfers(topology, beliefs, clock)
+    private val services = ServicePlacement(topology)
+    private val engines = EnginePlacement(
+        topology,
+        EnginePlacementSettings(olderWeightsLimitMillis = settings.times.weightsMillis * OLDER_WEIGHTS_PARTS / PARTS),
+    )
+    private val cold = ColdShare(settings.instance)
+
+    /** Chooses the endpoint of [work]; a cold one only within this instance's share of its limit. */
+    fun choose(work: Work): Choice {
+        val nowMillis = clock.nowMillis()
+        val passedOver = HashSet(work.tried)
+        while (true) {
+            val request = work.placeRequest(nowMillis).copy(tried = passedOver)
+            val choice = choose(request, work.prompt, work, nowMillis)
+            val endpoint = (choice as? Choice.Chosen)?.target?.endpoint ?: return choice.orCold(passedOver, work)
+            if (mayTake(work, endpoint, nowMillis)) return choice
+            passedOver += endpoint.entry.id
+        }
+    }
+
+    private fun choose(request: PlaceRequest, prompt: PromptContext?, work: Work, nowMillis: Long): Choice {
+        if (prompt == null || work.service.engine == null) {
+            return when (val place = services.choose(request, beliefs.endpoints, nowMillis)) {
+                is Place.At -> Choice.Chosen(Target(place.endpoint, place.estimateMillis))
+                is Place.Nowhere -> Choice.None(place.reason, place.retryAfterMillis)
+            }
+        }
+        val named = beliefs.weights[prompt.model]
+        val obtain: (EndpointState) -> Double? = { state ->
+            transfers.fetchMillis(
+                work,
+                prompt,
+                side(work, prompt, state)
+            )
+        }
+        val found = engines.choose(request, prompt, beliefs.endpoints, named, beliefs.instances, obtain, nowMillis)
+        return when (val place = found.place) {
+            is Place.Nowhere -> Choice.None(place.reason, place.retryAfterMillis)
+            is Place.At -> {
+                val side = side(work, prompt, place.endpoint)
+                val transfer = transfers.plan(work, prompt, side, found.cachedAt)
+                Choice.Chosen(
+                    Target(
+                        endpoint = place.endpoint,
+                        estimateMillis = place.estimateMillis,
+                        weights = found.weights,
+                        namespace = side.namespace,
+                        transfer = transfer,
+                        tokensToRead = prompt.promptTokens - transfer.fetchedTokens,
+                    ),
+                )
+            }
+        }
+    }
+
+    private fun side(work: Work, prompt: PromptContext, state: EndpointState): TransferSide = TransferSide(
+        zone = state.entry.zone,
+        namespace = namespace(work, prompt, state.weights(prompt.model) ?: 0),
+        tokenBytes = work.service.engine?.tokenBytes ?: 1,
+    )
+
+    private fun namespace(work: Work, prompt: PromptContext, weights: Long): String {
+        val isolatedSet = beliefs.routes?.isolationTag.orEmpty()
+        val organisation = work.organisation
+        return cacheNamespace(prompt.model, weights, organisation?.id, organisation?.isolated == true) + isolatedSet
+    }
+
+    private fun mayTake(work: Work, endpoint: EndpointState, nowMillis: Long): Boolean {
+        if (!endpoint.isCold(nowMillis)) return true
+        val bound = ColdBound(work.service.coldRequestsPerSecond, settings.cold.overage, settings.cold.slack)
+        return cold.tryTake(endpoint.entry.id, bound, beliefs.members.orEmpty(), nowMillis)
+    }
+
+    private fun Choice.orCold(passedOver: Set<*>, work: Work): Choice =
+        if (this is Choice.None && passedOver.size > work.tried.size) {
+            Choice.None(NoPlaceReason.COLD, COLD_RETRY_MILLIS)
+        } else {
+            this
+        }
+
+    private companion object {
+        // Work on older weights stops well before the limit, because a request takes time to reach its endpoint.
+        const val OLDER_WEIGHTS_PARTS = 8
+        const val PARTS = 10
+
+        // The limit is per second.
+        const val COLD_RETRY_MILLIS = 600L
+    }
+}
--- /dev/null
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/RelayHandler.kt
@@ -0,0 +1,138 @@
+package org.parsleymoor.entry.serving
+
+import kotlinx.serialization.json.put
+import org.parsleymoor.core.Clock
+import org.parsleymoor.core.RequestId
+import org.parsleymoor.entry.EntryMetrics
+import org.parsleymoor.entry.callers.CallerAnswer
+import org.parsleymoor.entry.callers.CallerRequest
+import org.parsleymoor.entry.callers.RequestHandler
+import org.parsleymoor.entry.log.DecisionLog
+import org.parsleymoor.entry.protocol.HeaderNames
+import org.parsleymoor.relay.prompt.PromptContext
+import org.parsleymoor.relay.routing.Organisation
+import org.parsleymoor.relay.routing.Route
+import org.parsleymoor.relay.routing.RouteTable
+import kotlin.random.Random
+
+/** Finds out what a caller's request is and where it belongs, and hands it to [delivery]. */
+internal class RelayHandler(
+    private val beliefs: Beliefs,
+    private val names: HeaderNames,
+    private val delivery: Delivery,
+    private val refusals: Refusals,
+    private val log: DecisionLog,
+    private val metrics: EntryMetrics,
+    private val clock: Clock,
+) : RequestHandler {
+    override suspend fun handle(request: CallerRequest, answer: CallerAnswer) {
+        metrics.requests.increment()
+        val id = RequestId(request.head.headers[names.caller.attemptId].orEmpty())
+        when (val routed = route(request, id)) {
+            is Routed.Refused -> refusals.answer(answer, id, routed.refusal)
+            is Routed.To -> deliver(routed.work, answer)
+        }
+        val millis = clock.nowMillis() - request.receivedMillis
+        metrics.latency.record(millis)
+        log.write("request.ended", always = (answer.status ?: 0) >= SERVER_ERRORS) {
+            put("request", id.value)
+            put("status", answer.status)
+            put("complete", answer.complete)
+            put("millis", millis)
+        }
+    }
+
+    private suspend fun deliver(work: Work, answer: CallerAnswer) {
+        try {
+            delivery.deliver(work, answer)
+        } finally {
+            if (!answer.complete) {
+                log.write("request.unfinished") {
+                    put("request", work.id.value)
+                    put("route", work.route.name)
+                    put("sends", work.sends)
+                    put("status", answer.status)
+                }
+            }
+        }
+    }
+
+    private fun route(request: CallerRequest, id: RequestId): Routed {
+        val table = beliefs.routes
+        val route = table?.route(request.head.headers["Host"].orEmpty(), path(request.head.target))
+        return when {
+            table == null || !beliefs.endpointsKnown -> Routed.Refused(Refusal.NoConfiguration)
+            route == null -> Routed.Refused(Refusal.NoRoute(table.configuration.version))
+            id.value.isEmpty() || duplicated(request) -> Routed.Refused(Refusal.Malformed)
+            else -> authorise(request, id, table, route)
+        }
+    }
+
+    private fun authorise(request: CallerRequest, id: RequestId, table: RouteTable, route: Route): Routed {
+        val keyed = table.configuration.organisations != null
+        val organisation = if (keyed) organisation(request, table) else null
+        val service = table.service(route, Random.nextDouble())
+        return when {
+            keyed && organisation == null && !route.isPublic ->
+                Routed.Refused(Refusal.UnknownKey(table.configuration.version))
+            service == null -> Routed.Refused(Refusal.NoConfiguration)
+            else -> Routed.To(
+                Work(
+                    id = id,
+                    request = request,
+                    route = route,
+                    service = service,
+                    organisation = organisation,
+                    prompt = prompt(request),
+                    callerMillis = callerMillis(request, route),
+                    keyed = keyed,
+                ),
+            )
+        }
+    }
+
+    private fun organisation(request: CallerRequest, table: RouteTable): Organisation? {
+        val value = request.head.headers.all(names.caller.key).singleOrNull() ?: return null
+        val scheme = value.substringBefore(' ')
+        val key = value.substringAfter(' ', "").trim()
+        return if (scheme.equals(names.caller.keyScheme, ignoreCase = true)) table.organisation(key) else null
+    }
+
+    private fun prompt(request: CallerRequest): PromptContext? {
+        val headers = request.head.headers
+        val model = headers[names.caller.model] ?: return null
+        return PromptContext.parse(model, headers[names.caller.tokenUsage], headers[names.caller.promptParts])
+    }
+
+    private fun callerMillis(request: CallerRequest, route: Route): Long {
+        val stated = request.head.headers[names.caller.deadlineMillis]?.trim()?.toDoubleOrNull()
+        return stated?.takeIf { it >= 0 }?.toLong() ?: route.timeoutMillis
+    }
+
+    /** Whether a field that identifies the request is given twice, so that the endpoint could read another value. */
+    private fun duplicated(request: CallerRequest): Boolean =
+        listOf(names.caller.attemptId, names.caller.model, names.caller.deadlineMillis)
+            .any { request.head.headers.all(it).size > 1 }
+
+    private fun path(target: String): String {
+        val path = if (target.startsWith(
+                "/"
+            )
+        ) {
+            target
+        } else {
+            "/" + target.substringAfter("://", "").substringAfter('/', "")
+        }
+        return path.substringBefore('?')
+    }
+
+    private sealed interface Routed {
+        class To(val work: Work) : Routed
+
+        class Refused(val refusal: Refusal) : Routed
+    }
+
+    private companion object {
+        const val SERVER_ERRORS = 500
+    }
+}
--- /dev/null
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Work.kt
@@ -0,0 +1,67 @@
+package org.parsleymoor.entry.serving
+
+import org.parsleymoor.core.EndpointId
+import org.parsleymoor.core.RegionId
+import org.parsleymoor.core.RequestId
+import org.parsleymoor.entry.callers.CallerRequest
+import org.parsleymoor.relay.placement.PlaceRequest
+import org.parsleymoor.relay.prompt.PromptContext
+import org.parsleymoor.relay.routing.Organisation
+import org.parsleymoor.relay.routing.Route
+import org.parsleymoor.relay.routing.Service
+
+/** One attempt of a caller and what has been done for it so far. Times are on the daemon's clock. */
+internal class Work(
+    val id: RequestId,
+    val request: CallerRequest,
+    val route: Route,
+    val service: Service,
+    val organisation: Organisation?,
+    val prompt: PromptContext?,
+    val callerMillis: Long,
+    val keyed: Boolean,
+) {
+    /** When the answer is due for the operators: the route's time limit. */
+    val routeLimitMillis: Long get() = request.receivedMillis + route.timeoutMillis
+
+    /** When the caller stops waiting. */
+    val callerLimitMillis: Long get() = request.receivedMillis + callerMillis
+
+    /** After this nothing is sent or awaited any more. */
+    val limitMillis: Long get() = minOf(routeLimitMillis, callerLimitMillis)
+
+    /** Endpoints that had this request and are not asked again. */
+    val tried = HashSet<EndpointId>()
+
+    /** Number of times the request was sent. */
+    var sends = 0
+
+    /** Number of endpoints at which the request ran or may have run. */
+    var runs = 0
+
+    /** The last event that the caller has. */
+    var lastEventId: String? = null
+
+    /** When the first byte of the answer was passed on, or null. */
+    var firstByteMillis: Long? = null
+
+    /** Whether events of a stream were delivered in this answer. */
+    var started = false
+
+    /** Rank of the request, 0 first. */
+    val urgency: Int get() = organisation?.priority ?: route.priority
+
+    /** Regions to which route and organisation each restrict the request. */
+    val allowedRegions: List<Set<RegionId>>
+        get() = listOf(route.allowedRegions, organisation?.allowedRegions.orEmpty()).filter { it.isNotEmpty() }
+
+    /** Describes the request for the choice of its endpoint at [nowMillis]. */
+    fun placeRequest(nowMillis: Long): PlaceRequest = PlaceRequest(
+        service = service.name,
+        allowedRegions = allowedRegions,
+        tried = tried,
+        remainingMillis = limitMillis - nowMillis,
+        objectiveMillis = route.objectiveMillis,
+        urgency = urgency,
+    )
+}
