Send no prompt to an engine without memory for it

An engine that is given more than its memory holds evicts what it fetched before it can use it.

Change: an engine needs room for a long prompt; while none has, a request waits for a third of its objective and is then refused with a time to come back.

--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/EnginePlacement.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/EnginePlacement.kt
@@ -64,7 +64,11 @@
             val reason = if (allowed.isEmpty()) NoPlaceReason.NO_ENDPOINT else NoPlaceReason.NO_WEIGHTS
             return EnginePlace(Place.Nowhere(reason, NO_ENDPOINT_RETRY_MILLIS))
         }
-        return best(request, prompt, healthy, named, instances, fetchMillis, nowMillis)
+        val roomy = healthy.filter { it.hasRoom(prompt, nowMillis) }
+        if (roomy.isEmpty() && !request.returning) {
+            return EnginePlace(Place.Nowhere(NoPlaceReason.OVERLOADED, NO_ROOM_RETRY_MILLIS))
+        }
+        return best(request, prompt, roomy.ifEmpty { healthy }, named, instances, fetchMillis, nowMillis)
     }
 
     private fun best(
@@ -173,10 +177,9 @@
         // Beyond a few instances, requests under way elsewhere are independent of those here.
         const val FULL_VIEW_INSTANCES = 3
 
-        // Reports are some hundred milliseconds old when they are read, and no longer useful after a while.
-        const val REPORT_LAG_MILLIS = 150L
-        const val REPORT_LIFE_MILLIS = 1_500L
 
+        // Runs of long prompts take two seconds or more, so that some memory is free again after this time.
+        const val NO_ROOM_RETRY_MILLIS = 800L
         // An engine that refuses is full or loads weights, which takes about a second.
         const val REFUSAL_MILLIS = 700L
         const val REFUSAL_PENALTY_MILLIS = 600.0
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/LoadEstimate.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/LoadEstimate.kt
@@ -3,23 +3,16 @@
 import org.parsleymoor.relay.fleet.EndpointState
 
 /**
- * Returns the number of requests that run or wait at this endpoint. A report that is [REPORT_LIFE_MILLIS] old no longer
+ * Returns the number of requests that run or wait at this endpoint. A report that is [HEADER_LIFE_MILLIS] old no longer
  * counts; between reports the instance's own work bounds the estimate from below.
  */
 public fun EndpointState.estimatedRequests(nowMillis: Long): Double {
     val report = load ?: return inFlight.toDouble()
     val age = (nowMillis - report.atMillis).coerceAtLeast(0)
-    val trust = 1.0 - age.toDouble() / REPORT_LIFE_MILLIS
+    val trust = 1.0 - age.toDouble() / HEADER_LIFE_MILLIS
     val reported = if (trust > 0) (report.running + report.waiting) * trust else 0.0
     return maxOf(inFlight.toDouble(), reported)
 }
 
-/** Returns the requests that wait at this endpoint according to its last report, with less trust as that ages. */
-public fun EndpointState.estimatedWaiting(nowMillis: Long): Double {
-    val report = load ?: return 0.0
-    val trust = 1.0 - (nowMillis - report.atMillis).toDouble() / REPORT_LIFE_MILLIS
-    return if (trust > 0) report.waiting * trust else 0.0
-}
-
 // Runs take up to a second, so a report says little about the load a second later.
-private const val REPORT_LIFE_MILLIS = 1_500.0
+private const val HEADER_LIFE_MILLIS = 1_500.0
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Delivery.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Delivery.kt
@@ -1,11 +1,13 @@
 package org.parsleymoor.entry.serving
 
+import kotlinx.coroutines.delay
 import kotlinx.serialization.json.put
 import org.parsleymoor.core.Clock
 import org.parsleymoor.entry.EntryMetrics
 import org.parsleymoor.entry.callers.CallerAnswer
 import org.parsleymoor.entry.log.DecisionLog
 import org.parsleymoor.relay.limits.SharedRetryBudget
+import org.parsleymoor.relay.placement.NoPlaceReason
 
 /**
  * Sends a request to one endpoint after the other as far as its kind, its route and the retry budget allow, until it is
@@ -26,7 +28,7 @@
         budget.request(work.service.name, clock.nowMillis())
         var last: AttemptResult = AttemptResult.NotRun("no endpoint was asked", sent = false)
         while (true) {
-            val choice = placer.choose(work)
+            val choice = chooseSoon(work)
             if (choice is Choice.None) return giveUp(work, answer, last, choice)
             val target = (choice as Choice.Chosen).target
             last = attempt(work, target, answer)
@@ -36,6 +38,17 @@
         }
     }
 
+    /** Chooses an endpoint; while all are full, waits for a part of the objective, within which one usually has room. */
+    private suspend fun chooseSoon(work: Work): Choice {
+        val untilMillis = work.request.receivedMillis + (work.route.objectiveMillis * HOLD_SHARE).toLong()
+        var choice = placer.choose(work)
+        while ((choice as? Choice.None)?.reason == NoPlaceReason.OVERLOADED && clock.nowMillis() < untilMillis) {
+            delay(HOLD_POLL_MILLIS)
+            choice = placer.choose(work)
+        }
+        return choice
+    }
+
     private suspend fun attempt(work: Work, target: Target, answer: CallerAnswer): AttemptResult {
         val startMillis = clock.nowMillis()
         val result = attempts.run(work, target, answer)
@@ -49,6 +62,11 @@
             put("entryAgeMillis", nowMillis - endpoint.heardMillis)
             put("configuration", beliefs.routes?.configuration?.version)
             put("estimateMillis", target.estimateMillis.toLong())
+            work.prompt?.let { prompt ->
+                put("context", prompt.affinityKey)
+                put("sharedTokens", prompt.sharedTokens)
+                put("promptTokens", prompt.promptTokens)
+            }
             target.weights?.let { put("weights", it) }
             target.transfer.source?.let { put("fetchFrom", it) }
             target.transfer.target?.let { put("saveTo", it) }
@@ -103,6 +121,10 @@
         // An endpoint with less time than this cannot answer.
         const val MINIMAL_MILLIS = 30L
 
+        // The rest of the objective is left for reading the prompt.
+        const val HOLD_SHARE = 0.35
+        const val HOLD_POLL_MILLIS = 40L
+
         // Endpoints that refuse are asked in turn up to this number of sends.
         const val MAXIMAL_SENDS = 4
     }
