--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/limits/ColdShare.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/limits/ColdShare.kt
@@ -22,7 +22,7 @@
 public class ColdShare(private val self: InstanceId) {
     private val sent = HashMap<EndpointId, ArrayDeque<Long>>()
 
-    /** Takes one request to [endpoint] from this instance's part; returns false, and takes nothing, when it is spent. */
+    /** Takes a request to [endpoint] from this instance's part; returns false, and takes nothing, when it is spent. */
     public fun tryTake(
         endpoint: EndpointId,
         bound: ColdBound,
--- /dev/null
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/fleet/EndpointTableTest.kt
@@ -0,0 +1,87 @@
+package org.parsleymoor.relay.fleet
+
+import org.junit.jupiter.api.Test
+import org.parsleymoor.core.EndpointId
+import org.parsleymoor.core.ZoneId
+import org.parsleymoor.relay.MODEL
+import org.parsleymoor.relay.entry
+import strikt.api.expectThat
+import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isNull
+import strikt.assertions.isTrue
+
+class EndpointTableTest {
+    private val table = EndpointTable(graceMillis = 2_000).also { it.replaceAll(listOf(entry("one")), 0) }
+
+    @Test
+    fun `an entry that is removed while the list is read is gone at once`() {
+        expectThat(table.remove(EndpointId("one"), 10)).isTrue()
+        expectThat(table.serving("engines")).isEmpty()
+    }
+
+    // Entries lapse while the store is away; the endpoints register again within two seconds of its return.
+    @Test
+    fun `an entry that is missing after an interruption is kept for the grace period and then gone`() {
+        table.listLost()
+        table.listHeard(1_000)
+        table.replaceAll(emptyList(), 1_000)
+        expectThat(table.serving("engines")).hasSize(1)
+        expectThat(table.expire(2_900)).isEmpty()
+        expectThat(table.expire(3_000)).isEqualTo(listOf(EndpointId("one")))
+        expectThat(table.serving("engines")).isEmpty()
+    }
+
+    @Test
+    fun `an entry that registers again within the grace period stays`() {
+        table.listLost()
+        table.listHeard(1_000)
+        table.replaceAll(emptyList(), 1_000)
+        table.put(entry("one"), 2_000)
+        expectThat(table.expire(5_000)).isEmpty()
+        expectThat(table.serving("engines")).hasSize(1)
+    }
+
+    @Test
+    fun `a draining endpoint gets no work and is not kept after an interruption`() {
+        table.put(entry("one", draining = true), 10)
+        expectThat(table.serving("engines")).isEmpty()
+        table.listLost()
+        expectThat(table.remove(EndpointId("one"), 20)).isTrue()
+    }
+
+    @Test
+    fun `an evacuated zone gets no work until it is taken back`() {
+        table.evacuated = setOf(ZoneId("a"))
+        expectThat(table.serving("engines")).isEmpty()
+        table.evacuated = emptySet()
+        expectThat(table.serving("engines")).hasSize(1)
+    }
+
+    @Test
+    fun `an endpoint that starts again at its id loses what was learned of it`() {
+        val state = table[EndpointId("one")]!!
+        state.learnWeights(MODEL, 5)
+        table.put(entry("one").copy(bornMillis = 2), 10)
+        expectThat(state.weights(MODEL)).isEqualTo(1)
+        expectThat(state.engineLoad).isNull()
+    }
+
+    @Test
+    fun `an older load report does not replace a newer one`() {
+        val state = table[EndpointId("one")]!!
+        expectThat(state.learnLoad(EngineLoad(1, 0, 0, 1, 10, atMillis = 100))).isTrue()
+        expectThat(state.learnLoad(EngineLoad(2, 0, 0, 2, 10, atMillis = 50))).isFalse()
+        expectThat(state.engineLoad?.running).isEqualTo(1)
+    }
+
+    @Test
+    fun `an endpoint that fails repeatedly is set aside and comes back after an answer`() {
+        val state = table[EndpointId("one")]!!
+        repeat(2) { state.note(AttemptEvidence.FAILED, 100) }
+        expectThat(state.health.isAside(101)).isTrue()
+        expectThat(state.health.isAside(601)).isFalse()
+    }
+}
--- /dev/null
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/http/BodyDecoderTest.kt
@@ -0,0 +1,59 @@
+package org.parsleymoor.relay.http
+
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+
+class BodyDecoderTest {
+    private val queue = ByteQueue()
+
+    @Test
+    fun `a chunked body that arrives byte by byte is whole, and what follows it stays`() {
+        val decoder = BodyDecoder(BodyFraming.Chunked)
+        var content = ""
+        "4;x=1\r\nWiki\r\nA\r\n0123456789\r\n0\r\nTrailer: 1\r\n\r\nNEXT".forEach { byte ->
+            queue.append(byteArrayOf(byte.code.toByte()))
+            content += String(decoder.decode(queue))
+        }
+        expectThat(content).isEqualTo("Wiki0123456789")
+        expectThat(decoder.progress).isEqualTo(BodyProgress.COMPLETE)
+        expectThat(String(queue.take(queue.size))).isEqualTo("NEXT")
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = ["x\r\n", "-1\r\n", "\r\n", "123456789\r\n", "1\r\nab\r\n"])
+    fun `a malformed chunk breaks the body`(text: String) {
+        queue.append(text.toByteArray())
+        val decoder = BodyDecoder(BodyFraming.Chunked)
+        decoder.decode(queue)
+        expectThat(decoder.progress).isEqualTo(BodyProgress.BROKEN)
+    }
+
+    @Test
+    fun `a body of known length leaves the bytes behind it`() {
+        queue.append("12345extra".toByteArray())
+        val decoder = BodyDecoder(BodyFraming.Length(5))
+        expectThat(String(decoder.decode(queue))).isEqualTo("12345")
+        expectThat(decoder.progress).isEqualTo(BodyProgress.COMPLETE)
+        expectThat(queue.size).isEqualTo(5)
+    }
+
+    @Test
+    fun `a body without length is complete after an orderly end and broken after a reset`() {
+        val orderly = BodyDecoder(BodyFraming.UntilClose).also { it.endOfInput(orderly = true) }
+        val reset = BodyDecoder(BodyFraming.UntilClose).also { it.endOfInput(orderly = false) }
+        expectThat(orderly.progress).isEqualTo(BodyProgress.COMPLETE)
+        expectThat(reset.progress).isEqualTo(BodyProgress.BROKEN)
+    }
+
+    @Test
+    fun `a body of known length that ends early is broken`() {
+        queue.append("123".toByteArray())
+        val decoder = BodyDecoder(BodyFraming.Length(5))
+        decoder.decode(queue)
+        decoder.endOfInput(orderly = true)
+        expectThat(decoder.progress).isEqualTo(BodyProgress.BROKEN)
+    }
+}
--- /dev/null
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/placement/EnginePlacementTest.kt
@@ -0,0 +1,120 @@
+package org.parsleymoor.relay.placement
+
+import org.junit.jupiter.api.Test
+import org.parsleymoor.core.EndpointId
+import org.parsleymoor.core.rendezvousOrder
+import org.parsleymoor.relay.MODEL
+import org.parsleymoor.relay.TOPOLOGY
+import org.parsleymoor.relay.engines
+import org.parsleymoor.relay.entry
+import org.parsleymoor.relay.fleet.AttemptEvidence
+import org.parsleymoor.relay.fleet.EndpointTable
+import org.parsleymoor.relay.fleet.note
+import org.parsleymoor.relay.load
+import org.parsleymoor.relay.placeRequest
+import org.parsleymoor.relay.prompt
+import org.parsleymoor.relay.prompt.PromptContext
+import strikt.api.expectThat
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
+import strikt.assertions.isNotEqualTo
+import kotlin.random.Random
+
+class EnginePlacementTest {
+    private val placement = EnginePlacement(TOPOLOGY, random = Random(1))
+
+    // A burst: instances that have all seen one engine idle send a whole burst there before its next report.
+    @Test
+    fun `a burst at instances with the same reports is spread over the engines`() {
+        val instances = List(9) { EnginePlacement(TOPOLOGY, random = Random(it)) }
+        val counts = (1..90).groupingBy { number ->
+            val table = engines(8)
+            table.all.forEachIndexed { index, state ->
+                state.learnLoad(load(memoryUsed = if (index == 0) 30_000 else 40_000, atMillis = 0))
+            }
+            val place = instances[number % 9].choose(wanted(prompt("s$number")), table, 100).place
+            (place as Place.At).endpoint.entry.id
+        }.eachCount()
+        expectThat(counts.values.max()).isLessThan(45)
+    }
+
+    // Overload: engines that are given more than their memory holds evict what they have just fetched.
+    @Test
+    fun `a long prompt is refused with a time to return while no engine has memory for it`() {
+        val table = engines(8)
+        table.all.forEach { it.learnLoad(load(memoryUsed = 95_000, atMillis = 0)) }
+        val place = placement.choose(wanted(prompt("s")), table, 100).place
+        expectThat(place).isA<Place.Nowhere>()
+        expectThat((place as Place.Nowhere).reason).isEqualTo(NoPlaceReason.OVERLOADED)
+        expectThat(place.retryAfterMillis).isGreaterThan(0)
+    }
+
+    @Test
+    fun `a caller that returns, and a short prompt, are served by engines that are full`() {
+        val table = engines(8)
+        table.all.forEach { it.learnLoad(load(memoryUsed = 95_000, atMillis = 0)) }
+        val short = prompt("s", shared = 1_500, own = 500)
+        expectThat(placement.choose(wanted(prompt("s"), returning = true), table, 100).place).isA<Place.At>()
+        expectThat(placement.choose(wanted(short), table, 100).place).isA<Place.At>()
+    }
+
+    @Test
+    fun `a prompt goes to the one engine with memory for it`() {
+        val table = engines(8)
+        table.all.forEach { it.learnLoad(load(memoryUsed = 95_000, atMillis = 0)) }
+        val free = table[EndpointId("engine-3")]!!
+        free.learnLoad(load(memoryUsed = 10_000, atMillis = 1))
+        expectThat((placement.choose(wanted(prompt("s")), table, 100).place as Place.At).endpoint).isEqualTo(free)
+    }
+
+    // Without affinity each engine would be drawn once in eight times.
+    @Test
+    fun `prompts with the same shared parts meet more often at their home among idle engines`() {
+        val table = engines(8)
+        val atHome = (1..100).sumOf { session ->
+            val prompt = prompt("session-$session")
+            val home = rendezvousOrder(prompt.affinityKey, table.all) { it.entry.id.value }.first().entry.id
+            (1..10).count { chosen(table, prompt) == home }
+        }
+        expectThat(atHome).isGreaterThan(1_000 / 8 * 3 / 2)
+    }
+
+    // A rollout at full load: work on older weights must end before the time that operators allow.
+    @Test
+    fun `older weights are used only for a time after newer ones were named`() {
+        val table = engines(4)
+        val named = NamedWeights(MODEL, 2, sinceMillis = 0)
+        val early = placement.choose(wanted(prompt("s"), named = named), table, 1_000).place
+        val late = placement.choose(wanted(prompt("s"), named = named), table, 7_500).place
+        expectThat(early).isA<Place.At>()
+        expectThat((late as Place.Nowhere).reason).isEqualTo(NoPlaceReason.NO_WEIGHTS)
+    }
+
+    @Test
+    fun `an engine that carries out an order or fails gets no work while others are free`() {
+        val table = engines(2)
+        val (first, second) = table.all.toList()
+        first.orderedUntilMillis = 1_000
+        repeat(10) { expectThat(chosen(table, prompt("s$it"))).isEqualTo(second.entry.id) }
+        first.orderedUntilMillis = 0
+        second.note(AttemptEvidence.UNREACHABLE, 50)
+        repeat(10) { expectThat(chosen(table, prompt("t$it"))).isNotEqualTo(second.entry.id) }
+    }
+
+    @Test
+    fun `without an engine or with all of them tried there is no place`() {
+        val empty = EndpointTable()
+        val tried = EndpointTable().also { it.put(entry("one"), 0) }
+        val request = placeRequest().copy(tried = setOf(EndpointId("one")))
+        expectThat(placement.choose(wanted(prompt("s")), empty, 0).place).isA<Place.Nowhere>()
+        expectThat(placement.choose(wanted(prompt("s")).copy(request = request), tried, 0).place).isA<Place.Nowhere>()
+    }
+
+    private fun chosen(table: EndpointTable, prompt: PromptContext): EndpointId =
+        (placement.choose(wanted(prompt), table, 100).place as Place.At).endpoint.entry.id
+
+    private fun wanted(prompt: PromptContext, returning: Boolean = false, named: NamedWeights? = null) =
+        EngineRequest(placeRequest(returning), prompt, named, instances = 9, fetchMillis = { null })
+}
--- /dev/null
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/routing/RouteTableTest.kt
@@ -0,0 +1,42 @@
+package org.parsleymoor.relay.routing
+
+import org.junit.jupiter.api.Test
+import org.parsleymoor.relay.configuration
+import org.parsleymoor.relay.route
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotEqualTo
+import strikt.assertions.isNull
+
+class RouteTableTest {
+    private val table = RouteTable(configuration(listOf(route("short", "/a/"), route("long", "/a/b/"))))
+
+    @Test
+    fun `the longest prefix of the host's routes wins`() {
+        expectThat(table.route("h", "/a/b/c")?.name).isEqualTo("long")
+        expectThat(table.route("H:8080", "/a/c")?.name).isEqualTo("short")
+    }
+
+    @Test
+    fun `another host, a shorter path and an unknown key find nothing`() {
+        expectThat(table.route("other", "/a/")).isNull()
+        expectThat(table.route("h", "/a")).isNull()
+        expectThat(table.organisation("nobody's")).isNull()
+    }
+
+    // Blocks that an organisation made before it was isolated must not be found by others afterwards.
+    @Test
+    fun `the name space of shared blocks changes with the set of isolated organisations`() {
+        val isolated = RouteTable(configuration(emptyList(), isolated = setOf("x")))
+        expectThat(isolated.isolationTag).isNotEqualTo(table.isolationTag)
+    }
+
+    @Test
+    fun `services of a split route are drawn by weight`() {
+        val split = route("split", "/").copy(targets = listOf(ServiceShare("one", 90.0), ServiceShare("two", 10.0)))
+        val services = listOf("one", "two").associateWith { Service(it, 1, 0, 0.0) }
+        val drawn = RouteTable(configuration(listOf(split)).copy(services = services))
+        expectThat(drawn.service(split, 0.89)?.name).isEqualTo("one")
+        expectThat(drawn.service(split, 0.91)?.name).isEqualTo("two")
+    }
+}
--- /dev/null
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
@@ -0,0 +1,191 @@
+package org.parsleymoor.entry
+
+import io.vertx.core.Vertx
+import io.vertx.kotlin.coroutines.dispatcher
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.runBlocking
+import org.parsleymoor.core.Clock
+import org.parsleymoor.core.EndpointId
+import org.parsleymoor.core.InstanceId
+import org.parsleymoor.core.OrganisationId
+import org.parsleymoor.core.RegionId
+import org.parsleymoor.core.ZoneId
+import org.parsleymoor.entry.callers.CallerContext
+import org.parsleymoor.entry.callers.CallerServer
+import org.parsleymoor.entry.log.DecisionLog
+import org.parsleymoor.entry.net.ConnectionPool
+import org.parsleymoor.entry.protocol.CallerHeaders
+import org.parsleymoor.entry.protocol.ContentDecoder
+import org.parsleymoor.entry.protocol.EndpointHeaders
+import org.parsleymoor.entry.protocol.EngineProtocol
+import org.parsleymoor.entry.protocol.HeaderNames
+import org.parsleymoor.entry.protocol.ObjectProtocol
+import org.parsleymoor.entry.protocol.ServingProtocol
+import org.parsleymoor.entry.protocol.SystemHeaders
+import org.parsleymoor.entry.serving.Attempts
+import org.parsleymoor.entry.serving.Beliefs
+import org.parsleymoor.entry.serving.Delivery
+import org.parsleymoor.entry.serving.Placer
+import org.parsleymoor.entry.serving.Refusals
+import org.parsleymoor.entry.serving.RelayHandler
+import org.parsleymoor.entry.serving.ServingContext
+import org.parsleymoor.entry.serving.StopState
+import org.parsleymoor.relay.fleet.EndpointEntry
+import org.parsleymoor.relay.fleet.SocketAddress
+import org.parsleymoor.relay.limits.RetryBound
+import org.parsleymoor.relay.limits.SharedRetryBudget
+import org.parsleymoor.relay.routing.CallerLimits
+import org.parsleymoor.relay.routing.Organisation
+import org.parsleymoor.relay.routing.RequestKind
+import org.parsleymoor.relay.routing.Route
+import org.parsleymoor.relay.routing.RouteTable
+import org.parsleymoor.relay.routing.Service
+import org.parsleymoor.relay.routing.ServiceShare
+import org.parsleymoor.relay.routing.ServingConfiguration
+import java.io.OutputStream
+import java.io.PrintStream
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+
+/** The data path of an entry daemon in front of [endpoints], without any control loop. */
+internal class RelayHarness(
+    vararg endpoints: ScriptedEndpoint,
+    kind: RequestKind = RequestKind.NON_IDEMPOTENT,
+    resumable: Boolean = false,
+    attempts: Int = 2,
+    configured: Boolean = true,
+) : AutoCloseable {
+    private val vertx = Vertx.vertx()
+    private val dispatcher = vertx.orCreateContext.dispatcher()
+    private val scope = CoroutineScope(SupervisorJob() + dispatcher)
+    private val log = DecisionLog(Clock.System, "test", PrintStream(OutputStream.nullOutputStream()))
+    private val beliefs = Beliefs(InstanceId("test"))
+    val port: Int = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
+
+    init {
+        if (configured) beliefs.routes = RouteTable(configuration(kind, resumable, attempts))
+        beliefs.endpointsKnown = true
+        beliefs.members = setOf(beliefs.self)
+        endpoints.forEachIndexed { index, endpoint -> beliefs.endpoints.put(entry("e$index", endpoint.port), 0) }
+        val context = ServingContext(beliefs, log, EntryMetrics(), Clock.System)
+        val refusals = Refusals(TestProtocol, log, context.metrics)
+        val pool = ConnectionPool(vertx.createNetClient(), Clock.System)
+        val budget = SharedRetryBudget(RetryBound(share = 1.0, extra = 100.0, windowMillis = 10_000))
+        val delivery = Delivery(
+            context,
+            Placer(settings(), beliefs, Clock.System),
+            Attempts(context, pool, NAMES, scope),
+            refusals,
+            budget,
+        )
+        val stopping = StopState(8_000, Clock.System)
+        val callers = CallerContext(
+            clock = Clock.System,
+            handler = RelayHandler(context, NAMES, delivery, refusals, stopping),
+            limits = { CallerLimits(headBytes = 2_048, bodyBytes = 10_000) },
+            stopping = { stopping.begun },
+            onFault = {},
+        )
+        runBlocking(dispatcher) { CallerServer(vertx, scope, callers).start(SocketAddress("127.0.0.1", port)) }
+    }
+
+    /** Opens a caller's connection. */
+    fun caller(): Socket = Socket(InetAddress.getLoopbackAddress(), port).also { it.soTimeout = 5_000 }
+
+    /** Sends [request] on a connection of its own and returns all that comes back. */
+    fun ask(request: String): String = caller().use { socket ->
+        socket.say(request)
+        String(socket.getInputStream().readAllBytes())
+    }
+
+    override fun close() {
+        vertx.close()
+    }
+
+    private fun settings(): EntrySettings {
+        val address = SocketAddress("127.0.0.1", port)
+        return EntrySettings(
+            instance = beliefs.self,
+            zone = ZoneId("a"),
+            region = RegionId("north"),
+            zones = mapOf(ZoneId("a") to RegionId("north")),
+            listen = ListenAddresses(address, address, address, address),
+            objectStore = address,
+            times = EntryTimes(
+                graceMillis = 8_000,
+                leaseMillis = 3_000,
+                weightsMillis = 10_000,
+                heartbeatMillis = 1_000
+            ),
+            retries = RetryBound(share = 1.0, extra = 100.0, windowMillis = 10_000),
+            cold = ColdAllowance(overage = 1.5, slack = 5.0),
+        )
+    }
+
+    private fun entry(name: String, port: Int) = EndpointEntry(
+        id = EndpointId(name),
+        service = "s",
+        address = SocketAddress("127.0.0.1", port),
+        zone = ZoneId("a"),
+        draining = false,
+        slots = 4,
+    )
+
+    private fun configuration(kind: RequestKind, resumable: Boolean, attempts: Int) = ServingConfiguration(
+        version = 1,
+        routes = listOf(
+            Route(
+                name = "r",
+                host = "h",
+                pathPrefix = "/r/",
+                kind = kind,
+                targets = listOf(ServiceShare("s", 1.0)),
+                timeoutMillis = 2_000,
+                objectiveMillis = 1_000,
+                attempts = attempts,
+                resumable = resumable,
+            ),
+        ),
+        services = mapOf("s" to Service("s", connectionLimit = 10, coldMillis = 0, coldRequestsPerSecond = 0.0)),
+        organisations = listOf(Organisation(OrganisationId("org"), setOf("secret"))),
+        limits = CallerLimits(),
+    )
+}
+
+/** Header names that no deployment uses, which shows that nothing depends on the real ones. */
+internal val NAMES = HeaderNames(
+    caller = CallerHeaders(
+        attemptId = "Id", deadlineMillis = "Wait", key = "Authorization", keyScheme = "Key", model = "Model",
+        tokenUsage = "Usage", promptParts = "Parts", lastEventId = "Last-Event-Id", retryAfter = "Retry-After",
+    ),
+    system = SystemHeaders(
+        organisation = "Org",
+        expectedEndpoint = "Expect-Endpoint",
+        expectedWeights = "Expect-Weights",
+        cacheNamespace = "Space",
+        urgency = "Urgency",
+        cacheSource = "Source",
+        cacheTarget = "Target",
+        reserved = setOf("Reserved"),
+    ),
+    endpoint = EndpointHeaders(
+        seal = "Seal",
+        notRun = "Not-Run",
+        load = "Load",
+        endpoint = "Endpoint",
+        coldMillis = "Cold",
+        weights = "Weights",
+    ),
+)
+
+private object TestProtocol : ServingProtocol {
+    override val headers: HeaderNames get() = NAMES
+    override val objects: ObjectProtocol get() = error("the data path reads no objects")
+    override val content: ContentDecoder get() = error("the data path decodes no content")
+    override val engines: EngineProtocol get() = error("the data path orders no engines")
+    override val readinessPath: String get() = "/ready"
+
+    override fun refusalBody(reason: String): String = reason
+}
--- /dev/null
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/ScriptedEndpoint.kt
@@ -0,0 +1,61 @@
+package org.parsleymoor.entry
+
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.CountDownLatch
+import kotlin.concurrent.thread
+
+/** Reads a request head, and a body of the stated length, from this socket; returns null at the end. */
+internal fun Socket.readRequest(): String? {
+    val text = StringBuilder()
+    while (!text.endsWith("\r\n\r\n")) {
+        val byte = getInputStream().read()
+        if (byte < 0) return null
+        text.append(byte.toChar())
+    }
+    val length = Regex("Content-Length: (\\d+)", RegexOption.IGNORE_CASE).find(text)?.groupValues?.get(1)?.toInt() ?: 0
+    return text.toString() + String(getInputStream().readNBytes(length))
+}
+
+/** An endpoint that answers each request, by its number from 1, with what [script] writes to the raw socket. */
+internal class ScriptedEndpoint(private val script: (Socket, Int, String) -> Unit) : AutoCloseable {
+    private val server = ServerSocket(0, 50, InetAddress.getLoopbackAddress())
+    val requests = CopyOnWriteArrayList<String>()
+    val callerLeft = CountDownLatch(1)
+    val port: Int get() = server.localPort
+
+    init {
+        thread(isDaemon = true) {
+            while (!server.isClosed) {
+                val socket = runCatching { server.accept() }.getOrNull() ?: break
+                thread(isDaemon = true) { runCatching { serve(socket) } }
+            }
+        }
+    }
+
+    override fun close() {
+        server.close()
+    }
+
+    private fun serve(socket: Socket) {
+        while (true) {
+            val request = socket.readRequest() ?: break
+            requests += request
+            script(socket, requests.size, request)
+        }
+        callerLeft.countDown()
+    }
+}
+
+internal fun Socket.say(text: String) {
+    getOutputStream().write(text.toByteArray())
+    getOutputStream().flush()
+}
+
+/** Closes this socket so that the other side sees a reset. */
+internal fun Socket.reset() {
+    setSoLinger(true, 0)
+    close()
+}
