--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/PeerControl.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/PeerControl.kt
@@ -109,7 +109,9 @@
                 val root = ConfigurationRoot.parse(message.root).get()
                 configuration?.handle(SpreadEvent.PeerOffers(peer, root, message.sections))
             }
-            is PeerMessage.Hello, is PeerMessage.CacheDigest, is PeerMessage.OfExchange ->
+            is PeerMessage.Hello, is PeerMessage.CacheDigest, is PeerMessage.OfExchange,
+            is PeerMessage.EngineLoads, is PeerMessage.ObjectsWanted, is PeerMessage.ObjectsOffered,
+            ->
                 logger.debug { "$peer: ${message::class.simpleName} is not used" }
         }
     }
