Derive the lease for orders from the settings and share the control loops' call

Cause: the lease period of the settings was read and ignored; where a deployment states a longer one than three seconds, orders of two holders could follow each other within it. Three control loops each had their own call-and-decode, and statuses were spelled twice.

--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/rollout/RolloutPlan.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/rollout/RolloutPlan.kt
@@ -12,9 +12,10 @@
 
 /**
  * Chooses the engines that load new weights next: the least loaded first, and only a part of them at a time, because
- * loads slow each other down and the others have to serve meanwhile. Not safe for use from several threads.
+ * loads slow each other down and the others have to serve meanwhile. An instance counts as active for [quietMillis]
+ * after its last order. Not safe for use from several threads.
  */
-public class RolloutPlan {
+public class RolloutPlan(private val quietMillis: Long) {
     private val loading = HashSet<EndpointId>()
     private val notBeforeMillis = HashMap<EndpointId, Long>()
     private var activeMillis = Long.MIN_VALUE
@@ -54,7 +55,7 @@
     }
 
     /** Whether an order was given so recently that no other instance should take over. */
-    public fun recentlyActive(nowMillis: Long): Boolean = activeMillis > nowMillis - QUIET_MILLIS
+    public fun recentlyActive(nowMillis: Long): Boolean = activeMillis > nowMillis - quietMillis
 
     private companion object {
         // The data sheets state two engines of eight, and 28 of 98, as those that load without slowing each other. Most
@@ -64,8 +65,5 @@
 
         // An engine that does not answer has crashed or is out of reach.
         const val RETRY_MILLIS = 700L
-
-        // Longer than the lease period of the platform, within which two instances must not both give orders.
-        const val QUIET_MILLIS = 5_000L
     }
 }
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/rollout/RolloutPlanTest.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/rollout/RolloutPlanTest.kt
@@ -12,7 +12,7 @@
 import strikt.assertions.isTrue
 
 class RolloutPlanTest {
-    private val plan = RolloutPlan()
+    private val plan = RolloutPlan(quietMillis = 5_000)
     private val table = engines(8)
     private val named = mapOf(MODEL to NamedWeights(MODEL, 2, 0))
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
@@ -96,7 +96,7 @@
         val peers = Peers(settings, beliefs, incarnation, dispatcher, log, clock)
         scope.launch { peers.run(watches) }
         scope.launch { LoadLoop(context, peers).run() }
-        val lease = OrderLease(incarnation, store, scope, log, clock)
+        val lease = OrderLease(incarnation, store, scope, log, clock, settings.times.leaseMillis)
         scope.launch { RolloutLoop(context, lease, peers).run() }
         scope.launch { StoreCacheLoop(context, lease).run() }
         scope.launch { housekeeping() }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntrySettings.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntrySettings.kt
@@ -24,12 +24,14 @@
     public val metrics: SocketAddress,
 )
 
-/** Times that the operators set, in milliseconds. */
+/**
+ * Times that the operators set, in milliseconds. Two holders of the lease for orders keep [leaseMillis] between their
+ * orders; a request must not begin on older weights later than [weightsMillis] after newer ones were named.
+ */
 public data class EntryTimes(
     public val graceMillis: Long,
     public val leaseMillis: Long,
     public val weightsMillis: Long,
-    public val heartbeatMillis: Long,
 )
 
 /** How far the load of a cold endpoint may exceed its stated rate: [overage] times the rate, and [slack] requests. */
@@ -80,7 +82,6 @@
     graceMillis = section?.milliseconds("graceSeconds") ?: 0,
     leaseMillis = section?.whole("leaseMillis") ?: 0,
     weightsMillis = section?.whole("weightsMillis") ?: 0,
-    heartbeatMillis = section?.whole("heartbeatMillis") ?: 0,
 )
 
 private fun retries(section: TomlSection?): RetryBound = RetryBound(
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ControlContext.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ControlContext.kt
@@ -1,11 +1,19 @@
 package org.parsleymoor.entry.control
 
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.mapError
+import com.github.michaelbull.result.onFailure
 import kotlinx.coroutines.CoroutineScope
 import org.parsleymoor.core.Clock
 import org.parsleymoor.entry.log.DecisionLog
 import org.parsleymoor.entry.net.ControlClient
+import org.parsleymoor.entry.protocol.ControlCall
+import org.parsleymoor.entry.protocol.DecodeFailure
 import org.parsleymoor.entry.protocol.EngineProtocol
 import org.parsleymoor.entry.serving.Beliefs
+import org.parsleymoor.relay.fleet.SocketAddress
 
 /** What the control loops share. */
 internal class ControlContext(
@@ -15,4 +23,18 @@
     val scope: CoroutineScope,
     val log: DecisionLog,
     val clock: Clock,
-)
+) {
+    /**
+     * Sends [call] to [address] and decodes a successful response; [onFailure] is told why there is none, so that the
+     * caller can log it.
+     */
+    suspend fun <T> ask(
+        address: SocketAddress,
+        call: ControlCall,
+        timeoutMillis: Long,
+        decode: (String) -> Result<T, DecodeFailure>,
+        onFailure: (String) -> Unit,
+    ): T? = client.call(address, call, timeoutMillis).mapError { it.message }
+        .andThen { answer -> decode(answer.body).mapError { "status ${answer.status}: ${it.message}" } }
+        .onFailure(onFailure).get()
+}
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Listeners.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Listeners.kt
@@ -6,6 +6,7 @@
 import org.parsleymoor.core.Clock
 import org.parsleymoor.core.EndpointId
 import org.parsleymoor.core.ModelId
+import org.parsleymoor.core.ZoneId
 import org.parsleymoor.entry.log.DecisionLog
 import org.parsleymoor.entry.protocol.ContentDecoder
 import org.parsleymoor.entry.protocol.ObjectChange
@@ -21,10 +22,6 @@
     private val decoder: ContentDecoder,
     private val log: DecisionLog,
 ) : ObjectListener {
-    override fun onHeard() = Unit
-
-    override fun onLost() = Unit
-
     override fun onList(objects: List<StoredObject>) {
         objects.forEach(::accept)
     }
@@ -136,8 +133,6 @@
         heardMillis = clock.nowMillis()
     }
 
-    override fun onLost() = Unit
-
     override fun onList(objects: List<StoredObject>) {
         objects.forEach(::accept)
     }
@@ -182,10 +177,6 @@
     private val decoder: ContentDecoder,
     private val log: DecisionLog,
 ) : ObjectListener {
-    override fun onHeard() = Unit
-
-    override fun onLost() = Unit
-
     override fun onList(objects: List<StoredObject>) {
         set(objects.map { decoder.evacuatedZone(it.name) }.toSet())
     }
@@ -195,7 +186,7 @@
         set(if (change.removed) beliefs.endpoints.evacuated - zone else beliefs.endpoints.evacuated + zone)
     }
 
-    private fun set(zones: Set<org.parsleymoor.core.ZoneId>) {
+    private fun set(zones: Set<ZoneId>) {
         if (zones == beliefs.endpoints.evacuated) return
         beliefs.endpoints.evacuated = zones
         log.write("evacuation.changed", always = true) { put("zones", zones.joinToString(",") { it.value }) }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/LoadLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/LoadLoop.kt
@@ -1,9 +1,5 @@
 package org.parsleymoor.entry.control
 
-import com.github.michaelbull.result.andThen
-import com.github.michaelbull.result.mapError
-import com.github.michaelbull.result.onFailure
-import com.github.michaelbull.result.onSuccess
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.serialization.json.put
@@ -18,9 +14,8 @@
  * Asks engines for their load. Each engine is asked by the first instance in its rendezvous order, which tells the
  * others; the next in order asks when no report comes, so that no engine is asked by all instances.
  */
-internal class LoadLoop(context: ControlContext, private val peers: Peers) {
+internal class LoadLoop(private val context: ControlContext, private val peers: Peers) {
     private val beliefs = context.beliefs
-    private val client = context.client
     private val engines = context.engines
     private val scope = context.scope
     private val log = context.log
@@ -61,16 +56,13 @@
 
     private suspend fun ask(state: EndpointState) {
         val askedMillis = clock.nowMillis()
-        client.call(state.entry.address, engines.report(), CALL_MILLIS).mapError { it.message }
-            .andThen { answer -> engines.report(answer.body).mapError { it.message } }
-            .onSuccess { learn(state, it, askedMillis) }
-            .onFailure { reason ->
-                log.write("load.unknown") {
-                    put("endpoint", state.entry.id.value)
-                    put("reason", reason)
-                }
-                delay(FAILED_MILLIS)
+        val report = context.ask(state.entry.address, engines.report(), CALL_MILLIS, engines::report) { reason ->
+            log.write("load.unknown") {
+                put("endpoint", state.entry.id.value)
+                put("reason", reason)
             }
+        }
+        if (report == null) delay(FAILED_MILLIS) else learn(state, report, askedMillis)
         asking -= state.entry.id
     }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectStore.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectStore.kt
@@ -18,6 +18,7 @@
 import org.parsleymoor.entry.protocol.ObjectProtocol
 import org.parsleymoor.entry.protocol.StoredObject
 import org.parsleymoor.relay.fleet.SocketAddress
+import org.parsleymoor.relay.http.HttpStatus
 
 /** Why a call to the object store did not do what was asked. */
 internal sealed interface StoreFailure : Failure {
@@ -114,9 +115,9 @@
         }
         return when (answer.status) {
             in SUCCESS -> Ok(answer)
-            NOT_FOUND -> Err(StoreFailure.Absent)
-            GONE -> Err(StoreFailure.HistoryGone)
-            CONFLICT -> Err(StoreFailure.Conflict(protocol.stored(answer.body).getOrElse { null }))
+            HttpStatus.NOT_FOUND.code -> Err(StoreFailure.Absent)
+            HttpStatus.GONE.code -> Err(StoreFailure.HistoryGone)
+            HttpStatus.CONFLICT.code -> Err(StoreFailure.Conflict(protocol.stored(answer.body).getOrElse { null }))
             else -> Err(StoreFailure.Refused("the object store answered ${answer.status}"))
         }
     }
@@ -125,8 +126,5 @@
         // The store answers in 4 ms, and in up to 300 ms while it is slow.
         const val CALL_MILLIS = 1_000L
         val SUCCESS = 200..299
-        const val NOT_FOUND = 404
-        const val CONFLICT = 409
-        const val GONE = 410
     }
 }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectWatch.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectWatch.kt
@@ -12,10 +12,10 @@
 /** Takes in what an [ObjectWatch] reads. */
 internal interface ObjectListener {
     /** The store answered; called before what it said. */
-    fun onHeard()
+    fun onHeard() = Unit
 
     /** The store does not answer. */
-    fun onLost()
+    fun onLost() = Unit
 
     /** All objects of the kind. */
     fun onList(objects: List<StoredObject>)
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/OrderLease.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/OrderLease.kt
@@ -24,11 +24,15 @@
     private val scope: CoroutineScope,
     private val log: DecisionLog,
     private val clock: Clock,
+    leaseMillis: Long,
 ) {
-    private val holder = LeaseHolder(NAME, self, SETTINGS)
+    private val holder = LeaseHolder(NAME, self, orderLeaseSettings(leaseMillis))
     private var refusedToken: Long? = null
     private var lastToken: Long? = null
 
+    /** How long the lease is kept after the last order: another holder must not give one within the lease period. */
+    val quietMillis: Long = leaseMillis + QUIET_MARGIN_MILLIS
+
     /** Returns the lease when it may be used now. */
     fun held(): HeldLease? = holder.held(clock.nowMillis())?.takeIf { it.fencingToken != refusedToken }
 
@@ -99,14 +103,25 @@
     private companion object {
         const val NAME = "orders"
 
-        // The next holder waits for three seconds and more after the last order that the former one could give, so that
-        // orders of two holders never reach an engine within one lease period of the platform.
-        val SETTINGS = LeaseSettings(
-            durationMillis = 4_250,
-            renewMillis = 350,
-            retryMillis = 150,
-            responseMillis = 1_100,
-            usableMillis = 1_150,
-        )
+        // An order that is given last may take this long to reach its engine.
+        const val QUIET_MARGIN_MILLIS = 2_000L
     }
 }
+
+/**
+ * Times of the lease for orders where the orders of two holders have to be [leaseMillis] apart: a contender waits that
+ * long after the last order that the former holder could give.
+ */
+internal fun orderLeaseSettings(leaseMillis: Long): LeaseSettings = LeaseSettings(
+    durationMillis = leaseMillis + USABLE_MILLIS + DELIVERY_MARGIN_MILLIS,
+    renewMillis = 350,
+    retryMillis = 150,
+    responseMillis = 1_100,
+    usableMillis = USABLE_MILLIS,
+)
+
+// Three renewals, so that one lost response does not interrupt a rollout.
+private const val USABLE_MILLIS = 1_150L
+
+// Difference between the delays of two orders between regions, and of two clocks in four seconds.
+private const val DELIVERY_MARGIN_MILLIS = 100L
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/RolloutLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/RolloutLoop.kt
@@ -1,10 +1,7 @@
 package org.parsleymoor.entry.control
 
-import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
-import com.github.michaelbull.result.getOrElse
-import com.github.michaelbull.result.mapError
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.serialization.json.put
@@ -12,18 +9,23 @@
 import org.parsleymoor.entry.protocol.EngineReport
 import org.parsleymoor.entry.protocol.WeightOrder
 import org.parsleymoor.relay.fleet.EndpointState
+import org.parsleymoor.relay.http.HttpStatus
 import org.parsleymoor.relay.placement.NamedWeights
 import org.parsleymoor.relay.rollout.RolloutPlan
 
 /** Brings engines to the weights that operators have named, while this instance holds the lease for orders. */
-internal class RolloutLoop(context: ControlContext, private val lease: OrderLease, private val peers: Peers) {
+internal class RolloutLoop(
+    private val context: ControlContext,
+    private val lease: OrderLease,
+    private val peers: Peers,
+) {
     private val beliefs = context.beliefs
     private val client = context.client
     private val engines = context.engines
     private val scope = context.scope
     private val log = context.log
     private val clock = context.clock
-    private val plan = RolloutPlan()
+    private val plan = RolloutPlan(quietMillis = lease.quietMillis)
     private var wantedSinceMillis: Long? = null
 
     /** Gives orders until the coroutine is cancelled. */
@@ -108,21 +110,18 @@
             put("status", status)
             result.getError()?.let { put("reason", it.message) }
         }
-        if (status == FENCED) lease.refused(held.fencingToken)
-        return status != FENCED && status != MISDIRECTED
+        val fenced = status == HttpStatus.PRECONDITION_FAILED.code
+        if (fenced) lease.refused(held.fencingToken)
+        return !fenced && status != HttpStatus.MISDIRECTED.code
     }
 
     private suspend fun report(state: EndpointState): EngineReport? =
-        client.call(state.entry.address, engines.report(), REPORT_MILLIS)
-            .mapError { it.message }
-            .andThen { answer -> engines.report(answer.body).mapError { it.message } }
-            .getOrElse { reason ->
-                log.write("order.noReport") {
-                    put("endpoint", state.entry.id.value)
-                    put("reason", reason)
-                }
-                null
+        context.ask(state.entry.address, engines.report(), REPORT_MILLIS, engines::report) { reason ->
+            log.write("order.noReport") {
+                put("endpoint", state.entry.id.value)
+                put("reason", reason)
             }
+        }
 
     private enum class LoadStep { UNDER_WAY, LOADED, GIVEN_UP }
 
@@ -140,7 +139,5 @@
 
         // Runs that finish first, and the load itself, several times over.
         const val ORDER_LIFE_MILLIS = 6_000L
-        const val FENCED = 412
-        const val MISDIRECTED = 421
     }
 }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/StoreCacheLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/StoreCacheLoop.kt
@@ -1,7 +1,6 @@
 package org.parsleymoor.entry.control
 
 import com.github.michaelbull.result.Result
-import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.getOrElse
 import com.github.michaelbull.result.mapError
 import kotlinx.coroutines.Job
@@ -20,7 +19,7 @@
  * Follows what the KV cache stores hold. The instance that holds the lease for orders also frees what no engine can use
  * any more, because managed stores drop nothing by themselves.
  */
-internal class StoreCacheLoop(context: ControlContext, private val lease: OrderLease) {
+internal class StoreCacheLoop(private val context: ControlContext, private val lease: OrderLease) {
     private val beliefs = context.beliefs
     private val client = context.client
     private val engines = context.engines
@@ -78,17 +77,14 @@
         call: ControlCall,
         timeoutMillis: Long,
         decode: (String) -> Result<CacheEvents, DecodeFailure>,
-    ): CacheEvents? = client.call(store, call, timeoutMillis).mapError { it.message }
-        .andThen { answer -> decode(answer.body).mapError { "status ${answer.status}: ${it.message}" } }
-        .getOrElse { reason ->
-            if (beliefs.stores.position(store) != null) {
-                log.write("cacheStore.lost", always = true) {
-                    put("store", store.toString())
-                    put("reason", reason)
-                }
+    ): CacheEvents? = context.ask(store, call, timeoutMillis, decode) { reason ->
+        if (beliefs.stores.position(store) != null) {
+            log.write("cacheStore.lost", always = true) {
+                put("store", store.toString())
+                put("reason", reason)
             }
-            null
         }
+    }
 
     /** Frees parts of older weights once all engines have had newer ones for a while, so that no fetch is under way. */
     private fun freeUnusable() {
