Place prompts where their context was lately used; stop accepting before the exit

Change: the server stops accepting first and waits for what it has accepted. Cause (shared parts read again): an instance knew neither what its peers send where nor what engines hold; a repeat of a context went to another engine and read it again when the store's copy was missing or not yet complete. Change: peers tell the context of each prompt; placement expects it in the memory of the engine that was given it, and fetches from there.

--- a/libraries/core/src/main/kotlin/org/parsleymoor/core/RendezvousHash.kt
+++ b/libraries/core/src/main/kotlin/org/parsleymoor/core/RendezvousHash.kt
@@ -7,7 +7,7 @@
  * same order, and the loss of one candidate moves only the keys that it held.
  */
 public fun <T> rendezvousOrder(key: String, candidates: Collection<T>, name: (T) -> String): List<T> {
-    val seed = LongHashFunction.xx3().hashChars(key)
+    val seed = key.stableHash()
     val weighted = candidates.map { candidate ->
         val ownName = name(candidate)
         Weighted(candidate, ownName, LongHashFunction.xx3(seed).hashChars(ownName))
@@ -15,6 +15,9 @@
     return weighted.sortedWith(byWeight).map { it.candidate }
 }
 
+/** Returns a hash of this text that is the same in every process. */
+public fun String.stableHash(): Long = LongHashFunction.xx3().hashChars(this)
+
 private class Weighted<T>(val candidate: T, val name: String, val weight: Long)
 
 private val byWeight = compareByDescending<Weighted<*>> { it.weight }.thenBy { it.name }
--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerMessage.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerMessage.kt
@@ -256,7 +256,10 @@
     public val ageMillis: Long,
 )
 
-/** A prompt that an instance sent to an engine [ageMillis] ago: its [tokens], and those that the engine has to read. */
+/**
+ * A prompt that an instance sent to an engine [ageMillis] ago: its [tokens], those that the engine has to read, and the
+ * hash that names its shared parts.
+ */
 @OptIn(ExperimentalSerializationApi::class)
 @CborArray
 @Serializable
@@ -264,6 +267,7 @@
     public val endpoint: EndpointId,
     public val tokens: Long,
     public val tokensToRead: Long,
+    public val context: Long,
     public val ageMillis: Long,
 )
 
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointLoad.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointLoad.kt
@@ -1,5 +1,7 @@
 package org.parsleymoor.relay.fleet
 
+import org.parsleymoor.relay.cache.ContextKey
+
 /** Load that an endpoint has reported with a response, as of [atMillis]. */
 public data class ReportedLoad(
     public val running: Int,
@@ -18,5 +20,10 @@
     public val atMillis: Long,
 )
 
-/** A prompt that an instance sent to an engine: the [tokens] it needs in memory, and those to be read. */
-public data class SentPrompt(public val atMillis: Long, public val tokens: Long, public val tokensToRead: Long)
+/** A prompt that an instance sent to an engine: the [tokens] it needs in memory, those to be read, its shared parts. */
+public data class SentPrompt(
+    public val atMillis: Long,
+    public val tokens: Long,
+    public val tokensToRead: Long,
+    public val context: ContextKey,
+)
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointState.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointState.kt
@@ -1,6 +1,7 @@
 package org.parsleymoor.relay.fleet
 
 import org.parsleymoor.core.ModelId
+import org.parsleymoor.relay.cache.EngineStart
 
 /** What this instance believes of one endpoint, with the work that it has under way there itself. */
 public class EndpointState internal constructor(entry: EndpointEntry, nowMillis: Long) {
@@ -8,6 +9,9 @@
     public var entry: EndpointEntry = entry
         private set
 
+    /** The start of the engine that [entry] describes. */
+    public val start: EngineStart get() = EngineStart(entry.id, entry.bornMillis)
+
     /** When [entry] was received. */
     public var heardMillis: Long = nowMillis
         private set
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/EnginePlacement.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/EnginePlacement.kt
@@ -12,7 +12,10 @@
 /** The weights that a model should have: [version], since [sinceMillis]; null before any has been named. */
 public data class NamedWeights(public val model: ModelId, public val version: Long, public val sinceMillis: Long)
 
-/** Figures of [EnginePlacement]. Token rates are those of the engines' data sheets; times are in milliseconds. */
+/**
+ * Figures of [EnginePlacement]. Token rates are those of the engines' data sheets; times are in milliseconds. Reading
+ * holds up the other work of an engine as well: [readingBurden] is the part of it that counts against an engine.
+ */
 public data class EnginePlacementSettings(
     public val prefillTokensPerMilli: Double = 50.0,
     public val stepMillis: Double = 20.0,
@@ -20,6 +23,7 @@
     public val meanPrefillMillis: Double = 60.0,
     public val fullMillis: Double = 400.0,
     public val homeHitShare: Double = 0.3,
+    public val readingBurden: Double = 1.0,
     public val otherZoneMillis: Double = 3.0,
     public val otherRegionMillis: Double = 45.0,
     public val spreadMillis: Double = 40.0,
@@ -36,13 +40,17 @@
     public val cachedAt: EndpointState? = null,
 )
 
-/** A prompt that needs an engine; [instances] send work there, and [fetchMillis] is null where no store helps. */
+/**
+ * A prompt that needs an engine. [instances] send work there, [fetchMillis] is null where no store helps, and
+ * [heldShare] is how likely an engine has the shared parts in its memory.
+ */
 public data class EngineRequest(
     public val request: PlaceRequest,
     public val prompt: PromptContext,
     public val named: NamedWeights?,
     public val instances: Int,
     public val fetchMillis: (EndpointState) -> Double?,
+    public val heldShare: (EndpointState) -> Double = { 0.0 },
 )
 
 /**
@@ -72,6 +80,8 @@
         }
     }
 
+    private data class Candidate(val state: EndpointState, val millis: Double, val readingMillis: Double)
+
     private fun nowhere(reason: NoPlaceReason, retryAfterMillis: Long): EnginePlace =
         EnginePlace(Place.Nowhere(reason, retryAfterMillis))
 
@@ -81,16 +91,19 @@
         val costs = candidates.map { state ->
             val read = prompt.sharedTokens / settings.prefillTokensPerMilli
             val obtain = wanted.fetchMillis(state)?.let { minOf(it + FETCH_SETUP_MILLIS, read) } ?: read
-            val expected = if (state === home) obtain * (1 - settings.homeHitShare) else obtain
-            state to expected + firstTokenMillis(state, wanted, nowMillis)
+            val missShare = 1 - maxOf(wanted.heldShare(state), if (state === home) settings.homeHitShare else 0.0)
+            Candidate(state, missShare * obtain + firstTokenMillis(state, wanted, nowMillis), missShare * obtain)
+        }
+        val (chosen, estimate) = draw(costs) { (state, millis, reading) ->
+            millis + reading * settings.readingBurden + penalty(state, prompt, named, nowMillis)
         }
-        val (chosen, estimate) = draw(costs) { (state, millis) -> millis + penalty(state, prompt, named, nowMillis) }
         val weights = chosen.weights(prompt.model)
         if (estimate > patienceMillis(request)) {
             val later = (estimate - request.objectiveMillis / 2).toLong().coerceIn(RETRY_RANGE_MILLIS)
             return EnginePlace(Place.Nowhere(NoPlaceReason.OVERLOADED, later))
         }
-        val cachedAt = home.takeIf { it !== chosen && it.weights(prompt.model) == weights }
+        val holder = candidates.maxBy { wanted.heldShare(it) }.takeIf { wanted.heldShare(it) > 0 } ?: home
+        val cachedAt = holder.takeIf { it !== chosen && it.weights(prompt.model) == weights }
         return EnginePlace(Place.At(chosen, estimate), weights, cachedAt)
     }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
@@ -118,6 +118,12 @@
                 if (clock.nowMillis() >= idleMillis) callers.closeIdle()
                 delay(STOP_POLL_MILLIS)
             }
+            // A caller may connect while the last connection ends; it is answered, or finds the port closed.
+            val draining = scope.launch { callers.shutdown((untilMillis - clock.nowMillis()).coerceAtLeast(1)) }
+            while (draining.isActive && clock.nowMillis() < untilMillis) {
+                callers.closeIdle()
+                delay(STOP_POLL_MILLIS)
+            }
             log.write("stopped", always = true) { put("connections", callers.openConnections) }
         }
         log.flush(FLUSH_MILLIS)
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/CallerServer.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/CallerServer.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.launch
 import org.parsleymoor.relay.fleet.SocketAddress
+import java.util.concurrent.TimeUnit
 
 /** Accepts connections at one address and serves each in a coroutine of [scope]. */
 internal class CallerServer(
@@ -32,6 +33,14 @@
         server = vertx.createNetServer(options).connectHandler { accept(it) }.also { it.listen().coAwait() }
     }
 
+    /**
+     * Accepts no further connection and suspends until the open ones have ended, at most [timeoutMillis]. A connection
+     * that was accepted just before is still served.
+     */
+    suspend fun shutdown(timeoutMillis: Long) {
+        server?.shutdown(timeoutMillis, TimeUnit.MILLISECONDS)?.coAwait()
+    }
+
     /** Closes the connections on which no request is being read or answered. */
     fun closeIdle() {
         connections.filter { it.idle }.forEach { it.close() }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerDigests.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerDigests.kt
@@ -7,6 +7,7 @@
 import org.parsleymoor.peering.OfferedObject
 import org.parsleymoor.peering.PeerMessage
 import org.parsleymoor.peering.SentPromptDigest
+import org.parsleymoor.relay.cache.ContextKey
 import org.parsleymoor.relay.fleet.EngineLoad
 import org.parsleymoor.relay.fleet.SentPrompt
 
@@ -25,8 +26,9 @@
 
 /** Takes in a prompt that a peer has sent to an engine. */
 internal fun Beliefs.learn(sent: SentPromptDigest, nowMillis: Long) {
-    val prompt = SentPrompt(nowMillis - sent.ageMillis, sent.tokens, sent.tokensToRead)
-    endpoints[sent.endpoint]?.sent(prompt)
+    val context = ContextKey(sent.context)
+    val state = endpoints[sent.endpoint] ?: return
+    noteSent(state, SentPrompt(nowMillis - sent.ageMillis, sent.tokens, sent.tokensToRead, context))
 }
 
 /** Returns the digest of this load of [endpoint] for peers. */
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Peers.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Peers.kt
@@ -106,7 +106,13 @@
         if (idle && nowMillis - spokenMillis < QUIET_MILLIS) return
         val reports = loads.map { (endpoint, load) -> load.digest(endpoint, nowMillis) }
         val prompts = sent.map { (endpoint, prompt) ->
-            SentPromptDigest(endpoint, prompt.tokens, prompt.tokensToRead, nowMillis - prompt.atMillis)
+            SentPromptDigest(
+                endpoint = endpoint,
+                tokens = prompt.tokens,
+                tokensToRead = prompt.tokensToRead,
+                context = prompt.context.hash,
+                ageMillis = nowMillis - prompt.atMillis,
+            )
         }
         loads.clear()
         sent.clear()
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempts.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempts.kt
@@ -38,7 +38,7 @@
         val progress = AttemptProgress(state, tokens)
         var handedOver = false
         state.started(tokens)
-        if (work.prompt != null) beliefs.sent(state, SentPrompt(clock.nowMillis(), tokens, target.tokensToRead))
+        target.reading?.let { beliefs.sent(state, SentPrompt(clock.nowMillis(), tokens, it.tokens, it.context)) }
         try {
             return Attempt(tools, work, target, connection, answer, progress).run()
         } catch (cancelled: CancellationException) {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Beliefs.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Beliefs.kt
@@ -3,6 +3,7 @@
 import org.parsleymoor.core.EndpointId
 import org.parsleymoor.core.InstanceId
 import org.parsleymoor.core.ModelId
+import org.parsleymoor.relay.cache.RecentContexts
 import org.parsleymoor.relay.cache.StoreDirectory
 import org.parsleymoor.relay.fleet.EndpointState
 import org.parsleymoor.relay.fleet.EndpointTable
@@ -33,12 +34,21 @@
     /** Called with each prompt that this instance sends to an engine. */
     var onSent: (EndpointId, SentPrompt) -> Unit = { _, _ -> }
 
-    /** Notes that this instance sends [prompt] to [state]. */
+    /** Which engines were given which contexts lately. */
+    val contexts = RecentContexts()
+
+    /** Notes that this instance sends [prompt] to [state], and tells its peers. */
     fun sent(state: EndpointState, prompt: SentPrompt) {
-        state.sent(prompt)
+        noteSent(state, prompt)
         onSent(state.entry.id, prompt)
     }
 
+    /** Notes that this instance or a peer sent [prompt] to [state]. */
+    fun noteSent(state: EndpointState, prompt: SentPrompt) {
+        state.sent(prompt)
+        contexts.sent(prompt.context, state.start, prompt.atMillis)
+    }
+
     /** What the KV cache stores hold. */
     val stores = StoreDirectory()
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/EndpointRequest.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/EndpointRequest.kt
@@ -3,6 +3,7 @@
 import org.parsleymoor.entry.net.CONNECTION_FIELDS
 import org.parsleymoor.entry.net.headBytes
 import org.parsleymoor.entry.protocol.HeaderNames
+import org.parsleymoor.relay.cache.ContextKey
 import org.parsleymoor.relay.fleet.EndpointState
 import org.parsleymoor.relay.fleet.EngineLoad
 import org.parsleymoor.relay.http.HeaderField
@@ -16,6 +17,9 @@
     val fetchedTokens: Long = 0,
 )
 
+/** What an engine has to read of a prompt whose shared parts are named by [context]. */
+internal class PlannedReading(val tokens: Long, val context: ContextKey)
+
 /** The endpoint chosen for a request, with what the request expects there. */
 internal class Target(
     val endpoint: EndpointState,
@@ -23,7 +27,7 @@
     val weights: Long? = null,
     val namespace: String? = null,
     val transfer: CacheTransfer = CacheTransfer(),
-    val tokensToRead: Long = 0,
+    val reading: PlannedReading? = null,
 ) {
     /** Load of the engine when it was chosen. */
     val load: EngineLoad? = endpoint.engineLoad
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Placer.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Placer.kt
@@ -2,6 +2,7 @@
 
 import org.parsleymoor.core.Clock
 import org.parsleymoor.entry.EntrySettings
+import org.parsleymoor.relay.cache.ContextKey
 import org.parsleymoor.relay.cache.TransferSide
 import org.parsleymoor.relay.fleet.EndpointState
 import org.parsleymoor.relay.limits.ColdBound
@@ -67,7 +68,10 @@
                 side(work, prompt, state)
             )
         }
-        val wanted = EngineRequest(request, prompt, named, beliefs.instances, obtain)
+        val held: (EndpointState) -> Double = { state ->
+            beliefs.contexts.heldShare(context(work, prompt, state), state.start, nowMillis)
+        }
+        val wanted = EngineRequest(request, prompt, named, beliefs.instances, obtain, held)
         val found = engines.choose(wanted, beliefs.endpoints, nowMillis)
         return when (val place = found.place) {
             is Place.Nowhere -> Choice.None(place.reason, place.retryAfterMillis)
@@ -81,7 +85,10 @@
                         weights = found.weights,
                         namespace = side.namespace,
                         transfer = transfer,
-                        tokensToRead = prompt.promptTokens - transfer.fetchedTokens,
+                        reading = PlannedReading(
+                            tokens = prompt.promptTokens - transfer.fetchedTokens,
+                            context = context(work, prompt, place.endpoint),
+                        ),
                     ),
                 )
             }
@@ -94,6 +101,9 @@
         tokenBytes = work.service.engine?.tokenBytes ?: 1,
     )
 
+    private fun context(work: Work, prompt: PromptContext, state: EndpointState): ContextKey =
+        ContextKey.of(namespace(work, prompt, state.weights(prompt.model) ?: 0), prompt.affinityKey)
+
     private fun namespace(work: Work, prompt: PromptContext, weights: Long): String {
         val isolatedSet = beliefs.routes?.isolationTag.orEmpty()
         val organisation = work.organisation
