Refuse sooner under overload; tell peers which weights an engine has; free older weights' parts

Change: limits on the wait for both; load digests carry weights; parts are freed that are older than the weights of every engine; nothing is saved for weights that are being replaced; the refusal is held back for an eighth of the objective at most.

--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerMessage.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerMessage.kt
@@ -242,7 +242,7 @@
     public val ageMillis: Long,
 )
 
-/** Load and memory of an engine, as one instance read them [ageMillis] ago. Memory is counted in tokens. */
+/** Load, memory and weights of an engine, as one instance read them [ageMillis] ago. Memory is counted in tokens. */
 @OptIn(ExperimentalSerializationApi::class)
 @CborArray
 @Serializable
@@ -253,6 +253,7 @@
     public val prefilling: Int,
     public val memoryUsed: Long,
     public val memoryTotal: Long,
+    public val weights: Map<ModelId, Long>,
     public val ageMillis: Long,
 )
 
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/cache/StoreChoice.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/cache/StoreChoice.kt
@@ -12,8 +12,16 @@
 /** A KV cache store that may be used for a prompt. */
 public data class CandidateStore(public val address: SocketAddress, public val traits: StoreTraits)
 
-/** What is known of the engine's side of a transfer: its zone, the name space and the size of a token. */
-public data class TransferSide(public val zone: ZoneId, public val namespace: String, public val tokenBytes: Long)
+/**
+ * What is known of the engine's side of a transfer: its zone, the name space and the size of a token. What is saved in
+ * a name space that is not [current] is of no use soon, because newer weights are named.
+ */
+public data class TransferSide(
+    public val zone: ZoneId,
+    public val namespace: String,
+    public val tokenBytes: Long,
+    public val current: Boolean = true,
+)
 
 /** A transfer of [tokens] between [store] and [side], to the store when [saving]. */
 public data class Transfer(
@@ -54,7 +62,7 @@
     ): CandidateStore? {
         val near = permitted(stores, allowedRegions)
             .filter { topology.distance(it.traits.zone, side.zone) != Distance.OTHER_REGION }
-        if (near.any { directory.holds(it.address, side.namespace, part) }) return null
+        if (!side.current || near.any { directory.holds(it.address, side.namespace, part) }) return null
         val rooms = near.filter { hasRoom(it, prompt.sharedTokens) }
         return rooms.minWithOrNull(compareBy({ transferMillis(it, side, part.tokens) }, { it.address.toString() }))
     }
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointState.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointState.kt
@@ -117,6 +117,10 @@
     public fun weights(model: ModelId): Long? =
         listOfNotNull(entry.weights[model], learnedWeights[model]).maxOrNull()
 
+    /** The newest version of each model that the endpoint is known to have. */
+    public val allWeights: Map<ModelId, Long>
+        get() = (entry.weights.keys + learnedWeights.keys).associateWith { weights(it) ?: 0 }
+
     private companion object {
         // More than all instances send to one engine between two reports.
         const val KEPT_PROMPTS = 128
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/EnginePlacement.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/EnginePlacement.kt
@@ -27,7 +27,8 @@
     public val otherZoneMillis: Double = 3.0,
     public val otherRegionMillis: Double = 45.0,
     public val spreadMillis: Double = 40.0,
-    public val patienceObjectives: Double = 2.0,
+    public val patienceObjectives: Double = 1.15,
+    public val returningObjectives: Double = 1.5,
     public val failureMillis: Double = 2_000.0,
     public val olderWeightsMillis: Double = 400.0,
     public val olderWeightsLimitMillis: Long = 7_000,
@@ -124,12 +125,13 @@
     }
 
     /**
-     * How long a request may wait. A first attempt that would be answered far too late is refused at once, so that its
-     * caller returns when there is room and the others are answered in time; one that returns is served when it can be.
+     * How long a request may wait. One that would be answered too late is refused at once: engines that are given all
+     * that is asked of them under overload answer all of it late, and stay so after the overload ends. A caller that
+     * returns may wait a little longer than one that comes for the first time, because it may not ask again.
      */
     private fun patienceMillis(request: PlaceRequest): Double {
-        val latest = request.remainingMillis * PATIENCE_SHARE
-        return if (request.returning) latest else minOf(latest, request.objectiveMillis * settings.patienceObjectives)
+        val objectives = if (request.returning) settings.returningObjectives else settings.patienceObjectives
+        return minOf(request.remainingMillis * PATIENCE_SHARE, request.objectiveMillis * objectives)
     }
 
     private fun firstTokenMillis(state: EndpointState, wanted: EngineRequest, nowMillis: Long): Double {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
@@ -98,7 +98,7 @@
         scope.launch { LoadLoop(context, peers).run() }
         val lease = OrderLease(incarnation, store, scope, log, clock, settings.times.leaseMillis)
         scope.launch { RolloutLoop(context, lease, peers).run() }
-        scope.launch { StoreCacheLoop(context, lease).run() }
+        scope.launch { StoreCacheLoop(context).run() }
         scope.launch { housekeeping() }
     }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Listeners.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Listeners.kt
@@ -166,8 +166,9 @@
     }
 
     private companion object {
-        // Leaves a second and a half until work on older weights ends.
-        const val UNKNOWN_AGE_MILLIS = 5_500L
+        // An instance that has just started may go on with older weights for a few seconds: until then a holder of the
+        // lease for orders is found and engines load, and without them there is nobody to serve.
+        const val UNKNOWN_AGE_MILLIS = 4_500L
     }
 }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/LoadLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/LoadLoop.kt
@@ -76,7 +76,7 @@
             memoryTotal = report.memoryTotal,
             atMillis = askedMillis,
         )
-        if (state.learnLoad(load)) peers.tell(state.entry.id, load)
+        if (state.learnLoad(load)) peers.tell(state, load)
     }
 
     private companion object {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerDigests.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerDigests.kt
@@ -1,6 +1,7 @@
 package org.parsleymoor.entry.control
 
 import org.parsleymoor.core.EndpointId
+import org.parsleymoor.core.ModelId
 import org.parsleymoor.entry.protocol.StoredObject
 import org.parsleymoor.entry.serving.Beliefs
 import org.parsleymoor.peering.EngineLoadDigest
@@ -21,7 +22,9 @@
         memoryTotal = report.memoryTotal,
         atMillis = nowMillis - report.ageMillis,
     )
-    endpoints[report.endpoint]?.learnLoad(load)
+    val state = endpoints[report.endpoint] ?: return
+    state.learnLoad(load)
+    report.weights.forEach { (model, version) -> state.learnWeights(model, version) }
 }
 
 /** Takes in a prompt that a peer has sent to an engine. */
@@ -31,9 +34,14 @@
     noteSent(state, SentPrompt(nowMillis - sent.ageMillis, sent.tokens, sent.tokensToRead, context))
 }
 
-/** Returns the digest of this load of [endpoint] for peers. */
-internal fun EngineLoad.digest(endpoint: EndpointId, nowMillis: Long): EngineLoadDigest = EngineLoadDigest(
+/** Returns the digest of this load of [endpoint], which has [weights], for peers. */
+internal fun EngineLoad.digest(
+    endpoint: EndpointId,
+    weights: Map<ModelId, Long>,
+    nowMillis: Long,
+): EngineLoadDigest = EngineLoadDigest(
     endpoint = endpoint,
+    weights = weights,
     running = running,
     waiting = waiting,
     prefilling = prefilling,
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Peers.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Peers.kt
@@ -39,7 +39,7 @@
         handler = this,
         dispatcher = dispatcher,
     )
-    private val loads = HashMap<EndpointId, EngineLoad>()
+    private val loads = HashMap<EndpointState, EngineLoad>()
     private var watches: Map<String, ObjectWatch> = emptyMap()
     private val ordered = LinkedHashSet<EndpointState>()
     private val sent = ArrayList<Pair<EndpointId, SentPrompt>>()
@@ -65,9 +65,9 @@
         state.orderedUntilMillis = if (active) clock.nowMillis() + ORDER_MILLIS else clock.nowMillis()
     }
 
-    /** Tells peers with the next message that [endpoint] has [load]. */
-    fun tell(endpoint: EndpointId, load: EngineLoad) {
-        loads[endpoint] = load
+    /** Tells peers with the next message that [state] has [load] and which weights it has. */
+    fun tell(state: EndpointState, load: EngineLoad) {
+        loads[state] = load
     }
 
     override suspend fun onConnected(link: PeerLink) {
@@ -104,7 +104,7 @@
         ordered.forEach { it.orderedUntilMillis = nowMillis + ORDER_MILLIS }
         val idle = loads.isEmpty() && sent.isEmpty() && ordered.isEmpty()
         if (idle && nowMillis - spokenMillis < QUIET_MILLIS) return
-        val reports = loads.map { (endpoint, load) -> load.digest(endpoint, nowMillis) }
+        val reports = loads.map { (state, load) -> load.digest(state.entry.id, state.allWeights, nowMillis) }
         val prompts = sent.map { (endpoint, prompt) ->
             SentPromptDigest(
                 endpoint = endpoint,
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/RolloutLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/RolloutLoop.kt
@@ -80,6 +80,7 @@
     private suspend fun loadStep(state: EndpointState, named: NamedWeights): LoadStep {
         val report = report(state)
         report?.weights?.forEach { (model, version) -> state.learnWeights(model, version) }
+        state.engineLoad?.let { peers.tell(state, it) }
         return when {
             report == null -> LoadStep.GIVEN_UP
             (report.weights[named.model] ?: 0) >= named.version -> LoadStep.LOADED
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/StoreCacheLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/StoreCacheLoop.kt
@@ -8,18 +8,21 @@
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.serialization.json.put
+import org.parsleymoor.core.ModelId
+import org.parsleymoor.core.rendezvousOrder
 import org.parsleymoor.entry.protocol.CacheEvents
 import org.parsleymoor.entry.protocol.ControlCall
 import org.parsleymoor.entry.protocol.DecodeFailure
 import org.parsleymoor.entry.serving.cacheStores
+import org.parsleymoor.entry.serving.oldestWeights
 import org.parsleymoor.relay.fleet.SocketAddress
 import org.parsleymoor.relay.prompt.namespaceWeights
 
 /**
- * Follows what the KV cache stores hold. The instance that holds the lease for orders also frees what no engine can use
- * any more, because managed stores drop nothing by themselves.
+ * Follows what the KV cache stores hold. One instance also frees what no engine can use any more, because managed
+ * stores drop nothing by themselves and are full of older weights after a rollout.
  */
-internal class StoreCacheLoop(private val context: ControlContext, private val lease: OrderLease) {
+internal class StoreCacheLoop(private val context: ControlContext) {
     private val beliefs = context.beliefs
     private val client = context.client
     private val engines = context.engines
@@ -27,7 +30,8 @@
     private val log = context.log
     private val clock = context.clock
     private val followers = HashMap<SocketAddress, Job>()
-    private var newestSinceMillis: Long? = null
+    private var oldestWeights: Map<ModelId, Long?> = emptyMap()
+    private var oldestSinceMillis = 0L
 
     /** Follows the stores of the configuration in force until the coroutine is cancelled. */
     suspend fun run() {
@@ -86,15 +90,18 @@
         }
     }
 
-    /** Frees parts of older weights once all engines have had newer ones for a while, so that no fetch is under way. */
+    /**
+     * Frees parts that no engine can use: those of weights that are older than those of all engines. They are freed a
+     * while after the last engine has changed, so that no fetch is under way. One instance does it for all.
+     */
     private fun freeUnusable() {
         val nowMillis = clock.nowMillis()
-        val allNew = beliefs.weights.values.all { named ->
-            beliefs.endpoints.all.all { (it.weights(named.model) ?: named.version) >= named.version }
+        val oldest = beliefs.weights.keys.associateWith { beliefs.oldestWeights(it) }
+        if (oldest != oldestWeights) {
+            oldestWeights = oldest
+            oldestSinceMillis = nowMillis
         }
-        newestSinceMillis = if (allNew && beliefs.weights.isNotEmpty()) newestSinceMillis ?: nowMillis else null
-        val settled = newestSinceMillis?.let { nowMillis - it >= FETCH_MILLIS } ?: false
-        if (!settled || lease.held() == null) return
+        if (nowMillis - oldestSinceMillis < FETCH_MILLIS || !isFirstMember()) return
         beliefs.cacheStores.filter { it.traits.managed }.forEach { store ->
             val unusable = beliefs.stores.unwanted(store.address, ::isUsable).take(PARTS_A_CALL)
             val epoch = beliefs.stores.epoch(store.address)
@@ -104,6 +111,11 @@
         }
     }
 
+    private fun isFirstMember(): Boolean {
+        val members = beliefs.members ?: return false
+        return rendezvousOrder("free", members) { it.value }.first() == beliefs.self
+    }
+
     private suspend fun free(store: SocketAddress, call: ControlCall, parts: Int) {
         val answer = client.call(store, call, CALL_MILLIS).mapError { it.message }
         log.write("cacheStore.freed") {
@@ -115,7 +127,7 @@
 
     private fun isUsable(namespace: String): Boolean {
         val (model, version) = namespaceWeights(namespace) ?: return true
-        return version >= (beliefs.weights[model]?.version ?: version)
+        return version >= (oldestWeights[model] ?: version)
     }
 
     private companion object {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/CacheTransfers.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/CacheTransfers.kt
@@ -1,6 +1,7 @@
 package org.parsleymoor.entry.serving
 
 import org.parsleymoor.core.Clock
+import org.parsleymoor.core.ModelId
 import org.parsleymoor.relay.cache.CandidateStore
 import org.parsleymoor.relay.cache.StoreChoice
 import org.parsleymoor.relay.cache.Transfer
@@ -75,3 +76,11 @@
     get() = routes?.configuration?.services?.values.orEmpty().mapNotNull { service ->
         service.store?.let { traits -> SocketAddress.parse(traits.address)?.let { CandidateStore(it, traits) } }
     }
+
+/** The oldest version of [model] that any engine has, or null when that of one is unknown. */
+internal fun Beliefs.oldestWeights(model: ModelId): Long? {
+    val engines = endpoints.all.filter { state ->
+        routes?.configuration?.services?.get(state.entry.service)?.engine?.models.orEmpty().contains(model.value)
+    }
+    return engines.map { it.weights(model) ?: return null }.minOrNull()
+}
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Delivery.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Delivery.kt
@@ -120,8 +120,8 @@
         // An endpoint with less time than this cannot answer.
         const val MINIMAL_MILLIS = 30L
 
-        // The rest of the objective is left for reading the prompt.
-        const val HOLD_SHARE = 0.35
+        // Engines report every quarter of a second; a longer wait would hold back a refusal that is known already.
+        const val HOLD_SHARE = 0.12
         const val HOLD_POLL_MILLIS = 40L
 
         // Endpoints that refuse are asked in turn up to this number of sends.
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Placer.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Placer.kt
@@ -99,6 +99,7 @@
         zone = state.entry.zone,
         namespace = namespace(work, prompt, state.weights(prompt.model) ?: 0),
         tokenBytes = work.service.engine?.tokenBytes ?: 1,
+        current = (state.weights(prompt.model) ?: 0) >= (beliefs.weights[prompt.model]?.version ?: 0),
     )
 
     private fun context(work: Work, prompt: PromptContext, state: EndpointState): ContextKey =
@@ -125,7 +126,7 @@
 
     private companion object {
         // Work on older weights stops well before the limit, because a request takes time to reach its endpoint.
-        const val OLDER_WEIGHTS_PARTS = 7
+        const val OLDER_WEIGHTS_PARTS = 8
         const val PARTS = 10
 
         // The limit is per second.
