--- a/libraries/core/src/main/kotlin/org/parsleymoor/core/PauseDetector.kt
+++ b/libraries/core/src/main/kotlin/org/parsleymoor/core/PauseDetector.kt
@@ -7,7 +7,7 @@
  * machine does not count on its monotonic timer, while others go on. [wallMillis] reads the time of day.
  */
 public class PauseDetector(
-    private val clock: Clock,
+    public val clock: Clock,
     private val wallMillis: () -> Long = System::currentTimeMillis,
 ) {
     private var aheadMillis = difference()
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
@@ -14,6 +14,7 @@
 import kotlinx.serialization.json.put
 import org.parsleymoor.core.Clock
 import org.parsleymoor.core.Incarnation
+import org.parsleymoor.core.PauseDetector
 import org.parsleymoor.entry.callers.CallerContext
 import org.parsleymoor.entry.callers.CallerServer
 import org.parsleymoor.entry.control.ConfigurationListener
@@ -75,7 +76,9 @@
     )
     private val pool = ConnectionPool(client, clock)
     private val control = ControlClient(ConnectionPool(client, clock))
-    private val store = ObjectStore(control, settings.objectStore, protocol.objects)
+    private val store = ObjectStore(protocol.objects) { call, timeoutMillis ->
+        control.call(settings.objectStore, call, timeoutMillis)
+    }
     private val members = MemberLoop(store, beliefs, settings.listen.peers.toString(), log, clock)
     private val stopping = StopState(settings.times.graceMillis, clock)
     private val callers = CallerServer(vertx, scope, callerContext())
@@ -96,7 +99,7 @@
         val peers = Peers(settings, beliefs, incarnation, dispatcher, log, clock)
         scope.launch { peers.run(watches) }
         scope.launch { LoadLoop(context, peers).run() }
-        val lease = OrderLease(incarnation, store, scope, log, clock, settings.times.leaseMillis)
+        val lease = OrderLease(incarnation, store, scope, log, PauseDetector(clock), settings.times.leaseMillis)
         scope.launch { RolloutLoop(context, lease, peers).run() }
         scope.launch { StoreCacheLoop(context).run() }
         scope.launch { housekeeping() }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectStore.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectStore.kt
@@ -10,14 +10,12 @@
 import org.parsleymoor.core.Failure
 import org.parsleymoor.entry.net.CallFailure
 import org.parsleymoor.entry.net.ControlAnswer
-import org.parsleymoor.entry.net.ControlClient
 import org.parsleymoor.entry.protocol.ControlCall
 import org.parsleymoor.entry.protocol.DecodeFailure
 import org.parsleymoor.entry.protocol.ObjectChanges
 import org.parsleymoor.entry.protocol.ObjectKind
 import org.parsleymoor.entry.protocol.ObjectProtocol
 import org.parsleymoor.entry.protocol.StoredObject
-import org.parsleymoor.relay.fleet.SocketAddress
 import org.parsleymoor.relay.http.HttpStatus
 
 /** Why a call to the object store did not do what was asked. */
@@ -52,12 +50,11 @@
 /** All objects of a kind, as of [revision]. */
 internal class ObjectList(val items: List<StoredObject>, val revision: Long)
 
-/** The platform's object store at [address]. */
-internal class ObjectStore(
-    private val client: ControlClient,
-    private val address: SocketAddress,
-    private val protocol: ObjectProtocol,
-) {
+/** Makes a call to the object store and waits for its answer up to a number of milliseconds. */
+internal typealias StoreCall = suspend (ControlCall, Long) -> Result<ControlAnswer, CallFailure>
+
+/** The object store that [send] reaches. */
+internal class ObjectStore(private val protocol: ObjectProtocol, private val send: StoreCall) {
     /** Reads all objects of [kind]. */
     suspend fun list(kind: ObjectKind, inexpensive: Boolean = false): Result<ObjectList, StoreFailure> {
         val items = ArrayList<StoredObject>()
@@ -105,7 +102,7 @@
         protocol.stored(answer.body).mapError { StoreFailure.Unreadable(it) }
 
     private suspend fun call(call: ControlCall, timeoutMillis: Long): Result<ControlAnswer, StoreFailure> {
-        val answer = client.call(address, call, timeoutMillis).getOrElse { failure ->
+        val answer = send(call, timeoutMillis).getOrElse { failure ->
             return Err(
                 when (failure) {
                     is CallFailure.NotSent -> StoreFailure.Refused(failure.message)
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/OrderLease.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/OrderLease.kt
@@ -11,7 +11,6 @@
 import org.parsleymoor.coordination.LeaseHolder
 import org.parsleymoor.coordination.LeaseSettings
 import org.parsleymoor.coordination.StoredLease
-import org.parsleymoor.core.Clock
 import org.parsleymoor.core.Incarnation
 import org.parsleymoor.core.PauseDetector
 import org.parsleymoor.entry.log.DecisionLog
@@ -24,11 +23,11 @@
     private val store: ObjectStore,
     private val scope: CoroutineScope,
     private val log: DecisionLog,
-    private val clock: Clock,
+    private val pauses: PauseDetector,
     leaseMillis: Long,
 ) {
+    private val clock = pauses.clock
     private val holder = LeaseHolder(NAME, self, orderLeaseSettings(leaseMillis))
-    private val pauses = PauseDetector(clock)
     private var refusedToken: Long? = null
     private var lastToken: Long? = null
 
--- /dev/null
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/ControlLoopsTest.kt
@@ -0,0 +1,179 @@
+package org.parsleymoor.entry
+
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.advanceTimeBy
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Test
+import org.parsleymoor.core.Clock
+import org.parsleymoor.core.Incarnation
+import org.parsleymoor.core.InstanceId
+import org.parsleymoor.core.PauseDetector
+import org.parsleymoor.entry.control.MemberLoop
+import org.parsleymoor.entry.control.ObjectList
+import org.parsleymoor.entry.control.ObjectListener
+import org.parsleymoor.entry.control.ObjectWatch
+import org.parsleymoor.entry.control.OrderLease
+import org.parsleymoor.entry.log.DecisionLog
+import org.parsleymoor.entry.protocol.ObjectChange
+import org.parsleymoor.entry.protocol.ObjectKind
+import org.parsleymoor.entry.protocol.StoredObject
+import org.parsleymoor.entry.serving.Beliefs
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.containsExactlyInAnyOrder
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
+import strikt.assertions.isTrue
+import java.io.OutputStream
+import java.io.PrintStream
+
+@OptIn(ExperimentalCoroutinesApi::class)
+class ControlLoopsTest {
+    private val memory = MemoryStore()
+    private val seen = Seen()
+    private var suspendedMillis = 0L
+
+    @Test
+    fun `changes reach the listener, and a history that is gone leads to the list`() = loops {
+        memory.put(ObjectKind.ENDPOINTS, "a", "1")
+        val watch = watch(this)
+        backgroundScope.launch { watch.run() }
+        advanceTimeBy(100)
+        memory.put(ObjectKind.ENDPOINTS, "b", "1")
+        advanceTimeBy(100)
+        expectThat(seen.names).containsExactlyInAnyOrder("a", "b")
+        memory.remove(ObjectKind.ENDPOINTS, "a")
+        memory.put(ObjectKind.ENDPOINTS, "c", "1")
+        memory.forgetHistory()
+        advanceTimeBy(5_000)
+        expectThat(seen.names).containsExactlyInAnyOrder("b", "c")
+    }
+
+    // An instance that the store does not answer would go on with what it knew, however old.
+    @Test
+    fun `while the store does not answer, the objects of a peer are taken in when they are newer`() = loops {
+        memory.put(ObjectKind.ENDPOINTS, "a", "1")
+        val watch = watch(this)
+        backgroundScope.launch { watch.run() }
+        advanceTimeBy(100)
+        val known = watch.knownRevision
+        watch.accept(ObjectList(listOf(StoredObject("early", known + 5, "1")), known + 5))
+        expectThat(seen.names).containsExactly("a")
+        memory.silent = true
+        advanceTimeBy(10_000)
+        expectThat(watch.isLost).isTrue()
+        expectThat(seen.lost).isGreaterThan(0)
+        watch.accept(ObjectList(listOf(StoredObject("older", known - 1, "1")), known - 1))
+        expectThat(seen.names).containsExactly("a")
+        watch.accept(ObjectList(listOf(StoredObject("b", known + 9, "1")), known + 9))
+        expectThat(seen.names).containsExactly("b")
+    }
+
+    // An instance that is gone would keep its part of the shared limits for ever.
+    @Test
+    fun `an instance whose object does not change for twenty seconds no longer counts`() = loops {
+        memory.put(ObjectKind.MEMBERS, "gone", "{\"address\":\"h:1\",\"beats\":1}")
+        val beliefs = Beliefs(InstanceId("self"))
+        val loop = MemberLoop(memory.store, beliefs, "h:2", log(this), clock(this))
+        backgroundScope.launch { loop.run() }
+        advanceTimeBy(1_000)
+        expectThat(beliefs.instances).isEqualTo(2)
+        advanceTimeBy(30_000)
+        expectThat(beliefs.members).isEqualTo(setOf(InstanceId("self")))
+    }
+
+    @Test
+    fun `a lease whose write was carried out without an answer is read back and used`() = loops {
+        val lease = lease("one", this)
+        memory.losesAnswers = true
+        lease.tick(wanted = true)
+        advanceTimeBy(200)
+        lease.tick(wanted = true)
+        advanceTimeBy(200)
+        memory.losesAnswers = false
+        repeat(20) {
+            lease.tick(wanted = true)
+            advanceTimeBy(100)
+        }
+        expectThat(lease.held()).isNotNull()
+    }
+
+    // Two holders whose orders alternate would undo each other's work at the engines.
+    @Test
+    fun `a second instance gets no lease while the first renews it, and a refused token is not used again`() = loops {
+        val first = lease("one", this)
+        val second = lease("two", this)
+        repeat(100) {
+            first.tick(wanted = true)
+            second.tick(wanted = true)
+            advanceTimeBy(60)
+        }
+        val (holder, other) = if (first.held() != null) first to second else second to first
+        val token = holder.held()?.fencingToken
+        expectThat(token).isNotNull()
+        expectThat(other.held()).isNull()
+        holder.refused(token ?: 0)
+        expectThat(holder.held()).isNull()
+    }
+
+    // While it was suspended, another instance may have taken the lease.
+    @Test
+    fun `a holder that was suspended uses its lease again only after it has renewed it`() = loops {
+        val lease = lease("one", this)
+        repeat(20) {
+            lease.tick(wanted = true)
+            advanceTimeBy(60)
+        }
+        val before = lease.held()?.fencingToken
+        expectThat(before).isNotNull()
+        suspendedMillis = 5_000
+        expectThat(lease.held()).isNull()
+        repeat(20) {
+            lease.tick(wanted = true)
+            advanceTimeBy(60)
+        }
+        expectThat(lease.held()?.fencingToken ?: 0).isGreaterThan(before ?: 0)
+    }
+
+    private fun loops(body: suspend TestScope.() -> Unit) = runTest { body() }
+
+    private fun clock(scope: TestScope) = Clock { scope.currentTime }
+
+    private fun log(scope: TestScope) =
+        DecisionLog(clock(scope), "test", PrintStream(OutputStream.nullOutputStream()))
+
+    private fun watch(scope: TestScope) =
+        ObjectWatch(ObjectKind.ENDPOINTS, memory.store, seen, log(scope), clock(scope))
+
+    private fun lease(name: String, scope: TestScope) = OrderLease(
+        Incarnation(InstanceId(name), 1),
+        memory.store,
+        scope.backgroundScope,
+        log(scope),
+        PauseDetector(clock(scope)) { scope.currentTime + suspendedMillis },
+        leaseMillis = 3_000,
+    )
+
+    private class Seen : ObjectListener {
+        val names = LinkedHashSet<String>()
+        var lost = 0
+
+        override fun onLost() {
+            lost++
+        }
+
+        override fun onList(objects: List<StoredObject>) {
+            names.clear()
+            names += objects.map { it.name }
+        }
+
+        override fun onChange(change: ObjectChange) {
+            if (change.removed) names -= change.value.name else names += change.value.name
+        }
+    }
+}
--- /dev/null
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/MemoryStore.kt
@@ -0,0 +1,137 @@
+package org.parsleymoor.entry
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import kotlinx.coroutines.delay
+import org.parsleymoor.entry.control.ObjectStore
+import org.parsleymoor.entry.net.CallFailure
+import org.parsleymoor.entry.net.ControlAnswer
+import org.parsleymoor.entry.protocol.ControlCall
+import org.parsleymoor.entry.protocol.DecodeFailure
+import org.parsleymoor.entry.protocol.ObjectChange
+import org.parsleymoor.entry.protocol.ObjectChanges
+import org.parsleymoor.entry.protocol.ObjectKind
+import org.parsleymoor.entry.protocol.ObjectPage
+import org.parsleymoor.entry.protocol.ObjectProtocol
+import org.parsleymoor.entry.protocol.StoredObject
+
+/** An object store in memory, without a network, whose answers can be taken away. */
+internal class MemoryStore {
+    private val objects = LinkedHashMap<Pair<ObjectKind, String>, StoredObject>()
+    private val history = ArrayList<Pair<ObjectKind, ObjectChange>>()
+    private var revision = 1L
+    private var historyFrom = 0L
+
+    /** Whether calls are left without an answer. */
+    var silent = false
+
+    /** Whether writes are carried out and their answers lost. */
+    var losesAnswers = false
+
+    val store = ObjectStore(MemoryProtocol, ::answer)
+
+    fun put(kind: ObjectKind, name: String, content: String): StoredObject {
+        val value = StoredObject(name, ++revision, content)
+        objects[kind to name] = value
+        history += kind to ObjectChange(value, removed = false)
+        return value
+    }
+
+    fun remove(kind: ObjectKind, name: String) {
+        val value = objects.remove(kind to name) ?: return
+        history += kind to ObjectChange(value.copy(revision = ++revision), removed = true)
+    }
+
+    fun forgetHistory() {
+        historyFrom = revision
+    }
+
+    private suspend fun answer(call: ControlCall, timeoutMillis: Long): Result<ControlAnswer, CallFailure> {
+        if (silent) {
+            delay(timeoutMillis)
+            return Err(CallFailure.Unanswered("silent"))
+        }
+        val (name, since, expected) = call.target.split(' ')
+        val kind = ObjectKind.valueOf(name)
+        delay(ANSWER_MILLIS)
+        return when (call.method) {
+            "LIST" -> Ok(ControlAnswer(200, text(objects.filterKeys { it.first == kind }.values.map { it to false })))
+            "WATCH" -> watch(kind, since.toLong(), timeoutMillis)
+            "READ" -> Ok(objects[kind to since]?.let { ControlAnswer(200, text(listOf(it to false))) } ?: ABSENT)
+            else -> write(kind, since, expected, call.body.orEmpty())
+        }
+    }
+
+    private suspend fun watch(kind: ObjectKind, since: Long, waitMillis: Long): Result<ControlAnswer, CallFailure> {
+        var waited = 0L
+        while (waited < waitMillis / 2 && history.none { it.first == kind && it.second.value.revision > since }) {
+            delay(STEP_MILLIS)
+            waited += STEP_MILLIS
+        }
+        if (since < historyFrom) return Ok(ControlAnswer(410, ""))
+        val changes = history.filter { it.first == kind && it.second.value.revision > since }
+        return Ok(ControlAnswer(200, text(changes.map { it.second.value to it.second.removed })))
+    }
+
+    private fun write(
+        kind: ObjectKind,
+        name: String,
+        expected: String,
+        content: String,
+    ): Result<ControlAnswer, CallFailure> {
+        val known = objects[kind to name]
+        val answer = when {
+            expected == "new" && known != null -> ControlAnswer(409, text(listOf(known to false)))
+            expected != "new" && known == null -> ABSENT
+            expected.toLongOrNull()?.let { it != known?.revision } ?: false ->
+                ControlAnswer(409, text(listOfNotNull(known?.to(false))))
+            else -> ControlAnswer(200, text(listOf(put(kind, name, content) to false)))
+        }
+        return if (losesAnswers) Err(CallFailure.Unanswered("the answer was lost")) else Ok(answer)
+    }
+
+    private fun text(values: List<Pair<StoredObject, Boolean>>): String =
+        (
+            listOf("$revision") + values.map { (value, removed) ->
+                "${value.name} ${value.revision} $removed ${value.content}"
+            }
+            ).joinToString("\n")
+
+    private companion object {
+        const val ANSWER_MILLIS = 4L
+        const val STEP_MILLIS = 20L
+        val ABSENT = ControlAnswer(404, "")
+    }
+}
+
+private object MemoryProtocol : ObjectProtocol {
+    override fun list(kind: ObjectKind, after: String?, inexpensive: Boolean) = ControlCall("LIST", "$kind - -")
+
+    override fun watch(kind: ObjectKind, revision: Long, waitMillis: Long) = ControlCall("WATCH", "$kind $revision -")
+
+    override fun read(kind: ObjectKind, name: String) = ControlCall("READ", "$kind $name -")
+
+    override fun create(kind: ObjectKind, name: String, content: String) =
+        ControlCall("WRITE", "$kind $name new", content)
+
+    override fun replace(kind: ObjectKind, name: String, content: String, revision: Long?) =
+        ControlCall("WRITE", "$kind $name ${revision ?: "any"}", content)
+
+    override fun remove(kind: ObjectKind, name: String): ControlCall = error("no test removes through the store")
+
+    override fun page(body: String): Result<ObjectPage, DecodeFailure> =
+        Ok(ObjectPage(changes(body.lines()).map { it.value }, after = null, body.lines().first().toLong()))
+
+    override fun changes(body: String): Result<ObjectChanges, DecodeFailure> =
+        Ok(ObjectChanges(changes(body.lines()), body.lines().first().toLong()))
+
+    override fun stored(body: String): Result<StoredObject, DecodeFailure> =
+        changes(body.lines()).singleOrNull()?.let { Ok(it.value) } ?: Err(DecodeFailure("an object", body))
+
+    private fun changes(lines: List<String>): List<ObjectChange> = lines.drop(1).map { line ->
+        val (name, revision, rest) = line.split(' ', limit = 3)
+        val content = rest.substringAfter(' ')
+        ObjectChange(StoredObject(name, revision.toLong(), content), rest.startsWith("true"))
+    }
+}
