--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/cache/StoreChoiceTest.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/cache/StoreChoiceTest.kt
@@ -52,6 +52,17 @@
         expectThat(directory.changed(near.address, epoch = 1, position = 9, gap = true, parts = emptyList())).isFalse()
     }
 
+    // Events about freed parts may be lost: the parts would be counted, fetched and freed again for ever.
+    @Test
+    fun `parts that a store has freed are gone from the directory, unless the store started again`() {
+        listed(near)
+        hold(near, tokens = 1_000)
+        directory.freed(near.address, epoch = 2, listOf(CachedPart("space", "p")))
+        expectThat(directory.usedTokens(near.address)).isEqualTo(1_000)
+        directory.freed(near.address, epoch = 1, listOf(CachedPart("space", "p")))
+        expectThat(directory.usedTokens(near.address)).isEqualTo(0)
+    }
+
     @Test
     fun `parts are saved to a store of the region with room, and not where the region has them`() {
         stores.forEach { listed(it) }
