--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/EnginePlacement.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/EnginePlacement.kt
@@ -14,7 +14,9 @@
 
 /**
  * Figures of [EnginePlacement]. Token rates are those of the engines' data sheets; times are in milliseconds. Reading
- * holds up the other work of an engine as well: [readingBurden] is the part of it that counts against an engine.
+ * holds up the other work of an engine as well: [readingBurden] is the part of it that counts against an engine. The
+ * expected time to the first token may be [patienceObjectives], and [returningObjectives] for a caller that returns, of
+ * the objective; docs/decisions/admission.md has the runs that these two come from.
  */
 public data class EnginePlacementSettings(
     public val prefillTokensPerMilli: Double = 50.0,
