Count older weights from the first version that replaced them

Ruled out: instances that learned of the weights late; the engine got work from one that had known both for seconds. Change: named weights keep those named before and say since when an older version is out of date. The test fails without it.

--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/EnginePlacement.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/EnginePlacement.kt
@@ -1,6 +1,5 @@
 package org.parsleymoor.relay.placement
 
-import org.parsleymoor.core.ModelId
 import org.parsleymoor.core.rendezvousOrder
 import org.parsleymoor.relay.fleet.EndpointState
 import org.parsleymoor.relay.fleet.EndpointTable
@@ -9,9 +8,6 @@
 import kotlin.math.exp
 import kotlin.random.Random
 
-/** The weights that a model should have: [version], since [sinceMillis]; null before any has been named. */
-public data class NamedWeights(public val model: ModelId, public val version: Long, public val sinceMillis: Long)
-
 /**
  * Figures of [EnginePlacement]. Token rates are those of the engines' data sheets; times are in milliseconds. Reading
  * holds up the other work of an engine as well: [readingBurden] is the part of it that counts against an engine. The
@@ -177,7 +173,7 @@
     private fun isRecent(state: EndpointState, named: NamedWeights?, nowMillis: Long): Boolean =
         named == null ||
             (state.weights(named.model) ?: 0) >= named.version ||
-            nowMillis - named.sinceMillis < settings.olderWeightsLimitMillis
+            nowMillis - named.outdatedSinceMillis(state.weights(named.model) ?: 0) < settings.olderWeightsLimitMillis
 
     private fun distanceMillis(state: EndpointState): Double = when (topology.distance(state.entry.zone)) {
         Distance.SAME_ZONE -> 0.0
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/placement/EnginePlacementTest.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/placement/EnginePlacementTest.kt
@@ -117,6 +117,17 @@
         expectThat((late as Place.Nowhere).reason).isEqualTo(NoPlaceReason.NO_WEIGHTS)
     }
 
+    // Two rollouts in quick succession: an engine that has missed both is out of date since the first.
+    @Test
+    fun `weights that were replaced twice are out of date since the first replacement`() {
+        val table = engines(4)
+        val named = NamedWeights(MODEL, 3, sinceMillis = 4_000).after(NamedWeights(MODEL, 2, sinceMillis = 0))
+        val late = placement.choose(wanted(prompt("s"), named = named), table, 7_500).place
+        expectThat((late as Place.Nowhere).reason).isEqualTo(NoPlaceReason.NO_WEIGHTS)
+        table.all.first().learnWeights(MODEL, 2)
+        expectThat(placement.choose(wanted(prompt("s"), named = named), table, 7_500).place).isA<Place.At>()
+    }
+
     @Test
     fun `an engine that carries out an order or fails gets no work while others are free`() {
         val table = engines(2)
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Listeners.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Listeners.kt
@@ -157,7 +157,7 @@
         if (known != null && known.version >= version) return
         // The store does not say when weights were named: at the earliest, right after it last answered without them.
         val sinceMillis = knownMissingMillis ?: (clock.nowMillis() - UNKNOWN_AGE_MILLIS)
-        beliefs.weights += model to NamedWeights(model, version, sinceMillis)
+        beliefs.weights += model to NamedWeights(model, version, sinceMillis).after(known)
         log.write("weights.named", always = true) {
             put("model", model.value)
             put("version", version)
