--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerConnection.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerConnection.kt
@@ -3,7 +3,7 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
-import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
 import io.github.oshai.kotlinlogging.KotlinLogging
@@ -50,8 +50,11 @@
     public val failure: PeerFailure? get() = ended.get()
 
     /** Queues [message]; suspends while the queue is full; returns why the connection ended when it has. */
-    public suspend fun send(message: PeerMessage): Result<Unit, PeerFailure> {
-        val frame = wire.codec.encode(message).getOrElse { return Err(it) }
+    public suspend fun send(message: PeerMessage): Result<Unit, PeerFailure> =
+        wire.codec.encode(message).fold({ send(message, it) }, { Err(it) })
+
+    /** Queues [message], which is encoded as [frame]; suspends while the queue is full. */
+    internal suspend fun send(message: PeerMessage, frame: ByteArray): Result<Unit, PeerFailure> {
         val isControl = message.isControl()
         return try {
             (if (isControl) control else data).send(frame)
--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerLink.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerLink.kt
@@ -36,6 +36,10 @@
     /** Queues a message. */
     public suspend fun send(message: PeerMessage): Result<Unit, PeerFailure> = connection.send(message)
 
+    /** Queues [message], which is encoded as [frame]. */
+    internal suspend fun send(message: PeerMessage, frame: ByteArray): Result<Unit, PeerFailure> =
+        connection.send(message, frame)
+
     /** Opens an exchange with the message that [opening] makes for its number. */
     public suspend fun open(opening: (Long) -> PeerMessage.OfExchange): Result<PeerExchange, PeerFailure> {
         val number = nextNumber.getAndAdd(2)
--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerMessage.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerMessage.kt
@@ -10,6 +10,7 @@
 import org.parsleymoor.core.AttemptId
 import org.parsleymoor.core.EndpointId
 import org.parsleymoor.core.Incarnation
+import org.parsleymoor.core.InstanceId
 import org.parsleymoor.core.ModelId
 import org.parsleymoor.core.OrganisationId
 import org.parsleymoor.core.RegionId
@@ -76,29 +77,48 @@
     ) : PeerMessage
 
     /**
-     * Tells the load of engines as the sender read it, what it has sent them, and the engines that have orders from it;
-     * shows that the sender is alive.
+     * Tells what an instance has learned itself or heard from others, and how current its copies of the store's objects
+     * are; shows that the sender is alive. The receiver passes the news on as far as [passOn] says, by name.
      */
     @Serializable
-    @SerialName("eloads")
-    public data class EngineLoads(
-        public val reports: List<EngineLoadDigest> = emptyList(),
+    @SerialName("news")
+    public data class InstanceNews(
+        public val passOn: String,
+        public val loads: List<EngineLoadDigest> = emptyList(),
+        public val silent: List<SilentEngineDigest> = emptyList(),
         public val sent: List<SentPromptDigest> = emptyList(),
-        public val ordered: List<EndpointId> = emptyList(),
+        public val ordered: List<OrderedEngineDigest> = emptyList(),
+        public val stores: List<CacheStoreDigest> = emptyList(),
+        public val known: List<KnownObjectsDigest> = emptyList(),
     ) : PeerMessage
 
+    /** Asks for all that the KV cache store at [store] holds, as far as the receiver knows. */
+    @Serializable
+    @SerialName("swant")
+    public data class CacheContentsWanted(public val store: String) : PeerMessage
+
+    /** Offers all that a KV cache store holds, as changes of an empty one. */
+    @Serializable
+    @SerialName("soffer")
+    public data class CacheContentsOffered(public val contents: CacheStoreDigest) : PeerMessage
+
     /** Asks for the objects of [kind] when any of them has changed since [haveRevision]. */
     @Serializable
     @SerialName("owant")
     public data class ObjectsWanted(public val kind: String, public val haveRevision: Long) : PeerMessage
 
-    /** Offers all objects of [kind] as of [revision]. */
+    /**
+     * Offers the objects of [kind] as of [revision]: all of them, or, when [since] is given, those that have changed
+     * after that revision and the names of those that were [removed].
+     */
     @Serializable
     @SerialName("ooffer")
     public data class ObjectsOffered(
         public val kind: String,
         public val revision: Long,
         public val objects: List<OfferedObject>,
+        public val since: Long? = null,
+        public val removed: List<String> = emptyList(),
     ) : PeerMessage
 
     /** A message that belongs to one exchange; the side that opened the exchange chose the number. */
@@ -221,7 +241,7 @@
 
     public companion object {
         /** Version of the messages in this file; raised by a change that an older peer cannot read. */
-        public const val PROTOCOL_VERSION: Int = 2
+        public const val PROTOCOL_VERSION: Int = 3
     }
 }
 
@@ -254,17 +274,74 @@
     public val memoryUsed: Long,
     public val memoryTotal: Long,
     public val weights: Map<ModelId, Long>,
+    public val clockMillis: Long?,
+    public val ageMillis: Long,
+)
+
+/** An engine that was asked [ageMillis] ago and did not answer. */
+@OptIn(ExperimentalSerializationApi::class)
+@CborArray
+@Serializable
+public data class SilentEngineDigest(public val endpoint: EndpointId, public val ageMillis: Long)
+
+/** An engine that is being given orders by [holder], or is no longer when not [active]. */
+@OptIn(ExperimentalSerializationApi::class)
+@CborArray
+@Serializable
+public data class OrderedEngineDigest(
+    public val holder: InstanceId,
+    public val endpoint: EndpointId,
+    public val active: Boolean,
+)
+
+/** Changes of one name space of a KV cache store. */
+@OptIn(ExperimentalSerializationApi::class)
+@CborArray
+@Serializable
+public data class NamespaceDigest(public val namespace: String, public val parts: List<CachedPartDigest>)
+
+/** A part that a KV cache store holds with [tokens] tokens, or no longer when not [held]. */
+@OptIn(ExperimentalSerializationApi::class)
+@CborArray
+@Serializable
+public data class CachedPartDigest(public val part: String, public val tokens: Long, public val held: Boolean)
+
+/** Changes of a KV cache store that started as [epoch], between two positions of its events; or that it is [lost]. */
+@OptIn(ExperimentalSerializationApi::class)
+@CborArray
+@Serializable
+public data class CacheStoreDigest(
+    public val store: String,
+    public val epoch: Long,
+    public val from: Long,
+    public val to: Long,
+    public val namespaces: List<NamespaceDigest>,
+    public val lost: Boolean,
+)
+
+/**
+ * How current the sender's copy of the objects of [kind] is: it has all changes up to [changedRevision], and there were
+ * no others [ageMillis] ago. [lost] when the store does not answer.
+ */
+@OptIn(ExperimentalSerializationApi::class)
+@CborArray
+@Serializable
+public data class KnownObjectsDigest(
+    public val kind: String,
+    public val changedRevision: Long,
     public val ageMillis: Long,
+    public val lost: Boolean,
 )
 
 /**
- * A prompt that an instance sent to an engine [ageMillis] ago: its [tokens], those that the engine has to read, and the
+ * A prompt that [origin] sent to an engine [ageMillis] ago: its [tokens], those that the engine has to read, and the
  * hash that names its shared parts.
  */
 @OptIn(ExperimentalSerializationApi::class)
 @CborArray
 @Serializable
 public data class SentPromptDigest(
+    public val origin: InstanceId,
     public val endpoint: EndpointId,
     public val tokens: Long,
     public val tokensToRead: Long,
--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerNode.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerNode.kt
@@ -5,6 +5,7 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.map
 import com.github.michaelbull.result.onFailure
+import com.github.michaelbull.result.onSuccess
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.ktor.network.selector.SelectorManager
 import kotlinx.coroutines.CoroutineDispatcher
@@ -51,6 +52,7 @@
     private val links = PeerLinks(identity.incarnation.instance)
     private val dialling = ConcurrentHashMap<InstanceId, Mutex>()
     private val counter = TrafficCounter()
+    private val codec = FrameCodec(options.frameLimitBytes)
     private val server = PeerServer(selector, scope, options) { serve(PeerLink(it, false, handler, QUEUED_MESSAGES)) }
 
     @Volatile
@@ -74,9 +76,11 @@
         return bound
     }
 
-    /** Sets the instances (with `host:port`) that connections are kept to. */
+    /** Sets the instances (with `host:port`) that connections are kept to; connects to new ones at once. */
     public fun keepConnectedTo(peers: Map<InstanceId, String>) {
+        val former = neighbours
         neighbours = peers - identity.incarnation.instance
+        if (dialer != null) connectTo(neighbours - former.keys)
     }
 
     /** Returns the open connection to [instance] or makes one to [address]. */
@@ -86,11 +90,25 @@
             if (open != null) Ok(open) else dial(address)
         }
 
-    /** Sends [message] on every open connection, without waiting for a slow one longer than its queue. */
+    /** Sends [message] on every open connection. */
     public suspend fun broadcast(message: PeerMessage) {
-        links.all().forEach { link ->
-            link.send(message).onFailure { logger.debug { "${link.remote.incarnation}: ${it.message}" } }
-        }
+        send(message, links.all())
+    }
+
+    /**
+     * Sends [message] on each of [to], which are connections of this node. It is encoded once; a slow connection is
+     * waited for when its queue is full.
+     */
+    public suspend fun send(message: PeerMessage, to: Collection<PeerLink>) {
+        if (to.isEmpty()) return
+        codec.encode(message)
+            .onSuccess { frame ->
+                to.forEach { link ->
+                    link.send(message, frame)
+                        .onFailure { logger.debug { "${link.remote.incarnation}: ${it.message}" } }
+                }
+            }
+            .onFailure { logger.warn { "a message was not sent: ${it.message}" } }
     }
 
     override fun close() {
@@ -130,14 +148,18 @@
 
     private suspend fun keepNeighbours() {
         while (scope.isActive) {
-            neighbours.filterKeys { links[it] == null }.forEach { (instance, address) ->
-                scope.launch { connect(instance, address).onFailure { logger.debug { it.message } } }
-            }
+            connectTo(neighbours)
             links.surplus().forEach { it.close() }
             delay(options.heartbeatMillis)
         }
     }
 
+    private fun connectTo(peers: Map<InstanceId, String>) {
+        peers.filterKeys { links[it] == null }.forEach { (instance, address) ->
+            scope.launch { connect(instance, address).onFailure { logger.debug { it.message } } }
+        }
+    }
+
     private companion object {
         const val QUEUED_MESSAGES = 4_096
     }
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/cache/StoreDirectory.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/cache/StoreDirectory.kt
@@ -1,5 +1,6 @@
 package org.parsleymoor.relay.cache
 
+import org.parsleymoor.relay.exchange.News
 import org.parsleymoor.relay.fleet.SocketAddress
 import org.parsleymoor.relay.prompt.PromptPart
 
@@ -44,6 +45,27 @@
         return true
     }
 
+    /**
+     * Takes in events of [store] that a peer has read; returns false when they do not join what is known and all of its
+     * contents are needed.
+     */
+    public fun joins(events: News.StoreEvents): Boolean {
+        val contents = stores[events.store]
+        if (contents != null && contents.epoch != events.epoch) stores -= events.store
+        if (contents == null || contents.epoch != events.epoch || contents.position < events.from) return false
+        if (events.to > contents.position) {
+            events.changes.forEach(contents::apply)
+            contents.position = events.to
+        }
+        return true
+    }
+
+    /** Returns all that [store] holds as changes of an empty one, or null when it is unknown. */
+    public fun contents(store: SocketAddress): News.StoreEvents? = stores[store]?.let { known ->
+        val held = known.held.map { (part, tokens) -> StoreChange(part, tokens, held = true) }
+        News.StoreEvents(store, known.epoch, from = 0, to = known.position, held)
+    }
+
     /** Notes that [store], which started as [epoch], has freed [parts]; its events about them may be lost. */
     public fun freed(store: SocketAddress, epoch: Long, parts: List<CachedPart>) {
         stores[store]?.takeIf { it.epoch == epoch }?.let { contents ->
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointState.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointState.kt
@@ -16,6 +16,14 @@
     public var heardMillis: Long = nowMillis
         private set
 
+    /** When this start of the endpoint was first heard of. */
+    public var startHeardMillis: Long = nowMillis
+        private set
+
+    /** When an engine was last asked for its load without answering, by this instance or one of its peers. */
+    public var silentMillis: Long = Long.MIN_VALUE / 2
+        private set
+
     /** Until when the endpoint counts as cold. */
     public var coldUntilMillis: Long = nowMillis
         private set
@@ -54,6 +62,11 @@
         return newer
     }
 
+    /** Notes that the engine did not answer a question of [askedMillis]. */
+    public fun fellSilent(askedMillis: Long) {
+        silentMillis = maxOf(silentMillis, askedMillis)
+    }
+
     /** Notes a prompt that this instance or a peer has sent to the engine. */
     public fun sent(prompt: SentPrompt) {
         sentPrompts.addLast(prompt)
@@ -77,6 +90,7 @@
             health.reset()
             load = null
             engineLoad = null
+            startHeardMillis = nowMillis
         }
         this.entry = entry
         heardMillis = nowMillis
@@ -108,9 +122,9 @@
     /** Whether the endpoint counts as cold at [nowMillis]. */
     public fun isCold(nowMillis: Long): Boolean = nowMillis < coldUntilMillis
 
-    /** Notes that the endpoint answered with [version] of [model]. */
+    /** Notes that the endpoint answered with [version] of [model]; what a peer read earlier may arrive later. */
     public fun learnWeights(model: ModelId, version: Long) {
-        learnedWeights[model] = version
+        learnedWeights.merge(model, version, ::maxOf)
     }
 
     /** The newest version of [model] that the endpoint is known to have; versions of a model only increase. */
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/ClassArchiveTraining.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/ClassArchiveTraining.kt
@@ -76,6 +76,7 @@
     graceSeconds = 1
     leaseMillis = 1000
     weightsMillis = 1000
+    applyMillis = 1000
     [retries]
     share = 0.2
     extra = 1
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
@@ -28,6 +28,10 @@
 import org.parsleymoor.entry.control.ObjectWatch
 import org.parsleymoor.entry.control.OrderLease
 import org.parsleymoor.entry.control.Peers
+import org.parsleymoor.entry.control.WatchDuty
+import org.parsleymoor.entry.control.WatchContext
+import org.parsleymoor.entry.control.PeerContext
+import org.parsleymoor.entry.control.Membership
 import org.parsleymoor.entry.control.RolloutLoop
 import org.parsleymoor.entry.control.StoreCacheLoop
 import org.parsleymoor.entry.control.WeightsListener
@@ -45,6 +49,7 @@
 import org.parsleymoor.entry.serving.RelayHandler
 import org.parsleymoor.entry.serving.ServingContext
 import org.parsleymoor.entry.serving.StopState
+import org.parsleymoor.relay.exchange.Member
 import org.parsleymoor.relay.fleet.SocketAddress
 import org.parsleymoor.relay.http.HttpStatus
 import org.parsleymoor.relay.limits.SharedRetryBudget
@@ -79,7 +84,10 @@
     private val store = ObjectStore(protocol.objects) { call, timeoutMillis ->
         control.call(settings.objectStore, call, timeoutMillis)
     }
-    private val members = MemberLoop(store, beliefs, settings.listen.peers.toString(), log, clock)
+    private val membership = Membership(
+        Member(settings.instance, settings.listen.peers.toString(), settings.zone, settings.processors),
+    )
+    private val members = MemberLoop(store, beliefs, membership, log, clock)
     private val stopping = StopState(settings.times.graceMillis, clock)
     private val callers = CallerServer(vertx, scope, callerContext())
 
@@ -91,17 +99,19 @@
             probes(settings.listen.metrics, METRICS_PATH to { ProbeAnswer(HttpStatus.OK, metrics.text()) })
         }
         log.write("started", always = true) { put("callers", settings.listen.callers.toString()) }
-        val watches = listeners().mapValues { (kind, listener) -> ObjectWatch(kind, store, listener, log, clock) }
+        val duty = WatchDuty(membership.tree, clock, settings.times.applyMillis)
+        val watching = WatchContext(store, duty, log, clock)
+        val watches = listeners().mapValues { (kind, listener) -> ObjectWatch(kind, watching, listener) }
         watches.values.forEach { scope.launch { it.run() } }
         scope.launch { members.run() }
         val incarnation = Incarnation(settings.instance, clock.nowMillis())
-        val context = ControlContext(beliefs, control, protocol.engines, scope, log, clock)
-        val peers = Peers(settings, beliefs, incarnation, dispatcher, log, clock)
+        val context = ControlContext(beliefs, membership, control, protocol.engines, scope, log, clock)
+        val peers = Peers(PeerContext(settings, beliefs, membership, log, clock), incarnation, dispatcher)
         scope.launch { peers.run(watches) }
         scope.launch { LoadLoop(context, peers).run() }
         val lease = OrderLease(incarnation, store, scope, log, PauseDetector(clock), settings.times.leaseMillis)
         scope.launch { RolloutLoop(context, lease, peers).run() }
-        scope.launch { StoreCacheLoop(context).run() }
+        scope.launch { StoreCacheLoop(context, peers).run() }
         scope.launch { housekeeping() }
     }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntrySettings.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntrySettings.kt
@@ -4,11 +4,10 @@
 import org.parsleymoor.configuration.Mistakes
 import org.parsleymoor.configuration.SettingsReader
 import org.parsleymoor.configuration.TomlSection
-import org.parsleymoor.configuration.count
 import org.parsleymoor.configuration.number
 import org.parsleymoor.configuration.text
 import org.parsleymoor.configuration.textMap
-import org.parsleymoor.configuration.whole
+import org.parsleymoor.configuration.texts
 import org.parsleymoor.core.InstanceId
 import org.parsleymoor.core.RegionId
 import org.parsleymoor.core.ZoneId
@@ -26,12 +25,14 @@
 
 /**
  * Times that the operators set, in milliseconds. Two holders of the lease for orders keep [leaseMillis] between their
- * orders; a request must not begin on older weights later than [weightsMillis] after newer ones were named.
+ * orders; a request must not begin on older weights later than [weightsMillis] after newer ones were named; an accepted
+ * configuration is in force [applyMillis] later.
  */
 public data class EntryTimes(
     public val graceMillis: Long,
     public val leaseMillis: Long,
     public val weightsMillis: Long,
+    public val applyMillis: Long,
 )
 
 /** How far the load of a cold endpoint may exceed its stated rate: [overage] times the rate, and [slack] requests. */
@@ -48,6 +49,10 @@
     public val times: EntryTimes,
     public val retries: RetryBound,
     public val cold: ColdAllowance,
+    /** Processor share of the machine, in cores. */
+    public val processors: Double = 1.0,
+    /** Where a few instances listen for peers, asked while the object store cannot be. */
+    public val seeds: List<SocketAddress> = emptyList(),
 ) {
     public companion object {
         /** Reads the file at [path]; returns every mistake in it. */
@@ -69,6 +74,8 @@
     times = times(root.section("times")),
     retries = retries(root.section("retries")),
     cold = cold(root.section("cold")),
+    processors = processors(root.section("machine")),
+    seeds = seeds(root),
 )
 
 private fun listen(section: TomlSection?): ListenAddresses = ListenAddresses(
@@ -80,19 +87,28 @@
 
 private fun times(section: TomlSection?): EntryTimes = EntryTimes(
     graceMillis = section?.milliseconds("graceSeconds") ?: 0,
-    leaseMillis = section?.whole("leaseMillis") ?: 0,
-    weightsMillis = section?.whole("weightsMillis") ?: 0,
+    leaseMillis = section?.number("leaseMillis")?.toLong() ?: 0,
+    weightsMillis = section?.number("weightsMillis")?.toLong() ?: 0,
+    applyMillis = section?.number("applyMillis")?.toLong() ?: 0,
 )
 
 private fun retries(section: TomlSection?): RetryBound = RetryBound(
     share = section?.number("share") ?: 0.0,
-    extra = section?.count("extra")?.toDouble() ?: 0.0,
+    extra = section?.number("extra") ?: 0.0,
     windowMillis = section?.milliseconds("windowSeconds")?.coerceAtLeast(1) ?: 1,
 )
 
 private fun cold(section: TomlSection?): ColdAllowance =
     ColdAllowance(overage = section?.number("overage") ?: 1.0, slack = section?.number("slack") ?: 0.0)
 
+private fun processors(section: TomlSection?): Double =
+    (section?.number("share", default = 1.0) ?: 1.0) * (section?.number("cores", default = 1.0) ?: 1.0)
+
+private fun seeds(root: TomlSection): List<SocketAddress> =
+    root.texts("seeds", default = emptyList(), expected = "addresses of the form host:port") {
+        SocketAddress.parse(it) != null
+    }.mapNotNull { SocketAddress.parse(it) }
+
 private fun TomlSection.milliseconds(key: String): Long = (number(key) * MILLIS_PER_SECOND).toLong()
 
 private fun TomlSection.address(key: String): SocketAddress {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ControlContext.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ControlContext.kt
@@ -18,6 +18,7 @@
 /** What the control loops share. */
 internal class ControlContext(
     val beliefs: Beliefs,
+    val membership: Membership,
     val client: ControlClient,
     val engines: EngineProtocol,
     val scope: CoroutineScope,
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/LoadLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/LoadLoop.kt
@@ -4,15 +4,15 @@
 import kotlinx.coroutines.launch
 import kotlinx.serialization.json.put
 import org.parsleymoor.core.EndpointId
-import org.parsleymoor.core.InstanceId
-import org.parsleymoor.core.rendezvousOrder
 import org.parsleymoor.entry.protocol.EngineReport
+import org.parsleymoor.relay.exchange.EngineAsks
+import org.parsleymoor.relay.exchange.News
 import org.parsleymoor.relay.fleet.EndpointState
 import org.parsleymoor.relay.fleet.EngineLoad
 
 /**
- * Asks engines for their load. Each engine is asked by the first instance in its rendezvous order, which tells the
- * others; the next in order asks when no report comes, so that no engine is asked by all instances.
+ * Asks engines for their load, as [EngineAsks] says, and tells the others what they answer, so that no engine is asked
+ * by all instances.
  */
 internal class LoadLoop(private val context: ControlContext, private val peers: Peers) {
     private val beliefs = context.beliefs
@@ -20,9 +20,8 @@
     private val scope = context.scope
     private val log = context.log
     private val clock = context.clock
+    private val asks = EngineAsks(context.membership.roster)
     private val asking = HashSet<EndpointId>()
-    private val ranks = HashMap<EndpointId, Int>()
-    private var rankedMembers: Set<InstanceId> = emptySet()
 
     /** Asks until the coroutine is cancelled. */
     suspend fun run() {
@@ -36,23 +35,8 @@
         }
     }
 
-    private fun isDue(state: EndpointState, nowMillis: Long): Boolean {
-        val id = state.entry.id
-        if (state.entry.weights.isEmpty() || id in asking) return false
-        val age = nowMillis - (state.engineLoad?.atMillis ?: 0)
-        return age >= PERIOD_MILLIS && age >= PERIOD_MILLIS + minOf(rank(id), LAST_RANK) * TAKEOVER_MILLIS
-    }
-
-    private fun rank(endpoint: EndpointId): Int {
-        val members = beliefs.members.orEmpty()
-        if (members != rankedMembers) {
-            rankedMembers = members
-            ranks.clear()
-        }
-        return ranks.getOrPut(endpoint) {
-            rendezvousOrder(endpoint.value, members + beliefs.self) { it.value }.indexOf(beliefs.self)
-        }
-    }
+    private fun isDue(state: EndpointState, nowMillis: Long): Boolean =
+        state.entry.weights.isNotEmpty() && state.entry.id !in asking && asks.isDue(state, nowMillis)
 
     private suspend fun ask(state: EndpointState) {
         val askedMillis = clock.nowMillis()
@@ -62,7 +46,12 @@
                 put("reason", reason)
             }
         }
-        if (report == null) delay(FAILED_MILLIS) else learn(state, report, askedMillis)
+        if (report == null) {
+            state.fellSilent(askedMillis)
+            peers.tell(News.Silent(state.entry.id, askedMillis))
+        } else {
+            learn(state, report, askedMillis)
+        }
         asking -= state.entry.id
     }
 
@@ -77,17 +66,14 @@
             memoryTotal = report.memoryTotal,
             atMillis = askedMillis,
         )
-        if (state.learnLoad(load)) peers.tell(state, load)
+        if (state.learnLoad(load)) {
+            val engineMillis = report.clockMillis?.let { beliefs.engineClock.at(askedMillis) }
+            peers.tell(News.Load(state.entry.id, load, state.allWeights, engineMillis))
+        }
     }
 
     private companion object {
         const val TICK_MILLIS = 50L
-
-        // Prompts take some hundred milliseconds to read; a report at this rate shows each of them.
-        const val PERIOD_MILLIS = 230L
-        const val TAKEOVER_MILLIS = 400L
-        const val LAST_RANK = 4
         const val CALL_MILLIS = 400L
-        const val FAILED_MILLIS = 300L
     }
 }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/MemberLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/MemberLoop.kt
@@ -1,7 +1,6 @@
 package org.parsleymoor.entry.control
 
 import com.github.michaelbull.result.getError
-import com.github.michaelbull.result.getOrElse
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
 import kotlinx.coroutines.delay
@@ -9,33 +8,39 @@
 import kotlinx.serialization.json.put
 import org.parsleymoor.core.Clock
 import org.parsleymoor.core.InstanceId
+import org.parsleymoor.core.ZoneId
 import org.parsleymoor.entry.log.DecisionLog
 import org.parsleymoor.entry.protocol.ObjectKind
 import org.parsleymoor.entry.protocol.StoredObject
 import org.parsleymoor.entry.serving.Beliefs
+import org.parsleymoor.relay.exchange.Member
 
 /**
- * Registers this instance in the object store and counts the others, for limits that all instances share. An instance
- * whose object has not changed for [LIFE_MILLIS] no longer counts; nothing else is decided by it.
+ * Registers this instance in the object store and counts the others, for limits that all instances share and for
+ * [membership]. An instance whose object has not changed for [LIFE_MILLIS], while the store could be read, no longer
+ * counts.
  */
 internal class MemberLoop(
     private val store: ObjectStore,
     private val beliefs: Beliefs,
-    private val address: String,
+    private val membership: Membership,
     private val log: DecisionLog,
     private val clock: Clock,
 ) {
     private val seen = HashMap<String, Seen>()
     private var beats = 0L
+    private var beatMillis: Long? = null
+    private var countedMillis: Long? = null
 
     /** Registers and counts until the coroutine is cancelled. */
     suspend fun run() {
+        var lists = 0
         while (true) {
-            register()
+            if (clock.nowMillis() - (beatMillis ?: Long.MIN_VALUE / 2) >= BEAT_MILLIS) register()
             store.list(ObjectKind.MEMBERS, inexpensive = true)
                 .onSuccess { count(it.items) }
                 .onFailure { failure -> log.write("members.unknown") { put("reason", failure.message) } }
-            delay(if (beats < EARLY_BEATS) EARLY_MILLIS else BEAT_MILLIS)
+            delay(if (lists++ < EARLY_LISTS) EARLY_MILLIS else BEAT_MILLIS)
         }
     }
 
@@ -46,19 +51,31 @@
 
     private suspend fun register() {
         beats++
-        val text = Json.encodeToString(MemberRecord.serializer(), MemberRecord(address, beats))
+        val self = membership.self
+        val record = MemberRecord(self.address, beats, self.zone.value, self.processors)
+        val text = Json.encodeToString(MemberRecord.serializer(), record)
         val replaced = store.replace(ObjectKind.MEMBERS, beliefs.self.value, text, revision = null)
-        if (replaced.getError() == StoreFailure.Absent) {
-            store.create(ObjectKind.MEMBERS, beliefs.self.value, text).getOrElse { cause ->
-                log.write("members.notRegistered") { put("reason", cause.message) }
-            }
+        val failure = if (replaced.getError() == StoreFailure.Absent) {
+            store.create(ObjectKind.MEMBERS, beliefs.self.value, text).getError()
+        } else {
+            replaced.getError()
+        }
+        if (failure == null) {
+            beatMillis = clock.nowMillis()
+        } else {
+            log.write("members.notRegistered") { put("reason", failure.message) }
         }
     }
 
     private fun count(items: List<StoredObject>) {
         val nowMillis = clock.nowMillis()
+        // While the store could not be read, no instance could show that it is alive.
+        val unreadMillis = countedMillis?.let { nowMillis - it - BEAT_MILLIS }?.coerceAtLeast(0) ?: 0
+        countedMillis = nowMillis
         items.forEach { item ->
-            if (seen[item.name]?.revision != item.revision) seen[item.name] = Seen(item.revision, nowMillis)
+            val known = seen[item.name]
+            val since = if (known?.revision == item.revision) known.sinceMillis + unreadMillis else nowMillis
+            seen[item.name] = Seen(item.revision, since)
         }
         seen.keys.retainAll(items.map { it.name }.toSet())
         val alive = seen.filterValues { nowMillis - it.sinceMillis < LIFE_MILLIS }.keys
@@ -67,11 +84,12 @@
             log.write("members.changed", always = true) { put("count", members.size) }
         }
         beliefs.members = members
-        beliefs.memberAddresses = items.filter { it.name in alive }.mapNotNull(::address).toMap()
+        membership.update(items.filter { it.name in alive }.mapNotNull(::member))
     }
 
-    private fun address(item: StoredObject): Pair<InstanceId, String>? = try {
-        InstanceId(item.name) to Json.decodeFromString(MemberRecord.serializer(), item.content).address
+    private fun member(item: StoredObject): Member? = try {
+        val record = RECORDS.decodeFromString(MemberRecord.serializer(), item.content)
+        Member(InstanceId(item.name), record.address, ZoneId(record.zone), record.processors)
     } catch (cause: IllegalArgumentException) {
         log.write("members.unreadable") {
             put("member", item.name)
@@ -88,7 +106,8 @@
         const val LIFE_MILLIS = 20_000L
 
         // Soon after a start the others have not registered yet.
-        const val EARLY_BEATS = 3
-        const val EARLY_MILLIS = 2_000L
+        const val EARLY_LISTS = 4
+        const val EARLY_MILLIS = 1_500L
+        val RECORDS = Json { ignoreUnknownKeys = true }
     }
 }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectStore.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectStore.kt
@@ -72,9 +72,14 @@
         return Ok(ObjectList(items, revision ?: 0))
     }
 
-    /** Waits up to [waitMillis] for changes of [kind] after [revision]. */
-    suspend fun watch(kind: ObjectKind, revision: Long, waitMillis: Long): Result<ObjectChanges, StoreFailure> =
-        call(protocol.watch(kind, revision, waitMillis), waitMillis + CALL_MILLIS)
+    /** Waits up to [waitMillis] for changes of [kind] after [revision], and [marginMillis] longer for the response. */
+    suspend fun watch(
+        kind: ObjectKind,
+        revision: Long,
+        waitMillis: Long,
+        marginMillis: Long = CALL_MILLIS,
+    ): Result<ObjectChanges, StoreFailure> =
+        call(protocol.watch(kind, revision, waitMillis), waitMillis + marginMillis)
             .andThen { answer -> protocol.changes(answer.body).mapError { StoreFailure.Unreadable(it) } }
 
     /** Reads an object. */
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectWatch.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectWatch.kt
@@ -9,9 +9,9 @@
 import org.parsleymoor.entry.protocol.ObjectKind
 import org.parsleymoor.entry.protocol.StoredObject
 
-/** Takes in what an [ObjectWatch] reads. */
+/** Takes in what an [ObjectWatch] learns. */
 internal interface ObjectListener {
-    /** The store answered; called before what it said. */
+    /** The objects are known to be current; called before what has changed. */
     fun onHeard() = Unit
 
     /** The store does not answer. */
@@ -24,100 +24,132 @@
     fun onChange(change: ObjectChange)
 }
 
+/** What the watches of an instance share. */
+internal class WatchContext(
+    val store: ObjectStore,
+    val duty: WatchDuty,
+    val log: DecisionLog,
+    val clock: Clock,
+    val access: StoreAccess = StoreAccess(clock),
+)
+
 /**
- * Follows the objects of one [kind]: reads the list, then waits for changes, and reads the list again when the history
- * is gone. A call that is not answered is repeated on another connection. Objects never go back to an older revision.
+ * Keeps the objects of one [kind]: reads the list, then follows the changes, either from the store itself, when
+ * [WatchContext.duty] says so, or from what peers tell. A call that is not answered is repeated on another connection.
+ * Objects never go back to an older revision.
  */
 internal class ObjectWatch(
-    private val kind: ObjectKind,
-    private val store: ObjectStore,
+    val kind: ObjectKind,
+    private val context: WatchContext,
     private val listener: ObjectListener,
-    private val log: DecisionLog,
-    private val clock: Clock,
 ) {
-    private val objects = LinkedHashMap<String, StoredObject>()
+    private val store = context.store
+    private val duty = context.duty
+    private val log = context.log
+    private val clock = context.clock
+    private val copy = ObjectCopy(listener)
     private var lostSinceMillis: Long? = null
-    private var revision: Long? = null
-    private var changedRevision = 0L
+    private var tryAtOnce = false
+
+    /** As of when the objects are known to be current, in milliseconds. */
+    var currentMillis: Long = Long.MIN_VALUE / 2
+        private set
 
-    /** Whether the store does not answer this instance, so that peers are asked. */
+    /** Whether the store does not answer, as far as this instance and its peers know. */
     val isLost: Boolean get() = lostSinceMillis != null
 
     /** Revision up to which the objects are known, or 0. */
-    val knownRevision: Long get() = revision ?: 0
+    val knownRevision: Long get() = copy.revision ?: 0
 
-    /** Returns the objects for a peer that knows them up to [haveRevision]; null when it has missed nothing. */
-    fun offer(haveRevision: Long): ObjectList? {
-        val known = revision ?: return null
-        return if (isLost || changedRevision <= haveRevision) null else ObjectList(objects.values.toList(), known)
-    }
+    /** Revision up to which the objects have changed, or 0. */
+    val changedRevision: Long get() = copy.changedRevision
 
-    /** Takes in what a peer offers while the store does not answer. */
-    fun accept(offer: ObjectList) {
-        if (!isLost || offer.revision <= knownRevision) return
-        log.write("objects.fromPeer", always = true) {
+    /** Returns what a peer that knows the objects up to [haveRevision] lacks, or null when it is not known here. */
+    fun offer(haveRevision: Long): ObjectOffer? = copy.offer(haveRevision)
+
+    /** Takes in what a peer offers. */
+    fun accept(offer: ObjectOffer) {
+        val taken = copy.accept(offer)
+        if (!taken) return
+        log.write("objects.fromPeer") {
             put("kind", kind.name)
             put("revision", offer.revision)
+            put("changes", offer.objects.size + offer.removed.size)
         }
-        takeList(offer)
-    }
-
-    private fun takeList(list: ObjectList) {
-        if (list.revision < knownRevision) return
-        objects.clear()
-        list.items.associateByTo(objects) { it.name }
-        revision = list.revision
-        changedRevision = list.revision
-        listener.onList(list.items)
     }
 
-    private fun takeChange(change: ObjectChange) {
-        val known = objects[change.value.name]
-        if (known != null && change.value.revision < known.revision) return
-        changedRevision = maxOf(changedRevision, change.value.revision)
-        if (change.removed) objects -= change.value.name else objects[change.value.name] = change.value
-        listener.onChange(change)
+    /**
+     * Takes in that a peer's objects are complete up to [changedRevision] and were current at [atMillis], and whether
+     * the store does not answer it; returns whether this instance lacks changes.
+     */
+    fun told(changedRevision: Long, atMillis: Long, lost: Boolean): Boolean {
+        val lacks = copy.revision == null || changedRevision > knownRevision
+        when {
+            lacks -> Unit
+            atMillis > currentMillis && !lost -> heard(atMillis)
+            lost && !duty.follows && atMillis >= currentMillis - TOLD_MILLIS -> {
+                context.access.failed()
+                lost("a peer has no answer from the store")
+            }
+        }
+        return lacks
     }
 
-    /** Follows the objects until the coroutine is cancelled. */
+    /** Keeps the objects until the coroutine is cancelled. */
     suspend fun run() {
         while (true) {
-            val list = store.list(kind).getOrElse { failure ->
-                lost(failure)
-                null
-            }
-            if (list == null) {
-                delay(RETRY_MILLIS)
+            val due = copy.revision == null || duty.isDue(currentMillis)
+            if (due && context.access.mayCall(kind, duty.follows)) {
+                if (copy.revision == null) readList() else readChanges()
             } else {
-                heard()
-                takeList(list)
-                follow()
+                // An instance that begins to read the store, or begins again, wants to know at once where it stands.
+                tryAtOnce = true
+                delay(IDLE_MILLIS)
             }
         }
     }
 
-    private suspend fun follow() {
-        while (true) {
-            val changes = store.watch(kind, knownRevision, WAIT_MILLIS).getOrElse { failure ->
-                if (failure == StoreFailure.HistoryGone || failure is StoreFailure.Unreadable) {
-                    log.write("store.relist", always = true) {
-                        put("kind", kind.name)
-                        put("revision", knownRevision)
-                        put("reason", failure.message)
-                    }
-                    return
+    private suspend fun readList() {
+        val list = store.list(kind).getOrElse { failure ->
+            failed(failure)
+            return
+        }
+        answered()
+        copy.replace(list)
+    }
+
+    private suspend fun readChanges() {
+        val waitMillis = if (tryAtOnce) AT_ONCE_MILLIS else duty.waitMillis
+        tryAtOnce = false
+        val changes = store.watch(kind, knownRevision, waitMillis, duty.marginMillis).getOrElse { failure ->
+            if (failure == StoreFailure.HistoryGone || failure is StoreFailure.Unreadable) {
+                log.write("store.relist", always = true) {
+                    put("kind", kind.name)
+                    put("revision", knownRevision)
+                    put("reason", failure.message)
                 }
-                lost(failure)
-                delay(RETRY_MILLIS)
-                null
-            } ?: continue
-            heard()
-            changes.changes.forEach(::takeChange)
-            revision = maxOf(knownRevision, changes.revision)
+                readList()
+            } else {
+                failed(failure)
+            }
+            return
         }
+        answered()
+        copy.apply(changes)
+    }
+
+    private fun answered() {
+        context.access.answered()
+        heard(clock.nowMillis())
+    }
+
+    private fun failed(failure: StoreFailure) {
+        context.access.failed()
+        tryAtOnce = true
+        lost(failure.message)
     }
 
-    private fun heard() {
+    private fun heard(atMillis: Long) {
         lostSinceMillis?.let { since ->
             log.write("store.regained", always = true) {
                 put("kind", kind.name)
@@ -125,26 +157,26 @@
             }
         }
         lostSinceMillis = null
+        currentMillis = maxOf(currentMillis, atMillis)
         listener.onHeard()
     }
 
-    private fun lost(failure: StoreFailure) {
+    private fun lost(reason: String) {
         if (lostSinceMillis == null) {
             lostSinceMillis = clock.nowMillis()
             log.write("store.lost", always = true) {
                 put("kind", kind.name)
-                put("reason", failure.message)
+                put("reason", reason)
             }
         }
         listener.onLost()
     }
 
     private companion object {
-        // A connection that falls silent is noticed a second after this, within the four seconds after which an
-        // instance counts as in touch again.
-        const val WAIT_MILLIS = 2_000L
+        const val IDLE_MILLIS = 60L
+        const val AT_ONCE_MILLIS = 10L
 
-        // Between two calls to a store that does not answer.
-        const val RETRY_MILLIS = 200L
+        // Two instances that the store answered last within this time have the same word of it.
+        const val TOLD_MILLIS = 300L
     }
 }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/RolloutLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/RolloutLoop.kt
@@ -5,9 +5,11 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.serialization.json.put
+import org.parsleymoor.core.InstanceId
 import org.parsleymoor.core.rendezvousOrder
 import org.parsleymoor.entry.protocol.EngineReport
 import org.parsleymoor.entry.protocol.WeightOrder
+import org.parsleymoor.relay.exchange.News
 import org.parsleymoor.relay.fleet.EndpointState
 import org.parsleymoor.relay.http.HttpStatus
 import org.parsleymoor.relay.placement.NamedWeights
@@ -27,6 +29,8 @@
     private val clock = context.clock
     private val plan = RolloutPlan(quietMillis = lease.quietMillis)
     private var wantedSinceMillis: Long? = null
+    private var turnMembers: Set<InstanceId> = emptySet()
+    private var turnMillis = 0L
 
     /** Gives orders until the coroutine is cancelled. */
     suspend fun run() {
@@ -40,7 +44,8 @@
         val nowMillis = clock.nowMillis()
         val due = plan.outdated(beliefs.endpoints, beliefs.weights)
         wantedSinceMillis = if (due.isEmpty()) null else wantedSinceMillis ?: nowMillis
-        val wanted = wantedSinceMillis?.let { nowMillis - it >= turnMillis() } ?: false
+        val quietSinceMillis = beliefs.othersOrderedMillis?.let { it + OTHERS_SILENT_MILLIS } ?: Long.MIN_VALUE
+        val wanted = wantedSinceMillis?.let { nowMillis - maxOf(it, quietSinceMillis) >= turnMillis() } ?: false
         lease.tick(wanted || lease.held() != null && plan.recentlyActive(nowMillis))
         if (lease.held() == null) return
         plan.next(beliefs.endpoints, beliefs.weights, nowMillis).forEach { (state, named) ->
@@ -49,11 +54,17 @@
         }
     }
 
-    /** Instances want the lease one after the other, so that not all of them write it at once. */
+    /**
+     * Instances want the lease one after the other, and while none is heard to give orders: each that wants it reads it
+     * several times a second.
+     */
     private fun turnMillis(): Long {
         val members = beliefs.members.orEmpty() + beliefs.self
-        val rank = rendezvousOrder("orders", members) { it.value }.indexOf(beliefs.self)
-        return minOf(rank * TURN_MILLIS, LAST_TURN_MILLIS)
+        if (members != turnMembers) {
+            turnMembers = members
+            turnMillis = rendezvousOrder("orders", members) { it.value }.indexOf(beliefs.self) * TURN_MILLIS
+        }
+        return turnMillis
     }
 
     private suspend fun bring(state: EndpointState, named: NamedWeights) {
@@ -80,7 +91,7 @@
     private suspend fun loadStep(state: EndpointState, named: NamedWeights): LoadStep {
         val report = report(state)
         report?.weights?.forEach { (model, version) -> state.learnWeights(model, version) }
-        state.engineLoad?.let { peers.tell(state, it) }
+        state.engineLoad?.let { peers.tell(News.Load(state.entry.id, it, state.allWeights)) }
         return when {
             report == null -> LoadStep.GIVEN_UP
             (report.weights[named.model] ?: 0) >= named.version -> LoadStep.LOADED
@@ -131,8 +142,8 @@
         const val TICK_MILLIS = 60L
         const val TURN_MILLIS = 120L
 
-        // Beyond this rank instances differ by less than a round trip to the store anyway.
-        const val LAST_TURN_MILLIS = 1_500L
+        // A holder tells of its orders several times in this time.
+        const val OTHERS_SILENT_MILLIS = 1_000L
         const val REPORT_MILLIS = 500L
         const val ORDER_MILLIS = 600L
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/StoreCacheLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/StoreCacheLoop.kt
@@ -16,21 +16,26 @@
 import org.parsleymoor.entry.serving.cacheStores
 import org.parsleymoor.entry.serving.oldestWeights
 import org.parsleymoor.relay.cache.CachedPart
+import org.parsleymoor.relay.cache.CandidateStore
+import org.parsleymoor.relay.exchange.News
+import org.parsleymoor.relay.exchange.StoreReads
 import org.parsleymoor.relay.fleet.SocketAddress
 import org.parsleymoor.relay.http.HttpStatus
 import org.parsleymoor.relay.prompt.namespaceWeights
 
 /**
- * Follows what the KV cache stores hold. One instance also frees what no engine can use any more, because managed
+ * Follows what the KV cache stores hold: reads the events of some, as [StoreReads] says, and is told those of the
+ * others by peers. One instance also frees what no engine can use any more, because managed
  * stores drop nothing by themselves and are full of older weights after a rollout.
  */
-internal class StoreCacheLoop(private val context: ControlContext) {
+internal class StoreCacheLoop(private val context: ControlContext, private val peers: Peers) {
     private val beliefs = context.beliefs
     private val client = context.client
     private val engines = context.engines
     private val scope = context.scope
     private val log = context.log
     private val clock = context.clock
+    private val reads = StoreReads(context.membership.roster)
     private val followers = HashMap<SocketAddress, Job>()
     private var oldestWeights: Map<ModelId, Long?> = emptyMap()
     private var oldestSinceMillis = 0L
@@ -38,28 +43,43 @@
     /** Follows the stores of the configuration in force until the coroutine is cancelled. */
     suspend fun run() {
         while (true) {
-            val wanted = beliefs.cacheStores.map { it.address }.toSet()
-            (followers.keys - wanted).toList().forEach { followers.remove(it)?.cancel() }
-            (wanted - followers.keys).forEach { followers[it] = scope.launch { follow(it) } }
+            val wanted = beliefs.cacheStores.associateBy { it.address }
+            (followers.keys - wanted.keys).toList().forEach { followers.remove(it)?.cancel() }
+            (wanted - followers.keys).forEach { (address, store) ->
+                followers[address] = scope.launch { follow(store) }
+            }
             freeUnusable()
             delay(RECONCILE_MILLIS)
         }
     }
 
-    private suspend fun follow(store: SocketAddress) {
+    private suspend fun follow(store: CandidateStore) {
+        val address = store.address
         while (scope.isActive) {
-            val position = beliefs.stores.position(store)
-            val answered = if (position == null) list(store) else events(store, position)
-            if (!answered) {
-                beliefs.stores.lost(store)
-                delay(RETRY_MILLIS)
+            val heardMillis = beliefs.storeNewsMillis[address]
+            if (reads.isDue(address.toString(), store.traits.zone, heardMillis, clock.nowMillis())) {
+                read(address)
+            } else {
+                delay(IDLE_MILLIS)
             }
         }
     }
 
+    private suspend fun read(store: SocketAddress) {
+        val position = beliefs.stores.position(store)
+        val answered = if (position == null) list(store) else events(store, position)
+        beliefs.storeNewsMillis[store] = clock.nowMillis()
+        if (!answered) {
+            beliefs.stores.lost(store)
+            peers.tell(News.StoreLost(store))
+            delay(RETRY_MILLIS)
+        }
+    }
+
     private suspend fun list(store: SocketAddress): Boolean {
         val contents = call(store, engines.contents(), CALL_MILLIS, engines::contents) ?: return false
         beliefs.stores.listed(store, contents.epoch, contents.position, contents.changes)
+        peers.tell(News.StoreEvents(store, contents.epoch, contents.position, contents.position, emptyList()))
         log.write("cacheStore.listed") {
             put("store", store.toString())
             put("epoch", contents.epoch)
@@ -72,7 +92,11 @@
         val events = call(store, engines.events(position, WAIT_MILLIS), WAIT_MILLIS + CALL_MILLIS, engines::events)
             ?: return false
         val joined = beliefs.stores.changed(store, events.epoch, events.position, events.gap, events.changes)
-        if (!joined) log.write("cacheStore.gap") { put("store", store.toString()) }
+        if (joined) {
+            peers.tell(News.StoreEvents(store, events.epoch, position, events.position, events.changes))
+        } else {
+            log.write("cacheStore.gap") { put("store", store.toString()) }
+        }
         // A call that returns at once is charged as a probe.
         if (events.changes.isNotEmpty()) delay(PACE_MILLIS)
         return true
@@ -137,6 +161,7 @@
     private companion object {
         const val RECONCILE_MILLIS = 1_000L
         const val RETRY_MILLIS = 600L
+        const val IDLE_MILLIS = 200L
         const val CALL_MILLIS = 1_000L
         const val WAIT_MILLIS = 1_000L
         const val PACE_MILLIS = 300L
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Beliefs.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Beliefs.kt
@@ -9,6 +9,7 @@
 import org.parsleymoor.relay.fleet.EndpointState
 import org.parsleymoor.relay.fleet.EndpointTable
 import org.parsleymoor.relay.fleet.SentPrompt
+import org.parsleymoor.relay.fleet.SocketAddress
 import org.parsleymoor.relay.placement.NamedWeights
 import org.parsleymoor.relay.routing.RouteTable
 
@@ -29,8 +30,8 @@
     /** Instances that run, this one included; null before the list has been read. */
     var members: Set<InstanceId>? = null
 
-    /** Where the members listen for peers. */
-    var memberAddresses: Map<InstanceId, String> = emptyMap()
+    /** When another instance was last heard to give orders to an engine, or null. */
+    var othersOrderedMillis: Long? = null
 
     /** Called with each prompt that this instance sends to an engine. */
     var onSent: (EndpointId, SentPrompt) -> Unit = { _, _ -> }
@@ -56,6 +57,9 @@
     /** What the KV cache stores hold. */
     val stores = StoreDirectory()
 
+    /** When this instance or a peer last had an answer from each KV cache store. */
+    val storeNewsMillis = HashMap<SocketAddress, Long>()
+
     /** Number of instances by which shared limits are divided. */
     val instances: Int get() = members?.size ?: UNKNOWN_INSTANCES
 
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/ControlLoopsTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/ControlLoopsTest.kt
@@ -11,16 +11,21 @@
 import org.parsleymoor.core.Incarnation
 import org.parsleymoor.core.InstanceId
 import org.parsleymoor.core.PauseDetector
+import org.parsleymoor.core.ZoneId
 import org.parsleymoor.entry.control.MemberLoop
-import org.parsleymoor.entry.control.ObjectList
+import org.parsleymoor.entry.control.Membership
 import org.parsleymoor.entry.control.ObjectListener
+import org.parsleymoor.entry.control.ObjectOffer
 import org.parsleymoor.entry.control.ObjectWatch
 import org.parsleymoor.entry.control.OrderLease
+import org.parsleymoor.entry.control.WatchContext
+import org.parsleymoor.entry.control.WatchDuty
 import org.parsleymoor.entry.log.DecisionLog
 import org.parsleymoor.entry.protocol.ObjectChange
 import org.parsleymoor.entry.protocol.ObjectKind
 import org.parsleymoor.entry.protocol.StoredObject
 import org.parsleymoor.entry.serving.Beliefs
+import org.parsleymoor.relay.exchange.Member
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
 import strikt.assertions.containsExactlyInAnyOrder
@@ -36,6 +41,7 @@
 class ControlLoopsTest {
     private val memory = MemoryStore()
     private val seen = Seen()
+    private val membership = Membership(Member(InstanceId("self"), "h:2", ZoneId("a")))
     private var suspendedMillis = 0L
 
     @Test
@@ -54,23 +60,23 @@
         expectThat(seen.names).containsExactlyInAnyOrder("b", "c")
     }
 
-    // An instance that the store does not answer would go on with what it knew, however old.
+    // An instance that the store does not answer would go on with what it knew, however old, or go back to older.
     @Test
-    fun `while the store does not answer, the objects of a peer are taken in when they are newer`() = loops {
+    fun `the objects of a peer are taken in when they are newer and ignored when they are older`() = loops {
         memory.put(ObjectKind.ENDPOINTS, "a", "1")
         val watch = watch(this)
         backgroundScope.launch { watch.run() }
         advanceTimeBy(100)
         val known = watch.knownRevision
-        watch.accept(ObjectList(listOf(StoredObject("early", known + 5, "1")), known + 5))
-        expectThat(seen.names).containsExactly("a")
         memory.silent = true
         advanceTimeBy(10_000)
         expectThat(watch.isLost).isTrue()
         expectThat(seen.lost).isGreaterThan(0)
-        watch.accept(ObjectList(listOf(StoredObject("older", known - 1, "1")), known - 1))
+        watch.accept(ObjectOffer(known - 1, listOf(StoredObject("older", known - 1, "1"))))
+        expectThat(seen.names).containsExactly("a")
+        watch.accept(ObjectOffer(known, listOf(StoredObject("same", known, "1"))))
         expectThat(seen.names).containsExactly("a")
-        watch.accept(ObjectList(listOf(StoredObject("b", known + 9, "1")), known + 9))
+        watch.accept(ObjectOffer(known + 9, listOf(StoredObject("b", known + 9, "1"))))
         expectThat(seen.names).containsExactly("b")
     }
 
@@ -79,7 +85,7 @@
     fun `an instance whose object does not change for twenty seconds no longer counts`() = loops {
         memory.put(ObjectKind.MEMBERS, "gone", "{\"address\":\"h:1\",\"beats\":1}")
         val beliefs = Beliefs(InstanceId("self"))
-        val loop = MemberLoop(memory.store, beliefs, "h:2", log(this), clock(this))
+        val loop = MemberLoop(memory.store, beliefs, membership, log(this), clock(this))
         backgroundScope.launch { loop.run() }
         advanceTimeBy(1_000)
         expectThat(beliefs.instances).isEqualTo(2)
@@ -147,8 +153,10 @@
     private fun log(scope: TestScope) =
         DecisionLog(clock(scope), "test", PrintStream(OutputStream.nullOutputStream()))
 
-    private fun watch(scope: TestScope) =
-        ObjectWatch(ObjectKind.ENDPOINTS, memory.store, seen, log(scope), clock(scope))
+    private fun watch(scope: TestScope): ObjectWatch {
+        val duty = WatchDuty(membership.tree, clock(scope), applyMillis = 5_000)
+        return ObjectWatch(ObjectKind.ENDPOINTS, WatchContext(memory.store, duty, log(scope), clock(scope)), seen)
+    }
 
     private fun lease(name: String, scope: TestScope) = OrderLease(
         Incarnation(InstanceId(name), 1),
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
@@ -113,7 +113,7 @@
             zones = mapOf(ZoneId("a") to RegionId("north")),
             listen = ListenAddresses(address, address, address, address),
             objectStore = address,
-            times = EntryTimes(graceMillis = 8_000, leaseMillis = 3_000, weightsMillis = 10_000),
+            times = EntryTimes(graceMillis = 8_000, leaseMillis = 3_000, weightsMillis = 10_000, applyMillis = 5_000),
             retries = RetryBound(share = 1.0, extra = 100.0, windowMillis = 10_000),
             cold = ColdAllowance(overage = 1.5, slack = 5.0),
         )
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/SharedBeliefsTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/SharedBeliefsTest.kt
@@ -5,14 +5,17 @@
 import org.parsleymoor.core.InstanceId
 import org.parsleymoor.core.ModelId
 import org.parsleymoor.core.ZoneId
-import org.parsleymoor.entry.control.digest
 import org.parsleymoor.entry.control.learn
+import org.parsleymoor.entry.control.news
+import org.parsleymoor.entry.control.toMessage
 import org.parsleymoor.entry.serving.Beliefs
 import org.parsleymoor.entry.serving.oldestWeights
-import org.parsleymoor.peering.SentPromptDigest
 import org.parsleymoor.relay.cache.ContextKey
+import org.parsleymoor.relay.exchange.News
+import org.parsleymoor.relay.exchange.PassOn
 import org.parsleymoor.relay.fleet.EndpointEntry
 import org.parsleymoor.relay.fleet.EngineLoad
+import org.parsleymoor.relay.fleet.SentPrompt
 import org.parsleymoor.relay.fleet.SocketAddress
 import org.parsleymoor.relay.routing.CallerLimits
 import org.parsleymoor.relay.routing.EngineTraits
@@ -33,7 +36,7 @@
     fun `the weights of an engine reach an instance with the load that a peer has read`() {
         val engine = engine("e", weights = 1)
         val load = EngineLoad(1, 0, 0, memoryUsed = 10, memoryTotal = 100, atMillis = 1_000)
-        beliefs.learn(load.digest(engine, mapOf(model to 2L), nowMillis = 1_050), nowMillis = 5_000)
+        told(News.Load(engine, load, mapOf(model to 2L)), sentMillis = 1_050, arrivedMillis = 5_000)
         expectThat(beliefs.endpoints[engine]?.weights(model)).isEqualTo(2L)
         expectThat(beliefs.endpoints[engine]?.engineLoad?.atMillis).isEqualTo(4_950L)
     }
@@ -42,11 +45,32 @@
     fun `a context that a peer has sent to an engine is expected there`() {
         val engine = engine("e", weights = 1)
         val key = ContextKey.of("space", "part")
-        beliefs.learn(SentPromptDigest(engine, 100, 100, key.hash, ageMillis = 50), nowMillis = 1_000)
+        val prompt = SentPrompt(atMillis = 950, tokens = 100, tokensToRead = 100, context = key)
+        told(News.Sent(InstanceId("peer"), engine, prompt), sentMillis = 1_000, arrivedMillis = 1_000)
         val state = beliefs.endpoints[engine]!!
         expectThat(beliefs.contexts.heldShare(key, state.start, 1_000)).isGreaterThan(0.5)
     }
 
+    // A report that was read before a rollout ended may arrive after it, and prompts would expect the older weights.
+    @Test
+    fun `weights that a peer read earlier do not replace newer ones`() {
+        val engine = engine("e", weights = 1)
+        val load = EngineLoad(1, 0, 0, memoryUsed = 10, memoryTotal = 100, atMillis = 1_000)
+        told(News.Load(engine, load, mapOf(model to 3L)), sentMillis = 1_000, arrivedMillis = 1_010)
+        told(News.Load(engine, load.copy(atMillis = 900), mapOf(model to 2L)), sentMillis = 1_000, arrivedMillis = 1_020)
+        expectThat(beliefs.endpoints[engine]?.weights(model)).isEqualTo(3L)
+    }
+
+    // An instance that gets its own prompt back from a hub would count it twice.
+    @Test
+    fun `a prompt that comes back from a hub is not counted again`() {
+        val engine = engine("e", weights = 1)
+        val key = ContextKey.of("space", "part")
+        val prompt = SentPrompt(atMillis = 950, tokens = 100, tokensToRead = 100, context = key)
+        told(News.Sent(beliefs.self, engine, prompt), sentMillis = 1_000, arrivedMillis = 1_000)
+        expectThat(beliefs.contexts.heldShare(key, beliefs.endpoints[engine]!!.start, 1_000)).isEqualTo(0.0)
+    }
+
     // Parts are freed that are older than these weights: a guess would free what an engine still fetches.
     @Test
     fun `the oldest weights are those of the engine that is furthest behind, and unknown with one engine's`() {
@@ -57,6 +81,11 @@
         expectThat(beliefs.oldestWeights(model)).isNull()
     }
 
+    private fun told(news: News, sentMillis: Long, arrivedMillis: Long) {
+        listOf(news).toMessage(PassOn.NOBODY, sentMillis).news(arrivedMillis)
+            .forEach { beliefs.learn(it, arrivedMillis) }
+    }
+
     private fun engine(name: String, weights: Long?): EndpointId {
         val entry = EndpointEntry(
             id = EndpointId(name),
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/PeerControl.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/PeerControl.kt
@@ -110,7 +110,8 @@
                 configuration?.handle(SpreadEvent.PeerOffers(peer, root, message.sections))
             }
             is PeerMessage.Hello, is PeerMessage.CacheDigest, is PeerMessage.OfExchange,
-            is PeerMessage.EngineLoads, is PeerMessage.ObjectsWanted, is PeerMessage.ObjectsOffered,
+            is PeerMessage.InstanceNews, is PeerMessage.ObjectsWanted, is PeerMessage.ObjectsOffered,
+            is PeerMessage.CacheContentsWanted, is PeerMessage.CacheContentsOffered,
             ->
                 logger.debug { "$peer: ${message::class.simpleName} is not used" }
         }
