Follow the object store with three instances and group its changes

Change: three followers in different zones; a pause of 120 ms after changes; members are created with one call.

--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/exchange/PeerTree.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/exchange/PeerTree.kt
@@ -35,6 +35,7 @@
         val all = members.filter { it.id != self.id } + self
         direct = all.size <= DIRECT_INSTANCES
         zones = all.groupBy { it.zone }.mapValues { (_, inZone) -> inZone.sortedWith(HUB_ORDER) }
+        followsStore = followers().any { it.id == self.id }
     }
 
     /** Returns the members to keep connections to; [connected] are those that there is a connection to. */
@@ -67,14 +68,18 @@
     }
 
     /**
-     * This instance's place, 0 first, among those of its availability zone in the order in which they follow the object
-     * store for the others.
+     * This instance's place, 0 first, in the order in which the instances of its availability zone take over reading the
+     * object store.
      */
     public val rank: Int get() = zones[self.zone].orEmpty().indexOfFirst { it.id == self.id }.coerceAtLeast(0)
 
     /** Whether this instance follows the object store for the others. */
-    public val followsStore: Boolean
-        get() = rank < maxOf(1, (STORE_FOLLOWERS + zones.size - 1) / zones.size)
+    public var followsStore: Boolean = true
+        private set
+
+    /** The first of each zone come before the second of any, so that followers are spread over the zones. */
+    private fun followers(): List<Member> = zones.entries.sortedBy { it.key.value.stableHash() }
+        .flatMap { (_, inZone) -> inZone.withIndex() }.sortedBy { it.index }.take(STORE_FOLLOWERS).map { it.value }
 
     private fun hubs(zone: ZoneId, nowMillis: Long): List<Member> =
         zones[zone].orEmpty().filter { nowMillis >= (avoidedUntilMillis[it.id] ?: Long.MIN_VALUE) }.take(HUBS)
@@ -83,13 +88,13 @@
         zones[zone].orEmpty().firstOrNull { it.id in connected }?.id
 
     private companion object {
-        // Up to here a message to every other instance costs each of them about a hundredth of a core.
-        const val DIRECT_INSTANCES = 24
+        // Up to here a message to every other instance costs each of them less than the second hop through a hub.
+        const val DIRECT_INSTANCES = 12
 
         // One passes news on, the other takes its place as soon as it falls silent.
         const val HUBS = 2
 
-        // The store is followed by one instance a zone, and by three where there are fewer zones.
+        // Each pays for its calls; two may fail before others have to notice and take over.
         const val STORE_FOLLOWERS = 3
 
         // Connecting takes a round trip, and a second at most.
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/MemberLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/MemberLoop.kt
@@ -54,12 +54,7 @@
         val self = membership.self
         val record = MemberRecord(self.address, beats, self.zone.value, self.processors)
         val text = Json.encodeToString(MemberRecord.serializer(), record)
-        val replaced = store.replace(ObjectKind.MEMBERS, beliefs.self.value, text, revision = null)
-        val failure = if (replaced.getError() == StoreFailure.Absent) {
-            store.create(ObjectKind.MEMBERS, beliefs.self.value, text).getError()
-        } else {
-            replaced.getError()
-        }
+        val failure = if (beatMillis == null) createOrReplace(text) else replaceOrCreate(text)
         if (failure == null) {
             beatMillis = clock.nowMillis()
         } else {
@@ -67,6 +62,19 @@
         }
     }
 
+    private suspend fun createOrReplace(text: String): StoreFailure? {
+        val failure = store.create(ObjectKind.MEMBERS, beliefs.self.value, text).getError()
+        return if (failure is StoreFailure.Conflict) replace(text) else failure
+    }
+
+    private suspend fun replaceOrCreate(text: String): StoreFailure? {
+        val failure = replace(text)
+        return if (failure == StoreFailure.Absent) createOrReplace(text) else failure
+    }
+
+    private suspend fun replace(text: String): StoreFailure? =
+        store.replace(ObjectKind.MEMBERS, beliefs.self.value, text, revision = null).getError()
+
     private fun count(items: List<StoredObject>) {
         val nowMillis = clock.nowMillis()
         // While the store could not be read, no instance could show that it is alive.
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectWatch.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectWatch.kt
@@ -136,6 +136,8 @@
         }
         answered()
         copy.apply(changes)
+        // Changes come in groups, and each call is charged.
+        if (changes.changes.isNotEmpty()) delay(GROUP_MILLIS)
     }
 
     private fun answered() {
@@ -175,6 +177,7 @@
     private companion object {
         const val IDLE_MILLIS = 60L
         const val AT_ONCE_MILLIS = 10L
+        const val GROUP_MILLIS = 120L
 
         // Two instances that the store answered last within this time have the same word of it.
         const val TOLD_MILLIS = 300L
