Wake the control loops of an instance together; test spread and shared watches

Ruled out: longer periods alone, which make loads older. Change: ControlTicks, one loop for all cache stores, ranks of ColdShare worked out once for each set of members. Tests: NewsSpreadTest drives the decisions with 9 to 300 instances; it found that with one engine dark 95 instances asked it 487 times in ten seconds (EngineAsks now waits for its turn after silence too). SharedWatchTest, ObjectCopyTest, EntrySettingsTest.

--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/cache/StoreChoice.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/cache/StoreChoice.kt
@@ -48,10 +48,18 @@
         side: TransferSide,
         stores: List<CandidateStore>,
         allowedRegions: List<Set<RegionId>>,
-    ): CandidateStore? = permitted(stores, allowedRegions)
-        .filter { directory.holds(it.address, side.namespace, part) }
+    ): CandidateStore? = holders(part, side.namespace, stores, allowedRegions)
         .minByOrNull { transferMillis(it, side, part.tokens) }
 
+    /** Returns those of [stores] that hold [part] of [namespace] whole and may be used in [allowedRegions]. */
+    public fun holders(
+        part: PromptPart,
+        namespace: String,
+        stores: List<CandidateStore>,
+        allowedRegions: List<Set<RegionId>>,
+    ): List<CandidateStore> =
+        permitted(stores, allowedRegions).filter { directory.holds(it.address, namespace, part) }
+
     /** Returns the store to save [part] to, or null when a store of the region holds it or none has room. */
     public fun target(
         part: PromptPart,
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/exchange/EngineAsks.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/exchange/EngineAsks.kt
@@ -14,21 +14,23 @@
         if (loadAge < PERIOD_MILLIS) return false
         val engine = state.entry.id.value
         val zone = state.entry.zone
+        val silentAge = nowMillis - state.silentMillis
         val isTurn = (loadAge / TURN_MILLIS % TURNS).toInt() == roster.rank(engine, zone)
-        return when {
-            nowMillis - state.silentMillis < (if (isTurn) PERIOD_MILLIS else SILENT_PERIOD_MILLIS) -> false
-            isTurn -> true
-            else -> loadAge >= PERIOD_MILLIS + roster.waitMillis(engine, zone)
+        val waitMillis = roster.waitMillis(engine, zone)
+        return if (isTurn) {
+            silentAge >= PERIOD_MILLIS
+        } else {
+            loadAge >= PERIOD_MILLIS + waitMillis && silentAge >= SILENT_PERIOD_MILLIS + waitMillis
         }
     }
 
-    public companion object {
+    private companion object {
         // Prompts take some hundred milliseconds to read; a report at this rate shows each of them.
-        private const val PERIOD_MILLIS = 230L
+        const val PERIOD_MILLIS = 230L
 
         // An engine that crashed is back after a second or more.
-        private const val SILENT_PERIOD_MILLIS = 700L
-        private const val TURN_MILLIS = 1_000L
-        private const val TURNS = 4
+        const val SILENT_PERIOD_MILLIS = 700L
+        const val TURN_MILLIS = 1_000L
+        const val TURNS = 4
     }
 }
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/limits/ColdShare.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/limits/ColdShare.kt
@@ -21,8 +21,14 @@
  */
 public class ColdShare(private val self: InstanceId) {
     private val sent = HashMap<EndpointId, ArrayDeque<Long>>()
+    private val ranks = HashMap<EndpointId, Int>()
+    private var ranked: Set<InstanceId>? = null
+    private var all: Set<InstanceId> = setOf(self)
 
-    /** Takes a request to [endpoint] from this instance's part; returns false, and takes nothing, when it is spent. */
+    /**
+     * Takes a request to [endpoint] from this instance's part; returns false, and takes nothing, when it is spent. The
+     * order of [members], an immutable set, is worked out once for each set.
+     */
     public fun tryTake(
         endpoint: EndpointId,
         bound: ColdBound,
@@ -39,12 +45,17 @@
     /** Forgets endpoints other than [known]. */
     public fun retain(known: Set<EndpointId>) {
         sent.keys.retainAll(known)
+        ranks.keys.retainAll(known)
     }
 
     private fun part(endpoint: EndpointId, bound: ColdBound, members: Set<InstanceId>): Int {
-        val all = members + self
+        if (members !== ranked) {
+            ranked = members
+            all = members + self
+            ranks.clear()
+        }
         val total = (bound.total * CERTAIN_SHARE).toInt()
-        val rank = rendezvousOrder(endpoint.value, all) { it.value }.indexOf(self)
+        val rank = ranks.getOrPut(endpoint) { rendezvousOrder(endpoint.value, all) { it.value }.indexOf(self) }
         return total / all.size + if (rank < total % all.size) 1 else 0
     }
 
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/EnginePlacement.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/EnginePlacement.kt
@@ -92,10 +92,12 @@
     ): EnginePlace {
         val (request, prompt, named) = wanted
         val home = rendezvousOrder(prompt.affinityKey, candidates) { it.entry.id.value }.first()
+        val heldShares = allowed.associateWith { wanted.heldShare(it) }
+        val read = prompt.sharedTokens / settings.prefillTokensPerMilli
         val costs = candidates.map { state ->
-            val read = prompt.sharedTokens / settings.prefillTokensPerMilli
             val obtain = wanted.fetchMillis(state)?.let { minOf(it + FETCH_SETUP_MILLIS, read) } ?: read
-            val missShare = 1 - maxOf(wanted.heldShare(state), if (state === home) settings.homeHitShare else 0.0)
+            val heldShare = heldShares.getValue(state)
+            val missShare = 1 - maxOf(heldShare, if (state === home) settings.homeHitShare else 0.0)
             Candidate(state, missShare * obtain + firstTokenMillis(state, wanted, nowMillis), missShare * obtain)
         }
         val (chosen, estimate) = draw(costs) { (state, millis, reading) ->
@@ -106,8 +108,9 @@
             val later = (estimate - request.objectiveMillis / 2).toLong().coerceIn(RETRY_RANGE_MILLIS)
             return EnginePlace(Place.Nowhere(NoPlaceReason.OVERLOADED, later))
         }
-        val holder = allowed.filter { it.weights(prompt.model) == weights }.maxByOrNull { wanted.heldShare(it) }
-        val cachedAt = (holder?.takeIf { wanted.heldShare(it) > 0 } ?: home)
+        val holder = heldShares.filter { it.value > 0 && it.key.weights(prompt.model) == weights }
+            .maxByOrNull { it.value }?.key
+        val cachedAt = (holder ?: home)
             .takeIf { it !== chosen && it.weights(prompt.model) == weights }
         return EnginePlace(Place.At(chosen, estimate), weights, cachedAt)
     }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
@@ -15,10 +15,12 @@
 import org.parsleymoor.core.Clock
 import org.parsleymoor.core.Incarnation
 import org.parsleymoor.core.PauseDetector
+import org.parsleymoor.core.stableHash
 import org.parsleymoor.entry.callers.CallerContext
 import org.parsleymoor.entry.callers.CallerServer
 import org.parsleymoor.entry.control.ConfigurationListener
 import org.parsleymoor.entry.control.ControlContext
+import org.parsleymoor.entry.control.ControlTicks
 import org.parsleymoor.entry.control.EndpointListener
 import org.parsleymoor.entry.control.EvacuationListener
 import org.parsleymoor.entry.control.LoadLoop
@@ -87,6 +89,9 @@
     private val membership = Membership(
         Member(settings.instance, settings.listen.peers.toString(), settings.zone, settings.processors),
     )
+    private val ticks = ControlTicks(clock, settings.instance.value.stableHash().mod(LARGE_TICK_MILLIS)) {
+        if (membership.tree.direct) TICK_MILLIS else LARGE_TICK_MILLIS
+    }
     private val members = MemberLoop(store, beliefs, membership, log, clock)
     private val stopping = StopState(settings.times.graceMillis, clock)
     private val callers = CallerServer(vertx, scope, callerContext())
@@ -100,13 +105,13 @@
         }
         log.write("started", always = true) { put("callers", settings.listen.callers.toString()) }
         val duty = WatchDuty(membership.tree, clock, settings.times.applyMillis)
-        val watching = WatchContext(store, duty, log, clock)
+        val watching = WatchContext(store, duty, ticks, log, clock)
         val watches = listeners().mapValues { (kind, listener) -> ObjectWatch(kind, watching, listener) }
         watches.values.forEach { scope.launch { it.run() } }
         scope.launch { members.run() }
         val incarnation = Incarnation(settings.instance, clock.nowMillis())
-        val context = ControlContext(beliefs, membership, control, protocol.engines, scope, log, clock)
-        val peers = Peers(PeerContext(settings, beliefs, membership, log, clock), incarnation, dispatcher)
+        val context = ControlContext(beliefs, membership, ticks, control, protocol.engines, scope, log, clock)
+        val peers = Peers(PeerContext(settings, beliefs, membership, ticks, log, clock), incarnation, dispatcher)
         scope.launch { peers.run(watches) }
         scope.launch { LoadLoop(context, peers).run() }
         val lease = OrderLease(incarnation, store, scope, log, PauseDetector(clock), settings.times.leaseMillis)
@@ -188,7 +193,7 @@
 
     private suspend fun housekeeping() {
         while (true) {
-            delay(HOUSEKEEPING_MILLIS)
+            ticks.await(HOUSEKEEPING_TICKS)
             pool.expire()
             beliefs.endpoints.expire(clock.nowMillis()).forEach { gone ->
                 log.write("endpoint.expired") { put("endpoint", gone.value) }
@@ -211,6 +216,12 @@
         const val LEAVE_MILLIS = 300L
         const val STOP_POLL_MILLIS = 20L
         const val FLUSH_MILLIS = 200L
-        const val HOUSEKEEPING_MILLIS = 250L
+        const val HOUSEKEEPING_TICKS = 3
+
+        // In this time some three requests arrive at all instances, which choose without knowing of each other.
+        const val TICK_MILLIS = 60L
+
+        // Through two hubs news are about a quarter of a second old, as old as the reports of engines.
+        const val LARGE_TICK_MILLIS = 100L
     }
 }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ControlContext.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ControlContext.kt
@@ -19,6 +19,7 @@
 internal class ControlContext(
     val beliefs: Beliefs,
     val membership: Membership,
+    val ticks: ControlTicks,
     val client: ControlClient,
     val engines: EngineProtocol,
     val scope: CoroutineScope,
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/LoadLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/LoadLoop.kt
@@ -1,6 +1,5 @@
 package org.parsleymoor.entry.control
 
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.serialization.json.put
 import org.parsleymoor.core.EndpointId
@@ -31,7 +30,7 @@
                 asking += state.entry.id
                 scope.launch { ask(state) }
             }
-            delay(TICK_MILLIS)
+            context.ticks.await()
         }
     }
 
@@ -73,7 +72,6 @@
     }
 
     private companion object {
-        const val TICK_MILLIS = 50L
         const val CALL_MILLIS = 400L
     }
 }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectWatch.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectWatch.kt
@@ -28,6 +28,7 @@
 internal class WatchContext(
     val store: ObjectStore,
     val duty: WatchDuty,
+    val ticks: ControlTicks,
     val log: DecisionLog,
     val clock: Clock,
     val access: StoreAccess = StoreAccess(clock),
@@ -104,7 +105,7 @@
             } else {
                 // An instance that begins to read the store, or begins again, wants to know at once where it stands.
                 tryAtOnce = true
-                delay(IDLE_MILLIS)
+                context.ticks.await(IDLE_TICKS)
             }
         }
     }
@@ -175,7 +176,7 @@
     }
 
     private companion object {
-        const val IDLE_MILLIS = 60L
+        const val IDLE_TICKS = 2
         const val AT_ONCE_MILLIS = 10L
         const val GROUP_MILLIS = 120L
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Peers.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Peers.kt
@@ -2,7 +2,6 @@
 
 import com.github.michaelbull.result.onFailure
 import kotlinx.coroutines.CoroutineDispatcher
-import kotlinx.coroutines.delay
 import kotlinx.serialization.json.put
 import org.parsleymoor.core.Clock
 import org.parsleymoor.core.Incarnation
@@ -29,6 +28,7 @@
     val settings: EntrySettings,
     val beliefs: Beliefs,
     val membership: Membership,
+    val ticks: ControlTicks,
     val log: DecisionLog,
     val clock: Clock,
 )
@@ -70,7 +70,7 @@
             keepConnected(links)
             tellOrders()
             tellAll(links)
-            delay(if (tree.direct) TICK_MILLIS else LARGE_TICK_MILLIS)
+            context.ticks.await()
         }
     }
 
@@ -203,12 +203,6 @@
         }
 
     private companion object {
-        // In this time some three requests arrive at all instances, which choose without knowing of each other.
-        const val TICK_MILLIS = 60L
-
-        // Through two hubs news are about a quarter of a second old, as old as the reports of engines.
-        const val LARGE_TICK_MILLIS = 90L
-
         // Half of the time after which an instance that is told of the store's objects begins to ask for itself.
         const val QUIET_MILLIS = 450L
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/RolloutLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/RolloutLoop.kt
@@ -36,7 +36,7 @@
     suspend fun run() {
         while (true) {
             step()
-            delay(TICK_MILLIS)
+            context.ticks.await()
         }
     }
 
@@ -139,7 +139,6 @@
     private enum class LoadStep { UNDER_WAY, LOADED, GIVEN_UP }
 
     private companion object {
-        const val TICK_MILLIS = 60L
         const val TURN_MILLIS = 120L
 
         // A holder tells of its orders several times in this time.
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/StoreCacheLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/StoreCacheLoop.kt
@@ -3,9 +3,7 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.getOrElse
 import com.github.michaelbull.result.mapError
-import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.serialization.json.put
 import org.parsleymoor.core.ModelId
@@ -13,7 +11,6 @@
 import org.parsleymoor.entry.protocol.CacheEvents
 import org.parsleymoor.entry.protocol.ControlCall
 import org.parsleymoor.entry.protocol.DecodeFailure
-import org.parsleymoor.entry.serving.cacheStores
 import org.parsleymoor.entry.serving.oldestWeights
 import org.parsleymoor.relay.cache.CachedPart
 import org.parsleymoor.relay.cache.CandidateStore
@@ -36,33 +33,32 @@
     private val log = context.log
     private val clock = context.clock
     private val reads = StoreReads(context.membership.roster)
-    private val followers = HashMap<SocketAddress, Job>()
+    private val reading = HashSet<SocketAddress>()
+    private var checkedMillis = 0L
     private var oldestWeights: Map<ModelId, Long?> = emptyMap()
     private var oldestSinceMillis = 0L
 
     /** Follows the stores of the configuration in force until the coroutine is cancelled. */
     suspend fun run() {
         while (true) {
-            val wanted = beliefs.cacheStores.associateBy { it.address }
-            (followers.keys - wanted.keys).toList().forEach { followers.remove(it)?.cancel() }
-            (wanted - followers.keys).forEach { (address, store) ->
-                followers[address] = scope.launch { follow(store) }
+            beliefs.cacheStores.filter { it.address !in reading && isDue(it) }.forEach { store ->
+                reading += store.address
+                scope.launch {
+                    read(store.address)
+                    reading -= store.address
+                }
             }
-            freeUnusable()
-            delay(RECONCILE_MILLIS)
+            if (clock.nowMillis() - checkedMillis >= CHECK_MILLIS) {
+                checkedMillis = clock.nowMillis()
+                freeUnusable()
+            }
+            context.ticks.await(IDLE_TICKS)
         }
     }
 
-    private suspend fun follow(store: CandidateStore) {
-        val address = store.address
-        while (scope.isActive) {
-            val heardMillis = beliefs.storeNewsMillis[address]
-            if (reads.isDue(address.toString(), store.traits.zone, heardMillis, clock.nowMillis())) {
-                read(address)
-            } else {
-                delay(IDLE_MILLIS)
-            }
-        }
+    private fun isDue(store: CandidateStore): Boolean {
+        val heardMillis = beliefs.storeNewsMillis[store.address]
+        return reads.isDue(store.address.toString(), store.traits.zone, heardMillis, clock.nowMillis())
     }
 
     private suspend fun read(store: SocketAddress) {
@@ -159,9 +155,9 @@
     }
 
     private companion object {
-        const val RECONCILE_MILLIS = 1_000L
+        const val CHECK_MILLIS = 1_000L
         const val RETRY_MILLIS = 600L
-        const val IDLE_MILLIS = 200L
+        const val IDLE_TICKS = 2
         const val CALL_MILLIS = 1_000L
         const val WAIT_MILLIS = 1_000L
         const val PACE_MILLIS = 300L
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempts.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempts.kt
@@ -6,6 +6,7 @@
 import com.github.michaelbull.result.map
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.parsleymoor.entry.callers.CallerAnswer
@@ -33,6 +34,9 @@
     /** Sends [work] to [target] and, where it succeeds, writes the answer; suspends until the outcome is known. */
     suspend fun run(work: Work, target: Target, answer: CallerAnswer): AttemptResult {
         val state = target.endpoint
+        // What has arrived meanwhile is read first: a caller that has left while this instance was short of processor
+        // time ends its request here.
+        delay(CATCH_UP_MILLIS)
         val connection = connect(work, state).getOrElse { return notConnected(state, it) }
         val tokens = work.prompt?.promptTokens ?: 0
         val progress = AttemptProgress(state, tokens)
@@ -89,6 +93,9 @@
     private companion object {
         // Establishing a connection takes one round trip, at most some 40 ms between regions, unless packets are lost.
         const val CONNECT_MILLIS = 700L
+
+        // A timer, however short, runs after the event loop has read its sockets again.
+        const val CATCH_UP_MILLIS = 1L
         const val MINIMAL_CONNECTIONS = 2
     }
 }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Beliefs.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Beliefs.kt
@@ -3,6 +3,7 @@
 import org.parsleymoor.core.EndpointId
 import org.parsleymoor.core.InstanceId
 import org.parsleymoor.core.ModelId
+import org.parsleymoor.relay.cache.CandidateStore
 import org.parsleymoor.relay.cache.EngineClock
 import org.parsleymoor.relay.cache.RecentContexts
 import org.parsleymoor.relay.cache.StoreDirectory
@@ -17,6 +18,16 @@
 internal class Beliefs(val self: InstanceId) {
     /** Routes of the newest configuration, or null before any is known. */
     var routes: RouteTable? = null
+        set(value) {
+            field = value
+            cacheStores = value?.configuration?.services?.values.orEmpty().mapNotNull { service ->
+                service.store?.let { traits -> SocketAddress.parse(traits.address)?.let { CandidateStore(it, traits) } }
+            }
+        }
+
+    /** The KV cache stores of the configuration in force. */
+    var cacheStores: List<CandidateStore> = emptyList()
+        private set
 
     /** The endpoints. */
     val endpoints = EndpointTable()
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/CacheTransfers.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/CacheTransfers.kt
@@ -21,11 +21,15 @@
 ) {
     private val choice = StoreChoice(topology, beliefs.stores)
 
-    /** Returns how long an engine needs to fetch the longest shared part of [prompt], or null when no store has it. */
-    fun fetchMillis(work: Work, prompt: PromptContext, side: TransferSide): Double? {
-        val part = prompt.sharedParts.lastOrNull()
-        val store = part?.let { choice.source(it, side, beliefs.cacheStores, work.allowedRegions) }
-        return store?.let { choice.transferMillis(it, side, part.tokens) }
+    /** Returns the stores from which the longest shared part of [prompt] in [namespace] may be fetched. */
+    fun holders(work: Work, prompt: PromptContext, namespace: String): List<CandidateStore> =
+        prompt.sharedParts.lastOrNull()
+            ?.let { choice.holders(it, namespace, beliefs.cacheStores, work.allowedRegions) }.orEmpty()
+
+    /** Returns how long an engine needs to fetch the longest shared part from the best of [holders], if any. */
+    fun fetchMillis(prompt: PromptContext, holders: List<CandidateStore>, side: TransferSide): Double? {
+        val tokens = prompt.sharedParts.lastOrNull()?.tokens ?: 0
+        return holders.minOfOrNull { choice.transferMillis(it, side, tokens) }
     }
 
     /** Plans for a request of [work] to the endpoint at [side]; [cachedAt] probably has the shared parts. */
@@ -71,12 +75,6 @@
     }
 }
 
-/** The KV cache stores of the configuration in force. */
-internal val Beliefs.cacheStores: List<CandidateStore>
-    get() = routes?.configuration?.services?.values.orEmpty().mapNotNull { service ->
-        service.store?.let { traits -> SocketAddress.parse(traits.address)?.let { CandidateStore(it, traits) } }
-    }
-
 /** The oldest version of [model] that any engine has, or null when that of one is unknown. */
 internal fun Beliefs.oldestWeights(model: ModelId): Long? {
     val engines = endpoints.all.filter { state ->
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Placer.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Placer.kt
@@ -2,11 +2,10 @@
 
 import org.parsleymoor.core.Clock
 import org.parsleymoor.entry.EntrySettings
-import org.parsleymoor.relay.cache.ContextKey
-import org.parsleymoor.relay.cache.TransferSide
 import org.parsleymoor.relay.fleet.EndpointState
 import org.parsleymoor.relay.limits.ColdBound
 import org.parsleymoor.relay.limits.ColdShare
+import org.parsleymoor.relay.placement.EnginePlace
 import org.parsleymoor.relay.placement.EnginePlacement
 import org.parsleymoor.relay.placement.EnginePlacementSettings
 import org.parsleymoor.relay.placement.EngineRequest
@@ -16,7 +15,6 @@
 import org.parsleymoor.relay.placement.ServicePlacement
 import org.parsleymoor.relay.placement.Topology
 import org.parsleymoor.relay.prompt.PromptContext
-import org.parsleymoor.relay.prompt.cacheNamespace
 
 /** Outcome of choosing an endpoint. */
 internal sealed interface Choice {
@@ -61,56 +59,38 @@
             }
         }
         val named = beliefs.weights[prompt.model]
-        val obtain: (EndpointState) -> Double? = { state ->
-            transfers.fetchMillis(
-                work,
-                prompt,
-                side(work, prompt, state)
-            )
-        }
-        val held: (EndpointState) -> Double = { state ->
-            beliefs.contexts.heldShare(context(work, prompt, state), state.start, nowMillis)
-        }
-        val wanted = EngineRequest(request, prompt, named, beliefs.instances, obtain, held)
+        val view = PromptView(work, prompt, beliefs, transfers)
+        val wanted = EngineRequest(
+            request = request,
+            prompt = prompt,
+            named = named,
+            instances = beliefs.instances,
+            fetchMillis = view::fetchMillis,
+            heldShare = { beliefs.contexts.heldShare(view.context(it), it.start, nowMillis) },
+        )
         val found = engines.choose(wanted, beliefs.endpoints, nowMillis)
         return when (val place = found.place) {
             is Place.Nowhere -> Choice.None(place.reason, place.retryAfterMillis)
-            is Place.At -> {
-                val side = side(work, prompt, place.endpoint)
-                val untilMillis = nowMillis + place.estimateMillis.toLong() + FETCH_SLACK_MILLIS
-                val transfer = transfers.plan(work, prompt, side, found.cachedAt)
-                    .copy(untilMillis = beliefs.engineClock.at(untilMillis))
-                Choice.Chosen(
-                    Target(
-                        endpoint = place.endpoint,
-                        estimateMillis = place.estimateMillis,
-                        weights = found.weights,
-                        namespace = side.namespace,
-                        transfer = transfer,
-                        reading = PlannedReading(
-                            tokens = prompt.promptTokens - transfer.fetchedTokens,
-                            context = context(work, prompt, place.endpoint),
-                        ),
-                    ),
-                )
-            }
+            is Place.At -> Choice.Chosen(target(view, place, found, nowMillis))
         }
     }
 
-    private fun side(work: Work, prompt: PromptContext, state: EndpointState): TransferSide = TransferSide(
-        zone = state.entry.zone,
-        namespace = namespace(work, prompt, state.weights(prompt.model) ?: 0),
-        tokenBytes = work.service.engine?.tokenBytes ?: 1,
-        current = (state.weights(prompt.model) ?: 0) >= (beliefs.weights[prompt.model]?.version ?: 0),
-    )
-
-    private fun context(work: Work, prompt: PromptContext, state: EndpointState): ContextKey =
-        ContextKey.of(namespace(work, prompt, state.weights(prompt.model) ?: 0), prompt.affinityKey)
-
-    private fun namespace(work: Work, prompt: PromptContext, weights: Long): String {
-        val isolatedSet = beliefs.routes?.isolationTag.orEmpty()
-        val organisation = work.organisation
-        return cacheNamespace(prompt.model, weights, organisation?.id, organisation?.isolated == true) + isolatedSet
+    private fun target(view: PromptView, place: Place.At, found: EnginePlace, nowMillis: Long): Target {
+        val side = view.side(place.endpoint)
+        val untilMillis = nowMillis + place.estimateMillis.toLong() + FETCH_SLACK_MILLIS
+        val transfer = transfers.plan(view.work, view.prompt, side, found.cachedAt)
+            .copy(untilMillis = beliefs.engineClock.at(untilMillis))
+        return Target(
+            endpoint = place.endpoint,
+            estimateMillis = place.estimateMillis,
+            weights = found.weights,
+            namespace = side.namespace,
+            transfer = transfer,
+            reading = PlannedReading(
+                tokens = view.prompt.promptTokens - transfer.fetchedTokens,
+                context = view.context(place.endpoint),
+            ),
+        )
     }
 
     private fun mayTake(work: Work, endpoint: EndpointState, nowMillis: Long): Boolean {
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/ControlLoopsTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/ControlLoopsTest.kt
@@ -13,6 +13,7 @@
 import org.parsleymoor.core.PauseDetector
 import org.parsleymoor.core.ZoneId
 import org.parsleymoor.entry.control.MemberLoop
+import org.parsleymoor.entry.control.ControlTicks
 import org.parsleymoor.entry.control.Membership
 import org.parsleymoor.entry.control.ObjectListener
 import org.parsleymoor.entry.control.ObjectOffer
@@ -155,7 +156,8 @@
 
     private fun watch(scope: TestScope): ObjectWatch {
         val duty = WatchDuty(membership.tree, clock(scope), applyMillis = 5_000)
-        return ObjectWatch(ObjectKind.ENDPOINTS, WatchContext(memory.store, duty, log(scope), clock(scope)), seen)
+        val ticks = ControlTicks(clock(scope), offsetMillis = 0) { 100 }
+        return ObjectWatch(ObjectKind.ENDPOINTS, WatchContext(memory.store, duty, ticks, log(scope), clock(scope)), seen)
     }
 
     private fun lease(name: String, scope: TestScope) = OrderLease(
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/MemoryStore.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/MemoryStore.kt
@@ -26,6 +26,13 @@
     /** Whether calls are left without an answer. */
     var silent = false
 
+    /** Whether calls are refused at once. */
+    var refuses = false
+
+    /** Number of calls that were made. */
+    var calls = 0
+        private set
+
     /** Whether writes are carried out and their answers lost. */
     var losesAnswers = false
 
@@ -48,6 +55,8 @@
     }
 
     private suspend fun answer(call: ControlCall, timeoutMillis: Long): Result<ControlAnswer, CallFailure> {
+        calls++
+        if (refuses) return Ok(ControlAnswer(503, ""))
         if (silent) {
             delay(timeoutMillis)
             return Err(CallFailure.Unanswered("silent"))
