--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerConnection.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerConnection.kt
@@ -129,10 +129,10 @@
         job?.cancel()
         received.close()
     }
-
-    private fun PeerMessage.isControl(): Boolean = this !is PeerMessage.OfExchange && this !is PeerMessage.CacheDigest
 }
 
+private fun PeerMessage.isControl(): Boolean = this !is PeerMessage.OfExchange && this !is PeerMessage.CacheDigest
+
 /** The two directions of a socket and the codec between them. */
 internal class PeerWire(socket: Socket, val codec: FrameCodec, val traffic: TrafficCounter) {
     val input = socket.openReadChannel()
--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerLink.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerLink.kt
@@ -90,12 +90,12 @@
     }
 
     private fun isRemoteNumber(number: Long): Boolean = (number % 2 == 1L) == oddRemote
+}
 
-    private fun PeerMessage.OfExchange.isOpening(): Boolean = when (this) {
-        is PeerMessage.Forward, is PeerMessage.ExecuteTicket, is PeerMessage.ExecuteClaim -> true
-        is PeerMessage.PiecesWanted, is PeerMessage.Pieces, is PeerMessage.Started, is PeerMessage.Chunk,
-        is PeerMessage.Finished, is PeerMessage.Refused, is PeerMessage.Cancel, is PeerMessage.ExecutionAnswer,
-        is PeerMessage.BodyPart,
-        -> false
-    }
+private fun PeerMessage.OfExchange.isOpening(): Boolean = when (this) {
+    is PeerMessage.Forward, is PeerMessage.ExecuteTicket, is PeerMessage.ExecuteClaim -> true
+    is PeerMessage.PiecesWanted, is PeerMessage.Pieces, is PeerMessage.Started, is PeerMessage.Chunk,
+    is PeerMessage.Finished, is PeerMessage.Refused, is PeerMessage.Cancel, is PeerMessage.ExecutionAnswer,
+    is PeerMessage.BodyPart,
+    -> false
 }
--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerNode.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerNode.kt
@@ -124,17 +124,15 @@
         return when {
             started == null -> Err(PeerFailure.Closed("this gateway has not started"))
             port == null -> Err(PeerFailure.NotConnected(address, "not of the form host:port"))
-            else -> started.dial(address.substringBeforeLast(':'), port).map { adopt(it) }
+            else -> started.dial(address.substringBeforeLast(':'), port).map { connection ->
+                PeerLink(connection, true, handler, QUEUED_MESSAGES).also { link ->
+                    links.add(link)
+                    scope.launch { serve(link) }
+                }
+            }
         }
     }
 
-    private fun adopt(connection: PeerConnection): PeerLink {
-        val link = PeerLink(connection, true, handler, QUEUED_MESSAGES)
-        links.add(link)
-        scope.launch { serve(link) }
-        return link
-    }
-
     private suspend fun serve(link: PeerLink) {
         links.add(link)
         try {
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/cache/StoreChoice.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/cache/StoreChoice.kt
@@ -87,7 +87,7 @@
         stores.filter { store -> allowedRegions.all { topology.isAllowed(store.traits.zone, it) } }
 
     private fun hasRoom(store: CandidateStore, tokens: Long): Boolean {
-        val used = directory.usedTokens(store.address) ?: return false
+        val used = directory.summary(store.address)?.usedTokens ?: return false
         return store.traits.managed && used + tokens <= store.traits.cacheTokens * FILL_SHARE
     }
 
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/cache/StoreDirectory.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/cache/StoreDirectory.kt
@@ -10,6 +10,12 @@
 /** One change that a store reports: it holds [tokens] tokens of [part] completely, or none of it. */
 public data class StoreChange(public val part: CachedPart, public val tokens: Long, public val held: Boolean)
 
+/**
+ * What is known of a KV cache store: when it started, in its own count, the position in its events from which to read
+ * on, and the number of tokens that it holds.
+ */
+public data class StoreSummary(public val epoch: Long, public val position: Long, public val usedTokens: Long)
+
 /**
  * Which complete parts the KV cache stores hold, from their events and lists. A part that is being written is unknown
  * here until the store reports it whole. Not safe for use from several threads.
@@ -17,8 +23,9 @@
 public class StoreDirectory {
     private val stores = HashMap<SocketAddress, Contents>()
 
-    /** Position in the events of [store] from which to read on, or null when its list has to be read first. */
-    public fun position(store: SocketAddress): Long? = stores[store]?.position
+    /** What is known of [store], or null when its list has to be read first. */
+    public fun summary(store: SocketAddress): StoreSummary? =
+        stores[store]?.let { StoreSummary(it.epoch, it.position, it.used) }
 
     /** Takes in all that [store] holds. */
     public fun listed(store: SocketAddress, epoch: Long, position: Long, parts: List<StoreChange>) {
@@ -87,12 +94,6 @@
     public fun holds(store: SocketAddress, namespace: String, part: PromptPart): Boolean =
         (stores[store]?.held?.get(CachedPart(namespace, part.id)) ?: -1) >= part.tokens
 
-    /** When [store] started, in its own count, or null when it is unknown. */
-    public fun epoch(store: SocketAddress): Long? = stores[store]?.epoch
-
-    /** Number of tokens that [store] holds, or null when it is unknown. */
-    public fun usedTokens(store: SocketAddress): Long? = stores[store]?.used
-
     /** Returns the parts of [store] that are in none of the namespaces that [wanted] accepts. */
     public fun unwanted(store: SocketAddress, wanted: (String) -> Boolean): List<CachedPart> =
         stores[store]?.held?.keys.orEmpty().filterNot { wanted(it.namespace) }
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/exchange/StoreReads.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/exchange/StoreReads.kt
@@ -14,7 +14,8 @@
     public fun isDue(store: String, zone: ZoneId, heardMillis: Long?, nowMillis: Long): Boolean {
         val sinceMillis = followedSinceMillis.getOrPut(store) { nowMillis }
         val waitMillis = roster.waitMillis(store, zone)
-        return waitMillis == 0L || nowMillis - maxOf(sinceMillis, heardMillis ?: sinceMillis) >= SILENT_MILLIS + waitMillis
+        val silentMillis = nowMillis - maxOf(sinceMillis, heardMillis ?: sinceMillis)
+        return waitMillis == 0L || silentMillis >= SILENT_MILLIS + waitMillis
     }
 
     private companion object {
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointState.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointState.kt
@@ -22,7 +22,7 @@
 
     /** When an engine was last asked for its load without answering, by this instance or one of its peers. */
     public var silentMillis: Long = Long.MIN_VALUE / 2
-        private set
+        internal set
 
     /** Until when the endpoint counts as cold. */
     public var coldUntilMillis: Long = nowMillis
@@ -62,11 +62,6 @@
         return newer
     }
 
-    /** Notes that the engine did not answer a question of [askedMillis]. */
-    public fun fellSilent(askedMillis: Long) {
-        silentMillis = maxOf(silentMillis, askedMillis)
-    }
-
     /** Notes a prompt that this instance or a peer has sent to the engine. */
     public fun sent(prompt: SentPrompt) {
         sentPrompts.addLast(prompt)
@@ -144,3 +139,8 @@
 /** Prompts that were sent after [sinceMillis], which a report of that time does not show. */
 internal fun EndpointState.sentSince(sinceMillis: Long): List<SentPrompt> =
     sentPrompts.filter { it.atMillis > sinceMillis }
+
+/** Notes that the engine did not answer a question of [askedMillis]. */
+public fun EndpointState.fellSilent(askedMillis: Long) {
+    silentMillis = maxOf(silentMillis, askedMillis)
+}
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/cache/StoreChoiceTest.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/cache/StoreChoiceTest.kt
@@ -47,7 +47,7 @@
     fun `a store that started again or lost events is listed anew before it is used`() {
         listed(near)
         expectThat(directory.changed(near.address, epoch = 2, position = 9, gap = false, parts = emptyList())).isFalse()
-        expectThat(directory.position(near.address)).isNull()
+        expectThat(directory.summary(near.address)).isNull()
         listed(near)
         expectThat(directory.changed(near.address, epoch = 1, position = 9, gap = true, parts = emptyList())).isFalse()
     }
@@ -58,9 +58,9 @@
         listed(near)
         hold(near, tokens = 1_000)
         directory.freed(near.address, epoch = 2, listOf(CachedPart("space", "p")))
-        expectThat(directory.usedTokens(near.address)).isEqualTo(1_000)
+        expectThat(directory.summary(near.address)?.usedTokens).isEqualTo(1_000)
         directory.freed(near.address, epoch = 1, listOf(CachedPart("space", "p")))
-        expectThat(directory.usedTokens(near.address)).isEqualTo(0)
+        expectThat(directory.summary(near.address)?.usedTokens).isEqualTo(0)
     }
 
     @Test
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/exchange/SimulatedFleet.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/exchange/SimulatedFleet.kt
@@ -10,6 +10,7 @@
 import org.parsleymoor.relay.fleet.EngineLoad
 import org.parsleymoor.relay.fleet.SentPrompt
 import org.parsleymoor.relay.fleet.SocketAddress
+import org.parsleymoor.relay.fleet.fellSilent
 import kotlin.random.Random
 
 /** Instances and engines in [ZONES] zones that decide whom to ask and tell with the real decisions, under one clock. */
@@ -132,7 +133,10 @@
         private fun tell() {
             tickMillis += TICK_MILLIS
             val fresh = connected.filter { nowMillis - (heard[it] ?: 0) < FRESH_MILLIS }.ifEmpty { connected }
-            val recipients = tree.recipients(fresh.associateWith { id -> members.first { it.id == id }.zone }, nowMillis)
+            val recipients = tree.recipients(
+                fresh.associateWith { id -> members.first { it.id == id }.zone },
+                nowMillis
+            )
             say(PassOn.EVERYWHERE, listOfNotNull(recipients.hub))
             say(PassOn.ZONE, recipients.zones)
             say(PassOn.NOBODY, recipients.last)
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
@@ -20,22 +20,23 @@
 import org.parsleymoor.entry.callers.CallerServer
 import org.parsleymoor.entry.control.ConfigurationListener
 import org.parsleymoor.entry.control.ControlContext
+import org.parsleymoor.entry.control.ControlRuntime
 import org.parsleymoor.entry.control.ControlTicks
 import org.parsleymoor.entry.control.EndpointListener
 import org.parsleymoor.entry.control.EvacuationListener
 import org.parsleymoor.entry.control.LoadLoop
 import org.parsleymoor.entry.control.MemberLoop
+import org.parsleymoor.entry.control.Membership
 import org.parsleymoor.entry.control.ObjectListener
 import org.parsleymoor.entry.control.ObjectStore
 import org.parsleymoor.entry.control.ObjectWatch
 import org.parsleymoor.entry.control.OrderLease
-import org.parsleymoor.entry.control.Peers
-import org.parsleymoor.entry.control.WatchDuty
-import org.parsleymoor.entry.control.WatchContext
 import org.parsleymoor.entry.control.PeerContext
-import org.parsleymoor.entry.control.Membership
+import org.parsleymoor.entry.control.Peers
 import org.parsleymoor.entry.control.RolloutLoop
 import org.parsleymoor.entry.control.StoreCacheLoop
+import org.parsleymoor.entry.control.WatchContext
+import org.parsleymoor.entry.control.WatchDuty
 import org.parsleymoor.entry.control.WeightsListener
 import org.parsleymoor.entry.log.DecisionLog
 import org.parsleymoor.entry.log.LibraryLog
@@ -105,13 +106,14 @@
         }
         log.write("started", always = true) { put("callers", settings.listen.callers.toString()) }
         val duty = WatchDuty(membership.tree, clock, settings.times.applyMillis)
-        val watching = WatchContext(store, duty, ticks, log, clock)
+        val runtime = ControlRuntime(scope, ticks, log, clock)
+        val watching = WatchContext(store, duty, runtime)
         val watches = listeners().mapValues { (kind, listener) -> ObjectWatch(kind, watching, listener) }
         watches.values.forEach { scope.launch { it.run() } }
         scope.launch { members.run() }
         val incarnation = Incarnation(settings.instance, clock.nowMillis())
-        val context = ControlContext(beliefs, membership, ticks, control, protocol.engines, scope, log, clock)
-        val peers = Peers(PeerContext(settings, beliefs, membership, ticks, log, clock), incarnation, dispatcher)
+        val context = ControlContext(beliefs, membership, control, protocol.engines, runtime)
+        val peers = Peers(PeerContext(settings, beliefs, membership, runtime), incarnation, dispatcher)
         scope.launch { peers.run(watches) }
         scope.launch { LoadLoop(context, peers).run() }
         val lease = OrderLease(incarnation, store, scope, log, PauseDetector(clock), settings.times.leaseMillis)
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ControlContext.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ControlContext.kt
@@ -5,9 +5,6 @@
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.mapError
 import com.github.michaelbull.result.onFailure
-import kotlinx.coroutines.CoroutineScope
-import org.parsleymoor.core.Clock
-import org.parsleymoor.entry.log.DecisionLog
 import org.parsleymoor.entry.net.ControlClient
 import org.parsleymoor.entry.protocol.ControlCall
 import org.parsleymoor.entry.protocol.DecodeFailure
@@ -19,13 +16,15 @@
 internal class ControlContext(
     val beliefs: Beliefs,
     val membership: Membership,
-    val ticks: ControlTicks,
     val client: ControlClient,
     val engines: EngineProtocol,
-    val scope: CoroutineScope,
-    val log: DecisionLog,
-    val clock: Clock,
+    private val runtime: ControlRuntime,
 ) {
+    val scope get() = runtime.scope
+    val ticks get() = runtime.ticks
+    val log get() = runtime.log
+    val clock get() = runtime.clock
+
     /**
      * Sends [call] to [address] and decodes a successful response; [onFailure] is told why there is none, so that the
      * caller can log it.
--- /dev/null
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ControlRuntime.kt
@@ -0,0 +1,13 @@
+package org.parsleymoor.entry.control
+
+import kotlinx.coroutines.CoroutineScope
+import org.parsleymoor.core.Clock
+import org.parsleymoor.entry.log.DecisionLog
+
+/** What the control loops run on. */
+internal class ControlRuntime(
+    val scope: CoroutineScope,
+    val ticks: ControlTicks,
+    val log: DecisionLog,
+    val clock: Clock,
+)
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/LearnNews.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/LearnNews.kt
@@ -2,6 +2,7 @@
 
 import org.parsleymoor.entry.serving.Beliefs
 import org.parsleymoor.relay.exchange.News
+import org.parsleymoor.relay.fleet.fellSilent
 
 /**
  * Takes in [news] of a peer at [nowMillis]; returns false when they do not join what is known of a KV cache store, all
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/LoadLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/LoadLoop.kt
@@ -8,6 +8,7 @@
 import org.parsleymoor.relay.exchange.News
 import org.parsleymoor.relay.fleet.EndpointState
 import org.parsleymoor.relay.fleet.EngineLoad
+import org.parsleymoor.relay.fleet.fellSilent
 
 /**
  * Asks engines for their load, as [EngineAsks] says, and tells the others what they answer, so that no engine is asked
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectWatch.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectWatch.kt
@@ -3,8 +3,6 @@
 import com.github.michaelbull.result.getOrElse
 import kotlinx.coroutines.delay
 import kotlinx.serialization.json.put
-import org.parsleymoor.core.Clock
-import org.parsleymoor.entry.log.DecisionLog
 import org.parsleymoor.entry.protocol.ObjectChange
 import org.parsleymoor.entry.protocol.ObjectKind
 import org.parsleymoor.entry.protocol.StoredObject
@@ -25,14 +23,12 @@
 }
 
 /** What the watches of an instance share. */
-internal class WatchContext(
-    val store: ObjectStore,
-    val duty: WatchDuty,
-    val ticks: ControlTicks,
-    val log: DecisionLog,
-    val clock: Clock,
-    val access: StoreAccess = StoreAccess(clock),
-)
+internal class WatchContext(val store: ObjectStore, val duty: WatchDuty, private val runtime: ControlRuntime) {
+    val ticks get() = runtime.ticks
+    val log get() = runtime.log
+    val clock get() = runtime.clock
+    val access = StoreAccess(runtime.clock)
+}
 
 /**
  * Keeps the objects of one [kind]: reads the list, then follows the changes, either from the store itself, when
--- /dev/null
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerContext.kt
@@ -0,0 +1,16 @@
+package org.parsleymoor.entry.control
+
+import org.parsleymoor.entry.EntrySettings
+import org.parsleymoor.entry.serving.Beliefs
+
+/** What the exchange with peers uses. */
+internal class PeerContext(
+    val settings: EntrySettings,
+    val beliefs: Beliefs,
+    val membership: Membership,
+    private val runtime: ControlRuntime,
+) {
+    val ticks get() = runtime.ticks
+    val log get() = runtime.log
+    val clock get() = runtime.clock
+}
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/StoreAccess.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/StoreAccess.kt
@@ -21,7 +21,8 @@
     fun mayCall(kind: ObjectKind, follows: Boolean): Boolean {
         if (!lost) return true
         val nowMillis = clock.nowMillis()
-        if (nowMillis < nextMillis || probe != null && probe != kind && nowMillis < nextMillis + HANDOVER_MILLIS) return false
+        val isOther = probe != null && probe != kind
+        if (nowMillis < nextMillis + if (isOther) HANDOVER_MILLIS else 0) return false
         probe = kind
         pauseMillis = if (follows) FOLLOWER_MILLIS else (pauseMillis * 2).coerceIn(FIRST_MILLIS, LAST_MILLIS)
         nextMillis = nowMillis + pauseMillis + random.nextLong(pauseMillis)
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/StoreCacheLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/StoreCacheLoop.kt
@@ -62,8 +62,8 @@
     }
 
     private suspend fun read(store: SocketAddress) {
-        val position = beliefs.stores.position(store)
-        val answered = if (position == null) list(store) else events(store, position)
+        val known = beliefs.stores.summary(store)
+        val answered = if (known == null) list(store) else events(store, known.position)
         beliefs.storeNewsMillis[store] = clock.nowMillis()
         if (!answered) {
             beliefs.stores.lost(store)
@@ -104,7 +104,7 @@
         timeoutMillis: Long,
         decode: (String) -> Result<CacheEvents, DecodeFailure>,
     ): CacheEvents? = context.ask(store, call, timeoutMillis, decode) { reason ->
-        if (beliefs.stores.position(store) != null) {
+        if (beliefs.stores.summary(store) != null) {
             log.write("cacheStore.lost", always = true) {
                 put("store", store.toString())
                 put("reason", reason)
@@ -126,7 +126,7 @@
         if (nowMillis - oldestSinceMillis < FETCH_MILLIS || !isFirstMember()) return
         beliefs.cacheStores.filter { it.traits.managed }.forEach { store ->
             val unusable = beliefs.stores.unwanted(store.address, ::isUsable).take(PARTS_A_CALL)
-            val epoch = beliefs.stores.epoch(store.address)
+            val epoch = beliefs.stores.summary(store.address)?.epoch
             if (unusable.isNotEmpty() && epoch != null) {
                 scope.launch { free(store.address, epoch, unusable) }
             }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
@@ -43,6 +43,7 @@
     suspend fun run(): AttemptResult {
         val remaining = work.limitMillis - clock.nowMillis()
         if (remaining <= 0) return AttemptResult.NotRun("no time was left", sent = false)
+        if (!connection.reusable) return AttemptResult.NotRun("the connection ended before it was used", sent = false)
         connection.send(message(tools.requests.head(work, target, remaining), work.request.body))
         progress.sent = true
         work.sends++
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempts.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempts.kt
@@ -34,9 +34,6 @@
     /** Sends [work] to [target] and, where it succeeds, writes the answer; suspends until the outcome is known. */
     suspend fun run(work: Work, target: Target, answer: CallerAnswer): AttemptResult {
         val state = target.endpoint
-        // What has arrived meanwhile is read first: a caller that has left while this instance was short of processor
-        // time ends its request here.
-        delay(CATCH_UP_MILLIS)
         val connection = connect(work, state).getOrElse { return notConnected(state, it) }
         val tokens = work.prompt?.promptTokens ?: 0
         val progress = AttemptProgress(state, tokens)
@@ -44,6 +41,9 @@
         state.started(tokens)
         target.reading?.let { beliefs.sent(state, SentPrompt(clock.nowMillis(), tokens, it.tokens, it.context)) }
         try {
+            // What has arrived meanwhile is read first: a caller that has left while this instance was short of
+            // processor time ends its request here.
+            delay(CATCH_UP_MILLIS)
             return Attempt(tools, work, target, connection, answer, progress).run()
         } catch (cancelled: CancellationException) {
             handedOver = finishLater(work, connection, progress)
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/ControlLoopsTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/ControlLoopsTest.kt
@@ -12,8 +12,9 @@
 import org.parsleymoor.core.InstanceId
 import org.parsleymoor.core.PauseDetector
 import org.parsleymoor.core.ZoneId
-import org.parsleymoor.entry.control.MemberLoop
+import org.parsleymoor.entry.control.ControlRuntime
 import org.parsleymoor.entry.control.ControlTicks
+import org.parsleymoor.entry.control.MemberLoop
 import org.parsleymoor.entry.control.Membership
 import org.parsleymoor.entry.control.ObjectListener
 import org.parsleymoor.entry.control.ObjectOffer
@@ -157,7 +158,8 @@
     private fun watch(scope: TestScope): ObjectWatch {
         val duty = WatchDuty(membership.tree, clock(scope), applyMillis = 5_000)
         val ticks = ControlTicks(clock(scope), offsetMillis = 0) { 100 }
-        return ObjectWatch(ObjectKind.ENDPOINTS, WatchContext(memory.store, duty, ticks, log(scope), clock(scope)), seen)
+        val runtime = ControlRuntime(scope.backgroundScope, ticks, log(scope), clock(scope))
+        return ObjectWatch(ObjectKind.ENDPOINTS, WatchContext(memory.store, duty, runtime), seen)
     }
 
     private fun lease(name: String, scope: TestScope) = OrderLease(
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/SharedBeliefsTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/SharedBeliefsTest.kt
@@ -57,7 +57,11 @@
         val engine = engine("e", weights = 1)
         val load = EngineLoad(1, 0, 0, memoryUsed = 10, memoryTotal = 100, atMillis = 1_000)
         told(News.Load(engine, load, mapOf(model to 3L)), sentMillis = 1_000, arrivedMillis = 1_010)
-        told(News.Load(engine, load.copy(atMillis = 900), mapOf(model to 2L)), sentMillis = 1_000, arrivedMillis = 1_020)
+        told(
+            News.Load(engine, load.copy(atMillis = 900), mapOf(model to 2L)),
+            sentMillis = 1_000,
+            arrivedMillis = 1_020
+        )
         expectThat(beliefs.endpoints[engine]?.weights(model)).isEqualTo(3L)
     }
 
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/SharedWatchTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/SharedWatchTest.kt
@@ -10,6 +10,7 @@
 import org.parsleymoor.core.Clock
 import org.parsleymoor.core.InstanceId
 import org.parsleymoor.core.ZoneId
+import org.parsleymoor.entry.control.ControlRuntime
 import org.parsleymoor.entry.control.ControlTicks
 import org.parsleymoor.entry.control.Membership
 import org.parsleymoor.entry.control.ObjectListener
@@ -111,7 +112,8 @@
         val log = DecisionLog(clock, "test", PrintStream(OutputStream.nullOutputStream()))
         val duty = WatchDuty(membership.tree, clock, APPLY_MILLIS)
         val ticks = ControlTicks(clock, offsetMillis = 0) { 100 }
-        return Instance(duty, WatchContext(memory.store, duty, ticks, log, clock))
+        val runtime = ControlRuntime(backgroundScope, ticks, log, clock)
+        return Instance(duty, WatchContext(memory.store, duty, runtime))
             .also { backgroundScope.launch { it.watch.run() } }
     }
 
