--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/exchange/PeerTree.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/exchange/PeerTree.kt
@@ -68,8 +68,8 @@
     }
 
     /**
-     * This instance's place, 0 first, in the order in which the instances of its availability zone take over reading the
-     * object store.
+     * This instance's place, 0 first, in the order in which the instances of its availability zone take over reading
+     * the object store.
      */
     public val rank: Int get() = zones[self.zone].orEmpty().indexOfFirst { it.id == self.id }.coerceAtLeast(0)
 
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/exchange/SimulatedFleet.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/exchange/SimulatedFleet.kt
@@ -155,7 +155,8 @@
             val peer = all.first { it.member.id == to }
             if (!reaches(member.zone, peer.member.zone) || to in stopped) return
             messages++
-            wire += Message(nowMillis + delayMillis(member.zone, peer.member.zone)) { peer.take(member.id, passOn, news) }
+            val atMillis = nowMillis + delayMillis(member.zone, peer.member.zone)
+            wire += Message(atMillis) { peer.take(member.id, passOn, news) }
         }
 
         private fun take(from: InstanceId, passOn: PassOn, news: List<News>) {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/NewsDigests.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/NewsDigests.kt
@@ -58,11 +58,10 @@
 /** Returns the news of a KV cache store, or null when its address cannot be read. */
 internal fun CacheStoreDigest.news(): News? {
     val address = SocketAddress.parse(store) ?: return null
-    if (lost) return News.StoreLost(address)
     val changes = namespaces.flatMap { space ->
         space.parts.map { StoreChange(CachedPart(space.namespace, it.part), it.tokens, it.held) }
     }
-    return News.StoreEvents(address, epoch, from, to, changes)
+    return if (lost) News.StoreLost(address) else News.StoreEvents(address, epoch, from, to, changes)
 }
 
 internal fun ObjectOffer.toMessage(kind: String): PeerMessage.ObjectsOffered = PeerMessage.ObjectsOffered(
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/StoreAccess.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/StoreAccess.kt
@@ -19,14 +19,15 @@
 
     /** Whether a call for [kind] may be made now; [follows] when others depend on it. */
     fun mayCall(kind: ObjectKind, follows: Boolean): Boolean {
-        if (!lost) return true
         val nowMillis = clock.nowMillis()
         val isOther = probe != null && probe != kind
-        if (nowMillis < nextMillis + if (isOther) HANDOVER_MILLIS else 0) return false
-        probe = kind
-        pauseMillis = if (follows) FOLLOWER_MILLIS else (pauseMillis * 2).coerceIn(FIRST_MILLIS, LAST_MILLIS)
-        nextMillis = nowMillis + pauseMillis + random.nextLong(pauseMillis)
-        return true
+        val isDue = nowMillis >= nextMillis + if (isOther) HANDOVER_MILLIS else 0
+        if (lost && isDue) {
+            probe = kind
+            pauseMillis = if (follows) FOLLOWER_MILLIS else (pauseMillis * 2).coerceIn(FIRST_MILLIS, LAST_MILLIS)
+            nextMillis = nowMillis + pauseMillis + random.nextLong(pauseMillis)
+        }
+        return !lost || isDue
     }
 
     /** Notes that the store answered. */
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
@@ -42,8 +42,12 @@
     /** Sends the request and suspends until the outcome is known. */
     suspend fun run(): AttemptResult {
         val remaining = work.limitMillis - clock.nowMillis()
-        if (remaining <= 0) return AttemptResult.NotRun("no time was left", sent = false)
-        if (!connection.reusable) return AttemptResult.NotRun("the connection ended before it was used", sent = false)
+        val obstacle = when {
+            remaining <= 0 -> "no time was left"
+            !connection.reusable -> "the connection ended before it was used"
+            else -> null
+        }
+        if (obstacle != null) return AttemptResult.NotRun(obstacle, sent = false)
         connection.send(message(tools.requests.head(work, target, remaining), work.request.body))
         progress.sent = true
         work.sends++
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/MemoryStore.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/MemoryStore.kt
@@ -56,11 +56,17 @@
 
     private suspend fun answer(call: ControlCall, timeoutMillis: Long): Result<ControlAnswer, CallFailure> {
         calls++
-        if (refuses) return Ok(ControlAnswer(503, ""))
-        if (silent) {
-            delay(timeoutMillis)
-            return Err(CallFailure.Unanswered("silent"))
+        return when {
+            refuses -> Ok(ControlAnswer(503, ""))
+            silent -> {
+                delay(timeoutMillis)
+                Err(CallFailure.Unanswered("silent"))
+            }
+            else -> carryOut(call, timeoutMillis)
         }
+    }
+
+    private suspend fun carryOut(call: ControlCall, timeoutMillis: Long): Result<ControlAnswer, CallFailure> {
         val (name, since, expected) = call.target.split(' ')
         val kind = ObjectKind.valueOf(name)
         delay(ANSWER_MILLIS)
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/ObjectCopyTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/ObjectCopyTest.kt
@@ -17,8 +17,8 @@
 
 /** Copies of the store's objects that instances pass to each other in place of reading them. */
 class ObjectCopyTest {
-    private val teller = Names()
-    private val told = Names()
+    private val teller = Listed()
+    private val told = Listed()
     private val source = ObjectCopy(teller).also { it.replace(list(10, "a" to 3, "b" to 5)) }
     private val copy = ObjectCopy(told)
 
@@ -89,7 +89,7 @@
 
     private fun removal(name: String, revision: Long) = ObjectChange(StoredObject(name, revision, "{}"), removed = true)
 
-    private class Names : ObjectListener {
+    private class Listed : ObjectListener {
         val names = LinkedHashSet<String>()
 
         override fun onList(objects: List<StoredObject>) {
