--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerNode.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerNode.kt
@@ -76,11 +76,9 @@
         return bound
     }
 
-    /** Sets the instances (with `host:port`) that connections are kept to; connects to new ones at once. */
+    /** Sets the instances (with `host:port`) that connections are kept to. */
     public fun keepConnectedTo(peers: Map<InstanceId, String>) {
-        val former = neighbours
         neighbours = peers - identity.incarnation.instance
-        if (dialer != null) connectTo(neighbours - former.keys)
     }
 
     /** Returns the open connection to [instance] or makes one to [address]. */
@@ -146,18 +144,14 @@
 
     private suspend fun keepNeighbours() {
         while (scope.isActive) {
-            connectTo(neighbours)
+            neighbours.filterKeys { links[it] == null }.forEach { (instance, address) ->
+                scope.launch { connect(instance, address).onFailure { logger.debug { it.message } } }
+            }
             links.surplus().forEach { it.close() }
             delay(options.heartbeatMillis)
         }
     }
 
-    private fun connectTo(peers: Map<InstanceId, String>) {
-        peers.filterKeys { links[it] == null }.forEach { (instance, address) ->
-            scope.launch { connect(instance, address).onFailure { logger.debug { it.message } } }
-        }
-    }
-
     private companion object {
         const val QUEUED_MESSAGES = 4_096
     }
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/exchange/PeerTree.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/exchange/PeerTree.kt
@@ -97,8 +97,8 @@
         // Each pays for its calls; two may fail before others have to notice and take over.
         const val STORE_FOLLOWERS = 3
 
-        // Connecting takes a round trip, and a second at most.
-        const val CONNECT_MILLIS = 1_500L
+        // Connections are tried once a second and then take a round trip.
+        const val CONNECT_MILLIS = 2_000L
 
         // An instance that restarts is back within two seconds, one on a slow machine later.
         const val AVOID_MILLIS = 5_000L
