--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
@@ -2,7 +2,6 @@
 
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 import org.parsleymoor.entry.callers.CallerAnswer
 import org.parsleymoor.entry.net.EndpointConnection
@@ -42,11 +41,6 @@
 
     /** Sends the request and suspends until the outcome is known. */
     suspend fun run(): AttemptResult {
-        val statedMillis = work.limitMillis - clock.nowMillis()
-        val head = tools.requests.head(work, target, statedMillis)
-        // What has arrived meanwhile is read right before sending: a caller that left while this instance was short of
-        // processor time, above all while it starts, ends its request here.
-        delay(CATCH_UP_MILLIS)
         val remaining = work.limitMillis - clock.nowMillis()
         val obstacle = when {
             remaining <= 0 -> "no time was left"
@@ -54,9 +48,7 @@
             else -> null
         }
         if (obstacle != null) return AttemptResult.NotRun(obstacle, sent = false)
-        val isCurrent = statedMillis - remaining <= STATED_SLACK_MILLIS
-        val current = if (isCurrent) head else tools.requests.head(work, target, remaining)
-        connection.send(message(current, work.request.body))
+        connection.send(message(tools.requests.head(work, target, remaining), work.request.body))
         progress.sent = true
         work.sends++
         val patience = work.patienceMillis(target, remaining)
@@ -136,12 +128,6 @@
     private companion object {
         const val REFUSAL_BODY_MILLIS = 200L
 
-        // A timer, however short, runs after the event loop has read its sockets again.
-        const val CATCH_UP_MILLIS = 1L
-
-        // An endpoint that is told this much more time than is left works on a little after its caller has left.
-        const val STATED_SLACK_MILLIS = 20L
-
         // Statuses that promise a caller that its request has not run; endpoints confirm that by a field of their own.
         val PROMISES = setOf(HttpStatus.REQUEST_TIMEOUT, HttpStatus.TOO_MANY_REQUESTS, HttpStatus.UNAVAILABLE)
             .map { it.code }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempts.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempts.kt
@@ -6,6 +6,7 @@
 import com.github.michaelbull.result.map
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.parsleymoor.entry.callers.CallerAnswer
@@ -40,6 +41,9 @@
         state.started(tokens)
         target.reading?.let { beliefs.sent(state, SentPrompt(clock.nowMillis(), tokens, it.tokens, it.context)) }
         try {
+            // What has arrived meanwhile is read first: a caller that has left while this instance was short of
+            // processor time ends its request here.
+            delay(CATCH_UP_MILLIS)
             return Attempt(tools, work, target, connection, answer, progress).run()
         } catch (cancelled: CancellationException) {
             handedOver = finishLater(work, connection, progress)
@@ -89,6 +93,9 @@
     private companion object {
         // Establishing a connection takes one round trip, at most some 40 ms between regions, unless packets are lost.
         const val CONNECT_MILLIS = 700L
+
+        // A timer, however short, runs after the event loop has read its sockets again.
+        const val CATCH_UP_MILLIS = 1L
         const val MINIMAL_CONNECTIONS = 2
     }
 }
