Keep the HTTP clients of tests from being garbage collected

WatchLines, and some tests, created a Vert.x client and kept no reference to it.

Change: the clients are fields. 'a silenced connection answers nothing' failed 4 of 60 times beside load, because the pool sometimes opened a second connection for the call that had to be silent; its pool now has one connection.

--- a/programs/operator/src/test/kotlin/org/parsleymoor/operator/OperatorBench.kt
+++ b/programs/operator/src/test/kotlin/org/parsleymoor/operator/OperatorBench.kt
@@ -20,6 +20,7 @@
 /** The object service stand-in, three gateways in memory, and the program's commands run in this process. */
 internal class OperatorBench(private val directory: Path) : AutoCloseable {
     private val vertx = Vertx.vertx()
+    private val web = WebClient.create(vertx)
     private val port = runBlocking { PlatformStandIn(vertx, PlatformSettings()).start() }
     val gateways = listOf("north-a", "north-b", "south-a").mapIndexed { index, zone -> FakeGateway(index + 1, zone) }
     val platform: PlatformClient = VertxPlatformClient(vertx, HttpAddress("127.0.0.1", port))
@@ -41,7 +42,7 @@
 
     /** Sets the faults of the object service. */
     suspend fun fail(faults: PlatformFaults) {
-        WebClient.create(vertx).post(port, "127.0.0.1", "/faults")
+        web.post(port, "127.0.0.1", "/faults")
             .sendBuffer(Buffer.buffer(WireJson.encodeToString(PlatformFaults.serializer(), faults))).coAwait()
     }
 
--- a/programs/standins/src/test/kotlin/org/parsleymoor/standins/EngineStandInTest.kt
+++ b/programs/standins/src/test/kotlin/org/parsleymoor/standins/EngineStandInTest.kt
@@ -41,6 +41,7 @@
 
 class EngineStandInTest {
     private val vertx = Vertx.vertx()
+    private val web = WebClient.create(vertx)
     private val settings = EngineSettings(EndpointId("engine-1"), prefillMillisPerPiece = 1, millisPerToken = 1)
 
     @AfterEach
@@ -175,7 +176,7 @@
         val engine = client(port)
         engine.generate(request("a", listOf("p1"))).toList()
         engine.generate(request("b", listOf("p1")).copy(organisation = OrganisationId("other"))).toList()
-        val text = WebClient.create(vertx).get(port, "127.0.0.1", "/journal").send().coAwait().bodyAsString()
+        val text = web.get(port, "127.0.0.1", "/journal").send().coAwait().bodyAsString()
         val runs = WireJson.decodeFromString(ListSerializer(EngineRun.serializer()), text)
         expectThat(runs)[1].get { foreignPieces }.isEqualTo(1)
         expectThat(runs)[0].get { endedAtMillis }.isGreaterThan(0)
@@ -211,7 +212,7 @@
     }
 
     private suspend fun post(port: Int, body: String) {
-        WebClient.create(vertx).post(port, "127.0.0.1", "/faults").sendBuffer(Buffer.buffer(body)).coAwait()
+        web.post(port, "127.0.0.1", "/faults").sendBuffer(Buffer.buffer(body)).coAwait()
     }
 
     private companion object {
--- a/programs/standins/src/test/kotlin/org/parsleymoor/standins/PlatformStandInTest.kt
+++ b/programs/standins/src/test/kotlin/org/parsleymoor/standins/PlatformStandInTest.kt
@@ -3,8 +3,10 @@
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpClosedException
+import io.vertx.core.http.PoolOptions
 import io.vertx.ext.web.client.HttpResponse
 import io.vertx.ext.web.client.WebClient
+import io.vertx.ext.web.client.WebClientOptions
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeoutOrNull
@@ -20,7 +22,10 @@
 
 class PlatformStandInTest {
     private val vertx = Vertx.vertx()
-    private val web = WebClient.create(vertx)
+
+    // With one connection, a call that follows another uses the connection of that one.
+    private val web = WebClient.create(vertx, WebClientOptions(), PoolOptions().setHttp1MaxSize(1))
+    private val fresh = WebClient.create(vertx)
     private val settings = PlatformSettings(heartbeatMillis = 20)
     private val port = runBlocking { PlatformStandIn(vertx, settings).start() }
 
@@ -86,8 +91,8 @@
         put("root", "first", expectedVersion = 0, writeId = "a")
         setFaults(PlatformFaults(silenceOpenConnections = true))
         expectThat(withTimeoutOrNull(200) { read("root") }).isNull()
-        val fresh = WebClient.create(vertx).get(port, HOST, "/objects/leases/root").send().coAwait()
-        expectThat(fresh.statusCode()).isEqualTo(200)
+        val answer = fresh.get(port, HOST, "/objects/leases/root").send().coAwait()
+        expectThat(answer.statusCode()).isEqualTo(200)
     }
 
     private suspend fun put(name: String, value: String, expectedVersion: Long, writeId: String) =
--- a/programs/standins/src/test/kotlin/org/parsleymoor/standins/WatchLines.kt
+++ b/programs/standins/src/test/kotlin/org/parsleymoor/standins/WatchLines.kt
@@ -11,11 +11,13 @@
 
 /** Reads the events of one open watch of leases. */
 internal class WatchLines(vertx: Vertx, port: Int) {
+    // Vert.x closes a client that is garbage collected, together with its connections.
+    private val client = vertx.createHttpClient()
     private val events = Channel<WatchEvent>(Channel.UNLIMITED)
 
     init {
         runBlocking {
-            val request = vertx.createHttpClient().request(HttpMethod.GET, port, "127.0.0.1", "/watch/leases").coAwait()
+            val request = client.request(HttpMethod.GET, port, "127.0.0.1", "/watch/leases").coAwait()
             request.response().onSuccess { response ->
                 response.handler(
                     RecordParser.newDelimited("\n") {
@@ -33,4 +35,9 @@
             if (accepts(event)) return event
         }
     }
+
+    /** Ends the watch. */
+    suspend fun close() {
+        client.close().coAwait()
+    }
 }
