Bound what an endpoint can send in place of an answer

Interim responses, empty lines, trailers and answers to other requests without end held a request until its time limit, so that a caller learned of it as a 504 after two seconds and the endpoint was not set aside. A stalled stream that sent a byte now and then counted as alive and was never resumed elsewhere.

Ruled out: heads without end were bounded already; a second copy of an answer on a connection in use again was passed over already; slow streams whose events keep coming were not cut.

A stream stalls when no event arrives, whatever bytes do. An answer that names no request is not taken on a connection whose answers name theirs. Control calls read with the same function and limit.

--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/http/BodyDecoder.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/http/BodyDecoder.kt
@@ -10,6 +10,7 @@
 public class BodyDecoder(private val framing: BodyFraming) {
     private var remaining = (framing as? BodyFraming.Length)?.bytes ?: 0
     private var stage = Stage.SIZE
+    private var trailerBytes = 0
 
     /** Whether the body is complete, more bytes are needed, or the framing is broken. */
     public var progress: BodyProgress = if (isEmpty()) BodyProgress.COMPLETE else BodyProgress.INCOMPLETE
@@ -60,6 +61,10 @@
             stage == Stage.SIZE -> size(line)
             stage == Stage.CONTENT_END -> if (line.isEmpty()) stage = Stage.SIZE else progress = BodyProgress.BROKEN
             line.isEmpty() -> progress = BodyProgress.COMPLETE
+            else -> {
+                trailerBytes += line.length
+                if (trailerBytes > TRAILER_LIMIT_BYTES) progress = BodyProgress.BROKEN
+            }
         }
     }
 
@@ -88,6 +93,9 @@
         // Longest chunk extension or trailer line that is accepted.
         const val LINE_LIMIT_BYTES = 4_096
 
+        // As many bytes as a head may have; trailers without end never complete a body.
+        const val TRAILER_LIMIT_BYTES = 32_768
+
         fun isHexDigit(char: Char): Boolean = char.isAsciiDigit() || char in 'a'..'f' || char in 'A'..'F'
     }
 }
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/http/ByteQueue.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/http/ByteQueue.kt
@@ -42,9 +42,11 @@
         return null
     }
 
-    /** Drops empty lines at the front, which RFC 9112 (2.2) allows before a request. */
-    public fun skipEmptyLines() {
+    /** Drops empty lines at the front, which RFC 9112 (2.2) allows before a request; returns how many bytes. */
+    public fun skipEmptyLines(): Int {
+        val before = start
         while (size >= 2 && bytes[start] == CARRIAGE_RETURN && bytes[start + 1] == LINE_FEED) start += 2
+        return start - before
     }
 
     private fun endsHead(index: Int): Boolean =
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/http/MessageFault.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/http/MessageFault.kt
@@ -16,5 +16,7 @@
     HEAD_TOO_LARGE(HttpStatus.HEAD_TOO_LARGE, "the head of the message is larger than the limit"),
     BODY_TOO_LARGE(HttpStatus.CONTENT_TOO_LARGE, "the body is larger than the limit"),
     ENDED_EARLY(HttpStatus.BAD_REQUEST, "the connection ended inside a message"),
+    TOO_MANY_RESPONSES(HttpStatus.BAD_GATEWAY, "more responses arrived than one request can have"),
+    UNIDENTIFIED(HttpStatus.BAD_GATEWAY, "the response names no request, unlike earlier ones of its connection"),
     TOO_SLOW(HttpStatus.REQUEST_TIMEOUT, "the message did not arrive within its time limit"),
 }
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/stream/EventSplitter.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/stream/EventSplitter.kt
@@ -9,6 +9,7 @@
  */
 public class EventSplitter {
     private var pending = ByteArray(0)
+    private var pendingLineStart = 0
 
     /** Number of bytes of an event whose end has not arrived. */
     public val pendingBytes: Int get() = pending.size
@@ -18,8 +19,8 @@
         val all = if (pending.isEmpty()) bytes else pending + bytes
         val events = ArrayList<StreamEvent>()
         var start = 0
-        var lineStart = 0
-        for (index in all.indices) {
+        var lineStart = pendingLineStart
+        for (index in pending.size until all.size) {
             if (all[index] != LINE_FEED) continue
             if (isEmptyLine(all, lineStart, index)) {
                 events += event(all.copyOfRange(start, index + 1))
@@ -28,6 +29,7 @@
             lineStart = index + 1
         }
         pending = all.copyOfRange(start, all.size)
+        pendingLineStart = lineStart - start
         return events
     }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/ControlClient.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/ControlClient.kt
@@ -1,14 +1,14 @@
 package org.parsleymoor.entry.net
 
 import com.github.michaelbull.result.Err
-import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.map
+import com.github.michaelbull.result.mapError
 import kotlinx.coroutines.withTimeoutOrNull
 import org.parsleymoor.core.Failure
 import org.parsleymoor.entry.protocol.ControlCall
 import org.parsleymoor.relay.fleet.SocketAddress
-import org.parsleymoor.relay.http.BodyProgress
 import org.parsleymoor.relay.http.HeaderField
 
 /** A response to a control call. */
@@ -48,14 +48,10 @@
 
     private suspend fun receive(connection: EndpointConnection, call: ControlCall): Result<ControlAnswer, CallFailure> {
         val response = connection.readResponse(call.method).getOrElse { return Err(CallFailure.Unanswered(it.message)) }
-        val body = java.io.ByteArrayOutputStream()
-        while (response.decoder.progress == BodyProgress.INCOMPLETE) body.writeBytes(connection.readPart(response))
         if (!response.head.keepsAlive) connection.spoiled = true
-        return if (response.decoder.progress == BodyProgress.COMPLETE) {
-            Ok(ControlAnswer(response.head.status, body.toString(Charsets.UTF_8)))
-        } else {
-            Err(CallFailure.Unanswered("the response ended early"))
-        }
+        return connection.readBody(response)
+            .map { ControlAnswer(response.head.status, it.decodeToString()) }
+            .mapError { CallFailure.Unanswered(it.message) }
     }
 
     private fun head(address: SocketAddress, call: ControlCall): ByteArray {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/MessageInput.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/MessageInput.kt
@@ -11,14 +11,14 @@
 
 /** Suspends until a head has arrived; returns null when the connection ends before its first byte. */
 internal suspend fun SocketInput.readHead(limitBytes: Int): Result<ByteArray?, MessageFault> {
-    queue.skipEmptyLines()
-    while (queue.headLength() == null && queue.size <= limitBytes && end == null) {
+    var skipped = queue.skipEmptyLines()
+    while (queue.headLength() == null && skipped + queue.size <= limitBytes && end == null) {
         awaitMore()
-        queue.skipEmptyLines()
+        skipped += queue.skipEmptyLines()
     }
     val length = queue.headLength()
     return when {
-        (length ?: queue.size) > limitBytes -> Err(MessageFault.HEAD_TOO_LARGE)
+        skipped + (length ?: queue.size) > limitBytes -> Err(MessageFault.HEAD_TOO_LARGE)
         length != null -> Ok(queue.take(length))
         else -> if (queue.size == 0) Ok(null) else Err(MessageFault.ENDED_EARLY)
     }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
@@ -12,6 +12,7 @@
 import org.parsleymoor.relay.fleet.SocketAddress
 import org.parsleymoor.relay.fleet.note
 import org.parsleymoor.relay.http.HttpStatus
+import org.parsleymoor.relay.http.MessageFault
 import org.parsleymoor.relay.routing.RequestKind
 
 /** What all attempts use. */
@@ -56,7 +57,7 @@
     }
 
     /** Waits for the response; gives up after [patience], and sooner when the endpoint answers nobody. */
-    private suspend fun awaitResponse(patience: Long): Result<IncomingResponse, String>? {
+    private suspend fun awaitResponse(patience: Long): Result<IncomingResponse, MessageFault>? {
         val sentMillis = clock.nowMillis()
         return withTimeoutOrNull(patience) {
             val first = withTimeoutOrNull(minOf(patience, work.silenceMillis(target))) { reader.head() }
@@ -70,10 +71,11 @@
         return AttemptResult.Uncertain("no response within $patience ms")
     }
 
-    private fun broken(reason: String): AttemptResult {
+    private fun broken(fault: MessageFault): AttemptResult {
         // An endpoint closes idle connections; that one of them was closed under a request says little of its health.
-        if (connection.requests <= 1) note(AttemptEvidence.FAILED)
-        return AttemptResult.Uncertain(reason)
+        val closedIdle = fault == MessageFault.ENDED_EARLY && connection.requests > 1
+        if (!closedIdle) note(AttemptEvidence.FAILED)
+        return AttemptResult.Uncertain(fault.message)
     }
 
     private suspend fun judge(response: IncomingResponse): AttemptResult {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/StreamRelay.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/StreamRelay.kt
@@ -19,16 +19,18 @@
     private val progress: AttemptProgress,
 ) {
     private val splitter = EventSplitter()
+    private var eventMillis = clock.nowMillis()
 
     /** Relays [response]; a stream that goes on after a break continues the same answer, with its first [head]. */
     suspend fun relay(response: IncomingResponse, head: AnswerHead): AttemptResult {
         var silent = false
-        while (!silent && response.decoder.progress == BodyProgress.INCOMPLETE) {
+        while (!silent && !endless && response.decoder.progress == BodyProgress.INCOMPLETE) {
             val part = nextPart(response)
             silent = part == null
             if (part != null) deliver(head, splitter.add(part).filter(::isNew))
         }
         return when {
+            endless -> AttemptResult.Uncertain("an event has more than $EVENT_LIMIT_BYTES bytes")
             silent -> AttemptResult.Uncertain("the stream fell silent")
             response.decoder.progress == BodyProgress.BROKEN -> AttemptResult.Uncertain("the stream broke off")
             splitter.pendingBytes > 0 -> AttemptResult.Uncertain("the stream ended inside an event")
@@ -36,23 +38,30 @@
         }
     }
 
-    /** Waits for more of the stream; returns null at the time limit, or when the endpoint answers nobody any more. */
+    private val endless: Boolean get() = splitter.pendingBytes > EVENT_LIMIT_BYTES
+
+    /**
+     * Waits for more of the stream; returns null at the time limit, or when no event has come for a while and the
+     * endpoint sends nobody else any. Bytes that complete no event do not count: a stalled stream may send some.
+     */
     private suspend fun nextPart(response: IncomingResponse): ByteArray? {
-        val startMillis = clock.nowMillis()
-        val remaining = (work.limitMillis - startMillis).coerceAtLeast(1)
-        val stall = if (work.route.resumable) minOf(remaining, STALL_MILLIS) else remaining
+        val nowMillis = clock.nowMillis()
+        val remaining = (work.limitMillis - nowMillis).coerceAtLeast(1)
+        val stall = if (work.route.resumable) minOf(remaining, eventMillis + STALL_MILLIS - nowMillis) else remaining
         val first = withTimeoutOrNull(stall) { connection.readPart(response) }
-        val part = if (first == null && stall < remaining && progress.answeredSince(startMillis)) {
-            withTimeoutOrNull(remaining - stall) { connection.readPart(response) }
+        return if (first == null && stall < remaining && progress.answeredSince(eventMillis + 1)) {
+            withTimeoutOrNull(work.limitMillis - clock.nowMillis()) { connection.readPart(response) }
         } else {
             first
         }
-        if (part != null) progress.answered(clock.nowMillis())
-        return part
     }
 
     private suspend fun deliver(head: AnswerHead, events: List<StreamEvent>) {
         if (events.isEmpty()) return
+        if (events.any { it.id != null }) {
+            eventMillis = clock.nowMillis()
+            progress.answered(eventMillis)
+        }
         progress.read()
         if (!work.started) {
             answer.startStream(head)
@@ -80,5 +89,8 @@
     private companion object {
         // Callers give a stream up after a gap of two seconds; a resumed one needs some of that for itself.
         const val STALL_MILLIS = 1_200L
+
+        // An event holds a few tokens; one that grows beyond this has no end.
+        const val EVENT_LIMIT_BYTES = 262_144
     }
 }
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
@@ -56,6 +56,7 @@
     resumable: Boolean = false,
     attempts: Int = 2,
     configured: Boolean = true,
+    timeoutMillis: Long = 2_000,
 ) : AutoCloseable {
     private val vertx = Vertx.vertx()
     private val dispatcher = vertx.orCreateContext.dispatcher()
@@ -65,7 +66,7 @@
     val port: Int = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
 
     init {
-        if (configured) beliefs.routes = RouteTable(configuration(kind, resumable, attempts))
+        if (configured) beliefs.routes = RouteTable(configuration(kind, resumable, attempts, timeoutMillis))
         beliefs.endpointsKnown = true
         beliefs.members = setOf(beliefs.self)
         endpoints.forEachIndexed { index, endpoint -> beliefs.endpoints.put(entry("e$index", endpoint.port), 0) }
@@ -128,7 +129,12 @@
         slots = 4,
     )
 
-    private fun configuration(kind: RequestKind, resumable: Boolean, attempts: Int) = ServingConfiguration(
+    private fun configuration(
+        kind: RequestKind,
+        resumable: Boolean,
+        attempts: Int,
+        timeoutMillis: Long,
+    ) = ServingConfiguration(
         version = 1,
         routes = listOf(
             Route(
@@ -137,7 +143,7 @@
                 pathPrefix = "/r/",
                 kind = kind,
                 targets = listOf(ServiceShare("s", 1.0)),
-                timeoutMillis = 2_000,
+                timeoutMillis = timeoutMillis,
                 objectiveMillis = 1_000,
                 attempts = attempts,
                 resumable = resumable,
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayTest.kt
@@ -2,7 +2,6 @@
 
 import org.junit.jupiter.api.Test
 import org.parsleymoor.relay.routing.RequestKind
-import strikt.api.Assertion
 import strikt.api.expectThat
 import strikt.assertions.contains
 import strikt.assertions.endsWith
@@ -14,10 +13,6 @@
 import java.net.Socket
 import java.util.concurrent.TimeUnit
 
-private fun Assertion.Builder<String>.lacks(text: String) = assert("lacks %s", text) { found ->
-    if (text in found) fail(found) else pass()
-}
-
 class RelayTest {
     @Test
     fun `status, body and seal pass unchanged, and the endpoint gets the caller's request`() {
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/ScriptedEndpoint.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/ScriptedEndpoint.kt
@@ -40,12 +40,15 @@
     }
 
     private fun serve(socket: Socket) {
-        while (true) {
-            val request = socket.readRequest() ?: break
-            requests += request
-            script(socket, requests.size, request)
+        try {
+            while (true) {
+                val request = socket.readRequest() ?: break
+                requests += request
+                script(socket, requests.size, request)
+            }
+        } finally {
+            callerLeft.countDown()
         }
-        callerLeft.countDown()
     }
 }
 
@@ -54,6 +57,11 @@
     getOutputStream().flush()
 }
 
+/** Sends [text] again and again until the other side closes the connection. */
+internal fun Socket.sayWithoutEnd(text: String) {
+    while (true) say(text)
+}
+
 /** Closes this socket so that the other side sees a reset. */
 internal fun Socket.reset() {
     setSoLinger(true, 0)
