Draw among the likely holders of a context and seven other engines

Change: the draw is among the engines that may hold the context, its home, and seven others by chance, as many as there are beside the home on the sites of eight engines, where nothing changes. Before a prompt is refused, all are looked at.

--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/EnginePlacement.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/EnginePlacement.kt
@@ -5,7 +5,6 @@
 import org.parsleymoor.relay.fleet.EndpointTable
 import org.parsleymoor.relay.fleet.sentSince
 import org.parsleymoor.relay.prompt.PromptContext
-import kotlin.math.exp
 import kotlin.random.Random
 
 /**
@@ -59,8 +58,10 @@
 public class EnginePlacement(
     private val topology: Topology,
     private val settings: EnginePlacementSettings = EnginePlacementSettings(),
-    private val random: Random = Random.Default,
+    random: Random = Random.Default,
 ) {
+    private val draw = EngineDraw(settings.spreadMillis, random)
+
     /** Chooses among the endpoints of the request's service in [table]. */
     public fun choose(wanted: EngineRequest, table: EndpointTable, nowMillis: Long): EnginePlace {
         val (request, prompt, named) = wanted
@@ -94,15 +95,20 @@
         val home = rendezvousOrder(prompt.affinityKey, candidates) { it.entry.id.value }.first()
         val heldShares = allowed.associateWith { wanted.heldShare(it) }
         val read = prompt.sharedTokens / settings.prefillTokensPerMilli
-        val costs = candidates.map { state ->
+        val cost = { state: EndpointState ->
             val obtain = wanted.fetchMillis(state)?.let { minOf(it + FETCH_SETUP_MILLIS, read) } ?: read
             val heldShare = heldShares.getValue(state)
             val missShare = 1 - maxOf(heldShare, if (state === home) settings.homeHitShare else 0.0)
             Candidate(state, missShare * obtain + firstTokenMillis(state, wanted, nowMillis), missShare * obtain)
         }
-        val (chosen, estimate) = draw(costs) { (state, millis, reading) ->
+        val total = { (state, millis, reading): Candidate ->
             millis + reading * settings.readingBurden + penalty(state, prompt, named, nowMillis)
         }
+        val sampled = draw.sample(candidates) { it === home || heldShares.getValue(it) > 0 }
+        val drawn = draw.one(sampled.map(cost), total)
+        // All are looked at before a request is refused.
+        val isLate = drawn.millis > patienceMillis(request) && sampled.size < candidates.size
+        val (chosen, estimate) = if (isLate) draw.one(candidates.map(cost), total) else drawn
         val weights = chosen.weights(prompt.model)
         if (estimate > patienceMillis(request)) {
             val later = (estimate - request.objectiveMillis / 2).toLong().coerceIn(RETRY_RANGE_MILLIS)
@@ -115,22 +121,6 @@
         return EnginePlace(Place.At(chosen, estimate), weights, cachedAt)
     }
 
-    /**
-     * Draws one of [options], with a probability that falls with its cost. Instances do not see at once what the others
-     * send: if each took the cheapest, a burst would meet at one engine.
-     */
-    private fun <T> draw(options: List<T>, cost: (T) -> Double): T {
-        val costs = options.map(cost)
-        val least = costs.min()
-        val weights = costs.map { exp((least - it) / settings.spreadMillis) }
-        var rest = random.nextDouble() * weights.sum()
-        val index = weights.indexOfFirst { weight ->
-            rest -= weight
-            rest < 0
-        }
-        return options[if (index < 0) costs.indexOf(least) else index]
-    }
-
     /**
      * How long a request may wait. One that would be answered too late is refused at once: engines that are given all
      * that is asked of them under overload answer all of it late, and stay so after the overload ends. A caller that
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/placement/EnginePlacementTest.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/placement/EnginePlacementTest.kt
@@ -70,6 +70,36 @@
         expectThat((placement.choose(wanted(prompt("s")), table, 100).place as Place.At).endpoint).isEqualTo(free)
     }
 
+    // Drawn among all engines, a prompt met its context the more rarely the more engines there are.
+    @Test
+    fun `prompts meet their context among 98 idle engines as often as among eight`() {
+        val shares = listOf(8, 98).map { count ->
+            val table = engines(count)
+            table.all.forEach { it.learnLoad(load(memoryUsed = 10_000, atMillis = 0)) }
+            val holder = table[EndpointId("engine-3")]!!
+            val short = prompt("s", shared = 1_861, own = 507)
+            val request = wanted(short).copy(heldShare = { if (it === holder) 0.9 else 0.0 })
+            val held = (1..2_000).count {
+                (placement.choose(request, table, 100).place as Place.At).endpoint === holder
+            }
+            held / 2_000.0
+        }
+        expectThat(shares[1]).isGreaterThan(shares[0] - 0.05)
+    }
+
+    // The engines that were drawn may all be full while another is not.
+    @Test
+    fun `a prompt is not refused while one of 98 engines is free`() {
+        val table = engines(98)
+        table.all.forEach { it.learnLoad(load(memoryUsed = 10_000, atMillis = 0, waiting = 40)) }
+        val free = table[EndpointId("engine-70")]!!
+        free.learnLoad(load(memoryUsed = 10_000, atMillis = 1))
+        repeat(50) {
+            val place = placement.choose(wanted(prompt("s$it")), table, 100).place
+            expectThat((place as Place.At).endpoint).isEqualTo(free)
+        }
+    }
+
     // Without affinity each engine would be drawn once in eight times.
     @Test
     fun `prompts with the same shared parts meet more often at their home among idle engines`() {
