Refuse what an instance that is behind cannot answer in time

A request sent to it at 28.65 s was read when its event loop was seconds behind and reached its engine at 33.37 s; its caller had left at 32.73 s. The close waited in the same queue, so a look at the caller's connection cannot find it, and the time limit was counted from when the request was read.

Ruled out: the look before sending (it happens, but the bytes have not been read yet) and the composing of the head.

Change: LoopLag measures how late the ticks of the control loops come. A request whose caller cannot wait for four turns of a loop that is so far behind is refused at once as not run, so that it can go to another instance; a request counts from before it waited unread; one whose caller no longer waits for a first event is not sent. An instance that has started is ready when its loop has kept up for half a second, or three seconds after it knows the configuration.

--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/routing/ServingConfiguration.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/routing/ServingConfiguration.kt
@@ -12,8 +12,9 @@
 
 /**
  * Where requests for [host] below [pathPrefix] go. [attempts] bounds the endpoints that run one caller's attempt;
- * [timeoutMillis] bounds the wait; within [objectiveMillis] an answer has its full value. Priority 0 is the most
- * urgent. A [resumable] stream may go on at another endpoint. No [allowedRegions] means all regions.
+ * [timeoutMillis] bounds the wait; within [objectiveMillis] an answer has its full value, a stream with pauses of at
+ * most [pauseMillis]. Priority 0 is the most urgent. A [resumable] stream may go on at another endpoint. No
+ * [allowedRegions] means all regions.
  */
 public data class Route(
     public val name: String,
@@ -28,6 +29,7 @@
     public val isPublic: Boolean = false,
     public val resumable: Boolean = false,
     public val allowedRegions: Set<RegionId> = emptySet(),
+    public val pauseMillis: Long = 0,
 ) {
     /** Whether a request may run again after a run whose outcome is unknown. */
     public val repeatable: Boolean
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
@@ -47,6 +47,7 @@
 import org.parsleymoor.entry.serving.Attempts
 import org.parsleymoor.entry.serving.Beliefs
 import org.parsleymoor.entry.serving.Delivery
+import org.parsleymoor.entry.serving.LoopLag
 import org.parsleymoor.entry.serving.Placer
 import org.parsleymoor.entry.serving.Refusals
 import org.parsleymoor.entry.serving.RelayHandler
@@ -95,6 +96,8 @@
     }
     private val members = MemberLoop(store, beliefs, membership, log, clock)
     private val stopping = StopState(settings.times.graceMillis, clock)
+    private val lag = LoopLag(clock)
+    private var routesSinceMillis: Long? = null
     private val callers = CallerServer(vertx, scope, callerContext())
 
     /** Listens, then starts to follow the object store; returns when the sockets are bound. */
@@ -110,6 +113,7 @@
         val watching = WatchContext(store, duty, runtime)
         val watches = listeners().mapValues { (kind, listener) -> ObjectWatch(kind, watching, listener) }
         watches.values.forEach { scope.launch { it.run() } }
+        scope.launch { ticks.measure(lag) }
         scope.launch { members.run() }
         val incarnation = Incarnation(settings.instance, clock.nowMillis())
         val context = ControlContext(beliefs, membership, control, protocol.engines, runtime)
@@ -155,7 +159,7 @@
     }
 
     private fun callerContext(): CallerContext {
-        val context = ServingContext(beliefs, log, metrics, clock)
+        val context = ServingContext(beliefs, log, metrics, clock, lag)
         val refusals = Refusals(protocol, log, metrics)
         val placer = Placer(settings, beliefs, clock)
         val attempts = Attempts(context, pool, protocol.headers, scope)
@@ -165,6 +169,7 @@
             handler = RelayHandler(context, protocol.headers, delivery, refusals, stopping),
             limits = { beliefs.routes?.configuration?.limits ?: CallerLimits() },
             stopping = { stopping.begun },
+            lagMillis = { lag.millis },
             onFault = { fault ->
                 log.write("request.malformed", always = true) {
                     put("status", fault.status.code)
@@ -189,7 +194,11 @@
     }
 
     private fun readiness(): ProbeAnswer {
-        val ready = !stopping.begun && beliefs.routes != null && beliefs.endpointsKnown
+        val known = beliefs.routes != null && beliefs.endpointsKnown
+        val sinceMillis = if (known) routesSinceMillis ?: clock.nowMillis() else null
+        routesSinceMillis = sinceMillis
+        val settled = lag.settled || sinceMillis != null && clock.nowMillis() - sinceMillis >= SETTLE_MILLIS
+        val ready = !stopping.begun && known && settled
         return ProbeAnswer(if (ready) HttpStatus.OK else HttpStatus.UNAVAILABLE)
     }
 
@@ -220,6 +229,9 @@
         const val FLUSH_MILLIS = 200L
         const val HOUSEKEEPING_TICKS = 3
 
+        // An instance that is still behind after this time is one of a slow machine, which may be all there are.
+        const val SETTLE_MILLIS = 3_000L
+
         // In this time some three requests arrive at all instances, which choose without knowing of each other.
         const val TICK_MILLIS = 60L
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/CallerConnection.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/CallerConnection.kt
@@ -26,6 +26,7 @@
     val limits: () -> CallerLimits,
     val stopping: () -> Boolean,
     val onFault: (MessageFault) -> Unit,
+    val lagMillis: () -> Long = { 0 },
 )
 
 /** Reads requests from [socket] one after the other and has each answered. Confined to the event loop. */
@@ -76,7 +77,7 @@
         if (head.headers.tokens("Expect") == listOf("100-continue")) socket.write(Buffer.buffer(CONTINUE))
         val body = withTimeoutOrNull(limits.idleMillis) { input.readBody(framing, limits.bodyBytes) }
             ?: Err(MessageFault.TOO_SLOW)
-        return body.map { CallerRequest(head, it, context.clock.nowMillis()) }
+        return body.map { CallerRequest(head, it, context.clock.nowMillis() - context.lagMillis()) }
     }
 
     private suspend fun answer(request: CallerRequest): Boolean {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ControlTicks.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ControlTicks.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.coroutines.delay
 import org.parsleymoor.core.Clock
+import org.parsleymoor.entry.serving.LoopLag
 
 /**
  * Wakes the control loops of an instance together, because each wake-up of an idle process costs processor time. The
@@ -14,8 +15,21 @@
 ) {
     /** Suspends until the next tick, or the one that is [count] ticks ahead. */
     suspend fun await(count: Int = 1) {
+        delay(remainingMillis(count))
+    }
+
+    /** Tells [lag] how late each tick comes, until the coroutine is cancelled. */
+    suspend fun measure(lag: LoopLag) {
+        while (true) {
+            val remaining = remainingMillis(1)
+            lag.expect(clock.nowMillis() + remaining)
+            delay(remaining)
+            lag.awake()
+        }
+    }
+
+    private fun remainingMillis(count: Int): Long {
         val period = periodMillis()
-        val sinceTick = Math.floorMod(clock.nowMillis() - offsetMillis, period)
-        delay(period * count - sinceTick)
+        return period * count - Math.floorMod(clock.nowMillis() - offsetMillis, period)
     }
 }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
@@ -45,6 +45,7 @@
         val remaining = work.limitMillis - clock.nowMillis()
         val obstacle = when {
             remaining <= 0 -> "no time was left"
+            !work.started && clock.nowMillis() >= work.beginLimitMillis -> "the caller no longer waits"
             !connection.reusable -> "the connection ended before it was used"
             else -> null
         }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Delivery.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Delivery.kt
@@ -89,7 +89,8 @@
     }
 
     private fun mayRepeat(work: Work, result: AttemptResult): Boolean {
-        val timeLeft = work.limitMillis - clock.nowMillis() > MINIMAL_MILLIS
+        val untilMillis = if (work.started) work.limitMillis else work.beginLimitMillis
+        val timeLeft = untilMillis - clock.nowMillis() > MINIMAL_MILLIS
         val allowed = when (result) {
             is AttemptResult.Delivered -> false
             is AttemptResult.NotRun -> work.runs < work.route.attempts && work.sends < MAXIMAL_SENDS
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Refusal.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Refusal.kt
@@ -25,6 +25,13 @@
     /** This instance shuts down before the request could be answered. */
     data object Stopping : Refusal(HttpStatus.UNAVAILABLE, "this instance is shutting down", STOPPING_MILLIS)
 
+    /** This instance is [lagMillis] behind and would answer too late; another may not be. */
+    class Behind(lagMillis: Long) : Refusal(
+        HttpStatus.UNAVAILABLE,
+        "this instance is $lagMillis ms behind and would answer too late",
+        lagMillis.coerceAtMost(LONGEST_BEHIND_MILLIS),
+    )
+
     /** The configuration [version] has no route for the request. */
     class NoRoute(
         val version: Long
@@ -58,6 +65,9 @@
         // Another instance can serve the request at once.
         const val STOPPING_MILLIS = 50L
 
+        // An instance that has just started keeps up within a second or two.
+        const val LONGEST_BEHIND_MILLIS = 1_000L
+
         // An engine that loads weights or is full takes new work after about a second.
         const val ENDPOINTS_REFUSED_MILLIS = 500L
     }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/RelayHandler.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/RelayHandler.kt
@@ -24,6 +24,7 @@
     private val log = context.log
     private val metrics = context.metrics
     private val clock = context.clock
+    private val lag = context.lag
 
     override suspend fun handle(request: CallerRequest, answer: CallerAnswer) {
         metrics.requests.increment()
@@ -77,6 +78,8 @@
             keyed && organisation == null && !route.isPublic ->
                 Routed.Refused(Refusal.UnknownKey(table.configuration.version))
             service == null -> Routed.Refused(Refusal.NoConfiguration)
+            lag.isTooMuchFor(route.beginMillis(callerMillis(request, route))) ->
+                Routed.Refused(Refusal.Behind(lag.millis))
             else -> Routed.To(
                 Work(
                     id = id,
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/ResponseReader.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/ResponseReader.kt
@@ -3,9 +3,10 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
-import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.map
 import org.parsleymoor.entry.net.EndpointConnection
 import org.parsleymoor.entry.net.IncomingResponse
 import org.parsleymoor.entry.protocol.HeaderNames
@@ -21,28 +22,29 @@
     /** Suspends until the head of the response is there, passing over responses to other requests that arrive late. */
     suspend fun head(): Result<IncomingResponse, MessageFault> {
         repeat(FOREIGN_LIMIT) {
-            val response = connection.readResponse(work.request.head.method).getOrElse { return Err(it) }
-            when (response.head.headers[names.caller.attemptId]) {
-                work.id.value -> {
-                    connection.identified = true
-                    return Ok(response)
-                }
-                null -> return if (connection.identified) Err(MessageFault.UNIDENTIFIED) else Ok(response)
-                else -> passOver(response)?.let { return Err(it) }
-            }
+            val read = connection.readResponse(work.request.head.method).andThen { own(it) }
+            if (read.get() != null || read.getError() != null) return read.map { checkNotNull(it) }
         }
         return Err(MessageFault.TOO_MANY_RESPONSES)
     }
 
+    /** Returns [response] when it answers [work], null when it answered another request and has been passed over. */
+    private suspend fun own(response: IncomingResponse): Result<IncomingResponse?, MessageFault> =
+        when (response.head.headers[names.caller.attemptId]) {
+            work.id.value -> Ok(response).also { connection.identified = true }
+            null -> if (connection.identified) Err(MessageFault.UNIDENTIFIED) else Ok(response)
+            else -> passOver(response).map { null }
+        }
+
     /** Suspends until the whole body of [response] is read; returns null when it broke off or is too large. */
     suspend fun body(response: IncomingResponse): ByteArray? = connection.readBody(response).get()
 
-    /** Returns why nothing can follow [response], or null. */
-    private suspend fun passOver(response: IncomingResponse): MessageFault? {
+    /** Drops [response], which belongs to another request; nothing can follow one that ends with the connection. */
+    private suspend fun passOver(response: IncomingResponse): Result<Unit, MessageFault> {
         connection.identified = true
         connection.spoiled = true
-        if (response.framing == BodyFraming.UntilClose) return MessageFault.TOO_MANY_RESPONSES
-        return connection.dropBody(response).getError()
+        val last = response.framing == BodyFraming.UntilClose
+        return if (last) Err(MessageFault.TOO_MANY_RESPONSES) else connection.dropBody(response)
     }
 
     private companion object {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/ServingContext.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/ServingContext.kt
@@ -10,4 +10,5 @@
     val log: DecisionLog,
     val metrics: EntryMetrics,
     val clock: Clock,
+    val lag: LoopLag = LoopLag(clock),
 )
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Work.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Work.kt
@@ -7,9 +7,28 @@
 import org.parsleymoor.relay.placement.PlaceRequest
 import org.parsleymoor.relay.prompt.PromptContext
 import org.parsleymoor.relay.routing.Organisation
+import org.parsleymoor.relay.routing.RequestKind
 import org.parsleymoor.relay.routing.Route
 import org.parsleymoor.relay.routing.Service
 
+/**
+ * How long the caller of a request on this route waits for the answer to begin, when it waits [waitMillis] for the
+ * whole. Callers give up a stream whose first event does not come for two seconds, four objectives and eight times the
+ * longest pause that is in time.
+ */
+internal fun Route.beginMillis(waitMillis: Long): Long = when (kind) {
+    RequestKind.STREAM -> minOf(
+        waitMillis,
+        maxOf(STREAM_BEGIN_MILLIS, objectiveMillis * STREAM_BEGIN_OBJECTIVES, pauseMillis * STREAM_BEGIN_PAUSES),
+    )
+    RequestKind.IDEMPOTENT, RequestKind.NON_IDEMPOTENT -> waitMillis
+}
+
+// From the users' protocol.
+private const val STREAM_BEGIN_MILLIS = 2_000L
+private const val STREAM_BEGIN_OBJECTIVES = 4
+private const val STREAM_BEGIN_PAUSES = 8
+
 /** Who sent a request: its [organisation], whether it had to show a key, and how long it waits. */
 internal class Caller(val organisation: Organisation?, val keyed: Boolean, val waitMillis: Long)
 
@@ -34,6 +53,9 @@
     /** After this nothing is sent or awaited any more. */
     val limitMillis: Long get() = minOf(routeLimitMillis, callerLimitMillis)
 
+    /** When the caller stops waiting for the answer to begin. */
+    val beginLimitMillis: Long get() = minOf(limitMillis, request.receivedMillis + route.beginMillis(caller.waitMillis))
+
     /** Endpoints that had this request and are not asked again. */
     val tried = HashSet<EndpointId>()
 
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
@@ -26,6 +26,7 @@
 import org.parsleymoor.entry.serving.Attempts
 import org.parsleymoor.entry.serving.Beliefs
 import org.parsleymoor.entry.serving.Delivery
+import org.parsleymoor.entry.serving.LoopLag
 import org.parsleymoor.entry.serving.Placer
 import org.parsleymoor.entry.serving.Refusals
 import org.parsleymoor.entry.serving.RelayHandler
@@ -63,6 +64,7 @@
     private val scope = CoroutineScope(SupervisorJob() + dispatcher)
     private val log = DecisionLog(Clock.System, "test", PrintStream(OutputStream.nullOutputStream()))
     private val beliefs = Beliefs(InstanceId("test"))
+    val lag = LoopLag(Clock.System)
     val port: Int = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
 
     init {
@@ -70,7 +72,7 @@
         beliefs.endpointsKnown = true
         beliefs.members = setOf(beliefs.self)
         endpoints.forEachIndexed { index, endpoint -> beliefs.endpoints.put(entry("e$index", endpoint.port), 0) }
-        val context = ServingContext(beliefs, log, EntryMetrics(), Clock.System)
+        val context = ServingContext(beliefs, log, EntryMetrics(), Clock.System, lag)
         val refusals = Refusals(TestProtocol, log, context.metrics)
         val pool = ConnectionPool(vertx.createNetClient(), Clock.System)
         val budget = SharedRetryBudget(RetryBound(share = 1.0, extra = 100.0, windowMillis = 10_000))
@@ -88,6 +90,7 @@
             limits = { CallerLimits(headBytes = 2_048, bodyBytes = 10_000) },
             stopping = { stopping.begun },
             onFault = {},
+            lagMillis = { lag.millis },
         )
         runBlocking(dispatcher) { CallerServer(vertx, scope, callers).start(SocketAddress("127.0.0.1", port)) }
     }
