--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
@@ -26,6 +26,7 @@
 import org.parsleymoor.entry.serving.Attempts
 import org.parsleymoor.entry.serving.Beliefs
 import org.parsleymoor.entry.serving.Delivery
+import org.parsleymoor.entry.serving.LoopLag
 import org.parsleymoor.entry.serving.Placer
 import org.parsleymoor.entry.serving.Refusals
 import org.parsleymoor.entry.serving.RelayHandler
@@ -56,20 +57,22 @@
     resumable: Boolean = false,
     attempts: Int = 2,
     configured: Boolean = true,
+    timeoutMillis: Long = 2_000,
 ) : AutoCloseable {
     private val vertx = Vertx.vertx()
     private val dispatcher = vertx.orCreateContext.dispatcher()
     private val scope = CoroutineScope(SupervisorJob() + dispatcher)
     private val log = DecisionLog(Clock.System, "test", PrintStream(OutputStream.nullOutputStream()))
     private val beliefs = Beliefs(InstanceId("test"))
+    val lag = LoopLag(Clock.System)
     val port: Int = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
 
     init {
-        if (configured) beliefs.routes = RouteTable(configuration(kind, resumable, attempts))
+        if (configured) beliefs.routes = RouteTable(configuration(kind, resumable, attempts, timeoutMillis))
         beliefs.endpointsKnown = true
         beliefs.members = setOf(beliefs.self)
         endpoints.forEachIndexed { index, endpoint -> beliefs.endpoints.put(entry("e$index", endpoint.port), 0) }
-        val context = ServingContext(beliefs, log, EntryMetrics(), Clock.System)
+        val context = ServingContext(beliefs, log, EntryMetrics(), Clock.System, lag)
         val refusals = Refusals(TestProtocol, log, context.metrics)
         val pool = ConnectionPool(vertx.createNetClient(), Clock.System)
         val budget = SharedRetryBudget(RetryBound(share = 1.0, extra = 100.0, windowMillis = 10_000))
@@ -87,6 +90,7 @@
             limits = { CallerLimits(headBytes = 2_048, bodyBytes = 10_000) },
             stopping = { stopping.begun },
             onFault = {},
+            lagMillis = { lag.millis },
         )
         runBlocking(dispatcher) { CallerServer(vertx, scope, callers).start(SocketAddress("127.0.0.1", port)) }
     }
@@ -128,7 +132,12 @@
         slots = 4,
     )
 
-    private fun configuration(kind: RequestKind, resumable: Boolean, attempts: Int) = ServingConfiguration(
+    private fun configuration(
+        kind: RequestKind,
+        resumable: Boolean,
+        attempts: Int,
+        timeoutMillis: Long,
+    ) = ServingConfiguration(
         version = 1,
         routes = listOf(
             Route(
@@ -137,7 +146,7 @@
                 pathPrefix = "/r/",
                 kind = kind,
                 targets = listOf(ServiceShare("s", 1.0)),
-                timeoutMillis = 2_000,
+                timeoutMillis = timeoutMillis,
                 objectiveMillis = 1_000,
                 attempts = attempts,
                 resumable = resumable,
