Take a refusal without an id as before, also from an endpoint that gives ids

On a kept connection such a refusal would have counted as an answer that nobody can attribute, and a request that had not run would have ended as one whose outcome is unknown.

Change: only answers that are no refusals have to name their request.

--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
@@ -84,9 +84,8 @@
         tools.learning.learn(work, state, head)
         if (!head.keepsAlive) connection.spoiled = true
         progress.keepMillis = head.keepAliveMillis
-        val refused = head.headers[names.endpoint.notRun] != null || head.status == HttpStatus.MISDIRECTED.code
         return when {
-            refused -> refusal(response)
+            head.isRefusal(names) -> refusal(response)
             head.status in PROMISES -> failed("unconfirmed refusal ${head.status}")
             head.status in SUCCESS && !head.isSealed(names) -> failed("success without a seal")
             work.route.kind == RequestKind.STREAM && head.isEventStream -> stream(response)
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/ResponseHeads.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/ResponseHeads.kt
@@ -3,12 +3,17 @@
 import org.parsleymoor.entry.callers.AnswerHead
 import org.parsleymoor.entry.net.CONNECTION_FIELDS
 import org.parsleymoor.entry.protocol.HeaderNames
+import org.parsleymoor.relay.http.HttpStatus
 import org.parsleymoor.relay.http.ResponseHead
 
 /** Whether the head proves that the response is the endpoint's and belongs to a request. */
 internal fun ResponseHead.isSealed(names: HeaderNames): Boolean =
     headers[names.endpoint.seal] != null && headers[names.caller.attemptId] != null
 
+/** Whether the endpoint says that it has not run the request. */
+internal fun ResponseHead.isRefusal(names: HeaderNames): Boolean =
+    headers[names.endpoint.notRun] != null || status == HttpStatus.MISDIRECTED.code
+
 /** Whether this is a successful response that consists of server-sent events. */
 internal val ResponseHead.isEventStream: Boolean
     get() = status in SUCCESS && headers["Content-Type"].orEmpty().startsWith("text/event-stream")
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/ResponseReader.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/ResponseReader.kt
@@ -32,7 +32,7 @@
     private suspend fun own(response: IncomingResponse): Result<IncomingResponse?, MessageFault> =
         when (response.head.headers[names.caller.attemptId]) {
             work.id.value -> Ok(response).also { connection.identified = true }
-            null -> if (connection.identified) Err(MessageFault.UNIDENTIFIED) else Ok(response)
+            null -> if (connection.identified && !response.head.isRefusal(names)) UNIDENTIFIED else Ok(response)
             else -> passOver(response).map { null }
         }
 
@@ -48,6 +48,8 @@
     }
 
     private companion object {
+        val UNIDENTIFIED: Result<IncomingResponse, MessageFault> = Err(MessageFault.UNIDENTIFIED)
+
         // A second copy of an answer comes now and then; an endpoint that sends several others sends no answer.
         const val FOREIGN_LIMIT = 4
     }
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/EndpointTroubleTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/EndpointTroubleTest.kt
@@ -130,6 +130,19 @@
         }
     }
 
+    // Endpoints refuse before they look at the request's id.
+    @Test
+    fun `a refusal without an id is taken from an endpoint that gives ids`() {
+        val refusing = ScriptedEndpoint { socket, number, _ ->
+            val refusal = "HTTP/1.1 503 No\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+            socket.say(if (number == 1) sealed("first", id = "1") else refusal)
+        }
+        RelayHarness(refusing).use { harness ->
+            expectThat(harness.ask(request(id = "1"))).endsWith("first")
+            expectThat(harness.ask(request(id = "2"))).startsWith("HTTP/1.1 503 ")
+        }
+    }
+
     @Test
     fun `a stream that sends a byte now and then but no event goes on at another endpoint`() {
         val script = { socket: Socket, _: Int, request: String ->
