--- a/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/ColdStartLeases.kt
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/ColdStartLeases.kt
@@ -6,7 +6,7 @@
 /** What a [ColdStartLeases] is told about one endpoint. */
 public sealed interface ColdLeaseEvent {
     /** The endpoint became cold or warm; [contends] says whether this gateway is among the first to try for it. */
-    public data class Warmth(public val cold: Boolean, public val contends: Boolean) : ColdLeaseEvent
+    public data class ColdState(public val cold: Boolean, public val contends: Boolean) : ColdLeaseEvent
 
     /** What the platform answered about `leases/cold.{endpoint}`. */
     public data class Lease(public val event: LeaseEvent) : ColdLeaseEvent
@@ -19,7 +19,7 @@
 }
 
 /** The part of the limit of a cold endpoint that this gateway may use: until when, and what others still run there. */
-public data class ColdGrant(public val untilMillis: Long, public val foreignRunning: Int)
+public data class ColdStartGrant(public val untilMillis: Long, public val foreignRunning: Int)
 
 /**
  * The leases on cold endpoints: the holder alone sends to the endpoint, so that the limit holds for all gateways
@@ -34,7 +34,7 @@
 
     /** Applies [event] about [endpoint] at [nowMillis] and returns the platform calls to make. */
     public fun handle(nowMillis: Long, endpoint: EndpointId, event: ColdLeaseEvent): List<LeaseAction> {
-        val state = endpoints.getOrPut(endpoint) { ColdEndpoint(LeaseHolder("cold.$endpoint", self, settings)) }
+        val state = endpoints.getOrPut(endpoint) { ColdEndpoint(LeaseManager("cold.$endpoint", self, settings)) }
         return state.handle(nowMillis, event)
     }
 
@@ -43,16 +43,16 @@
         endpoints.mapValues { it.value.handle(nowMillis, ColdLeaseEvent.Tick) }.filterValues { it.isNotEmpty() }
 
     /** Returns what this gateway may send to the cold [endpoint] at [nowMillis]; null when nothing. */
-    public fun grant(nowMillis: Long, endpoint: EndpointId): ColdGrant? = endpoints[endpoint]?.grant(nowMillis)
+    public fun grant(nowMillis: Long, endpoint: EndpointId): ColdStartGrant? = endpoints[endpoint]?.grant(nowMillis)
 }
 
-private class ColdEndpoint(private val holder: LeaseHolder) {
+private class ColdEndpoint(private val holder: LeaseManager) {
     private var takenMillis: Long? = null
     private var foreignRunning: Int? = null
 
     fun handle(nowMillis: Long, event: ColdLeaseEvent): List<LeaseAction> {
         val actions = when (event) {
-            is ColdLeaseEvent.Warmth -> holder.handle(nowMillis, LeaseEvent.Wanted(wants(nowMillis, event)))
+            is ColdLeaseEvent.ColdState -> holder.handle(nowMillis, LeaseEvent.Wanted(wants(nowMillis, event)))
             is ColdLeaseEvent.Lease -> holder.handle(nowMillis, event.event)
             is ColdLeaseEvent.LoadRead -> emptyList()
             is ColdLeaseEvent.Tick -> holder.handle(nowMillis, LeaseEvent.Tick)
@@ -62,15 +62,15 @@
         return actions
     }
 
-    fun grant(nowMillis: Long): ColdGrant? {
+    fun grant(nowMillis: Long): ColdStartGrant? {
         val lease = holder.held(nowMillis)
         val foreign = foreignRunning
         if (lease == null || foreign == null || lease.unfencedFromMillis != takenMillis) return null
-        return ColdGrant(lease.untilMillis, foreign)
+        return ColdStartGrant(lease.untilMillis, foreign)
     }
 
     /** A holder keeps the lease of a cold endpoint even when others come before it in the order of contenders. */
-    private fun wants(nowMillis: Long, event: ColdLeaseEvent.Warmth): Boolean =
+    private fun wants(nowMillis: Long, event: ColdLeaseEvent.ColdState): Boolean =
         event.cold && (event.contends || holder.held(nowMillis) != null)
 
     private fun follow(nowMillis: Long) {
--- a/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/ConfigurationSpread.kt
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/ConfigurationSync.kt
@@ -9,12 +9,12 @@
  * whole configurations with a revision above every one that it has seen before. A new instance applies nothing until
  * the platform has answered or every reachable peer has. Not safe for use from several threads.
  */
-public class ConfigurationSpread(
+public class ConfigurationSync(
     self: InstanceId,
-    private val settings: SpreadSettings = SpreadSettings(),
+    private val settings: SyncSettings = SyncSettings(),
 ) {
-    private val duty = WatchDuty(self, settings)
-    private val start = FreshStart(settings)
+    private val duty = RootWatcher(self, settings)
+    private val start = StartupWait(settings)
     private val sections = SectionCache()
     private var applied: ConfigurationRoot? = null
     private var candidate: ConfigurationRoot? = null
@@ -31,34 +31,34 @@
         private set
 
     /** Applies [event] at [nowMillis] and returns what has to be done next. */
-    public fun handle(nowMillis: Long, event: SpreadEvent): List<SpreadAction> {
+    public fun handle(nowMillis: Long, event: SyncEvent): List<SyncAction> {
         start.observe(nowMillis, event)
         val answers = accept(nowMillis, event)
         return answers + duty.due(nowMillis) + applyWhole(nowMillis) + fetch(nowMillis)
     }
 
-    private fun accept(nowMillis: Long, event: SpreadEvent): List<SpreadAction> {
+    private fun accept(nowMillis: Long, event: SyncEvent): List<SyncAction> {
         when (event) {
-            is SpreadEvent.Members -> {
+            is SyncEvent.Members -> {
                 duty.assign(event)
-                peers.assign(event.connected)
+                peers.assign(event.connectedPeers)
             }
-            is SpreadEvent.PlatformRoot -> event.root?.let { consider(it, peer = false) }
-            is SpreadEvent.PlatformSection -> sections.accept(event.hash, event.text)
-            is SpreadEvent.WatchHeard -> duty.heard(nowMillis)
-            is SpreadEvent.WatchEnded -> duty.ended()
-            is SpreadEvent.PeerRevision -> note(event)
-            is SpreadEvent.PeerWants -> return listOf(offer(event))
-            is SpreadEvent.PeerOffers -> {
+            is SyncEvent.PlatformRoot -> event.root?.let { consider(it, peer = false) }
+            is SyncEvent.PlatformSection -> sections.accept(event.hash, event.text)
+            is SyncEvent.WatchActivity -> duty.heard(nowMillis)
+            is SyncEvent.WatchEnded -> duty.ended()
+            is SyncEvent.PeerRevision -> note(event)
+            is SyncEvent.PeerWants -> return listOf(offer(event))
+            is SyncEvent.PeerOffers -> {
                 event.root?.let { consider(it, peer = true) }
                 event.sections.forEach { (hash, text) -> sections.accept(hash, text) }
             }
-            is SpreadEvent.PlatformFailed, is SpreadEvent.Tick -> Unit
+            is SyncEvent.PlatformFailed, is SyncEvent.Tick -> Unit
         }
         return emptyList()
     }
 
-    private fun note(event: SpreadEvent.PeerRevision) {
+    private fun note(event: SyncEvent.PeerRevision) {
         peers.note(event.peer, event.revision)
         if (event.revision > seenRevision) askAnew(peer = true)
         seenRevision = maxOf(seenRevision, event.revision)
@@ -77,34 +77,34 @@
         fromPeer = peer
     }
 
-    private fun offer(event: SpreadEvent.PeerWants): SpreadAction {
+    private fun offer(event: SyncEvent.PeerWants): SyncAction {
         val root = applied?.takeIf { it.revision > event.haveRevision }
-        return SpreadAction.OfferPeer(event.peer, root, sections.select(event.sections))
+        return SyncAction.OfferPeer(event.peer, root, sections.select(event.sections))
     }
 
-    private fun applyWhole(nowMillis: Long): List<SpreadAction> {
+    private fun applyWhole(nowMillis: Long): List<SyncAction> {
         val root = candidate?.takeIf { it.revision >= seenRevision && sections.missing(it).isEmpty() }
         if (root == null || (applied == null && !start.complete(nowMillis))) return emptyList()
         applied = root
         candidate = null
         sections.retain(listOf(root))
-        return listOf(SpreadAction.Apply(root, sections.of(root)))
+        return listOf(SyncAction.Apply(root, sections.of(root)))
     }
 
     /** Asks the side that named the revision, and both when that did not help; a new instance asks every peer. */
-    private fun fetch(nowMillis: Long): List<SpreadAction> {
+    private fun fetch(nowMillis: Long): List<SyncAction> {
         val haveRevision = maxOf(appliedRevision, candidate?.revision ?: 0)
         val missing = candidate?.let { sections.missing(it) }.orEmpty()
         val wanting = applied == null || seenRevision > haveRevision || missing.isNotEmpty()
         if (!wanting || nowMillis < nextAskMillis) return emptyList()
         val both = askedBefore || haveRevision == 0L
-        nextAskMillis = nowMillis + settings.askMillis
+        nextAskMillis = nowMillis + settings.requestIntervalMillis
         askedBefore = true
         val asked = if (haveRevision == 0L) peers.all() else peers.next(seenRevision).filter { both || fromPeer }
         val platform = if (both || !fromPeer) platformReads(missing) else emptyList()
-        return asked.map { SpreadAction.AskPeer(it, haveRevision, missing) } + platform
+        return asked.map { SyncAction.AskPeer(it, haveRevision, missing) } + platform
     }
 
-    private fun platformReads(missing: List<String>): List<SpreadAction> =
-        missing.map { SpreadAction.ReadSection(it) }.ifEmpty { listOf(SpreadAction.ReadRoot) }
+    private fun platformReads(missing: List<String>): List<SyncAction> =
+        missing.map { SyncAction.ReadSection(it) }.ifEmpty { listOf(SyncAction.ReadRoot) }
 }
--- a/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/EngineProgress.kt
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/EngineProgress.kt
@@ -6,7 +6,7 @@
     private val takenMillis: Long,
     fencing: Fencing,
 ) {
-    val read = StateRead<C>()
+    val read = EngineStateReads<C>()
     private var orderId = ""
     private var outstanding = false
     private var unsettled = false
@@ -31,7 +31,7 @@
     fun acceptAnswer(nowMillis: Long, id: String, outcome: OrderOutcome) {
         if (id != orderId || !outstanding) return
         outstanding = false
-        deliveredMillis = nowMillis + settings.longestDeliveryMillis
+        deliveredMillis = nowMillis + settings.deliveryTimeoutMillis
         answeredMillis = if (outcome == OrderOutcome.LOST) deliveredMillis else nowMillis
         if (outcome == OrderOutcome.ACCEPTED) fenced = true
     }
@@ -65,7 +65,7 @@
 }
 
 /** The reads of one engine's state; only the answer to the latest read counts. */
-internal class StateRead<C : Any> {
+internal class EngineStateReads<C : Any> {
     /** The state that the last read found; null before the first and when the engine could not be read. */
     var state: EngineState<C>? = null
         private set
--- a/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/LeaseEvent.kt
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/LeaseEvent.kt
@@ -1,6 +1,6 @@
 package org.parsleymoor.coordination
 
-/** What a [LeaseHolder] is told. */
+/** What a [LeaseManager] is told. */
 public sealed interface LeaseEvent {
     /** The caller wants the lease, or no longer wants it. */
     public data class Wanted(public val wanted: Boolean) : LeaseEvent
@@ -24,7 +24,7 @@
     public data object Tick : LeaseEvent
 }
 
-/** What a [LeaseHolder] asks its shell to do. */
+/** What a [LeaseManager] asks its shell to do. */
 public sealed interface LeaseAction {
     /** Read `leases/{name}` and report [LeaseEvent.Seen] or [LeaseEvent.ReadFailed]. */
     public data class Read(public val name: String) : LeaseAction
--- a/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/LeaseHolder.kt
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/LeaseManager.kt
@@ -19,12 +19,12 @@
  * object. The two never overlap while clock rates differ by less than a third. A write whose response was lost is read
  * back and recognised by its write id. Not safe for use from several threads.
  */
-public class LeaseHolder(
+public class LeaseManager(
     private val name: String,
     private val self: Incarnation,
     private val settings: LeaseSettings = LeaseSettings(),
 ) {
-    private val calls = LeaseCalls(settings)
+    private val calls = PendingLeaseOperations(settings)
     private var wanted = false
     private var stored: StoredLease? = null
     private var storedSeenMillis: Long? = null
@@ -112,7 +112,7 @@
         storedSeenMillis = nowMillis
         val continued = held?.let { pending.sentMillis < it.untilMillis } ?: false
         val unfenced = unfencedFromMillis?.takeIf { continued }
-            ?: (pending.sentMillis + settings.longestDeliveryMillis)
+            ?: (pending.sentMillis + settings.deliveryTimeoutMillis)
         unfencedFromMillis = unfenced.takeUnless { pending.content }
         held = HeldLease(version, pending.sentMillis + settings.usableMillis, unfenced).takeUnless { pending.content }
     }
--- a/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/LeaseSettings.kt
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/LeaseSettings.kt
@@ -3,14 +3,14 @@
 /**
  * Times of a lease in milliseconds. The holder renews after [renewMillis], a contender polls at the same rate, and a
  * response that is missing for [responseMillis] counts as lost. An order is delivered or given up within
- * [longestDeliveryMillis]. The holder uses a lease for [usableMillis], counted from before the request that wrote it.
+ * [deliveryTimeoutMillis]. The holder uses a lease for [usableMillis], counted from before the request that wrote it.
  */
 public data class LeaseSettings(
     public val durationMillis: Long = 15_000,
     public val renewMillis: Long = 5_000,
     public val retryMillis: Long = 500,
     public val responseMillis: Long = 2_000,
-    public val longestDeliveryMillis: Long = 2_000,
+    public val deliveryTimeoutMillis: Long = 2_000,
     public val usableMillis: Long = durationMillis * USABLE_THIRDS / THIRDS,
 ) {
     private companion object {
--- a/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/Member.kt
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/Member.kt
@@ -30,7 +30,7 @@
 }
 
 /** One entry of the membership view; [incarnation] is null until a heartbeat names the start of its process. */
-public data class ViewedMember(
+public data class MembershipEntry(
     public val member: Member,
     public val state: MemberState,
     public val incarnation: Incarnation?,
--- a/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/Membership.kt
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/Membership.kt
@@ -27,15 +27,15 @@
     public fun handle(nowMillis: Long, event: MembershipEvent): List<MembershipAction> {
         when (event) {
             is MembershipEvent.Listed -> list(event.members.associateBy { it.instance })
-            is MembershipEvent.Heard -> hear(nowMillis, event)
+            is MembershipEvent.HeartbeatReceived -> hear(nowMillis, event)
             is MembershipEvent.Tick -> forget(nowMillis)
         }
         return if (membersChanged) chooseNeighbours(nowMillis) else emptyList()
     }
 
     /** Returns the view at [nowMillis], this gateway included, by instance. */
-    public fun view(nowMillis: Long): List<ViewedMember> =
-        known().map { ViewedMember(it, stateOf(it, nowMillis), heard[it.instance]?.incarnation) }
+    public fun view(nowMillis: Long): List<MembershipEntry> =
+        known().map { MembershipEntry(it, stateOf(it, nowMillis), heard[it.instance]?.incarnation) }
             .sortedBy { it.member.instance.value }
 
     /**
@@ -53,7 +53,7 @@
         listed = members
     }
 
-    private fun hear(nowMillis: Long, event: MembershipEvent.Heard) {
+    private fun hear(nowMillis: Long, event: MembershipEvent.HeartbeatReceived) {
         val known = heard[event.member.instance]
         if (known != null && event.incarnation.startMillis < known.incarnation.startMillis) return
         if (known?.member != event.member) membersChanged = true
@@ -91,7 +91,7 @@
     private fun chooseNeighbours(nowMillis: Long): List<MembershipAction> {
         membersChanged = false
         val candidates = known().filter { it.instance != self.instance && !it.leaving }
-        val chosen = if (candidates.size < settings.connectAll) candidates else settings.nearest(self, candidates)
+        val chosen = if (candidates.size < settings.fullMeshSize) candidates else settings.nearest(self, candidates)
         val names = chosen.mapTo(HashSet()) { it.instance }
         if (names == neighbourSinceMillis.keys) return emptyList()
         neighbourSinceMillis = names.associateWith { neighbourSinceMillis[it] ?: nowMillis }
--- a/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/MembershipEvent.kt
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/MembershipEvent.kt
@@ -8,7 +8,10 @@
     public data class Listed(public val members: List<Member>) : MembershipEvent
 
     /** A peer connection greeted or sent a heartbeat; [Member.leaving] is what the peer says of itself. */
-    public data class Heard(public val member: Member, public val incarnation: Incarnation) : MembershipEvent
+    public data class HeartbeatReceived(
+        public val member: Member,
+        public val incarnation: Incarnation
+    ) : MembershipEvent
 
     /** Time has passed. */
     public data object Tick : MembershipEvent
--- a/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/OrderEvent.kt
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/OrderEvent.kt
@@ -33,7 +33,7 @@
     LOST,
 }
 
-/** What an [OrderPlan] is told. */
+/** What an [OrderReconciler] is told. */
 public sealed interface OrderEvent<out C : Any> {
     /** The desired contents; engines that are left out get no orders. At most [concurrentLoads] load at a time. */
     public data class Targets<out C : Any>(
@@ -59,7 +59,7 @@
     public data object Tick : OrderEvent<Nothing>
 }
 
-/** What an [OrderPlan] asks its shell to do. */
+/** What an [OrderReconciler] asks its shell to do. */
 public sealed interface OrderAction<out C : Any> {
     /** Read the state of [endpoint] and report it with [readId]. */
     public data class ReadState(public val endpoint: EndpointId, public val readId: Long) : OrderAction<Nothing>
--- a/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/OrderPlan.kt
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/OrderReconciler.kt
@@ -11,7 +11,7 @@
  * is read back after an order and corrected. A further order to an engine waits until the one before cannot arrive any
  * more, also when the lease lapsed for a moment and no other holder came between.
  */
-public class OrderPlan<C : Any>(
+public class OrderReconciler<C : Any>(
     private val self: Incarnation,
     private val settings: OrderSettings = OrderSettings(),
 ) {
--- a/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/LeaseCalls.kt
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/PendingLeaseOperations.kt
@@ -2,8 +2,8 @@
 
 import org.parsleymoor.core.UpdateInFlight
 
-/** The platform calls of one [LeaseHolder] that are under way: at most one write and one read. */
-internal class LeaseCalls(private val settings: LeaseSettings) {
+/** The platform calls of one [LeaseManager] that are under way: at most one write and one read. */
+internal class PendingLeaseOperations(private val settings: LeaseSettings) {
     /** The lease write under way; its content says whether it releases the lease. */
     val write = UpdateInFlight<Boolean>(settings.responseMillis)
     private var readSentMillis: Long? = null
--- a/libraries/coordination/src/test/kotlin/org/parsleymoor/coordination/ConfigurationSpreadTest.kt
+++ b/libraries/coordination/src/test/kotlin/org/parsleymoor/coordination/ConfigurationSyncTest.kt
@@ -11,61 +11,61 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.single
 
-class ConfigurationSpreadTest {
+class ConfigurationSyncTest {
     private val self = InstanceId("gateway-1")
     private val peer = InstanceId("gateway-2")
     private val section = ConfigurationSection("zones", "{}")
     private val texts = mapOf(section.reference.hash to section.text)
-    private val spread = ConfigurationSpread(self)
+    private val spread = ConfigurationSync(self)
 
     /** Guards against a half-read configuration. */
     @Test
     fun `a configuration is applied only with all its sections`() {
-        expectThat(applied(0, SpreadEvent.PlatformRoot(root(1)))).isEmpty()
+        expectThat(applied(0, SyncEvent.PlatformRoot(root(1)))).isEmpty()
 
-        val applied = applied(10, SpreadEvent.PlatformSection(section.reference.hash, section.text))
+        val applied = applied(10, SyncEvent.PlatformSection(section.reference.hash, section.text))
 
-        expectThat(applied).single().isEqualTo(SpreadAction.Apply(root(1), texts))
+        expectThat(applied).single().isEqualTo(SyncAction.Apply(root(1), texts))
     }
 
     /** Guards against a section that was altered on the way. */
     @Test
     fun `a section with another hash is not used`() {
-        applied(0, SpreadEvent.PlatformRoot(root(1)))
+        applied(0, SyncEvent.PlatformRoot(root(1)))
 
-        expectThat(applied(10, SpreadEvent.PlatformSection(section.reference.hash, "altered"))).isEmpty()
+        expectThat(applied(10, SyncEvent.PlatformSection(section.reference.hash, "altered"))).isEmpty()
     }
 
     /** Guards against a late or reordered read that reverts the configuration. */
     @Test
     fun `a lower revision is never applied`() {
-        applied(0, SpreadEvent.PlatformRoot(root(5)))
-        applied(10, SpreadEvent.PlatformSection(section.reference.hash, section.text))
+        applied(0, SyncEvent.PlatformRoot(root(5)))
+        applied(10, SyncEvent.PlatformSection(section.reference.hash, section.text))
 
-        expectThat(applied(20, SpreadEvent.PeerOffers(peer, root(4), texts))).isEmpty()
+        expectThat(applied(20, SyncEvent.PeerOffers(peer, root(4), texts))).isEmpty()
     }
 
     /** Guards against a gateway that stays behind its peers while the platform is down. */
     @Test
     fun `a gateway that is behind asks the peer that is ahead`() {
         connect()
-        applied(0, SpreadEvent.PeerOffers(peer, root(1), texts))
-        applied(2_000, SpreadEvent.Tick)
+        applied(0, SyncEvent.PeerOffers(peer, root(1), texts))
+        applied(2_000, SyncEvent.Tick)
 
-        val actions = spread.handle(3_000, SpreadEvent.PeerRevision(peer, 2))
+        val actions = spread.handle(3_000, SyncEvent.PeerRevision(peer, 2))
 
-        expectThat(actions).contains(SpreadAction.AskPeer(peer, 1, emptyList()))
+        expectThat(actions).contains(SyncAction.AskPeer(peer, 1, emptyList()))
     }
 
     /** Guards against a new instance that starts with the revision of a peer that is behind. */
     @Test
     fun `without the platform a new instance takes the highest revision of its peers`() {
         connect()
-        spread.handle(100, SpreadEvent.PlatformFailed)
-        spread.handle(200, SpreadEvent.PeerOffers(peer, root(3), texts))
-        spread.handle(300, SpreadEvent.PeerOffers(InstanceId("gateway-3"), root(4), texts))
+        spread.handle(100, SyncEvent.PlatformFailed)
+        spread.handle(200, SyncEvent.PeerOffers(peer, root(3), texts))
+        spread.handle(300, SyncEvent.PeerOffers(InstanceId("gateway-3"), root(4), texts))
 
-        val applied = applied(2_100, SpreadEvent.Tick)
+        val applied = applied(2_100, SyncEvent.Tick)
 
         expectThat(applied).single().get { root.revision }.isEqualTo(4)
     }
@@ -73,7 +73,7 @@
     /** Guards against work that is accepted without a configuration. */
     @Test
     fun `with neither platform nor peers nothing is in effect`() {
-        (0..100).forEach { spread.handle(it * 100L, SpreadEvent.PlatformFailed) }
+        (0..100).forEach { spread.handle(it * 100L, SyncEvent.PlatformFailed) }
 
         expectThat(spread.appliedRevision).isEqualTo(0)
     }
@@ -81,20 +81,20 @@
     /** Guards against a watch that goes silent without an error. */
     @Test
     fun `a silent watch is replaced`() {
-        spread.handle(0, SpreadEvent.Members(listOf(self), emptySet()))
-        spread.handle(100, SpreadEvent.WatchHeard)
+        spread.handle(0, SyncEvent.Members(listOf(self), emptySet()))
+        spread.handle(100, SyncEvent.WatchActivity)
 
-        val actions = spread.handle(3_200, SpreadEvent.Tick)
+        val actions = spread.handle(3_200, SyncEvent.Tick)
 
-        expectThat(actions).contains(SpreadAction.OpenWatch)
+        expectThat(actions).contains(SyncAction.OpenWatch)
     }
 
     private fun connect() {
-        spread.handle(0, SpreadEvent.Members(listOf(self, peer), setOf(peer, InstanceId("gateway-3"))))
+        spread.handle(0, SyncEvent.Members(listOf(self, peer), setOf(peer, InstanceId("gateway-3"))))
     }
 
-    private fun applied(nowMillis: Long, event: SpreadEvent): List<SpreadAction.Apply> =
-        spread.handle(nowMillis, event).filterIsInstance<SpreadAction.Apply>()
+    private fun applied(nowMillis: Long, event: SyncEvent): List<SyncAction.Apply> =
+        spread.handle(nowMillis, event).filterIsInstance<SyncAction.Apply>()
 
     private fun root(revision: Long): ConfigurationRoot =
         ConfigurationRoot(revision, "write-$revision", listOf(section.reference))
--- a/libraries/coordination/src/test/kotlin/org/parsleymoor/coordination/LeaseHolderTest.kt
+++ b/libraries/coordination/src/test/kotlin/org/parsleymoor/coordination/LeaseManagerTest.kt
@@ -11,11 +11,11 @@
 import strikt.assertions.isNull
 import strikt.assertions.single
 
-class LeaseHolderTest {
+class LeaseManagerTest {
     private val self = Incarnation(InstanceId("gateway-1"), 1)
     private val other = Incarnation(InstanceId("gateway-2"), 1)
     private val settings = LeaseSettings(durationMillis = 15_000)
-    private val holder = LeaseHolder("orders", self, settings)
+    private val holder = LeaseManager("orders", self, settings)
 
     /** Guards against a holder that trusts its lease for longer than a contender waits. */
     @Test
--- a/libraries/coordination/src/test/kotlin/org/parsleymoor/coordination/MembershipTest.kt
+++ b/libraries/coordination/src/test/kotlin/org/parsleymoor/coordination/MembershipTest.kt
@@ -63,7 +63,7 @@
         Membership(self).also { it.handle(0, MembershipEvent.Listed(members)) }
 
     private fun hear(membership: Membership, nowMillis: Long, member: Member) {
-        membership.handle(nowMillis, MembershipEvent.Heard(member, Incarnation(member.instance, 1)))
+        membership.handle(nowMillis, MembershipEvent.HeartbeatReceived(member, Incarnation(member.instance, 1)))
     }
 
     private fun member(number: Int): Member {
--- a/libraries/coordination/src/test/kotlin/org/parsleymoor/coordination/NeighbourChoiceTest.kt
+++ b/libraries/coordination/src/test/kotlin/org/parsleymoor/coordination/NeighbourChoiceTest.kt
@@ -51,7 +51,7 @@
         expectThat(membership.neighbours).hasSize(8)
     }
 
-    private fun heard(member: Member) = MembershipEvent.Heard(member, Incarnation(member.instance, 1))
+    private fun heard(member: Member) = MembershipEvent.HeartbeatReceived(member, Incarnation(member.instance, 1))
 
     private fun neighboursOf(self: Member, members: List<Member>): Set<InstanceId> {
         val membership = Membership(self)
--- a/libraries/coordination/src/test/kotlin/org/parsleymoor/coordination/OrderPlanTest.kt
+++ b/libraries/coordination/src/test/kotlin/org/parsleymoor/coordination/OrderReconcilerTest.kt
@@ -12,11 +12,11 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.single
 
-class OrderPlanTest {
+class OrderReconcilerTest {
     private val old = WeightVersion("1")
     private val new = WeightVersion("2")
     private val lease = HeldLease(fencingToken = 7, untilMillis = 100_000, unfencedFromMillis = 2_000)
-    private val plan = OrderPlan<WeightVersion>(Incarnation(InstanceId("gateway-1"), 1))
+    private val plan = OrderReconciler<WeightVersion>(Incarnation(InstanceId("gateway-1"), 1))
 
     /** Guards against a rollout that takes more replicas out of service than allowed. */
     @Test
--- a/libraries/execution/src/main/kotlin/org/parsleymoor/execution/AttemptMachine.kt
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/AttemptTracker.kt
@@ -5,7 +5,7 @@
 import org.parsleymoor.core.RequestId
 
 /** How an attempt failed, as far as the decision about another attempt needs it. */
-public enum class AttemptEnd {
+public enum class AttemptFailure {
     /** No connection was made. */
     NOT_CONNECTED,
 
@@ -44,7 +44,7 @@
  * Decides about the attempts of one request. A call that is not [repeatable] is sent again only while no endpoint can
  * have run it (I7, I8). Not safe for use by several threads at once.
  */
-public class AttemptMachine(
+public class AttemptTracker(
     private val request: RequestId,
     private val repeatable: Boolean,
     private val deadlineMillis: Long,
@@ -66,7 +66,7 @@
     public fun nextAttempt(): AttemptId = AttemptId("$request.${attempts++}")
 
     /** Records that [endpoint] failed at [nowMillis] and returns what to do next. */
-    public fun failed(endpoint: EndpointId, end: AttemptEnd, nowMillis: Long): AttemptAction {
+    public fun failed(endpoint: EndpointId, end: AttemptFailure, nowMillis: Long): AttemptAction {
         if (end.mayHaveRun()) execution = Execution.Unknown
         val cause = giveUpCause(nowMillis)
         return if (cause == null) another(endpoint, end) else AttemptAction.GiveUp(execution, cause)
@@ -75,8 +75,8 @@
     /** Returns the action for a request that has no endpoint left to try. */
     public fun noEndpoint(): AttemptAction.GiveUp = AttemptAction.GiveUp(execution, GiveUpCause.NO_ENDPOINT)
 
-    private fun another(endpoint: EndpointId, end: AttemptEnd): AttemptAction {
-        if (end == AttemptEnd.SILENT && refreshed.add(endpoint)) return AttemptAction.TryFreshConnection(endpoint)
+    private fun another(endpoint: EndpointId, end: AttemptFailure): AttemptAction {
+        if (end == AttemptFailure.SILENT && refreshed.add(endpoint)) return AttemptAction.TryFreshConnection(endpoint)
         avoided += endpoint
         return AttemptAction.TryElsewhere(failedEndpoints)
     }
@@ -89,9 +89,9 @@
         else -> null
     }
 
-    private fun AttemptEnd.mayHaveRun(): Boolean = when (this) {
-        AttemptEnd.NOT_CONNECTED, AttemptEnd.REFUSED -> false
-        AttemptEnd.BROKEN, AttemptEnd.SILENT -> true
+    private fun AttemptFailure.mayHaveRun(): Boolean = when (this) {
+        AttemptFailure.NOT_CONNECTED, AttemptFailure.REFUSED -> false
+        AttemptFailure.BROKEN, AttemptFailure.SILENT -> true
     }
 
     public companion object {
--- a/libraries/execution/src/main/kotlin/org/parsleymoor/execution/ChunkVerdict.kt
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/ChunkResult.kt
@@ -1,18 +1,18 @@
 package org.parsleymoor.execution
 
 /** What a [StreamAssembler] decides about one chunk. */
-public sealed interface ChunkVerdict {
+public sealed interface ChunkResult {
     /** The next part of the answer; its [text] goes to the caller. */
-    public data class Deliver(public val text: String) : ChunkVerdict
+    public data class Deliver(public val text: String) : ChunkResult
 
     /** The answer is whole; [reason] is the endpoint's finish reason and [tokens] counts all attempts. */
-    public data class Complete(public val reason: String, public val tokens: Int) : ChunkVerdict
+    public data class Complete(public val reason: String, public val tokens: Int) : ChunkResult
 
     /** The chunk is not part of the answer and is dropped. */
-    public data class Dropped(public val cause: DropCause) : ChunkVerdict
+    public data class Dropped(public val cause: DropCause) : ChunkResult
 
     /** The attempt has to be abandoned. */
-    public data class Faulty(public val fault: StreamFault) : ChunkVerdict
+    public data class Invalid(public val error: StreamError) : ChunkResult
 }
 
 /** Why a chunk is dropped. */
--- a/libraries/execution/src/main/kotlin/org/parsleymoor/execution/StreamAssembler.kt
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/StreamAssembler.kt
@@ -27,37 +27,37 @@
     }
 
     /** Decides what happens to [chunk]. */
-    public fun accept(chunk: StreamChunk): ChunkVerdict = when {
-        chunk.attempt in earlier -> ChunkVerdict.Dropped(DropCause.LATE)
-        chunk.attempt != current -> ChunkVerdict.Dropped(DropCause.CROSSED)
-        complete -> ChunkVerdict.Dropped(DropCause.LATE)
+    public fun accept(chunk: StreamChunk): ChunkResult = when {
+        chunk.attempt in earlier -> ChunkResult.Dropped(DropCause.LATE)
+        chunk.attempt != current -> ChunkResult.Dropped(DropCause.CROSSED)
+        complete -> ChunkResult.Dropped(DropCause.LATE)
         else -> acceptCurrent(chunk)
     }
 
-    private fun acceptCurrent(chunk: StreamChunk): ChunkVerdict = when (chunk) {
+    private fun acceptCurrent(chunk: StreamChunk): ChunkResult = when (chunk) {
         is StreamChunk.Token -> acceptToken(chunk)
         is StreamChunk.Final -> acceptFinal(chunk)
     }
 
-    private fun acceptToken(token: StreamChunk.Token): ChunkVerdict = when {
-        token.sequence < nextSequence -> ChunkVerdict.Dropped(DropCause.REPEATED)
+    private fun acceptToken(token: StreamChunk.Token): ChunkResult = when {
+        token.sequence < nextSequence -> ChunkResult.Dropped(DropCause.REPEATED)
         token.sequence > nextSequence ->
-            ChunkVerdict.Faulty(StreamFault.Gap(token.attempt, nextSequence, token.sequence))
+            ChunkResult.Invalid(StreamError.Gap(token.attempt, nextSequence, token.sequence))
         else -> deliver(token.text)
     }
 
-    private fun deliver(text: String): ChunkVerdict {
+    private fun deliver(text: String): ChunkResult {
         nextSequence++
         deliveredTokens++
         delivered.append(text)
-        return ChunkVerdict.Deliver(text)
+        return ChunkResult.Deliver(text)
     }
 
-    private fun acceptFinal(final: StreamChunk.Final): ChunkVerdict {
+    private fun acceptFinal(final: StreamChunk.Final): ChunkResult {
         if (final.tokens != nextSequence) {
-            return ChunkVerdict.Faulty(StreamFault.WrongCount(final.attempt, nextSequence, final.tokens))
+            return ChunkResult.Invalid(StreamError.TokenCountMismatch(final.attempt, nextSequence, final.tokens))
         }
         complete = true
-        return ChunkVerdict.Complete(final.reason, deliveredTokens)
+        return ChunkResult.Complete(final.reason, deliveredTokens)
     }
 }
--- a/libraries/execution/src/main/kotlin/org/parsleymoor/execution/StreamFault.kt
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/StreamError.kt
@@ -4,7 +4,7 @@
 import org.parsleymoor.core.Failure
 
 /** Why an attempt's stream cannot be continued. The text that was delivered before it is correct. */
-public sealed interface StreamFault : Failure {
+public sealed interface StreamError : Failure {
     /** The attempt whose stream is at fault. */
     public val attempt: AttemptId
 
@@ -13,17 +13,17 @@
         override val attempt: AttemptId,
         public val expectedSequence: Int,
         public val foundSequence: Int,
-    ) : StreamFault {
+    ) : StreamError {
         override val message: String
             get() = "attempt $attempt: expected token $expectedSequence, found token $foundSequence"
     }
 
     /** The end marker counts more or fewer tokens than arrived. */
-    public data class WrongCount(
+    public data class TokenCountMismatch(
         override val attempt: AttemptId,
         public val receivedTokens: Int,
         public val finalTokens: Int,
-    ) : StreamFault {
+    ) : StreamError {
         override val message: String
             get() = "attempt $attempt: received $receivedTokens tokens, the final event counts $finalTokens"
     }
--- a/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ClaimSettings.kt
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ClaimSettings.kt
@@ -16,5 +16,5 @@
     public val responseMillis: Long = 1_500,
     public val retryMillis: Long = 200,
     public val waitingPerShard: Int = 10_000,
-    public val memory: RunMemorySettings = RunMemorySettings(),
+    public val memory: RunHistorySettings = RunHistorySettings(),
 )
--- a/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ClaimShard.kt
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ClaimShard.kt
@@ -15,9 +15,9 @@
     retention: ClaimRetention,
 ) {
     private val index = ClaimIndex()
-    private val calls = ClaimCalls(settings)
+    private val calls = PendingClaimOperations(settings)
     private val queue = ClaimQueue(self, settings, runs)
-    private val requests = ClaimRequests(shard, self, settings, calls, retention)
+    private val requests = ClaimStorage(shard, self, settings, calls, retention)
 
     fun call(nowMillis: Long, key: String, call: KeyedCall): List<ClaimAction> = when {
         queue.isFull -> listOf(runs.refuse(call, NotRunReason.TOO_MANY_WAITING)).asClaimActions()
--- a/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ClaimRequests.kt
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ClaimStorage.kt
@@ -4,11 +4,11 @@
 import org.parsleymoor.core.PendingUpdate
 
 /** Reads and writes the objects of one shard. A segment is named by the head version whose claims it holds. */
-internal class ClaimRequests(
+internal class ClaimStorage(
     private val shard: Int,
     private val self: Incarnation,
     private val settings: ClaimSettings,
-    private val calls: ClaimCalls,
+    private val calls: PendingClaimOperations,
     private val retention: ClaimRetention,
 ) {
     private var writeCount = 0L
--- a/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/Execution.kt
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ExecutionAction.kt
@@ -16,7 +16,7 @@
 )
 
 /** A plain service's response: its status, content type and body. */
-public class KeptResponse(
+public class ServiceResponse(
     public val status: Int,
     public val contentType: String,
     public val body: ByteArray,
@@ -25,7 +25,7 @@
 /** How a dispatched call ended, as the data path reports it to a ledger. */
 public sealed interface RunOutcome {
     /** The endpoint responded. */
-    public data class Responded(public val response: KeptResponse) : RunOutcome
+    public data class Responded(public val response: ServiceResponse) : RunOutcome
 
     /** No byte was written to an endpoint, or the endpoint refused before running the call. */
     public data object NotRun : RunOutcome
@@ -37,7 +37,7 @@
 /** What the caller is told. `NotRun` speaks of the request that it answers, not of other requests with its key. */
 public sealed interface ExecutionAnswer {
     /** The response of the one run. */
-    public data class Response(public val response: KeptResponse) : ExecutionAnswer
+    public data class Response(public val response: ServiceResponse) : ExecutionAnswer
 
     /** This request did not run and will not. */
     public data class NotRun(public val reason: NotRunReason) : ExecutionAnswer
--- a/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/KeyedRuns.kt
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/KeyedRuns.kt
@@ -4,14 +4,14 @@
 
 /**
  * Bounds of what a ledger remembers. [responseBytes] and [responses] limit finished responses; [waitersPerKey] limits
- * requests that wait for the run of another request with their key; [idleKeys] and [refusedRequests] limit the keys
- * that may still run and the requests whose refusal has to stay true when they arrive twice.
+ * requests that wait for the run of another request with their key; [undispatchedKeys] and [refusedRequests] limit the
+ * keys that may still run and the requests whose refusal has to stay true when they arrive twice.
  */
-public data class RunMemorySettings(
+public data class RunHistorySettings(
     public val responseBytes: Long = 8_388_608,
     public val responses: Int = 20_000,
     public val waitersPerKey: Int = 16,
-    public val idleKeys: Int = 10_000,
+    public val undispatchedKeys: Int = 10_000,
     public val refusedRequests: Int = 10_000,
 )
 
@@ -19,7 +19,7 @@
  * The runs of one process by key: at most one for each, its waiters and its outcome. A key that is forgotten is never
  * run; the caller of [offer] says whether a key without an entry has never been dispatched.
  */
-internal class KeyedRuns(private val settings: RunMemorySettings) {
+internal class KeyedRuns(private val settings: RunHistorySettings) {
     private val running = HashMap<String, Running>()
     private val finished = LinkedHashMap<String, Finished>()
     private val idle = LinkedHashSet<String>()
@@ -57,7 +57,7 @@
     }
 
     /** Remembers that [key] belongs to this process and was not dispatched. */
-    fun makeIdle(key: String) = idle.addWithin(settings.idleKeys, key)
+    fun makeIdle(key: String) = idle.addWithin(settings.undispatchedKeys, key)
 
     /** Refuses [call]; a copy of it that arrives later is refused as well. */
     fun refuse(call: KeyedCall, reason: NotRunReason): ExecutionAction {
--- a/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ClaimCalls.kt
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/PendingClaimOperations.kt
@@ -7,7 +7,7 @@
 internal class HeadUpdate(val head: ClaimHead, val dropped: List<Long>)
 
 /** The platform calls of one shard that are under way. */
-internal class ClaimCalls(private val settings: ClaimSettings) {
+internal class PendingClaimOperations(private val settings: ClaimSettings) {
     val write = UpdateInFlight<HeadUpdate>(settings.responseMillis)
     var headReadMillis: Long? = null
     var segmentReadMillis: Long? = null
--- a/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/TicketLedger.kt
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/TicketLedger.kt
@@ -10,7 +10,7 @@
 /** Bounds of a [TicketLedger]: the newest [capacity] tickets can be used, one bit of memory each. */
 public data class TicketSettings(
     public val capacity: Int = 1_000_000,
-    public val memory: RunMemorySettings = RunMemorySettings(),
+    public val memory: RunHistorySettings = RunHistorySettings(),
 )
 
 /**
--- a/libraries/execution/src/test/kotlin/org/parsleymoor/execution/AttemptMachineTest.kt
+++ b/libraries/execution/src/test/kotlin/org/parsleymoor/execution/AttemptTrackerTest.kt
@@ -8,17 +8,17 @@
 import strikt.assertions.isFalse
 import strikt.assertions.isTrue
 
-class AttemptMachineTest {
+class AttemptTrackerTest {
     private val engine = EndpointId("engine-1")
 
-    private fun machine(repeatable: Boolean, allowance: RetryAllowance = RetryAllowance { true }): AttemptMachine =
-        AttemptMachine(RequestId("r"), repeatable, deadlineMillis = 1_000, allowance = allowance, maximumAttempts = 3)
+    private fun machine(repeatable: Boolean, allowance: RetryAllowance = RetryAllowance { true }): AttemptTracker =
+        AttemptTracker(RequestId("r"), repeatable, deadlineMillis = 1_000, allowance = allowance, maximumAttempts = 3)
 
     @Test
     fun `a payout whose connection broke is never sent again`() {
         val machine = machine(repeatable = false)
         machine.nextAttempt()
-        expectThat(machine.failed(engine, AttemptEnd.BROKEN, 0))
+        expectThat(machine.failed(engine, AttemptFailure.BROKEN, 0))
             .isEqualTo(AttemptAction.GiveUp(Execution.Unknown, GiveUpCause.NOT_REPEATABLE))
     }
 
@@ -26,23 +26,23 @@
     fun `a payout that no endpoint can have run is tried elsewhere`() {
         val machine = machine(repeatable = false)
         machine.nextAttempt()
-        expectThat(machine.failed(engine, AttemptEnd.NOT_CONNECTED, 0))
+        expectThat(machine.failed(engine, AttemptFailure.NOT_CONNECTED, 0))
             .isEqualTo(AttemptAction.TryElsewhere(setOf(engine)))
     }
 
     @Test
     fun `a refusal after a broken attempt does not say that the request was not run`() {
         val machine = machine(repeatable = true)
-        machine.failed(engine, AttemptEnd.BROKEN, 0)
-        machine.failed(EndpointId("engine-2"), AttemptEnd.REFUSED, 0)
+        machine.failed(engine, AttemptFailure.BROKEN, 0)
+        machine.failed(EndpointId("engine-2"), AttemptFailure.REFUSED, 0)
         expectThat(machine.noEndpoint().execution).isEqualTo(Execution.Unknown)
     }
 
     @Test
     fun `a silent endpoint gets one fresh connection before it is avoided`() {
         val machine = machine(repeatable = true)
-        expectThat(machine.failed(engine, AttemptEnd.SILENT, 0)).isEqualTo(AttemptAction.TryFreshConnection(engine))
-        expectThat(machine.failed(engine, AttemptEnd.SILENT, 0))
+        expectThat(machine.failed(engine, AttemptFailure.SILENT, 0)).isEqualTo(AttemptAction.TryFreshConnection(engine))
+        expectThat(machine.failed(engine, AttemptFailure.SILENT, 0))
             .isEqualTo(AttemptAction.TryElsewhere(setOf(engine)))
     }
 
@@ -50,11 +50,11 @@
     fun `retries end with the attempts the deadline and the budget`() {
         val used = machine(repeatable = true)
         repeat(3) { used.nextAttempt() }
-        expectThat(used.failed(engine, AttemptEnd.REFUSED, 0))
+        expectThat(used.failed(engine, AttemptFailure.REFUSED, 0))
             .isEqualTo(AttemptAction.GiveUp(Execution.NotRun, GiveUpCause.ATTEMPTS_USED_UP))
-        expectThat(machine(repeatable = true).failed(engine, AttemptEnd.REFUSED, 1_000))
+        expectThat(machine(repeatable = true).failed(engine, AttemptFailure.REFUSED, 1_000))
             .isEqualTo(AttemptAction.GiveUp(Execution.NotRun, GiveUpCause.DEADLINE_PASSED))
-        expectThat(machine(repeatable = true) { false }.failed(engine, AttemptEnd.REFUSED, 0))
+        expectThat(machine(repeatable = true) { false }.failed(engine, AttemptFailure.REFUSED, 0))
             .isEqualTo(AttemptAction.GiveUp(Execution.NotRun, GiveUpCause.RETRY_BUDGET_EMPTY))
     }
 
--- a/libraries/execution/src/test/kotlin/org/parsleymoor/execution/StreamAssemblerTest.kt
+++ b/libraries/execution/src/test/kotlin/org/parsleymoor/execution/StreamAssemblerTest.kt
@@ -17,7 +17,7 @@
         assembler.accept(StreamChunk.Token(first, 1, "two "))
         expectThat(assembler.begin(second)).isEqualTo(ResumePoint(2, "one two "))
         assembler.accept(StreamChunk.Token(second, 0, "three"))
-        expectThat(assembler.accept(StreamChunk.Final(second, 1, "stop"))).isEqualTo(ChunkVerdict.Complete("stop", 3))
+        expectThat(assembler.accept(StreamChunk.Final(second, 1, "stop"))).isEqualTo(ChunkResult.Complete("stop", 3))
     }
 
     @Test
@@ -25,14 +25,14 @@
         assembler.begin(first)
         assembler.begin(second)
         expectThat(assembler.accept(StreamChunk.Token(first, 0, "late")))
-            .isEqualTo(ChunkVerdict.Dropped(DropCause.LATE))
+            .isEqualTo(ChunkResult.Dropped(DropCause.LATE))
     }
 
     @Test
     fun `a chunk of another request is not delivered`() {
         assembler.begin(first)
         expectThat(assembler.accept(StreamChunk.Token(AttemptId("other.0"), 0, "crossed")))
-            .isEqualTo(ChunkVerdict.Dropped(DropCause.CROSSED))
+            .isEqualTo(ChunkResult.Dropped(DropCause.CROSSED))
     }
 
     @Test
@@ -40,14 +40,14 @@
         assembler.begin(first)
         assembler.accept(StreamChunk.Token(first, 0, "one"))
         expectThat(assembler.accept(StreamChunk.Token(first, 0, "one")))
-            .isEqualTo(ChunkVerdict.Dropped(DropCause.REPEATED))
+            .isEqualTo(ChunkResult.Dropped(DropCause.REPEATED))
     }
 
     @Test
     fun `a missing token ends the attempt`() {
         assembler.begin(first)
         expectThat(assembler.accept(StreamChunk.Token(first, 1, "two")))
-            .isEqualTo(ChunkVerdict.Faulty(StreamFault.Gap(first, 0, 1)))
+            .isEqualTo(ChunkResult.Invalid(StreamError.Gap(first, 0, 1)))
     }
 
     @Test
@@ -55,6 +55,6 @@
         assembler.begin(first)
         assembler.accept(StreamChunk.Token(first, 0, "one"))
         expectThat(assembler.accept(StreamChunk.Final(first, 2, "stop")))
-            .isEqualTo(ChunkVerdict.Faulty(StreamFault.WrongCount(first, 1, 2)))
+            .isEqualTo(ChunkResult.Invalid(StreamError.TokenCountMismatch(first, 1, 2)))
     }
 }
--- a/libraries/execution/src/test/kotlin/org/parsleymoor/execution/atmostonce/ClaimLedgerTest.kt
+++ b/libraries/execution/src/test/kotlin/org/parsleymoor/execution/atmostonce/ClaimLedgerTest.kt
@@ -127,7 +127,7 @@
     /** Guards against a second run when a caller repeats a call that has been answered. */
     @Test
     fun `a repeated call gets the kept response without the platform`() {
-        val response = KeptResponse(200, "application/json", "{}".encodeToByteArray())
+        val response = ServiceResponse(200, "application/json", "{}".encodeToByteArray())
         val write = writeOf(ledger, call("r1", "k1"))
         ledger.handle(10, ClaimEvent.HeadWritten(0, write.writeId, 1))
         ledger.finished(call("r1", "k1"), RunOutcome.Responded(response))
--- a/libraries/execution/src/test/kotlin/org/parsleymoor/execution/atmostonce/TicketLedgerTest.kt
+++ b/libraries/execution/src/test/kotlin/org/parsleymoor/execution/atmostonce/TicketLedgerTest.kt
@@ -13,7 +13,7 @@
 class TicketLedgerTest {
     private val self = Incarnation(InstanceId("gateway-1"), 7)
     private val estate = OrganisationId("estate")
-    private val response = KeptResponse(200, "text/plain", "done".encodeToByteArray())
+    private val response = ServiceResponse(200, "text/plain", "done".encodeToByteArray())
     private val ledger = TicketLedger(self, ByteArray(32))
 
     /** Guards against a second run of a repeated request (I8). */
--- a/programs/bench/src/main/kotlin/org/parsleymoor/bench/slopes/MembershipSlopes.kt
+++ b/programs/bench/src/main/kotlin/org/parsleymoor/bench/slopes/MembershipSlopes.kt
@@ -55,7 +55,10 @@
     }
 
     private fun beat(membership: Membership, neighbours: List<Member>, second: Int) = neighbours.forEach {
-        membership.handle(second * MILLIS_PER_SECOND, MembershipEvent.Heard(it, Incarnation(it.instance, 1)))
+        membership.handle(
+            second * MILLIS_PER_SECOND,
+            MembershipEvent.HeartbeatReceived(it, Incarnation(it.instance, 1))
+        )
     }
 
     private fun member(index: Int) = Member(
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/OrderLease.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/OrderLease.kt
@@ -8,7 +8,7 @@
 import org.parsleymoor.coordination.HeldLease
 import org.parsleymoor.coordination.LeaseAction
 import org.parsleymoor.coordination.LeaseEvent
-import org.parsleymoor.coordination.LeaseHolder
+import org.parsleymoor.coordination.LeaseManager
 import org.parsleymoor.coordination.LeaseSettings
 import org.parsleymoor.coordination.StoredLease
 import org.parsleymoor.core.Incarnation
@@ -27,7 +27,7 @@
     leaseMillis: Long,
 ) {
     private val clock = pauses.clock
-    private val holder = LeaseHolder(NAME, self, orderLeaseSettings(leaseMillis))
+    private val holder = LeaseManager(NAME, self, orderLeaseSettings(leaseMillis))
     private var refusedToken: Long? = null
     private var lastToken: Long? = null
 
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/OrderLeaseTimesTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/OrderLeaseTimesTest.kt
@@ -4,7 +4,7 @@
 import org.junit.jupiter.params.provider.ValueSource
 import org.parsleymoor.coordination.LeaseAction
 import org.parsleymoor.coordination.LeaseEvent
-import org.parsleymoor.coordination.LeaseHolder
+import org.parsleymoor.coordination.LeaseManager
 import org.parsleymoor.coordination.LeaseRecord
 import org.parsleymoor.coordination.StoredLease
 import org.parsleymoor.core.Incarnation
@@ -21,12 +21,12 @@
     fun `orders of two holders are a whole lease period apart, whatever period the deployment states`(period: Long) {
         val settings = orderLeaseSettings(period)
         val former = Incarnation(InstanceId("former"), 1)
-        val holder = LeaseHolder("orders", former, settings)
+        val holder = LeaseManager("orders", former, settings)
         val written = firstWrite(holder, stored = null, fromMillis = 0)
         holder.handle(written.atMillis + 1, LeaseEvent.Written(written.write.writeId, version = 1))
         val lastOrder = (0 until 2 * period).last { holder.held(it) != null }
 
-        val contender = LeaseHolder("orders", Incarnation(InstanceId("next"), 1), settings)
+        val contender = LeaseManager("orders", Incarnation(InstanceId("next"), 1), settings)
         val record = LeaseRecord(former, settings.durationMillis, released = false)
         val stored = StoredLease(record, version = 1, written.write.writeId)
         val taken = firstWrite(contender, stored, fromMillis = written.atMillis + 1)
@@ -37,7 +37,7 @@
     private class Written(val write: LeaseAction.Write, val atMillis: Long)
 
     /** Lets [holder] read [stored] whenever it asks, and returns its first write. */
-    private fun firstWrite(holder: LeaseHolder, stored: StoredLease?, fromMillis: Long): Written {
+    private fun firstWrite(holder: LeaseManager, stored: StoredLease?, fromMillis: Long): Written {
         var actions = holder.handle(fromMillis, LeaseEvent.Wanted(true))
         var now = fromMillis
         while (actions.none { it is LeaseAction.Write }) {
--- a/programs/explore/src/main/kotlin/org/parsleymoor/explore/CallCarrier.kt
+++ b/programs/explore/src/main/kotlin/org/parsleymoor/explore/CallCarrier.kt
@@ -2,10 +2,10 @@
 
 import org.parsleymoor.core.Incarnation
 import org.parsleymoor.execution.atmostonce.ExecutionAnswer
-import org.parsleymoor.execution.atmostonce.KeptResponse
 import org.parsleymoor.execution.atmostonce.KeyedCall
 import org.parsleymoor.execution.atmostonce.NotRunReason
 import org.parsleymoor.execution.atmostonce.RunOutcome
+import org.parsleymoor.execution.atmostonce.ServiceResponse
 import org.parsleymoor.execution.atmostonce.UnknownReason
 
 /** Carries calls of one instance to the service and to other instances. */
@@ -42,7 +42,7 @@
         if (world.chance.happens(world.hazards.loss)) return host.after(1) { finish(call, RunOutcome.NotRun) }
         world.carryOnce(LATE_MILLIS, lost = unknown) {
             world.run(call)
-            val response = KeptResponse(STATUS, call.key, ByteArray(0))
+            val response = ServiceResponse(STATUS, call.key, ByteArray(0))
             world.carryOnce(LATE_MILLIS, lost = unknown) {
                 end(RunOutcome.Responded(response))
             }
--- a/programs/explore/src/main/kotlin/org/parsleymoor/explore/ColdProcess.kt
+++ b/programs/explore/src/main/kotlin/org/parsleymoor/explore/ColdProcess.kt
@@ -50,7 +50,7 @@
         accept(ColdStartEvent.Seen(endpoint.name, report.startCount, report.cold))
         knownStarts.merge(endpoint.name, report.startCount, ::maxOf)
         lease(endpoint.name, ColdLeaseEvent.LoadRead(sentMillis, report.running))
-        lease(endpoint.name, ColdLeaseEvent.Warmth(limit.isCold(endpoint.name), contends(endpoint)))
+        lease(endpoint.name, ColdLeaseEvent.ColdState(limit.isCold(endpoint.name), contends(endpoint)))
     }
 
     private fun contends(endpoint: ColdEndpointModel): Boolean =
--- a/programs/explore/src/main/kotlin/org/parsleymoor/explore/ConfigurationWorld.kt
+++ b/programs/explore/src/main/kotlin/org/parsleymoor/explore/ConfigurationWorld.kt
@@ -3,7 +3,7 @@
 import org.parsleymoor.configuration.ConfigurationRoot
 import org.parsleymoor.configuration.ConfigurationSection
 import org.parsleymoor.configuration.SectionReference
-import org.parsleymoor.coordination.SpreadEvent
+import org.parsleymoor.coordination.SyncEvent
 import org.parsleymoor.core.InstanceId
 
 /** Operators who change the configuration and gateways that put each revision into effect (I11). */
@@ -23,7 +23,7 @@
     }
 
     /** Sends [event] to the gateway [to]. */
-    fun send(to: InstanceId, event: SpreadEvent) {
+    fun send(to: InstanceId, event: SyncEvent) {
         val peer = processes.first { it.host.name == to }
         carry { peer.host.bound { peer.handle(event) }() }
     }
--- a/programs/explore/src/main/kotlin/org/parsleymoor/explore/LeaseProcess.kt
+++ b/programs/explore/src/main/kotlin/org/parsleymoor/explore/LeaseProcess.kt
@@ -2,7 +2,7 @@
 
 import org.parsleymoor.coordination.HeldLease
 import org.parsleymoor.coordination.LeaseEvent
-import org.parsleymoor.coordination.LeaseHolder
+import org.parsleymoor.coordination.LeaseManager
 import org.parsleymoor.coordination.LeaseRecord
 import org.parsleymoor.coordination.LeaseSettings
 import org.parsleymoor.coordination.OrderEvent
@@ -11,7 +11,7 @@
 internal class LeaseProcess(private val world: LeaseWorld, val host: Host) {
     private val client = LeaseClient(world, world.platform, host)
     private val settings = leaseSettings()
-    private lateinit var holder: LeaseHolder
+    private lateinit var holder: LeaseManager
     private lateinit var orders: OrderClient
     private var respondedMillis = 0L
 
@@ -35,7 +35,7 @@
 
     private fun start() {
         respondedMillis = 0
-        holder = LeaseHolder("orders", host.incarnation, settings)
+        holder = LeaseManager("orders", host.incarnation, settings)
         orders = OrderClient(world, host, ::held)
         host.after(1) { lease(LeaseEvent.Wanted(true)) }
         host.after(1) { orders.handle(OrderEvent.Targets(world.targets())) }
@@ -56,7 +56,7 @@
 
     private fun leaseSettings(): LeaseSettings {
         val dropped = world.isFaulty(SeededFault.DELIVERY_WAIT_DROPPED)
-        return if (dropped) LeaseSettings(longestDeliveryMillis = 0) else LeaseSettings()
+        return if (dropped) LeaseSettings(deliveryTimeoutMillis = 0) else LeaseSettings()
     }
 
     /** The seeded fault: the lease counts from the response that confirmed it. */
--- a/programs/explore/src/main/kotlin/org/parsleymoor/explore/OrderClient.kt
+++ b/programs/explore/src/main/kotlin/org/parsleymoor/explore/OrderClient.kt
@@ -6,7 +6,7 @@
 import org.parsleymoor.coordination.OrderAction
 import org.parsleymoor.coordination.OrderEvent
 import org.parsleymoor.coordination.OrderOutcome
-import org.parsleymoor.coordination.OrderPlan
+import org.parsleymoor.coordination.OrderReconciler
 import org.parsleymoor.core.WeightVersion
 
 /** The order plan of one instance, joined to the simulated engines. */
@@ -15,7 +15,7 @@
     private val host: Host,
     private val held: () -> HeldLease?,
 ) {
-    private val plan = OrderPlan<WeightVersion>(host.incarnation)
+    private val plan = OrderReconciler<WeightVersion>(host.incarnation)
 
     fun handle(event: OrderEvent<WeightVersion>) {
         plan.handle(host.clockMillis, event, held()).forEach { perform(it) }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/CallForwarder.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/CallForwarder.kt
@@ -9,8 +9,8 @@
 import org.parsleymoor.core.Clock
 import org.parsleymoor.core.Incarnation
 import org.parsleymoor.execution.atmostonce.ExecutionAnswer
-import org.parsleymoor.execution.atmostonce.KeptResponse
 import org.parsleymoor.execution.atmostonce.NotRunReason
+import org.parsleymoor.execution.atmostonce.ServiceResponse
 import org.parsleymoor.execution.atmostonce.Ticket
 import org.parsleymoor.execution.atmostonce.UnknownReason
 import org.parsleymoor.gateway.operations.Tracing
@@ -104,7 +104,7 @@
         val body: Result<ByteArray, PeerFailure>? = withTimeoutOrNull(ANSWER_MILLIS) {
             exchange.receiveRest(answer.body, minOf(answer.bodyBytes, CallReceiver.MAXIMUM_ANSWER_BYTES))
         }
-        return body?.mapBoth({ KeptResponse(answer.status, answer.contentType, it) }, { null })
+        return body?.mapBoth({ ServiceResponse(answer.status, answer.contentType, it) }, { null })
             ?.let { ExecutionAnswer.Response(it) } ?: ExecutionAnswer.Unknown(UnknownReason.NO_ANSWER_FROM_PEER)
     }
 
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/CallReceiver.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/CallReceiver.kt
@@ -6,8 +6,8 @@
 import org.parsleymoor.clients.HeaderField
 import org.parsleymoor.clients.ServiceCall
 import org.parsleymoor.execution.atmostonce.ExecutionAnswer
-import org.parsleymoor.execution.atmostonce.KeptResponse
 import org.parsleymoor.execution.atmostonce.NotRunReason
+import org.parsleymoor.execution.atmostonce.ServiceResponse
 import org.parsleymoor.execution.atmostonce.UnknownReason
 import org.parsleymoor.gateway.operations.WorkCount
 import org.parsleymoor.gateway.serving.AtMostOnce
@@ -91,7 +91,7 @@
         }
     }
 
-    private suspend fun respond(exchange: PeerExchange, response: KeptResponse) {
+    private suspend fun respond(exchange: PeerExchange, response: ServiceResponse) {
         val body = response.body
         if (body.size > MAXIMUM_ANSWER_BYTES) {
             val detail = "expected at most $MAXIMUM_ANSWER_BYTES bytes, found ${body.size}"
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/ConfigurationControl.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/ConfigurationControl.kt
@@ -12,9 +12,9 @@
 import org.parsleymoor.clients.WatchEvent
 import org.parsleymoor.configuration.ConfigurationRoot
 import org.parsleymoor.configuration.assembleConfiguration
-import org.parsleymoor.coordination.ConfigurationSpread
-import org.parsleymoor.coordination.SpreadAction
-import org.parsleymoor.coordination.SpreadEvent
+import org.parsleymoor.coordination.ConfigurationSync
+import org.parsleymoor.coordination.SyncAction
+import org.parsleymoor.coordination.SyncEvent
 import org.parsleymoor.core.Clock
 import org.parsleymoor.core.FailureException
 import org.parsleymoor.core.InstanceId
@@ -28,7 +28,7 @@
 }
 
 /**
- * Carries out what [ConfigurationSpread] decides: watches and reads the platform, asks and answers peers, and puts
+ * Carries out what [ConfigurationSync] decides: watches and reads the platform, asks and answers peers, and puts
  * whole configurations into effect. Without a platform the configuration comes from peers and the operators' program
  * alone.
  */
@@ -41,43 +41,43 @@
     private val peers: PeerSender,
 ) {
     private val lock = Any()
-    private val spread = ConfigurationSpread(self)
+    private val spread = ConfigurationSync(self)
 
     @Volatile
     private var watch: Job? = null
 
     /** Follows the configuration until the scope ends. */
     fun start() {
-        holder.onOffer = { root, sections -> handle(SpreadEvent.PeerOffers(null, root, sections)) }
+        holder.onOffer = { root, sections -> handle(SyncEvent.PeerOffers(null, root, sections)) }
         scope.launch {
             while (true) {
-                handle(SpreadEvent.Tick)
+                handle(SyncEvent.Tick)
                 delay(TICK_MILLIS)
             }
         }
     }
 
     /** Takes in [event] and starts what follows from it. */
-    fun handle(event: SpreadEvent) {
+    fun handle(event: SyncEvent) {
         val actions = synchronized(lock) { spread.handle(clock.nowMillis(), event) }
         actions.forEach { perform(it) }
     }
 
-    private fun perform(action: SpreadAction) {
+    private fun perform(action: SyncAction) {
         when (action) {
-            is SpreadAction.Apply -> apply(action)
-            is SpreadAction.OpenWatch -> openWatch()
-            is SpreadAction.CloseWatch -> watch?.cancel()
-            is SpreadAction.ReadRoot -> platform?.let { scope.launch { readRoot(it) } }
-            is SpreadAction.ReadSection -> platform?.let { scope.launch { readSection(it, action.hash) } }
-            is SpreadAction.AskPeer -> scope.launch {
+            is SyncAction.Apply -> apply(action)
+            is SyncAction.OpenWatch -> openWatch()
+            is SyncAction.CloseWatch -> watch?.cancel()
+            is SyncAction.ReadRoot -> platform?.let { scope.launch { readRoot(it) } }
+            is SyncAction.ReadSection -> platform?.let { scope.launch { readSection(it, action.hash) } }
+            is SyncAction.AskPeer -> scope.launch {
                 peers.send(action.peer, PeerMessage.ConfigurationWanted(action.haveRevision, action.sections))
             }
-            is SpreadAction.OfferPeer -> scope.launch { peers.send(action.peer, offer(action)) }
+            is SyncAction.OfferPeer -> scope.launch { peers.send(action.peer, offer(action)) }
         }
     }
 
-    private fun apply(action: SpreadAction.Apply) {
+    private fun apply(action: SyncAction.Apply) {
         assembleConfiguration(action.root) { action.sections[it.hash] }
             .onFailure { logger.error { "revision ${action.root.revision} is not in effect: ${it.message}" } }
             .get()?.let { holder.accept(it) }
@@ -92,35 +92,35 @@
             } catch (cause: FailureException) {
                 logger.warn { "the configuration watch ended: ${cause.failure.message}" }
             }
-            handle(SpreadEvent.WatchEnded)
+            handle(SyncEvent.WatchEnded)
         }
     }
 
     private fun watched(event: WatchEvent) {
-        handle(SpreadEvent.WatchHeard)
+        handle(SyncEvent.WatchActivity)
         val stored = (event as? WatchEvent.Changed)?.stored ?: return
         if (stored.name == ConfigurationRoot.NAME) accept(stored.value)
     }
 
     private suspend fun readRoot(source: PlatformClient) {
         source.read(ConfigurationRoot.KIND, ConfigurationRoot.NAME).fold(
-            { if (it == null) handle(SpreadEvent.PlatformRoot(null)) else accept(it.value) },
-            { handle(SpreadEvent.PlatformFailed) },
+            { if (it == null) handle(SyncEvent.PlatformRoot(null)) else accept(it.value) },
+            { handle(SyncEvent.PlatformFailed) },
         )
     }
 
     private fun accept(text: String) {
         ConfigurationRoot.parse(text)
             .onFailure { logger.error { "the configuration root is not in effect: ${it.message}" } }
-            .get()?.let { handle(SpreadEvent.PlatformRoot(it)) }
+            .get()?.let { handle(SyncEvent.PlatformRoot(it)) }
     }
 
     private suspend fun readSection(source: PlatformClient, hash: String) {
         val text = source.read(ConfigurationRoot.KIND, "$SECTION_PREFIX$hash").get()?.value
-        handle(if (text == null) SpreadEvent.PlatformFailed else SpreadEvent.PlatformSection(hash, text))
+        handle(if (text == null) SyncEvent.PlatformFailed else SyncEvent.PlatformSection(hash, text))
     }
 
-    private fun offer(action: SpreadAction.OfferPeer) = PeerMessage.ConfigurationOffered(
+    private fun offer(action: SyncAction.OfferPeer) = PeerMessage.ConfigurationOffered(
         revision = action.root?.revision ?: 0,
         root = action.root?.toJson().orEmpty(),
         sections = action.sections,
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/GatewayMembers.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/GatewayMembers.kt
@@ -7,8 +7,8 @@
 import org.parsleymoor.coordination.MemberState
 import org.parsleymoor.coordination.Membership
 import org.parsleymoor.coordination.MembershipAction
+import org.parsleymoor.coordination.MembershipEntry
 import org.parsleymoor.coordination.MembershipEvent
-import org.parsleymoor.coordination.ViewedMember
 import org.parsleymoor.core.Clock
 import org.parsleymoor.core.InstanceId
 import org.parsleymoor.core.RegionId
@@ -54,7 +54,7 @@
     /** Takes in a sign of life of [remote], which says itself whether it is [leaving]. */
     fun heard(remote: PeerMessage.Hello, leaving: Boolean) {
         val member = Member(remote.incarnation.instance, remote.zone, remote.region, remote.address, leaving)
-        handle(MembershipEvent.Heard(member, remote.incarnation))
+        handle(MembershipEvent.HeartbeatReceived(member, remote.incarnation))
     }
 
     /** The instances of this zone that are not known to be silent. */
@@ -78,7 +78,7 @@
     }
 
     /** All known gateways with their state. */
-    fun view(): List<ViewedMember> = synchronized(lock) { membership.view(clock.nowMillis()) }
+    fun view(): List<MembershipEntry> = synchronized(lock) { membership.view(clock.nowMillis()) }
 
     /** Takes in [event] and passes on what follows from it. */
     fun handle(event: MembershipEvent) {
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/LeasedColdStart.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/LeasedColdStart.kt
@@ -72,7 +72,7 @@
     }
 
     private fun want(endpoint: EndpointId, nowMillis: Long) {
-        val event = ColdLeaseEvent.Warmth(warmth.isCold(endpoint), contends(endpoint))
+        val event = ColdLeaseEvent.ColdState(warmth.isCold(endpoint), contends(endpoint))
         perform(endpoint, leases.handle(nowMillis, endpoint, event))
     }
 
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/OrderDriver.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/OrderDriver.kt
@@ -13,7 +13,7 @@
 import org.parsleymoor.coordination.OrderAction
 import org.parsleymoor.coordination.OrderEvent
 import org.parsleymoor.coordination.OrderOutcome
-import org.parsleymoor.coordination.OrderPlan
+import org.parsleymoor.coordination.OrderReconciler
 import org.parsleymoor.core.Clock
 import org.parsleymoor.core.EndpointId
 import org.parsleymoor.core.Incarnation
@@ -21,9 +21,9 @@
 import java.util.concurrent.ConcurrentHashMap
 
 /**
- * Carries out what [OrderPlan] decides while this gateway holds the lease on orders: reads the engines' load reports,
- * compares them with the configuration and sends orders with the fencing token. The plan's lock is not held during a
- * call. [contends] says whether this gateway is among the first to try for the lease.
+ * Carries out what [OrderReconciler] decides while this gateway holds the lease on orders: reads the engines' load
+ * reports, compares them with the configuration and sends orders with the fencing token. The plan's lock is not held
+ * during a call. [contends] says whether this gateway is among the first to try for the lease.
  */
 internal class OrderDriver(
     self: Incarnation,
@@ -33,7 +33,7 @@
     private val meters: OrderMeters,
     private val contends: () -> Boolean,
 ) {
-    private val plan = OrderPlan<EngineContent>(self)
+    private val plan = OrderReconciler<EngineContent>(self)
     private val retired = RetiredVersions()
     private val reports = ConcurrentHashMap<EndpointId, EngineLoad>()
     private lateinit var clock: Clock
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/OrderLease.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/OrderLease.kt
@@ -9,7 +9,7 @@
 import org.parsleymoor.coordination.HeldLease
 import org.parsleymoor.coordination.LeaseAction
 import org.parsleymoor.coordination.LeaseEvent
-import org.parsleymoor.coordination.LeaseHolder
+import org.parsleymoor.coordination.LeaseManager
 import org.parsleymoor.coordination.LeaseSettings
 import org.parsleymoor.core.Clock
 import org.parsleymoor.core.Incarnation
@@ -22,7 +22,7 @@
     private val clock: Clock,
     private val scope: CoroutineScope,
 ) {
-    private val holder = LeaseHolder(NAME, self, settings)
+    private val holder = LeaseManager(NAME, self, settings)
     private val objects = LeaseObjects(platform)
     private var leaving = false
 
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/PeerControl.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/PeerControl.kt
@@ -10,7 +10,7 @@
 import org.parsleymoor.clients.PlatformClient
 import org.parsleymoor.configuration.ConfigurationRoot
 import org.parsleymoor.coordination.MembershipEvent
-import org.parsleymoor.coordination.SpreadEvent
+import org.parsleymoor.coordination.SyncEvent
 import org.parsleymoor.core.Clock
 import org.parsleymoor.core.InstanceId
 import org.parsleymoor.core.RegionId
@@ -101,13 +101,13 @@
         when (message) {
             is PeerMessage.Heartbeat -> {
                 members.heard(link.remote, message.leaving)
-                configuration?.handle(SpreadEvent.PeerRevision(peer, message.configurationRevision))
+                configuration?.handle(SyncEvent.PeerRevision(peer, message.configurationRevision))
             }
             is PeerMessage.ConfigurationWanted ->
-                configuration?.handle(SpreadEvent.PeerWants(peer, message.haveRevision, message.sections))
+                configuration?.handle(SyncEvent.PeerWants(peer, message.haveRevision, message.sections))
             is PeerMessage.ConfigurationOffered -> {
                 val root = ConfigurationRoot.parse(message.root).get()
-                configuration?.handle(SpreadEvent.PeerOffers(peer, root, message.sections))
+                configuration?.handle(SyncEvent.PeerOffers(peer, root, message.sections))
             }
             is PeerMessage.Hello, is PeerMessage.CacheDigest, is PeerMessage.OfExchange,
             is PeerMessage.InstanceNews, is PeerMessage.ObjectsWanted, is PeerMessage.ObjectsOffered,
@@ -133,7 +133,7 @@
         node.broadcast(heartbeat())
         members.handle(MembershipEvent.Tick)
         val connected = node.connected.map { it.remote.incarnation.instance }.toSet()
-        configuration?.handle(SpreadEvent.Members(members.instancesOfZone(), connected))
+        configuration?.handle(SyncEvent.Members(members.instancesOfZone(), connected))
     }
 
     private fun heartbeat() = PeerMessage.Heartbeat(holder.revision, leaving = leaving)
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/PeerDirectory.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/PeerDirectory.kt
@@ -6,7 +6,7 @@
 import com.github.michaelbull.result.onFailure
 import kotlinx.coroutines.withTimeoutOrNull
 import org.parsleymoor.coordination.MemberState
-import org.parsleymoor.coordination.ViewedMember
+import org.parsleymoor.coordination.MembershipEntry
 import org.parsleymoor.core.Clock
 import org.parsleymoor.core.Incarnation
 import org.parsleymoor.core.InstanceId
@@ -78,10 +78,10 @@
         }
     }
 
-    private fun unreachable(member: ViewedMember?, failure: PeerFailure): Reached =
+    private fun unreachable(member: MembershipEntry?, failure: PeerFailure): Reached =
         if (member?.state == MemberState.LEAVING) Reached.Gone else Reached.Unreachable(failure)
 
-    private fun memberOf(instance: InstanceId): ViewedMember? =
+    private fun memberOf(instance: InstanceId): MembershipEntry? =
         members.view().firstOrNull { it.member.instance == instance }
 
     private companion object {
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/CompletionAttempts.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/CompletionAttempts.kt
@@ -15,9 +15,9 @@
 import org.parsleymoor.core.Failure
 import org.parsleymoor.core.FailureException
 import org.parsleymoor.execution.AttemptAction
-import org.parsleymoor.execution.AttemptEnd
-import org.parsleymoor.execution.AttemptMachine
-import org.parsleymoor.execution.ChunkVerdict
+import org.parsleymoor.execution.AttemptFailure
+import org.parsleymoor.execution.AttemptTracker
+import org.parsleymoor.execution.ChunkResult
 import org.parsleymoor.execution.Execution
 import org.parsleymoor.execution.GiveUpCause
 import org.parsleymoor.execution.ResumePoint
@@ -39,7 +39,7 @@
     private val sink: CompletionSink,
 ) {
     private val assembler = StreamAssembler()
-    private val machine = AttemptMachine(
+    private val machine = AttemptTracker(
         call.request,
         RetryRules.COMPLETION_REPEATABLE,
         call.deadlineMillis,
@@ -152,11 +152,15 @@
         if ((failure as? BackEndFailure.Refused)?.refusal?.reason == EngineRefusalReason.COLD) {
             chooser.refusedAsCold(target.endpoint)
         }
-        val end = (failure as? BackEndFailure)?.attemptEnd ?: AttemptEnd.BROKEN
+        val end = (failure as? BackEndFailure)?.attemptEnd ?: AttemptFailure.BROKEN
         val action = machine.failed(target.endpoint, end, tools.clock.nowMillis())
         inFlight = false
         if (action !is AttemptAction.GiveUp) tools.metrics.retried(end.name.lowercase())
-        if (end != AttemptEnd.REFUSED && action !is AttemptAction.TryFreshConnection) chooser.suspect(target.endpoint)
+        if (end != AttemptFailure.REFUSED && action !is AttemptAction.TryFreshConnection) {
+            chooser.suspect(
+                target.endpoint
+            )
+        }
         return action
     }
 
@@ -210,10 +214,10 @@
 
         private suspend fun handle(chunk: StreamChunk) {
             when (val verdict = assembler.accept(chunk)) {
-                is ChunkVerdict.Deliver -> deliver(verdict.text)
-                is ChunkVerdict.Complete -> complete(verdict)
-                is ChunkVerdict.Dropped -> tools.metrics.dropped(verdict.cause.name.lowercase())
-                is ChunkVerdict.Faulty -> throw FailureException(verdict.fault)
+                is ChunkResult.Deliver -> deliver(verdict.text)
+                is ChunkResult.Complete -> complete(verdict)
+                is ChunkResult.Dropped -> tools.metrics.dropped(verdict.cause.name.lowercase())
+                is ChunkResult.Invalid -> throw FailureException(verdict.error)
             }
         }
 
@@ -242,7 +246,7 @@
             )
         }
 
-        private suspend fun complete(verdict: ChunkVerdict.Complete) {
+        private suspend fun complete(verdict: ChunkResult.Complete) {
             inFlight = false
             tools.records.add(call.request, RequestStepKind.FINISHED, target.endpoint.value, "${verdict.tokens} tokens")
             sink.complete(verdict.reason, verdict.tokens)
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/OnceCalls.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/OnceCalls.kt
@@ -7,9 +7,9 @@
 import org.parsleymoor.clients.ServiceCall
 import org.parsleymoor.core.OrganisationId
 import org.parsleymoor.execution.Execution
-import org.parsleymoor.execution.atmostonce.KeptResponse
 import org.parsleymoor.execution.atmostonce.KeyedCall
 import org.parsleymoor.execution.atmostonce.RunOutcome
+import org.parsleymoor.execution.atmostonce.ServiceResponse
 import org.parsleymoor.gateway.callers.Refusal
 import java.security.MessageDigest
 import java.util.HexFormat
@@ -24,7 +24,7 @@
     }
 
     private fun outcome(result: Result<ServiceAnswer, Refusal>): RunOutcome = result.mapBoth(
-        { RunOutcome.Responded(KeptResponse(it.status, it.contentType(), it.body)) },
+        { RunOutcome.Responded(ServiceResponse(it.status, it.contentType(), it.body)) },
         { if (it.execution == Execution.NotRun) RunOutcome.NotRun else RunOutcome.Unknown },
     )
 
@@ -36,7 +36,7 @@
 }
 
 /** Returns the response as it goes to a caller. */
-internal fun KeptResponse.toAnswer() =
+internal fun ServiceResponse.toAnswer() =
     ServiceAnswer(status, listOfNotNull(contentType.ifEmpty { null }?.let { HeaderField(CONTENT_TYPE, it) }), body)
 
 private const val CONTENT_TYPE = "Content-Type"
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/ServiceRunner.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/ServiceRunner.kt
@@ -16,7 +16,7 @@
 import org.parsleymoor.core.EndpointId
 import org.parsleymoor.core.RequestId
 import org.parsleymoor.execution.AttemptAction
-import org.parsleymoor.execution.AttemptMachine
+import org.parsleymoor.execution.AttemptTracker
 import org.parsleymoor.execution.Execution
 import org.parsleymoor.execution.GiveUpCause
 import org.parsleymoor.gateway.callers.Refusal
@@ -40,7 +40,7 @@
 
     /** Suspends until a replica has answered [call], or until the rules allow no further attempt. */
     suspend fun run(call: GroupCall): Result<ServiceAnswer, Refusal> {
-        val machine = AttemptMachine(
+        val machine = AttemptTracker(
             call.request,
             call.call.repeatable,
             call.deadlineMillis,
@@ -115,7 +115,7 @@
     }
 
     private fun afterFailure(
-        machine: AttemptMachine,
+        machine: AttemptTracker,
         replica: EndpointDeclaration,
         failure: BackEndFailure,
     ): AttemptAction {
--- a/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/control/ClaimDeskTest.kt
+++ b/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/control/ClaimDeskTest.kt
@@ -27,10 +27,10 @@
 import org.parsleymoor.core.OrganisationId
 import org.parsleymoor.core.RequestId
 import org.parsleymoor.execution.atmostonce.ExecutionAnswer
-import org.parsleymoor.execution.atmostonce.KeptResponse
 import org.parsleymoor.execution.atmostonce.KeyedCall
 import org.parsleymoor.execution.atmostonce.NotRunReason
 import org.parsleymoor.execution.atmostonce.RunOutcome
+import org.parsleymoor.execution.atmostonce.ServiceResponse
 import org.parsleymoor.execution.atmostonce.Ticket
 import org.parsleymoor.gateway.serving.CallRoute
 import org.parsleymoor.gateway.serving.Forwarded
@@ -105,7 +105,7 @@
         val sent = GroupCall(keyed.request, group, ServiceCall("POST", "/pay"), Long.MAX_VALUE, Span.getInvalid())
         val call = OnceCall(keyed, sent) {
             runs.incrementAndGet()
-            RunOutcome.Responded(KeptResponse(200, "text/plain", "done".encodeToByteArray()))
+            RunOutcome.Responded(ServiceResponse(200, "text/plain", "done".encodeToByteArray()))
         }
         return desk.execute(call)
     }
