--- a/libraries/execution/src/main/kotlin/org/parsleymoor/execution/ChunkResult.kt
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/ChunkResult.kt
@@ -12,7 +12,7 @@
     public data class Dropped(public val cause: DropCause) : ChunkResult
 
     /** The attempt has to be abandoned. */
-    public data class Invalid(public val error: StreamError) : ChunkResult
+    public data class Invalid(public val failure: StreamError) : ChunkResult
 }
 
 /** Why a chunk is dropped. */
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/CompletionAttempts.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/CompletionAttempts.kt
@@ -217,7 +217,7 @@
                 is ChunkResult.Deliver -> deliver(verdict.text)
                 is ChunkResult.Complete -> complete(verdict)
                 is ChunkResult.Dropped -> tools.metrics.dropped(verdict.cause.name.lowercase())
-                is ChunkResult.Invalid -> throw FailureException(verdict.error)
+                is ChunkResult.Invalid -> throw FailureException(verdict.failure)
             }
         }
 
