--- a/libraries/execution/src/main/kotlin/org/parsleymoor/execution/AttemptTracker.kt
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/AttemptTracker.kt
@@ -4,7 +4,7 @@
 import org.parsleymoor.core.EndpointId
 import org.parsleymoor.core.RequestId
 
-/** How an attempt failed, as far as the decision about another attempt needs it. */
+/** How an attempt failed; decides whether and where the request is retried. */
 public enum class AttemptFailure {
     /** No connection was made. */
     NOT_CONNECTED,
@@ -12,28 +12,28 @@
     /** The endpoint refused before running the request. */
     REFUSED,
 
-    /** The connection broke, the answer was malformed, or the stream was at fault. */
+    /** The connection broke, the response was malformed, or its stream was invalid. */
     BROKEN,
 
-    /** The connection was silent for the silence limit. */
+    /** Nothing was received for the whole silence timeout. */
     SILENT,
 }
 
-/** Allows or denies one retry; implemented by the retry budget, which all requests of a gateway share. */
+/** Allows or denies one retry; implemented by the retry budget that all requests of a gateway share. */
 public fun interface RetryAllowance {
-    /** Takes one retry from the budget at [nowMillis] and returns whether there was one. */
+    /** Takes one retry from the budget at [nowMillis] and returns whether one was left. */
     public fun takeRetry(nowMillis: Long): Boolean
 }
 
 /** What to do after a failed attempt. */
 public sealed interface AttemptAction {
-    /** Try another endpoint than those in [avoid]. */
+    /** Try an endpoint that is not in [avoid]. */
     public data class TryElsewhere(public val avoid: Set<EndpointId>) : AttemptAction
 
-    /** Try [endpoint] once more over a new connection, because open connections can go silent while new ones work. */
+    /** Retry [endpoint] once over a new connection, because open connections can go silent while new ones work. */
     public data class TryFreshConnection(public val endpoint: EndpointId) : AttemptAction
 
-    /** Refuse the request; [execution] is what is known about it. */
+    /** Refuse the request; [execution] says whether an endpoint may have run it. */
     public data class GiveUp(public val execution: Execution, public val cause: GiveUpCause) : AttemptAction
 }
 
@@ -41,8 +41,8 @@
 public enum class GiveUpCause { NOT_REPEATABLE, ATTEMPTS_USED_UP, DEADLINE_PASSED, RETRY_BUDGET_EMPTY, NO_ENDPOINT }
 
 /**
- * Decides about the attempts of one request. A call that is not [repeatable] is sent again only while no endpoint can
- * have run it (I7, I8). Not safe for use by several threads at once.
+ * Tracks the attempts of one request and decides whether to retry. A call that is not [repeatable] is sent again only
+ * while no endpoint can have run it (invariants I7 and I8). Not thread-safe.
  */
 public class AttemptTracker(
     private val request: RequestId,
@@ -51,33 +51,33 @@
     private val allowance: RetryAllowance,
     private val maximumAttempts: Int = DEFAULT_MAXIMUM_ATTEMPTS,
 ) {
-    private val avoided = mutableSetOf<EndpointId>()
-    private val refreshed = mutableSetOf<EndpointId>()
+    private val excluded = mutableSetOf<EndpointId>()
+    private val retried = mutableSetOf<EndpointId>()
     private var attempts = 0
 
-    /** What is known about the request when no further attempt is made. */
+    /** Whether an endpoint may have run the request, judged by the attempts that have failed so far. */
     public var execution: Execution = Execution.NotRun
         private set
 
     /** Endpoints that failed this request. */
-    public val failedEndpoints: Set<EndpointId> get() = avoided.toSet()
+    public val failedEndpoints: Set<EndpointId> get() = excluded.toSet()
 
-    /** Counts an attempt and returns its id. */
+    /** Counts a new attempt and returns its id. */
     public fun nextAttempt(): AttemptId = AttemptId("$request.${attempts++}")
 
     /** Records that [endpoint] failed at [nowMillis] and returns what to do next. */
-    public fun failed(endpoint: EndpointId, end: AttemptFailure, nowMillis: Long): AttemptAction {
-        if (end.mayHaveRun()) execution = Execution.Unknown
+    public fun failed(endpoint: EndpointId, failure: AttemptFailure, nowMillis: Long): AttemptAction {
+        if (failure.mayHaveRun()) execution = Execution.Unknown
         val cause = giveUpCause(nowMillis)
-        return if (cause == null) another(endpoint, end) else AttemptAction.GiveUp(execution, cause)
+        return if (cause == null) retry(endpoint, failure) else AttemptAction.GiveUp(execution, cause)
     }
 
     /** Returns the action for a request that has no endpoint left to try. */
     public fun noEndpoint(): AttemptAction.GiveUp = AttemptAction.GiveUp(execution, GiveUpCause.NO_ENDPOINT)
 
-    private fun another(endpoint: EndpointId, end: AttemptFailure): AttemptAction {
-        if (end == AttemptFailure.SILENT && refreshed.add(endpoint)) return AttemptAction.TryFreshConnection(endpoint)
-        avoided += endpoint
+    private fun retry(endpoint: EndpointId, failure: AttemptFailure): AttemptAction {
+        if (failure == AttemptFailure.SILENT && retried.add(endpoint)) return AttemptAction.TryFreshConnection(endpoint)
+        excluded += endpoint
         return AttemptAction.TryElsewhere(failedEndpoints)
     }
 
@@ -95,7 +95,7 @@
     }
 
     public companion object {
-        /** Attempts of one request, the first included. */
+        /** Maximum number of attempts of one request, including the first. */
         public const val DEFAULT_MAXIMUM_ATTEMPTS: Int = 4
     }
 }
--- a/libraries/execution/src/main/kotlin/org/parsleymoor/execution/Execution.kt
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/Execution.kt
@@ -3,14 +3,14 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
-/** What a refusal says about the request: whether an endpoint ran it. */
+/** Whether an endpoint ran a request that was refused; reported with the refusal. */
 @Serializable
 public enum class Execution {
-    /** No byte was written to an endpoint, or each endpoint that was asked refused before running it. */
+    /** No byte was written to an endpoint, or every endpoint that was tried refused before running it. */
     @SerialName("not_run")
     NotRun,
 
-    /** An endpoint ran the request to its end. */
+    /** An endpoint ran the request to completion. */
     @SerialName("run")
     Run,
 
--- a/libraries/execution/src/main/kotlin/org/parsleymoor/execution/StreamAssembler.kt
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/StreamAssembler.kt
@@ -2,33 +2,33 @@
 
 import org.parsleymoor.core.AttemptId
 
-/** Where an attempt continues: the number of tokens that the caller already has, and their [text]. */
+/** Where an attempt resumes: the number of tokens that the caller already has, and their [text]. */
 public data class ResumePoint(public val tokens: Int, public val text: String)
 
 /**
- * Assembles the answer to one request from the streams of its attempts (I6). Only chunks of the current attempt are
- * delivered, in sequence and once; an answer is complete only when the end marker's count equals the tokens received.
- * Not safe for use by several threads at once.
+ * Assembles the answer to one request from the streams of its attempts (invariant I6). Only chunks of the current
+ * attempt are delivered, in sequence and once; an answer is complete only when the token count of the end marker equals
+ * the number of tokens received. Not thread-safe.
  */
 public class StreamAssembler {
     private val delivered = StringBuilder()
-    private val earlier = mutableSetOf<AttemptId>()
+    private val previous = mutableSetOf<AttemptId>()
     private var current: AttemptId? = null
     private var deliveredTokens = 0
     private var nextSequence = 0
     private var complete = false
 
-    /** Makes [attempt] the current one and returns where it continues. */
+    /** Makes [attempt] the current one and returns where it resumes. */
     public fun begin(attempt: AttemptId): ResumePoint {
-        current?.let { earlier += it }
+        current?.let { previous += it }
         current = attempt
         nextSequence = 0
         return ResumePoint(deliveredTokens, delivered.toString())
     }
 
-    /** Decides what happens to [chunk]. */
+    /** Checks [chunk] and returns whether to deliver it, drop it, or end the attempt or the answer. */
     public fun accept(chunk: StreamChunk): ChunkResult = when {
-        chunk.attempt in earlier -> ChunkResult.Dropped(DropCause.LATE)
+        chunk.attempt in previous -> ChunkResult.Dropped(DropCause.LATE)
         chunk.attempt != current -> ChunkResult.Dropped(DropCause.CROSSED)
         complete -> ChunkResult.Dropped(DropCause.LATE)
         else -> acceptCurrent(chunk)
--- a/libraries/execution/src/main/kotlin/org/parsleymoor/execution/StreamChunk.kt
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/StreamChunk.kt
@@ -2,9 +2,9 @@
 
 import org.parsleymoor.core.AttemptId
 
-/** A part of an endpoint's answer stream, as it arrived. */
+/** A part of an endpoint's response stream, as received. */
 public sealed interface StreamChunk {
-    /** The attempt that the chunk claims to belong to. */
+    /** The attempt id that the chunk carries. */
     public val attempt: AttemptId
 
     /** The text of one token; [sequence] counts from 0 within the attempt. */
@@ -14,7 +14,7 @@
         public val text: String,
     ) : StreamChunk
 
-    /** The end marker; [tokens] is the number of tokens that the endpoint sent in this attempt. */
+    /** The end marker; [tokens] is the number of tokens sent in this attempt and [reason] why the endpoint stopped. */
     public data class Final(
         override val attempt: AttemptId,
         public val tokens: Int,
--- a/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ClaimLedger.kt
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ClaimLedger.kt
@@ -6,45 +6,45 @@
 import java.util.Base64
 
 /**
- * Runs calls under callers' own keys at most once (I8): a key is claimed in the platform before its call is
- * dispatched, and only the process named by the claim runs it. While the platform does not answer, calls are refused
- * as not run. Not safe for use from several threads.
+ * Runs each call with a key of the caller's choice at most once (invariant I8): the key is claimed in the platform
+ * before the call is dispatched, and only the process that holds the claim runs it. While the platform does not answer,
+ * calls are refused as not run. Not thread-safe.
  */
 public class ClaimLedger(
     private val self: Incarnation,
     private val settings: ClaimSettings = ClaimSettings(),
 ) {
-    private val runs = KeyedRuns(settings.memory)
+    private val runs = KeyedRuns(settings.history)
     private val retention = ClaimRetention(settings.retentionMillis)
     private val shards = HashMap<Int, ClaimShard>()
 
-    /** Returns the shard of [key]; its rendezvous owner is the gateway that tries to claim first. */
+    /** Returns the shard of [key]; the gateway that rendezvous hashing ranks first for it tries to claim first. */
     public fun shardOf(organisation: OrganisationId, key: String): Int {
         val digest = digest(organisation, key)
         return settings.shardOfDigest(digest)
     }
 
-    /** Returns whether this process decides on [call] alone: it ran the key, or it refused a copy of the request. */
+    /** Returns whether this process can decide on [call] alone: it ran the key or refused a copy of the request. */
     public fun knows(call: KeyedCall): Boolean =
-        runs.refusedBefore(call) != null || runs.knows(digest(call.organisation, call.key))
+        runs.earlierRefusal(call) != null || runs.hasRun(digest(call.organisation, call.key))
 
-    /** Drops claims that are older than [retentionMillis] from the next write of each shard on. */
+    /** Sets the retention time; the next write of each shard drops claims that are older. */
     public fun retain(retentionMillis: Long) {
         retention.millis = retentionMillis
     }
 
-    /** Takes in [call] at [nowMillis]. */
+    /** Decides on [call] at [nowMillis], or queues it until its key is claimed. */
     public fun call(nowMillis: Long, call: KeyedCall): List<ClaimAction> {
         val key = digest(call.organisation, call.key)
-        val refused = runs.refusedBefore(call)
+        val refused = runs.earlierRefusal(call)
         return when {
             refused != null -> listOf(ClaimAction.Execute(refused))
-            runs.knows(key) -> listOfNotNull(runs.offer(key, call, fresh = false)).map { ClaimAction.Execute(it) }
+            runs.hasRun(key) -> listOfNotNull(runs.decide(key, call, isNew = false)).map { ClaimAction.Execute(it) }
             else -> shard(settings.shardOfDigest(key)).call(nowMillis, key, call)
         }
     }
 
-    /** Takes in what the platform answered. */
+    /** Applies the result of a platform operation at [nowMillis]. */
     public fun handle(nowMillis: Long, event: ClaimEvent): List<ClaimAction> =
         shard(event.shard).handle(nowMillis, event)
 
@@ -52,13 +52,13 @@
     public fun finished(call: KeyedCall, outcome: RunOutcome): List<ClaimAction> =
         runs.finish(digest(call.organisation, call.key), outcome).map { ClaimAction.Execute(it) }
 
-    /** Returns the answer of a call that was forwarded to its claimer; [answer] is null when that did not answer. */
+    /** Returns the answer to a call that was forwarded to its claimer; [answer] is null if that did not answer. */
     public fun forwarded(call: KeyedCall, answer: ExecutionAnswer?): ClaimAction {
         val action = answer?.let { ExecutionAction.Answer(call.request, it) }
         return ClaimAction.Execute(action ?: call.answerUnknown(UnknownReason.CLAIMER_GONE))
     }
 
-    /** Starts writes that are due and refuses calls that waited too long. */
+    /** Starts reads and writes that are due and refuses calls that have waited too long. */
     public fun tick(nowMillis: Long): List<ClaimAction> = shards.values.flatMap { it.tick(nowMillis) }
 
     private fun shard(number: Int): ClaimShard =
--- a/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ClaimRecords.kt
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ClaimRecords.kt
@@ -3,7 +3,10 @@
 import kotlinx.serialization.Serializable
 import org.parsleymoor.core.Incarnation
 
-/** A caller's key, as the digest of organisation and key, the process that claimed it and when, on its clock. */
+/**
+ * The claim of one process on a caller's key. [key] is the digest of organisation and key; [claimedMillis] is read from
+ * the clock of the [claimer].
+ */
 @Serializable
 public data class Claim(
     public val key: String,
@@ -15,7 +18,7 @@
 @Serializable
 public data class SegmentReference(public val number: Long, public val newestMillis: Long)
 
-/** Value of the head object `claims/{shard}`: the newest claims and references to the sealed ones. */
+/** Value of the head object `claims/{shard}`: the newest claims and references to the segments with older ones. */
 @Serializable
 public data class ClaimHead(
     public val claims: List<Claim> = emptyList(),
--- a/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ClaimRetention.kt
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ClaimRetention.kt
@@ -1,4 +1,4 @@
 package org.parsleymoor.execution.atmostonce
 
-/** How long claims are kept, in [millis]; changed when another configuration comes into effect. */
+/** How long claims are kept; changes when another configuration takes effect. */
 internal class ClaimRetention(var millis: Long)
--- a/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ClaimSettings.kt
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ClaimSettings.kt
@@ -1,11 +1,12 @@
 package org.parsleymoor.execution.atmostonce
 
 /**
- * Bounds of a [ClaimLedger]. A head above [sealBytes] is sealed. Two head writes of a shard are at least
- * [commitIntervalMillis] apart, so [shards] shards write at most `shards * 1000 / commitIntervalMillis` times a second
- * for the whole fleet. A call that waits longer than [waitMillis] is refused; a missing response counts as lost after
- * [responseMillis]; after a failure the shard refuses at once for [retryMillis]. Claims are kept for [retentionMillis]
- * until [ClaimLedger.retain] says otherwise.
+ * Limits and times of a [ClaimLedger]. The claims of a head larger than [sealBytes] are moved to a sealed segment. Two
+ * head writes of a shard are at least [commitIntervalMillis] apart, so the whole fleet writes at most
+ * `shards * 1000 / commitIntervalMillis` times a second. At most [waitingPerShard] keys wait in a shard, and a call
+ * that waits longer than [waitMillis] is refused. A response that is missing after [responseMillis] counts as lost;
+ * after a failure the shard refuses all calls for [retryMillis]. Claims are kept for [retentionMillis] until
+ * [ClaimLedger.retain] sets another time.
  */
 public data class ClaimSettings(
     public val shards: Int = 8,
@@ -16,5 +17,5 @@
     public val responseMillis: Long = 1_500,
     public val retryMillis: Long = 200,
     public val waitingPerShard: Int = 10_000,
-    public val memory: RunHistorySettings = RunHistorySettings(),
+    public val history: RunHistorySettings = RunHistorySettings(),
 )
--- a/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ClaimShard.kt
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ClaimShard.kt
@@ -3,9 +3,9 @@
 import org.parsleymoor.core.Incarnation
 
 /**
- * One shard of a [ClaimLedger]. A call waits until the head and all segments are known and its key is claimed. All keys
- * that wait when a write may start share that write (group commit). The conditional update succeeds only when no other
- * process changed the shard since, so a claim that is written is the first on its key.
+ * One shard of a [ClaimLedger]. A call waits until the head and all segments have been read and its key is claimed. All
+ * keys that wait when a write starts share that write (group commit). The conditional update succeeds only if no other
+ * process has changed the shard in the meantime, so a claim that was written is the first on its key.
  */
 internal class ClaimShard(
     private val shard: Int,
@@ -15,93 +15,93 @@
     retention: ClaimRetention,
 ) {
     private val index = ClaimIndex()
-    private val calls = PendingClaimOperations(settings)
+    private val operations = PendingClaimOperations(settings)
     private val queue = ClaimQueue(self, settings, runs)
-    private val requests = ClaimStorage(shard, self, settings, calls, retention)
+    private val storage = ClaimStorage(shard, self, settings, operations, retention)
 
     fun call(nowMillis: Long, key: String, call: KeyedCall): List<ClaimAction> = when {
         queue.isFull -> listOf(runs.refuse(call, NotRunReason.TOO_MANY_WAITING)).asClaimActions()
-        calls.failedRecently(nowMillis) ->
+        operations.failedRecently(nowMillis) ->
             listOf(runs.refuse(call, NotRunReason.PLATFORM_UNAVAILABLE)).asClaimActions()
         else -> {
             queue.add(nowMillis, key, call)
-            progress(nowMillis)
+            advance(nowMillis)
         }
     }
 
     fun handle(nowMillis: Long, event: ClaimEvent): List<ClaimAction> = when (event) {
         is ClaimEvent.HeadRead -> acceptHead(nowMillis, event.stored)
         is ClaimEvent.SegmentRead -> acceptSegment(nowMillis, event)
-        is ClaimEvent.HeadWritten -> requests.deletions(event.writeId) +
-            settle(nowMillis, event.writeId) { StoredHead(it.head, event.version, event.writeId) }
-        is ClaimEvent.HeadConflicted -> settle(nowMillis, event.writeId) { event.current }
+        is ClaimEvent.HeadWritten -> storage.deletions(event.writeId) +
+            endWrite(nowMillis, event.writeId) { StoredHead(it.head, event.version, event.writeId) }
+        is ClaimEvent.HeadConflicted -> endWrite(nowMillis, event.writeId) { event.current }
         is ClaimEvent.HeadWriteFailed -> failWrite(nowMillis, event)
         is ClaimEvent.SegmentWritten -> commitSealed(nowMillis, event.number)
         is ClaimEvent.SegmentWriteFailed -> refuseAll(nowMillis)
         is ClaimEvent.ReadFailed -> {
-            index.doubt()
+            index.markStale()
             refuseAll(nowMillis)
         }
     }
 
     fun tick(nowMillis: Long): List<ClaimAction> {
-        if (calls.overdue(nowMillis)) return refuseAll(nowMillis)
-        return queue.expire(nowMillis).asClaimActions() + progress(nowMillis)
+        if (operations.isOverdue(nowMillis)) return refuseAll(nowMillis)
+        return queue.expire(nowMillis).asClaimActions() + advance(nowMillis)
     }
 
-    private fun progress(nowMillis: Long): List<ClaimAction> {
-        val stored = index.known
+    private fun advance(nowMillis: Long): List<ClaimAction> {
+        val stored = index.newest
         return when {
-            calls.write.pending?.uncertain == true -> requests.readHead(nowMillis)
+            operations.write.pending?.uncertain == true -> storage.readHead(nowMillis)
             queue.isEmpty -> emptyList()
-            stored == null || index.doubted -> requests.readHead(nowMillis)
-            index.missingSegments().isNotEmpty() -> requests.readSegments(nowMillis, index.missingSegments())
-            else -> queue.resolve(index).asClaimActions() + requests.commit(nowMillis, stored, queue)
+            stored == null || index.mayBeStale -> storage.readHead(nowMillis)
+            index.missingSegments().isNotEmpty() -> storage.readSegments(nowMillis, index.missingSegments())
+            else -> queue.resolve(index).asClaimActions() + storage.commit(nowMillis, stored, queue)
         }
     }
 
     private fun acceptHead(nowMillis: Long, stored: StoredHead?): List<ClaimAction> {
-        calls.headReadMillis = null
-        calls.write.endDoubted()
-        index.accept(stored)
-        return progress(nowMillis)
+        operations.headReadMillis = null
+        operations.write.endDoubted()
+        index.acceptHead(stored)
+        return advance(nowMillis)
     }
 
     private fun acceptSegment(nowMillis: Long, event: ClaimEvent.SegmentRead): List<ClaimAction> {
         if (event.number in index.missingSegments()) index.acceptSegment(event.number, event.claims)
-        if (index.missingSegments().isEmpty()) calls.segmentReadMillis = null
-        return progress(nowMillis)
+        if (index.missingSegments().isEmpty()) operations.segmentReadMillis = null
+        return advance(nowMillis)
     }
 
-    private fun settle(nowMillis: Long, writeId: String, stored: (HeadUpdate) -> StoredHead?): List<ClaimAction> {
-        val ended = calls.write.end(writeId) ?: return emptyList()
-        index.accept(stored(ended.content))
-        return progress(nowMillis)
+    private fun endWrite(nowMillis: Long, writeId: String, stored: (HeadUpdate) -> StoredHead?): List<ClaimAction> {
+        val ended = operations.write.end(writeId) ?: return emptyList()
+        index.acceptHead(stored(ended.content))
+        return advance(nowMillis)
     }
 
     private fun commitSealed(nowMillis: Long, number: Long): List<ClaimAction> {
-        val stored = index.known
-        val expected = calls.sealMillis != null && calls.write.pending == null && stored?.version == number
-        calls.sealMillis = null
-        if (stored == null || !expected) return progress(nowMillis)
+        val stored = index.newest
+        val expected = operations.sealMillis != null && operations.write.pending == null && stored?.version == number
+        operations.sealMillis = null
+        if (stored == null || !expected) return advance(nowMillis)
         index.acceptSegment(number, stored.head.claims)
-        return requests.commitSealed(nowMillis, stored, queue)
+        return storage.commitSealed(nowMillis, stored, queue)
     }
 
     private fun failWrite(nowMillis: Long, event: ClaimEvent.HeadWriteFailed): List<ClaimAction> = when {
-        calls.write.of(event.writeId) == null -> emptyList()
+        operations.write.of(event.writeId) == null -> emptyList()
         event.mayHaveTakenEffect -> {
-            calls.write.doubt()
-            progress(nowMillis)
+            operations.write.doubt()
+            advance(nowMillis)
         }
         else -> {
-            calls.write.end(event.writeId)
+            operations.write.end(event.writeId)
             refuseAll(nowMillis)
         }
     }
 
     private fun refuseAll(nowMillis: Long): List<ClaimAction> {
-        calls.fail(nowMillis)
+        operations.fail(nowMillis)
         return queue.refuseAll().asClaimActions()
     }
 }
--- a/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ExecutionAction.kt
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ExecutionAction.kt
@@ -5,8 +5,8 @@
 import org.parsleymoor.core.RequestId
 
 /**
- * A non-repeatable call under a ticket or a caller's own [key]. [fingerprint] is a digest of method, path and body; a
- * repeated key with another fingerprint is refused.
+ * A non-repeatable call that is identified by an idempotency [key]: a ticket, or a key that the caller chose.
+ * [fingerprint] is a digest of method, path and body; a known key with another fingerprint is refused.
  */
 public data class KeyedCall(
     public val request: RequestId,
@@ -22,7 +22,7 @@
     public val body: ByteArray,
 )
 
-/** How a dispatched call ended, as the data path reports it to a ledger. */
+/** How a dispatched call ended, as reported to a ledger. */
 public sealed interface RunOutcome {
     /** The endpoint responded. */
     public data class Responded(public val response: ServiceResponse) : RunOutcome
@@ -30,19 +30,19 @@
     /** No byte was written to an endpoint, or the endpoint refused before running the call. */
     public data object NotRun : RunOutcome
 
-    /** The call may have run. */
+    /** The call may or may not have run. */
     public data object Unknown : RunOutcome
 }
 
-/** What the caller is told. `NotRun` speaks of the request that it answers, not of other requests with its key. */
+/** The answer to one request. `NotRun` is about that request only, not about other requests with the same key. */
 public sealed interface ExecutionAnswer {
-    /** The response of the one run. */
+    /** The response of the only run. */
     public data class Response(public val response: ServiceResponse) : ExecutionAnswer
 
-    /** This request did not run and will not. */
+    /** This request did not run and never will. */
     public data class NotRun(public val reason: NotRunReason) : ExecutionAnswer
 
-    /** The call may have run and is not run again. */
+    /** The call may have run and will not be run again. */
     public data class Unknown(public val reason: UnknownReason) : ExecutionAnswer
 }
 
@@ -68,18 +68,18 @@
     RESPONSE_TOO_LARGE,
 }
 
-/** What a ledger asks its shell to do with a call. */
+/** What the user of a ledger has to do with a call; a ledger does no I/O itself. */
 public sealed interface ExecutionAction {
-    /** Dispatch [call] to an endpoint, once, and report its [RunOutcome]. */
+    /** Dispatch [call] to an endpoint exactly once and report its [RunOutcome]. */
     public data class Run(public val call: KeyedCall) : ExecutionAction
 
-    /** Answer the request. */
+    /** Send [answer] to the caller of [request]. */
     public data class Answer(
         public val request: RequestId,
         public val answer: ExecutionAnswer,
     ) : ExecutionAction
 
-    /** Send [call] to the process that owns its key, and report what it answered. */
+    /** Forward [call] to the process that owns its key, and report the answer. */
     public data class Forward(
         public val call: KeyedCall,
         public val to: Incarnation,
--- a/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/KeyedRuns.kt
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/KeyedRuns.kt
@@ -3,48 +3,48 @@
 import org.parsleymoor.core.RequestId
 
 /**
- * Bounds of what a ledger remembers. [responseBytes] and [responses] limit finished responses; [waitersPerKey] limits
- * requests that wait for the run of another request with their key; [undispatchedKeys] and [refusedRequests] limit the
- * keys that may still run and the requests whose refusal has to stay true when they arrive twice.
+ * Limits of what a ledger remembers: [responses] finished runs with at most [responseBytes] of response bodies;
+ * [waitersPerKey] requests that wait for the run of another request with the same key; [releasedKeys] keys that
+ * belong to this process and may still run; and [refusedRequests] requests, of which a second copy is refused too.
  */
 public data class RunHistorySettings(
     public val responseBytes: Long = 8_388_608,
     public val responses: Int = 20_000,
     public val waitersPerKey: Int = 16,
-    public val undispatchedKeys: Int = 10_000,
+    public val releasedKeys: Int = 10_000,
     public val refusedRequests: Int = 10_000,
 )
 
 /**
- * The runs of one process by key: at most one for each, its waiters and its outcome. A key that is forgotten is never
- * run; the caller of [offer] says whether a key without an entry has never been dispatched.
+ * The runs of one process by key: at most one run per key, with the requests that wait for it and its outcome. A key
+ * whose entry was evicted is never run again; the caller of [decide] says whether a key has never been dispatched.
  */
 internal class KeyedRuns(private val settings: RunHistorySettings) {
-    private val running = HashMap<String, Running>()
+    private val running = HashMap<String, Run>()
     private val finished = LinkedHashMap<String, Finished>()
-    private val idle = LinkedHashSet<String>()
+    private val released = LinkedHashSet<String>()
     private val refused = LinkedHashSet<RequestId>()
-    private var keptBytes = 0L
+    private var storedBytes = 0L
 
     /**
-     * Returns whether [key] was dispatched by this process and its run is remembered. An idle key does not count: its
-     * claim may not have taken effect, and then another process may run it.
+     * Returns whether this process dispatched [key] and remembers the run. A released key does not count: its claim may
+     * not have taken effect, in which case another process may run it.
      */
-    fun knows(key: String): Boolean = key in running || key in finished
+    fun hasRun(key: String): Boolean = key in running || key in finished
 
-    /** Returns the refusal of [call] when a copy of it was refused before. */
-    fun refusedBefore(call: KeyedCall): ExecutionAction? =
+    /** Returns the refusal of [call] if a copy of it was refused before. */
+    fun earlierRefusal(call: KeyedCall): ExecutionAction? =
         if (call.request in refused) call.answerNotRun(NotRunReason.ENDPOINT_REFUSED) else null
 
-    /** Decides on [call]; null when it waits for the run of its key. [fresh]: the key was never dispatched. */
-    fun offer(key: String, call: KeyedCall, fresh: Boolean): ExecutionAction? {
+    /** Decides on [call]; null if it waits for the run of its key. [isNew]: the key was never dispatched. */
+    fun decide(key: String, call: KeyedCall, isNew: Boolean): ExecutionAction? {
         val run = running[key]
         val result = finished[key]
         return when {
-            call.request in refused -> refusedBefore(call)
-            run != null -> join(run, call)
-            result != null -> repeat(result, call)
-            idle.remove(key) || fresh -> ExecutionAction.Run(call).also { running[key] = Running(mutableListOf(call)) }
+            call.request in refused -> earlierRefusal(call)
+            run != null -> waitFor(run, call)
+            result != null -> replay(result, call)
+            released.remove(key) || isNew -> ExecutionAction.Run(call).also { running[key] = Run(mutableListOf(call)) }
             else -> call.answerUnknown(UnknownReason.RESPONSE_NOT_KEPT)
         }
     }
@@ -52,27 +52,27 @@
     /** Records how the run of [key] ended and returns the answers of all requests that waited for it. */
     fun finish(key: String, outcome: RunOutcome): List<ExecutionAction> {
         val run = running.remove(key) ?: return emptyList()
-        if (outcome is RunOutcome.NotRun) makeIdle(key) else keep(key, Finished(run.calls.first().fingerprint, outcome))
+        if (outcome is RunOutcome.NotRun) release(key) else store(key, Finished(run.calls.first().fingerprint, outcome))
         return run.calls.map { answer(it, outcome) }
     }
 
-    /** Remembers that [key] belongs to this process and was not dispatched. */
-    fun makeIdle(key: String) = idle.addWithin(settings.undispatchedKeys, key)
+    /** Releases [key], which belongs to this process and has not run, so that it may still be dispatched. */
+    fun release(key: String) = released.addWithin(settings.releasedKeys, key)
 
-    /** Refuses [call]; a copy of it that arrives later is refused as well. */
+    /** Refuses [call]; copies that arrive later are refused as well. */
     fun refuse(call: KeyedCall, reason: NotRunReason): ExecutionAction {
         refused.addWithin(settings.refusedRequests, call.request)
         return call.answerNotRun(reason)
     }
 
-    private fun join(run: Running, call: KeyedCall): ExecutionAction? = when {
+    private fun waitFor(run: Run, call: KeyedCall): ExecutionAction? = when {
         run.calls.any { it.request == call.request } -> null
         run.calls.first().fingerprint != call.fingerprint -> refuse(call, NotRunReason.KEY_REUSED_FOR_ANOTHER_CALL)
         run.calls.size > settings.waitersPerKey -> refuse(call, NotRunReason.TOO_MANY_WAITING)
         else -> null.also { run.calls += call }
     }
 
-    private fun repeat(result: Finished, call: KeyedCall): ExecutionAction =
+    private fun replay(result: Finished, call: KeyedCall): ExecutionAction =
         if (result.fingerprint == call.fingerprint) {
             answer(call, result.outcome)
         } else {
@@ -85,17 +85,17 @@
         is RunOutcome.Unknown -> call.answerUnknown(UnknownReason.ENDPOINT_LOST)
     }
 
-    private fun keep(key: String, result: Finished) {
+    private fun store(key: String, result: Finished) {
         finished[key] = result
-        keptBytes += result.bytes
+        storedBytes += result.bytes
         val oldest = finished.entries.iterator()
-        while (keptBytes > settings.responseBytes || finished.size > settings.responses) {
-            keptBytes -= oldest.next().value.bytes
+        while (storedBytes > settings.responseBytes || finished.size > settings.responses) {
+            storedBytes -= oldest.next().value.bytes
             oldest.remove()
         }
     }
 
-    private class Running(val calls: MutableList<KeyedCall>)
+    private class Run(val calls: MutableList<KeyedCall>)
 
     private class Finished(val fingerprint: String, val outcome: RunOutcome) {
         val bytes: Int get() = (outcome as? RunOutcome.Responded)?.response?.body?.size ?: 0
--- a/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/PendingClaimOperations.kt
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/PendingClaimOperations.kt
@@ -3,10 +3,10 @@
 import org.parsleymoor.core.PendingUpdate
 import org.parsleymoor.core.UpdateInFlight
 
-/** The content of a head write. The segments [dropped] are no longer referred to once it has taken effect. */
-internal class HeadUpdate(val head: ClaimHead, val dropped: List<Long>)
+/** The content of a head write. Once it has taken effect, the head no longer refers to [expiredSegments]. */
+internal class HeadUpdate(val head: ClaimHead, val expiredSegments: List<Long>)
 
-/** The platform calls of one shard that are under way. */
+/** The platform operations of one shard that are in progress, each with the time at which it was sent. */
 internal class PendingClaimOperations(private val settings: ClaimSettings) {
     val write = UpdateInFlight<HeadUpdate>(settings.responseMillis)
     var headReadMillis: Long? = null
@@ -32,8 +32,8 @@
 
     fun failedRecently(nowMillis: Long): Boolean = nowMillis - lastFailureMillis < settings.retryMillis
 
-    /** Returns whether a read or a seal is overdue; doubts an overdue write. */
-    fun overdue(nowMillis: Long): Boolean {
+    /** Returns whether a read or a segment write is overdue; marks an overdue head write as uncertain. */
+    fun isOverdue(nowMillis: Long): Boolean {
         write.doubtOverdue(nowMillis)
         return listOfNotNull(headReadMillis, segmentReadMillis, sealMillis).any { write.isOverdue(it, nowMillis) }
     }
--- a/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/Ticket.kt
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/Ticket.kt
@@ -3,7 +3,7 @@
 import org.parsleymoor.core.Incarnation
 import org.parsleymoor.core.InstanceId
 
-/** A key of the form `t1.<instance>.<start>.<number>.<mac>`, valid only in the process that issued it. */
+/** An idempotency key of the form `t1.<instance>.<start>.<number>.<mac>`, valid only in the process that issued it. */
 public data class Ticket(
     public val issuer: Incarnation,
     public val number: Long,
@@ -14,10 +14,10 @@
     internal val signedText: String get() = signedText(issuer, number)
 
     public companion object {
-        private val form = Regex("""t1\.([A-Za-z0-9._-]{1,128})\.(\d{1,18})\.(\d{1,18})\.([0-9a-f]{32})""")
+        private val pattern = Regex("""t1\.([A-Za-z0-9._-]{1,128})\.(\d{1,18})\.(\d{1,18})\.([0-9a-f]{32})""")
 
-        /** Returns the ticket that [key] spells, or null when it is not of the ticket form. */
-        public fun parse(key: String): Ticket? = form.matchEntire(key)?.let { match ->
+        /** Returns the ticket that [key] encodes, or null if [key] is not in the ticket format. */
+        public fun parse(key: String): Ticket? = pattern.matchEntire(key)?.let { match ->
             val issuer = Incarnation(InstanceId(match.groupValues[INSTANCE]), match.groupValues[START].toLong())
             Ticket(issuer, match.groupValues[NUMBER].toLong(), match.groupValues[MAC])
         }
--- a/libraries/execution/src/test/kotlin/org/parsleymoor/execution/AttemptTrackerTest.kt
+++ b/libraries/execution/src/test/kotlin/org/parsleymoor/execution/AttemptTrackerTest.kt
@@ -11,50 +11,50 @@
 class AttemptTrackerTest {
     private val engine = EndpointId("engine-1")
 
-    private fun machine(repeatable: Boolean, allowance: RetryAllowance = RetryAllowance { true }): AttemptTracker =
+    private fun tracker(repeatable: Boolean, allowance: RetryAllowance = RetryAllowance { true }): AttemptTracker =
         AttemptTracker(RequestId("r"), repeatable, deadlineMillis = 1_000, allowance = allowance, maximumAttempts = 3)
 
     @Test
     fun `a payout whose connection broke is never sent again`() {
-        val machine = machine(repeatable = false)
-        machine.nextAttempt()
-        expectThat(machine.failed(engine, AttemptFailure.BROKEN, 0))
+        val tracker = tracker(repeatable = false)
+        tracker.nextAttempt()
+        expectThat(tracker.failed(engine, AttemptFailure.BROKEN, 0))
             .isEqualTo(AttemptAction.GiveUp(Execution.Unknown, GiveUpCause.NOT_REPEATABLE))
     }
 
     @Test
-    fun `a payout that no endpoint can have run is tried elsewhere`() {
-        val machine = machine(repeatable = false)
-        machine.nextAttempt()
-        expectThat(machine.failed(engine, AttemptFailure.NOT_CONNECTED, 0))
+    fun `a payout that no endpoint can have run is sent to another endpoint`() {
+        val tracker = tracker(repeatable = false)
+        tracker.nextAttempt()
+        expectThat(tracker.failed(engine, AttemptFailure.NOT_CONNECTED, 0))
             .isEqualTo(AttemptAction.TryElsewhere(setOf(engine)))
     }
 
     @Test
     fun `a refusal after a broken attempt does not say that the request was not run`() {
-        val machine = machine(repeatable = true)
-        machine.failed(engine, AttemptFailure.BROKEN, 0)
-        machine.failed(EndpointId("engine-2"), AttemptFailure.REFUSED, 0)
-        expectThat(machine.noEndpoint().execution).isEqualTo(Execution.Unknown)
+        val tracker = tracker(repeatable = true)
+        tracker.failed(engine, AttemptFailure.BROKEN, 0)
+        tracker.failed(EndpointId("engine-2"), AttemptFailure.REFUSED, 0)
+        expectThat(tracker.noEndpoint().execution).isEqualTo(Execution.Unknown)
     }
 
     @Test
-    fun `a silent endpoint gets one fresh connection before it is avoided`() {
-        val machine = machine(repeatable = true)
-        expectThat(machine.failed(engine, AttemptFailure.SILENT, 0)).isEqualTo(AttemptAction.TryFreshConnection(engine))
-        expectThat(machine.failed(engine, AttemptFailure.SILENT, 0))
+    fun `a silent endpoint is retried once over a new connection before it is excluded`() {
+        val tracker = tracker(repeatable = true)
+        expectThat(tracker.failed(engine, AttemptFailure.SILENT, 0)).isEqualTo(AttemptAction.TryFreshConnection(engine))
+        expectThat(tracker.failed(engine, AttemptFailure.SILENT, 0))
             .isEqualTo(AttemptAction.TryElsewhere(setOf(engine)))
     }
 
     @Test
-    fun `retries end with the attempts the deadline and the budget`() {
-        val used = machine(repeatable = true)
+    fun `no retry after the last attempt the deadline or the end of the budget`() {
+        val used = tracker(repeatable = true)
         repeat(3) { used.nextAttempt() }
         expectThat(used.failed(engine, AttemptFailure.REFUSED, 0))
             .isEqualTo(AttemptAction.GiveUp(Execution.NotRun, GiveUpCause.ATTEMPTS_USED_UP))
-        expectThat(machine(repeatable = true).failed(engine, AttemptFailure.REFUSED, 1_000))
+        expectThat(tracker(repeatable = true).failed(engine, AttemptFailure.REFUSED, 1_000))
             .isEqualTo(AttemptAction.GiveUp(Execution.NotRun, GiveUpCause.DEADLINE_PASSED))
-        expectThat(machine(repeatable = true) { false }.failed(engine, AttemptFailure.REFUSED, 0))
+        expectThat(tracker(repeatable = true) { false }.failed(engine, AttemptFailure.REFUSED, 0))
             .isEqualTo(AttemptAction.GiveUp(Execution.NotRun, GiveUpCause.RETRY_BUDGET_EMPTY))
     }
 
--- a/libraries/execution/src/test/kotlin/org/parsleymoor/execution/StreamAssemblerTest.kt
+++ b/libraries/execution/src/test/kotlin/org/parsleymoor/execution/StreamAssemblerTest.kt
@@ -51,7 +51,7 @@
     }
 
     @Test
-    fun `an end marker with another count does not complete the answer`() {
+    fun `an end marker with a wrong token count does not complete the answer`() {
         assembler.begin(first)
         assembler.accept(StreamChunk.Token(first, 0, "one"))
         expectThat(assembler.accept(StreamChunk.Final(first, 2, "stop")))
--- a/libraries/execution/src/test/kotlin/org/parsleymoor/execution/atmostonce/ClaimLedgerTest.kt
+++ b/libraries/execution/src/test/kotlin/org/parsleymoor/execution/atmostonce/ClaimLedgerTest.kt
@@ -23,7 +23,7 @@
     private val settings = ClaimSettings(shards = 1)
     private val ledger = ClaimLedger(self, settings)
 
-    /** Guards against a dispatch before the claim is known to be stored. */
+    /** Guards against dispatching a call before its claim is known to be stored. */
     @Test
     fun `a call runs only when its claim is written`() {
         val write = writeOf(ledger, call("r1", "k1"))
@@ -33,7 +33,7 @@
         expectThat(actions).containsExactly(ClaimAction.Execute(ExecutionAction.Run(call("r1", "k1"))))
     }
 
-    /** Guards against one platform write for each call under load. */
+    /** Guards against one platform write per call under load. */
     @Test
     fun `all calls that arrive during a write share the next one`() {
         val first = writeOf(ledger, call("r0", "k0"))
@@ -59,9 +59,9 @@
         expectThat(actions).containsExactly(ClaimAction.Execute(ExecutionAction.Forward(call("r1", "k1"), other)))
     }
 
-    /** Guards against a lost response that is taken for a failure. */
+    /** Guards against treating a write whose response was lost as failed. */
     @Test
-    fun `a write whose response was lost is recognised on reading back`() {
+    fun `a write whose response was lost is recognised when the head is read back`() {
         val write = writeOf(ledger, call("r1", "k1"))
         ledger.handle(10, ClaimEvent.HeadWriteFailed(0, write.writeId, mayHaveTakenEffect = true))
 
@@ -70,9 +70,9 @@
         expectThat(actions).containsExactly(ClaimAction.Execute(ExecutionAction.Run(call("r1", "k1"))))
     }
 
-    /** Guards against the fault of exploration seed 5: a refused key ran later although no claim was stored. */
+    /** Guards against running a refused key whose claim was never stored, as found by exploration seed 5. */
     @Test
-    fun `a key that was refused while its claim was in doubt is claimed again before it runs`() {
+    fun `a key that was refused while its claim was uncertain is claimed again before it runs`() {
         val write = writeOf(ledger, call("r1", "k1"))
         ledger.handle(10, ClaimEvent.HeadWriteFailed(0, write.writeId, mayHaveTakenEffect = true))
         ledger.handle(20, ClaimEvent.ReadFailed(0))
@@ -82,7 +82,7 @@
         expectThat(actions).containsExactly(ClaimAction.ReadHead(0))
     }
 
-    /** Guards against the fault of exploration seed 508: a lost seal took claims out of the index. */
+    /** Guards against losing claims from the index when a head write after sealing is lost (exploration seed 508). */
     @Test
     fun `claims of a segment whose head write was lost are still known`() {
         val small = ClaimLedger(self, settings.copy(sealBytes = 1))
@@ -99,7 +99,7 @@
         expectThat(actions).contains(ClaimAction.Execute(ExecutionAction.Forward(call("r3", "k1"), other)))
     }
 
-    /** Guards against a refusal as not run that a copy of the request makes false. */
+    /** Guards against running a second copy of a request after the first copy was refused as not run. */
     @Test
     fun `a copy of a refused request is refused as well`() {
         ledger.call(0, call("r1", "k1"))
@@ -111,7 +111,7 @@
             .isA<ExecutionAction.Answer>().get { answer }.isA<ExecutionAnswer.NotRun>()
     }
 
-    /** Guards against calls that wait for a platform that is down. */
+    /** Guards against calls that wait while the platform is down. */
     @Test
     fun `calls are refused as not run while the platform is down`() {
         ledger.call(0, call("r1", "k1"))
@@ -124,9 +124,9 @@
         }
     }
 
-    /** Guards against a second run when a caller repeats a call that has been answered. */
+    /** Guards against a second run when a caller repeats an answered call. */
     @Test
-    fun `a repeated call gets the kept response without the platform`() {
+    fun `a repeated call gets the stored response without a platform operation`() {
         val response = ServiceResponse(200, "application/json", "{}".encodeToByteArray())
         val write = writeOf(ledger, call("r1", "k1"))
         ledger.handle(10, ClaimEvent.HeadWritten(0, write.writeId, 1))
@@ -151,7 +151,7 @@
         )
     }
 
-    /** Guards against heads above the platform's limit for a value. */
+    /** Guards against heads larger than the platform's limit for a value. */
     @Test
     fun `a head is sealed at half a megabyte`() {
         val bytes = ArrayList<Int>()
@@ -170,15 +170,15 @@
         expectThat(bytes.max()).isLessThan(600_000)
     }
 
-    /** Guards against an idle ledger that calls the platform. */
+    /** Guards against platform operations of an idle ledger. */
     @Test
     fun `nothing is written while no call waits`() {
         expectThat(ledger.tick(1_000)).isEmpty()
     }
 
-    /** Guards against claims that stay in the head for ever at low load. */
+    /** Guards against claims that stay in the head forever at low load. */
     @Test
-    fun `a write drops claims older than the retention that is in effect`() {
+    fun `a write drops claims older than the configured retention time`() {
         val old = Claim("old", other, 0)
         ledger.retain(1_000)
         ledger.call(1_001, call("r1", "k1"))
@@ -188,9 +188,9 @@
         expectThat(write.head.claims.map { it.claimer }).containsExactly(self)
     }
 
-    /** Guards against a run of a key whose claim is still retained. */
+    /** Guards against dropping a claim too early, after which its key could run again. */
     @Test
-    fun `a claim within the retention is kept`() {
+    fun `a claim within the retention time is kept`() {
         val claim = Claim("recent", other, 1)
         ledger.retain(1_000)
         ledger.call(1_001, call("r1", "k1"))
@@ -200,7 +200,7 @@
         expectThat(write.head.claims).contains(claim)
     }
 
-    /** Guards against a head that refers to a deleted segment, which no other process can read past. */
+    /** Guards against a head that refers to a deleted segment, which would block all other processes. */
     @Test
     fun `an expired segment is deleted only when the head no longer refers to it`() {
         ledger.retain(1_000)
@@ -216,7 +216,7 @@
         expectThat(afterwards).contains(ClaimAction.DeleteSegment(0, 7))
     }
 
-    /** Guards against a shard that refuses for ever because it looks for a segment that another process deleted. */
+    /** Guards against a shard that refuses forever because another process deleted a segment that it needs. */
     @Test
     fun `the head is read again when a segment cannot be read`() {
         ledger.call(0, call("r1", "k1"))
@@ -228,9 +228,9 @@
         expectThat(actions).containsExactly(ClaimAction.ReadHead(0))
     }
 
-    /** Guards against a call that is sent to a claimer whose claim has been dropped from the head. */
+    /** Guards against forwarding a call to a claimer whose claim has been dropped from the head. */
     @Test
-    fun `a key whose claim was dropped is claimed anew`() {
+    fun `a key whose claim was dropped is claimed again`() {
         val write = writeOf(ledger, call("r1", "k1"))
         ledger.handle(
             10,
--- a/libraries/execution/src/test/kotlin/org/parsleymoor/execution/atmostonce/TicketLedgerTest.kt
+++ b/libraries/execution/src/test/kotlin/org/parsleymoor/execution/atmostonce/TicketLedgerTest.kt
@@ -16,7 +16,7 @@
     private val response = ServiceResponse(200, "text/plain", "done".encodeToByteArray())
     private val ledger = TicketLedger(self, ByteArray(32))
 
-    /** Guards against a second run of a repeated request (I8). */
+    /** Guards against running a repeated request a second time (invariant I8). */
     @Test
     fun `a ticket runs once and its response is repeated`() {
         val ticket = ledger.issue(estate)
@@ -28,7 +28,7 @@
         expectThat(action).isEqualTo(ExecutionAction.Answer(RequestId("r2"), ExecutionAnswer.Response(response)))
     }
 
-    /** Guards against a second run while the first is under way. */
+    /** Guards against a second run while the first is in progress. */
     @Test
     fun `a request that arrives during the run waits for its outcome`() {
         val ticket = ledger.issue(estate)
@@ -44,7 +44,7 @@
         )
     }
 
-    /** Guards against a ticket of a process that is gone being run by the next one. */
+    /** Guards against running a ticket that was issued before a restart: the call may have run then. */
     @Test
     fun `tickets of an earlier start are unknown`() {
         val ticket = TicketLedger(self.copy(startMillis = 6), ByteArray(32)).issue(estate)
@@ -56,7 +56,7 @@
         )
     }
 
-    /** Guards against the use of a ticket by another organisation (I2) and against invented tickets. */
+    /** Guards against forged tickets and tickets of another organisation (invariant I2). */
     @Test
     fun `a ticket of another organisation is refused`() {
         val ticket = ledger.issue(OrganisationId("rival"))
@@ -68,9 +68,9 @@
         )
     }
 
-    /** Guards against unbounded memory, and against a second run of what was forgotten. */
+    /** Guards against unbounded memory use, and against a second run of a ticket that is no longer remembered. */
     @Test
-    fun `a ticket outside of the window is never run`() {
+    fun `a ticket older than the newest ones is never run`() {
         val bounded = TicketLedger(self, ByteArray(32), TicketSettings(capacity = 10))
         val ticket = bounded.issue(estate)
         repeat(10) { bounded.issue(estate) }
@@ -82,7 +82,7 @@
         )
     }
 
-    /** Guards against a lost call when the endpoint refused it before running it. */
+    /** Guards against losing a call that the endpoint refused before running it. */
     @Test
     fun `a ticket whose run was refused by the endpoint may be used again`() {
         val ticket = ledger.issue(estate)
@@ -94,7 +94,7 @@
         expectThat(action).isEqualTo(ExecutionAction.Run(call("r2", ticket)))
     }
 
-    /** Guards against a key that stands for two different calls. */
+    /** Guards against one key for two different calls. */
     @Test
     fun `a ticket that is repeated with another body is refused`() {
         val ticket = ledger.issue(estate)
@@ -107,7 +107,7 @@
         )
     }
 
-    /** Guards against a ticket that cannot be read back, with an instance name that holds dots. */
+    /** Guards against a ticket that cannot be parsed because the instance name contains dots. */
     @Test
     fun `the text form of a ticket is parsed`() {
         val ticket = TicketLedger(Incarnation(InstanceId("a.b-1"), 5), ByteArray(32)).issue(estate)
