--- a/libraries/placement/src/main/kotlin/org/parsleymoor/placement/CostBasedPolicy.kt
+++ b/libraries/placement/src/main/kotlin/org/parsleymoor/placement/CostBasedPolicy.kt
@@ -6,8 +6,8 @@
 import org.apache.commons.rng.UniformRandomProvider
 
 /**
- * Minimises the estimated time to first token plus the prices of the shared resources that the request would use, and
- * samples among the engines within a small distance of the best, so that gateways with the same lagging view do not all
+ * Minimises the cost of a request: the estimated time to first token plus the prices of the shared resources it would
+ * use. Chooses at random among the engines of near-equal cost, so that gateways with the same outdated view do not all
  * choose the same engine.
  */
 public class CostBasedPolicy(private val settings: PlacementSettings = PlacementSettings()) : PlacementPolicy() {
@@ -19,30 +19,30 @@
         random: UniformRandomProvider,
     ): Result<Placement, NoEngineAvailable> {
         val estimator = FirstTokenEstimator(settings, request, fleet)
-        val held = heldPieces(request, fleet)
+        val cachedPieces = cachedPieces(request, fleet)
         val costs = DoubleArray(fleet.engines.size) { index ->
             val engine = fleet.engines[index]
-            if (engine.acceptsWork) estimator.cost(engine, held[index]) else Double.POSITIVE_INFINITY
+            if (engine.acceptsWork) estimator.cost(engine, cachedPieces[index]) else Double.POSITIVE_INFINITY
         }
-        val chosen = sample(costs, random) ?: return Err(NoEngineAvailable(fleet.engines.size))
+        val chosen = sampleNearLowest(costs, random) ?: return Err(NoEngineAvailable(fleet.engines.size))
         val engine = fleet.engines[chosen]
-        val plan = estimator.bestImport(engine, held[chosen])
-        return Ok(estimator.placement(engine, held[chosen], plan))
+        val plan = estimator.bestImport(engine, cachedPieces[chosen])
+        return Ok(estimator.placement(engine, cachedPieces[chosen], plan))
     }
 
-    private fun heldPieces(request: PlacementRequest, fleet: FleetView): IntArray {
-        val held = IntArray(fleet.engines.size)
+    private fun cachedPieces(request: PlacementRequest, fleet: FleetView): IntArray {
+        val cachedPieces = IntArray(fleet.engines.size)
         for (match in request.matches) {
             val index = fleet.engineIndex(match.endpoint)
-            if (index >= 0) held[index] = match.pieces
+            if (index >= 0) cachedPieces[index] = match.pieces
         }
-        return held
+        return cachedPieces
     }
 
-    /** Returns the position of one of the near-equal best, each with the same probability; null when none accepts. */
-    private fun sample(costs: DoubleArray, random: UniformRandomProvider): Int? {
-        val best = costs.minOrNull()?.takeIf { it.isFinite() } ?: return null
-        val limit = best + maxOf(settings.nearEqualMillis, best * settings.nearEqualShare)
+    /** Returns the index of a random engine among those of near-lowest cost, or null when none accepts work. */
+    private fun sampleNearLowest(costs: DoubleArray, random: UniformRandomProvider): Int? {
+        val lowestCost = costs.minOrNull()?.takeIf { it.isFinite() } ?: return null
+        val limit = lowestCost + maxOf(settings.nearEqualMillis, lowestCost * settings.nearEqualShare)
         var candidates = 0
         var chosen = 0
         for (index in costs.indices) {
--- a/libraries/placement/src/main/kotlin/org/parsleymoor/placement/FirstTokenEstimator.kt
+++ b/libraries/placement/src/main/kotlin/org/parsleymoor/placement/FirstTokenEstimator.kt
@@ -2,81 +2,82 @@
 
 import org.parsleymoor.core.RegionId
 
-/** Estimates each part of the time to first token of [request] on the engines of [fleet]. */
+/** Estimates the time to first token of [request] on the engines of [fleet], and the cost of each placement. */
 internal class FirstTokenEstimator(
     private val settings: PlacementSettings,
     private val request: PlacementRequest,
     private val fleet: FleetView,
 ) {
-    private val offers: List<ImportCandidate> = request.matches.mapNotNull { match ->
+    private val candidates: List<ImportCandidate> = request.matches.mapNotNull { match ->
         val store = fleet.store(match.endpoint)?.takeIf { it.available }
         store?.let { ImportCandidate(it, match.blocks, settings.blockBytes) }
     }
 
-    /** Returns what the engines are compared by: estimated time plus prices, in milliseconds. */
-    fun cost(engine: EngineView, held: Int): Double {
-        val plan = bestImport(engine, held)
+    /** Returns estimated time plus prices in milliseconds on [engine], which holds the first [cachedPieces] pieces. */
+    fun cost(engine: EngineView, cachedPieces: Int): Double {
+        val plan = bestImport(engine, cachedPieces)
         val wait = waitMillis(engine)
-        val prefill = prefillMillis(engine, held, plan)
+        val prefill = prefillMillis(engine, cachedPieces, plan)
         val ready = maxOf(wait, plan?.arrivalMillis ?: 0.0)
         val time = engine.correction * (ready + prefill) + networkMillis(engine.region)
         return time + settings.prefillPrice * prefill + linkPrice(engine.region) + importPrice(plan)
     }
 
-    /** Returns the placement on [engine], which holds the first [held] pieces, with the import [plan]. */
-    fun placement(engine: EngineView, held: Int, plan: ImportPlan?): Placement {
+    /** Returns the placement on [engine], which holds the first [cachedPieces] pieces, with the import [plan]. */
+    fun placement(engine: EngineView, cachedPieces: Int, plan: ImportPlan?): Placement {
         val wait = waitMillis(engine)
         val prefix = maxOf(0.0, (plan?.arrivalMillis ?: 0.0) - wait)
-        val prefill = prefillMillis(engine, held, plan)
+        val prefill = prefillMillis(engine, cachedPieces, plan)
         val network = networkMillis(engine.region)
         val total = engine.correction * (wait + prefix + prefill) + network
         val estimate = Estimate(wait, prefix, prefill, network, total)
-        val recomputed = request.contextPieces - held - (plan?.count ?: 0)
-        return Placement(engine.endpoint, plan?.source() ?: PrefixSource.EngineOnly, held, recomputed, estimate)
+        val recomputed = request.contextPieces - cachedPieces - (plan?.count ?: 0)
+        return Placement(engine.endpoint, plan?.source() ?: PrefixSource.EngineOnly, cachedPieces, recomputed, estimate)
     }
 
-    /** Returns the import that costs least including its price, or null when recomputing costs no more. */
-    fun bestImport(engine: EngineView, held: Int): ImportPlan? {
-        if (offers.isEmpty()) return null
-        val piece = pieceMillis(engine) * (1 + settings.prefillPrice)
+    /** Returns the import of lowest cost, its price included, or null when recomputing costs no more. */
+    fun bestImport(engine: EngineView, cachedPieces: Int): ImportPlan? {
+        if (candidates.isEmpty()) return null
+        val pieceCost = pieceMillis(engine) * (1 + settings.prefillPrice)
         val wait = waitMillis(engine)
-        var bestCost = wait + (request.contextPieces - held) * piece
+        var bestCost = wait + (request.contextPieces - cachedPieces) * pieceCost
         var best: ImportPlan? = null
-        for (offer in offers) {
-            val usable = offer.blocks.size > held && offer.store.region.value == engine.region.value
+        for (candidate in candidates) {
+            val usable = candidate.blocks.size > cachedPieces && candidate.store.region.value == engine.region.value
             if (!usable) continue
-            val arrivals = offer.arrivals(held)
-            val count = bestCount(arrivals, wait, piece)
-            val left = request.contextPieces - held - count
-            val cost = maxOf(wait, arrivals[count]) + left * piece +
-                settings.storeLinkPrice * offer.linkMillis(held, count)
+            val arrivals = candidate.arrivals(cachedPieces)
+            val count = bestCount(arrivals, wait, pieceCost)
+            val recomputed = request.contextPieces - cachedPieces - count
+            val cost = maxOf(wait, arrivals[count]) + recomputed * pieceCost +
+                settings.storeLinkPrice * candidate.linkMillis(cachedPieces, count)
             if (count > 0 && cost < bestCost) {
                 bestCost = cost
-                best = ImportPlan(offer, held, count, arrivals[count])
+                best = ImportPlan(candidate, cachedPieces, count, arrivals[count])
             }
         }
         return best
     }
 
-    private fun bestCount(arrivals: DoubleArray, waitMillis: Double, pieceMillis: Double): Int {
+    /** Returns the number of blocks to import at which waiting for them and recomputing the rest costs least. */
+    private fun bestCount(arrivals: DoubleArray, waitMillis: Double, pieceCost: Double): Int {
         var bestCount = 0
-        var bestMillis = Double.POSITIVE_INFINITY
+        var lowestCost = Double.POSITIVE_INFINITY
         for (count in arrivals.indices) {
-            val millis = maxOf(waitMillis, arrivals[count]) - count * pieceMillis
-            if (millis <= bestMillis) {
-                bestMillis = millis
+            val cost = maxOf(waitMillis, arrivals[count]) - count * pieceCost
+            if (cost <= lowestCost) {
+                lowestCost = cost
                 bestCount = count
             }
         }
         return bestCount
     }
 
-    /** The text crosses the link when the engine is in another region; what the budget has queued goes first. */
+    /** For an engine in another region: the queue of the link budget, the transfer of the text, and one round trip. */
     private fun networkMillis(region: RegionId): Double {
         if (region.value == request.region.value) return 0.0
         val link = fleet.regionLink
-        val sending = request.crossRegionTextBytes * MILLIS_PER_SECOND / link.bytesPerSecond
-        return link.waitMillis + sending + 2 * link.latencyMillis
+        val transferMillis = request.crossRegionTextBytes * MILLIS_PER_SECOND / link.bytesPerSecond
+        return link.waitMillis + transferMillis + 2 * link.latencyMillis
     }
 
     private fun linkPrice(region: RegionId): Double {
@@ -87,8 +88,8 @@
     private fun importPrice(plan: ImportPlan?): Double =
         if (plan == null) 0.0 else settings.storeLinkPrice * plan.linkMillis
 
-    private fun prefillMillis(engine: EngineView, held: Int, plan: ImportPlan?): Double {
-        val pieces = request.contextPieces - held - (plan?.count ?: 0)
+    private fun prefillMillis(engine: EngineView, cachedPieces: Int, plan: ImportPlan?): Double {
+        val pieces = request.contextPieces - cachedPieces - (plan?.count ?: 0)
         val remainder = request.remainderTokens * MILLIS_PER_SECOND / engine.prefillTokensPerSecond
         return pieces * pieceMillis(engine) + remainder
     }
--- a/libraries/placement/src/main/kotlin/org/parsleymoor/placement/ImportCandidate.kt
+++ b/libraries/placement/src/main/kotlin/org/parsleymoor/placement/ImportCandidate.kt
@@ -3,14 +3,14 @@
 import org.parsleymoor.context.CacheTier
 import org.parsleymoor.context.HeldBlock
 
-/** The prefix that one store holds, and when each block of it would arrive at an engine if imported now. */
+/** The prefix that one store holds, with the times at which its blocks would arrive at an engine if imported now. */
 internal class ImportCandidate(val store: StoreView, val blocks: List<HeldBlock>, private val blockBytes: Long) {
     private val arrivalsByStart = HashMap<Int, DoubleArray>()
 
-    /** Element n is the time in milliseconds until n blocks from position [start] on have arrived. */
+    /** Returns an array with the time in milliseconds until n blocks from index [start] on have arrived, by n. */
     fun arrivals(start: Int): DoubleArray = arrivalsByStart.getOrPut(start) { computeArrivals(start) }
 
-    /** Time that the link is busy with [count] blocks from position [start] on, in milliseconds. */
+    /** Returns the time in milliseconds for which [count] blocks from index [start] on occupy the store's link. */
     fun linkMillis(start: Int, count: Int): Double {
         var total = 0.0
         for (index in start until start + count) total += blockMillis(blocks[index].tier)
@@ -24,8 +24,8 @@
         for (index in start until blocks.size) {
             val tier = blocks[index].tier
             if (tier == CacheTier.STORE_DISK) diskFree += blockMillis(tier) else memoryFree += blockMillis(tier)
-            val free = if (tier == CacheTier.STORE_DISK) diskFree else memoryFree
-            arrivals[index - start + 1] = maxOf(arrivals[index - start], free)
+            val sent = if (tier == CacheTier.STORE_DISK) diskFree else memoryFree
+            arrivals[index - start + 1] = maxOf(arrivals[index - start], sent)
         }
         return arrivals
     }
--- a/libraries/placement/src/main/kotlin/org/parsleymoor/placement/ImportPlan.kt
+++ b/libraries/placement/src/main/kotlin/org/parsleymoor/placement/ImportPlan.kt
@@ -1,14 +1,14 @@
 package org.parsleymoor.placement
 
-/** Import of [count] blocks of [offer] from position [start] on; the last arrives after [arrivalMillis]. */
+/** Import of [count] blocks of [candidate], beginning at index [start]; the last arrives after [arrivalMillis]. */
 internal class ImportPlan(
-    val offer: ImportCandidate,
+    val candidate: ImportCandidate,
     val start: Int,
     val count: Int,
     val arrivalMillis: Double,
 ) {
-    val linkMillis: Double get() = offer.linkMillis(start, count)
+    val linkMillis: Double get() = candidate.linkMillis(start, count)
 
     fun source(): PrefixSource =
-        PrefixSource.Import(offer.store.endpoint, offer.blocks.subList(start, start + count).toList())
+        PrefixSource.Import(candidate.store.endpoint, candidate.blocks.subList(start, start + count).toList())
 }
--- a/libraries/placement/src/main/kotlin/org/parsleymoor/placement/LeastLoadedPolicy.kt
+++ b/libraries/placement/src/main/kotlin/org/parsleymoor/placement/LeastLoadedPolicy.kt
@@ -5,7 +5,7 @@
 import com.github.michaelbull.result.Result
 import org.apache.commons.rng.UniformRandomProvider
 
-/** Baseline: the engine with the least queued prefill, then the fewest running requests, then at random. */
+/** Baseline: the engine with the fewest queued prefill tokens, then the fewest running requests. */
 public class LeastLoadedPolicy : PlacementPolicy() {
     override val name: String get() = "least-loaded"
 
--- a/libraries/placement/src/main/kotlin/org/parsleymoor/placement/LeastRecentlyUsedRetention.kt
+++ b/libraries/placement/src/main/kotlin/org/parsleymoor/placement/LeastRecentlyUsedRetention.kt
@@ -4,7 +4,7 @@
 import org.parsleymoor.core.EndpointId
 import org.parsleymoor.core.OrganisationId
 
-/** Baseline: exports everything and gives up the least recently used blocks first. */
+/** Baseline: exports every block, evicts the least recently used blocks first and never prefetches. */
 public class LeastRecentlyUsedRetention : RetentionPolicy() {
     private val lastUses = HashMap<PieceHash, Long>()
 
@@ -20,7 +20,7 @@
     ): List<RetentionAction> = pieces.map { RetentionAction.Export(it, engine, store) }
 
     override fun makeRoom(content: StoreContent, incoming: Int, nowMillis: Long): List<RetentionAction> =
-        arrange(content, incoming) { lastUses[it.piece]?.toDouble() ?: 0.0 }
+        evict(content, incoming) { lastUses[it.piece]?.toDouble() ?: 0.0 }
 
     override fun prefetch(content: StoreContent, nowMillis: Long): List<RetentionAction> = emptyList()
 }
--- a/libraries/placement/src/main/kotlin/org/parsleymoor/placement/Placement.kt
+++ b/libraries/placement/src/main/kotlin/org/parsleymoor/placement/Placement.kt
@@ -4,16 +4,19 @@
 import org.parsleymoor.core.EndpointId
 import org.parsleymoor.core.Failure
 
-/** How an engine obtains the part of the prefix that it does not hold yet. */
+/** How an engine obtains the part of a request's prefix that is not in its own KV cache. */
 public sealed interface PrefixSource {
-    /** Nothing to obtain before the prefill; what the engine does not hold is recomputed. */
+    /** Nothing is imported; the engine recomputes what it does not hold. */
     public data object EngineOnly : PrefixSource
 
-    /** [blocks], which follow the engine's own prefix, are imported from [store] before the prefill. */
+    /** Before the prefill, [blocks] are imported from [store]; they continue the prefix that the engine holds. */
     public data class Import(public val store: EndpointId, public val blocks: List<HeldBlock>) : PrefixSource
 }
 
-/** Parts of an estimated time to first token in milliseconds; [totalMillis] includes the correction. */
+/**
+ * Estimated time to first token and its parts, in milliseconds. Only [totalMillis] includes the engine's correction
+ * factor.
+ */
 public data class Estimate(
     public val waitMillis: Double,
     public val prefixMillis: Double,
@@ -22,7 +25,7 @@
     public val totalMillis: Double,
 )
 
-/** Where a request goes. */
+/** The engine chosen for a request, and the work that the choice implies. Counts are pieces of the prompt. */
 public data class Placement(
     public val endpoint: EndpointId,
     public val prefix: PrefixSource,
@@ -31,7 +34,7 @@
     public val estimate: Estimate,
 )
 
-/** No engine accepts the request; [engines] were considered. The request has not been sent anywhere. */
+/** None of the [engines] engines in the view accepts work. The request has not been sent anywhere. */
 public data class NoEngineAvailable(public val engines: Int) : Failure {
     override val message: String get() = "expected an engine that accepts work, found none among $engines"
 }
--- a/libraries/placement/src/main/kotlin/org/parsleymoor/placement/PlacementPolicy.kt
+++ b/libraries/placement/src/main/kotlin/org/parsleymoor/placement/PlacementPolicy.kt
@@ -3,12 +3,12 @@
 import com.github.michaelbull.result.Result
 import org.apache.commons.rng.UniformRandomProvider
 
-/** Chooses the engine for a request, and the way in which it obtains the request's prefix, from an immutable view. */
+/** Chooses the engine for a request and where it gets the request's prefix from, given an immutable view. */
 public sealed class PlacementPolicy {
-    /** The name of the policy in settings and in results of the benchmark. */
+    /** The name of the policy in settings and benchmark results. */
     public abstract val name: String
 
-    /** Returns the choice for [request] in [fleet], or [NoEngineAvailable]; [random] breaks near ties. */
+    /** Returns the placement of [request] in [fleet], or [NoEngineAvailable]; [random] breaks ties. */
     public abstract fun place(
         request: PlacementRequest,
         fleet: FleetView,
--- a/libraries/placement/src/main/kotlin/org/parsleymoor/placement/PlacementRequest.kt
+++ b/libraries/placement/src/main/kotlin/org/parsleymoor/placement/PlacementRequest.kt
@@ -4,9 +4,9 @@
 import org.parsleymoor.core.RegionId
 
 /**
- * A prompt to place. [contextPieces] counts its full pieces and [remainderTokens] the tokens after them; [matches] is
- * what the cache directory knows about the prefix. [region] is the region of the gateway; [crossRegionTextBytes] is the
- * text that another region lacks and that is sent over the link if the request goes there.
+ * A prompt to place. [contextPieces] counts its full pieces and [remainderTokens] the tokens after them. [matches] are
+ * the endpoints that hold a prefix of it according to the cache directory. [region] is the region of the gateway.
+ * [crossRegionTextBytes] is the size of the text that would be sent over the link to an engine in another region.
  */
 public data class PlacementRequest(
     public val contextPieces: Int,
--- a/libraries/placement/src/main/kotlin/org/parsleymoor/placement/PlacementSettings.kt
+++ b/libraries/placement/src/main/kotlin/org/parsleymoor/placement/PlacementSettings.kt
@@ -3,10 +3,11 @@
 import org.parsleymoor.context.PromptHashes
 
 /**
- * Sizes and prices of a placement. [blockBytes] is the KV block of one piece of [pieceTokens] tokens. A price is added
- * to the estimated time when engines are compared: [regionLinkPriceMillisPerMegabyte] for text that crosses regions,
- * [storeLinkPrice] for each millisecond of a store's link and [prefillPrice] for each of an engine's prefill. Engines
- * within [nearEqualShare] or [nearEqualMillis] of the best are sampled.
+ * Sizes and prices that placement uses. [blockBytes] is the size of the KV block of one piece of [pieceTokens] tokens.
+ * A price is a penalty for the use of a shared resource; it is added to the estimated time when engines are compared:
+ * [regionLinkPriceMillisPerMegabyte] for text that crosses regions, [storeLinkPrice] for each millisecond on a store's
+ * link and [prefillPrice] for each millisecond of prefill. Engines count as equal when their cost exceeds the lowest by
+ * at most [nearEqualMillis] or a [nearEqualShare] of it, whichever is more.
  */
 public data class PlacementSettings(
     public val blockBytes: Long = 100_000_000,
--- a/libraries/placement/src/main/kotlin/org/parsleymoor/placement/PrefixAffinityPolicy.kt
+++ b/libraries/placement/src/main/kotlin/org/parsleymoor/placement/PrefixAffinityPolicy.kt
@@ -5,7 +5,7 @@
 import com.github.michaelbull.result.Result
 import org.apache.commons.rng.UniformRandomProvider
 
-/** Baseline: the engines that hold the longest prefix, and the least loaded of them. */
+/** Baseline: the least loaded of the engines that hold the longest prefix. */
 public class PrefixAffinityPolicy : PlacementPolicy() {
     override val name: String get() = "prefix-affinity"
 
@@ -14,10 +14,10 @@
         fleet: FleetView,
         random: UniformRandomProvider,
     ): Result<Placement, NoEngineAvailable> {
-        val held = request.matches.associate { it.endpoint.value to it.pieces }
+        val cachedPieces = request.matches.associate { it.endpoint.value to it.pieces }
         val accepting = fleet.engines.filter { it.acceptsWork }
-        val longest = accepting.maxOfOrNull { held[it.endpoint.value] ?: 0 } ?: 0
-        val engine = leastLoaded(accepting.filter { (held[it.endpoint.value] ?: 0) == longest }, random)
+        val longestPrefix = accepting.maxOfOrNull { cachedPieces[it.endpoint.value] ?: 0 } ?: 0
+        val engine = leastLoaded(accepting.filter { (cachedPieces[it.endpoint.value] ?: 0) == longestPrefix }, random)
             ?: return Err(NoEngineAvailable(fleet.engines.size))
         return Ok(placementOnEngine(request, fleet, engine))
     }
--- a/libraries/placement/src/main/kotlin/org/parsleymoor/placement/RegionLinkBudget.kt
+++ b/libraries/placement/src/main/kotlin/org/parsleymoor/placement/RegionLinkBudget.kt
@@ -1,6 +1,9 @@
 package org.parsleymoor.placement
 
-/** How a gateway's share of the inter-region link is computed. Rates are bytes a second in one direction. */
+/**
+ * Settings of a [RegionLinkBudget]. [bytesPerSecond] is the rate of the link in one direction, [dataShare] the share of
+ * it that data may use, and [burstMillis] the time over which unused rate accumulates.
+ */
 public data class RegionLinkSettings(
     public val bytesPerSecond: Double = 2_500_000.0,
     public val dataShare: Double = 0.9,
@@ -8,9 +11,9 @@
 )
 
 /**
- * This gateway's share of the inter-region link in one direction: rate x 0.9 / gateways of the region. Data is sent in
- * order of reservation; control traffic has the rest of the link and is not counted here. Not safe for use from several
- * threads.
+ * This gateway's share of the inter-region link in one direction: the rate for data divided by the number of gateways
+ * in the region. Data is sent in order of reservation. Control traffic uses the rest of the link and is not counted
+ * here. Not thread-safe.
  */
 public class RegionLinkBudget(private val settings: RegionLinkSettings = RegionLinkSettings()) {
     private var gateways = 1
@@ -23,15 +26,15 @@
     /** This gateway's rate in bytes a second. */
     public val bytesPerSecond: Double get() = settings.bytesPerSecond * settings.dataShare / gateways
 
-    /** Divides the link over [listed] gateways of the platform's list or [alive] of the heartbeats, if that is more. */
+    /** Divides the link among the gateways that the platform has [listed], or those [alive] by heartbeat if more. */
     public fun divide(listed: Int, alive: Int) {
         gateways = maxOf(1, listed, alive)
     }
 
-    /** Returns how long data reserved at [nowMillis] would wait before its first byte, in milliseconds. */
+    /** Returns the delay in milliseconds before the first byte of data reserved at [nowMillis] can be sent. */
     public fun waitMillis(nowMillis: Long): Double = maxOf(0.0, freeAtMillis - nowMillis)
 
-    /** Reserves [bytes] at [nowMillis]; returns when the last of them may be sent, in milliseconds from now. */
+    /** Reserves [bytes] at [nowMillis]; returns the delay in milliseconds until the last of them can be sent. */
     public fun reserve(bytes: Long, nowMillis: Long): Double {
         require(bytes >= 0) { "expected at least 0 bytes, got $bytes" }
         val start = maxOf(freeAtMillis, nowMillis - settings.burstMillis.toDouble())
@@ -40,10 +43,10 @@
         return maxOf(0.0, freeAtMillis - nowMillis)
     }
 
-    /** Reserves [bytes] at [nowMillis] if they can be sent within [withinMillis]; returns whether they were. */
+    /** Reserves [bytes] at [nowMillis] if all can be sent within [withinMillis]; returns whether it reserved them. */
     public fun tryReserve(bytes: Long, nowMillis: Long, withinMillis: Double): Boolean {
-        val needed = waitMillis(nowMillis) + bytes * MILLIS_PER_SECOND / bytesPerSecond
-        if (needed > withinMillis) return false
+        val delayMillis = waitMillis(nowMillis) + bytes * MILLIS_PER_SECOND / bytesPerSecond
+        if (delayMillis > withinMillis) return false
         reserve(bytes, nowMillis)
         return true
     }
--- a/libraries/placement/src/main/kotlin/org/parsleymoor/placement/RetentionAction.kt
+++ b/libraries/placement/src/main/kotlin/org/parsleymoor/placement/RetentionAction.kt
@@ -3,9 +3,9 @@
 import org.parsleymoor.context.PieceHash
 import org.parsleymoor.core.EndpointId
 
-/** What the retention policy asks for one block. */
+/** An action that a retention policy requests for one block. */
 public sealed interface RetentionAction {
-    /** The block that the action is about. */
+    /** The piece whose block the action applies to. */
     public val piece: PieceHash
 
     /** Copy the block from [engine] to [store] before the engine evicts it. */
@@ -18,7 +18,7 @@
     /** Move the block from the memory of [store] to its disk. */
     public data class MoveToDisk(override val piece: PieceHash, public val store: EndpointId) : RetentionAction
 
-    /** Move the block from the disk of [store] to its memory, since its context is expected back soon. */
+    /** Move the block from the disk of [store] to its memory, because it is expected to be used soon. */
     public data class Prefetch(override val piece: PieceHash, public val store: EndpointId) : RetentionAction
 
     /** Delete the block from [store]. */
--- a/libraries/placement/src/main/kotlin/org/parsleymoor/placement/RetentionPolicy.kt
+++ b/libraries/placement/src/main/kotlin/org/parsleymoor/placement/RetentionPolicy.kt
@@ -6,7 +6,7 @@
 import org.parsleymoor.core.EndpointId
 import org.parsleymoor.core.OrganisationId
 
-/** What a store holds, and its capacity in blocks. */
+/** The [blocks] that a store holds, and the capacity of its memory and disk in blocks. */
 public data class StoreContent(
     public val store: EndpointId,
     public val blocks: Collection<HeldBlock>,
@@ -14,12 +14,12 @@
     public val diskBlocks: Int,
 )
 
-/** Decides what a store keeps. One gateway decides for a store; the others tell it which blocks their requests used. */
+/** Decides which blocks a store keeps. One gateway decides per store; the others report the blocks they use to it. */
 public sealed class RetentionPolicy {
     /** Records at [nowMillis] that a request of [organisation] used [pieces]. */
     public abstract fun used(organisation: OrganisationId, pieces: List<PieceHash>, nowMillis: Long)
 
-    /** Returns the exports worth their space in [store] of [pieces], which [engine] holds and the store lacks. */
+    /** Returns the exports worth their space among [pieces], which [engine] holds and [store] lacks. */
     public abstract fun export(
         engine: EndpointId,
         store: EndpointId,
@@ -28,23 +28,23 @@
     ): List<RetentionAction>
 
     /**
-     * Returns what to move to disk and what to drop so that [incoming] more blocks fit in the memory of [content]'s
-     * store and both tiers are within their capacity.
+     * Returns the blocks to move to disk and those to drop so that [incoming] more blocks fit in the store's memory and
+     * both tiers stay within their capacity.
      */
     public abstract fun makeRoom(content: StoreContent, incoming: Int, nowMillis: Long): List<RetentionAction>
 
-    /** Returns the blocks to bring from disk to memory before they are needed, and what makes room for them. */
+    /** Returns the blocks to load from disk into memory ahead of use, and the moves to disk that make room for them. */
     public abstract fun prefetch(content: StoreContent, nowMillis: Long): List<RetentionAction>
 
-    /** Fills memory with the most valuable blocks, then disk; [value] is higher for a block worth more. */
-    protected fun arrange(content: StoreContent, incoming: Int, value: (HeldBlock) -> Double): List<RetentionAction> {
+    /** Drops the blocks of lowest [value], and moves the next lowest to disk, once memory exceeds its capacity. */
+    protected fun evict(content: StoreContent, incoming: Int, value: (HeldBlock) -> Double): List<RetentionAction> {
         val excessMemory = content.blocks.count { it.tier == CacheTier.STORE_MEMORY } + incoming - content.memoryBlocks
         if (excessMemory <= 0) return emptyList()
-        val ordered = content.blocks.map { it to value(it) }.sortedBy { it.second }.map { it.first }
-        val excess = content.blocks.size + incoming - content.memoryBlocks - content.diskBlocks
-        val dropped = ordered.take(maxOf(0, excess))
+        val byValue = content.blocks.map { it to value(it) }.sortedBy { it.second }.map { it.first }
+        val excessBlocks = content.blocks.size + incoming - content.memoryBlocks - content.diskBlocks
+        val dropped = byValue.take(maxOf(0, excessBlocks))
         val droppedFromMemory = dropped.count { it.tier == CacheTier.STORE_MEMORY }
-        val moved = ordered.drop(dropped.size).filter { it.tier == CacheTier.STORE_MEMORY }
+        val moved = byValue.drop(dropped.size).filter { it.tier == CacheTier.STORE_MEMORY }
             .take(maxOf(0, excessMemory - droppedFromMemory))
         return dropped.map { RetentionAction.Drop(it.piece, content.store) } +
             moved.map { RetentionAction.MoveToDisk(it.piece, content.store) }
--- a/libraries/placement/src/main/kotlin/org/parsleymoor/placement/ReturnIntervalEstimate.kt
+++ b/libraries/placement/src/main/kotlin/org/parsleymoor/placement/ReturnIntervalEstimate.kt
@@ -3,39 +3,44 @@
 import kotlin.math.exp
 import kotlin.math.ln
 
-/** Intervals between sessions of one organisation's blocks, apart for blocks that were in one session so far. */
+/**
+ * Estimates the intervals between the sessions of one organisation's blocks. The interval after a block's first session
+ * is estimated separately from those after later sessions.
+ */
 internal class ReturnIntervalEstimate {
     private val first = SurvivalEstimate()
     private val later = SurvivalEstimate()
 
-    fun sessionStarted(isFirst: Boolean, nowMillis: Long): Unit = of(isFirst).sessionStarted(nowMillis)
+    fun sessionStarted(isFirst: Boolean, nowMillis: Long): Unit = estimate(isFirst).sessionStarted(nowMillis)
 
-    fun returned(intervalMillis: Long, afterFirst: Boolean): Unit = of(afterFirst).returned(intervalMillis)
+    fun returned(intervalMillis: Long, afterFirst: Boolean): Unit = estimate(afterFirst).returned(intervalMillis)
 
-    /** Returns the probability and expected remaining time for a block that has been idle for [idleMillis]. */
+    /** Returns the probability of return and the expected time until then for a block idle for [idleMillis]. */
     fun returnAfter(idleMillis: Long, afterFirst: Boolean, nowMillis: Long): ExpectedReturn =
-        of(afterFirst).returnAfter(idleMillis, nowMillis)
+        estimate(afterFirst).returnAfter(idleMillis, nowMillis)
 
-    private fun of(isFirst: Boolean): SurvivalEstimate = if (isFirst) first else later
+    private fun estimate(isFirst: Boolean): SurvivalEstimate = if (isFirst) first else later
 }
 
 /**
- * Kaplan-Meier estimate of the interval until the next session. Sessions that are younger than an interval say nothing
- * about it; counting them as not returned would make every new context look as if it never came back.
+ * Kaplan-Meier estimate of the interval until the next session. A session counts for an interval only once it is older
+ * than that interval; counting younger ones as not returned would make every new context look as if it never returned.
  */
 internal class SurvivalEstimate {
     private val returns = LongArray(BUCKETS)
+
+    /** Pairs of an hour and the number of sessions that started in it, oldest first. */
     private val sessionsByHour = ArrayDeque<LongArray>()
     private var olderSessions = 0L
     private var sessions = 0L
-    private var changes = 0
+    private var changesSinceRefresh = 0
     private var refreshedMillis = Long.MIN_VALUE / 2
-    private val probabilities = DoubleArray(BUCKETS) { PRIOR }
-    private val meanIntervals = DoubleArray(BUCKETS) { UNKNOWN_MILLIS }
+    private val returnProbabilities = DoubleArray(BUCKETS) { PRIOR_PROBABILITY }
+    private val meanIntervals = DoubleArray(BUCKETS) { PRIOR_MILLIS }
 
     fun sessionStarted(nowMillis: Long) {
         sessions++
-        changes++
+        changesSinceRefresh++
         val hour = nowMillis / HOUR_MILLIS
         val latest = sessionsByHour.lastOrNull()
         if (latest != null && latest[0] == hour) latest[1]++ else sessionsByHour += longArrayOf(hour, 1)
@@ -44,71 +49,71 @@
 
     fun returned(intervalMillis: Long) {
         returns[bucket(intervalMillis)]++
-        changes++
+        changesSinceRefresh++
     }
 
     fun returnAfter(idleMillis: Long, nowMillis: Long): ExpectedReturn {
-        val changed = changes * REFRESH_SHARE > sessions
+        val changed = changesSinceRefresh * SESSIONS_PER_CHANGE > sessions
         if (changed || nowMillis - refreshedMillis > HOUR_MILLIS) refresh(nowMillis)
-        val from = bucket(idleMillis)
-        return ExpectedReturn(probabilities[from], maxOf(0.0, meanIntervals[from] - idleMillis).toLong())
+        val index = bucket(idleMillis)
+        return ExpectedReturn(returnProbabilities[index], maxOf(0.0, meanIntervals[index] - idleMillis).toLong())
     }
 
-    /** From the longest interval down: a session returns in this bucket, or later if it survives it. */
+    /** Works from the longest interval down: a session returns within a bucket or, if not, in a later one. */
     private fun refresh(nowMillis: Long) {
-        changes = 0
+        changesSinceRefresh = 0
         refreshedMillis = nowMillis
         val atRisk = atRisk(nowMillis)
-        // A session that outlasts the longest interval is taken not to return.
+        // A session that outlasts the longest interval is assumed not to return.
         var probability = 0.0
-        var weighted = 0.0
+        var weightedInterval = 0.0
         for (index in returns.indices.reversed()) {
             val hazard = returns[index] / maxOf(PRIOR_SESSIONS, maxOf(atRisk[index], returns[index]).toDouble())
-            // Where few sessions are old enough to tell, the estimate is mixed with the prior.
-            val known = minOf(1.0, atRisk[index] / PRIOR_SESSIONS)
-            val tail = known * probability + (1 - known) * PRIOR
-            val weightedTail = known * weighted + (1 - known) * PRIOR * UNKNOWN_MILLIS
-            weighted = hazard * middle(index) + (1 - hazard) * weightedTail
-            probability = (hazard + (1 - hazard) * tail).coerceIn(SMALLEST, 1.0)
-            probabilities[index] = probability
-            meanIntervals[index] = weighted / probability
+            // With few sessions old enough for this interval, the estimate is blended with the prior.
+            val confidence = minOf(1.0, atRisk[index] / PRIOR_SESSIONS)
+            val laterProbability = confidence * probability + (1 - confidence) * PRIOR_PROBABILITY
+            val laterWeighted = confidence * weightedInterval + (1 - confidence) * PRIOR_PROBABILITY * PRIOR_MILLIS
+            weightedInterval = hazard * middle(index) + (1 - hazard) * laterWeighted
+            probability = (hazard + (1 - hazard) * laterProbability).coerceIn(MINIMUM_PROBABILITY, 1.0)
+            returnProbabilities[index] = probability
+            meanIntervals[index] = weightedInterval / probability
         }
     }
 
-    /** Sessions that began at least an interval ago and had not returned within a shorter one. */
+    /** Counts per bucket the sessions that are older than its interval and did not return within a shorter one. */
     private fun atRisk(nowMillis: Long): LongArray {
-        var earlier = 0L
+        var returnedEarlier = 0L
         return LongArray(BUCKETS) { index ->
             val latestHour = (nowMillis - upper(index).toLong()) / HOUR_MILLIS
             val started = olderSessions + sessionsByHour.sumOf { if (it[0] <= latestHour) it[1] else 0 }
-            maxOf(0, started - earlier).also { earlier += returns[index] }
+            maxOf(0, started - returnedEarlier).also { returnedEarlier += returns[index] }
         }
     }
 
     private companion object {
         const val BUCKETS = 40
-        const val SMALLEST_MILLIS = 300_000.0
-        const val HALF = 0.5
-        const val PRIOR = 0.5
-        const val SMALLEST = 1e-6
+        const val FIRST_BUCKET_MILLIS = 300_000.0
+        const val BUCKET_MIDDLE = 0.5
+        const val PRIOR_PROBABILITY = 0.5
+        const val MINIMUM_PROBABILITY = 1e-6
         const val PRIOR_SESSIONS = 10.0
-        const val UNKNOWN_MILLIS = 43_200_000.0
+        const val PRIOR_MILLIS = 43_200_000.0
         const val HOUR_MILLIS = 3_600_000L
         const val MAXIMUM_HOURS = 96
 
-        /** Sums are renewed after a change of one in a hundred sessions, since they are read far more often. */
-        const val REFRESH_SHARE = 100L
+        /** One change in this many sessions triggers a refresh; estimates are read far more often than they change. */
+        const val SESSIONS_PER_CHANGE = 100L
 
-        /** Each bucket is about 17% wider than the one before, so 40 of them reach from 5 minutes to 2 days. */
-        const val STEP = 0.16
+        /** Logarithmic width of a bucket: each is about 17% wider than the last, so 40 span 5 minutes to 2 days. */
+        const val BUCKET_LOG_WIDTH = 0.16
 
         fun bucket(millis: Long): Int {
-            if (millis <= SMALLEST_MILLIS) return 0
-            return minOf(BUCKETS - 1, (ln(millis / SMALLEST_MILLIS) / STEP).toInt())
+            if (millis <= FIRST_BUCKET_MILLIS) return 0
+            return minOf(BUCKETS - 1, (ln(millis / FIRST_BUCKET_MILLIS) / BUCKET_LOG_WIDTH).toInt())
         }
 
-        fun middle(bucket: Int): Double = SMALLEST_MILLIS * exp((bucket + HALF) * STEP)
+        fun middle(bucket: Int): Double = FIRST_BUCKET_MILLIS * exp((bucket + BUCKET_MIDDLE) * BUCKET_LOG_WIDTH)
 
-        fun upper(bucket: Int): Double = SMALLEST_MILLIS * exp((bucket + 1) * STEP)
+        fun upper(bucket: Int): Double = FIRST_BUCKET_MILLIS * exp((bucket + 1) * BUCKET_LOG_WIDTH)
     }
 }
--- a/libraries/placement/src/main/kotlin/org/parsleymoor/placement/RoundRobinPolicy.kt
+++ b/libraries/placement/src/main/kotlin/org/parsleymoor/placement/RoundRobinPolicy.kt
@@ -5,7 +5,7 @@
 import com.github.michaelbull.result.Result
 import org.apache.commons.rng.UniformRandomProvider
 
-/** Baseline: each engine that accepts work in turn. */
+/** Baseline: the engines that accept work, in turn. */
 public class RoundRobinPolicy : PlacementPolicy() {
     private var next = 0
 
--- a/libraries/placement/src/test/kotlin/org/parsleymoor/placement/PlacementPolicyTest.kt
+++ b/libraries/placement/src/test/kotlin/org/parsleymoor/placement/PlacementPolicyTest.kt
@@ -25,13 +25,13 @@
     private val policy = CostBasedPolicy()
 
     @Test
-    fun `the engine that holds the context is chosen while its queue is shorter than a recomputation`() {
+    fun `the engine that holds the context is chosen while its queue delay is shorter than recomputing it elsewhere`() {
         val fleet = FleetView(listOf(engine("a", queued = 4_000), engine("b")))
         expectThat(place(request(engineMatch("a", 10)), fleet).endpoint.value).isEqualTo("a")
     }
 
     @Test
-    fun `a long queue at the holder sends the request to an engine that recomputes`() {
+    fun `a request goes to an engine that recomputes when the one with the context has a long queue`() {
         val fleet = FleetView(listOf(engine("a", queued = 80_000), engine("b")))
         val placement = place(request(engineMatch("a", 10)), fleet)
         expectThat(placement.endpoint.value).isEqualTo("b")
@@ -39,36 +39,36 @@
     }
 
     @Test
-    fun `a fast store is imported from`() {
+    fun `the prefix is imported from a fast store`() {
         val placement = place(request(storeMatch(10)), FleetView(listOf(engine("a")), listOf(store())))
         expectThat(placement.prefix).isA<PrefixSource.Import>().get { blocks.size }.isEqualTo(10)
         expectThat(placement.recomputedPieces).isEqualTo(0)
     }
 
     @Test
-    fun `a store whose link is full for longer than a recomputation is not waited for`() {
-        val busy = store(queuedBytes = 40_000_000_000)
-        val placement = place(request(storeMatch(10)), FleetView(listOf(engine("a")), listOf(busy)))
+    fun `nothing is imported from a store whose link is busy for longer than recomputing takes`() {
+        val overloaded = store(queuedBytes = 40_000_000_000)
+        val placement = place(request(storeMatch(10)), FleetView(listOf(engine("a")), listOf(overloaded)))
         expectThat(placement.prefix).isEqualTo(PrefixSource.EngineOnly)
     }
 
     @Test
-    fun `a lost store and a store of the other region are not imported from`() {
+    fun `nothing is imported from a lost store or from a store in another region`() {
         val stores = listOf(store(available = false), store(region = south))
         val prefixes = stores.map { place(request(storeMatch(10)), FleetView(listOf(engine("a")), listOf(it))).prefix }
         expectThat(prefixes.distinct()).isEqualTo(listOf(PrefixSource.EngineOnly))
     }
 
     @Test
-    fun `the other region is used only when the own one is far busier`() {
-        val quiet = FleetView(listOf(engine("a", queued = 8_000), engine("b", region = south)))
-        val busy = FleetView(listOf(engine("a", queued = 400_000), engine("b", region = south)))
-        expectThat(place(request(), quiet).endpoint.value).isEqualTo("a")
-        expectThat(place(request(), busy).endpoint.value).isEqualTo("b")
+    fun `a request goes to another region only when its own region is far busier`() {
+        val similarLoad = FleetView(listOf(engine("a", queued = 8_000), engine("b", region = south)))
+        val overloaded = FleetView(listOf(engine("a", queued = 400_000), engine("b", region = south)))
+        expectThat(place(request(), similarLoad).endpoint.value).isEqualTo("a")
+        expectThat(place(request(), overloaded).endpoint.value).isEqualTo("b")
     }
 
     @Test
-    fun `equal engines share the requests of one view instead of all going to one`() {
+    fun `requests placed with the same view are spread over equal engines`() {
         val fleet = FleetView(List(4) { engine("e$it") })
         val counts = List(400) { place(request(), fleet).endpoint.value }.groupingBy { it }.eachCount()
         expectThat(counts.size).isEqualTo(4)
@@ -76,29 +76,29 @@
     }
 
     @Test
-    fun `an engine that turned out slower than estimated gets fewer requests`() {
+    fun `an engine that was slower than estimated loses to one that was not`() {
         val fleet = FleetView(listOf(engine("slow", correction = 3.0), engine("normal")))
         expectThat(place(request(), fleet).endpoint.value).isEqualTo("normal")
     }
 
     @Test
-    fun `every policy refuses when no engine accepts work`() {
+    fun `every policy reports a failure when no engine accepts work`() {
         val fleet = FleetView(listOf(engine("a", accepts = false)))
         val failures = PlacementPolicy.all().map { it.place(request(), fleet, random).getError() }
         expectThat(failures.distinct()).isEqualTo(listOf(NoEngineAvailable(1)))
     }
 
     @Test
-    fun `prefix affinity takes the longest match and round robin takes turns`() {
+    fun `prefix affinity chooses the longest match and round robin takes the engines in turn`() {
         val fleet = FleetView(listOf(engine("a", queued = 90_000), engine("b")))
-        val affine = PrefixAffinityPolicy().place(request(engineMatch("a", 3)), fleet, random).get()
-        val robin = RoundRobinPolicy().let { turns -> List(4) { turns.place(request(), fleet, random).get() } }
-        expectThat(affine?.endpoint?.value).isEqualTo("a")
-        expectThat(robin.map { it?.endpoint?.value }).isEqualTo(listOf("a", "b", "a", "b"))
+        val byAffinity = PrefixAffinityPolicy().place(request(engineMatch("a", 3)), fleet, random).get()
+        val inTurn = RoundRobinPolicy().let { turns -> List(4) { turns.place(request(), fleet, random).get() } }
+        expectThat(byAffinity?.endpoint?.value).isEqualTo("a")
+        expectThat(inTurn.map { it?.endpoint?.value }).isEqualTo(listOf("a", "b", "a", "b"))
     }
 
     @Test
-    fun `the link budget is divided and reservations wait for each other`() {
+    fun `the link budget is divided among gateways and reservations queue behind each other`() {
         val budget = RegionLinkBudget(RegionLinkSettings(bytesPerSecond = 1_000_000.0, burstMillis = 0))
         budget.divide(listed = 2, alive = 3)
         expectThat(budget.bytesPerSecond).isEqualTo(300_000.0)
@@ -109,7 +109,7 @@
     }
 
     @Test
-    fun `the correction follows the observed ratio`() {
+    fun `the correction converges to the ratio of observed to estimated time`() {
         val correction = EstimateCorrection(smoothing = 0.5)
         val engine = EndpointId("a")
         repeat(20) { correction.record(engine, estimatedMillis = 100.0, observedMillis = 200.0) }
--- a/libraries/placement/src/test/kotlin/org/parsleymoor/placement/RetentionPolicyTest.kt
+++ b/libraries/placement/src/test/kotlin/org/parsleymoor/placement/RetentionPolicyTest.kt
@@ -18,32 +18,32 @@
     private val hour = 3_600_000L
 
     @Test
-    fun `a context with a daily rhythm is expected at the interval that followed a day ago`() {
+    fun `a context with a daily pattern is expected to return at its usual time of day`() {
         val model = ReturnModel()
         listOf(6L, 11, 16, 30).forEach { model.used(organisation, listOf(piece(1)), it * hour) }
-        val expected = model.expect(piece(1), 31 * hour)
+        val expected = model.expectedReturn(piece(1), 31 * hour)
         expectThat(expected.remainingMillis).isEqualTo(4 * hour)
     }
 
     @Test
-    fun `contexts that were used once in an organisation whose contexts rarely return are not expected`() {
+    fun `a context used once has a low return probability in an organisation whose contexts rarely return`() {
         val model = ReturnModel()
         repeat(200) { model.used(organisation, listOf(piece(it)), 0) }
         repeat(10) { model.used(organisation, listOf(piece(it)), 5 * hour) }
         model.used(organisation, listOf(piece(500)), 72 * hour)
-        expectThat(model.expect(piece(500), 73 * hour).probability).isGreaterThan(0.03).isLessThan(0.06)
-        expectThat(model.expect(piece(150), 72 * hour).probability).isLessThan(0.01)
+        expectThat(model.expectedReturn(piece(500), 73 * hour).probability).isGreaterThan(0.03).isLessThan(0.06)
+        expectThat(model.expectedReturn(piece(150), 72 * hour).probability).isLessThan(0.01)
     }
 
     @Test
-    fun `contexts too young to have returned are not taken for contexts that never return`() {
+    fun `contexts too young to have returned do not lower the return probability`() {
         val model = ReturnModel()
         repeat(200) { model.used(organisation, listOf(piece(it)), 0) }
-        expectThat(model.expect(piece(150), hour).probability).isGreaterThan(0.4)
+        expectThat(model.expectedReturn(piece(150), hour).probability).isGreaterThan(0.4)
     }
 
     @Test
-    fun `least recently used gives up the oldest, return aware gives up what returns last`() {
+    fun `least recently used drops the oldest block and return aware drops the one expected back last`() {
         val policies = listOf(LeastRecentlyUsedRetention(), ReturnAwareRetention())
         val dropped = policies.map { policy ->
             listOf(6L, 11, 30, 35).forEach { policy.used(organisation, listOf(piece(1)), it * hour) }
@@ -56,7 +56,7 @@
     }
 
     @Test
-    fun `the last pieces of a context are given up before its first`() {
+    fun `the last pieces of a context are evicted before its first`() {
         val policy = ReturnAwareRetention()
         policy.used(organisation, listOf(piece(0), piece(1), piece(2)), 0)
         val content = StoreContent(store, List(3) { memory(it) }, memoryBlocks = 2, diskBlocks = 1)
@@ -66,7 +66,7 @@
     }
 
     @Test
-    fun `a block on disk is brought to memory before its expected return and not long before`() {
+    fun `a block on disk is prefetched shortly before its expected return and not earlier`() {
         val early = prefetchAt(26 * hour)
         val due = prefetchAt(29 * hour + 2_000_000)
         expectThat(early).isEqualTo(emptyList())
