--- a/libraries/context/src/main/kotlin/org/parsleymoor/context/BlockColumns.kt
+++ b/libraries/context/src/main/kotlin/org/parsleymoor/context/BlockColumns.kt
@@ -1,6 +1,6 @@
 package org.parsleymoor.context
 
-/** What is known of each block, by row, in parallel arrays of 35 bytes a row. */
+/** The fields of each block, stored column by column in parallel arrays that take 35 bytes per row. */
 internal class BlockColumns(capacity: Int) {
     private var high = LongArray(capacity)
     private var low = LongArray(capacity)
@@ -16,9 +16,9 @@
     fun block(row: Int) =
         HeldBlock(PieceHash(high[row], low[row]), TIERS[tiers[row].toInt()], generations[row])
 
-    fun isPiece(row: Int, piece: PieceHash): Boolean = high[row] == piece.high && low[row] == piece.low
+    fun hasPiece(row: Int, piece: PieceHash): Boolean = high[row] == piece.high && low[row] == piece.low
 
-    fun name(row: Int, source: Int, piece: PieceHash) {
+    fun setKey(row: Int, source: Int, piece: PieceHash) {
         high[row] = piece.high
         low[row] = piece.low
         sources[row] = source.toShort()
@@ -47,7 +47,7 @@
         private const val HASH_SHIFT = 32
         private val TIERS = CacheTier.entries
 
-        /** Hashes are parts of a SHA-256 digest, but other callers may use small numbers, so bits are mixed. */
+        /** Mixes the bits, because callers may use small numbers instead of parts of a SHA-256 digest. */
         fun hash(high: Long, low: Long): Int = ((low * MULTIPLIER + high) * MULTIPLIER ushr HASH_SHIFT).toInt()
     }
 }
--- a/libraries/context/src/main/kotlin/org/parsleymoor/context/BlockTable.kt
+++ b/libraries/context/src/main/kotlin/org/parsleymoor/context/BlockTable.kt
@@ -1,70 +1,69 @@
 package org.parsleymoor.context
 
 /**
- * Rows of blocks: 47 bytes a row and two to four for its bucket, where an object for each block took 250. Row numbers
- * are valid until the row is removed.
+ * A hash table of blocks in parallel arrays. It takes 47 bytes per row and two to four for its bucket, where one object
+ * per block took 250. A row number is valid until its row is removed.
  */
 internal class BlockTable {
     private var capacity = INITIAL_ROWS
     private val chains = RowChains(capacity)
     private val freeRows = ArrayDeque<Int>()
-    private var usedRows = 0
+    private var allocatedRows = 0
 
-    /** What is known of the block of each row. */
+    /** The fields of the block in each row. */
     val columns = BlockColumns(capacity)
 
     /** The rows in order of last confirmation. */
-    val order = RecencyList(capacity)
+    val recency = RecencyList(capacity)
 
     /** Number of rows in use. */
-    val size: Int get() = usedRows - freeRows.size
+    val size: Int get() = allocatedRows - freeRows.size
 
     /** Returns the rows of [piece], one for each source that holds it. */
     fun rowsOf(piece: PieceHash): Sequence<Int> =
         walk(chains.first(BlockColumns.hash(piece.high, piece.low))) { chains.next(it) }
-            .filter { columns.isPiece(it, piece) }
+            .filter { columns.hasPiece(it, piece) }
 
     /** Returns the row of [piece] at [source], or [NO_ROW]. */
     fun find(source: Int, piece: PieceHash): Int {
         var row = chains.first(BlockColumns.hash(piece.high, piece.low))
-        while (row != NO_ROW && !(columns.source(row) == source && columns.isPiece(row, piece))) row = chains.next(row)
+        while (row != NO_ROW && !(columns.source(row) == source && columns.hasPiece(row, piece))) row = chains.next(row)
         return row
     }
 
-    /** Adds a row for [block] at [source] as the newest. */
+    /** Adds a row for [block] at [source] as the most recently confirmed. */
     fun add(source: Int, block: HeldBlock, nowMillis: Long) {
-        val row = freeRows.removeLastOrNull() ?: nextRow()
-        columns.name(row, source, block.piece)
+        val row = freeRows.removeLastOrNull() ?: allocateRow()
+        columns.setKey(row, source, block.piece)
         columns.confirm(row, block, nowMillis)
         chains.link(row, columns.hash(row))
-        order.append(row)
+        recency.append(row)
     }
 
-    /** Sets what is known about the block of [row] and makes it the newest. */
+    /** Updates the block in [row], which becomes the most recently confirmed. */
     fun confirm(row: Int, block: HeldBlock, nowMillis: Long) {
         columns.confirm(row, block, nowMillis)
-        order.unlink(row)
-        order.append(row)
+        recency.unlink(row)
+        recency.append(row)
     }
 
-    /** Removes [row]. */
     fun remove(row: Int) {
         chains.unlink(row, columns.hash(row))
-        order.unlink(row)
+        recency.unlink(row)
         freeRows.addLast(row)
     }
 
-    private fun nextRow(): Int {
-        if (usedRows == capacity) grow()
-        return usedRows++
+    private fun allocateRow(): Int {
+        if (allocatedRows == capacity) grow()
+        return allocatedRows++
     }
 
-    // Growing by a quarter leaves at most a fifth of the rows unused; doubling would leave up to a half.
+    // Growing by a quarter leaves at most a fifth of the rows unused; doubling would leave up to half.
     private fun grow() {
         capacity += capacity / GROWTH_DIVISOR
         columns.grow(capacity)
-        chains.grow(capacity, walk(order.eldest) { order.newer(it) }) { columns.hash(it) }
-        order.grow(capacity)
+        chains.grow(capacity, walk(recency.oldest) { recency.newer(it) }) { columns.hash(it) }
+        recency.grow(capacity)
     }
 
     private companion object {
@@ -73,6 +72,6 @@
     }
 }
 
-/** Returns [first] and the rows that [next] leads to, up to [NO_ROW]. */
+/** Returns [first] and the rows reached from it by [next], until [NO_ROW]. */
 internal fun walk(first: Int, next: (Int) -> Int): Sequence<Int> =
     generateSequence(first.takeIf { it != NO_ROW }) { row -> next(row).takeIf { it != NO_ROW } }
--- a/libraries/context/src/main/kotlin/org/parsleymoor/context/CacheReport.kt
+++ b/libraries/context/src/main/kotlin/org/parsleymoor/context/CacheReport.kt
@@ -2,15 +2,15 @@
 
 import org.parsleymoor.core.EndpointId
 
-/** Where a block lies at its source: in an engine's accelerator memory, or in a store's memory or disk. */
+/** Where its source keeps a block: in an engine's accelerator memory, or in a store's memory or on its disk. */
 public enum class CacheTier { ENGINE, STORE_MEMORY, STORE_DISK }
 
-/** A change of one block at a cache. */
+/** A change of one block in a cache. */
 public sealed interface CacheChange {
-    /** The block that changed. */
+    /** The piece whose block changed. */
     public val piece: PieceHash
 
-    /** The block is now in [tier] under [generation]. */
+    /** The block is now held in [tier], with [generation]. */
     public data class Stored(
         override val piece: PieceHash,
         public val tier: CacheTier,
@@ -21,21 +21,21 @@
     public data class Evicted(override val piece: PieceHash) : CacheChange
 }
 
-/** A [change] and its place in the event sequence of one start of its source. */
+/** A [change] and its number in the event sequence of its source, which begins again at each start of the source. */
 public data class SequencedChange(public val sequence: Long, public val change: CacheChange)
 
-/** One block in a snapshot. */
+/** The block of [piece] as one source holds it. */
 public data class HeldBlock(public val piece: PieceHash, public val tier: CacheTier, public val generation: Long = 0)
 
-/** What a gateway learns about the content of one cache. */
+/** A report to a gateway about the content of one cache. */
 public sealed interface CacheReport {
     /** The engine or store that the report describes. */
     public val source: EndpointId
 
-    /** Counts the starts of the source; a higher count voids everything known from lower ones. */
+    /** Number of starts of the source; a higher number invalidates all reports with a lower one. */
     public val startCount: Long
 
-    /** Changes in sequence order, possibly late or with gaps; [newestSequence] is the last that the source has made. */
+    /** Changes in sequence order, possibly late or with gaps; [newestSequence] is the newest at the source. */
     public data class Changes(
         override val source: EndpointId,
         override val startCount: Long,
@@ -43,7 +43,7 @@
         public val changes: List<SequencedChange>,
     ) : CacheReport
 
-    /** The whole content as of [sequence]; a source with more blocks than the protocol allows sends the newest. */
+    /** The whole content as of [sequence]; a source with more blocks than the protocol allows sends the newest ones. */
     public data class Snapshot(
         override val source: EndpointId,
         override val startCount: Long,
@@ -51,7 +51,7 @@
         public val blocks: List<HeldBlock>,
     ) : CacheReport
 
-    /** Recently confirmed content as another gateway knows it; never closes a gap in the sequence. */
+    /** Recently confirmed blocks known to another gateway; does not close a gap in the sequence. */
     public data class Digest(
         override val source: EndpointId,
         override val startCount: Long,
@@ -59,16 +59,16 @@
     ) : CacheReport
 }
 
-/** What the directory asks its caller to do. */
+/** An action that the directory requests of its caller. */
 public sealed interface DirectoryAction {
-    /** The source whose content is wanted. */
+    /** The source to which the action applies. */
     public val source: EndpointId
 
-    /** Fetch the snapshot of [source] and hand it to the directory. */
+    /** Fetch a snapshot from [source] and pass it to the directory. */
     public data class FetchSnapshot(override val source: EndpointId) : DirectoryAction
 }
 
-/** The leading pieces of a prompt that one endpoint holds without a gap, with the [tier] and generation of each. */
+/** The leading [pieces] of a prompt that one endpoint holds without a gap, and their [blocks]. */
 public data class PrefixMatch(
     public val endpoint: EndpointId,
     public val pieces: Int,
--- a/libraries/context/src/main/kotlin/org/parsleymoor/context/ContextScope.kt
+++ b/libraries/context/src/main/kotlin/org/parsleymoor/context/ContextScope.kt
@@ -5,7 +5,7 @@
 import org.parsleymoor.core.OrganisationId
 import org.parsleymoor.core.WeightVersion
 
-/** What a cached block depends on besides the text; blocks of two scopes never match. */
+/** What a cached block depends on besides its text. Blocks of different scopes never match. */
 public data class ContextScope(
     public val organisation: OrganisationId,
     public val model: ModelId,
--- a/libraries/context/src/main/kotlin/org/parsleymoor/context/PieceHash.kt
+++ b/libraries/context/src/main/kotlin/org/parsleymoor/context/PieceHash.kt
@@ -4,7 +4,7 @@
 import java.nio.ByteBuffer
 import java.util.HexFormat
 
-/** The first 16 bytes of a SHA-256 digest that names one piece of a prompt. */
+/** The first 16 bytes of a SHA-256 digest that identifies one piece of a prompt. */
 @Serializable
 public data class PieceHash(public val high: Long, public val low: Long) {
     /** Returns the 32 lower-case hexadecimal digits that the engine and store protocols use. */
@@ -19,7 +19,7 @@
         public fun parse(text: String): PieceHash? {
             if (!pattern.matches(text)) return null
             val half = text.length / 2
-            return PieceHash(text.take(half).toULong(HEX).toLong(), text.drop(half).toULong(HEX).toLong())
+            return PieceHash(text.take(half).toULong(HEX_RADIX).toLong(), text.drop(half).toULong(HEX_RADIX).toLong())
         }
 
         /** Reads a hash from the first 16 bytes of [digest]; throws [IllegalArgumentException] when it is shorter. */
@@ -29,6 +29,6 @@
             return PieceHash(buffer.getLong(), buffer.getLong())
         }
 
-        private const val HEX = 16
+        private const val HEX_RADIX = 16
     }
 }
--- a/libraries/context/src/main/kotlin/org/parsleymoor/context/RecencyList.kt
+++ b/libraries/context/src/main/kotlin/org/parsleymoor/context/RecencyList.kt
@@ -1,15 +1,15 @@
 package org.parsleymoor.context
 
-/** Links rows in the order in which they were last confirmed. */
+/** A doubly linked list of rows in order of last confirmation. */
 internal class RecencyList(capacity: Int) {
     private var newer = IntArray(capacity)
     private var older = IntArray(capacity)
 
-    /** The row confirmed longest ago, or [NO_ROW]. */
-    var eldest: Int = NO_ROW
+    /** The least recently confirmed row, or [NO_ROW]. */
+    var oldest: Int = NO_ROW
         private set
 
-    /** The row confirmed last, or [NO_ROW]. */
+    /** The most recently confirmed row, or [NO_ROW]. */
     var newest: Int = NO_ROW
         private set
 
@@ -20,15 +20,15 @@
     fun append(row: Int) {
         older[row] = newest
         newer[row] = NO_ROW
-        if (newest == NO_ROW) eldest = row else newer[newest] = row
+        if (newest == NO_ROW) oldest = row else newer[newest] = row
         newest = row
     }
 
     fun unlink(row: Int) {
-        val before = older[row]
-        val after = newer[row]
-        if (before == NO_ROW) eldest = after else newer[before] = after
-        if (after == NO_ROW) newest = before else older[after] = before
+        val previous = older[row]
+        val following = newer[row]
+        if (previous == NO_ROW) oldest = following else newer[previous] = following
+        if (following == NO_ROW) newest = previous else older[following] = previous
     }
 
     fun grow(capacity: Int) {
@@ -37,5 +37,5 @@
     }
 }
 
-/** Stands for the absence of a row. */
+/** Marks the absence of a row. */
 internal const val NO_ROW: Int = -1
--- a/libraries/context/src/main/kotlin/org/parsleymoor/context/SourceState.kt
+++ b/libraries/context/src/main/kotlin/org/parsleymoor/context/SourceState.kt
@@ -1,25 +1,25 @@
 package org.parsleymoor.context
 
-/** How far the events of one source have been followed, and the state of its resynchronisation. */
+/** The last event sequence received from one source, and the state of its resynchronisation by snapshot. */
 internal class SourceState(var startCount: Long) {
     var sequence: Long = 0
-    var gap: Boolean = false
-    var awaiting: Boolean = false
-    var requestedMillis: Long? = null
+    var hasGap: Boolean = false
+    var awaitingSnapshot: Boolean = false
+    var snapshotRequestedMillis: Long? = null
 
     fun restart(newStartCount: Long) {
         startCount = newStartCount
         sequence = 0
-        gap = false
+        hasGap = false
     }
 
     fun snapshotRunning(nowMillis: Long, settings: CacheDirectorySettings): Boolean {
-        val requested = requestedMillis ?: return false
-        return awaiting && nowMillis - requested < settings.snapshotTimeoutMillis
+        val requestedMillis = snapshotRequestedMillis ?: return false
+        return awaitingSnapshot && nowMillis - requestedMillis < settings.snapshotTimeoutMillis
     }
 
     fun snapshotDue(nowMillis: Long, settings: CacheDirectorySettings): Boolean {
-        if (!gap || snapshotRunning(nowMillis, settings)) return false
-        return requestedMillis?.let { nowMillis - it >= settings.snapshotIntervalMillis } ?: true
+        if (!hasGap || snapshotRunning(nowMillis, settings)) return false
+        return snapshotRequestedMillis?.let { nowMillis - it >= settings.snapshotIntervalMillis } ?: true
     }
 }
--- a/libraries/context/src/main/kotlin/org/parsleymoor/context/SourceTable.kt
+++ b/libraries/context/src/main/kotlin/org/parsleymoor/context/SourceTable.kt
@@ -2,31 +2,31 @@
 
 import org.parsleymoor.core.EndpointId
 
-/** Numbers the sources of a directory, so that an entry names its source in two bytes. */
+/** Assigns numbers to the sources of a directory, so that an entry refers to its source in two bytes. */
 internal class SourceTable {
     private val numbers = HashMap<String, Int>()
-    private val names = ArrayList<EndpointId?>()
+    private val endpoints = ArrayList<EndpointId?>()
 
     /** Returns the number of [source], or -1 when it has none. */
     fun find(source: EndpointId): Int = numbers[source.value] ?: -1
 
-    /** Returns the number of [source]; throws [IllegalStateException] beyond [MAXIMUM] sources. */
-    fun number(source: EndpointId): Int = numbers.getOrPut(source.value) {
-        val free = names.indexOf(null)
-        if (free >= 0) names[free] = source else names += source
-        check(names.size <= MAXIMUM) { "expected at most $MAXIMUM sources" }
-        if (free >= 0) free else names.lastIndex
+    /** Returns the number of [source], or assigns it one; throws [IllegalStateException] beyond [MAXIMUM_SOURCES]. */
+    fun findOrAssign(source: EndpointId): Int = numbers.getOrPut(source.value) {
+        val free = endpoints.indexOf(null)
+        if (free >= 0) endpoints[free] = source else endpoints += source
+        check(endpoints.size <= MAXIMUM_SOURCES) { "expected at most $MAXIMUM_SOURCES sources" }
+        if (free >= 0) free else endpoints.lastIndex
     }
 
     /** Returns the source with this [number]. */
-    fun name(number: Int): EndpointId = checkNotNull(names[number]) { "expected a source with number $number" }
+    fun endpoint(number: Int): EndpointId = checkNotNull(endpoints[number]) { "expected a source with number $number" }
 
-    /** Frees the number of [source]; no entry may use it any more. */
+    /** Frees the number of [source] for reuse; no entry may refer to it any more. */
     fun release(source: EndpointId) {
-        numbers.remove(source.value)?.let { names[it] = null }
+        numbers.remove(source.value)?.let { endpoints[it] = null }
     }
 
     private companion object {
-        const val MAXIMUM = 65_536
+        const val MAXIMUM_SOURCES = 65_536
     }
 }
--- a/libraries/context/src/test/kotlin/org/parsleymoor/context/BlockIndexTest.kt
+++ b/libraries/context/src/test/kotlin/org/parsleymoor/context/BlockIndexTest.kt
@@ -8,25 +8,25 @@
 
 class BlockIndexTest {
     @Test
-    fun `a long random history leaves the same blocks as a map does`() {
+    fun `random operations leave the same blocks as in a reference map`() {
         val random = Random(seed = 7)
         val index = BlockIndex()
         val expected = LinkedHashMap<Pair<EndpointId, PieceHash>, Long>()
         repeat(200_000) { step ->
             val source = EndpointId("cache-${random.nextInt(5)}")
             val piece = PieceHash(random.nextLong(40), random.nextLong(40))
-            val dice = random.nextInt(1_000)
+            val roll = random.nextInt(1_000)
             when {
-                dice < 600 -> {
-                    index.store(source, HeldBlock(piece, CacheTier.ENGINE, step.toLong()), step.toLong())
+                roll < 600 -> {
+                    index.put(source, HeldBlock(piece, CacheTier.ENGINE, step.toLong()), step.toLong())
                     expected.remove(source to piece)
                     expected[source to piece] = step.toLong()
                 }
-                dice < 996 -> {
+                roll < 996 -> {
                     index.remove(source, piece)
                     expected.remove(source to piece)
                 }
-                dice < 998 -> {
+                roll < 998 -> {
                     index.dropSource(source)
                     expected.keys.removeIf { it.first == source }
                 }
@@ -47,12 +47,12 @@
     }
 
     @Test
-    fun `the number of a source that left is used again for another`() {
+    fun `the number of a removed source is reused for another`() {
         val index = BlockIndex()
         val piece = PieceHash(1, 1)
-        index.store(EndpointId("gone"), HeldBlock(piece, CacheTier.ENGINE), 0)
+        index.put(EndpointId("gone"), HeldBlock(piece, CacheTier.ENGINE), 0)
         index.dropSource(EndpointId("gone"))
-        index.store(EndpointId("new"), HeldBlock(piece, CacheTier.STORE_DISK), 1)
+        index.put(EndpointId("new"), HeldBlock(piece, CacheTier.STORE_DISK), 1)
         expectThat(index.holders(piece)).isEqualTo(listOf(EndpointId("new")))
     }
 }
--- a/libraries/context/src/test/kotlin/org/parsleymoor/context/CacheDirectoryTest.kt
+++ b/libraries/context/src/test/kotlin/org/parsleymoor/context/CacheDirectoryTest.kt
@@ -17,7 +17,7 @@
     private val directory = CacheDirectory(CacheDirectorySettings(maximumAgeMillis = 1_000_000))
 
     @Test
-    fun `matches the unbroken prefix of each holder`() {
+    fun `matches the prefix without a gap at each holder`() {
         directory.accept(changes(engine, stored(1, 0), stored(2, 1), stored(3, 3)), 0)
         directory.accept(changes(store, stored(1, 0), stored(2, 1), stored(3, 2)), 0)
         expectThat(directory.match(pieces).associate { it.endpoint.value to it.pieces })
@@ -31,14 +31,14 @@
     }
 
     @Test
-    fun `events that arrive again are not applied again`() {
+    fun `duplicate events are not applied again`() {
         directory.accept(changes(engine, stored(1, 0), evicted(2, 0)), 0)
         directory.accept(changes(engine, stored(1, 0)), 1)
         expectThat(directory.holds(engine, pieces[0])).isFalse()
     }
 
     @Test
-    fun `a gap asks for a snapshot, which replaces what was known`() {
+    fun `a gap requests a snapshot, which replaces the known blocks`() {
         directory.accept(changes(engine, stored(1, 0)), 0)
         val actions = directory.accept(changes(engine, stored(5, 1)), 10)
         expectThat(actions).containsExactly(DirectoryAction.FetchSnapshot(engine))
@@ -49,30 +49,30 @@
     }
 
     @Test
-    fun `events lost at the end of the sequence are found by the newest sequence`() {
+    fun `the newest sequence reveals events lost at the end`() {
         directory.accept(changes(engine, stored(1, 0)), 0)
         val actions = directory.accept(CacheReport.Changes(engine, 1, 4, emptyList()), 10)
         expectThat(actions).containsExactly(DirectoryAction.FetchSnapshot(engine))
     }
 
     @Test
-    fun `snapshots are bounded in number and repeated only after their interval`() {
-        val many = List(5) { EndpointId("engine-$it") }
-        val wanted = many.flatMap { directory.accept(changes(it, stored(7, 0)), 0) }
-        expectThat(wanted.size).isEqualTo(2)
+    fun `concurrent snapshots are limited and repeated only after a delay`() {
+        val engines = List(5) { EndpointId("engine-$it") }
+        val actions = engines.flatMap { directory.accept(changes(it, stored(7, 0)), 0) }
+        expectThat(actions.size).isEqualTo(2)
         expectThat(directory.tick(9_999).size).isEqualTo(0)
         expectThat(directory.tick(10_000).size).isEqualTo(2)
     }
 
     @Test
-    fun `a snapshot that is older than the events in hand is ignored`() {
+    fun `a snapshot older than the received events is ignored`() {
         directory.accept(changes(engine, stored(1, 0), stored(2, 1)), 0)
         directory.accept(CacheReport.Snapshot(engine, 1, 1, emptyList()), 5)
         expectThat(directory.holds(engine, pieces[1])).isTrue()
     }
 
     @Test
-    fun `a restart voids what was known and late events of the earlier start change nothing`() {
+    fun `a restart clears the known blocks and late events of the earlier start are ignored`() {
         directory.accept(changes(engine, stored(1, 0)), 0)
         directory.accept(CacheReport.Changes(engine, 2, 1, listOf(stored(1, 3))), 1)
         directory.accept(changes(engine, stored(2, 1)), 2)
@@ -82,7 +82,7 @@
     }
 
     @Test
-    fun `blocks that nobody has confirmed for the maximum age are dropped`() {
+    fun `blocks not confirmed for the maximum age are removed`() {
         directory.accept(changes(engine, stored(1, 0)), 0)
         directory.accept(changes(store, stored(1, 1)), 600_000)
         directory.tick(1_000_001)
@@ -91,22 +91,22 @@
     }
 
     @Test
-    fun `memory stays within the bound by dropping the oldest`() {
-        val small = CacheDirectory(CacheDirectorySettings(maximumBlocks = 3))
-        (0..5).forEach { small.accept(changes(engine, stored(it + 1L, it)), it.toLong()) }
-        expectThat(small.size).isLessThanOrEqualTo(3)
-        expectThat(small.holds(engine, pieces[5])).isTrue()
+    fun `the oldest blocks are removed beyond the maximum number`() {
+        val bounded = CacheDirectory(CacheDirectorySettings(maximumBlocks = 3))
+        (0..5).forEach { bounded.accept(changes(engine, stored(it + 1L, it)), it.toLong()) }
+        expectThat(bounded.size).isLessThanOrEqualTo(3)
+        expectThat(bounded.holds(engine, pieces[5])).isTrue()
     }
 
     @Test
-    fun `a digest carries recent blocks to another gateway and does not hide a gap there`() {
+    fun `a digest passes recent blocks to another gateway and does not hide a gap there`() {
         directory.accept(changes(engine, stored(1, 0)), 0)
         directory.accept(changes(engine, stored(2, 1)), 100)
-        val other = CacheDirectory()
-        directory.digest(sinceMillis = 50, maximumBlocks = 10).forEach { other.accept(it, 120) }
-        expectThat(other.holdersOf(pieces[1])).containsExactly(engine)
-        expectThat(other.holdersOf(pieces[0])).isEmpty()
-        expectThat(other.sequence(engine)).isEqualTo(0)
+        val otherGateway = CacheDirectory()
+        directory.digest(sinceMillis = 50, maximumBlocks = 10).forEach { otherGateway.accept(it, 120) }
+        expectThat(otherGateway.holdersOf(pieces[1])).containsExactly(engine)
+        expectThat(otherGateway.holdersOf(pieces[0])).isEmpty()
+        expectThat(otherGateway.sequence(engine)).isEqualTo(0)
     }
 
     private fun block(piece: Int) = HeldBlock(pieces[piece], CacheTier.ENGINE)
--- a/libraries/context/src/test/kotlin/org/parsleymoor/context/PromptHashesTest.kt
+++ b/libraries/context/src/test/kotlin/org/parsleymoor/context/PromptHashesTest.kt
@@ -15,45 +15,45 @@
     private val prompt = "a".repeat(3 * PromptHashes.PIECE_BYTES + 5)
 
     @Test
-    fun `names full pieces only and counts the rest`() {
-        val identity = PromptHashes.of(scope, prompt)
-        expectThat(identity.pieces).hasSize(3)
-        expectThat(identity.remainderBytes).isEqualTo(5)
+    fun `only full pieces are hashed and the remaining bytes are counted`() {
+        val hashes = PromptHashes.of(scope, prompt)
+        expectThat(hashes.pieces).hasSize(3)
+        expectThat(hashes.remainderBytes).isEqualTo(5)
     }
 
     @Test
-    fun `pieces of prompts with the same beginning match up to the first difference`() {
+    fun `hashes of two prompts are equal up to the first piece that differs`() {
         val changed = prompt.replaceRange(PromptHashes.PIECE_BYTES, PromptHashes.PIECE_BYTES + 1, "b")
-        val one = PromptHashes.of(scope, prompt).pieces
-        val other = PromptHashes.of(scope, changed).pieces
-        expectThat(other[0]).isEqualTo(one[0])
-        expectThat(other[1]).isNotEqualTo(one[1])
-        expectThat(other[2]).isNotEqualTo(one[2])
+        val original = PromptHashes.of(scope, prompt).pieces
+        val edited = PromptHashes.of(scope, changed).pieces
+        expectThat(edited[0]).isEqualTo(original[0])
+        expectThat(edited[1]).isNotEqualTo(original[1])
+        expectThat(edited[2]).isNotEqualTo(original[2])
     }
 
     @Test
-    fun `blocks of another organisation, version or adjacent spelling never match`() {
+    fun `scopes with another organisation or version, or with shifted field boundaries, never match`() {
         val scopes = listOf(
             scope.copy(organisation = OrganisationId("other")),
             scope.copy(version = WeightVersion("2")),
             ContextScope(OrganisationId("estateg"), ModelId("rader"), WeightVersion("1")),
         )
-        val own = PromptHashes.of(scope, prompt)
-        expectThat(scopes.count { PromptHashes.of(it, prompt).pieces[0] == own.pieces[0] }).isEqualTo(0)
+        val hashes = PromptHashes.of(scope, prompt)
+        expectThat(scopes.count { PromptHashes.of(it, prompt).pieces[0] == hashes.pieces[0] }).isEqualTo(0)
     }
 
     @Test
-    fun `text hashes are equal for equal text of one organisation across versions and differ across organisations`() {
-        val own = PromptHashes.of(scope, prompt).textPieces
+    fun `text hashes depend on the organisation and not on the version`() {
+        val hashes = PromptHashes.of(scope, prompt).textPieces
         val nextVersion = PromptHashes.of(scope.copy(version = WeightVersion("2")), prompt).textPieces
-        val stranger = PromptHashes.of(scope.copy(organisation = OrganisationId("other")), prompt).textPieces
-        expectThat(nextVersion).isEqualTo(own)
-        expectThat(own[1]).isEqualTo(own[0])
-        expectThat(stranger[0]).isNotEqualTo(own[0])
+        val otherOrganisation = PromptHashes.of(scope.copy(organisation = OrganisationId("other")), prompt).textPieces
+        expectThat(nextVersion).isEqualTo(hashes)
+        expectThat(hashes[1]).isEqualTo(hashes[0])
+        expectThat(otherOrganisation[0]).isNotEqualTo(hashes[0])
     }
 
     @Test
-    fun `a hash survives its text form and malformed text is refused`() {
+    fun `a hash is parsed back from its text form and malformed text is rejected`() {
         val hash = PromptHashes.of(scope, prompt).pieces[2]
         expectThat(PieceHash.parse(hash.toString())).isEqualTo(hash)
         expectThat(PieceHash.parse("xyz")).isNull()
