--- a/libraries/placement/src/main/kotlin/org/parsleymoor/placement/ImportCandidate.kt
+++ b/libraries/placement/src/main/kotlin/org/parsleymoor/placement/ImportCandidate.kt
@@ -7,7 +7,7 @@
 internal class ImportCandidate(val store: StoreView, val blocks: List<HeldBlock>, private val blockBytes: Long) {
     private val arrivalsByStart = HashMap<Int, DoubleArray>()
 
-    /** Returns an array with the time in milliseconds until n blocks from index [start] on have arrived, by n. */
+    /** Returns as element n the time in milliseconds until n blocks from index [start] on have arrived. */
     fun arrivals(start: Int): DoubleArray = arrivalsByStart.getOrPut(start) { computeArrivals(start) }
 
     /** Returns the time in milliseconds for which [count] blocks from index [start] on occupy the store's link. */
--- a/libraries/placement/src/main/kotlin/org/parsleymoor/placement/ReturnAwareRetention.kt
+++ b/libraries/placement/src/main/kotlin/org/parsleymoor/placement/ReturnAwareRetention.kt
@@ -7,7 +7,7 @@
 import org.parsleymoor.core.OrganisationId
 
 /**
- * Bounds of a [ReturnAwareRetention]. Times are milliseconds, sizes are blocks. Each call returns at most
+ * Settings of a [ReturnAwareRetention]. Times are milliseconds, sizes are blocks. Each call returns at most
  * [prefetchBatchBlocks] prefetches, so that imports do not wait behind a long queue of prefetches on the disk.
  */
 public data class RetentionSettings(
--- a/libraries/placement/src/main/kotlin/org/parsleymoor/placement/ReturnModel.kt
+++ b/libraries/placement/src/main/kotlin/org/parsleymoor/placement/ReturnModel.kt
@@ -5,12 +5,12 @@
 
 /**
  * Settings of a [ReturnModel]. Uses closer together than [sessionGapMillis] count as one session. Sessions are expected
- * to repeat every [periodMillis], within a tolerance of [timeOfDayToleranceMillis].
+ * to repeat every [periodMillis], within a tolerance of [toleranceMillis].
  */
 public data class ReturnModelSettings(
     public val sessionGapMillis: Long = 600_000,
     public val periodMillis: Long = 86_400_000,
-    public val timeOfDayToleranceMillis: Long = 3_600_000,
+    public val toleranceMillis: Long = 3_600_000,
     public val maximumPieces: Int = 500_000,
 )
 
@@ -69,11 +69,7 @@
      * tolerance counts as due now.
      */
     private fun nextUsualMillis(known: PieceUses, nowMillis: Long): Long {
-        val from =
-            maxOf(
-                nowMillis - settings.timeOfDayToleranceMillis / 2,
-                known.lastMillis + settings.timeOfDayToleranceMillis
-            )
+        val from = maxOf(nowMillis - settings.toleranceMillis / 2, known.lastMillis + settings.toleranceMillis)
         val next = known.sessionStarts.minOf { start ->
             val periods = Math.floorDiv(from - start + settings.periodMillis - 1, settings.periodMillis)
             start + periods * settings.periodMillis
