--- a/libraries/limits/src/main/kotlin/org/parsleymoor/limits/AdmissionControl.kt
+++ b/libraries/limits/src/main/kotlin/org/parsleymoor/limits/AdmissionControl.kt
@@ -5,17 +5,17 @@
 import com.github.michaelbull.result.mapError
 import org.parsleymoor.core.Failure
 
-/** Why a request was refused before anything of it was sent; the refusal is always `not_run`. */
+/** The reason for refusing a request before any of it was sent. Its outcome is always `not_run`. */
 public sealed interface AdmissionRefusal : Failure {
-    /** When the caller may try again, in milliseconds from now. */
+    /** The time in milliseconds after which the caller may retry. */
     public val retryAfterMillis: Long
 
-    /** A bound of the queue is reached. */
+    /** The queue has reached one of its limits. */
     public data class Full(public val cause: QueueFull, override val retryAfterMillis: Long) : AdmissionRefusal {
         override val message: String get() = cause.message
     }
 
-    /** The queue in front of the request would take longer than its deadline allows. */
+    /** The expected wait in the queue is longer than the time left until the request's deadline. */
     public data class WouldMissDeadline(
         public val expectedWaitMillis: Long,
         public val remainingMillis: Long,
@@ -27,17 +27,17 @@
 }
 
 /**
- * Decides whether a request may wait in [queue]. The wait is estimated from the tokens in front of it and the rate at
- * which the queue has drained over the last [rateWindowMillis]; without a measured rate only the bounds refuse.
+ * Decides whether a request may wait in [queue]. The wait is estimated from the queued tokens and the drain rate, which
+ * is measured over windows of [rateWindowMillis]. Until a rate has been measured, only the limits of the queue apply.
  */
 public class AdmissionControl(private val queue: FairQueue, private val rateWindowMillis: Long = 5_000) {
     private var windowStartMillis = 0L
     private var windowTokens = 0L
-    private var tokensPerMilli: Double? = null
+    private var drainTokensPerMilli: Double? = null
 
-    /** Queues [item] at [nowMillis], or refuses it early. */
+    /** Queues [item] at [nowMillis], or refuses it if the queue is full or it would miss its deadline. */
     public fun offer(item: QueuedRequest, nowMillis: Long): Result<Unit, AdmissionRefusal> {
-        // A window that reached back over idle time would measure a rate near zero and refuse everything.
+        // A window that included idle time would measure a drain rate near zero, and every request would be refused.
         if (queue.size == 0) startWindow(nowMillis)
         val remaining = item.deadlineMillis - nowMillis
         val wait = expectedWaitMillis()
@@ -45,24 +45,24 @@
         return queue.offer(item).mapError { AdmissionRefusal.Full(it, maxOf(MINIMUM_RETRY_MILLIS, wait)) }
     }
 
-    /** Removes and returns the next request to place at [nowMillis], or null. */
+    /** Removes and returns the next request to place at [nowMillis], or null when none waits. */
     public fun next(nowMillis: Long): QueuedRequest? {
         val item = queue.poll(nowMillis) ?: return null
-        drained(item.tokens, nowMillis)
+        recordDrain(item.tokens, nowMillis)
         return item
     }
 
-    /** Removes and returns the requests whose deadline has passed at [nowMillis]; call it before each [offer]. */
+    /** Removes and returns the requests whose deadline has passed at [nowMillis]; to be called before each [offer]. */
     public fun expire(nowMillis: Long): List<QueuedRequest> = queue.expire(nowMillis)
 
-    /** Returns the estimated wait of a request that arrives now, in milliseconds. */
+    /** Returns the estimated wait in milliseconds of a request that arrives now; 0 until a rate has been measured. */
     public fun expectedWaitMillis(): Long {
-        val rate = tokensPerMilli ?: return 0
-        return (queue.tokens / rate).toLong()
+        val drainRate = drainTokensPerMilli ?: return 0
+        return (queue.tokens / drainRate).toLong()
     }
 
-    /** Only windows that end with requests still waiting measure capacity; others measure demand and are skipped. */
-    private fun drained(tokens: Long, nowMillis: Long) {
+    /** Updates the drain rate; discards a window in which the queue runs empty, as it measures demand, not capacity. */
+    private fun recordDrain(tokens: Long, nowMillis: Long) {
         if (queue.size == 0 || nowMillis < windowStartMillis) {
             startWindow(nowMillis)
             return
@@ -70,8 +70,8 @@
         windowTokens += tokens
         val elapsed = nowMillis - windowStartMillis
         if (elapsed < rateWindowMillis) return
-        val measured = windowTokens.toDouble() / elapsed
-        tokensPerMilli = tokensPerMilli?.let { it + SMOOTHING * (measured - it) } ?: measured
+        val windowRate = windowTokens.toDouble() / elapsed
+        drainTokensPerMilli = drainTokensPerMilli?.let { it + SMOOTHING * (windowRate - it) } ?: windowRate
         startWindow(nowMillis)
     }
 
--- a/libraries/limits/src/main/kotlin/org/parsleymoor/limits/FairQueue.kt
+++ b/libraries/limits/src/main/kotlin/org/parsleymoor/limits/FairQueue.kt
@@ -8,22 +8,22 @@
 import org.parsleymoor.core.RequestId
 import java.util.TreeSet
 
-/** Bounds of a [FairQueue] in requests. */
+/** Limits of a [FairQueue], in requests. */
 public data class FairQueueLimits(public val length: Int = 1_000, public val lengthPerOrganisation: Int = 400)
 
-/** The queue of [limit] requests is full; [organisation] is null when the bound is that of the whole queue. */
+/** The [limit] on queued requests of [organisation] is reached, or that of the whole queue when it is null. */
 public data class QueueFull(public val limit: Int, public val organisation: OrganisationId? = null) : Failure {
     override val message: String
         get() = "expected fewer than $limit queued requests${organisation?.let { " of $it" }.orEmpty()}, found $limit"
 }
 
 /**
- * Start-time fair queue: requests of one priority are served in order of their start tags, so that organisations with
- * work waiting get tokens in proportion to their weights whatever their request sizes. A higher priority is always
- * served first; deadlines bound how long lower ones wait. Not safe for use from several threads.
+ * Start-time fair queue: requests of equal priority are served in order of their start tags, so that organisations with
+ * waiting requests get tokens in proportion to their weights, whatever the size of their requests. Higher priorities
+ * are always served first; deadlines limit how long lower ones wait. Not thread-safe.
  */
 public class FairQueue(private val limits: FairQueueLimits = FairQueueLimits()) {
-    private val waiting = TreeSet<Entry>(
+    private val inServiceOrder = TreeSet<Entry>(
         compareByDescending<Entry> { it.item.priority }.thenBy { it.startTag }.thenBy { it.arrival },
     )
     private val byDeadline = TreeSet<Entry>(compareBy<Entry> { it.item.deadlineMillis }.thenBy { it.arrival })
@@ -33,16 +33,16 @@
     private var arrivals = 0L
 
     /** Number of waiting requests. */
-    public val size: Int get() = waiting.size
+    public val size: Int get() = inServiceOrder.size
 
-    /** Tokens of all waiting requests. */
+    /** Sum of the tokens of all waiting requests. */
     public var tokens: Long = 0
         private set
 
-    /** Appends [item]; returns [QueueFull], and keeps nothing, when a bound is reached. */
+    /** Adds [item], or returns [QueueFull] without adding it when a limit is reached. */
     public fun offer(item: QueuedRequest): Result<Unit, QueueFull> {
         require(item.weight > 0) { "expected a weight above 0, got ${item.weight}" }
-        val full = reachedBound(item.organisation)
+        val full = reachedLimit(item.organisation)
         if (full != null) return Err(full)
         append(item, flows.getOrPut(item.organisation.value) { Flow() })
         return Ok(Unit)
@@ -50,7 +50,7 @@
 
     /** Removes and returns the next request whose deadline is after [nowMillis]; null when none waits. */
     public fun poll(nowMillis: Long): QueuedRequest? {
-        val entry = waiting.firstOrNull { it.item.deadlineMillis > nowMillis } ?: return null
+        val entry = inServiceOrder.firstOrNull { it.item.deadlineMillis > nowMillis } ?: return null
         virtualTime = maxOf(virtualTime, entry.startTag)
         take(entry)
         return entry.item
@@ -63,18 +63,18 @@
         return expired.map { it.item }
     }
 
-    /** Removes the waiting [request], for example when its caller has gone; returns whether it was waiting. */
+    /** Removes [request], for example when its caller has disconnected; returns whether it was waiting. */
     public fun cancel(request: RequestId): Boolean {
         val entry = byRequest[request.value] ?: return false
         take(entry)
         return true
     }
 
-    private fun reachedBound(organisation: OrganisationId): QueueFull? {
-        val waitingThere = flows[organisation.value]?.waiting ?: 0
+    private fun reachedLimit(organisation: OrganisationId): QueueFull? {
+        val ownWaiting = flows[organisation.value]?.waiting ?: 0
         return when {
             size >= limits.length -> QueueFull(limits.length)
-            waitingThere >= limits.lengthPerOrganisation -> QueueFull(limits.lengthPerOrganisation, organisation)
+            ownWaiting >= limits.lengthPerOrganisation -> QueueFull(limits.lengthPerOrganisation, organisation)
             else -> null
         }
     }
@@ -84,14 +84,14 @@
         flow.finishTag = startTag + item.tokens.toDouble() / item.weight
         flow.waiting++
         val entry = Entry(item, startTag, arrivals++)
-        waiting += entry
+        inServiceOrder += entry
         byDeadline += entry
         byRequest[item.request.value] = entry
         tokens += item.tokens
     }
 
     private fun take(entry: Entry) {
-        waiting -= entry
+        inServiceOrder -= entry
         byDeadline -= entry
         byRequest -= entry.item.request.value
         tokens -= entry.item.tokens
--- a/libraries/limits/src/main/kotlin/org/parsleymoor/limits/LoadView.kt
+++ b/libraries/limits/src/main/kotlin/org/parsleymoor/limits/LoadView.kt
@@ -3,7 +3,7 @@
 import org.parsleymoor.core.AttemptId
 import org.parsleymoor.core.EndpointId
 
-/** A load report of an endpoint as of [takenMillis] on this gateway's clock, which is before it was received. */
+/** The load of an endpoint as measured at [takenMillis] on this gateway's clock, some time before it was received. */
 public data class LoadReport(
     public val endpoint: EndpointId,
     public val startCount: Long,
@@ -13,7 +13,7 @@
     public val takenMillis: Long,
 )
 
-/** Estimated load now; [reportAgeMillis] is null when no report has been received. */
+/** Estimated current load of an endpoint; [reportAgeMillis] is null when no report has been received. */
 public data class EndpointLoad(
     public val running: Int,
     public val queuedPrefillTokens: Long,
@@ -22,21 +22,21 @@
 )
 
 /**
- * Estimates each endpoint's load from its last report, which lags, plus this gateway's own dispatches and finished
- * requests since the report was taken. The prefill queue drains at the rate that the caller gives. Not safe for use
- * from several threads.
+ * Estimates the current load of each endpoint from its last report, corrected by the requests that this gateway has
+ * dispatched or seen finish since the report was taken, and by the prefill done since then at the rate that the caller
+ * gives. Not thread-safe.
  */
 public class LoadView {
     private val endpoints = HashMap<String, EndpointState>()
     private val attempts = HashMap<String, Dispatch>()
 
-    /** Takes in [report] unless a later one is known. A changed start count voids the attempts sent before it. */
+    /** Records [report] unless a later one is known; discards earlier dispatches that ended or did their prefill. */
     public fun report(report: LoadReport) {
         val state = state(report.endpoint)
-        val known = state.report
-        if (known != null && report.takenMillis < known.takenMillis) return
+        val lastReport = state.report
+        if (lastReport != null && report.takenMillis < lastReport.takenMillis) return
         state.report = report
-        state.recent.removeIf { it.sentMillis < report.takenMillis && (it.prefillDone || !it.running) }
+        state.dispatches.removeIf { it.sentMillis < report.takenMillis && (it.prefillDone || !it.running) }
     }
 
     /** Records that [attempt] with [prefillTokens] of prefill was sent to [endpoint] at [nowMillis]. */
@@ -44,44 +44,44 @@
         val dispatch = Dispatch(endpoint.value, prefillTokens, nowMillis)
         attempts[attempt.value] = dispatch
         val state = state(endpoint)
-        state.recent += dispatch
+        state.dispatches += dispatch
         state.ownRunning++
     }
 
-    /** Records the first token of [attempt]: its prefill no longer waits. */
+    /** Records the first token of [attempt], whose prefill is therefore done. */
     public fun firstToken(attempt: AttemptId) {
         attempts[attempt.value]?.prefillDone = true
     }
 
-    /** Records that [attempt] has ended in any way. */
+    /** Records that [attempt] has ended, whatever its outcome. */
     public fun finished(attempt: AttemptId) {
         val dispatch = attempts.remove(attempt.value) ?: return
         val state = endpoints[dispatch.endpoint] ?: return
         dispatch.running = false
         dispatch.prefillDone = true
         state.ownRunning--
-        val taken = state.report?.takenMillis
-        if (taken == null || dispatch.sentMillis >= taken) state.recent -= dispatch
+        val lastTakenMillis = state.report?.takenMillis
+        if (lastTakenMillis == null || dispatch.sentMillis >= lastTakenMillis) state.dispatches -= dispatch
     }
 
-    /** Returns the load of [endpoint] at [nowMillis] when its prefill queue drains at [prefillTokensPerSecond]. */
+    /** Estimates the load of [endpoint] at [nowMillis], assuming a prefill rate of [prefillTokensPerSecond]. */
     public fun load(endpoint: EndpointId, prefillTokensPerSecond: Double, nowMillis: Long): EndpointLoad {
         val state = endpoints[endpoint.value] ?: return EndpointLoad(0, 0, 0, null)
         return state.report?.let { estimate(state, it, prefillTokensPerSecond, nowMillis) } ?: state.ownLoad()
     }
 
-    private fun estimate(state: EndpointState, report: LoadReport, rate: Double, nowMillis: Long): EndpointLoad {
-        val added = state.recent.filter { it.running && it.sentMillis >= report.takenMillis }
-        val ended = state.recent.count { !it.running && it.sentMillis < report.takenMillis }
-        val age = maxOf(0, nowMillis - report.takenMillis)
-        val drained = (rate * age / MILLIS_PER_SECOND).toLong()
-        val ownWaiting = added.filter { !it.prefillDone }.sumOf { it.prefillTokens }
-        val waiting = report.queuedPrefillTokens + added.sumOf { it.prefillTokens } - drained
-        val running = maxOf(state.ownRunning, report.running + added.size - ended)
-        return EndpointLoad(running, maxOf(ownWaiting - drained, waiting, 0), state.ownRunning, age)
+    private fun estimate(state: EndpointState, report: LoadReport, tokenRate: Double, nowMillis: Long): EndpointLoad {
+        val dispatchedSince = state.dispatches.filter { it.running && it.sentMillis >= report.takenMillis }
+        val finishedSince = state.dispatches.count { !it.running && it.sentMillis < report.takenMillis }
+        val ageMillis = maxOf(0, nowMillis - report.takenMillis)
+        val prefilledTokens = (tokenRate * ageMillis / MILLIS_PER_SECOND).toLong()
+        val ownQueued = dispatchedSince.filter { !it.prefillDone }.sumOf { it.prefillTokens }
+        val queued = report.queuedPrefillTokens + dispatchedSince.sumOf { it.prefillTokens } - prefilledTokens
+        val running = maxOf(state.ownRunning, report.running + dispatchedSince.size - finishedSince)
+        return EndpointLoad(running, maxOf(ownQueued - prefilledTokens, queued, 0), state.ownRunning, ageMillis)
     }
 
-    /** Forgets [endpoint], for example when it leaves the configuration. */
+    /** Removes [endpoint], for example when it leaves the configuration. */
     public fun forget(endpoint: EndpointId) {
         endpoints -= endpoint.value
         attempts.values.removeIf { it.endpoint == endpoint.value }
@@ -97,11 +97,11 @@
     private class EndpointState {
         var report: LoadReport? = null
         var ownRunning = 0
-        val recent = ArrayList<Dispatch>()
+        val dispatches = ArrayList<Dispatch>()
 
         fun ownLoad(): EndpointLoad {
-            val waiting = recent.filter { !it.prefillDone }.sumOf { it.prefillTokens }
-            return EndpointLoad(ownRunning, waiting, ownRunning, null)
+            val queued = dispatches.filter { !it.prefillDone }.sumOf { it.prefillTokens }
+            return EndpointLoad(ownRunning, queued, ownRunning, null)
         }
     }
 
--- a/libraries/limits/src/main/kotlin/org/parsleymoor/limits/QueuedRequest.kt
+++ b/libraries/limits/src/main/kotlin/org/parsleymoor/limits/QueuedRequest.kt
@@ -4,8 +4,8 @@
 import org.parsleymoor.core.RequestId
 
 /**
- * A request that waits for an engine. [tokens] is its estimated work; [weight] is the organisation's share; a higher
- * [priority] goes first; the request is dropped, not run, when it still waits at [deadlineMillis].
+ * A request that waits for an engine. [tokens] is its estimated work and [weight] the share of its organisation.
+ * Requests of higher [priority] are served first. A request still waiting at [deadlineMillis] is dropped and never run.
  */
 public data class QueuedRequest(
     public val request: RequestId,
--- a/libraries/limits/src/main/kotlin/org/parsleymoor/limits/RetryBudget.kt
+++ b/libraries/limits/src/main/kotlin/org/parsleymoor/limits/RetryBudget.kt
@@ -1,14 +1,14 @@
 package org.parsleymoor.limits
 
 /**
- * Bounds retries to [share] of the first attempts of the last [windowMillis], so that retries cannot multiply an
- * overload. [minimum] retries per window are allowed at any traffic, or a single failure at low traffic would never be
- * retried. Not safe for use from several threads.
+ * Limits retries to [share] of the first attempts in the last [windowMillis], so that retries cannot amplify an
+ * overload. Allows [extra] retries per window on top, because otherwise a single failure at low traffic would never be
+ * retried. Not thread-safe.
  */
 public class RetryBudget(
     private val share: Double = 0.1,
     private val windowMillis: Long = 10_000,
-    private val minimum: Int = 3,
+    private val extra: Int = 3,
 ) {
     private val firstAttempts = SlidingWindowCounter(windowMillis)
     private val retries = SlidingWindowCounter(windowMillis)
@@ -22,9 +22,9 @@
         firstAttempts.add(nowMillis)
     }
 
-    /** Takes one retry from the budget at [nowMillis]; returns false, and takes nothing, when it is spent. */
+    /** Counts a retry at [nowMillis] if the budget allows it; returns whether it does. */
     public fun tryRetry(nowMillis: Long): Boolean {
-        val allowed = minimum + share * firstAttempts.count(nowMillis)
+        val allowed = extra + share * firstAttempts.count(nowMillis)
         if (retries.count(nowMillis) + 1 > allowed) return false
         retries.add(nowMillis)
         return true
--- a/libraries/limits/src/main/kotlin/org/parsleymoor/limits/SlidingWindowCounter.kt
+++ b/libraries/limits/src/main/kotlin/org/parsleymoor/limits/SlidingWindowCounter.kt
@@ -1,6 +1,6 @@
 package org.parsleymoor.limits
 
-/** Counts events of the last [windowMillis] in [BUCKETS] buckets, so memory does not grow with the rate. */
+/** Counts the events of the last [windowMillis] in [BUCKETS] buckets, so that memory does not grow with their rate. */
 internal class SlidingWindowCounter(windowMillis: Long) {
     private val bucketMillis = maxOf(1, windowMillis / BUCKETS)
     private val counts = LongArray(BUCKETS)
--- a/libraries/limits/src/test/kotlin/org/parsleymoor/limits/ColdStartLimitTest.kt
+++ b/libraries/limits/src/test/kotlin/org/parsleymoor/limits/ColdStartLimitTest.kt
@@ -12,13 +12,13 @@
     private val limit = ColdStartLimit()
 
     @Test
-    fun `an endpoint never seen is cold and gets nothing without a lease`() {
+    fun `an endpoint that was never seen is cold and gets no requests without a lease`() {
         expectThat(limit.isCold(engine)).isTrue()
         expectThat(limit.decide(engine, 0, 0)).isEqualTo(ColdStartDecision.NO_LEASE)
     }
 
     @Test
-    fun `the holder of the lease sends up to the limit until the lease ends`() {
+    fun `the lease holder sends up to the limit until the lease ends`() {
         limit.accept(ColdStartEvent.LeaseHeld(engine, untilMillis = 100), 0)
         expectThat(limit.decide(engine, 1, 0)).isEqualTo(ColdStartDecision.SLOT_FREE)
         expectThat(limit.decide(engine, 2, 0)).isEqualTo(ColdStartDecision.NO_SLOT)
@@ -26,7 +26,7 @@
     }
 
     @Test
-    fun `it needs both the answers and the time to become warm`() {
+    fun `an endpoint becomes warm only after both the answers and the time`() {
         limit.accept(ColdStartEvent.Seen(engine, 1), 0)
         answer(count = 20, atMillis = 29_999)
         expectThat(limit.isCold(engine)).isTrue()
@@ -42,7 +42,7 @@
     }
 
     @Test
-    fun `a changed start count reinstates the limit at once`() {
+    fun `a higher start count reinstates the limit at once`() {
         warm()
         val actions = limit.accept(ColdStartEvent.Seen(engine, 2), 70_000)
         expectThat(actions).containsExactly(ColdStartAction.BecameCold(engine))
@@ -57,7 +57,7 @@
     }
 
     @Test
-    fun `a lasting jump of latency reinstates the limit and a single slow answer does not`() {
+    fun `several slow answers in a row reinstate the limit and a single one does not`() {
         warm()
         val slow = ColdStartEvent.Answered(engine, observedMillis = 500.0, expectedMillis = 100.0)
         val actions = List(3) { limit.accept(slow, 70_000) }
@@ -65,7 +65,7 @@
     }
 
     @Test
-    fun `a late report of an earlier start does not change the state`() {
+    fun `a late report of an earlier start is ignored`() {
         limit.accept(ColdStartEvent.Seen(engine, 5), 0)
         answer(count = 20, atMillis = 60_000)
         expectThat(limit.accept(ColdStartEvent.Seen(engine, 4, cold = true), 61_000).size).isEqualTo(0)
--- a/libraries/limits/src/test/kotlin/org/parsleymoor/limits/FairQueueTest.kt
+++ b/libraries/limits/src/test/kotlin/org/parsleymoor/limits/FairQueueTest.kt
@@ -18,7 +18,7 @@
     private val queue = FairQueue(FairQueueLimits(length = 100, lengthPerOrganisation = 60))
 
     @Test
-    fun `an organisation that floods the queue does not delay another beyond its share`() {
+    fun `an organisation that fills the queue delays another only by its share`() {
         repeat(50) { queue.offer(request("big-$it", "big")) }
         queue.offer(request("small-0", "small"))
         val served = List(2) { queue.poll(0)?.request?.value }
@@ -34,7 +34,7 @@
     }
 
     @Test
-    fun `large requests count by their tokens`() {
+    fun `requests are weighed by their tokens`() {
         repeat(10) { queue.offer(request("a-$it", "a", tokens = 4_000)) }
         repeat(40) { queue.offer(request("b-$it", "b", tokens = 1_000)) }
         val served = List(20) { queue.poll(0)?.organisation?.value }
@@ -58,7 +58,7 @@
     }
 
     @Test
-    fun `the bounds of the organisation and of the queue refuse`() {
+    fun `requests beyond the limit of an organisation or of the queue are refused`() {
         val refusals = (0 until 61).map { queue.offer(request("a-$it", "a")).getError() }
         expectThat(refusals.last()?.organisation?.value).isEqualTo("a")
         (0 until 40).forEach { queue.offer(request("b-$it", "b")) }
@@ -74,7 +74,7 @@
     }
 
     @Test
-    fun `admission refuses a request that would wait beyond its deadline, once the drain rate is known`() {
+    fun `a request that would miss its deadline is refused once the drain rate is known`() {
         val admission = AdmissionControl(queue, rateWindowMillis = 1_000)
         repeat(50) { admission.offer(request("a-$it", "a"), 0) }
         (0L..2_000L step 500).forEach { admission.next(it) }
@@ -83,7 +83,7 @@
     }
 
     @Test
-    fun `idle time is not taken for a rate at which the queue drains`() {
+    fun `idle time does not lower the measured drain rate`() {
         val admission = AdmissionControl(queue, rateWindowMillis = 1_000)
         val start = 1_800_000_000_000
         repeat(2) { admission.offer(request("first-$it", "a", deadlineMillis = start + 60_000), start) }
--- a/libraries/limits/src/test/kotlin/org/parsleymoor/limits/LoadViewTest.kt
+++ b/libraries/limits/src/test/kotlin/org/parsleymoor/limits/LoadViewTest.kt
@@ -11,7 +11,7 @@
     private val view = LoadView()
 
     @Test
-    fun `own dispatches count on top of a report taken before them`() {
+    fun `own dispatches are added to a report taken before them`() {
         view.report(report(running = 3, queued = 4_000, takenMillis = 100))
         view.dispatched(engine, AttemptId("a"), 2_000, nowMillis = 110)
         val load = view.load(engine, prefillTokensPerSecond = 0.0, nowMillis = 120)
@@ -20,7 +20,7 @@
     }
 
     @Test
-    fun `a dispatch that the report has seen is not counted twice`() {
+    fun `a dispatch covered by the report is not counted twice`() {
         view.dispatched(engine, AttemptId("a"), 2_000, nowMillis = 90)
         view.report(report(running = 1, queued = 2_000, takenMillis = 100))
         expectThat(view.load(engine, 0.0, 120).running).isEqualTo(1)
@@ -36,7 +36,7 @@
     }
 
     @Test
-    fun `the queue drains while reports lag`() {
+    fun `the queue estimate decreases as the report ages`() {
         view.report(report(running = 1, queued = 4_000, takenMillis = 0))
         expectThat(view.load(engine, prefillTokensPerSecond = 8_000.0, nowMillis = 250).queuedPrefillTokens)
             .isEqualTo(2_000)
@@ -50,8 +50,8 @@
     }
 
     @Test
-    fun `the retry budget is a tenth of first attempts and a small reserve`() {
-        val budget = RetryBudget(minimum = 0)
+    fun `the retry budget is a tenth of the first attempts`() {
+        val budget = RetryBudget(extra = 0)
         repeat(30) { budget.firstAttempt(it.toLong()) }
         expectThat((0 until 10).count { budget.tryRetry(1_000) }).isEqualTo(3)
         expectThat(budget.tryRetry(20_000)).isEqualTo(false)
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/SharedRetryBudget.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/SharedRetryBudget.kt
@@ -4,7 +4,7 @@
 import org.parsleymoor.limits.RetryBudget
 
 /** The retry budget that all requests of the gateway draw on. */
-internal class SharedRetryBudget(private val budget: RetryBudget = RetryBudget(minimum = RESERVE)) : RetryAllowance {
+internal class SharedRetryBudget(private val budget: RetryBudget = RetryBudget(extra = RESERVE)) : RetryAllowance {
     /** Counts a first attempt. */
     fun firstAttempt(nowMillis: Long) {
         synchronized(budget) { budget.firstAttempt(nowMillis) }
