--- a/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/EngineProgress.kt
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/EngineProgress.kt
@@ -1,72 +1,72 @@
 package org.parsleymoor.coordination
 
-/** What the lease holder knows of one engine since it took the lease at [takenMillis]. */
+/** What the lease holder knows about one engine since its lease took effect at [sinceMillis]. */
 internal class EngineProgress<C : Any>(
     private val settings: OrderSettings,
-    private val takenMillis: Long,
+    private val sinceMillis: Long,
     fencing: Fencing,
 ) {
-    val read = EngineStateReads<C>()
+    val reads = EngineStateReads<C>()
     private var orderId = ""
-    private var outstanding = false
-    private var unsettled = false
+    private var awaitingAnswer = false
+    private var unverified = false
     private var answeredMillis = Long.MIN_VALUE
-    private var deliveredMillis = Long.MIN_VALUE
+    private var deliveredByMillis = Long.MIN_VALUE
     private var fenced = fencing == Fencing.IGNORED
 
-    val state: EngineState<C>? get() = read.state
+    val state: EngineState<C>? get() = reads.state
 
     fun acceptRead(id: Long, found: EngineState<C>?) {
-        val latest = read.accept(id, found) && found != null
-        if (latest && !outstanding && read.sentMillis >= answeredMillis) unsettled = false
+        val latest = reads.accept(id, found) && found != null
+        if (latest && !awaitingAnswer && reads.sentMillis >= answeredMillis) unverified = false
     }
 
     fun startOrder(id: String) {
         orderId = id
-        outstanding = true
-        unsettled = true
+        awaitingAnswer = true
+        unverified = true
     }
 
-    /** A lost order may arrive until the longest delivery time is over, and so may a copy of one that was answered. */
+    /** A lost order, or a copy of an answered one, may still arrive until the delivery timeout is over. */
     fun acceptAnswer(nowMillis: Long, id: String, outcome: OrderOutcome) {
-        if (id != orderId || !outstanding) return
-        outstanding = false
-        deliveredMillis = nowMillis + settings.deliveryTimeoutMillis
-        answeredMillis = if (outcome == OrderOutcome.LOST) deliveredMillis else nowMillis
+        if (id != orderId || !awaitingAnswer) return
+        awaitingAnswer = false
+        deliveredByMillis = nowMillis + settings.deliveryTimeoutMillis
+        answeredMillis = if (outcome == OrderOutcome.LOST) deliveredByMillis else nowMillis
         if (outcome == OrderOutcome.ACCEPTED) fenced = true
     }
 
-    fun readDue(nowMillis: Long, desired: C?): Boolean =
-        read.due(nowMillis, settings, busy = unsettled || !reached(desired))
+    fun readDue(nowMillis: Long, wanted: C?): Boolean =
+        reads.due(nowMillis, settings, busy = unverified || !reached(wanted))
 
-    /** Returns whether an order that confirms the state is needed, after which the engine refuses older holders. */
+    /** Returns whether an order has to confirm the state, so that the engine rejects orders of earlier holders. */
     fun confirmationDue(nowMillis: Long): Boolean =
-        !fenced && state != null && !outstanding && nowMillis >= deliveredMillis
+        !fenced && state != null && !awaitingAnswer && nowMillis >= deliveredByMillis
 
-    /** Returns whether the engine may be loading now or begin to because of an order that is under way. */
-    fun mayLoad(nowMillis: Long, desired: C?): Boolean {
+    /** Returns whether the engine may be loading, or may start to load because of an order that is still in transit. */
+    fun mayLoad(nowMillis: Long, wanted: C?): Boolean {
         val known = state
-        val recent = nowMillis - maxOf(takenMillis, answeredMillis) < settings.loadMillis
+        val recent = nowMillis - maxOf(sinceMillis, answeredMillis) < settings.loadMillis
         return when {
-            outstanding -> true
+            awaitingAnswer -> true
             // An engine that is no longer a target is not read any more.
-            desired == null -> nowMillis - maxOf(takenMillis, answeredMillis, read.sentMillis) < settings.loadMillis
+            wanted == null -> nowMillis - maxOf(sinceMillis, answeredMillis, reads.sentMillis) < settings.loadMillis
             known == null -> recent
-            known.loading != null || unsettled -> true
-            else -> (!fenced && recent) || (!reached(desired) && nowMillis < deliveredMillis)
+            known.loading != null || unverified -> true
+            else -> (!fenced && recent) || (!reached(wanted) && nowMillis < deliveredByMillis)
         }
     }
 
-    /** Returns whether an order for [desired] is needed and cannot be overtaken by an earlier one. */
-    fun orderDue(nowMillis: Long, desired: C?): Boolean =
-        fenced && state != null && !reached(desired) && !mayLoad(nowMillis, desired)
+    /** Returns whether an order for [wanted] is needed and no earlier order can arrive after it. */
+    fun orderDue(nowMillis: Long, wanted: C?): Boolean =
+        fenced && state != null && !reached(wanted) && !mayLoad(nowMillis, wanted)
 
-    fun reached(desired: C?): Boolean = state?.content == desired && state?.loading == null
+    fun reached(wanted: C?): Boolean = state?.content == wanted && state?.loading == null
 }
 
-/** The reads of one engine's state; only the answer to the latest read counts. */
+/** The reads of one engine's state; only the response to the latest read counts. */
 internal class EngineStateReads<C : Any> {
-    /** The state that the last read found; null before the first and when the engine could not be read. */
+    /** The state that the last read returned; null before the first read and if the engine could not be read. */
     var state: EngineState<C>? = null
         private set
     var sentMillis = Long.MIN_VALUE
--- a/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/LeaseEvent.kt
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/LeaseEvent.kt
@@ -1,11 +1,11 @@
 package org.parsleymoor.coordination
 
-/** What a [LeaseManager] is told. */
+/** An input of a [LeaseManager]. */
 public sealed interface LeaseEvent {
-    /** The caller wants the lease, or no longer wants it. */
+    /** Whether this process wants to hold the lease. */
     public data class Wanted(public val wanted: Boolean) : LeaseEvent
 
-    /** A read or a watch shows the lease object; null when there is none. */
+    /** A read or a watch returned the lease object; [stored] is null if it does not exist. */
     public data class Seen(public val stored: StoredLease?) : LeaseEvent
 
     /** A read failed. */
@@ -14,22 +14,22 @@
     /** The write [writeId] took effect and gave the object [version]. */
     public data class Written(public val writeId: String, public val version: Long) : LeaseEvent
 
-    /** The write [writeId] was refused because the object has another version. */
+    /** The write [writeId] was rejected because the object has another version. */
     public data class Conflicted(public val writeId: String, public val current: StoredLease?) : LeaseEvent
 
-    /** The write [writeId] failed; with [mayHaveTakenEffect] its response was lost. */
+    /** The write [writeId] failed; [mayHaveTakenEffect] if its response was lost. */
     public data class WriteFailed(public val writeId: String, public val mayHaveTakenEffect: Boolean) : LeaseEvent
 
     /** Time has passed. */
     public data object Tick : LeaseEvent
 }
 
-/** What a [LeaseManager] asks its shell to do. */
+/** What the user of a [LeaseManager] has to do; the manager does no I/O itself. */
 public sealed interface LeaseAction {
     /** Read `leases/{name}` and report [LeaseEvent.Seen] or [LeaseEvent.ReadFailed]. */
     public data class Read(public val name: String) : LeaseAction
 
-    /** Write [record] to `leases/{name}` when its version is [expectedVersion] and report the outcome. */
+    /** Write [record] to `leases/{name}` if its version is [expectedVersion], and report the outcome. */
     public data class Write(
         public val name: String,
         public val record: LeaseRecord,
--- a/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/LeaseRecord.kt
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/LeaseRecord.kt
@@ -3,7 +3,7 @@
 import kotlinx.serialization.Serializable
 import org.parsleymoor.core.Incarnation
 
-/** Value of the platform object `leases/{name}`; [released] means that the holder gave the lease up early. */
+/** Value of the platform object `leases/{name}`; [released] means that the holder gave it up before it expired. */
 @Serializable
 public data class LeaseRecord(
     public val holder: Incarnation,
--- a/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/LeaseSettings.kt
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/LeaseSettings.kt
@@ -1,9 +1,10 @@
 package org.parsleymoor.coordination
 
 /**
- * Times of a lease in milliseconds. The holder renews after [renewMillis], a contender polls at the same rate, and a
- * response that is missing for [responseMillis] counts as lost. An order is delivered or given up within
- * [deliveryTimeoutMillis]. The holder uses a lease for [usableMillis], counted from before the request that wrote it.
+ * Times of a lease in milliseconds. The holder renews its lease after [renewMillis], and a contender reads the lease at
+ * the same interval. A new operation starts [retryMillis] after a read or a failure at the earliest; a response that is
+ * missing after [responseMillis] counts as lost. An order is delivered or given up within [deliveryTimeoutMillis]. The
+ * holder uses a lease for [usableMillis], counted from before the request that wrote it.
  */
 public data class LeaseSettings(
     public val durationMillis: Long = 15_000,
--- a/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/Member.kt
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/Member.kt
@@ -5,7 +5,7 @@
 import org.parsleymoor.core.RegionId
 import org.parsleymoor.core.ZoneId
 
-/** A gateway as the platform lists it; [peerAddress] is `host:port` of its peer socket. */
+/** A gateway as listed by the platform; [peerAddress] is `host:port` of its peer socket. */
 public data class Member(
     public val instance: InstanceId,
     public val zone: ZoneId,
@@ -14,22 +14,22 @@
     public val leaving: Boolean = false,
 )
 
-/** How a member of the view is known to be. */
+/** What is known about a member. */
 public enum class MemberState {
-    /** Listed by the platform, no heartbeat expected or heard yet. */
+    /** Listed by the platform; no heartbeat is expected or has arrived yet. */
     LISTED,
 
-    /** A heartbeat arrived within the deadline. */
+    /** A heartbeat arrived within the silence limit. */
     LIVE,
 
-    /** Its heartbeats stopped; it comes last in every order of owners. */
+    /** Its heartbeats stopped; it ranks last in every order. */
     SILENT,
 
     /** The platform or the instance itself says that it is leaving. */
     LEAVING,
 }
 
-/** One entry of the membership view; [incarnation] is null until a heartbeat names the start of its process. */
+/** One entry of the membership view; [incarnation] is null until a heartbeat reports it. */
 public data class MembershipEntry(
     public val member: Member,
     public val state: MemberState,
--- a/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/Membership.kt
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/Membership.kt
@@ -5,8 +5,8 @@
 import org.parsleymoor.core.rendezvousOrder
 
 /**
- * The gateways that are believed to run: the platform's list joined with heartbeats. Views of different gateways may
- * differ; they only decide who tries first. Not safe for use from several threads.
+ * The gateways that are presumed alive: the platform's list merged with heartbeats. The views of two gateways may
+ * differ, which only affects who tries first. Not thread-safe.
  */
 public class Membership(
     private val self: Member,
@@ -16,30 +16,30 @@
     private val heard = HashMap<InstanceId, Heartbeat>()
     private var neighbourSinceMillis: Map<InstanceId, Long> = emptyMap()
 
-    // Set when the members may differ from those that the neighbours were chosen from. Most events are heartbeats that
-    // change nothing, and choosing costs a hash for each of up to 750 members.
+    // Whether the members may have changed since the neighbours were chosen. Most events are heartbeats that change
+    // nothing, and choosing neighbours hashes up to 750 members.
     private var membersChanged = true
 
-    /** The members that connections are kept to. */
+    /** The members that this gateway stays connected to. */
     public val neighbours: Set<InstanceId> get() = neighbourSinceMillis.keys
 
-    /** Applies [event] at [nowMillis]. */
+    /** Applies [event] at [nowMillis] and returns what to do next. */
     public fun handle(nowMillis: Long, event: MembershipEvent): List<MembershipAction> {
         when (event) {
-            is MembershipEvent.Listed -> list(event.members.associateBy { it.instance })
-            is MembershipEvent.HeartbeatReceived -> hear(nowMillis, event)
-            is MembershipEvent.Tick -> forget(nowMillis)
+            is MembershipEvent.Listed -> updateList(event.members.associateBy { it.instance })
+            is MembershipEvent.HeartbeatReceived -> recordHeartbeat(nowMillis, event)
+            is MembershipEvent.Tick -> removeExpired(nowMillis)
         }
         return if (membersChanged) chooseNeighbours(nowMillis) else emptyList()
     }
 
-    /** Returns the view at [nowMillis], this gateway included, by instance. */
+    /** Returns all members at [nowMillis], including this gateway, sorted by instance. */
     public fun view(nowMillis: Long): List<MembershipEntry> =
-        known().map { MembershipEntry(it, stateOf(it, nowMillis), heard[it.instance]?.incarnation) }
+        members().map { MembershipEntry(it, stateOf(it, nowMillis), heard[it.instance]?.incarnation) }
             .sortedBy { it.member.instance.value }
 
     /**
-     * Returns the members that do not leave in the order in which they try for [key]; those that fell silent come last.
+     * Returns the members that are not leaving in the order in which they try to own [key]; silent ones come last.
      */
     public fun order(key: String, nowMillis: Long): List<Member> {
         val staying = view(nowMillis).filter { it.state != MemberState.LEAVING }
@@ -48,32 +48,32 @@
             .map { it.member }
     }
 
-    private fun list(members: Map<InstanceId, Member>) {
+    private fun updateList(members: Map<InstanceId, Member>) {
         if (members != listed) membersChanged = true
         listed = members
     }
 
-    private fun hear(nowMillis: Long, event: MembershipEvent.HeartbeatReceived) {
+    private fun recordHeartbeat(nowMillis: Long, event: MembershipEvent.HeartbeatReceived) {
         val known = heard[event.member.instance]
         if (known != null && event.incarnation.startMillis < known.incarnation.startMillis) return
         if (known?.member != event.member) membersChanged = true
         heard[event.member.instance] = Heartbeat(event.member, event.incarnation, nowMillis)
     }
 
-    private fun forget(nowMillis: Long) {
-        val forgotten =
+    private fun removeExpired(nowMillis: Long) {
+        val removed =
             heard.values.removeIf { it.member.instance !in listed && nowMillis - it.atMillis > settings.forgetMillis }
-        if (forgotten) membersChanged = true
+        if (removed) membersChanged = true
     }
 
-    private fun known(): Collection<Member> {
-        val members = HashMap(listed)
+    private fun members(): Collection<Member> {
+        val merged = HashMap(listed)
         heard.values.forEach { heartbeat ->
             val leaving = heartbeat.member.leaving || listed[heartbeat.member.instance]?.leaving == true
-            members[heartbeat.member.instance] = heartbeat.member.copy(leaving = leaving)
+            merged[heartbeat.member.instance] = heartbeat.member.copy(leaving = leaving)
         }
-        members[self.instance] = self.copy(leaving = listed[self.instance]?.leaving == true)
-        return members.values
+        merged[self.instance] = self.copy(leaving = listed[self.instance]?.leaving == true)
+        return merged.values
     }
 
     private fun stateOf(member: Member, nowMillis: Long): MemberState {
@@ -90,7 +90,7 @@
 
     private fun chooseNeighbours(nowMillis: Long): List<MembershipAction> {
         membersChanged = false
-        val candidates = known().filter { it.instance != self.instance && !it.leaving }
+        val candidates = members().filter { it.instance != self.instance && !it.leaving }
         val chosen = if (candidates.size < settings.fullMeshSize) candidates else settings.nearest(self, candidates)
         val names = chosen.mapTo(HashSet()) { it.instance }
         if (names == neighbourSinceMillis.keys) return emptyList()
@@ -108,6 +108,6 @@
     val elsewhere = ordered.filter { it.region != self.region }.take(neighboursElsewhere)
     val chosen = inZone + inRegion + elsewhere
     val total = neighboursInZone + neighboursInRegion + neighboursElsewhere
-    // A small zone or region leaves places free; few connections could split the gateways into groups that never talk.
+    // Fill the places that a small zone or region leaves: few connections could split the fleet into isolated groups.
     return chosen + (ordered - chosen.toSet()).take(total - chosen.size)
 }
--- a/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/MembershipEvent.kt
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/MembershipEvent.kt
@@ -2,12 +2,12 @@
 
 import org.parsleymoor.core.Incarnation
 
-/** What a [Membership] is told. */
+/** An input of a [Membership]. */
 public sealed interface MembershipEvent {
-    /** The platform's list, which lags behind what runs. */
+    /** The platform's list of gateways, which lags behind those that run. */
     public data class Listed(public val members: List<Member>) : MembershipEvent
 
-    /** A peer connection greeted or sent a heartbeat; [Member.leaving] is what the peer says of itself. */
+    /** A peer sent a hello or a heartbeat; [Member.leaving] is what the peer says of itself. */
     public data class HeartbeatReceived(
         public val member: Member,
         public val incarnation: Incarnation
@@ -17,7 +17,7 @@
     public data object Tick : MembershipEvent
 }
 
-/** What a [Membership] asks its shell to do. */
+/** What the user of a [Membership] has to do; the membership does no I/O itself. */
 public sealed interface MembershipAction {
     /** Keep connections open to exactly these members. */
     public data class KeepConnectedTo(public val neighbours: List<Member>) : MembershipAction
--- a/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/OrderEvent.kt
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/OrderEvent.kt
@@ -5,14 +5,14 @@
 /** Whether an engine rejects an order with a stale fencing token. */
 public enum class Fencing { CHECKED, IGNORED }
 
-/** An engine and the content that it shall hold, such as its weight versions. */
+/** An engine and the content that it should hold, such as its weight versions. */
 public data class OrderTarget<out C : Any>(
     public val endpoint: EndpointId,
     public val wanted: C,
     public val fencing: Fencing,
 )
 
-/** What an engine says that it holds; [loading] is the content it is moving to, null when it is not loading. */
+/** The content that an engine reports; [loading] is the content that it is changing to, or null. */
 public data class EngineState<out C : Any>(
     public val content: C,
     public val loading: C?,
@@ -20,7 +20,7 @@
 
 /** How an engine answered an order. */
 public enum class OrderOutcome {
-    /** The engine follows the order or is already in the desired state. */
+    /** The engine carries out the order or already holds the wanted content. */
     ACCEPTED,
 
     /** The engine has seen a higher fencing token. */
@@ -33,22 +33,22 @@
     LOST,
 }
 
-/** What an [OrderReconciler] is told. */
+/** An input of an [OrderReconciler]. */
 public sealed interface OrderEvent<out C : Any> {
-    /** The desired contents; engines that are left out get no orders. At most [concurrentLoads] load at a time. */
+    /** The wanted contents; engines without a target get no orders. At most [concurrentLoads] load at a time. */
     public data class Targets<out C : Any>(
         public val targets: List<OrderTarget<C>>,
         public val concurrentLoads: Int? = null,
     ) : OrderEvent<C>
 
-    /** The state that [endpoint] reported to the read asked for by [OrderAction.ReadState]; null when it failed. */
+    /** The result of the read [readId] of [endpoint]; [state] is null if the read failed. */
     public data class StateRead<out C : Any>(
         public val endpoint: EndpointId,
         public val readId: Long,
         public val state: EngineState<C>?,
     ) : OrderEvent<C>
 
-    /** The answer to the order [orderId]. */
+    /** The outcome of the order [orderId]. */
     public data class Answered(
         public val endpoint: EndpointId,
         public val orderId: String,
@@ -59,15 +59,15 @@
     public data object Tick : OrderEvent<Nothing>
 }
 
-/** What an [OrderReconciler] asks its shell to do. */
+/** What the user of an [OrderReconciler] has to do; the reconciler does no I/O itself. */
 public sealed interface OrderAction<out C : Any> {
     /** Read the state of [endpoint] and report it with [readId]. */
     public data class ReadState(public val endpoint: EndpointId, public val readId: Long) : OrderAction<Nothing>
 
     /**
-     * Send an order to [endpoint]. Immediately before the write the shell asks for the lease again and refuses the
-     * order when that is lost or has another token. It gives the order up when it is not delivered within nine tenths
-     * of the longest delivery time, never repeats it by itself, and always reports an outcome.
+     * Send an order to [endpoint]. The sender checks the lease again immediately before it writes the order, and
+     * refuses the order if the lease is lost or has another token. It gives up if the order is not delivered within
+     * nine tenths of the delivery timeout, never sends the order again on its own, and always reports an outcome.
      */
     public data class SendOrder<out C : Any>(
         public val endpoint: EndpointId,
--- a/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/OrderReconciler.kt
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/OrderReconciler.kt
@@ -4,12 +4,12 @@
 import org.parsleymoor.core.Incarnation
 
 /**
- * Moves engines to their desired contents, at most [OrderSettings.concurrentLoads] loading at a time. Only the
- * lease holder acts: it waits until orders of the previous holder are delivered, then reads the state of every engine
- * before its first order, so that loads which its predecessor began are counted. An engine that checks fencing tokens
- * first gets an order that confirms its state, after which it refuses a late order of any earlier holder. Every engine
- * is read back after an order and corrected. A further order to an engine waits until the one before cannot arrive any
- * more, also when the lease lapsed for a moment and no other holder came between.
+ * Brings engines to their wanted contents, with at most [OrderSettings.concurrentLoads] loading at a time. Only the
+ * lease holder acts. It waits until orders of the previous holder can no longer arrive, then reads the state of every
+ * engine before its first order, so that loads that its predecessor started are counted. An engine that checks fencing
+ * tokens first gets an order that confirms its state, and from then on rejects late orders of earlier holders. After
+ * each order the state is read back, and corrected if necessary. The next order to an engine waits until the previous
+ * one can no longer arrive, even if the lease lapsed briefly without another holder in between.
  */
 public class OrderReconciler<C : Any>(
     private val self: Incarnation,
@@ -18,35 +18,35 @@
     private var targets: Map<EndpointId, OrderTarget<C>> = emptyMap()
     private val engines = HashMap<EndpointId, EngineProgress<C>>()
     private var concurrentLoads = settings.concurrentLoads
-    private var takenMillis: Long? = null
+    private var leaseStartMillis: Long? = null
     private var readCount = 0L
     private var orderCount = 0L
 
-    /** Applies [event] at [nowMillis], where [lease] is the lease on orders if this process may use it now. */
+    /** Applies [event] at [nowMillis], where [lease] is the lease on orders, or null if this process may not use it. */
     public fun handle(nowMillis: Long, event: OrderEvent<C>, lease: HeldLease?): List<OrderAction<C>> {
         when (event) {
-            is OrderEvent.Targets -> retarget(event)
+            is OrderEvent.Targets -> setTargets(event)
             is OrderEvent.StateRead -> engines[event.endpoint]?.acceptRead(event.readId, event.state)
             is OrderEvent.Answered -> engines[event.endpoint]?.acceptAnswer(nowMillis, event.orderId, event.outcome)
             is OrderEvent.Tick -> Unit
         }
-        return if (lease == null) emptyList() else progress(nowMillis, lease)
+        return if (lease == null) emptyList() else advance(nowMillis, lease)
     }
 
-    /** Returns the engines whose content is not known to be the desired one. */
+    /** Returns the engines that are not known to hold their wanted content. */
     public fun unfinished(): List<EndpointId> = targets.values
         .filter { target -> engines[target.endpoint]?.reached(target.wanted) != true }
         .map { it.endpoint }
 
-    private fun retarget(event: OrderEvent.Targets<C>) {
+    private fun setTargets(event: OrderEvent.Targets<C>) {
         targets = event.targets.associateBy { it.endpoint }
         concurrentLoads = minOf(event.concurrentLoads ?: settings.concurrentLoads, settings.concurrentLoads)
     }
 
-    private fun progress(nowMillis: Long, lease: HeldLease): List<OrderAction<C>> {
-        if (takenMillis != lease.unfencedFromMillis) engines.clear()
+    private fun advance(nowMillis: Long, lease: HeldLease): List<OrderAction<C>> {
+        if (leaseStartMillis != lease.unfencedFromMillis) engines.clear()
         if (nowMillis < lease.unfencedFromMillis) return emptyList()
-        takenMillis = lease.unfencedFromMillis
+        leaseStartMillis = lease.unfencedFromMillis
         targets.values.forEach { target ->
             engines.getOrPut(target.endpoint) { EngineProgress(settings, lease.unfencedFromMillis, target.fencing) }
         }
@@ -55,7 +55,7 @@
 
     private fun reads(nowMillis: Long): List<OrderAction<C>> = targets.values.mapNotNull { target ->
         val engine = engines[target.endpoint]?.takeIf { it.readDue(nowMillis, target.wanted) }
-        engine?.read?.start(nowMillis, readCount)
+        engine?.reads?.start(nowMillis, readCount)
         engine?.let { OrderAction.ReadState(target.endpoint, readCount++) }
     }
 
--- a/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/OrderSettings.kt
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/OrderSettings.kt
@@ -1,10 +1,11 @@
 package org.parsleymoor.coordination
 
 /**
- * Bounds of an [OrderReconciler]. States are read every [pollMillis] while something is to do and every [refreshMillis]
- * otherwise. An engine that cannot be read counts as loading for [loadMillis] after an order may have reached it.
- * Before its first order a new holder confirms the state of engines that check fencing tokens, [concurrentConfirmations]
- * at a time.
+ * Limits and times of an [OrderReconciler]. At most [concurrentLoads] engines load at a time. The state of an engine is
+ * read every [pollMillis] while it has to change and every [refreshMillis] otherwise; a read without a response is
+ * repeated after [responseMillis]. An order can arrive for [deliveryTimeoutMillis]. An engine that cannot be read
+ * counts as loading for [loadMillis] after an order may have reached it. Before its first order a new lease holder
+ * confirms the state of engines that check fencing tokens, [concurrentConfirmations] at a time.
  */
 public data class OrderSettings(
     public val concurrentLoads: Int = 2,
--- a/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/PendingLeaseOperations.kt
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/PendingLeaseOperations.kt
@@ -2,12 +2,12 @@
 
 import org.parsleymoor.core.UpdateInFlight
 
-/** The platform calls of one [LeaseManager] that are under way: at most one write and one read. */
+/** The platform operations of one [LeaseManager] that are in progress: at most one write and one read. */
 internal class PendingLeaseOperations(private val settings: LeaseSettings) {
-    /** The lease write under way; its content says whether it releases the lease. */
+    /** The lease write in progress; its content says whether it releases the lease. */
     val write = UpdateInFlight<Boolean>(settings.responseMillis)
     private var readSentMillis: Long? = null
-    private var nextAttemptMillis = 0L
+    private var nextStartMillis = 0L
 
     fun startRead(nowMillis: Long) {
         readSentMillis = nowMillis
@@ -29,13 +29,13 @@
     }
 
     fun postpone(nowMillis: Long) {
-        nextAttemptMillis = nowMillis + settings.retryMillis
+        nextStartMillis = nowMillis + settings.retryMillis
     }
 
-    /** Returns whether another call may be started; gives up waiting for responses that are overdue. */
-    fun idle(nowMillis: Long): Boolean {
+    /** Returns whether another operation may be started; stops waiting for overdue responses first. */
+    fun isIdle(nowMillis: Long): Boolean {
         write.doubtOverdue(nowMillis)
         if (readSentMillis?.let { write.isOverdue(it, nowMillis) } == true) endRead()
-        return write.pending?.uncertain != false && readSentMillis == null && nowMillis >= nextAttemptMillis
+        return write.pending?.uncertain != false && readSentMillis == null && nowMillis >= nextStartMillis
     }
 }
--- a/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/RootWatcher.kt
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/RootWatcher.kt
@@ -3,51 +3,51 @@
 import org.parsleymoor.core.InstanceId
 import org.parsleymoor.core.rendezvousOrder
 
-/** Decides whether this gateway watches the root, and replaces a watch that is silent. */
+/** Decides whether this gateway watches the configuration root, and replaces a silent watch. */
 internal class RootWatcher(
     private val self: InstanceId,
     private val settings: SyncSettings,
 ) {
-    private var onDuty = true
-    private var heardMillis: Long? = null
+    private var shouldWatch = true
+    private var lastActivityMillis: Long? = null
     private var nextReadMillis = Long.MIN_VALUE
 
-    fun assign(members: SyncEvent.Members) {
+    fun chooseWatchers(members: SyncEvent.Members) {
         val watchers = rendezvousOrder("watch", members.zoneInstances) { it.value }.take(settings.watchersPerZone)
-        onDuty = self in watchers || members.connectedPeers.isEmpty()
+        shouldWatch = self in watchers || members.connectedPeers.isEmpty()
     }
 
-    fun heard(nowMillis: Long) {
-        heardMillis = nowMillis
+    fun recordActivity(nowMillis: Long) {
+        lastActivityMillis = nowMillis
     }
 
-    fun ended() {
-        heardMillis = null
+    fun recordEnd() {
+        lastActivityMillis = null
     }
 
-    /** Returns the watch actions and reads that are due. A watch that is opened comes with a read of the root. */
-    fun due(nowMillis: Long): List<SyncAction> {
-        val silent = heardMillis?.let { nowMillis - it >= settings.watchSilenceMillis } ?: true
+    /** Returns the watch actions and reads that are due. The root is read whenever a watch is opened. */
+    fun dueActions(nowMillis: Long): List<SyncAction> {
+        val silent = lastActivityMillis?.let { nowMillis - it >= settings.watchSilenceMillis } ?: true
         return when {
-            onDuty && silent && nowMillis >= nextReadMillis -> open(nowMillis)
-            !onDuty && heardMillis != null -> close()
-            !onDuty && nowMillis >= nextReadMillis -> listOf(SyncAction.ReadRoot).also { postpone(nowMillis) }
+            shouldWatch && silent && nowMillis >= nextReadMillis -> open(nowMillis)
+            !shouldWatch && lastActivityMillis != null -> close()
+            !shouldWatch && nowMillis >= nextReadMillis -> listOf(SyncAction.ReadRoot).also { scheduleRead(nowMillis) }
             else -> emptyList()
         }
     }
 
     private fun open(nowMillis: Long): List<SyncAction> {
-        heardMillis = null
+        lastActivityMillis = null
         nextReadMillis = nowMillis + settings.requestIntervalMillis
         return listOf(SyncAction.OpenWatch, SyncAction.ReadRoot)
     }
 
     private fun close(): List<SyncAction> {
-        heardMillis = null
+        lastActivityMillis = null
         return listOf(SyncAction.CloseWatch)
     }
 
-    private fun postpone(nowMillis: Long) {
+    private fun scheduleRead(nowMillis: Long) {
         nextReadMillis = nowMillis + settings.fallbackReadMillis
     }
 }
--- a/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/StartupWait.kt
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/StartupWait.kt
@@ -1,8 +1,8 @@
 package org.parsleymoor.coordination
 
 /**
- * Decides when a new instance has heard enough to apply its first configuration: when the platform answered, or when
- * the time in which peers may offer theirs is over.
+ * Decides how long a new instance waits before it applies its first configuration: until the platform has answered, or
+ * until the time in which peers may offer theirs is over.
  */
 internal class StartupWait(private val settings: SyncSettings) {
     private var startedMillis: Long? = null
@@ -13,7 +13,7 @@
         if (event is SyncEvent.PlatformRoot) platformAnswered = true
     }
 
-    fun complete(nowMillis: Long): Boolean {
+    fun isOver(nowMillis: Long): Boolean {
         val waitedMillis = nowMillis - (startedMillis ?: nowMillis)
         return platformAnswered || waitedMillis >= settings.startMillis
     }
--- a/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/SyncEvent.kt
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/SyncEvent.kt
@@ -3,15 +3,15 @@
 import org.parsleymoor.configuration.ConfigurationRoot
 import org.parsleymoor.core.InstanceId
 
-/** What a [ConfigurationSync] is told. */
+/** An input of a [ConfigurationSync]. */
 public sealed interface SyncEvent {
-    /** The instances of this zone that are believed to run, this one included, and the connected peers. */
+    /** The instances of this zone that are presumed alive, including this one, and the connected peers. */
     public data class Members(
         public val zoneInstances: List<InstanceId>,
         public val connectedPeers: Set<InstanceId>,
     ) : SyncEvent
 
-    /** A read of the platform or a watch shows [root]; null when the platform holds no configuration. */
+    /** A read or a watch of the platform returned [root]; null if the platform holds no configuration. */
     public data class PlatformRoot(public val root: ConfigurationRoot?) : SyncEvent
 
     /** The platform returned the section with content hash [hash]. */
@@ -20,23 +20,23 @@
     /** A read of the platform failed. */
     public data object PlatformFailed : SyncEvent
 
-    /** The watch reported something, at least a heartbeat. */
+    /** The watch delivered an event or a heartbeat. */
     public data object WatchActivity : SyncEvent
 
     /** The watch ended or could not be opened. */
     public data object WatchEnded : SyncEvent
 
-    /** A heartbeat of [peer] names [revision] as in effect there. */
+    /** A heartbeat of [peer] reports that [revision] is in effect there. */
     public data class PeerRevision(public val peer: InstanceId, public val revision: Long) : SyncEvent
 
-    /** [peer] asks for the root when it is newer than [haveRevision], and for [sections] by content hash. */
+    /** [peer] asks for the root if it is newer than [haveRevision], and for [sections] by content hash. */
     public data class PeerWants(
         public val peer: InstanceId,
         public val haveRevision: Long,
         public val sections: List<String>,
     ) : SyncEvent
 
-    /** [peer] or the operators' program offers a [root] (null when it has none to offer) and section texts by hash. */
+    /** [peer], or the operators' program if null, offers [sections] by content hash and, if it has one, a [root]. */
     public data class PeerOffers(
         public val peer: InstanceId?,
         public val root: ConfigurationRoot?,
@@ -47,9 +47,9 @@
     public data object Tick : SyncEvent
 }
 
-/** What a [ConfigurationSync] asks its shell to do. */
+/** What the user of a [ConfigurationSync] has to do; the sync does no I/O itself. */
 public sealed interface SyncAction {
-    /** Open a watch on the root, replacing the one that is open. */
+    /** Open a watch on the root, replacing the current one. */
     public data object OpenWatch : SyncAction
 
     /** Close the watch. */
@@ -61,7 +61,7 @@
     /** Read the section with content hash [hash] from the platform. */
     public data class ReadSection(public val hash: String) : SyncAction
 
-    /** Ask [peer] for a root newer than [haveRevision] and for [sections]. */
+    /** Ask [peer] for a root newer than [haveRevision] and for [sections] by content hash. */
     public data class AskPeer(
         public val peer: InstanceId,
         public val haveRevision: Long,
--- a/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/SyncSettings.kt
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/SyncSettings.kt
@@ -1,10 +1,10 @@
 package org.parsleymoor.coordination
 
 /**
- * Times of a [ConfigurationSync] in milliseconds. A new instance waits up to [startMillis] for the platform and its
- * peers before it takes the highest revision that it was offered. What is missing is asked for again every
+ * Limits and times of a [ConfigurationSync]. A new instance waits up to [startMillis] for the platform and its peers
+ * before it applies the highest revision that it was offered. Missing parts are requested again every
  * [requestIntervalMillis]. A watch that is silent for [watchSilenceMillis] is replaced. [watchersPerZone] gateways of a
- * zone watch; the others read the root every [fallbackReadMillis] in case both watchers are lost unnoticed.
+ * zone watch the root; the others read it every [fallbackReadMillis], in case all watchers of the zone fail unnoticed.
  */
 public data class SyncSettings(
     public val startMillis: Long = 2_000,
--- a/libraries/coordination/src/test/kotlin/org/parsleymoor/coordination/ConfigurationSyncTest.kt
+++ b/libraries/coordination/src/test/kotlin/org/parsleymoor/coordination/ConfigurationSyncTest.kt
@@ -16,9 +16,9 @@
     private val peer = InstanceId("gateway-2")
     private val section = ConfigurationSection("zones", "{}")
     private val texts = mapOf(section.reference.hash to section.text)
-    private val spread = ConfigurationSync(self)
+    private val sync = ConfigurationSync(self)
 
-    /** Guards against a half-read configuration. */
+    /** Guards against applying a configuration that was only partly read. */
     @Test
     fun `a configuration is applied only with all its sections`() {
         expectThat(applied(0, SyncEvent.PlatformRoot(root(1)))).isEmpty()
@@ -28,7 +28,7 @@
         expectThat(applied).single().isEqualTo(SyncAction.Apply(root(1), texts))
     }
 
-    /** Guards against a section that was altered on the way. */
+    /** Guards against a section that was altered in transit. */
     @Test
     fun `a section with another hash is not used`() {
         applied(0, SyncEvent.PlatformRoot(root(1)))
@@ -52,7 +52,7 @@
         applied(0, SyncEvent.PeerOffers(peer, root(1), texts))
         applied(2_000, SyncEvent.Tick)
 
-        val actions = spread.handle(3_000, SyncEvent.PeerRevision(peer, 2))
+        val actions = sync.handle(3_000, SyncEvent.PeerRevision(peer, 2))
 
         expectThat(actions).contains(SyncAction.AskPeer(peer, 1, emptyList()))
     }
@@ -61,40 +61,40 @@
     @Test
     fun `without the platform a new instance takes the highest revision of its peers`() {
         connect()
-        spread.handle(100, SyncEvent.PlatformFailed)
-        spread.handle(200, SyncEvent.PeerOffers(peer, root(3), texts))
-        spread.handle(300, SyncEvent.PeerOffers(InstanceId("gateway-3"), root(4), texts))
+        sync.handle(100, SyncEvent.PlatformFailed)
+        sync.handle(200, SyncEvent.PeerOffers(peer, root(3), texts))
+        sync.handle(300, SyncEvent.PeerOffers(InstanceId("gateway-3"), root(4), texts))
 
         val applied = applied(2_100, SyncEvent.Tick)
 
         expectThat(applied).single().get { root.revision }.isEqualTo(4)
     }
 
-    /** Guards against work that is accepted without a configuration. */
+    /** Guards against accepting requests without a configuration. */
     @Test
-    fun `with neither platform nor peers nothing is in effect`() {
-        (0..100).forEach { spread.handle(it * 100L, SyncEvent.PlatformFailed) }
+    fun `without platform and peers no configuration is in effect`() {
+        (0..100).forEach { sync.handle(it * 100L, SyncEvent.PlatformFailed) }
 
-        expectThat(spread.appliedRevision).isEqualTo(0)
+        expectThat(sync.appliedRevision).isEqualTo(0)
     }
 
     /** Guards against a watch that goes silent without an error. */
     @Test
     fun `a silent watch is replaced`() {
-        spread.handle(0, SyncEvent.Members(listOf(self), emptySet()))
-        spread.handle(100, SyncEvent.WatchActivity)
+        sync.handle(0, SyncEvent.Members(listOf(self), emptySet()))
+        sync.handle(100, SyncEvent.WatchActivity)
 
-        val actions = spread.handle(3_200, SyncEvent.Tick)
+        val actions = sync.handle(3_200, SyncEvent.Tick)
 
         expectThat(actions).contains(SyncAction.OpenWatch)
     }
 
     private fun connect() {
-        spread.handle(0, SyncEvent.Members(listOf(self, peer), setOf(peer, InstanceId("gateway-3"))))
+        sync.handle(0, SyncEvent.Members(listOf(self, peer), setOf(peer, InstanceId("gateway-3"))))
     }
 
     private fun applied(nowMillis: Long, event: SyncEvent): List<SyncAction.Apply> =
-        spread.handle(nowMillis, event).filterIsInstance<SyncAction.Apply>()
+        sync.handle(nowMillis, event).filterIsInstance<SyncAction.Apply>()
 
     private fun root(revision: Long): ConfigurationRoot =
         ConfigurationRoot(revision, "write-$revision", listOf(section.reference))
--- a/libraries/coordination/src/test/kotlin/org/parsleymoor/coordination/LeaseManagerTest.kt
+++ b/libraries/coordination/src/test/kotlin/org/parsleymoor/coordination/LeaseManagerTest.kt
@@ -15,66 +15,66 @@
     private val self = Incarnation(InstanceId("gateway-1"), 1)
     private val other = Incarnation(InstanceId("gateway-2"), 1)
     private val settings = LeaseSettings(durationMillis = 15_000)
-    private val holder = LeaseManager("orders", self, settings)
+    private val manager = LeaseManager("orders", self, settings)
 
-    /** Guards against a holder that trusts its lease for longer than a contender waits. */
+    /** Guards against a holder that uses its lease for longer than a contender waits. */
     @Test
     fun `the lease is counted from before the request and used for two thirds`() {
         val write = take(sentMillis = 1_000)
 
-        holder.handle(2_500, LeaseEvent.Written(write.writeId, 1))
+        manager.handle(2_500, LeaseEvent.Written(write.writeId, 1))
 
-        expectThat(holder.held(10_999)).isNotNull().get { fencingToken }.isEqualTo(1)
-        expectThat(holder.held(11_000)).isNull()
+        expectThat(manager.held(10_999)).isNotNull().get { fencingToken }.isEqualTo(1)
+        expectThat(manager.held(11_000)).isNull()
     }
 
-    /** Guards against a lease that is lost because a response was. */
+    /** Guards against losing the lease because the response to its write was lost. */
     @Test
     fun `a write whose response was lost is recognised by its write id`() {
         val write = take(sentMillis = 1_000)
-        holder.handle(2_000, LeaseEvent.WriteFailed(write.writeId, mayHaveTakenEffect = true))
+        manager.handle(2_000, LeaseEvent.WriteFailed(write.writeId, mayHaveTakenEffect = true))
 
-        holder.handle(2_600, LeaseEvent.Seen(StoredLease(write.record, 1, write.writeId)))
+        manager.handle(2_600, LeaseEvent.Seen(StoredLease(write.record, 1, write.writeId)))
 
-        expectThat(holder.held(2_700)).isNotNull().get { untilMillis }.isEqualTo(11_000)
+        expectThat(manager.held(2_700)).isNotNull().get { untilMillis }.isEqualTo(11_000)
     }
 
-    /** Guards against a contender that takes a lease which its holder still uses. */
+    /** Guards against a contender that takes a lease while its holder still uses it. */
     @Test
     fun `a contender waits for the whole duration after it saw the lease`() {
-        holder.handle(0, LeaseEvent.Wanted(true))
-        holder.handle(100, LeaseEvent.Seen(StoredLease(LeaseRecord(other, 15_000), 4, "w")))
+        manager.handle(0, LeaseEvent.Wanted(true))
+        manager.handle(100, LeaseEvent.Seen(StoredLease(LeaseRecord(other, 15_000), 4, "w")))
 
-        expectThat(holder.handle(15_099, LeaseEvent.Tick)).filterIsInstance<LeaseAction.Write>().isEmpty()
-        holder.handle(15_100, LeaseEvent.ReadFailed)
-        expectThat(holder.handle(15_700, LeaseEvent.Tick)).filterIsInstance<LeaseAction.Write>().single()
+        expectThat(manager.handle(15_099, LeaseEvent.Tick)).filterIsInstance<LeaseAction.Write>().isEmpty()
+        manager.handle(15_100, LeaseEvent.ReadFailed)
+        expectThat(manager.handle(15_700, LeaseEvent.Tick)).filterIsInstance<LeaseAction.Write>().single()
             .get { expectedVersion }.isEqualTo(4)
     }
 
-    /** Guards against waiting out a lease that was given up, noticed through a watch between two polls. */
+    /** Guards against waiting for the end of a released lease when a watch reports the release between two reads. */
     @Test
     fun `a released lease is taken at once`() {
-        holder.handle(0, LeaseEvent.Wanted(true))
-        holder.handle(100, LeaseEvent.Seen(StoredLease(LeaseRecord(other, 15_000), 4, "w4")))
+        manager.handle(0, LeaseEvent.Wanted(true))
+        manager.handle(100, LeaseEvent.Seen(StoredLease(LeaseRecord(other, 15_000), 4, "w4")))
 
         val released = StoredLease(LeaseRecord(other, 15_000, released = true), 5, "w5")
-        val actions = holder.handle(1_000, LeaseEvent.Seen(released))
+        val actions = manager.handle(1_000, LeaseEvent.Seen(released))
 
         expectThat(actions).filterIsInstance<LeaseAction.Write>().single().get { expectedVersion }.isEqualTo(5)
     }
 
-    /** Guards against orders of the predecessor that arrive after those of the new holder. */
+    /** Guards against orders of the previous holder that arrive after those of the new one. */
     @Test
-    fun `a new holder waits for the longest delivery of an order`() {
+    fun `a new holder waits until earlier orders can no longer arrive`() {
         val write = take(sentMillis = 1_000)
 
-        holder.handle(1_100, LeaseEvent.Written(write.writeId, 1))
+        manager.handle(1_100, LeaseEvent.Written(write.writeId, 1))
 
-        expectThat(holder.held(1_200)).isNotNull().get { unfencedFromMillis }.isEqualTo(3_000)
+        expectThat(manager.held(1_200)).isNotNull().get { unfencedFromMillis }.isEqualTo(3_000)
     }
 
     private fun take(sentMillis: Long): LeaseAction.Write {
-        holder.handle(sentMillis - 600, LeaseEvent.Wanted(true))
-        return holder.handle(sentMillis, LeaseEvent.Seen(null)).filterIsInstance<LeaseAction.Write>().single()
+        manager.handle(sentMillis - 600, LeaseEvent.Wanted(true))
+        return manager.handle(sentMillis, LeaseEvent.Seen(null)).filterIsInstance<LeaseAction.Write>().single()
     }
 }
--- a/libraries/coordination/src/test/kotlin/org/parsleymoor/coordination/MembershipTest.kt
+++ b/libraries/coordination/src/test/kotlin/org/parsleymoor/coordination/MembershipTest.kt
@@ -14,7 +14,7 @@
 class MembershipTest {
     private val fleet = (0 until 750).map { member(it) }
 
-    /** Guards against connections that grow with the fleet. */
+    /** Guards against a number of connections that grows with the fleet. */
     @Test
     fun `a gateway of a large fleet has eight neighbours`() {
         val membership = listed(fleet)
@@ -28,7 +28,7 @@
         expectThat(listed(fleet.take(9)).neighbours).hasSize(8)
     }
 
-    /** Guards against a revision that reaches parts of the fleet too late: 14 s leave 14 heartbeats of 1 s. */
+    /** Guards against a revision that reaches a gateway too late: within 14 s it can pass over 14 heartbeats of 1 s. */
     @Test
     fun `every gateway is reached over few connections`() {
         val links = fleet.flatMap { self -> listed(fleet, self).neighbours.map { self.instance to it } }
@@ -38,23 +38,23 @@
         expectThat(hops).hasSize(750).get { values.max() }.isLessThanOrEqualTo(6)
     }
 
-    /** Guards against a gateway that fails between two updates of the platform's list. */
+    /** Guards against preferring a gateway that failed after the last update of the platform's list. */
     @Test
     fun `a neighbour whose heartbeats stop comes last`() {
         val membership = listed(fleet.take(3))
         val silent = fleet[1]
-        fleet.take(3).forEach { hear(membership, 1_000, it) }
-        (2..5).forEach { hear(membership, it * 1_000L, fleet[2]) }
+        fleet.take(3).forEach { heartbeat(membership, 1_000, it) }
+        (2..5).forEach { heartbeat(membership, it * 1_000L, fleet[2]) }
 
         expectThat(membership.order("key", 5_000).last()).isEqualTo(silent)
     }
 
-    /** Guards against a new gateway that is unknown until the platform's list catches up. */
+    /** Guards against ignoring a new gateway until the platform's list includes it. */
     @Test
-    fun `a gateway that only heartbeats name belongs to the view`() {
+    fun `a gateway known only from heartbeats is in the view`() {
         val membership = listed(fleet.take(2))
 
-        hear(membership, 1_000, fleet[5])
+        heartbeat(membership, 1_000, fleet[5])
 
         expectThat(membership.view(1_000).map { it.member }).contains(fleet[5])
     }
@@ -62,7 +62,7 @@
     private fun listed(members: List<Member>, self: Member = fleet.first()): Membership =
         Membership(self).also { it.handle(0, MembershipEvent.Listed(members)) }
 
-    private fun hear(membership: Membership, nowMillis: Long, member: Member) {
+    private fun heartbeat(membership: Membership, nowMillis: Long, member: Member) {
         membership.handle(nowMillis, MembershipEvent.HeartbeatReceived(member, Incarnation(member.instance, 1)))
     }
 
--- a/libraries/coordination/src/test/kotlin/org/parsleymoor/coordination/NeighbourChoiceTest.kt
+++ b/libraries/coordination/src/test/kotlin/org/parsleymoor/coordination/NeighbourChoiceTest.kt
@@ -20,7 +20,7 @@
     }
 
     @Test
-    fun `all gateways reach each other over neighbours`() {
+    fun `all gateways are connected through neighbours`() {
         val members = List(40) { member(it, zones = 20, regions = 8) }
         val edges = members.associate { it.instance to neighboursOf(it, members) }
         val reached = mutableSetOf(members.first().instance)
@@ -36,8 +36,8 @@
         val membership = Membership(members.first())
         membership.handle(0, MembershipEvent.Listed(members))
         val neighbour = members.first { it.instance in membership.neighbours }
-        membership.handle(1, heard(neighbour))
-        expectThat(membership.handle(2, heard(neighbour))).isEqualTo(emptyList())
+        membership.handle(1, heartbeat(neighbour))
+        expectThat(membership.handle(2, heartbeat(neighbour))).isEqualTo(emptyList())
     }
 
     @Test
@@ -46,12 +46,12 @@
         val membership = Membership(members.first())
         membership.handle(0, MembershipEvent.Listed(members))
         val neighbour = members.first { it.instance in membership.neighbours }
-        membership.handle(1, heard(neighbour.copy(leaving = true)))
+        membership.handle(1, heartbeat(neighbour.copy(leaving = true)))
         expectThat(neighbour.instance !in membership.neighbours).isTrue()
         expectThat(membership.neighbours).hasSize(8)
     }
 
-    private fun heard(member: Member) = MembershipEvent.HeartbeatReceived(member, Incarnation(member.instance, 1))
+    private fun heartbeat(member: Member) = MembershipEvent.HeartbeatReceived(member, Incarnation(member.instance, 1))
 
     private fun neighboursOf(self: Member, members: List<Member>): Set<InstanceId> {
         val membership = Membership(self)
--- a/libraries/coordination/src/test/kotlin/org/parsleymoor/coordination/OrderReconcilerTest.kt
+++ b/libraries/coordination/src/test/kotlin/org/parsleymoor/coordination/OrderReconcilerTest.kt
@@ -16,7 +16,7 @@
     private val old = WeightVersion("1")
     private val new = WeightVersion("2")
     private val lease = HeldLease(fencingToken = 7, untilMillis = 100_000, unfencedFromMillis = 2_000)
-    private val plan = OrderReconciler<WeightVersion>(Incarnation(InstanceId("gateway-1"), 1))
+    private val reconciler = OrderReconciler<WeightVersion>(Incarnation(InstanceId("gateway-1"), 1))
 
     /** Guards against a rollout that takes more replicas out of service than allowed. */
     @Test
@@ -28,29 +28,29 @@
         expectThat(orders).hasSize(2).all { get { wanted }.isEqualTo(new) }
     }
 
-    /** Guards against a new holder that does not count what its predecessor began. */
+    /** Guards against a new lease holder that does not count the loads that its predecessor started. */
     @Test
-    fun `loads that were begun before are counted`() {
+    fun `loads that the previous holder started are counted`() {
         target(3, Fencing.IGNORED)
-        val reads = reads(plan.handle(2_000, OrderEvent.Tick, lease))
+        val reads = reads(reconciler.handle(2_000, OrderEvent.Tick, lease))
 
         val orders = reads.flatMapIndexed { index, read ->
             val state = EngineState(old, new.takeIf { index < 2 })
-            orders(plan.handle(2_010, OrderEvent.StateRead(read.endpoint, read.readId, state), lease))
+            orders(reconciler.handle(2_010, OrderEvent.StateRead(read.endpoint, read.readId, state), lease))
         }
 
         expectThat(orders).isEmpty()
     }
 
-    /** Guards against orders that overtake those of the previous holder. */
+    /** Guards against orders that arrive before late orders of the previous holder. */
     @Test
-    fun `nothing is read or ordered before the previous holder's orders are delivered`() {
+    fun `no reads or orders before the previous holder's orders can no longer arrive`() {
         target(2, Fencing.IGNORED)
 
-        expectThat(plan.handle(1_999, OrderEvent.Tick, lease)).isEmpty()
+        expectThat(reconciler.handle(1_999, OrderEvent.Tick, lease)).isEmpty()
     }
 
-    /** Guards against a late order of an earlier holder to an engine that has not seen the new token. */
+    /** Guards against an engine that accepts a late order of an earlier holder before it has seen the new token. */
     @Test
     fun `an engine that checks tokens first gets an order that confirms its state`() {
         target(1, Fencing.CHECKED)
@@ -65,7 +65,7 @@
     fun `nothing is ordered without a lease`() {
         target(2, Fencing.IGNORED)
 
-        expectThat(plan.handle(5_000, OrderEvent.Tick, null)).isEmpty()
+        expectThat(reconciler.handle(5_000, OrderEvent.Tick, null)).isEmpty()
     }
 
     /** Guards against an engine that stays in a wrong state after an order was lost. */
@@ -73,37 +73,39 @@
     fun `a lost order is sent again after the state is read back`() {
         target(1, Fencing.IGNORED)
         val first = readAll(1, EngineState(old, null)).single()
-        plan.handle(4_000, OrderEvent.Answered(first.endpoint, first.orderId, OrderOutcome.LOST), lease)
+        reconciler.handle(4_000, OrderEvent.Answered(first.endpoint, first.orderId, OrderOutcome.LOST), lease)
 
-        val read = reads(plan.handle(6_100, OrderEvent.Tick, lease)).single()
+        val read = reads(reconciler.handle(6_100, OrderEvent.Tick, lease)).single()
         val answer = OrderEvent.StateRead(read.endpoint, read.readId, EngineState(old, null))
-        val orders = orders(plan.handle(6_200, answer, lease))
+        val orders = orders(reconciler.handle(6_200, answer, lease))
 
         expectThat(orders).single().get { wanted }.isEqualTo(new)
     }
 
-    /** Guards against the fault of exploration seed 1560: a short lapse made the plan forget its order under way. */
+    /** Guards against forgetting an order in transit when the lease lapses briefly (exploration seed 1560). */
     @Test
-    fun `an order under way is remembered when the lease lapses for a moment`() {
+    fun `an order in transit is remembered when the lease lapses briefly`() {
         target(1, Fencing.IGNORED)
         readAll(1, EngineState(old, null))
-        plan.handle(3_000, OrderEvent.Tick, null)
+        reconciler.handle(3_000, OrderEvent.Tick, null)
 
-        val read = reads(plan.handle(3_500, OrderEvent.Tick, lease)).single()
+        val read = reads(reconciler.handle(3_500, OrderEvent.Tick, lease)).single()
         val answer = OrderEvent.StateRead(read.endpoint, read.readId, EngineState(old, null))
 
-        expectThat(orders(plan.handle(3_600, answer, lease))).isEmpty()
+        expectThat(orders(reconciler.handle(3_600, answer, lease))).isEmpty()
     }
 
     private fun target(count: Int, fencing: Fencing) {
         val targets = (0 until count).map { OrderTarget(EndpointId("engine-$it"), new, fencing) }
-        plan.handle(0, OrderEvent.Targets(targets), null)
+        reconciler.handle(0, OrderEvent.Targets(targets), null)
     }
 
     private fun readAll(count: Int, state: EngineState<WeightVersion>): List<OrderAction.SendOrder<WeightVersion>> {
-        val reads = reads(plan.handle(2_000, OrderEvent.Tick, lease))
+        val reads = reads(reconciler.handle(2_000, OrderEvent.Tick, lease))
         check(reads.size == count) { "expected $count reads, found $reads" }
-        return reads.flatMap { orders(plan.handle(2_010, OrderEvent.StateRead(it.endpoint, it.readId, state), lease)) }
+        return reads.flatMap {
+            orders(reconciler.handle(2_010, OrderEvent.StateRead(it.endpoint, it.readId, state), lease))
+        }
     }
 
     private fun reads(actions: List<OrderAction<WeightVersion>>) = actions.filterIsInstance<OrderAction.ReadState>()
--- a/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ClaimEvent.kt
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ClaimEvent.kt
@@ -32,7 +32,7 @@
         public val current: StoredHead?,
     ) : ClaimEvent
 
-    /** The head write [writeId] failed; if [mayHaveTakenEffect], only its response was lost. */
+    /** The head write [writeId] failed; [mayHaveTakenEffect] if its response was lost. */
     public data class HeadWriteFailed(
         override val shard: Int,
         public val writeId: String,
