--- a/libraries/execution/src/main/kotlin/org/parsleymoor/execution/AttemptTracker.kt
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/AttemptTracker.kt
@@ -5,7 +5,7 @@
 import org.parsleymoor.core.RequestId
 
 /** How an attempt failed; decides whether and where the request is retried. */
-public enum class AttemptFailure {
+public enum class AttemptError {
     /** No connection was made. */
     NOT_CONNECTED,
 
@@ -66,7 +66,7 @@
     public fun nextAttempt(): AttemptId = AttemptId("$request.${attempts++}")
 
     /** Records that [endpoint] failed at [nowMillis] and returns what to do next. */
-    public fun failed(endpoint: EndpointId, failure: AttemptFailure, nowMillis: Long): AttemptAction {
+    public fun failed(endpoint: EndpointId, failure: AttemptError, nowMillis: Long): AttemptAction {
         if (failure.mayHaveRun()) execution = Execution.Unknown
         val cause = giveUpCause(nowMillis)
         return if (cause == null) retry(endpoint, failure) else AttemptAction.GiveUp(execution, cause)
@@ -75,8 +75,8 @@
     /** Returns the action for a request that has no endpoint left to try. */
     public fun noEndpoint(): AttemptAction.GiveUp = AttemptAction.GiveUp(execution, GiveUpCause.NO_ENDPOINT)
 
-    private fun retry(endpoint: EndpointId, failure: AttemptFailure): AttemptAction {
-        if (failure == AttemptFailure.SILENT && retried.add(endpoint)) return AttemptAction.TryFreshConnection(endpoint)
+    private fun retry(endpoint: EndpointId, failure: AttemptError): AttemptAction {
+        if (failure == AttemptError.SILENT && retried.add(endpoint)) return AttemptAction.TryFreshConnection(endpoint)
         excluded += endpoint
         return AttemptAction.TryElsewhere(failedEndpoints)
     }
@@ -89,9 +89,9 @@
         else -> null
     }
 
-    private fun AttemptFailure.mayHaveRun(): Boolean = when (this) {
-        AttemptFailure.NOT_CONNECTED, AttemptFailure.REFUSED -> false
-        AttemptFailure.BROKEN, AttemptFailure.SILENT -> true
+    private fun AttemptError.mayHaveRun(): Boolean = when (this) {
+        AttemptError.NOT_CONNECTED, AttemptError.REFUSED -> false
+        AttemptError.BROKEN, AttemptError.SILENT -> true
     }
 
     public companion object {
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/AttemptEnds.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/AttemptEnds.kt
@@ -1,13 +1,13 @@
 package org.parsleymoor.gateway.serving
 
 import org.parsleymoor.clients.BackEndFailure
-import org.parsleymoor.execution.AttemptFailure
+import org.parsleymoor.execution.AttemptError
 
 /** How an attempt with this failure ended, for the retry rules. */
-internal val BackEndFailure.attemptEnd: AttemptFailure
+internal val BackEndFailure.attemptEnd: AttemptError
     get() = when (this) {
-        is BackEndFailure.NotConnected -> AttemptFailure.NOT_CONNECTED
-        is BackEndFailure.Refused -> AttemptFailure.REFUSED
-        is BackEndFailure.Silent -> AttemptFailure.SILENT
-        is BackEndFailure.Broken, is BackEndFailure.Malformed -> AttemptFailure.BROKEN
+        is BackEndFailure.NotConnected -> AttemptError.NOT_CONNECTED
+        is BackEndFailure.Refused -> AttemptError.REFUSED
+        is BackEndFailure.Silent -> AttemptError.SILENT
+        is BackEndFailure.Broken, is BackEndFailure.Malformed -> AttemptError.BROKEN
     }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/CompletionAttempts.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/CompletionAttempts.kt
@@ -15,7 +15,7 @@
 import org.parsleymoor.core.Failure
 import org.parsleymoor.core.FailureException
 import org.parsleymoor.execution.AttemptAction
-import org.parsleymoor.execution.AttemptFailure
+import org.parsleymoor.execution.AttemptError
 import org.parsleymoor.execution.AttemptTracker
 import org.parsleymoor.execution.ChunkResult
 import org.parsleymoor.execution.Execution
@@ -152,15 +152,11 @@
         if ((failure as? BackEndFailure.Refused)?.refusal?.reason == EngineRefusalReason.COLD) {
             chooser.refusedAsCold(target.endpoint)
         }
-        val end = (failure as? BackEndFailure)?.attemptEnd ?: AttemptFailure.BROKEN
+        val end = (failure as? BackEndFailure)?.attemptEnd ?: AttemptError.BROKEN
         val action = machine.failed(target.endpoint, end, tools.clock.nowMillis())
         inFlight = false
         if (action !is AttemptAction.GiveUp) tools.metrics.retried(end.name.lowercase())
-        if (end != AttemptFailure.REFUSED && action !is AttemptAction.TryFreshConnection) {
-            chooser.suspect(
-                target.endpoint
-            )
-        }
+        if (end != AttemptError.REFUSED && action !is AttemptAction.TryFreshConnection) chooser.suspect(target.endpoint)
         return action
     }
 
