--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
@@ -38,21 +38,21 @@
 import org.parsleymoor.entry.control.WatchContext
 import org.parsleymoor.entry.control.WatchDuty
 import org.parsleymoor.entry.control.WeightsListener
-import org.parsleymoor.entry.log.DecisionLog
-import org.parsleymoor.entry.log.LibraryLog
+import org.parsleymoor.entry.log.LibraryLogHandler
+import org.parsleymoor.entry.log.StructuredLog
 import org.parsleymoor.entry.net.ConnectionPool
 import org.parsleymoor.entry.net.ControlClient
 import org.parsleymoor.entry.protocol.ObjectKind
 import org.parsleymoor.entry.protocol.ServingProtocol
-import org.parsleymoor.entry.serving.Attempts
-import org.parsleymoor.entry.serving.Beliefs
+import org.parsleymoor.entry.serving.AttemptRunner
 import org.parsleymoor.entry.serving.Delivery
-import org.parsleymoor.entry.serving.LoopLag
-import org.parsleymoor.entry.serving.Placer
-import org.parsleymoor.entry.serving.Refusals
+import org.parsleymoor.entry.serving.DeploymentView
+import org.parsleymoor.entry.serving.EndpointSelector
+import org.parsleymoor.entry.serving.EventLoopLag
+import org.parsleymoor.entry.serving.RefusalWriter
 import org.parsleymoor.entry.serving.RelayHandler
 import org.parsleymoor.entry.serving.ServingContext
-import org.parsleymoor.entry.serving.StopState
+import org.parsleymoor.entry.serving.ShutdownState
 import org.parsleymoor.relay.exchange.Member
 import org.parsleymoor.relay.fleet.SocketAddress
 import org.parsleymoor.relay.http.HttpStatus
@@ -68,7 +68,7 @@
     private val protocol: ServingProtocol,
     private val clock: Clock = Clock.System,
 ) {
-    private val log = DecisionLog(clock, settings.instance.value).also { LibraryLog(it).install() }
+    private val log = StructuredLog(clock, settings.instance.value).also { LibraryLogHandler(it).install() }
     private val vertx = Vertx.vertx(
         VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1)
     )
@@ -79,7 +79,7 @@
             log.write("coroutine.failed", always = true) { put("cause", cause.stackTraceToString()) }
         },
     )
-    private val beliefs = Beliefs(settings.instance)
+    private val deployment = DeploymentView(settings.instance)
     private val client = vertx.createNetClient(
         NetClientOptions().setTcpNoDelay(true).setConnectTimeout(CONNECT_MILLIS),
     )
@@ -94,9 +94,9 @@
     private val ticks = ControlTicks(clock, settings.instance.value.stableHash().mod(LARGE_TICK_MILLIS)) {
         if (membership.tree.direct) TICK_MILLIS else LARGE_TICK_MILLIS
     }
-    private val members = MemberLoop(store, beliefs, membership, log, clock)
-    private val stopping = StopState(settings.times.graceMillis, clock)
-    private val lag = LoopLag(clock)
+    private val members = MemberLoop(store, deployment, membership, log, clock)
+    private val stopping = ShutdownState(settings.times.graceMillis, clock)
+    private val lag = EventLoopLag(clock)
     private var routesSinceMillis: Long? = null
     private val callers = CallerServer(vertx, scope, callerContext())
 
@@ -116,8 +116,8 @@
         scope.launch { ticks.measure(lag) }
         scope.launch { members.run() }
         val incarnation = Incarnation(settings.instance, clock.nowMillis())
-        val context = ControlContext(beliefs, membership, control, protocol.engines, runtime)
-        val peers = Peers(PeerContext(settings, beliefs, membership, runtime), incarnation, dispatcher)
+        val context = ControlContext(deployment, membership, control, protocol.engines, runtime)
+        val peers = Peers(PeerContext(settings, deployment, membership, runtime), incarnation, dispatcher)
         scope.launch { peers.run(watches) }
         scope.launch { LoadLoop(context, peers).run() }
         val lease = OrderLease(incarnation, store, scope, log, PauseDetector(clock), settings.times.leaseMillis)
@@ -159,15 +159,15 @@
     }
 
     private fun callerContext(): CallerContext {
-        val context = ServingContext(beliefs, log, metrics, clock, lag)
-        val refusals = Refusals(protocol, log, metrics)
-        val placer = Placer(settings, beliefs, clock)
-        val attempts = Attempts(context, pool, protocol.headers, scope)
-        val delivery = Delivery(context, placer, attempts, refusals, SharedRetryBudget(settings.retries))
+        val context = ServingContext(deployment, log, metrics, clock, lag)
+        val refusals = RefusalWriter(protocol, log, metrics)
+        val selector = EndpointSelector(settings, deployment, clock)
+        val attempts = AttemptRunner(context, pool, protocol.headers, scope)
+        val delivery = Delivery(context, selector, attempts, refusals, SharedRetryBudget(settings.retries))
         return CallerContext(
             clock = clock,
             handler = RelayHandler(context, protocol.headers, delivery, refusals, stopping),
-            limits = { beliefs.routes?.configuration?.limits ?: CallerLimits() },
+            limits = { deployment.routes?.configuration?.limits ?: CallerLimits() },
             stopping = { stopping.begun },
             lagMillis = { lag.millis },
             onFault = { fault ->
@@ -180,10 +180,10 @@
     }
 
     private fun listeners(): Map<ObjectKind, ObjectListener> = mapOf(
-        ObjectKind.CONFIGURATION to ConfigurationListener(beliefs, protocol.content, log),
-        ObjectKind.ENDPOINTS to EndpointListener(beliefs, protocol.content, log, clock),
-        ObjectKind.WEIGHTS to WeightsListener(beliefs, protocol.content, log, clock),
-        ObjectKind.EVACUATIONS to EvacuationListener(beliefs, protocol.content, log),
+        ObjectKind.CONFIGURATION to ConfigurationListener(deployment, protocol.content, log),
+        ObjectKind.ENDPOINTS to EndpointListener(deployment, protocol.content, log, clock),
+        ObjectKind.WEIGHTS to WeightsListener(deployment, protocol.content, log, clock),
+        ObjectKind.EVACUATIONS to EvacuationListener(deployment, protocol.content, log),
     )
 
     private suspend fun probes(
@@ -194,7 +194,7 @@
     }
 
     private fun readiness(): ProbeAnswer {
-        val known = beliefs.routes != null && beliefs.endpointsKnown
+        val known = deployment.routes != null && deployment.endpointsKnown
         val sinceMillis = if (known) routesSinceMillis ?: clock.nowMillis() else null
         routesSinceMillis = sinceMillis
         val settled = lag.settled || sinceMillis != null && clock.nowMillis() - sinceMillis >= SETTLE_MILLIS
@@ -206,7 +206,7 @@
         while (true) {
             ticks.await(HOUSEKEEPING_TICKS)
             pool.expire()
-            beliefs.endpoints.expire(clock.nowMillis()).forEach { gone ->
+            deployment.endpoints.expire(clock.nowMillis()).forEach { gone ->
                 log.write("endpoint.expired") { put("endpoint", gone.value) }
             }
         }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/ProbeServer.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/ProbeServer.kt
@@ -8,8 +8,8 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.launch
-import org.parsleymoor.entry.callers.AnswerHead
-import org.parsleymoor.entry.callers.CallerAnswer
+import org.parsleymoor.entry.callers.CallerResponseHead
+import org.parsleymoor.entry.callers.ResponseWriter
 import org.parsleymoor.entry.net.SocketInput
 import org.parsleymoor.entry.net.readHead
 import org.parsleymoor.relay.fleet.SocketAddress
@@ -44,10 +44,11 @@
             val bytes = input.readHead(HEAD_LIMIT_BYTES).getOrElse { null } ?: return
             val head = parseRequestHead(bytes).getOrElse { return }
             val found = answers[head.target.substringBefore('?')]?.invoke() ?: ProbeAnswer(HttpStatus.NOT_FOUND)
-            val answer = CallerAnswer(socket, mayKeep = head.keepsAlive, chunked = true, stopping = { false })
+            val answer =
+                ResponseWriter(socket, keepAliveAllowed = head.keepsAlive, chunked = true, stopping = { false })
             val fields = listOf(HeaderField("Content-Type", "text/plain; charset=utf-8"))
-            answer.whole(AnswerHead(found.status, fields), found.body.encodeToByteArray())
-        } while (answer.keeps)
+            answer.writeResponse(CallerResponseHead(found.status, fields), found.body.encodeToByteArray())
+        } while (answer.keepAlive)
     }
 
     private companion object {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/CallerConnection.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/CallerConnection.kt
@@ -81,23 +81,23 @@
     }
 
     private suspend fun answer(request: CallerRequest): Boolean {
-        val answer = CallerAnswer(
+        val answer = ResponseWriter(
             socket = socket,
-            mayKeep = request.head.keepsAlive,
+            keepAliveAllowed = request.head.keepsAlive,
             chunked = request.head.minorVersion == 1,
             stopping = context.stopping,
         )
         context.handler.handle(request, answer)
         if (!answer.complete) answer.abort()
-        return answer.keeps
+        return answer.keepAlive
     }
 
     private suspend fun refuse(fault: MessageFault): Boolean {
         context.onFault(fault)
         if (input.end != null) return false
-        val answer = CallerAnswer(socket, mayKeep = false, chunked = true, stopping = context.stopping)
+        val answer = ResponseWriter(socket, keepAliveAllowed = false, chunked = true, stopping = context.stopping)
         val body = fault.message.encodeToByteArray()
-        answer.whole(AnswerHead(fault.status), body)
+        answer.writeResponse(CallerResponseHead(fault.status), body)
         discardInput()
         return false
     }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/CallerRequest.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/CallerRequest.kt
@@ -11,5 +11,5 @@
 /** Serves the requests of callers. */
 internal interface RequestHandler {
     /** Answers [request] through [answer]; suspends until the answer is written or given up. */
-    suspend fun handle(request: CallerRequest, answer: CallerAnswer)
+    suspend fun handle(request: CallerRequest, answer: ResponseWriter)
 }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/CallerAnswer.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/ResponseWriter.kt
@@ -10,17 +10,17 @@
 import kotlin.coroutines.resume
 
 /** Status line and fields of an answer; fields about connection and framing are added when it is written. */
-internal class AnswerHead(val status: Int, val reason: String, val fields: List<HeaderField>) {
+internal class CallerResponseHead(val status: Int, val reason: String, val fields: List<HeaderField>) {
     constructor(status: HttpStatus, fields: List<HeaderField> = emptyList()) : this(status.code, status.phrase, fields)
 }
 
 /**
- * Writes the one answer to a request on [socket]. [mayKeep] is false when the caller asked for the connection to be
+ * Writes the one answer to a request on [socket]. [keepAliveAllowed] is false when the caller asked for the connection to be
  * closed; [stopping] tells whether this instance is shutting down.
  */
-internal class CallerAnswer(
+internal class ResponseWriter(
     private val socket: NetSocket,
-    private val mayKeep: Boolean,
+    private val keepAliveAllowed: Boolean,
     private val chunked: Boolean,
     private val stopping: () -> Boolean,
 ) {
@@ -33,19 +33,19 @@
         private set
 
     /** Whether the connection stays open for another request. */
-    var keeps = mayKeep
+    var keepAlive = keepAliveAllowed
         private set
 
     /** Writes a whole answer. */
-    fun whole(head: AnswerHead, body: ByteArray) {
+    fun writeResponse(head: CallerResponseHead, body: ByteArray) {
         val length = HeaderField("Content-Length", body.size.toString())
         socket.write(message(open(head, listOf(length)), body))
         complete = true
     }
 
     /** Writes the head of an answer whose length is not known. */
-    fun startStream(head: AnswerHead) {
-        if (!chunked) keeps = false
+    fun startStream(head: CallerResponseHead) {
+        if (!chunked) keepAlive = false
         val framing = if (chunked) listOf(HeaderField("Transfer-Encoding", "chunked")) else emptyList()
         socket.write(Buffer.buffer(open(head, framing)))
     }
@@ -69,14 +69,14 @@
 
     /** Closes the connection, so that an answer that was started does not look complete. */
     fun abort() {
-        keeps = false
+        keepAlive = false
         socket.close()
     }
 
-    private fun open(head: AnswerHead, framing: List<HeaderField>): ByteArray {
-        if (stopping()) keeps = false
+    private fun open(head: CallerResponseHead, framing: List<HeaderField>): ByteArray {
+        if (stopping()) keepAlive = false
         status = head.status
-        val connection = if (keeps) emptyList() else listOf(HeaderField("Connection", "close"))
+        val connection = if (keepAlive) emptyList() else listOf(HeaderField("Connection", "close"))
         return headBytes("HTTP/1.1 ${head.status} ${head.reason}", head.fields + framing + connection)
     }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ControlContext.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ControlContext.kt
@@ -6,15 +6,15 @@
 import com.github.michaelbull.result.mapError
 import com.github.michaelbull.result.onFailure
 import org.parsleymoor.entry.net.ControlClient
-import org.parsleymoor.entry.protocol.ControlCall
+import org.parsleymoor.entry.protocol.ControlRequest
 import org.parsleymoor.entry.protocol.DecodeFailure
 import org.parsleymoor.entry.protocol.EngineProtocol
-import org.parsleymoor.entry.serving.Beliefs
+import org.parsleymoor.entry.serving.DeploymentView
 import org.parsleymoor.relay.fleet.SocketAddress
 
 /** What the control loops share. */
 internal class ControlContext(
-    val beliefs: Beliefs,
+    val deployment: DeploymentView,
     val membership: Membership,
     val client: ControlClient,
     val engines: EngineProtocol,
@@ -31,7 +31,7 @@
      */
     suspend fun <T> ask(
         address: SocketAddress,
-        call: ControlCall,
+        call: ControlRequest,
         timeoutMillis: Long,
         decode: (String) -> Result<T, DecodeFailure>,
         onFailure: (String) -> Unit,
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ControlRuntime.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ControlRuntime.kt
@@ -2,12 +2,12 @@
 
 import kotlinx.coroutines.CoroutineScope
 import org.parsleymoor.core.Clock
-import org.parsleymoor.entry.log.DecisionLog
+import org.parsleymoor.entry.log.StructuredLog
 
 /** What the control loops run on. */
 internal class ControlRuntime(
     val scope: CoroutineScope,
     val ticks: ControlTicks,
-    val log: DecisionLog,
+    val log: StructuredLog,
     val clock: Clock,
 )
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ControlTicks.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ControlTicks.kt
@@ -2,7 +2,7 @@
 
 import kotlinx.coroutines.delay
 import org.parsleymoor.core.Clock
-import org.parsleymoor.entry.serving.LoopLag
+import org.parsleymoor.entry.serving.EventLoopLag
 
 /**
  * Wakes the control loops of an instance together, because each wake-up of an idle process costs processor time. The
@@ -19,12 +19,12 @@
     }
 
     /** Tells [lag] how late each tick comes, until the coroutine is cancelled. */
-    suspend fun measure(lag: LoopLag) {
+    suspend fun measure(lag: EventLoopLag) {
         while (true) {
             val remaining = remainingMillis(1)
             lag.expect(clock.nowMillis() + remaining)
             delay(remaining)
-            lag.awake()
+            lag.wokeUp()
         }
     }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/LearnNews.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/LearnNews.kt
@@ -1,6 +1,6 @@
 package org.parsleymoor.entry.control
 
-import org.parsleymoor.entry.serving.Beliefs
+import org.parsleymoor.entry.serving.DeploymentView
 import org.parsleymoor.relay.exchange.News
 import org.parsleymoor.relay.fleet.fellSilent
 
@@ -8,14 +8,14 @@
  * Takes in [news] of a peer at [nowMillis]; returns false when they do not join what is known of a KV cache store, all
  * of whose contents are needed.
  */
-internal fun Beliefs.learn(news: News, nowMillis: Long): Boolean {
+internal fun DeploymentView.learn(news: News, nowMillis: Long): Boolean {
     when (news) {
         is News.Load -> learn(news, nowMillis)
         is News.Silent -> endpoints[news.endpoint]?.fellSilent(news.atMillis)
-        is News.Sent -> if (news.origin != self) endpoints[news.endpoint]?.let { noteSent(it, news.prompt) }
+        is News.Sent -> if (news.origin != self) endpoints[news.endpoint]?.let { recordSentPrompt(it, news.prompt) }
         is News.Ordered -> if (news.holder != self) learn(news, nowMillis)
         is News.StoreEvents -> {
-            storeNewsMillis[news.store] = nowMillis
+            lastStoreResponseMillis[news.store] = nowMillis
             return stores.joins(news)
         }
         is News.StoreLost -> stores.lost(news.store)
@@ -23,15 +23,15 @@
     return true
 }
 
-private fun Beliefs.learn(news: News.Load, nowMillis: Long) {
+private fun DeploymentView.learn(news: News.Load, nowMillis: Long) {
     val state = endpoints[news.endpoint] ?: return
     state.learnLoad(news.load)
     news.weights.forEach { (model, version) -> state.learnWeights(model, version) }
     news.clockMillis?.let { engineClock.learn(it, news.load.atMillis, nowMillis) }
 }
 
-private fun Beliefs.learn(news: News.Ordered, nowMillis: Long) {
-    othersOrderedMillis = nowMillis
+private fun DeploymentView.learn(news: News.Ordered, nowMillis: Long) {
+    lastPeerOrderMillis = nowMillis
     endpoints[news.endpoint]?.orderedUntilMillis = if (news.active) nowMillis + ORDER_MILLIS else nowMillis
 }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Listeners.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Listeners.kt
@@ -7,20 +7,20 @@
 import org.parsleymoor.core.EndpointId
 import org.parsleymoor.core.ModelId
 import org.parsleymoor.core.ZoneId
-import org.parsleymoor.entry.log.DecisionLog
+import org.parsleymoor.entry.log.StructuredLog
 import org.parsleymoor.entry.protocol.ContentDecoder
 import org.parsleymoor.entry.protocol.ObjectChange
 import org.parsleymoor.entry.protocol.StoredObject
-import org.parsleymoor.entry.serving.Beliefs
+import org.parsleymoor.entry.serving.DeploymentView
 import org.parsleymoor.relay.fleet.SocketAddress
 import org.parsleymoor.relay.placement.NamedWeights
 import org.parsleymoor.relay.routing.RouteTable
 
 /** Takes over newer configurations; one with a lower version than the one in force is ignored. */
 internal class ConfigurationListener(
-    private val beliefs: Beliefs,
+    private val deployment: DeploymentView,
     private val decoder: ContentDecoder,
-    private val log: DecisionLog,
+    private val log: StructuredLog,
 ) : ObjectListener {
     override fun onList(objects: List<StoredObject>) {
         objects.forEach(::accept)
@@ -32,11 +32,11 @@
 
     private fun accept(value: StoredObject) {
         decoder.configuration(value.content).onSuccess { configuration ->
-            val known = beliefs.routes?.configuration?.version
+            val known = deployment.routes?.configuration?.version
             if (known != null && configuration.version <= known) return
-            beliefs.routes = RouteTable(configuration)
+            deployment.routes = RouteTable(configuration)
             val stores = configuration.services.values.mapNotNull { it.store?.address }
-            beliefs.stores.retain(stores.mapNotNull { SocketAddress.parse(it) }.toSet())
+            deployment.stores.retain(stores.mapNotNull { SocketAddress.parse(it) }.toSet())
             log.write("configuration.accepted", always = true) {
                 put("version", configuration.version)
                 put("revision", value.revision)
@@ -53,26 +53,26 @@
 
 /** Keeps the table of endpoints in step with the discovery list. */
 internal class EndpointListener(
-    private val beliefs: Beliefs,
+    private val deployment: DeploymentView,
     private val decoder: ContentDecoder,
-    private val log: DecisionLog,
+    private val log: StructuredLog,
     private val clock: Clock,
 ) : ObjectListener {
     private val revisions = HashMap<String, Long>()
 
     override fun onHeard() {
-        beliefs.endpoints.listHeard(clock.nowMillis())
+        deployment.endpoints.listHeard(clock.nowMillis())
     }
 
     override fun onLost() {
-        beliefs.endpoints.listLost()
+        deployment.endpoints.listLost()
     }
 
     override fun onList(objects: List<StoredObject>) {
         val listed = objects.map { it.name }.toSet()
-        (beliefs.endpoints.all.map { it.entry.id.value } - listed).forEach(::remove)
+        (deployment.endpoints.all.map { it.entry.id.value } - listed).forEach(::remove)
         objects.forEach(::put)
-        beliefs.endpointsKnown = true
+        deployment.endpointsKnown = true
     }
 
     override fun onChange(change: ObjectChange) {
@@ -86,8 +86,8 @@
         if (known != null && value.revision <= known) return
         revisions[value.name] = value.revision
         decoder.endpoint(value.name, value.content).onSuccess { entry ->
-            val before = beliefs.endpoints[entry.id]?.entry
-            beliefs.endpoints.put(entry, clock.nowMillis())
+            val before = deployment.endpoints[entry.id]?.entry
+            deployment.endpoints.put(entry, clock.nowMillis())
             if (before?.draining != entry.draining || before.address != entry.address) {
                 log.write("endpoint.changed") {
                     put("endpoint", value.name)
@@ -109,8 +109,8 @@
     }
 
     private fun remove(name: String) {
-        if (beliefs.endpoints[EndpointId(name)] == null) return
-        val gone = beliefs.endpoints.remove(EndpointId(name), clock.nowMillis())
+        if (deployment.endpoints[EndpointId(name)] == null) return
+        val gone = deployment.endpoints.remove(EndpointId(name), clock.nowMillis())
         log.write("endpoint.removed") {
             put("endpoint", name)
             put("gone", gone)
@@ -120,9 +120,9 @@
 
 /** Keeps the weights that operators name; a lower version than the one known is ignored. */
 internal class WeightsListener(
-    private val beliefs: Beliefs,
+    private val deployment: DeploymentView,
     private val decoder: ContentDecoder,
-    private val log: DecisionLog,
+    private val log: StructuredLog,
     private val clock: Clock,
 ) : ObjectListener {
     private var heardMillis: Long? = null
@@ -153,11 +153,11 @@
     }
 
     private fun accept(model: ModelId, version: Long, revision: Long) {
-        val known = beliefs.weights[model]
+        val known = deployment.weights[model]
         if (known != null && known.version >= version) return
         // The store does not say when weights were named: at the earliest, right after it last answered without them.
         val sinceMillis = knownMissingMillis ?: (clock.nowMillis() - UNKNOWN_AGE_MILLIS)
-        beliefs.weights += model to NamedWeights(model, version, sinceMillis).after(known)
+        deployment.weights += model to NamedWeights(model, version, sinceMillis).after(known)
         log.write("weights.named", always = true) {
             put("model", model.value)
             put("version", version)
@@ -173,9 +173,9 @@
 
 /** Keeps the availability zones that are evacuated. */
 internal class EvacuationListener(
-    private val beliefs: Beliefs,
+    private val deployment: DeploymentView,
     private val decoder: ContentDecoder,
-    private val log: DecisionLog,
+    private val log: StructuredLog,
 ) : ObjectListener {
     override fun onList(objects: List<StoredObject>) {
         set(objects.map { decoder.evacuatedZone(it.name) }.toSet())
@@ -183,12 +183,12 @@
 
     override fun onChange(change: ObjectChange) {
         val zone = decoder.evacuatedZone(change.value.name)
-        set(if (change.removed) beliefs.endpoints.evacuated - zone else beliefs.endpoints.evacuated + zone)
+        set(if (change.removed) deployment.endpoints.evacuated - zone else deployment.endpoints.evacuated + zone)
     }
 
     private fun set(zones: Set<ZoneId>) {
-        if (zones == beliefs.endpoints.evacuated) return
-        beliefs.endpoints.evacuated = zones
+        if (zones == deployment.endpoints.evacuated) return
+        deployment.endpoints.evacuated = zones
         log.write("evacuation.changed", always = true) { put("zones", zones.joinToString(",") { it.value }) }
     }
 }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/LoadLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/LoadLoop.kt
@@ -15,7 +15,7 @@
  * by all instances.
  */
 internal class LoadLoop(private val context: ControlContext, private val peers: Peers) {
-    private val beliefs = context.beliefs
+    private val deployment = context.deployment
     private val engines = context.engines
     private val scope = context.scope
     private val log = context.log
@@ -27,7 +27,7 @@
     suspend fun run() {
         while (true) {
             val nowMillis = clock.nowMillis()
-            beliefs.endpoints.all.filter { isDue(it, nowMillis) }.forEach { state ->
+            deployment.endpoints.all.filter { isDue(it, nowMillis) }.forEach { state ->
                 asking += state.entry.id
                 scope.launch { ask(state) }
             }
@@ -57,17 +57,17 @@
 
     private fun learn(state: EndpointState, report: EngineReport, askedMillis: Long) {
         report.weights.forEach { (model, version) -> state.learnWeights(model, version) }
-        report.clockMillis?.let { beliefs.engineClock.read(it, askedMillis, clock.nowMillis()) }
+        report.clockMillis?.let { deployment.engineClock.read(it, askedMillis, clock.nowMillis()) }
         val load = EngineLoad(
             running = report.running,
             waiting = report.waiting,
-            prefilling = (report.running - report.producing).coerceAtLeast(0),
+            prefilling = (report.running - report.decoding).coerceAtLeast(0),
             memoryUsed = report.memoryUsed,
             memoryTotal = report.memoryTotal,
             atMillis = askedMillis,
         )
         if (state.learnLoad(load)) {
-            val engineMillis = report.clockMillis?.let { beliefs.engineClock.at(askedMillis) }
+            val engineMillis = report.clockMillis?.let { deployment.engineClock.at(askedMillis) }
             peers.tell(News.Load(state.entry.id, load, state.allWeights, engineMillis))
         }
     }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/MemberLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/MemberLoop.kt
@@ -9,10 +9,10 @@
 import org.parsleymoor.core.Clock
 import org.parsleymoor.core.InstanceId
 import org.parsleymoor.core.ZoneId
-import org.parsleymoor.entry.log.DecisionLog
+import org.parsleymoor.entry.log.StructuredLog
 import org.parsleymoor.entry.protocol.ObjectKind
 import org.parsleymoor.entry.protocol.StoredObject
-import org.parsleymoor.entry.serving.Beliefs
+import org.parsleymoor.entry.serving.DeploymentView
 import org.parsleymoor.relay.exchange.Member
 
 /**
@@ -22,9 +22,9 @@
  */
 internal class MemberLoop(
     private val store: ObjectStore,
-    private val beliefs: Beliefs,
+    private val deployment: DeploymentView,
     private val membership: Membership,
-    private val log: DecisionLog,
+    private val log: StructuredLog,
     private val clock: Clock,
 ) {
     private val seen = HashMap<String, Seen>()
@@ -37,7 +37,7 @@
         var lists = 0
         while (true) {
             if (clock.nowMillis() - (beatMillis ?: Long.MIN_VALUE / 2) >= BEAT_MILLIS) register()
-            store.list(ObjectKind.MEMBERS, inexpensive = true)
+            store.list(ObjectKind.MEMBERS, allowStale = true)
                 .onSuccess { count(it.items) }
                 .onFailure { failure -> log.write("members.unknown") { put("reason", failure.message) } }
             delay(if (lists++ < EARLY_LISTS) EARLY_MILLIS else BEAT_MILLIS)
@@ -46,7 +46,7 @@
 
     /** Removes this instance's object. */
     suspend fun leave() {
-        store.remove(ObjectKind.MEMBERS, beliefs.self.value)
+        store.remove(ObjectKind.MEMBERS, deployment.self.value)
     }
 
     private suspend fun register() {
@@ -63,7 +63,7 @@
     }
 
     private suspend fun createOrReplace(text: String): StoreFailure? {
-        val failure = store.create(ObjectKind.MEMBERS, beliefs.self.value, text).getError()
+        val failure = store.create(ObjectKind.MEMBERS, deployment.self.value, text).getError()
         return if (failure is StoreFailure.Conflict) replace(text) else failure
     }
 
@@ -73,7 +73,7 @@
     }
 
     private suspend fun replace(text: String): StoreFailure? =
-        store.replace(ObjectKind.MEMBERS, beliefs.self.value, text, revision = null).getError()
+        store.replace(ObjectKind.MEMBERS, deployment.self.value, text, revision = null).getError()
 
     private fun count(items: List<StoredObject>) {
         val nowMillis = clock.nowMillis()
@@ -87,11 +87,11 @@
         }
         seen.keys.retainAll(items.map { it.name }.toSet())
         val alive = seen.filterValues { nowMillis - it.sinceMillis < LIFE_MILLIS }.keys
-        val members = alive.map { InstanceId(it) }.toSet() + beliefs.self
-        if (members != beliefs.members) {
+        val members = alive.map { InstanceId(it) }.toSet() + deployment.self
+        if (members != deployment.members) {
             log.write("members.changed", always = true) { put("count", members.size) }
         }
-        beliefs.members = members
+        deployment.members = members
         membership.update(items.filter { it.name in alive }.mapNotNull(::member))
     }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/NewsTeller.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/NewsTeller.kt
@@ -15,7 +15,7 @@
     private val contacts: PeerContacts,
     private val node: PeerNode,
 ) {
-    private val self = context.beliefs.self
+    private val self = context.deployment.self
     private val tree = context.membership.tree
     private val clock = context.clock
     private val box = NewsBox()
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectStore.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectStore.kt
@@ -9,8 +9,8 @@
 import com.github.michaelbull.result.mapError
 import org.parsleymoor.core.Failure
 import org.parsleymoor.entry.net.CallFailure
-import org.parsleymoor.entry.net.ControlAnswer
-import org.parsleymoor.entry.protocol.ControlCall
+import org.parsleymoor.entry.net.ControlResponse
+import org.parsleymoor.entry.protocol.ControlRequest
 import org.parsleymoor.entry.protocol.DecodeFailure
 import org.parsleymoor.entry.protocol.ObjectChanges
 import org.parsleymoor.entry.protocol.ObjectKind
@@ -51,17 +51,17 @@
 internal class ObjectList(val items: List<StoredObject>, val revision: Long)
 
 /** Makes a call to the object store and waits for its answer up to a number of milliseconds. */
-internal typealias StoreCall = suspend (ControlCall, Long) -> Result<ControlAnswer, CallFailure>
+internal typealias StoreCall = suspend (ControlRequest, Long) -> Result<ControlResponse, CallFailure>
 
 /** The object store that [send] reaches. */
 internal class ObjectStore(private val protocol: ObjectProtocol, private val send: StoreCall) {
     /** Reads all objects of [kind]. */
-    suspend fun list(kind: ObjectKind, inexpensive: Boolean = false): Result<ObjectList, StoreFailure> {
+    suspend fun list(kind: ObjectKind, allowStale: Boolean = false): Result<ObjectList, StoreFailure> {
         val items = ArrayList<StoredObject>()
         var after: String? = null
         var revision: Long? = null
         do {
-            val page = call(protocol.list(kind, after, inexpensive), CALL_MILLIS)
+            val page = call(protocol.list(kind, after, allowStale), CALL_MILLIS)
                 .andThen { answer -> protocol.page(answer.body).mapError { StoreFailure.Unreadable(it) } }
                 .getOrElse { return Err(it) }
             items += page.items
@@ -103,10 +103,10 @@
     suspend fun remove(kind: ObjectKind, name: String): Result<Unit, StoreFailure> =
         call(protocol.remove(kind, name), CALL_MILLIS).map { }
 
-    private fun stored(answer: ControlAnswer): Result<StoredObject, StoreFailure> =
+    private fun stored(answer: ControlResponse): Result<StoredObject, StoreFailure> =
         protocol.stored(answer.body).mapError { StoreFailure.Unreadable(it) }
 
-    private suspend fun call(call: ControlCall, timeoutMillis: Long): Result<ControlAnswer, StoreFailure> {
+    private suspend fun call(call: ControlRequest, timeoutMillis: Long): Result<ControlResponse, StoreFailure> {
         val answer = send(call, timeoutMillis).getOrElse { failure ->
             return Err(
                 when (failure) {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/OrderLease.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/OrderLease.kt
@@ -13,7 +13,7 @@
 import org.parsleymoor.coordination.StoredLease
 import org.parsleymoor.core.Incarnation
 import org.parsleymoor.core.PauseDetector
-import org.parsleymoor.entry.log.DecisionLog
+import org.parsleymoor.entry.log.StructuredLog
 import org.parsleymoor.entry.protocol.ObjectKind
 import org.parsleymoor.entry.protocol.StoredObject
 
@@ -22,7 +22,7 @@
     self: Incarnation,
     private val store: ObjectStore,
     private val scope: CoroutineScope,
-    private val log: DecisionLog,
+    private val log: StructuredLog,
     private val pauses: PauseDetector,
     leaseMillis: Long,
 ) {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerContacts.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerContacts.kt
@@ -48,7 +48,7 @@
 
     /** Without the object store an instance that starts knows nobody; the seeds tell it what they know. */
     private fun seeds(links: List<PeerLink>): Map<InstanceId, String> {
-        if (context.beliefs.members != null) return emptyMap()
+        if (context.deployment.members != null) return emptyMap()
         val connected = links.map { it.remote.address }.toSet() + settings.listen.peers.toString()
         return settings.seeds.map { it.toString() }.filter { it !in connected }.associateBy { InstanceId(it) }
     }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerContext.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerContext.kt
@@ -1,12 +1,12 @@
 package org.parsleymoor.entry.control
 
 import org.parsleymoor.entry.EntrySettings
-import org.parsleymoor.entry.serving.Beliefs
+import org.parsleymoor.entry.serving.DeploymentView
 
 /** What the exchange with peers uses. */
 internal class PeerContext(
     val settings: EntrySettings,
-    val beliefs: Beliefs,
+    val deployment: DeploymentView,
     val membership: Membership,
     private val runtime: ControlRuntime,
 ) {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Peers.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Peers.kt
@@ -26,7 +26,7 @@
     dispatcher: CoroutineDispatcher,
 ) : PeerHandler {
     private val settings = context.settings
-    private val beliefs = context.beliefs
+    private val deployment = context.deployment
     private val log = context.log
     private val clock = context.clock
     private val node = PeerNode(
@@ -42,7 +42,7 @@
     suspend fun run(watched: Map<ObjectKind, ObjectWatch>) {
         teller.watches = watched.mapKeys { it.key.name }
         node.start(settings.listen.peers.host, settings.listen.peers.port)
-        beliefs.onSent = { endpoint, prompt -> tell(News.Sent(beliefs.self, endpoint, prompt)) }
+        deployment.onSent = { endpoint, prompt -> tell(News.Sent(deployment.self, endpoint, prompt)) }
         while (true) {
             val links = node.connected
             node.keepConnectedTo(contacts.wanted(links))
@@ -82,10 +82,10 @@
                 ?.let { send(link, it.toMessage(message.kind)) }
             is PeerMessage.ObjectsOffered -> teller.watches[message.kind]?.accept(message.toOffer())
             is PeerMessage.CacheContentsWanted -> SocketAddress.parse(message.store)
-                ?.let { beliefs.stores.contents(it) }
+                ?.let { deployment.stores.contents(it) }
                 ?.let { send(link, PeerMessage.CacheContentsOffered(it.digest())) }
             is PeerMessage.CacheContentsOffered -> (message.contents.news() as? News.StoreEvents)
-                ?.let { beliefs.stores.listed(it.store, it.epoch, it.to, it.changes) }
+                ?.let { deployment.stores.listed(it.store, it.epoch, it.to, it.changes) }
             else -> log.write("peer.unexpected") { put("message", message::class.simpleName) }
         }
     }
@@ -98,7 +98,7 @@
         val nowMillis = clock.nowMillis()
         val passOn = PassOn.entries.firstOrNull { it.name == message.passOn } ?: PassOn.NOBODY
         message.news(nowMillis).forEach { news ->
-            if (!beliefs.learn(news, nowMillis) && news is News.StoreEvents) {
+            if (!deployment.learn(news, nowMillis) && news is News.StoreEvents) {
                 want(link, PeerMessage.CacheContentsWanted(news.store.toString()), news.store.toString())
             }
             teller.passOn(news, passOn)
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/RolloutLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/RolloutLoop.kt
@@ -21,7 +21,7 @@
     private val lease: OrderLease,
     private val peers: Peers,
 ) {
-    private val beliefs = context.beliefs
+    private val deployment = context.deployment
     private val client = context.client
     private val engines = context.engines
     private val scope = context.scope
@@ -42,13 +42,13 @@
 
     private fun step() {
         val nowMillis = clock.nowMillis()
-        val due = plan.outdated(beliefs.endpoints, beliefs.weights)
+        val due = plan.outdated(deployment.endpoints, deployment.weights)
         wantedSinceMillis = if (due.isEmpty()) null else wantedSinceMillis ?: nowMillis
-        val quietSinceMillis = beliefs.othersOrderedMillis?.let { it + OTHERS_SILENT_MILLIS } ?: Long.MIN_VALUE
+        val quietSinceMillis = deployment.lastPeerOrderMillis?.let { it + OTHERS_SILENT_MILLIS } ?: Long.MIN_VALUE
         val wanted = wantedSinceMillis?.let { nowMillis - maxOf(it, quietSinceMillis) >= turnMillis() } ?: false
         lease.tick(wanted || lease.held() != null && plan.recentlyActive(nowMillis))
         if (lease.held() == null) return
-        plan.next(beliefs.endpoints, beliefs.weights, nowMillis).forEach { (state, named) ->
+        plan.next(deployment.endpoints, deployment.weights, nowMillis).forEach { (state, named) ->
             plan.started(state.entry.id, nowMillis)
             scope.launch { bring(state, named) }
         }
@@ -59,10 +59,10 @@
      * several times a second.
      */
     private fun turnMillis(): Long {
-        val members = beliefs.members.orEmpty() + beliefs.self
+        val members = deployment.members.orEmpty() + deployment.self
         if (members != turnMembers) {
             turnMembers = members
-            turnMillis = rendezvousOrder("orders", members) { it.value }.indexOf(beliefs.self) * TURN_MILLIS
+            turnMillis = rendezvousOrder("orders", members) { it.value }.indexOf(deployment.self) * TURN_MILLIS
         }
         return turnMillis
     }
@@ -106,7 +106,7 @@
         val order = WeightOrder(
             model = named.model,
             version = named.version,
-            holder = beliefs.self.value,
+            holder = deployment.self.value,
             fencingToken = held.fencingToken,
             afterOrders = report.orders,
         )
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/StoreCacheLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/StoreCacheLoop.kt
@@ -9,7 +9,7 @@
 import org.parsleymoor.core.ModelId
 import org.parsleymoor.core.rendezvousOrder
 import org.parsleymoor.entry.protocol.CacheEvents
-import org.parsleymoor.entry.protocol.ControlCall
+import org.parsleymoor.entry.protocol.ControlRequest
 import org.parsleymoor.entry.protocol.DecodeFailure
 import org.parsleymoor.entry.serving.oldestWeights
 import org.parsleymoor.relay.cache.CachedPart
@@ -26,7 +26,7 @@
  * stores drop nothing by themselves and are full of older weights after a rollout.
  */
 internal class StoreCacheLoop(private val context: ControlContext, private val peers: Peers) {
-    private val beliefs = context.beliefs
+    private val deployment = context.deployment
     private val client = context.client
     private val engines = context.engines
     private val scope = context.scope
@@ -41,7 +41,7 @@
     /** Follows the stores of the configuration in force until the coroutine is cancelled. */
     suspend fun run() {
         while (true) {
-            beliefs.cacheStores.filter { it.address !in reading && isDue(it) }.forEach { store ->
+            deployment.cacheStores.filter { it.address !in reading && isDue(it) }.forEach { store ->
                 reading += store.address
                 scope.launch {
                     read(store.address)
@@ -57,16 +57,16 @@
     }
 
     private fun isDue(store: CandidateStore): Boolean {
-        val heardMillis = beliefs.storeNewsMillis[store.address]
+        val heardMillis = deployment.lastStoreResponseMillis[store.address]
         return reads.isDue(store.address.toString(), store.traits.zone, heardMillis, clock.nowMillis())
     }
 
     private suspend fun read(store: SocketAddress) {
-        val known = beliefs.stores.summary(store)
+        val known = deployment.stores.summary(store)
         val answered = if (known == null) list(store) else events(store, known.position)
-        beliefs.storeNewsMillis[store] = clock.nowMillis()
+        deployment.lastStoreResponseMillis[store] = clock.nowMillis()
         if (!answered) {
-            beliefs.stores.lost(store)
+            deployment.stores.lost(store)
             peers.tell(News.StoreLost(store))
             delay(RETRY_MILLIS)
         }
@@ -74,7 +74,7 @@
 
     private suspend fun list(store: SocketAddress): Boolean {
         val contents = call(store, engines.contents(), CALL_MILLIS, engines::contents) ?: return false
-        beliefs.stores.listed(store, contents.epoch, contents.position, contents.changes)
+        deployment.stores.listed(store, contents.epoch, contents.position, contents.changes)
         peers.tell(News.StoreEvents(store, contents.epoch, contents.position, contents.position, emptyList()))
         log.write("cacheStore.listed") {
             put("store", store.toString())
@@ -87,7 +87,7 @@
     private suspend fun events(store: SocketAddress, position: Long): Boolean {
         val events = call(store, engines.events(position, WAIT_MILLIS), WAIT_MILLIS + CALL_MILLIS, engines::events)
             ?: return false
-        val joined = beliefs.stores.changed(store, events.epoch, events.position, events.gap, events.changes)
+        val joined = deployment.stores.changed(store, events.epoch, events.position, events.gap, events.changes)
         if (joined) {
             peers.tell(News.StoreEvents(store, events.epoch, position, events.position, events.changes))
         } else {
@@ -100,11 +100,11 @@
 
     private suspend fun call(
         store: SocketAddress,
-        call: ControlCall,
+        call: ControlRequest,
         timeoutMillis: Long,
         decode: (String) -> Result<CacheEvents, DecodeFailure>,
     ): CacheEvents? = context.ask(store, call, timeoutMillis, decode) { reason ->
-        if (beliefs.stores.summary(store) != null) {
+        if (deployment.stores.summary(store) != null) {
             log.write("cacheStore.lost", always = true) {
                 put("store", store.toString())
                 put("reason", reason)
@@ -118,15 +118,15 @@
      */
     private fun freeUnusable() {
         val nowMillis = clock.nowMillis()
-        val oldest = beliefs.weights.keys.associateWith { beliefs.oldestWeights(it) }
+        val oldest = deployment.weights.keys.associateWith { deployment.oldestWeights(it) }
         if (oldest != oldestWeights) {
             oldestWeights = oldest
             oldestSinceMillis = nowMillis
         }
         if (nowMillis - oldestSinceMillis < FETCH_MILLIS || !isFirstMember()) return
-        beliefs.cacheStores.filter { it.traits.managed }.forEach { store ->
-            val unusable = beliefs.stores.unwanted(store.address, ::isUsable).take(PARTS_A_CALL)
-            val epoch = beliefs.stores.summary(store.address)?.epoch
+        deployment.cacheStores.filter { it.traits.managed }.forEach { store ->
+            val unusable = deployment.stores.unwanted(store.address, ::isUsable).take(PARTS_A_CALL)
+            val epoch = deployment.stores.summary(store.address)?.epoch
             if (unusable.isNotEmpty() && epoch != null) {
                 scope.launch { free(store.address, epoch, unusable) }
             }
@@ -134,14 +134,14 @@
     }
 
     private fun isFirstMember(): Boolean {
-        val members = beliefs.members ?: return false
-        return rendezvousOrder("free", members) { it.value }.first() == beliefs.self
+        val members = deployment.members ?: return false
+        return rendezvousOrder("free", members) { it.value }.first() == deployment.self
     }
 
     private suspend fun free(store: SocketAddress, epoch: Long, parts: List<CachedPart>) {
         val answer = client.call(store, engines.free(parts, epoch), CALL_MILLIS).mapError { it.message }
         val status = answer.getOrElse { null }?.status
-        if (status == HttpStatus.OK.code) beliefs.stores.freed(store, epoch, parts)
+        if (status == HttpStatus.OK.code) deployment.stores.freed(store, epoch, parts)
         log.write("cacheStore.freed") {
             put("store", store.toString())
             put("parts", parts.size)
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/log/LibraryLog.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/log/LibraryLogHandler.kt
@@ -8,7 +8,7 @@
 import java.util.logging.Logger
 
 /** Passes what libraries log through java.util.logging on to [log], from [level] on. */
-public class LibraryLog(private val log: DecisionLog, private val level: Level = Level.WARNING) : Handler() {
+public class LibraryLogHandler(private val log: StructuredLog, private val level: Level = Level.WARNING) : Handler() {
     /** Replaces the handlers of the root logger. */
     public fun install() {
         LogManager.getLogManager().reset()
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/log/DecisionLog.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/log/StructuredLog.kt
@@ -14,7 +14,7 @@
  * no request; when [QUEUE_LINES] wait, or [LINES_PER_SECOND] were written in a second, further lines are counted and
  * dropped. The next line that is written says how many.
  */
-public class DecisionLog(
+public class StructuredLog(
     private val clock: Clock,
     private val instance: String,
     private val output: PrintStream = System.out,
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/ConnectionPool.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/ConnectionPool.kt
@@ -33,7 +33,7 @@
         val newest = usable.lastOrNull()
         connections.clear()
         connections.addAll(usable.dropLast(1))
-        newest?.input?.onUnexpected = {}
+        newest?.input?.onUnsolicitedData = {}
         return newest
     }
 
@@ -64,7 +64,7 @@
     }
 
     /** Takes back [connection] after a complete response, which announced to keep it open for [keepMillis]. */
-    fun giveBack(connection: EndpointConnection, keepMillis: Long?) {
+    fun release(connection: EndpointConnection, keepMillis: Long?) {
         if (!connection.reusable) {
             connection.close()
             return
@@ -72,7 +72,7 @@
         val kept = keepMillis?.let { maxOf(it - CLOSING_MARGIN_MILLIS, it / 2) } ?: DEFAULT_IDLE_MILLIS
         connection.idleUntilMillis = clock.nowMillis() + kept
         // Bytes outside of a response belong to no request.
-        connection.input.onUnexpected = { connection.close() }
+        connection.input.onUnsolicitedData = { connection.close() }
         idle.getOrPut(connection.address) { ArrayDeque() }.addLast(connection)
     }
 
@@ -86,7 +86,7 @@
         val nowMillis = clock.nowMillis()
         idle.values.forEach { connections ->
             connections.filter { !it.reusable || nowMillis >= it.idleUntilMillis }.forEach { it.close() }
-            connections.removeAll { it.spoiled }
+            connections.removeAll { it.noNewRequests }
         }
         idle.values.removeAll { it.isEmpty() }
     }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/ControlClient.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/ControlClient.kt
@@ -7,12 +7,12 @@
 import com.github.michaelbull.result.mapError
 import kotlinx.coroutines.withTimeoutOrNull
 import org.parsleymoor.core.Failure
-import org.parsleymoor.entry.protocol.ControlCall
+import org.parsleymoor.entry.protocol.ControlRequest
 import org.parsleymoor.relay.fleet.SocketAddress
 import org.parsleymoor.relay.http.HeaderField
 
 /** A response to a control call. */
-internal class ControlAnswer(val status: Int, val body: String)
+internal class ControlResponse(val status: Int, val body: String)
 
 /** Why a control call has no response. */
 internal sealed interface CallFailure : Failure {
@@ -30,31 +30,31 @@
     /** Sends [call] to [address] and suspends until its whole response has arrived, at most [timeoutMillis]. */
     suspend fun call(
         address: SocketAddress,
-        call: ControlCall,
+        call: ControlRequest,
         timeoutMillis: Long,
-    ): Result<ControlAnswer, CallFailure> {
+    ): Result<ControlResponse, CallFailure> {
         val connection = pool.takeIdle(address)
             ?: pool.connect(address, CONNECTIONS, minOf(timeoutMillis, CONNECT_MILLIS))
                 .getOrElse { return Err(CallFailure.NotSent(it)) }
-        var answer: Result<ControlAnswer, CallFailure>? = null
+        var answer: Result<ControlResponse, CallFailure>? = null
         try {
             connection.send(message(head(address, call), call.body.orEmpty().encodeToByteArray()))
             answer = withTimeoutOrNull(timeoutMillis) { receive(connection, call) }
         } finally {
-            if (answer?.isOk == true) pool.giveBack(connection, null) else connection.close()
+            if (answer?.isOk == true) pool.release(connection, null) else connection.close()
         }
         return answer ?: Err(CallFailure.Unanswered("no response within $timeoutMillis ms"))
     }
 
-    private suspend fun receive(connection: EndpointConnection, call: ControlCall): Result<ControlAnswer, CallFailure> {
+    private suspend fun receive(connection: EndpointConnection, call: ControlRequest): Result<ControlResponse, CallFailure> {
         val response = connection.readResponse(call.method).getOrElse { return Err(CallFailure.Unanswered(it.message)) }
-        if (!response.head.keepsAlive) connection.spoiled = true
+        if (!response.head.keepsAlive) connection.noNewRequests = true
         return connection.readBody(response)
-            .map { ControlAnswer(response.head.status, it.decodeToString()) }
+            .map { ControlResponse(response.head.status, it.decodeToString()) }
             .mapError { CallFailure.Unanswered(it.message) }
     }
 
-    private fun head(address: SocketAddress, call: ControlCall): ByteArray {
+    private fun head(address: SocketAddress, call: ControlRequest): ByteArray {
         val fields = ArrayList<HeaderField>()
         fields += HeaderField("Host", address.toString())
         call.headers.forEach { (name, value) -> fields += HeaderField(name, value) }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/EndpointConnection.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/EndpointConnection.kt
@@ -35,13 +35,13 @@
     var idleUntilMillis: Long = Long.MAX_VALUE
 
     /** Whether no further request may be sent, because the framing is in doubt or an end was announced. */
-    var spoiled = false
+    var noNewRequests = false
 
     /** Whether responses on this connection have named the request that they answer. */
-    var identified = false
+    var echoesRequestIds = false
 
     /** Whether another request can be sent. */
-    val reusable: Boolean get() = !spoiled && input.end == null && input.queue.size == 0
+    val reusable: Boolean get() = !noNewRequests && input.end == null && input.queue.size == 0
 
     /** Sends a whole request. */
     fun send(request: Buffer) {
@@ -67,7 +67,7 @@
     }
 
     /** Reads the body of [response] to its end and drops it, within the same limit. */
-    suspend fun dropBody(response: IncomingResponse): Result<Unit, MessageFault> = readBody(response) {}
+    suspend fun discardBody(response: IncomingResponse): Result<Unit, MessageFault> = readBody(response) {}
 
     private suspend fun readBody(response: IncomingResponse, take: (ByteArray) -> Unit): Result<Unit, MessageFault> {
         var bytes = (response.framing as? BodyFraming.Length)?.bytes?.takeIf { it > BODY_LIMIT_BYTES } ?: 0
@@ -95,7 +95,7 @@
 
     /** Closes the connection; the endpoint drops what runs on it. */
     fun close() {
-        spoiled = true
+        noNewRequests = true
         socket.close()
     }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/SocketInput.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/SocketInput.kt
@@ -21,7 +21,7 @@
         private set
 
     /** Called when bytes arrive while nobody waits for any. */
-    var onUnexpected: () -> Unit = {}
+    var onUnsolicitedData: () -> Unit = {}
 
     /** Called when the connection ends. */
     var onEnd: () -> Unit = {}
@@ -34,7 +34,7 @@
         socket.handler { buffer ->
             queue.append(buffer.bytes)
             if (queue.size > LIMIT_BYTES && !paused) pause()
-            if (waiter == null) onUnexpected() else wake()
+            if (waiter == null) onUnsolicitedData() else wake()
         }
         socket.exceptionHandler { failed = true }
         socket.closeHandler {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/protocol/ServingProtocol.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/protocol/ServingProtocol.kt
@@ -10,7 +10,7 @@
 import org.parsleymoor.relay.routing.ServingConfiguration
 
 /** A request of the control plane; [target] is path and query. */
-public class ControlCall(
+public class ControlRequest(
     public val method: String,
     public val target: String,
     public val body: String? = null,
@@ -43,23 +43,23 @@
 
 /** Calls to the object store and their responses. */
 public interface ObjectProtocol {
-    /** Lists [kind]; [inexpensive] reads may be seconds old. */
-    public fun list(kind: ObjectKind, after: String?, inexpensive: Boolean): ControlCall
+    /** Lists [kind]; [allowStale] reads may be seconds old. */
+    public fun list(kind: ObjectKind, after: String?, allowStale: Boolean): ControlRequest
 
     /** Waits up to [waitMillis] for changes of [kind] after [revision]. */
-    public fun watch(kind: ObjectKind, revision: Long, waitMillis: Long): ControlCall
+    public fun watch(kind: ObjectKind, revision: Long, waitMillis: Long): ControlRequest
 
     /** Reads one object. */
-    public fun read(kind: ObjectKind, name: String): ControlCall
+    public fun read(kind: ObjectKind, name: String): ControlRequest
 
     /** Creates an object. */
-    public fun create(kind: ObjectKind, name: String, content: String): ControlCall
+    public fun create(kind: ObjectKind, name: String, content: String): ControlRequest
 
     /** Replaces an object when its revision is [revision]; with null, whatever it is. */
-    public fun replace(kind: ObjectKind, name: String, content: String, revision: Long?): ControlCall
+    public fun replace(kind: ObjectKind, name: String, content: String, revision: Long?): ControlRequest
 
     /** Removes an object. */
-    public fun remove(kind: ObjectKind, name: String): ControlCall
+    public fun remove(kind: ObjectKind, name: String): ControlRequest
 
     /** Decodes a page of a list. */
     public fun page(body: String): Result<ObjectPage, DecodeFailure>
@@ -87,7 +87,7 @@
 }
 
 /**
- * State of an engine. [orders] is the number of orders that it has accepted since its start, [producing] the number of
+ * State of an engine. [orders] is the number of orders that it has accepted since its start, [decoding] the number of
  * running requests that have made a token. Memory is counted in tokens. [clockMillis] is the clock that engines share.
  */
 public data class EngineReport(
@@ -96,7 +96,7 @@
     public val weights: Map<ModelId, Long>,
     public val running: Int,
     public val waiting: Int,
-    public val producing: Int,
+    public val decoding: Int,
     public val memoryUsed: Long,
     public val memoryTotal: Long,
     public val clockMillis: Long? = null,
@@ -122,19 +122,19 @@
 /** Calls to engines and KV cache stores. */
 public interface EngineProtocol {
     /** Asks for the state of an engine. */
-    public fun report(): ControlCall
+    public fun report(): ControlRequest
 
     /** Orders the endpoint [endpoint] to load weights. */
-    public fun order(endpoint: String, order: WeightOrder): ControlCall
+    public fun order(endpoint: String, order: WeightOrder): ControlRequest
 
     /** Waits up to [waitMillis] for cache events after [position]. */
-    public fun events(position: Long, waitMillis: Long): ControlCall
+    public fun events(position: Long, waitMillis: Long): ControlRequest
 
     /** Asks for all that a cache holds. */
-    public fun contents(): ControlCall
+    public fun contents(): ControlRequest
 
     /** Frees [parts] of a store that started as [epoch]. */
-    public fun free(parts: List<CachedPart>, epoch: Long): ControlCall
+    public fun free(parts: List<CachedPart>, epoch: Long): ControlRequest
 
     /** Decodes the state of an engine. */
     public fun report(body: String): Result<EngineReport, DecodeFailure>
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
@@ -3,7 +3,7 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
 import kotlinx.coroutines.withTimeoutOrNull
-import org.parsleymoor.entry.callers.CallerAnswer
+import org.parsleymoor.entry.callers.ResponseWriter
 import org.parsleymoor.entry.net.EndpointConnection
 import org.parsleymoor.entry.net.IncomingResponse
 import org.parsleymoor.entry.net.message
@@ -16,44 +16,44 @@
 import org.parsleymoor.relay.routing.RequestKind
 
 /** What all attempts use. */
-internal class AttemptTools(
+internal class AttemptContext(
     context: ServingContext,
     val names: HeaderNames,
     val discardIdle: (SocketAddress) -> Unit,
 ) {
     val clock = context.clock
     val requests = EndpointRequest(names)
-    val learning = EndpointLearning(names, context.clock)
+    val learning = EndpointStateUpdater(names, context.clock)
 }
 
-/** One request of [work] to [target] over [connection], and the passing on of its response to [answer]. */
+/** One request of [pending] to [target] over [connection], and the passing on of its response to [answer]. */
 internal class Attempt(
-    private val tools: AttemptTools,
-    private val work: Work,
+    private val tools: AttemptContext,
+    private val pending: PendingRequest,
     private val target: Target,
     private val connection: EndpointConnection,
-    private val answer: CallerAnswer,
+    private val answer: ResponseWriter,
     private val progress: AttemptProgress,
 ) {
     private val clock = tools.clock
     private val names = tools.names
     private val state = target.endpoint
-    private val reader = ResponseReader(work, connection, names)
+    private val reader = ResponseReader(pending, connection, names)
 
     /** Sends the request and suspends until the outcome is known. */
     suspend fun run(): AttemptResult {
-        val remaining = work.limitMillis - clock.nowMillis()
+        val remaining = pending.deadlineMillis - clock.nowMillis()
         val obstacle = when {
             remaining <= 0 -> "no time was left"
-            !work.started && clock.nowMillis() >= work.beginLimitMillis -> "the caller no longer waits"
+            !pending.started && clock.nowMillis() >= pending.firstByteDeadlineMillis -> "the caller no longer waits"
             !connection.reusable -> "the connection ended before it was used"
             else -> null
         }
         if (obstacle != null) return AttemptResult.NotRun(obstacle, sent = false)
-        connection.send(message(tools.requests.head(work, target, remaining), work.request.body))
+        connection.send(message(tools.requests.head(pending, target, remaining), pending.request.body))
         progress.sent = true
-        work.sends++
-        val patience = work.patienceMillis(target, remaining)
+        pending.sendCount++
+        val patience = pending.responseTimeoutMillis(target, remaining)
         return awaitResponse(patience)?.fold({ judge(it) }, { broken(it) }) ?: silent(patience)
     }
 
@@ -61,7 +61,7 @@
     private suspend fun awaitResponse(patience: Long): Result<IncomingResponse, MessageFault>? {
         val sentMillis = clock.nowMillis()
         return withTimeoutOrNull(patience) {
-            val first = withTimeoutOrNull(minOf(patience, work.silenceMillis(target))) { reader.head() }
+            val first = withTimeoutOrNull(minOf(patience, pending.silenceTimeoutMillis(target))) { reader.head() }
             if (first == null && state.answeredMillis >= sentMillis) reader.head() else first
         }
     }
@@ -81,15 +81,15 @@
 
     private suspend fun judge(response: IncomingResponse): AttemptResult {
         val head = response.head
-        tools.learning.learn(work, state, head)
-        if (!head.keepsAlive) connection.spoiled = true
-        progress.keepMillis = head.keepAliveMillis
+        tools.learning.learn(pending, state, head)
+        if (!head.keepsAlive) connection.noNewRequests = true
+        progress.keepAliveMillis = head.keepAliveMillis
         return when {
             head.isRefusal(names) -> refusal(response)
             head.status in PROMISES -> failed("unconfirmed refusal ${head.status}")
             head.status in SUCCESS && !head.isSealed(names) -> failed("success without a seal")
-            work.route.kind == RequestKind.STREAM && head.isEventStream -> stream(response)
-            else -> whole(response)
+            pending.route.kind == RequestKind.STREAM && head.isEventStream -> stream(response)
+            else -> relayComplete(response)
         }
     }
 
@@ -101,20 +101,20 @@
     }
 
     private suspend fun stream(response: IncomingResponse): AttemptResult {
-        val relay = StreamRelay(clock, work, connection, answer, progress)
+        val relay = StreamRelay(clock, pending, connection, answer, progress)
         val result = relay.relay(response, response.head.toAnswer(names))
         note(if (result is AttemptResult.Delivered) AttemptEvidence.ANSWERED else AttemptEvidence.FAILED)
         return result
     }
 
-    private suspend fun whole(response: IncomingResponse): AttemptResult {
-        val body = withTimeoutOrNull(work.limitMillis - clock.nowMillis()) { reader.body(response) }
+    private suspend fun relayComplete(response: IncomingResponse): AttemptResult {
+        val body = withTimeoutOrNull(pending.deadlineMillis - clock.nowMillis()) { reader.body(response) }
             ?: return failed("the answer broke off")
         progress.complete = true
         val head = response.head.toAnswer(names)
         val failure = head.status in SERVER_FAILURES
         note(if (failure) AttemptEvidence.FAILED else AttemptEvidence.ANSWERED)
-        if (!failure) answer.whole(head, body)
+        if (!failure) answer.writeResponse(head, body)
         return if (failure) AttemptResult.Failed(head, body) else AttemptResult.Delivered(head.status)
     }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/AttemptProgress.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/AttemptProgress.kt
@@ -11,7 +11,7 @@
     var complete = false
 
     /** How long the endpoint keeps the connection open, where it says so. */
-    var keepMillis: Long? = null
+    var keepAliveMillis: Long? = null
     private var tokensRead = false
 
     /** Notes that the endpoint sent something. */
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/AttemptResult.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/AttemptResult.kt
@@ -1,6 +1,6 @@
 package org.parsleymoor.entry.serving
 
-import org.parsleymoor.entry.callers.AnswerHead
+import org.parsleymoor.entry.callers.CallerResponseHead
 
 /** How one attempt at an endpoint ended. */
 internal sealed interface AttemptResult {
@@ -13,7 +13,7 @@
     }
 
     /** The endpoint answered with a failure of its own, which has not been delivered. */
-    class Failed(val head: AnswerHead, val body: ByteArray) : AttemptResult {
+    class Failed(val head: CallerResponseHead, val body: ByteArray) : AttemptResult {
         override val outcome: String get() = "endpoint answered ${head.status}"
     }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempts.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/AttemptRunner.kt
@@ -9,7 +9,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
-import org.parsleymoor.entry.callers.CallerAnswer
+import org.parsleymoor.entry.callers.ResponseWriter
 import org.parsleymoor.entry.net.ConnectFailure
 import org.parsleymoor.entry.net.ConnectionPool
 import org.parsleymoor.entry.net.EndpointConnection
@@ -21,32 +21,34 @@
 import org.parsleymoor.relay.routing.RequestKind
 
 /** Finds connections for attempts and takes them back. Confined to the event loop. */
-internal class Attempts(
+internal class AttemptRunner(
     private val context: ServingContext,
     private val pool: ConnectionPool,
     private val names: HeaderNames,
     private val scope: CoroutineScope,
 ) {
-    private val beliefs = context.beliefs
+    private val deployment = context.deployment
     private val clock = context.clock
-    private val tools = AttemptTools(context, names, pool::discardIdle)
+    private val tools = AttemptContext(context, names, pool::discardIdle)
 
-    /** Sends [work] to [target] and, where it succeeds, writes the answer; suspends until the outcome is known. */
-    suspend fun run(work: Work, target: Target, answer: CallerAnswer): AttemptResult {
+    /** Sends [pending] to [target] and, where it succeeds, writes the answer; suspends until the outcome is known. */
+    suspend fun run(pending: PendingRequest, target: Target, answer: ResponseWriter): AttemptResult {
         val state = target.endpoint
-        val connection = connect(work, state).getOrElse { return notConnected(state, it) }
-        val tokens = work.prompt?.promptTokens ?: 0
+        val connection = connect(pending, state).getOrElse { return notConnected(state, it) }
+        val tokens = pending.prompt?.promptTokens ?: 0
         val progress = AttemptProgress(state, tokens)
         var handedOver = false
         state.started(tokens)
-        target.reading?.let { beliefs.sent(state, SentPrompt(clock.nowMillis(), tokens, it.tokens, it.context)) }
+        target.reading?.let {
+            deployment.recordAndAnnounceSentPrompt(state, SentPrompt(clock.nowMillis(), tokens, it.tokens, it.context))
+        }
         try {
             // What has arrived meanwhile is read first: a caller that has left while this instance was short of
             // processor time ends its request here.
             delay(CATCH_UP_MILLIS)
-            return Attempt(tools, work, target, connection, answer, progress).run()
+            return Attempt(tools, pending, target, connection, answer, progress).run()
         } catch (cancelled: CancellationException) {
-            handedOver = finishLater(work, connection, progress)
+            handedOver = finishLater(pending, connection, progress)
             throw cancelled
         } finally {
             progress.read()
@@ -55,11 +57,11 @@
         }
     }
 
-    private suspend fun connect(work: Work, state: EndpointState): Result<EndpointConnection, ConnectFailure> {
+    private suspend fun connect(pending: PendingRequest, state: EndpointState): Result<EndpointConnection, ConnectFailure> {
         val address = state.entry.address
         pool.takeIdle(address)?.let { return Ok(it) }
-        val remaining = work.limitMillis - clock.nowMillis()
-        val limit = maxOf(MINIMAL_CONNECTIONS, work.service.connectionLimit / beliefs.instances)
+        val remaining = pending.deadlineMillis - clock.nowMillis()
+        val limit = maxOf(MINIMAL_CONNECTIONS, pending.service.connectionLimit / deployment.instances)
         return pool.connect(address, limit, minOf(remaining / 2, CONNECT_MILLIS).coerceAtLeast(1))
     }
 
@@ -69,11 +71,15 @@
     }
 
     /** Waits for the response of a request that must not be cut off when its caller leaves; returns whether it does. */
-    private fun finishLater(work: Work, connection: EndpointConnection, progress: AttemptProgress): Boolean {
-        if (!progress.sent || progress.complete || work.route.kind != RequestKind.NON_IDEMPOTENT) return false
+    private fun finishLater(
+        pending: PendingRequest,
+        connection: EndpointConnection,
+        progress: AttemptProgress
+    ): Boolean {
+        if (!progress.sent || progress.complete || pending.route.kind != RequestKind.NON_IDEMPOTENT) return false
         scope.launch {
-            val remaining = work.limitMillis - clock.nowMillis()
-            val reader = ResponseReader(work, connection, names)
+            val remaining = pending.deadlineMillis - clock.nowMillis()
+            val reader = ResponseReader(pending, connection, names)
             withTimeoutOrNull(remaining) {
                 reader.head().map { progress.complete = reader.body(it) != null }
             }
@@ -84,7 +90,7 @@
 
     private fun settle(connection: EndpointConnection, progress: AttemptProgress) {
         if (progress.complete || !progress.sent) {
-            pool.giveBack(connection, progress.keepMillis)
+            pool.release(connection, progress.keepAliveMillis)
         } else {
             connection.close()
         }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Delivery.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Delivery.kt
@@ -2,7 +2,7 @@
 
 import kotlinx.coroutines.delay
 import kotlinx.serialization.json.put
-import org.parsleymoor.entry.callers.CallerAnswer
+import org.parsleymoor.entry.callers.ResponseWriter
 import org.parsleymoor.relay.limits.SharedRetryBudget
 import org.parsleymoor.relay.placement.NoPlaceReason
 
@@ -12,56 +12,56 @@
  */
 internal class Delivery(
     context: ServingContext,
-    private val placer: Placer,
-    private val attempts: Attempts,
-    private val refusals: Refusals,
+    private val selector: EndpointSelector,
+    private val attempts: AttemptRunner,
+    private val refusals: RefusalWriter,
     private val budget: SharedRetryBudget,
 ) {
-    private val beliefs = context.beliefs
+    private val deployment = context.deployment
     private val log = context.log
     private val metrics = context.metrics
     private val clock = context.clock
 
-    /** Delivers [work] through [answer]; suspends until the answer is written or given up. */
-    suspend fun deliver(work: Work, answer: CallerAnswer) {
-        budget.request(work.service.name, clock.nowMillis())
+    /** Delivers [pending] through [answer]; suspends until the answer is written or given up. */
+    suspend fun deliver(pending: PendingRequest, answer: ResponseWriter) {
+        budget.request(pending.service.name, clock.nowMillis())
         var last: AttemptResult = AttemptResult.NotRun("no endpoint was asked", sent = false)
-        var choice = chooseSoon(work)
+        var choice = chooseSoon(pending)
         var again = true
         while (again && choice is Choice.Chosen) {
-            last = attempt(work, choice.target, answer)
-            account(work, choice.target, last)
-            again = mayRepeat(work, last)
-            if (again) choice = chooseSoon(work)
+            last = attempt(pending, choice.target, answer)
+            account(pending, choice.target, last)
+            again = mayRepeat(pending, last)
+            if (again) choice = chooseSoon(pending)
         }
-        if (last !is AttemptResult.Delivered) giveUp(work, answer, last, choice as? Choice.None)
+        if (last !is AttemptResult.Delivered) giveUp(pending, answer, last, choice as? Choice.None)
     }
 
     /** Chooses an endpoint; while all are full, waits for a part of the objective, in which one usually gets room. */
-    private suspend fun chooseSoon(work: Work): Choice {
-        val untilMillis = work.request.receivedMillis + (work.route.objectiveMillis * HOLD_SHARE).toLong()
-        var choice = placer.choose(work)
+    private suspend fun chooseSoon(pending: PendingRequest): Choice {
+        val untilMillis = pending.request.receivedMillis + (pending.route.objectiveMillis * HOLD_SHARE).toLong()
+        var choice = selector.choose(pending)
         while ((choice as? Choice.None)?.reason == NoPlaceReason.OVERLOADED && clock.nowMillis() < untilMillis) {
             delay(HOLD_POLL_MILLIS)
-            choice = placer.choose(work)
+            choice = selector.choose(pending)
         }
         return choice
     }
 
-    private suspend fun attempt(work: Work, target: Target, answer: CallerAnswer): AttemptResult {
+    private suspend fun attempt(pending: PendingRequest, target: Target, answer: ResponseWriter): AttemptResult {
         val startMillis = clock.nowMillis()
-        val result = attempts.run(work, target, answer)
+        val result = attempts.run(pending, target, answer)
         val nowMillis = clock.nowMillis()
         metrics.attempts.increment()
         log.write("request.attempt", always = result !is AttemptResult.Delivered) {
             val endpoint = target.endpoint
-            put("request", work.id.value)
-            put("route", work.route.name)
+            put("request", pending.id.value)
+            put("route", pending.route.name)
             put("endpoint", endpoint.entry.id.value)
             put("entryAgeMillis", nowMillis - endpoint.heardMillis)
-            put("configuration", beliefs.routes?.configuration?.version)
+            put("configuration", deployment.routes?.configuration?.version)
             put("estimateMillis", target.estimateMillis.toLong())
-            work.prompt?.let { prompt ->
+            pending.prompt?.let { prompt ->
                 put("context", prompt.affinityKey)
                 put("sharedTokens", prompt.sharedTokens)
                 put("promptTokens", prompt.promptTokens)
@@ -76,44 +76,44 @@
                 put("memoryUsed", load.memoryUsed)
                 put("loadAgeMillis", startMillis - load.atMillis)
             }
-            work.firstByteMillis?.let { put("firstByteMillis", it - startMillis) }
+            pending.firstByteMillis?.let { put("firstByteMillis", it - startMillis) }
             put("millis", nowMillis - startMillis)
             put("outcome", result.outcome)
         }
         return result
     }
 
-    private fun account(work: Work, target: Target, result: AttemptResult) {
-        if (result is AttemptResult.Uncertain || result is AttemptResult.Failed) work.runs++
-        work.tried += target.endpoint.entry.id
+    private fun account(pending: PendingRequest, target: Target, result: AttemptResult) {
+        if (result is AttemptResult.Uncertain || result is AttemptResult.Failed) pending.possibleRuns++
+        pending.tried += target.endpoint.entry.id
     }
 
-    private fun mayRepeat(work: Work, result: AttemptResult): Boolean {
-        val untilMillis = if (work.started) work.limitMillis else work.beginLimitMillis
+    private fun mayRepeat(pending: PendingRequest, result: AttemptResult): Boolean {
+        val untilMillis = if (pending.started) pending.deadlineMillis else pending.firstByteDeadlineMillis
         val timeLeft = untilMillis - clock.nowMillis() > MINIMAL_MILLIS
         val allowed = when (result) {
             is AttemptResult.Delivered -> false
-            is AttemptResult.NotRun -> work.runs < work.route.attempts && work.sends < MAXIMAL_SENDS
+            is AttemptResult.NotRun -> pending.possibleRuns < pending.route.attempts && pending.sendCount < MAXIMAL_SENDS
             is AttemptResult.Failed, is AttemptResult.Uncertain ->
-                work.route.repeatable && work.runs < work.route.attempts
+                pending.route.repeatable && pending.possibleRuns < pending.route.attempts
         }
-        return timeLeft && allowed && withinBudget(work, result)
+        return timeLeft && allowed && withinBudget(pending, result)
     }
 
-    private fun withinBudget(work: Work, result: AttemptResult): Boolean =
-        (result is AttemptResult.NotRun && !result.sent && work.sends == 0) ||
-            budget.tryRepeat(work.service.name, beliefs.instances, clock.nowMillis())
+    private fun withinBudget(pending: PendingRequest, result: AttemptResult): Boolean =
+        (result is AttemptResult.NotRun && !result.sent && pending.sendCount == 0) ||
+            budget.tryRepeat(pending.service.name, deployment.instances, clock.nowMillis())
 
-    private fun giveUp(work: Work, answer: CallerAnswer, last: AttemptResult, choice: Choice.None?) {
+    private fun giveUp(pending: PendingRequest, answer: ResponseWriter, last: AttemptResult, choice: Choice.None?) {
         when {
             answer.status != null -> answer.abort()
-            last is AttemptResult.Failed -> answer.whole(last.head, last.body)
-            work.runs > 0 && clock.nowMillis() >= work.limitMillis ->
-                refusals.answer(answer, work.id, Refusal.TimedOut(last.outcome))
-            work.runs > 0 -> refusals.answer(answer, work.id, Refusal.OutcomeUnknown(last.outcome))
-            choice != null && work.sends == 0 ->
-                refusals.answer(answer, work.id, Refusal.NoPlace(choice.reason, choice.retryAfterMillis))
-            else -> refusals.answer(answer, work.id, Refusal.EndpointsRefused(last.outcome))
+            last is AttemptResult.Failed -> answer.writeResponse(last.head, last.body)
+            pending.possibleRuns > 0 && clock.nowMillis() >= pending.deadlineMillis ->
+                refusals.answer(answer, pending.id, Refusal.TimedOut(last.outcome))
+            pending.possibleRuns > 0 -> refusals.answer(answer, pending.id, Refusal.OutcomeUnknown(last.outcome))
+            choice != null && pending.sendCount == 0 ->
+                refusals.answer(answer, pending.id, Refusal.NoEndpoint(choice.reason, choice.retryAfterMillis))
+            else -> refusals.answer(answer, pending.id, Refusal.EndpointsRefused(last.outcome))
         }
     }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Beliefs.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/DeploymentView.kt
@@ -15,7 +15,7 @@
 import org.parsleymoor.relay.routing.RouteTable
 
 /** What this instance believes of the deployment. Confined to the event loop. */
-internal class Beliefs(val self: InstanceId) {
+internal class DeploymentView(val self: InstanceId) {
     /** Routes of the newest configuration, or null before any is known. */
     var routes: RouteTable? = null
         set(value) {
@@ -42,7 +42,7 @@
     var members: Set<InstanceId>? = null
 
     /** When another instance was last heard to give orders to an engine, or null. */
-    var othersOrderedMillis: Long? = null
+    var lastPeerOrderMillis: Long? = null
 
     /** Called with each prompt that this instance sends to an engine. */
     var onSent: (EndpointId, SentPrompt) -> Unit = { _, _ -> }
@@ -54,13 +54,13 @@
     val contexts = RecentContexts()
 
     /** Notes that this instance sends [prompt] to [state], and tells its peers. */
-    fun sent(state: EndpointState, prompt: SentPrompt) {
-        noteSent(state, prompt)
+    fun recordAndAnnounceSentPrompt(state: EndpointState, prompt: SentPrompt) {
+        recordSentPrompt(state, prompt)
         onSent(state.entry.id, prompt)
     }
 
     /** Notes that this instance or a peer sent [prompt] to [state]. */
-    fun noteSent(state: EndpointState, prompt: SentPrompt) {
+    fun recordSentPrompt(state: EndpointState, prompt: SentPrompt) {
         state.sent(prompt)
         contexts.sent(prompt.context, state.start, prompt.atMillis)
     }
@@ -69,7 +69,7 @@
     val stores = StoreDirectory()
 
     /** When this instance or a peer last had an answer from each KV cache store. */
-    val storeNewsMillis = HashMap<SocketAddress, Long>()
+    val lastStoreResponseMillis = HashMap<SocketAddress, Long>()
 
     /** Number of instances by which shared limits are divided. */
     val instances: Int get() = members?.size ?: UNKNOWN_INSTANCES
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/EndpointRequest.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/EndpointRequest.kt
@@ -20,7 +20,7 @@
 )
 
 /** What an engine has to read of a prompt whose shared parts are named by [context]. */
-internal class PlannedReading(val tokens: Long, val context: ContextKey)
+internal class PlannedPrefill(val tokens: Long, val context: ContextKey)
 
 /** The endpoint chosen for a request, with what the request expects there. */
 internal class Target(
@@ -29,7 +29,7 @@
     val weights: Long? = null,
     val namespace: String? = null,
     val transfer: CacheTransfer = CacheTransfer(),
-    val reading: PlannedReading? = null,
+    val reading: PlannedPrefill? = null,
 ) {
     /** Load of the engine when it was chosen. */
     val load: EngineLoad? = endpoint.engineLoad
@@ -43,24 +43,24 @@
         listOf(attemptId, model, tokenUsage, promptParts, lastEventId).map { it.lowercase() }.toSet()
     }
 
-    /** Returns the head of [work]'s request to [target], which has [remainingMillis] to answer. */
-    fun head(work: Work, target: Target, remainingMillis: Long): ByteArray {
-        val head = work.request.head
+    /** Returns the head of [pending]'s request to [target], which has [remainingMillis] to answer. */
+    fun head(pending: PendingRequest, target: Target, remainingMillis: Long): ByteArray {
+        val head = pending.request.head
         val fields = ArrayList<HeaderField>(head.headers.fields.size + ADDED_FIELDS)
-        fields += forwarded(head.headers, work)
+        fields += forwarded(head.headers, pending)
         fields += HeaderField(names.caller.deadlineMillis, remainingMillis.toString())
         fields += HeaderField(names.system.expectedEndpoint, target.endpoint.entry.id.value)
-        work.organisation?.let { fields += HeaderField(names.system.organisation, it.id.value) }
-        work.lastEventId?.let { fields += HeaderField(names.caller.lastEventId, it) }
-        if (work.prompt != null) fields += engineFields(work, target)
-        if (work.request.body.isNotEmpty() || head.method in METHODS_WITH_BODY) {
-            fields += HeaderField("Content-Length", work.request.body.size.toString())
+        pending.organisation?.let { fields += HeaderField(names.system.organisation, it.id.value) }
+        pending.lastEventId?.let { fields += HeaderField(names.caller.lastEventId, it) }
+        if (pending.prompt != null) fields += engineFields(pending, target)
+        if (pending.request.body.isNotEmpty() || head.method in METHODS_WITH_BODY) {
+            fields += HeaderField("Content-Length", pending.request.body.size.toString())
         }
         return headBytes("${head.method} ${head.target} HTTP/1.1", fields)
     }
 
-    private fun engineFields(work: Work, target: Target): List<HeaderField> = listOfNotNull(
-        HeaderField(names.system.urgency, work.urgency.coerceIn(URGENCIES).toString()),
+    private fun engineFields(pending: PendingRequest, target: Target): List<HeaderField> = listOfNotNull(
+        HeaderField(names.system.urgency, pending.urgency.coerceIn(URGENCIES).toString()),
         target.weights?.let { HeaderField(names.system.expectedWeights, it.toString()) },
         target.namespace?.let { HeaderField(names.system.cacheNamespace, it) },
         target.transfer.source?.let { HeaderField(names.system.cacheSource, it) },
@@ -68,18 +68,18 @@
         target.transfer.untilMillis?.let { HeaderField(names.system.cacheUntil, it.toString()) },
     )
 
-    private fun forwarded(headers: HeaderFields, work: Work): List<HeaderField> {
+    private fun forwarded(headers: HeaderFields, pending: PendingRequest): List<HeaderField> {
         // A caller could otherwise have the fields removed that identify and describe its request.
         val listed = headers.tokens("Connection").toSet() - described
         return headers.fields.filter { field ->
             val name = field.name.lowercase()
-            name !in dropped && name !in listed && !isReplaced(name, work)
+            name !in dropped && name !in listed && !isReplaced(name, pending)
         }
     }
 
-    private fun isReplaced(name: String, work: Work): Boolean = when (name) {
-        names.caller.key.lowercase() -> work.caller.keyed
-        names.caller.lastEventId.lowercase() -> work.lastEventId != null
+    private fun isReplaced(name: String, pending: PendingRequest): Boolean = when (name) {
+        names.caller.key.lowercase() -> pending.caller.keyRequired
+        names.caller.lastEventId.lowercase() -> pending.lastEventId != null
         else -> false
     }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Placer.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/EndpointSelector.kt
@@ -24,13 +24,13 @@
 }
 
 /** Chooses endpoints with the decisions of the relay library and what this instance believes. */
-internal class Placer(
+internal class EndpointSelector(
     private val settings: EntrySettings,
-    private val beliefs: Beliefs,
+    private val deployment: DeploymentView,
     private val clock: Clock,
 ) {
     private val topology = Topology(settings.zone, settings.zones)
-    private val transfers = CacheTransfers(topology, beliefs, clock)
+    private val transfers = CacheTransferPlanner(topology, deployment, clock)
     private val services = ServicePlacement(topology)
     private val engines = EnginePlacement(
         topology,
@@ -38,69 +38,69 @@
     )
     private val cold = ColdShare(settings.instance)
 
-    /** Chooses the endpoint of [work]; a cold one only within this instance's share of its limit. */
-    fun choose(work: Work): Choice {
+    /** Chooses the endpoint of [pending]; a cold one only within this instance's share of its limit. */
+    fun choose(pending: PendingRequest): Choice {
         val nowMillis = clock.nowMillis()
-        val passedOver = HashSet(work.tried)
+        val passedOver = HashSet(pending.tried)
         while (true) {
-            val request = work.placeRequest(nowMillis).copy(tried = passedOver)
-            val choice = choose(request, work.prompt, work, nowMillis)
-            val endpoint = (choice as? Choice.Chosen)?.target?.endpoint ?: return choice.orCold(passedOver, work)
-            if (mayTake(work, endpoint, nowMillis)) return choice
+            val request = pending.placeRequest(nowMillis).copy(tried = passedOver)
+            val choice = choose(request, pending.prompt, pending, nowMillis)
+            val endpoint = (choice as? Choice.Chosen)?.target?.endpoint ?: return choice.orCold(passedOver, pending)
+            if (mayTake(pending, endpoint, nowMillis)) return choice
             passedOver += endpoint.entry.id
         }
     }
 
-    private fun choose(request: PlaceRequest, prompt: PromptContext?, work: Work, nowMillis: Long): Choice {
-        if (prompt == null || work.service.engine == null) {
-            return when (val place = services.choose(request, beliefs.endpoints, nowMillis)) {
+    private fun choose(request: PlaceRequest, prompt: PromptContext?, pending: PendingRequest, nowMillis: Long): Choice {
+        if (prompt == null || pending.service.engine == null) {
+            return when (val place = services.choose(request, deployment.endpoints, nowMillis)) {
                 is Place.At -> Choice.Chosen(Target(place.endpoint, place.estimateMillis))
                 is Place.Nowhere -> Choice.None(place.reason, place.retryAfterMillis)
             }
         }
-        val named = beliefs.weights[prompt.model]
-        val view = PromptView(work, prompt, beliefs, transfers)
+        val named = deployment.weights[prompt.model]
+        val view = PromptCacheInfo(pending, prompt, deployment, transfers)
         val wanted = EngineRequest(
             request = request,
             prompt = prompt,
             named = named,
-            instances = beliefs.instances,
+            instances = deployment.instances,
             fetchMillis = view::fetchMillis,
-            heldShare = { beliefs.contexts.heldShare(view.context(it), it.start, nowMillis) },
+            heldShare = { deployment.contexts.heldShare(view.context(it), it.start, nowMillis) },
         )
-        val found = engines.choose(wanted, beliefs.endpoints, nowMillis)
+        val found = engines.choose(wanted, deployment.endpoints, nowMillis)
         return when (val place = found.place) {
             is Place.Nowhere -> Choice.None(place.reason, place.retryAfterMillis)
             is Place.At -> Choice.Chosen(target(view, place, found, nowMillis))
         }
     }
 
-    private fun target(view: PromptView, place: Place.At, found: EnginePlace, nowMillis: Long): Target {
+    private fun target(view: PromptCacheInfo, place: Place.At, found: EnginePlace, nowMillis: Long): Target {
         val side = view.side(place.endpoint)
         val untilMillis = nowMillis + place.estimateMillis.toLong() + FETCH_SLACK_MILLIS
-        val transfer = transfers.plan(view.work, view.prompt, side, found.cachedAt)
-            .copy(untilMillis = beliefs.engineClock.at(untilMillis))
+        val transfer = transfers.plan(view.pending, view.prompt, side, found.cachedAt)
+            .copy(untilMillis = deployment.engineClock.at(untilMillis))
         return Target(
             endpoint = place.endpoint,
             estimateMillis = place.estimateMillis,
             weights = found.weights,
             namespace = side.namespace,
             transfer = transfer,
-            reading = PlannedReading(
+            reading = PlannedPrefill(
                 tokens = view.prompt.promptTokens - transfer.fetchedTokens,
                 context = view.context(place.endpoint),
             ),
         )
     }
 
-    private fun mayTake(work: Work, endpoint: EndpointState, nowMillis: Long): Boolean {
+    private fun mayTake(pending: PendingRequest, endpoint: EndpointState, nowMillis: Long): Boolean {
         if (!endpoint.isCold(nowMillis)) return true
-        val bound = ColdBound(work.service.coldRequestsPerSecond, settings.cold.overage, settings.cold.slack)
-        return cold.tryTake(endpoint.entry.id, bound, beliefs.members.orEmpty(), nowMillis)
+        val bound = ColdBound(pending.service.coldRequestsPerSecond, settings.cold.overage, settings.cold.slack)
+        return cold.tryTake(endpoint.entry.id, bound, deployment.members.orEmpty(), nowMillis)
     }
 
-    private fun Choice.orCold(passedOver: Set<*>, work: Work): Choice =
-        if (this is Choice.None && passedOver.size > work.tried.size) {
+    private fun Choice.orCold(passedOver: Set<*>, pending: PendingRequest): Choice =
+        if (this is Choice.None && passedOver.size > pending.tried.size) {
             Choice.None(NoPlaceReason.COLD, COLD_RETRY_MILLIS)
         } else {
             this
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/EndpointLearning.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/EndpointStateUpdater.kt
@@ -7,15 +7,15 @@
 import org.parsleymoor.relay.http.ResponseHead
 
 /** Takes in what the head of a response says about its endpoint. */
-internal class EndpointLearning(private val names: HeaderNames, private val clock: Clock) {
-    /** Learns from [head], which [state] sent in response to [work]. */
-    fun learn(work: Work, state: EndpointState, head: ResponseHead) {
+internal class EndpointStateUpdater(private val names: HeaderNames, private val clock: Clock) {
+    /** Learns from [head], which [state] sent in response to [pending]. */
+    fun learn(pending: PendingRequest, state: EndpointState, head: ResponseHead) {
         val nowMillis = clock.nowMillis()
         state.answeredMillis = nowMillis
         head.headers[names.endpoint.load]?.let { reportedLoad(it, nowMillis) }?.let { state.load = it }
         head.headers[names.endpoint.coldMillis]?.toLongOrNull()?.let { state.becomeCold(it, nowMillis) }
         val weights = head.headers[names.endpoint.weights]?.toLongOrNull()
-        if (work.prompt != null && weights != null) state.learnWeights(work.prompt.model, weights)
+        if (pending.prompt != null && weights != null) state.learnWeights(pending.prompt.model, weights)
     }
 
     private fun reportedLoad(text: String, nowMillis: Long): ReportedLoad? {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/LoopLag.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/EventLoopLag.kt
@@ -6,7 +6,7 @@
  * How far the event loop of this instance is behind, from the lateness of a periodic wake-up. What arrives at an
  * instance that is short of processor time waits that long before it is read, and again at each further step.
  */
-internal class LoopLag(private val clock: Clock) {
+internal class EventLoopLag(private val clock: Clock) {
     private var dueMillis: Long? = null
     private var lastMillis = 0L
     private var calmWakeUps = 0
@@ -26,14 +26,14 @@
     }
 
     /** Notes the wake-up that was due. */
-    fun awake() {
+    fun wokeUp() {
         lastMillis = dueMillis?.let { clock.nowMillis() - it }?.coerceAtLeast(0) ?: 0
         dueMillis = null
         if (!settled) calmWakeUps = if (lastMillis < CALM_MILLIS) calmWakeUps + 1 else 0
     }
 
     /** Whether a request whose caller waits [waitMillis] for the answer to begin cannot be answered in time. */
-    fun isTooMuchFor(waitMillis: Long): Boolean = millis >= LEAST_MILLIS && millis * STEPS > waitMillis
+    fun wouldExceed(waitMillis: Long): Boolean = millis >= LEAST_MILLIS && millis * STEPS > waitMillis
 
     private companion object {
         // A request is read, placed, sent and answered, each in another turn of the event loop.
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Work.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/PendingRequest.kt
@@ -16,7 +16,7 @@
  * whole. Callers give up a stream whose first event does not come for two seconds, four objectives and eight times the
  * longest pause that is in time.
  */
-internal fun Route.beginMillis(waitMillis: Long): Long = when (kind) {
+internal fun Route.firstByteWaitMillis(waitMillis: Long): Long = when (kind) {
     RequestKind.STREAM -> minOf(
         waitMillis,
         maxOf(STREAM_BEGIN_MILLIS, objectiveMillis * STREAM_BEGIN_OBJECTIVES, pauseMillis * STREAM_BEGIN_PAUSES),
@@ -30,10 +30,10 @@
 private const val STREAM_BEGIN_PAUSES = 8
 
 /** Who sent a request: its [organisation], whether it had to show a key, and how long it waits. */
-internal class Caller(val organisation: Organisation?, val keyed: Boolean, val waitMillis: Long)
+internal class Caller(val organisation: Organisation?, val keyRequired: Boolean, val waitMillis: Long)
 
 /** One attempt of a caller and what has been done for it so far. Times are on the daemon's clock. */
-internal class Work(
+internal class PendingRequest(
     val id: RequestId,
     val request: CallerRequest,
     val route: Route,
@@ -45,25 +45,28 @@
     val organisation: Organisation? get() = caller.organisation
 
     /** When the answer is due for the operators: the route's time limit. */
-    val routeLimitMillis: Long get() = request.receivedMillis + route.timeoutMillis
+    val routeDeadlineMillis: Long get() = request.receivedMillis + route.timeoutMillis
 
     /** When the caller stops waiting. */
-    val callerLimitMillis: Long get() = request.receivedMillis + caller.waitMillis
+    val callerDeadlineMillis: Long get() = request.receivedMillis + caller.waitMillis
 
     /** After this nothing is sent or awaited any more. */
-    val limitMillis: Long get() = minOf(routeLimitMillis, callerLimitMillis)
+    val deadlineMillis: Long get() = minOf(routeDeadlineMillis, callerDeadlineMillis)
 
     /** When the caller stops waiting for the answer to begin. */
-    val beginLimitMillis: Long get() = minOf(limitMillis, request.receivedMillis + route.beginMillis(caller.waitMillis))
+    val firstByteDeadlineMillis: Long get() = minOf(
+        deadlineMillis,
+        request.receivedMillis + route.firstByteWaitMillis(caller.waitMillis)
+    )
 
     /** Endpoints that had this request and are not asked again. */
     val tried = HashSet<EndpointId>()
 
     /** Number of times the request was sent. */
-    var sends = 0
+    var sendCount = 0
 
     /** Number of endpoints at which the request ran or may have run. */
-    var runs = 0
+    var possibleRuns = 0
 
     /** The last event that the caller has. */
     var lastEventId: String? = null
@@ -86,7 +89,7 @@
         service = service.name,
         allowedRegions = allowedRegions,
         tried = tried,
-        remainingMillis = limitMillis - nowMillis,
+        remainingMillis = deadlineMillis - nowMillis,
         objectiveMillis = route.objectiveMillis,
         urgency = urgency,
         returning = caller.waitMillis < route.timeoutMillis * RETURNING_SHARE,
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/PromptView.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/PromptCacheInfo.kt
@@ -11,14 +11,14 @@
  * What the choice of an engine asks about [prompt] for every engine. Names and stores depend only on the weights of the
  * engine, so that they are worked out once for each version and not for each engine.
  */
-internal class PromptView(
-    val work: Work,
+internal class PromptCacheInfo(
+    val pending: PendingRequest,
     val prompt: PromptContext,
-    private val beliefs: Beliefs,
-    private val transfers: CacheTransfers,
+    private val deployment: DeploymentView,
+    private val transfers: CacheTransferPlanner,
 ) {
     private val versions = HashMap<Long, Version>()
-    private val tokenBytes = work.service.engine?.tokenBytes ?: 1
+    private val tokenBytes = pending.service.engine?.tokenBytes ?: 1
 
     /** Names the shared parts of the prompt as [state] keeps them. */
     fun context(state: EndpointState): ContextKey = version(state).context
@@ -42,15 +42,15 @@
             Version(
                 namespace = namespace,
                 context = ContextKey.of(namespace, prompt.affinityKey),
-                holders = transfers.holders(work, prompt, namespace),
-                current = weights >= (beliefs.weights[prompt.model]?.version ?: 0),
+                holders = transfers.holders(pending, prompt, namespace),
+                current = weights >= (deployment.weights[prompt.model]?.version ?: 0),
             )
         }
     }
 
     private fun namespace(weights: Long): String {
-        val isolatedSet = beliefs.routes?.isolationTag.orEmpty()
-        val organisation = work.organisation
+        val isolatedSet = deployment.routes?.isolationTag.orEmpty()
+        val organisation = pending.organisation
         return cacheNamespace(prompt.model, weights, organisation?.id, organisation?.isolated == true) + isolatedSet
     }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Refusal.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Refusal.kt
@@ -3,9 +3,9 @@
 import kotlinx.serialization.json.put
 import org.parsleymoor.core.RequestId
 import org.parsleymoor.entry.EntryMetrics
-import org.parsleymoor.entry.callers.AnswerHead
-import org.parsleymoor.entry.callers.CallerAnswer
-import org.parsleymoor.entry.log.DecisionLog
+import org.parsleymoor.entry.callers.CallerResponseHead
+import org.parsleymoor.entry.callers.ResponseWriter
+import org.parsleymoor.entry.log.StructuredLog
 import org.parsleymoor.entry.protocol.ServingProtocol
 import org.parsleymoor.relay.http.HeaderField
 import org.parsleymoor.relay.http.HttpStatus
@@ -26,7 +26,7 @@
     data object Stopping : Refusal(HttpStatus.UNAVAILABLE, "this instance is shutting down", STOPPING_MILLIS)
 
     /** This instance is [lagMillis] behind and would answer too late; another may not be. */
-    class Behind(lagMillis: Long) : Refusal(
+    class EventLoopBehind(lagMillis: Long) : Refusal(
         HttpStatus.UNAVAILABLE,
         "this instance is $lagMillis ms behind and would answer too late",
         lagMillis.coerceAtMost(LONGEST_BEHIND_MILLIS),
@@ -46,7 +46,7 @@
     data object Malformed : Refusal(HttpStatus.BAD_REQUEST, "the request needs exactly one attempt id")
 
     /** No endpoint can serve the request; it has not run. */
-    class NoPlace(val cause: NoPlaceReason, millis: Long) :
+    class NoEndpoint(val cause: NoPlaceReason, millis: Long) :
         Refusal(HttpStatus.UNAVAILABLE, "no endpoint can serve the request: ${cause.name.lowercase()}", millis)
 
     /** Every endpoint that was asked refused; the request has not run. */
@@ -74,13 +74,13 @@
 }
 
 /** Writes refusals, with a time to come back that differs between callers. */
-internal class Refusals(
+internal class RefusalWriter(
     private val protocol: ServingProtocol,
-    private val log: DecisionLog,
+    private val log: StructuredLog,
     private val metrics: EntryMetrics,
 ) {
     /** Ends the request [id] with [refusal]. */
-    fun answer(answer: CallerAnswer, id: RequestId, refusal: Refusal) {
+    fun answer(answer: ResponseWriter, id: RequestId, refusal: Refusal) {
         metrics.refused(refusal.status.code)
         val retryMillis = refusal.retryAfterMillis?.let { (it * (1 + Random.nextDouble() * SPREAD)).toLong() }
         log.write("request.refused", always = true) {
@@ -96,7 +96,7 @@
             retryMillis?.let { HeaderField(names.retryAfter, seconds(it)) },
         )
         val body = protocol.refusalBody(refusal.reason).encodeToByteArray()
-        answer.whole(AnswerHead(refusal.status, fields), body)
+        answer.writeResponse(CallerResponseHead(refusal.status, fields), body)
     }
 
     private fun seconds(millis: Long): String = String.format(Locale.ROOT, "%.3f", millis / MILLIS_PER_SECOND)
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/RelayHandler.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/RelayHandler.kt
@@ -2,9 +2,9 @@
 
 import kotlinx.serialization.json.put
 import org.parsleymoor.core.RequestId
-import org.parsleymoor.entry.callers.CallerAnswer
 import org.parsleymoor.entry.callers.CallerRequest
 import org.parsleymoor.entry.callers.RequestHandler
+import org.parsleymoor.entry.callers.ResponseWriter
 import org.parsleymoor.entry.protocol.HeaderNames
 import org.parsleymoor.relay.prompt.PromptContext
 import org.parsleymoor.relay.routing.Organisation
@@ -17,21 +17,21 @@
     context: ServingContext,
     private val names: HeaderNames,
     private val delivery: Delivery,
-    private val refusals: Refusals,
-    private val stopping: StopState,
+    private val refusals: RefusalWriter,
+    private val stopping: ShutdownState,
 ) : RequestHandler {
-    private val beliefs = context.beliefs
+    private val deployment = context.deployment
     private val log = context.log
     private val metrics = context.metrics
     private val clock = context.clock
     private val lag = context.lag
 
-    override suspend fun handle(request: CallerRequest, answer: CallerAnswer) {
+    override suspend fun handle(request: CallerRequest, answer: ResponseWriter) {
         metrics.requests.increment()
         val id = RequestId(request.head.headers[names.caller.attemptId].orEmpty())
         when (val routed = route(request, id)) {
             is Routed.Refused -> refusals.answer(answer, id, routed.refusal)
-            is Routed.To -> deliver(routed.work, answer)
+            is Routed.To -> deliver(routed.pending, answer)
         }
         val millis = clock.nowMillis() - request.receivedMillis
         metrics.latency.record(millis)
@@ -43,15 +43,15 @@
         }
     }
 
-    private suspend fun deliver(work: Work, answer: CallerAnswer) {
+    private suspend fun deliver(pending: PendingRequest, answer: ResponseWriter) {
         try {
-            delivery.deliver(work, answer)
+            delivery.deliver(pending, answer)
         } finally {
             if (!answer.complete) {
                 log.write("request.unfinished") {
-                    put("request", work.id.value)
-                    put("route", work.route.name)
-                    put("sends", work.sends)
+                    put("request", pending.id.value)
+                    put("route", pending.route.name)
+                    put("sends", pending.sendCount)
                     put("status", answer.status)
                 }
             }
@@ -59,10 +59,10 @@
     }
 
     private fun route(request: CallerRequest, id: RequestId): Routed {
-        val table = beliefs.routes
+        val table = deployment.routes
         val route = table?.route(request.head.headers["Host"].orEmpty(), path(request.head.target))
         return when {
-            table == null || !beliefs.endpointsKnown -> Routed.Refused(Refusal.NoConfiguration)
+            table == null || !deployment.endpointsKnown -> Routed.Refused(Refusal.NoConfiguration)
             route != null && stopping.tooLateFor(route.kind) -> Routed.Refused(Refusal.Stopping)
             route == null -> Routed.Refused(Refusal.NoRoute(table.configuration.version))
             id.value.isEmpty() || duplicated(request) -> Routed.Refused(Refusal.Malformed)
@@ -71,22 +71,22 @@
     }
 
     private fun authorise(request: CallerRequest, id: RequestId, table: RouteTable, route: Route): Routed {
-        val keyed = table.configuration.organisations != null
-        val organisation = if (keyed) organisation(request, table) else null
+        val keyRequired = table.configuration.organisations != null
+        val organisation = if (keyRequired) organisation(request, table) else null
         val service = table.service(route, Random.nextDouble())
         return when {
-            keyed && organisation == null && !route.isPublic ->
+            keyRequired && organisation == null && !route.isPublic ->
                 Routed.Refused(Refusal.UnknownKey(table.configuration.version))
             service == null -> Routed.Refused(Refusal.NoConfiguration)
-            lag.isTooMuchFor(route.beginMillis(callerMillis(request, route))) ->
-                Routed.Refused(Refusal.Behind(lag.millis))
+            lag.wouldExceed(route.firstByteWaitMillis(callerMillis(request, route))) ->
+                Routed.Refused(Refusal.EventLoopBehind(lag.millis))
             else -> Routed.To(
-                Work(
+                PendingRequest(
                     id = id,
                     request = request,
                     route = route,
                     service = service,
-                    caller = Caller(organisation, keyed, callerMillis(request, route)),
+                    caller = Caller(organisation, keyRequired, callerMillis(request, route)),
                     prompt = prompt(request),
                 ),
             )
@@ -129,7 +129,7 @@
     }
 
     private sealed interface Routed {
-        class To(val work: Work) : Routed
+        class To(val pending: PendingRequest) : Routed
 
         class Refused(val refusal: Refusal) : Routed
     }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/ResponseHeads.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/ResponseHeads.kt
@@ -1,6 +1,6 @@
 package org.parsleymoor.entry.serving
 
-import org.parsleymoor.entry.callers.AnswerHead
+import org.parsleymoor.entry.callers.CallerResponseHead
 import org.parsleymoor.entry.net.CONNECTION_FIELDS
 import org.parsleymoor.entry.protocol.HeaderNames
 import org.parsleymoor.relay.http.HttpStatus
@@ -24,9 +24,9 @@
         ?.removePrefix(TIMEOUT)?.toLongOrNull()?.let { it * MILLIS_PER_SECOND }
 
 /** Returns the head for the caller, without what concerns the connection or the load of the endpoint. */
-internal fun ResponseHead.toAnswer(names: HeaderNames): AnswerHead {
+internal fun ResponseHead.toAnswer(names: HeaderNames): CallerResponseHead {
     val dropped = CONNECTION_FIELDS + names.endpoint.load.lowercase()
-    return AnswerHead(status, reason, headers.filter { it.name.lowercase() !in dropped }.fields)
+    return CallerResponseHead(status, reason, headers.filter { it.name.lowercase() !in dropped }.fields)
 }
 
 private const val TIMEOUT = "timeout="
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/ResponseReader.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/ResponseReader.kt
@@ -13,26 +13,26 @@
 import org.parsleymoor.relay.http.BodyFraming
 import org.parsleymoor.relay.http.MessageFault
 
-/** Reads the response to [work] from [connection]. */
+/** Reads the response to [pending] from [connection]. */
 internal class ResponseReader(
-    private val work: Work,
+    private val pending: PendingRequest,
     private val connection: EndpointConnection,
     private val names: HeaderNames,
 ) {
     /** Suspends until the head of the response is there, passing over responses to other requests that arrive late. */
     suspend fun head(): Result<IncomingResponse, MessageFault> {
         repeat(FOREIGN_LIMIT) {
-            val read = connection.readResponse(work.request.head.method).andThen { own(it) }
+            val read = connection.readResponse(pending.request.head.method).andThen { own(it) }
             if (read.get() != null || read.getError() != null) return read.map { checkNotNull(it) }
         }
         return Err(MessageFault.TOO_MANY_RESPONSES)
     }
 
-    /** Returns [response] when it answers [work], null when it answered another request and has been passed over. */
+    /** Returns [response] when it answers [pending], null when it answered another request and has been passed over. */
     private suspend fun own(response: IncomingResponse): Result<IncomingResponse?, MessageFault> =
         when (response.head.headers[names.caller.attemptId]) {
-            work.id.value -> Ok(response).also { connection.identified = true }
-            null -> if (connection.identified && !response.head.isRefusal(names)) UNIDENTIFIED else Ok(response)
+            pending.id.value -> Ok(response).also { connection.echoesRequestIds = true }
+            null -> if (connection.echoesRequestIds && !response.head.isRefusal(names)) UNIDENTIFIED else Ok(response)
             else -> passOver(response).map { null }
         }
 
@@ -41,10 +41,10 @@
 
     /** Drops [response], which belongs to another request; nothing can follow one that ends with the connection. */
     private suspend fun passOver(response: IncomingResponse): Result<Unit, MessageFault> {
-        connection.identified = true
-        connection.spoiled = true
+        connection.echoesRequestIds = true
+        connection.noNewRequests = true
         val last = response.framing == BodyFraming.UntilClose
-        return if (last) Err(MessageFault.TOO_MANY_RESPONSES) else connection.dropBody(response)
+        return if (last) Err(MessageFault.TOO_MANY_RESPONSES) else connection.discardBody(response)
     }
 
     private companion object {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Patience.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/ResponseTimeouts.kt
@@ -1,15 +1,15 @@
 package org.parsleymoor.entry.serving
 
 /** Returns how long to wait for the first byte from [target] when [remainingMillis] are left. */
-internal fun Work.patienceMillis(target: Target, remainingMillis: Long): Long {
-    val mayMove = route.repeatable && runs + 1 < route.attempts
+internal fun PendingRequest.responseTimeoutMillis(target: Target, remainingMillis: Long): Long {
+    val mayMove = route.repeatable && possibleRuns + 1 < route.attempts
     if (!mayMove || prompt != null) return remainingMillis
     val expected = maxOf(target.estimateMillis * SILENCE_FACTOR, route.objectiveMillis * SILENCE_OBJECTIVES)
     return expected.toLong().coerceAtMost(remainingMillis)
 }
 
 /** Returns after which time an engine that has answered nobody counts as silent. */
-internal fun Work.silenceMillis(target: Target): Long = if (prompt == null || !route.repeatable) {
+internal fun PendingRequest.silenceTimeoutMillis(target: Target): Long = if (prompt == null || !route.repeatable) {
     Long.MAX_VALUE
 } else {
     maxOf(ENGINE_SILENCE_MILLIS, target.estimateMillis.toLong() * 2)
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/ServingContext.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/ServingContext.kt
@@ -2,13 +2,13 @@
 
 import org.parsleymoor.core.Clock
 import org.parsleymoor.entry.EntryMetrics
-import org.parsleymoor.entry.log.DecisionLog
+import org.parsleymoor.entry.log.StructuredLog
 
 /** What the steps of serving a request share. */
 internal class ServingContext(
-    val beliefs: Beliefs,
-    val log: DecisionLog,
+    val deployment: DeploymentView,
+    val log: StructuredLog,
     val metrics: EntryMetrics,
     val clock: Clock,
-    val lag: LoopLag = LoopLag(clock),
+    val lag: EventLoopLag = EventLoopLag(clock),
 )
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/StopState.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/ShutdownState.kt
@@ -4,7 +4,7 @@
 import org.parsleymoor.relay.routing.RequestKind
 
 /** Whether this instance shuts down, and which requests it can still answer before it ends. */
-internal class StopState(private val graceMillis: Long, private val clock: Clock) {
+internal class ShutdownState(private val graceMillis: Long, private val clock: Clock) {
     private var sinceMillis: Long? = null
 
     /** Whether the shutdown has begun. */
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/StreamRelay.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/StreamRelay.kt
@@ -2,8 +2,8 @@
 
 import kotlinx.coroutines.withTimeoutOrNull
 import org.parsleymoor.core.Clock
-import org.parsleymoor.entry.callers.AnswerHead
-import org.parsleymoor.entry.callers.CallerAnswer
+import org.parsleymoor.entry.callers.CallerResponseHead
+import org.parsleymoor.entry.callers.ResponseWriter
 import org.parsleymoor.entry.net.EndpointConnection
 import org.parsleymoor.entry.net.IncomingResponse
 import org.parsleymoor.relay.http.BodyProgress
@@ -13,16 +13,16 @@
 /** Passes the events of a stream on as they arrive, each whole and once. */
 internal class StreamRelay(
     private val clock: Clock,
-    private val work: Work,
+    private val pending: PendingRequest,
     private val connection: EndpointConnection,
-    private val answer: CallerAnswer,
+    private val answer: ResponseWriter,
     private val progress: AttemptProgress,
 ) {
     private val splitter = EventSplitter()
     private var eventMillis = clock.nowMillis()
 
     /** Relays [response]; a stream that goes on after a break continues the same answer, with its first [head]. */
-    suspend fun relay(response: IncomingResponse, head: AnswerHead): AttemptResult {
+    suspend fun relay(response: IncomingResponse, head: CallerResponseHead): AttemptResult {
         var silent = false
         while (!silent && !endless && response.decoder.progress == BodyProgress.INCOMPLETE) {
             val part = nextPart(response)
@@ -46,44 +46,44 @@
      */
     private suspend fun nextPart(response: IncomingResponse): ByteArray? {
         val nowMillis = clock.nowMillis()
-        val remaining = (work.limitMillis - nowMillis).coerceAtLeast(1)
-        val stall = if (work.route.resumable) minOf(remaining, eventMillis + STALL_MILLIS - nowMillis) else remaining
+        val remaining = (pending.deadlineMillis - nowMillis).coerceAtLeast(1)
+        val stall = if (pending.route.resumable) minOf(remaining, eventMillis + STALL_MILLIS - nowMillis) else remaining
         val first = withTimeoutOrNull(stall) { connection.readPart(response) }
         return if (first == null && stall < remaining && progress.answeredSince(eventMillis + 1)) {
-            withTimeoutOrNull(work.limitMillis - clock.nowMillis()) { connection.readPart(response) }
+            withTimeoutOrNull(pending.deadlineMillis - clock.nowMillis()) { connection.readPart(response) }
         } else {
             first
         }
     }
 
-    private suspend fun deliver(head: AnswerHead, events: List<StreamEvent>) {
+    private suspend fun deliver(head: CallerResponseHead, events: List<StreamEvent>) {
         if (events.isEmpty()) return
         if (events.any { it.id != null }) {
             eventMillis = clock.nowMillis()
             progress.answered(eventMillis)
         }
         progress.read()
-        if (!work.started) {
+        if (!pending.started) {
             answer.startStream(head)
-            work.started = true
-            work.firstByteMillis = clock.nowMillis()
+            pending.started = true
+            pending.firstByteMillis = clock.nowMillis()
         }
-        events.lastOrNull { it.id != null }?.let { work.lastEventId = it.id }
+        events.lastOrNull { it.id != null }?.let { pending.lastEventId = it.id }
         answer.part(events.map { it.bytes }.reduce(ByteArray::plus))
     }
 
-    private fun end(head: AnswerHead): AttemptResult {
+    private fun end(head: CallerResponseHead): AttemptResult {
         progress.complete = true
-        if (!work.started) answer.startStream(head)
+        if (!pending.started) answer.startStream(head)
         answer.endStream()
         return AttemptResult.Delivered(head.status)
     }
 
     /** Whether the caller lacks [event]: ids increase, and an endpoint that resumes a stream may repeat some. */
     private fun isNew(event: StreamEvent): Boolean {
-        val last = work.lastEventId?.toLongOrNull()
+        val last = pending.lastEventId?.toLongOrNull()
         val id = event.id?.toLongOrNull()
-        return !work.started || last == null || id == null || id > last
+        return !pending.started || last == null || id == null || id > last
     }
 
     private companion object {
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/StopTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/CallerServerShutdownTest.kt
@@ -12,12 +12,12 @@
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.assertThrows
 import org.parsleymoor.core.Clock
-import org.parsleymoor.entry.callers.AnswerHead
-import org.parsleymoor.entry.callers.CallerAnswer
 import org.parsleymoor.entry.callers.CallerContext
 import org.parsleymoor.entry.callers.CallerRequest
+import org.parsleymoor.entry.callers.CallerResponseHead
 import org.parsleymoor.entry.callers.CallerServer
 import org.parsleymoor.entry.callers.RequestHandler
+import org.parsleymoor.entry.callers.ResponseWriter
 import org.parsleymoor.relay.fleet.SocketAddress
 import org.parsleymoor.relay.http.HttpStatus
 import org.parsleymoor.relay.routing.CallerLimits
@@ -29,15 +29,15 @@
 import java.net.ServerSocket
 import java.net.Socket
 
-class StopTest {
+class CallerServerShutdownTest {
     private val vertx = Vertx.vertx()
     private val dispatcher = vertx.orCreateContext.dispatcher()
     private val scope = CoroutineScope(SupervisorJob() + dispatcher)
     private val port = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
     private val slowHandler = object : RequestHandler {
-        override suspend fun handle(request: CallerRequest, answer: CallerAnswer) {
+        override suspend fun handle(request: CallerRequest, answer: ResponseWriter) {
             delay(300)
-            answer.whole(AnswerHead(HttpStatus.OK), "done".toByteArray())
+            answer.writeResponse(CallerResponseHead(HttpStatus.OK), "done".toByteArray())
         }
     }
     private val server = CallerServer(
@@ -57,7 +57,7 @@
         runBlocking(dispatcher) { server.start(SocketAddress("127.0.0.1", port)) }
         Socket(InetAddress.getLoopbackAddress(), port).use { socket ->
             socket.soTimeout = 5_000
-            socket.say("GET /r/x HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n")
+            socket.send("GET /r/x HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n")
             runBlocking(dispatcher) { withTimeout(5_000) { while (!server.busy) delay(5) } }
             val shutdown = scope.launch { server.shutdown(5_000) }
             runBlocking { delay(100) }
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/ControlLoopsTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/ControlLoopsTest.kt
@@ -22,11 +22,11 @@
 import org.parsleymoor.entry.control.OrderLease
 import org.parsleymoor.entry.control.WatchContext
 import org.parsleymoor.entry.control.WatchDuty
-import org.parsleymoor.entry.log.DecisionLog
+import org.parsleymoor.entry.log.StructuredLog
 import org.parsleymoor.entry.protocol.ObjectChange
 import org.parsleymoor.entry.protocol.ObjectKind
 import org.parsleymoor.entry.protocol.StoredObject
-import org.parsleymoor.entry.serving.Beliefs
+import org.parsleymoor.entry.serving.DeploymentView
 import org.parsleymoor.relay.exchange.Member
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
@@ -86,13 +86,13 @@
     @Test
     fun `an instance whose object does not change for twenty seconds no longer counts`() = loops {
         memory.put(ObjectKind.MEMBERS, "gone", "{\"address\":\"h:1\",\"beats\":1}")
-        val beliefs = Beliefs(InstanceId("self"))
-        val loop = MemberLoop(memory.store, beliefs, membership, log(this), clock(this))
+        val deployment = DeploymentView(InstanceId("self"))
+        val loop = MemberLoop(memory.store, deployment, membership, log(this), clock(this))
         backgroundScope.launch { loop.run() }
         advanceTimeBy(1_000)
-        expectThat(beliefs.instances).isEqualTo(2)
+        expectThat(deployment.instances).isEqualTo(2)
         advanceTimeBy(30_000)
-        expectThat(beliefs.members).isEqualTo(setOf(InstanceId("self")))
+        expectThat(deployment.members).isEqualTo(setOf(InstanceId("self")))
     }
 
     @Test
@@ -153,7 +153,7 @@
     private fun clock(scope: TestScope) = Clock { scope.currentTime }
 
     private fun log(scope: TestScope) =
-        DecisionLog(clock(scope), "test", PrintStream(OutputStream.nullOutputStream()))
+        StructuredLog(clock(scope), "test", PrintStream(OutputStream.nullOutputStream()))
 
     private fun watch(scope: TestScope): ObjectWatch {
         val duty = WatchDuty(membership.tree, clock(scope), applyMillis = 5_000)
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/LoopLagTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/EventLoopLagTest.kt
@@ -3,7 +3,7 @@
 import org.junit.jupiter.api.Test
 import org.parsleymoor.core.Clock
 import org.parsleymoor.core.ManualClock
-import org.parsleymoor.entry.serving.LoopLag
+import org.parsleymoor.entry.serving.EventLoopLag
 import strikt.api.expectThat
 import strikt.assertions.contains
 import strikt.assertions.isEmpty
@@ -16,9 +16,9 @@
  * Guards against an instance that is short of processor time, such as one that has just started on a slow machine, and
  * takes requests that it sends on seconds later, when their callers have left.
  */
-class LoopLagTest {
+class EventLoopLagTest {
     private val clock = ManualClock()
-    private val lag = LoopLag(clock)
+    private val lag = EventLoopLag(clock)
 
     @Test
     fun `a wake-up that is overdue counts before it comes`() {
@@ -39,10 +39,10 @@
     @Test
     fun `only a lag that takes up the time of the caller is too much`() {
         wake(lateMillis = 500)
-        expectThat(lag.isTooMuchFor(waitMillis = 1_500)).isTrue()
-        expectThat(lag.isTooMuchFor(waitMillis = 3_000)).isFalse()
+        expectThat(lag.wouldExceed(waitMillis = 1_500)).isTrue()
+        expectThat(lag.wouldExceed(waitMillis = 3_000)).isFalse()
         wake(lateMillis = 200)
-        expectThat(lag.isTooMuchFor(waitMillis = 500)).isFalse()
+        expectThat(lag.wouldExceed(waitMillis = 500)).isFalse()
     }
 
     @Test
@@ -62,7 +62,7 @@
         val endpoint = ScriptedEndpoint { _, _, _ -> }
         val answer = RelayHarness(endpoint).use { harness ->
             harness.lag.expect(Clock.System.nowMillis() - 700)
-            harness.ask(REQUEST)
+            harness.exchange(REQUEST)
         }
         expectThat(answer).startsWith("HTTP/1.1 503 ").contains("Retry-After: ").contains("behind")
         expectThat(endpoint.requests).isEmpty()
@@ -72,12 +72,12 @@
     @Test
     fun `the time that a request waited unread is taken off what the endpoint is told`() {
         val endpoint = ScriptedEndpoint { socket, _, _ ->
-            socket.say("HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s1\r\nContent-Length: 0\r\n\r\n")
+            socket.send("HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s1\r\nContent-Length: 0\r\n\r\n")
         }
         RelayHarness(endpoint).use { harness ->
             harness.lag.expect(Clock.System.nowMillis() - 300)
-            harness.lag.awake()
-            harness.ask(REQUEST)
+            harness.lag.wokeUp()
+            harness.exchange(REQUEST)
         }
         val told = Regex("Wait: (\\d+)").find(endpoint.requests.single())?.groupValues?.get(1)?.toLong() ?: 0
         expectThat(told < 1_750).isTrue()
@@ -86,7 +86,7 @@
     private fun wake(lateMillis: Long) {
         lag.expect(clock.nowMillis() + 100)
         clock.advance(100 + lateMillis)
-        lag.awake()
+        lag.wokeUp()
     }
 
     private companion object {
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/MemoryStore.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/MemoryStore.kt
@@ -6,8 +6,8 @@
 import kotlinx.coroutines.delay
 import org.parsleymoor.entry.control.ObjectStore
 import org.parsleymoor.entry.net.CallFailure
-import org.parsleymoor.entry.net.ControlAnswer
-import org.parsleymoor.entry.protocol.ControlCall
+import org.parsleymoor.entry.net.ControlResponse
+import org.parsleymoor.entry.protocol.ControlRequest
 import org.parsleymoor.entry.protocol.DecodeFailure
 import org.parsleymoor.entry.protocol.ObjectChange
 import org.parsleymoor.entry.protocol.ObjectChanges
@@ -54,10 +54,10 @@
         historyFrom = revision
     }
 
-    private suspend fun answer(call: ControlCall, timeoutMillis: Long): Result<ControlAnswer, CallFailure> {
+    private suspend fun answer(call: ControlRequest, timeoutMillis: Long): Result<ControlResponse, CallFailure> {
         calls++
         return when {
-            refuses -> Ok(ControlAnswer(503, ""))
+            refuses -> Ok(ControlResponse(503, ""))
             silent -> {
                 delay(timeoutMillis)
                 Err(CallFailure.Unanswered("silent"))
@@ -66,27 +66,27 @@
         }
     }
 
-    private suspend fun carryOut(call: ControlCall, timeoutMillis: Long): Result<ControlAnswer, CallFailure> {
+    private suspend fun carryOut(call: ControlRequest, timeoutMillis: Long): Result<ControlResponse, CallFailure> {
         val (name, since, expected) = call.target.split(' ')
         val kind = ObjectKind.valueOf(name)
         delay(ANSWER_MILLIS)
         return when (call.method) {
-            "LIST" -> Ok(ControlAnswer(200, text(objects.filterKeys { it.first == kind }.values.map { it to false })))
+            "LIST" -> Ok(ControlResponse(200, text(objects.filterKeys { it.first == kind }.values.map { it to false })))
             "WATCH" -> watch(kind, since.toLong(), timeoutMillis)
-            "READ" -> Ok(objects[kind to since]?.let { ControlAnswer(200, text(listOf(it to false))) } ?: ABSENT)
+            "READ" -> Ok(objects[kind to since]?.let { ControlResponse(200, text(listOf(it to false))) } ?: ABSENT)
             else -> write(kind, since, expected, call.body.orEmpty())
         }
     }
 
-    private suspend fun watch(kind: ObjectKind, since: Long, waitMillis: Long): Result<ControlAnswer, CallFailure> {
+    private suspend fun watch(kind: ObjectKind, since: Long, waitMillis: Long): Result<ControlResponse, CallFailure> {
         var waited = 0L
         while (waited < waitMillis / 2 && history.none { it.first == kind && it.second.value.revision > since }) {
             delay(STEP_MILLIS)
             waited += STEP_MILLIS
         }
-        if (since < historyFrom) return Ok(ControlAnswer(410, ""))
+        if (since < historyFrom) return Ok(ControlResponse(410, ""))
         val changes = history.filter { it.first == kind && it.second.value.revision > since }
-        return Ok(ControlAnswer(200, text(changes.map { it.second.value to it.second.removed })))
+        return Ok(ControlResponse(200, text(changes.map { it.second.value to it.second.removed })))
     }
 
     private fun write(
@@ -94,14 +94,14 @@
         name: String,
         expected: String,
         content: String,
-    ): Result<ControlAnswer, CallFailure> {
+    ): Result<ControlResponse, CallFailure> {
         val known = objects[kind to name]
         val answer = when {
-            expected == "new" && known != null -> ControlAnswer(409, text(listOf(known to false)))
+            expected == "new" && known != null -> ControlResponse(409, text(listOf(known to false)))
             expected != "new" && known == null -> ABSENT
             expected.toLongOrNull()?.let { it != known?.revision } ?: false ->
-                ControlAnswer(409, text(listOfNotNull(known?.to(false))))
-            else -> ControlAnswer(200, text(listOf(put(kind, name, content) to false)))
+                ControlResponse(409, text(listOfNotNull(known?.to(false))))
+            else -> ControlResponse(200, text(listOf(put(kind, name, content) to false)))
         }
         return if (losesAnswers) Err(CallFailure.Unanswered("the answer was lost")) else Ok(answer)
     }
@@ -116,24 +116,27 @@
     private companion object {
         const val ANSWER_MILLIS = 4L
         const val STEP_MILLIS = 20L
-        val ABSENT = ControlAnswer(404, "")
+        val ABSENT = ControlResponse(404, "")
     }
 }
 
 private object MemoryProtocol : ObjectProtocol {
-    override fun list(kind: ObjectKind, after: String?, inexpensive: Boolean) = ControlCall("LIST", "$kind - -")
+    override fun list(kind: ObjectKind, after: String?, allowStale: Boolean) = ControlRequest("LIST", "$kind - -")
 
-    override fun watch(kind: ObjectKind, revision: Long, waitMillis: Long) = ControlCall("WATCH", "$kind $revision -")
+    override fun watch(kind: ObjectKind, revision: Long, waitMillis: Long) = ControlRequest(
+        "WATCH",
+        "$kind $revision -"
+    )
 
-    override fun read(kind: ObjectKind, name: String) = ControlCall("READ", "$kind $name -")
+    override fun read(kind: ObjectKind, name: String) = ControlRequest("READ", "$kind $name -")
 
     override fun create(kind: ObjectKind, name: String, content: String) =
-        ControlCall("WRITE", "$kind $name new", content)
+        ControlRequest("WRITE", "$kind $name new", content)
 
     override fun replace(kind: ObjectKind, name: String, content: String, revision: Long?) =
-        ControlCall("WRITE", "$kind $name ${revision ?: "any"}", content)
+        ControlRequest("WRITE", "$kind $name ${revision ?: "any"}", content)
 
-    override fun remove(kind: ObjectKind, name: String): ControlCall = error("no test removes through the store")
+    override fun remove(kind: ObjectKind, name: String): ControlRequest = error("no test removes through the store")
 
     override fun page(body: String): Result<ObjectPage, DecodeFailure> =
         Ok(ObjectPage(changes(body.lines()).map { it.value }, after = null, body.lines().first().toLong()))
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
@@ -13,7 +13,7 @@
 import org.parsleymoor.core.ZoneId
 import org.parsleymoor.entry.callers.CallerContext
 import org.parsleymoor.entry.callers.CallerServer
-import org.parsleymoor.entry.log.DecisionLog
+import org.parsleymoor.entry.log.StructuredLog
 import org.parsleymoor.entry.net.ConnectionPool
 import org.parsleymoor.entry.protocol.CallerHeaders
 import org.parsleymoor.entry.protocol.ContentDecoder
@@ -23,15 +23,15 @@
 import org.parsleymoor.entry.protocol.ObjectProtocol
 import org.parsleymoor.entry.protocol.ServingProtocol
 import org.parsleymoor.entry.protocol.SystemHeaders
-import org.parsleymoor.entry.serving.Attempts
-import org.parsleymoor.entry.serving.Beliefs
+import org.parsleymoor.entry.serving.AttemptRunner
 import org.parsleymoor.entry.serving.Delivery
-import org.parsleymoor.entry.serving.LoopLag
-import org.parsleymoor.entry.serving.Placer
-import org.parsleymoor.entry.serving.Refusals
+import org.parsleymoor.entry.serving.DeploymentView
+import org.parsleymoor.entry.serving.EndpointSelector
+import org.parsleymoor.entry.serving.EventLoopLag
+import org.parsleymoor.entry.serving.RefusalWriter
 import org.parsleymoor.entry.serving.RelayHandler
 import org.parsleymoor.entry.serving.ServingContext
-import org.parsleymoor.entry.serving.StopState
+import org.parsleymoor.entry.serving.ShutdownState
 import org.parsleymoor.relay.fleet.EndpointEntry
 import org.parsleymoor.relay.fleet.SocketAddress
 import org.parsleymoor.relay.limits.RetryBound
@@ -62,28 +62,28 @@
     private val vertx = Vertx.vertx()
     private val dispatcher = vertx.orCreateContext.dispatcher()
     private val scope = CoroutineScope(SupervisorJob() + dispatcher)
-    private val log = DecisionLog(Clock.System, "test", PrintStream(OutputStream.nullOutputStream()))
-    private val beliefs = Beliefs(InstanceId("test"))
-    val lag = LoopLag(Clock.System)
+    private val log = StructuredLog(Clock.System, "test", PrintStream(OutputStream.nullOutputStream()))
+    private val deployment = DeploymentView(InstanceId("test"))
+    val lag = EventLoopLag(Clock.System)
     val port: Int = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
 
     init {
-        if (configured) beliefs.routes = RouteTable(configuration(kind, resumable, attempts, timeoutMillis))
-        beliefs.endpointsKnown = true
-        beliefs.members = setOf(beliefs.self)
-        endpoints.forEachIndexed { index, endpoint -> beliefs.endpoints.put(entry("e$index", endpoint.port), 0) }
-        val context = ServingContext(beliefs, log, EntryMetrics(), Clock.System, lag)
-        val refusals = Refusals(TestProtocol, log, context.metrics)
+        if (configured) deployment.routes = RouteTable(configuration(kind, resumable, attempts, timeoutMillis))
+        deployment.endpointsKnown = true
+        deployment.members = setOf(deployment.self)
+        endpoints.forEachIndexed { index, endpoint -> deployment.endpoints.put(entry("e$index", endpoint.port), 0) }
+        val context = ServingContext(deployment, log, EntryMetrics(), Clock.System, lag)
+        val refusals = RefusalWriter(TestProtocol, log, context.metrics)
         val pool = ConnectionPool(vertx.createNetClient(), Clock.System)
         val budget = SharedRetryBudget(RetryBound(share = 1.0, extra = 100.0, windowMillis = 10_000))
         val delivery = Delivery(
             context,
-            Placer(settings(), beliefs, Clock.System),
-            Attempts(context, pool, NAMES, scope),
+            EndpointSelector(settings(), deployment, Clock.System),
+            AttemptRunner(context, pool, NAMES, scope),
             refusals,
             budget,
         )
-        val stopping = StopState(8_000, Clock.System)
+        val stopping = ShutdownState(8_000, Clock.System)
         val callers = CallerContext(
             clock = Clock.System,
             handler = RelayHandler(context, NAMES, delivery, refusals, stopping),
@@ -99,8 +99,8 @@
     fun caller(): Socket = Socket(InetAddress.getLoopbackAddress(), port).also { it.soTimeout = 5_000 }
 
     /** Sends [request] on a connection of its own and returns all that comes back. */
-    fun ask(request: String): String = caller().use { socket ->
-        socket.say(request)
+    fun exchange(request: String): String = caller().use { socket ->
+        socket.send(request)
         String(socket.getInputStream().readAllBytes())
     }
 
@@ -111,7 +111,7 @@
     private fun settings(): EntrySettings {
         val address = SocketAddress("127.0.0.1", port)
         return EntrySettings(
-            instance = beliefs.self,
+            instance = deployment.self,
             zone = ZoneId("a"),
             region = RegionId("north"),
             zones = mapOf(ZoneId("a") to RegionId("north")),
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayTest.kt
@@ -16,8 +16,8 @@
 class RelayTest {
     @Test
     fun `status, body and seal pass unchanged, and the endpoint gets the caller's request`() {
-        val endpoint = ScriptedEndpoint { socket, _, _ -> socket.say(sealed("hello")) }
-        val answer = RelayHarness(endpoint).use { it.ask(request(fields = "X-Own: 1\r\n", body = "payload")) }
+        val endpoint = ScriptedEndpoint { socket, _, _ -> socket.send(sealed("hello")) }
+        val answer = RelayHarness(endpoint).use { it.exchange(request(fields = "X-Own: 1\r\n", body = "payload")) }
         expectThat(answer).startsWith("HTTP/1.1 201 Made\r\n").contains("Seal: s1").endsWith("\r\n\r\nhello")
         expectThat(endpoint.requests.single()).startsWith("POST /r/x?y=1 HTTP/1.1\r\n").contains("X-Own: 1")
             .endsWith("payload")
@@ -26,49 +26,49 @@
     // A caller that could set these would read another organisation's cache or choose its own rank.
     @Test
     fun `fields that are the system's to set are dropped and the key is replaced by the organisation`() {
-        val endpoint = ScriptedEndpoint { socket, _, _ -> socket.say(sealed("x")) }
+        val endpoint = ScriptedEndpoint { socket, _, _ -> socket.send(sealed("x")) }
         val forged = "Org: other\r\nSpace: stolen\r\nurgency: 0\r\nReserved: 1\r\n" +
             "Connection: close, Model\r\nModel: m\r\n"
-        RelayHarness(endpoint).use { it.ask(request(fields = forged)) }
+        RelayHarness(endpoint).use { it.exchange(request(fields = forged)) }
         expectThat(endpoint.requests.single()).contains("Org: org").contains("Expect-Endpoint: e0").contains("Model: m")
-            .lacks("other").lacks("stolen").lacks("Reserved").lacks("secret")
+            .doesNotContain("other").doesNotContain("stolen").doesNotContain("Reserved").doesNotContain("secret")
     }
 
     @Test
     fun `an answer to another request that comes first is passed over`() {
         val endpoint = ScriptedEndpoint { socket, _, _ ->
-            socket.say(sealed("late", id = "other"))
-            socket.say(sealed("own"))
+            socket.send(sealed("late", id = "other"))
+            socket.send(sealed("own"))
         }
-        val answer = RelayHarness(endpoint).use { it.ask(request()) }
-        expectThat(answer).endsWith("own").lacks("late")
+        val answer = RelayHarness(endpoint).use { it.exchange(request()) }
+        expectThat(answer).endsWith("own").doesNotContain("late")
     }
 
     @Test
     fun `a success without a seal never reaches the caller`() {
         val endpoint =
-            ScriptedEndpoint { socket, _, _ -> socket.say("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 1\r\n\r\nx") }
-        expectThat(RelayHarness(endpoint).use { it.ask(request()) }).startsWith("HTTP/1.1 502 ")
+            ScriptedEndpoint { socket, _, _ -> socket.send("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 1\r\n\r\nx") }
+        expectThat(RelayHarness(endpoint).use { it.exchange(request()) }).startsWith("HTTP/1.1 502 ")
     }
 
     @Test
     fun `an answer without length is whole after an orderly end`() {
         val endpoint = ScriptedEndpoint { socket, _, _ ->
-            socket.say("HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s1\r\n\r\nwhole")
+            socket.send("HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s1\r\n\r\nwhole")
             socket.close()
         }
-        expectThat(RelayHarness(endpoint).use { it.ask(request()) }).startsWith("HTTP/1.1 200 ").endsWith("whole")
+        expectThat(RelayHarness(endpoint).use { it.exchange(request()) }).startsWith("HTTP/1.1 200 ").endsWith("whole")
     }
 
     @Test
     fun `an answer without length that is reset is no success, and what may not be repeated runs once`() {
         val endpoint = ScriptedEndpoint { socket, _, _ ->
-            socket.say("HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s1\r\n\r\npart")
+            socket.send("HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s1\r\n\r\npart")
             Thread.sleep(50)
             socket.reset()
         }
-        val other = ScriptedEndpoint { socket, _, _ -> socket.say(sealed("again")) }
-        val answer = RelayHarness(endpoint, other).use { it.ask(request()) }
+        val other = ScriptedEndpoint { socket, _, _ -> socket.send(sealed("again")) }
+        val answer = RelayHarness(endpoint, other).use { it.exchange(request()) }
         expectThat(answer.startsWith("HTTP/1.1 502 ") || answer.endsWith("again")).isTrue()
         expectThat(endpoint.requests.size + other.requests.size).isEqualTo(1)
     }
@@ -77,22 +77,22 @@
     fun `an idempotent request whose endpoint fails is answered by another`() {
         val endpoints = List(2) {
             ScriptedEndpoint { socket, _, request ->
-                if (request.contains("Expect-Endpoint: e0")) socket.reset() else socket.say(sealed("ok"))
+                if (request.contains("Expect-Endpoint: e0")) socket.reset() else socket.send(sealed("ok"))
             }
         }
         val harness = RelayHarness(*endpoints.toTypedArray(), kind = RequestKind.IDEMPOTENT)
-        repeat(4) { expectThat(harness.ask(request())).endsWith("ok") }
+        repeat(4) { expectThat(harness.exchange(request())).endsWith("ok") }
         harness.close()
     }
 
     @Test
     fun `an endpoint that refuses is followed by another, also for a request that may not be repeated`() {
         val refusing = ScriptedEndpoint { socket, _, _ ->
-            socket.say("HTTP/1.1 503 No\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+            socket.send("HTTP/1.1 503 No\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
         }
-        val serving = ScriptedEndpoint { socket, _, _ -> socket.say(sealed("ok")) }
+        val serving = ScriptedEndpoint { socket, _, _ -> socket.send(sealed("ok")) }
         val harness = RelayHarness(refusing, serving)
-        repeat(3) { expectThat(harness.ask(request())).endsWith("ok") }
+        repeat(3) { expectThat(harness.exchange(request())).endsWith("ok") }
         harness.close()
         expectThat(serving.requests).hasSize(3)
     }
@@ -100,17 +100,17 @@
     // To a caller a 503 promises that the request has not run; without the endpoint's word for it that may be false.
     @Test
     fun `an unconfirmed refusal of an endpoint does not reach the caller as a promise`() {
-        val endpoint = ScriptedEndpoint { socket, _, _ -> socket.say("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n") }
-        expectThat(RelayHarness(endpoint).use { it.ask(request()) }).startsWith("HTTP/1.1 502 ")
+        val endpoint = ScriptedEndpoint { socket, _, _ -> socket.send("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n") }
+        expectThat(RelayHarness(endpoint).use { it.exchange(request()) }).startsWith("HTTP/1.1 502 ")
     }
 
     @Test
     fun `a stream that breaks goes on at another endpoint after the last whole event`() {
         val script = { socket: Socket, _: Int, request: String ->
             if (request.contains("Last-Event-Id: 2")) {
-                socket.say(STREAM_HEAD + chunk("id: 2\ndata: b\n\n") + chunk("id: 3\ndata: c\n\n") + "0\r\n\r\n")
+                socket.send(STREAM_HEAD + chunk("id: 2\ndata: b\n\n") + chunk("id: 3\ndata: c\n\n") + "0\r\n\r\n")
             } else {
-                socket.say(STREAM_HEAD + chunk("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"))
+                socket.send(STREAM_HEAD + chunk("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"))
                 Thread.sleep(50)
                 socket.reset()
             }
@@ -121,7 +121,7 @@
             kind = RequestKind.STREAM,
             resumable = true,
         )
-        val answer = harness.use { it.ask(request()) }
+        val answer = harness.use { it.exchange(request()) }
         expectThat(Regex("data: (\\w)").findAll(answer).map { it.groupValues[1] }.joinToString("")).isEqualTo("abc")
         expectThat(answer).endsWith("0\r\n\r\n")
     }
@@ -129,59 +129,59 @@
     @Test
     fun `a stream that breaks and may not be resumed does not look complete`() {
         val endpoint = ScriptedEndpoint { socket, _, _ ->
-            socket.say(STREAM_HEAD + chunk("id: 1\ndata: a\n\nid: 2\nda"))
+            socket.send(STREAM_HEAD + chunk("id: 1\ndata: a\n\nid: 2\nda"))
             Thread.sleep(50)
             socket.reset()
         }
-        val answer = RelayHarness(endpoint, kind = RequestKind.STREAM).use { it.ask(request()) }
-        expectThat(answer).contains("data: a").lacks("id: 2").lacks("0\r\n\r\n")
+        val answer = RelayHarness(endpoint, kind = RequestKind.STREAM).use { it.exchange(request()) }
+        expectThat(answer).contains("data: a").doesNotContain("id: 2").doesNotContain("0\r\n\r\n")
     }
 
     @Test
     fun `an endpoint stops work on a stream whose caller has left`() {
-        val endpoint = ScriptedEndpoint { socket, _, _ -> socket.say(STREAM_HEAD + chunk("id: 1\ndata: a\n\n")) }
+        val endpoint = ScriptedEndpoint { socket, _, _ -> socket.send(STREAM_HEAD + chunk("id: 1\ndata: a\n\n")) }
         val harness = RelayHarness(endpoint, kind = RequestKind.STREAM)
         harness.caller().use { socket ->
-            socket.say(request())
+            socket.send(request())
             socket.getInputStream().read()
         }
-        expectThat(endpoint.callerLeft.await(1, TimeUnit.SECONDS)).isTrue()
+        expectThat(endpoint.connectionEnded.await(1, TimeUnit.SECONDS)).isTrue()
         harness.close()
     }
 
     @Test
     fun `a request that hides another is refused and reaches no endpoint`() {
-        val endpoint = ScriptedEndpoint { socket, _, _ -> socket.say(sealed("x")) }
+        val endpoint = ScriptedEndpoint { socket, _, _ -> socket.send(sealed("x")) }
         val smuggled = "POST /r/x HTTP/1.1\r\nHost: h\r\nId: 1\r\nContent-Length: 4\r\n" +
             "Transfer-Encoding: chunked\r\n\r\n" +
             "0\r\n\r\nPOST /r/y HTTP/1.1\r\nHost: h\r\nId: 2\r\n\r\n"
-        expectThat(RelayHarness(endpoint).use { it.ask(smuggled) }).startsWith("HTTP/1.1 400 ")
+        expectThat(RelayHarness(endpoint).use { it.exchange(smuggled) }).startsWith("HTTP/1.1 400 ")
         expectThat(endpoint.requests).isEmpty()
     }
 
     @Test
     fun `bodies and heads over the limits, unknown keys and unknown paths are refused with their status`() {
-        val endpoint = ScriptedEndpoint { socket, _, _ -> socket.say(sealed("x")) }
+        val endpoint = ScriptedEndpoint { socket, _, _ -> socket.send(sealed("x")) }
         RelayHarness(endpoint).use { harness ->
-            expectThat(harness.ask(request(body = "x".repeat(10_001)))).startsWith("HTTP/1.1 413 ")
-            expectThat(harness.ask(request(fields = "Big: ${"x".repeat(3_000)}\r\n"))).startsWith("HTTP/1.1 431 ")
-            expectThat(harness.ask(request().replace("secret", "wrong"))).startsWith("HTTP/1.1 401 ")
-            expectThat(harness.ask(request().replace("/r/", "/z/"))).startsWith("HTTP/1.1 404 ")
+            expectThat(harness.exchange(request(body = "x".repeat(10_001)))).startsWith("HTTP/1.1 413 ")
+            expectThat(harness.exchange(request(fields = "Big: ${"x".repeat(3_000)}\r\n"))).startsWith("HTTP/1.1 431 ")
+            expectThat(harness.exchange(request().replace("secret", "wrong"))).startsWith("HTTP/1.1 401 ")
+            expectThat(harness.exchange(request().replace("/r/", "/z/"))).startsWith("HTTP/1.1 404 ")
         }
         expectThat(endpoint.requests).isEmpty()
     }
 
     @Test
     fun `without a configuration a request is refused as not run, with a time to come back`() {
-        val answer = RelayHarness(configured = false).use { it.ask(request()) }
+        val answer = RelayHarness(configured = false).use { it.exchange(request()) }
         expectThat(answer).startsWith("HTTP/1.1 503 ").contains("Retry-After: ")
     }
 
     @Test
     fun `requests that arrive together on one connection are answered in their order`() {
-        val endpoint = ScriptedEndpoint { socket, number, _ -> socket.say(sealed("answer$number")) }
+        val endpoint = ScriptedEndpoint { socket, number, _ -> socket.send(sealed("answer$number")) }
         val kept = request().replace("Connection: close\r\n", "")
-        val answers = RelayHarness(endpoint).use { it.ask(kept + request()) }
+        val answers = RelayHarness(endpoint).use { it.exchange(kept + request()) }
         expectThat(
             Regex("answer\\d").findAll(answers).map { it.value }.toList()
         ).isEqualTo(listOf("answer1", "answer2"))
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/ScriptedEndpoint.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/ScriptedEndpoint.kt
@@ -23,7 +23,7 @@
 internal class ScriptedEndpoint(private val script: (Socket, Int, String) -> Unit) : AutoCloseable {
     private val server = ServerSocket(0, 50, InetAddress.getLoopbackAddress())
     val requests = CopyOnWriteArrayList<String>()
-    val callerLeft = CountDownLatch(1)
+    val connectionEnded = CountDownLatch(1)
     val port: Int get() = server.localPort
 
     init {
@@ -47,19 +47,19 @@
                 script(socket, requests.size, request)
             }
         } finally {
-            callerLeft.countDown()
+            connectionEnded.countDown()
         }
     }
 }
 
-internal fun Socket.say(text: String) {
+internal fun Socket.send(text: String) {
     getOutputStream().write(text.toByteArray())
     getOutputStream().flush()
 }
 
 /** Sends [text] again and again until the other side closes the connection. */
-internal fun Socket.sayWithoutEnd(text: String) {
-    while (true) say(text)
+internal fun Socket.sendForever(text: String) {
+    while (true) send(text)
 }
 
 /** Closes this socket so that the other side sees a reset. */
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/SharedBeliefsTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/SharedBeliefsTest.kt
@@ -8,7 +8,7 @@
 import org.parsleymoor.entry.control.learn
 import org.parsleymoor.entry.control.news
 import org.parsleymoor.entry.control.toMessage
-import org.parsleymoor.entry.serving.Beliefs
+import org.parsleymoor.entry.serving.DeploymentView
 import org.parsleymoor.entry.serving.oldestWeights
 import org.parsleymoor.relay.cache.ContextKey
 import org.parsleymoor.relay.exchange.News
@@ -29,7 +29,7 @@
 
 class SharedBeliefsTest {
     private val model = ModelId("m")
-    private val beliefs = Beliefs(InstanceId("self")).also { it.routes = RouteTable(configuration()) }
+    private val deployment = DeploymentView(InstanceId("self")).also { it.routes = RouteTable(configuration()) }
 
     // While the store is away, an instance would go on to expect the weights of its last list and be refused.
     @Test
@@ -37,8 +37,8 @@
         val engine = engine("e", weights = 1)
         val load = EngineLoad(1, 0, 0, memoryUsed = 10, memoryTotal = 100, atMillis = 1_000)
         told(News.Load(engine, load, mapOf(model to 2L)), sentMillis = 1_050, arrivedMillis = 5_000)
-        expectThat(beliefs.endpoints[engine]?.weights(model)).isEqualTo(2L)
-        expectThat(beliefs.endpoints[engine]?.engineLoad?.atMillis).isEqualTo(4_950L)
+        expectThat(deployment.endpoints[engine]?.weights(model)).isEqualTo(2L)
+        expectThat(deployment.endpoints[engine]?.engineLoad?.atMillis).isEqualTo(4_950L)
     }
 
     @Test
@@ -47,8 +47,8 @@
         val key = ContextKey.of("space", "part")
         val prompt = SentPrompt(atMillis = 950, tokens = 100, tokensToRead = 100, context = key)
         told(News.Sent(InstanceId("peer"), engine, prompt), sentMillis = 1_000, arrivedMillis = 1_000)
-        val state = beliefs.endpoints[engine]!!
-        expectThat(beliefs.contexts.heldShare(key, state.start, 1_000)).isGreaterThan(0.5)
+        val state = deployment.endpoints[engine]!!
+        expectThat(deployment.contexts.heldShare(key, state.start, 1_000)).isGreaterThan(0.5)
     }
 
     // A report that was read before a rollout ended may arrive after it, and prompts would expect the older weights.
@@ -62,7 +62,7 @@
             sentMillis = 1_000,
             arrivedMillis = 1_020
         )
-        expectThat(beliefs.endpoints[engine]?.weights(model)).isEqualTo(3L)
+        expectThat(deployment.endpoints[engine]?.weights(model)).isEqualTo(3L)
     }
 
     // An instance that gets its own prompt back from a hub would count it twice.
@@ -71,8 +71,8 @@
         val engine = engine("e", weights = 1)
         val key = ContextKey.of("space", "part")
         val prompt = SentPrompt(atMillis = 950, tokens = 100, tokensToRead = 100, context = key)
-        told(News.Sent(beliefs.self, engine, prompt), sentMillis = 1_000, arrivedMillis = 1_000)
-        expectThat(beliefs.contexts.heldShare(key, beliefs.endpoints[engine]!!.start, 1_000)).isEqualTo(0.0)
+        told(News.Sent(deployment.self, engine, prompt), sentMillis = 1_000, arrivedMillis = 1_000)
+        expectThat(deployment.contexts.heldShare(key, deployment.endpoints[engine]!!.start, 1_000)).isEqualTo(0.0)
     }
 
     // Parts are freed that are older than these weights: a guess would free what an engine still fetches.
@@ -80,14 +80,14 @@
     fun `the oldest weights are those of the engine that is furthest behind, and unknown with one engine's`() {
         engine("new", weights = 3)
         engine("old", weights = 2)
-        expectThat(beliefs.oldestWeights(model)).isEqualTo(2L)
+        expectThat(deployment.oldestWeights(model)).isEqualTo(2L)
         engine("unknown", weights = null)
-        expectThat(beliefs.oldestWeights(model)).isNull()
+        expectThat(deployment.oldestWeights(model)).isNull()
     }
 
     private fun told(news: News, sentMillis: Long, arrivedMillis: Long) {
         listOf(news).toMessage(PassOn.NOBODY, sentMillis).news(arrivedMillis)
-            .forEach { beliefs.learn(it, arrivedMillis) }
+            .forEach { deployment.learn(it, arrivedMillis) }
     }
 
     private fun engine(name: String, weights: Long?): EndpointId {
@@ -100,7 +100,7 @@
             slots = 64,
             weights = weights?.let { mapOf(model to it) }.orEmpty(),
         )
-        beliefs.endpoints.put(entry, 0)
+        deployment.endpoints.put(entry, 0)
         return entry.id
     }
 
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/SharedWatchTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/SharedWatchTest.kt
@@ -17,7 +17,7 @@
 import org.parsleymoor.entry.control.ObjectWatch
 import org.parsleymoor.entry.control.WatchContext
 import org.parsleymoor.entry.control.WatchDuty
-import org.parsleymoor.entry.log.DecisionLog
+import org.parsleymoor.entry.log.StructuredLog
 import org.parsleymoor.entry.protocol.ObjectChange
 import org.parsleymoor.entry.protocol.ObjectKind
 import org.parsleymoor.entry.protocol.StoredObject
@@ -109,7 +109,7 @@
     private fun TestScope.instance(member: Member): Instance {
         val clock = Clock { currentTime }
         val membership = Membership(member).also { it.update(members) }
-        val log = DecisionLog(clock, "test", PrintStream(OutputStream.nullOutputStream()))
+        val log = StructuredLog(clock, "test", PrintStream(OutputStream.nullOutputStream()))
         val duty = WatchDuty(membership.tree, clock, APPLY_MILLIS)
         val ticks = ControlTicks(clock, offsetMillis = 0) { 100 }
         val runtime = ControlRuntime(backgroundScope, ticks, log, clock)
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/TextAssertions.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/TextAssertions.kt
@@ -3,5 +3,5 @@
 import strikt.api.Assertion
 
 /** Asserts that the subject does not contain [text]. */
-internal fun Assertion.Builder<String>.lacks(text: String): Assertion.Builder<String> =
+internal fun Assertion.Builder<String>.doesNotContain(text: String): Assertion.Builder<String> =
     assert("lacks %s", text) { found -> if (text in found) fail(found) else pass() }
