--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/ConnectionPool.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/ConnectionPool.kt
@@ -12,32 +12,32 @@
 import org.parsleymoor.relay.fleet.SocketAddress
 import java.io.IOException
 
-/** Why there is no connection to an endpoint; nothing has been sent. */
+/** Why no connection to an endpoint could be used. Nothing has been sent. */
 internal enum class ConnectFailure(override val message: String) : Failure {
-    REFUSED("the connection was refused"),
-    TIMED_OUT("the connection was not established in time"),
-    AT_LIMIT("this instance has as many connections to the endpoint as it may open"),
+    REFUSED("connection failed or was refused"),
+    TIMED_OUT("connection timed out"),
+    AT_LIMIT("this instance has reached its limit of connections to the endpoint"),
 }
 
-/** Idle and open connections to endpoints, the most recently used first. Confined to the event loop. */
+/** Pool of connections to endpoints that reuses the most recently released first. Confined to the event loop. */
 internal class ConnectionPool(private val client: NetClient, private val clock: Clock) {
     private val idle = HashMap<SocketAddress, ArrayDeque<EndpointConnection>>()
     private val open = HashMap<SocketAddress, Int>()
 
-    /** Returns an idle connection to [address], or null. */
+    /** Removes an idle connection to [address] from the pool and returns it, or null if there is none. */
     fun takeIdle(address: SocketAddress): EndpointConnection? {
         val connections = idle[address] ?: return null
         val nowMillis = clock.nowMillis()
-        val (usable, over) = connections.partition { it.reusable && nowMillis < it.idleUntilMillis }
-        over.forEach { it.close() }
-        val newest = usable.lastOrNull()
+        val (usable, expired) = connections.partition { it.reusable && nowMillis < it.idleUntilMillis }
+        expired.forEach { it.close() }
+        val mostRecent = usable.lastOrNull()
         connections.clear()
         connections.addAll(usable.dropLast(1))
-        newest?.input?.onUnsolicitedData = {}
-        return newest
+        mostRecent?.input?.onUnsolicitedData = {}
+        return mostRecent
     }
 
-    /** Opens a connection to [address]; fails when [limit] are open or none is established in [timeoutMillis]. */
+    /** Opens a connection to [address]. Fails if [limit] are open already or it takes longer than [timeoutMillis]. */
     suspend fun connect(
         address: SocketAddress,
         limit: Int,
@@ -63,25 +63,28 @@
         }
     }
 
-    /** Takes back [connection] after a complete response, which announced to keep it open for [keepMillis]. */
-    fun release(connection: EndpointConnection, keepMillis: Long?) {
+    /**
+     * Returns [connection] to the pool after a complete response. The endpoint has announced an idle timeout of
+     * [keepAliveMillis], or none if null.
+     */
+    fun release(connection: EndpointConnection, keepAliveMillis: Long?) {
         if (!connection.reusable) {
             connection.close()
             return
         }
-        val kept = keepMillis?.let { maxOf(it - CLOSING_MARGIN_MILLIS, it / 2) } ?: DEFAULT_IDLE_MILLIS
-        connection.idleUntilMillis = clock.nowMillis() + kept
-        // Bytes outside of a response belong to no request.
+        val idleMillis = keepAliveMillis?.let { maxOf(it - EARLY_CLOSE_MILLIS, it / 2) } ?: DEFAULT_IDLE_MILLIS
+        connection.idleUntilMillis = clock.nowMillis() + idleMillis
+        // Data that arrives while no request is in flight belongs to no request.
         connection.input.onUnsolicitedData = { connection.close() }
         idle.getOrPut(connection.address) { ArrayDeque() }.addLast(connection)
     }
 
-    /** Closes the idle connections to [address], because a connection to it fell silent or was reset. */
+    /** Closes the idle connections to [address], which are probably dead too after one to it has timed out. */
     fun discardIdle(address: SocketAddress) {
         idle.remove(address)?.forEach { it.close() }
     }
 
-    /** Closes idle connections that are due and forgets addresses without any. */
+    /** Closes the connections whose idle time is over and removes addresses without any. */
     fun expire() {
         val nowMillis = clock.nowMillis()
         idle.values.forEach { connections ->
@@ -96,10 +99,11 @@
     }
 
     private companion object {
-        // An endpoint may close an idle connection while a request is on its way; its time-out is in whole seconds.
-        const val CLOSING_MARGIN_MILLIS = 700L
+        // Connections are closed this long before the endpoint's idle timeout, which is stated in whole seconds, so
+        // that the endpoint does not close one while a request is on its way.
+        const val EARLY_CLOSE_MILLIS = 700L
 
-        // For endpoints that state no time-out.
+        // For endpoints that announce no idle timeout.
         const val DEFAULT_IDLE_MILLIS = 4_000L
     }
 }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/ControlClient.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/ControlClient.kt
@@ -11,63 +11,67 @@
 import org.parsleymoor.relay.fleet.SocketAddress
 import org.parsleymoor.relay.http.HeaderField
 
-/** A response to a control call. */
+/** Response to a [ControlRequest]. */
 internal class ControlResponse(val status: Int, val body: String)
 
-/** Why a control call has no response. */
+/** Why a [ControlRequest] has no response. */
 internal sealed interface CallFailure : Failure {
-    /** Nothing was sent. */
+    /** The request was not sent. */
     data class NotSent(val cause: ConnectFailure) : CallFailure {
         override val message: String get() = cause.message
     }
 
-    /** The call was sent and may have been carried out. */
+    /** The request was sent and may have been carried out. */
     data class Unanswered(override val message: String) : CallFailure
 }
 
-/** Makes control calls to the object store, engines and KV cache stores, each within its own time limit. */
+/** Sends control requests to the object store, engines and KV cache stores, each with its own timeout. */
 internal class ControlClient(private val pool: ConnectionPool) {
-    /** Sends [call] to [address] and suspends until its whole response has arrived, at most [timeoutMillis]. */
+    /** Sends [request] to [address] and suspends until the complete response has arrived, at most [timeoutMillis]. */
     suspend fun call(
         address: SocketAddress,
-        call: ControlRequest,
+        request: ControlRequest,
         timeoutMillis: Long,
     ): Result<ControlResponse, CallFailure> {
         val connection = pool.takeIdle(address)
-            ?: pool.connect(address, CONNECTIONS, minOf(timeoutMillis, CONNECT_MILLIS))
+            ?: pool.connect(address, MAX_CONNECTIONS, minOf(timeoutMillis, CONNECT_MILLIS))
                 .getOrElse { return Err(CallFailure.NotSent(it)) }
-        var answer: Result<ControlResponse, CallFailure>? = null
+        var response: Result<ControlResponse, CallFailure>? = null
         try {
-            connection.send(message(head(address, call), call.body.orEmpty().encodeToByteArray()))
-            answer = withTimeoutOrNull(timeoutMillis) { receive(connection, call) }
+            connection.send(message(head(address, request), request.body.orEmpty().encodeToByteArray()))
+            response = withTimeoutOrNull(timeoutMillis) { receive(connection, request) }
         } finally {
-            if (answer?.isOk == true) pool.release(connection, null) else connection.close()
+            if (response?.isOk == true) pool.release(connection, null) else connection.close()
         }
-        return answer ?: Err(CallFailure.Unanswered("no response within $timeoutMillis ms"))
+        return response ?: Err(CallFailure.Unanswered("no response within $timeoutMillis ms"))
     }
 
-    private suspend fun receive(connection: EndpointConnection, call: ControlRequest): Result<ControlResponse, CallFailure> {
-        val response = connection.readResponse(call.method).getOrElse { return Err(CallFailure.Unanswered(it.message)) }
+    private suspend fun receive(
+        connection: EndpointConnection,
+        request: ControlRequest,
+    ): Result<ControlResponse, CallFailure> {
+        val response = connection.readResponse(request.method)
+            .getOrElse { return Err(CallFailure.Unanswered(it.message)) }
         if (!response.head.keepsAlive) connection.noNewRequests = true
         return connection.readBody(response)
             .map { ControlResponse(response.head.status, it.decodeToString()) }
             .mapError { CallFailure.Unanswered(it.message) }
     }
 
-    private fun head(address: SocketAddress, call: ControlRequest): ByteArray {
+    private fun head(address: SocketAddress, request: ControlRequest): ByteArray {
         val fields = ArrayList<HeaderField>()
         fields += HeaderField("Host", address.toString())
-        call.headers.forEach { (name, value) -> fields += HeaderField(name, value) }
-        call.body?.let {
+        request.headers.forEach { (name, value) -> fields += HeaderField(name, value) }
+        request.body?.let {
             fields += HeaderField("Content-Type", "application/json")
             fields += HeaderField("Content-Length", it.encodeToByteArray().size.toString())
         }
-        return headBytes("${call.method} ${call.target} HTTP/1.1", fields)
+        return headBytes("${request.method} ${request.target} HTTP/1.1", fields)
     }
 
     private companion object {
-        // A watch for each kind, and room for calls beside them.
-        const val CONNECTIONS = 16
+        // One long poll for each kind of object, and room for other requests.
+        const val MAX_CONNECTIONS = 16
         const val CONNECT_MILLIS = 1_000L
     }
 }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/EndpointConnection.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/EndpointConnection.kt
@@ -18,12 +18,12 @@
 import org.parsleymoor.relay.http.parseResponseHead
 import java.io.ByteArrayOutputStream
 
-/** A response whose body is read from its connection. */
+/** A response whose head has arrived and whose body is still read from its connection. */
 internal class IncomingResponse(val head: ResponseHead, val framing: BodyFraming) {
     val decoder = BodyDecoder(framing)
 }
 
-/** One connection to [address]; it carries one request at a time. Confined to the event loop. */
+/** A connection to [address] that carries one request at a time. Confined to the event loop. */
 internal class EndpointConnection(val address: SocketAddress, private val socket: NetSocket) {
     val input = SocketInput(socket)
 
@@ -31,28 +31,30 @@
     var requests = 0
         private set
 
-    /** Until when the other side keeps an idle connection open, as far as is known. */
+    /** Until when the connection may be reused while it is idle. */
     var idleUntilMillis: Long = Long.MAX_VALUE
 
-    /** Whether no further request may be sent, because the framing is in doubt or an end was announced. */
+    /**
+     * Whether no further request may be sent, because the framing is in doubt or the peer is closing the connection.
+     */
     var noNewRequests = false
 
-    /** Whether responses on this connection have named the request that they answer. */
+    /** Whether responses on this connection have carried the id of their request. */
     var echoesRequestIds = false
 
     /** Whether another request can be sent. */
     val reusable: Boolean get() = !noNewRequests && input.end == null && input.queue.size == 0
 
-    /** Sends a whole request. */
+    /** Sends a complete request. */
     fun send(request: Buffer) {
         requests++
         socket.write(request)
     }
 
-    /** Suspends until the head of the next final response has arrived. */
+    /** Suspends until the head of the next response has arrived, skipping interim (1xx) responses. */
     suspend fun readResponse(method: String): Result<IncomingResponse, MessageFault> {
-        repeat(INTERIM_LIMIT) {
-            val read = input.readHead(HEAD_LIMIT_BYTES)
+        repeat(MAX_INTERIM_RESPONSES) {
+            val read = input.readHead(MAX_HEAD_BYTES)
                 .andThen { if (it == null) Err(MessageFault.ENDED_EARLY) else parseResponseHead(it) }
                 .andThen { head -> head.framing(method).andThen { Ok(IncomingResponse(head, it)) } }
             if (read.get()?.head?.isInterim != true) return read
@@ -60,30 +62,30 @@
         return Err(MessageFault.TOO_MANY_RESPONSES)
     }
 
-    /** Suspends until the whole body of [response] has arrived; a body over [BODY_LIMIT_BYTES] is a fault. */
+    /** Suspends until the complete body of [response] has arrived. Fails if it has more than [MAX_BODY_BYTES]. */
     suspend fun readBody(response: IncomingResponse): Result<ByteArray, MessageFault> {
         val body = ByteArrayOutputStream()
         return readBody(response) { body.writeBytes(it) }.map { body.toByteArray() }
     }
 
-    /** Reads the body of [response] to its end and drops it, within the same limit. */
+    /** Reads and discards the body of [response], with the same limit. */
     suspend fun discardBody(response: IncomingResponse): Result<Unit, MessageFault> = readBody(response) {}
 
     private suspend fun readBody(response: IncomingResponse, take: (ByteArray) -> Unit): Result<Unit, MessageFault> {
-        var bytes = (response.framing as? BodyFraming.Length)?.bytes?.takeIf { it > BODY_LIMIT_BYTES } ?: 0
-        while (response.decoder.progress == BodyProgress.INCOMPLETE && bytes <= BODY_LIMIT_BYTES) {
+        var bytes = (response.framing as? BodyFraming.Length)?.bytes?.takeIf { it > MAX_BODY_BYTES } ?: 0
+        while (response.decoder.progress == BodyProgress.INCOMPLETE && bytes <= MAX_BODY_BYTES) {
             val part = readPart(response)
             bytes += part.size
             take(part)
         }
         return when {
-            bytes > BODY_LIMIT_BYTES -> Err(MessageFault.BODY_TOO_LARGE)
+            bytes > MAX_BODY_BYTES -> Err(MessageFault.BODY_TOO_LARGE)
             response.decoder.progress == BodyProgress.COMPLETE -> Ok(Unit)
             else -> Err(MessageFault.ENDED_EARLY)
         }
     }
 
-    /** Suspends until more of the body of [response] has arrived; returns it, empty only at the end of the body. */
+    /** Suspends until more of the body of [response] has arrived and returns it; empty only at the end of the body. */
     suspend fun readPart(response: IncomingResponse): ByteArray {
         while (true) {
             val part = response.decoder.decode(input.queue)
@@ -93,19 +95,19 @@
         }
     }
 
-    /** Closes the connection; the endpoint drops what runs on it. */
+    /** Closes the connection, which makes the endpoint abort a request in flight. */
     fun close() {
         noNewRequests = true
         socket.close()
     }
 
     private companion object {
-        const val HEAD_LIMIT_BYTES = 32_768
+        const val MAX_HEAD_BYTES = 32_768
 
-        // Four times the largest object of the object store. Answers of endpoints are hundreds of times smaller.
-        const val BODY_LIMIT_BYTES = 4_194_304L
+        // Four times the largest object in the object store. Responses of endpoints are hundreds of times smaller.
+        const val MAX_BODY_BYTES = 4_194_304L
 
-        // An endpoint may say a few times that it is still at work.
-        const val INTERIM_LIMIT = 16
+        // Endpoints may send a few interim responses while they process a request.
+        const val MAX_INTERIM_RESPONSES = 16
     }
 }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/MessageInput.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/MessageInput.kt
@@ -9,7 +9,10 @@
 import org.parsleymoor.relay.http.MessageFault
 import java.io.ByteArrayOutputStream
 
-/** Suspends until a head has arrived; returns null when the connection ends before its first byte. */
+/**
+ * Suspends until a message head of at most [limitBytes] has arrived; returns null if the connection ends before its
+ * first byte. Empty lines before the head are skipped and count towards the limit.
+ */
 internal suspend fun SocketInput.readHead(limitBytes: Int): Result<ByteArray?, MessageFault> {
     var skipped = queue.skipEmptyLines()
     while (queue.headLength() == null && skipped + queue.size <= limitBytes && end == null) {
@@ -24,7 +27,7 @@
     }
 }
 
-/** Suspends until the whole body has arrived; a body over [limitBytes] is a fault. */
+/** Suspends until the complete body has arrived. Fails if it has more than [limitBytes]. */
 internal suspend fun SocketInput.readBody(framing: BodyFraming, limitBytes: Int): Result<ByteArray, MessageFault> {
     val decoder = BodyDecoder(framing)
     val content = ByteArrayOutputStream()
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/SocketInput.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/SocketInput.kt
@@ -6,12 +6,12 @@
 import org.parsleymoor.relay.http.ByteQueue
 import kotlin.coroutines.resume
 
-/** How the other side ended a connection. */
+/** How a connection ended: closed, or failed with an error such as a reset. */
 internal enum class InputEnd { ORDERLY, RESET }
 
 /**
- * Bytes that arrive on [socket]. Reading pauses while more than [LIMIT_BYTES] wait, so that a sender cannot fill the
- * memory. Confined to the event loop of the socket.
+ * Buffers the bytes that arrive on [socket]. Reading pauses while more than [MAX_BUFFERED_BYTES] are buffered, so that
+ * a sender cannot exhaust the memory. Confined to the event loop of the socket.
  */
 internal class SocketInput(private val socket: NetSocket) {
     val queue = ByteQueue()
@@ -20,7 +20,7 @@
     var end: InputEnd? = null
         private set
 
-    /** Called when bytes arrive while nobody waits for any. */
+    /** Called when bytes arrive while no coroutine is waiting for them. */
     var onUnsolicitedData: () -> Unit = {}
 
     /** Called when the connection ends. */
@@ -33,7 +33,7 @@
     init {
         socket.handler { buffer ->
             queue.append(buffer.bytes)
-            if (queue.size > LIMIT_BYTES && !paused) pause()
+            if (queue.size > MAX_BUFFERED_BYTES && !paused) pause()
             if (waiter == null) onUnsolicitedData() else wake()
         }
         socket.exceptionHandler { failed = true }
@@ -47,7 +47,7 @@
     /** Suspends until more bytes have arrived or the connection has ended. */
     suspend fun awaitMore() {
         if (end != null) return
-        if (paused && queue.size <= LIMIT_BYTES / 2) resumeReading()
+        if (paused && queue.size <= MAX_BUFFERED_BYTES / 2) resumeReading()
         suspendCancellableCoroutine { continuation ->
             waiter = continuation
             continuation.invokeOnCancellation { waiter = null }
@@ -71,7 +71,7 @@
     }
 
     private companion object {
-        // Several times the largest prompt text of the data sheets; a body larger than this is read in steps.
-        const val LIMIT_BYTES = 131_072
+        // Several times the largest prompt in the data sheets. Larger bodies are read in steps.
+        const val MAX_BUFFERED_BYTES = 131_072
     }
 }
