--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/log/LibraryLogHandler.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/log/LibraryLogHandler.kt
@@ -7,9 +7,9 @@
 import java.util.logging.LogRecord
 import java.util.logging.Logger
 
-/** Passes what libraries log through java.util.logging on to [log], from [level] on. */
+/** Writes what libraries log through java.util.logging to [log], from [level] on. */
 public class LibraryLogHandler(private val log: StructuredLog, private val level: Level = Level.WARNING) : Handler() {
-    /** Replaces the handlers of the root logger. */
+    /** Replaces the handlers of the root logger with this one. */
     public fun install() {
         LogManager.getLogManager().reset()
         val root = Logger.getLogger("")
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/log/StructuredLog.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/log/StructuredLog.kt
@@ -10,16 +10,16 @@
 import kotlin.concurrent.thread
 
 /**
- * Writes one JSON object a line. Lines are queued for a thread of their own, so that a slow reader of the output delays
- * no request; when [QUEUE_LINES] wait, or [LINES_PER_SECOND] were written in a second, further lines are counted and
- * dropped. The next line that is written says how many.
+ * Log of one JSON object per line. A separate thread writes the lines, so that a slow reader of [output] delays no
+ * request. When [MAX_QUEUED_LINES] are waiting or [MAX_LINES_PER_SECOND] have been logged within a second, further
+ * lines are dropped; the next line states how many.
  */
 public class StructuredLog(
     private val clock: Clock,
     private val instance: String,
     private val output: PrintStream = System.out,
 ) {
-    private val queue = ArrayBlockingQueue<String>(QUEUE_LINES)
+    private val queue = ArrayBlockingQueue<String>(MAX_QUEUED_LINES)
     private val dropped = AtomicLong()
     private var second = 0L
     private var linesInSecond = 0
@@ -28,7 +28,7 @@
         thread(name = "log", isDaemon = true) { while (true) output.println(queue.take()) }
     }
 
-    /** Writes the line [event] with the fields that [fields] adds; [always] writes it whatever the rate. */
+    /** Logs [event] with the fields that [fields] adds; with [always], regardless of the rate limit. */
     public fun write(event: String, always: Boolean = false, fields: JsonObjectBuilder.() -> Unit = {}) {
         val nowMillis = clock.nowMillis()
         if (!always && !withinRate(nowMillis)) {
@@ -45,7 +45,7 @@
         if (!queue.offer(line.toString())) dropped.incrementAndGet()
     }
 
-    /** Waits up to [millis] until what is queued has been written. */
+    /** Waits up to [millis] until the queued lines have been written. */
     public fun flush(millis: Long) {
         val until = System.nanoTime() + millis * NANOS_PER_MILLI
         while (queue.isNotEmpty() && System.nanoTime() < until) Thread.sleep(1)
@@ -57,13 +57,13 @@
             second = nowMillis / MILLIS_PER_SECOND
             linesInSecond = 0
         }
-        return linesInSecond++ < LINES_PER_SECOND
+        return linesInSecond++ < MAX_LINES_PER_SECOND
     }
 
     private companion object {
-        // About five times the lines of a busy second on the smallest instance.
-        const val LINES_PER_SECOND = 300
-        const val QUEUE_LINES = 1_024
+        // About five times the lines per second of the smallest instance under high load.
+        const val MAX_LINES_PER_SECOND = 300
+        const val MAX_QUEUED_LINES = 1_024
         const val MILLIS_PER_SECOND = 1_000L
         const val NANOS_PER_MILLI = 1_000_000L
     }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/protocol/HeaderNames.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/protocol/HeaderNames.kt
@@ -2,40 +2,40 @@
 
 /** Names of the header fields that callers send with a request. */
 public data class CallerHeaders(
-    /** Id of one attempt of a caller; endpoints echo it. */
+    /** Id of one attempt of a caller, which endpoints echo in their response. */
     public val attemptId: String,
-    /** How many milliseconds the caller waits. */
+    /** How long the caller waits, in milliseconds. */
     public val deadlineMillis: String,
-    /** The API key, after [keyScheme] and a space. */
+    /** API key, preceded by [keyScheme] and a space. */
     public val key: String,
     public val keyScheme: String,
     public val model: String,
-    /** Prompt tokens and the most output tokens. */
+    /** Number of prompt tokens and the maximum number of output tokens. */
     public val tokenUsage: String,
-    /** The parts of the prompt in order. */
+    /** The parts of the prompt, in order. */
     public val promptParts: String,
-    /** The last event of a stream that the caller has. */
+    /** Id of the last event of a stream that was received. */
     public val lastEventId: String,
     public val retryAfter: String,
 )
 
-/** Names of the header fields that the system itself sets on requests to endpoints; a caller's own are dropped. */
+/** Names of the header fields that only this system may set on requests to endpoints; callers' values are dropped. */
 public data class SystemHeaders(
     public val organisation: String,
-    /** Another endpoint than the one named here refuses the request. */
+    /** Name of the endpoint that the request is for; any other refuses it. */
     public val expectedEndpoint: String,
-    /** An endpoint with other weights refuses the request. */
+    /** Version of the weights that the request is for; an endpoint with another version refuses it. */
     public val expectedWeights: String,
     public val cacheNamespace: String,
-    /** Rank at the engine, 0 first. */
+    /** Priority in the engine's queue; 0 is the highest. */
     public val urgency: String,
-    /** Where an engine fetches the parts that it lacks, one address or one for each part. */
+    /** Where an engine fetches missing prompt parts from: one address, or one for each part. */
     public val cacheSource: String,
-    /** Where an engine saves the parts, one address for each. */
+    /** Where an engine saves the prompt parts, one address for each. */
     public val cacheTarget: String,
-    /** When an engine gives a fetch up and reads the parts itself, on the engines' clock. */
+    /** Deadline of the fetch, on the engines' clock; after it the engine prefills the parts itself. */
     public val cacheUntil: String,
-    /** Further fields that a caller must not set. */
+    /** Other fields that callers must not set. */
     public val reserved: Set<String>,
 ) {
     /** Lower-case names of all these fields. */
@@ -49,19 +49,19 @@
 
 /** Names of the header fields that endpoints set on responses. */
 public data class EndpointHeaders(
-    /** Proves that the response is the endpoint's. */
+    /** Shows that the response was made by the endpoint. */
     public val seal: String,
     /** States that the endpoint did not run the request. */
     public val notRun: String,
-    /** Running requests, waiting requests and slots. */
+    /** Number of running requests, of waiting requests, and of slots. */
     public val load: String,
     public val endpoint: String,
     public val coldMillis: String,
-    /** The version of the weights that a response was made with. */
+    /** Version of the weights that the response was made with. */
     public val weights: String,
 )
 
-/** All header names of the protocol that this deployment speaks. */
+/** All header names of a deployment's protocol. */
 public data class HeaderNames(
     public val caller: CallerHeaders,
     public val system: SystemHeaders,
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/protocol/ServingProtocol.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/protocol/ServingProtocol.kt
@@ -9,7 +9,7 @@
 import org.parsleymoor.relay.fleet.EndpointEntry
 import org.parsleymoor.relay.routing.ServingConfiguration
 
-/** A request of the control plane; [target] is path and query. */
+/** A request to the object store, an engine or a KV cache store; [target] is path and query. */
 public class ControlRequest(
     public val method: String,
     public val target: String,
@@ -17,36 +17,36 @@
     public val headers: Map<String, String> = emptyMap(),
 )
 
-/** A message of another party could not be read as [expected]. */
+/** A message could not be decoded: [expected] was expected and [found] was read. */
 public data class DecodeFailure(public val expected: String, public val found: String) : Failure {
     override val message: String get() = "expected $expected, found $found"
 }
 
-/** Collections of the object store. */
+/** Collections of objects in the object store. */
 public enum class ObjectKind { CONFIGURATION, ENDPOINTS, WEIGHTS, EVACUATIONS, LEASES, MEMBERS }
 
-/** An object of the store; [content] is its text, which the protocol decodes. */
+/** An object in the store; [content] is its encoded form, which [ContentDecoder] decodes. */
 public data class StoredObject(
     public val name: String,
     public val revision: Long,
     public val content: String,
 )
 
-/** One page of a list; [after] continues it, or is null at the end. The list is as of [revision]. */
+/** A page of a list as of [revision]; [after] is the cursor of the next page, or null on the last one. */
 public data class ObjectPage(public val items: List<StoredObject>, public val after: String?, public val revision: Long)
 
-/** A change of an object; [removed] when it no longer exists. */
+/** A change of an object; [removed] is true if the object was deleted. */
 public data class ObjectChange(public val value: StoredObject, public val removed: Boolean)
 
-/** Changes up to [revision]. */
+/** Changes of a collection up to [revision]. */
 public data class ObjectChanges(public val changes: List<ObjectChange>, public val revision: Long)
 
-/** Calls to the object store and their responses. */
+/** Encodes requests to the object store and decodes its responses. */
 public interface ObjectProtocol {
-    /** Lists [kind]; [allowStale] reads may be seconds old. */
+    /** Lists the objects of [kind] from cursor [after] on; with [allowStale] the list may be some seconds old. */
     public fun list(kind: ObjectKind, after: String?, allowStale: Boolean): ControlRequest
 
-    /** Waits up to [waitMillis] for changes of [kind] after [revision]. */
+    /** Long poll: waits up to [waitMillis] for changes of [kind] after [revision]. */
     public fun watch(kind: ObjectKind, revision: Long, waitMillis: Long): ControlRequest
 
     /** Reads one object. */
@@ -55,7 +55,7 @@
     /** Creates an object. */
     public fun create(kind: ObjectKind, name: String, content: String): ControlRequest
 
-    /** Replaces an object when its revision is [revision]; with null, whatever it is. */
+    /** Replaces an object if it still has [revision], or unconditionally if that is null. */
     public fun replace(kind: ObjectKind, name: String, content: String, revision: Long?): ControlRequest
 
     /** Removes an object. */
@@ -64,31 +64,31 @@
     /** Decodes a page of a list. */
     public fun page(body: String): Result<ObjectPage, DecodeFailure>
 
-    /** Decodes the response of a watch. */
+    /** Decodes the response to a watch. */
     public fun changes(body: String): Result<ObjectChanges, DecodeFailure>
 
     /** Decodes one object. */
     public fun stored(body: String): Result<StoredObject, DecodeFailure>
 }
 
-/** Decoders of what operators and endpoints write to the object store. */
+/** Decodes the objects that operators and endpoints write to the object store. */
 public interface ContentDecoder {
     /** Decodes a configuration. */
     public fun configuration(content: String): Result<ServingConfiguration, DecodeFailure>
 
-    /** Decodes what the endpoint [name] says of itself. */
+    /** Decodes the registration of the endpoint [name]. */
     public fun endpoint(name: String, content: String): Result<EndpointEntry, DecodeFailure>
 
-    /** Decodes the version that operators name for a model. */
+    /** Decodes the version of the weights that operators have selected for a model. */
     public fun weights(content: String): Result<Pair<ModelId, Long>, DecodeFailure>
 
-    /** Decodes the name of an evacuation. */
+    /** Decodes the availability zone from the name of an evacuation object. */
     public fun evacuatedZone(name: String): ZoneId
 }
 
 /**
- * State of an engine. [orders] is the number of orders that it has accepted since its start, [decoding] the number of
- * running requests that have made a token. Memory is counted in tokens. [clockMillis] is the clock that engines share.
+ * State of an engine. [orders] is the number of orders accepted since its start, [decoding] the number of running
+ * requests that have produced a token. Memory is counted in tokens. [clockMillis] is the clock shared by the engines.
  */
 public data class EngineReport(
     public val orders: Long,
@@ -102,7 +102,10 @@
     public val clockMillis: Long? = null,
 )
 
-/** An order to load [version] of [model]; runs finish first. It is void once the engine has accepted another order. */
+/**
+ * An order to load [version] of [model] once running requests have finished. It is void if the engine has accepted more
+ * than [afterOrders] orders since its start.
+ */
 public data class WeightOrder(
     public val model: ModelId,
     public val version: Long,
@@ -111,7 +114,7 @@
     public val afterOrders: Long,
 )
 
-/** Events of a cache since a position; [gap] when some are missing. */
+/** Changes of a cache that started as [epoch]. The next ones are at [position]; [gap] is true if some are missing. */
 public data class CacheEvents(
     public val epoch: Long,
     public val position: Long,
@@ -119,43 +122,43 @@
     public val changes: List<StoreChange>,
 )
 
-/** Calls to engines and KV cache stores. */
+/** Encodes requests to engines and KV cache stores and decodes their responses. */
 public interface EngineProtocol {
-    /** Asks for the state of an engine. */
+    /** Requests the state of an engine. */
     public fun report(): ControlRequest
 
     /** Orders the endpoint [endpoint] to load weights. */
     public fun order(endpoint: String, order: WeightOrder): ControlRequest
 
-    /** Waits up to [waitMillis] for cache events after [position]. */
+    /** Long poll: waits up to [waitMillis] for cache events after [position]. */
     public fun events(position: Long, waitMillis: Long): ControlRequest
 
-    /** Asks for all that a cache holds. */
+    /** Requests the complete contents of a cache. */
     public fun contents(): ControlRequest
 
-    /** Frees [parts] of a store that started as [epoch]. */
+    /** Evicts [parts] from a store, if its start is still [epoch]. */
     public fun free(parts: List<CachedPart>, epoch: Long): ControlRequest
 
     /** Decodes the state of an engine. */
     public fun report(body: String): Result<EngineReport, DecodeFailure>
 
-    /** Decodes events. */
+    /** Decodes cache events. */
     public fun events(body: String): Result<CacheEvents, DecodeFailure>
 
-    /** Decodes all that a cache holds. */
+    /** Decodes the complete contents of a cache. */
     public fun contents(body: String): Result<CacheEvents, DecodeFailure>
 }
 
-/** The protocol of one deployment. Everything that depends on its names is behind this interface. */
+/** The protocol of a deployment. All names and formats specific to it are behind this interface. */
 public interface ServingProtocol {
     public val headers: HeaderNames
     public val objects: ObjectProtocol
     public val content: ContentDecoder
     public val engines: EngineProtocol
 
-    /** Path of the readiness question. */
+    /** Path of the readiness probe. */
     public val readinessPath: String
 
-    /** Body of a refusal for [reason]. */
+    /** Returns the body of a refusal for [reason]. */
     public fun refusalBody(reason: String): String
 }
