--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/CallerServerShutdownTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/CallerServerShutdownTest.kt
@@ -35,9 +35,9 @@
     private val scope = CoroutineScope(SupervisorJob() + dispatcher)
     private val port = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
     private val slowHandler = object : RequestHandler {
-        override suspend fun handle(request: CallerRequest, answer: ResponseWriter) {
+        override suspend fun handle(request: CallerRequest, writer: ResponseWriter) {
             delay(300)
-            answer.writeResponse(CallerResponseHead(HttpStatus.OK), "done".toByteArray())
+            writer.writeResponse(CallerResponseHead(HttpStatus.OK), "done".toByteArray())
         }
     }
     private val server = CallerServer(
@@ -51,9 +51,9 @@
         vertx.close()
     }
 
-    // A daemon that left as soon as no connection was open cut off a request that was read in that moment.
+    // A daemon that exited as soon as no connection was open aborted a request that was being read at that moment.
     @Test
-    fun `a server that shuts down answers what it has read, and accepts no further connection`() {
+    fun `responds to requests already read and accepts no further connections during shutdown`() {
         runBlocking(dispatcher) { server.start(SocketAddress("127.0.0.1", port)) }
         Socket(InetAddress.getLoopbackAddress(), port).use { socket ->
             socket.soTimeout = 5_000
@@ -62,8 +62,8 @@
             val shutdown = scope.launch { server.shutdown(5_000) }
             runBlocking { delay(100) }
             assertThrows<ConnectException> { Socket(InetAddress.getLoopbackAddress(), port) }
-            val answer = String(socket.getInputStream().readAllBytes())
-            expectThat(answer).contains("HTTP/1.1 200").contains("Connection: close").contains("done")
+            val response = String(socket.getInputStream().readAllBytes())
+            expectThat(response).contains("HTTP/1.1 200").contains("Connection: close").contains("done")
             runBlocking { withTimeout(5_000) { shutdown.join() } }
         }
         expectThat(server.openConnections).isEqualTo(0)
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/EventLoopLagTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/EventLoopLagTest.kt
@@ -13,22 +13,22 @@
 import strikt.assertions.startsWith
 
 /**
- * Guards against an instance that is short of processor time, such as one that has just started on a slow machine, and
- * takes requests that it sends on seconds later, when their callers have left.
+ * Guards against an instance short of CPU time, such as one that has just started on a slow machine, that accepts
+ * requests and forwards them seconds later, when their callers have already given up.
  */
 class EventLoopLagTest {
     private val clock = ManualClock()
     private val lag = EventLoopLag(clock)
 
     @Test
-    fun `a wake-up that is overdue counts before it comes`() {
+    fun `an overdue wake-up counts as lag before it happens`() {
         lag.expect(clock.nowMillis() + 100)
         clock.advance(900)
         expectThat(lag.millis).isEqualTo(800)
     }
 
     @Test
-    fun `the lateness of the last wake-up counts until the next`() {
+    fun `the lag is the lateness of the last wake-up until the next one`() {
         wake(lateMillis = 600)
         lag.expect(clock.nowMillis() + 100)
         expectThat(lag.millis).isEqualTo(600)
@@ -37,7 +37,7 @@
     }
 
     @Test
-    fun `only a lag that takes up the time of the caller is too much`() {
+    fun `a lag exceeds a wait if it is at least 250 ms and four event loop turns take longer than the wait`() {
         wake(lateMillis = 500)
         expectThat(lag.wouldExceed(waitMillis = 1_500)).isTrue()
         expectThat(lag.wouldExceed(waitMillis = 3_000)).isFalse()
@@ -46,7 +46,7 @@
     }
 
     @Test
-    fun `an instance has settled once five wake-ups in a row were in time, and stays so`() {
+    fun `an instance settles after five punctual wake-ups in a row and stays settled`() {
         repeat(4) { wake(lateMillis = 10) }
         wake(lateMillis = 400)
         repeat(4) { wake(lateMillis = 10) }
@@ -58,19 +58,19 @@
     }
 
     @Test
-    fun `a request that cannot be answered in time is refused at once as not run and reaches no endpoint`() {
+    fun `rejects a request that cannot be answered in time with 503 before it reaches an endpoint`() {
         val endpoint = ScriptedEndpoint { _, _, _ -> }
-        val answer = RelayHarness(endpoint).use { harness ->
+        val response = RelayHarness(endpoint).use { harness ->
             harness.lag.expect(Clock.System.nowMillis() - 700)
             harness.exchange(REQUEST)
         }
-        expectThat(answer).startsWith("HTTP/1.1 503 ").contains("Retry-After: ").contains("behind")
+        expectThat(response).startsWith("HTTP/1.1 503 ").contains("Retry-After: ").contains("behind")
         expectThat(endpoint.requests).isEmpty()
     }
 
-    // The request waited unread while the event loop was behind; its caller's time went on.
+    // The caller's time runs while the request waits unread because the event loop is behind.
     @Test
-    fun `the time that a request waited unread is taken off what the endpoint is told`() {
+    fun `subtracts the time that a request waited unread from the deadline sent to the endpoint`() {
         val endpoint = ScriptedEndpoint { socket, _, _ ->
             socket.send("HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s1\r\nContent-Length: 0\r\n\r\n")
         }
@@ -79,8 +79,8 @@
             harness.lag.wokeUp()
             harness.exchange(REQUEST)
         }
-        val told = Regex("Wait: (\\d+)").find(endpoint.requests.single())?.groupValues?.get(1)?.toLong() ?: 0
-        expectThat(told < 1_750).isTrue()
+        val forwardedMillis = Regex("Wait: (\\d+)").find(endpoint.requests.single())?.groupValues?.get(1)?.toLong() ?: 0
+        expectThat(forwardedMillis < 1_750).isTrue()
     }
 
     private fun wake(lateMillis: Long) {
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/MisbehavingEndpointTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/MisbehavingEndpointTest.kt
@@ -13,64 +13,63 @@
 import java.util.concurrent.TimeUnit
 
 /**
- * Endpoints that send bytes that are no answer, without end, or an answer to an earlier request. Guards against memory
- * that grows with what an endpoint sends, against callers that wait until their time is over for an endpoint that can
- * only fail, and against answers that reach another caller.
+ * Endpoints that send malformed or endless data, or responses to earlier requests. Guards against unbounded memory use,
+ * callers that wait until their deadline for an endpoint that can only fail, and responses relayed to the wrong caller.
  */
 class MisbehavingEndpointTest {
     @Test
-    fun `a head without end is given up at once`() = givesUp { socket ->
+    fun `fails fast on an endless head`() = failsFast { socket ->
         socket.send("HTTP/1.1 200 OK\r\n")
         socket.sendForever("X-Filler: ${"x".repeat(100)}\r\n")
     }
 
     @Test
-    fun `empty lines without end in place of a head are given up at once`() = givesUp { socket ->
+    fun `fails fast on endless empty lines before a head`() = failsFast { socket ->
         socket.sendForever("\r\n".repeat(1_000))
     }
 
     @Test
-    fun `interim responses without end are given up at once`() = givesUp { socket ->
+    fun `fails fast on endless interim responses`() = failsFast { socket ->
         socket.sendForever("HTTP/1.1 102 Processing\r\n\r\n".repeat(100))
     }
 
     @Test
-    fun `a body without length and without end is given up at the limit`() = givesUp { socket ->
+    fun `fails at the size limit on an endless body without length`() = failsFast { socket ->
         socket.send("HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s1\r\n\r\n")
         socket.sendForever("x".repeat(8_192))
     }
 
     @Test
-    fun `a chunked body without end is given up at the limit`() = givesUp { socket ->
+    fun `fails at the size limit on an endless chunked body`() = failsFast { socket ->
         socket.send("HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s1\r\nTransfer-Encoding: chunked\r\n\r\n")
         socket.sendForever(chunk("x".repeat(8_192)))
     }
 
     @Test
-    fun `a body that states an absurd length is given up at once`() = givesUp { socket ->
+    fun `fails fast on a body whose stated length is over the limit`() = failsFast { socket ->
         socket.send("HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s1\r\nContent-Length: 99999999999\r\n\r\n")
         socket.sendForever("x".repeat(8_192))
     }
 
     @Test
-    fun `trailers without end are given up`() = givesUp { socket ->
+    fun `fails fast on endless trailers`() = failsFast { socket ->
         socket.send("HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n")
         socket.sendForever("X-Filler: ${"x".repeat(100)}\r\n".repeat(50))
     }
 
     @Test
-    fun `an answer to another request without end is given up at the limit`() = givesUp { socket ->
+    fun `fails at the size limit on an endless response to another request`() = failsFast { socket ->
         socket.send("HTTP/1.1 200 OK\r\nId: other\r\nSeal: s1\r\n\r\n")
         socket.sendForever("x".repeat(8_192))
     }
 
     @Test
-    fun `answers to other requests without end are given up`() = givesUp { socket ->
+    fun `fails fast on endless responses to other requests`() = failsFast { socket ->
         socket.sendForever(sealed("late", id = "other").repeat(50))
     }
 
     @Test
-    fun `the body of a refusal without end is given up and the request goes elsewhere`() {
+    fun `retries at another endpoint after a refusal with an endless body`() {
         val refusing = ScriptedEndpoint { socket, _, _ ->
             socket.send("HTTP/1.1 503 No\r\nNot-Run: 1\r\n\r\n")
             socket.sendForever("x".repeat(8_192))
@@ -82,20 +81,20 @@
     }
 
     @Test
-    fun `a stream whose event has no end is broken off at the limit and does not look complete`() {
+    fun `cuts off a stream with an endless event, so that it does not look complete`() {
         val endpoint = ScriptedEndpoint { socket, _, _ ->
             socket.send(STREAM_HEAD + chunk("id: 1\ndata: a\n\nid: 2\ndata: "))
             socket.sendForever(chunk("x".repeat(8_192)))
         }
         val started = System.nanoTime()
-        val answer = RelayHarness(endpoint, kind = RequestKind.STREAM).use { it.exchange(request()) }
-        expectThat(answer).contains("data: a").doesNotContain("xxxx").doesNotContain("0\r\n\r\n")
-        expectThat(millisSince(started)).isLessThan(GIVEN_UP_MILLIS)
+        val response = RelayHarness(endpoint, kind = RequestKind.STREAM).use { it.exchange(request()) }
+        expectThat(response).contains("data: a").doesNotContain("xxxx").doesNotContain("0\r\n\r\n")
+        expectThat(millisSince(started)).isLessThan(MAX_FAILURE_MILLIS)
         expectThat(endpoint.connectionEnded.await(1, TimeUnit.SECONDS)).isTrue()
     }
 
     @Test
-    fun `an endpoint that sends no answer is not asked again while another serves`() {
+    fun `does not retry an endpoint that sends malformed responses while another is available`() {
         val broken = ScriptedEndpoint { socket, _, _ -> socket.sendForever("x".repeat(8_192)) }
         val serving = ScriptedEndpoint { socket, _, _ -> socket.send(sealed("ok")) }
         RelayHarness(broken, serving, kind = RequestKind.IDEMPOTENT).use { harness ->
@@ -104,9 +103,9 @@
         expectThat(broken.requests.size).isLessThan(2)
     }
 
-    // The second copy arrives when the next caller's request is on its way on the same connection.
+    // The copy arrives when the next caller's request has been sent on the same connection.
     @Test
-    fun `a second copy of an answer on a connection in use again does not reach the next caller`() {
+    fun `does not relay a duplicate response on a reused connection to the next caller`() {
         val endpoint = ScriptedEndpoint { socket, number, _ ->
             if (number == 2) socket.send(sealed("first", id = "1"))
             socket.send(sealed(if (number == 1) "first" else "second", id = number.toString()))
@@ -117,12 +116,12 @@
         }
     }
 
-    // Nothing says whose such an answer is; another caller's answer must not be passed on as this one's.
+    // A response without an id may belong to another caller's request.
     @Test
-    fun `an answer without an id from an endpoint that gives ids is not passed on`() {
+    fun `does not relay a response without an id from an endpoint that has sent ids`() {
         val endpoint = ScriptedEndpoint { socket, number, _ ->
-            val unnamed = "HTTP/1.1 201 Made\r\nSeal: s1\r\nContent-Length: 5\r\n\r\nfirst"
-            socket.send(if (number == 1) sealed("first", id = "1") else unnamed)
+            val withoutId = "HTTP/1.1 201 Made\r\nSeal: s1\r\nContent-Length: 5\r\n\r\nfirst"
+            socket.send(if (number == 1) sealed("first", id = "1") else withoutId)
         }
         RelayHarness(endpoint).use { harness ->
             expectThat(harness.exchange(request(id = "1"))).endsWith("first")
@@ -130,9 +129,9 @@
         }
     }
 
-    // Endpoints refuse before they look at the request's id.
+    // Endpoints may refuse a request before they read its id.
     @Test
-    fun `a refusal without an id is taken from an endpoint that gives ids`() {
+    fun `accepts a refusal without an id from an endpoint that has sent ids`() {
         val refusing = ScriptedEndpoint { socket, number, _ ->
             val refusal = "HTTP/1.1 503 No\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
             socket.send(if (number == 1) sealed("first", id = "1") else refusal)
@@ -144,7 +143,7 @@
     }
 
     @Test
-    fun `a stream that sends a byte now and then but no event goes on at another endpoint`() {
+    fun `resumes a stream at another endpoint when only bytes without complete events arrive`() {
         val script = { socket: Socket, _: Int, request: String ->
             if (request.contains("Last-Event-Id: 1")) {
                 socket.send(STREAM_HEAD + chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n")
@@ -163,12 +162,12 @@
             resumable = true,
             timeoutMillis = 5_000,
         )
-        val answer = harness.use { it.exchange(request(waitMillis = 5_000)) }
-        expectThat(answer).contains("data: a").contains("data: b").endsWith("0\r\n\r\n")
+        val response = harness.use { it.exchange(request(waitMillis = 5_000)) }
+        expectThat(response).contains("data: a").contains("data: b").endsWith("0\r\n\r\n")
     }
 
     @Test
-    fun `a slow stream whose events keep coming is passed on to its end`() {
+    fun `relays a slow stream to its end while events keep arriving`() {
         val endpoint = ScriptedEndpoint { socket, _, _ ->
             socket.send(STREAM_HEAD)
             repeat(5) { number ->
@@ -178,18 +177,21 @@
             socket.send("0\r\n\r\n")
         }
         val harness = RelayHarness(endpoint, kind = RequestKind.STREAM, resumable = true, timeoutMillis = 10_000)
-        val answer = harness.use { it.exchange(request(waitMillis = 10_000)) }
-        expectThat(Regex("data: (\\d)").findAll(answer).count()).isEqualTo(5)
-        expectThat(answer).endsWith("0\r\n\r\n")
+        val response = harness.use { it.exchange(request(waitMillis = 10_000)) }
+        expectThat(Regex("data: (\\d)").findAll(response).count()).isEqualTo(5)
+        expectThat(response).endsWith("0\r\n\r\n")
     }
 
-    /** A request that may not be repeated gets a true answer long before its time is over, and the endpoint is left. */
-    private fun givesUp(script: (Socket) -> Unit) {
+    /**
+     * Asserts that a non-idempotent request to an endpoint that runs [script] gets a 502 well before its deadline, and
+     * that the connection to the endpoint is closed.
+     */
+    private fun failsFast(script: (Socket) -> Unit) {
         val endpoint = ScriptedEndpoint { socket, _, _ -> script(socket) }
         val started = System.nanoTime()
-        val answer = RelayHarness(endpoint).use { it.exchange(request()) }
-        expectThat(answer).startsWith("HTTP/1.1 502 ")
-        expectThat(millisSince(started)).isLessThan(GIVEN_UP_MILLIS)
+        val response = RelayHarness(endpoint).use { it.exchange(request()) }
+        expectThat(response).startsWith("HTTP/1.1 502 ")
+        expectThat(millisSince(started)).isLessThan(MAX_FAILURE_MILLIS)
         expectThat(endpoint.connectionEnded.await(1, TimeUnit.SECONDS)).isTrue()
     }
 
@@ -208,7 +210,7 @@
         const val STREAM_HEAD = "HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s1\r\nContent-Type: text/event-stream\r\n" +
             "Transfer-Encoding: chunked\r\n\r\n"
 
-        // The request has two seconds; a bound well below them shows that it was not its time limit that ended it.
-        const val GIVEN_UP_MILLIS = 1_500L
+        // Well below the request's deadline of two seconds, which therefore did not end it.
+        const val MAX_FAILURE_MILLIS = 1_500L
     }
 }
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
@@ -50,7 +50,7 @@
 import java.net.ServerSocket
 import java.net.Socket
 
-/** The data path of an entry daemon in front of [endpoints], without any control loop. */
+/** The data path of an entry daemon in front of [endpoints], without the control loops. */
 internal class RelayHarness(
     vararg endpoints: ScriptedEndpoint,
     kind: RequestKind = RequestKind.NON_IDEMPOTENT,
@@ -95,10 +95,10 @@
         runBlocking(dispatcher) { CallerServer(vertx, scope, callers).start(SocketAddress("127.0.0.1", port)) }
     }
 
-    /** Opens a caller's connection. */
+    /** Opens a connection as a caller. */
     fun caller(): Socket = Socket(InetAddress.getLoopbackAddress(), port).also { it.soTimeout = 5_000 }
 
-    /** Sends [request] on a connection of its own and returns all that comes back. */
+    /** Sends [request] on a new connection and returns everything received until it closes. */
     fun exchange(request: String): String = caller().use { socket ->
         socket.send(request)
         String(socket.getInputStream().readAllBytes())
@@ -158,7 +158,7 @@
     )
 }
 
-/** Header names that no deployment uses, which shows that nothing depends on the real ones. */
+/** Header names that no deployment uses, to show that nothing depends on the real ones. */
 internal val NAMES = HeaderNames(
     caller = CallerHeaders(
         attemptId = "Id", deadlineMillis = "Wait", key = "Authorization", keyScheme = "Key", model = "Model",
@@ -187,9 +187,9 @@
 
 private object TestProtocol : ServingProtocol {
     override val headers: HeaderNames get() = NAMES
-    override val objects: ObjectProtocol get() = error("the data path reads no objects")
-    override val content: ContentDecoder get() = error("the data path decodes no content")
-    override val engines: EngineProtocol get() = error("the data path orders no engines")
+    override val objects: ObjectProtocol get() = error("the data path does not access the object store")
+    override val content: ContentDecoder get() = error("the data path does not decode objects")
+    override val engines: EngineProtocol get() = error("the data path sends no control requests to engines")
     override val readinessPath: String get() = "/ready"
 
     override fun refusalBody(reason: String): String = reason
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayTest.kt
@@ -15,17 +15,17 @@
 
 class RelayTest {
     @Test
-    fun `status, body and seal pass unchanged, and the endpoint gets the caller's request`() {
+    fun `relays status, body and seal unchanged and forwards the caller's request`() {
         val endpoint = ScriptedEndpoint { socket, _, _ -> socket.send(sealed("hello")) }
-        val answer = RelayHarness(endpoint).use { it.exchange(request(fields = "X-Own: 1\r\n", body = "payload")) }
-        expectThat(answer).startsWith("HTTP/1.1 201 Made\r\n").contains("Seal: s1").endsWith("\r\n\r\nhello")
+        val response = RelayHarness(endpoint).use { it.exchange(request(fields = "X-Own: 1\r\n", body = "payload")) }
+        expectThat(response).startsWith("HTTP/1.1 201 Made\r\n").contains("Seal: s1").endsWith("\r\n\r\nhello")
         expectThat(endpoint.requests.single()).startsWith("POST /r/x?y=1 HTTP/1.1\r\n").contains("X-Own: 1")
             .endsWith("payload")
     }
 
-    // A caller that could set these would read another organisation's cache or choose its own rank.
+    // A caller that could set these fields would read another organisation's cache or choose its own priority.
     @Test
-    fun `fields that are the system's to set are dropped and the key is replaced by the organisation`() {
+    fun `drops fields reserved for the system and replaces the API key by the organisation`() {
         val endpoint = ScriptedEndpoint { socket, _, _ -> socket.send(sealed("x")) }
         val forged = "Org: other\r\nSpace: stolen\r\nurgency: 0\r\nReserved: 1\r\n" +
             "Connection: close, Model\r\nModel: m\r\n"
@@ -35,24 +35,24 @@
     }
 
     @Test
-    fun `an answer to another request that comes first is passed over`() {
+    fun `skips a response to another request that arrives first`() {
         val endpoint = ScriptedEndpoint { socket, _, _ ->
             socket.send(sealed("late", id = "other"))
             socket.send(sealed("own"))
         }
-        val answer = RelayHarness(endpoint).use { it.exchange(request()) }
-        expectThat(answer).endsWith("own").doesNotContain("late")
+        val response = RelayHarness(endpoint).use { it.exchange(request()) }
+        expectThat(response).endsWith("own").doesNotContain("late")
     }
 
     @Test
-    fun `a success without a seal never reaches the caller`() {
+    fun `does not relay a successful response without a seal`() {
         val endpoint =
             ScriptedEndpoint { socket, _, _ -> socket.send("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 1\r\n\r\nx") }
         expectThat(RelayHarness(endpoint).use { it.exchange(request()) }).startsWith("HTTP/1.1 502 ")
     }
 
     @Test
-    fun `an answer without length is whole after an orderly end`() {
+    fun `a response without length is complete after an orderly close`() {
         val endpoint = ScriptedEndpoint { socket, _, _ ->
             socket.send("HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s1\r\n\r\nwhole")
             socket.close()
@@ -61,20 +61,20 @@
     }
 
     @Test
-    fun `an answer without length that is reset is no success, and what may not be repeated runs once`() {
+    fun `does not relay a reset response without length as a success, and runs a non-idempotent request once`() {
         val endpoint = ScriptedEndpoint { socket, _, _ ->
             socket.send("HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s1\r\n\r\npart")
             Thread.sleep(50)
             socket.reset()
         }
         val other = ScriptedEndpoint { socket, _, _ -> socket.send(sealed("again")) }
-        val answer = RelayHarness(endpoint, other).use { it.exchange(request()) }
-        expectThat(answer.startsWith("HTTP/1.1 502 ") || answer.endsWith("again")).isTrue()
+        val response = RelayHarness(endpoint, other).use { it.exchange(request()) }
+        expectThat(response.startsWith("HTTP/1.1 502 ") || response.endsWith("again")).isTrue()
         expectThat(endpoint.requests.size + other.requests.size).isEqualTo(1)
     }
 
     @Test
-    fun `an idempotent request whose endpoint fails is answered by another`() {
+    fun `retries an idempotent request at another endpoint after a reset`() {
         val endpoints = List(2) {
             ScriptedEndpoint { socket, _, request ->
                 if (request.contains("Expect-Endpoint: e0")) socket.reset() else socket.send(sealed("ok"))
@@ -86,7 +86,7 @@
     }
 
     @Test
-    fun `an endpoint that refuses is followed by another, also for a request that may not be repeated`() {
+    fun `retries a non-idempotent request at another endpoint after a confirmed refusal`() {
         val refusing = ScriptedEndpoint { socket, _, _ ->
             socket.send("HTTP/1.1 503 No\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
         }
@@ -97,15 +97,15 @@
         expectThat(serving.requests).hasSize(3)
     }
 
-    // To a caller a 503 promises that the request has not run; without the endpoint's word for it that may be false.
+    // Callers read a 503 as "not run", which may be false without the header field by which the endpoint confirms it.
     @Test
-    fun `an unconfirmed refusal of an endpoint does not reach the caller as a promise`() {
+    fun `responds with 502 to an unconfirmed refusal`() {
         val endpoint = ScriptedEndpoint { socket, _, _ -> socket.send("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n") }
         expectThat(RelayHarness(endpoint).use { it.exchange(request()) }).startsWith("HTTP/1.1 502 ")
     }
 
     @Test
-    fun `a stream that breaks goes on at another endpoint after the last whole event`() {
+    fun `resumes a broken stream at another endpoint after the last complete event`() {
         val script = { socket: Socket, _: Int, request: String ->
             if (request.contains("Last-Event-Id: 2")) {
                 socket.send(STREAM_HEAD + chunk("id: 2\ndata: b\n\n") + chunk("id: 3\ndata: c\n\n") + "0\r\n\r\n")
@@ -121,24 +121,24 @@
             kind = RequestKind.STREAM,
             resumable = true,
         )
-        val answer = harness.use { it.exchange(request()) }
-        expectThat(Regex("data: (\\w)").findAll(answer).map { it.groupValues[1] }.joinToString("")).isEqualTo("abc")
-        expectThat(answer).endsWith("0\r\n\r\n")
+        val response = harness.use { it.exchange(request()) }
+        expectThat(Regex("data: (\\w)").findAll(response).map { it.groupValues[1] }.joinToString("")).isEqualTo("abc")
+        expectThat(response).endsWith("0\r\n\r\n")
     }
 
     @Test
-    fun `a stream that breaks and may not be resumed does not look complete`() {
+    fun `a broken stream that may not be resumed does not look complete`() {
         val endpoint = ScriptedEndpoint { socket, _, _ ->
             socket.send(STREAM_HEAD + chunk("id: 1\ndata: a\n\nid: 2\nda"))
             Thread.sleep(50)
             socket.reset()
         }
-        val answer = RelayHarness(endpoint, kind = RequestKind.STREAM).use { it.exchange(request()) }
-        expectThat(answer).contains("data: a").doesNotContain("id: 2").doesNotContain("0\r\n\r\n")
+        val response = RelayHarness(endpoint, kind = RequestKind.STREAM).use { it.exchange(request()) }
+        expectThat(response).contains("data: a").doesNotContain("id: 2").doesNotContain("0\r\n\r\n")
     }
 
     @Test
-    fun `an endpoint stops work on a stream whose caller has left`() {
+    fun `closes the connection to the endpoint when the caller of a stream disconnects`() {
         val endpoint = ScriptedEndpoint { socket, _, _ -> socket.send(STREAM_HEAD + chunk("id: 1\ndata: a\n\n")) }
         val harness = RelayHarness(endpoint, kind = RequestKind.STREAM)
         harness.caller().use { socket ->
@@ -150,7 +150,7 @@
     }
 
     @Test
-    fun `a request that hides another is refused and reaches no endpoint`() {
+    fun `rejects a smuggled request before it reaches an endpoint`() {
         val endpoint = ScriptedEndpoint { socket, _, _ -> socket.send(sealed("x")) }
         val smuggled = "POST /r/x HTTP/1.1\r\nHost: h\r\nId: 1\r\nContent-Length: 4\r\n" +
             "Transfer-Encoding: chunked\r\n\r\n" +
@@ -160,7 +160,7 @@
     }
 
     @Test
-    fun `bodies and heads over the limits, unknown keys and unknown paths are refused with their status`() {
+    fun `rejects bodies and heads over the limits, unknown keys and unknown paths`() {
         val endpoint = ScriptedEndpoint { socket, _, _ -> socket.send(sealed("x")) }
         RelayHarness(endpoint).use { harness ->
             expectThat(harness.exchange(request(body = "x".repeat(10_001)))).startsWith("HTTP/1.1 413 ")
@@ -172,18 +172,18 @@
     }
 
     @Test
-    fun `without a configuration a request is refused as not run, with a time to come back`() {
-        val answer = RelayHarness(configured = false).use { it.exchange(request()) }
-        expectThat(answer).startsWith("HTTP/1.1 503 ").contains("Retry-After: ")
+    fun `rejects requests with 503 and Retry-After while no configuration is known`() {
+        val response = RelayHarness(configured = false).use { it.exchange(request()) }
+        expectThat(response).startsWith("HTTP/1.1 503 ").contains("Retry-After: ")
     }
 
     @Test
-    fun `requests that arrive together on one connection are answered in their order`() {
+    fun `answers pipelined requests in order`() {
         val endpoint = ScriptedEndpoint { socket, number, _ -> socket.send(sealed("answer$number")) }
         val kept = request().replace("Connection: close\r\n", "")
-        val answers = RelayHarness(endpoint).use { it.exchange(kept + request()) }
+        val responses = RelayHarness(endpoint).use { it.exchange(kept + request()) }
         expectThat(
-            Regex("answer\\d").findAll(answers).map { it.value }.toList()
+            Regex("answer\\d").findAll(responses).map { it.value }.toList()
         ).isEqualTo(listOf("answer1", "answer2"))
     }
 
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/ScriptedEndpoint.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/ScriptedEndpoint.kt
@@ -7,7 +7,7 @@
 import java.util.concurrent.CountDownLatch
 import kotlin.concurrent.thread
 
-/** Reads a request head, and a body of the stated length, from this socket; returns null at the end. */
+/** Reads a request head and a body of the stated length from this socket; returns null at the end of input. */
 internal fun Socket.readRequest(): String? {
     val text = StringBuilder()
     while (!text.endsWith("\r\n\r\n")) {
@@ -19,7 +19,10 @@
     return text.toString() + String(getInputStream().readNBytes(length))
 }
 
-/** An endpoint that answers each request, by its number from 1, with what [script] writes to the raw socket. */
+/**
+ * An endpoint that responds to each request with what [script] writes to the raw socket. The script gets the socket,
+ * the number of the request counted from 1, and its text.
+ */
 internal class ScriptedEndpoint(private val script: (Socket, Int, String) -> Unit) : AutoCloseable {
     private val server = ServerSocket(0, 50, InetAddress.getLoopbackAddress())
     val requests = CopyOnWriteArrayList<String>()
@@ -57,12 +60,12 @@
     getOutputStream().flush()
 }
 
-/** Sends [text] again and again until the other side closes the connection. */
+/** Sends [text] repeatedly until the peer closes the connection. */
 internal fun Socket.sendForever(text: String) {
     while (true) send(text)
 }
 
-/** Closes this socket so that the other side sees a reset. */
+/** Closes this socket with a reset. */
 internal fun Socket.reset() {
     setSoLinger(true, 0)
     close()
