--- /dev/null
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/AttemptRunner.kt
@@ -0,0 +1,116 @@
+package org.parsleymoor.entry.serving
+
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.map
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.parsleymoor.entry.callers.ResponseWriter
+import org.parsleymoor.entry.net.ConnectFailure
+import org.parsleymoor.entry.net.ConnectionPool
+import org.parsleymoor.entry.net.EndpointConnection
+import org.parsleymoor.entry.protocol.HeaderNames
+import org.parsleymoor.relay.fleet.AttemptEvidence
+import org.parsleymoor.relay.fleet.EndpointState
+import org.parsleymoor.relay.fleet.SentPrompt
+import org.parsleymoor.relay.fleet.note
+import org.parsleymoor.relay.routing.RequestKind
+
+/** Runs attempts on pooled connections. Confined to the event loop. */
+internal class AttemptRunner(
+    private val context: ServingContext,
+    private val pool: ConnectionPool,
+    private val names: HeaderNames,
+    private val scope: CoroutineScope,
+) {
+    private val deployment = context.deployment
+    private val clock = context.clock
+    private val attemptContext = AttemptContext(context, names, pool::discardIdle)
+
+    /**
+     * Sends [pending] to [target] and relays a successful response to [writer]; suspends until the outcome is known.
+     */
+    suspend fun run(pending: PendingRequest, target: Target, writer: ResponseWriter): AttemptResult {
+        val state = target.endpoint
+        val connection = connect(pending, state).getOrElse { return notConnected(state, it) }
+        val tokens = pending.prompt?.promptTokens ?: 0
+        val progress = AttemptProgress(state, tokens)
+        var drainingInBackground = false
+        state.started(tokens)
+        target.prefill?.let {
+            deployment.recordAndAnnounceSentPrompt(state, SentPrompt(clock.nowMillis(), tokens, it.tokens, it.context))
+        }
+        try {
+            // Lets the event loop read its sockets, so that a request is cancelled here if its caller disconnected
+            // while this instance was short of CPU time.
+            delay(YIELD_MILLIS)
+            return Attempt(attemptContext, pending, target, connection, writer, progress).run()
+        } catch (cancelled: CancellationException) {
+            drainingInBackground = drainInBackground(pending, connection, progress)
+            throw cancelled
+        } finally {
+            progress.prefillDone()
+            state.ended()
+            if (!drainingInBackground) releaseOrClose(connection, progress)
+        }
+    }
+
+    private suspend fun connect(
+        pending: PendingRequest,
+        state: EndpointState,
+    ): Result<EndpointConnection, ConnectFailure> {
+        val address = state.entry.address
+        pool.takeIdle(address)?.let { return Ok(it) }
+        val remaining = pending.deadlineMillis - clock.nowMillis()
+        val limit = maxOf(MIN_CONNECTIONS, pending.service.connectionLimit / deployment.instances)
+        return pool.connect(address, limit, minOf(remaining / 2, CONNECT_MILLIS).coerceAtLeast(1))
+    }
+
+    private fun notConnected(state: EndpointState, failure: ConnectFailure): AttemptResult {
+        if (failure != ConnectFailure.AT_LIMIT) state.note(AttemptEvidence.UNREACHABLE, clock.nowMillis())
+        return AttemptResult.NotRun(failure.message, sent = false)
+    }
+
+    /**
+     * Reads the response of a non-idempotent request to its end after its caller disconnected, because closing the
+     * connection would abort the request. Returns false if that is not needed.
+     */
+    private fun drainInBackground(
+        pending: PendingRequest,
+        connection: EndpointConnection,
+        progress: AttemptProgress,
+    ): Boolean {
+        if (!progress.sent || progress.complete || pending.route.kind != RequestKind.NON_IDEMPOTENT) return false
+        scope.launch {
+            val remaining = pending.deadlineMillis - clock.nowMillis()
+            val reader = ResponseReader(pending, connection, names)
+            withTimeoutOrNull(remaining) {
+                reader.head().map { progress.complete = reader.body(it) != null }
+            }
+            releaseOrClose(connection, progress)
+        }
+        return true
+    }
+
+    private fun releaseOrClose(connection: EndpointConnection, progress: AttemptProgress) {
+        if (progress.complete || !progress.sent) {
+            pool.release(connection, progress.keepAliveMillis)
+        } else {
+            connection.close()
+        }
+    }
+
+    private companion object {
+        // A TCP handshake takes at most about 40 ms between regions; the rest allows for retransmission of lost
+        // packets.
+        const val CONNECT_MILLIS = 700L
+
+        // Any timer, however short, fires after the event loop has polled its sockets.
+        const val YIELD_MILLIS = 1L
+        const val MIN_CONNECTIONS = 2
+    }
+}
--- /dev/null
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/CacheTransferPlanner.kt
@@ -0,0 +1,97 @@
+package org.parsleymoor.entry.serving
+
+import org.parsleymoor.core.Clock
+import org.parsleymoor.core.ModelId
+import org.parsleymoor.relay.cache.CandidateStore
+import org.parsleymoor.relay.cache.StoreChoice
+import org.parsleymoor.relay.cache.Transfer
+import org.parsleymoor.relay.cache.TransferSide
+import org.parsleymoor.relay.fleet.EndpointState
+import org.parsleymoor.relay.fleet.SocketAddress
+import org.parsleymoor.relay.placement.Distance
+import org.parsleymoor.relay.placement.Topology
+import org.parsleymoor.relay.prompt.PromptContext
+import org.parsleymoor.relay.prompt.PromptPart
+
+/** Chooses the KV cache stores from which an engine fetches the parts of a prompt and to which it saves them. */
+internal class CacheTransferPlanner(
+    private val topology: Topology,
+    private val deployment: DeploymentView,
+    private val clock: Clock,
+) {
+    private val storeChoice = StoreChoice(topology, deployment.stores)
+
+    /** Returns the stores that hold the longest shared part of [prompt] in [namespace] and may serve [pending]. */
+    fun holders(pending: PendingRequest, prompt: PromptContext, namespace: String): List<CandidateStore> =
+        prompt.sharedParts.lastOrNull()
+            ?.let { storeChoice.holders(it, namespace, deployment.cacheStores, pending.allowedRegions) }.orEmpty()
+
+    /**
+     * Estimates the shortest time to fetch the longest shared part of [prompt] from one of [holders]; null without any.
+     */
+    fun fetchMillis(prompt: PromptContext, holders: List<CandidateStore>, side: TransferSide): Double? {
+        val tokens = prompt.sharedParts.lastOrNull()?.tokens ?: 0
+        return holders.minOfOrNull { storeChoice.transferMillis(it, side, tokens) }
+    }
+
+    /**
+     * Plans the transfers for [pending] at the engine that [side] describes. An engine of the same region that probably
+     * has the shared parts cached, [cachedAt], is the source of those that no store offers.
+     */
+    fun plan(
+        pending: PendingRequest,
+        prompt: PromptContext,
+        side: TransferSide,
+        cachedAt: EndpointState?,
+    ): CacheTransfer {
+        val stores = deployment.cacheStores
+        val neighbour = cachedAt?.takeIf { topology.distance(it.entry.zone, side.zone) != Distance.OTHER_REGION }
+        val stored = prompt.sharedParts.map { source(pending, it, side, stores) }
+        val sources = stored.map { it ?: neighbour?.entry?.address }
+        val fetched = prompt.sharedParts.zip(stored).filter { it.second != null }.sumOf { it.first.tokens }
+        val targets = prompt.sharedParts.map { target(pending, prompt, it, side, stores) }
+        val privateParts = prompt.parts.size - prompt.sharedParts.size
+        return CacheTransfer(toFieldValue(sources, privateParts), toFieldValue(targets, privateParts), fetched)
+    }
+
+    private fun source(
+        pending: PendingRequest,
+        part: PromptPart,
+        side: TransferSide,
+        stores: List<CandidateStore>,
+    ): SocketAddress? = storeChoice.source(part, side, stores, pending.allowedRegions)
+        ?.takeIf { mayTransfer(it, side, part, saving = false) }?.address
+
+    private fun target(
+        pending: PendingRequest,
+        prompt: PromptContext,
+        part: PromptPart,
+        side: TransferSide,
+        stores: List<CandidateStore>,
+    ): SocketAddress? = storeChoice.target(part, prompt, side, stores, pending.allowedRegions)
+        ?.takeIf { mayTransfer(it, side, part, saving = true) }?.address
+
+    private fun mayTransfer(store: CandidateStore, side: TransferSide, part: PromptPart, saving: Boolean): Boolean =
+        storeChoice.mayTransfer(Transfer(store, side, part.tokens, saving), deployment.instances, clock.nowMillis())
+
+    /**
+     * Formats a header field value with one of [addresses] for each shared part and a placeholder for each of the
+     * [privateParts]; returns null if there is no address.
+     */
+    private fun toFieldValue(addresses: List<SocketAddress?>, privateParts: Int): String? {
+        if (addresses.all { it == null }) return null
+        return (addresses.map { it?.toString() ?: NONE } + List(privateParts) { NONE }).joinToString(",")
+    }
+
+    private companion object {
+        const val NONE = "-"
+    }
+}
+
+/** The oldest version of [model] loaded by any engine that serves it, or null if the version of one is unknown. */
+internal fun DeploymentView.oldestWeights(model: ModelId): Long? {
+    val engines = endpoints.all.filter { state ->
+        routes?.configuration?.services?.get(state.entry.service)?.engine?.models.orEmpty().contains(model.value)
+    }
+    return engines.map { it.weights(model) ?: return null }.minOrNull()
+}
--- /dev/null
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/EndpointSelector.kt
@@ -0,0 +1,129 @@
+package org.parsleymoor.entry.serving
+
+import org.parsleymoor.core.Clock
+import org.parsleymoor.entry.EntrySettings
+import org.parsleymoor.relay.fleet.EndpointState
+import org.parsleymoor.relay.limits.ColdBound
+import org.parsleymoor.relay.limits.ColdShare
+import org.parsleymoor.relay.placement.EnginePlace
+import org.parsleymoor.relay.placement.EnginePlacement
+import org.parsleymoor.relay.placement.EnginePlacementSettings
+import org.parsleymoor.relay.placement.EngineRequest
+import org.parsleymoor.relay.placement.NoPlaceReason
+import org.parsleymoor.relay.placement.Place
+import org.parsleymoor.relay.placement.PlaceRequest
+import org.parsleymoor.relay.placement.ServicePlacement
+import org.parsleymoor.relay.placement.Topology
+import org.parsleymoor.relay.prompt.PromptContext
+
+/** Outcome of choosing an endpoint. */
+internal sealed interface Choice {
+    class Chosen(val target: Target) : Choice
+
+    data class None(val reason: NoPlaceReason, val retryAfterMillis: Long) : Choice
+}
+
+/** Chooses the endpoint for each attempt, using the placement rules of the relay library on [deployment]. */
+internal class EndpointSelector(
+    private val settings: EntrySettings,
+    private val deployment: DeploymentView,
+    private val clock: Clock,
+) {
+    private val topology = Topology(settings.zone, settings.zones)
+    private val transfers = CacheTransferPlanner(topology, deployment, clock)
+    private val services = ServicePlacement(topology)
+    private val engines = EnginePlacement(
+        topology,
+        EnginePlacementSettings(
+            olderWeightsLimitMillis =
+            settings.times.weightsMillis * OLDER_WEIGHTS_NUMERATOR / OLDER_WEIGHTS_DENOMINATOR,
+        ),
+    )
+    private val cold = ColdShare(settings.instance)
+
+    /** Chooses an endpoint for [pending]; skips a cold endpoint once this instance's share of its limit is used up. */
+    fun choose(pending: PendingRequest): Choice {
+        val nowMillis = clock.nowMillis()
+        val excluded = HashSet(pending.tried)
+        while (true) {
+            val request = pending.placeRequest(nowMillis).copy(tried = excluded)
+            val choice = choose(request, pending.prompt, pending, nowMillis)
+            val endpoint = (choice as? Choice.Chosen)?.target?.endpoint ?: return choice.orColdLimit(excluded, pending)
+            if (withinColdLimit(pending, endpoint, nowMillis)) return choice
+            excluded += endpoint.entry.id
+        }
+    }
+
+    private fun choose(
+        request: PlaceRequest,
+        prompt: PromptContext?,
+        pending: PendingRequest,
+        nowMillis: Long,
+    ): Choice {
+        if (prompt == null || pending.service.engine == null) {
+            return when (val place = services.choose(request, deployment.endpoints, nowMillis)) {
+                is Place.At -> Choice.Chosen(Target(place.endpoint, place.estimateMillis))
+                is Place.Nowhere -> Choice.None(place.reason, place.retryAfterMillis)
+            }
+        }
+        val named = deployment.weights[prompt.model]
+        val cacheInfo = PromptCacheInfo(pending, prompt, deployment, transfers)
+        val engineRequest = EngineRequest(
+            request = request,
+            prompt = prompt,
+            named = named,
+            instances = deployment.instances,
+            fetchMillis = cacheInfo::fetchMillis,
+            heldShare = { deployment.contexts.heldShare(cacheInfo.context(it), it.start, nowMillis) },
+        )
+        val enginePlace = engines.choose(engineRequest, deployment.endpoints, nowMillis)
+        return when (val place = enginePlace.place) {
+            is Place.Nowhere -> Choice.None(place.reason, place.retryAfterMillis)
+            is Place.At -> Choice.Chosen(target(cacheInfo, place, enginePlace, nowMillis))
+        }
+    }
+
+    private fun target(cacheInfo: PromptCacheInfo, place: Place.At, enginePlace: EnginePlace, nowMillis: Long): Target {
+        val side = cacheInfo.side(place.endpoint)
+        val untilMillis = nowMillis + place.estimateMillis.toLong() + FETCH_SLACK_MILLIS
+        val transfer = transfers.plan(cacheInfo.pending, cacheInfo.prompt, side, enginePlace.cachedAt)
+            .copy(fetchDeadlineMillis = deployment.engineClock.at(untilMillis))
+        return Target(
+            endpoint = place.endpoint,
+            estimateMillis = place.estimateMillis,
+            weights = enginePlace.weights,
+            namespace = side.namespace,
+            transfer = transfer,
+            prefill = PlannedPrefill(
+                tokens = cacheInfo.prompt.promptTokens - transfer.fetchedTokens,
+                context = cacheInfo.context(place.endpoint),
+            ),
+        )
+    }
+
+    private fun withinColdLimit(pending: PendingRequest, endpoint: EndpointState, nowMillis: Long): Boolean {
+        if (!endpoint.isCold(nowMillis)) return true
+        val bound = ColdBound(pending.service.coldRequestsPerSecond, settings.cold.overage, settings.cold.slack)
+        return cold.tryTake(endpoint.entry.id, bound, deployment.members.orEmpty(), nowMillis)
+    }
+
+    private fun Choice.orColdLimit(excluded: Set<*>, pending: PendingRequest): Choice =
+        if (this is Choice.None && excluded.size > pending.tried.size) {
+            Choice.None(NoPlaceReason.COLD, COLD_RETRY_MILLIS)
+        } else {
+            this
+        }
+
+    private companion object {
+        // Requests for older weights stop well before the limit, because a request takes time to reach its endpoint.
+        const val OLDER_WEIGHTS_NUMERATOR = 7
+        const val OLDER_WEIGHTS_DENOMINATOR = 10
+
+        // How much longer than estimated a fetch over a slow link may take. After that the engine prefills the prompt
+        // itself, which takes 150 ms for a long context.
+        const val FETCH_SLACK_MILLIS = 250L
+
+        // The cold limit is a rate per second, so that requests are admitted again within a second.
+        const val COLD_RETRY_MILLIS = 600L
+    }
+}
--- /dev/null
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/PendingRequest.kt
@@ -0,0 +1,106 @@
+package org.parsleymoor.entry.serving
+
+import org.parsleymoor.core.EndpointId
+import org.parsleymoor.core.RegionId
+import org.parsleymoor.core.RequestId
+import org.parsleymoor.entry.callers.CallerRequest
+import org.parsleymoor.relay.placement.PlaceRequest
+import org.parsleymoor.relay.prompt.PromptContext
+import org.parsleymoor.relay.routing.Organisation
+import org.parsleymoor.relay.routing.RequestKind
+import org.parsleymoor.relay.routing.Route
+import org.parsleymoor.relay.routing.Service
+
+/**
+ * How long a caller that waits [waitMillis] for the complete response waits for its first byte. Callers abandon a
+ * stream without a first event after two seconds, four times the route's objective or eight times the longest pause
+ * between events that still meets the objective, whichever is longest.
+ */
+internal fun Route.firstByteWaitMillis(waitMillis: Long): Long = when (kind) {
+    RequestKind.STREAM -> minOf(
+        waitMillis,
+        maxOf(
+            STREAM_FIRST_BYTE_MILLIS,
+            objectiveMillis * STREAM_FIRST_BYTE_OBJECTIVES,
+            pauseMillis * STREAM_FIRST_BYTE_PAUSES,
+        ),
+    )
+    RequestKind.IDEMPOTENT, RequestKind.NON_IDEMPOTENT -> waitMillis
+}
+
+// Defined by the protocol of the callers.
+private const val STREAM_FIRST_BYTE_MILLIS = 2_000L
+private const val STREAM_FIRST_BYTE_OBJECTIVES = 4
+private const val STREAM_FIRST_BYTE_PAUSES = 8
+
+/** The sender of a request: its [organisation], whether an API key was required, and how long it waits. */
+internal class Caller(val organisation: Organisation?, val keyRequired: Boolean, val waitMillis: Long)
+
+/** A request of a caller and the progress of its delivery. Times are on this daemon's clock. */
+internal class PendingRequest(
+    val id: RequestId,
+    val request: CallerRequest,
+    val route: Route,
+    val service: Service,
+    val caller: Caller,
+    val prompt: PromptContext?,
+) {
+    /** The organisation that the caller's API key belongs to, or null. */
+    val organisation: Organisation? get() = caller.organisation
+
+    /** Deadline set by the route's timeout. */
+    val routeDeadlineMillis: Long get() = request.receivedMillis + route.timeoutMillis
+
+    /** Deadline stated by the caller, or the route's if it states none. */
+    val callerDeadlineMillis: Long get() = request.receivedMillis + caller.waitMillis
+
+    /** The earlier of the two deadlines; nothing is sent or awaited after it. */
+    val deadlineMillis: Long get() = minOf(routeDeadlineMillis, callerDeadlineMillis)
+
+    /** When the caller stops waiting for the first byte of the response. */
+    val firstByteDeadlineMillis: Long get() = minOf(
+        deadlineMillis,
+        request.receivedMillis + route.firstByteWaitMillis(caller.waitMillis),
+    )
+
+    /** Endpoints already tried, which are not chosen again. */
+    val tried = HashSet<EndpointId>()
+
+    /** Number of times the request was sent to an endpoint. */
+    var sendCount = 0
+
+    /** Number of attempts in which the request ran or may have run. */
+    var possibleRuns = 0
+
+    /** Id of the last event that was relayed to the caller, or null. */
+    var lastEventId: String? = null
+
+    /** When the first byte of a streamed response was relayed, or null. */
+    var firstByteMillis: Long? = null
+
+    /** Whether events of a stream have been relayed. */
+    var streamStarted = false
+
+    /** Priority of the request; 0 is the highest. */
+    val urgency: Int get() = organisation?.priority ?: route.priority
+
+    /** The sets of regions to which the route and the organisation restrict the request; it has to satisfy each. */
+    val allowedRegions: List<Set<RegionId>>
+        get() = listOf(route.allowedRegions, organisation?.allowedRegions.orEmpty()).filter { it.isNotEmpty() }
+
+    /** Describes the request for placement at [nowMillis]. */
+    fun placeRequest(nowMillis: Long): PlaceRequest = PlaceRequest(
+        service = service.name,
+        allowedRegions = allowedRegions,
+        tried = tried,
+        remainingMillis = deadlineMillis - nowMillis,
+        objectiveMillis = route.objectiveMillis,
+        urgency = urgency,
+        returning = caller.waitMillis < route.timeoutMillis * FIRST_ATTEMPT_SHARE,
+    )
+
+    private companion object {
+        // A caller's first attempt has all or nearly all of the route's timeout; one with less is a retry.
+        const val FIRST_ATTEMPT_SHARE = 0.95
+    }
+}
