--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
@@ -18,15 +18,16 @@
 import org.parsleymoor.core.stableHash
 import org.parsleymoor.entry.callers.CallerContext
 import org.parsleymoor.entry.callers.CallerServer
+import org.parsleymoor.entry.control.CacheStoreLoop
 import org.parsleymoor.entry.control.ConfigurationListener
 import org.parsleymoor.entry.control.ControlContext
 import org.parsleymoor.entry.control.ControlRuntime
 import org.parsleymoor.entry.control.ControlTicks
 import org.parsleymoor.entry.control.EndpointListener
+import org.parsleymoor.entry.control.EngineLoadLoop
 import org.parsleymoor.entry.control.EvacuationListener
-import org.parsleymoor.entry.control.LoadLoop
-import org.parsleymoor.entry.control.MemberLoop
 import org.parsleymoor.entry.control.Membership
+import org.parsleymoor.entry.control.MembershipLoop
 import org.parsleymoor.entry.control.ObjectListener
 import org.parsleymoor.entry.control.ObjectStore
 import org.parsleymoor.entry.control.ObjectWatch
@@ -34,9 +35,8 @@
 import org.parsleymoor.entry.control.PeerContext
 import org.parsleymoor.entry.control.Peers
 import org.parsleymoor.entry.control.RolloutLoop
-import org.parsleymoor.entry.control.StoreCacheLoop
 import org.parsleymoor.entry.control.WatchContext
-import org.parsleymoor.entry.control.WatchDuty
+import org.parsleymoor.entry.control.WatchPolicy
 import org.parsleymoor.entry.control.WeightsListener
 import org.parsleymoor.entry.log.DecisionLog
 import org.parsleymoor.entry.log.LibraryLog
@@ -94,7 +94,7 @@
     private val ticks = ControlTicks(clock, settings.instance.value.stableHash().mod(LARGE_TICK_MILLIS)) {
         if (membership.tree.direct) TICK_MILLIS else LARGE_TICK_MILLIS
     }
-    private val members = MemberLoop(store, beliefs, membership, log, clock)
+    private val members = MembershipLoop(store, beliefs, membership, log, clock)
     private val stopping = StopState(settings.times.graceMillis, clock)
     private val lag = LoopLag(clock)
     private var routesSinceMillis: Long? = null
@@ -105,12 +105,12 @@
         runBlocking(dispatcher) {
             probes(settings.listen.readiness, protocol.readinessPath to ::readiness)
             callers.start(settings.listen.callers)
-            probes(settings.listen.metrics, METRICS_PATH to { ProbeAnswer(HttpStatus.OK, metrics.text()) })
+            probes(settings.listen.metrics, METRICS_PATH to { ProbeResponse(HttpStatus.OK, metrics.prometheusText()) })
         }
         log.write("started", always = true) { put("callers", settings.listen.callers.toString()) }
-        val duty = WatchDuty(membership.tree, clock, settings.times.applyMillis)
+        val policy = WatchPolicy(membership.tree, clock, settings.times.applyMillis)
         val runtime = ControlRuntime(scope, ticks, log, clock)
-        val watching = WatchContext(store, duty, runtime)
+        val watching = WatchContext(store, policy, runtime)
         val watches = listeners().mapValues { (kind, listener) -> ObjectWatch(kind, watching, listener) }
         watches.values.forEach { scope.launch { it.run() } }
         scope.launch { ticks.measure(lag) }
@@ -119,10 +119,10 @@
         val context = ControlContext(beliefs, membership, control, protocol.engines, runtime)
         val peers = Peers(PeerContext(settings, beliefs, membership, runtime), incarnation, dispatcher)
         scope.launch { peers.run(watches) }
-        scope.launch { LoadLoop(context, peers).run() }
+        scope.launch { EngineLoadLoop(context, peers).run() }
         val lease = OrderLease(incarnation, store, scope, log, PauseDetector(clock), settings.times.leaseMillis)
         scope.launch { RolloutLoop(context, lease, peers).run() }
-        scope.launch { StoreCacheLoop(context, peers).run() }
+        scope.launch { CacheStoreLoop(context, peers).run() }
         scope.launch { housekeeping() }
     }
 
@@ -135,7 +135,7 @@
             stopping.begin()
             log.write("stopping", always = true) { put("connections", callers.openConnections) }
             val untilMillis = clock.nowMillis() + settings.times.graceMillis - EXIT_MARGIN_MILLIS
-            withTimeoutOrNull(LEAVE_MILLIS) { members.leave() }
+            withTimeoutOrNull(LEAVE_MILLIS) { members.deregister() }
             val idleMillis = clock.nowMillis() + IDLE_MILLIS
             val earliestMillis = clock.nowMillis() + UNREADY_MILLIS
             while (clock.nowMillis() < if (callers.openConnections > 0) untilMillis else earliestMillis) {
@@ -154,7 +154,7 @@
     }
 
     /** Notes that the settings file was read again; addresses and identity apply from the next start. */
-    public fun reloaded() {
+    public fun logReload() {
         log.write("reloaded", always = true)
     }
 
@@ -188,18 +188,18 @@
 
     private suspend fun probes(
         address: SocketAddress,
-        answer: Pair<String, () -> ProbeAnswer>,
+        answer: Pair<String, () -> ProbeResponse>,
     ) {
         ProbeServer(vertx, scope, mapOf(answer)).start(address)
     }
 
-    private fun readiness(): ProbeAnswer {
+    private fun readiness(): ProbeResponse {
         val known = beliefs.routes != null && beliefs.endpointsKnown
         val sinceMillis = if (known) routesSinceMillis ?: clock.nowMillis() else null
         routesSinceMillis = sinceMillis
         val settled = lag.settled || sinceMillis != null && clock.nowMillis() - sinceMillis >= SETTLE_MILLIS
         val ready = !stopping.begun && known && settled
-        return ProbeAnswer(if (ready) HttpStatus.OK else HttpStatus.UNAVAILABLE)
+        return ProbeResponse(if (ready) HttpStatus.OK else HttpStatus.UNAVAILABLE)
     }
 
     private suspend fun housekeeping() {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryMetrics.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryMetrics.kt
@@ -28,7 +28,7 @@
     }
 
     /** Writes the histogram in the Prometheus text format under [name]. */
-    public fun text(name: String): String {
+    public fun prometheusText(name: String): String {
         var total = 0L
         val lines = BOUNDS_MILLIS.mapIndexed { index, bound ->
             total += buckets[index].get()
@@ -52,12 +52,12 @@
     private val refusals = sortedMapOf<Int, Counter>()
 
     /** Counts a refusal of the system with [status]. */
-    public fun refused(status: Int) {
+    public fun recordRefusal(status: Int) {
         synchronized(refusals) { refusals.getOrPut(status) { Counter() } }.increment()
     }
 
     /** Writes all metrics in the Prometheus text format. */
-    public fun text(): String {
+    public fun prometheusText(): String {
         val refused = synchronized(refusals) {
             refusals.map { (status, counter) -> "parsleymoor_refusals_total{status=\"$status\"} ${counter.count}" }
         }
@@ -65,6 +65,7 @@
             "parsleymoor_requests_total ${requests.count}",
             "parsleymoor_attempts_total ${attempts.count}",
         )
-        return (lines + refused + latency.text("parsleymoor_request_duration_milliseconds")).joinToString("\n") + "\n"
+        return (lines + refused + latency.prometheusText("parsleymoor_request_duration_milliseconds"))
+            .joinToString("\n") + "\n"
     }
 }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/ProbeServer.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/ProbeServer.kt
@@ -18,13 +18,13 @@
 import org.parsleymoor.relay.http.parseRequestHead
 
 /** Response of a [ProbeServer]. */
-internal class ProbeAnswer(val status: HttpStatus, val body: String = "")
+internal class ProbeResponse(val status: HttpStatus, val body: String = "")
 
 /** Answers GET requests without a body at its own address: readiness, and metrics. */
 internal class ProbeServer(
     private val vertx: Vertx,
     private val scope: CoroutineScope,
-    private val answers: Map<String, () -> ProbeAnswer>,
+    private val answers: Map<String, () -> ProbeResponse>,
 ) {
     /** Listens on [address]. */
     suspend fun start(address: SocketAddress) {
@@ -43,7 +43,7 @@
         do {
             val bytes = input.readHead(HEAD_LIMIT_BYTES).getOrElse { null } ?: return
             val head = parseRequestHead(bytes).getOrElse { return }
-            val found = answers[head.target.substringBefore('?')]?.invoke() ?: ProbeAnswer(HttpStatus.NOT_FOUND)
+            val found = answers[head.target.substringBefore('?')]?.invoke() ?: ProbeResponse(HttpStatus.NOT_FOUND)
             val answer = CallerAnswer(socket, mayKeep = head.keepsAlive, chunked = true, stopping = { false })
             val fields = listOf(HeaderField("Content-Type", "text/plain; charset=utf-8"))
             answer.whole(AnswerHead(found.status, fields), found.body.encodeToByteArray())
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/StoreCacheLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/CacheStoreLoop.kt
@@ -25,7 +25,7 @@
  * others by peers. One instance also frees what no engine can use any more, because managed
  * stores drop nothing by themselves and are full of older weights after a rollout.
  */
-internal class StoreCacheLoop(private val context: ControlContext, private val peers: Peers) {
+internal class CacheStoreLoop(private val context: ControlContext, private val peers: Peers) {
     private val beliefs = context.beliefs
     private val client = context.client
     private val engines = context.engines
@@ -67,7 +67,7 @@
         beliefs.storeNewsMillis[store] = clock.nowMillis()
         if (!answered) {
             beliefs.stores.lost(store)
-            peers.tell(News.StoreLost(store))
+            peers.publish(News.StoreLost(store))
             delay(RETRY_MILLIS)
         }
     }
@@ -75,7 +75,7 @@
     private suspend fun list(store: SocketAddress): Boolean {
         val contents = call(store, engines.contents(), CALL_MILLIS, engines::contents) ?: return false
         beliefs.stores.listed(store, contents.epoch, contents.position, contents.changes)
-        peers.tell(News.StoreEvents(store, contents.epoch, contents.position, contents.position, emptyList()))
+        peers.publish(News.StoreEvents(store, contents.epoch, contents.position, contents.position, emptyList()))
         log.write("cacheStore.listed") {
             put("store", store.toString())
             put("epoch", contents.epoch)
@@ -89,7 +89,7 @@
             ?: return false
         val joined = beliefs.stores.changed(store, events.epoch, events.position, events.gap, events.changes)
         if (joined) {
-            peers.tell(News.StoreEvents(store, events.epoch, position, events.position, events.changes))
+            peers.publish(News.StoreEvents(store, events.epoch, position, events.position, events.changes))
         } else {
             log.write("cacheStore.gap") { put("store", store.toString()) }
         }
@@ -103,7 +103,7 @@
         call: ControlCall,
         timeoutMillis: Long,
         decode: (String) -> Result<CacheEvents, DecodeFailure>,
-    ): CacheEvents? = context.ask(store, call, timeoutMillis, decode) { reason ->
+    ): CacheEvents? = context.callAndDecode(store, call, timeoutMillis, decode) { reason ->
         if (beliefs.stores.summary(store) != null) {
             log.write("cacheStore.lost", always = true) {
                 put("store", store.toString())
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ControlContext.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ControlContext.kt
@@ -29,7 +29,7 @@
      * Sends [call] to [address] and decodes a successful response; [onFailure] is told why there is none, so that the
      * caller can log it.
      */
-    suspend fun <T> ask(
+    suspend fun <T> callAndDecode(
         address: SocketAddress,
         call: ControlCall,
         timeoutMillis: Long,
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/LoadLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/EngineLoadLoop.kt
@@ -14,7 +14,7 @@
  * Asks engines for their load, as [EngineAsks] says, and tells the others what they answer, so that no engine is asked
  * by all instances.
  */
-internal class LoadLoop(private val context: ControlContext, private val peers: Peers) {
+internal class EngineLoadLoop(private val context: ControlContext, private val peers: Peers) {
     private val beliefs = context.beliefs
     private val engines = context.engines
     private val scope = context.scope
@@ -40,7 +40,12 @@
 
     private suspend fun ask(state: EndpointState) {
         val askedMillis = clock.nowMillis()
-        val report = context.ask(state.entry.address, engines.report(), CALL_MILLIS, engines::report) { reason ->
+        val report = context.callAndDecode(
+            state.entry.address,
+            engines.report(),
+            CALL_MILLIS,
+            engines::report
+        ) { reason ->
             log.write("load.unknown") {
                 put("endpoint", state.entry.id.value)
                 put("reason", reason)
@@ -48,7 +53,7 @@
         }
         if (report == null) {
             state.fellSilent(askedMillis)
-            peers.tell(News.Silent(state.entry.id, askedMillis))
+            peers.publish(News.Silent(state.entry.id, askedMillis))
         } else {
             learn(state, report, askedMillis)
         }
@@ -68,7 +73,7 @@
         )
         if (state.learnLoad(load)) {
             val engineMillis = report.clockMillis?.let { beliefs.engineClock.at(askedMillis) }
-            peers.tell(News.Load(state.entry.id, load, state.allWeights, engineMillis))
+            peers.publish(News.Load(state.entry.id, load, state.allWeights, engineMillis))
         }
     }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Listeners.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Listeners.kt
@@ -60,11 +60,11 @@
 ) : ObjectListener {
     private val revisions = HashMap<String, Long>()
 
-    override fun onHeard() {
+    override fun onKnownCurrent() {
         beliefs.endpoints.listHeard(clock.nowMillis())
     }
 
-    override fun onLost() {
+    override fun onStoreUnreachable() {
         beliefs.endpoints.listLost()
     }
 
@@ -128,7 +128,7 @@
     private var heardMillis: Long? = null
     private var knownMissingMillis: Long? = null
 
-    override fun onHeard() {
+    override fun onKnownCurrent() {
         knownMissingMillis = heardMillis
         heardMillis = clock.nowMillis()
     }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/MemberLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/MembershipLoop.kt
@@ -20,7 +20,7 @@
  * [membership]. An instance whose object has not changed for [LIFE_MILLIS], while the store could be read, no longer
  * counts.
  */
-internal class MemberLoop(
+internal class MembershipLoop(
     private val store: ObjectStore,
     private val beliefs: Beliefs,
     private val membership: Membership,
@@ -45,7 +45,7 @@
     }
 
     /** Removes this instance's object. */
-    suspend fun leave() {
+    suspend fun deregister() {
         store.remove(ObjectKind.MEMBERS, beliefs.self.value)
     }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectWatch.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectWatch.kt
@@ -10,10 +10,10 @@
 /** Takes in what an [ObjectWatch] learns. */
 internal interface ObjectListener {
     /** The objects are known to be current; called before what has changed. */
-    fun onHeard() = Unit
+    fun onKnownCurrent() = Unit
 
     /** The store does not answer. */
-    fun onLost() = Unit
+    fun onStoreUnreachable() = Unit
 
     /** All objects of the kind. */
     fun onList(objects: List<StoredObject>)
@@ -23,16 +23,16 @@
 }
 
 /** What the watches of an instance share. */
-internal class WatchContext(val store: ObjectStore, val duty: WatchDuty, private val runtime: ControlRuntime) {
+internal class WatchContext(val store: ObjectStore, val policy: WatchPolicy, private val runtime: ControlRuntime) {
     val ticks get() = runtime.ticks
     val log get() = runtime.log
     val clock get() = runtime.clock
-    val access = StoreAccess(runtime.clock)
+    val access = StoreCallBackoff(runtime.clock)
 }
 
 /**
  * Keeps the objects of one [kind]: reads the list, then follows the changes, either from the store itself, when
- * [WatchContext.duty] says so, or from what peers tell. A call that is not answered is repeated on another connection.
+ * [WatchContext.policy] says so, or from peers. A call that is not answered is repeated on another connection.
  * Objects never go back to an older revision.
  */
 internal class ObjectWatch(
@@ -41,7 +41,7 @@
     private val listener: ObjectListener,
 ) {
     private val store = context.store
-    private val duty = context.duty
+    private val policy = context.policy
     private val log = context.log
     private val clock = context.clock
     private val copy = ObjectCopy(listener)
@@ -53,7 +53,7 @@
         private set
 
     /** Whether the store does not answer, as far as this instance and its peers know. */
-    val isLost: Boolean get() = lostSinceMillis != null
+    val isStoreUnreachable: Boolean get() = lostSinceMillis != null
 
     /** Revision up to which the objects are known, or 0. */
     val knownRevision: Long get() = copy.revision ?: 0
@@ -79,12 +79,12 @@
      * Takes in that a peer's objects are complete up to [changedRevision] and were current at [atMillis], and whether
      * the store does not answer it; returns whether this instance lacks changes.
      */
-    fun told(changedRevision: Long, atMillis: Long, lost: Boolean): Boolean {
+    fun onPeerStatus(changedRevision: Long, atMillis: Long, lost: Boolean): Boolean {
         val lacks = copy.revision == null || changedRevision > knownRevision
         when {
             lacks -> Unit
             atMillis > currentMillis && !lost -> heard(atMillis)
-            lost && !duty.follows && atMillis >= currentMillis - TOLD_MILLIS -> {
+            lost && !policy.follows && atMillis >= currentMillis - TOLD_MILLIS -> {
                 context.access.failed()
                 lost("a peer has no answer from the store")
             }
@@ -95,8 +95,8 @@
     /** Keeps the objects until the coroutine is cancelled. */
     suspend fun run() {
         while (true) {
-            val due = copy.revision == null || duty.isDue(currentMillis)
-            if (due && context.access.mayCall(kind, duty.follows)) {
+            val due = copy.revision == null || policy.isDue(currentMillis)
+            if (due && context.access.mayCall(kind, policy.follows)) {
                 if (copy.revision == null) readList() else readChanges()
             } else {
                 // An instance that begins to read the store, or begins again, wants to know at once where it stands.
@@ -116,9 +116,9 @@
     }
 
     private suspend fun readChanges() {
-        val waitMillis = if (tryAtOnce) AT_ONCE_MILLIS else duty.waitMillis
+        val waitMillis = if (tryAtOnce) AT_ONCE_MILLIS else policy.waitMillis
         tryAtOnce = false
-        val changes = store.watch(kind, knownRevision, waitMillis, duty.marginMillis).getOrElse { failure ->
+        val changes = store.watch(kind, knownRevision, waitMillis, policy.marginMillis).getOrElse { failure ->
             if (failure == StoreFailure.HistoryGone || failure is StoreFailure.Unreadable) {
                 log.write("store.relist", always = true) {
                     put("kind", kind.name)
@@ -157,7 +157,7 @@
         }
         lostSinceMillis = null
         currentMillis = maxOf(currentMillis, atMillis)
-        listener.onHeard()
+        listener.onKnownCurrent()
     }
 
     private fun lost(reason: String) {
@@ -168,7 +168,7 @@
                 put("reason", reason)
             }
         }
-        listener.onLost()
+        listener.onStoreUnreachable()
     }
 
     private companion object {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/OrderLease.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/OrderLease.kt
@@ -32,7 +32,7 @@
     private var lastToken: Long? = null
 
     /** How long the lease is kept after the last order: another holder must not give one within the lease period. */
-    val quietMillis: Long = leaseMillis + QUIET_MARGIN_MILLIS
+    val holdAfterOrderMillis: Long = leaseMillis + QUIET_MARGIN_MILLIS
 
     /**
      * Returns the lease when it may be used now. After a suspension it is used only once it has been renewed, because
@@ -48,7 +48,7 @@
     }
 
     /** Notes that an engine has seen a higher token than [token], which is not used again. */
-    fun refused(token: Long) {
+    fun markFenced(token: Long) {
         refusedToken = token
         log.write("lease.refused", always = true) { put("token", token) }
     }
@@ -86,7 +86,7 @@
     }
 
     private suspend fun write(action: LeaseAction.Write) {
-        val text = Json.encodeToString(StoredRecord.serializer(), StoredRecord(action.record, action.writeId))
+        val text = Json.encodeToString(StoredLeaseRecord.serializer(), StoredLeaseRecord(action.record, action.writeId))
         val result = if (action.expectedVersion == 0L) {
             store.create(ObjectKind.LEASES, NAME, text)
         } else {
@@ -104,7 +104,7 @@
     }
 
     private fun stored(value: StoredObject): StoredLease? = try {
-        val record = Json.decodeFromString(StoredRecord.serializer(), value.content)
+        val record = Json.decodeFromString(StoredLeaseRecord.serializer(), value.content)
         StoredLease(record.record, value.revision, record.writeId)
     } catch (cause: IllegalArgumentException) {
         log.write("lease.unreadable", always = true) { put("reason", cause.message) }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerContacts.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerConnections.kt
@@ -4,43 +4,43 @@
 import org.parsleymoor.peering.PeerLink
 
 /** The connections to peers: whom to keep one to, and when each last carried something. */
-internal class PeerContacts(private val context: PeerContext) {
+internal class PeerConnections(private val context: PeerContext) {
     private val settings = context.settings
     private val clock = context.clock
     private val heardMillis = HashMap<PeerLink, Long>()
     private val spokenMillis = HashMap<PeerLink, Long>()
 
     /** Notes that something arrived on [link]. */
-    fun heard(link: PeerLink) {
+    fun recordReceived(link: PeerLink) {
         heardMillis[link] = clock.nowMillis()
     }
 
     /** Notes that something is sent on [links]. */
-    fun spoken(links: Collection<PeerLink>) {
+    fun recordSent(links: Collection<PeerLink>) {
         val nowMillis = clock.nowMillis()
         links.forEach { spokenMillis[it] = nowMillis }
     }
 
     /** Forgets [link], which has ended. */
-    fun ended(link: PeerLink) {
+    fun forget(link: PeerLink) {
         heardMillis -= link
         spokenMillis -= link
     }
 
     /** Returns those of [links] on which something has arrived lately, or all when there are none. */
-    fun fresh(links: List<PeerLink>): List<PeerLink> {
+    fun responsive(links: List<PeerLink>): List<PeerLink> {
         val nowMillis = clock.nowMillis()
         return links.filter { nowMillis - (heardMillis[it] ?: nowMillis) < FRESH_MILLIS }.ifEmpty { links }
     }
 
     /** Returns those of [links] that have carried nothing from this instance for a while. */
-    fun quiet(links: List<PeerLink>): List<PeerLink> {
+    fun idle(links: List<PeerLink>): List<PeerLink> {
         val nowMillis = clock.nowMillis()
         return links.filter { nowMillis - (spokenMillis[it] ?: 0) >= QUIET_MILLIS }
     }
 
     /** Returns whom to keep connections to, with their addresses, when [links] are open. */
-    fun wanted(links: List<PeerLink>): Map<InstanceId, String> {
+    fun desired(links: List<PeerLink>): Map<InstanceId, String> {
         val connected = links.map { it.remote.incarnation.instance }.toSet()
         val neighbours = context.membership.tree.neighbours(connected, clock.nowMillis())
         return neighbours.associate { it.id to it.address } + seeds(links)
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/NewsDigests.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerMessageMapping.kt
@@ -22,13 +22,13 @@
 /** Returns these news as a message to peers, which pass them on as far as [passOn] says. */
 internal fun List<News>.toMessage(passOn: PassOn, nowMillis: Long): PeerMessage.InstanceNews = PeerMessage.InstanceNews(
     passOn = passOn.name,
-    loads = filterIsInstance<News.Load>().map { it.digest(nowMillis) },
+    loads = filterIsInstance<News.Load>().map { it.toDigest(nowMillis) },
     silent = filterIsInstance<News.Silent>().map { SilentEngineDigest(it.endpoint, nowMillis - it.atMillis) },
-    sent = filterIsInstance<News.Sent>().map { it.digest(nowMillis) },
+    sent = filterIsInstance<News.Sent>().map { it.toDigest(nowMillis) },
     ordered = filterIsInstance<News.Ordered>().map { OrderedEngineDigest(it.holder, it.endpoint, it.active) },
     stores = mapNotNull { news ->
         when (news) {
-            is News.StoreEvents -> news.digest()
+            is News.StoreEvents -> news.toDigest()
             is News.StoreLost -> CacheStoreDigest(news.store.toString(), 0, 0, 0, emptyList(), lost = true)
             is News.Load, is News.Silent, is News.Sent, is News.Ordered -> null
         }
@@ -36,15 +36,15 @@
 )
 
 /** Returns the news of this message, whose ages are counted back from [nowMillis]. */
-internal fun PeerMessage.InstanceNews.news(nowMillis: Long): List<News> =
-    loads.map { it.news(nowMillis) } +
+internal fun PeerMessage.InstanceNews.toNews(nowMillis: Long): List<News> =
+    loads.map { it.toNews(nowMillis) } +
         silent.map { News.Silent(it.endpoint, nowMillis - it.ageMillis) } +
-        sent.map { it.news(nowMillis) } +
+        sent.map { it.toNews(nowMillis) } +
         ordered.map { News.Ordered(it.holder, it.endpoint, it.active) } +
-        stores.mapNotNull { it.news() }
+        stores.mapNotNull { it.toNews() }
 
 /** Returns these changes of a KV cache store for peers, grouped by name space. */
-internal fun News.StoreEvents.digest(): CacheStoreDigest = CacheStoreDigest(
+internal fun News.StoreEvents.toDigest(): CacheStoreDigest = CacheStoreDigest(
     store = store.toString(),
     epoch = epoch,
     from = from,
@@ -56,7 +56,7 @@
 )
 
 /** Returns the news of a KV cache store, or null when its address cannot be read. */
-internal fun CacheStoreDigest.news(): News? {
+internal fun CacheStoreDigest.toNews(): News? {
     val address = SocketAddress.parse(store) ?: return null
     val changes = namespaces.flatMap { space ->
         space.parts.map { StoreChange(CachedPart(space.namespace, it.part), it.tokens, it.held) }
@@ -75,7 +75,7 @@
 internal fun PeerMessage.ObjectsOffered.toOffer(): ObjectOffer =
     ObjectOffer(revision, objects.map { StoredObject(it.name, it.revision, it.content) }, since, removed)
 
-private fun News.Load.digest(nowMillis: Long): EngineLoadDigest = EngineLoadDigest(
+private fun News.Load.toDigest(nowMillis: Long): EngineLoadDigest = EngineLoadDigest(
     endpoint = endpoint,
     running = load.running,
     waiting = load.waiting,
@@ -87,12 +87,12 @@
     ageMillis = nowMillis - load.atMillis,
 )
 
-private fun EngineLoadDigest.news(nowMillis: Long): News.Load {
+private fun EngineLoadDigest.toNews(nowMillis: Long): News.Load {
     val load = EngineLoad(running, waiting, prefilling, memoryUsed, memoryTotal, nowMillis - ageMillis)
     return News.Load(endpoint, load, weights, clockMillis)
 }
 
-private fun News.Sent.digest(nowMillis: Long): SentPromptDigest = SentPromptDigest(
+private fun News.Sent.toDigest(nowMillis: Long): SentPromptDigest = SentPromptDigest(
     origin = origin,
     endpoint = endpoint,
     tokens = prompt.tokens,
@@ -101,5 +101,5 @@
     ageMillis = nowMillis - prompt.atMillis,
 )
 
-private fun SentPromptDigest.news(nowMillis: Long): News.Sent =
+private fun SentPromptDigest.toNews(nowMillis: Long): News.Sent =
     News.Sent(origin, endpoint, SentPrompt(nowMillis - ageMillis, tokens, tokensToRead, ContextKey(context)))
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/NewsTeller.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerUpdateSender.kt
@@ -10,9 +10,9 @@
 import org.parsleymoor.relay.fleet.EndpointState
 
 /** Tells peers over [node] what this instance has learned, and how current its copies of the objects are. */
-internal class NewsTeller(
+internal class PeerUpdateSender(
     private val context: PeerContext,
-    private val contacts: PeerContacts,
+    private val connections: PeerConnections,
     private val node: PeerNode,
 ) {
     private val self = context.beliefs.self
@@ -26,7 +26,7 @@
     var watches: Map<String, ObjectWatch> = emptyMap()
 
     /** Adds what this instance has learned itself to the next message. */
-    fun tell(news: News) {
+    fun publish(news: News) {
         box.addOwn(news, tree, clock.nowMillis())
     }
 
@@ -36,28 +36,28 @@
     }
 
     /** Tells whether [state] has orders from this instance, so that no other sends new work there. */
-    fun orders(state: EndpointState, active: Boolean) {
+    fun announceOrders(state: EndpointState, active: Boolean) {
         if (active) ordered += state else ordered -= state
-        state.orderedUntilMillis = if (active) clock.nowMillis() + ORDER_MILLIS else clock.nowMillis()
-        tell(News.Ordered(self, state.entry.id, active))
+        state.orderedUntilMillis = if (active) clock.nowMillis() + ORDERED_EXPIRY_MILLIS else clock.nowMillis()
+        publish(News.Ordered(self, state.entry.id, active))
     }
 
     /** Sends what has been added on those of [links] whose instances should have it. */
-    suspend fun speak(links: List<PeerLink>) {
+    suspend fun sendPending(links: List<PeerLink>) {
         repeatOrders()
-        val byInstance = contacts.fresh(links).associateBy { it.remote.incarnation.instance }
+        val byInstance = connections.responsive(links).associateBy { it.remote.incarnation.instance }
         val recipients = tree.recipients(byInstance.mapValues { it.value.remote.zone }, clock.nowMillis())
         send(PassOn.EVERYWHERE, listOfNotNull(recipients.hub).mapNotNull { byInstance[it] })
         send(PassOn.ZONE, recipients.zones.mapNotNull { byInstance[it] })
         send(PassOn.NOBODY, recipients.last.mapNotNull { byInstance[it] })
-        send(emptyList<News>().toMessage(PassOn.NOBODY, clock.nowMillis()), contacts.quiet(links))
+        send(emptyList<News>().toMessage(PassOn.NOBODY, clock.nowMillis()), connections.idle(links))
     }
 
     private fun repeatOrders() {
         val nowMillis = clock.nowMillis()
         if (ordered.isEmpty() || nowMillis - orderedMillis < ORDER_PERIOD_MILLIS) return
         orderedMillis = nowMillis
-        ordered.toList().forEach { orders(it, active = true) }
+        ordered.toList().forEach { announceOrders(it, active = true) }
     }
 
     private suspend fun send(passOn: PassOn, links: List<PeerLink>) {
@@ -66,14 +66,14 @@
     }
 
     private suspend fun send(message: PeerMessage.InstanceNews, links: List<PeerLink>) {
-        contacts.spoken(links)
+        connections.recordSent(links)
         node.send(message.copy(known = known()), links)
     }
 
     private fun known(): List<KnownObjectsDigest> {
         val nowMillis = clock.nowMillis()
         return watches.filterValues { it.knownRevision > 0 }.map { (kind, watch) ->
-            KnownObjectsDigest(kind, watch.changedRevision, nowMillis - watch.currentMillis, watch.isLost)
+            KnownObjectsDigest(kind, watch.changedRevision, nowMillis - watch.currentMillis, watch.isStoreUnreachable)
         }
     }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/LearnNews.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerUpdates.kt
@@ -8,12 +8,12 @@
  * Takes in [news] of a peer at [nowMillis]; returns false when they do not join what is known of a KV cache store, all
  * of whose contents are needed.
  */
-internal fun Beliefs.learn(news: News, nowMillis: Long): Boolean {
+internal fun Beliefs.applyPeerUpdate(news: News, nowMillis: Long): Boolean {
     when (news) {
-        is News.Load -> learn(news, nowMillis)
+        is News.Load -> applyPeerUpdate(news, nowMillis)
         is News.Silent -> endpoints[news.endpoint]?.fellSilent(news.atMillis)
         is News.Sent -> if (news.origin != self) endpoints[news.endpoint]?.let { noteSent(it, news.prompt) }
-        is News.Ordered -> if (news.holder != self) learn(news, nowMillis)
+        is News.Ordered -> if (news.holder != self) applyPeerUpdate(news, nowMillis)
         is News.StoreEvents -> {
             storeNewsMillis[news.store] = nowMillis
             return stores.joins(news)
@@ -23,17 +23,17 @@
     return true
 }
 
-private fun Beliefs.learn(news: News.Load, nowMillis: Long) {
+private fun Beliefs.applyPeerUpdate(news: News.Load, nowMillis: Long) {
     val state = endpoints[news.endpoint] ?: return
     state.learnLoad(news.load)
     news.weights.forEach { (model, version) -> state.learnWeights(model, version) }
     news.clockMillis?.let { engineClock.learn(it, news.load.atMillis, nowMillis) }
 }
 
-private fun Beliefs.learn(news: News.Ordered, nowMillis: Long) {
+private fun Beliefs.applyPeerUpdate(news: News.Ordered, nowMillis: Long) {
     othersOrderedMillis = nowMillis
-    endpoints[news.endpoint]?.orderedUntilMillis = if (news.active) nowMillis + ORDER_MILLIS else nowMillis
+    endpoints[news.endpoint]?.orderedUntilMillis = if (news.active) nowMillis + ORDERED_EXPIRY_MILLIS else nowMillis
 }
 
 // An engine counts as ordered for this long after the last word of it: four times the holder's period, and two hubs.
-internal const val ORDER_MILLIS = 800L
+internal const val ORDERED_EXPIRY_MILLIS = 800L
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Peers.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Peers.kt
@@ -34,40 +34,40 @@
         handler = this,
         dispatcher = dispatcher,
     )
-    private val contacts = PeerContacts(context)
-    private val teller = NewsTeller(context, contacts, node)
+    private val connections = PeerConnections(context)
+    private val sender = PeerUpdateSender(context, connections, node)
     private val wantedMillis = HashMap<String, Long>()
 
     /** Listens for peers and exchanges with them until the coroutine is cancelled. */
     suspend fun run(watched: Map<ObjectKind, ObjectWatch>) {
-        teller.watches = watched.mapKeys { it.key.name }
+        sender.watches = watched.mapKeys { it.key.name }
         node.start(settings.listen.peers.host, settings.listen.peers.port)
-        beliefs.onSent = { endpoint, prompt -> tell(News.Sent(beliefs.self, endpoint, prompt)) }
+        beliefs.onSent = { endpoint, prompt -> publish(News.Sent(beliefs.self, endpoint, prompt)) }
         while (true) {
             val links = node.connected
-            node.keepConnectedTo(contacts.wanted(links))
-            teller.speak(links)
+            node.keepConnectedTo(connections.desired(links))
+            sender.sendPending(links)
             context.ticks.await()
         }
     }
 
     /** Tells peers with the next message what this instance has learned. */
-    fun tell(news: News) {
-        teller.tell(news)
+    fun publish(news: News) {
+        sender.publish(news)
     }
 
     /** Tells peers whether [state] has orders from this instance, so that none of them sends new work there. */
-    fun orders(state: EndpointState, active: Boolean) {
-        teller.orders(state, active)
+    fun announceOrders(state: EndpointState, active: Boolean) {
+        sender.announceOrders(state, active)
     }
 
     override suspend fun onConnected(link: PeerLink) {
-        contacts.heard(link)
+        connections.recordReceived(link)
         log.write("peer.connected") { put("peer", link.remote.incarnation.instance.value) }
     }
 
     override suspend fun onEnded(link: PeerLink) {
-        contacts.ended(link)
+        connections.forget(link)
         log.write("peer.lost") {
             put("peer", link.remote.incarnation.instance.value)
             put("reason", link.failure?.message)
@@ -75,16 +75,16 @@
     }
 
     override suspend fun onControl(link: PeerLink, message: PeerMessage) {
-        contacts.heard(link)
+        connections.recordReceived(link)
         when (message) {
             is PeerMessage.InstanceNews -> take(link, message)
-            is PeerMessage.ObjectsWanted -> teller.watches[message.kind]?.offer(message.haveRevision)
+            is PeerMessage.ObjectsWanted -> sender.watches[message.kind]?.offer(message.haveRevision)
                 ?.let { send(link, it.toMessage(message.kind)) }
-            is PeerMessage.ObjectsOffered -> teller.watches[message.kind]?.accept(message.toOffer())
+            is PeerMessage.ObjectsOffered -> sender.watches[message.kind]?.accept(message.toOffer())
             is PeerMessage.CacheContentsWanted -> SocketAddress.parse(message.store)
                 ?.let { beliefs.stores.contents(it) }
-                ?.let { send(link, PeerMessage.CacheContentsOffered(it.digest())) }
-            is PeerMessage.CacheContentsOffered -> (message.contents.news() as? News.StoreEvents)
+                ?.let { send(link, PeerMessage.CacheContentsOffered(it.toDigest())) }
+            is PeerMessage.CacheContentsOffered -> (message.contents.toNews() as? News.StoreEvents)
                 ?.let { beliefs.stores.listed(it.store, it.epoch, it.to, it.changes) }
             else -> log.write("peer.unexpected") { put("message", message::class.simpleName) }
         }
@@ -97,15 +97,15 @@
     private suspend fun take(link: PeerLink, message: PeerMessage.InstanceNews) {
         val nowMillis = clock.nowMillis()
         val passOn = PassOn.entries.firstOrNull { it.name == message.passOn } ?: PassOn.NOBODY
-        message.news(nowMillis).forEach { news ->
-            if (!beliefs.learn(news, nowMillis) && news is News.StoreEvents) {
+        message.toNews(nowMillis).forEach { news ->
+            if (!beliefs.applyPeerUpdate(news, nowMillis) && news is News.StoreEvents) {
                 want(link, PeerMessage.CacheContentsWanted(news.store.toString()), news.store.toString())
             }
-            teller.passOn(news, passOn)
+            sender.passOn(news, passOn)
         }
         message.known.forEach { known ->
-            val watch = teller.watches[known.kind]
-            if (watch != null && watch.told(known.changedRevision, nowMillis - known.ageMillis, known.lost)) {
+            val watch = sender.watches[known.kind]
+            if (watch != null && watch.onPeerStatus(known.changedRevision, nowMillis - known.ageMillis, known.lost)) {
                 want(link, PeerMessage.ObjectsWanted(known.kind, watch.knownRevision), known.kind)
             }
         }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/RolloutLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/RolloutLoop.kt
@@ -27,7 +27,7 @@
     private val scope = context.scope
     private val log = context.log
     private val clock = context.clock
-    private val plan = RolloutPlan(quietMillis = lease.quietMillis)
+    private val plan = RolloutPlan(quietMillis = lease.holdAfterOrderMillis)
     private var wantedSinceMillis: Long? = null
     private var turnMembers: Set<InstanceId> = emptySet()
     private var turnMillis = 0L
@@ -68,11 +68,11 @@
     }
 
     private suspend fun bring(state: EndpointState, named: NamedWeights) {
-        peers.orders(state, active = true)
+        peers.announceOrders(state, active = true)
         val done = try {
             load(state, named)
         } finally {
-            peers.orders(state, active = false)
+            peers.announceOrders(state, active = false)
         }
         plan.ended(state.entry.id, done, clock.nowMillis())
     }
@@ -91,7 +91,7 @@
     private suspend fun loadStep(state: EndpointState, named: NamedWeights): LoadStep {
         val report = report(state)
         report?.weights?.forEach { (model, version) -> state.learnWeights(model, version) }
-        state.engineLoad?.let { peers.tell(News.Load(state.entry.id, it, state.allWeights)) }
+        state.engineLoad?.let { peers.publish(News.Load(state.entry.id, it, state.allWeights)) }
         return when {
             report == null -> LoadStep.GIVEN_UP
             (report.weights[named.model] ?: 0) >= named.version -> LoadStep.LOADED
@@ -112,7 +112,7 @@
         )
         plan.active(clock.nowMillis())
         val call = engines.order(state.entry.id.value, order)
-        val result = client.call(state.entry.address, call, ORDER_MILLIS)
+        val result = client.call(state.entry.address, call, ORDER_TIMEOUT_MILLIS)
         val status = result.get()?.status
         log.write("order.sent", always = true) {
             put("endpoint", state.entry.id.value)
@@ -123,13 +123,13 @@
             result.getError()?.let { put("reason", it.message) }
         }
         val fenced = status == HttpStatus.PRECONDITION_FAILED.code
-        if (fenced) lease.refused(held.fencingToken)
+        if (fenced) lease.markFenced(held.fencingToken)
         if (status == HttpStatus.ACCEPTED.code) delay(ACCEPTED_MILLIS)
         return !fenced && status != HttpStatus.MISDIRECTED.code
     }
 
     private suspend fun report(state: EndpointState): EngineReport? =
-        context.ask(state.entry.address, engines.report(), REPORT_MILLIS, engines::report) { reason ->
+        context.callAndDecode(state.entry.address, engines.report(), REPORT_MILLIS, engines::report) { reason ->
             log.write("order.noReport") {
                 put("endpoint", state.entry.id.value)
                 put("reason", reason)
@@ -144,7 +144,7 @@
         // A holder tells of its orders several times in this time.
         const val OTHERS_SILENT_MILLIS = 1_000L
         const val REPORT_MILLIS = 500L
-        const val ORDER_MILLIS = 600L
+        const val ORDER_TIMEOUT_MILLIS = 600L
 
         // Between two reports of an engine that loads, which takes about a second.
         const val POLL_MILLIS = 150L
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/StoreAccess.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/StoreCallBackoff.kt
@@ -8,14 +8,14 @@
  * Spaces the calls to an object store that does not answer, each of which is charged: one kind of objects is tried at a
  * time, by an instance that follows the store for others often, by the others ever more rarely.
  */
-internal class StoreAccess(private val clock: Clock, private val random: Random = Random.Default) {
+internal class StoreCallBackoff(private val clock: Clock, private val random: Random = Random.Default) {
     private var lost = false
     private var probe: ObjectKind? = null
     private var nextMillis = 0L
     private var pauseMillis = 0L
 
     /** Whether the last call, of whatever kind, was not answered. */
-    val isLost: Boolean get() = lost
+    val isStoreUnreachable: Boolean get() = lost
 
     /** Whether a call for [kind] may be made now; [follows] when others depend on it. */
     fun mayCall(kind: ObjectKind, follows: Boolean): Boolean {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/StoredRecord.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/StoredLeaseRecord.kt
@@ -5,4 +5,4 @@
 
 /** A lease as it is kept in the object store, with the id of the write that made it. */
 @Serializable
-internal data class StoredRecord(val record: LeaseRecord, val writeId: String)
+internal data class StoredLeaseRecord(val record: LeaseRecord, val writeId: String)
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/WatchDuty.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/WatchPolicy.kt
@@ -8,7 +8,7 @@
  * store, and the others are told; one that has not been told in time reads it as well. [applyMillis] is the time after
  * which a change has to be in force.
  */
-internal class WatchDuty(private val tree: PeerTree, private val clock: Clock, applyMillis: Long) {
+internal class WatchPolicy(private val tree: PeerTree, private val clock: Clock, applyMillis: Long) {
     /** How long a call waits for changes, in milliseconds. */
     val waitMillis: Long = applyMillis * WAIT_PARTS / PARTS
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Refusal.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Refusal.kt
@@ -81,7 +81,7 @@
 ) {
     /** Ends the request [id] with [refusal]. */
     fun answer(answer: CallerAnswer, id: RequestId, refusal: Refusal) {
-        metrics.refused(refusal.status.code)
+        metrics.recordRefusal(refusal.status.code)
         val retryMillis = refusal.retryAfterMillis?.let { (it * (1 + Random.nextDouble() * SPREAD)).toLong() }
         log.write("request.refused", always = true) {
             put("request", id.value)
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/ControlLoopsTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/ControlLoopsTest.kt
@@ -14,14 +14,14 @@
 import org.parsleymoor.core.ZoneId
 import org.parsleymoor.entry.control.ControlRuntime
 import org.parsleymoor.entry.control.ControlTicks
-import org.parsleymoor.entry.control.MemberLoop
 import org.parsleymoor.entry.control.Membership
+import org.parsleymoor.entry.control.MembershipLoop
 import org.parsleymoor.entry.control.ObjectListener
 import org.parsleymoor.entry.control.ObjectOffer
 import org.parsleymoor.entry.control.ObjectWatch
 import org.parsleymoor.entry.control.OrderLease
 import org.parsleymoor.entry.control.WatchContext
-import org.parsleymoor.entry.control.WatchDuty
+import org.parsleymoor.entry.control.WatchPolicy
 import org.parsleymoor.entry.log.DecisionLog
 import org.parsleymoor.entry.protocol.ObjectChange
 import org.parsleymoor.entry.protocol.ObjectKind
@@ -70,9 +70,9 @@
         backgroundScope.launch { watch.run() }
         advanceTimeBy(100)
         val known = watch.knownRevision
-        memory.silent = true
+        memory.unresponsive = true
         advanceTimeBy(10_000)
-        expectThat(watch.isLost).isTrue()
+        expectThat(watch.isStoreUnreachable).isTrue()
         expectThat(seen.lost).isGreaterThan(0)
         watch.accept(ObjectOffer(known - 1, listOf(StoredObject("older", known - 1, "1"))))
         expectThat(seen.names).containsExactly("a")
@@ -87,7 +87,7 @@
     fun `an instance whose object does not change for twenty seconds no longer counts`() = loops {
         memory.put(ObjectKind.MEMBERS, "gone", "{\"address\":\"h:1\",\"beats\":1}")
         val beliefs = Beliefs(InstanceId("self"))
-        val loop = MemberLoop(memory.store, beliefs, membership, log(this), clock(this))
+        val loop = MembershipLoop(memory.store, beliefs, membership, log(this), clock(this))
         backgroundScope.launch { loop.run() }
         advanceTimeBy(1_000)
         expectThat(beliefs.instances).isEqualTo(2)
@@ -98,12 +98,12 @@
     @Test
     fun `a lease whose write was carried out without an answer is read back and used`() = loops {
         val lease = lease("one", this)
-        memory.losesAnswers = true
+        memory.losesResponses = true
         lease.tick(wanted = true)
         advanceTimeBy(200)
         lease.tick(wanted = true)
         advanceTimeBy(200)
-        memory.losesAnswers = false
+        memory.losesResponses = false
         repeat(20) {
             lease.tick(wanted = true)
             advanceTimeBy(100)
@@ -125,7 +125,7 @@
         val token = holder.held()?.fencingToken
         expectThat(token).isNotNull()
         expectThat(other.held()).isNull()
-        holder.refused(token ?: 0)
+        holder.markFenced(token ?: 0)
         expectThat(holder.held()).isNull()
     }
 
@@ -156,10 +156,10 @@
         DecisionLog(clock(scope), "test", PrintStream(OutputStream.nullOutputStream()))
 
     private fun watch(scope: TestScope): ObjectWatch {
-        val duty = WatchDuty(membership.tree, clock(scope), applyMillis = 5_000)
+        val policy = WatchPolicy(membership.tree, clock(scope), applyMillis = 5_000)
         val ticks = ControlTicks(clock(scope), offsetMillis = 0) { 100 }
         val runtime = ControlRuntime(scope.backgroundScope, ticks, log(scope), clock(scope))
-        return ObjectWatch(ObjectKind.ENDPOINTS, WatchContext(memory.store, duty, runtime), seen)
+        return ObjectWatch(ObjectKind.ENDPOINTS, WatchContext(memory.store, policy, runtime), seen)
     }
 
     private fun lease(name: String, scope: TestScope) = OrderLease(
@@ -175,7 +175,7 @@
         val names = LinkedHashSet<String>()
         var lost = 0
 
-        override fun onLost() {
+        override fun onStoreUnreachable() {
             lost++
         }
 
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/MemoryStore.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/MemoryStore.kt
@@ -24,17 +24,17 @@
     private var historyFrom = 0L
 
     /** Whether calls are left without an answer. */
-    var silent = false
+    var unresponsive = false
 
     /** Whether calls are refused at once. */
-    var refuses = false
+    var unavailable = false
 
     /** Number of calls that were made. */
     var calls = 0
         private set
 
     /** Whether writes are carried out and their answers lost. */
-    var losesAnswers = false
+    var losesResponses = false
 
     val store = ObjectStore(MemoryProtocol, ::answer)
 
@@ -57,10 +57,10 @@
     private suspend fun answer(call: ControlCall, timeoutMillis: Long): Result<ControlAnswer, CallFailure> {
         calls++
         return when {
-            refuses -> Ok(ControlAnswer(503, ""))
-            silent -> {
+            unavailable -> Ok(ControlAnswer(503, ""))
+            unresponsive -> {
                 delay(timeoutMillis)
-                Err(CallFailure.Unanswered("silent"))
+                Err(CallFailure.Unanswered("unresponsive"))
             }
             else -> carryOut(call, timeoutMillis)
         }
@@ -103,7 +103,7 @@
                 ControlAnswer(409, text(listOfNotNull(known?.to(false))))
             else -> ControlAnswer(200, text(listOf(put(kind, name, content) to false)))
         }
-        return if (losesAnswers) Err(CallFailure.Unanswered("the answer was lost")) else Ok(answer)
+        return if (losesResponses) Err(CallFailure.Unanswered("the answer was lost")) else Ok(answer)
     }
 
     private fun text(values: List<Pair<StoredObject, Boolean>>): String =
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/SharedBeliefsTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/PeerUpdatesTest.kt
@@ -5,9 +5,9 @@
 import org.parsleymoor.core.InstanceId
 import org.parsleymoor.core.ModelId
 import org.parsleymoor.core.ZoneId
-import org.parsleymoor.entry.control.learn
-import org.parsleymoor.entry.control.news
+import org.parsleymoor.entry.control.applyPeerUpdate
 import org.parsleymoor.entry.control.toMessage
+import org.parsleymoor.entry.control.toNews
 import org.parsleymoor.entry.serving.Beliefs
 import org.parsleymoor.entry.serving.oldestWeights
 import org.parsleymoor.relay.cache.ContextKey
@@ -27,7 +27,7 @@
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isNull
 
-class SharedBeliefsTest {
+class PeerUpdatesTest {
     private val model = ModelId("m")
     private val beliefs = Beliefs(InstanceId("self")).also { it.routes = RouteTable(configuration()) }
 
@@ -86,8 +86,8 @@
     }
 
     private fun told(news: News, sentMillis: Long, arrivedMillis: Long) {
-        listOf(news).toMessage(PassOn.NOBODY, sentMillis).news(arrivedMillis)
-            .forEach { beliefs.learn(it, arrivedMillis) }
+        listOf(news).toMessage(PassOn.NOBODY, sentMillis).toNews(arrivedMillis)
+            .forEach { beliefs.applyPeerUpdate(it, arrivedMillis) }
     }
 
     private fun engine(name: String, weights: Long?): EndpointId {
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/SharedWatchTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/StoreFollowersTest.kt
@@ -16,7 +16,7 @@
 import org.parsleymoor.entry.control.ObjectListener
 import org.parsleymoor.entry.control.ObjectWatch
 import org.parsleymoor.entry.control.WatchContext
-import org.parsleymoor.entry.control.WatchDuty
+import org.parsleymoor.entry.control.WatchPolicy
 import org.parsleymoor.entry.log.DecisionLog
 import org.parsleymoor.entry.protocol.ObjectChange
 import org.parsleymoor.entry.protocol.ObjectKind
@@ -35,7 +35,7 @@
 
 /** Instances that follow the object store for the others, and what the others do when these fall silent. */
 @OptIn(ExperimentalCoroutinesApi::class)
-class SharedWatchTest {
+class StoreFollowersTest {
     private val memory = MemoryStore()
     private val members = (1..30).map { Member(InstanceId("i$it"), "i$it:1", ZoneId("z${it % 6}")) }
 
@@ -44,7 +44,7 @@
     fun `three of many instances follow the store and the others make no call while they are told`() = instances {
         memory.put(ObjectKind.WEIGHTS, "a", "1")
         val all = members.map { instance(it) }
-        expectThat(all.count { it.duty.follows }).isLessThanOrEqualTo(3)
+        expectThat(all.count { it.policy.follows }).isLessThanOrEqualTo(3)
         advanceTimeBy(1_000)
         val calls = memory.calls
         memory.put(ObjectKind.WEIGHTS, "b", "1")
@@ -69,15 +69,15 @@
     fun `while the store is away an instance that does not follow it calls less than twice a second`() = instances {
         val other = instance(members.first { !Membership(it).also { own -> own.update(members) }.tree.followsStore })
         advanceTimeBy(100)
-        memory.refuses = true
+        memory.unavailable = true
         advanceTimeBy(4_000)
         val calls = memory.calls
         advanceTimeBy(10_000)
         expectThat(memory.calls - calls).isLessThan(20)
-        expectThat(other.watch.isLost).isTrue()
-        memory.refuses = false
+        expectThat(other.watch.isStoreUnreachable).isTrue()
+        memory.unavailable = false
         advanceTimeBy(8_500)
-        expectThat(other.watch.isLost).isFalse()
+        expectThat(other.watch.isStoreUnreachable).isFalse()
     }
 
     // Entries that lapsed during an outage would be dropped before their endpoints could register again.
@@ -86,19 +86,19 @@
         val other = instance(members.first { !Membership(it).also { own -> own.update(members) }.tree.followsStore })
         advanceTimeBy(100)
         val revision = other.watch.changedRevision
-        other.watch.told(revision, currentTime, lost = false)
-        other.watch.told(revision, currentTime - 10, lost = true)
+        other.watch.onPeerStatus(revision, currentTime, lost = false)
+        other.watch.onPeerStatus(revision, currentTime - 10, lost = true)
         expectThat(other.losses).isGreaterThan(0)
         advanceTimeBy(500)
-        other.watch.told(revision, currentTime, lost = false)
-        expectThat(other.watch.isLost).isFalse()
+        other.watch.onPeerStatus(revision, currentTime, lost = false)
+        expectThat(other.watch.isStoreUnreachable).isFalse()
     }
 
     private fun TestScope.tellAll(all: List<Instance>) {
         advanceTimeBy(TELL_MILLIS)
         val freshest = all.maxBy { it.watch.currentMillis }.watch
         all.forEach { one ->
-            if (one.watch.told(freshest.changedRevision, freshest.currentMillis, freshest.isLost)) {
+            if (one.watch.onPeerStatus(freshest.changedRevision, freshest.currentMillis, freshest.isStoreUnreachable)) {
                 freshest.offer(one.watch.knownRevision)?.let { one.watch.accept(it) }
             }
         }
@@ -110,19 +110,19 @@
         val clock = Clock { currentTime }
         val membership = Membership(member).also { it.update(members) }
         val log = DecisionLog(clock, "test", PrintStream(OutputStream.nullOutputStream()))
-        val duty = WatchDuty(membership.tree, clock, APPLY_MILLIS)
+        val policy = WatchPolicy(membership.tree, clock, APPLY_MILLIS)
         val ticks = ControlTicks(clock, offsetMillis = 0) { 100 }
         val runtime = ControlRuntime(backgroundScope, ticks, log, clock)
-        return Instance(duty, WatchContext(memory.store, duty, runtime))
+        return Instance(policy, WatchContext(memory.store, policy, runtime))
             .also { backgroundScope.launch { it.watch.run() } }
     }
 
-    private class Instance(val duty: WatchDuty, context: WatchContext) : ObjectListener {
+    private class Instance(val policy: WatchPolicy, context: WatchContext) : ObjectListener {
         val names = LinkedHashSet<String>()
         var losses = 0
         val watch = ObjectWatch(ObjectKind.WEIGHTS, context, this)
 
-        override fun onLost() {
+        override fun onStoreUnreachable() {
             losses++
         }
 
