--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/ClassArchiveTraining.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/ClassArchiveTraining.kt
@@ -10,36 +10,35 @@
 import kotlin.concurrent.thread
 
 /**
- * Loads the classes that an entry daemon uses and returns, so that a virtual machine started with
- * `-XX:ArchiveClassesAtExit` writes them to a class data archive. Reading classes from the archive halves the time from
- * the start to listening, in which no request is answered after a crash. Throws [IllegalStateException] when the daemon
- * does not start on loopback.
+ * Starts an entry daemon on loopback and loads the classes that it uses, so that a virtual machine started with
+ * `-XX:ArchiveClassesAtExit` writes them to a class data archive. A daemon that restarts after a crash serves requests
+ * in half the time with the archive. Throws [IllegalStateException] when the daemon's settings are rejected.
  */
 public fun trainClassArchive(protocol: ServingProtocol) {
     val store = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
-    thread(isDaemon = true) { while (true) answer(store.accept()) }
-    val listen = List(LISTEN_ADDRESSES) { freeAddress() }
+    thread(isDaemon = true) { while (true) respond(store.accept()) }
+    val listen = List(LISTEN_ADDRESS_COUNT) { freeAddress() }
     val settings = EntrySettings.parse("training", settingsText(listen, "127.0.0.1:${store.localPort}"))
         .getOrElse { mistakes -> error(mistakes.list.joinToString()) }
     EntryDaemon(settings, protocol).start()
-    ask(settings)
+    sendRequest(settings)
     loadProjectClasses()
     Thread.sleep(SETTLE_MILLIS)
 }
 
-/** Answers every request with an empty object, which exercises the calls and the decoders. */
-private fun answer(socket: Socket) {
+/** Responds to every request with an empty JSON object, which exercises the clients and the decoders. */
+private fun respond(socket: Socket) {
     thread(isDaemon = true) {
         socket.use {
             val reader = it.getInputStream().bufferedReader()
             while (reader.readLine() != null) {
-                if (!reader.ready()) it.getOutputStream().write(EMPTY_ANSWER)
+                if (!reader.ready()) it.getOutputStream().write(EMPTY_RESPONSE)
             }
         }
     }
 }
 
-private fun ask(settings: EntrySettings) {
+private fun sendRequest(settings: EntrySettings) {
     Socket(settings.listen.callers.host, settings.listen.callers.port).use { socket ->
         socket.getOutputStream().write("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n".toByteArray())
         socket.getInputStream().readAllBytes()
@@ -69,7 +68,7 @@
     callers = "${listen[0]}"
     readiness = "${listen[1]}"
     peers = "${listen[2]}"
-    metrics = "${listen[LISTEN_ADDRESSES - 1]}"
+    metrics = "${listen[LISTEN_ADDRESS_COUNT - 1]}"
     [objectStore]
     address = "$store"
     [times]
@@ -86,12 +85,12 @@
     slack = 1
 """.trimIndent()
 
-private val EMPTY_ANSWER = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}".toByteArray()
-private const val LISTEN_ADDRESSES = 4
+private val EMPTY_RESPONSE = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}".toByteArray()
+private const val LISTEN_ADDRESS_COUNT = 4
 private const val BACKLOG = 50
 
-// Lets the loops make their first calls.
+// Time for the control loops to make their first calls.
 private const val SETTLE_MILLIS = 1_500L
 
-// The project's own classes, and the sockets between daemons, which need a second daemon to be used.
+// The project's own classes, and the socket classes that only a connection to a second daemon would load.
 private val PACKAGES = listOf("org/parsleymoor/", "io/ktor/network/sockets/", "io/ktor/network/selector/")
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
@@ -60,8 +60,8 @@
 import org.parsleymoor.relay.routing.CallerLimits
 
 /**
- * One entry daemon: relays callers' requests to endpoints and takes its turn in the control of the deployment. All
- * state is confined to one event loop. [protocol] translates to and from the deployment's names.
+ * Entry daemon, which relays callers' requests to endpoints and takes part in controlling the deployment. All state is
+ * confined to one event loop. [protocol] defines the names and message formats of the deployment.
  */
 public class EntryDaemon(
     private val settings: EntrySettings,
@@ -84,39 +84,42 @@
         NetClientOptions().setTcpNoDelay(true).setConnectTimeout(CONNECT_MILLIS),
     )
     private val pool = ConnectionPool(client, clock)
-    private val control = ControlClient(ConnectionPool(client, clock))
+    private val controlClient = ControlClient(ConnectionPool(client, clock))
     private val store = ObjectStore(protocol.objects) { call, timeoutMillis ->
-        control.call(settings.objectStore, call, timeoutMillis)
+        controlClient.call(settings.objectStore, call, timeoutMillis)
     }
     private val membership = Membership(
         Member(settings.instance, settings.listen.peers.toString(), settings.zone, settings.processors),
     )
-    private val ticks = ControlTicks(clock, settings.instance.value.stableHash().mod(LARGE_TICK_MILLIS)) {
-        if (membership.tree.direct) TICK_MILLIS else LARGE_TICK_MILLIS
+    private val ticks = ControlTicks(clock, settings.instance.value.stableHash().mod(HUB_TICK_MILLIS)) {
+        if (membership.tree.direct) DIRECT_TICK_MILLIS else HUB_TICK_MILLIS
     }
-    private val members = MembershipLoop(store, beliefs, membership, log, clock)
-    private val stopping = StopState(settings.times.graceMillis, clock)
+    private val membershipLoop = MembershipLoop(store, beliefs, membership, log, clock)
+    private val stopState = StopState(settings.times.graceMillis, clock)
     private val lag = LoopLag(clock)
-    private var routesSinceMillis: Long? = null
-    private val callers = CallerServer(vertx, scope, callerContext())
+    private var knownSinceMillis: Long? = null
+    private val callerServer = CallerServer(vertx, scope, callerContext())
 
-    /** Listens, then starts to follow the object store; returns when the sockets are bound. */
+    /** Binds the listening sockets, then starts the control loops; returns when the sockets are bound. */
     public fun start() {
         runBlocking(dispatcher) {
-            probes(settings.listen.readiness, protocol.readinessPath to ::readiness)
-            callers.start(settings.listen.callers)
-            probes(settings.listen.metrics, METRICS_PATH to { ProbeResponse(HttpStatus.OK, metrics.prometheusText()) })
+            startProbeServer(settings.listen.readiness, protocol.readinessPath to ::readiness)
+            callerServer.start(settings.listen.callers)
+            startProbeServer(
+                settings.listen.metrics,
+                METRICS_PATH to { ProbeResponse(HttpStatus.OK, metrics.prometheusText()) }
+            )
         }
         log.write("started", always = true) { put("callers", settings.listen.callers.toString()) }
         val policy = WatchPolicy(membership.tree, clock, settings.times.applyMillis)
         val runtime = ControlRuntime(scope, ticks, log, clock)
-        val watching = WatchContext(store, policy, runtime)
-        val watches = listeners().mapValues { (kind, listener) -> ObjectWatch(kind, watching, listener) }
+        val watchContext = WatchContext(store, policy, runtime)
+        val watches = listeners().mapValues { (kind, listener) -> ObjectWatch(kind, watchContext, listener) }
         watches.values.forEach { scope.launch { it.run() } }
         scope.launch { ticks.measure(lag) }
-        scope.launch { members.run() }
+        scope.launch { membershipLoop.run() }
         val incarnation = Incarnation(settings.instance, clock.nowMillis())
-        val context = ControlContext(beliefs, membership, control, protocol.engines, runtime)
+        val context = ControlContext(beliefs, membership, controlClient, protocol.engines, runtime)
         val peers = Peers(PeerContext(settings, beliefs, membership, runtime), incarnation, dispatcher)
         scope.launch { peers.run(watches) }
         scope.launch { EngineLoadLoop(context, peers).run() }
@@ -127,33 +130,33 @@
     }
 
     /**
-     * Stops in an orderly way: reports itself as not ready, answers what arrives on open connections, and returns when
-     * nothing is under way or the grace period is nearly over.
+     * Shuts down gracefully: reports itself as not ready, serves requests that arrive on open connections, and returns
+     * when none are left or the grace period is nearly over.
      */
     public fun stop() {
         runBlocking(dispatcher) {
-            stopping.begin()
-            log.write("stopping", always = true) { put("connections", callers.openConnections) }
+            stopState.begin()
+            log.write("stopping", always = true) { put("connections", callerServer.openConnections) }
             val untilMillis = clock.nowMillis() + settings.times.graceMillis - EXIT_MARGIN_MILLIS
-            withTimeoutOrNull(LEAVE_MILLIS) { members.deregister() }
-            val idleMillis = clock.nowMillis() + IDLE_MILLIS
+            withTimeoutOrNull(DEREGISTER_MILLIS) { membershipLoop.deregister() }
+            val closeIdleMillis = clock.nowMillis() + CLOSE_IDLE_MILLIS
             val earliestMillis = clock.nowMillis() + UNREADY_MILLIS
-            while (clock.nowMillis() < if (callers.openConnections > 0) untilMillis else earliestMillis) {
-                if (clock.nowMillis() >= idleMillis) callers.closeIdle()
+            while (clock.nowMillis() < if (callerServer.openConnections > 0) untilMillis else earliestMillis) {
+                if (clock.nowMillis() >= closeIdleMillis) callerServer.closeIdle()
                 delay(STOP_POLL_MILLIS)
             }
-            // A caller may connect while the last connection ends; it is answered, or finds the port closed.
-            val draining = scope.launch { callers.shutdown((untilMillis - clock.nowMillis()).coerceAtLeast(1)) }
+            // A caller may connect while the last connection closes; its request is served, or the connection refused.
+            val draining = scope.launch { callerServer.shutdown((untilMillis - clock.nowMillis()).coerceAtLeast(1)) }
             while (draining.isActive && clock.nowMillis() < untilMillis) {
-                callers.closeIdle()
+                callerServer.closeIdle()
                 delay(STOP_POLL_MILLIS)
             }
-            log.write("stopped", always = true) { put("connections", callers.openConnections) }
+            log.write("stopped", always = true) { put("connections", callerServer.openConnections) }
         }
         log.flush(FLUSH_MILLIS)
     }
 
-    /** Notes that the settings file was read again; addresses and identity apply from the next start. */
+    /** Logs a request to reload. Settings are read only at the start, so changes apply from the next start. */
     public fun logReload() {
         log.write("reloaded", always = true)
     }
@@ -166,9 +169,9 @@
         val delivery = Delivery(context, placer, attempts, refusals, SharedRetryBudget(settings.retries))
         return CallerContext(
             clock = clock,
-            handler = RelayHandler(context, protocol.headers, delivery, refusals, stopping),
+            handler = RelayHandler(context, protocol.headers, delivery, refusals, stopState),
             limits = { beliefs.routes?.configuration?.limits ?: CallerLimits() },
-            stopping = { stopping.begun },
+            stopping = { stopState.begun },
             lagMillis = { lag.millis },
             onFault = { fault ->
                 log.write("request.malformed", always = true) {
@@ -186,19 +189,19 @@
         ObjectKind.EVACUATIONS to EvacuationListener(beliefs, protocol.content, log),
     )
 
-    private suspend fun probes(
+    private suspend fun startProbeServer(
         address: SocketAddress,
-        answer: Pair<String, () -> ProbeResponse>,
+        handler: Pair<String, () -> ProbeResponse>,
     ) {
-        ProbeServer(vertx, scope, mapOf(answer)).start(address)
+        ProbeServer(vertx, scope, mapOf(handler)).start(address)
     }
 
     private fun readiness(): ProbeResponse {
         val known = beliefs.routes != null && beliefs.endpointsKnown
-        val sinceMillis = if (known) routesSinceMillis ?: clock.nowMillis() else null
-        routesSinceMillis = sinceMillis
-        val settled = lag.settled || sinceMillis != null && clock.nowMillis() - sinceMillis >= SETTLE_MILLIS
-        val ready = !stopping.begun && known && settled
+        val sinceMillis = if (known) knownSinceMillis ?: clock.nowMillis() else null
+        knownSinceMillis = sinceMillis
+        val settled = lag.settled || sinceMillis != null && clock.nowMillis() - sinceMillis >= MAX_SETTLE_MILLIS
+        val ready = !stopState.begun && known && settled
         return ProbeResponse(if (ready) HttpStatus.OK else HttpStatus.UNAVAILABLE)
     }
 
@@ -216,26 +219,26 @@
         const val METRICS_PATH = "/metrics"
         const val CONNECT_MILLIS = 2_000
 
-        // Time between the end of the answers and the end of the process.
+        // Time left for the process to exit after the last response.
         const val EXIT_MARGIN_MILLIS = 500L
 
-        // Idle connections are closed after this time; until then a request on one of them is answered, and closes it.
-        const val IDLE_MILLIS = 800L
+        // Idle connections are closed after this time; until then, a request on one of them is served and closes it.
+        const val CLOSE_IDLE_MILLIS = 800L
 
-        // The platform asks once a second, and sends no new connections after two answers that are not ready.
+        // The platform probes readiness once a second and opens no new connections after two negative responses.
         const val UNREADY_MILLIS = 2_200L
-        const val LEAVE_MILLIS = 300L
+        const val DEREGISTER_MILLIS = 300L
         const val STOP_POLL_MILLIS = 20L
         const val FLUSH_MILLIS = 200L
         const val HOUSEKEEPING_TICKS = 3
 
-        // An instance that is still behind after this time is one of a slow machine, which may be all there are.
-        const val SETTLE_MILLIS = 3_000L
+        // After this time an instance is ready even if its event loop lags, because all machines may be slow.
+        const val MAX_SETTLE_MILLIS = 3_000L
 
-        // In this time some three requests arrive at all instances, which choose without knowing of each other.
-        const val TICK_MILLIS = 60L
+        // All instances receive about three requests in this time, which they place without knowing of each other.
+        const val DIRECT_TICK_MILLIS = 60L
 
-        // Through two hubs news are about a quarter of a second old, as old as the reports of engines.
-        const val LARGE_TICK_MILLIS = 100L
+        // Updates forwarded by two hubs are then about a quarter of a second old, like the reports of engines.
+        const val HUB_TICK_MILLIS = 100L
     }
 }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryMetrics.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryMetrics.kt
@@ -2,32 +2,30 @@
 
 import java.util.concurrent.atomic.AtomicLong
 
-/** A count that only grows. */
+/** A monotonically increasing counter. */
 public class Counter {
     private val value = AtomicLong()
 
-    /** Adds one. */
     public fun increment() {
         value.incrementAndGet()
     }
 
-    /** The count. */
     public val count: Long get() = value.get()
 }
 
-/** A latency histogram with the bounds of [BOUNDS_MILLIS]. */
+/** A latency histogram whose buckets have the upper bounds [BOUNDS_MILLIS]. */
 public class LatencyHistogram {
     private val buckets = List(BOUNDS_MILLIS.size + 1) { AtomicLong() }
     private val sum = AtomicLong()
 
-    /** Counts one observation of [millis]. */
+    /** Records one latency. */
     public fun record(millis: Long) {
         val index = BOUNDS_MILLIS.indexOfFirst { millis <= it }
         buckets[if (index < 0) BOUNDS_MILLIS.size else index].incrementAndGet()
         sum.addAndGet(millis)
     }
 
-    /** Writes the histogram in the Prometheus text format under [name]. */
+    /** Returns the histogram in the Prometheus text format, under [name]. */
     public fun prometheusText(name: String): String {
         var total = 0L
         val lines = BOUNDS_MILLIS.mapIndexed { index, bound ->
@@ -51,12 +49,12 @@
     public val latency: LatencyHistogram = LatencyHistogram()
     private val refusals = sortedMapOf<Int, Counter>()
 
-    /** Counts a refusal of the system with [status]. */
+    /** Counts a request that this daemon refused with [status]. */
     public fun recordRefusal(status: Int) {
         synchronized(refusals) { refusals.getOrPut(status) { Counter() } }.increment()
     }
 
-    /** Writes all metrics in the Prometheus text format. */
+    /** Returns all metrics in the Prometheus text format. */
     public fun prometheusText(): String {
         val refused = synchronized(refusals) {
             refusals.map { (status, counter) -> "parsleymoor_refusals_total{status=\"$status\"} ${counter.count}" }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntrySettings.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntrySettings.kt
@@ -24,9 +24,9 @@
 )
 
 /**
- * Times that the operators set, in milliseconds. Two holders of the lease for orders keep [leaseMillis] between their
- * orders; a request must not begin on older weights later than [weightsMillis] after newer ones were named; an accepted
- * configuration is in force [applyMillis] later.
+ * Times set by the operators. Orders of two holders of the order lease are at least [leaseMillis] apart; a request must
+ * not start on older weights later than [weightsMillis] after newer ones were set; an accepted configuration takes
+ * effect within [applyMillis].
  */
 public data class EntryTimes(
     public val graceMillis: Long,
@@ -35,10 +35,10 @@
     public val applyMillis: Long,
 )
 
-/** How far the load of a cold endpoint may exceed its stated rate: [overage] times the rate, and [slack] requests. */
+/** Allowed load of a cold endpoint beyond its stated rate: [overage] times the rate, plus [slack] requests. */
 public data class ColdAllowance(public val overage: Double, public val slack: Double)
 
-/** Settings of one entry daemon, as its file states them. */
+/** Settings of one entry daemon, read from its settings file. */
 public data class EntrySettings(
     public val instance: InstanceId,
     public val zone: ZoneId,
@@ -49,28 +49,28 @@
     public val times: EntryTimes,
     public val retries: RetryBound,
     public val cold: ColdAllowance,
-    /** Processor share of the machine, in cores. */
+    /** Processor capacity of the machine available to this instance, in cores. */
     public val processors: Double = 1.0,
-    /** Where a few instances listen for peers, asked while the object store cannot be. */
+    /** Peer addresses of a few instances to connect to while the object store is unreachable. */
     public val seeds: List<SocketAddress> = emptyList(),
 ) {
     public companion object {
-        /** Reads the file at [path]; returns every mistake in it. */
-        public fun read(path: Path): Result<EntrySettings, Mistakes> = SettingsReader.read(path, ::entry)
+        /** Reads the settings file at [path]; a failure lists every mistake in it. */
+        public fun read(path: Path): Result<EntrySettings, Mistakes> = SettingsReader.read(path, ::entrySettings)
 
-        /** Reads [text], the content of [file]; returns every mistake in it. */
+        /** Parses [text], the content of [file]; a failure lists every mistake in it. */
         public fun parse(file: String, text: String): Result<EntrySettings, Mistakes> =
-            SettingsReader.parse(file, text, ::entry)
+            SettingsReader.parse(file, text, ::entrySettings)
     }
 }
 
-private fun entry(root: TomlSection): EntrySettings = EntrySettings(
+private fun entrySettings(root: TomlSection): EntrySettings = EntrySettings(
     instance = InstanceId(root.text("instance")),
     zone = ZoneId(root.text("zone")),
     region = RegionId(root.text("region")),
     zones = root.textMap("zones").entries.associate { ZoneId(it.key) to RegionId(it.value) },
     listen = listen(root.section("listen")),
-    objectStore = root.section("objectStore")?.address("address") ?: NOWHERE,
+    objectStore = root.section("objectStore")?.address("address") ?: PLACEHOLDER_ADDRESS,
     times = times(root.section("times")),
     retries = retries(root.section("retries")),
     cold = cold(root.section("cold")),
@@ -79,10 +79,10 @@
 )
 
 private fun listen(section: TomlSection?): ListenAddresses = ListenAddresses(
-    callers = section?.address("callers") ?: NOWHERE,
-    readiness = section?.address("readiness") ?: NOWHERE,
-    peers = section?.address("peers") ?: NOWHERE,
-    metrics = section?.address("metrics") ?: NOWHERE,
+    callers = section?.address("callers") ?: PLACEHOLDER_ADDRESS,
+    readiness = section?.address("readiness") ?: PLACEHOLDER_ADDRESS,
+    peers = section?.address("peers") ?: PLACEHOLDER_ADDRESS,
+    metrics = section?.address("metrics") ?: PLACEHOLDER_ADDRESS,
 )
 
 private fun times(section: TomlSection?): EntryTimes = EntryTimes(
@@ -112,11 +112,12 @@
 private fun TomlSection.milliseconds(key: String): Long = (number(key) * MILLIS_PER_SECOND).toLong()
 
 private fun TomlSection.address(key: String): SocketAddress {
-    val written = text(key)
-    val address = SocketAddress.parse(written)
-    if (address == null) mistake(key, "an address of the form host:port", written)
-    return address ?: NOWHERE
+    val value = text(key)
+    val address = SocketAddress.parse(value)
+    if (address == null) mistake(key, "an address of the form host:port", value)
+    return address ?: PLACEHOLDER_ADDRESS
 }
 
-private val NOWHERE = SocketAddress("0.0.0.0", 1)
+// Stands in for an address that is missing or invalid, which is recorded as a mistake.
+private val PLACEHOLDER_ADDRESS = SocketAddress("0.0.0.0", 1)
 private const val MILLIS_PER_SECOND = 1_000
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/ProbeServer.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/ProbeServer.kt
@@ -20,11 +20,11 @@
 /** Response of a [ProbeServer]. */
 internal class ProbeResponse(val status: HttpStatus, val body: String = "")
 
-/** Answers GET requests without a body at its own address: readiness, and metrics. */
+/** HTTP server for readiness probes and metrics: serves requests without a body, by path, on an address of its own. */
 internal class ProbeServer(
     private val vertx: Vertx,
     private val scope: CoroutineScope,
-    private val answers: Map<String, () -> ProbeResponse>,
+    private val responses: Map<String, () -> ProbeResponse>,
 ) {
     /** Listens on [address]. */
     suspend fun start(address: SocketAddress) {
@@ -43,11 +43,11 @@
         do {
             val bytes = input.readHead(HEAD_LIMIT_BYTES).getOrElse { null } ?: return
             val head = parseRequestHead(bytes).getOrElse { return }
-            val found = answers[head.target.substringBefore('?')]?.invoke() ?: ProbeResponse(HttpStatus.NOT_FOUND)
-            val answer = CallerAnswer(socket, mayKeep = head.keepsAlive, chunked = true, stopping = { false })
+            val response = responses[head.target.substringBefore('?')]?.invoke() ?: ProbeResponse(HttpStatus.NOT_FOUND)
+            val writer = CallerAnswer(socket, mayKeep = head.keepsAlive, chunked = true, stopping = { false })
             val fields = listOf(HeaderField("Content-Type", "text/plain; charset=utf-8"))
-            answer.whole(AnswerHead(found.status, fields), found.body.encodeToByteArray())
-        } while (answer.keeps)
+            writer.whole(AnswerHead(response.status, fields), response.body.encodeToByteArray())
+        } while (writer.keeps)
     }
 
     private companion object {
