--- /dev/null
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/EngineLoadLoop.kt
@@ -0,0 +1,83 @@
+package org.parsleymoor.entry.control
+
+import kotlinx.coroutines.launch
+import kotlinx.serialization.json.put
+import org.parsleymoor.core.EndpointId
+import org.parsleymoor.entry.protocol.EngineReport
+import org.parsleymoor.relay.exchange.EngineAsks
+import org.parsleymoor.relay.exchange.News
+import org.parsleymoor.relay.fleet.EndpointState
+import org.parsleymoor.relay.fleet.EngineLoad
+import org.parsleymoor.relay.fleet.fellSilent
+
+/**
+ * Polls engines for their load on the schedule of [EngineAsks] and publishes the reports to peers, so that not every
+ * instance has to poll every engine.
+ */
+internal class EngineLoadLoop(private val context: ControlContext, private val peers: Peers) {
+    private val beliefs = context.beliefs
+    private val engines = context.engines
+    private val scope = context.scope
+    private val log = context.log
+    private val clock = context.clock
+    private val schedule = EngineAsks(context.membership.roster)
+    private val polling = HashSet<EndpointId>()
+
+    /** Polls until the coroutine is cancelled. */
+    suspend fun run() {
+        while (true) {
+            val nowMillis = clock.nowMillis()
+            beliefs.endpoints.all.filter { isDue(it, nowMillis) }.forEach { state ->
+                polling += state.entry.id
+                scope.launch { poll(state) }
+            }
+            context.ticks.await()
+        }
+    }
+
+    private fun isDue(state: EndpointState, nowMillis: Long): Boolean =
+        state.entry.weights.isNotEmpty() && state.entry.id !in polling && schedule.isDue(state, nowMillis)
+
+    private suspend fun poll(state: EndpointState) {
+        val requestedMillis = clock.nowMillis()
+        val report = context.callAndDecode(
+            state.entry.address,
+            engines.report(),
+            TIMEOUT_MILLIS,
+            engines::report
+        ) { reason ->
+            log.write("load.unknown") {
+                put("endpoint", state.entry.id.value)
+                put("reason", reason)
+            }
+        }
+        if (report == null) {
+            state.fellSilent(requestedMillis)
+            peers.publish(News.Silent(state.entry.id, requestedMillis))
+        } else {
+            applyReport(state, report, requestedMillis)
+        }
+        polling -= state.entry.id
+    }
+
+    private fun applyReport(state: EndpointState, report: EngineReport, requestedMillis: Long) {
+        report.weights.forEach { (model, version) -> state.learnWeights(model, version) }
+        report.clockMillis?.let { beliefs.engineClock.read(it, requestedMillis, clock.nowMillis()) }
+        val load = EngineLoad(
+            running = report.running,
+            waiting = report.waiting,
+            prefilling = (report.running - report.decoding).coerceAtLeast(0),
+            memoryUsed = report.memoryUsed,
+            memoryTotal = report.memoryTotal,
+            atMillis = requestedMillis,
+        )
+        if (state.learnLoad(load)) {
+            val engineMillis = report.clockMillis?.let { beliefs.engineClock.at(requestedMillis) }
+            peers.publish(News.Load(state.entry.id, load, state.allWeights, engineMillis))
+        }
+    }
+
+    private companion object {
+        const val TIMEOUT_MILLIS = 400L
+    }
+}
--- /dev/null
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerUpdateSender.kt
@@ -0,0 +1,83 @@
+package org.parsleymoor.entry.control
+
+import org.parsleymoor.peering.KnownObjectsDigest
+import org.parsleymoor.peering.PeerLink
+import org.parsleymoor.peering.PeerMessage
+import org.parsleymoor.peering.PeerNode
+import org.parsleymoor.relay.exchange.News
+import org.parsleymoor.relay.exchange.NewsBox
+import org.parsleymoor.relay.exchange.PassOn
+import org.parsleymoor.relay.fleet.EndpointState
+
+/** Sends peers, over [node], the updates of this instance and the status of its copies of the stored objects. */
+internal class PeerUpdateSender(
+    private val context: PeerContext,
+    private val connections: PeerConnections,
+    private val node: PeerNode,
+) {
+    private val self = context.deployment.self
+    private val tree = context.membership.tree
+    private val clock = context.clock
+    private val queue = NewsBox()
+    private val orderedEndpoints = LinkedHashSet<EndpointState>()
+    private var announcedMillis = 0L
+
+    /** The watches that keep copies of the stored objects, by kind. */
+    var watches: Map<String, ObjectWatch> = emptyMap()
+
+    /** Queues an update that originates from this instance for the next message. */
+    fun publish(update: News) {
+        queue.addOwn(update, tree, clock.nowMillis())
+    }
+
+    /** Queues an update that a peer sent with [passOn], if it has to be forwarded. */
+    fun passOn(update: News, passOn: PassOn) {
+        queue.passOn(update, passOn)
+    }
+
+    /** Announces whether this instance gives orders to [state], so that no other instance sends new requests there. */
+    fun announceOrders(state: EndpointState, active: Boolean) {
+        if (active) orderedEndpoints += state else orderedEndpoints -= state
+        state.orderedUntilMillis = if (active) clock.nowMillis() + ORDERED_EXPIRY_MILLIS else clock.nowMillis()
+        publish(News.Ordered(self, state.entry.id, active))
+    }
+
+    /** Sends the queued updates on those of [links] whose instances should receive them. */
+    suspend fun sendPending(links: List<PeerLink>) {
+        repeatAnnouncements()
+        val byInstance = connections.responsive(links).associateBy { it.remote.incarnation.instance }
+        val recipients = tree.recipients(byInstance.mapValues { it.value.remote.zone }, clock.nowMillis())
+        send(PassOn.EVERYWHERE, listOfNotNull(recipients.hub).mapNotNull { byInstance[it] })
+        send(PassOn.ZONE, recipients.zones.mapNotNull { byInstance[it] })
+        send(PassOn.NOBODY, recipients.last.mapNotNull { byInstance[it] })
+        send(emptyList<News>().toMessage(PassOn.NOBODY, clock.nowMillis()), connections.idle(links))
+    }
+
+    private fun repeatAnnouncements() {
+        val nowMillis = clock.nowMillis()
+        if (orderedEndpoints.isEmpty() || nowMillis - announcedMillis < ANNOUNCEMENT_PERIOD_MILLIS) return
+        announcedMillis = nowMillis
+        orderedEndpoints.toList().forEach { announceOrders(it, active = true) }
+    }
+
+    private suspend fun send(passOn: PassOn, links: List<PeerLink>) {
+        val updates = queue.take(passOn)
+        if (updates.isNotEmpty()) send(updates.toMessage(passOn, clock.nowMillis()), links)
+    }
+
+    private suspend fun send(message: PeerMessage.InstanceNews, links: List<PeerLink>) {
+        connections.recordSent(links)
+        node.send(message.copy(known = copyStatus()), links)
+    }
+
+    private fun copyStatus(): List<KnownObjectsDigest> {
+        val nowMillis = clock.nowMillis()
+        return watches.filterValues { it.knownRevision > 0 }.map { (kind, watch) ->
+            KnownObjectsDigest(kind, watch.changedRevision, nowMillis - watch.currentMillis, watch.isStoreUnreachable)
+        }
+    }
+
+    private companion object {
+        const val ANNOUNCEMENT_PERIOD_MILLIS = 200L
+    }
+}
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/ControlLoopsTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/ControlLoopsTest.kt
@@ -14,15 +14,15 @@
 import org.parsleymoor.core.ZoneId
 import org.parsleymoor.entry.control.ControlRuntime
 import org.parsleymoor.entry.control.ControlTicks
-import org.parsleymoor.entry.control.MemberLoop
 import org.parsleymoor.entry.control.Membership
+import org.parsleymoor.entry.control.MembershipLoop
 import org.parsleymoor.entry.control.ObjectListener
 import org.parsleymoor.entry.control.ObjectOffer
 import org.parsleymoor.entry.control.ObjectWatch
 import org.parsleymoor.entry.control.OrderLease
 import org.parsleymoor.entry.control.WatchContext
-import org.parsleymoor.entry.control.WatchDuty
-import org.parsleymoor.entry.log.StructuredLog
+import org.parsleymoor.entry.control.WatchPolicy
+import org.parsleymoor.entry.log.DecisionLog
 import org.parsleymoor.entry.protocol.ObjectChange
 import org.parsleymoor.entry.protocol.ObjectKind
 import org.parsleymoor.entry.protocol.StoredObject
@@ -42,52 +42,52 @@
 @OptIn(ExperimentalCoroutinesApi::class)
 class ControlLoopsTest {
     private val memory = MemoryStore()
-    private val seen = Seen()
+    private val listener = RecordingListener()
     private val membership = Membership(Member(InstanceId("self"), "h:2", ZoneId("a")))
     private var suspendedMillis = 0L
 
     @Test
-    fun `changes reach the listener, and a history that is gone leads to the list`() = loops {
+    fun `changes reach the listener, and the list is read again when the history is gone`() = runLoops {
         memory.put(ObjectKind.ENDPOINTS, "a", "1")
         val watch = watch(this)
         backgroundScope.launch { watch.run() }
         advanceTimeBy(100)
         memory.put(ObjectKind.ENDPOINTS, "b", "1")
         advanceTimeBy(100)
-        expectThat(seen.names).containsExactlyInAnyOrder("a", "b")
+        expectThat(listener.names).containsExactlyInAnyOrder("a", "b")
         memory.remove(ObjectKind.ENDPOINTS, "a")
         memory.put(ObjectKind.ENDPOINTS, "c", "1")
         memory.forgetHistory()
         advanceTimeBy(5_000)
-        expectThat(seen.names).containsExactlyInAnyOrder("b", "c")
+        expectThat(listener.names).containsExactlyInAnyOrder("b", "c")
     }
 
-    // An instance that the store does not answer would go on with what it knew, however old, or go back to older.
+    // Otherwise an instance that cannot reach the store keeps outdated objects, or returns to older ones.
     @Test
-    fun `the objects of a peer are taken in when they are newer and ignored when they are older`() = loops {
+    fun `objects from a peer are applied when they are newer and ignored when they are not`() = runLoops {
         memory.put(ObjectKind.ENDPOINTS, "a", "1")
         val watch = watch(this)
         backgroundScope.launch { watch.run() }
         advanceTimeBy(100)
         val known = watch.knownRevision
-        memory.silent = true
+        memory.unresponsive = true
         advanceTimeBy(10_000)
-        expectThat(watch.isLost).isTrue()
-        expectThat(seen.lost).isGreaterThan(0)
+        expectThat(watch.isStoreUnreachable).isTrue()
+        expectThat(listener.failures).isGreaterThan(0)
         watch.accept(ObjectOffer(known - 1, listOf(StoredObject("older", known - 1, "1"))))
-        expectThat(seen.names).containsExactly("a")
+        expectThat(listener.names).containsExactly("a")
         watch.accept(ObjectOffer(known, listOf(StoredObject("same", known, "1"))))
-        expectThat(seen.names).containsExactly("a")
+        expectThat(listener.names).containsExactly("a")
         watch.accept(ObjectOffer(known + 9, listOf(StoredObject("b", known + 9, "1"))))
-        expectThat(seen.names).containsExactly("b")
+        expectThat(listener.names).containsExactly("b")
     }
 
-    // An instance that is gone would keep its part of the shared limits for ever.
+    // Otherwise an instance that is gone keeps its part of the shared limits.
     @Test
-    fun `an instance whose object does not change for twenty seconds no longer counts`() = loops {
+    fun `an instance whose registration does not change for twenty seconds expires`() = runLoops {
         memory.put(ObjectKind.MEMBERS, "gone", "{\"address\":\"h:1\",\"beats\":1}")
-        val deployment = DeploymentView(InstanceId("self"))
-        val loop = MemberLoop(memory.store, deployment, membership, log(this), clock(this))
+        val beliefs = Beliefs(InstanceId("self"))
+        val loop = MembershipLoop(memory.store, beliefs, membership, log(this), clock(this))
         backgroundScope.launch { loop.run() }
         advanceTimeBy(1_000)
         expectThat(deployment.instances).isEqualTo(2)
@@ -96,14 +96,14 @@
     }
 
     @Test
-    fun `a lease whose write was carried out without an answer is read back and used`() = loops {
+    fun `a lease whose write took effect without a response is read back and used`() = runLoops {
         val lease = lease("one", this)
-        memory.losesAnswers = true
+        memory.losesResponses = true
         lease.tick(wanted = true)
         advanceTimeBy(200)
         lease.tick(wanted = true)
         advanceTimeBy(200)
-        memory.losesAnswers = false
+        memory.losesResponses = false
         repeat(20) {
             lease.tick(wanted = true)
             advanceTimeBy(100)
@@ -111,9 +111,9 @@
         expectThat(lease.held()).isNotNull()
     }
 
-    // Two holders whose orders alternate would undo each other's work at the engines.
+    // Otherwise two holders give alternating orders and undo each other's work at the engines.
     @Test
-    fun `a second instance gets no lease while the first renews it, and a refused token is not used again`() = loops {
+    fun `a second instance gets no lease while the first renews it, and a fenced token is not used again`() = runLoops {
         val first = lease("one", this)
         val second = lease("two", this)
         repeat(100) {
@@ -125,13 +125,13 @@
         val token = holder.held()?.fencingToken
         expectThat(token).isNotNull()
         expectThat(other.held()).isNull()
-        holder.refused(token ?: 0)
+        holder.markFenced(token ?: 0)
         expectThat(holder.held()).isNull()
     }
 
-    // While it was suspended, another instance may have taken the lease.
+    // Another instance may have acquired the lease while the holder was suspended.
     @Test
-    fun `a holder that was suspended uses its lease again only after it has renewed it`() = loops {
+    fun `a holder that was suspended uses its lease again only after a renewal`() = runLoops {
         val lease = lease("one", this)
         repeat(20) {
             lease.tick(wanted = true)
@@ -148,7 +148,7 @@
         expectThat(lease.held()?.fencingToken ?: 0).isGreaterThan(before ?: 0)
     }
 
-    private fun loops(body: suspend TestScope.() -> Unit) = runTest { body() }
+    private fun runLoops(body: suspend TestScope.() -> Unit) = runTest { body() }
 
     private fun clock(scope: TestScope) = Clock { scope.currentTime }
 
@@ -156,10 +156,10 @@
         StructuredLog(clock(scope), "test", PrintStream(OutputStream.nullOutputStream()))
 
     private fun watch(scope: TestScope): ObjectWatch {
-        val duty = WatchDuty(membership.tree, clock(scope), applyMillis = 5_000)
+        val policy = WatchPolicy(membership.tree, clock(scope), applyMillis = 5_000)
         val ticks = ControlTicks(clock(scope), offsetMillis = 0) { 100 }
         val runtime = ControlRuntime(scope.backgroundScope, ticks, log(scope), clock(scope))
-        return ObjectWatch(ObjectKind.ENDPOINTS, WatchContext(memory.store, duty, runtime), seen)
+        return ObjectWatch(ObjectKind.ENDPOINTS, WatchContext(memory.store, policy, runtime), listener)
     }
 
     private fun lease(name: String, scope: TestScope) = OrderLease(
@@ -171,12 +171,12 @@
         leaseMillis = 3_000,
     )
 
-    private class Seen : ObjectListener {
+    private class RecordingListener : ObjectListener {
         val names = LinkedHashSet<String>()
-        var lost = 0
+        var failures = 0
 
-        override fun onLost() {
-            lost++
+        override fun onStoreUnreachable() {
+            failures++
         }
 
         override fun onList(objects: List<StoredObject>) {
