--- a/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/LeaseCalls.kt
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/LeaseCalls.kt
@@ -24,7 +24,7 @@
 
     fun failWrite(nowMillis: Long, event: LeaseEvent.WriteFailed) {
         if (write.of(event.writeId) == null) return
-        if (event.mayHaveTakenEffect) write.doubt() else write.end(event.writeId)
+        if (event.mayHaveTakenEffect) write.markUncertain() else write.end(event.writeId)
         postpone(nowMillis)
     }
 
@@ -34,7 +34,7 @@
 
     /** Returns whether another call may be started; gives up waiting for responses that are overdue. */
     fun idle(nowMillis: Long): Boolean {
-        write.doubtOverdue(nowMillis)
+        write.markOverdueUncertain(nowMillis)
         if (readSentMillis?.let { write.isOverdue(it, nowMillis) } == true) endRead()
         return write.pending?.uncertain != false && readSentMillis == null && nowMillis >= nextAttemptMillis
     }
--- a/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/LeaseHolder.kt
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/LeaseHolder.kt
@@ -97,7 +97,7 @@
         if (current != null && pending != null && current.writeId == pending.writeId) {
             return confirm(nowMillis, pending.writeId, current.version)
         }
-        calls.write.endDoubted()
+        calls.write.endUncertain()
         if (storedSeenMillis == null || current?.version != stored?.version) storedSeenMillis = nowMillis
         stored = current
         if (current?.isHeldBy(self) != true) {
@@ -119,7 +119,7 @@
 
     private fun conflict(nowMillis: Long, event: LeaseEvent.Conflicted) {
         if (calls.write.of(event.writeId) == null) return
-        calls.write.doubt()
+        calls.write.markUncertain()
         observe(nowMillis, event.current)
     }
 }
--- a/libraries/core/src/main/kotlin/org/parsleymoor/core/PauseDetector.kt
+++ b/libraries/core/src/main/kotlin/org/parsleymoor/core/PauseDetector.kt
@@ -13,7 +13,7 @@
     private var aheadMillis = difference()
 
     /** Returns whether the two clocks have moved apart by more than [TOLERANCE_MILLIS] since the last call. */
-    public fun paused(): Boolean {
+    public fun pausedSinceLastCall(): Boolean {
         val before = aheadMillis
         aheadMillis = difference()
         return abs(aheadMillis - before) > TOLERANCE_MILLIS
--- a/libraries/core/src/main/kotlin/org/parsleymoor/core/UpdateInFlight.kt
+++ b/libraries/core/src/main/kotlin/org/parsleymoor/core/UpdateInFlight.kt
@@ -32,18 +32,18 @@
     public fun end(writeId: String): PendingUpdate<T>? = of(writeId)?.also { pending = null }
 
     /** Forgets an update that had to be read back. */
-    public fun endDoubted() {
+    public fun endUncertain() {
         if (pending?.uncertain == true) pending = null
     }
 
     /** Notes that the update has to be read back. */
-    public fun doubt() {
+    public fun markUncertain() {
         pending = pending?.copy(uncertain = true)
     }
 
     /** Doubts an update whose response is overdue at [nowMillis]. */
-    public fun doubtOverdue(nowMillis: Long) {
-        if (pending?.sentMillis?.let { isOverdue(it, nowMillis) } == true) doubt()
+    public fun markOverdueUncertain(nowMillis: Long) {
+        if (pending?.sentMillis?.let { isOverdue(it, nowMillis) } == true) markUncertain()
     }
 
     /** Returns whether the response to what was sent at [sentMillis] counts as lost at [nowMillis]. */
--- a/libraries/core/src/test/kotlin/org/parsleymoor/core/UpdateInFlightTest.kt
+++ b/libraries/core/src/test/kotlin/org/parsleymoor/core/UpdateInFlightTest.kt
@@ -18,19 +18,19 @@
     /** Guards against an update that is waited for without end. */
     @Test
     fun `an update without a response is doubted when it is overdue`() {
-        update.doubtOverdue(99)
+        update.markOverdueUncertain(99)
         expectThat(update.pending?.uncertain).isEqualTo(false)
-        update.doubtOverdue(100)
+        update.markOverdueUncertain(100)
         expectThat(update.pending?.uncertain).isEqualTo(true)
     }
 
     /** Guards against a read that ends a write whose response is still to come. */
     @Test
     fun `only a doubted update ends with a read`() {
-        update.endDoubted()
+        update.endUncertain()
         expectThat(update.pending?.writeId).isEqualTo("w1")
-        update.doubt()
-        update.endDoubted()
+        update.markUncertain()
+        update.endUncertain()
         expectThat(update.pending).isNull()
     }
 }
--- a/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ClaimCalls.kt
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ClaimCalls.kt
@@ -34,7 +34,7 @@
 
     /** Returns whether a read or a seal is overdue; doubts an overdue write. */
     fun overdue(nowMillis: Long): Boolean {
-        write.doubtOverdue(nowMillis)
+        write.markOverdueUncertain(nowMillis)
         return listOfNotNull(headReadMillis, segmentReadMillis, sealMillis).any { write.isOverdue(it, nowMillis) }
     }
 }
--- a/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ClaimShard.kt
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ClaimShard.kt
@@ -62,7 +62,7 @@
 
     private fun acceptHead(nowMillis: Long, stored: StoredHead?): List<ClaimAction> {
         calls.headReadMillis = null
-        calls.write.endDoubted()
+        calls.write.endUncertain()
         index.accept(stored)
         return progress(nowMillis)
     }
@@ -91,7 +91,7 @@
     private fun failWrite(nowMillis: Long, event: ClaimEvent.HeadWriteFailed): List<ClaimAction> = when {
         calls.write.of(event.writeId) == null -> emptyList()
         event.mayHaveTakenEffect -> {
-            calls.write.doubt()
+            calls.write.markUncertain()
             progress(nowMillis)
         }
         else -> {
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/cache/EngineClock.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/cache/EngineClock.kt
@@ -9,14 +9,14 @@
     private var readMillis = Long.MIN_VALUE / 2
 
     /** Takes in a report that was asked for at [askedMillis], arrived at [answeredMillis] and showed [clockMillis]. */
-    public fun read(clockMillis: Long, askedMillis: Long, answeredMillis: Long) {
+    public fun updateFromOwnPoll(clockMillis: Long, askedMillis: Long, answeredMillis: Long) {
         if (answeredMillis - askedMillis > SLOW_MILLIS) return
         aheadMillis = clockMillis - (askedMillis + answeredMillis) / 2
         readMillis = answeredMillis
     }
 
     /** Takes in that a peer's report showed [clockMillis] at [atMillis], which is less exact than a recent own one. */
-    public fun learn(clockMillis: Long, atMillis: Long, nowMillis: Long) {
+    public fun updateFromPeer(clockMillis: Long, atMillis: Long, nowMillis: Long) {
         if (nowMillis - readMillis >= OWN_LIFE_MILLIS) aheadMillis = clockMillis - atMillis
     }
 
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/cache/RecentContexts.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/cache/RecentContexts.kt
@@ -14,7 +14,7 @@
 }
 
 /** One start of an engine: it holds nothing of what an earlier start of [endpoint] has read. */
-public data class EngineStart(public val endpoint: EndpointId, public val bornMillis: Long?)
+public data class EngineIncarnation(public val endpoint: EndpointId, public val startMillis: Long?)
 
 /**
  * Which engines were given a shared context lately, by this instance and its peers. An engine keeps the parts of a
@@ -22,10 +22,10 @@
  * are known. Not safe for use from several threads.
  */
 public class RecentContexts(private val capacity: Int = DEFAULT_CAPACITY) {
-    private val contexts = LinkedHashMap<ContextKey, HashMap<EngineStart, Long>>()
+    private val contexts = LinkedHashMap<ContextKey, HashMap<EngineIncarnation, Long>>()
 
     /** Notes that [engine] was given a prompt with [context] at [atMillis]. */
-    public fun sent(context: ContextKey, engine: EngineStart, atMillis: Long) {
+    public fun record(context: ContextKey, engine: EngineIncarnation, atMillis: Long) {
         // A context that is used again moves to the end, so that the first is the one unused for longest.
         val engines = contexts.remove(context) ?: HashMap()
         engines.merge(engine, atMillis, ::maxOf)
@@ -35,7 +35,7 @@
     }
 
     /** Returns how likely [engine] still holds [context] at [nowMillis], 0 to 1. */
-    public fun heldShare(context: ContextKey, engine: EngineStart, nowMillis: Long): Double {
+    public fun cachedProbability(context: ContextKey, engine: EngineIncarnation, nowMillis: Long): Double {
         val atMillis = contexts[context]?.get(engine) ?: return 0.0
         val idleMillis = nowMillis - atMillis - RUN_MILLIS
         return if (idleMillis <= 0) RUNNING_SHARE else RUNNING_SHARE * exp(-idleMillis / RETENTION_MILLIS)
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/cache/TransferBudget.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/cache/TransferBudget.kt
@@ -3,7 +3,7 @@
 import org.parsleymoor.relay.fleet.SocketAddress
 
 /** The link of [store], which carries [tokensPerMilli] and is shared by [instances]. */
-public data class StoreLink(
+public data class CacheStoreLink(
     public val store: SocketAddress,
     public val tokensPerMilli: Double,
     public val instances: Int,
@@ -21,7 +21,7 @@
      * Takes [tokens] from the part of [link]; returns false, and takes nothing, when less than [reserveShare] of a full
      * budget would be left.
      */
-    public fun tryTake(link: StoreLink, tokens: Double, reserveShare: Double, nowMillis: Long): Boolean {
+    public fun tryTake(link: CacheStoreLink, tokens: Double, reserveShare: Double, nowMillis: Long): Boolean {
         val rate = link.tokensPerMilli * LINK_SHARE / link.instances.coerceAtLeast(1)
         val depth = rate * DEPTH_MILLIS
         val level = levels.getOrPut(link.store) { Level(depth, nowMillis) }
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/exchange/StoreReads.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/exchange/CacheStorePollSchedule.kt
@@ -7,15 +7,15 @@
  * others after it has been silent. A store bears only a few waiting calls, and all instances need what it says. Not
  * safe for use from several threads.
  */
-public class StoreReads(private val roster: ReadingRoster) {
+public class CacheStorePollSchedule(private val roster: ReaderRanking) {
     private val followedSinceMillis = HashMap<String, Long>()
 
     /** Whether this instance reads [store] in [zone], of which it last had news at [heardMillis], or never. */
     public fun isDue(store: String, zone: ZoneId, heardMillis: Long?, nowMillis: Long): Boolean {
         val sinceMillis = followedSinceMillis.getOrPut(store) { nowMillis }
         val waitMillis = roster.waitMillis(store, zone)
-        val silentMillis = nowMillis - maxOf(sinceMillis, heardMillis ?: sinceMillis)
-        return waitMillis == 0L || silentMillis >= SILENT_MILLIS + waitMillis
+        val unansweredPollMillis = nowMillis - maxOf(sinceMillis, heardMillis ?: sinceMillis)
+        return waitMillis == 0L || unansweredPollMillis >= SILENT_MILLIS + waitMillis
     }
 
     private companion object {
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/exchange/EngineAsks.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/exchange/EnginePollSchedule.kt
@@ -7,14 +7,14 @@
  * [PERIOD_MILLIS]. An engine that does not answer is asked less often, by the first instances in turn, because the
  * first may be the only one that cannot reach it. Not safe for use from several threads.
  */
-public class EngineAsks(private val roster: ReadingRoster) {
+public class EnginePollSchedule(private val roster: ReaderRanking) {
     /** Whether this instance asks [state] at [nowMillis]. */
     public fun isDue(state: EndpointState, nowMillis: Long): Boolean {
-        val loadAge = nowMillis - (state.engineLoad?.atMillis ?: state.startHeardMillis)
+        val loadAge = nowMillis - (state.engineLoad?.atMillis ?: state.firstSeenMillis)
         if (loadAge < PERIOD_MILLIS) return false
         val engine = state.entry.id.value
         val zone = state.entry.zone
-        val silentAge = nowMillis - state.silentMillis
+        val silentAge = nowMillis - state.unansweredPollMillis
         val isTurn = (loadAge / TURN_MILLIS % TURNS).toInt() == roster.rank(engine, zone)
         val waitMillis = roster.waitMillis(engine, zone)
         return if (isTurn) {
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/exchange/PeerTree.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/exchange/PeerTree.kt
@@ -35,7 +35,7 @@
         val all = members.filter { it.id != self.id } + self
         direct = all.size <= DIRECT_INSTANCES
         zones = all.groupBy { it.zone }.mapValues { (_, inZone) -> inZone.sortedWith(HUB_ORDER) }
-        followsStore = followers().any { it.id == self.id }
+        watchesObjectStore = followers().any { it.id == self.id }
     }
 
     /** Returns the members to keep connections to; [connected] are those that there is a connection to. */
@@ -74,7 +74,7 @@
     public val rank: Int get() = zones[self.zone].orEmpty().indexOfFirst { it.id == self.id }.coerceAtLeast(0)
 
     /** Whether this instance follows the object store for the others. */
-    public var followsStore: Boolean = true
+    public var watchesObjectStore: Boolean = true
         private set
 
     /** The first of each zone come before the second of any, so that followers are spread over the zones. */
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/exchange/ReadingRoster.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/exchange/ReaderRanking.kt
@@ -9,7 +9,7 @@
  * each of the others reads only after it has heard nothing for its own, longer wait, so no message is needed to agree.
  * Not safe for use from several threads.
  */
-public class ReadingRoster(private val self: Member) {
+public class ReaderRanking(private val self: Member) {
     private var members: Set<Member> = setOf(self)
     private val positions = HashMap<String, Position>()
 
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointEntry.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointEntry.kt
@@ -29,6 +29,6 @@
     public val draining: Boolean,
     public val slots: Int,
     public val coldMillis: Long = 0,
-    public val bornMillis: Long? = null,
+    public val startMillis: Long? = null,
     public val weights: Map<ModelId, Long> = emptyMap(),
 )
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointHealth.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointHealth.kt
@@ -1,11 +1,11 @@
 package org.parsleymoor.relay.fleet
 
 /** What an attempt at an endpoint says about its health. */
-public enum class AttemptEvidence { ANSWERED, REFUSED, FAILED, SILENT, UNREACHABLE }
+public enum class AttemptOutcome { ANSWERED, REFUSED, FAILED, SILENT, UNREACHABLE }
 
 /** Notes what an attempt says about the health of this endpoint. */
-public fun EndpointState.note(evidence: AttemptEvidence, nowMillis: Long) {
-    health.note(evidence, nowMillis)
+public fun EndpointState.recordOutcome(evidence: AttemptOutcome, nowMillis: Long) {
+    health.recordOutcome(evidence, nowMillis)
 }
 
 /**
@@ -18,20 +18,20 @@
     private var asideUntilMillis = Long.MIN_VALUE
 
     /** Whether the endpoint gets work only when there is no other. */
-    fun isAside(nowMillis: Long): Boolean = nowMillis < asideUntilMillis
+    fun isEjected(nowMillis: Long): Boolean = nowMillis < asideUntilMillis
 
     /** Share of recent attempts that failed, 0 to 1. */
     val recentFailures: Double get() = failureShare
 
-    fun note(evidence: AttemptEvidence, nowMillis: Long) {
+    fun recordOutcome(evidence: AttemptOutcome, nowMillis: Long) {
         when (evidence) {
-            AttemptEvidence.ANSWERED -> {
+            AttemptOutcome.ANSWERED -> {
                 consecutive = 0
                 failureShare *= 1 - WEIGHT
             }
-            AttemptEvidence.REFUSED -> Unit
-            AttemptEvidence.FAILED, AttemptEvidence.SILENT -> failed(nowMillis, FAILURES_BEFORE_ASIDE)
-            AttemptEvidence.UNREACHABLE -> failed(nowMillis, 1)
+            AttemptOutcome.REFUSED -> Unit
+            AttemptOutcome.FAILED, AttemptOutcome.SILENT -> failed(nowMillis, FAILURES_BEFORE_ASIDE)
+            AttemptOutcome.UNREACHABLE -> failed(nowMillis, 1)
         }
     }
 
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointLoad.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointLoad.kt
@@ -24,6 +24,6 @@
 public data class SentPrompt(
     public val atMillis: Long,
     public val tokens: Long,
-    public val tokensToRead: Long,
+    public val prefillTokens: Long,
     public val context: ContextKey,
 )
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointState.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointState.kt
@@ -1,7 +1,7 @@
 package org.parsleymoor.relay.fleet
 
 import org.parsleymoor.core.ModelId
-import org.parsleymoor.relay.cache.EngineStart
+import org.parsleymoor.relay.cache.EngineIncarnation
 
 /** What this instance believes of one endpoint, with the work that it has under way there itself. */
 public class EndpointState internal constructor(entry: EndpointEntry, nowMillis: Long) {
@@ -10,18 +10,18 @@
         private set
 
     /** The start of the engine that [entry] describes. */
-    public val start: EngineStart get() = EngineStart(entry.id, entry.bornMillis)
+    public val incarnation: EngineIncarnation get() = EngineIncarnation(entry.id, entry.startMillis)
 
     /** When [entry] was received. */
-    public var heardMillis: Long = nowMillis
+    public var entryReceivedMillis: Long = nowMillis
         private set
 
     /** When this start of the endpoint was first heard of. */
-    public var startHeardMillis: Long = nowMillis
+    public var firstSeenMillis: Long = nowMillis
         private set
 
     /** When an engine was last asked for its load without answering, by this instance or one of its peers. */
-    public var silentMillis: Long = Long.MIN_VALUE / 2
+    public var unansweredPollMillis: Long = Long.MIN_VALUE / 2
         internal set
 
     /** Until when the endpoint counts as cold. */
@@ -63,7 +63,7 @@
     }
 
     /** Notes a prompt that this instance or a peer has sent to the engine. */
-    public fun sent(prompt: SentPrompt) {
+    public fun recordSentPrompt(prompt: SentPrompt) {
         sentPrompts.addLast(prompt)
         while (sentPrompts.size > KEPT_PROMPTS) sentPrompts.removeFirst()
     }
@@ -79,33 +79,33 @@
     }
 
     internal fun accept(entry: EndpointEntry, nowMillis: Long) {
-        val restarted = entry.bornMillis != this.entry.bornMillis || entry.address != this.entry.address
+        val restarted = entry.startMillis != this.entry.startMillis || entry.address != this.entry.address
         if (restarted) {
             learnedWeights.clear()
             health.reset()
             load = null
             engineLoad = null
-            startHeardMillis = nowMillis
+            firstSeenMillis = nowMillis
         }
         this.entry = entry
-        heardMillis = nowMillis
+        entryReceivedMillis = nowMillis
         missingSinceMillis = null
         if (entry.coldMillis > 0) becomeCold(entry.coldMillis, nowMillis)
     }
 
     /** Counts a request with [tokens] prompt tokens that this instance sends here. */
-    public fun started(tokens: Long) {
+    public fun requestStarted(tokens: Long) {
         inFlight++
         tokensInFlight += tokens
     }
 
     /** Notes that [tokens] prompt tokens are read, because the first event arrived or the request ended. */
-    public fun read(tokens: Long) {
+    public fun prefillEnded(tokens: Long) {
         tokensInFlight -= tokens
     }
 
     /** Counts the end of a request. */
-    public fun ended() {
+    public fun requestEnded() {
         inFlight--
     }
 
@@ -137,10 +137,10 @@
 }
 
 /** Prompts that were sent after [sinceMillis], which a report of that time does not show. */
-internal fun EndpointState.sentSince(sinceMillis: Long): List<SentPrompt> =
+internal fun EndpointState.sentPromptsSince(sinceMillis: Long): List<SentPrompt> =
     sentPrompts.filter { it.atMillis > sinceMillis }
 
 /** Notes that the engine did not answer a question of [askedMillis]. */
-public fun EndpointState.fellSilent(askedMillis: Long) {
-    silentMillis = maxOf(silentMillis, askedMillis)
+public fun EndpointState.recordUnansweredPoll(askedMillis: Long) {
+    unansweredPollMillis = maxOf(unansweredPollMillis, askedMillis)
 }
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointTable.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointTable.kt
@@ -23,12 +23,12 @@
     public operator fun get(id: EndpointId): EndpointState? = states[id]
 
     /** Notes that the list cannot be read. */
-    public fun listLost() {
+    public fun markListUnavailable() {
         interrupted = true
     }
 
     /** Notes that the list was read, or that a watch on it answered; returns whether this ended an interruption. */
-    public fun listHeard(nowMillis: Long): Boolean {
+    public fun markListAvailable(nowMillis: Long): Boolean {
         val ended = interrupted
         if (ended) graceUntilMillis = nowMillis + graceMillis
         interrupted = false
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/http/HeadParser.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/http/HeadParser.kt
@@ -7,55 +7,55 @@
 import com.github.michaelbull.result.map
 
 /** Parses the head of a request, with the empty line that ends it. */
-public fun parseRequestHead(head: ByteArray): Result<RequestHead, MessageFault> {
+public fun parseRequestHead(head: ByteArray): Result<RequestHead, MessageFailure> {
     val lines = headLines(head)
     val parts = lines.first().split(' ')
     val minor = parts.lastOrNull()?.let(::minorVersion)
     val wellFormed = parts.size == START_LINE_PARTS && isToken(parts[0]) && isTarget(parts[1])
-    if (minor == null || !wellFormed) return Err(MessageFault.MALFORMED_START_LINE)
+    if (minor == null || !wellFormed) return Err(MessageFailure.MALFORMED_START_LINE)
     return parseFields(lines.drop(1)).andThen { headers ->
         val request = RequestHead(parts[0], parts[1], headers, minor)
-        if (minor == 1 && headers.all("Host").size != 1) Err(MessageFault.MISSING_HOST) else Ok(request)
+        if (minor == 1 && headers.all("Host").size != 1) Err(MessageFailure.MISSING_HOST) else Ok(request)
     }
 }
 
 /** Parses the head of a response, with the empty line that ends it. */
-public fun parseResponseHead(head: ByteArray): Result<ResponseHead, MessageFault> {
+public fun parseResponseHead(head: ByteArray): Result<ResponseHead, MessageFailure> {
     val lines = headLines(head)
     val parts = lines.first().split(' ', limit = START_LINE_PARTS)
     val minor = minorVersion(parts[0])
     val status = parts.getOrNull(1)?.takeIf { it.length == STATUS_DIGITS }?.toIntOrNull()
-    if (minor == null || status == null || status !in Statuses.ALL) return Err(MessageFault.MALFORMED_START_LINE)
+    if (minor == null || status == null || status !in Statuses.ALL) return Err(MessageFailure.MALFORMED_START_LINE)
     return parseFields(lines.drop(1)).map { ResponseHead(status, parts.getOrElse(2) { "" }, it, minor) }
 }
 
 /** Tells how the body of this request ends; a request that could be read in two ways is a fault (RFC 9112, 6.3). */
-public fun RequestHead.framing(): Result<BodyFraming, MessageFault> =
+public fun RequestHead.framing(): Result<BodyFraming, MessageFailure> =
     declaredFraming(headers).map { it ?: BodyFraming.None }
 
 /** Tells how the body of this response to a [method] request ends. */
-public fun ResponseHead.framing(method: String): Result<BodyFraming, MessageFault> =
+public fun ResponseHead.framing(method: String): Result<BodyFraming, MessageFailure> =
     if (method == "HEAD" || isInterim || status in Statuses.WITHOUT_BODY) {
         Ok(BodyFraming.None)
     } else {
         declaredFraming(headers).map { it ?: BodyFraming.UntilClose }
     }
 
-private fun declaredFraming(headers: HeaderFields): Result<BodyFraming?, MessageFault> {
+private fun declaredFraming(headers: HeaderFields): Result<BodyFraming?, MessageFailure> {
     val lengths = headers.all("Content-Length")
     val codings = headers.all("Transfer-Encoding")
     return when {
         lengths.isEmpty() && codings.isEmpty() -> Ok(null)
-        lengths.isNotEmpty() && codings.isNotEmpty() -> Err(MessageFault.AMBIGUOUS_LENGTH)
+        lengths.isNotEmpty() && codings.isNotEmpty() -> Err(MessageFailure.AMBIGUOUS_LENGTH)
         lengths.isNotEmpty() -> length(lengths)
         codings.size == 1 && codings.single().trim().equals("chunked", ignoreCase = true) -> Ok(BodyFraming.Chunked)
-        else -> Err(MessageFault.UNKNOWN_TRANSFER_CODING)
+        else -> Err(MessageFailure.UNKNOWN_TRANSFER_CODING)
     }
 }
 
-private fun length(values: List<String>): Result<BodyFraming, MessageFault> {
+private fun length(values: List<String>): Result<BodyFraming, MessageFailure> {
     val digits = values.singleOrNull()?.takeIf { it.isNotEmpty() && it.all(Char::isAsciiDigit) }
-    val bytes = digits?.toLongOrNull() ?: return Err(MessageFault.AMBIGUOUS_LENGTH)
+    val bytes = digits?.toLongOrNull() ?: return Err(MessageFailure.AMBIGUOUS_LENGTH)
     return Ok(BodyFraming.Length(bytes))
 }
 
@@ -64,12 +64,12 @@
     return text.removeSuffix("\r\n\r\n").split("\r\n")
 }
 
-private fun parseFields(lines: List<String>): Result<HeaderFields, MessageFault> {
+private fun parseFields(lines: List<String>): Result<HeaderFields, MessageFailure> {
     val fields = lines.map { line ->
         val colon = line.indexOf(':')
         val name = if (colon > 0) line.substring(0, colon) else ""
         val value = line.substring(colon + 1).trim(' ', '\t')
-        if (!isToken(name) || value.any { it in "\r\n\u0000" }) return Err(MessageFault.MALFORMED_HEADER)
+        if (!isToken(name) || value.any { it in "\r\n\u0000" }) return Err(MessageFailure.MALFORMED_HEADER)
         HeaderField(name, value)
     }
     return Ok(HeaderFields(fields))
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/http/MessageFault.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/http/MessageFailure.kt
@@ -3,7 +3,7 @@
 import org.parsleymoor.core.Failure
 
 /** Why a message cannot be read; [status] is the response that a caller gets for it. */
-public enum class MessageFault(public val status: HttpStatus, override val message: String) : Failure {
+public enum class MessageFailure(public val status: HttpStatus, override val message: String) : Failure {
     MALFORMED_START_LINE(HttpStatus.BAD_REQUEST, "the start line is not of the form that RFC 9112 gives"),
     MALFORMED_HEADER(HttpStatus.BAD_REQUEST, "a header line has no name, no colon, or white space before its colon"),
     AMBIGUOUS_LENGTH(
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/limits/ColdShare.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/limits/ColdEndpointBudget.kt
@@ -5,7 +5,7 @@
 import org.parsleymoor.core.rendezvousOrder
 
 /** Bound on the requests in any one second that all instances together may send to a cold endpoint. */
-public data class ColdBound(
+public data class ColdEndpointLimit(
     public val requestsPerSecond: Double,
     public val overage: Double,
     public val slack: Double
@@ -19,7 +19,7 @@
  * division leaves over, or the whole bound where there are more instances than requests, goes to the first instances
  * in the endpoint's rendezvous order, so no message is needed. Not safe for use from several threads.
  */
-public class ColdShare(private val self: InstanceId) {
+public class ColdEndpointBudget(private val self: InstanceId) {
     private val sent = HashMap<EndpointId, ArrayDeque<Long>>()
     private val ranks = HashMap<EndpointId, Int>()
     private var ranked: Set<InstanceId>? = null
@@ -31,7 +31,7 @@
      */
     public fun tryTake(
         endpoint: EndpointId,
-        bound: ColdBound,
+        bound: ColdEndpointLimit,
         members: Set<InstanceId>,
         nowMillis: Long,
     ): Boolean {
@@ -48,7 +48,7 @@
         ranks.keys.retainAll(known)
     }
 
-    private fun part(endpoint: EndpointId, bound: ColdBound, members: Set<InstanceId>): Int {
+    private fun part(endpoint: EndpointId, bound: ColdEndpointLimit, members: Set<InstanceId>): Int {
         if (members !== ranked) {
             ranked = members
             all = members + self
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/limits/SharedRetryBudget.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/limits/SharedRetryBudget.kt
@@ -1,22 +1,22 @@
 package org.parsleymoor.relay.limits
 
 /** Repeats of a service's requests in [windowMillis] for all instances: [share] of the requests, and [extra]. */
-public data class RetryBound(public val share: Double, public val extra: Double, public val windowMillis: Long)
+public data class RetryLimit(public val share: Double, public val extra: Double, public val windowMillis: Long)
 
 /**
- * This instance's part of a retry budget that all instances share. It spends [share][RetryBound.share] of the requests
+ * This instance's part of a retry budget that all instances share. It spends [share][RetryLimit.share] of the requests
  * that it has received itself and an equal part of the extra. Not safe for use from several threads.
  */
-public class SharedRetryBudget(private val bound: RetryBound) {
+public class SharedRetryBudget(private val bound: RetryLimit) {
     private val services = HashMap<String, Counts>()
 
     /** Counts a request of a caller for [service]. */
-    public fun request(service: String, nowMillis: Long) {
+    public fun recordRequest(service: String, nowMillis: Long) {
         counts(service).requests.add(nowMillis)
     }
 
     /** Takes one repeat from the budget of [service]; returns false, and takes nothing, when it is spent. */
-    public fun tryRepeat(service: String, instances: Int, nowMillis: Long): Boolean {
+    public fun tryTakeRetry(service: String, instances: Int, nowMillis: Long): Boolean {
         val counts = counts(service)
         val extra = bound.extra / maxOf(1, instances)
         val allowed = CERTAIN_SHARE * (extra + bound.share * counts.requests.count(nowMillis))
@@ -26,9 +26,11 @@
     }
 
     private fun counts(service: String): Counts =
-        services.getOrPut(service) { Counts(RecentTimes(bound.windowMillis), RecentTimes(bound.windowMillis)) }
+        services.getOrPut(service) {
+            Counts(SlidingWindowCounter(bound.windowMillis), SlidingWindowCounter(bound.windowMillis))
+        }
 
-    private class Counts(val requests: RecentTimes, val repeats: RecentTimes)
+    private class Counts(val requests: SlidingWindowCounter, val repeats: SlidingWindowCounter)
 
     private companion object {
         // Leaves room for an instance that another does not know of yet.
@@ -37,7 +39,7 @@
 }
 
 /** Times of events in the last [windowMillis]. */
-internal class RecentTimes(private val windowMillis: Long) {
+internal class SlidingWindowCounter(private val windowMillis: Long) {
     private val times = ArrayDeque<Long>()
 
     fun add(nowMillis: Long) {
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/EngineRoom.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/EngineMemory.kt
@@ -1,7 +1,7 @@
 package org.parsleymoor.relay.placement
 
 import org.parsleymoor.relay.fleet.EndpointState
-import org.parsleymoor.relay.fleet.sentSince
+import org.parsleymoor.relay.fleet.sentPromptsSince
 import org.parsleymoor.relay.prompt.PromptContext
 
 /**
@@ -11,7 +11,7 @@
  */
 internal fun EndpointState.hasRoom(prompt: PromptContext, nowMillis: Long): Boolean {
     val load = engineLoad?.takeIf { nowMillis - it.atMillis < REPORT_LIFE_MILLIS } ?: return true
-    val sent = sentSince(load.atMillis - REPORT_LAG_MILLIS)
+    val sent = sentPromptsSince(load.atMillis - REPORT_LAG_MILLIS)
     val need = prompt.promptTokens + prompt.outputTokens
     val used = load.memoryUsed + sent.sumOf { it.tokens } + need
     val isShort = need < load.memoryTotal * SHORT_SHARE
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/EngineDraw.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/EngineSampler.kt
@@ -5,9 +5,9 @@
 
 /**
  * Draws engines. Instances do not see at once what the others send: if each took the cheapest, a burst would meet at
- * one engine. [spreadMillis] is the difference in cost at which an engine is drawn e times less often.
+ * one engine. [softmaxTemperatureMillis] is the difference in cost at which an engine is drawn e times less often.
  */
-internal class EngineDraw(private val spreadMillis: Double, private val random: Random) {
+internal class EngineSampler(private val softmaxTemperatureMillis: Double, private val random: Random) {
     /**
      * Returns those of [candidates] that [mayHold] the context, and a few others by chance. Were all others drawn from,
      * the more engines a deployment has, the fewer prompts would meet their context.
@@ -22,7 +22,7 @@
     fun <T> one(options: List<T>, cost: (T) -> Double): T {
         val costs = options.map(cost)
         val least = costs.min()
-        val weights = costs.map { exp((least - it) / spreadMillis) }
+        val weights = costs.map { exp((least - it) / softmaxTemperatureMillis) }
         var rest = random.nextDouble() * weights.sum()
         val index = weights.indexOfFirst { weight ->
             rest -= weight
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/ServicePlacement.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/ServicePlacement.kt
@@ -7,7 +7,7 @@
 public data class ServicePlacementSettings(
     public val otherZoneRequests: Double = 1.5,
     public val otherRegionRequests: Double = 4.0,
-    public val failureRequests: Double = 12.0,
+    public val failurePenaltyRequests: Double = 12.0,
     public val expectedRunMillis: Double = 45.0,
 )
 
@@ -20,19 +20,19 @@
     private val settings: ServicePlacementSettings = ServicePlacementSettings(),
 ) {
     /** Chooses among the endpoints of [request]'s service. */
-    public fun choose(request: PlaceRequest, table: EndpointTable, nowMillis: Long): Place {
+    public fun choose(request: PlacementQuery, table: EndpointTable, nowMillis: Long): PlacementResult {
         val allowed = table.serving(request.service).filter { state ->
             state.entry.id !in request.tried &&
                 request.allowedRegions.all { topology.isAllowed(state.entry.zone, it) }
         }
-        val healthy = allowed.filterNot { it.health.isAside(nowMillis) }.ifEmpty { allowed }
+        val healthy = allowed.filterNot { it.health.isEjected(nowMillis) }.ifEmpty { allowed }
         val best = healthy.minByOrNull { cost(it, nowMillis) }
-            ?: return Place.Nowhere(NoPlaceReason.NO_ENDPOINT, NO_ENDPOINT_RETRY_MILLIS)
+            ?: return PlacementResult.Unavailable(UnavailableReason.NO_ENDPOINT, NO_ENDPOINT_RETRY_MILLIS)
         val wait = waitMillis(best, nowMillis)
         return if (wait > request.remainingMillis) {
-            Place.Nowhere(NoPlaceReason.OVERLOADED, wait.toLong())
+            PlacementResult.Unavailable(UnavailableReason.OVERLOADED, wait.toLong())
         } else {
-            Place.At(best, wait + settings.expectedRunMillis)
+            PlacementResult.Selected(best, wait + settings.expectedRunMillis)
         }
     }
 
@@ -44,7 +44,7 @@
         }
         val excess = (state.estimatedRequests(nowMillis) - state.entry.slots / 2.0).coerceAtLeast(0.0)
         return distance + state.estimatedRequests(nowMillis) / 2 + excess * 2 +
-            settings.failureRequests * state.health.recentFailures
+            settings.failurePenaltyRequests * state.health.recentFailures
     }
 
     private fun waitMillis(state: EndpointState, nowMillis: Long): Double {
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/prompt/PromptContext.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/prompt/PromptContext.kt
@@ -40,7 +40,7 @@
 }
 
 /** Returns model and weight version of a name space that [cacheNamespace] made, or null for other text. */
-public fun namespaceWeights(namespace: String): Pair<ModelId, Long>? {
+public fun parseCacheNamespace(namespace: String): Pair<ModelId, Long>? {
     val fields = namespace.split('/')
     val version = fields.getOrNull(2)?.toLongOrNull()
     return if (version == null) null else ModelId(fields[1]) to version
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/routing/ServingConfiguration.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/routing/ServingConfiguration.kt
@@ -8,7 +8,7 @@
 public enum class RequestKind { IDEMPOTENT, NON_IDEMPOTENT, STREAM }
 
 /** A service that a share of a route's requests goes to, in proportion to [weight]. */
-public data class ServiceShare(public val service: String, public val weight: Double)
+public data class RouteTarget(public val service: String, public val weight: Double)
 
 /**
  * Where requests for [host] below [pathPrefix] go. [attempts] bounds the endpoints that run one caller's attempt;
@@ -21,7 +21,7 @@
     public val host: String,
     public val pathPrefix: String,
     public val kind: RequestKind,
-    public val targets: List<ServiceShare>,
+    public val targets: List<RouteTarget>,
     public val timeoutMillis: Long,
     public val objectiveMillis: Long,
     public val attempts: Int = 1,
@@ -41,7 +41,7 @@
 }
 
 /** Figures of a service's engines: [slots] requests and [cacheTokens] tokens of KV cache of [tokenBytes] bytes each. */
-public data class EngineTraits(
+public data class EngineSpec(
     public val slots: Int,
     public val cacheTokens: Long,
     public val tokenBytes: Long,
@@ -49,7 +49,7 @@
 )
 
 /** A KV cache store at [address] in [zone]; it holds [cacheTokens] tokens and drops nothing when [managed]. */
-public data class StoreTraits(
+public data class CacheStoreSpec(
     public val address: String,
     public val zone: ZoneId,
     public val cacheTokens: Long,
@@ -67,8 +67,8 @@
     public val connectionLimit: Int,
     public val coldMillis: Long,
     public val coldRequestsPerSecond: Double,
-    public val engine: EngineTraits? = null,
-    public val store: StoreTraits? = null,
+    public val engine: EngineSpec? = null,
+    public val store: CacheStoreSpec? = null,
 )
 
 /** An organisation, its API keys and what goes before its routes: a more urgent [priority], its own regions. */
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/Fixtures.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/Fixtures.kt
@@ -9,7 +9,7 @@
 import org.parsleymoor.relay.fleet.EndpointTable
 import org.parsleymoor.relay.fleet.EngineLoad
 import org.parsleymoor.relay.fleet.SocketAddress
-import org.parsleymoor.relay.placement.PlaceRequest
+import org.parsleymoor.relay.placement.PlacementQuery
 import org.parsleymoor.relay.placement.Topology
 import org.parsleymoor.relay.prompt.PromptContext
 import org.parsleymoor.relay.prompt.PromptPart
@@ -17,7 +17,7 @@
 import org.parsleymoor.relay.routing.Organisation
 import org.parsleymoor.relay.routing.RequestKind
 import org.parsleymoor.relay.routing.Route
-import org.parsleymoor.relay.routing.ServiceShare
+import org.parsleymoor.relay.routing.RouteTarget
 import org.parsleymoor.relay.routing.ServingConfiguration
 
 internal val MODEL = ModelId("m")
@@ -39,7 +39,7 @@
         zone = ZoneId(zone),
         draining = draining,
         slots = 64,
-        bornMillis = 1,
+        startMillis = 1,
         weights = mapOf(MODEL to weights),
     )
 
@@ -59,13 +59,13 @@
     parts = listOf(PromptPart(session, shared), PromptPart("own", own)),
 )
 
-internal fun placeRequest(returning: Boolean = false) = PlaceRequest(
+internal fun placementQuery(isRetry: Boolean = false) = PlacementQuery(
     service = "engines",
     allowedRegions = emptyList(),
     remainingMillis = 15_000,
     objectiveMillis = 1_000,
     urgency = 1,
-    returning = returning,
+    isRetry = isRetry,
 )
 
 internal fun route(name: String, prefix: String, host: String = "h") = Route(
@@ -73,7 +73,7 @@
     host = host,
     pathPrefix = prefix,
     kind = RequestKind.IDEMPOTENT,
-    targets = listOf(ServiceShare("s", 1.0)),
+    targets = listOf(RouteTarget("s", 1.0)),
     timeoutMillis = 1_000,
     objectiveMillis = 100,
 )
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/cache/EngineClockTest.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/cache/EngineClockTest.kt
@@ -11,15 +11,15 @@
     @Test
     fun `the engines' clock is unknown before the first report and follows the last quick one`() {
         expectThat(clock.at(1_000)).isNull()
-        clock.read(clockMillis = 5_010, askedMillis = 1_000, answeredMillis = 1_020)
+        clock.updateFromOwnPoll(clockMillis = 5_010, askedMillis = 1_000, answeredMillis = 1_020)
         expectThat(clock.at(2_000)).isEqualTo(6_000)
     }
 
     // A slow report would move the end of fetches by up to its own duration.
     @Test
     fun `a report that took long does not set the clock`() {
-        clock.read(clockMillis = 5_010, askedMillis = 1_000, answeredMillis = 1_020)
-        clock.read(clockMillis = 9_000, askedMillis = 1_000, answeredMillis = 1_400)
+        clock.updateFromOwnPoll(clockMillis = 5_010, askedMillis = 1_000, answeredMillis = 1_020)
+        clock.updateFromOwnPoll(clockMillis = 9_000, askedMillis = 1_000, answeredMillis = 1_400)
         expectThat(clock.at(2_000)).isEqualTo(6_000)
     }
 }
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/cache/RecentContextsTest.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/cache/RecentContextsTest.kt
@@ -10,14 +10,14 @@
 
 class RecentContextsTest {
     private val contexts = RecentContexts(capacity = 2)
-    private val engine = EngineStart(EndpointId("e"), bornMillis = 1)
+    private val engine = EngineIncarnation(EndpointId("e"), startMillis = 1)
     private val key = ContextKey.of("space", "part")
 
     @Test
     fun `an engine probably holds a context while its prompt runs, and less and less afterwards`() {
-        contexts.sent(key, engine, 0)
-        val running = contexts.heldShare(key, engine, 1_000)
-        val later = contexts.heldShare(key, engine, 10_000)
+        contexts.record(key, engine, 0)
+        val running = contexts.cachedProbability(key, engine, 1_000)
+        val later = contexts.cachedProbability(key, engine, 10_000)
         expectThat(running).isGreaterThan(0.8)
         expectThat(later).isGreaterThan(0.0).isLessThan(running / 2)
     }
@@ -25,29 +25,29 @@
     // An engine that restarts has lost what it held; a fetch from it or a read that counts on it would be in vain.
     @Test
     fun `another start of the engine, another engine and another name space hold nothing`() {
-        contexts.sent(key, engine, 0)
-        expectThat(contexts.heldShare(key, engine.copy(bornMillis = 2), 100)).isEqualTo(0.0)
-        expectThat(contexts.heldShare(key, engine.copy(endpoint = EndpointId("f")), 100)).isEqualTo(0.0)
+        contexts.record(key, engine, 0)
+        expectThat(contexts.cachedProbability(key, engine.copy(startMillis = 2), 100)).isEqualTo(0.0)
+        expectThat(contexts.cachedProbability(key, engine.copy(endpoint = EndpointId("f")), 100)).isEqualTo(0.0)
         expectThat(ContextKey.of("other", "part")).isNotEqualTo(key)
-        expectThat(contexts.heldShare(ContextKey.of("other", "part"), engine, 100)).isEqualTo(0.0)
+        expectThat(contexts.cachedProbability(ContextKey.of("other", "part"), engine, 100)).isEqualTo(0.0)
     }
 
     @Test
     fun `the context that was unused for longest is forgotten first`() {
         val second = ContextKey.of("space", "second")
-        contexts.sent(key, engine, 0)
-        contexts.sent(second, engine, 1)
-        contexts.sent(key, engine, 2)
-        contexts.sent(ContextKey.of("space", "third"), engine, 3)
-        expectThat(contexts.heldShare(second, engine, 100)).isEqualTo(0.0)
-        expectThat(contexts.heldShare(key, engine, 100)).isGreaterThan(0.0)
+        contexts.record(key, engine, 0)
+        contexts.record(second, engine, 1)
+        contexts.record(key, engine, 2)
+        contexts.record(ContextKey.of("space", "third"), engine, 3)
+        expectThat(contexts.cachedProbability(second, engine, 100)).isEqualTo(0.0)
+        expectThat(contexts.cachedProbability(key, engine, 100)).isGreaterThan(0.0)
     }
 
     // A message of a peer that arrives late must not make a context look older than it is.
     @Test
     fun `an older report does not replace a newer one`() {
-        contexts.sent(key, engine, 5_000)
-        contexts.sent(key, engine, 0)
-        expectThat(contexts.heldShare(key, engine, 6_000)).isGreaterThan(0.8)
+        contexts.record(key, engine, 5_000)
+        contexts.record(key, engine, 0)
+        expectThat(contexts.cachedProbability(key, engine, 6_000)).isGreaterThan(0.8)
     }
 }
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/exchange/NewsSpreadTest.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/exchange/PeerUpdateSpreadTest.kt
@@ -13,7 +13,7 @@
 import strikt.assertions.isLessThanOrEqualTo
 
 /** What every instance knows of every engine, and what it costs, from a handful of instances to hundreds. */
-class NewsSpreadTest {
+class PeerUpdateSpreadTest {
     // An instance that does not hear of an engine asks it itself: with 95 instances 41 asks a second each.
     @ParameterizedTest
     @CsvSource("9,8", "18,8", "95,37", "300,98")
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/exchange/SimulatedFleet.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/exchange/SimulatedFleet.kt
@@ -10,7 +10,7 @@
 import org.parsleymoor.relay.fleet.EngineLoad
 import org.parsleymoor.relay.fleet.SentPrompt
 import org.parsleymoor.relay.fleet.SocketAddress
-import org.parsleymoor.relay.fleet.fellSilent
+import org.parsleymoor.relay.fleet.recordUnansweredPoll
 import kotlin.random.Random
 
 /** Instances and engines in [ZONES] zones that decide whom to ask and tell with the real decisions, under one clock. */
@@ -72,8 +72,8 @@
 
         /** How often each prompt of another instance was heard of, by its context. */
         val prompts = HashMap<ContextKey, Int>()
-        private val asksDue = EngineAsks(ReadingRoster(member).also { it.update(members) })
-        private val box = NewsBox()
+        private val asksDue = EnginePollSchedule(ReaderRanking(member).also { it.update(members) })
+        private val box = PeerUpdateQueue()
         private val heard = HashMap<InstanceId, Long>()
         private val connected = HashSet<InstanceId>()
         private val asking = HashMap<EndpointId, Long>()
@@ -82,7 +82,7 @@
 
         /** Notes that this instance sends a prompt with [context] to [engine]. */
         fun send(context: ContextKey, engine: EndpointId) {
-            box.addOwn(News.Sent(member.id, engine, SentPrompt(nowMillis, 1, 1, context)), tree, nowMillis)
+            box.addLocal(PeerUpdate.Sent(member.id, engine, SentPrompt(nowMillis, 1, 1, context)), tree, nowMillis)
         }
 
         fun step() {
@@ -120,14 +120,14 @@
             asking -= engine
             val silent = engine in dark || !reaches(member.zone, state.entry.zone)
             val news = if (silent) {
-                state.fellSilent(askedMillis)
-                News.Silent(engine, askedMillis)
+                state.recordUnansweredPoll(askedMillis)
+                PeerUpdate.Unresponsive(engine, askedMillis)
             } else {
                 val load = EngineLoad(1, 0, 0, 10, 100, askedMillis)
                 state.learnLoad(load)
-                News.Load(engine, load, mapOf(MODEL to 1L))
+                PeerUpdate.Load(engine, load, mapOf(MODEL to 1L))
             }
-            box.addOwn(news, tree, nowMillis)
+            box.addLocal(news, tree, nowMillis)
         }
 
         private fun tell() {
@@ -137,21 +137,21 @@
                 fresh.associateWith { id -> members.first { it.id == id }.zone },
                 nowMillis
             )
-            say(PassOn.EVERYWHERE, listOfNotNull(recipients.hub))
-            say(PassOn.ZONE, recipients.zones)
-            say(PassOn.NOBODY, recipients.last)
+            say(ForwardScope.EVERYWHERE, listOfNotNull(recipients.hub))
+            say(ForwardScope.ZONE, recipients.zones)
+            say(ForwardScope.NOBODY, recipients.last)
             if (nowMillis - quietMillis >= QUIET_MILLIS) {
                 quietMillis = nowMillis
-                connected.forEach { send(it, PassOn.NOBODY, emptyList()) }
+                connected.forEach { send(it, ForwardScope.NOBODY, emptyList()) }
             }
         }
 
-        private fun say(passOn: PassOn, to: List<InstanceId>) {
+        private fun say(passOn: ForwardScope, to: List<InstanceId>) {
             val news = box.take(passOn)
             if (news.isNotEmpty()) to.forEach { send(it, passOn, news) }
         }
 
-        private fun send(to: InstanceId, passOn: PassOn, news: List<News>) {
+        private fun send(to: InstanceId, passOn: ForwardScope, news: List<PeerUpdate>) {
             val peer = all.first { it.member.id == to }
             if (!reaches(member.zone, peer.member.zone) || to in stopped) return
             messages++
@@ -159,7 +159,7 @@
             wire += Message(atMillis) { peer.take(member.id, passOn, news) }
         }
 
-        private fun take(from: InstanceId, passOn: PassOn, news: List<News>) {
+        private fun take(from: InstanceId, passOn: ForwardScope, news: List<PeerUpdate>) {
             if (member.id in stopped) return
             heard[from] = nowMillis
             connected += from
@@ -169,12 +169,12 @@
             }
         }
 
-        private fun learn(news: News) {
+        private fun learn(news: PeerUpdate) {
             when (news) {
-                is News.Load -> table[news.endpoint]!!.learnLoad(news.load)
-                is News.Silent -> table[news.endpoint]!!.fellSilent(news.atMillis)
-                is News.Sent -> if (news.origin != member.id) prompts.merge(news.prompt.context, 1, Int::plus)
-                is News.Ordered, is News.StoreEvents, is News.StoreLost -> Unit
+                is PeerUpdate.Load -> table[news.endpoint]!!.learnLoad(news.load)
+                is PeerUpdate.Unresponsive -> table[news.endpoint]!!.recordUnansweredPoll(news.atMillis)
+                is PeerUpdate.Sent -> if (news.origin != member.id) prompts.merge(news.prompt.context, 1, Int::plus)
+                is PeerUpdate.Ordered, is PeerUpdate.CacheStoreEvents, is PeerUpdate.CacheStoreUnreachable -> Unit
             }
         }
     }
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/fleet/EndpointTableTest.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/fleet/EndpointTableTest.kt
@@ -25,8 +25,8 @@
     // Entries lapse while the store is away; the endpoints register again within two seconds of its return.
     @Test
     fun `an entry that is missing after an interruption is kept for the grace period and then gone`() {
-        table.listLost()
-        table.listHeard(1_000)
+        table.markListUnavailable()
+        table.markListAvailable(1_000)
         table.replaceAll(emptyList(), 1_000)
         expectThat(table.serving("engines")).hasSize(1)
         expectThat(table.expire(2_900)).isEmpty()
@@ -36,8 +36,8 @@
 
     @Test
     fun `an entry that registers again within the grace period stays`() {
-        table.listLost()
-        table.listHeard(1_000)
+        table.markListUnavailable()
+        table.markListAvailable(1_000)
         table.replaceAll(emptyList(), 1_000)
         table.put(entry("one"), 2_000)
         expectThat(table.expire(5_000)).isEmpty()
@@ -48,7 +48,7 @@
     fun `a draining endpoint gets no work and is not kept after an interruption`() {
         table.put(entry("one", draining = true), 10)
         expectThat(table.serving("engines")).isEmpty()
-        table.listLost()
+        table.markListUnavailable()
         expectThat(table.remove(EndpointId("one"), 20)).isTrue()
     }
 
@@ -64,7 +64,7 @@
     fun `an endpoint that starts again at its id loses what was learned of it`() {
         val state = table[EndpointId("one")]!!
         state.learnWeights(MODEL, 5)
-        table.put(entry("one").copy(bornMillis = 2), 10)
+        table.put(entry("one").copy(startMillis = 2), 10)
         expectThat(state.weights(MODEL)).isEqualTo(1)
         expectThat(state.engineLoad).isNull()
     }
@@ -80,8 +80,8 @@
     @Test
     fun `an endpoint that fails repeatedly is set aside and comes back after an answer`() {
         val state = table[EndpointId("one")]!!
-        repeat(2) { state.note(AttemptEvidence.FAILED, 100) }
-        expectThat(state.health.isAside(101)).isTrue()
-        expectThat(state.health.isAside(601)).isFalse()
+        repeat(2) { state.recordOutcome(AttemptOutcome.FAILED, 100) }
+        expectThat(state.health.isEjected(101)).isTrue()
+        expectThat(state.health.isEjected(601)).isFalse()
     }
 }
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/http/HeadParserTest.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/http/HeadParserTest.kt
@@ -49,14 +49,14 @@
     @ParameterizedTest
     @ValueSource(strings = ["GET / HTTP/1.1\r\n\r\n", "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n"])
     fun `refuses a request without exactly one host`(head: String) {
-        expectThat(parseRequestHead(head.toByteArray()).getError()).isEqualTo(MessageFault.MISSING_HOST)
+        expectThat(parseRequestHead(head.toByteArray()).getError()).isEqualTo(MessageFailure.MISSING_HOST)
     }
 
     @ParameterizedTest
     @ValueSource(strings = ["GET /", "GET  / HTTP/1.1", "GET / HTTP/2.0", "G(T / HTTP/1.1", "GET /a b HTTP/1.1"])
     fun `refuses a malformed start line`(line: String) {
         expectThat(parseRequestHead("$line\r\nHost: h\r\n\r\n".toByteArray()).getError())
-            .isEqualTo(MessageFault.MALFORMED_START_LINE)
+            .isEqualTo(MessageFailure.MALFORMED_START_LINE)
     }
 
     @Test
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/placement/EnginePlacementTest.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/placement/EnginePlacementTest.kt
@@ -7,12 +7,12 @@
 import org.parsleymoor.relay.TOPOLOGY
 import org.parsleymoor.relay.engines
 import org.parsleymoor.relay.entry
-import org.parsleymoor.relay.fleet.AttemptEvidence
+import org.parsleymoor.relay.fleet.AttemptOutcome
 import org.parsleymoor.relay.fleet.EndpointState
 import org.parsleymoor.relay.fleet.EndpointTable
-import org.parsleymoor.relay.fleet.note
+import org.parsleymoor.relay.fleet.recordOutcome
 import org.parsleymoor.relay.load
-import org.parsleymoor.relay.placeRequest
+import org.parsleymoor.relay.placementQuery
 import org.parsleymoor.relay.prompt
 import org.parsleymoor.relay.prompt.PromptContext
 import strikt.api.expectThat
@@ -35,8 +35,8 @@
             table.all.forEachIndexed { index, state ->
                 state.learnLoad(load(memoryUsed = if (index == 0) 30_000 else 40_000, atMillis = 0))
             }
-            val place = instances[number % 9].choose(wanted(prompt("s$number")), table, 100).place
-            (place as Place.At).endpoint.entry.id
+            val place = instances[number % 9].choose(wanted(prompt("s$number")), table, 100).result
+            (place as PlacementResult.Selected).endpoint.entry.id
         }.eachCount()
         expectThat(counts.values.max()).isLessThan(45)
     }
@@ -46,9 +46,9 @@
     fun `a long prompt is refused with a time to return while no engine has memory for it`() {
         val table = engines(8)
         table.all.forEach { it.learnLoad(load(memoryUsed = 95_000, atMillis = 0)) }
-        val place = placement.choose(wanted(prompt("s")), table, 100).place
-        expectThat(place).isA<Place.Nowhere>()
-        expectThat((place as Place.Nowhere).reason).isEqualTo(NoPlaceReason.OVERLOADED)
+        val place = placement.choose(wanted(prompt("s")), table, 100).result
+        expectThat(place).isA<PlacementResult.Unavailable>()
+        expectThat((place as PlacementResult.Unavailable).reason).isEqualTo(UnavailableReason.OVERLOADED)
         expectThat(place.retryAfterMillis).isGreaterThan(0)
     }
 
@@ -57,8 +57,10 @@
         val table = engines(8)
         table.all.forEach { it.learnLoad(load(memoryUsed = 95_000, atMillis = 0)) }
         val short = prompt("s", shared = 1_500, own = 500)
-        expectThat(placement.choose(wanted(prompt("s"), returning = true), table, 100).place).isA<Place.At>()
-        expectThat(placement.choose(wanted(short), table, 100).place).isA<Place.At>()
+        expectThat(
+            placement.choose(wanted(prompt("s"), isRetry = true), table, 100).result
+        ).isA<PlacementResult.Selected>()
+        expectThat(placement.choose(wanted(short), table, 100).result).isA<PlacementResult.Selected>()
     }
 
     @Test
@@ -67,7 +69,9 @@
         table.all.forEach { it.learnLoad(load(memoryUsed = 95_000, atMillis = 0)) }
         val free = table[EndpointId("engine-3")]!!
         free.learnLoad(load(memoryUsed = 10_000, atMillis = 1))
-        expectThat((placement.choose(wanted(prompt("s")), table, 100).place as Place.At).endpoint).isEqualTo(free)
+        expectThat(
+            (placement.choose(wanted(prompt("s")), table, 100).result as PlacementResult.Selected).endpoint
+        ).isEqualTo(free)
     }
 
     // Drawn among all engines, a prompt met its context the more rarely the more engines there are.
@@ -78,9 +82,9 @@
             table.all.forEach { it.learnLoad(load(memoryUsed = 10_000, atMillis = 0)) }
             val holder = table[EndpointId("engine-3")]!!
             val short = prompt("s", shared = 1_861, own = 507)
-            val request = wanted(short).copy(heldShare = { if (it === holder) 0.9 else 0.0 })
+            val request = wanted(short).copy(cachedProbability = { if (it === holder) 0.9 else 0.0 })
             val held = (1..2_000).count {
-                (placement.choose(request, table, 100).place as Place.At).endpoint === holder
+                (placement.choose(request, table, 100).result as PlacementResult.Selected).endpoint === holder
             }
             held / 2_000.0
         }
@@ -95,8 +99,8 @@
         val free = table[EndpointId("engine-70")]!!
         free.learnLoad(load(memoryUsed = 10_000, atMillis = 1))
         repeat(50) {
-            val place = placement.choose(wanted(prompt("s$it")), table, 100).place
-            expectThat((place as Place.At).endpoint).isEqualTo(free)
+            val place = placement.choose(wanted(prompt("s$it")), table, 100).result
+            expectThat((place as PlacementResult.Selected).endpoint).isEqualTo(free)
         }
     }
 
@@ -119,8 +123,8 @@
         val holder = table[EndpointId("engine-5")]!!
         val held: (EndpointState) -> Double = { if (it === holder) 0.9 else 0.0 }
         val there = (1..100).count {
-            val place = placement.choose(wanted(prompt("s$it")).copy(heldShare = held), table, 100).place
-            (place as Place.At).endpoint === holder
+            val place = placement.choose(wanted(prompt("s$it")).copy(cachedProbability = held), table, 100).result
+            (place as PlacementResult.Selected).endpoint === holder
         }
         expectThat(there).isGreaterThan(90)
     }
@@ -131,8 +135,8 @@
         val holder = table[EndpointId("engine-5")]!!
         holder.learnLoad(load(memoryUsed = 95_000, atMillis = 0))
         val held: (EndpointState) -> Double = { if (it === holder) 0.9 else 0.0 }
-        val found = placement.choose(wanted(prompt("s")).copy(heldShare = held), table, 100)
-        expectThat((found.place as Place.At).endpoint).isNotEqualTo(holder)
+        val found = placement.choose(wanted(prompt("s")).copy(cachedProbability = held), table, 100)
+        expectThat((found.result as PlacementResult.Selected).endpoint).isNotEqualTo(holder)
         expectThat(found.cachedAt).isEqualTo(holder)
     }
 
@@ -140,22 +144,24 @@
     @Test
     fun `older weights are used only for a time after newer ones were named`() {
         val table = engines(4)
-        val named = NamedWeights(MODEL, 2, sinceMillis = 0)
-        val early = placement.choose(wanted(prompt("s"), named = named), table, 1_000).place
-        val late = placement.choose(wanted(prompt("s"), named = named), table, 7_500).place
-        expectThat(early).isA<Place.At>()
-        expectThat((late as Place.Nowhere).reason).isEqualTo(NoPlaceReason.NO_WEIGHTS)
+        val named = TargetWeights(MODEL, 2, sinceMillis = 0)
+        val early = placement.choose(wanted(prompt("s"), named = named), table, 1_000).result
+        val late = placement.choose(wanted(prompt("s"), named = named), table, 7_500).result
+        expectThat(early).isA<PlacementResult.Selected>()
+        expectThat((late as PlacementResult.Unavailable).reason).isEqualTo(UnavailableReason.NO_WEIGHTS)
     }
 
     // Two rollouts in quick succession: an engine that has missed both is out of date since the first.
     @Test
     fun `weights that were replaced twice are out of date since the first replacement`() {
         val table = engines(4)
-        val named = NamedWeights(MODEL, 3, sinceMillis = 4_000).after(NamedWeights(MODEL, 2, sinceMillis = 0))
-        val late = placement.choose(wanted(prompt("s"), named = named), table, 7_500).place
-        expectThat((late as Place.Nowhere).reason).isEqualTo(NoPlaceReason.NO_WEIGHTS)
+        val named = TargetWeights(MODEL, 3, sinceMillis = 4_000).replacing(TargetWeights(MODEL, 2, sinceMillis = 0))
+        val late = placement.choose(wanted(prompt("s"), named = named), table, 7_500).result
+        expectThat((late as PlacementResult.Unavailable).reason).isEqualTo(UnavailableReason.NO_WEIGHTS)
         table.all.first().learnWeights(MODEL, 2)
-        expectThat(placement.choose(wanted(prompt("s"), named = named), table, 7_500).place).isA<Place.At>()
+        expectThat(
+            placement.choose(wanted(prompt("s"), named = named), table, 7_500).result
+        ).isA<PlacementResult.Selected>()
     }
 
     @Test
@@ -165,7 +171,7 @@
         first.orderedUntilMillis = 1_000
         repeat(10) { expectThat(chosen(table, prompt("s$it"))).isEqualTo(second.entry.id) }
         first.orderedUntilMillis = 0
-        second.note(AttemptEvidence.UNREACHABLE, 50)
+        second.recordOutcome(AttemptOutcome.UNREACHABLE, 50)
         repeat(10) { expectThat(chosen(table, prompt("t$it"))).isNotEqualTo(second.entry.id) }
     }
 
@@ -173,14 +179,16 @@
     fun `without an engine or with all of them tried there is no place`() {
         val empty = EndpointTable()
         val tried = EndpointTable().also { it.put(entry("one"), 0) }
-        val request = placeRequest().copy(tried = setOf(EndpointId("one")))
-        expectThat(placement.choose(wanted(prompt("s")), empty, 0).place).isA<Place.Nowhere>()
-        expectThat(placement.choose(wanted(prompt("s")).copy(request = request), tried, 0).place).isA<Place.Nowhere>()
+        val request = placementQuery().copy(tried = setOf(EndpointId("one")))
+        expectThat(placement.choose(wanted(prompt("s")), empty, 0).result).isA<PlacementResult.Unavailable>()
+        expectThat(
+            placement.choose(wanted(prompt("s")).copy(base = request), tried, 0).result
+        ).isA<PlacementResult.Unavailable>()
     }
 
     private fun chosen(table: EndpointTable, prompt: PromptContext): EndpointId =
-        (placement.choose(wanted(prompt), table, 100).place as Place.At).endpoint.entry.id
+        (placement.choose(wanted(prompt), table, 100).result as PlacementResult.Selected).endpoint.entry.id
 
-    private fun wanted(prompt: PromptContext, returning: Boolean = false, named: NamedWeights? = null) =
-        EngineRequest(placeRequest(returning), prompt, named, instances = 9, fetchMillis = { null })
+    private fun wanted(prompt: PromptContext, isRetry: Boolean = false, named: TargetWeights? = null) =
+        EnginePlacementQuery(placementQuery(isRetry), prompt, named, instances = 9, fetchMillis = { null })
 }
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/placement/OverloadTest.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/placement/OverloadTest.kt
@@ -7,7 +7,7 @@
 import org.parsleymoor.relay.fleet.EndpointState
 import org.parsleymoor.relay.fleet.EngineLoad
 import org.parsleymoor.relay.fleet.SentPrompt
-import org.parsleymoor.relay.placeRequest
+import org.parsleymoor.relay.placementQuery
 import org.parsleymoor.relay.prompt
 import strikt.api.expectThat
 import strikt.assertions.isGreaterThan
@@ -61,12 +61,12 @@
 
     private fun ask(caller: Caller, now: Long, returning: MutableList<Caller>) {
         val waited = now - caller.arrivedMillis
-        val request = placeRequest(caller.returned).copy(remainingMillis = WAIT_MILLIS - waited)
+        val request = placementQuery(caller.returned).copy(remainingMillis = WAIT_MILLIS - waited)
         val prompt = prompt("context-${caller.number}")
-        val wanted = EngineRequest(request, prompt, named = null, instances = 1, fetchMillis = { null })
-        when (val place = placement.choose(wanted, table, now).place) {
-            is Place.At -> simulated.first { it.state === place.endpoint }.take(caller, now)
-            is Place.Nowhere -> if (!caller.returned) {
+        val wanted = EnginePlacementQuery(request, prompt, targetWeights = null, instances = 1, fetchMillis = { null })
+        when (val place = placement.choose(wanted, table, now).result) {
+            is PlacementResult.Selected -> simulated.first { it.state === place.endpoint }.take(caller, now)
+            is PlacementResult.Unavailable -> if (!caller.returned) {
                 returning += caller.copy(returned = true, backMillis = now + place.retryAfterMillis)
             }
         }
@@ -90,8 +90,8 @@
         private var reportedMillis = 0L
 
         fun take(caller: Caller, now: Long) {
-            state.started(TOKENS)
-            state.sent(SentPrompt(now, TOKENS, TOKENS, ContextKey.of("space", "${caller.number}")))
+            state.requestStarted(TOKENS)
+            state.recordSentPrompt(SentPrompt(now, TOKENS, TOKENS, ContextKey.of("space", "${caller.number}")))
             waiting += caller
         }
 
@@ -99,8 +99,8 @@
             running.removeAll { it <= now }
             reading?.takeIf { readMillis <= now }?.let { read ->
                 answers += Answer(read.arrivedMillis, now - read.arrivedMillis)
-                state.read(TOKENS)
-                state.ended()
+                state.prefillEnded(TOKENS)
+                state.requestEnded()
                 running += now + RUN_MILLIS
                 reading = null
             }
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/prompt/PromptContextTest.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/prompt/PromptContextTest.kt
@@ -33,7 +33,7 @@
         expectThat(cacheNamespace(model, 2, organisation, isolated = false)).isNotEqualTo(shared)
         expectThat(cacheNamespace(model, 1, organisation, isolated = true)).isNotEqualTo(shared)
         expectThat(cacheNamespace(model, 1, null, isolated = true)).isEqualTo(shared)
-        expectThat(namespaceWeights("$shared/tag")).isEqualTo(model to 1L)
-        expectThat(namespaceWeights("foreign")).isNull()
+        expectThat(parseCacheNamespace("$shared/tag")).isEqualTo(model to 1L)
+        expectThat(parseCacheNamespace("foreign")).isNull()
     }
 }
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/rollout/RolloutPlanTest.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/rollout/RolloutPlanTest.kt
@@ -3,7 +3,7 @@
 import org.junit.jupiter.api.Test
 import org.parsleymoor.relay.MODEL
 import org.parsleymoor.relay.engines
-import org.parsleymoor.relay.placement.NamedWeights
+import org.parsleymoor.relay.placement.TargetWeights
 import strikt.api.expectThat
 import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
@@ -12,26 +12,26 @@
 import strikt.assertions.isTrue
 
 class RolloutPlanTest {
-    private val plan = RolloutPlan(quietMillis = 5_000)
+    private val plan = RolloutPlan(takeoverMillis = 5_000)
     private val table = engines(8)
-    private val named = mapOf(MODEL to NamedWeights(MODEL, 2, 0))
+    private val named = mapOf(MODEL to TargetWeights(MODEL, 2, 0))
 
     @Test
     fun `a part of the engines is ordered at a time, and each one once`() {
-        val first = plan.next(table, named, 0)
+        val first = plan.enginesToLoad(table, named, 0)
         expectThat(first).hasSize(3)
-        first.forEach { plan.started(it.endpoint.entry.id, 0) }
-        expectThat(plan.next(table, named, 10)).isEmpty()
+        first.forEach { plan.loadStarted(it.endpoint.entry.id, 0) }
+        expectThat(plan.enginesToLoad(table, named, 10)).isEmpty()
     }
 
     @Test
     fun `an engine that has loaded makes room for the next, one that failed is tried again later`() {
-        val first = plan.next(table, named, 0)
-        first.forEach { plan.started(it.endpoint.entry.id, 0) }
+        val first = plan.enginesToLoad(table, named, 0)
+        first.forEach { plan.loadStarted(it.endpoint.entry.id, 0) }
         first[0].endpoint.learnWeights(MODEL, 2)
-        plan.ended(first[0].endpoint.entry.id, loaded = true, 100)
-        plan.ended(first[1].endpoint.entry.id, loaded = false, 100)
-        val next = plan.next(table, named, 200).map { it.endpoint.entry.id }
+        plan.loadEnded(first[0].endpoint.entry.id, loaded = true, 100)
+        plan.loadEnded(first[1].endpoint.entry.id, loaded = false, 100)
+        val next = plan.enginesToLoad(table, named, 200).map { it.endpoint.entry.id }
         expectThat(next).hasSize(2)
         expectThat(first.map { it.endpoint.entry.id }.any { it in next }).isFalse()
     }
@@ -39,16 +39,16 @@
     @Test
     fun `no engine is ordered when all have the weights or none are named`() {
         table.all.forEach { it.learnWeights(MODEL, 2) }
-        expectThat(plan.outdated(table, named)).isEmpty()
-        expectThat(plan.outdated(table, emptyMap())).isEmpty()
+        expectThat(plan.outdatedEngines(table, named)).isEmpty()
+        expectThat(plan.outdatedEngines(table, emptyMap())).isEmpty()
     }
 
     // Two instances must not both give orders within one lease period.
     @Test
     fun `a holder that has just given an order counts as active`() {
-        plan.active(1_000)
-        expectThat(plan.recentlyActive(4_000)).isTrue()
-        expectThat(plan.recentlyActive(6_000)).isFalse()
-        expectThat(plan.next(table, named, 0).size).isEqualTo(3)
+        plan.orderSent(1_000)
+        expectThat(plan.isRecentlyActive(4_000)).isTrue()
+        expectThat(plan.isRecentlyActive(6_000)).isFalse()
+        expectThat(plan.enginesToLoad(table, named, 0).size).isEqualTo(3)
     }
 }
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/routing/RouteTableTest.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/routing/RouteTableTest.kt
@@ -33,7 +33,7 @@
 
     @Test
     fun `services of a split route are drawn by weight`() {
-        val split = route("split", "/").copy(targets = listOf(ServiceShare("one", 90.0), ServiceShare("two", 10.0)))
+        val split = route("split", "/").copy(targets = listOf(RouteTarget("one", 90.0), RouteTarget("two", 10.0)))
         val services = listOf("one", "two").associateWith { Service(it, 1, 0, 0.0) }
         val drawn = RouteTable(configuration(listOf(split)).copy(services = services))
         expectThat(drawn.service(split, 0.89)?.name).isEqualTo("one")
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntrySettings.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntrySettings.kt
@@ -12,7 +12,7 @@
 import org.parsleymoor.core.RegionId
 import org.parsleymoor.core.ZoneId
 import org.parsleymoor.relay.fleet.SocketAddress
-import org.parsleymoor.relay.limits.RetryBound
+import org.parsleymoor.relay.limits.RetryLimit
 import java.nio.file.Path
 
 /** Addresses that an entry daemon listens on. */
@@ -47,7 +47,7 @@
     public val listen: ListenAddresses,
     public val objectStore: SocketAddress,
     public val times: EntryTimes,
-    public val retries: RetryBound,
+    public val retries: RetryLimit,
     public val cold: ColdAllowance,
     /** Processor share of the machine, in cores. */
     public val processors: Double = 1.0,
@@ -92,7 +92,7 @@
     applyMillis = section?.number("applyMillis")?.toLong() ?: 0,
 )
 
-private fun retries(section: TomlSection?): RetryBound = RetryBound(
+private fun retries(section: TomlSection?): RetryLimit = RetryLimit(
     share = section?.number("share") ?: 0.0,
     extra = section?.number("extra") ?: 0.0,
     windowMillis = section?.milliseconds("windowSeconds")?.coerceAtLeast(1) ?: 1,
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/CallerConnection.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/CallerConnection.kt
@@ -13,7 +13,7 @@
 import org.parsleymoor.entry.net.SocketInput
 import org.parsleymoor.entry.net.readBody
 import org.parsleymoor.entry.net.readHead
-import org.parsleymoor.relay.http.MessageFault
+import org.parsleymoor.relay.http.MessageFailure
 import org.parsleymoor.relay.http.RequestHead
 import org.parsleymoor.relay.http.framing
 import org.parsleymoor.relay.http.parseRequestHead
@@ -25,7 +25,7 @@
     val handler: RequestHandler,
     val limits: () -> CallerLimits,
     val stopping: () -> Boolean,
-    val onFault: (MessageFault) -> Unit,
+    val onFault: (MessageFailure) -> Unit,
     val lagMillis: () -> Long = { 0 },
 )
 
@@ -64,19 +64,19 @@
         return arrived != null && input.queue.size > 0
     }
 
-    private suspend fun readRequest(): Result<CallerRequest, MessageFault> {
+    private suspend fun readRequest(): Result<CallerRequest, MessageFailure> {
         val limits = context.limits()
         val head = withTimeoutOrNull(limits.headMillis) {
             input.readHead(limits.headBytes).andThen { if (it == null) ENDED else parseRequestHead(it) }
-        } ?: return Err(MessageFault.TOO_SLOW)
+        } ?: return Err(MessageFailure.TOO_SLOW)
         return head.andThen { readWhole(it, limits) }
     }
 
-    private suspend fun readWhole(head: RequestHead, limits: CallerLimits): Result<CallerRequest, MessageFault> {
+    private suspend fun readWhole(head: RequestHead, limits: CallerLimits): Result<CallerRequest, MessageFailure> {
         val framing = head.framing().getOrElse { return Err(it) }
         if (head.headers.tokens("Expect") == listOf("100-continue")) socket.write(Buffer.buffer(CONTINUE))
         val body = withTimeoutOrNull(limits.idleMillis) { input.readBody(framing, limits.bodyBytes) }
-            ?: Err(MessageFault.TOO_SLOW)
+            ?: Err(MessageFailure.TOO_SLOW)
         return body.map { CallerRequest(head, it, context.clock.nowMillis() - context.lagMillis()) }
     }
 
@@ -92,7 +92,7 @@
         return answer.keeps
     }
 
-    private suspend fun refuse(fault: MessageFault): Boolean {
+    private suspend fun refuse(fault: MessageFailure): Boolean {
         context.onFault(fault)
         if (input.end != null) return false
         val answer = CallerAnswer(socket, mayKeep = false, chunked = true, stopping = context.stopping)
@@ -113,7 +113,7 @@
     }
 
     private companion object {
-        val ENDED: Result<RequestHead, MessageFault> = Err(MessageFault.ENDED_EARLY)
+        val ENDED: Result<RequestHead, MessageFailure> = Err(MessageFailure.ENDED_EARLY)
         const val CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n"
 
         // Several round trips to a caller in another region.
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Listeners.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Listeners.kt
@@ -13,7 +13,7 @@
 import org.parsleymoor.entry.protocol.StoredObject
 import org.parsleymoor.entry.serving.Beliefs
 import org.parsleymoor.relay.fleet.SocketAddress
-import org.parsleymoor.relay.placement.NamedWeights
+import org.parsleymoor.relay.placement.TargetWeights
 import org.parsleymoor.relay.routing.RouteTable
 
 /** Takes over newer configurations; one with a lower version than the one in force is ignored. */
@@ -61,11 +61,11 @@
     private val revisions = HashMap<String, Long>()
 
     override fun onHeard() {
-        beliefs.endpoints.listHeard(clock.nowMillis())
+        beliefs.endpoints.markListAvailable(clock.nowMillis())
     }
 
     override fun onLost() {
-        beliefs.endpoints.listLost()
+        beliefs.endpoints.markListUnavailable()
     }
 
     override fun onList(objects: List<StoredObject>) {
@@ -157,7 +157,7 @@
         if (known != null && known.version >= version) return
         // The store does not say when weights were named: at the earliest, right after it last answered without them.
         val sinceMillis = knownMissingMillis ?: (clock.nowMillis() - UNKNOWN_AGE_MILLIS)
-        beliefs.weights += model to NamedWeights(model, version, sinceMillis).after(known)
+        beliefs.weights += model to TargetWeights(model, version, sinceMillis).replacing(known)
         log.write("weights.named", always = true) {
             put("model", model.value)
             put("version", version)
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/LoadLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/LoadLoop.kt
@@ -4,15 +4,15 @@
 import kotlinx.serialization.json.put
 import org.parsleymoor.core.EndpointId
 import org.parsleymoor.entry.protocol.EngineReport
-import org.parsleymoor.relay.exchange.EngineAsks
-import org.parsleymoor.relay.exchange.News
+import org.parsleymoor.relay.exchange.EnginePollSchedule
+import org.parsleymoor.relay.exchange.PeerUpdate
 import org.parsleymoor.relay.fleet.EndpointState
 import org.parsleymoor.relay.fleet.EngineLoad
-import org.parsleymoor.relay.fleet.fellSilent
+import org.parsleymoor.relay.fleet.recordUnansweredPoll
 
 /**
- * Asks engines for their load, as [EngineAsks] says, and tells the others what they answer, so that no engine is asked
- * by all instances.
+ * Asks engines for their load, as [EnginePollSchedule] says, and tells the others what they answer, so that no engine
+ * is asked by all instances.
  */
 internal class LoadLoop(private val context: ControlContext, private val peers: Peers) {
     private val beliefs = context.beliefs
@@ -20,7 +20,7 @@
     private val scope = context.scope
     private val log = context.log
     private val clock = context.clock
-    private val asks = EngineAsks(context.membership.roster)
+    private val asks = EnginePollSchedule(context.membership.roster)
     private val asking = HashSet<EndpointId>()
 
     /** Asks until the coroutine is cancelled. */
@@ -47,8 +47,8 @@
             }
         }
         if (report == null) {
-            state.fellSilent(askedMillis)
-            peers.tell(News.Silent(state.entry.id, askedMillis))
+            state.recordUnansweredPoll(askedMillis)
+            peers.tell(PeerUpdate.Unresponsive(state.entry.id, askedMillis))
         } else {
             learn(state, report, askedMillis)
         }
@@ -57,7 +57,7 @@
 
     private fun learn(state: EndpointState, report: EngineReport, askedMillis: Long) {
         report.weights.forEach { (model, version) -> state.learnWeights(model, version) }
-        report.clockMillis?.let { beliefs.engineClock.read(it, askedMillis, clock.nowMillis()) }
+        report.clockMillis?.let { beliefs.engineClock.updateFromOwnPoll(it, askedMillis, clock.nowMillis()) }
         val load = EngineLoad(
             running = report.running,
             waiting = report.waiting,
@@ -68,7 +68,7 @@
         )
         if (state.learnLoad(load)) {
             val engineMillis = report.clockMillis?.let { beliefs.engineClock.at(askedMillis) }
-            peers.tell(News.Load(state.entry.id, load, state.allWeights, engineMillis))
+            peers.tell(PeerUpdate.Load(state.entry.id, load, state.allWeights, engineMillis))
         }
     }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/NewsDigests.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/NewsDigests.kt
@@ -10,41 +10,47 @@
 import org.parsleymoor.peering.PeerMessage
 import org.parsleymoor.peering.SentPromptDigest
 import org.parsleymoor.peering.SilentEngineDigest
+import org.parsleymoor.relay.cache.CacheStoreChange
 import org.parsleymoor.relay.cache.CachedPart
 import org.parsleymoor.relay.cache.ContextKey
-import org.parsleymoor.relay.cache.StoreChange
-import org.parsleymoor.relay.exchange.News
-import org.parsleymoor.relay.exchange.PassOn
+import org.parsleymoor.relay.exchange.ForwardScope
+import org.parsleymoor.relay.exchange.PeerUpdate
 import org.parsleymoor.relay.fleet.EngineLoad
 import org.parsleymoor.relay.fleet.SentPrompt
 import org.parsleymoor.relay.fleet.SocketAddress
 
 /** Returns these news as a message to peers, which pass them on as far as [passOn] says. */
-internal fun List<News>.toMessage(passOn: PassOn, nowMillis: Long): PeerMessage.InstanceNews = PeerMessage.InstanceNews(
+internal fun List<PeerUpdate>.toMessage(
+    passOn: ForwardScope,
+    nowMillis: Long
+): PeerMessage.InstanceNews = PeerMessage.InstanceNews(
     passOn = passOn.name,
-    loads = filterIsInstance<News.Load>().map { it.digest(nowMillis) },
-    silent = filterIsInstance<News.Silent>().map { SilentEngineDigest(it.endpoint, nowMillis - it.atMillis) },
-    sent = filterIsInstance<News.Sent>().map { it.digest(nowMillis) },
-    ordered = filterIsInstance<News.Ordered>().map { OrderedEngineDigest(it.holder, it.endpoint, it.active) },
+    loads = filterIsInstance<PeerUpdate.Load>().map { it.digest(nowMillis) },
+    silent = filterIsInstance<PeerUpdate.Unresponsive>().map {
+        SilentEngineDigest(it.endpoint, nowMillis - it.atMillis)
+    },
+    sent = filterIsInstance<PeerUpdate.Sent>().map { it.digest(nowMillis) },
+    ordered = filterIsInstance<PeerUpdate.Ordered>().map { OrderedEngineDigest(it.holder, it.endpoint, it.active) },
     stores = mapNotNull { news ->
         when (news) {
-            is News.StoreEvents -> news.digest()
-            is News.StoreLost -> CacheStoreDigest(news.store.toString(), 0, 0, 0, emptyList(), lost = true)
-            is News.Load, is News.Silent, is News.Sent, is News.Ordered -> null
+            is PeerUpdate.CacheStoreEvents -> news.digest()
+            is PeerUpdate.CacheStoreUnreachable ->
+                CacheStoreDigest(news.store.toString(), 0, 0, 0, emptyList(), lost = true)
+            is PeerUpdate.Load, is PeerUpdate.Unresponsive, is PeerUpdate.Sent, is PeerUpdate.Ordered -> null
         }
     },
 )
 
 /** Returns the news of this message, whose ages are counted back from [nowMillis]. */
-internal fun PeerMessage.InstanceNews.news(nowMillis: Long): List<News> =
+internal fun PeerMessage.InstanceNews.news(nowMillis: Long): List<PeerUpdate> =
     loads.map { it.news(nowMillis) } +
-        silent.map { News.Silent(it.endpoint, nowMillis - it.ageMillis) } +
+        silent.map { PeerUpdate.Unresponsive(it.endpoint, nowMillis - it.ageMillis) } +
         sent.map { it.news(nowMillis) } +
-        ordered.map { News.Ordered(it.holder, it.endpoint, it.active) } +
+        ordered.map { PeerUpdate.Ordered(it.holder, it.endpoint, it.active) } +
         stores.mapNotNull { it.news() }
 
 /** Returns these changes of a KV cache store for peers, grouped by name space. */
-internal fun News.StoreEvents.digest(): CacheStoreDigest = CacheStoreDigest(
+internal fun PeerUpdate.CacheStoreEvents.digest(): CacheStoreDigest = CacheStoreDigest(
     store = store.toString(),
     epoch = epoch,
     from = from,
@@ -56,12 +62,16 @@
 )
 
 /** Returns the news of a KV cache store, or null when its address cannot be read. */
-internal fun CacheStoreDigest.news(): News? {
+internal fun CacheStoreDigest.news(): PeerUpdate? {
     val address = SocketAddress.parse(store) ?: return null
     val changes = namespaces.flatMap { space ->
-        space.parts.map { StoreChange(CachedPart(space.namespace, it.part), it.tokens, it.held) }
+        space.parts.map { CacheStoreChange(CachedPart(space.namespace, it.part), it.tokens, it.held) }
+    }
+    return if (lost) {
+        PeerUpdate.CacheStoreUnreachable(address)
+    } else {
+        PeerUpdate.CacheStoreEvents(address, epoch, from, to, changes)
     }
-    return if (lost) News.StoreLost(address) else News.StoreEvents(address, epoch, from, to, changes)
 }
 
 internal fun ObjectOffer.toMessage(kind: String): PeerMessage.ObjectsOffered = PeerMessage.ObjectsOffered(
@@ -75,7 +85,7 @@
 internal fun PeerMessage.ObjectsOffered.toOffer(): ObjectOffer =
     ObjectOffer(revision, objects.map { StoredObject(it.name, it.revision, it.content) }, since, removed)
 
-private fun News.Load.digest(nowMillis: Long): EngineLoadDigest = EngineLoadDigest(
+private fun PeerUpdate.Load.digest(nowMillis: Long): EngineLoadDigest = EngineLoadDigest(
     endpoint = endpoint,
     running = load.running,
     waiting = load.waiting,
@@ -87,19 +97,19 @@
     ageMillis = nowMillis - load.atMillis,
 )
 
-private fun EngineLoadDigest.news(nowMillis: Long): News.Load {
+private fun EngineLoadDigest.news(nowMillis: Long): PeerUpdate.Load {
     val load = EngineLoad(running, waiting, prefilling, memoryUsed, memoryTotal, nowMillis - ageMillis)
-    return News.Load(endpoint, load, weights, clockMillis)
+    return PeerUpdate.Load(endpoint, load, weights, clockMillis)
 }
 
-private fun News.Sent.digest(nowMillis: Long): SentPromptDigest = SentPromptDigest(
+private fun PeerUpdate.Sent.digest(nowMillis: Long): SentPromptDigest = SentPromptDigest(
     origin = origin,
     endpoint = endpoint,
     tokens = prompt.tokens,
-    tokensToRead = prompt.tokensToRead,
+    tokensToRead = prompt.prefillTokens,
     context = prompt.context.hash,
     ageMillis = nowMillis - prompt.atMillis,
 )
 
-private fun SentPromptDigest.news(nowMillis: Long): News.Sent =
-    News.Sent(origin, endpoint, SentPrompt(nowMillis - ageMillis, tokens, tokensToRead, ContextKey(context)))
+private fun SentPromptDigest.news(nowMillis: Long): PeerUpdate.Sent =
+    PeerUpdate.Sent(origin, endpoint, SentPrompt(nowMillis - ageMillis, tokens, tokensToRead, ContextKey(context)))
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/NewsTeller.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/NewsTeller.kt
@@ -4,9 +4,9 @@
 import org.parsleymoor.peering.PeerLink
 import org.parsleymoor.peering.PeerMessage
 import org.parsleymoor.peering.PeerNode
-import org.parsleymoor.relay.exchange.News
-import org.parsleymoor.relay.exchange.NewsBox
-import org.parsleymoor.relay.exchange.PassOn
+import org.parsleymoor.relay.exchange.ForwardScope
+import org.parsleymoor.relay.exchange.PeerUpdate
+import org.parsleymoor.relay.exchange.PeerUpdateQueue
 import org.parsleymoor.relay.fleet.EndpointState
 
 /** Tells peers over [node] what this instance has learned, and how current its copies of the objects are. */
@@ -18,7 +18,7 @@
     private val self = context.beliefs.self
     private val tree = context.membership.tree
     private val clock = context.clock
-    private val box = NewsBox()
+    private val box = PeerUpdateQueue()
     private val ordered = LinkedHashSet<EndpointState>()
     private var orderedMillis = 0L
 
@@ -26,12 +26,12 @@
     var watches: Map<String, ObjectWatch> = emptyMap()
 
     /** Adds what this instance has learned itself to the next message. */
-    fun tell(news: News) {
-        box.addOwn(news, tree, clock.nowMillis())
+    fun tell(news: PeerUpdate) {
+        box.addLocal(news, tree, clock.nowMillis())
     }
 
     /** Adds what a peer told with [passOn] to the next message, as far as it has to be passed on. */
-    fun passOn(news: News, passOn: PassOn) {
+    fun passOn(news: PeerUpdate, passOn: ForwardScope) {
         box.passOn(news, passOn)
     }
 
@@ -39,7 +39,7 @@
     fun orders(state: EndpointState, active: Boolean) {
         if (active) ordered += state else ordered -= state
         state.orderedUntilMillis = if (active) clock.nowMillis() + ORDER_MILLIS else clock.nowMillis()
-        tell(News.Ordered(self, state.entry.id, active))
+        tell(PeerUpdate.Ordered(self, state.entry.id, active))
     }
 
     /** Sends what has been added on those of [links] whose instances should have it. */
@@ -47,10 +47,10 @@
         repeatOrders()
         val byInstance = contacts.fresh(links).associateBy { it.remote.incarnation.instance }
         val recipients = tree.recipients(byInstance.mapValues { it.value.remote.zone }, clock.nowMillis())
-        send(PassOn.EVERYWHERE, listOfNotNull(recipients.hub).mapNotNull { byInstance[it] })
-        send(PassOn.ZONE, recipients.zones.mapNotNull { byInstance[it] })
-        send(PassOn.NOBODY, recipients.last.mapNotNull { byInstance[it] })
-        send(emptyList<News>().toMessage(PassOn.NOBODY, clock.nowMillis()), contacts.quiet(links))
+        send(ForwardScope.EVERYWHERE, listOfNotNull(recipients.hub).mapNotNull { byInstance[it] })
+        send(ForwardScope.ZONE, recipients.zones.mapNotNull { byInstance[it] })
+        send(ForwardScope.NOBODY, recipients.last.mapNotNull { byInstance[it] })
+        send(emptyList<PeerUpdate>().toMessage(ForwardScope.NOBODY, clock.nowMillis()), contacts.quiet(links))
     }
 
     private fun repeatOrders() {
@@ -60,7 +60,7 @@
         ordered.toList().forEach { orders(it, active = true) }
     }
 
-    private suspend fun send(passOn: PassOn, links: List<PeerLink>) {
+    private suspend fun send(passOn: ForwardScope, links: List<PeerLink>) {
         val news = box.take(passOn)
         if (news.isNotEmpty()) send(news.toMessage(passOn, clock.nowMillis()), links)
     }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/OrderLease.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/OrderLease.kt
@@ -40,7 +40,7 @@
      */
     fun held(): HeldLease? {
         val held = holder.held(clock.nowMillis())
-        if (pauses.paused() && held != null) {
+        if (pauses.pausedSinceLastCall() && held != null) {
             log.write("lease.paused", always = true) { put("token", held.fencingToken) }
             refusedToken = held.fencingToken
         }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Peers.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Peers.kt
@@ -11,8 +11,8 @@
 import org.parsleymoor.peering.PeerLink
 import org.parsleymoor.peering.PeerMessage
 import org.parsleymoor.peering.PeerNode
-import org.parsleymoor.relay.exchange.News
-import org.parsleymoor.relay.exchange.PassOn
+import org.parsleymoor.relay.exchange.ForwardScope
+import org.parsleymoor.relay.exchange.PeerUpdate
 import org.parsleymoor.relay.fleet.EndpointState
 import org.parsleymoor.relay.fleet.SocketAddress
 
@@ -42,7 +42,7 @@
     suspend fun run(watched: Map<ObjectKind, ObjectWatch>) {
         teller.watches = watched.mapKeys { it.key.name }
         node.start(settings.listen.peers.host, settings.listen.peers.port)
-        beliefs.onSent = { endpoint, prompt -> tell(News.Sent(beliefs.self, endpoint, prompt)) }
+        beliefs.onSent = { endpoint, prompt -> tell(PeerUpdate.Sent(beliefs.self, endpoint, prompt)) }
         while (true) {
             val links = node.connected
             node.keepConnectedTo(contacts.wanted(links))
@@ -52,7 +52,7 @@
     }
 
     /** Tells peers with the next message what this instance has learned. */
-    fun tell(news: News) {
+    fun tell(news: PeerUpdate) {
         teller.tell(news)
     }
 
@@ -84,8 +84,8 @@
             is PeerMessage.CacheContentsWanted -> SocketAddress.parse(message.store)
                 ?.let { beliefs.stores.contents(it) }
                 ?.let { send(link, PeerMessage.CacheContentsOffered(it.digest())) }
-            is PeerMessage.CacheContentsOffered -> (message.contents.news() as? News.StoreEvents)
-                ?.let { beliefs.stores.listed(it.store, it.epoch, it.to, it.changes) }
+            is PeerMessage.CacheContentsOffered -> (message.contents.news() as? PeerUpdate.CacheStoreEvents)
+                ?.let { beliefs.stores.replaceContents(it.store, it.epoch, it.to, it.changes) }
             else -> log.write("peer.unexpected") { put("message", message::class.simpleName) }
         }
     }
@@ -96,9 +96,9 @@
 
     private suspend fun take(link: PeerLink, message: PeerMessage.InstanceNews) {
         val nowMillis = clock.nowMillis()
-        val passOn = PassOn.entries.firstOrNull { it.name == message.passOn } ?: PassOn.NOBODY
+        val passOn = ForwardScope.entries.firstOrNull { it.name == message.passOn } ?: ForwardScope.NOBODY
         message.news(nowMillis).forEach { news ->
-            if (!beliefs.learn(news, nowMillis) && news is News.StoreEvents) {
+            if (!beliefs.learn(news, nowMillis) && news is PeerUpdate.CacheStoreEvents) {
                 want(link, PeerMessage.CacheContentsWanted(news.store.toString()), news.store.toString())
             }
             teller.passOn(news, passOn)
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/RolloutLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/RolloutLoop.kt
@@ -9,10 +9,10 @@
 import org.parsleymoor.core.rendezvousOrder
 import org.parsleymoor.entry.protocol.EngineReport
 import org.parsleymoor.entry.protocol.WeightOrder
-import org.parsleymoor.relay.exchange.News
+import org.parsleymoor.relay.exchange.PeerUpdate
 import org.parsleymoor.relay.fleet.EndpointState
 import org.parsleymoor.relay.http.HttpStatus
-import org.parsleymoor.relay.placement.NamedWeights
+import org.parsleymoor.relay.placement.TargetWeights
 import org.parsleymoor.relay.rollout.RolloutPlan
 
 /** Brings engines to the weights that operators have named, while this instance holds the lease for orders. */
@@ -27,7 +27,7 @@
     private val scope = context.scope
     private val log = context.log
     private val clock = context.clock
-    private val plan = RolloutPlan(quietMillis = lease.quietMillis)
+    private val plan = RolloutPlan(takeoverMillis = lease.quietMillis)
     private var wantedSinceMillis: Long? = null
     private var turnMembers: Set<InstanceId> = emptySet()
     private var turnMillis = 0L
@@ -42,14 +42,14 @@
 
     private fun step() {
         val nowMillis = clock.nowMillis()
-        val due = plan.outdated(beliefs.endpoints, beliefs.weights)
+        val due = plan.outdatedEngines(beliefs.endpoints, beliefs.weights)
         wantedSinceMillis = if (due.isEmpty()) null else wantedSinceMillis ?: nowMillis
         val quietSinceMillis = beliefs.othersOrderedMillis?.let { it + OTHERS_SILENT_MILLIS } ?: Long.MIN_VALUE
         val wanted = wantedSinceMillis?.let { nowMillis - maxOf(it, quietSinceMillis) >= turnMillis() } ?: false
-        lease.tick(wanted || lease.held() != null && plan.recentlyActive(nowMillis))
+        lease.tick(wanted || lease.held() != null && plan.isRecentlyActive(nowMillis))
         if (lease.held() == null) return
-        plan.next(beliefs.endpoints, beliefs.weights, nowMillis).forEach { (state, named) ->
-            plan.started(state.entry.id, nowMillis)
+        plan.enginesToLoad(beliefs.endpoints, beliefs.weights, nowMillis).forEach { (state, named) ->
+            plan.loadStarted(state.entry.id, nowMillis)
             scope.launch { bring(state, named) }
         }
     }
@@ -67,18 +67,18 @@
         return turnMillis
     }
 
-    private suspend fun bring(state: EndpointState, named: NamedWeights) {
+    private suspend fun bring(state: EndpointState, named: TargetWeights) {
         peers.orders(state, active = true)
         val done = try {
             load(state, named)
         } finally {
             peers.orders(state, active = false)
         }
-        plan.ended(state.entry.id, done, clock.nowMillis())
+        plan.loadEnded(state.entry.id, done, clock.nowMillis())
     }
 
     /** Orders until the engine has the weights, does not answer, or the time is over; returns whether it has them. */
-    private suspend fun load(state: EndpointState, named: NamedWeights): Boolean {
+    private suspend fun load(state: EndpointState, named: TargetWeights): Boolean {
         val untilMillis = clock.nowMillis() + ORDER_LIFE_MILLIS
         var step = LoadStep.UNDER_WAY
         while (step == LoadStep.UNDER_WAY && clock.nowMillis() < untilMillis) {
@@ -88,10 +88,10 @@
         return step == LoadStep.LOADED
     }
 
-    private suspend fun loadStep(state: EndpointState, named: NamedWeights): LoadStep {
+    private suspend fun loadStep(state: EndpointState, named: TargetWeights): LoadStep {
         val report = report(state)
         report?.weights?.forEach { (model, version) -> state.learnWeights(model, version) }
-        state.engineLoad?.let { peers.tell(News.Load(state.entry.id, it, state.allWeights)) }
+        state.engineLoad?.let { peers.tell(PeerUpdate.Load(state.entry.id, it, state.allWeights)) }
         return when {
             report == null -> LoadStep.GIVEN_UP
             (report.weights[named.model] ?: 0) >= named.version -> LoadStep.LOADED
@@ -101,7 +101,7 @@
     }
 
     /** Sends one order; returns false when no further order may be given. */
-    private suspend fun order(state: EndpointState, named: NamedWeights, report: EngineReport): Boolean {
+    private suspend fun order(state: EndpointState, named: TargetWeights, report: EngineReport): Boolean {
         val held = lease.held() ?: return false
         val order = WeightOrder(
             model = named.model,
@@ -110,7 +110,7 @@
             fencingToken = held.fencingToken,
             afterOrders = report.orders,
         )
-        plan.active(clock.nowMillis())
+        plan.orderSent(clock.nowMillis())
         val call = engines.order(state.entry.id.value, order)
         val result = client.call(state.entry.address, call, ORDER_MILLIS)
         val status = result.get()?.status
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/StoreCacheLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/StoreCacheLoop.kt
@@ -12,17 +12,17 @@
 import org.parsleymoor.entry.protocol.ControlCall
 import org.parsleymoor.entry.protocol.DecodeFailure
 import org.parsleymoor.entry.serving.oldestWeights
+import org.parsleymoor.relay.cache.CacheStore
 import org.parsleymoor.relay.cache.CachedPart
-import org.parsleymoor.relay.cache.CandidateStore
-import org.parsleymoor.relay.exchange.News
-import org.parsleymoor.relay.exchange.StoreReads
+import org.parsleymoor.relay.exchange.CacheStorePollSchedule
+import org.parsleymoor.relay.exchange.PeerUpdate
 import org.parsleymoor.relay.fleet.SocketAddress
 import org.parsleymoor.relay.http.HttpStatus
-import org.parsleymoor.relay.prompt.namespaceWeights
+import org.parsleymoor.relay.prompt.parseCacheNamespace
 
 /**
- * Follows what the KV cache stores hold: reads the events of some, as [StoreReads] says, and is told those of the
- * others by peers. One instance also frees what no engine can use any more, because managed
+ * Follows what the KV cache stores hold: reads the events of some, as [CacheStorePollSchedule] says, and is told those
+ * of the others by peers. One instance also frees what no engine can use any more, because managed
  * stores drop nothing by themselves and are full of older weights after a rollout.
  */
 internal class StoreCacheLoop(private val context: ControlContext, private val peers: Peers) {
@@ -32,7 +32,7 @@
     private val scope = context.scope
     private val log = context.log
     private val clock = context.clock
-    private val reads = StoreReads(context.membership.roster)
+    private val reads = CacheStorePollSchedule(context.membership.roster)
     private val reading = HashSet<SocketAddress>()
     private var checkedMillis = 0L
     private var oldestWeights: Map<ModelId, Long?> = emptyMap()
@@ -56,9 +56,9 @@
         }
     }
 
-    private fun isDue(store: CandidateStore): Boolean {
+    private fun isDue(store: CacheStore): Boolean {
         val heardMillis = beliefs.storeNewsMillis[store.address]
-        return reads.isDue(store.address.toString(), store.traits.zone, heardMillis, clock.nowMillis())
+        return reads.isDue(store.address.toString(), store.spec.zone, heardMillis, clock.nowMillis())
     }
 
     private suspend fun read(store: SocketAddress) {
@@ -66,16 +66,18 @@
         val answered = if (known == null) list(store) else events(store, known.position)
         beliefs.storeNewsMillis[store] = clock.nowMillis()
         if (!answered) {
-            beliefs.stores.lost(store)
-            peers.tell(News.StoreLost(store))
+            beliefs.stores.forget(store)
+            peers.tell(PeerUpdate.CacheStoreUnreachable(store))
             delay(RETRY_MILLIS)
         }
     }
 
     private suspend fun list(store: SocketAddress): Boolean {
         val contents = call(store, engines.contents(), CALL_MILLIS, engines::contents) ?: return false
-        beliefs.stores.listed(store, contents.epoch, contents.position, contents.changes)
-        peers.tell(News.StoreEvents(store, contents.epoch, contents.position, contents.position, emptyList()))
+        beliefs.stores.replaceContents(store, contents.epoch, contents.position, contents.changes)
+        peers.tell(
+            PeerUpdate.CacheStoreEvents(store, contents.epoch, contents.position, contents.position, emptyList())
+        )
         log.write("cacheStore.listed") {
             put("store", store.toString())
             put("epoch", contents.epoch)
@@ -87,9 +89,9 @@
     private suspend fun events(store: SocketAddress, position: Long): Boolean {
         val events = call(store, engines.events(position, WAIT_MILLIS), WAIT_MILLIS + CALL_MILLIS, engines::events)
             ?: return false
-        val joined = beliefs.stores.changed(store, events.epoch, events.position, events.gap, events.changes)
+        val joined = beliefs.stores.applyEvents(store, events.epoch, events.position, events.gap, events.changes)
         if (joined) {
-            peers.tell(News.StoreEvents(store, events.epoch, position, events.position, events.changes))
+            peers.tell(PeerUpdate.CacheStoreEvents(store, events.epoch, position, events.position, events.changes))
         } else {
             log.write("cacheStore.gap") { put("store", store.toString()) }
         }
@@ -124,8 +126,8 @@
             oldestSinceMillis = nowMillis
         }
         if (nowMillis - oldestSinceMillis < FETCH_MILLIS || !isFirstMember()) return
-        beliefs.cacheStores.filter { it.traits.managed }.forEach { store ->
-            val unusable = beliefs.stores.unwanted(store.address, ::isUsable).take(PARTS_A_CALL)
+        beliefs.cacheStores.filter { it.spec.managed }.forEach { store ->
+            val unusable = beliefs.stores.unusableParts(store.address, ::isUsable).take(PARTS_A_CALL)
             val epoch = beliefs.stores.summary(store.address)?.epoch
             if (unusable.isNotEmpty() && epoch != null) {
                 scope.launch { free(store.address, epoch, unusable) }
@@ -141,7 +143,7 @@
     private suspend fun free(store: SocketAddress, epoch: Long, parts: List<CachedPart>) {
         val answer = client.call(store, engines.free(parts, epoch), CALL_MILLIS).mapError { it.message }
         val status = answer.getOrElse { null }?.status
-        if (status == HttpStatus.OK.code) beliefs.stores.freed(store, epoch, parts)
+        if (status == HttpStatus.OK.code) beliefs.stores.removeFreed(store, epoch, parts)
         log.write("cacheStore.freed") {
             put("store", store.toString())
             put("parts", parts.size)
@@ -150,7 +152,7 @@
     }
 
     private fun isUsable(namespace: String): Boolean {
-        val (model, version) = namespaceWeights(namespace) ?: return true
+        val (model, version) = parseCacheNamespace(namespace) ?: return true
         return version >= (oldestWeights[model] ?: version)
     }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/WatchDuty.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/WatchDuty.kt
@@ -18,7 +18,7 @@
     private val silenceMillis = waitMillis + applyMillis * SILENCE_PARTS / PARTS
 
     /** Whether this instance follows the store for others. */
-    val follows: Boolean get() = tree.followsStore
+    val follows: Boolean get() = tree.watchesObjectStore
 
     /** Whether this instance reads the store when its objects were last known to be current at [currentMillis]. */
     fun isDue(currentMillis: Long): Boolean {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/EndpointConnection.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/EndpointConnection.kt
@@ -12,7 +12,7 @@
 import org.parsleymoor.relay.http.BodyDecoder
 import org.parsleymoor.relay.http.BodyFraming
 import org.parsleymoor.relay.http.BodyProgress
-import org.parsleymoor.relay.http.MessageFault
+import org.parsleymoor.relay.http.MessageFailure
 import org.parsleymoor.relay.http.ResponseHead
 import org.parsleymoor.relay.http.framing
 import org.parsleymoor.relay.http.parseResponseHead
@@ -50,26 +50,26 @@
     }
 
     /** Suspends until the head of the next final response has arrived. */
-    suspend fun readResponse(method: String): Result<IncomingResponse, MessageFault> {
+    suspend fun readResponse(method: String): Result<IncomingResponse, MessageFailure> {
         repeat(INTERIM_LIMIT) {
             val read = input.readHead(HEAD_LIMIT_BYTES)
-                .andThen { if (it == null) Err(MessageFault.ENDED_EARLY) else parseResponseHead(it) }
+                .andThen { if (it == null) Err(MessageFailure.ENDED_EARLY) else parseResponseHead(it) }
                 .andThen { head -> head.framing(method).andThen { Ok(IncomingResponse(head, it)) } }
             if (read.get()?.head?.isInterim != true) return read
         }
-        return Err(MessageFault.TOO_MANY_RESPONSES)
+        return Err(MessageFailure.TOO_MANY_RESPONSES)
     }
 
     /** Suspends until the whole body of [response] has arrived; a body over [BODY_LIMIT_BYTES] is a fault. */
-    suspend fun readBody(response: IncomingResponse): Result<ByteArray, MessageFault> {
+    suspend fun readBody(response: IncomingResponse): Result<ByteArray, MessageFailure> {
         val body = ByteArrayOutputStream()
         return readBody(response) { body.writeBytes(it) }.map { body.toByteArray() }
     }
 
     /** Reads the body of [response] to its end and drops it, within the same limit. */
-    suspend fun dropBody(response: IncomingResponse): Result<Unit, MessageFault> = readBody(response) {}
+    suspend fun dropBody(response: IncomingResponse): Result<Unit, MessageFailure> = readBody(response) {}
 
-    private suspend fun readBody(response: IncomingResponse, take: (ByteArray) -> Unit): Result<Unit, MessageFault> {
+    private suspend fun readBody(response: IncomingResponse, take: (ByteArray) -> Unit): Result<Unit, MessageFailure> {
         var bytes = (response.framing as? BodyFraming.Length)?.bytes?.takeIf { it > BODY_LIMIT_BYTES } ?: 0
         while (response.decoder.progress == BodyProgress.INCOMPLETE && bytes <= BODY_LIMIT_BYTES) {
             val part = readPart(response)
@@ -77,9 +77,9 @@
             take(part)
         }
         return when {
-            bytes > BODY_LIMIT_BYTES -> Err(MessageFault.BODY_TOO_LARGE)
+            bytes > BODY_LIMIT_BYTES -> Err(MessageFailure.BODY_TOO_LARGE)
             response.decoder.progress == BodyProgress.COMPLETE -> Ok(Unit)
-            else -> Err(MessageFault.ENDED_EARLY)
+            else -> Err(MessageFailure.ENDED_EARLY)
         }
     }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/MessageInput.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/MessageInput.kt
@@ -6,11 +6,11 @@
 import org.parsleymoor.relay.http.BodyDecoder
 import org.parsleymoor.relay.http.BodyFraming
 import org.parsleymoor.relay.http.BodyProgress
-import org.parsleymoor.relay.http.MessageFault
+import org.parsleymoor.relay.http.MessageFailure
 import java.io.ByteArrayOutputStream
 
 /** Suspends until a head has arrived; returns null when the connection ends before its first byte. */
-internal suspend fun SocketInput.readHead(limitBytes: Int): Result<ByteArray?, MessageFault> {
+internal suspend fun SocketInput.readHead(limitBytes: Int): Result<ByteArray?, MessageFailure> {
     var skipped = queue.skipEmptyLines()
     while (queue.headLength() == null && skipped + queue.size <= limitBytes && end == null) {
         awaitMore()
@@ -18,14 +18,14 @@
     }
     val length = queue.headLength()
     return when {
-        skipped + (length ?: queue.size) > limitBytes -> Err(MessageFault.HEAD_TOO_LARGE)
+        skipped + (length ?: queue.size) > limitBytes -> Err(MessageFailure.HEAD_TOO_LARGE)
         length != null -> Ok(queue.take(length))
-        else -> if (queue.size == 0) Ok(null) else Err(MessageFault.ENDED_EARLY)
+        else -> if (queue.size == 0) Ok(null) else Err(MessageFailure.ENDED_EARLY)
     }
 }
 
 /** Suspends until the whole body has arrived; a body over [limitBytes] is a fault. */
-internal suspend fun SocketInput.readBody(framing: BodyFraming, limitBytes: Int): Result<ByteArray, MessageFault> {
+internal suspend fun SocketInput.readBody(framing: BodyFraming, limitBytes: Int): Result<ByteArray, MessageFailure> {
     val decoder = BodyDecoder(framing)
     val content = ByteArrayOutputStream()
     var tooLarge = framing is BodyFraming.Length && framing.bytes > limitBytes
@@ -38,11 +38,11 @@
         }
     }
     return when {
-        tooLarge -> Err(MessageFault.BODY_TOO_LARGE)
+        tooLarge -> Err(MessageFailure.BODY_TOO_LARGE)
         decoder.progress == BodyProgress.COMPLETE -> Ok(content.toByteArray())
         else -> Err(faultOf(framing, end))
     }
 }
 
-private fun faultOf(framing: BodyFraming, end: InputEnd?): MessageFault =
-    if (framing == BodyFraming.Chunked && end == null) MessageFault.MALFORMED_CHUNK else MessageFault.ENDED_EARLY
+private fun faultOf(framing: BodyFraming, end: InputEnd?): MessageFailure =
+    if (framing == BodyFraming.Chunked && end == null) MessageFailure.MALFORMED_CHUNK else MessageFailure.ENDED_EARLY
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/protocol/ServingProtocol.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/protocol/ServingProtocol.kt
@@ -4,8 +4,8 @@
 import org.parsleymoor.core.Failure
 import org.parsleymoor.core.ModelId
 import org.parsleymoor.core.ZoneId
+import org.parsleymoor.relay.cache.CacheStoreChange
 import org.parsleymoor.relay.cache.CachedPart
-import org.parsleymoor.relay.cache.StoreChange
 import org.parsleymoor.relay.fleet.EndpointEntry
 import org.parsleymoor.relay.routing.ServingConfiguration
 
@@ -116,7 +116,7 @@
     public val epoch: Long,
     public val position: Long,
     public val gap: Boolean,
-    public val changes: List<StoreChange>,
+    public val changes: List<CacheStoreChange>,
 )
 
 /** Calls to engines and KV cache stores. */
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
@@ -8,11 +8,11 @@
 import org.parsleymoor.entry.net.IncomingResponse
 import org.parsleymoor.entry.net.message
 import org.parsleymoor.entry.protocol.HeaderNames
-import org.parsleymoor.relay.fleet.AttemptEvidence
+import org.parsleymoor.relay.fleet.AttemptOutcome
 import org.parsleymoor.relay.fleet.SocketAddress
-import org.parsleymoor.relay.fleet.note
+import org.parsleymoor.relay.fleet.recordOutcome
 import org.parsleymoor.relay.http.HttpStatus
-import org.parsleymoor.relay.http.MessageFault
+import org.parsleymoor.relay.http.MessageFailure
 import org.parsleymoor.relay.routing.RequestKind
 
 /** What all attempts use. */
@@ -58,7 +58,7 @@
     }
 
     /** Waits for the response; gives up after [patience], and sooner when the endpoint answers nobody. */
-    private suspend fun awaitResponse(patience: Long): Result<IncomingResponse, MessageFault>? {
+    private suspend fun awaitResponse(patience: Long): Result<IncomingResponse, MessageFailure>? {
         val sentMillis = clock.nowMillis()
         return withTimeoutOrNull(patience) {
             val first = withTimeoutOrNull(minOf(patience, work.silenceMillis(target))) { reader.head() }
@@ -67,15 +67,15 @@
     }
 
     private fun silent(patience: Long): AttemptResult {
-        note(AttemptEvidence.SILENT)
+        note(AttemptOutcome.SILENT)
         if (connection.requests > 1) tools.discardIdle(connection.address)
         return AttemptResult.Uncertain("no response within $patience ms")
     }
 
-    private fun broken(fault: MessageFault): AttemptResult {
+    private fun broken(fault: MessageFailure): AttemptResult {
         // An endpoint closes idle connections; that one of them was closed under a request says little of its health.
-        val closedIdle = fault == MessageFault.ENDED_EARLY && connection.requests > 1
-        if (!closedIdle) note(AttemptEvidence.FAILED)
+        val closedIdle = fault == MessageFailure.ENDED_EARLY && connection.requests > 1
+        if (!closedIdle) note(AttemptOutcome.FAILED)
         return AttemptResult.Uncertain(fault.message)
     }
 
@@ -94,7 +94,7 @@
     }
 
     private suspend fun refusal(response: IncomingResponse): AttemptResult {
-        note(AttemptEvidence.REFUSED)
+        note(AttemptOutcome.REFUSED)
         state.refusedMillis = clock.nowMillis()
         progress.complete = withTimeoutOrNull(REFUSAL_BODY_MILLIS) { reader.body(response) } != null
         return AttemptResult.NotRun("endpoint refused with ${response.head.status}", sent = true)
@@ -103,7 +103,7 @@
     private suspend fun stream(response: IncomingResponse): AttemptResult {
         val relay = StreamRelay(clock, work, connection, answer, progress)
         val result = relay.relay(response, response.head.toAnswer(names))
-        note(if (result is AttemptResult.Delivered) AttemptEvidence.ANSWERED else AttemptEvidence.FAILED)
+        note(if (result is AttemptResult.Delivered) AttemptOutcome.ANSWERED else AttemptOutcome.FAILED)
         return result
     }
 
@@ -113,18 +113,18 @@
         progress.complete = true
         val head = response.head.toAnswer(names)
         val failure = head.status in SERVER_FAILURES
-        note(if (failure) AttemptEvidence.FAILED else AttemptEvidence.ANSWERED)
+        note(if (failure) AttemptOutcome.FAILED else AttemptOutcome.ANSWERED)
         if (!failure) answer.whole(head, body)
         return if (failure) AttemptResult.Failed(head, body) else AttemptResult.Delivered(head.status)
     }
 
     private fun failed(reason: String): AttemptResult {
-        note(AttemptEvidence.FAILED)
+        note(AttemptOutcome.FAILED)
         return AttemptResult.Uncertain(reason)
     }
 
-    private fun note(evidence: AttemptEvidence) {
-        state.note(evidence, clock.nowMillis())
+    private fun note(evidence: AttemptOutcome) {
+        state.recordOutcome(evidence, clock.nowMillis())
     }
 
     private companion object {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/AttemptProgress.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/AttemptProgress.kt
@@ -24,7 +24,7 @@
 
     /** Notes that the endpoint has read the prompt. */
     fun read() {
-        if (!tokensRead) state.read(tokens)
+        if (!tokensRead) state.prefillEnded(tokens)
         tokensRead = true
     }
 }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempts.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempts.kt
@@ -14,10 +14,10 @@
 import org.parsleymoor.entry.net.ConnectionPool
 import org.parsleymoor.entry.net.EndpointConnection
 import org.parsleymoor.entry.protocol.HeaderNames
-import org.parsleymoor.relay.fleet.AttemptEvidence
+import org.parsleymoor.relay.fleet.AttemptOutcome
 import org.parsleymoor.relay.fleet.EndpointState
 import org.parsleymoor.relay.fleet.SentPrompt
-import org.parsleymoor.relay.fleet.note
+import org.parsleymoor.relay.fleet.recordOutcome
 import org.parsleymoor.relay.routing.RequestKind
 
 /** Finds connections for attempts and takes them back. Confined to the event loop. */
@@ -38,7 +38,7 @@
         val tokens = work.prompt?.promptTokens ?: 0
         val progress = AttemptProgress(state, tokens)
         var handedOver = false
-        state.started(tokens)
+        state.requestStarted(tokens)
         target.reading?.let { beliefs.sent(state, SentPrompt(clock.nowMillis(), tokens, it.tokens, it.context)) }
         try {
             // What has arrived meanwhile is read first: a caller that has left while this instance was short of
@@ -50,7 +50,7 @@
             throw cancelled
         } finally {
             progress.read()
-            state.ended()
+            state.requestEnded()
             if (!handedOver) settle(connection, progress)
         }
     }
@@ -64,7 +64,7 @@
     }
 
     private fun notConnected(state: EndpointState, failure: ConnectFailure): AttemptResult {
-        if (failure != ConnectFailure.AT_LIMIT) state.note(AttemptEvidence.UNREACHABLE, clock.nowMillis())
+        if (failure != ConnectFailure.AT_LIMIT) state.recordOutcome(AttemptOutcome.UNREACHABLE, clock.nowMillis())
         return AttemptResult.NotRun(failure.message, sent = false)
     }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Beliefs.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Beliefs.kt
@@ -3,15 +3,15 @@
 import org.parsleymoor.core.EndpointId
 import org.parsleymoor.core.InstanceId
 import org.parsleymoor.core.ModelId
-import org.parsleymoor.relay.cache.CandidateStore
+import org.parsleymoor.relay.cache.CacheStore
+import org.parsleymoor.relay.cache.CacheStoreDirectory
 import org.parsleymoor.relay.cache.EngineClock
 import org.parsleymoor.relay.cache.RecentContexts
-import org.parsleymoor.relay.cache.StoreDirectory
 import org.parsleymoor.relay.fleet.EndpointState
 import org.parsleymoor.relay.fleet.EndpointTable
 import org.parsleymoor.relay.fleet.SentPrompt
 import org.parsleymoor.relay.fleet.SocketAddress
-import org.parsleymoor.relay.placement.NamedWeights
+import org.parsleymoor.relay.placement.TargetWeights
 import org.parsleymoor.relay.routing.RouteTable
 
 /** What this instance believes of the deployment. Confined to the event loop. */
@@ -21,12 +21,12 @@
         set(value) {
             field = value
             cacheStores = value?.configuration?.services?.values.orEmpty().mapNotNull { service ->
-                service.store?.let { traits -> SocketAddress.parse(traits.address)?.let { CandidateStore(it, traits) } }
+                service.store?.let { spec -> SocketAddress.parse(spec.address)?.let { CacheStore(it, spec) } }
             }
         }
 
     /** The KV cache stores of the configuration in force. */
-    var cacheStores: List<CandidateStore> = emptyList()
+    var cacheStores: List<CacheStore> = emptyList()
         private set
 
     /** The endpoints. */
@@ -36,7 +36,7 @@
     var endpointsKnown = false
 
     /** The weights that operators have named for each model. */
-    var weights: Map<ModelId, NamedWeights> = emptyMap()
+    var weights: Map<ModelId, TargetWeights> = emptyMap()
 
     /** Instances that run, this one included; null before the list has been read. */
     var members: Set<InstanceId>? = null
@@ -61,12 +61,12 @@
 
     /** Notes that this instance or a peer sent [prompt] to [state]. */
     fun noteSent(state: EndpointState, prompt: SentPrompt) {
-        state.sent(prompt)
-        contexts.sent(prompt.context, state.start, prompt.atMillis)
+        state.recordSentPrompt(prompt)
+        contexts.record(prompt.context, state.incarnation, prompt.atMillis)
     }
 
     /** What the KV cache stores hold. */
-    val stores = StoreDirectory()
+    val stores = CacheStoreDirectory()
 
     /** When this instance or a peer last had an answer from each KV cache store. */
     val storeNewsMillis = HashMap<SocketAddress, Long>()
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/CacheTransfers.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/CacheTransfers.kt
@@ -2,10 +2,10 @@
 
 import org.parsleymoor.core.Clock
 import org.parsleymoor.core.ModelId
-import org.parsleymoor.relay.cache.CandidateStore
-import org.parsleymoor.relay.cache.StoreChoice
+import org.parsleymoor.relay.cache.CacheStore
+import org.parsleymoor.relay.cache.CacheStoreSelector
+import org.parsleymoor.relay.cache.EngineCache
 import org.parsleymoor.relay.cache.Transfer
-import org.parsleymoor.relay.cache.TransferSide
 import org.parsleymoor.relay.fleet.EndpointState
 import org.parsleymoor.relay.fleet.SocketAddress
 import org.parsleymoor.relay.placement.Distance
@@ -19,21 +19,21 @@
     private val beliefs: Beliefs,
     private val clock: Clock,
 ) {
-    private val choice = StoreChoice(topology, beliefs.stores)
+    private val choice = CacheStoreSelector(topology, beliefs.stores)
 
     /** Returns the stores from which the longest shared part of [prompt] in [namespace] may be fetched. */
-    fun holders(work: Work, prompt: PromptContext, namespace: String): List<CandidateStore> =
+    fun holders(work: Work, prompt: PromptContext, namespace: String): List<CacheStore> =
         prompt.sharedParts.lastOrNull()
             ?.let { choice.holders(it, namespace, beliefs.cacheStores, work.allowedRegions) }.orEmpty()
 
     /** Returns how long an engine needs to fetch the longest shared part from the best of [holders], if any. */
-    fun fetchMillis(prompt: PromptContext, holders: List<CandidateStore>, side: TransferSide): Double? {
+    fun fetchMillis(prompt: PromptContext, holders: List<CacheStore>, side: EngineCache): Double? {
         val tokens = prompt.sharedParts.lastOrNull()?.tokens ?: 0
         return holders.minOfOrNull { choice.transferMillis(it, side, tokens) }
     }
 
     /** Plans for a request of [work] to the endpoint at [side]; [cachedAt] probably has the shared parts. */
-    fun plan(work: Work, prompt: PromptContext, side: TransferSide, cachedAt: EndpointState?): CacheTransfer {
+    fun plan(work: Work, prompt: PromptContext, side: EngineCache, cachedAt: EndpointState?): CacheTransfer {
         val stores = beliefs.cacheStores
         val neighbour = cachedAt?.takeIf { topology.distance(it.entry.zone, side.zone) != Distance.OTHER_REGION }
         val stored = prompt.sharedParts.map { source(work, it, side, stores) }
@@ -47,22 +47,22 @@
     private fun source(
         work: Work,
         part: PromptPart,
-        side: TransferSide,
-        stores: List<CandidateStore>,
-    ): SocketAddress? = choice.source(part, side, stores, work.allowedRegions)
+        side: EngineCache,
+        stores: List<CacheStore>,
+    ): SocketAddress? = choice.fetchSource(part, side, stores, work.allowedRegions)
         ?.takeIf { mayTransfer(it, side, part, saving = false) }?.address
 
     private fun target(
         work: Work,
         prompt: PromptContext,
         part: PromptPart,
-        side: TransferSide,
-        stores: List<CandidateStore>,
-    ): SocketAddress? = choice.target(part, prompt, side, stores, work.allowedRegions)
+        side: EngineCache,
+        stores: List<CacheStore>,
+    ): SocketAddress? = choice.saveTarget(part, prompt, side, stores, work.allowedRegions)
         ?.takeIf { mayTransfer(it, side, part, saving = true) }?.address
 
-    private fun mayTransfer(store: CandidateStore, side: TransferSide, part: PromptPart, saving: Boolean): Boolean =
-        choice.mayTransfer(Transfer(store, side, part.tokens, saving), beliefs.instances, clock.nowMillis())
+    private fun mayTransfer(store: CacheStore, side: EngineCache, part: PromptPart, saving: Boolean): Boolean =
+        choice.tryReserve(Transfer(store, side, part.tokens, saving), beliefs.instances, clock.nowMillis())
 
     /** Writes one address for each part, then none for the [own] parts of the request; null when there is none. */
     private fun listed(addresses: List<SocketAddress?>, own: Int): String? {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Delivery.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Delivery.kt
@@ -4,7 +4,7 @@
 import kotlinx.serialization.json.put
 import org.parsleymoor.entry.callers.CallerAnswer
 import org.parsleymoor.relay.limits.SharedRetryBudget
-import org.parsleymoor.relay.placement.NoPlaceReason
+import org.parsleymoor.relay.placement.UnavailableReason
 
 /**
  * Sends a request to one endpoint after the other as far as its kind, its route and the retry budget allow, until it is
@@ -24,7 +24,7 @@
 
     /** Delivers [work] through [answer]; suspends until the answer is written or given up. */
     suspend fun deliver(work: Work, answer: CallerAnswer) {
-        budget.request(work.service.name, clock.nowMillis())
+        budget.recordRequest(work.service.name, clock.nowMillis())
         var last: AttemptResult = AttemptResult.NotRun("no endpoint was asked", sent = false)
         var choice = chooseSoon(work)
         var again = true
@@ -41,7 +41,7 @@
     private suspend fun chooseSoon(work: Work): Choice {
         val untilMillis = work.request.receivedMillis + (work.route.objectiveMillis * HOLD_SHARE).toLong()
         var choice = placer.choose(work)
-        while ((choice as? Choice.None)?.reason == NoPlaceReason.OVERLOADED && clock.nowMillis() < untilMillis) {
+        while ((choice as? Choice.None)?.reason == UnavailableReason.OVERLOADED && clock.nowMillis() < untilMillis) {
             delay(HOLD_POLL_MILLIS)
             choice = placer.choose(work)
         }
@@ -58,7 +58,7 @@
             put("request", work.id.value)
             put("route", work.route.name)
             put("endpoint", endpoint.entry.id.value)
-            put("entryAgeMillis", nowMillis - endpoint.heardMillis)
+            put("entryAgeMillis", nowMillis - endpoint.entryReceivedMillis)
             put("configuration", beliefs.routes?.configuration?.version)
             put("estimateMillis", target.estimateMillis.toLong())
             work.prompt?.let { prompt ->
@@ -102,7 +102,7 @@
 
     private fun withinBudget(work: Work, result: AttemptResult): Boolean =
         (result is AttemptResult.NotRun && !result.sent && work.sends == 0) ||
-            budget.tryRepeat(work.service.name, beliefs.instances, clock.nowMillis())
+            budget.tryTakeRetry(work.service.name, beliefs.instances, clock.nowMillis())
 
     private fun giveUp(work: Work, answer: CallerAnswer, last: AttemptResult, choice: Choice.None?) {
         when {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Placer.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Placer.kt
@@ -3,24 +3,24 @@
 import org.parsleymoor.core.Clock
 import org.parsleymoor.entry.EntrySettings
 import org.parsleymoor.relay.fleet.EndpointState
-import org.parsleymoor.relay.limits.ColdBound
-import org.parsleymoor.relay.limits.ColdShare
-import org.parsleymoor.relay.placement.EnginePlace
+import org.parsleymoor.relay.limits.ColdEndpointBudget
+import org.parsleymoor.relay.limits.ColdEndpointLimit
 import org.parsleymoor.relay.placement.EnginePlacement
+import org.parsleymoor.relay.placement.EnginePlacementQuery
+import org.parsleymoor.relay.placement.EnginePlacementResult
 import org.parsleymoor.relay.placement.EnginePlacementSettings
-import org.parsleymoor.relay.placement.EngineRequest
-import org.parsleymoor.relay.placement.NoPlaceReason
-import org.parsleymoor.relay.placement.Place
-import org.parsleymoor.relay.placement.PlaceRequest
+import org.parsleymoor.relay.placement.PlacementQuery
+import org.parsleymoor.relay.placement.PlacementResult
 import org.parsleymoor.relay.placement.ServicePlacement
 import org.parsleymoor.relay.placement.Topology
+import org.parsleymoor.relay.placement.UnavailableReason
 import org.parsleymoor.relay.prompt.PromptContext
 
 /** Outcome of choosing an endpoint. */
 internal sealed interface Choice {
     class Chosen(val target: Target) : Choice
 
-    data class None(val reason: NoPlaceReason, val retryAfterMillis: Long) : Choice
+    data class None(val reason: UnavailableReason, val retryAfterMillis: Long) : Choice
 }
 
 /** Chooses endpoints with the decisions of the relay library and what this instance believes. */
@@ -36,7 +36,7 @@
         topology,
         EnginePlacementSettings(olderWeightsLimitMillis = settings.times.weightsMillis * OLDER_WEIGHTS_PARTS / PARTS),
     )
-    private val cold = ColdShare(settings.instance)
+    private val cold = ColdEndpointBudget(settings.instance)
 
     /** Chooses the endpoint of [work]; a cold one only within this instance's share of its limit. */
     fun choose(work: Work): Choice {
@@ -51,31 +51,36 @@
         }
     }
 
-    private fun choose(request: PlaceRequest, prompt: PromptContext?, work: Work, nowMillis: Long): Choice {
+    private fun choose(request: PlacementQuery, prompt: PromptContext?, work: Work, nowMillis: Long): Choice {
         if (prompt == null || work.service.engine == null) {
             return when (val place = services.choose(request, beliefs.endpoints, nowMillis)) {
-                is Place.At -> Choice.Chosen(Target(place.endpoint, place.estimateMillis))
-                is Place.Nowhere -> Choice.None(place.reason, place.retryAfterMillis)
+                is PlacementResult.Selected -> Choice.Chosen(Target(place.endpoint, place.estimateMillis))
+                is PlacementResult.Unavailable -> Choice.None(place.reason, place.retryAfterMillis)
             }
         }
         val named = beliefs.weights[prompt.model]
         val view = PromptView(work, prompt, beliefs, transfers)
-        val wanted = EngineRequest(
-            request = request,
+        val wanted = EnginePlacementQuery(
+            base = request,
             prompt = prompt,
-            named = named,
+            targetWeights = named,
             instances = beliefs.instances,
             fetchMillis = view::fetchMillis,
-            heldShare = { beliefs.contexts.heldShare(view.context(it), it.start, nowMillis) },
+            cachedProbability = { beliefs.contexts.cachedProbability(view.context(it), it.incarnation, nowMillis) },
         )
         val found = engines.choose(wanted, beliefs.endpoints, nowMillis)
-        return when (val place = found.place) {
-            is Place.Nowhere -> Choice.None(place.reason, place.retryAfterMillis)
-            is Place.At -> Choice.Chosen(target(view, place, found, nowMillis))
+        return when (val place = found.result) {
+            is PlacementResult.Unavailable -> Choice.None(place.reason, place.retryAfterMillis)
+            is PlacementResult.Selected -> Choice.Chosen(target(view, place, found, nowMillis))
         }
     }
 
-    private fun target(view: PromptView, place: Place.At, found: EnginePlace, nowMillis: Long): Target {
+    private fun target(
+        view: PromptView,
+        place: PlacementResult.Selected,
+        found: EnginePlacementResult,
+        nowMillis: Long,
+    ): Target {
         val side = view.side(place.endpoint)
         val untilMillis = nowMillis + place.estimateMillis.toLong() + FETCH_SLACK_MILLIS
         val transfer = transfers.plan(view.work, view.prompt, side, found.cachedAt)
@@ -95,13 +100,13 @@
 
     private fun mayTake(work: Work, endpoint: EndpointState, nowMillis: Long): Boolean {
         if (!endpoint.isCold(nowMillis)) return true
-        val bound = ColdBound(work.service.coldRequestsPerSecond, settings.cold.overage, settings.cold.slack)
+        val bound = ColdEndpointLimit(work.service.coldRequestsPerSecond, settings.cold.overage, settings.cold.slack)
         return cold.tryTake(endpoint.entry.id, bound, beliefs.members.orEmpty(), nowMillis)
     }
 
     private fun Choice.orCold(passedOver: Set<*>, work: Work): Choice =
         if (this is Choice.None && passedOver.size > work.tried.size) {
-            Choice.None(NoPlaceReason.COLD, COLD_RETRY_MILLIS)
+            Choice.None(UnavailableReason.COLD, COLD_RETRY_MILLIS)
         } else {
             this
         }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/PromptView.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/PromptView.kt
@@ -1,8 +1,8 @@
 package org.parsleymoor.entry.serving
 
-import org.parsleymoor.relay.cache.CandidateStore
+import org.parsleymoor.relay.cache.CacheStore
 import org.parsleymoor.relay.cache.ContextKey
-import org.parsleymoor.relay.cache.TransferSide
+import org.parsleymoor.relay.cache.EngineCache
 import org.parsleymoor.relay.fleet.EndpointState
 import org.parsleymoor.relay.prompt.PromptContext
 import org.parsleymoor.relay.prompt.cacheNamespace
@@ -30,9 +30,9 @@
     }
 
     /** Describes the side of [state] in a transfer. */
-    fun side(state: EndpointState): TransferSide {
+    fun side(state: EndpointState): EngineCache {
         val version = version(state)
-        return TransferSide(state.entry.zone, version.namespace, tokenBytes, version.current)
+        return EngineCache(state.entry.zone, version.namespace, tokenBytes, version.current)
     }
 
     private fun version(state: EndpointState): Version {
@@ -57,7 +57,7 @@
     private class Version(
         val namespace: String,
         val context: ContextKey,
-        val holders: List<CandidateStore>,
+        val holders: List<CacheStore>,
         val current: Boolean,
     )
 }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Refusal.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Refusal.kt
@@ -9,7 +9,7 @@
 import org.parsleymoor.entry.protocol.ServingProtocol
 import org.parsleymoor.relay.http.HeaderField
 import org.parsleymoor.relay.http.HttpStatus
-import org.parsleymoor.relay.placement.NoPlaceReason
+import org.parsleymoor.relay.placement.UnavailableReason
 import java.util.Locale
 import kotlin.random.Random
 
@@ -46,7 +46,7 @@
     data object Malformed : Refusal(HttpStatus.BAD_REQUEST, "the request needs exactly one attempt id")
 
     /** No endpoint can serve the request; it has not run. */
-    class NoPlace(val cause: NoPlaceReason, millis: Long) :
+    class NoPlace(val cause: UnavailableReason, millis: Long) :
         Refusal(HttpStatus.UNAVAILABLE, "no endpoint can serve the request: ${cause.name.lowercase()}", millis)
 
     /** Every endpoint that was asked refused; the request has not run. */
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/ResponseReader.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/ResponseReader.kt
@@ -11,7 +11,7 @@
 import org.parsleymoor.entry.net.IncomingResponse
 import org.parsleymoor.entry.protocol.HeaderNames
 import org.parsleymoor.relay.http.BodyFraming
-import org.parsleymoor.relay.http.MessageFault
+import org.parsleymoor.relay.http.MessageFailure
 
 /** Reads the response to [work] from [connection]. */
 internal class ResponseReader(
@@ -20,16 +20,16 @@
     private val names: HeaderNames,
 ) {
     /** Suspends until the head of the response is there, passing over responses to other requests that arrive late. */
-    suspend fun head(): Result<IncomingResponse, MessageFault> {
+    suspend fun head(): Result<IncomingResponse, MessageFailure> {
         repeat(FOREIGN_LIMIT) {
             val read = connection.readResponse(work.request.head.method).andThen { own(it) }
             if (read.get() != null || read.getError() != null) return read.map { checkNotNull(it) }
         }
-        return Err(MessageFault.TOO_MANY_RESPONSES)
+        return Err(MessageFailure.TOO_MANY_RESPONSES)
     }
 
     /** Returns [response] when it answers [work], null when it answered another request and has been passed over. */
-    private suspend fun own(response: IncomingResponse): Result<IncomingResponse?, MessageFault> =
+    private suspend fun own(response: IncomingResponse): Result<IncomingResponse?, MessageFailure> =
         when (response.head.headers[names.caller.attemptId]) {
             work.id.value -> Ok(response).also { connection.identified = true }
             null -> if (connection.identified && !response.head.isRefusal(names)) UNIDENTIFIED else Ok(response)
@@ -40,15 +40,15 @@
     suspend fun body(response: IncomingResponse): ByteArray? = connection.readBody(response).get()
 
     /** Drops [response], which belongs to another request; nothing can follow one that ends with the connection. */
-    private suspend fun passOver(response: IncomingResponse): Result<Unit, MessageFault> {
+    private suspend fun passOver(response: IncomingResponse): Result<Unit, MessageFailure> {
         connection.identified = true
         connection.spoiled = true
         val last = response.framing == BodyFraming.UntilClose
-        return if (last) Err(MessageFault.TOO_MANY_RESPONSES) else connection.dropBody(response)
+        return if (last) Err(MessageFailure.TOO_MANY_RESPONSES) else connection.dropBody(response)
     }
 
     private companion object {
-        val UNIDENTIFIED: Result<IncomingResponse, MessageFault> = Err(MessageFault.UNIDENTIFIED)
+        val UNIDENTIFIED: Result<IncomingResponse, MessageFailure> = Err(MessageFailure.UNIDENTIFIED)
 
         // A second copy of an answer comes now and then; an endpoint that sends several others sends no answer.
         const val FOREIGN_LIMIT = 4
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Work.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Work.kt
@@ -4,7 +4,7 @@
 import org.parsleymoor.core.RegionId
 import org.parsleymoor.core.RequestId
 import org.parsleymoor.entry.callers.CallerRequest
-import org.parsleymoor.relay.placement.PlaceRequest
+import org.parsleymoor.relay.placement.PlacementQuery
 import org.parsleymoor.relay.prompt.PromptContext
 import org.parsleymoor.relay.routing.Organisation
 import org.parsleymoor.relay.routing.RequestKind
@@ -82,14 +82,14 @@
         get() = listOf(route.allowedRegions, organisation?.allowedRegions.orEmpty()).filter { it.isNotEmpty() }
 
     /** Describes the request for the choice of its endpoint at [nowMillis]. */
-    fun placeRequest(nowMillis: Long): PlaceRequest = PlaceRequest(
+    fun placeRequest(nowMillis: Long): PlacementQuery = PlacementQuery(
         service = service.name,
         allowedRegions = allowedRegions,
         tried = tried,
         remainingMillis = limitMillis - nowMillis,
         objectiveMillis = route.objectiveMillis,
         urgency = urgency,
-        returning = caller.waitMillis < route.timeoutMillis * RETURNING_SHARE,
+        isRetry = caller.waitMillis < route.timeoutMillis * RETURNING_SHARE,
     )
 
     private companion object {
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
@@ -34,15 +34,15 @@
 import org.parsleymoor.entry.serving.StopState
 import org.parsleymoor.relay.fleet.EndpointEntry
 import org.parsleymoor.relay.fleet.SocketAddress
-import org.parsleymoor.relay.limits.RetryBound
+import org.parsleymoor.relay.limits.RetryLimit
 import org.parsleymoor.relay.limits.SharedRetryBudget
 import org.parsleymoor.relay.routing.CallerLimits
 import org.parsleymoor.relay.routing.Organisation
 import org.parsleymoor.relay.routing.RequestKind
 import org.parsleymoor.relay.routing.Route
 import org.parsleymoor.relay.routing.RouteTable
+import org.parsleymoor.relay.routing.RouteTarget
 import org.parsleymoor.relay.routing.Service
-import org.parsleymoor.relay.routing.ServiceShare
 import org.parsleymoor.relay.routing.ServingConfiguration
 import java.io.OutputStream
 import java.io.PrintStream
@@ -75,7 +75,7 @@
         val context = ServingContext(beliefs, log, EntryMetrics(), Clock.System, lag)
         val refusals = Refusals(TestProtocol, log, context.metrics)
         val pool = ConnectionPool(vertx.createNetClient(), Clock.System)
-        val budget = SharedRetryBudget(RetryBound(share = 1.0, extra = 100.0, windowMillis = 10_000))
+        val budget = SharedRetryBudget(RetryLimit(share = 1.0, extra = 100.0, windowMillis = 10_000))
         val delivery = Delivery(
             context,
             Placer(settings(), beliefs, Clock.System),
@@ -118,7 +118,7 @@
             listen = ListenAddresses(address, address, address, address),
             objectStore = address,
             times = EntryTimes(graceMillis = 8_000, leaseMillis = 3_000, weightsMillis = 10_000, applyMillis = 5_000),
-            retries = RetryBound(share = 1.0, extra = 100.0, windowMillis = 10_000),
+            retries = RetryLimit(share = 1.0, extra = 100.0, windowMillis = 10_000),
             cold = ColdAllowance(overage = 1.5, slack = 5.0),
         )
     }
@@ -145,7 +145,7 @@
                 host = "h",
                 pathPrefix = "/r/",
                 kind = kind,
-                targets = listOf(ServiceShare("s", 1.0)),
+                targets = listOf(RouteTarget("s", 1.0)),
                 timeoutMillis = timeoutMillis,
                 objectiveMillis = 1_000,
                 attempts = attempts,
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/SharedBeliefsTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/SharedBeliefsTest.kt
@@ -11,14 +11,14 @@
 import org.parsleymoor.entry.serving.Beliefs
 import org.parsleymoor.entry.serving.oldestWeights
 import org.parsleymoor.relay.cache.ContextKey
-import org.parsleymoor.relay.exchange.News
-import org.parsleymoor.relay.exchange.PassOn
+import org.parsleymoor.relay.exchange.ForwardScope
+import org.parsleymoor.relay.exchange.PeerUpdate
 import org.parsleymoor.relay.fleet.EndpointEntry
 import org.parsleymoor.relay.fleet.EngineLoad
 import org.parsleymoor.relay.fleet.SentPrompt
 import org.parsleymoor.relay.fleet.SocketAddress
 import org.parsleymoor.relay.routing.CallerLimits
-import org.parsleymoor.relay.routing.EngineTraits
+import org.parsleymoor.relay.routing.EngineSpec
 import org.parsleymoor.relay.routing.RouteTable
 import org.parsleymoor.relay.routing.Service
 import org.parsleymoor.relay.routing.ServingConfiguration
@@ -36,7 +36,7 @@
     fun `the weights of an engine reach an instance with the load that a peer has read`() {
         val engine = engine("e", weights = 1)
         val load = EngineLoad(1, 0, 0, memoryUsed = 10, memoryTotal = 100, atMillis = 1_000)
-        told(News.Load(engine, load, mapOf(model to 2L)), sentMillis = 1_050, arrivedMillis = 5_000)
+        told(PeerUpdate.Load(engine, load, mapOf(model to 2L)), sentMillis = 1_050, arrivedMillis = 5_000)
         expectThat(beliefs.endpoints[engine]?.weights(model)).isEqualTo(2L)
         expectThat(beliefs.endpoints[engine]?.engineLoad?.atMillis).isEqualTo(4_950L)
     }
@@ -45,10 +45,10 @@
     fun `a context that a peer has sent to an engine is expected there`() {
         val engine = engine("e", weights = 1)
         val key = ContextKey.of("space", "part")
-        val prompt = SentPrompt(atMillis = 950, tokens = 100, tokensToRead = 100, context = key)
-        told(News.Sent(InstanceId("peer"), engine, prompt), sentMillis = 1_000, arrivedMillis = 1_000)
+        val prompt = SentPrompt(atMillis = 950, tokens = 100, prefillTokens = 100, context = key)
+        told(PeerUpdate.Sent(InstanceId("peer"), engine, prompt), sentMillis = 1_000, arrivedMillis = 1_000)
         val state = beliefs.endpoints[engine]!!
-        expectThat(beliefs.contexts.heldShare(key, state.start, 1_000)).isGreaterThan(0.5)
+        expectThat(beliefs.contexts.cachedProbability(key, state.incarnation, 1_000)).isGreaterThan(0.5)
     }
 
     // A report that was read before a rollout ended may arrive after it, and prompts would expect the older weights.
@@ -56,9 +56,9 @@
     fun `weights that a peer read earlier do not replace newer ones`() {
         val engine = engine("e", weights = 1)
         val load = EngineLoad(1, 0, 0, memoryUsed = 10, memoryTotal = 100, atMillis = 1_000)
-        told(News.Load(engine, load, mapOf(model to 3L)), sentMillis = 1_000, arrivedMillis = 1_010)
+        told(PeerUpdate.Load(engine, load, mapOf(model to 3L)), sentMillis = 1_000, arrivedMillis = 1_010)
         told(
-            News.Load(engine, load.copy(atMillis = 900), mapOf(model to 2L)),
+            PeerUpdate.Load(engine, load.copy(atMillis = 900), mapOf(model to 2L)),
             sentMillis = 1_000,
             arrivedMillis = 1_020
         )
@@ -70,9 +70,11 @@
     fun `a prompt that comes back from a hub is not counted again`() {
         val engine = engine("e", weights = 1)
         val key = ContextKey.of("space", "part")
-        val prompt = SentPrompt(atMillis = 950, tokens = 100, tokensToRead = 100, context = key)
-        told(News.Sent(beliefs.self, engine, prompt), sentMillis = 1_000, arrivedMillis = 1_000)
-        expectThat(beliefs.contexts.heldShare(key, beliefs.endpoints[engine]!!.start, 1_000)).isEqualTo(0.0)
+        val prompt = SentPrompt(atMillis = 950, tokens = 100, prefillTokens = 100, context = key)
+        told(PeerUpdate.Sent(beliefs.self, engine, prompt), sentMillis = 1_000, arrivedMillis = 1_000)
+        expectThat(
+            beliefs.contexts.cachedProbability(key, beliefs.endpoints[engine]!!.incarnation, 1_000)
+        ).isEqualTo(0.0)
     }
 
     // Parts are freed that are older than these weights: a guess would free what an engine still fetches.
@@ -85,8 +87,8 @@
         expectThat(beliefs.oldestWeights(model)).isNull()
     }
 
-    private fun told(news: News, sentMillis: Long, arrivedMillis: Long) {
-        listOf(news).toMessage(PassOn.NOBODY, sentMillis).news(arrivedMillis)
+    private fun told(news: PeerUpdate, sentMillis: Long, arrivedMillis: Long) {
+        listOf(news).toMessage(ForwardScope.NOBODY, sentMillis).news(arrivedMillis)
             .forEach { beliefs.learn(it, arrivedMillis) }
     }
 
@@ -113,7 +115,7 @@
                 connectionLimit = 10,
                 coldMillis = 0,
                 coldRequestsPerSecond = 0.0,
-                engine = EngineTraits(slots = 64, cacheTokens = 1_000, tokenBytes = 1, models = listOf("m")),
+                engine = EngineSpec(slots = 64, cacheTokens = 1_000, tokenBytes = 1, models = listOf("m")),
             ),
         ),
         organisations = null,
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/SharedWatchTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/SharedWatchTest.kt
@@ -57,7 +57,8 @@
     @Test
     fun `an instance that is no longer told reads the store in time for a change to be in force`() = instances {
         memory.put(ObjectKind.WEIGHTS, "a", "1")
-        val other = instance(members.first { !Membership(it).also { own -> own.update(members) }.tree.followsStore })
+        val other =
+            instance(members.first { !Membership(it).also { own -> own.update(members) }.tree.watchesObjectStore })
         advanceTimeBy(100)
         memory.put(ObjectKind.WEIGHTS, "b", "1")
         advanceTimeBy(APPLY_MILLIS - 500)
@@ -67,7 +68,8 @@
     // 95 instances that retry four kinds five times a second each pay more for an outage than for the whole day.
     @Test
     fun `while the store is away an instance that does not follow it calls less than twice a second`() = instances {
-        val other = instance(members.first { !Membership(it).also { own -> own.update(members) }.tree.followsStore })
+        val other =
+            instance(members.first { !Membership(it).also { own -> own.update(members) }.tree.watchesObjectStore })
         advanceTimeBy(100)
         memory.refuses = true
         advanceTimeBy(4_000)
@@ -83,7 +85,8 @@
     // Entries that lapsed during an outage would be dropped before their endpoints could register again.
     @Test
     fun `an instance that is told notices when the store is lost and back`() = instances {
-        val other = instance(members.first { !Membership(it).also { own -> own.update(members) }.tree.followsStore })
+        val other =
+            instance(members.first { !Membership(it).also { own -> own.update(members) }.tree.watchesObjectStore })
         advanceTimeBy(100)
         val revision = other.watch.changedRevision
         other.watch.told(revision, currentTime, lost = false)
