--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/cache/CacheStoreSelector.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/cache/CacheStoreSelector.kt
@@ -9,12 +9,12 @@
 import org.parsleymoor.relay.prompt.PromptPart
 import org.parsleymoor.relay.routing.CacheStoreSpec
 
-/** A KV cache store that may be used for a prompt. */
+/** A KV cache store and its configuration. */
 public data class CacheStore(public val address: SocketAddress, public val spec: CacheStoreSpec)
 
 /**
- * What is known of the engine's side of a transfer: its zone, the name space and the size of a token. What is saved in
- * a name space that is not [current] is of no use soon, because newer weights are named.
+ * The engine's end of a transfer: its availability zone, the cache namespace and the size of a token. The namespace is
+ * not [current] when newer weights are the target, so that parts saved in it will soon be useless.
  */
 public data class EngineCache(
     public val zone: ZoneId,
@@ -23,96 +23,99 @@
     public val current: Boolean = true,
 )
 
-/** A transfer of [tokens] between [store] and [side], to the store when [saving]. */
+/** A transfer of [tokens] from [store] to [engine], or in the other direction when [saving]. */
 public data class Transfer(
     public val store: CacheStore,
-    public val side: EngineCache,
+    public val engine: EngineCache,
     public val tokens: Long,
     public val saving: Boolean,
 )
 
 /**
- * Decides which stores an engine fetches the shared parts of a prompt from and saves them to. All instances order the
- * stores alike for the same parts, so that two of them do not save the same part to two stores.
+ * Selects the KV cache stores from which an engine fetches the shared parts of a prompt and to which it saves them. All
+ * instances rank the stores in the same order, so that the same part is not saved to two stores.
  */
 public class CacheStoreSelector(private val topology: Topology, private val directory: CacheStoreDirectory) {
     private val budget = TransferBudget()
 
-    /** Returns the time in milliseconds that [tokens] take from [store] to [side] on an idle link. */
-    public fun transferMillis(store: CacheStore, side: EngineCache, tokens: Long): Double =
-        tokens * factor(store, side) / tokensPerMilli(store, side)
+    /** Returns how long a transfer of [tokens] between [store] and [engine] takes on an idle link, in milliseconds. */
+    public fun transferMillis(store: CacheStore, engine: EngineCache, tokens: Long): Double =
+        tokens * timeFactor(store, engine) / tokensPerMilli(store, engine)
 
-    /** Returns the store that holds [part] whole and from which it arrives first. */
+    /** Returns the store that holds the complete [part] and transfers it fastest, or null when none holds it. */
     public fun fetchSource(
         part: PromptPart,
-        side: EngineCache,
+        engine: EngineCache,
         stores: List<CacheStore>,
         allowedRegions: List<Set<RegionId>>,
-    ): CacheStore? = holders(part, side.namespace, stores, allowedRegions)
-        .minByOrNull { transferMillis(it, side, part.tokens) }
+    ): CacheStore? = holders(part, engine.namespace, stores, allowedRegions)
+        .minByOrNull { transferMillis(it, engine, part.tokens) }
 
-    /** Returns those of [stores] that hold [part] of [namespace] whole and may be used in [allowedRegions]. */
+    /** Returns those of [stores] that hold the complete [part] of [namespace] and lie in [allowedRegions]. */
     public fun holders(
         part: PromptPart,
         namespace: String,
         stores: List<CacheStore>,
         allowedRegions: List<Set<RegionId>>,
     ): List<CacheStore> =
-        permitted(stores, allowedRegions).filter { directory.holds(it.address, namespace, part) }
+        allowedStores(stores, allowedRegions).filter { directory.holds(it.address, namespace, part) }
 
-    /** Returns the store to save [part] to, or null when a store of the region holds it or none has room. */
+    /**
+     * Returns the store to save [part] to, or null when the namespace is outdated, a store in the region already holds
+     * the part, or none has space.
+     */
     public fun saveTarget(
         part: PromptPart,
         prompt: PromptContext,
-        side: EngineCache,
+        engine: EngineCache,
         stores: List<CacheStore>,
         allowedRegions: List<Set<RegionId>>,
     ): CacheStore? {
-        val near = permitted(stores, allowedRegions)
-            .filter { topology.distance(it.spec.zone, side.zone) != Distance.OTHER_REGION }
-        if (!side.current || near.any { directory.holds(it.address, side.namespace, part) }) return null
-        val rooms = near.filter { hasRoom(it, prompt.sharedTokens) }
-        return rooms.minWithOrNull(compareBy({ transferMillis(it, side, part.tokens) }, { it.address.toString() }))
+        val near = allowedStores(stores, allowedRegions)
+            .filter { topology.distance(it.spec.zone, engine.zone) != Distance.OTHER_REGION }
+        if (!engine.current || near.any { directory.holds(it.address, engine.namespace, part) }) return null
+        val usable = near.filter { hasSpace(it, prompt.sharedTokens) }
+        return usable.minWithOrNull(compareBy({ transferMillis(it, engine, part.tokens) }, { it.address.toString() }))
     }
 
-    /** Takes [transfer] from the part of the store's link that each of [instances] has. */
+    /** Reserves [transfer] in this instance's share of the store's link; returns false when the share is used up. */
     public fun tryReserve(transfer: Transfer, instances: Int, nowMillis: Long): Boolean = budget.tryTake(
-        link = CacheStoreLink(transfer.store.address, tokensPerMilli(transfer.store, transfer.side), instances),
-        tokens = transfer.tokens * factor(transfer.store, transfer.side),
-        reserveShare = if (transfer.saving) SAVING_RESERVE else 0.0,
+        link = CacheStoreLink(transfer.store.address, tokensPerMilli(transfer.store, transfer.engine), instances),
+        tokens = transfer.tokens * timeFactor(transfer.store, transfer.engine),
+        reserveShare = if (transfer.saving) RESERVED_FOR_FETCHES else 0.0,
         nowMillis = nowMillis,
     )
 
-    private fun permitted(stores: List<CacheStore>, allowedRegions: List<Set<RegionId>>): List<CacheStore> =
+    private fun allowedStores(stores: List<CacheStore>, allowedRegions: List<Set<RegionId>>): List<CacheStore> =
         stores.filter { store -> allowedRegions.all { topology.isAllowed(store.spec.zone, it) } }
 
-    private fun hasRoom(store: CacheStore, tokens: Long): Boolean {
+    private fun hasSpace(store: CacheStore, tokens: Long): Boolean {
         val used = directory.summary(store.address)?.usedTokens ?: return false
         return store.spec.managed && used + tokens <= store.spec.cacheTokens * FILL_SHARE
     }
 
-    private fun factor(store: CacheStore, side: EngineCache): Double =
-        when (topology.distance(store.spec.zone, side.zone)) {
+    private fun timeFactor(store: CacheStore, engine: EngineCache): Double =
+        when (topology.distance(store.spec.zone, engine.zone)) {
             Distance.SAME_ZONE -> 1.0
             Distance.SAME_REGION -> OTHER_ZONE_FACTOR
             Distance.OTHER_REGION -> OTHER_REGION_FACTOR
         }
 
-    private fun tokensPerMilli(store: CacheStore, side: EngineCache): Double =
-        (store.spec.linkMegabits * BYTES_PER_MEGABIT_MILLI / side.tokenBytes.coerceAtLeast(1)).coerceAtLeast(1.0)
+    private fun tokensPerMilli(store: CacheStore, engine: EngineCache): Double =
+        (store.spec.linkMegabits * BYTES_PER_MEGABIT_MILLI / engine.tokenBytes.coerceAtLeast(1)).coerceAtLeast(1.0)
 
     private companion object {
-        // Parts that are being written already have their space and are not in the directory yet.
+        // Parts that are still being written take up space already but are missing from the directory.
         const val FILL_SHARE = 0.95
 
-        // A transfer takes twice as long between zones and ten times as long between regions.
+        // A transfer takes twice as long between availability zones and ten times as long between regions.
         const val OTHER_ZONE_FACTOR = 2.0
         const val OTHER_REGION_FACTOR = 10.0
 
-        // Bytes that a link of one megabit a second carries in a millisecond.
+        // A link of one megabit per second carries this many bytes in a millisecond.
         const val BYTES_PER_MEGABIT_MILLI = 125.0
 
-        // A save that waits delays nobody, so fetches may use the last part of the link alone.
-        const val SAVING_RESERVE = 0.2
+        // Requests wait for fetches but not for saves, so saves may not use the last part of the link's budget.
+        const val RESERVED_FOR_FETCHES = 0.2
     }
 }
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/cache/EngineClock.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/cache/EngineClock.kt
@@ -1,33 +1,36 @@
 package org.parsleymoor.relay.cache
 
 /**
- * The clock that all engines share, as this instance knows it from their reports. It is read between the question and
- * the answer of a report, so only quick reports tell it well. Not safe for use from several threads.
+ * Estimates the clock that all engines share from the readings in their load reports. An engine reads the clock at some
+ * time between the poll and its response, so only quick responses are used. Not thread-safe.
  */
 public class EngineClock {
-    private var aheadMillis: Long? = null
-    private var readMillis = Long.MIN_VALUE / 2
+    private var offsetMillis: Long? = null
+    private var ownPollMillis = Long.MIN_VALUE / 2
 
-    /** Takes in a report that was asked for at [askedMillis], arrived at [answeredMillis] and showed [clockMillis]. */
+    /**
+     * Updates the estimate with [clockMillis] from a poll that this instance sent at [askedMillis] and whose response
+     * arrived at [answeredMillis].
+     */
     public fun updateFromOwnPoll(clockMillis: Long, askedMillis: Long, answeredMillis: Long) {
-        if (answeredMillis - askedMillis > SLOW_MILLIS) return
-        aheadMillis = clockMillis - (askedMillis + answeredMillis) / 2
-        readMillis = answeredMillis
+        if (answeredMillis - askedMillis > MAX_ROUND_TRIP_MILLIS) return
+        offsetMillis = clockMillis - (askedMillis + answeredMillis) / 2
+        ownPollMillis = answeredMillis
     }
 
-    /** Takes in that a peer's report showed [clockMillis] at [atMillis], which is less exact than a recent own one. */
+    /** Updates the estimate with a peer's reading at [atMillis], unless this instance has a recent, more exact one. */
     public fun updateFromPeer(clockMillis: Long, atMillis: Long, nowMillis: Long) {
-        if (nowMillis - readMillis >= OWN_LIFE_MILLIS) aheadMillis = clockMillis - atMillis
+        if (nowMillis - ownPollMillis >= OWN_READING_LIFE_MILLIS) offsetMillis = clockMillis - atMillis
     }
 
-    /** Returns what the engines' clock shows at [millis] of this instance's clock, or null when it is unknown. */
-    public fun at(millis: Long): Long? = aheadMillis?.let { millis + it }
+    /** Converts [millis] of this instance's clock to the engines' clock, or returns null when the latter is unknown. */
+    public fun at(millis: Long): Long? = offsetMillis?.let { millis + it }
 
     private companion object {
-        // Twice the round trip between regions; the error is at most half of this.
-        const val SLOW_MILLIS = 100L
+        // Twice the round trip between regions; the estimate is off by at most half of this.
+        const val MAX_ROUND_TRIP_MILLIS = 100L
 
-        // A suspension moves the two clocks apart; after this time a peer's report is the better guess.
-        const val OWN_LIFE_MILLIS = 1_000L
+        // A suspended machine falls behind the engines' clock, after which a peer's reading is the better estimate.
+        const val OWN_READING_LIFE_MILLIS = 1_000L
     }
 }
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/cache/RecentContexts.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/cache/RecentContexts.kt
@@ -4,29 +4,29 @@
 import org.parsleymoor.core.stableHash
 import kotlin.math.exp
 
-/** Names a shared context in one name space, in the 64 bits that peers exchange. */
+/** Identifies a shared context within a cache namespace by a 64-bit hash, which peers exchange. */
 @JvmInline
 public value class ContextKey(public val hash: Long) {
     public companion object {
-        /** Returns the key of the context that ends with [part] in [namespace]. */
+        /** Returns the key of the context in [namespace] whose last part is [part]. */
         public fun of(namespace: String, part: String): ContextKey = ContextKey("$namespace $part".stableHash())
     }
 }
 
-/** One start of an engine: it holds nothing of what an earlier start of [endpoint] has read. */
+/** One start of an engine; its cache holds nothing from earlier starts of [endpoint]. */
 public data class EngineIncarnation(public val endpoint: EndpointId, public val startMillis: Long?)
 
 /**
- * Which engines were given a shared context lately, by this instance and its peers. An engine keeps the parts of a
- * prompt in memory while the prompt runs, and afterwards until other work needs the space. At most [capacity] contexts
- * are known. Not safe for use from several threads.
+ * Tracks which engines recently received a shared context, from this instance or its peers. An engine keeps the parts
+ * of a prompt in memory while its request runs, and afterwards until other requests need the space. Keeps the
+ * [capacity] most recently used contexts. Not thread-safe.
  */
 public class RecentContexts(private val capacity: Int = DEFAULT_CAPACITY) {
     private val contexts = LinkedHashMap<ContextKey, HashMap<EngineIncarnation, Long>>()
 
-    /** Notes that [engine] was given a prompt with [context] at [atMillis]. */
+    /** Records that [engine] was sent a prompt with [context] at [atMillis]. */
     public fun record(context: ContextKey, engine: EngineIncarnation, atMillis: Long) {
-        // A context that is used again moves to the end, so that the first is the one unused for longest.
+        // Moves a context that is used again to the end, so that the first is the least recently used.
         val engines = contexts.remove(context) ?: HashMap()
         engines.merge(engine, atMillis, ::maxOf)
         engines.values.removeAll { atMillis - it > LIFE_MILLIS }
@@ -34,22 +34,22 @@
         if (contexts.size > capacity) contexts -= contexts.keys.first()
     }
 
-    /** Returns how likely [engine] still holds [context] at [nowMillis], 0 to 1. */
+    /** Returns the probability, 0 to 1, that [engine] still holds [context] at [nowMillis]. */
     public fun cachedProbability(context: ContextKey, engine: EngineIncarnation, nowMillis: Long): Double {
         val atMillis = contexts[context]?.get(engine) ?: return 0.0
         val idleMillis = nowMillis - atMillis - RUN_MILLIS
-        return if (idleMillis <= 0) RUNNING_SHARE else RUNNING_SHARE * exp(-idleMillis / RETENTION_MILLIS)
+        return if (idleMillis <= 0) RUNNING_PROBABILITY else RUNNING_PROBABILITY * exp(-idleMillis / RETENTION_MILLIS)
     }
 
     private companion object {
-        // Ten times the contexts that the data sheets of today's deployments name.
+        // Ten times the number of contexts in the data sheets of the present deployments.
         const val DEFAULT_CAPACITY = 8_192
 
-        // Runs of long prompts take three seconds under load, during which their parts cannot be dropped.
+        // Requests with long prompts run for three seconds under load, during which their parts cannot be evicted.
         const val RUN_MILLIS = 3_000L
 
-        // A run may end early or fail, and its parts with it.
-        const val RUNNING_SHARE = 0.9
+        // A request may end early or fail, and its parts with it.
+        const val RUNNING_PROBABILITY = 0.9
 
         // Under load an engine fills its memory with other prompts in about this time.
         const val RETENTION_MILLIS = 4_000.0
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/exchange/Member.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/exchange/Member.kt
@@ -3,7 +3,7 @@
 import org.parsleymoor.core.InstanceId
 import org.parsleymoor.core.ZoneId
 
-/** An instance that runs: where it listens for peers, its availability zone, and its processor share in cores. */
+/** A running instance: the address on which it accepts peers, its availability zone and its processors in cores. */
 public data class Member(
     public val id: InstanceId,
     public val address: String,
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/exchange/PeerUpdate.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/exchange/PeerUpdate.kt
@@ -8,9 +8,9 @@
 import org.parsleymoor.relay.fleet.SentPrompt
 import org.parsleymoor.relay.fleet.SocketAddress
 
-/** What instances tell each other. Times are on the clock of the instance that holds the news. */
+/** Information that instances share. Times are on the clock of the instance that holds the update. */
 public sealed interface PeerUpdate {
-    /** An engine reported [load] and [weights]; [clockMillis] is what the engines' clock showed at that time. */
+    /** An engine reported [load] and [weights]; [clockMillis] is the reading of the engines' clock at that time. */
     public data class Load(
         public val endpoint: EndpointId,
         public val load: EngineLoad,
@@ -18,24 +18,24 @@
         public val clockMillis: Long? = null,
     ) : PeerUpdate
 
-    /** An engine that was asked at [atMillis] did not report. */
+    /** An engine did not respond to a load poll sent at [atMillis]. */
     public data class Unresponsive(public val endpoint: EndpointId, public val atMillis: Long) : PeerUpdate
 
-    /** [origin] sent [prompt] to an engine. */
+    /** The instance [origin] sent [prompt] to an engine. */
     public data class Sent(
         public val origin: InstanceId,
         public val endpoint: EndpointId,
         public val prompt: SentPrompt,
     ) : PeerUpdate
 
-    /** An engine is being given orders by [holder], or is no longer when not [active]. */
+    /** The lease holder [holder] is ordering an engine to load weights, or has finished when not [active]. */
     public data class Ordered(
         public val holder: InstanceId,
         public val endpoint: EndpointId,
         public val active: Boolean,
     ) : PeerUpdate
 
-    /** A KV cache store that started as [epoch] reported [changes] between two positions of its events. */
+    /** A KV cache store reported [changes] in its events after [from] up to [to], in its current [epoch]. */
     public data class CacheStoreEvents(
         public val store: SocketAddress,
         public val epoch: Long,
@@ -44,6 +44,6 @@
         public val changes: List<CacheStoreChange>,
     ) : PeerUpdate
 
-    /** A KV cache store does not answer. */
+    /** A KV cache store does not respond. */
     public data class CacheStoreUnreachable(public val store: SocketAddress) : PeerUpdate
 }
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/exchange/PeerUpdateQueue.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/exchange/PeerUpdateQueue.kt
@@ -1,79 +1,78 @@
 package org.parsleymoor.relay.exchange
 
-/** How far the receiver of news passes them on. */
+/** How far the receiver of an update forwards it. */
 public enum class ForwardScope {
-    /** To its availability zone and to a hub of each other zone. */
+    /** To the instances in its availability zone and to one hub in each other zone. */
     EVERYWHERE,
 
-    /** To its availability zone. */
+    /** To the instances in its availability zone. */
     ZONE,
 
-    /** To nobody. */
+    /** Not at all. */
     NOBODY,
 }
 
 /**
- * News that wait to be told. Later news of the same matter replace earlier ones, and of each kind at most
- * [KEPT_NEWS] wait, so that an instance without connections does not fill its memory. Not safe for use from several
- * threads.
+ * Updates that wait to be sent, by the scope in which their receivers forward them. A newer load report, unanswered
+ * poll or order replaces an earlier one about the same engine. Of the other updates the newest [MAX_QUEUED_UPDATES] in
+ * each scope are kept, so that an instance without connections does not run out of memory. Not thread-safe.
  */
 public class PeerUpdateQueue {
-    private val boxes = ForwardScope.entries.associateWith { Box() }
+    private val queues = ForwardScope.entries.associateWith { Queue() }
 
-    /** Adds what this instance has learned itself. */
-    public fun addLocal(news: PeerUpdate, tree: PeerTree, nowMillis: Long) {
+    /** Adds an update that this instance originates. */
+    public fun addLocal(update: PeerUpdate, tree: PeerTree, nowMillis: Long) {
         when {
-            tree.direct -> add(news, ForwardScope.NOBODY)
-            tree.isHub(nowMillis) -> passOn(news, ForwardScope.EVERYWHERE)
-            else -> add(news, ForwardScope.EVERYWHERE)
+            tree.direct -> add(update, ForwardScope.NOBODY)
+            tree.isHub(nowMillis) -> passOn(update, ForwardScope.EVERYWHERE)
+            else -> add(update, ForwardScope.EVERYWHERE)
         }
     }
 
-    /** Adds what a peer told with [passOn], as far as it has to be passed on. */
-    public fun passOn(news: PeerUpdate, passOn: ForwardScope) {
-        when (passOn) {
+    /** Adds an update that a peer sent with [scope], if it has to be forwarded. */
+    public fun passOn(update: PeerUpdate, scope: ForwardScope) {
+        when (scope) {
             ForwardScope.EVERYWHERE -> {
-                add(news, ForwardScope.ZONE)
-                add(news, ForwardScope.NOBODY)
+                add(update, ForwardScope.ZONE)
+                add(update, ForwardScope.NOBODY)
             }
-            ForwardScope.ZONE -> add(news, ForwardScope.NOBODY)
+            ForwardScope.ZONE -> add(update, ForwardScope.NOBODY)
             ForwardScope.NOBODY -> Unit
         }
     }
 
-    /** Takes out the news that are told with [passOn]. */
-    public fun take(passOn: ForwardScope): List<PeerUpdate> = boxes.getValue(passOn).take()
+    /** Removes and returns the updates that are sent with [scope]. */
+    public fun take(scope: ForwardScope): List<PeerUpdate> = queues.getValue(scope).take()
 
-    private fun add(news: PeerUpdate, passOn: ForwardScope) {
-        boxes.getValue(passOn).add(news)
+    private fun add(update: PeerUpdate, scope: ForwardScope) {
+        queues.getValue(scope).add(update)
     }
 
-    private class Box {
-        private val newest = LinkedHashMap<Any, PeerUpdate>()
-        private val all = ArrayDeque<PeerUpdate>()
+    private class Queue {
+        private val newestByEngine = LinkedHashMap<Any, PeerUpdate>()
+        private val others = ArrayDeque<PeerUpdate>()
 
-        fun add(news: PeerUpdate) {
-            when (news) {
-                is PeerUpdate.Load -> newest[news.endpoint to PeerUpdate.Load::class] = news
-                is PeerUpdate.Unresponsive -> newest[news.endpoint to PeerUpdate.Unresponsive::class] = news
-                is PeerUpdate.Ordered -> newest[news.endpoint to PeerUpdate.Ordered::class] = news
-                is PeerUpdate.Sent, is PeerUpdate.CacheStoreEvents, is PeerUpdate.CacheStoreUnreachable -> all.addLast(
-                    news
-                )
+        fun add(update: PeerUpdate) {
+            when (update) {
+                is PeerUpdate.Load -> newestByEngine[update.endpoint to PeerUpdate.Load::class] = update
+                is PeerUpdate.Unresponsive -> newestByEngine[update.endpoint to PeerUpdate.Unresponsive::class] = update
+                is PeerUpdate.Ordered -> newestByEngine[update.endpoint to PeerUpdate.Ordered::class] = update
+                is PeerUpdate.Sent, is PeerUpdate.CacheStoreEvents, is PeerUpdate.CacheStoreUnreachable ->
+                    others.addLast(update)
             }
-            while (all.size > KEPT_NEWS) all.removeFirst()
+            while (others.size > MAX_QUEUED_UPDATES) others.removeFirst()
         }
 
         fun take(): List<PeerUpdate> {
-            val taken = newest.values + all
-            newest.clear()
-            all.clear()
+            val taken = newestByEngine.values + others
+            newestByEngine.clear()
+            others.clear()
             return taken
         }
     }
 
     private companion object {
-        // All prompts and store events of several seconds at hundreds of requests a second.
-        const val KEPT_NEWS = 2_000
+        // Holds the prompts and store events of several seconds at hundreds of requests per second.
+        const val MAX_QUEUED_UPDATES = 2_000
     }
 }
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/exchange/ReaderRanking.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/exchange/ReaderRanking.kt
@@ -4,54 +4,54 @@
 import org.parsleymoor.core.rendezvousOrder
 
 /**
- * The order in which the instances read a source that all of them need: the load of an engine, or the events of a KV
- * cache store. Instances in the availability zone of the source come first. One instance reads and tells the others;
- * each of the others reads only after it has heard nothing for its own, longer wait, so no message is needed to agree.
- * Not safe for use from several threads.
+ * Ranks the instances as readers of a source that all of them need: the load of an engine, or the events of a KV cache
+ * store. Instances in the availability zone of the source rank first. The first instance reads and shares the result;
+ * each of the others reads only after it has received nothing for a delay that increases with its rank, so that no
+ * messages are needed to agree on a reader. Not thread-safe.
  */
 public class ReaderRanking(private val self: Member) {
     private var members: Set<Member> = setOf(self)
-    private val positions = HashMap<String, Position>()
+    private val ranks = HashMap<String, Rank>()
 
-    /** Takes in the instances that run. */
+    /** Replaces the set of running instances. */
     public fun update(members: Collection<Member>) {
         val updated = members.toSet() + self
         if (updated == this.members) return
         this.members = updated
-        positions.clear()
+        ranks.clear()
     }
 
-    /** This instance's place in the order for [source] in [zone], 0 first. */
-    public fun rank(source: String, zone: ZoneId): Int = position(source, zone).rank
+    /** Returns the rank of this instance, 0 first, for [source] in [zone]. */
+    public fun rank(source: String, zone: ZoneId): Int = rankOf(source, zone).rank
 
-    /** How much longer than the first this instance waits for news of [source] in [zone], in milliseconds. */
-    public fun waitMillis(source: String, zone: ZoneId): Long = position(source, zone).waitMillis
+    /** Returns how much longer than the first reader this instance waits for updates from [source] in [zone]. */
+    public fun takeoverDelayMillis(source: String, zone: ZoneId): Long = rankOf(source, zone).takeoverDelayMillis
 
-    private fun position(source: String, zone: ZoneId): Position = positions.getOrPut(source) {
+    private fun rankOf(source: String, zone: ZoneId): Rank = ranks.getOrPut(source) {
         val (near, far) = members.partition { it.zone == zone }
-        val outside = minOf(near.size, MOST_NEAR_TURNS) * NEAR_TURN_MILLIS
+        val nearDelayMillis = minOf(near.size, MAX_NEAR_STEPS) * NEAR_DELAY_STEP_MILLIS
         if (self.zone == zone) {
             val rank = rank(source, near)
-            Position(rank, minOf(rank, MOST_NEAR_TURNS) * NEAR_TURN_MILLIS)
+            Rank(rank, minOf(rank, MAX_NEAR_STEPS) * NEAR_DELAY_STEP_MILLIS)
         } else {
             val rank = rank(source, far)
-            Position(near.size + rank, outside + rank * FAR_TURN_MILLIS)
+            Rank(near.size + rank, nearDelayMillis + rank * FAR_DELAY_STEP_MILLIS)
         }
     }
 
     private fun rank(source: String, among: List<Member>): Int =
         rendezvousOrder(source, among) { it.id.value }.indexOfFirst { it.id == self.id }
 
-    private class Position(val rank: Int, val waitMillis: Long)
+    private class Rank(val rank: Int, val takeoverDelayMillis: Long)
 
     private companion object {
-        // News of the source reach every instance within this time, also through two hubs.
-        const val NEAR_TURN_MILLIS = 400L
+        // An update reaches every instance within this time, even through two hubs.
+        const val NEAR_DELAY_STEP_MILLIS = 400L
 
-        // Beyond this number of silent instances the zone is taken to have none that can read.
-        const val MOST_NEAR_TURNS = 7
+        // After this many silent instances, no instance in the zone is expected to be able to read.
+        const val MAX_NEAR_STEPS = 7
 
-        // A few instances elsewhere read before they hear of each other when a whole zone falls silent.
-        const val FAR_TURN_MILLIS = 60L
+        // Shorter than an update takes: when a whole zone falls silent, a few instances in other zones read at once.
+        const val FAR_DELAY_STEP_MILLIS = 60L
     }
 }
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointEntry.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointEntry.kt
@@ -20,7 +20,10 @@
     }
 }
 
-/** What an endpoint says of itself in the discovery list; [coldMillis] is how much longer it bears little load. */
+/**
+ * What an endpoint registers in the discovery list. [coldMillis] is how much longer it is cold, that is, can take only
+ * little load after a start; [startMillis] tells one start of the endpoint from another.
+ */
 public data class EndpointEntry(
     public val id: EndpointId,
     public val service: String,
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointLoad.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointLoad.kt
@@ -2,7 +2,7 @@
 
 import org.parsleymoor.relay.cache.ContextKey
 
-/** Load that an endpoint has reported with a response, as of [atMillis]. */
+/** Load that an endpoint reported in the headers of a response that arrived at [atMillis]. */
 public data class ReportedLoad(
     public val running: Int,
     public val waiting: Int,
@@ -10,7 +10,10 @@
     public val atMillis: Long,
 )
 
-/** Load of an engine as of [atMillis]: [prefilling] of the [running] have no token yet; memory is in tokens. */
+/**
+ * Load of an engine at [atMillis]. [prefilling] of the [running] requests have produced no token yet; memory is counted
+ * in tokens.
+ */
 public data class EngineLoad(
     public val running: Int,
     public val waiting: Int,
@@ -20,7 +23,10 @@
     public val atMillis: Long,
 )
 
-/** A prompt that an instance sent to an engine: the [tokens] it needs in memory, those to be read, its shared parts. */
+/**
+ * A prompt that an instance sent to an engine. It needs [tokens] of memory, and [prefillTokens] of them have to be
+ * computed; [context] identifies its shared parts.
+ */
 public data class SentPrompt(
     public val atMillis: Long,
     public val tokens: Long,
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointState.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointState.kt
@@ -3,44 +3,44 @@
 import org.parsleymoor.core.ModelId
 import org.parsleymoor.relay.cache.EngineIncarnation
 
-/** What this instance believes of one endpoint, with the work that it has under way there itself. */
+/** This instance's view of one endpoint, including the requests that it has in flight there. */
 public class EndpointState internal constructor(entry: EndpointEntry, nowMillis: Long) {
-    /** The newest entry of the discovery list. */
+    /** The newest entry of the endpoint in the discovery list. */
     public var entry: EndpointEntry = entry
         private set
 
-    /** The start of the engine that [entry] describes. */
+    /** The start of the engine that [entry] belongs to. */
     public val incarnation: EngineIncarnation get() = EngineIncarnation(entry.id, entry.startMillis)
 
-    /** When [entry] was received. */
+    /** When this instance received [entry]. */
     public var entryReceivedMillis: Long = nowMillis
         private set
 
-    /** When this start of the endpoint was first heard of. */
+    /** When this instance first saw the current start of the endpoint. */
     public var firstSeenMillis: Long = nowMillis
         private set
 
-    /** When an engine was last asked for its load without answering, by this instance or one of its peers. */
+    /** When the newest unanswered load poll of this instance or a peer was sent. */
     public var unansweredPollMillis: Long = Long.MIN_VALUE / 2
         internal set
 
-    /** Until when the endpoint counts as cold. */
+    /** When the endpoint stops being cold. */
     public var coldUntilMillis: Long = nowMillis
         private set
 
-    /** Since when the entry is missing after an interruption of the list, or null. */
+    /** When the entry was found missing during or after an outage of the discovery list, or null. */
     public var missingSinceMillis: Long? = null
         internal set
 
-    /** Requests of this instance that the endpoint has not answered completely. */
+    /** Number of this instance's requests that the endpoint has not answered completely. */
     public var inFlight: Int = 0
         private set
 
-    /** Prompt tokens of those requests that have not produced their first event. */
+    /** Prompt tokens of the [inFlight] requests that have not produced their first event. */
     public var tokensInFlight: Long = 0
         private set
 
-    /** The last load that the endpoint reported. */
+    /** The last load that the endpoint reported in response headers. */
     public var load: ReportedLoad? = null
 
     /** When the endpoint last sent anything in response to a request of this instance. */
@@ -49,26 +49,26 @@
     /** When the endpoint last refused a request. */
     public var refusedMillis: Long = Long.MIN_VALUE
 
-    /** The last load that the engine reported to this instance or one of its peers. */
+    /** The newest load that the engine reported to a poll by this instance or a peer. */
     public var engineLoad: EngineLoad? = null
         private set
 
     internal val sentPrompts = ArrayDeque<SentPrompt>()
 
-    /** Takes in a newer [load]; returns whether it is newer than the known one. */
+    /** Replaces the known engine load if [load] is newer; returns whether it is. */
     public fun learnLoad(load: EngineLoad): Boolean {
-        val newer = load.atMillis > (engineLoad?.atMillis ?: Long.MIN_VALUE)
-        if (newer) engineLoad = load
-        return newer
+        val isNewer = load.atMillis > (engineLoad?.atMillis ?: Long.MIN_VALUE)
+        if (isNewer) engineLoad = load
+        return isNewer
     }
 
-    /** Notes a prompt that this instance or a peer has sent to the engine. */
+    /** Records a prompt that this instance or a peer sent to the engine. */
     public fun recordSentPrompt(prompt: SentPrompt) {
         sentPrompts.addLast(prompt)
-        while (sentPrompts.size > KEPT_PROMPTS) sentPrompts.removeFirst()
+        while (sentPrompts.size > MAX_SENT_PROMPTS) sentPrompts.removeFirst()
     }
 
-    /** Until when the endpoint is expected to carry out an order, for which it refuses new requests. */
+    /** When the endpoint is expected to finish its order to load weights; until then it refuses new requests. */
     public var orderedUntilMillis: Long = Long.MIN_VALUE
 
     internal val health = EndpointHealth()
@@ -93,36 +93,36 @@
         if (entry.coldMillis > 0) becomeCold(entry.coldMillis, nowMillis)
     }
 
-    /** Counts a request with [tokens] prompt tokens that this instance sends here. */
+    /** Counts a request with [tokens] prompt tokens that this instance sends to the endpoint. */
     public fun requestStarted(tokens: Long) {
         inFlight++
         tokensInFlight += tokens
     }
 
-    /** Notes that [tokens] prompt tokens are read, because the first event arrived or the request ended. */
+    /** Subtracts the [tokens] of a prompt whose first event arrived or whose request ended. */
     public fun prefillEnded(tokens: Long) {
         tokensInFlight -= tokens
     }
 
-    /** Counts the end of a request. */
+    /** Counts the end of one of this instance's requests. */
     public fun requestEnded() {
         inFlight--
     }
 
-    /** Notes that the endpoint said it stays cold for [millis]. */
+    /** Records that the endpoint reported that it stays cold for another [millis]. */
     public fun becomeCold(millis: Long, nowMillis: Long) {
         coldUntilMillis = maxOf(coldUntilMillis, nowMillis + millis)
     }
 
-    /** Whether the endpoint counts as cold at [nowMillis]. */
+    /** Returns whether the endpoint is cold at [nowMillis]. */
     public fun isCold(nowMillis: Long): Boolean = nowMillis < coldUntilMillis
 
-    /** Notes that the endpoint answered with [version] of [model]; what a peer read earlier may arrive later. */
+    /** Records that the endpoint has [version] of [model]; a peer's older report that arrives late changes nothing. */
     public fun learnWeights(model: ModelId, version: Long) {
         learnedWeights.merge(model, version, ::maxOf)
     }
 
-    /** The newest version of [model] that the endpoint is known to have; versions of a model only increase. */
+    /** Returns the newest version of [model] that the endpoint is known to have; versions only increase. */
     public fun weights(model: ModelId): Long? =
         listOfNotNull(entry.weights[model], learnedWeights[model]).maxOrNull()
 
@@ -131,16 +131,16 @@
         get() = (entry.weights.keys + learnedWeights.keys).associateWith { weights(it) ?: 0 }
 
     private companion object {
-        // More than all instances send to one engine between two reports.
-        const val KEPT_PROMPTS = 128
+        // More than all instances together send to one engine between two load reports.
+        const val MAX_SENT_PROMPTS = 128
     }
 }
 
-/** Prompts that were sent after [sinceMillis], which a report of that time does not show. */
+/** Returns the prompts that were sent after [sinceMillis] and so are missing from a load report of that time. */
 internal fun EndpointState.sentPromptsSince(sinceMillis: Long): List<SentPrompt> =
     sentPrompts.filter { it.atMillis > sinceMillis }
 
-/** Notes that the engine did not answer a question of [askedMillis]. */
-public fun EndpointState.recordUnansweredPoll(askedMillis: Long) {
-    unansweredPollMillis = maxOf(unansweredPollMillis, askedMillis)
+/** Records that the engine did not answer a load poll sent at [sentMillis]. */
+public fun EndpointState.recordUnansweredPoll(sentMillis: Long) {
+    unansweredPollMillis = maxOf(unansweredPollMillis, sentMillis)
 }
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointTable.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointTable.kt
@@ -4,67 +4,67 @@
 import org.parsleymoor.core.ZoneId
 
 /**
- * The endpoints that this instance may send work to. Entries that are missing after the list was out of reach are kept
- * for [graceMillis] from its return, because endpoints that lapsed meanwhile need that long to register again. Not safe
- * for use from several threads.
+ * The endpoints that this instance may send requests to. After an outage of the discovery list, missing entries are
+ * kept for another [graceMillis], because endpoints whose entries expired meanwhile need that long to register again.
+ * Not thread-safe.
  */
 public class EndpointTable(private val graceMillis: Long = 2_000) {
     private val states = LinkedHashMap<EndpointId, EndpointState>()
-    private var interrupted = false
+    private var listUnavailable = false
     private var graceUntilMillis = Long.MIN_VALUE
 
-    /** Availability zones that get no new work. */
+    /** Availability zones that receive no new requests. */
     public var evacuated: Set<ZoneId> = emptySet()
 
-    /** All endpoints, with those that only wait to register again. */
+    /** All endpoints, including those that are missing from the list and may register again. */
     public val all: Collection<EndpointState> get() = states.values
 
-    /** Returns the state of [id], or null. */
+    /** Returns the state of the endpoint [id], or null when it is unknown. */
     public operator fun get(id: EndpointId): EndpointState? = states[id]
 
-    /** Notes that the list cannot be read. */
+    /** Records that the discovery list cannot be read. */
     public fun markListUnavailable() {
-        interrupted = true
+        listUnavailable = true
     }
 
-    /** Notes that the list was read, or that a watch on it answered; returns whether this ended an interruption. */
+    /** Records that the discovery list was read or a watch on it answered; returns whether this ends an outage. */
     public fun markListAvailable(nowMillis: Long): Boolean {
-        val ended = interrupted
-        if (ended) graceUntilMillis = nowMillis + graceMillis
-        interrupted = false
-        return ended
+        val outageEnded = listUnavailable
+        if (outageEnded) graceUntilMillis = nowMillis + graceMillis
+        listUnavailable = false
+        return outageEnded
     }
 
-    /** Takes in a new or changed entry. */
+    /** Adds or updates an entry. */
     public fun put(entry: EndpointEntry, nowMillis: Long) {
         val state = states[entry.id]
         if (state == null) states[entry.id] = EndpointState(entry, nowMillis) else state.accept(entry, nowMillis)
     }
 
-    /** Takes in that [id] is no longer listed; returns whether it is gone at once. */
+    /** Removes [id], which is no longer listed, unless it may register again; returns whether it was removed. */
     public fun remove(id: EndpointId, nowMillis: Long): Boolean {
         val state = states[id] ?: return false
-        val mayReturn = (interrupted || nowMillis < graceUntilMillis) && !state.entry.draining
-        if (mayReturn) state.missingSinceMillis = state.missingSinceMillis ?: nowMillis else states -= id
-        return !mayReturn
+        val mayRegisterAgain = (listUnavailable || nowMillis < graceUntilMillis) && !state.entry.draining
+        if (mayRegisterAgain) state.missingSinceMillis = state.missingSinceMillis ?: nowMillis else states -= id
+        return !mayRegisterAgain
     }
 
-    /** Replaces the whole list. */
+    /** Replaces the whole list with [entries]. */
     public fun replaceAll(entries: List<EndpointEntry>, nowMillis: Long) {
         entries.forEach { put(it, nowMillis) }
         val listed = entries.map { it.id }.toSet()
         (states.keys - listed).toList().forEach { remove(it, nowMillis) }
     }
 
-    /** Drops the endpoints that did not register again in time; returns them. */
+    /** Removes and returns the endpoints that did not register again within the grace period. */
     public fun expire(nowMillis: Long): List<EndpointId> {
-        if (interrupted || nowMillis < graceUntilMillis) return emptyList()
-        val gone = states.values.filter { it.missingSinceMillis != null }.map { it.entry.id }
-        states -= gone.toSet()
-        return gone
+        if (listUnavailable || nowMillis < graceUntilMillis) return emptyList()
+        val expired = states.values.filter { it.missingSinceMillis != null }.map { it.entry.id }
+        states -= expired.toSet()
+        return expired
     }
 
-    /** Returns the endpoints of [service] that may get new work at [nowMillis]. */
+    /** Returns the endpoints of [service] that may receive new requests. */
     public fun serving(service: String): List<EndpointState> = states.values.filter {
         it.entry.service == service && !it.entry.draining && it.entry.zone !in evacuated
     }
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/http/BodyDecoder.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/http/BodyDecoder.kt
@@ -1,11 +1,10 @@
 package org.parsleymoor.relay.http
 
-/** How far a body has been read. */
+/** The progress of decoding a body. */
 public enum class BodyProgress { INCOMPLETE, COMPLETE, BROKEN }
 
 /**
- * Takes the bytes of one body out of a [ByteQueue] and removes their framing. Bytes after the body stay in the queue.
- * Not safe for use from several threads.
+ * Decodes one body from a [ByteQueue] and removes its framing. Bytes after the body stay in the queue. Not thread-safe.
  */
 public class BodyDecoder(private val framing: BodyFraming) {
     private var remaining = (framing as? BodyFraming.Length)?.bytes ?: 0
@@ -16,18 +15,18 @@
     public var progress: BodyProgress = if (isEmpty()) BodyProgress.COMPLETE else BodyProgress.INCOMPLETE
         private set
 
-    /** Consumes what [input] holds of the body and returns its content. */
+    /** Consumes the bytes of the body that [input] holds and returns their content. */
     public fun decode(input: ByteQueue): ByteArray {
         if (progress != BodyProgress.INCOMPLETE) return EMPTY
         return when (framing) {
             BodyFraming.None -> EMPTY
             BodyFraming.UntilClose -> input.take(input.size)
-            is BodyFraming.Length -> counted(input).also { if (remaining == 0L) progress = BodyProgress.COMPLETE }
-            BodyFraming.Chunked -> chunks(input)
+            is BodyFraming.Length -> takeRemaining(input).also { if (remaining == 0L) progress = BodyProgress.COMPLETE }
+            BodyFraming.Chunked -> decodeChunks(input)
         }
     }
 
-    /** Notes that the connection has ended; [orderly] is false when it was reset. */
+    /** Records the end of the connection; [orderly] is false when it was reset. */
     public fun endOfInput(orderly: Boolean) {
         if (progress != BodyProgress.INCOMPLETE) return
         progress = if (framing == BodyFraming.UntilClose && orderly) BodyProgress.COMPLETE else BodyProgress.BROKEN
@@ -36,41 +35,41 @@
     private fun isEmpty(): Boolean =
         framing == BodyFraming.None || (framing is BodyFraming.Length && framing.bytes == 0L)
 
-    private fun counted(input: ByteQueue): ByteArray {
+    private fun takeRemaining(input: ByteQueue): ByteArray {
         val taken = input.take(minOf(remaining, input.size.toLong()).toInt())
         remaining -= taken.size
         return taken
     }
 
-    private fun chunks(input: ByteQueue): ByteArray {
+    private fun decodeChunks(input: ByteQueue): ByteArray {
         var content = EMPTY
-        var moved = true
-        while (moved && progress == BodyProgress.INCOMPLETE) {
-            val before = input.size
-            if (stage == Stage.CONTENT) content += counted(input) else line(input)
+        var progressed = true
+        while (progressed && progress == BodyProgress.INCOMPLETE) {
+            val sizeBefore = input.size
+            if (stage == Stage.CONTENT) content += takeRemaining(input) else decodeLine(input)
             if (stage == Stage.CONTENT && remaining == 0L) stage = Stage.CONTENT_END
-            moved = input.size != before
+            progressed = input.size != sizeBefore
         }
         return content
     }
 
-    private fun line(input: ByteQueue) {
+    private fun decodeLine(input: ByteQueue) {
         val line = input.takeLine()
         when {
-            line == null -> if (input.size > LINE_LIMIT_BYTES) progress = BodyProgress.BROKEN
-            stage == Stage.SIZE -> size(line)
+            line == null -> if (input.size > MAX_LINE_BYTES) progress = BodyProgress.BROKEN
+            stage == Stage.SIZE -> decodeSize(line)
             stage == Stage.CONTENT_END -> if (line.isEmpty()) stage = Stage.SIZE else progress = BodyProgress.BROKEN
             line.isEmpty() -> progress = BodyProgress.COMPLETE
             else -> {
                 trailerBytes += line.length
-                if (trailerBytes > TRAILER_LIMIT_BYTES) progress = BodyProgress.BROKEN
+                if (trailerBytes > MAX_TRAILER_BYTES) progress = BodyProgress.BROKEN
             }
         }
     }
 
-    private fun size(line: String) {
+    private fun decodeSize(line: String) {
         val digits = line.substringBefore(';').trim(' ', '\t')
-        val bytes = digits.takeIf { it.length in 1..SIZE_DIGITS && it.all(::isHexDigit) }?.toLong(HEXADECIMAL)
+        val bytes = digits.takeIf { it.length in 1..MAX_SIZE_DIGITS && it.all(::isHexDigit) }?.toLong(HEXADECIMAL)
         when (bytes) {
             null -> progress = BodyProgress.BROKEN
             0L -> stage = Stage.TRAILER
@@ -87,14 +86,14 @@
         val EMPTY = ByteArray(0)
         const val HEXADECIMAL = 16
 
-        // Seven digits allow chunks of 256 MB, far over every body limit, and cannot overflow.
-        const val SIZE_DIGITS = 7
+        // Seven hexadecimal digits allow chunks of 256 MB, far above every body limit, and cannot overflow.
+        const val MAX_SIZE_DIGITS = 7
 
-        // Longest chunk extension or trailer line that is accepted.
-        const val LINE_LIMIT_BYTES = 4_096
+        // Limits a chunk's size line with its extensions, and a trailer line.
+        const val MAX_LINE_BYTES = 4_096
 
-        // As many bytes as a head may have; trailers without end never complete a body.
-        const val TRAILER_LIMIT_BYTES = 32_768
+        // Trailers without a limit could keep a body from ever completing.
+        const val MAX_TRAILER_BYTES = 32_768
 
         fun isHexDigit(char: Char): Boolean = char.isAsciiDigit() || char in 'a'..'f' || char in 'A'..'F'
     }
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/http/ByteQueue.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/http/ByteQueue.kt
@@ -1,15 +1,15 @@
 package org.parsleymoor.relay.http
 
-/** Received bytes that have not been consumed yet. Not safe for use from several threads. */
+/** A queue of received bytes that have not been consumed. Not thread-safe. */
 public class ByteQueue {
     private var bytes = ByteArray(INITIAL_BYTES)
     private var start = 0
     private var end = 0
 
-    /** Number of bytes waiting. */
+    /** The number of bytes in the queue. */
     public val size: Int get() = end - start
 
-    /** Appends [more]. */
+    /** Appends [more] at the end. */
     public fun append(more: ByteArray) {
         reserve(more.size)
         more.copyInto(bytes, end)
@@ -25,7 +25,7 @@
         return taken
     }
 
-    /** Removes and returns a line without its line break, or returns null while the line is not complete. */
+    /** Removes a line and returns it without its line break, or returns null while the line is incomplete. */
     public fun takeLine(): String? {
         val lineEnd = (start until end).firstOrNull { bytes[it] == LINE_FEED } ?: return null
         val contentEnd = if (lineEnd > start && bytes[lineEnd - 1] == CARRIAGE_RETURN) lineEnd - 1 else lineEnd
@@ -34,7 +34,7 @@
         return line
     }
 
-    /** Returns the length of the head at the front, with the empty line at its end, or null while it is incomplete. */
+    /** Returns the length of the message head at the front, including its final empty line, or null if incomplete. */
     public fun headLength(): Int? {
         for (index in start + HEAD_END.size - 1 until end) {
             if (bytes[index] == LINE_FEED && endsHead(index)) return index + 1 - start
@@ -42,11 +42,11 @@
         return null
     }
 
-    /** Drops empty lines at the front, which RFC 9112 (2.2) allows before a request; returns how many bytes. */
+    /** Removes empty lines at the front, which RFC 9112 (2.2) allows before a request; returns their size in bytes. */
     public fun skipEmptyLines(): Int {
-        val before = start
+        val startBefore = start
         while (size >= 2 && bytes[start] == CARRIAGE_RETURN && bytes[start + 1] == LINE_FEED) start += 2
-        return start - before
+        return start - startBefore
     }
 
     private fun endsHead(index: Int): Boolean =
@@ -55,7 +55,7 @@
     private fun clear() {
         start = 0
         end = 0
-        if (bytes.size > KEPT_BYTES) bytes = ByteArray(INITIAL_BYTES)
+        if (bytes.size > MAX_IDLE_BYTES) bytes = ByteArray(INITIAL_BYTES)
     }
 
     private fun reserve(count: Int) {
@@ -72,10 +72,10 @@
         const val CARRIAGE_RETURN = '\r'.code.toByte()
         val HEAD_END = "\r\n\r\n".encodeToByteArray()
 
-        // Most heads and events fit; a larger message doubles it.
+        // Fits most message heads and events; larger ones double it.
         const val INITIAL_BYTES = 2_048
 
-        // An idle connection does not keep a buffer larger than this.
-        const val KEPT_BYTES = 16_384
+        // An idle connection keeps no larger buffer than this.
+        const val MAX_IDLE_BYTES = 16_384
     }
 }
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/http/HeadParser.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/http/HeadParser.kt
@@ -6,7 +6,7 @@
 import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.map
 
-/** Parses the head of a request, with the empty line that ends it. */
+/** Parses the head of a request, including its final empty line. */
 public fun parseRequestHead(head: ByteArray): Result<RequestHead, MessageFailure> {
     val lines = headLines(head)
     val parts = lines.first().split(' ')
@@ -19,7 +19,7 @@
     }
 }
 
-/** Parses the head of a response, with the empty line that ends it. */
+/** Parses the head of a response, including its final empty line. */
 public fun parseResponseHead(head: ByteArray): Result<ResponseHead, MessageFailure> {
     val lines = headLines(head)
     val parts = lines.first().split(' ', limit = START_LINE_PARTS)
@@ -29,11 +29,11 @@
     return parseFields(lines.drop(1)).map { ResponseHead(status, parts.getOrElse(2) { "" }, it, minor) }
 }
 
-/** Tells how the body of this request ends; a request that could be read in two ways is a fault (RFC 9112, 6.3). */
+/** Returns how the body of this request is framed, or a failure when that is ambiguous (RFC 9112, 6.3). */
 public fun RequestHead.framing(): Result<BodyFraming, MessageFailure> =
     declaredFraming(headers).map { it ?: BodyFraming.None }
 
-/** Tells how the body of this response to a [method] request ends. */
+/** Returns how the body of this response to a [method] request is framed, or a failure when that is ambiguous. */
 public fun ResponseHead.framing(method: String): Result<BodyFraming, MessageFailure> =
     if (method == "HEAD" || isInterim || status in Statuses.WITHOUT_BODY) {
         Ok(BodyFraming.None)
@@ -47,13 +47,13 @@
     return when {
         lengths.isEmpty() && codings.isEmpty() -> Ok(null)
         lengths.isNotEmpty() && codings.isNotEmpty() -> Err(MessageFailure.AMBIGUOUS_LENGTH)
-        lengths.isNotEmpty() -> length(lengths)
+        lengths.isNotEmpty() -> contentLength(lengths)
         codings.size == 1 && codings.single().trim().equals("chunked", ignoreCase = true) -> Ok(BodyFraming.Chunked)
         else -> Err(MessageFailure.UNKNOWN_TRANSFER_CODING)
     }
 }
 
-private fun length(values: List<String>): Result<BodyFraming, MessageFailure> {
+private fun contentLength(values: List<String>): Result<BodyFraming, MessageFailure> {
     val digits = values.singleOrNull()?.takeIf { it.isNotEmpty() && it.all(Char::isAsciiDigit) }
     val bytes = digits?.toLongOrNull() ?: return Err(MessageFailure.AMBIGUOUS_LENGTH)
     return Ok(BodyFraming.Length(bytes))
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/http/HeaderFields.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/http/HeaderFields.kt
@@ -1,11 +1,11 @@
 package org.parsleymoor.relay.http
 
-/** One header field as it was received. */
+/** A header field as received. */
 public data class HeaderField(public val name: String, public val value: String)
 
-/** The header fields of one message in the order of their arrival; names are compared without regard to case. */
+/** The header fields of a message in the order in which they were received; names are case-insensitive. */
 public class HeaderFields(public val fields: List<HeaderField>) {
-    /** Returns the first value of [name], or null. */
+    /** Returns the value of the first field named [name], or null. */
     public operator fun get(name: String): String? = fields.firstOrNull {
         it.name.equals(
             name,
@@ -13,7 +13,7 @@
         )
     }?.value
 
-    /** Returns all values of [name]. */
+    /** Returns the values of all fields named [name]. */
     public fun all(name: String): List<String> = fields.filter {
         it.name.equals(
             name,
@@ -21,10 +21,10 @@
         )
     }.map { it.value }
 
-    /** Returns the comma-separated members of all values of [name], trimmed and in lower case. */
+    /** Returns the elements of all comma-separated lists in fields named [name], trimmed and in lower case. */
     public fun tokens(name: String): List<String> =
         all(name).flatMap { it.split(',') }.map { it.trim().lowercase() }.filter { it.isNotEmpty() }
 
-    /** Returns the fields whose names [keep] accepts. */
+    /** Returns the fields that satisfy [keep]. */
     public fun filter(keep: (HeaderField) -> Boolean): HeaderFields = HeaderFields(fields.filter(keep))
 }
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/http/HttpStatus.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/http/HttpStatus.kt
@@ -1,6 +1,6 @@
 package org.parsleymoor.relay.http
 
-/** Statuses of responses that the system itself writes or tells apart (RFC 9110, RFC 6585). */
+/** The response statuses that this system sends or treats specially (RFC 9110, RFC 6585). */
 public enum class HttpStatus(public val code: Int, public val phrase: String) {
     OK(code = 200, phrase = "OK"),
     ACCEPTED(code = 202, phrase = "Accepted"),
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/http/MessageHead.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/http/MessageHead.kt
@@ -1,6 +1,6 @@
 package org.parsleymoor.relay.http
 
-/** Head of a request; [target] is kept byte for byte. */
+/** The head of a request; [target] is preserved byte for byte. */
 public data class RequestHead(
     public val method: String,
     public val target: String,
@@ -11,7 +11,7 @@
     public val keepsAlive: Boolean get() = keepsAlive(headers, minorVersion)
 }
 
-/** Head of a response. */
+/** The head of a response. */
 public data class ResponseHead(
     public val status: Int,
     public val reason: String,
@@ -21,7 +21,7 @@
     /** Whether the sender keeps the connection open after the body (RFC 9112, 9.3). */
     public val keepsAlive: Boolean get() = keepsAlive(headers, minorVersion)
 
-    /** Whether this is a 1xx response, which another response follows. */
+    /** Whether this is an interim (1xx) response, which is followed by another response. */
     public val isInterim: Boolean get() = status in INTERIM
 
     private companion object {
@@ -29,7 +29,7 @@
     }
 }
 
-/** How the end of a body is recognised. */
+/** How the end of a body is determined. */
 public sealed interface BodyFraming {
     /** There is no body. */
     public data object None : BodyFraming
@@ -37,10 +37,10 @@
     /** The body has [bytes] bytes. */
     public data class Length(public val bytes: Long) : BodyFraming
 
-    /** The body is sent in chunks and ends with an empty one. */
+    /** The body is sent in chunks and ends with an empty chunk. */
     public data object Chunked : BodyFraming
 
-    /** The body ends with the connection. */
+    /** The body ends when the connection is closed. */
     public data object UntilClose : BodyFraming
 }
 
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/limits/ColdEndpointBudget.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/limits/ColdEndpointBudget.kt
@@ -4,66 +4,69 @@
 import org.parsleymoor.core.InstanceId
 import org.parsleymoor.core.rendezvousOrder
 
-/** Bound on the requests in any one second that all instances together may send to a cold endpoint. */
+/**
+ * Limit on the requests that all instances together may send to a cold endpoint in any second: [requestsPerSecond]
+ * times [overage], plus [slack].
+ */
 public data class ColdEndpointLimit(
     public val requestsPerSecond: Double,
     public val overage: Double,
     public val slack: Double
 ) {
-    /** Requests in one second, rounded down. */
+    /** The number of requests allowed in any second, rounded down. */
     public val total: Int get() = (requestsPerSecond * overage + slack).toInt()
 }
 
 /**
- * This instance's part of the load that cold endpoints bear. The bound is divided by the number of instances; what the
- * division leaves over, or the whole bound where there are more instances than requests, goes to the first instances
- * in the endpoint's rendezvous order, so no message is needed. Not safe for use from several threads.
+ * This instance's share of the requests that cold endpoints may receive. The limit is divided by the number of
+ * instances. What the division leaves over, which is the whole limit when there are more instances than requests, goes
+ * to the first instances in the endpoint's rendezvous order, so that no messages are needed. Not thread-safe.
  */
 public class ColdEndpointBudget(private val self: InstanceId) {
-    private val sent = HashMap<EndpointId, ArrayDeque<Long>>()
+    private val sentMillis = HashMap<EndpointId, ArrayDeque<Long>>()
     private val ranks = HashMap<EndpointId, Int>()
-    private var ranked: Set<InstanceId>? = null
-    private var all: Set<InstanceId> = setOf(self)
+    private var rankedMembers: Set<InstanceId>? = null
+    private var instances: Set<InstanceId> = setOf(self)
 
     /**
-     * Takes a request to [endpoint] from this instance's part; returns false, and takes nothing, when it is spent. The
-     * order of [members], an immutable set, is worked out once for each set.
+     * Takes a request to [endpoint] from this instance's share; returns false, and takes nothing, when it is used up.
+     * [members] has to be an immutable set: the ranks are computed once for each set object.
      */
     public fun tryTake(
         endpoint: EndpointId,
-        bound: ColdEndpointLimit,
+        limit: ColdEndpointLimit,
         members: Set<InstanceId>,
         nowMillis: Long,
     ): Boolean {
-        val times = sent.getOrPut(endpoint) { ArrayDeque() }
+        val times = sentMillis.getOrPut(endpoint) { ArrayDeque() }
         while (times.isNotEmpty() && nowMillis - times.first() >= WINDOW_MILLIS) times.removeFirst()
-        if (times.size >= part(endpoint, bound, members)) return false
+        if (times.size >= share(endpoint, limit, members)) return false
         times.addLast(nowMillis)
         return true
     }
 
-    /** Forgets endpoints other than [known]. */
+    /** Forgets all endpoints except [known]. */
     public fun retain(known: Set<EndpointId>) {
-        sent.keys.retainAll(known)
+        sentMillis.keys.retainAll(known)
         ranks.keys.retainAll(known)
     }
 
-    private fun part(endpoint: EndpointId, bound: ColdEndpointLimit, members: Set<InstanceId>): Int {
-        if (members !== ranked) {
-            ranked = members
-            all = members + self
+    private fun share(endpoint: EndpointId, limit: ColdEndpointLimit, members: Set<InstanceId>): Int {
+        if (members !== rankedMembers) {
+            rankedMembers = members
+            instances = members + self
             ranks.clear()
         }
-        val total = (bound.total * CERTAIN_SHARE).toInt()
-        val rank = ranks.getOrPut(endpoint) { rendezvousOrder(endpoint.value, all) { it.value }.indexOf(self) }
-        return total / all.size + if (rank < total % all.size) 1 else 0
+        val total = (limit.total * USABLE_SHARE).toInt()
+        val rank = ranks.getOrPut(endpoint) { rendezvousOrder(endpoint.value, instances) { it.value }.indexOf(self) }
+        return total / instances.size + if (rank < total % instances.size) 1 else 0
     }
 
     private companion object {
-        // A second of the limit, and the time by which delays can differ between two requests.
+        // The second that the limit covers, plus the difference in network delay between two requests.
         const val WINDOW_MILLIS = 1_150L
 
-        // Leaves room for an instance that another does not know of yet.
-        const val CERTAIN_SHARE = 0.8
+        // The rest is for instances that this one does not know yet.
+        const val USABLE_SHARE = 0.8
     }
 }
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/limits/SharedRetryBudget.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/limits/SharedRetryBudget.kt
@@ -1,44 +1,47 @@
 package org.parsleymoor.relay.limits
 
-/** Repeats of a service's requests in [windowMillis] for all instances: [share] of the requests, and [extra]. */
+/**
+ * Limit on the retries of a service's requests by all instances together within [windowMillis]: [share] of the
+ * requests, plus [extra].
+ */
 public data class RetryLimit(public val share: Double, public val extra: Double, public val windowMillis: Long)
 
 /**
- * This instance's part of a retry budget that all instances share. It spends [share][RetryLimit.share] of the requests
- * that it has received itself and an equal part of the extra. Not safe for use from several threads.
+ * This instance's part of a retry budget that all instances share: [share][RetryLimit.share] of the requests that it
+ * has received itself, plus an equal part of the extra retries. Not thread-safe.
  */
-public class SharedRetryBudget(private val bound: RetryLimit) {
+public class SharedRetryBudget(private val limit: RetryLimit) {
     private val services = HashMap<String, Counts>()
 
-    /** Counts a request of a caller for [service]. */
+    /** Counts a caller's request for [service]. */
     public fun recordRequest(service: String, nowMillis: Long) {
         counts(service).requests.add(nowMillis)
     }
 
-    /** Takes one repeat from the budget of [service]; returns false, and takes nothing, when it is spent. */
+    /** Takes one retry from the budget of [service]; returns false, and takes nothing, when it is used up. */
     public fun tryTakeRetry(service: String, instances: Int, nowMillis: Long): Boolean {
         val counts = counts(service)
-        val extra = bound.extra / maxOf(1, instances)
-        val allowed = CERTAIN_SHARE * (extra + bound.share * counts.requests.count(nowMillis))
-        if (counts.repeats.count(nowMillis) + 1 > allowed) return false
-        counts.repeats.add(nowMillis)
+        val extra = limit.extra / maxOf(1, instances)
+        val allowed = USABLE_SHARE * (extra + limit.share * counts.requests.count(nowMillis))
+        if (counts.retries.count(nowMillis) + 1 > allowed) return false
+        counts.retries.add(nowMillis)
         return true
     }
 
     private fun counts(service: String): Counts =
         services.getOrPut(service) {
-            Counts(SlidingWindowCounter(bound.windowMillis), SlidingWindowCounter(bound.windowMillis))
+            Counts(SlidingWindowCounter(limit.windowMillis), SlidingWindowCounter(limit.windowMillis))
         }
 
-    private class Counts(val requests: SlidingWindowCounter, val repeats: SlidingWindowCounter)
+    private class Counts(val requests: SlidingWindowCounter, val retries: SlidingWindowCounter)
 
     private companion object {
-        // Leaves room for an instance that another does not know of yet.
-        const val CERTAIN_SHARE = 0.8
+        // The rest is for instances that this one does not know yet.
+        const val USABLE_SHARE = 0.8
     }
 }
 
-/** Times of events in the last [windowMillis]. */
+/** Counts the events in the last [windowMillis]. */
 internal class SlidingWindowCounter(private val windowMillis: Long) {
     private val times = ArrayDeque<Long>()
 
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/EnginePlacement.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/EnginePlacement.kt
@@ -8,10 +8,10 @@
 import kotlin.random.Random
 
 /**
- * Figures of [EnginePlacement]. Token rates are those of the engines' data sheets; times are in milliseconds. Reading
- * holds up the other work of an engine as well: [prefillInterference] is the part of it that counts against an engine.
- * The expected time to the first token may be [firstTryObjectives], and [retryObjectives] for a caller that returns, of
- * the objective; docs/decisions/admission.md has the runs that these two come from.
+ * Settings of [EnginePlacement]. Token rates are those of the engines' data sheets; times are in milliseconds. Prefill
+ * also delays the other requests of an engine: [prefillInterference] is the share of the prefill time that is added to
+ * the engine's cost for it. A request is refused when its expected time to first token exceeds the objective times
+ * [firstTryObjectives], or times [retryObjectives] for a retry; docs/decisions/admission.md explains these limits.
  */
 public data class EnginePlacementSettings(
     public val prefillTokensPerMilli: Double = 50.0,
@@ -31,7 +31,10 @@
     public val olderWeightsLimitMillis: Long = 7_000,
 )
 
-/** Where a prompt goes, the weights it expects there, and the endpoint that probably has its shared parts cached. */
+/**
+ * The outcome of placing a prompt: the weight version that it expects at the selected engine, and in [cachedAt] another
+ * engine that probably has its shared parts cached.
+ */
 public data class EnginePlacementResult(
     public val result: PlacementResult,
     public val weights: Long? = null,
@@ -39,8 +42,10 @@
 )
 
 /**
- * A prompt that needs an engine. [instances] send work there, [fetchMillis] is null where no store helps, and
- * [cachedProbability] is how likely an engine has the shared parts in its memory.
+ * A prompt that needs an engine. [targetWeights] is null before operators have set any; [instances] is the number of
+ * instances that send requests to the engines. [fetchMillis] estimates how long an engine takes to fetch the shared
+ * parts from a KV cache store, or returns null when no store has them. [cachedProbability] estimates how likely an
+ * engine has them in its own memory.
  */
 public data class EnginePlacementQuery(
     public val base: PlacementQuery,
@@ -52,69 +57,70 @@
 )
 
 /**
- * Chooses the engine with the least expected time to the first token. Prompts with the same shared parts go to the same
- * engine by rendezvous order, so that its cache serves them, until its queue costs more than reading them elsewhere.
+ * Selects the engine with the least expected time to first token. Prompts with the same shared parts prefer the same
+ * engine, their home engine in rendezvous order, so that its cache serves them, until waiting there takes longer than
+ * prefilling the shared parts elsewhere.
  */
 public class EnginePlacement(
     private val topology: Topology,
     private val settings: EnginePlacementSettings = EnginePlacementSettings(),
     random: Random = Random.Default,
 ) {
-    private val draw = EngineSampler(settings.softmaxTemperatureMillis, random)
+    private val sampler = EngineSampler(settings.softmaxTemperatureMillis, random)
 
-    /** Chooses among the endpoints of the request's service in [table]. */
-    public fun choose(wanted: EnginePlacementQuery, table: EndpointTable, nowMillis: Long): EnginePlacementResult {
-        val (request, prompt, named) = wanted
+    /** Selects one of the engines in [table] that serve [query]. */
+    public fun choose(query: EnginePlacementQuery, table: EndpointTable, nowMillis: Long): EnginePlacementResult {
+        val (request, prompt, target) = query
         val allowed = table.serving(request.service).filter { state ->
             state.entry.id !in request.tried && request.allowedRegions.all { topology.isAllowed(state.entry.zone, it) }
         }
-        val usable = allowed.filter { it.weights(prompt.model) != null && isRecent(it, named, nowMillis) }
+        val usable = allowed.filter { it.weights(prompt.model) != null && isRecent(it, target, nowMillis) }
         val ready = usable.filter { nowMillis >= it.orderedUntilMillis }.ifEmpty { usable }
         val healthy = ready.filterNot { it.health.isEjected(nowMillis) }.ifEmpty { ready }
-        val roomy = healthy.filter { it.hasRoom(prompt, nowMillis) }
+        val withMemory = healthy.filter { it.hasMemoryFor(prompt, nowMillis) }
         return when {
-            allowed.isEmpty() -> nowhere(UnavailableReason.NO_ENDPOINT, NO_ENDPOINT_RETRY_MILLIS)
-            healthy.isEmpty() -> nowhere(UnavailableReason.NO_WEIGHTS, NO_ENDPOINT_RETRY_MILLIS)
-            roomy.isEmpty() && !request.isRetry -> nowhere(UnavailableReason.OVERLOADED, NO_ROOM_RETRY_MILLIS)
-            else -> best(wanted, roomy.ifEmpty { healthy }, allowed, nowMillis)
+            allowed.isEmpty() -> unavailable(UnavailableReason.NO_ENDPOINT, NO_ENDPOINT_RETRY_MILLIS)
+            healthy.isEmpty() -> unavailable(UnavailableReason.NO_WEIGHTS, NO_ENDPOINT_RETRY_MILLIS)
+            withMemory.isEmpty() && !request.isRetry -> unavailable(UnavailableReason.OVERLOADED, FULL_RETRY_MILLIS)
+            else -> select(query, withMemory.ifEmpty { healthy }, allowed, nowMillis)
         }
     }
 
-    private data class Candidate(val state: EndpointState, val millis: Double, val readingMillis: Double)
+    private data class Candidate(val state: EndpointState, val firstTokenMillis: Double, val sharedPartsMillis: Double)
 
-    private fun nowhere(reason: UnavailableReason, retryAfterMillis: Long): EnginePlacementResult =
+    private fun unavailable(reason: UnavailableReason, retryAfterMillis: Long): EnginePlacementResult =
         EnginePlacementResult(PlacementResult.Unavailable(reason, retryAfterMillis))
 
-    private fun best(
-        wanted: EnginePlacementQuery,
+    private fun select(
+        query: EnginePlacementQuery,
         candidates: List<EndpointState>,
         allowed: List<EndpointState>,
         nowMillis: Long,
     ): EnginePlacementResult {
-        val (request, prompt, named) = wanted
+        val (request, prompt, target) = query
         val home = rendezvousOrder(prompt.affinityKey, candidates) { it.entry.id.value }.first()
-        val heldShares = allowed.associateWith { wanted.cachedProbability(it) }
-        val read = prompt.sharedTokens / settings.prefillTokensPerMilli
+        val cachedProbabilities = allowed.associateWith { query.cachedProbability(it) }
+        val prefill = prompt.sharedTokens / settings.prefillTokensPerMilli
         val cost = { state: EndpointState ->
-            val obtain = wanted.fetchMillis(state)?.let { minOf(it + FETCH_SETUP_MILLIS, read) } ?: read
-            val cachedProbability = heldShares.getValue(state)
-            val missShare = 1 - maxOf(cachedProbability, if (state === home) settings.homeHitProbability else 0.0)
-            Candidate(state, missShare * obtain + firstTokenMillis(state, wanted, nowMillis), missShare * obtain)
+            val obtain = query.fetchMillis(state)?.let { minOf(it + FETCH_SETUP_MILLIS, prefill) } ?: prefill
+            val cached = cachedProbabilities.getValue(state)
+            val missRate = 1 - maxOf(cached, if (state === home) settings.homeHitProbability else 0.0)
+            Candidate(state, missRate * obtain + firstTokenMillis(state, query, nowMillis), missRate * obtain)
         }
-        val total = { (state, millis, reading): Candidate ->
-            millis + reading * settings.prefillInterference + penalty(state, prompt, named, nowMillis)
+        val total = { (state, firstToken, sharedParts): Candidate ->
+            firstToken + sharedParts * settings.prefillInterference + penalty(state, prompt, target, nowMillis)
         }
-        val sampled = draw.sample(candidates) { it === home || heldShares.getValue(it) > 0 }
-        val drawn = draw.one(sampled.map(cost), total)
-        // All are looked at before a request is refused.
-        val isLate = drawn.millis > patienceMillis(request) && sampled.size < candidates.size
-        val (chosen, estimate) = if (isLate) draw.one(candidates.map(cost), total) else drawn
+        val sampled = sampler.sample(candidates) { it === home || cachedProbabilities.getValue(it) > 0 }
+        val fromSample = sampler.select(sampled.map(cost), total)
+        // A request is refused only after every candidate has been considered.
+        val isLate = fromSample.firstTokenMillis > maxFirstTokenMillis(request) && sampled.size < candidates.size
+        val (chosen, estimate) = if (isLate) sampler.select(candidates.map(cost), total) else fromSample
         val weights = chosen.weights(prompt.model)
-        if (estimate > patienceMillis(request)) {
+        if (estimate > maxFirstTokenMillis(request)) {
             val later = (estimate - request.objectiveMillis / 2).toLong().coerceIn(RETRY_RANGE_MILLIS)
             return EnginePlacementResult(PlacementResult.Unavailable(UnavailableReason.OVERLOADED, later))
         }
-        val holder = heldShares.filter { it.value > 0 && it.key.weights(prompt.model) == weights }
+        val holder = cachedProbabilities.filter { it.value > 0 && it.key.weights(prompt.model) == weights }
             .maxByOrNull { it.value }?.key
         val cachedAt = (holder ?: home)
             .takeIf { it !== chosen && it.weights(prompt.model) == weights }
@@ -122,51 +128,51 @@
     }
 
     /**
-     * How long a request may wait. One that would be answered too late is refused at once: engines that are given all
-     * that is asked of them under overload answer all of it late, and stay so after the overload ends. A caller that
-     * returns may wait a little longer than one that comes for the first time, because it may not ask again.
+     * Returns the longest expected time to first token at which [request] is accepted. A request that would be answered
+     * too late is refused at once: engines that accept everything under overload answer all of it late, and remain late
+     * after the overload ends. A retry may wait slightly longer than a first attempt, because it may be the last.
      */
-    private fun patienceMillis(request: PlacementQuery): Double {
+    private fun maxFirstTokenMillis(request: PlacementQuery): Double {
         val objectives = if (request.isRetry) settings.retryObjectives else settings.firstTryObjectives
-        return minOf(request.remainingMillis * PATIENCE_SHARE, request.objectiveMillis * objectives)
+        return minOf(request.remainingMillis * MAX_WAIT_SHARE, request.objectiveMillis * objectives)
     }
 
-    private fun firstTokenMillis(state: EndpointState, wanted: EnginePlacementQuery, nowMillis: Long): Double {
-        val prompt = wanted.prompt
+    private fun firstTokenMillis(state: EndpointState, query: EnginePlacementQuery, nowMillis: Long): Double {
+        val prompt = query.prompt
         val shared = prompt.sharedTokens
         val own = (prompt.promptTokens - shared).coerceAtLeast(0)
-        val queue = queueMillis(state, prompt, wanted.instances, nowMillis)
+        val queue = queueMillis(state, prompt, query.instances, nowMillis)
         return queue + own / settings.prefillTokensPerMilli + settings.decodeStepMillis + distanceMillis(state)
     }
 
-    /** Expected wait for memory and for the prompts that are read before. */
+    /** Returns the expected wait for memory and for the prefill of prompts that are ahead in the queue. */
     private fun queueMillis(state: EndpointState, prompt: PromptContext, instances: Int, nowMillis: Long): Double {
         val load = state.engineLoad?.takeIf { nowMillis - it.atMillis < REPORT_LIFE_MILLIS }
-            ?: return state.tokensInFlight * minOf(instances, FULL_VIEW_INSTANCES) / settings.prefillTokensPerMilli
+            ?: return state.tokensInFlight * minOf(instances, MAX_ALIKE_INSTANCES) / settings.prefillTokensPerMilli
         val sent = state.sentPromptsSince(load.atMillis - REPORT_LAG_MILLIS)
         val sentTokens = sent.sumOf { it.tokens }
         val need = prompt.promptTokens + prompt.outputTokens
         val meanTokens = if (load.running > 0) load.memoryUsed / load.running else need
         val deficit = need + sentTokens + load.waiting * meanTokens - (load.memoryTotal - load.memoryUsed)
         val memory = deficit.coerceAtLeast(0) * settings.meanResidenceMillis / load.memoryTotal.coerceAtLeast(1)
-        val reading = (load.prefilling + load.waiting) * settings.meanPrefillMillis +
+        val prefill = (load.prefilling + load.waiting) * settings.meanPrefillMillis +
             sent.sumOf { it.prefillTokens } / settings.prefillTokensPerMilli
         val fullness = (load.memoryUsed + sentTokens).toDouble() / load.memoryTotal.coerceAtLeast(1)
-        return memory + reading + fullness * settings.fullMemoryPenaltyMillis
+        return memory + prefill + fullness * settings.fullMemoryPenaltyMillis
     }
 
-    private fun penalty(state: EndpointState, prompt: PromptContext, named: TargetWeights?, nowMillis: Long): Double {
-        val older = named != null && (state.weights(prompt.model) ?: 0) < named.version
+    private fun penalty(state: EndpointState, prompt: PromptContext, target: TargetWeights?, nowMillis: Long): Double {
+        val older = target != null && (state.weights(prompt.model) ?: 0) < target.version
         val failures = settings.failurePenaltyMillis * state.health.recentFailures
         val cold = if (state.isCold(nowMillis)) COLD_PENALTY_MILLIS else 0.0
         val refused = if (state.refusedMillis > nowMillis - REFUSAL_MILLIS) REFUSAL_PENALTY_MILLIS else 0.0
         return failures + cold + refused + if (older) settings.olderWeightsPenaltyMillis else 0.0
     }
 
-    private fun isRecent(state: EndpointState, named: TargetWeights?, nowMillis: Long): Boolean =
-        named == null ||
-            (state.weights(named.model) ?: 0) >= named.version ||
-            nowMillis - named.outdatedSinceMillis(state.weights(named.model) ?: 0) < settings.olderWeightsLimitMillis
+    private fun isRecent(state: EndpointState, target: TargetWeights?, nowMillis: Long): Boolean =
+        target == null ||
+            (state.weights(target.model) ?: 0) >= target.version ||
+            nowMillis - target.outdatedSinceMillis(state.weights(target.model) ?: 0) < settings.olderWeightsLimitMillis
 
     private fun distanceMillis(state: EndpointState): Double = when (topology.distance(state.entry.zone)) {
         Distance.SAME_ZONE -> 0.0
@@ -179,19 +185,21 @@
         const val NO_ENDPOINT_RETRY_MILLIS = 700L
         const val FETCH_SETUP_MILLIS = 9.0
 
-        // Beyond a few instances, requests under way elsewhere are independent of those here.
-        const val FULL_VIEW_INSTANCES = 3
+        // Without a load report, every other instance is assumed to have as much in flight as this one, up to this
+        // number of instances: beyond a few, their requests are independent of those here.
+        const val MAX_ALIKE_INSTANCES = 3
 
-        // Runs of long prompts take two seconds or more, so that some memory is free again after this time.
-        const val NO_ROOM_RETRY_MILLIS = 800L
+        // Long prompts occupy memory for two seconds or more, so some memory is free again after this time.
+        const val FULL_RETRY_MILLIS = 800L
 
-        // An engine that refuses is full or loads weights, which takes about a second.
+        // An engine that refuses a request is full or is loading weights, which takes about a second.
         const val REFUSAL_MILLIS = 700L
         const val REFUSAL_PENALTY_MILLIS = 600.0
         const val COLD_PENALTY_MILLIS = 300.0
 
-        // A request that would wait longer than this share of its time is refused, so that its caller can return.
-        const val PATIENCE_SHARE = 0.6
+        // A request that would wait for more than this share of its remaining time is refused, so that its caller has
+        // time left to retry.
+        const val MAX_WAIT_SHARE = 0.6
         val RETRY_RANGE_MILLIS = 200L..2_000L
     }
 }
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/ServicePlacement.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/ServicePlacement.kt
@@ -3,7 +3,10 @@
 import org.parsleymoor.relay.fleet.EndpointState
 import org.parsleymoor.relay.fleet.EndpointTable
 
-/** Figures of [ServicePlacement]; a request in another region is as costly as the given number of waiting ones. */
+/**
+ * Settings of [ServicePlacement]. The first three are costs, expressed as a number of waiting requests: the cost of an
+ * endpoint in another availability zone, of one in another region, and of one whose recent attempts all failed.
+ */
 public data class ServicePlacementSettings(
     public val otherZoneRequests: Double = 1.5,
     public val otherRegionRequests: Double = 4.0,
@@ -12,27 +15,27 @@
 )
 
 /**
- * Chooses the replica of a plain service with the least expected wait and distance. An endpoint whose requests fail is
- * charged for it, and one that is set aside is used only when there is no other.
+ * Selects the replica of a service without engines that has the lowest cost: distance, load and recent failures. An
+ * ejected endpoint is used only when there is no other.
  */
 public class ServicePlacement(
     private val topology: Topology,
     private val settings: ServicePlacementSettings = ServicePlacementSettings(),
 ) {
-    /** Chooses among the endpoints of [request]'s service. */
-    public fun choose(request: PlacementQuery, table: EndpointTable, nowMillis: Long): PlacementResult {
-        val allowed = table.serving(request.service).filter { state ->
-            state.entry.id !in request.tried &&
-                request.allowedRegions.all { topology.isAllowed(state.entry.zone, it) }
+    /** Selects one of the endpoints in [table] that serve [query]. */
+    public fun choose(query: PlacementQuery, table: EndpointTable, nowMillis: Long): PlacementResult {
+        val allowed = table.serving(query.service).filter { state ->
+            state.entry.id !in query.tried &&
+                query.allowedRegions.all { topology.isAllowed(state.entry.zone, it) }
         }
         val healthy = allowed.filterNot { it.health.isEjected(nowMillis) }.ifEmpty { allowed }
-        val best = healthy.minByOrNull { cost(it, nowMillis) }
+        val selected = healthy.minByOrNull { cost(it, nowMillis) }
             ?: return PlacementResult.Unavailable(UnavailableReason.NO_ENDPOINT, NO_ENDPOINT_RETRY_MILLIS)
-        val wait = waitMillis(best, nowMillis)
-        return if (wait > request.remainingMillis) {
+        val wait = waitMillis(selected, nowMillis)
+        return if (wait > query.remainingMillis) {
             PlacementResult.Unavailable(UnavailableReason.OVERLOADED, wait.toLong())
         } else {
-            PlacementResult.Selected(best, wait + settings.expectedRunMillis)
+            PlacementResult.Selected(selected, wait + settings.expectedRunMillis)
         }
     }
 
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/TargetWeights.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/TargetWeights.kt
@@ -3,25 +3,25 @@
 import org.parsleymoor.core.ModelId
 
 /**
- * The weights that a model should have: [version], since [sinceMillis]. [earlier] are those named before, which may not
- * be in place everywhere yet. Null in place of this object before any has been named.
+ * The weights that operators want every engine of [model] to have: [version], since [sinceMillis]. [previous] holds
+ * earlier targets, which some engines may still lack.
  */
 public data class TargetWeights(
     public val model: ModelId,
     public val version: Long,
     public val sinceMillis: Long,
-    public val earlier: List<TargetWeights> = emptyList(),
+    public val previous: List<TargetWeights> = emptyList(),
 ) {
-    /** Returns since when weights of [olderVersion] are out of date: since the first newer version was named. */
+    /** Returns when [olderVersion] became outdated: the time at which the first newer version became the target. */
     public fun outdatedSinceMillis(olderVersion: Long): Long =
-        earlier.filter { it.version > olderVersion }.minOfOrNull { it.sinceMillis } ?: sinceMillis
+        previous.filter { it.version > olderVersion }.minOfOrNull { it.sinceMillis } ?: sinceMillis
 
-    /** Returns these weights as those that replace [known]. */
+    /** Returns a copy that records [known], the former target if there was one, among the [previous] versions. */
     public fun replacing(known: TargetWeights?): TargetWeights =
-        copy(earlier = (known?.let { it.earlier + it.copy(earlier = emptyList()) }.orEmpty()).takeLast(KEPT_VERSIONS))
+        copy(previous = (known?.let { it.previous + it.copy(previous = emptyList()) }.orEmpty()).takeLast(MAX_PREVIOUS))
 
     private companion object {
-        // More versions than are named within the time for which an engine may lag behind.
-        const val KEPT_VERSIONS = 16
+        // More targets than operators set while an engine may still serve an older version.
+        const val MAX_PREVIOUS = 16
     }
 }
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/rollout/RolloutPlan.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/rollout/RolloutPlan.kt
@@ -11,63 +11,63 @@
 public data class PendingWeightLoad(public val endpoint: EndpointState, public val weights: TargetWeights)
 
 /**
- * Chooses the engines that load new weights next: the least loaded first, and only a part of them at a time, because
- * loads slow each other down and the others have to serve meanwhile. An instance counts as active for [takeoverMillis]
- * after its last order. Not safe for use from several threads.
+ * Selects the engines that load new weights next: the least loaded first, and only some at a time, because concurrent
+ * loads slow each other down and the other engines have to serve meanwhile. Another instance may take over the rollout
+ * when this one has sent no order for [takeoverMillis]. Not thread-safe.
  */
 public class RolloutPlan(private val takeoverMillis: Long) {
     private val loading = HashSet<EndpointId>()
-    private val notBeforeMillis = HashMap<EndpointId, Long>()
-    private var activeMillis = Long.MIN_VALUE
+    private val retryAtMillis = HashMap<EndpointId, Long>()
+    private var lastOrderMillis = Long.MIN_VALUE
 
-    /** Returns the engines whose weights are older than named. */
-    public fun outdatedEngines(table: EndpointTable, named: Map<ModelId, TargetWeights>): List<PendingWeightLoad> =
+    /** Returns the engines whose weights are older than [targets]. */
+    public fun outdatedEngines(table: EndpointTable, targets: Map<ModelId, TargetWeights>): List<PendingWeightLoad> =
         table.all.filter { !it.entry.draining && it.missingSinceMillis == null }.mapNotNull { state ->
-            named.values.firstOrNull { (state.weights(it.model) ?: Long.MAX_VALUE) < it.version }
+            targets.values.firstOrNull { (state.weights(it.model) ?: Long.MAX_VALUE) < it.version }
                 ?.let { PendingWeightLoad(state, it) }
         }
 
-    /** Returns the engines to give orders to at [nowMillis]. */
+    /** Returns the engines to which to send orders at [nowMillis]. */
     public fun enginesToLoad(
         table: EndpointTable,
-        named: Map<ModelId, TargetWeights>,
+        targets: Map<ModelId, TargetWeights>,
         nowMillis: Long
     ): List<PendingWeightLoad> {
-        val engines = table.all.count { state -> named.keys.any { state.weights(it) != null } }
-        val free = maxOf(MINIMAL_AT_ONCE, (engines * SHARE_AT_ONCE).roundToInt()) - loading.size
-        return outdatedEngines(table, named)
-            .filter { it.endpoint.entry.id !in loading && nowMillis >= (notBeforeMillis[it.endpoint.entry.id] ?: 0) }
+        val engines = table.all.count { state -> targets.keys.any { state.weights(it) != null } }
+        val available = maxOf(MIN_CONCURRENT_LOADS, (engines * CONCURRENT_LOAD_SHARE).roundToInt()) - loading.size
+        return outdatedEngines(table, targets)
+            .filter { it.endpoint.entry.id !in loading && nowMillis >= (retryAtMillis[it.endpoint.entry.id] ?: 0) }
             .sortedBy { it.endpoint.engineLoad?.running ?: it.endpoint.inFlight }
-            .take(maxOf(free, 0))
+            .take(maxOf(available, 0))
     }
 
-    /** Notes that orders to [endpoint] begin. */
+    /** Records that this instance starts to send orders to [endpoint]. */
     public fun loadStarted(endpoint: EndpointId, nowMillis: Long) {
         loading += endpoint
         orderSent(nowMillis)
     }
 
-    /** Notes that an order was given. */
+    /** Records that an order was sent. */
     public fun orderSent(nowMillis: Long) {
-        activeMillis = nowMillis
+        lastOrderMillis = nowMillis
     }
 
-    /** Notes that orders to [endpoint] ended; one that did not load is tried again later. */
+    /** Records that orders to [endpoint] have ended; an engine that has not [loaded] is retried later. */
     public fun loadEnded(endpoint: EndpointId, loaded: Boolean, nowMillis: Long) {
         loading -= endpoint
-        if (loaded) notBeforeMillis -= endpoint else notBeforeMillis[endpoint] = nowMillis + RETRY_MILLIS
+        if (loaded) retryAtMillis -= endpoint else retryAtMillis[endpoint] = nowMillis + RETRY_MILLIS
     }
 
-    /** Whether an order was given so recently that no other instance should take over. */
-    public fun isRecentlyActive(nowMillis: Long): Boolean = activeMillis > nowMillis - takeoverMillis
+    /** Returns whether an order was sent so recently that no other instance should take over. */
+    public fun isRecentlyActive(nowMillis: Long): Boolean = lastOrderMillis > nowMillis - takeoverMillis
 
     private companion object {
-        // The data sheets state two engines of eight, and 28 of 98, as those that load without slowing each other. Most
-        // of the time an engine finishes its runs, so that three of eight hold orders for two of them to load.
-        const val MINIMAL_AT_ONCE = 2
-        const val SHARE_AT_ONCE = 0.375
+        // The data sheets allow two engines of eight, and 28 of 98, to load without slowing each other down. An engine
+        // first finishes its running requests, so with orders at three of eight engines about two are loading.
+        const val MIN_CONCURRENT_LOADS = 2
+        const val CONCURRENT_LOAD_SHARE = 0.375
 
-        // An engine that does not answer has crashed or is out of reach.
+        // An engine that does not respond has crashed or is unreachable.
         const val RETRY_MILLIS = 700L
     }
 }
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/routing/ServingConfiguration.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/routing/ServingConfiguration.kt
@@ -4,17 +4,17 @@
 import org.parsleymoor.core.RegionId
 import org.parsleymoor.core.ZoneId
 
-/** What may be repeated of a request. */
+/** How a request may be retried. */
 public enum class RequestKind { IDEMPOTENT, NON_IDEMPOTENT, STREAM }
 
-/** A service that a share of a route's requests goes to, in proportion to [weight]. */
+/** A service that receives a route's requests in proportion to [weight]. */
 public data class RouteTarget(public val service: String, public val weight: Double)
 
 /**
- * Where requests for [host] below [pathPrefix] go. [attempts] bounds the endpoints that run one caller's attempt;
- * [timeoutMillis] bounds the wait; within [objectiveMillis] an answer has its full value, a stream with pauses of at
- * most [pauseMillis]. Priority 0 is the most urgent. A [resumable] stream may go on at another endpoint. No
- * [allowedRegions] means all regions.
+ * Routes requests for [host] whose path starts with [pathPrefix]. At most [attempts] endpoints run one caller's
+ * request, within [timeoutMillis]. An answer has its full value when it comes within [objectiveMillis], and a stream
+ * when its pauses are also at most [pauseMillis]. Priority 0 is the most urgent. A [resumable] stream may continue at
+ * another endpoint. An empty set of [allowedRegions] allows every region.
  */
 public data class Route(
     public val name: String,
@@ -31,7 +31,7 @@
     public val allowedRegions: Set<RegionId> = emptySet(),
     public val pauseMillis: Long = 0,
 ) {
-    /** Whether a request may run again after a run whose outcome is unknown. */
+    /** Whether a request may be retried after an attempt whose outcome is unknown. */
     public val repeatable: Boolean
         get() = when (kind) {
             RequestKind.IDEMPOTENT -> true
@@ -40,7 +40,10 @@
         }
 }
 
-/** Figures of a service's engines: [slots] requests and [cacheTokens] tokens of KV cache of [tokenBytes] bytes each. */
+/**
+ * Properties of a service's engines: each runs [slots] requests at a time and has a KV cache of [cacheTokens] tokens of
+ * [tokenBytes] bytes.
+ */
 public data class EngineSpec(
     public val slots: Int,
     public val cacheTokens: Long,
@@ -48,7 +51,10 @@
     public val models: List<String>,
 )
 
-/** A KV cache store at [address] in [zone]; it holds [cacheTokens] tokens and drops nothing when [managed]. */
+/**
+ * A KV cache store at [address] in [zone] with space for [cacheTokens] tokens. A [managed] store evicts nothing by
+ * itself. [pendingEventCalls] is the number of event calls that may wait at it.
+ */
 public data class CacheStoreSpec(
     public val address: String,
     public val zone: ZoneId,
@@ -59,8 +65,8 @@
 )
 
 /**
- * A group of endpoints. All callers together may open [connectionLimit] connections to one. For [coldMillis] after its
- * start an endpoint bears [coldRequestsPerSecond].
+ * A group of endpoints. All instances together may open [connectionLimit] connections to each endpoint. For
+ * [coldMillis] after its start an endpoint can serve only [coldRequestsPerSecond].
  */
 public data class Service(
     public val name: String,
@@ -71,7 +77,10 @@
     public val store: CacheStoreSpec? = null,
 )
 
-/** An organisation, its API keys and what goes before its routes: a more urgent [priority], its own regions. */
+/**
+ * An organisation and its API [keys]. A [priority] replaces that of the route, and [allowedRegions] restrict requests
+ * in addition to the route's. An [isolated] organisation shares no cached blocks with others.
+ */
 public data class Organisation(
     public val id: OrganisationId,
     public val keys: Set<String>,
@@ -80,7 +89,7 @@
     public val allowedRegions: Set<RegionId> = emptySet(),
 )
 
-/** What callers may send, and how long they may take or stay idle. */
+/** Limits on what callers may send, how long a request head may take, and how long a connection may stay idle. */
 public data class CallerLimits(
     public val headBytes: Int = 16_384,
     public val bodyBytes: Int = 4_194_304,
@@ -88,7 +97,7 @@
     public val idleMillis: Long = 15_000,
 )
 
-/** One accepted [version] of the whole configuration. No [organisations] means that requests carry no key. */
+/** One [version] of the whole configuration. When [organisations] is null, requests need no API key. */
 public data class ServingConfiguration(
     public val version: Long,
     public val routes: List<Route>,
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/stream/EventSplitter.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/stream/EventSplitter.kt
@@ -1,20 +1,20 @@
 package org.parsleymoor.relay.stream
 
-/** One complete server-sent event with the empty line that ends it; [id] is null when it carries none. */
+/** A complete server-sent event, including the empty line that ends it; [id] is null when the event has none. */
 public class StreamEvent(public val bytes: ByteArray, public val id: String?)
 
 /**
- * Cuts the bytes of an event stream into complete events, so that half an event never reaches a caller. Not safe for
- * use from several threads.
+ * Splits the bytes of an event stream into complete events, so that a caller never receives a partial event. Not
+ * thread-safe.
  */
 public class EventSplitter {
     private var pending = ByteArray(0)
     private var pendingLineStart = 0
 
-    /** Number of bytes of an event whose end has not arrived. */
+    /** The number of bytes of the event that is still incomplete. */
     public val pendingBytes: Int get() = pending.size
 
-    /** Appends [bytes] and returns the events that are complete now. */
+    /** Appends [bytes] and returns the events that they complete. */
     public fun add(bytes: ByteArray): List<StreamEvent> {
         val all = if (pending.isEmpty()) bytes else pending + bytes
         val events = ArrayList<StreamEvent>()
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/cache/RecentContextsTest.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/cache/RecentContextsTest.kt
@@ -14,7 +14,7 @@
     private val key = ContextKey.of("space", "part")
 
     @Test
-    fun `an engine probably holds a context while its prompt runs, and less and less afterwards`() {
+    fun `an engine probably holds a context while its request runs, and decreasingly afterwards`() {
         contexts.record(key, engine, 0)
         val running = contexts.cachedProbability(key, engine, 1_000)
         val later = contexts.cachedProbability(key, engine, 10_000)
@@ -22,9 +22,9 @@
         expectThat(later).isGreaterThan(0.0).isLessThan(running / 2)
     }
 
-    // An engine that restarts has lost what it held; a fetch from it or a read that counts on it would be in vain.
+    // A restarted engine has lost its cache, so a fetch from it, or a placement that counts on it, would fail.
     @Test
-    fun `another start of the engine, another engine and another name space hold nothing`() {
+    fun `another start of the engine, another engine and another namespace hold nothing`() {
         contexts.record(key, engine, 0)
         expectThat(contexts.cachedProbability(key, engine.copy(startMillis = 2), 100)).isEqualTo(0.0)
         expectThat(contexts.cachedProbability(key, engine.copy(endpoint = EndpointId("f")), 100)).isEqualTo(0.0)
@@ -33,7 +33,7 @@
     }
 
     @Test
-    fun `the context that was unused for longest is forgotten first`() {
+    fun `the least recently used context is evicted first`() {
         val second = ContextKey.of("space", "second")
         contexts.record(key, engine, 0)
         contexts.record(second, engine, 1)
@@ -43,7 +43,7 @@
         expectThat(contexts.cachedProbability(key, engine, 100)).isGreaterThan(0.0)
     }
 
-    // A message of a peer that arrives late must not make a context look older than it is.
+    // A peer's message that arrives late must not make a context look older than it is.
     @Test
     fun `an older report does not replace a newer one`() {
         contexts.record(key, engine, 5_000)
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/exchange/PeerUpdateSpreadTest.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/exchange/PeerUpdateSpreadTest.kt
@@ -12,12 +12,12 @@
 import strikt.assertions.isLessThan
 import strikt.assertions.isLessThanOrEqualTo
 
-/** What every instance knows of every engine, and what it costs, from a handful of instances to hundreds. */
+/** Checks how current every instance's view of every engine is, and what it costs, with 9 to 300 instances. */
 class PeerUpdateSpreadTest {
-    // An instance that does not hear of an engine asks it itself: with 95 instances 41 asks a second each.
+    // An instance without updates about an engine polls it itself; with 95 instances each engine got 41 polls a second.
     @ParameterizedTest
     @CsvSource("9,8", "18,8", "95,37", "300,98")
-    fun `every instance knows every load within a second while an engine is asked at most six times a second`(
+    fun `every instance knows every load within a second while an engine is polled at most six times a second`(
         instances: Int,
         engines: Int,
     ) {
@@ -29,14 +29,14 @@
             ages += fleet.ages()
         }
         ages.sort()
-        expectThat(ages[ages.size / 2]).isLessThanOrEqualTo(MEDIAN_MILLIS)
-        expectThat(ages[ages.size * 99 / 100]).isLessThanOrEqualTo(MOST_MILLIS)
-        expectThat(fleet.mostAsksInASecond(SETTLE_MILLIS)).isLessThanOrEqualTo(MOST_ASKS)
+        expectThat(ages[ages.size / 2]).isLessThanOrEqualTo(MEDIAN_AGE_MILLIS)
+        expectThat(ages[ages.size * 99 / 100]).isLessThanOrEqualTo(MAX_AGE_MILLIS)
+        expectThat(fleet.maxPollsInASecond(SETTLE_MILLIS)).isLessThanOrEqualTo(MAX_POLLS)
     }
 
-    // Messages that grow with the square of the instances fill the links and processors of the smallest ones.
+    // Messages that grow with the square of the number of instances would overload the smallest of them.
     @Test
-    fun `messages for each instance stay the same from 95 to 300 instances`() {
+    fun `the number of messages per instance is the same with 95 and 300 instances`() {
         val (small, large) = listOf(95, 300).map { instances ->
             val fleet = SimulatedFleet(instances, ENGINES)
             fleet.run(SETTLE_MILLIS)
@@ -44,93 +44,93 @@
             fleet.run(SETTLE_MILLIS)
             (fleet.messages - before).toDouble() / instances
         }
-        expectThat(large).isLessThan(small * NOISE)
+        expectThat(large).isLessThan(small * TOLERANCE)
     }
 
-    // An instance that counts a prompt twice, or not at all, sends its own to the wrong engine.
+    // An instance that counts another's prompt twice, or not at all, selects the wrong engine for its own.
     @ParameterizedTest
     @CsvSource("9", "95")
-    fun `a prompt that one instance sends is heard of by each other instance once`(instances: Int) {
+    fun `each instance learns of a prompt that another instance sent exactly once`(instances: Int) {
         val fleet = SimulatedFleet(instances, ENGINES)
         fleet.run(SETTLE_MILLIS)
-        fleet.all.forEachIndexed { number, one -> one.send(ContextKey(number.toLong()), EndpointId("e1")) }
+        fleet.all.forEachIndexed { number, instance -> instance.send(ContextKey(number.toLong()), EndpointId("e1")) }
         fleet.run(SPREAD_MILLIS)
-        fleet.all.forEachIndexed { number, one ->
+        fleet.all.forEachIndexed { number, instance ->
             val others = (0L until instances).filter { it != number.toLong() }.map { ContextKey(it) }.toSet()
-            expectThat(one.prompts.keys.toSet()).isEqualTo(others)
-            expectThat(one.prompts.values.max()).isEqualTo(1)
+            expectThat(instance.prompts.keys.toSet()).isEqualTo(others)
+            expectThat(instance.prompts.values.max()).isEqualTo(1)
         }
     }
 
-    // The other zones would lose sight of a zone for as long as its hub counts as a member.
+    // Otherwise the other zones would lack updates from a zone for as long as its silent hub counts as a member.
     @Test
-    fun `two seconds after a hub falls silent its zone and the others know each other's engines again`() {
+    fun `two seconds after a hub falls silent its zone and the others know each other's engine loads again`() {
         val fleet = SimulatedFleet(95, ENGINES)
         fleet.run(SETTLE_MILLIS)
         val zone = ZoneId("z1")
         val hub = fleet.all.first { it.member.zone == zone && it.tree.rank == 0 }
         fleet.stopped += hub.member.id
         fleet.run(2_000)
-        expectThat(fleet.ages(zones = setOf(zone)).last()).isLessThanOrEqualTo(MOST_MILLIS)
+        expectThat(fleet.ages(zones = setOf(zone)).last()).isLessThanOrEqualTo(MAX_AGE_MILLIS)
         val inZone = fleet.all.filter { it.member.zone == zone }
-        expectThat(fleet.ages(inZone).last()).isLessThanOrEqualTo(MOST_MILLIS)
+        expectThat(fleet.ages(inZone).last()).isLessThanOrEqualTo(MAX_AGE_MILLIS)
     }
 
     @Test
-    fun `when both hubs of a zone fall silent others take their place`() {
+    fun `when both hubs of a zone fall silent other instances take over`() {
         val fleet = SimulatedFleet(95, ENGINES)
         fleet.run(SETTLE_MILLIS)
         val zone = ZoneId("z1")
         fleet.stopped += fleet.all.filter { it.member.zone == zone && it.tree.rank < 2 }.map { it.member.id }
         fleet.run(6_000)
-        expectThat(fleet.ages(zones = setOf(zone)).last()).isLessThanOrEqualTo(MOST_MILLIS)
+        expectThat(fleet.ages(zones = setOf(zone)).last()).isLessThanOrEqualTo(MAX_AGE_MILLIS)
     }
 
-    // A ring of instances by name is torn by the loss of one zone.
+    // In a ring of instances ordered by name, the loss of one zone separated the others.
     @Test
-    fun `a zone that is cut off keeps its own news and takes none from the others`() {
+    fun `a zone that is cut off and the other zones each keep their own updates`() {
         val fleet = SimulatedFleet(95, ENGINES)
         fleet.run(SETTLE_MILLIS)
         val cut = ZoneId("z2")
         fleet.cutZones = setOf(cut)
         fleet.run(4_000)
         val (inside, outside) = fleet.all.partition { it.member.zone == cut }
-        expectThat(fleet.ages(inside, setOf(cut)).last()).isLessThanOrEqualTo(MOST_MILLIS)
-        expectThat(fleet.ages(outside, SimulatedFleet.ZONE_IDS - cut).last()).isLessThanOrEqualTo(MOST_MILLIS)
+        expectThat(fleet.ages(inside, setOf(cut)).last()).isLessThanOrEqualTo(MAX_AGE_MILLIS)
+        expectThat(fleet.ages(outside, SimulatedFleet.ZONE_IDS - cut).last()).isLessThanOrEqualTo(MAX_AGE_MILLIS)
         fleet.cutZones = emptySet()
         fleet.run(4_000)
-        expectThat(fleet.ages().last()).isLessThanOrEqualTo(MOST_MILLIS)
+        expectThat(fleet.ages().last()).isLessThanOrEqualTo(MAX_AGE_MILLIS)
     }
 
-    // With a zone of 17 engines dark, every instance would ask each of them without end.
+    // With the 17 engines of one zone unresponsive, every instance would keep polling all of them.
     @Test
-    fun `an engine that does not answer is asked at most six times a second and still asked`() {
+    fun `an unresponsive engine is polled at most six times a second and noticed when it returns`() {
         val fleet = SimulatedFleet(95, ENGINES)
         fleet.run(SETTLE_MILLIS)
-        fleet.dark += EndpointId("e1")
+        fleet.unresponsive += EndpointId("e1")
         fleet.run(10_000)
-        val asks = fleet.asks.getValue(EndpointId("e1")).filter { it > SETTLE_MILLIS }
-        expectThat(asks.size).isLessThanOrEqualTo(MOST_ASKS * 10)
-        fleet.dark.clear()
+        val polls = fleet.polls.getValue(EndpointId("e1")).filter { it > SETTLE_MILLIS }
+        expectThat(polls.size).isLessThanOrEqualTo(MAX_POLLS * 10)
+        fleet.unresponsive.clear()
         fleet.run(1_500)
-        expectThat(fleet.ages().last()).isLessThanOrEqualTo(MOST_MILLIS)
+        expectThat(fleet.ages().last()).isLessThanOrEqualTo(MAX_AGE_MILLIS)
     }
 
-    // The first in the order may be the only one that cannot reach the engine.
+    // The instances that rank first for an engine may be the only ones that cannot poll it.
     @Test
-    fun `the engines of a zone without instances are asked by others`() {
+    fun `the engines of a zone without instances are polled by other zones`() {
         val fleet = SimulatedFleet(95, ENGINES)
         fleet.run(SETTLE_MILLIS)
         val zone = ZoneId("z3")
         fleet.stopped += fleet.all.filter { it.member.zone == zone }.map { it.member.id }
         val from = fleet.nowMillis
         fleet.run(10_000)
-        val asked = fleet.asks.getValue(EndpointId("e3")).filter { it > from + 4_000 }
-        expectThat(asked.size).isGreaterThan(0)
-        expectThat(asked.size).isLessThanOrEqualTo(MOST_ASKS * 6)
+        val pollTimes = fleet.polls.getValue(EndpointId("e3")).filter { it > from + 4_000 }
+        expectThat(pollTimes.size).isGreaterThan(0)
+        expectThat(pollTimes.size).isLessThanOrEqualTo(MAX_POLLS * 6)
     }
 
-    private fun SimulatedFleet.mostAsksInASecond(fromMillis: Long): Int = asks.values.maxOf { times ->
+    private fun SimulatedFleet.maxPollsInASecond(fromMillis: Long): Int = polls.values.maxOf { times ->
         val later = times.filter { it > fromMillis }
         later.maxOf { start -> later.count { it in start until start + 1_000 } }
     }
@@ -141,11 +141,11 @@
         const val SAMPLES = 10
         const val SAMPLE_MILLIS = 370L
         const val SPREAD_MILLIS = 600L
-        const val MEDIAN_MILLIS = 300L
-        const val MOST_MILLIS = 1_000L
-        const val MOST_ASKS = 6
+        const val MEDIAN_AGE_MILLIS = 300L
+        const val MAX_AGE_MILLIS = 1_000L
+        const val MAX_POLLS = 6
 
-        // Hubs have more members to tell; everything else is the same.
-        const val NOISE = 1.2
+        // Allows for hubs, which have more members to send to.
+        const val TOLERANCE = 1.2
     }
 }
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/exchange/SimulatedFleet.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/exchange/SimulatedFleet.kt
@@ -13,12 +13,12 @@
 import org.parsleymoor.relay.fleet.recordUnansweredPoll
 import kotlin.random.Random
 
-/** Instances and engines in [ZONES] zones that decide whom to ask and tell with the real decisions, under one clock. */
+/** Simulates instances and engines in [ZONES] zones under one clock, with the production poll and peer decisions. */
 internal class SimulatedFleet(instances: Int, engines: Int, seed: Int = 1) {
     private val random = Random(seed)
-    private val wire = ArrayList<Message>()
+    private val inTransit = ArrayList<Message>()
     private val members = (1..instances).map { number ->
-        Member(InstanceId("i$number"), "i$number:1", zone(number), processors = if (number % BIG == 0) 1.5 else 0.36)
+        Member(InstanceId("i$number"), "i$number:1", zone(number), processors = if (number % LARGE == 0) 1.5 else 0.36)
     }
     private val engineEntries = (1..engines).map { engineEntry(it) }
 
@@ -26,78 +26,78 @@
     var nowMillis = 0L
         private set
 
-    /** Zones that no message enters or leaves, and whose engines only their own instances reach. */
+    /** Zones that no message enters or leaves, and whose engines can be reached only from within. */
     var cutZones: Set<ZoneId> = emptySet()
 
-    /** Instances that do nothing, and whose connections are silent. */
+    /** Instances that neither act nor respond. */
     val stopped = HashSet<InstanceId>()
 
-    /** Engines that do not answer. */
-    val dark = HashSet<EndpointId>()
+    /** Engines that do not respond to polls. */
+    val unresponsive = HashSet<EndpointId>()
 
-    /** Times at which each engine was asked. */
-    val asks = HashMap<EndpointId, MutableList<Long>>()
+    /** Times at which each engine was polled. */
+    val polls = HashMap<EndpointId, MutableList<Long>>()
 
-    /** How many messages were sent. */
+    /** Number of messages sent. */
     var messages = 0
         private set
 
-    /** Lets [millis] pass. */
+    /** Advances the simulation by [millis]. */
     fun run(millis: Long) {
         val untilMillis = nowMillis + millis
         while (nowMillis < untilMillis) {
             nowMillis += STEP_MILLIS
-            wire.filter { it.atMillis <= nowMillis }.also { wire -= it.toSet() }.forEach { it.deliver() }
+            inTransit.filter { it.atMillis <= nowMillis }.also { inTransit -= it.toSet() }.forEach { it.deliver() }
             all.filter { it.member.id !in stopped }.forEach { it.step() }
         }
     }
 
-    /** Ages of what [instances] know of the engines in [zones], in ascending order. */
+    /** Returns the ages of the loads that [instances] know of the engines in [zones], in ascending order. */
     fun ages(instances: List<Instance> = all, zones: Set<ZoneId> = ZONE_IDS): List<Long> =
-        instances.filter { it.member.id !in stopped }.flatMap { one ->
-            one.table.all.filter { it.entry.zone in zones && it.entry.id !in dark }
+        instances.filter { it.member.id !in stopped }.flatMap { instance ->
+            instance.table.all.filter { it.entry.zone in zones && it.entry.id !in unresponsive }
                 .map { nowMillis - (it.engineLoad?.atMillis ?: 0) }
         }.sorted()
 
-    private fun reaches(one: ZoneId, other: ZoneId): Boolean =
+    private fun canReach(one: ZoneId, other: ZoneId): Boolean =
         one == other || one !in cutZones && other !in cutZones
 
     private fun delayMillis(one: ZoneId, other: ZoneId): Long =
         if (REGION.getValue(one) == REGION.getValue(other)) 1 else 20
 
-    /** One instance with its own view of everything. */
+    /** One instance with its own view of the fleet. */
     inner class Instance(val member: Member) {
         val table = EndpointTable().also { it.replaceAll(engineEntries, 0) }
         val tree = PeerTree(member).also { it.update(members) }
 
-        /** How often each prompt of another instance was heard of, by its context. */
+        /** How often this instance learned of each prompt of another instance, by context. */
         val prompts = HashMap<ContextKey, Int>()
-        private val asksDue = EnginePollSchedule(ReaderRanking(member).also { it.update(members) })
-        private val box = PeerUpdateQueue()
+        private val schedule = EnginePollSchedule(ReaderRanking(member).also { it.update(members) })
+        private val queue = PeerUpdateQueue()
         private val heard = HashMap<InstanceId, Long>()
         private val connected = HashSet<InstanceId>()
-        private val asking = HashMap<EndpointId, Long>()
+        private val pending = HashMap<EndpointId, Long>()
         private var tickMillis = random.nextLong(TICK_MILLIS)
-        private var quietMillis = 0L
+        private var keepAliveSentMillis = 0L
 
-        /** Notes that this instance sends a prompt with [context] to [engine]. */
+        /** Records that this instance sends a prompt with [context] to [engine]. */
         fun send(context: ContextKey, engine: EndpointId) {
-            box.addLocal(PeerUpdate.Sent(member.id, engine, SentPrompt(nowMillis, 1, 1, context)), tree, nowMillis)
+            queue.addLocal(PeerUpdate.Sent(member.id, engine, SentPrompt(nowMillis, 1, 1, context)), tree, nowMillis)
         }
 
         fun step() {
             connect()
-            table.all.filter { asking[it.entry.id] == null && asksDue.isDue(it, nowMillis) }.forEach { state ->
-                ask(state.entry)
+            table.all.filter { pending[it.entry.id] == null && schedule.isDue(it, nowMillis) }.forEach { state ->
+                poll(state.entry)
             }
-            asking.filterValues { it <= nowMillis }.keys.toList().forEach { answered(it) }
-            if (nowMillis >= tickMillis) tell()
+            pending.filterValues { it <= nowMillis }.keys.toList().forEach { endPoll(it) }
+            if (nowMillis >= tickMillis) sendUpdates()
         }
 
         private fun connect() {
             tree.neighbours(connected, nowMillis).forEach { other ->
                 val peer = all.first { it.member.id == other.id }
-                if (other.id !in connected && other.id !in stopped && reaches(member.zone, other.zone)) {
+                if (other.id !in connected && other.id !in stopped && canReach(member.zone, other.zone)) {
                     connected += other.id
                     heard[other.id] = nowMillis
                     peer.connected += member.id
@@ -108,72 +108,72 @@
             connected -= silent.toSet()
         }
 
-        private fun ask(engine: EndpointEntry) {
-            asks.getOrPut(engine.id) { ArrayList() } += nowMillis
-            val silent = engine.id in dark || !reaches(member.zone, engine.zone)
-            asking[engine.id] = nowMillis + if (silent) TIMEOUT_MILLIS else 2 * delayMillis(member.zone, engine.zone)
+        private fun poll(engine: EndpointEntry) {
+            polls.getOrPut(engine.id) { ArrayList() } += nowMillis
+            val fails = engine.id in unresponsive || !canReach(member.zone, engine.zone)
+            pending[engine.id] = nowMillis + if (fails) TIMEOUT_MILLIS else 2 * delayMillis(member.zone, engine.zone)
         }
 
-        private fun answered(engine: EndpointId) {
+        private fun endPoll(engine: EndpointId) {
             val state = table[engine]!!
-            val askedMillis = asks.getValue(engine).last { it <= nowMillis }
-            asking -= engine
-            val silent = engine in dark || !reaches(member.zone, state.entry.zone)
-            val news = if (silent) {
-                state.recordUnansweredPoll(askedMillis)
-                PeerUpdate.Unresponsive(engine, askedMillis)
+            val polledMillis = polls.getValue(engine).last { it <= nowMillis }
+            pending -= engine
+            val unanswered = engine in unresponsive || !canReach(member.zone, state.entry.zone)
+            val update = if (unanswered) {
+                state.recordUnansweredPoll(polledMillis)
+                PeerUpdate.Unresponsive(engine, polledMillis)
             } else {
-                val load = EngineLoad(1, 0, 0, 10, 100, askedMillis)
+                val load = EngineLoad(1, 0, 0, 10, 100, polledMillis)
                 state.learnLoad(load)
                 PeerUpdate.Load(engine, load, mapOf(MODEL to 1L))
             }
-            box.addLocal(news, tree, nowMillis)
+            queue.addLocal(update, tree, nowMillis)
         }
 
-        private fun tell() {
+        private fun sendUpdates() {
             tickMillis += TICK_MILLIS
-            val fresh = connected.filter { nowMillis - (heard[it] ?: 0) < FRESH_MILLIS }.ifEmpty { connected }
+            val recentlyHeard = connected.filter { nowMillis - (heard[it] ?: 0) < RECENT_MILLIS }.ifEmpty { connected }
             val recipients = tree.recipients(
-                fresh.associateWith { id -> members.first { it.id == id }.zone },
+                recentlyHeard.associateWith { id -> members.first { it.id == id }.zone },
                 nowMillis
             )
-            say(ForwardScope.EVERYWHERE, listOfNotNull(recipients.hub))
-            say(ForwardScope.ZONE, recipients.zones)
-            say(ForwardScope.NOBODY, recipients.last)
-            if (nowMillis - quietMillis >= QUIET_MILLIS) {
-                quietMillis = nowMillis
+            sendQueued(ForwardScope.EVERYWHERE, listOfNotNull(recipients.hub))
+            sendQueued(ForwardScope.ZONE, recipients.zones)
+            sendQueued(ForwardScope.NOBODY, recipients.last)
+            if (nowMillis - keepAliveSentMillis >= KEEP_ALIVE_MILLIS) {
+                keepAliveSentMillis = nowMillis
                 connected.forEach { send(it, ForwardScope.NOBODY, emptyList()) }
             }
         }
 
-        private fun say(passOn: ForwardScope, to: List<InstanceId>) {
-            val news = box.take(passOn)
-            if (news.isNotEmpty()) to.forEach { send(it, passOn, news) }
+        private fun sendQueued(scope: ForwardScope, to: List<InstanceId>) {
+            val updates = queue.take(scope)
+            if (updates.isNotEmpty()) to.forEach { send(it, scope, updates) }
         }
 
-        private fun send(to: InstanceId, passOn: ForwardScope, news: List<PeerUpdate>) {
+        private fun send(to: InstanceId, scope: ForwardScope, updates: List<PeerUpdate>) {
             val peer = all.first { it.member.id == to }
-            if (!reaches(member.zone, peer.member.zone) || to in stopped) return
+            if (!canReach(member.zone, peer.member.zone) || to in stopped) return
             messages++
             val atMillis = nowMillis + delayMillis(member.zone, peer.member.zone)
-            wire += Message(atMillis) { peer.take(member.id, passOn, news) }
+            inTransit += Message(atMillis) { peer.receive(member.id, scope, updates) }
         }
 
-        private fun take(from: InstanceId, passOn: ForwardScope, news: List<PeerUpdate>) {
+        private fun receive(from: InstanceId, scope: ForwardScope, updates: List<PeerUpdate>) {
             if (member.id in stopped) return
             heard[from] = nowMillis
             connected += from
-            news.forEach { one ->
-                learn(one)
-                box.passOn(one, passOn)
+            updates.forEach { update ->
+                learn(update)
+                queue.passOn(update, scope)
             }
         }
 
-        private fun learn(news: PeerUpdate) {
-            when (news) {
-                is PeerUpdate.Load -> table[news.endpoint]!!.learnLoad(news.load)
-                is PeerUpdate.Unresponsive -> table[news.endpoint]!!.recordUnansweredPoll(news.atMillis)
-                is PeerUpdate.Sent -> if (news.origin != member.id) prompts.merge(news.prompt.context, 1, Int::plus)
+        private fun learn(update: PeerUpdate) {
+            when (update) {
+                is PeerUpdate.Load -> table[update.endpoint]!!.learnLoad(update.load)
+                is PeerUpdate.Unresponsive -> table[update.endpoint]!!.recordUnansweredPoll(update.atMillis)
+                is PeerUpdate.Sent -> if (update.origin != member.id) prompts.merge(update.prompt.context, 1, Int::plus)
                 is PeerUpdate.Ordered, is PeerUpdate.CacheStoreEvents, is PeerUpdate.CacheStoreUnreachable -> Unit
             }
         }
@@ -185,11 +185,11 @@
         const val ZONES = 6
         private const val STEP_MILLIS = 10L
         private const val TICK_MILLIS = 100L
-        private const val QUIET_MILLIS = 450L
-        private const val FRESH_MILLIS = 1_200L
+        private const val KEEP_ALIVE_MILLIS = 450L
+        private const val RECENT_MILLIS = 1_200L
         private const val SILENCE_MILLIS = 3_000L
         private const val TIMEOUT_MILLIS = 400L
-        private const val BIG = 5
+        private const val LARGE = 5
         val ZONE_IDS = (0 until ZONES).map { ZoneId("z$it") }.toSet()
         private val REGION = ZONE_IDS.associateWith { if (it.value in setOf("z0", "z1", "z2")) "north" else "south" }
 
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/fleet/EndpointTableTest.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/fleet/EndpointTableTest.kt
@@ -17,14 +17,14 @@
     private val table = EndpointTable(graceMillis = 2_000).also { it.replaceAll(listOf(entry("one")), 0) }
 
     @Test
-    fun `an entry that is removed while the list is read is gone at once`() {
+    fun `an entry that is removed while the discovery list is available is dropped at once`() {
         expectThat(table.remove(EndpointId("one"), 10)).isTrue()
         expectThat(table.serving("engines")).isEmpty()
     }
 
-    // Entries lapse while the store is away; the endpoints register again within two seconds of its return.
+    // Entries expire while the object store is unavailable; endpoints register again within two seconds of its return.
     @Test
-    fun `an entry that is missing after an interruption is kept for the grace period and then gone`() {
+    fun `an entry that is missing after an outage of the list is kept for the grace period and then dropped`() {
         table.markListUnavailable()
         table.markListAvailable(1_000)
         table.replaceAll(emptyList(), 1_000)
@@ -45,7 +45,7 @@
     }
 
     @Test
-    fun `a draining endpoint gets no work and is not kept after an interruption`() {
+    fun `a draining endpoint receives no requests and is not kept after an outage of the list`() {
         table.put(entry("one", draining = true), 10)
         expectThat(table.serving("engines")).isEmpty()
         table.markListUnavailable()
@@ -53,7 +53,7 @@
     }
 
     @Test
-    fun `an evacuated zone gets no work until it is taken back`() {
+    fun `an evacuated zone receives no requests until the evacuation ends`() {
         table.evacuated = setOf(ZoneId("a"))
         expectThat(table.serving("engines")).isEmpty()
         table.evacuated = emptySet()
@@ -61,7 +61,7 @@
     }
 
     @Test
-    fun `an endpoint that starts again at its id loses what was learned of it`() {
+    fun `a restart of an endpoint resets what was learned about it`() {
         val state = table[EndpointId("one")]!!
         state.learnWeights(MODEL, 5)
         table.put(entry("one").copy(startMillis = 2), 10)
@@ -78,7 +78,7 @@
     }
 
     @Test
-    fun `an endpoint that fails repeatedly is set aside and comes back after an answer`() {
+    fun `an endpoint that fails repeatedly is ejected for a limited time`() {
         val state = table[EndpointId("one")]!!
         repeat(2) { state.recordOutcome(AttemptOutcome.FAILED, 100) }
         expectThat(state.health.isEjected(101)).isTrue()
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/http/BodyDecoderTest.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/http/BodyDecoderTest.kt
@@ -10,7 +10,7 @@
     private val queue = ByteQueue()
 
     @Test
-    fun `a chunked body that arrives byte by byte is whole, and what follows it stays`() {
+    fun `a chunked body that arrives byte by byte is decoded, and the bytes after it stay in the queue`() {
         val decoder = BodyDecoder(BodyFraming.Chunked)
         var content = ""
         "4;x=1\r\nWiki\r\nA\r\n0123456789\r\n0\r\nTrailer: 1\r\n\r\nNEXT".forEach { byte ->
@@ -32,7 +32,7 @@
     }
 
     @Test
-    fun `a body of known length leaves the bytes behind it`() {
+    fun `a body of known length leaves the bytes after it in the queue`() {
         queue.append("12345extra".toByteArray())
         val decoder = BodyDecoder(BodyFraming.Length(5))
         expectThat(String(decoder.decode(queue))).isEqualTo("12345")
@@ -41,7 +41,7 @@
     }
 
     @Test
-    fun `a body without length is complete after an orderly end and broken after a reset`() {
+    fun `a body without a length is complete after an orderly end and broken after a reset`() {
         val orderly = BodyDecoder(BodyFraming.UntilClose).also { it.endOfInput(orderly = true) }
         val reset = BodyDecoder(BodyFraming.UntilClose).also { it.endOfInput(orderly = false) }
         expectThat(orderly.progress).isEqualTo(BodyProgress.COMPLETE)
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/http/HeadParserTest.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/http/HeadParserTest.kt
@@ -12,7 +12,7 @@
 
 class HeadParserTest {
     @Test
-    fun `keeps the target and the order of the fields`() {
+    fun `preserves the target and the order of the fields`() {
         val head = parseRequestHead(
             "POST /a%2Fb?x=1 HTTP/1.1\r\nHost: h\r\nX-One:  1 \r\nx-one: 2\r\n\r\n".toByteArray()
         ).get()
@@ -21,7 +21,7 @@
         expectThat(head?.headers?.all("X-One")).isEqualTo(listOf("1", "2"))
     }
 
-    // Each of these could be read in two ways, and so hide a second request inside the first.
+    // Each of these is ambiguous or malformed and could be used to smuggle a second request inside the first.
     @ParameterizedTest
     @ValueSource(
         strings = [
@@ -39,7 +39,7 @@
             "no colon",
         ],
     )
-    fun `refuses a request whose body could be read in two ways`(fields: String) {
+    fun `rejects a request with ambiguous body framing`(fields: String) {
         val framing = parseRequestHead(
             "POST / HTTP/1.1\r\nHost: h\r\n$fields\r\n\r\n".toByteArray()
         ).andThen { it.framing() }
@@ -48,25 +48,25 @@
 
     @ParameterizedTest
     @ValueSource(strings = ["GET / HTTP/1.1\r\n\r\n", "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n"])
-    fun `refuses a request without exactly one host`(head: String) {
+    fun `rejects a request without exactly one Host header`(head: String) {
         expectThat(parseRequestHead(head.toByteArray()).getError()).isEqualTo(MessageFailure.MISSING_HOST)
     }
 
     @ParameterizedTest
     @ValueSource(strings = ["GET /", "GET  / HTTP/1.1", "GET / HTTP/2.0", "G(T / HTTP/1.1", "GET /a b HTTP/1.1"])
-    fun `refuses a malformed start line`(line: String) {
+    fun `rejects a malformed start line`(line: String) {
         expectThat(parseRequestHead("$line\r\nHost: h\r\n\r\n".toByteArray()).getError())
             .isEqualTo(MessageFailure.MALFORMED_START_LINE)
     }
 
     @Test
-    fun `a response without a length ends with its connection`() {
+    fun `the body of a response without a length ends with its connection`() {
         val head = parseResponseHead("HTTP/1.1 200 OK\r\n\r\n".toByteArray())
         expectThat(head.andThen { it.framing("GET") }.get()).isEqualTo(BodyFraming.UntilClose)
     }
 
     @Test
-    fun `a response to HEAD and a response 204 have no body`() {
+    fun `a response to HEAD and a 204 response have no body`() {
         val ok = parseResponseHead("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n".toByteArray())
         val empty = parseResponseHead("HTTP/1.1 204 No Content\r\n\r\n".toByteArray())
         expectThat(ok.andThen { it.framing("HEAD") }.get()).isEqualTo(BodyFraming.None)
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/placement/EnginePlacementTest.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/placement/EnginePlacementTest.kt
@@ -26,72 +26,72 @@
 class EnginePlacementTest {
     private val placement = EnginePlacement(TOPOLOGY, random = Random(1))
 
-    // A burst: instances that have all seen one engine idle send a whole burst there before its next report.
+    // Instances that all see the same engine idle would send a whole burst to it before its next load report.
     @Test
-    fun `a burst at instances with the same reports is spread over the engines`() {
+    fun `instances with the same load reports spread a burst over the engines`() {
         val instances = List(9) { EnginePlacement(TOPOLOGY, random = Random(it)) }
         val counts = (1..90).groupingBy { number ->
             val table = engines(8)
             table.all.forEachIndexed { index, state ->
                 state.learnLoad(load(memoryUsed = if (index == 0) 30_000 else 40_000, atMillis = 0))
             }
-            val place = instances[number % 9].choose(wanted(prompt("s$number")), table, 100).result
-            (place as PlacementResult.Selected).endpoint.entry.id
+            val result = instances[number % 9].choose(query(prompt("s$number")), table, 100).result
+            (result as PlacementResult.Selected).endpoint.entry.id
         }.eachCount()
         expectThat(counts.values.max()).isLessThan(45)
     }
 
-    // Overload: engines that are given more than their memory holds evict what they have just fetched.
+    // Engines whose memory is overcommitted evict what they have just fetched.
     @Test
-    fun `a long prompt is refused with a time to return while no engine has memory for it`() {
+    fun `a long prompt is refused with a retry delay while no engine has memory for it`() {
         val table = engines(8)
         table.all.forEach { it.learnLoad(load(memoryUsed = 95_000, atMillis = 0)) }
-        val place = placement.choose(wanted(prompt("s")), table, 100).result
-        expectThat(place).isA<PlacementResult.Unavailable>()
-        expectThat((place as PlacementResult.Unavailable).reason).isEqualTo(UnavailableReason.OVERLOADED)
-        expectThat(place.retryAfterMillis).isGreaterThan(0)
+        val result = placement.choose(query(prompt("s")), table, 100).result
+        expectThat(result).isA<PlacementResult.Unavailable>()
+        expectThat((result as PlacementResult.Unavailable).reason).isEqualTo(UnavailableReason.OVERLOADED)
+        expectThat(result.retryAfterMillis).isGreaterThan(0)
     }
 
     @Test
-    fun `a caller that returns, and a short prompt, are served by engines that are full`() {
+    fun `full engines still accept a retry and a short prompt`() {
         val table = engines(8)
         table.all.forEach { it.learnLoad(load(memoryUsed = 95_000, atMillis = 0)) }
         val short = prompt("s", shared = 1_500, own = 500)
         expectThat(
-            placement.choose(wanted(prompt("s"), isRetry = true), table, 100).result
+            placement.choose(query(prompt("s"), isRetry = true), table, 100).result
         ).isA<PlacementResult.Selected>()
-        expectThat(placement.choose(wanted(short), table, 100).result).isA<PlacementResult.Selected>()
+        expectThat(placement.choose(query(short), table, 100).result).isA<PlacementResult.Selected>()
     }
 
     @Test
-    fun `a prompt goes to the one engine with memory for it`() {
+    fun `a prompt goes to the only engine with memory for it`() {
         val table = engines(8)
         table.all.forEach { it.learnLoad(load(memoryUsed = 95_000, atMillis = 0)) }
         val free = table[EndpointId("engine-3")]!!
         free.learnLoad(load(memoryUsed = 10_000, atMillis = 1))
         expectThat(
-            (placement.choose(wanted(prompt("s")), table, 100).result as PlacementResult.Selected).endpoint
+            (placement.choose(query(prompt("s")), table, 100).result as PlacementResult.Selected).endpoint
         ).isEqualTo(free)
     }
 
-    // Drawn among all engines, a prompt met its context the more rarely the more engines there are.
+    // When all engines were sampled, the chance that a prompt reached its cached context fell with their number.
     @Test
-    fun `prompts meet their context among 98 idle engines as often as among eight`() {
+    fun `prompts reach their cached context among 98 idle engines as often as among eight`() {
         val shares = listOf(8, 98).map { count ->
             val table = engines(count)
             table.all.forEach { it.learnLoad(load(memoryUsed = 10_000, atMillis = 0)) }
             val holder = table[EndpointId("engine-3")]!!
             val short = prompt("s", shared = 1_861, own = 507)
-            val request = wanted(short).copy(cachedProbability = { if (it === holder) 0.9 else 0.0 })
-            val held = (1..2_000).count {
+            val request = query(short).copy(cachedProbability = { if (it === holder) 0.9 else 0.0 })
+            val atHolder = (1..2_000).count {
                 (placement.choose(request, table, 100).result as PlacementResult.Selected).endpoint === holder
             }
-            held / 2_000.0
+            atHolder / 2_000.0
         }
         expectThat(shares[1]).isGreaterThan(shares[0] - 0.05)
     }
 
-    // The engines that were drawn may all be full while another is not.
+    // The sampled engines may all be full while another is free.
     @Test
     fun `a prompt is not refused while one of 98 engines is free`() {
         val table = engines(98)
@@ -99,96 +99,96 @@
         val free = table[EndpointId("engine-70")]!!
         free.learnLoad(load(memoryUsed = 10_000, atMillis = 1))
         repeat(50) {
-            val place = placement.choose(wanted(prompt("s$it")), table, 100).result
-            expectThat((place as PlacementResult.Selected).endpoint).isEqualTo(free)
+            val result = placement.choose(query(prompt("s$it")), table, 100).result
+            expectThat((result as PlacementResult.Selected).endpoint).isEqualTo(free)
         }
     }
 
-    // Without affinity each engine would be drawn once in eight times.
+    // Without affinity each of the eight engines would receive an eighth of the prompts.
     @Test
-    fun `prompts with the same shared parts meet more often at their home among idle engines`() {
+    fun `idle engines receive prompts with the same shared parts more often at their home engine`() {
         val table = engines(8)
         val atHome = (1..100).sumOf { session ->
             val prompt = prompt("session-$session")
             val home = rendezvousOrder(prompt.affinityKey, table.all) { it.entry.id.value }.first().entry.id
-            (1..10).count { chosen(table, prompt) == home }
+            (1..10).count { selected(table, prompt) == home }
         }
         expectThat(atHome).isGreaterThan(1_000 / 8 * 3 / 2)
     }
 
-    // A context that returns while its first run goes on: its parts are in that engine's memory and in no store yet.
+    // While the first request with a context runs, its parts are in that engine's memory and in no KV cache store yet.
     @Test
-    fun `a prompt goes to the engine that was given its context lately`() {
+    fun `a prompt goes to the engine that recently received its context`() {
         val table = engines(8)
         val holder = table[EndpointId("engine-5")]!!
-        val held: (EndpointState) -> Double = { if (it === holder) 0.9 else 0.0 }
-        val there = (1..100).count {
-            val place = placement.choose(wanted(prompt("s$it")).copy(cachedProbability = held), table, 100).result
-            (place as PlacementResult.Selected).endpoint === holder
+        val atHolder: (EndpointState) -> Double = { if (it === holder) 0.9 else 0.0 }
+        val selections = (1..100).count {
+            val result = placement.choose(query(prompt("s$it")).copy(cachedProbability = atHolder), table, 100).result
+            (result as PlacementResult.Selected).endpoint === holder
         }
-        expectThat(there).isGreaterThan(90)
+        expectThat(selections).isGreaterThan(90)
     }
 
     @Test
-    fun `another engine fetches the context from the one that was given it lately`() {
+    fun `another engine fetches the context from the engine that recently received it`() {
         val table = engines(8)
         val holder = table[EndpointId("engine-5")]!!
         holder.learnLoad(load(memoryUsed = 95_000, atMillis = 0))
-        val held: (EndpointState) -> Double = { if (it === holder) 0.9 else 0.0 }
-        val found = placement.choose(wanted(prompt("s")).copy(cachedProbability = held), table, 100)
+        val atHolder: (EndpointState) -> Double = { if (it === holder) 0.9 else 0.0 }
+        val found = placement.choose(query(prompt("s")).copy(cachedProbability = atHolder), table, 100)
         expectThat((found.result as PlacementResult.Selected).endpoint).isNotEqualTo(holder)
         expectThat(found.cachedAt).isEqualTo(holder)
     }
 
-    // A rollout at full load: work on older weights must end before the time that operators allow.
+    // During a rollout at full load, requests on older weights must end within the time that operators allow.
     @Test
-    fun `older weights are used only for a time after newer ones were named`() {
+    fun `older weights are used only for a limited time after the target changes`() {
         val table = engines(4)
-        val named = TargetWeights(MODEL, 2, sinceMillis = 0)
-        val early = placement.choose(wanted(prompt("s"), named = named), table, 1_000).result
-        val late = placement.choose(wanted(prompt("s"), named = named), table, 7_500).result
+        val target = TargetWeights(MODEL, 2, sinceMillis = 0)
+        val early = placement.choose(query(prompt("s"), target = target), table, 1_000).result
+        val late = placement.choose(query(prompt("s"), target = target), table, 7_500).result
         expectThat(early).isA<PlacementResult.Selected>()
         expectThat((late as PlacementResult.Unavailable).reason).isEqualTo(UnavailableReason.NO_WEIGHTS)
     }
 
-    // Two rollouts in quick succession: an engine that has missed both is out of date since the first.
+    // An engine that misses two rollouts in quick succession is outdated since the first.
     @Test
-    fun `weights that were replaced twice are out of date since the first replacement`() {
+    fun `weights that were replaced twice are outdated since the first replacement`() {
         val table = engines(4)
-        val named = TargetWeights(MODEL, 3, sinceMillis = 4_000).replacing(TargetWeights(MODEL, 2, sinceMillis = 0))
-        val late = placement.choose(wanted(prompt("s"), named = named), table, 7_500).result
+        val target = TargetWeights(MODEL, 3, sinceMillis = 4_000).replacing(TargetWeights(MODEL, 2, sinceMillis = 0))
+        val late = placement.choose(query(prompt("s"), target = target), table, 7_500).result
         expectThat((late as PlacementResult.Unavailable).reason).isEqualTo(UnavailableReason.NO_WEIGHTS)
         table.all.first().learnWeights(MODEL, 2)
         expectThat(
-            placement.choose(wanted(prompt("s"), named = named), table, 7_500).result
+            placement.choose(query(prompt("s"), target = target), table, 7_500).result
         ).isA<PlacementResult.Selected>()
     }
 
     @Test
-    fun `an engine that carries out an order or fails gets no work while others are free`() {
+    fun `an engine that executes an order or fails receives no requests while others are free`() {
         val table = engines(2)
         val (first, second) = table.all.toList()
         first.orderedUntilMillis = 1_000
-        repeat(10) { expectThat(chosen(table, prompt("s$it"))).isEqualTo(second.entry.id) }
+        repeat(10) { expectThat(selected(table, prompt("s$it"))).isEqualTo(second.entry.id) }
         first.orderedUntilMillis = 0
         second.recordOutcome(AttemptOutcome.UNREACHABLE, 50)
-        repeat(10) { expectThat(chosen(table, prompt("t$it"))).isNotEqualTo(second.entry.id) }
+        repeat(10) { expectThat(selected(table, prompt("t$it"))).isNotEqualTo(second.entry.id) }
     }
 
     @Test
-    fun `without an engine or with all of them tried there is no place`() {
+    fun `without an untried engine the result is unavailable`() {
         val empty = EndpointTable()
         val tried = EndpointTable().also { it.put(entry("one"), 0) }
         val request = placementQuery().copy(tried = setOf(EndpointId("one")))
-        expectThat(placement.choose(wanted(prompt("s")), empty, 0).result).isA<PlacementResult.Unavailable>()
+        expectThat(placement.choose(query(prompt("s")), empty, 0).result).isA<PlacementResult.Unavailable>()
         expectThat(
-            placement.choose(wanted(prompt("s")).copy(base = request), tried, 0).result
+            placement.choose(query(prompt("s")).copy(base = request), tried, 0).result
         ).isA<PlacementResult.Unavailable>()
     }
 
-    private fun chosen(table: EndpointTable, prompt: PromptContext): EndpointId =
-        (placement.choose(wanted(prompt), table, 100).result as PlacementResult.Selected).endpoint.entry.id
+    private fun selected(table: EndpointTable, prompt: PromptContext): EndpointId =
+        (placement.choose(query(prompt), table, 100).result as PlacementResult.Selected).endpoint.entry.id
 
-    private fun wanted(prompt: PromptContext, isRetry: Boolean = false, named: TargetWeights? = null) =
-        EnginePlacementQuery(placementQuery(isRetry), prompt, named, instances = 9, fetchMillis = { null })
+    private fun query(prompt: PromptContext, isRetry: Boolean = false, target: TargetWeights? = null) =
+        EnginePlacementQuery(placementQuery(isRetry), prompt, target, instances = 9, fetchMillis = { null })
 }
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/placement/OverloadTest.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/placement/OverloadTest.kt
@@ -14,8 +14,8 @@
 import kotlin.random.Random
 
 /**
- * More long prompts than the engines can read, whose callers return once after a refusal, and then less again: the
- * load of a day on which some engines are down for a while.
+ * Sends more long prompts than the engines can prefill, then fewer again, as when some engines are down for a while.
+ * Each caller retries once after a refusal.
  */
 class OverloadTest {
     private val table = engines(ENGINES)
@@ -23,51 +23,51 @@
     private val simulated = table.all.map { SimulatedEngine(it) }
     private val answers = ArrayList<Answer>()
 
-    // Engines that are given all of it answer everything late.
+    // Engines that accept every request under overload answer all of them late.
     @Test
-    fun `under overload half of what the engines can read is answered in time`() {
-        play()
+    fun `under overload half of what the engines can prefill is answered in time`() {
+        simulate()
         val inTime = answers.count { it.arrivedMillis < OVERLOAD_END_MILLIS && it.waitMillis <= OBJECTIVE_MILLIS }
         expectThat(inTime).isGreaterThan(capacity(OVERLOAD_END_MILLIS) / 2)
     }
 
-    // With callers that are served whatever their wait, late work keeps engines late after the overload.
+    // If callers were served whatever their wait, queued requests would keep the engines late after the overload.
     @Test
-    fun `three seconds after the overload requests are answered in time again`() {
-        play()
+    fun `three seconds after the overload ends requests are answered in time again`() {
+        simulate()
         val after = answers.filter { it.arrivedMillis > OVERLOAD_END_MILLIS + RECOVERY_MILLIS }
         expectThat(after.size).isGreaterThan(0)
-        expectThat(after.count { it.waitMillis <= OBJECTIVE_MILLIS } * PERCENT / after.size).isGreaterThan(MOST_PERCENT)
+        expectThat(after.count { it.waitMillis <= OBJECTIVE_MILLIS } * PERCENT / after.size).isGreaterThan(MIN_PERCENT)
     }
 
     private fun capacity(millis: Long): Int = (ENGINES * millis * SimulatedEngine.TOKENS_PER_MILLI / TOKENS).toInt()
 
-    private fun play() {
-        val returning = ArrayList<Caller>()
+    private fun simulate() {
+        val retries = ArrayList<Caller>()
         var number = 0
         var due = 0.0
         for (now in 0L until END_MILLIS step STEP_MILLIS) {
-            val load = if (now < OVERLOAD_END_MILLIS) OVERLOAD else CALM
+            val load = if (now < OVERLOAD_END_MILLIS) OVERLOAD_LOAD else NORMAL_LOAD
             due += load * capacity(STEP_MILLIS * STEPS) / STEPS
             while (due >= 1) {
                 due--
-                ask(Caller(number++, arrivedMillis = now), now, returning)
+                send(Caller(number++, arrivedMillis = now), now, retries)
             }
-            returning.filter { it.backMillis <= now }.also { returning -= it.toSet() }
-                .forEach { ask(it, now, returning) }
+            retries.filter { it.retryMillis <= now }.also { retries -= it.toSet() }
+                .forEach { send(it, now, retries) }
             simulated.forEach { it.advance(now, answers) }
         }
     }
 
-    private fun ask(caller: Caller, now: Long, returning: MutableList<Caller>) {
+    private fun send(caller: Caller, now: Long, retries: MutableList<Caller>) {
         val waited = now - caller.arrivedMillis
-        val request = placementQuery(caller.returned).copy(remainingMillis = WAIT_MILLIS - waited)
+        val base = placementQuery(caller.isRetry).copy(remainingMillis = WAIT_MILLIS - waited)
         val prompt = prompt("context-${caller.number}")
-        val wanted = EnginePlacementQuery(request, prompt, targetWeights = null, instances = 1, fetchMillis = { null })
-        when (val place = placement.choose(wanted, table, now).result) {
-            is PlacementResult.Selected -> simulated.first { it.state === place.endpoint }.take(caller, now)
-            is PlacementResult.Unavailable -> if (!caller.returned) {
-                returning += caller.copy(returned = true, backMillis = now + place.retryAfterMillis)
+        val query = EnginePlacementQuery(base, prompt, targetWeights = null, instances = 1, fetchMillis = { null })
+        when (val result = placement.choose(query, table, now).result) {
+            is PlacementResult.Selected -> simulated.first { it.state === result.endpoint }.take(caller, now)
+            is PlacementResult.Unavailable -> if (!caller.isRetry) {
+                retries += caller.copy(isRetry = true, retryMillis = now + result.retryAfterMillis)
             }
         }
     }
@@ -75,18 +75,18 @@
     private data class Caller(
         val number: Int,
         val arrivedMillis: Long,
-        val returned: Boolean = false,
-        val backMillis: Long = 0,
+        val isRetry: Boolean = false,
+        val retryMillis: Long = 0,
     )
 
     private data class Answer(val arrivedMillis: Long, val waitMillis: Long)
 
-    /** Reads one prompt after the other while there is memory, and keeps each in memory until its run has ended. */
+    /** Prefills one prompt at a time while it has memory, and keeps each in memory until its request ends. */
     private class SimulatedEngine(val state: EndpointState) {
         private val waiting = ArrayDeque<Caller>()
         private val running = ArrayList<Long>()
-        private var reading: Caller? = null
-        private var readMillis = 0L
+        private var prefilling: Caller? = null
+        private var prefillEndMillis = 0L
         private var reportedMillis = 0L
 
         fun take(caller: Caller, now: Long) {
@@ -97,27 +97,27 @@
 
         fun advance(now: Long, answers: MutableList<Answer>) {
             running.removeAll { it <= now }
-            reading?.takeIf { readMillis <= now }?.let { read ->
-                answers += Answer(read.arrivedMillis, now - read.arrivedMillis)
+            prefilling?.takeIf { prefillEndMillis <= now }?.let { caller ->
+                answers += Answer(caller.arrivedMillis, now - caller.arrivedMillis)
                 state.prefillEnded(TOKENS)
                 state.requestEnded()
                 running += now + RUN_MILLIS
-                reading = null
+                prefilling = null
             }
-            if (reading == null && memoryUsed() + TOKENS <= MEMORY) {
-                reading = waiting.removeFirstOrNull()
-                readMillis = now + (TOKENS / TOKENS_PER_MILLI).toLong()
+            if (prefilling == null && memoryUsed() + TOKENS <= MEMORY) {
+                prefilling = waiting.removeFirstOrNull()
+                prefillEndMillis = now + (TOKENS / TOKENS_PER_MILLI).toLong()
             }
             if (now - reportedMillis >= REPORT_MILLIS) report(now)
         }
 
-        private fun memoryUsed(): Long = (running.size + if (reading == null) 0 else 1) * TOKENS
+        private fun memoryUsed(): Long = (running.size + if (prefilling == null) 0 else 1) * TOKENS
 
         private fun report(now: Long) {
             reportedMillis = now
-            val inReading = if (reading == null) 0 else 1
+            val prefillCount = if (prefilling == null) 0 else 1
             state.learnLoad(
-                EngineLoad(running.size + inReading, waiting.size, inReading, memoryUsed(), MEMORY, now),
+                EngineLoad(running.size + prefillCount, waiting.size, prefillCount, memoryUsed(), MEMORY, now),
             )
         }
 
@@ -140,10 +140,10 @@
         const val RECOVERY_MILLIS = 3_000L
         const val END_MILLIS = 30_000L
 
-        // Three of eight engines down at three quarters of their load.
-        const val OVERLOAD = 1.2
-        const val CALM = 0.75
+        // Three of eight engines are down while the load is three quarters of what all eight can prefill.
+        const val OVERLOAD_LOAD = 1.2
+        const val NORMAL_LOAD = 0.75
         const val PERCENT = 100
-        const val MOST_PERCENT = 95
+        const val MIN_PERCENT = 95
     }
 }
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/prompt/PromptContextTest.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/prompt/PromptContextTest.kt
@@ -12,7 +12,7 @@
 
 class PromptContextTest {
     @Test
-    fun `the last part is the request's own`() {
+    fun `the last part is specific to the request`() {
         val prompt = PromptContext.parse("m", "1460,80", "a:800, b:410,c:250")
         expectThat(prompt?.sharedTokens).isEqualTo(1_210)
         expectThat(prompt?.affinityKey).isEqualTo("b")
@@ -21,12 +21,12 @@
 
     @ParameterizedTest
     @CsvSource(value = ["x|a:1", "|a:1", "10|a", "10|a:-1", "10|a:x"], delimiter = '|')
-    fun `malformed counts and parts are refused`(usage: String?, parts: String?) {
+    fun `malformed counts and parts are rejected`(usage: String?, parts: String?) {
         expectThat(PromptContext.parse("m", usage, parts)).isNull()
     }
 
     @Test
-    fun `name spaces differ by weights, and for an isolated organisation from all others`() {
+    fun `namespaces differ by weight version and separate an isolated organisation from all others`() {
         val model = ModelId("m")
         val organisation = OrganisationId("o")
         val shared = cacheNamespace(model, 1, organisation, isolated = false)
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/rollout/RolloutPlanTest.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/rollout/RolloutPlanTest.kt
@@ -14,41 +14,41 @@
 class RolloutPlanTest {
     private val plan = RolloutPlan(takeoverMillis = 5_000)
     private val table = engines(8)
-    private val named = mapOf(MODEL to TargetWeights(MODEL, 2, 0))
+    private val targets = mapOf(MODEL to TargetWeights(MODEL, 2, 0))
 
     @Test
-    fun `a part of the engines is ordered at a time, and each one once`() {
-        val first = plan.enginesToLoad(table, named, 0)
+    fun `only some engines load at a time, and each is selected once`() {
+        val first = plan.enginesToLoad(table, targets, 0)
         expectThat(first).hasSize(3)
         first.forEach { plan.loadStarted(it.endpoint.entry.id, 0) }
-        expectThat(plan.enginesToLoad(table, named, 10)).isEmpty()
+        expectThat(plan.enginesToLoad(table, targets, 10)).isEmpty()
     }
 
     @Test
-    fun `an engine that has loaded makes room for the next, one that failed is tried again later`() {
-        val first = plan.enginesToLoad(table, named, 0)
+    fun `an engine that has loaded is followed by another, and one that failed is retried later`() {
+        val first = plan.enginesToLoad(table, targets, 0)
         first.forEach { plan.loadStarted(it.endpoint.entry.id, 0) }
         first[0].endpoint.learnWeights(MODEL, 2)
         plan.loadEnded(first[0].endpoint.entry.id, loaded = true, 100)
         plan.loadEnded(first[1].endpoint.entry.id, loaded = false, 100)
-        val next = plan.enginesToLoad(table, named, 200).map { it.endpoint.entry.id }
+        val next = plan.enginesToLoad(table, targets, 200).map { it.endpoint.entry.id }
         expectThat(next).hasSize(2)
         expectThat(first.map { it.endpoint.entry.id }.any { it in next }).isFalse()
     }
 
     @Test
-    fun `no engine is ordered when all have the weights or none are named`() {
+    fun `no engine is outdated when all have the weights or there is no target`() {
         table.all.forEach { it.learnWeights(MODEL, 2) }
-        expectThat(plan.outdatedEngines(table, named)).isEmpty()
+        expectThat(plan.outdatedEngines(table, targets)).isEmpty()
         expectThat(plan.outdatedEngines(table, emptyMap())).isEmpty()
     }
 
-    // Two instances must not both give orders within one lease period.
+    // Two instances must not both send orders within one lease period.
     @Test
-    fun `a holder that has just given an order counts as active`() {
+    fun `the plan is recently active after an order until the takeover time`() {
         plan.orderSent(1_000)
         expectThat(plan.isRecentlyActive(4_000)).isTrue()
         expectThat(plan.isRecentlyActive(6_000)).isFalse()
-        expectThat(plan.enginesToLoad(table, named, 0).size).isEqualTo(3)
+        expectThat(plan.enginesToLoad(table, targets, 0).size).isEqualTo(3)
     }
 }
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/stream/EventSplitterTest.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/stream/EventSplitterTest.kt
@@ -11,7 +11,7 @@
     private val splitter = EventSplitter()
 
     @Test
-    fun `events that arrive in pieces come out whole with their ids`() {
+    fun `events that arrive in fragments are returned complete with their ids`() {
         val text = "id: 7\ndata: a\n\nid: 8\r\ndata: b\r\n\r\n"
         val events = text.flatMap { splitter.add(byteArrayOf(it.code.toByte())) }
         expectThat(events.map { it.id }).isEqualTo(listOf("7", "8"))
@@ -20,13 +20,13 @@
     }
 
     @Test
-    fun `half an event does not come out`() {
+    fun `an incomplete event is not returned`() {
         expectThat(splitter.add("id: 1\ndata: hal".toByteArray())).isEmpty()
         expectThat(splitter.pendingBytes).isGreaterThan(0)
     }
 
     @Test
-    fun `several events in one piece come out one by one`() {
+    fun `several events that arrive together are returned separately`() {
         expectThat(splitter.add("data: a\n\ndata: b\n\n".toByteArray())).hasSize(2)
     }
 }
