--- a/libraries/core/src/main/kotlin/org/parsleymoor/core/Clock.kt
+++ b/libraries/core/src/main/kotlin/org/parsleymoor/core/Clock.kt
@@ -2,30 +2,30 @@
 
 import java.util.concurrent.atomic.AtomicLong
 
-/** Source of time in milliseconds since the epoch; never goes backwards within a process. */
+/** A source of time in milliseconds since the epoch that never goes backwards within a process. */
 public fun interface Clock {
     /** Returns the current time in milliseconds since the epoch. */
     public fun nowMillis(): Long
 
     public companion object {
-        /** The wall clock at process start advanced by the monotonic timer, so that clock steps do not move it. */
+        /** The wall clock at process start, advanced by the monotonic timer and so unaffected by clock adjustments. */
         public val System: Clock = MonotonicClock()
     }
 }
 
-/** A clock that a test or a simulation advances by hand; starts at [startMillis]. */
+/** A clock that starts at [startMillis] and that a test or simulation advances explicitly. */
 public class ManualClock(startMillis: Long = 0) : Clock {
     private val time = AtomicLong(startMillis)
 
     override fun nowMillis(): Long = time.get()
 
-    /** Moves the clock forward by [millis]; throws [IllegalArgumentException] when negative. */
+    /** Advances the clock by [millis]; throws [IllegalArgumentException] when negative. */
     public fun advance(millis: Long) {
-        require(millis >= 0) { "expected a step of at least 0 ms, got $millis" }
+        require(millis >= 0) { "cannot advance the clock by $millis ms: the step must not be negative" }
         time.addAndGet(millis)
     }
 
-    /** Moves the clock to [millis] when that is later than now. */
+    /** Advances the clock to [millis] if that is later than its time. */
     public fun advanceTo(millis: Long) {
         time.updateAndGet { maxOf(it, millis) }
     }
--- a/libraries/core/src/main/kotlin/org/parsleymoor/core/Failure.kt
+++ b/libraries/core/src/main/kotlin/org/parsleymoor/core/Failure.kt
@@ -1,12 +1,12 @@
 package org.parsleymoor.core
 
-/** An error with a type of its own; every library declares its failures as a sealed hierarchy of this interface. */
+/** A typed error; every library declares its failures as a sealed hierarchy that implements this interface. */
 public interface Failure {
-    /** Says what was expected and what was found instead. */
+    /** States what was expected and what was found instead. */
     public val message: String
 }
 
-/** Carries a typed [failure] through an interface that can only throw, such as a coroutine's cancellation path. */
+/** Carries a typed [failure] through code that can only throw, such as a coroutine's cancellation path. */
 public class FailureException(
     public val failure: Failure,
     cause: Throwable? = null,
--- a/libraries/core/src/main/kotlin/org/parsleymoor/core/Labels.kt
+++ b/libraries/core/src/main/kotlin/org/parsleymoor/core/Labels.kt
@@ -4,7 +4,7 @@
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toPersistentMap
 
-/** An immutable set of label names and values on an endpoint, organisation, model version or availability zone. */
+/** The immutable labels of an endpoint, organisation, model version or availability zone, as names with values. */
 public class Labels private constructor(private val entries: PersistentMap<String, String>) {
     /** Returns the value of the label [name], or null when it is not set. */
     public operator fun get(name: String): String? = entries[name]
--- a/libraries/core/src/main/kotlin/org/parsleymoor/core/PauseDetector.kt
+++ b/libraries/core/src/main/kotlin/org/parsleymoor/core/PauseDetector.kt
@@ -3,26 +3,26 @@
 import kotlin.math.abs
 
 /**
- * Notices that this process was suspended or that the time of day was changed, which [clock] does not show: a suspended
- * machine does not count on its monotonic timer, while others go on. [wallMillis] reads the time of day.
+ * Detects that this process was suspended or that the time of day was changed. [clock] shows neither, because the
+ * monotonic timer of a suspended machine stands still while time goes on elsewhere. [wallMillis] reads the time of day.
  */
 public class PauseDetector(
     public val clock: Clock,
     private val wallMillis: () -> Long = System::currentTimeMillis,
 ) {
-    private var aheadMillis = difference()
+    private var offsetMillis = currentOffset()
 
-    /** Returns whether the two clocks have moved apart by more than [TOLERANCE_MILLIS] since the last call. */
+    /** Returns whether the two clocks have diverged by more than [TOLERANCE_MILLIS] since the last call. */
     public fun pausedSinceLastCall(): Boolean {
-        val before = aheadMillis
-        aheadMillis = difference()
-        return abs(aheadMillis - before) > TOLERANCE_MILLIS
+        val previous = offsetMillis
+        offsetMillis = currentOffset()
+        return abs(offsetMillis - previous) > TOLERANCE_MILLIS
     }
 
-    private fun difference(): Long = wallMillis() - clock.nowMillis()
+    private fun currentOffset(): Long = wallMillis() - clock.nowMillis()
 
     private companion object {
-        // Clocks that run at slightly different rates move apart by less than this between two calls.
+        // Exceeds the drift between the two clocks from one call to the next.
         const val TOLERANCE_MILLIS = 100L
     }
 }
--- a/libraries/core/src/main/kotlin/org/parsleymoor/core/RendezvousHash.kt
+++ b/libraries/core/src/main/kotlin/org/parsleymoor/core/RendezvousHash.kt
@@ -3,14 +3,14 @@
 import net.openhft.hashing.LongHashFunction
 
 /**
- * Orders [candidates] for [key] by highest random weight, best first. Every caller with the same candidates gets the
- * same order, and the loss of one candidate moves only the keys that it held.
+ * Orders [candidates] for [key] by highest random weight (rendezvous hashing), highest first. The order depends only on
+ * the key and the candidates' names, and removing a candidate reassigns only the keys for which it came first.
  */
 public fun <T> rendezvousOrder(key: String, candidates: Collection<T>, name: (T) -> String): List<T> {
     val seed = key.stableHash()
     val weighted = candidates.map { candidate ->
-        val ownName = name(candidate)
-        Weighted(candidate, ownName, LongHashFunction.xx3(seed).hashChars(ownName))
+        val candidateName = name(candidate)
+        Weighted(candidate, candidateName, LongHashFunction.xx3(seed).hashChars(candidateName))
     }
     return weighted.sortedWith(byWeight).map { it.candidate }
 }
--- a/libraries/core/src/main/kotlin/org/parsleymoor/core/Selector.kt
+++ b/libraries/core/src/main/kotlin/org/parsleymoor/core/Selector.kt
@@ -52,7 +52,7 @@
     }
 }
 
-/** The [term] of the selector [text] is neither `name=value` nor `name!=value`. */
+/** Reports that [term] in the selector [text] is neither `name=value` nor `name!=value`. */
 public data class SelectorFailure(public val text: String, public val term: String) : Failure {
     override val message: String
         get() = "selector \"$text\": expected name=value or name!=value, found \"$term\""
--- a/libraries/core/src/test/kotlin/org/parsleymoor/core/PauseDetectorTest.kt
+++ b/libraries/core/src/test/kotlin/org/parsleymoor/core/PauseDetectorTest.kt
@@ -7,27 +7,27 @@
 
 class PauseDetectorTest {
     private val clock = ManualClock()
-    private var wall = 1_000L
-    private val detector = PauseDetector(clock) { wall }
+    private var wallMillis = 1_000L
+    private val detector = PauseDetector(clock) { wallMillis }
 
     @Test
-    fun `time that passes on both clocks is no pause`() {
+    fun `time that passes on both clocks is not a pause`() {
         clock.advance(5_000)
-        wall += 5_050
+        wallMillis += 5_050
         expectThat(detector.pausedSinceLastCall()).isFalse()
     }
 
-    // A suspended holder of a lease must not use it after it wakes.
+    // A lease holder that was suspended must not use its lease after it resumes.
     @Test
-    fun `a suspension is noticed once, although the monotonic clock stood still`() {
-        wall += 3_000
+    fun `a suspension is detected once, although the monotonic clock stood still`() {
+        wallMillis += 3_000
         expectThat(detector.pausedSinceLastCall()).isTrue()
         expectThat(detector.pausedSinceLastCall()).isFalse()
     }
 
     @Test
     fun `a time of day that is set back counts as a pause`() {
-        wall -= 2_000
+        wallMillis -= 2_000
         expectThat(detector.pausedSinceLastCall()).isTrue()
     }
 }
--- a/libraries/core/src/test/kotlin/org/parsleymoor/core/RendezvousHashTest.kt
+++ b/libraries/core/src/test/kotlin/org/parsleymoor/core/RendezvousHashTest.kt
@@ -17,14 +17,14 @@
     }
 
     @Test
-    fun `losing a candidate moves only the keys that it held`() {
-        val lost = candidates.first()
-        val moved = keys.filter { owner(it, candidates) != owner(it, candidates - lost) }
-        expectThat(moved.all { owner(it, candidates) == lost }).isEqualTo(true)
+    fun `removing a candidate reassigns only the keys that it owned`() {
+        val removed = candidates.first()
+        val moved = keys.filter { owner(it, candidates) != owner(it, candidates - removed) }
+        expectThat(moved.all { owner(it, candidates) == removed }).isEqualTo(true)
     }
 
     @Test
-    fun `every candidate holds a fair part of the keys`() {
+    fun `every candidate owns a fair share of the keys`() {
         val smallest = keys.groupingBy { owner(it, candidates) }.eachCount().values.min()
         expectThat(smallest).isGreaterThan(keys.size / candidates.size / 2)
     }
--- a/libraries/core/src/test/kotlin/org/parsleymoor/core/SelectorTest.kt
+++ b/libraries/core/src/test/kotlin/org/parsleymoor/core/SelectorTest.kt
@@ -15,7 +15,7 @@
     private val labels = Labels.of("region" to "north", "tier" to "live")
 
     @Test
-    fun `every requirement has to hold`() {
+    fun `every requirement has to be met`() {
         expectThat(selector("region=north,tier!=test").matches(labels)).isTrue()
         expectThat(selector("region=north,tier=test").matches(labels)).isFalse()
     }
@@ -33,7 +33,7 @@
 
     @ParameterizedTest
     @ValueSource(strings = ["region", "=north", "region=", "region==north", "Region=north", "a=b,,c=d", "a!b"])
-    fun `malformed text is refused with the term that is wrong`(text: String) {
+    fun `malformed text is rejected`(text: String) {
         expectThat(Selector.parse(text).getError()).isNotNull().get { this.text }.isEqualTo(text)
     }
 
--- a/libraries/core/src/test/kotlin/org/parsleymoor/core/UpdateInFlightTest.kt
+++ b/libraries/core/src/test/kotlin/org/parsleymoor/core/UpdateInFlightTest.kt
@@ -8,25 +8,25 @@
 class UpdateInFlightTest {
     private val update = UpdateInFlight<String>(responseMillis = 100).also { it.start(PendingUpdate("w1", 0, "a")) }
 
-    /** Guards against a late response to an earlier write that ends the present one. */
+    /** A late response to an earlier write must not end the current one. */
     @Test
     fun `a response to another write changes nothing`() {
         expectThat(update.end("w0")).isNull()
         expectThat(update.pending?.writeId).isEqualTo("w1")
     }
 
-    /** Guards against an update that is waited for without end. */
+    /** An update whose response is lost must not wait forever. */
     @Test
-    fun `an update without a response is doubted when it is overdue`() {
+    fun `an update becomes uncertain when its response is overdue`() {
         update.markOverdueUncertain(99)
         expectThat(update.pending?.uncertain).isEqualTo(false)
         update.markOverdueUncertain(100)
         expectThat(update.pending?.uncertain).isEqualTo(true)
     }
 
-    /** Guards against a read that ends a write whose response is still to come. */
+    /** A read must not end a write whose response may still arrive. */
     @Test
-    fun `only a doubted update ends with a read`() {
+    fun `only an uncertain update is ended by a read`() {
         update.endUncertain()
         expectThat(update.pending?.writeId).isEqualTo("w1")
         update.markUncertain()
