--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/http/BodyDecoder.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/http/BodyDecoder.kt
@@ -92,7 +92,7 @@
         // Limits a chunk's size line with its extensions, and a trailer line.
         const val MAX_LINE_BYTES = 4_096
 
-        // Trailers without a limit could keep a body from ever completing.
+        // As large as a head may be; endless trailers would keep a body from ever completing.
         const val MAX_TRAILER_BYTES = 32_768
 
         fun isHexDigit(char: Char): Boolean = char.isAsciiDigit() || char in 'a'..'f' || char in 'A'..'F'
