--- a/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/PendingLeaseOperations.kt
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/PendingLeaseOperations.kt
@@ -24,7 +24,7 @@
 
     fun failWrite(nowMillis: Long, event: LeaseEvent.WriteFailed) {
         if (write.of(event.writeId) == null) return
-        if (event.mayHaveTakenEffect) write.doubt() else write.end(event.writeId)
+        if (event.mayHaveTakenEffect) write.markUncertain() else write.end(event.writeId)
         postpone(nowMillis)
     }
 
--- /dev/null
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/exchange/PeerUpdate.kt
@@ -0,0 +1,49 @@
+package org.parsleymoor.relay.exchange
+
+import org.parsleymoor.core.EndpointId
+import org.parsleymoor.core.InstanceId
+import org.parsleymoor.core.ModelId
+import org.parsleymoor.relay.cache.CacheStoreChange
+import org.parsleymoor.relay.fleet.EngineLoad
+import org.parsleymoor.relay.fleet.SentPrompt
+import org.parsleymoor.relay.fleet.SocketAddress
+
+/** Information that instances share. Times are on the clock of the instance that holds the update. */
+public sealed interface PeerUpdate {
+    /** An engine reported [load] and [weights]; [clockMillis] is the reading of the engines' clock at that time. */
+    public data class Load(
+        public val endpoint: EndpointId,
+        public val load: EngineLoad,
+        public val weights: Map<ModelId, Long>,
+        public val clockMillis: Long? = null,
+    ) : PeerUpdate
+
+    /** An engine did not respond to a load poll sent at [atMillis]. */
+    public data class Unresponsive(public val endpoint: EndpointId, public val atMillis: Long) : PeerUpdate
+
+    /** The instance [origin] sent [prompt] to an engine. */
+    public data class Sent(
+        public val origin: InstanceId,
+        public val endpoint: EndpointId,
+        public val prompt: SentPrompt,
+    ) : PeerUpdate
+
+    /** The lease holder [holder] is ordering an engine to load weights, or has finished when not [active]. */
+    public data class Ordered(
+        public val holder: InstanceId,
+        public val endpoint: EndpointId,
+        public val active: Boolean,
+    ) : PeerUpdate
+
+    /** A KV cache store reported [changes] in its events after [from] up to [to], in its current [epoch]. */
+    public data class CacheStoreEvents(
+        public val store: SocketAddress,
+        public val epoch: Long,
+        public val from: Long,
+        public val to: Long,
+        public val changes: List<CacheStoreChange>,
+    ) : PeerUpdate
+
+    /** A KV cache store does not respond. */
+    public data class CacheStoreUnreachable(public val store: SocketAddress) : PeerUpdate
+}
--- /dev/null
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/exchange/PeerUpdateQueue.kt
@@ -0,0 +1,78 @@
+package org.parsleymoor.relay.exchange
+
+/** How far the receiver of an update forwards it. */
+public enum class ForwardScope {
+    /** To the instances in its availability zone and to one hub in each other zone. */
+    EVERYWHERE,
+
+    /** To the instances in its availability zone. */
+    ZONE,
+
+    /** Not at all. */
+    NOBODY,
+}
+
+/**
+ * Updates that wait to be sent, by the scope in which their receivers forward them. A newer load report, unanswered
+ * poll or order replaces an earlier one about the same engine. Of the other updates the newest [MAX_QUEUED_UPDATES] in
+ * each scope are kept, so that an instance without connections does not run out of memory. Not thread-safe.
+ */
+public class PeerUpdateQueue {
+    private val queues = ForwardScope.entries.associateWith { Queue() }
+
+    /** Adds an update that this instance originates. */
+    public fun addLocal(update: PeerUpdate, tree: PeerTree, nowMillis: Long) {
+        when {
+            tree.direct -> add(update, ForwardScope.NOBODY)
+            tree.isHub(nowMillis) -> passOn(update, ForwardScope.EVERYWHERE)
+            else -> add(update, ForwardScope.EVERYWHERE)
+        }
+    }
+
+    /** Adds an update that a peer sent with [scope], if it has to be forwarded. */
+    public fun passOn(update: PeerUpdate, scope: ForwardScope) {
+        when (scope) {
+            ForwardScope.EVERYWHERE -> {
+                add(update, ForwardScope.ZONE)
+                add(update, ForwardScope.NOBODY)
+            }
+            ForwardScope.ZONE -> add(update, ForwardScope.NOBODY)
+            ForwardScope.NOBODY -> Unit
+        }
+    }
+
+    /** Removes and returns the updates that are sent with [scope]. */
+    public fun take(scope: ForwardScope): List<PeerUpdate> = queues.getValue(scope).take()
+
+    private fun add(update: PeerUpdate, scope: ForwardScope) {
+        queues.getValue(scope).add(update)
+    }
+
+    private class Queue {
+        private val newestByEngine = LinkedHashMap<Any, PeerUpdate>()
+        private val others = ArrayDeque<PeerUpdate>()
+
+        fun add(update: PeerUpdate) {
+            when (update) {
+                is PeerUpdate.Load -> newestByEngine[update.endpoint to PeerUpdate.Load::class] = update
+                is PeerUpdate.Unresponsive -> newestByEngine[update.endpoint to PeerUpdate.Unresponsive::class] = update
+                is PeerUpdate.Ordered -> newestByEngine[update.endpoint to PeerUpdate.Ordered::class] = update
+                is PeerUpdate.Sent, is PeerUpdate.CacheStoreEvents, is PeerUpdate.CacheStoreUnreachable ->
+                    others.addLast(update)
+            }
+            while (others.size > MAX_QUEUED_UPDATES) others.removeFirst()
+        }
+
+        fun take(): List<PeerUpdate> {
+            val taken = newestByEngine.values + others
+            newestByEngine.clear()
+            others.clear()
+            return taken
+        }
+    }
+
+    private companion object {
+        // Holds the prompts and store events of several seconds at hundreds of requests per second.
+        const val MAX_QUEUED_UPDATES = 2_000
+    }
+}
--- /dev/null
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/EngineSampler.kt
@@ -0,0 +1,39 @@
+package org.parsleymoor.relay.placement
+
+import kotlin.math.exp
+import kotlin.random.Random
+
+/**
+ * Selects engines at random, weighted by cost. Instances learn of each other's requests with a delay; if each took the
+ * cheapest engine, a burst would converge on one. An engine that costs [softmaxTemperatureMillis] more than another is
+ * selected e times less often.
+ */
+internal class EngineSampler(private val softmaxTemperatureMillis: Double, private val random: Random) {
+    /**
+     * Returns the [candidates] that [mayHoldContext], plus a fixed number of others picked at random. Including all
+     * others would make a prompt less likely to reach its cached context as the number of engines grows.
+     */
+    fun <T> sample(candidates: List<T>, mayHoldContext: (T) -> Boolean): List<T> {
+        val (holders, others) = candidates.partition(mayHoldContext)
+        if (others.size <= SAMPLED_ENGINES) return candidates
+        return holders + others.shuffled(random).take(SAMPLED_ENGINES)
+    }
+
+    /** Selects one of [options] with a probability that decreases with its [cost]. */
+    fun <T> select(options: List<T>, cost: (T) -> Double): T {
+        val costs = options.map(cost)
+        val least = costs.min()
+        val weights = costs.map { exp((least - it) / softmaxTemperatureMillis) }
+        var remaining = random.nextDouble() * weights.sum()
+        val index = weights.indexOfFirst { weight ->
+            remaining -= weight
+            remaining < 0
+        }
+        return options[if (index < 0) costs.indexOf(least) else index]
+    }
+
+    private companion object {
+        // The number of engines besides the home engine in a deployment of eight.
+        const val SAMPLED_ENGINES = 7
+    }
+}
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/fleet/EndpointTableTest.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/fleet/EndpointTableTest.kt
@@ -17,16 +17,16 @@
     private val table = EndpointTable(graceMillis = 2_000).also { it.replaceAll(listOf(entry("one")), 0) }
 
     @Test
-    fun `an entry that is removed while the list is read is gone at once`() {
+    fun `an entry that is removed while the discovery list is available is dropped at once`() {
         expectThat(table.remove(EndpointId("one"), 10)).isTrue()
         expectThat(table.serving("engines")).isEmpty()
     }
 
-    // Entries lapse while the store is away; the endpoints register again within two seconds of its return.
+    // Entries expire while the object store is unavailable; endpoints register again within two seconds of its return.
     @Test
-    fun `an entry that is missing after an interruption is kept for the grace period and then gone`() {
-        table.listLost()
-        table.listHeard(1_000)
+    fun `an entry that is missing after an outage of the list is kept for the grace period and then dropped`() {
+        table.markListUnavailable()
+        table.markListAvailable(1_000)
         table.replaceAll(emptyList(), 1_000)
         expectThat(table.serving("engines")).hasSize(1)
         expectThat(table.expire(2_900)).isEmpty()
@@ -36,8 +36,8 @@
 
     @Test
     fun `an entry that registers again within the grace period stays`() {
-        table.listLost()
-        table.listHeard(1_000)
+        table.markListUnavailable()
+        table.markListAvailable(1_000)
         table.replaceAll(emptyList(), 1_000)
         table.put(entry("one"), 2_000)
         expectThat(table.expire(5_000)).isEmpty()
@@ -45,15 +45,15 @@
     }
 
     @Test
-    fun `a draining endpoint gets no work and is not kept after an interruption`() {
+    fun `a draining endpoint receives no requests and is not kept after an outage of the list`() {
         table.put(entry("one", draining = true), 10)
         expectThat(table.serving("engines")).isEmpty()
-        table.listLost()
+        table.markListUnavailable()
         expectThat(table.remove(EndpointId("one"), 20)).isTrue()
     }
 
     @Test
-    fun `an evacuated zone gets no work until it is taken back`() {
+    fun `an evacuated zone receives no requests until the evacuation ends`() {
         table.evacuated = setOf(ZoneId("a"))
         expectThat(table.serving("engines")).isEmpty()
         table.evacuated = emptySet()
@@ -61,10 +61,10 @@
     }
 
     @Test
-    fun `an endpoint that starts again at its id loses what was learned of it`() {
+    fun `a restart of an endpoint resets what was learned about it`() {
         val state = table[EndpointId("one")]!!
         state.learnWeights(MODEL, 5)
-        table.put(entry("one").copy(bornMillis = 2), 10)
+        table.put(entry("one").copy(startMillis = 2), 10)
         expectThat(state.weights(MODEL)).isEqualTo(1)
         expectThat(state.engineLoad).isNull()
     }
@@ -78,10 +78,10 @@
     }
 
     @Test
-    fun `an endpoint that fails repeatedly is set aside and comes back after an answer`() {
+    fun `an endpoint that fails repeatedly is ejected for a limited time`() {
         val state = table[EndpointId("one")]!!
-        repeat(2) { state.note(AttemptEvidence.FAILED, 100) }
-        expectThat(state.health.isAside(101)).isTrue()
-        expectThat(state.health.isAside(601)).isFalse()
+        repeat(2) { state.recordOutcome(AttemptOutcome.FAILED, 100) }
+        expectThat(state.health.isEjected(101)).isTrue()
+        expectThat(state.health.isEjected(601)).isFalse()
     }
 }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/CallerConnection.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/CallerConnection.kt
@@ -13,7 +13,7 @@
 import org.parsleymoor.entry.net.SocketInput
 import org.parsleymoor.entry.net.readBody
 import org.parsleymoor.entry.net.readHead
-import org.parsleymoor.relay.http.MessageFault
+import org.parsleymoor.relay.http.MessageFailure
 import org.parsleymoor.relay.http.RequestHead
 import org.parsleymoor.relay.http.framing
 import org.parsleymoor.relay.http.parseRequestHead
@@ -28,7 +28,7 @@
     val handler: RequestHandler,
     val limits: () -> CallerLimits,
     val stopping: () -> Boolean,
-    val onFault: (MessageFault) -> Unit,
+    val onFault: (MessageFailure) -> Unit,
     val lagMillis: () -> Long = { 0 },
 )
 
@@ -67,7 +67,7 @@
         return arrived != null && input.queue.size > 0
     }
 
-    private suspend fun readRequest(): Result<CallerRequest, MessageFault> {
+    private suspend fun readRequest(): Result<CallerRequest, MessageFailure> {
         val limits = context.limits()
         val head = withTimeoutOrNull(limits.headMillis) {
             input.readHead(limits.headBytes).andThen { if (it == null) ENDED_EARLY else parseRequestHead(it) }
@@ -79,7 +79,7 @@
         val framing = head.framing().getOrElse { return Err(it) }
         if (head.headers.tokens("Expect") == listOf("100-continue")) socket.write(Buffer.buffer(CONTINUE))
         val body = withTimeoutOrNull(limits.idleMillis) { input.readBody(framing, limits.bodyBytes) }
-            ?: Err(MessageFault.TOO_SLOW)
+            ?: Err(MessageFailure.TOO_SLOW)
         return body.map { CallerRequest(head, it, context.clock.nowMillis() - context.lagMillis()) }
     }
 
@@ -95,7 +95,7 @@
         return writer.keepAlive
     }
 
-    private suspend fun refuse(fault: MessageFault): Boolean {
+    private suspend fun refuse(fault: MessageFailure): Boolean {
         context.onFault(fault)
         if (input.end != null) return false
         val writer = ResponseWriter(socket, keepAliveAllowed = false, chunked = true, stopping = context.stopping)
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/CacheStoreLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/CacheStoreLoop.kt
@@ -12,13 +12,13 @@
 import org.parsleymoor.entry.protocol.ControlRequest
 import org.parsleymoor.entry.protocol.DecodeFailure
 import org.parsleymoor.entry.serving.oldestWeights
+import org.parsleymoor.relay.cache.CacheStore
 import org.parsleymoor.relay.cache.CachedPart
-import org.parsleymoor.relay.cache.CandidateStore
-import org.parsleymoor.relay.exchange.News
-import org.parsleymoor.relay.exchange.StoreReads
+import org.parsleymoor.relay.exchange.CacheStorePollSchedule
+import org.parsleymoor.relay.exchange.PeerUpdate
 import org.parsleymoor.relay.fleet.SocketAddress
 import org.parsleymoor.relay.http.HttpStatus
-import org.parsleymoor.relay.prompt.namespaceWeights
+import org.parsleymoor.relay.prompt.parseCacheNamespace
 
 /**
  * Tracks the contents of the KV cache stores: reads the events of some, on the schedule of [StoreReads], and receives
@@ -150,7 +150,7 @@
     }
 
     private fun isUsable(namespace: String): Boolean {
-        val (model, version) = namespaceWeights(namespace) ?: return true
+        val (model, version) = parseCacheNamespace(namespace) ?: return true
         return version >= (oldestWeights[model] ?: version)
     }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/EngineLoadLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/EngineLoadLoop.kt
@@ -4,11 +4,11 @@
 import kotlinx.serialization.json.put
 import org.parsleymoor.core.EndpointId
 import org.parsleymoor.entry.protocol.EngineReport
-import org.parsleymoor.relay.exchange.EngineAsks
-import org.parsleymoor.relay.exchange.News
+import org.parsleymoor.relay.exchange.EnginePollSchedule
+import org.parsleymoor.relay.exchange.PeerUpdate
 import org.parsleymoor.relay.fleet.EndpointState
 import org.parsleymoor.relay.fleet.EngineLoad
-import org.parsleymoor.relay.fleet.fellSilent
+import org.parsleymoor.relay.fleet.recordUnansweredPoll
 
 /**
  * Polls engines for their load on the schedule of [EngineAsks] and publishes the reports to peers, so that not every
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/LearnNews.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/LearnNews.kt
@@ -18,7 +18,7 @@
             lastStoreResponseMillis[news.store] = nowMillis
             return stores.joins(news)
         }
-        is News.StoreLost -> stores.lost(news.store)
+        is PeerUpdate.CacheStoreUnreachable -> stores.forget(news.store)
     }
     return true
 }
@@ -27,7 +27,7 @@
     val state = endpoints[news.endpoint] ?: return
     state.learnLoad(news.load)
     news.weights.forEach { (model, version) -> state.learnWeights(model, version) }
-    news.clockMillis?.let { engineClock.learn(it, news.load.atMillis, nowMillis) }
+    news.clockMillis?.let { engineClock.updateFromPeer(it, news.load.atMillis, nowMillis) }
 }
 
 private fun DeploymentView.learn(news: News.Ordered, nowMillis: Long) {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Listeners.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Listeners.kt
@@ -13,7 +13,7 @@
 import org.parsleymoor.entry.protocol.StoredObject
 import org.parsleymoor.entry.serving.DeploymentView
 import org.parsleymoor.relay.fleet.SocketAddress
-import org.parsleymoor.relay.placement.NamedWeights
+import org.parsleymoor.relay.placement.TargetWeights
 import org.parsleymoor.relay.routing.RouteTable
 
 /** Applies new configurations; one whose version is not higher than that in force is ignored. */
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerMessageMapping.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerMessageMapping.kt
@@ -10,11 +10,11 @@
 import org.parsleymoor.peering.PeerMessage
 import org.parsleymoor.peering.SentPromptDigest
 import org.parsleymoor.peering.SilentEngineDigest
+import org.parsleymoor.relay.cache.CacheStoreChange
 import org.parsleymoor.relay.cache.CachedPart
 import org.parsleymoor.relay.cache.ContextKey
-import org.parsleymoor.relay.cache.StoreChange
-import org.parsleymoor.relay.exchange.News
-import org.parsleymoor.relay.exchange.PassOn
+import org.parsleymoor.relay.exchange.ForwardScope
+import org.parsleymoor.relay.exchange.PeerUpdate
 import org.parsleymoor.relay.fleet.EngineLoad
 import org.parsleymoor.relay.fleet.SentPrompt
 import org.parsleymoor.relay.fleet.SocketAddress
@@ -61,7 +61,6 @@
     val changes = namespaces.flatMap { digest ->
         digest.parts.map { StoreChange(CachedPart(digest.namespace, it.part), it.tokens, it.held) }
     }
-    return if (lost) News.StoreLost(address) else News.StoreEvents(address, epoch, from, to, changes)
 }
 
 internal fun ObjectOffer.toMessage(kind: String): PeerMessage.ObjectsOffered = PeerMessage.ObjectsOffered(
@@ -89,14 +88,14 @@
 
 private fun EngineLoadDigest.toUpdate(nowMillis: Long): News.Load {
     val load = EngineLoad(running, waiting, prefilling, memoryUsed, memoryTotal, nowMillis - ageMillis)
-    return News.Load(endpoint, load, weights, clockMillis)
+    return PeerUpdate.Load(endpoint, load, weights, clockMillis)
 }
 
 private fun News.Sent.toDigest(nowMillis: Long): SentPromptDigest = SentPromptDigest(
     origin = origin,
     endpoint = endpoint,
     tokens = prompt.tokens,
-    tokensToRead = prompt.tokensToRead,
+    tokensToRead = prompt.prefillTokens,
     context = prompt.context.hash,
     ageMillis = nowMillis - prompt.atMillis,
 )
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerUpdateSender.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerUpdateSender.kt
@@ -4,9 +4,9 @@
 import org.parsleymoor.peering.PeerLink
 import org.parsleymoor.peering.PeerMessage
 import org.parsleymoor.peering.PeerNode
-import org.parsleymoor.relay.exchange.News
-import org.parsleymoor.relay.exchange.NewsBox
-import org.parsleymoor.relay.exchange.PassOn
+import org.parsleymoor.relay.exchange.ForwardScope
+import org.parsleymoor.relay.exchange.PeerUpdate
+import org.parsleymoor.relay.exchange.PeerUpdateQueue
 import org.parsleymoor.relay.fleet.EndpointState
 
 /** Sends peers, over [node], the updates of this instance and the status of its copies of the stored objects. */
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Peers.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Peers.kt
@@ -11,8 +11,8 @@
 import org.parsleymoor.peering.PeerLink
 import org.parsleymoor.peering.PeerMessage
 import org.parsleymoor.peering.PeerNode
-import org.parsleymoor.relay.exchange.News
-import org.parsleymoor.relay.exchange.PassOn
+import org.parsleymoor.relay.exchange.ForwardScope
+import org.parsleymoor.relay.exchange.PeerUpdate
 import org.parsleymoor.relay.fleet.EndpointState
 import org.parsleymoor.relay.fleet.SocketAddress
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/RolloutLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/RolloutLoop.kt
@@ -9,10 +9,10 @@
 import org.parsleymoor.core.rendezvousOrder
 import org.parsleymoor.entry.protocol.EngineReport
 import org.parsleymoor.entry.protocol.WeightOrder
-import org.parsleymoor.relay.exchange.News
+import org.parsleymoor.relay.exchange.PeerUpdate
 import org.parsleymoor.relay.fleet.EndpointState
 import org.parsleymoor.relay.http.HttpStatus
-import org.parsleymoor.relay.placement.NamedWeights
+import org.parsleymoor.relay.placement.TargetWeights
 import org.parsleymoor.relay.rollout.RolloutPlan
 
 /** Orders engines to load the weights that operators have set, while this instance holds the order lease. */
@@ -91,7 +91,7 @@
         return step == LoadStep.LOADED
     }
 
-    private suspend fun loadStep(state: EndpointState, named: NamedWeights): LoadStep {
+    private suspend fun loadStep(state: EndpointState, named: TargetWeights): LoadStep {
         val report = report(state)
         report?.weights?.forEach { (model, version) -> state.learnWeights(model, version) }
         state.engineLoad?.let { peers.publish(News.Load(state.entry.id, it, state.allWeights)) }
@@ -113,7 +113,7 @@
             fencingToken = held.fencingToken,
             afterOrders = report.orders,
         )
-        plan.active(clock.nowMillis())
+        plan.orderSent(clock.nowMillis())
         val call = engines.order(state.entry.id.value, order)
         val result = client.call(state.entry.address, call, ORDER_TIMEOUT_MILLIS)
         val status = result.get()?.status
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/EndpointConnection.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/EndpointConnection.kt
@@ -12,7 +12,7 @@
 import org.parsleymoor.relay.http.BodyDecoder
 import org.parsleymoor.relay.http.BodyFraming
 import org.parsleymoor.relay.http.BodyProgress
-import org.parsleymoor.relay.http.MessageFault
+import org.parsleymoor.relay.http.MessageFailure
 import org.parsleymoor.relay.http.ResponseHead
 import org.parsleymoor.relay.http.framing
 import org.parsleymoor.relay.http.parseResponseHead
@@ -59,7 +59,7 @@
                 .andThen { head -> head.framing(method).andThen { Ok(IncomingResponse(head, it)) } }
             if (read.get()?.head?.isInterim != true) return read
         }
-        return Err(MessageFault.TOO_MANY_RESPONSES)
+        return Err(MessageFailure.TOO_MANY_RESPONSES)
     }
 
     /** Suspends until the complete body of [response] has arrived. Fails if it has more than [MAX_BODY_BYTES]. */
@@ -81,7 +81,7 @@
         return when {
             bytes > MAX_BODY_BYTES -> Err(MessageFault.BODY_TOO_LARGE)
             response.decoder.progress == BodyProgress.COMPLETE -> Ok(Unit)
-            else -> Err(MessageFault.ENDED_EARLY)
+            else -> Err(MessageFailure.ENDED_EARLY)
         }
     }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/MessageInput.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/MessageInput.kt
@@ -6,7 +6,7 @@
 import org.parsleymoor.relay.http.BodyDecoder
 import org.parsleymoor.relay.http.BodyFraming
 import org.parsleymoor.relay.http.BodyProgress
-import org.parsleymoor.relay.http.MessageFault
+import org.parsleymoor.relay.http.MessageFailure
 import java.io.ByteArrayOutputStream
 
 /**
@@ -21,9 +21,9 @@
     }
     val length = queue.headLength()
     return when {
-        skipped + (length ?: queue.size) > limitBytes -> Err(MessageFault.HEAD_TOO_LARGE)
+        skipped + (length ?: queue.size) > limitBytes -> Err(MessageFailure.HEAD_TOO_LARGE)
         length != null -> Ok(queue.take(length))
-        else -> if (queue.size == 0) Ok(null) else Err(MessageFault.ENDED_EARLY)
+        else -> if (queue.size == 0) Ok(null) else Err(MessageFailure.ENDED_EARLY)
     }
 }
 
@@ -41,11 +41,11 @@
         }
     }
     return when {
-        tooLarge -> Err(MessageFault.BODY_TOO_LARGE)
+        tooLarge -> Err(MessageFailure.BODY_TOO_LARGE)
         decoder.progress == BodyProgress.COMPLETE -> Ok(content.toByteArray())
         else -> Err(faultOf(framing, end))
     }
 }
 
-private fun faultOf(framing: BodyFraming, end: InputEnd?): MessageFault =
-    if (framing == BodyFraming.Chunked && end == null) MessageFault.MALFORMED_CHUNK else MessageFault.ENDED_EARLY
+private fun faultOf(framing: BodyFraming, end: InputEnd?): MessageFailure =
+    if (framing == BodyFraming.Chunked && end == null) MessageFailure.MALFORMED_CHUNK else MessageFailure.ENDED_EARLY
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
@@ -8,11 +8,11 @@
 import org.parsleymoor.entry.net.IncomingResponse
 import org.parsleymoor.entry.net.message
 import org.parsleymoor.entry.protocol.HeaderNames
-import org.parsleymoor.relay.fleet.AttemptEvidence
+import org.parsleymoor.relay.fleet.AttemptOutcome
 import org.parsleymoor.relay.fleet.SocketAddress
-import org.parsleymoor.relay.fleet.note
+import org.parsleymoor.relay.fleet.recordOutcome
 import org.parsleymoor.relay.http.HttpStatus
-import org.parsleymoor.relay.http.MessageFault
+import org.parsleymoor.relay.http.MessageFailure
 import org.parsleymoor.relay.routing.RequestKind
 
 /** Dependencies shared by all attempts. [discardIdle] closes the idle connections to an address. */
@@ -128,8 +128,8 @@
         return AttemptResult.Uncertain(reason)
     }
 
-    private fun note(evidence: AttemptEvidence) {
-        state.note(evidence, clock.nowMillis())
+    private fun note(evidence: AttemptOutcome) {
+        state.recordOutcome(evidence, clock.nowMillis())
     }
 
     private companion object {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/AttemptRunner.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/AttemptRunner.kt
@@ -14,10 +14,10 @@
 import org.parsleymoor.entry.net.ConnectionPool
 import org.parsleymoor.entry.net.EndpointConnection
 import org.parsleymoor.entry.protocol.HeaderNames
-import org.parsleymoor.relay.fleet.AttemptEvidence
+import org.parsleymoor.relay.fleet.AttemptOutcome
 import org.parsleymoor.relay.fleet.EndpointState
 import org.parsleymoor.relay.fleet.SentPrompt
-import org.parsleymoor.relay.fleet.note
+import org.parsleymoor.relay.fleet.recordOutcome
 import org.parsleymoor.relay.routing.RequestKind
 
 /** Runs attempts on pooled connections. Confined to the event loop. */
@@ -71,7 +71,7 @@
     }
 
     private fun notConnected(state: EndpointState, failure: ConnectFailure): AttemptResult {
-        if (failure != ConnectFailure.AT_LIMIT) state.note(AttemptEvidence.UNREACHABLE, clock.nowMillis())
+        if (failure != ConnectFailure.AT_LIMIT) state.recordOutcome(AttemptOutcome.UNREACHABLE, clock.nowMillis())
         return AttemptResult.NotRun(failure.message, sent = false)
     }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/CacheTransferPlanner.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/CacheTransferPlanner.kt
@@ -2,10 +2,10 @@
 
 import org.parsleymoor.core.Clock
 import org.parsleymoor.core.ModelId
-import org.parsleymoor.relay.cache.CandidateStore
-import org.parsleymoor.relay.cache.StoreChoice
+import org.parsleymoor.relay.cache.CacheStore
+import org.parsleymoor.relay.cache.CacheStoreSelector
+import org.parsleymoor.relay.cache.EngineCache
 import org.parsleymoor.relay.cache.Transfer
-import org.parsleymoor.relay.cache.TransferSide
 import org.parsleymoor.relay.fleet.EndpointState
 import org.parsleymoor.relay.fleet.SocketAddress
 import org.parsleymoor.relay.placement.Distance
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Delivery.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Delivery.kt
@@ -4,7 +4,7 @@
 import kotlinx.serialization.json.put
 import org.parsleymoor.entry.callers.ResponseWriter
 import org.parsleymoor.relay.limits.SharedRetryBudget
-import org.parsleymoor.relay.placement.NoPlaceReason
+import org.parsleymoor.relay.placement.UnavailableReason
 
 /**
  * Delivers a request to an endpoint and retries it at others as its kind, its route and the retry budget allow. A
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/DeploymentView.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/DeploymentView.kt
@@ -3,15 +3,15 @@
 import org.parsleymoor.core.EndpointId
 import org.parsleymoor.core.InstanceId
 import org.parsleymoor.core.ModelId
-import org.parsleymoor.relay.cache.CandidateStore
+import org.parsleymoor.relay.cache.CacheStore
+import org.parsleymoor.relay.cache.CacheStoreDirectory
 import org.parsleymoor.relay.cache.EngineClock
 import org.parsleymoor.relay.cache.RecentContexts
-import org.parsleymoor.relay.cache.StoreDirectory
 import org.parsleymoor.relay.fleet.EndpointState
 import org.parsleymoor.relay.fleet.EndpointTable
 import org.parsleymoor.relay.fleet.SentPrompt
 import org.parsleymoor.relay.fleet.SocketAddress
-import org.parsleymoor.relay.placement.NamedWeights
+import org.parsleymoor.relay.placement.TargetWeights
 import org.parsleymoor.relay.routing.RouteTable
 
 /** This instance's possibly outdated view of the deployment. Confined to the event loop. */
@@ -21,7 +21,7 @@
         set(value) {
             field = value
             cacheStores = value?.configuration?.services?.values.orEmpty().mapNotNull { service ->
-                service.store?.let { traits -> SocketAddress.parse(traits.address)?.let { CandidateStore(it, traits) } }
+                service.store?.let { spec -> SocketAddress.parse(spec.address)?.let { CacheStore(it, spec) } }
             }
         }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/EndpointSelector.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/EndpointSelector.kt
@@ -3,24 +3,24 @@
 import org.parsleymoor.core.Clock
 import org.parsleymoor.entry.EntrySettings
 import org.parsleymoor.relay.fleet.EndpointState
-import org.parsleymoor.relay.limits.ColdBound
-import org.parsleymoor.relay.limits.ColdShare
-import org.parsleymoor.relay.placement.EnginePlace
+import org.parsleymoor.relay.limits.ColdEndpointBudget
+import org.parsleymoor.relay.limits.ColdEndpointLimit
 import org.parsleymoor.relay.placement.EnginePlacement
+import org.parsleymoor.relay.placement.EnginePlacementQuery
+import org.parsleymoor.relay.placement.EnginePlacementResult
 import org.parsleymoor.relay.placement.EnginePlacementSettings
-import org.parsleymoor.relay.placement.EngineRequest
-import org.parsleymoor.relay.placement.NoPlaceReason
-import org.parsleymoor.relay.placement.Place
-import org.parsleymoor.relay.placement.PlaceRequest
+import org.parsleymoor.relay.placement.PlacementQuery
+import org.parsleymoor.relay.placement.PlacementResult
 import org.parsleymoor.relay.placement.ServicePlacement
 import org.parsleymoor.relay.placement.Topology
+import org.parsleymoor.relay.placement.UnavailableReason
 import org.parsleymoor.relay.prompt.PromptContext
 
 /** Outcome of choosing an endpoint. */
 internal sealed interface Choice {
     class Chosen(val target: Target) : Choice
 
-    data class None(val reason: NoPlaceReason, val retryAfterMillis: Long) : Choice
+    data class None(val reason: UnavailableReason, val retryAfterMillis: Long) : Choice
 }
 
 /** Chooses the endpoint for each attempt, using the placement rules of the relay library on [deployment]. */
@@ -39,7 +39,7 @@
             settings.times.weightsMillis * OLDER_WEIGHTS_NUMERATOR / OLDER_WEIGHTS_DENOMINATOR,
         ),
     )
-    private val cold = ColdShare(settings.instance)
+    private val cold = ColdEndpointBudget(settings.instance)
 
     /** Chooses an endpoint for [pending]; skips a cold endpoint once this instance's share of its limit is used up. */
     fun choose(pending: PendingRequest): Choice {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/PendingRequest.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/PendingRequest.kt
@@ -4,7 +4,7 @@
 import org.parsleymoor.core.RegionId
 import org.parsleymoor.core.RequestId
 import org.parsleymoor.entry.callers.CallerRequest
-import org.parsleymoor.relay.placement.PlaceRequest
+import org.parsleymoor.relay.placement.PlacementQuery
 import org.parsleymoor.relay.prompt.PromptContext
 import org.parsleymoor.relay.routing.Organisation
 import org.parsleymoor.relay.routing.RequestKind
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/PromptCacheInfo.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/PromptCacheInfo.kt
@@ -1,8 +1,8 @@
 package org.parsleymoor.entry.serving
 
-import org.parsleymoor.relay.cache.CandidateStore
+import org.parsleymoor.relay.cache.CacheStore
 import org.parsleymoor.relay.cache.ContextKey
-import org.parsleymoor.relay.cache.TransferSide
+import org.parsleymoor.relay.cache.EngineCache
 import org.parsleymoor.relay.fleet.EndpointState
 import org.parsleymoor.relay.prompt.PromptContext
 import org.parsleymoor.relay.prompt.cacheNamespace
@@ -32,7 +32,7 @@
     /** Describes [state] as one side of a cache transfer. */
     fun side(state: EndpointState): TransferSide {
         val version = version(state)
-        return TransferSide(state.entry.zone, version.namespace, tokenBytes, version.current)
+        return EngineCache(state.entry.zone, version.namespace, tokenBytes, version.current)
     }
 
     private fun version(state: EndpointState): VersionInfo {
@@ -57,7 +57,7 @@
     private class VersionInfo(
         val namespace: String,
         val context: ContextKey,
-        val holders: List<CandidateStore>,
+        val holders: List<CacheStore>,
         val current: Boolean,
     )
 }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Refusal.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Refusal.kt
@@ -9,7 +9,7 @@
 import org.parsleymoor.entry.protocol.ServingProtocol
 import org.parsleymoor.relay.http.HeaderField
 import org.parsleymoor.relay.http.HttpStatus
-import org.parsleymoor.relay.placement.NoPlaceReason
+import org.parsleymoor.relay.placement.UnavailableReason
 import java.util.Locale
 import kotlin.random.Random
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/ResponseReader.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/ResponseReader.kt
@@ -11,7 +11,7 @@
 import org.parsleymoor.entry.net.IncomingResponse
 import org.parsleymoor.entry.protocol.HeaderNames
 import org.parsleymoor.relay.http.BodyFraming
-import org.parsleymoor.relay.http.MessageFault
+import org.parsleymoor.relay.http.MessageFailure
 
 /** Reads the response to [pending] from [connection], skipping responses to other requests. */
 internal class ResponseReader(
@@ -25,7 +25,7 @@
             val read = connection.readResponse(pending.request.head.method).andThen { matchOwn(it) }
             if (read.get() != null || read.getError() != null) return read.map { checkNotNull(it) }
         }
-        return Err(MessageFault.TOO_MANY_RESPONSES)
+        return Err(MessageFailure.TOO_MANY_RESPONSES)
     }
 
     /** Returns [response] if it belongs to [pending]; null if it belonged to another request and was discarded. */
@@ -50,7 +50,7 @@
     }
 
     private companion object {
-        val UNIDENTIFIED: Result<IncomingResponse, MessageFault> = Err(MessageFault.UNIDENTIFIED)
+        val UNIDENTIFIED: Result<IncomingResponse, MessageFailure> = Err(MessageFailure.UNIDENTIFIED)
 
         // Endpoints occasionally send a response twice. One that sends several foreign responses is taken to be broken.
         const val MAX_FOREIGN_RESPONSES = 4
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/PeerUpdatesTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/PeerUpdatesTest.kt
@@ -11,14 +11,14 @@
 import org.parsleymoor.entry.serving.Beliefs
 import org.parsleymoor.entry.serving.oldestWeights
 import org.parsleymoor.relay.cache.ContextKey
-import org.parsleymoor.relay.exchange.News
-import org.parsleymoor.relay.exchange.PassOn
+import org.parsleymoor.relay.exchange.ForwardScope
+import org.parsleymoor.relay.exchange.PeerUpdate
 import org.parsleymoor.relay.fleet.EndpointEntry
 import org.parsleymoor.relay.fleet.EngineLoad
 import org.parsleymoor.relay.fleet.SentPrompt
 import org.parsleymoor.relay.fleet.SocketAddress
 import org.parsleymoor.relay.routing.CallerLimits
-import org.parsleymoor.relay.routing.EngineTraits
+import org.parsleymoor.relay.routing.EngineSpec
 import org.parsleymoor.relay.routing.RouteTable
 import org.parsleymoor.relay.routing.Service
 import org.parsleymoor.relay.routing.ServingConfiguration
@@ -49,7 +49,7 @@
         val prompt = SentPrompt(atMillis = 950, tokens = 100, tokensToRead = 100, context = key)
         receive(News.Sent(InstanceId("peer"), engine, prompt), sentMillis = 1_000, receivedMillis = 1_000)
         val state = beliefs.endpoints[engine]!!
-        expectThat(beliefs.contexts.heldShare(key, state.start, 1_000)).isGreaterThan(0.5)
+        expectThat(beliefs.contexts.cachedProbability(key, state.incarnation, 1_000)).isGreaterThan(0.5)
     }
 
     // A report read before a rollout may arrive after it; requests would then expect the older weights.
@@ -114,7 +114,7 @@
                 connectionLimit = 10,
                 coldMillis = 0,
                 coldRequestsPerSecond = 0.0,
-                engine = EngineTraits(slots = 64, cacheTokens = 1_000, tokenBytes = 1, models = listOf("m")),
+                engine = EngineSpec(slots = 64, cacheTokens = 1_000, tokenBytes = 1, models = listOf("m")),
             ),
         ),
         organisations = null,
