--- a/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/LeaseManager.kt
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/LeaseManager.kt
@@ -98,7 +98,7 @@
         if (current != null && pending != null && current.writeId == pending.writeId) {
             return confirm(nowMillis, pending.writeId, current.version)
         }
-        operations.write.endDoubted()
+        operations.write.endUncertain()
         if (versionSeenMillis == null || current?.version != stored?.version) versionSeenMillis = nowMillis
         stored = current
         if (current?.isHeldBy(self) != true) {
@@ -120,7 +120,7 @@
 
     private fun conflict(nowMillis: Long, event: LeaseEvent.Conflicted) {
         if (operations.write.of(event.writeId) == null) return
-        operations.write.doubt()
+        operations.write.markUncertain()
         observe(nowMillis, event.current)
     }
 }
--- a/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/PendingLeaseOperations.kt
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/PendingLeaseOperations.kt
@@ -34,7 +34,7 @@
 
     /** Returns whether another operation may be started; stops waiting for overdue responses first. */
     fun isIdle(nowMillis: Long): Boolean {
-        write.doubtOverdue(nowMillis)
+        write.markOverdueUncertain(nowMillis)
         if (readSentMillis?.let { write.isOverdue(it, nowMillis) } == true) endRead()
         return write.pending?.uncertain != false && readSentMillis == null && nowMillis >= nextStartMillis
     }
--- a/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ClaimShard.kt
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/ClaimShard.kt
@@ -62,7 +62,7 @@
 
     private fun acceptHead(nowMillis: Long, stored: StoredHead?): List<ClaimAction> {
         operations.headReadMillis = null
-        operations.write.endDoubted()
+        operations.write.endUncertain()
         index.acceptHead(stored)
         return advance(nowMillis)
     }
@@ -91,7 +91,7 @@
     private fun failWrite(nowMillis: Long, event: ClaimEvent.HeadWriteFailed): List<ClaimAction> = when {
         operations.write.of(event.writeId) == null -> emptyList()
         event.mayHaveTakenEffect -> {
-            operations.write.doubt()
+            operations.write.markUncertain()
             advance(nowMillis)
         }
         else -> {
--- a/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/PendingClaimOperations.kt
+++ b/libraries/execution/src/main/kotlin/org/parsleymoor/execution/atmostonce/PendingClaimOperations.kt
@@ -34,7 +34,7 @@
 
     /** Returns whether a read or a segment write is overdue; marks an overdue head write as uncertain. */
     fun isOverdue(nowMillis: Long): Boolean {
-        write.doubtOverdue(nowMillis)
+        write.markOverdueUncertain(nowMillis)
         return listOfNotNull(headReadMillis, segmentReadMillis, sealMillis).any { write.isOverdue(it, nowMillis) }
     }
 }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
@@ -94,9 +94,9 @@
     private val ticks = ControlTicks(clock, settings.instance.value.stableHash().mod(HUB_TICK_MILLIS)) {
         if (membership.tree.direct) DIRECT_TICK_MILLIS else HUB_TICK_MILLIS
     }
-    private val membershipLoop = MembershipLoop(store, beliefs, membership, log, clock)
-    private val stopState = StopState(settings.times.graceMillis, clock)
-    private val lag = LoopLag(clock)
+    private val membershipLoop = MembershipLoop(store, deployment, membership, log, clock)
+    private val stopState = ShutdownState(settings.times.graceMillis, clock)
+    private val lag = EventLoopLag(clock)
     private var knownSinceMillis: Long? = null
     private val callerServer = CallerServer(vertx, scope, callerContext())
 
@@ -119,8 +119,8 @@
         scope.launch { ticks.measure(lag) }
         scope.launch { membershipLoop.run() }
         val incarnation = Incarnation(settings.instance, clock.nowMillis())
-        val context = ControlContext(beliefs, membership, controlClient, protocol.engines, runtime)
-        val peers = Peers(PeerContext(settings, beliefs, membership, runtime), incarnation, dispatcher)
+        val context = ControlContext(deployment, membership, controlClient, protocol.engines, runtime)
+        val peers = Peers(PeerContext(settings, deployment, membership, runtime), incarnation, dispatcher)
         scope.launch { peers.run(watches) }
         scope.launch { EngineLoadLoop(context, peers).run() }
         val lease = OrderLease(incarnation, store, scope, log, PauseDetector(clock), settings.times.leaseMillis)
@@ -170,7 +170,7 @@
         return CallerContext(
             clock = clock,
             handler = RelayHandler(context, protocol.headers, delivery, refusals, stopState),
-            limits = { beliefs.routes?.configuration?.limits ?: CallerLimits() },
+            limits = { deployment.routes?.configuration?.limits ?: CallerLimits() },
             stopping = { stopState.begun },
             lagMillis = { lag.millis },
             onFault = { fault ->
@@ -197,7 +197,7 @@
     }
 
     private fun readiness(): ProbeResponse {
-        val known = beliefs.routes != null && beliefs.endpointsKnown
+        val known = deployment.routes != null && deployment.endpointsKnown
         val sinceMillis = if (known) knownSinceMillis ?: clock.nowMillis() else null
         knownSinceMillis = sinceMillis
         val settled = lag.settled || sinceMillis != null && clock.nowMillis() - sinceMillis >= MAX_SETTLE_MILLIS
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/ProbeServer.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/ProbeServer.kt
@@ -44,10 +44,11 @@
             val bytes = input.readHead(HEAD_LIMIT_BYTES).getOrElse { null } ?: return
             val head = parseRequestHead(bytes).getOrElse { return }
             val response = responses[head.target.substringBefore('?')]?.invoke() ?: ProbeResponse(HttpStatus.NOT_FOUND)
-            val writer = CallerAnswer(socket, mayKeep = head.keepsAlive, chunked = true, stopping = { false })
+            val writer =
+                ResponseWriter(socket, keepAliveAllowed = head.keepsAlive, chunked = true, stopping = { false })
             val fields = listOf(HeaderField("Content-Type", "text/plain; charset=utf-8"))
-            writer.whole(AnswerHead(response.status, fields), response.body.encodeToByteArray())
-        } while (writer.keeps)
+            writer.writeResponse(CallerResponseHead(response.status, fields), response.body.encodeToByteArray())
+        } while (writer.keepAlive)
     }
 
     private companion object {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/CallerConnection.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/CallerConnection.kt
@@ -71,11 +71,11 @@
         val limits = context.limits()
         val head = withTimeoutOrNull(limits.headMillis) {
             input.readHead(limits.headBytes).andThen { if (it == null) ENDED_EARLY else parseRequestHead(it) }
-        } ?: return Err(MessageFault.TOO_SLOW)
+        } ?: return Err(MessageFailure.TOO_SLOW)
         return head.andThen { readBodyOf(it, limits) }
     }
 
-    private suspend fun readBodyOf(head: RequestHead, limits: CallerLimits): Result<CallerRequest, MessageFault> {
+    private suspend fun readBodyOf(head: RequestHead, limits: CallerLimits): Result<CallerRequest, MessageFailure> {
         val framing = head.framing().getOrElse { return Err(it) }
         if (head.headers.tokens("Expect") == listOf("100-continue")) socket.write(Buffer.buffer(CONTINUE))
         val body = withTimeoutOrNull(limits.idleMillis) { input.readBody(framing, limits.bodyBytes) }
@@ -116,7 +116,7 @@
     }
 
     private companion object {
-        val ENDED_EARLY: Result<RequestHead, MessageFault> = Err(MessageFault.ENDED_EARLY)
+        val ENDED_EARLY: Result<RequestHead, MessageFailure> = Err(MessageFailure.ENDED_EARLY)
         const val CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n"
 
         // Long enough for several round trips to a caller in another region.
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/CacheStoreLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/CacheStoreLoop.kt
@@ -21,18 +21,18 @@
 import org.parsleymoor.relay.prompt.parseCacheNamespace
 
 /**
- * Tracks the contents of the KV cache stores: reads the events of some, on the schedule of [StoreReads], and receives
+ * Tracks the contents of the KV cache stores: reads the events of some, on the schedule of [CacheStorePollSchedule], and receives
  * those of the others from peers. One instance also frees the parts that no engine can use any more, because managed
  * stores evict nothing by themselves and would stay full of parts for older weights after a rollout.
  */
 internal class CacheStoreLoop(private val context: ControlContext, private val peers: Peers) {
-    private val beliefs = context.beliefs
+    private val deployment = context.deployment
     private val client = context.client
     private val engines = context.engines
     private val scope = context.scope
     private val log = context.log
     private val clock = context.clock
-    private val schedule = StoreReads(context.membership.roster)
+    private val schedule = CacheStorePollSchedule(context.membership.roster)
     private val pending = HashSet<SocketAddress>()
     private var freeCheckMillis = 0L
     private var oldestWeights: Map<ModelId, Long?> = emptyMap()
@@ -41,7 +41,7 @@
     /** Tracks the stores of the configuration in force until the coroutine is cancelled. */
     suspend fun run() {
         while (true) {
-            beliefs.cacheStores.filter { it.address !in pending && isDue(it) }.forEach { store ->
+            deployment.cacheStores.filter { it.address !in pending && isDue(it) }.forEach { store ->
                 pending += store.address
                 scope.launch {
                     read(store.address)
@@ -56,26 +56,28 @@
         }
     }
 
-    private fun isDue(store: CandidateStore): Boolean {
-        val updatedMillis = beliefs.storeNewsMillis[store.address]
-        return schedule.isDue(store.address.toString(), store.traits.zone, updatedMillis, clock.nowMillis())
+    private fun isDue(store: CacheStore): Boolean {
+        val updatedMillis = deployment.lastStoreResponseMillis[store.address]
+        return schedule.isDue(store.address.toString(), store.spec.zone, updatedMillis, clock.nowMillis())
     }
 
     private suspend fun read(store: SocketAddress) {
-        val known = beliefs.stores.summary(store)
+        val known = deployment.stores.summary(store)
         val responded = if (known == null) list(store) else events(store, known.position)
-        beliefs.storeNewsMillis[store] = clock.nowMillis()
+        deployment.lastStoreResponseMillis[store] = clock.nowMillis()
         if (!responded) {
-            beliefs.stores.lost(store)
-            peers.publish(News.StoreLost(store))
+            deployment.stores.forget(store)
+            peers.publish(PeerUpdate.CacheStoreUnreachable(store))
             delay(RETRY_DELAY_MILLIS)
         }
     }
 
     private suspend fun list(store: SocketAddress): Boolean {
         val contents = call(store, engines.contents(), TIMEOUT_MILLIS, engines::contents) ?: return false
-        beliefs.stores.listed(store, contents.epoch, contents.position, contents.changes)
-        peers.publish(News.StoreEvents(store, contents.epoch, contents.position, contents.position, emptyList()))
+        deployment.stores.replaceContents(store, contents.epoch, contents.position, contents.changes)
+        peers.publish(
+            PeerUpdate.CacheStoreEvents(store, contents.epoch, contents.position, contents.position, emptyList())
+        )
         log.write("cacheStore.listed") {
             put("store", store.toString())
             put("epoch", contents.epoch)
@@ -87,9 +89,9 @@
     private suspend fun events(store: SocketAddress, position: Long): Boolean {
         val events = call(store, engines.events(position, WAIT_MILLIS), WAIT_MILLIS + TIMEOUT_MILLIS, engines::events)
             ?: return false
-        val continuous = beliefs.stores.changed(store, events.epoch, events.position, events.gap, events.changes)
+        val continuous = deployment.stores.applyEvents(store, events.epoch, events.position, events.gap, events.changes)
         if (continuous) {
-            peers.publish(News.StoreEvents(store, events.epoch, position, events.position, events.changes))
+            peers.publish(PeerUpdate.CacheStoreEvents(store, events.epoch, position, events.position, events.changes))
         } else {
             log.write("cacheStore.gap") { put("store", store.toString()) }
         }
@@ -104,7 +106,7 @@
         timeoutMillis: Long,
         decode: (String) -> Result<CacheEvents, DecodeFailure>,
     ): CacheEvents? = context.callAndDecode(store, call, timeoutMillis, decode) { reason ->
-        if (beliefs.stores.summary(store) != null) {
+        if (deployment.stores.summary(store) != null) {
             log.write("cacheStore.lost", always = true) {
                 put("store", store.toString())
                 put("reason", reason)
@@ -124,9 +126,9 @@
             oldestSinceMillis = nowMillis
         }
         if (nowMillis - oldestSinceMillis < MAX_FETCH_MILLIS || !isFirstMember()) return
-        beliefs.cacheStores.filter { it.traits.managed }.forEach { store ->
-            val unusable = beliefs.stores.unwanted(store.address, ::isUsable).take(MAX_PARTS_PER_CALL)
-            val epoch = beliefs.stores.summary(store.address)?.epoch
+        deployment.cacheStores.filter { it.spec.managed }.forEach { store ->
+            val unusable = deployment.stores.unusableParts(store.address, ::isUsable).take(MAX_PARTS_PER_CALL)
+            val epoch = deployment.stores.summary(store.address)?.epoch
             if (unusable.isNotEmpty() && epoch != null) {
                 scope.launch { free(store.address, epoch, unusable) }
             }
@@ -141,7 +143,7 @@
     private suspend fun free(store: SocketAddress, epoch: Long, parts: List<CachedPart>) {
         val response = client.call(store, engines.free(parts, epoch), TIMEOUT_MILLIS).mapError { it.message }
         val status = response.getOrElse { null }?.status
-        if (status == HttpStatus.OK.code) beliefs.stores.freed(store, epoch, parts)
+        if (status == HttpStatus.OK.code) deployment.stores.removeFreed(store, epoch, parts)
         log.write("cacheStore.freed") {
             put("store", store.toString())
             put("parts", parts.size)
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ControlTicks.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ControlTicks.kt
@@ -19,7 +19,7 @@
     }
 
     /** Reports to [lag] how late each tick is, until the coroutine is cancelled. */
-    suspend fun measure(lag: LoopLag) {
+    suspend fun measure(lag: EventLoopLag) {
         while (true) {
             val remaining = remainingMillis(1)
             lag.expect(clock.nowMillis() + remaining)
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/EngineLoadLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/EngineLoadLoop.kt
@@ -11,23 +11,23 @@
 import org.parsleymoor.relay.fleet.recordUnansweredPoll
 
 /**
- * Polls engines for their load on the schedule of [EngineAsks] and publishes the reports to peers, so that not every
+ * Polls engines for their load on the schedule of [EnginePollSchedule] and publishes the reports to peers, so that not every
  * instance has to poll every engine.
  */
 internal class EngineLoadLoop(private val context: ControlContext, private val peers: Peers) {
-    private val beliefs = context.beliefs
+    private val deployment = context.deployment
     private val engines = context.engines
     private val scope = context.scope
     private val log = context.log
     private val clock = context.clock
-    private val schedule = EngineAsks(context.membership.roster)
+    private val schedule = EnginePollSchedule(context.membership.roster)
     private val polling = HashSet<EndpointId>()
 
     /** Polls until the coroutine is cancelled. */
     suspend fun run() {
         while (true) {
             val nowMillis = clock.nowMillis()
-            beliefs.endpoints.all.filter { isDue(it, nowMillis) }.forEach { state ->
+            deployment.endpoints.all.filter { isDue(it, nowMillis) }.forEach { state ->
                 polling += state.entry.id
                 scope.launch { poll(state) }
             }
@@ -52,8 +52,8 @@
             }
         }
         if (report == null) {
-            state.fellSilent(requestedMillis)
-            peers.publish(News.Silent(state.entry.id, requestedMillis))
+            state.recordUnansweredPoll(requestedMillis)
+            peers.publish(PeerUpdate.Unresponsive(state.entry.id, requestedMillis))
         } else {
             applyReport(state, report, requestedMillis)
         }
@@ -62,7 +62,7 @@
 
     private fun applyReport(state: EndpointState, report: EngineReport, requestedMillis: Long) {
         report.weights.forEach { (model, version) -> state.learnWeights(model, version) }
-        report.clockMillis?.let { beliefs.engineClock.read(it, requestedMillis, clock.nowMillis()) }
+        report.clockMillis?.let { deployment.engineClock.updateFromOwnPoll(it, requestedMillis, clock.nowMillis()) }
         val load = EngineLoad(
             running = report.running,
             waiting = report.waiting,
@@ -72,8 +72,8 @@
             atMillis = requestedMillis,
         )
         if (state.learnLoad(load)) {
-            val engineMillis = report.clockMillis?.let { beliefs.engineClock.at(requestedMillis) }
-            peers.publish(News.Load(state.entry.id, load, state.allWeights, engineMillis))
+            val engineMillis = report.clockMillis?.let { deployment.engineClock.at(requestedMillis) }
+            peers.publish(PeerUpdate.Load(state.entry.id, load, state.allWeights, engineMillis))
         }
     }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Listeners.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Listeners.kt
@@ -61,11 +61,11 @@
     private val revisions = HashMap<String, Long>()
 
     override fun onKnownCurrent() {
-        beliefs.endpoints.listHeard(clock.nowMillis())
+        deployment.endpoints.markListAvailable(clock.nowMillis())
     }
 
     override fun onStoreUnreachable() {
-        beliefs.endpoints.listLost()
+        deployment.endpoints.markListUnavailable()
     }
 
     override fun onList(objects: List<StoredObject>) {
@@ -157,7 +157,7 @@
         if (known != null && known.version >= version) return
         // Objects have no timestamps: the version was set no earlier than the store last responded without it.
         val sinceMillis = previouslyConfirmedMillis ?: (clock.nowMillis() - ASSUMED_AGE_MILLIS)
-        beliefs.weights += model to NamedWeights(model, version, sinceMillis).after(known)
+        deployment.weights += model to TargetWeights(model, version, sinceMillis).replacing(known)
         log.write("weights.named", always = true) {
             put("model", model.value)
             put("version", version)
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/MembershipLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/MembershipLoop.kt
@@ -46,7 +46,7 @@
 
     /** Removes the registration of this instance. */
     suspend fun deregister() {
-        store.remove(ObjectKind.MEMBERS, beliefs.self.value)
+        store.remove(ObjectKind.MEMBERS, deployment.self.value)
     }
 
     private suspend fun register() {
@@ -87,8 +87,8 @@
         }
         observations.keys.retainAll(items.map { it.name }.toSet())
         val alive = observations.filterValues { nowMillis - it.sinceMillis < EXPIRY_MILLIS }.keys
-        val members = alive.map { InstanceId(it) }.toSet() + beliefs.self
-        if (members != beliefs.members) {
+        val members = alive.map { InstanceId(it) }.toSet() + deployment.self
+        if (members != deployment.members) {
             log.write("members.changed", always = true) { put("count", members.size) }
         }
         deployment.members = members
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectStore.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectStore.kt
@@ -51,7 +51,7 @@
 internal class ObjectList(val items: List<StoredObject>, val revision: Long)
 
 /** Makes a call to the object store and waits for the response up to a number of milliseconds. */
-internal typealias StoreCall = suspend (ControlCall, Long) -> Result<ControlAnswer, CallFailure>
+internal typealias StoreCall = suspend (ControlRequest, Long) -> Result<ControlResponse, CallFailure>
 
 /** Client of the object store, which is called through [send]. */
 internal class ObjectStore(private val protocol: ObjectProtocol, private val send: StoreCall) {
@@ -103,10 +103,10 @@
     suspend fun remove(kind: ObjectKind, name: String): Result<Unit, StoreFailure> =
         call(protocol.remove(kind, name), TIMEOUT_MILLIS).map { }
 
-    private fun stored(response: ControlAnswer): Result<StoredObject, StoreFailure> =
+    private fun stored(response: ControlResponse): Result<StoredObject, StoreFailure> =
         protocol.stored(response.body).mapError { StoreFailure.Unreadable(it) }
 
-    private suspend fun call(call: ControlCall, timeoutMillis: Long): Result<ControlAnswer, StoreFailure> {
+    private suspend fun call(call: ControlRequest, timeoutMillis: Long): Result<ControlResponse, StoreFailure> {
         val response = send(call, timeoutMillis).getOrElse { failure ->
             return Err(
                 when (failure) {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/OrderLease.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/OrderLease.kt
@@ -22,12 +22,12 @@
     self: Incarnation,
     private val store: ObjectStore,
     private val scope: CoroutineScope,
-    private val log: DecisionLog,
+    private val log: StructuredLog,
     private val pauseDetector: PauseDetector,
     leaseMillis: Long,
 ) {
     private val clock = pauseDetector.clock
-    private val holder = LeaseHolder(NAME, self, orderLeaseSettings(leaseMillis))
+    private val holder = LeaseManager(NAME, self, orderLeaseSettings(leaseMillis))
     private var unusableToken: Long? = null
     private var loggedToken: Long? = null
 
@@ -40,7 +40,7 @@
      */
     fun held(): HeldLease? {
         val held = holder.held(clock.nowMillis())
-        if (pauseDetector.paused() && held != null) {
+        if (pauseDetector.pausedSinceLastCall() && held != null) {
             log.write("lease.paused", always = true) { put("token", held.fencingToken) }
             unusableToken = held.fencingToken
         }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerMessageMapping.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerMessageMapping.kt
@@ -20,31 +20,44 @@
 import org.parsleymoor.relay.fleet.SocketAddress
 
 /** Encodes these updates as a message to peers; [passOn] says how far its receivers forward them. */
-internal fun List<News>.toMessage(passOn: PassOn, nowMillis: Long): PeerMessage.InstanceNews = PeerMessage.InstanceNews(
+internal fun List<PeerUpdate>.toMessage(
+    passOn: ForwardScope,
+    nowMillis: Long
+): PeerMessage.InstanceNews = PeerMessage.InstanceNews(
     passOn = passOn.name,
-    loads = filterIsInstance<News.Load>().map { it.toDigest(nowMillis) },
-    silent = filterIsInstance<News.Silent>().map { SilentEngineDigest(it.endpoint, nowMillis - it.atMillis) },
-    sent = filterIsInstance<News.Sent>().map { it.toDigest(nowMillis) },
-    ordered = filterIsInstance<News.Ordered>().map { OrderedEngineDigest(it.holder, it.endpoint, it.active) },
+    loads = filterIsInstance<PeerUpdate.Load>().map { it.toDigest(nowMillis) },
+    silent = filterIsInstance<PeerUpdate.Unresponsive>().map { SilentEngineDigest(
+        it.endpoint,
+        nowMillis - it.atMillis
+    ) },
+    sent = filterIsInstance<PeerUpdate.Sent>().map { it.toDigest(nowMillis) },
+    ordered = filterIsInstance<PeerUpdate.Ordered>().map { OrderedEngineDigest(it.holder, it.endpoint, it.active) },
     stores = mapNotNull { update ->
         when (update) {
-            is News.StoreEvents -> update.toDigest()
-            is News.StoreLost -> CacheStoreDigest(update.store.toString(), 0, 0, 0, emptyList(), lost = true)
-            is News.Load, is News.Silent, is News.Sent, is News.Ordered -> null
+            is PeerUpdate.CacheStoreEvents -> update.toDigest()
+            is PeerUpdate.CacheStoreUnreachable -> CacheStoreDigest(
+                update.store.toString(),
+                0,
+                0,
+                0,
+                emptyList(),
+                lost = true
+            )
+            is PeerUpdate.Load, is PeerUpdate.Unresponsive, is PeerUpdate.Sent, is PeerUpdate.Ordered -> null
         }
     },
 )
 
 /** Decodes the updates in this message, which arrived at [nowMillis]: ages are converted to local times. */
-internal fun PeerMessage.InstanceNews.toUpdates(nowMillis: Long): List<News> =
+internal fun PeerMessage.InstanceNews.toUpdates(nowMillis: Long): List<PeerUpdate> =
     loads.map { it.toUpdate(nowMillis) } +
-        silent.map { News.Silent(it.endpoint, nowMillis - it.ageMillis) } +
+        silent.map { PeerUpdate.Unresponsive(it.endpoint, nowMillis - it.ageMillis) } +
         sent.map { it.toUpdate(nowMillis) } +
-        ordered.map { News.Ordered(it.holder, it.endpoint, it.active) } +
+        ordered.map { PeerUpdate.Ordered(it.holder, it.endpoint, it.active) } +
         stores.mapNotNull { it.toUpdate() }
 
 /** Encodes these changes of a KV cache store, grouped by namespace. */
-internal fun News.StoreEvents.toDigest(): CacheStoreDigest = CacheStoreDigest(
+internal fun PeerUpdate.CacheStoreEvents.toDigest(): CacheStoreDigest = CacheStoreDigest(
     store = store.toString(),
     epoch = epoch,
     from = from,
@@ -56,10 +69,15 @@
 )
 
 /** Decodes the update of a KV cache store; returns null when its address is invalid. */
-internal fun CacheStoreDigest.toUpdate(): News? {
+internal fun CacheStoreDigest.toUpdate(): PeerUpdate? {
     val address = SocketAddress.parse(store) ?: return null
     val changes = namespaces.flatMap { digest ->
-        digest.parts.map { StoreChange(CachedPart(digest.namespace, it.part), it.tokens, it.held) }
+        digest.parts.map { CacheStoreChange(CachedPart(digest.namespace, it.part), it.tokens, it.held) }
+    }
+    return if (lost) {
+        PeerUpdate.CacheStoreUnreachable(address)
+    } else {
+        PeerUpdate.CacheStoreEvents(address, epoch, from, to, changes)
     }
 }
 
@@ -74,7 +92,7 @@
 internal fun PeerMessage.ObjectsOffered.toOffer(): ObjectOffer =
     ObjectOffer(revision, objects.map { StoredObject(it.name, it.revision, it.content) }, since, removed)
 
-private fun News.Load.toDigest(nowMillis: Long): EngineLoadDigest = EngineLoadDigest(
+private fun PeerUpdate.Load.toDigest(nowMillis: Long): EngineLoadDigest = EngineLoadDigest(
     endpoint = endpoint,
     running = load.running,
     waiting = load.waiting,
@@ -86,12 +104,12 @@
     ageMillis = nowMillis - load.atMillis,
 )
 
-private fun EngineLoadDigest.toUpdate(nowMillis: Long): News.Load {
+private fun EngineLoadDigest.toUpdate(nowMillis: Long): PeerUpdate.Load {
     val load = EngineLoad(running, waiting, prefilling, memoryUsed, memoryTotal, nowMillis - ageMillis)
     return PeerUpdate.Load(endpoint, load, weights, clockMillis)
 }
 
-private fun News.Sent.toDigest(nowMillis: Long): SentPromptDigest = SentPromptDigest(
+private fun PeerUpdate.Sent.toDigest(nowMillis: Long): SentPromptDigest = SentPromptDigest(
     origin = origin,
     endpoint = endpoint,
     tokens = prompt.tokens,
@@ -100,5 +118,5 @@
     ageMillis = nowMillis - prompt.atMillis,
 )
 
-private fun SentPromptDigest.toUpdate(nowMillis: Long): News.Sent =
-    News.Sent(origin, endpoint, SentPrompt(nowMillis - ageMillis, tokens, tokensToRead, ContextKey(context)))
+private fun SentPromptDigest.toUpdate(nowMillis: Long): PeerUpdate.Sent =
+    PeerUpdate.Sent(origin, endpoint, SentPrompt(nowMillis - ageMillis, tokens, tokensToRead, ContextKey(context)))
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerUpdateSender.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerUpdateSender.kt
@@ -18,7 +18,7 @@
     private val self = context.deployment.self
     private val tree = context.membership.tree
     private val clock = context.clock
-    private val queue = NewsBox()
+    private val queue = PeerUpdateQueue()
     private val orderedEndpoints = LinkedHashSet<EndpointState>()
     private var announcedMillis = 0L
 
@@ -26,12 +26,12 @@
     var watches: Map<String, ObjectWatch> = emptyMap()
 
     /** Queues an update that originates from this instance for the next message. */
-    fun publish(update: News) {
-        queue.addOwn(update, tree, clock.nowMillis())
+    fun publish(update: PeerUpdate) {
+        queue.addLocal(update, tree, clock.nowMillis())
     }
 
     /** Queues an update that a peer sent with [passOn], if it has to be forwarded. */
-    fun passOn(update: News, passOn: PassOn) {
+    fun passOn(update: PeerUpdate, passOn: ForwardScope) {
         queue.passOn(update, passOn)
     }
 
@@ -39,7 +39,7 @@
     fun announceOrders(state: EndpointState, active: Boolean) {
         if (active) orderedEndpoints += state else orderedEndpoints -= state
         state.orderedUntilMillis = if (active) clock.nowMillis() + ORDERED_EXPIRY_MILLIS else clock.nowMillis()
-        publish(News.Ordered(self, state.entry.id, active))
+        publish(PeerUpdate.Ordered(self, state.entry.id, active))
     }
 
     /** Sends the queued updates on those of [links] whose instances should receive them. */
@@ -47,10 +47,10 @@
         repeatAnnouncements()
         val byInstance = connections.responsive(links).associateBy { it.remote.incarnation.instance }
         val recipients = tree.recipients(byInstance.mapValues { it.value.remote.zone }, clock.nowMillis())
-        send(PassOn.EVERYWHERE, listOfNotNull(recipients.hub).mapNotNull { byInstance[it] })
-        send(PassOn.ZONE, recipients.zones.mapNotNull { byInstance[it] })
-        send(PassOn.NOBODY, recipients.last.mapNotNull { byInstance[it] })
-        send(emptyList<News>().toMessage(PassOn.NOBODY, clock.nowMillis()), connections.idle(links))
+        send(ForwardScope.EVERYWHERE, listOfNotNull(recipients.hub).mapNotNull { byInstance[it] })
+        send(ForwardScope.ZONE, recipients.zones.mapNotNull { byInstance[it] })
+        send(ForwardScope.NOBODY, recipients.last.mapNotNull { byInstance[it] })
+        send(emptyList<PeerUpdate>().toMessage(ForwardScope.NOBODY, clock.nowMillis()), connections.idle(links))
     }
 
     private fun repeatAnnouncements() {
@@ -60,7 +60,7 @@
         orderedEndpoints.toList().forEach { announceOrders(it, active = true) }
     }
 
-    private suspend fun send(passOn: PassOn, links: List<PeerLink>) {
+    private suspend fun send(passOn: ForwardScope, links: List<PeerLink>) {
         val updates = queue.take(passOn)
         if (updates.isNotEmpty()) send(updates.toMessage(passOn, clock.nowMillis()), links)
     }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Peers.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Peers.kt
@@ -42,7 +42,7 @@
     suspend fun run(watches: Map<ObjectKind, ObjectWatch>) {
         sender.watches = watches.mapKeys { it.key.name }
         node.start(settings.listen.peers.host, settings.listen.peers.port)
-        beliefs.onSent = { endpoint, prompt -> publish(News.Sent(beliefs.self, endpoint, prompt)) }
+        deployment.onSent = { endpoint, prompt -> publish(PeerUpdate.Sent(deployment.self, endpoint, prompt)) }
         while (true) {
             val links = node.connected
             node.keepConnectedTo(connections.desired(links))
@@ -52,7 +52,7 @@
     }
 
     /** Queues an update of this instance for the next message to peers. */
-    fun publish(update: News) {
+    fun publish(update: PeerUpdate) {
         sender.publish(update)
     }
 
@@ -82,10 +82,10 @@
                 ?.let { send(link, it.toMessage(message.kind)) }
             is PeerMessage.ObjectsOffered -> sender.watches[message.kind]?.accept(message.toOffer())
             is PeerMessage.CacheContentsWanted -> SocketAddress.parse(message.store)
-                ?.let { beliefs.stores.contents(it) }
+                ?.let { deployment.stores.contents(it) }
                 ?.let { send(link, PeerMessage.CacheContentsOffered(it.toDigest())) }
-            is PeerMessage.CacheContentsOffered -> (message.contents.toUpdate() as? News.StoreEvents)
-                ?.let { beliefs.stores.listed(it.store, it.epoch, it.to, it.changes) }
+            is PeerMessage.CacheContentsOffered -> (message.contents.toUpdate() as? PeerUpdate.CacheStoreEvents)
+                ?.let { deployment.stores.replaceContents(it.store, it.epoch, it.to, it.changes) }
             else -> log.write("peer.unexpected") { put("message", message::class.simpleName) }
         }
     }
@@ -96,9 +96,9 @@
 
     private suspend fun receive(link: PeerLink, message: PeerMessage.InstanceNews) {
         val nowMillis = clock.nowMillis()
-        val passOn = PassOn.entries.firstOrNull { it.name == message.passOn } ?: PassOn.NOBODY
+        val passOn = ForwardScope.entries.firstOrNull { it.name == message.passOn } ?: ForwardScope.NOBODY
         message.toUpdates(nowMillis).forEach { update ->
-            if (!beliefs.applyPeerUpdate(update, nowMillis) && update is News.StoreEvents) {
+            if (!deployment.applyPeerUpdate(update, nowMillis) && update is PeerUpdate.CacheStoreEvents) {
                 request(link, PeerMessage.CacheContentsWanted(update.store.toString()), update.store.toString())
             }
             sender.passOn(update, passOn)
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/RolloutLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/RolloutLoop.kt
@@ -27,7 +27,7 @@
     private val scope = context.scope
     private val log = context.log
     private val clock = context.clock
-    private val plan = RolloutPlan(quietMillis = lease.holdAfterOrderMillis)
+    private val plan = RolloutPlan(takeoverMillis = lease.holdAfterOrderMillis)
     private var wantedSinceMillis: Long? = null
     private var rankedMembers: Set<InstanceId> = emptySet()
     private var claimDelayMillis = 0L
@@ -42,14 +42,14 @@
 
     private fun step() {
         val nowMillis = clock.nowMillis()
-        val outdated = plan.outdated(beliefs.endpoints, beliefs.weights)
+        val outdated = plan.outdatedEngines(deployment.endpoints, deployment.weights)
         wantedSinceMillis = if (outdated.isEmpty()) null else wantedSinceMillis ?: nowMillis
-        val othersIdleMillis = beliefs.othersOrderedMillis?.let { it + OTHERS_IDLE_MILLIS } ?: Long.MIN_VALUE
+        val othersIdleMillis = deployment.lastPeerOrderMillis?.let { it + OTHERS_IDLE_MILLIS } ?: Long.MIN_VALUE
         val wanted = wantedSinceMillis?.let { nowMillis - maxOf(it, othersIdleMillis) >= claimDelayMillis() } ?: false
-        lease.tick(wanted || lease.held() != null && plan.recentlyActive(nowMillis))
+        lease.tick(wanted || lease.held() != null && plan.isRecentlyActive(nowMillis))
         if (lease.held() == null) return
-        plan.next(deployment.endpoints, deployment.weights, nowMillis).forEach { (state, named) ->
-            plan.started(state.entry.id, nowMillis)
+        plan.enginesToLoad(deployment.endpoints, deployment.weights, nowMillis).forEach { (state, named) ->
+            plan.loadStarted(state.entry.id, nowMillis)
             scope.launch { rollOut(state, named) }
         }
     }
@@ -59,29 +59,29 @@
      * only while no other announces orders, because each contender reads the lease several times a second.
      */
     private fun claimDelayMillis(): Long {
-        val members = beliefs.members.orEmpty() + beliefs.self
+        val members = deployment.members.orEmpty() + deployment.self
         if (members != rankedMembers) {
             rankedMembers = members
-            claimDelayMillis = rendezvousOrder("orders", members) { it.value }.indexOf(beliefs.self) * CLAIM_STEP_MILLIS
+            claimDelayMillis = rendezvousOrder("orders", members) { it.value }.indexOf(deployment.self) * CLAIM_STEP_MILLIS
         }
         return claimDelayMillis
     }
 
-    private suspend fun rollOut(state: EndpointState, named: NamedWeights) {
+    private suspend fun rollOut(state: EndpointState, named: TargetWeights) {
         peers.announceOrders(state, active = true)
         val loaded = try {
             load(state, named)
         } finally {
             peers.announceOrders(state, active = false)
         }
-        plan.ended(state.entry.id, loaded, clock.nowMillis())
+        plan.loadEnded(state.entry.id, loaded, clock.nowMillis())
     }
 
     /**
      * Repeats orders until the weights are loaded, the engine does not respond, orders are no longer allowed, or
      * the time is up. Returns whether the weights are loaded.
      */
-    private suspend fun load(state: EndpointState, named: NamedWeights): Boolean {
+    private suspend fun load(state: EndpointState, named: TargetWeights): Boolean {
         val untilMillis = clock.nowMillis() + LOAD_TIMEOUT_MILLIS
         var step = LoadStep.UNDER_WAY
         while (step == LoadStep.UNDER_WAY && clock.nowMillis() < untilMillis) {
@@ -94,7 +94,7 @@
     private suspend fun loadStep(state: EndpointState, named: TargetWeights): LoadStep {
         val report = report(state)
         report?.weights?.forEach { (model, version) -> state.learnWeights(model, version) }
-        state.engineLoad?.let { peers.publish(News.Load(state.entry.id, it, state.allWeights)) }
+        state.engineLoad?.let { peers.publish(PeerUpdate.Load(state.entry.id, it, state.allWeights)) }
         return when {
             report == null -> LoadStep.GIVEN_UP
             (report.weights[named.model] ?: 0) >= named.version -> LoadStep.LOADED
@@ -104,7 +104,7 @@
     }
 
     /** Sends one order; returns false when no more orders may be given to this engine. */
-    private suspend fun order(state: EndpointState, named: NamedWeights, report: EngineReport): Boolean {
+    private suspend fun order(state: EndpointState, named: TargetWeights, report: EngineReport): Boolean {
         val held = lease.held() ?: return false
         val order = WeightOrder(
             model = named.model,
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/WatchPolicy.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/WatchPolicy.kt
@@ -18,7 +18,7 @@
     private val silenceMillis = waitMillis + applyMillis * SILENCE_PERCENT / PERCENT
 
     /** Whether this instance is a follower. */
-    val follows: Boolean get() = tree.followsStore
+    val follows: Boolean get() = tree.watchesObjectStore
 
     /** Returns whether to read the store when the objects were last confirmed to be current at [currentMillis]. */
     fun isDue(currentMillis: Long): Boolean {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/EndpointConnection.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/EndpointConnection.kt
@@ -52,10 +52,10 @@
     }
 
     /** Suspends until the head of the next response has arrived, skipping interim (1xx) responses. */
-    suspend fun readResponse(method: String): Result<IncomingResponse, MessageFault> {
+    suspend fun readResponse(method: String): Result<IncomingResponse, MessageFailure> {
         repeat(MAX_INTERIM_RESPONSES) {
             val read = input.readHead(MAX_HEAD_BYTES)
-                .andThen { if (it == null) Err(MessageFault.ENDED_EARLY) else parseResponseHead(it) }
+                .andThen { if (it == null) Err(MessageFailure.ENDED_EARLY) else parseResponseHead(it) }
                 .andThen { head -> head.framing(method).andThen { Ok(IncomingResponse(head, it)) } }
             if (read.get()?.head?.isInterim != true) return read
         }
@@ -63,15 +63,15 @@
     }
 
     /** Suspends until the complete body of [response] has arrived. Fails if it has more than [MAX_BODY_BYTES]. */
-    suspend fun readBody(response: IncomingResponse): Result<ByteArray, MessageFault> {
+    suspend fun readBody(response: IncomingResponse): Result<ByteArray, MessageFailure> {
         val body = ByteArrayOutputStream()
         return readBody(response) { body.writeBytes(it) }.map { body.toByteArray() }
     }
 
     /** Reads and discards the body of [response], with the same limit. */
-    suspend fun discardBody(response: IncomingResponse): Result<Unit, MessageFault> = readBody(response) {}
+    suspend fun discardBody(response: IncomingResponse): Result<Unit, MessageFailure> = readBody(response) {}
 
-    private suspend fun readBody(response: IncomingResponse, take: (ByteArray) -> Unit): Result<Unit, MessageFault> {
+    private suspend fun readBody(response: IncomingResponse, take: (ByteArray) -> Unit): Result<Unit, MessageFailure> {
         var bytes = (response.framing as? BodyFraming.Length)?.bytes?.takeIf { it > MAX_BODY_BYTES } ?: 0
         while (response.decoder.progress == BodyProgress.INCOMPLETE && bytes <= MAX_BODY_BYTES) {
             val part = readPart(response)
@@ -79,7 +79,7 @@
             take(part)
         }
         return when {
-            bytes > MAX_BODY_BYTES -> Err(MessageFault.BODY_TOO_LARGE)
+            bytes > MAX_BODY_BYTES -> Err(MessageFailure.BODY_TOO_LARGE)
             response.decoder.progress == BodyProgress.COMPLETE -> Ok(Unit)
             else -> Err(MessageFailure.ENDED_EARLY)
         }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/MessageInput.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/MessageInput.kt
@@ -13,7 +13,7 @@
  * Suspends until a message head of at most [limitBytes] has arrived; returns null if the connection ends before its
  * first byte. Empty lines before the head are skipped and count towards the limit.
  */
-internal suspend fun SocketInput.readHead(limitBytes: Int): Result<ByteArray?, MessageFault> {
+internal suspend fun SocketInput.readHead(limitBytes: Int): Result<ByteArray?, MessageFailure> {
     var skipped = queue.skipEmptyLines()
     while (queue.headLength() == null && skipped + queue.size <= limitBytes && end == null) {
         awaitMore()
@@ -28,7 +28,7 @@
 }
 
 /** Suspends until the complete body has arrived. Fails if it has more than [limitBytes]. */
-internal suspend fun SocketInput.readBody(framing: BodyFraming, limitBytes: Int): Result<ByteArray, MessageFault> {
+internal suspend fun SocketInput.readBody(framing: BodyFraming, limitBytes: Int): Result<ByteArray, MessageFailure> {
     val decoder = BodyDecoder(framing)
     val content = ByteArrayOutputStream()
     var tooLarge = framing is BodyFraming.Length && framing.bytes > limitBytes
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
@@ -62,7 +62,7 @@
      * Waits up to [timeoutMillis] for the response head. Returns null at the shorter silence timeout if the endpoint
      * has responded to no request of this instance in the meantime.
      */
-    private suspend fun awaitResponse(timeoutMillis: Long): Result<IncomingResponse, MessageFault>? {
+    private suspend fun awaitResponse(timeoutMillis: Long): Result<IncomingResponse, MessageFailure>? {
         val sentMillis = clock.nowMillis()
         return withTimeoutOrNull(timeoutMillis) {
             val first = withTimeoutOrNull(minOf(timeoutMillis, pending.silenceTimeoutMillis(target))) { reader.head() }
@@ -71,15 +71,15 @@
     }
 
     private fun onTimeout(timeoutMillis: Long): AttemptResult {
-        note(AttemptEvidence.SILENT)
+        note(AttemptOutcome.SILENT)
         if (connection.requests > 1) context.discardIdle(connection.address)
         return AttemptResult.Uncertain("no response within $timeoutMillis ms")
     }
 
-    private fun onFault(fault: MessageFault): AttemptResult {
+    private fun onFault(fault: MessageFailure): AttemptResult {
         // Endpoints close idle connections, so the close of a reused one says little about the endpoint's health.
-        val closedIdle = fault == MessageFault.ENDED_EARLY && connection.requests > 1
-        if (!closedIdle) note(AttemptEvidence.FAILED)
+        val closedIdle = fault == MessageFailure.ENDED_EARLY && connection.requests > 1
+        if (!closedIdle) note(AttemptOutcome.FAILED)
         return AttemptResult.Uncertain(fault.message)
     }
 
@@ -99,7 +99,7 @@
     }
 
     private suspend fun onRefusal(response: IncomingResponse): AttemptResult {
-        note(AttemptEvidence.REFUSED)
+        note(AttemptOutcome.REFUSED)
         state.refusedMillis = clock.nowMillis()
         progress.complete = withTimeoutOrNull(REFUSAL_BODY_MILLIS) { reader.body(response) } != null
         return AttemptResult.NotRun("endpoint refused with ${response.head.status}", sent = true)
@@ -108,7 +108,7 @@
     private suspend fun relayStream(response: IncomingResponse): AttemptResult {
         val relay = StreamRelay(clock, pending, connection, writer, progress)
         val result = relay.relay(response, response.head.toCallerHead(names))
-        note(if (result is AttemptResult.Delivered) AttemptEvidence.ANSWERED else AttemptEvidence.FAILED)
+        note(if (result is AttemptResult.Delivered) AttemptOutcome.ANSWERED else AttemptOutcome.FAILED)
         return result
     }
 
@@ -118,13 +118,13 @@
         progress.complete = true
         val head = response.head.toCallerHead(names)
         val failure = head.status in SERVER_FAILURES
-        note(if (failure) AttemptEvidence.FAILED else AttemptEvidence.ANSWERED)
+        note(if (failure) AttemptOutcome.FAILED else AttemptOutcome.ANSWERED)
         if (!failure) writer.writeResponse(head, body)
         return if (failure) AttemptResult.Failed(head, body) else AttemptResult.Delivered(head.status)
     }
 
     private fun recordFailure(reason: String): AttemptResult {
-        note(AttemptEvidence.FAILED)
+        note(AttemptOutcome.FAILED)
         return AttemptResult.Uncertain(reason)
     }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/AttemptProgress.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/AttemptProgress.kt
@@ -24,7 +24,7 @@
 
     /** Records that the endpoint has processed the prompt; later calls have no effect. */
     fun prefillDone() {
-        if (!prefillRecorded) state.read(tokens)
+        if (!prefillRecorded) state.prefillEnded(tokens)
         prefillRecorded = true
     }
 }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/AttemptRunner.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/AttemptRunner.kt
@@ -40,7 +40,7 @@
         val tokens = pending.prompt?.promptTokens ?: 0
         val progress = AttemptProgress(state, tokens)
         var drainingInBackground = false
-        state.started(tokens)
+        state.requestStarted(tokens)
         target.prefill?.let {
             deployment.recordAndAnnounceSentPrompt(state, SentPrompt(clock.nowMillis(), tokens, it.tokens, it.context))
         }
@@ -54,7 +54,7 @@
             throw cancelled
         } finally {
             progress.prefillDone()
-            state.ended()
+            state.requestEnded()
             if (!drainingInBackground) releaseOrClose(connection, progress)
         }
     }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/CacheTransferPlanner.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/CacheTransferPlanner.kt
@@ -19,17 +19,17 @@
     private val deployment: DeploymentView,
     private val clock: Clock,
 ) {
-    private val storeChoice = StoreChoice(topology, deployment.stores)
+    private val storeChoice = CacheStoreSelector(topology, deployment.stores)
 
     /** Returns the stores that hold the longest shared part of [prompt] in [namespace] and may serve [pending]. */
-    fun holders(pending: PendingRequest, prompt: PromptContext, namespace: String): List<CandidateStore> =
+    fun holders(pending: PendingRequest, prompt: PromptContext, namespace: String): List<CacheStore> =
         prompt.sharedParts.lastOrNull()
             ?.let { storeChoice.holders(it, namespace, deployment.cacheStores, pending.allowedRegions) }.orEmpty()
 
     /**
      * Estimates the shortest time to fetch the longest shared part of [prompt] from one of [holders]; null without any.
      */
-    fun fetchMillis(prompt: PromptContext, holders: List<CandidateStore>, side: TransferSide): Double? {
+    fun fetchMillis(prompt: PromptContext, holders: List<CacheStore>, side: EngineCache): Double? {
         val tokens = prompt.sharedParts.lastOrNull()?.tokens ?: 0
         return holders.minOfOrNull { storeChoice.transferMillis(it, side, tokens) }
     }
@@ -41,7 +41,7 @@
     fun plan(
         pending: PendingRequest,
         prompt: PromptContext,
-        side: TransferSide,
+        side: EngineCache,
         cachedAt: EndpointState?,
     ): CacheTransfer {
         val stores = deployment.cacheStores
@@ -57,22 +57,22 @@
     private fun source(
         pending: PendingRequest,
         part: PromptPart,
-        side: TransferSide,
-        stores: List<CandidateStore>,
-    ): SocketAddress? = storeChoice.source(part, side, stores, pending.allowedRegions)
+        side: EngineCache,
+        stores: List<CacheStore>,
+    ): SocketAddress? = storeChoice.fetchSource(part, side, stores, pending.allowedRegions)
         ?.takeIf { mayTransfer(it, side, part, saving = false) }?.address
 
     private fun target(
         pending: PendingRequest,
         prompt: PromptContext,
         part: PromptPart,
-        side: TransferSide,
-        stores: List<CandidateStore>,
-    ): SocketAddress? = storeChoice.target(part, prompt, side, stores, pending.allowedRegions)
+        side: EngineCache,
+        stores: List<CacheStore>,
+    ): SocketAddress? = storeChoice.saveTarget(part, prompt, side, stores, pending.allowedRegions)
         ?.takeIf { mayTransfer(it, side, part, saving = true) }?.address
 
-    private fun mayTransfer(store: CandidateStore, side: TransferSide, part: PromptPart, saving: Boolean): Boolean =
-        storeChoice.mayTransfer(Transfer(store, side, part.tokens, saving), deployment.instances, clock.nowMillis())
+    private fun mayTransfer(store: CacheStore, side: EngineCache, part: PromptPart, saving: Boolean): Boolean =
+        storeChoice.tryReserve(Transfer(store, side, part.tokens, saving), deployment.instances, clock.nowMillis())
 
     /**
      * Formats a header field value with one of [addresses] for each shared part and a placeholder for each of the
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Delivery.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Delivery.kt
@@ -24,7 +24,7 @@
 
     /** Delivers [pending] and writes the response to [writer]; suspends until it is written or aborted. */
     suspend fun deliver(pending: PendingRequest, writer: ResponseWriter) {
-        budget.request(pending.service.name, clock.nowMillis())
+        budget.recordRequest(pending.service.name, clock.nowMillis())
         var last: AttemptResult = AttemptResult.NotRun("no endpoint was tried", sent = false)
         var choice = chooseOrWait(pending)
         var retry = true
@@ -42,7 +42,7 @@
         val untilMillis =
             pending.request.receivedMillis + (pending.route.objectiveMillis * CAPACITY_WAIT_SHARE).toLong()
         var choice = selector.choose(pending)
-        while ((choice as? Choice.None)?.reason == NoPlaceReason.OVERLOADED && clock.nowMillis() < untilMillis) {
+        while ((choice as? Choice.None)?.reason == UnavailableReason.OVERLOADED && clock.nowMillis() < untilMillis) {
             delay(CAPACITY_POLL_MILLIS)
             choice = selector.choose(pending)
         }
@@ -59,7 +59,7 @@
             put("request", pending.id.value)
             put("route", pending.route.name)
             put("endpoint", endpoint.entry.id.value)
-            put("entryAgeMillis", nowMillis - endpoint.heardMillis)
+            put("entryAgeMillis", nowMillis - endpoint.entryReceivedMillis)
             put("configuration", deployment.routes?.configuration?.version)
             put("estimateMillis", target.estimateMillis.toLong())
             pending.prompt?.let { prompt ->
@@ -104,7 +104,7 @@
 
     private fun withinRetryBudget(pending: PendingRequest, result: AttemptResult): Boolean =
         (result is AttemptResult.NotRun && !result.sent && pending.sendCount == 0) ||
-            budget.tryRepeat(pending.service.name, deployment.instances, clock.nowMillis())
+            budget.tryTakeRetry(pending.service.name, deployment.instances, clock.nowMillis())
 
     private fun giveUp(pending: PendingRequest, writer: ResponseWriter, last: AttemptResult, choice: Choice.None?) {
         when {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/DeploymentView.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/DeploymentView.kt
@@ -26,7 +26,7 @@
         }
 
     /** The KV cache stores of that configuration. */
-    var cacheStores: List<CandidateStore> = emptyList()
+    var cacheStores: List<CacheStore> = emptyList()
         private set
 
     /** The endpoints and their state. */
@@ -36,7 +36,7 @@
     var endpointsKnown = false
 
     /** The weights that operators have selected for each model. */
-    var weights: Map<ModelId, NamedWeights> = emptyMap()
+    var weights: Map<ModelId, TargetWeights> = emptyMap()
 
     /** Running instances including this one, or null before the list has been read. */
     var members: Set<InstanceId>? = null
@@ -61,12 +61,12 @@
 
     /** Records that this instance or a peer sent [prompt] to the engine of [state]. */
     fun recordSentPrompt(state: EndpointState, prompt: SentPrompt) {
-        state.sent(prompt)
-        contexts.sent(prompt.context, state.start, prompt.atMillis)
+        state.recordSentPrompt(prompt)
+        contexts.record(prompt.context, state.incarnation, prompt.atMillis)
     }
 
     /** Contents of the KV cache stores. */
-    val stores = StoreDirectory()
+    val stores = CacheStoreDirectory()
 
     /** When this instance or a peer last received a response from each KV cache store. */
     val lastStoreResponseMillis = HashMap<SocketAddress, Long>()
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/EndpointSelector.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/EndpointSelector.kt
@@ -55,35 +55,39 @@
     }
 
     private fun choose(
-        request: PlaceRequest,
+        request: PlacementQuery,
         prompt: PromptContext?,
         pending: PendingRequest,
         nowMillis: Long,
     ): Choice {
         if (prompt == null || pending.service.engine == null) {
             return when (val place = services.choose(request, deployment.endpoints, nowMillis)) {
-                is Place.At -> Choice.Chosen(Target(place.endpoint, place.estimateMillis))
-                is Place.Nowhere -> Choice.None(place.reason, place.retryAfterMillis)
+                is PlacementResult.Selected -> Choice.Chosen(Target(place.endpoint, place.estimateMillis))
+                is PlacementResult.Unavailable -> Choice.None(place.reason, place.retryAfterMillis)
             }
         }
         val named = deployment.weights[prompt.model]
         val cacheInfo = PromptCacheInfo(pending, prompt, deployment, transfers)
-        val engineRequest = EngineRequest(
-            request = request,
+        val engineRequest = EnginePlacementQuery(
+            base = request,
             prompt = prompt,
-            named = named,
+            targetWeights = named,
             instances = deployment.instances,
             fetchMillis = cacheInfo::fetchMillis,
-            heldShare = { deployment.contexts.heldShare(cacheInfo.context(it), it.start, nowMillis) },
+            cachedProbability = { deployment.contexts.cachedProbability(
+                cacheInfo.context(it),
+                it.incarnation,
+                nowMillis
+            ) },
         )
         val enginePlace = engines.choose(engineRequest, deployment.endpoints, nowMillis)
-        return when (val place = enginePlace.place) {
-            is Place.Nowhere -> Choice.None(place.reason, place.retryAfterMillis)
-            is Place.At -> Choice.Chosen(target(cacheInfo, place, enginePlace, nowMillis))
+        return when (val place = enginePlace.result) {
+            is PlacementResult.Unavailable -> Choice.None(place.reason, place.retryAfterMillis)
+            is PlacementResult.Selected -> Choice.Chosen(target(cacheInfo, place, enginePlace, nowMillis))
         }
     }
 
-    private fun target(cacheInfo: PromptCacheInfo, place: Place.At, enginePlace: EnginePlace, nowMillis: Long): Target {
+    private fun target(cacheInfo: PromptCacheInfo, place: PlacementResult.Selected, enginePlace: EnginePlacementResult, nowMillis: Long): Target {
         val side = cacheInfo.side(place.endpoint)
         val untilMillis = nowMillis + place.estimateMillis.toLong() + FETCH_SLACK_MILLIS
         val transfer = transfers.plan(cacheInfo.pending, cacheInfo.prompt, side, enginePlace.cachedAt)
@@ -103,13 +107,13 @@
 
     private fun withinColdLimit(pending: PendingRequest, endpoint: EndpointState, nowMillis: Long): Boolean {
         if (!endpoint.isCold(nowMillis)) return true
-        val bound = ColdBound(pending.service.coldRequestsPerSecond, settings.cold.overage, settings.cold.slack)
+        val bound = ColdEndpointLimit(pending.service.coldRequestsPerSecond, settings.cold.overage, settings.cold.slack)
         return cold.tryTake(endpoint.entry.id, bound, deployment.members.orEmpty(), nowMillis)
     }
 
     private fun Choice.orColdLimit(excluded: Set<*>, pending: PendingRequest): Choice =
         if (this is Choice.None && excluded.size > pending.tried.size) {
-            Choice.None(NoPlaceReason.COLD, COLD_RETRY_MILLIS)
+            Choice.None(UnavailableReason.COLD, COLD_RETRY_MILLIS)
         } else {
             this
         }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/PendingRequest.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/PendingRequest.kt
@@ -89,14 +89,14 @@
         get() = listOf(route.allowedRegions, organisation?.allowedRegions.orEmpty()).filter { it.isNotEmpty() }
 
     /** Describes the request for placement at [nowMillis]. */
-    fun placeRequest(nowMillis: Long): PlaceRequest = PlaceRequest(
+    fun placeRequest(nowMillis: Long): PlacementQuery = PlacementQuery(
         service = service.name,
         allowedRegions = allowedRegions,
         tried = tried,
         remainingMillis = deadlineMillis - nowMillis,
         objectiveMillis = route.objectiveMillis,
         urgency = urgency,
-        returning = caller.waitMillis < route.timeoutMillis * FIRST_ATTEMPT_SHARE,
+        isRetry = caller.waitMillis < route.timeoutMillis * FIRST_ATTEMPT_SHARE,
     )
 
     private companion object {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/PromptCacheInfo.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/PromptCacheInfo.kt
@@ -30,7 +30,7 @@
     }
 
     /** Describes [state] as one side of a cache transfer. */
-    fun side(state: EndpointState): TransferSide {
+    fun side(state: EndpointState): EngineCache {
         val version = version(state)
         return EngineCache(state.entry.zone, version.namespace, tokenBytes, version.current)
     }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Refusal.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Refusal.kt
@@ -47,7 +47,7 @@
         Refusal(HttpStatus.BAD_REQUEST, "the request needs exactly one attempt id and at most one model and deadline")
 
     /** No endpoint can serve the request, which has not run. */
-    class NoEndpoint(val cause: NoPlaceReason, millis: Long) :
+    class NoEndpoint(val cause: UnavailableReason, millis: Long) :
         Refusal(HttpStatus.UNAVAILABLE, "no endpoint can serve the request: ${cause.name.lowercase()}", millis)
 
     /** Every endpoint that was tried refused the request, which has not run. */
@@ -82,7 +82,7 @@
 ) {
     /** Sends [refusal] as the response to the request [id], and logs and counts it. */
     fun write(writer: ResponseWriter, id: RequestId, refusal: Refusal) {
-        metrics.refused(refusal.status.code)
+        metrics.recordRefusal(refusal.status.code)
         val retryMillis = refusal.retryAfterMillis?.let { (it * (1 + Random.nextDouble() * SPREAD)).toLong() }
         log.write("request.refused", always = true) {
             put("request", id.value)
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/ResponseReader.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/ResponseReader.kt
@@ -20,7 +20,7 @@
     private val names: HeaderNames,
 ) {
     /** Suspends until the response head has arrived. Skips late responses to earlier requests on the connection. */
-    suspend fun head(): Result<IncomingResponse, MessageFault> {
+    suspend fun head(): Result<IncomingResponse, MessageFailure> {
         repeat(MAX_FOREIGN_RESPONSES) {
             val read = connection.readResponse(pending.request.head.method).andThen { matchOwn(it) }
             if (read.get() != null || read.getError() != null) return read.map { checkNotNull(it) }
@@ -29,7 +29,7 @@
     }
 
     /** Returns [response] if it belongs to [pending]; null if it belonged to another request and was discarded. */
-    private suspend fun matchOwn(response: IncomingResponse): Result<IncomingResponse?, MessageFault> =
+    private suspend fun matchOwn(response: IncomingResponse): Result<IncomingResponse?, MessageFailure> =
         when (response.head.headers[names.caller.attemptId]) {
             pending.id.value -> Ok(response).also { connection.echoesRequestIds = true }
             null -> if (connection.echoesRequestIds && !response.head.isRefusal(names)) UNIDENTIFIED else Ok(response)
@@ -42,11 +42,11 @@
     /**
      * Discards [response], which belongs to another request. Fails if its body is delimited by the connection's end.
      */
-    private suspend fun discardForeign(response: IncomingResponse): Result<Unit, MessageFault> {
+    private suspend fun discardForeign(response: IncomingResponse): Result<Unit, MessageFailure> {
         connection.echoesRequestIds = true
         connection.noNewRequests = true
         val last = response.framing == BodyFraming.UntilClose
-        return if (last) Err(MessageFault.TOO_MANY_RESPONSES) else connection.discardBody(response)
+        return if (last) Err(MessageFailure.TOO_MANY_RESPONSES) else connection.discardBody(response)
     }
 
     private companion object {
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/ControlLoopsTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/ControlLoopsTest.kt
@@ -22,7 +22,7 @@
 import org.parsleymoor.entry.control.OrderLease
 import org.parsleymoor.entry.control.WatchContext
 import org.parsleymoor.entry.control.WatchPolicy
-import org.parsleymoor.entry.log.DecisionLog
+import org.parsleymoor.entry.log.StructuredLog
 import org.parsleymoor.entry.protocol.ObjectChange
 import org.parsleymoor.entry.protocol.ObjectKind
 import org.parsleymoor.entry.protocol.StoredObject
@@ -86,8 +86,8 @@
     @Test
     fun `an instance whose registration does not change for twenty seconds expires`() = runLoops {
         memory.put(ObjectKind.MEMBERS, "gone", "{\"address\":\"h:1\",\"beats\":1}")
-        val beliefs = Beliefs(InstanceId("self"))
-        val loop = MembershipLoop(memory.store, beliefs, membership, log(this), clock(this))
+        val deployment = DeploymentView(InstanceId("self"))
+        val loop = MembershipLoop(memory.store, deployment, membership, log(this), clock(this))
         backgroundScope.launch { loop.run() }
         advanceTimeBy(1_000)
         expectThat(deployment.instances).isEqualTo(2)
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/MemoryStore.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/MemoryStore.kt
@@ -54,10 +54,10 @@
         historyFrom = revision
     }
 
-    private suspend fun respond(call: ControlCall, timeoutMillis: Long): Result<ControlAnswer, CallFailure> {
+    private suspend fun respond(call: ControlRequest, timeoutMillis: Long): Result<ControlResponse, CallFailure> {
         calls++
         return when {
-            unavailable -> Ok(ControlAnswer(503, ""))
+            unavailable -> Ok(ControlResponse(503, ""))
             unresponsive -> {
                 delay(timeoutMillis)
                 Err(CallFailure.Unanswered("silent"))
@@ -66,7 +66,7 @@
         }
     }
 
-    private suspend fun execute(call: ControlCall, timeoutMillis: Long): Result<ControlAnswer, CallFailure> {
+    private suspend fun execute(call: ControlRequest, timeoutMillis: Long): Result<ControlResponse, CallFailure> {
         val (name, since, expected) = call.target.split(' ')
         val kind = ObjectKind.valueOf(name)
         delay(RESPONSE_MILLIS)
@@ -97,7 +97,7 @@
     ): Result<ControlResponse, CallFailure> {
         val known = objects[kind to name]
         val response = when {
-            expected == "new" && known != null -> ControlAnswer(409, text(listOf(known to false)))
+            expected == "new" && known != null -> ControlResponse(409, text(listOf(known to false)))
             expected != "new" && known == null -> ABSENT
             expected.toLongOrNull()?.let { it != known?.revision } ?: false ->
                 ControlResponse(409, text(listOfNotNull(known?.to(false))))
@@ -116,7 +116,7 @@
     private companion object {
         const val RESPONSE_MILLIS = 4L
         const val POLL_INTERVAL_MILLIS = 20L
-        val ABSENT = ControlAnswer(404, "")
+        val ABSENT = ControlResponse(404, "")
     }
 }
 
@@ -136,7 +136,7 @@
     override fun replace(kind: ObjectKind, name: String, content: String, revision: Long?) =
         ControlRequest("WRITE", "$kind $name ${revision ?: "any"}", content)
 
-    override fun remove(kind: ObjectKind, name: String): ControlCall = error("tests do not remove objects")
+    override fun remove(kind: ObjectKind, name: String): ControlRequest = error("tests do not remove objects")
 
     override fun page(body: String): Result<ObjectPage, DecodeFailure> =
         Ok(ObjectPage(changes(body.lines()).map { it.value }, after = null, body.lines().first().toLong()))
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/OrderLeaseTimesTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/OrderLeaseTimesTest.kt
@@ -21,7 +21,7 @@
     fun `orders of two holders are at least a lease period apart, for any configured period`(period: Long) {
         val settings = orderLeaseSettings(period)
         val former = Incarnation(InstanceId("former"), 1)
-        val holder = LeaseHolder("orders", former, settings)
+        val holder = LeaseManager("orders", former, settings)
         val acquired = firstWrite(holder, stored = null, fromMillis = 0)
         holder.handle(acquired.atMillis + 1, LeaseEvent.Written(acquired.write.writeId, version = 1))
         val lastOrderMillis = (0 until 2 * period).last { holder.held(it) != null }
@@ -37,7 +37,7 @@
     private class Written(val write: LeaseAction.Write, val atMillis: Long)
 
     /** Answers each read of [holder] with [stored] and returns its first write. */
-    private fun firstWrite(holder: LeaseHolder, stored: StoredLease?, fromMillis: Long): Written {
+    private fun firstWrite(holder: LeaseManager, stored: StoredLease?, fromMillis: Long): Written {
         var actions = holder.handle(fromMillis, LeaseEvent.Wanted(true))
         var nowMillis = fromMillis
         while (actions.none { it is LeaseAction.Write }) {
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/PeerUpdatesTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/PeerUpdatesTest.kt
@@ -8,7 +8,7 @@
 import org.parsleymoor.entry.control.applyPeerUpdate
 import org.parsleymoor.entry.control.toMessage
 import org.parsleymoor.entry.control.toUpdates
-import org.parsleymoor.entry.serving.Beliefs
+import org.parsleymoor.entry.serving.DeploymentView
 import org.parsleymoor.entry.serving.oldestWeights
 import org.parsleymoor.relay.cache.ContextKey
 import org.parsleymoor.relay.exchange.ForwardScope
@@ -37,19 +37,19 @@
     fun `the load report that a peer sends updates the weights of the engine`() {
         val engine = engine("e", weights = 1)
         val load = EngineLoad(1, 0, 0, memoryUsed = 10, memoryTotal = 100, atMillis = 1_000)
-        receive(News.Load(engine, load, mapOf(model to 2L)), sentMillis = 1_050, receivedMillis = 5_000)
-        expectThat(beliefs.endpoints[engine]?.weights(model)).isEqualTo(2L)
-        expectThat(beliefs.endpoints[engine]?.engineLoad?.atMillis).isEqualTo(4_950L)
+        receive(PeerUpdate.Load(engine, load, mapOf(model to 2L)), sentMillis = 1_050, receivedMillis = 5_000)
+        expectThat(deployment.endpoints[engine]?.weights(model)).isEqualTo(2L)
+        expectThat(deployment.endpoints[engine]?.engineLoad?.atMillis).isEqualTo(4_950L)
     }
 
     @Test
     fun `a context that a peer has sent to an engine counts as cached there`() {
         val engine = engine("e", weights = 1)
         val key = ContextKey.of("space", "part")
-        val prompt = SentPrompt(atMillis = 950, tokens = 100, tokensToRead = 100, context = key)
-        receive(News.Sent(InstanceId("peer"), engine, prompt), sentMillis = 1_000, receivedMillis = 1_000)
-        val state = beliefs.endpoints[engine]!!
-        expectThat(beliefs.contexts.cachedProbability(key, state.incarnation, 1_000)).isGreaterThan(0.5)
+        val prompt = SentPrompt(atMillis = 950, tokens = 100, prefillTokens = 100, context = key)
+        receive(PeerUpdate.Sent(InstanceId("peer"), engine, prompt), sentMillis = 1_000, receivedMillis = 1_000)
+        val state = deployment.endpoints[engine]!!
+        expectThat(deployment.contexts.cachedProbability(key, state.incarnation, 1_000)).isGreaterThan(0.5)
     }
 
     // A report read before a rollout may arrive after it; requests would then expect the older weights.
@@ -57,9 +57,9 @@
     fun `an older report of a peer does not replace newer weights`() {
         val engine = engine("e", weights = 1)
         val load = EngineLoad(1, 0, 0, memoryUsed = 10, memoryTotal = 100, atMillis = 1_000)
-        receive(News.Load(engine, load, mapOf(model to 3L)), sentMillis = 1_000, receivedMillis = 1_010)
+        receive(PeerUpdate.Load(engine, load, mapOf(model to 3L)), sentMillis = 1_000, receivedMillis = 1_010)
         receive(
-            News.Load(engine, load.copy(atMillis = 900), mapOf(model to 2L)),
+            PeerUpdate.Load(engine, load.copy(atMillis = 900), mapOf(model to 2L)),
             sentMillis = 1_000,
             receivedMillis = 1_020
         )
@@ -71,9 +71,11 @@
     fun `a prompt that a hub sends back to its origin is not counted again`() {
         val engine = engine("e", weights = 1)
         val key = ContextKey.of("space", "part")
-        val prompt = SentPrompt(atMillis = 950, tokens = 100, tokensToRead = 100, context = key)
-        receive(News.Sent(beliefs.self, engine, prompt), sentMillis = 1_000, receivedMillis = 1_000)
-        expectThat(beliefs.contexts.heldShare(key, beliefs.endpoints[engine]!!.start, 1_000)).isEqualTo(0.0)
+        val prompt = SentPrompt(atMillis = 950, tokens = 100, prefillTokens = 100, context = key)
+        receive(PeerUpdate.Sent(deployment.self, engine, prompt), sentMillis = 1_000, receivedMillis = 1_000)
+        expectThat(
+            deployment.contexts.cachedProbability(key, deployment.endpoints[engine]!!.incarnation, 1_000)
+        ).isEqualTo(0.0)
     }
 
     // Cached parts for older weights are freed: a guess could free parts that an engine still fetches.
@@ -86,9 +88,9 @@
         expectThat(deployment.oldestWeights(model)).isNull()
     }
 
-    private fun receive(update: News, sentMillis: Long, receivedMillis: Long) {
-        listOf(update).toMessage(PassOn.NOBODY, sentMillis).toUpdates(receivedMillis)
-            .forEach { beliefs.applyPeerUpdate(it, receivedMillis) }
+    private fun receive(update: PeerUpdate, sentMillis: Long, receivedMillis: Long) {
+        listOf(update).toMessage(ForwardScope.NOBODY, sentMillis).toUpdates(receivedMillis)
+            .forEach { deployment.applyPeerUpdate(it, receivedMillis) }
     }
 
     private fun engine(name: String, weights: Long?): EndpointId {
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/StoreFollowersTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/StoreFollowersTest.kt
@@ -17,7 +17,7 @@
 import org.parsleymoor.entry.control.ObjectWatch
 import org.parsleymoor.entry.control.WatchContext
 import org.parsleymoor.entry.control.WatchPolicy
-import org.parsleymoor.entry.log.DecisionLog
+import org.parsleymoor.entry.log.StructuredLog
 import org.parsleymoor.entry.protocol.ObjectChange
 import org.parsleymoor.entry.protocol.ObjectKind
 import org.parsleymoor.entry.protocol.StoredObject
@@ -57,7 +57,7 @@
     @Test
     fun `an instance without updates reads the store in time for a change to take effect`() = simulate {
         memory.put(ObjectKind.WEIGHTS, "a", "1")
-        val other = start(members.first { !Membership(it).also { own -> own.update(members) }.tree.followsStore })
+        val other = start(members.first { !Membership(it).also { own -> own.update(members) }.tree.watchesObjectStore })
         advanceTimeBy(100)
         memory.put(ObjectKind.WEIGHTS, "b", "1")
         advanceTimeBy(APPLY_MILLIS - 500)
@@ -67,7 +67,7 @@
     // Calls are billed: 95 instances that retry four kinds five times a second cost more in an outage than in a day.
     @Test
     fun `an instance that is not a follower calls an unavailable store less than twice a second`() = simulate {
-        val other = start(members.first { !Membership(it).also { own -> own.update(members) }.tree.followsStore })
+        val other = start(members.first { !Membership(it).also { own -> own.update(members) }.tree.watchesObjectStore })
         advanceTimeBy(100)
         memory.unavailable = true
         advanceTimeBy(4_000)
@@ -83,7 +83,7 @@
     // Otherwise entries that expired during an outage are dropped before their endpoints can register again.
     @Test
     fun `an instance that relies on peers notices when the store becomes unreachable and recovers`() = simulate {
-        val other = start(members.first { !Membership(it).also { own -> own.update(members) }.tree.followsStore })
+        val other = start(members.first { !Membership(it).also { own -> own.update(members) }.tree.watchesObjectStore })
         advanceTimeBy(100)
         val revision = other.watch.changedRevision
         other.watch.onPeerStatus(revision, currentTime, storeUnreachable = false)
@@ -109,7 +109,7 @@
     private fun TestScope.start(member: Member): Instance {
         val clock = Clock { currentTime }
         val membership = Membership(member).also { it.update(members) }
-        val log = DecisionLog(clock, "test", PrintStream(OutputStream.nullOutputStream()))
+        val log = StructuredLog(clock, "test", PrintStream(OutputStream.nullOutputStream()))
         val policy = WatchPolicy(membership.tree, clock, APPLY_MILLIS)
         val ticks = ControlTicks(clock, offsetMillis = 0) { 100 }
         val runtime = ControlRuntime(backgroundScope, ticks, log, clock)
