--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/CacheStoreLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/CacheStoreLoop.kt
@@ -21,9 +21,9 @@
 import org.parsleymoor.relay.prompt.parseCacheNamespace
 
 /**
- * Tracks the contents of the KV cache stores: reads the events of some, on the schedule of [CacheStorePollSchedule], and receives
- * those of the others from peers. One instance also frees the parts that no engine can use any more, because managed
- * stores evict nothing by themselves and would stay full of parts for older weights after a rollout.
+ * Tracks the contents of the KV cache stores: reads the events of some, on the schedule of [CacheStorePollSchedule],
+ * and receives those of the others from peers. One instance also frees the parts that no engine can use any more,
+ * because managed stores evict nothing by themselves and would stay full of parts for older weights after a rollout.
  */
 internal class CacheStoreLoop(private val context: ControlContext, private val peers: Peers) {
     private val deployment = context.deployment
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/EngineLoadLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/EngineLoadLoop.kt
@@ -11,8 +11,8 @@
 import org.parsleymoor.relay.fleet.recordUnansweredPoll
 
 /**
- * Polls engines for their load on the schedule of [EnginePollSchedule] and publishes the reports to peers, so that not every
- * instance has to poll every engine.
+ * Polls engines for their load on the schedule of [EnginePollSchedule] and publishes the reports to peers, so that not
+ * every instance has to poll every engine.
  */
 internal class EngineLoadLoop(private val context: ControlContext, private val peers: Peers) {
     private val deployment = context.deployment
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerMessageMapping.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerMessageMapping.kt
@@ -26,10 +26,8 @@
 ): PeerMessage.InstanceNews = PeerMessage.InstanceNews(
     passOn = passOn.name,
     loads = filterIsInstance<PeerUpdate.Load>().map { it.toDigest(nowMillis) },
-    silent = filterIsInstance<PeerUpdate.Unresponsive>().map { SilentEngineDigest(
-        it.endpoint,
-        nowMillis - it.atMillis
-    ) },
+    silent = filterIsInstance<PeerUpdate.Unresponsive>()
+        .map { SilentEngineDigest(it.endpoint, nowMillis - it.atMillis) },
     sent = filterIsInstance<PeerUpdate.Sent>().map { it.toDigest(nowMillis) },
     ordered = filterIsInstance<PeerUpdate.Ordered>().map { OrderedEngineDigest(it.holder, it.endpoint, it.active) },
     stores = mapNotNull { update ->
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/RolloutLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/RolloutLoop.kt
@@ -62,7 +62,8 @@
         val members = deployment.members.orEmpty() + deployment.self
         if (members != rankedMembers) {
             rankedMembers = members
-            claimDelayMillis = rendezvousOrder("orders", members) { it.value }.indexOf(deployment.self) * CLAIM_STEP_MILLIS
+            claimDelayMillis =
+                rendezvousOrder("orders", members) { it.value }.indexOf(deployment.self) * CLAIM_STEP_MILLIS
         }
         return claimDelayMillis
     }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/EndpointSelector.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/EndpointSelector.kt
@@ -74,11 +74,9 @@
             targetWeights = named,
             instances = deployment.instances,
             fetchMillis = cacheInfo::fetchMillis,
-            cachedProbability = { deployment.contexts.cachedProbability(
-                cacheInfo.context(it),
-                it.incarnation,
-                nowMillis
-            ) },
+            cachedProbability = {
+                deployment.contexts.cachedProbability(cacheInfo.context(it), it.incarnation, nowMillis)
+            },
         )
         val enginePlace = engines.choose(engineRequest, deployment.endpoints, nowMillis)
         return when (val place = enginePlace.result) {
@@ -87,7 +85,12 @@
         }
     }
 
-    private fun target(cacheInfo: PromptCacheInfo, place: PlacementResult.Selected, enginePlace: EnginePlacementResult, nowMillis: Long): Target {
+    private fun target(
+        cacheInfo: PromptCacheInfo,
+        place: PlacementResult.Selected,
+        enginePlace: EnginePlacementResult,
+        nowMillis: Long,
+    ): Target {
         val side = cacheInfo.side(place.endpoint)
         val untilMillis = nowMillis + place.estimateMillis.toLong() + FETCH_SLACK_MILLIS
         val transfer = transfers.plan(cacheInfo.pending, cacheInfo.prompt, side, enginePlace.cachedAt)
