--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/Gateway.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/Gateway.kt
@@ -42,22 +42,22 @@
 import org.parsleymoor.gateway.operations.RequestRecords
 import org.parsleymoor.gateway.operations.Tracing
 import org.parsleymoor.gateway.operations.WorkCount
-import org.parsleymoor.gateway.serving.BackEnds
+import org.parsleymoor.gateway.serving.AtMostOnceCallFactory
+import org.parsleymoor.gateway.serving.BackEndClients
 import org.parsleymoor.gateway.serving.ColdStartGuard
 import org.parsleymoor.gateway.serving.CompletionRunner
-import org.parsleymoor.gateway.serving.EngineFleet
-import org.parsleymoor.gateway.serving.EngineObserver
+import org.parsleymoor.gateway.serving.EnginePoller
 import org.parsleymoor.gateway.serving.FleetReports
 import org.parsleymoor.gateway.serving.FleetState
-import org.parsleymoor.gateway.serving.OnceCalls
-import org.parsleymoor.gateway.serving.ReportedColdStart
+import org.parsleymoor.gateway.serving.LocalColdStartGuard
+import org.parsleymoor.gateway.serving.PlacementEngineChooser
 import org.parsleymoor.gateway.serving.ServiceRunner
-import org.parsleymoor.gateway.serving.ServingTools
-import org.parsleymoor.gateway.serving.StoreImports
-import org.parsleymoor.gateway.serving.StoreKeeper
-import org.parsleymoor.gateway.serving.StoreObserver
+import org.parsleymoor.gateway.serving.ServingDependencies
+import org.parsleymoor.gateway.serving.StoreMaintenance
+import org.parsleymoor.gateway.serving.StorePoller
+import org.parsleymoor.gateway.serving.StorePrefixImporter
 import org.parsleymoor.gateway.serving.Telemetry
-import org.parsleymoor.gateway.serving.TicketDesk
+import org.parsleymoor.gateway.serving.TicketExecutor
 import org.parsleymoor.peering.PeerIdentity
 import org.parsleymoor.peering.PieceTextStore
 
@@ -79,7 +79,7 @@
     private val telemetry = Telemetry(RequestRecords(settings.instance, clock), metrics, tracing)
     private val platform = settings.platform?.let { VertxPlatformClient(vertx, it) }
     private val linkMeter = RegionLinkMeter(clock, metrics) { peers.members.gatewaysInRegion() }
-    private val backEnds = BackEnds(vertx, RegionRoute(settings.region, holder, { peers }, linkMeter))
+    private val backEnds = BackEndClients(vertx, RegionRoute(settings.region, holder, { peers }, linkMeter))
     private val receiver = ForwardReceiver(PieceTextStore(TEXT_STORE_BYTES)) { forwardTarget(it) }
     private val identity = PeerIdentity(incarnation, settings.zone, settings.region)
     private val peers: PeerControl = PeerControl(identity, platform, holder, receiver, clock, background)
@@ -94,7 +94,7 @@
         val meters = OrderMeters(metrics, rollouts)
         OrderDriver(incarnation, lease, OrderClients(vertx), holder, meters) { peers.members.contends("orders") }
     }
-    private val tools = ServingTools(
+    private val tools = ServingDependencies(
         configuration = holder,
         backEnds = backEnds,
         telemetry = telemetry,
@@ -102,16 +102,16 @@
         streams = settings.streams,
         background = background,
     )
-    private val onceCalls = OnceCalls(ServiceRunner(tools))
+    private val onceCalls = AtMostOnceCallFactory(ServiceRunner(tools))
     private val forwarder = CallForwarder({ peers.directory }, clock, tracing)
-    private val tickets = TicketDesk(incarnation, forwarder, background)
+    private val tickets = TicketExecutor(incarnation, forwarder, background)
     private val claims =
         platform?.let { ClaimDesk(incarnation, it, tickets, forwarder, clock, background) }?.also { it.start() }
-    private val keeper = StoreKeeper(tools, fleetState, RegionLeader(settings.instance, peers.members))
+    private val keeper = StoreMaintenance(tools, fleetState, RegionLeader(settings.instance, peers.members))
     private val completions = CompletionRunner(
         tools,
-        EngineFleet(holder, fleetState),
-        StoreImports(tools, fleetState, keeper.retention),
+        PlacementEngineChooser(holder, fleetState),
+        StorePrefixImporter(tools, fleetState, keeper.retention),
     )
     private val callers = CallerServer(vertx, settings.callers, routes())
     private val operations =
@@ -123,8 +123,10 @@
         val receiver = CallReceiver(tools, work, onceCalls, claims ?: tickets)
         val peerPort = peers.start(settings.peers, configurationControl, receiver)
         configurationControl.start()
-        background.launch { EngineObserver(holder, backEnds, reports, clock, onChanges = keeper::changed).run() }
-        background.launch { StoreObserver(holder, backEnds, reports, clock).run() }
+        background.launch {
+            EnginePoller(holder, backEnds, reports, clock, onCacheChanges = keeper::acceptChanges).run()
+        }
+        background.launch { StorePoller(holder, backEnds, reports, clock).run() }
         background.launch { keeper.run() }
         background.launch { pump() }
         orders?.start(clock, background)
@@ -171,7 +173,7 @@
 
     private fun coldStart(): ColdStartGuard {
         val limit = { holder.current?.configuration?.limits?.coldLimit ?: 0 }
-        val source = platform ?: return ReportedColdStart(limit)
+        val source = platform ?: return LocalColdStartGuard(limit)
         return LeasedColdStart(incarnation, source, clock, background, limit) { peers.members.contends("cold.$it") }
             .also { it.start() }
     }
@@ -200,13 +202,13 @@
         logger.info { "configuration revision ${view.configuration.revision} is in effect" }
         backEnds.retain(view.configuration.endpoints.map { it.address }.toSet())
         claims?.retain(view.configuration.limits.claimRetentionHours)
-        completions.pump()
+        completions.admitWaiting()
     }
 
     private suspend fun pump() {
         while (true) {
             delay(PUMP_MILLIS)
-            completions.pump()
+            completions.admitWaiting()
         }
     }
 
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/callers/CallerEntry.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/callers/CallerEntry.kt
@@ -19,13 +19,13 @@
 import org.parsleymoor.execution.Execution
 import org.parsleymoor.gateway.operations.WorkCount
 import org.parsleymoor.gateway.operations.fail
-import org.parsleymoor.gateway.serving.ServingTools
+import org.parsleymoor.gateway.serving.ServingDependencies
 import java.util.UUID
 
 /** Receives callers' requests: checks the key, runs the route as a coroutine and answers every failure. */
 internal class CallerEntry(
     private val vertx: Vertx,
-    private val tools: ServingTools,
+    private val tools: ServingDependencies,
     private val work: WorkCount,
     private val scope: CoroutineScope,
 ) {
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/callers/CompletionRoutes.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/callers/CompletionRoutes.kt
@@ -6,9 +6,9 @@
 import org.parsleymoor.configuration.ModelDeclaration
 import org.parsleymoor.context.ContextScope
 import org.parsleymoor.context.PromptHashes
-import org.parsleymoor.gateway.serving.CallerIdentity
 import org.parsleymoor.gateway.serving.CompletionCall
 import org.parsleymoor.gateway.serving.CompletionRunner
+import org.parsleymoor.gateway.serving.RequestContext
 
 /** Serves completions and the list of models. */
 internal class CompletionRoutes(private val runner: CompletionRunner, private val senderMillis: Long) {
@@ -56,10 +56,10 @@
             withContext(Dispatchers.Default) { PromptHashes.of(scope, wanted.prompt) }
         }
         return CompletionCall(
-            caller = CallerIdentity(call.request, call.organisation, call.receivedMillis, call.span),
+            requestContext = RequestContext(call.request, call.organisation, call.receivedMillis, call.span),
             model = model,
             prompt = wanted.prompt,
-            context = context,
+            promptHashes = context,
             maximumTokens = wanted.maximumTokens,
             limits = call.view.configuration.limits,
         )
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/callers/ServiceRoutes.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/callers/ServiceRoutes.kt
@@ -15,17 +15,17 @@
 import org.parsleymoor.execution.RetryRules
 import org.parsleymoor.execution.atmostonce.ExecutionAnswer
 import org.parsleymoor.execution.atmostonce.NotRunReason
-import org.parsleymoor.gateway.serving.AtMostOnce
-import org.parsleymoor.gateway.serving.GroupCall
-import org.parsleymoor.gateway.serving.OnceCalls
+import org.parsleymoor.gateway.serving.AtMostOnceCallFactory
+import org.parsleymoor.gateway.serving.AtMostOnceExecutor
+import org.parsleymoor.gateway.serving.ServiceGroupCall
 import org.parsleymoor.gateway.serving.ServiceRunner
 import org.parsleymoor.gateway.serving.toAnswer
 
 /** Serves calls to service groups and issues tickets. */
 internal class ServiceRoutes(
     private val runner: ServiceRunner,
-    private val onceCalls: OnceCalls,
-    private val atMostOnce: AtMostOnce,
+    private val onceCalls: AtMostOnceCallFactory,
+    private val atMostOnce: AtMostOnceExecutor,
     private val senderMillis: Long,
 ) {
     /** `POST /tickets`. */
@@ -47,7 +47,7 @@
         send(call, answer.getOrThrow { it.toException() })
     }
 
-    private fun groupCall(call: CallerCall, group: ServiceDeclaration, path: String, body: Buffer): GroupCall {
+    private fun groupCall(call: CallerCall, group: ServiceDeclaration, path: String, body: Buffer): ServiceGroupCall {
         val query = call.http.query()?.let { "?$it" }.orEmpty()
         val method = call.http.method().name()
         val headers = call.http.headers().entries()
@@ -60,10 +60,14 @@
             body = body.bytes,
             repeatable = RetryRules.serviceCallRepeatable(method, group.repeatable),
         )
-        return GroupCall(call.request, group, outgoing, call.deadlineMillis, call.span)
+        return ServiceGroupCall(call.request, group, outgoing, call.deadlineMillis, call.span)
     }
 
-    private suspend fun keyed(call: CallerCall, outgoing: GroupCall, key: String): Result<ServiceAnswer, Refusal> =
+    private suspend fun keyed(
+        call: CallerCall,
+        outgoing: ServiceGroupCall,
+        key: String,
+    ): Result<ServiceAnswer, Refusal> =
         when (val answer = atMostOnce.execute(onceCalls.of(call.organisation.name, key, outgoing))) {
             is ExecutionAnswer.Response -> Ok(answer.response.toAnswer())
             is ExecutionAnswer.NotRun -> Err(notRun(answer.reason))
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/CallForwarder.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/CallForwarder.kt
@@ -14,9 +14,9 @@
 import org.parsleymoor.execution.atmostonce.Ticket
 import org.parsleymoor.execution.atmostonce.UnknownReason
 import org.parsleymoor.gateway.operations.Tracing
-import org.parsleymoor.gateway.serving.CallRoute
-import org.parsleymoor.gateway.serving.Forwarded
-import org.parsleymoor.gateway.serving.OnceCall
+import org.parsleymoor.gateway.serving.AtMostOnceCall
+import org.parsleymoor.gateway.serving.ForwardResult
+import org.parsleymoor.gateway.serving.PeerCallForwarder
 import org.parsleymoor.peering.BodyParts
 import org.parsleymoor.peering.Execution
 import org.parsleymoor.peering.ForwardedCall
@@ -36,19 +36,19 @@
     private val directory: () -> PeerDirectory,
     private val clock: Clock,
     private val tracing: Tracing,
-) : CallRoute {
-    override suspend fun toIssuer(ticket: Ticket, call: OnceCall): Forwarded =
+) : PeerCallForwarder {
+    override suspend fun toIssuer(ticket: Ticket, call: AtMostOnceCall): ForwardResult =
         toProcess(ticket.issuer, call) { number, message ->
             PeerMessage.ExecuteTicket(number, ticket.toString(), message)
         }
 
-    override suspend fun toClaimer(claimer: Incarnation, call: OnceCall): Forwarded =
+    override suspend fun toClaimer(claimer: Incarnation, call: AtMostOnceCall): ForwardResult =
         toProcess(claimer, call) { number, message ->
             PeerMessage.ExecuteClaim(number, call.keyed.key, message, claimed = true)
         }
 
-    override suspend fun toOwner(shard: Int, call: OnceCall): Forwarded {
-        val owner = directory().ownerOf("claims.$shard") ?: return Forwarded.NotSent
+    override suspend fun toOwner(shard: Int, call: AtMostOnceCall): ForwardResult {
+        val owner = directory().ownerOf("claims.$shard") ?: return ForwardResult.NotSent
         return directory().connect(owner).mapBoth(
             { send(it, call) { number, message -> PeerMessage.ExecuteClaim(number, call.keyed.key, message) } },
             { notSent(call, it) },
@@ -57,26 +57,26 @@
 
     private suspend fun toProcess(
         process: Incarnation,
-        call: OnceCall,
+        call: AtMostOnceCall,
         opening: (Long, ForwardedCall) -> PeerMessage.OfExchange,
-    ): Forwarded = when (val reached = directory().connect(process)) {
+    ): ForwardResult = when (val reached = directory().connect(process)) {
         is Reached.Open -> send(reached.link, call, opening)
         is Reached.Unreachable -> notSent(call, reached.failure)
-        is Reached.Gone -> Forwarded.Gone
+        is Reached.Gone -> ForwardResult.Gone
     }
 
     private suspend fun send(
         link: PeerLink,
-        call: OnceCall,
+        call: AtMostOnceCall,
         opening: (Long, ForwardedCall) -> PeerMessage.OfExchange,
-    ): Forwarded {
-        val remaining = call.sent.deadlineMillis - clock.nowMillis()
-        if (remaining <= 0) return Forwarded.Answered(ExecutionAnswer.NotRun(NotRunReason.DEADLINE_PASSED))
-        val span = tracing.hop("forward call", link.remote.incarnation.instance.value, call.sent.span)
+    ): ForwardResult {
+        val remaining = call.groupCall.deadlineMillis - clock.nowMillis()
+        if (remaining <= 0) return ForwardResult.Answered(ExecutionAnswer.NotRun(NotRunReason.DEADLINE_PASSED))
+        val span = tracing.hop("forward call", link.remote.incarnation.instance.value, call.groupCall.span)
         try {
             val message = call.toMessage(remaining, span)
             return link.open { opening(it, message) }.mapBoth(
-                { exchange -> exchange.use { answer(it, call.sent.call.body, remaining) } },
+                { exchange -> exchange.use { answer(it, call.groupCall.serviceCall.body, remaining) } },
                 { notSent(call, it) },
             )
         } finally {
@@ -85,7 +85,7 @@
     }
 
     /** A peer that refused before it looked at the key leaves the call as if it had not been sent. */
-    private suspend fun answer(exchange: PeerExchange, body: ByteArray, remainingMillis: Long): Forwarded {
+    private suspend fun answer(exchange: PeerExchange, body: ByteArray, remainingMillis: Long): ForwardResult {
         val message = withTimeoutOrNull(remainingMillis + ANSWER_MILLIS) {
             exchange.sendRest(body)
             exchange.receive().getOrElse { null }
@@ -96,7 +96,7 @@
             else -> ExecutionAnswer.Unknown(UnknownReason.NO_ANSWER_FROM_PEER)
         }
         val stopping = message is PeerMessage.Refused && message.type == CallReceiver.STOPPING
-        return if (stopping) Forwarded.NotSent else Forwarded.Answered(answer)
+        return if (stopping) ForwardResult.NotSent else ForwardResult.Answered(answer)
     }
 
     private suspend fun response(exchange: PeerExchange, message: PeerMessage.ExecutionAnswer): ExecutionAnswer {
@@ -118,25 +118,25 @@
         )
     }
 
-    private fun notSent(call: OnceCall, failure: PeerFailure): Forwarded {
+    private fun notSent(call: AtMostOnceCall, failure: PeerFailure): ForwardResult {
         logger.info { "request ${call.keyed.request} was not forwarded: ${failure.message}" }
         val tooLarge = failure is PeerFailure.FrameSize
         return if (tooLarge) {
-            Forwarded.Answered(ExecutionAnswer.NotRun(NotRunReason.CALL_TOO_LARGE))
+            ForwardResult.Answered(ExecutionAnswer.NotRun(NotRunReason.CALL_TOO_LARGE))
         } else {
-            Forwarded.NotSent
+            ForwardResult.NotSent
         }
     }
 
-    private fun OnceCall.toMessage(remainingMillis: Long, span: Span) = ForwardedCall(
+    private fun AtMostOnceCall.toMessage(remainingMillis: Long, span: Span) = ForwardedCall(
         request = keyed.request,
         organisation = keyed.organisation,
-        service = sent.group.name,
-        method = sent.call.method,
-        path = sent.call.path,
-        headers = sent.call.headers.map { ForwardedHeader(it.name, it.value) },
-        bodyBytes = sent.call.body.size,
-        body = BodyParts.first(sent.call.body),
+        service = groupCall.group.name,
+        method = groupCall.serviceCall.method,
+        path = groupCall.serviceCall.path,
+        headers = groupCall.serviceCall.headers.map { ForwardedHeader(it.name, it.value) },
+        bodyBytes = groupCall.serviceCall.body.size,
+        body = BodyParts.first(groupCall.serviceCall.body),
         remainingMillis = remainingMillis,
         traceParent = tracing.header(span),
     )
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/CallReceiver.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/CallReceiver.kt
@@ -10,11 +10,11 @@
 import org.parsleymoor.execution.atmostonce.ServiceResponse
 import org.parsleymoor.execution.atmostonce.UnknownReason
 import org.parsleymoor.gateway.operations.WorkCount
-import org.parsleymoor.gateway.serving.AtMostOnce
+import org.parsleymoor.gateway.serving.AtMostOnceCallFactory
+import org.parsleymoor.gateway.serving.AtMostOnceExecutor
 import org.parsleymoor.gateway.serving.CallOrigin
-import org.parsleymoor.gateway.serving.GroupCall
-import org.parsleymoor.gateway.serving.OnceCalls
-import org.parsleymoor.gateway.serving.ServingTools
+import org.parsleymoor.gateway.serving.ServiceGroupCall
+import org.parsleymoor.gateway.serving.ServingDependencies
 import org.parsleymoor.peering.BodyParts
 import org.parsleymoor.peering.Execution
 import org.parsleymoor.peering.ForwardedAnswer
@@ -27,10 +27,10 @@
 
 /** Runs calls with a key that other gateways forward, or answers them from memory. */
 internal class CallReceiver(
-    private val tools: ServingTools,
+    private val tools: ServingDependencies,
     private val work: WorkCount,
-    private val onceCalls: OnceCalls,
-    private val atMostOnce: AtMostOnce,
+    private val onceCalls: AtMostOnceCallFactory,
+    private val atMostOnce: AtMostOnceExecutor,
 ) {
     /** Serves [opening] and suspends until it is answered; returns false when it is not a call with a key. */
     suspend fun serve(exchange: PeerExchange, opening: PeerMessage.OfExchange): Boolean {
@@ -64,7 +64,7 @@
     }
 
     /** Returns the whole call; null when it was refused or its sender has gone. */
-    private suspend fun receive(exchange: PeerExchange, call: IncomingCall): GroupCall? {
+    private suspend fun receive(exchange: PeerExchange, call: IncomingCall): ServiceGroupCall? {
         val message = call.message
         val view = tools.configuration.current
         val group = view?.service(message.service)
@@ -80,7 +80,7 @@
         val deadline = tools.clock.nowMillis() + message.remainingMillis
         val body = exchange.receiveRest(message.body, message.bodyBytes)
             .onFailure { exchange.refuse(BAD_REQUEST, it.message) }.getOrElse { null }
-        return body?.let { GroupCall(message.request, group, message.toCall(it), deadline, span(message)) }
+        return body?.let { ServiceGroupCall(message.request, group, message.toCall(it), deadline, span(message)) }
     }
 
     private suspend fun answer(exchange: PeerExchange, answer: ExecutionAnswer) {
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/ClaimDesk.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/ClaimDesk.kt
@@ -16,11 +16,11 @@
 import org.parsleymoor.execution.atmostonce.RunOutcome
 import org.parsleymoor.execution.atmostonce.Ticket
 import org.parsleymoor.execution.atmostonce.UnknownReason
-import org.parsleymoor.gateway.serving.AtMostOnce
+import org.parsleymoor.gateway.serving.AtMostOnceCall
+import org.parsleymoor.gateway.serving.AtMostOnceExecutor
 import org.parsleymoor.gateway.serving.CallOrigin
-import org.parsleymoor.gateway.serving.CallRoute
-import org.parsleymoor.gateway.serving.Forwarded
-import org.parsleymoor.gateway.serving.OnceCall
+import org.parsleymoor.gateway.serving.ForwardResult
+import org.parsleymoor.gateway.serving.PeerCallForwarder
 import org.parsleymoor.gateway.serving.toAnswer
 
 /**
@@ -32,11 +32,11 @@
 internal class ClaimDesk(
     self: Incarnation,
     platform: PlatformClient,
-    private val tickets: AtMostOnce,
-    private val route: CallRoute,
+    private val tickets: AtMostOnceExecutor,
+    private val route: PeerCallForwarder,
     private val clock: Clock,
     private val scope: CoroutineScope,
-) : AtMostOnce by tickets {
+) : AtMostOnceExecutor by tickets {
     private val lock = Any()
     private val ledger = ClaimLedger(self)
     private val objects = ClaimObjects(platform)
@@ -57,20 +57,20 @@
         synchronized(lock) { ledger.retain(hours * MILLIS_PER_HOUR) }
     }
 
-    override suspend fun execute(call: OnceCall, origin: CallOrigin): ExecutionAnswer {
+    override suspend fun execute(call: AtMostOnceCall, origin: CallOrigin): ExecutionAnswer {
         if (Ticket.parse(call.keyed.key) != null) return tickets.execute(call, origin)
-        val forwarded = if (origin == CallOrigin.CALLER) toOwner(call) else Forwarded.NotSent
-        return if (forwarded is Forwarded.Answered) forwarded.answer else executeHere(call, origin)
+        val forwarded = if (origin == CallOrigin.CALLER) toOwner(call) else ForwardResult.NotSent
+        return if (forwarded is ForwardResult.Answered) forwarded.answer else executeHere(call, origin)
     }
 
-    private suspend fun toOwner(call: OnceCall): Forwarded {
+    private suspend fun toOwner(call: AtMostOnceCall): ForwardResult {
         val shard = synchronized(lock) {
             ledger.shardOf(call.keyed.organisation, call.keyed.key).takeUnless { ledger.knows(call.keyed) }
         }
-        return if (shard == null) Forwarded.NotSent else route.toOwner(shard, call)
+        return if (shard == null) ForwardResult.NotSent else route.toOwner(shard, call)
     }
 
-    private suspend fun executeHere(call: OnceCall, origin: CallOrigin): ExecutionAnswer {
+    private suspend fun executeHere(call: AtMostOnceCall, origin: CallOrigin): ExecutionAnswer {
         val waiter = Waiter(call, origin)
         val actions = synchronized(lock) {
             waiters[call.keyed.request] = waiter
@@ -119,7 +119,7 @@
         }
     }
 
-    private class Waiter(val call: OnceCall, val origin: CallOrigin) {
+    private class Waiter(val call: AtMostOnceCall, val origin: CallOrigin) {
         val answer = CompletableDeferred<ExecutionAnswer>()
     }
 
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/LeasedColdStart.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/LeasedColdStart.kt
@@ -11,7 +11,7 @@
 import org.parsleymoor.core.EndpointId
 import org.parsleymoor.core.Incarnation
 import org.parsleymoor.gateway.serving.ColdStartGuard
-import org.parsleymoor.gateway.serving.ReportedWarmth
+import org.parsleymoor.gateway.serving.ReportedColdStates
 import org.parsleymoor.limits.ColdStartEvent
 
 /**
@@ -28,7 +28,7 @@
     private val contends: (EndpointId) -> Boolean,
 ) : ColdStartGuard {
     private val leases = ColdStartLeases(self)
-    private val warmth = ReportedWarmth()
+    private val warmth = ReportedColdStates()
     private val objects = LeaseObjects(platform)
 
     /** Renews and takes leases until the scope ends. */
@@ -60,14 +60,14 @@
     }
 
     @Synchronized
-    override fun loadRead(endpoint: EndpointId, askedMillis: Long, running: Int, nowMillis: Long) {
-        perform(endpoint, leases.handle(nowMillis, endpoint, ColdLeaseEvent.LoadRead(askedMillis, running)))
+    override fun loadRead(endpoint: EndpointId, requestedMillis: Long, running: Int, nowMillis: Long) {
+        perform(endpoint, leases.handle(nowMillis, endpoint, ColdLeaseEvent.LoadRead(requestedMillis, running)))
     }
 
     @Synchronized
     private fun tick() {
         val nowMillis = clock.nowMillis()
-        warmth.cold().forEach { want(it, nowMillis) }
+        warmth.coldEngines().forEach { want(it, nowMillis) }
         leases.tick(nowMillis).forEach { (endpoint, actions) -> perform(endpoint, actions) }
     }
 
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/RegionRoute.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/RegionRoute.kt
@@ -7,7 +7,7 @@
 import org.parsleymoor.gateway.forwarding.ForwardingEngineClient
 import org.parsleymoor.gateway.forwarding.LinkMeter
 import org.parsleymoor.gateway.forwarding.SentTexts
-import org.parsleymoor.gateway.serving.EngineRoute
+import org.parsleymoor.gateway.serving.EngineRouter
 
 /**
  * Reaches engines of other regions through a gateway there, so that texts cross the inter-region link once. An engine
@@ -18,7 +18,7 @@
     private val holder: ConfigurationHolder,
     private val peers: () -> PeerControl,
     private val meter: LinkMeter,
-) : EngineRoute {
+) : EngineRouter {
     private val sentTexts = SentTexts()
 
     override fun route(endpoint: EndpointDeclaration, direct: EngineClient): EngineClient {
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/AdmissionGate.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/AdmissionGate.kt
@@ -46,7 +46,7 @@
             waiters[request.request] = turn
         }
         try {
-            pump()
+            admitWaiting()
             withTimeoutOrNull(request.deadlineMillis - clock.nowMillis()) { turn.await() } ?: throw expired()
             entered = true
         } finally {
@@ -57,11 +57,11 @@
     /** Gives a place back. */
     fun release() {
         synchronized(lock) { runningCount-- }
-        pump()
+        admitWaiting()
     }
 
     /** Starts waiting requests while there is room; called when capacity may have grown. */
-    fun pump() {
+    fun admitWaiting() {
         val room = capacity()
         synchronized(lock) {
             var next = nextWithin(room)
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/OnceCalls.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/AtMostOnceCallFactory.kt
@@ -15,12 +15,12 @@
 import java.util.HexFormat
 
 /** Makes calls that [runner] sends at most once. */
-internal class OnceCalls(private val runner: ServiceRunner) {
+internal class AtMostOnceCallFactory(private val runner: ServiceRunner) {
     /** Returns [call] under [key]; it is sent at most once whatever its group says. */
-    fun of(organisation: OrganisationId, key: String, call: GroupCall): OnceCall {
-        val once = GroupCall(call.request, call.group, call.call.once(), call.deadlineMillis, call.span)
+    fun of(organisation: OrganisationId, key: String, call: ServiceGroupCall): AtMostOnceCall {
+        val once = ServiceGroupCall(call.request, call.group, call.serviceCall.once(), call.deadlineMillis, call.span)
         val keyed = KeyedCall(call.request, organisation, key, fingerprint(once))
-        return OnceCall(keyed, once) { outcome(runner.run(once)) }
+        return AtMostOnceCall(keyed, once) { outcome(runner.run(once)) }
     }
 
     private fun outcome(result: Result<ServiceAnswer, Refusal>): RunOutcome = result.mapBoth(
@@ -28,10 +28,10 @@
         { if (it.execution == Execution.NotRun) RunOutcome.NotRun else RunOutcome.Unknown },
     )
 
-    private fun fingerprint(call: GroupCall): String {
+    private fun fingerprint(call: ServiceGroupCall): String {
         val digest = MessageDigest.getInstance("SHA-256")
-        digest.update("${call.group.name}\n${call.call.method}\n${call.call.path}\n".encodeToByteArray())
-        return HexFormat.of().formatHex(digest.digest(call.call.body))
+        digest.update("${call.group.name}\n${call.serviceCall.method}\n${call.serviceCall.path}\n".encodeToByteArray())
+        return HexFormat.of().formatHex(digest.digest(call.serviceCall.body))
     }
 }
 
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/AtMostOnce.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/AtMostOnceExecutor.kt
@@ -8,7 +8,7 @@
 import org.parsleymoor.execution.atmostonce.Ticket
 
 /** Runs calls with an `Idempotency-Key` at most once (I8). */
-internal interface AtMostOnce {
+internal interface AtMostOnceExecutor {
     /** Issues a ticket for one call of [organisation]. */
     fun issue(organisation: OrganisationId): String
 
@@ -16,11 +16,15 @@
      * Suspends until the answer to [call]. It is dispatched at most once, also when the caller has gone by then. The
      * [origin] says to which other gateways it may be forwarded.
      */
-    suspend fun execute(call: OnceCall, origin: CallOrigin = CallOrigin.CALLER): ExecutionAnswer
+    suspend fun execute(call: AtMostOnceCall, origin: CallOrigin = CallOrigin.CALLER): ExecutionAnswer
 }
 
 /** A call under a key: [sent] is what is sent to a replica or to another gateway, and [dispatch] runs it here. */
-internal class OnceCall(val keyed: KeyedCall, val sent: GroupCall, val dispatch: suspend () -> RunOutcome)
+internal class AtMostOnceCall(
+    val keyed: KeyedCall,
+    val groupCall: ServiceGroupCall,
+    val dispatch: suspend () -> RunOutcome,
+)
 
 /**
  * Where a call came from. Each forwarding goes to a later one of these, so that gateways with different views cannot
@@ -38,25 +42,25 @@
 }
 
 /** Sends calls to other gateways. */
-internal interface CallRoute {
+internal interface PeerCallForwarder {
     /** Sends [call] to the process that issued [ticket]. */
-    suspend fun toIssuer(ticket: Ticket, call: OnceCall): Forwarded
+    suspend fun toIssuer(ticket: Ticket, call: AtMostOnceCall): ForwardResult
 
     /** Sends [call] to the gateway that owns [shard]; not sent when that is this gateway. */
-    suspend fun toOwner(shard: Int, call: OnceCall): Forwarded
+    suspend fun toOwner(shard: Int, call: AtMostOnceCall): ForwardResult
 
     /** Sends [call] to the process that has claimed its key. */
-    suspend fun toClaimer(claimer: Incarnation, call: OnceCall): Forwarded
+    suspend fun toClaimer(claimer: Incarnation, call: AtMostOnceCall): ForwardResult
 }
 
 /** What became of a call that was to be forwarded. */
-internal sealed interface Forwarded {
+internal sealed interface ForwardResult {
     /** The other gateway answered, or it may have the call and its answer is lost. */
-    data class Answered(val answer: ExecutionAnswer) : Forwarded
+    data class Answered(val answer: ExecutionAnswer) : ForwardResult
 
     /** No part of the call was sent, or the other gateway refused it before it looked at the key. */
-    data object NotSent : Forwarded
+    data object NotSent : ForwardResult
 
     /** The process has ended. */
-    data object Gone : Forwarded
+    data object Gone : ForwardResult
 }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/AttemptEnds.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/AttemptErrors.kt
@@ -4,7 +4,7 @@
 import org.parsleymoor.execution.AttemptError
 
 /** How an attempt with this failure ended, for the retry rules. */
-internal val BackEndFailure.attemptEnd: AttemptError
+internal val BackEndFailure.attemptError: AttemptError
     get() = when (this) {
         is BackEndFailure.NotConnected -> AttemptError.NOT_CONNECTED
         is BackEndFailure.Refused -> AttemptError.REFUSED
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/BackEnds.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/BackEndClients.kt
@@ -14,14 +14,14 @@
 import java.util.concurrent.ConcurrentHashMap
 
 /** Decides how an engine is reached, for example through a gateway of its region; `direct` goes to its address. */
-internal fun interface EngineRoute {
+internal fun interface EngineRouter {
     fun route(endpoint: EndpointDeclaration, direct: EngineClient): EngineClient
 }
 
 /** The clients of the endpoints, one for each address. */
-internal class BackEnds(
+internal class BackEndClients(
     private val vertx: Vertx,
-    private val route: EngineRoute = EngineRoute { _, direct -> direct },
+    private val route: EngineRouter = EngineRouter { _, direct -> direct },
 ) : AutoCloseable {
     private val engines = ConcurrentHashMap<String, VertxEngineClient>()
     private val stores = ConcurrentHashMap<String, VertxStoreClient>()
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/BlockExports.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/BlockExporter.kt
@@ -23,46 +23,46 @@
  * say beforehand what it evicts. Every gateway follows the events of every engine, so that another one can take over,
  * but only the one that [leads] an engine orders exports. An engine runs one export at a time.
  */
-internal class BlockExports(
-    private val tools: ServingTools,
+internal class BlockExporter(
+    private val dependencies: ServingDependencies,
     private val state: FleetState,
     private val retention: SharedRetention,
-    private val leads: StoreLeader,
+    private val leadership: CacheLeadership,
 ) {
-    private val metrics = StoreMetrics(tools.metrics.registry)
-    private val lanes = ConcurrentHashMap<EndpointId, ExportLane>()
-    private val pauses = ExportPauses()
+    private val metrics = StoreMetrics(dependencies.metrics.registry)
+    private val lanes = ConcurrentHashMap<EndpointId, EngineExportQueue>()
+    private val pauses = ExportBackoff()
     private val running = Semaphore(CONCURRENT_EXPORTS)
 
     /** Takes in the cache events of [engine]. */
-    fun changed(engine: EndpointId, changes: List<CacheChange>) {
-        lane(engine).take(changes)
+    fun acceptChanges(engine: EndpointId, changes: List<CacheChange>) {
+        lane(engine).accept(changes)
         val stored = changes.filterIsInstance<CacheChange.Stored>().map { it.piece }
-        retention.stored(stored, tools.clock.nowMillis())
+        retention.stored(stored, dependencies.clock.nowMillis())
     }
 
     /** Starts the exports that are due, without waiting for them. */
-    fun tick(view: ServingView) {
+    fun startDueExports(view: ServingView) {
         val engines = view.endpoints(EndpointKind.ENGINE)
         lanes.keys.retainAll(engines.map { it.name }.toSet())
         engines.forEach { engine -> start(engine, view) }
     }
 
-    private fun lane(engine: EndpointId) = lanes.computeIfAbsent(engine) { ExportLane() }
+    private fun lane(engine: EndpointId) = lanes.computeIfAbsent(engine) { EngineExportQueue() }
 
     private fun start(engine: EndpointDeclaration, view: ServingView) {
         val stores = view.storesNear(engine)
         val store = target(engine, stores, view) ?: return
         val holders = stores.map { it.name }.toSet()
-        val batch = lane(engine.name).begin(BATCH) { isHeld(it, holders) }
+        val batch = lane(engine.name).takeBatch(BATCH) { isHeld(it, holders) }
         if (batch.isEmpty()) return
-        val wanted = retention.worthExport(engine.name, store.name, batch, tools.clock.nowMillis())
-        tools.background.launch {
+        val wanted = retention.selectForExport(engine.name, store.name, batch, dependencies.clock.nowMillis())
+        dependencies.background.launch {
             var again = wanted
             try {
                 if (wanted.isNotEmpty()) running.withPermit { again = export(engine, store, wanted) }
             } finally {
-                lane(engine.name).end(again)
+                lane(engine.name).finishBatch(again)
             }
         }
     }
@@ -77,8 +77,8 @@
         view: ServingView,
     ): EndpointDeclaration? {
         val region = view.regionOf(engine.zone)
-        if (region == null || !leads.leads(region, engine.name)) return null
-        val nowMillis = tools.clock.nowMillis()
+        if (region == null || !leadership.isLeader(region, engine.name)) return null
+        val nowMillis = dependencies.clock.nowMillis()
         val usable = stores.filter { view.takesNewWork(it.name) && hasRoom(it.name) }
             .filterNot { pauses.isPaused(it.name, nowMillis) }
         return rendezvousOrder(engine.name.value, usable) { it.name.value }.firstOrNull()
@@ -86,7 +86,7 @@
 
     private fun hasRoom(store: EndpointId): Boolean = synchronized(state.lock) {
         val load = state.stores.state(store).load
-        state.stores.answers(store) && load != null &&
+        state.stores.hasRecentReport(store) && load != null &&
             load.memoryBytes + load.diskBytes < load.memoryCapacityBytes + load.diskCapacityBytes
     }
 
@@ -97,11 +97,11 @@
         pieces: List<PieceHash>,
     ): List<PieceHash> {
         val transfer = TransferRequest(store.address, pieces.map { TransferPiece(it.toString()) })
-        return tools.backEnds.direct(engine).export(transfer).mapBoth(
+        return dependencies.backEnds.direct(engine).export(transfer).mapBoth(
             { exported(engine.name, store.name, pieces, it) },
             {
                 metrics.exportFailed(TransferFailureReason.of(it), pieces.size)
-                pauses.failed(store.name, tools.clock.nowMillis())
+                pauses.failed(store.name, dependencies.clock.nowMillis())
                 pieces
             },
         )
@@ -116,7 +116,7 @@
     ): List<PieceHash> {
         metrics.exported(result.copied.size, result.bytes)
         metrics.exportFailed(TransferFailureReason.BLOCK, pieces.size - result.copied.size)
-        if (result.copied.isEmpty()) pauses.failed(store, tools.clock.nowMillis()) else pauses.succeeded(store)
+        if (result.copied.isEmpty()) pauses.failed(store, dependencies.clock.nowMillis()) else pauses.succeeded(store)
         val copied = result.copied.map { it.piece }.toSet()
         val missing = pieces.filter { it.toString() !in copied }
         return synchronized(state.lock) { missing.filter { engine in state.directory.holdersOf(it) } }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/CacheReader.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/CacheReader.kt
@@ -18,7 +18,7 @@
 /** Reads the cache events of engines and stores, and the snapshots that the directory asks for. */
 internal class CacheReader(
     private val configuration: ConfigurationHolder,
-    private val backEnds: BackEnds,
+    private val backEnds: BackEndClients,
     private val reports: FleetReports,
 ) {
     /** Takes in the events of [endpoint] since the last call and returns what they say. */
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/ChooseSoon.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/ChooseWithRetry.kt
@@ -11,17 +11,17 @@
  * Chooses an engine and suspends up to [waitMillis] for one: another gateway may have taken the slot that the request
  * was admitted for, and the engines that can take over a broken stream may be full for a moment.
  */
-internal suspend fun EndpointChooser.chooseSoon(
-    need: EngineNeed,
+internal suspend fun EngineChooser.chooseWithRetry(
+    requirements: EngineRequirements,
     attempt: AttemptId,
     clock: Clock,
     waitMillis: Long = 2_000,
 ): Result<Placement, NoEngineAvailable> {
     val lastMillis = clock.nowMillis() + waitMillis
-    var placement = choose(need, attempt)
+    var placement = choose(requirements, attempt)
     while (placement.isErr && clock.nowMillis() < lastMillis) {
         delay(RETRY_MILLIS)
-        placement = choose(need, attempt)
+        placement = choose(requirements, attempt)
     }
     return placement
 }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/ColdStartGuard.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/ColdStartGuard.kt
@@ -14,16 +14,16 @@
     /** Takes in what the data path or a load report says about an endpoint. */
     fun accept(event: ColdStartEvent, nowMillis: Long)
 
-    /** Takes in that a load report asked for at [askedMillis] shows [running] requests of all gateways. */
-    fun loadRead(endpoint: EndpointId, askedMillis: Long, running: Int, nowMillis: Long)
+    /** Takes in that a load report asked for at [requestedMillis] shows [running] requests of all gateways. */
+    fun loadRead(endpoint: EndpointId, requestedMillis: Long, running: Int, nowMillis: Long)
 }
 
 /**
  * Holds back work for engines that report themselves cold. It knows nothing of other gateways, so it holds the limit
  * for a gateway without a platform only; with one, a guard with leases takes its place.
  */
-internal class ReportedColdStart(private val limit: () -> Int) : ColdStartGuard {
-    private val warmth = ReportedWarmth()
+internal class LocalColdStartGuard(private val limit: () -> Int) : ColdStartGuard {
+    private val warmth = ReportedColdStates()
 
     override fun maySend(endpoint: EndpointId, running: Int, nowMillis: Long): Boolean =
         !warmth.isCold(endpoint) || running < limit()
@@ -34,5 +34,5 @@
         warmth.accept(event)
     }
 
-    override fun loadRead(endpoint: EndpointId, askedMillis: Long, running: Int, nowMillis: Long) = Unit
+    override fun loadRead(endpoint: EndpointId, requestedMillis: Long, running: Int, nowMillis: Long) = Unit
 }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/CompletionAttempts.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/CompletionAttempts.kt
@@ -32,9 +32,9 @@
 
 /** The attempts of one completion. */
 internal class CompletionAttempts(
-    private val tools: ServingTools,
-    private val chooser: EndpointChooser,
-    private val imports: PrefixImports,
+    private val dependencies: ServingDependencies,
+    private val chooser: EngineChooser,
+    private val imports: PrefixImporter,
     private val call: CompletionCall,
     private val sink: CompletionSink,
 ) {
@@ -43,8 +43,8 @@
         call.request,
         RetryRules.COMPLETION_REPEATABLE,
         call.deadlineMillis,
-        tools.budget,
-        tools.streams.maximumAttempts,
+        dependencies.budget,
+        dependencies.streams.maximumAttempts,
     )
     private var inFlight = false
     private var lastFailure: Failure? = null
@@ -54,7 +54,7 @@
 
     /** Tries engines until the answer is whole; fails with a [Refusal] when the rules allow no further attempt. */
     suspend fun run() {
-        tools.budget.firstAttempt(tools.clock.nowMillis())
+        dependencies.budget.firstAttempt(dependencies.clock.nowMillis())
         var action: AttemptAction? = AttemptAction.TryElsewhere(emptySet())
         while (action != null) {
             action = when (action) {
@@ -67,26 +67,26 @@
 
     private suspend fun tryElsewhere(avoid: Set<EndpointId>): AttemptAction? {
         val attempt = machine.nextAttempt()
-        val need = call.need(avoid)
-        val placement = chooser.chooseSoon(need, attempt, tools.clock).getOrElse {
+        val requirements = call.requirements(avoid)
+        val placement = chooser.chooseWithRetry(requirements, attempt, dependencies.clock).getOrElse {
             lastFailure = lastFailure ?: it
             return machine.noEndpoint()
         }
         val reason = "estimated ${placement.estimate.totalMillis.toLong()} ms, " +
-            "${placement.recomputedPieces} of ${call.context.pieces.size} pieces to recompute"
-        tools.records.add(call.request, RequestStepKind.PLACED, placement.endpoint.value, reason)
+            "${placement.recomputedPieces} of ${call.promptHashes.pieces.size} pieces to recompute"
+        dependencies.records.add(call.request, RequestStepKind.PLACED, placement.endpoint.value, reason)
         return attempt(Target(placement.endpoint, attempt, placement))
     }
 
     private suspend fun tryAgain(endpoint: EndpointId): AttemptAction? {
         val attempt = machine.nextAttempt()
-        chooser.repeat(endpoint, call.need(emptySet()), attempt)
+        chooser.recordRetry(endpoint, call.requirements(emptySet()), attempt)
         return attempt(Target(endpoint, attempt, null))
     }
 
     /** Runs one attempt; returns null when the answer is whole. */
     private suspend fun attempt(target: Target): AttemptAction? {
-        val span = tools.tracing.hop("generate", target.endpoint.value, call.span)
+        val span = dependencies.tracing.hop("generate", target.endpoint.value, call.span)
         val failure = try {
             target.placement?.let { imports.fetch(call, it) }
             stream(target, span)
@@ -99,14 +99,15 @@
     }
 
     private suspend fun stream(target: Target, span: Span): Failure? {
-        val engine = tools.configuration.current?.endpoint(target.endpoint)?.let { tools.backEnds.engine(it) }
+        val engine = dependencies.configuration.current?.endpoint(target.endpoint)
+            ?.let { dependencies.backEnds.engine(it) }
             ?: return BackEndFailure.NotConnected(target.endpoint.value, "the engine is no longer declared")
         val resume = assembler.begin(target.attempt)
         recordAttempt(target, resume)
         inFlight = true
         val reader = AttemptReader(target)
         return try {
-            val silenceMillis = tools.streams.silenceMillis + SLACK * target.estimateMillis.toLong()
+            val silenceMillis = dependencies.streams.silenceMillis + SLACK * target.estimateMillis.toLong()
             engine.generate(generateRequest(target, resume, span), silenceMillis).collect { reader.take(it) }
             null
         } catch (cause: FailureException) {
@@ -122,7 +123,12 @@
 
     private fun recordAttempt(target: Target, resume: ResumePoint) {
         val kind = if (resume.tokens == 0) RequestStepKind.ATTEMPTED else RequestStepKind.RESUMED
-        tools.records.add(call.request, kind, target.endpoint.value, "${target.attempt} after ${resume.tokens} tokens")
+        dependencies.records.add(
+            call.request,
+            kind,
+            target.endpoint.value,
+            "${target.attempt} after ${resume.tokens} tokens",
+        )
     }
 
     private fun generateRequest(target: Target, resume: ResumePoint, span: Span) = GenerateRequest(
@@ -133,29 +139,29 @@
         version = call.model.version,
         priority = call.organisation.priority,
         prompt = call.prompt,
-        pieces = call.context.pieces.map { it.toString() },
+        pieces = call.promptHashes.pieces.map { it.toString() },
         maximumTokens = call.maximumTokens,
         resumeAfterTokens = resume.tokens,
         resumeText = resume.text,
-        traceParent = tools.tracing.header(span),
+        traceParent = dependencies.tracing.header(span),
     )
 
     /** An abandoned attempt is cancelled by name too, because a silent connection does not carry its own end. */
     private fun cancelAtEngine(engine: EngineClient, target: Target, failure: Failure?) {
         val neverRan = failure is BackEndFailure && !failure.mayHaveRun
-        if (!neverRan) tools.background.launch { engine.cancel(target.attempt) }
+        if (!neverRan) dependencies.background.launch { engine.cancel(target.attempt) }
     }
 
     private fun afterFailure(target: Target, failure: Failure): AttemptAction {
         lastFailure = failure
-        tools.records.add(call.request, RequestStepKind.REFUSED, target.endpoint.value, failure.message)
+        dependencies.records.add(call.request, RequestStepKind.REFUSED, target.endpoint.value, failure.message)
         if ((failure as? BackEndFailure.Refused)?.refusal?.reason == EngineRefusalReason.COLD) {
             chooser.refusedAsCold(target.endpoint)
         }
-        val end = (failure as? BackEndFailure)?.attemptEnd ?: AttemptError.BROKEN
-        val action = machine.failed(target.endpoint, end, tools.clock.nowMillis())
+        val end = (failure as? BackEndFailure)?.attemptError ?: AttemptError.BROKEN
+        val action = machine.failed(target.endpoint, end, dependencies.clock.nowMillis())
         inFlight = false
-        if (action !is AttemptAction.GiveUp) tools.metrics.retried(end.name.lowercase())
+        if (action !is AttemptAction.GiveUp) dependencies.metrics.retried(end.name.lowercase())
         if (end != AttemptError.REFUSED && action !is AttemptAction.TryFreshConnection) chooser.suspect(target.endpoint)
         return action
     }
@@ -174,7 +180,7 @@
 
     /** An attempt that begins now; [placement] is null when an engine is tried again. */
     private inner class Target(val endpoint: EndpointId, val attempt: AttemptId, val placement: Placement?) {
-        val beganMillis = tools.clock.nowMillis()
+        val beganMillis = dependencies.clock.nowMillis()
         val estimateMillis: Double get() = placement?.estimate?.totalMillis ?: 0.0
     }
 
@@ -193,10 +199,10 @@
         }
 
         private fun started(event: EngineEvent.Started) {
-            startedMillis = tools.clock.nowMillis()
+            startedMillis = dependencies.clock.nowMillis()
             prefillTokens = event.recomputedPieces.toLong() * PromptHashes.PIECE_TOKENS
             chooser.started(target.endpoint, event.startCount)
-            tools.metrics.context(event.cachedPieces, event.recomputedPieces)
+            dependencies.metrics.context(event.cachedPieces, event.recomputedPieces)
             if (event.version != call.model.version) {
                 throw FailureException(
                     BackEndFailure.Malformed(
@@ -212,7 +218,7 @@
             when (val verdict = assembler.accept(chunk)) {
                 is ChunkResult.Deliver -> deliver(verdict.text)
                 is ChunkResult.Complete -> complete(verdict)
-                is ChunkResult.Dropped -> tools.metrics.dropped(verdict.cause.name.lowercase())
+                is ChunkResult.Dropped -> dependencies.metrics.dropped(verdict.cause.name.lowercase())
                 is ChunkResult.Invalid -> throw FailureException(verdict.failure)
             }
         }
@@ -226,7 +232,7 @@
         }
 
         private fun firstToken() {
-            val now = tools.clock.nowMillis()
+            val now = dependencies.clock.nowMillis()
             val estimate = maxOf(target.estimateMillis, 1.0)
             val timing = FirstTokenTiming(
                 observedMillis = now - target.beganMillis,
@@ -235,16 +241,21 @@
                 prefillMillis = now - startedMillis,
             )
             chooser.firstToken(target.endpoint, target.attempt, timing)
-            tools.metrics.firstToken(
+            dependencies.metrics.firstToken(
                 call.model.name,
-                now - call.caller.receivedMillis,
+                now - call.requestContext.receivedMillis,
                 (now - target.beganMillis) / estimate
             )
         }
 
         private suspend fun complete(verdict: ChunkResult.Complete) {
             inFlight = false
-            tools.records.add(call.request, RequestStepKind.FINISHED, target.endpoint.value, "${verdict.tokens} tokens")
+            dependencies.records.add(
+                call.request,
+                RequestStepKind.FINISHED,
+                target.endpoint.value,
+                "${verdict.tokens} tokens",
+            )
             sink.complete(verdict.reason, verdict.tokens)
         }
     }
@@ -255,4 +266,5 @@
     }
 }
 
-private fun CompletionCall.need(avoid: Set<EndpointId>) = EngineNeed(model.name, model.version, context, avoid)
+private fun CompletionCall.requirements(avoid: Set<EndpointId>) =
+    EngineRequirements(model.name, model.version, promptHashes, avoid)
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/CompletionCall.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/CompletionCall.kt
@@ -8,7 +8,7 @@
 import org.parsleymoor.core.RequestId
 
 /** Who asks, and the [span] that the request's hops belong to. */
-internal class CallerIdentity(
+internal class RequestContext(
     val request: RequestId,
     val organisation: OrganisationDeclaration,
     val receivedMillis: Long,
@@ -17,19 +17,19 @@
 
 /** A completion to run. The weight version is that of [model] when the request was received. */
 internal class CompletionCall(
-    val caller: CallerIdentity,
+    val requestContext: RequestContext,
     val model: ModelDeclaration,
     val prompt: String,
-    val context: PromptHashes,
+    val promptHashes: PromptHashes,
     val maximumTokens: Int,
     val limits: LimitsDeclaration,
 ) {
-    val request: RequestId get() = caller.request
-    val organisation: OrganisationDeclaration get() = caller.organisation
-    val span: Span get() = caller.span
+    val request: RequestId get() = requestContext.request
+    val organisation: OrganisationDeclaration get() = requestContext.organisation
+    val span: Span get() = requestContext.span
 
     /** When the request is given up, in milliseconds since the epoch. */
-    val deadlineMillis: Long get() = caller.receivedMillis + limits.requestDeadlineMillis
+    val deadlineMillis: Long get() = requestContext.receivedMillis + limits.requestDeadlineMillis
 }
 
 /** Takes the parts of one whole answer, in order. Both functions suspend while the caller does not read. */
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/CompletionRunner.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/CompletionRunner.kt
@@ -12,9 +12,9 @@
 
 /** Admits and runs completions. */
 internal class CompletionRunner(
-    private val tools: ServingTools,
-    private val chooser: EndpointChooser,
-    private val imports: PrefixImports,
+    private val dependencies: ServingDependencies,
+    private val chooser: EngineChooser,
+    private val imports: PrefixImporter,
 ) {
     private val gates = ConcurrentHashMap<ModelId, AdmissionGate>()
 
@@ -26,9 +26,9 @@
         val gate = gate(call.model.name)
         gate.enter(queued(call), FairQueueLimits(call.limits.queueLength, call.limits.queueLengthPerOrganisation))
         try {
-            tools.records.add(call.request, RequestStepKind.ADMITTED, call.model.name.value, "there is room")
-            val attempts = CompletionAttempts(tools, chooser, imports, call, sink)
-            withTimeoutOrNull(call.deadlineMillis - tools.clock.nowMillis()) { attempts.run() }
+            dependencies.records.add(call.request, RequestStepKind.ADMITTED, call.model.name.value, "there is room")
+            val attempts = CompletionAttempts(dependencies, chooser, imports, call, sink)
+            withTimeoutOrNull(call.deadlineMillis - dependencies.clock.nowMillis()) { attempts.run() }
                 ?: throw deadlinePassed(call, attempts).toException()
         } finally {
             gate.release()
@@ -36,15 +36,15 @@
     }
 
     /** Starts waiting requests for which there may be room now. */
-    fun pump() {
-        gates.values.forEach { it.pump() }
+    fun admitWaiting() {
+        gates.values.forEach { it.admitWaiting() }
     }
 
     /** The requests that run and wait, by model. */
     fun traffic(): List<ModelTraffic> = gates.map { ModelTraffic(it.key, it.value.running, it.value.queued) }
 
     private fun gate(model: ModelId): AdmissionGate =
-        gates.computeIfAbsent(model) { AdmissionGate(tools.clock) { chooser.capacity(model) } }
+        gates.computeIfAbsent(model) { AdmissionGate(dependencies.clock) { chooser.capacity(model) } }
 
     private fun queued(call: CompletionCall) = QueuedRequest(
         request = call.request,
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/EndpointChooser.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/EngineChooser.kt
@@ -10,10 +10,10 @@
 import org.parsleymoor.placement.Placement
 
 /** What a request needs of an engine; the engines in [avoid] have failed it. */
-internal data class EngineNeed(
+internal data class EngineRequirements(
     val model: ModelId,
     val version: WeightVersion,
-    val context: PromptHashes,
+    val promptHashes: PromptHashes,
     val avoid: Set<EndpointId> = emptySet(),
 )
 
@@ -29,15 +29,15 @@
 )
 
 /** Chooses engines and is told how attempts go. Functions return without waiting and are safe from any thread. */
-internal interface EndpointChooser {
+internal interface EngineChooser {
     /** Number of requests of [model] that the engines in service may run at once. */
     fun capacity(model: ModelId): Int
 
-    /** Chooses an engine for [need] and counts [attempt] there until [finished]. */
-    fun choose(need: EngineNeed, attempt: AttemptId): Result<Placement, NoEngineAvailable>
+    /** Chooses an engine for [requirements] and counts [attempt] there until [finished]. */
+    fun choose(requirements: EngineRequirements, attempt: AttemptId): Result<Placement, NoEngineAvailable>
 
     /** Counts another attempt at an engine that was chosen before. */
-    fun repeat(endpoint: EndpointId, need: EngineNeed, attempt: AttemptId)
+    fun recordRetry(endpoint: EndpointId, requirements: EngineRequirements, attempt: AttemptId)
 
     /** An engine began [attempt]; [startCount] is from the stream's header. */
     fun started(endpoint: EndpointId, startCount: Long)
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/ExportLane.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/EngineExportQueue.kt
@@ -4,13 +4,13 @@
 import org.parsleymoor.context.PieceHash
 
 /** The blocks of one engine that no store may hold yet, in the order in which the engine stored them. */
-internal class ExportLane {
+internal class EngineExportQueue {
     private val waiting = LinkedHashSet<PieceHash>()
     private var busy = false
 
     /** Takes in what the engine reported. */
     @Synchronized
-    fun take(changes: List<CacheChange>) {
+    fun accept(changes: List<CacheChange>) {
         changes.forEach { change ->
             when (change) {
                 is CacheChange.Stored -> waiting += change.piece
@@ -22,7 +22,7 @@
 
     /** Removes the pieces that [isDone] names, and then takes the first [count] unless an export is in progress. */
     @Synchronized
-    fun begin(count: Int, isDone: (PieceHash) -> Boolean): List<PieceHash> {
+    fun takeBatch(count: Int, isDone: (PieceHash) -> Boolean): List<PieceHash> {
         if (busy) return emptyList()
         waiting.removeIf(isDone)
         val batch = waiting.take(count)
@@ -33,7 +33,7 @@
 
     /** Ends an export; [again] are tried once more. */
     @Synchronized
-    fun end(again: List<PieceHash>) {
+    fun finishBatch(again: List<PieceHash>) {
         val later = waiting.toList()
         waiting.clear()
         waiting += again
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/EngineObserver.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/EnginePoller.kt
@@ -8,19 +8,19 @@
 import org.parsleymoor.gateway.ConfigurationHolder
 
 /** Reads load reports and cache events of the engines every [intervalMillis] until it is cancelled. */
-internal class EngineObserver(
+internal class EnginePoller(
     private val configuration: ConfigurationHolder,
-    private val backEnds: BackEnds,
+    private val backEnds: BackEndClients,
     private val reports: FleetReports,
     private val clock: Clock,
     private val intervalMillis: Long = 500,
-    private val onChanges: (EndpointId, List<CacheChange>) -> Unit = { _, _ -> },
+    private val onCacheChanges: (EndpointId, List<CacheChange>) -> Unit = { _, _ -> },
 ) {
     private val caches = CacheReader(configuration, backEnds, reports)
 
     suspend fun run(): Unit = configuration.pollEndpoints(EndpointKind.ENGINE, intervalMillis) { engine ->
-        val askedMillis = clock.nowMillis()
-        backEnds.direct(engine).load().onSuccess { reports.report(engine.name, it, askedMillis) }
-        onChanges(engine.name, caches.read(engine))
+        val requestedMillis = clock.nowMillis()
+        backEnds.direct(engine).load().onSuccess { reports.report(engine.name, it, requestedMillis) }
+        onCacheChanges(engine.name, caches.read(engine))
     }
 }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/ExportPauses.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/ExportBackoff.kt
@@ -3,7 +3,7 @@
 import org.parsleymoor.core.EndpointId
 
 /** Holds back exports to stores that took nothing; each failure in a row doubles the pause. Safe from any thread. */
-internal class ExportPauses {
+internal class ExportBackoff {
     private val pauses = HashMap<EndpointId, Pause>()
 
     @Synchronized
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/FleetReports.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/FleetReports.kt
@@ -13,22 +13,22 @@
 
 /** Takes in what engines report and tells what is known of them. */
 internal class FleetReports(private val configuration: ConfigurationHolder, private val state: FleetState) {
-    /** Takes in a load report that was asked for at [askedMillis]. */
-    fun report(endpoint: EndpointId, load: EngineLoad, askedMillis: Long) {
+    /** Takes in a load report that was asked for at [requestedMillis]. */
+    fun report(endpoint: EndpointId, load: EngineLoad, requestedMillis: Long) {
         val report =
-            LoadReport(endpoint, load.startCount, load.cold, load.running, load.queuedPrefillTokens, askedMillis)
+            LoadReport(endpoint, load.startCount, load.cold, load.running, load.queuedPrefillTokens, requestedMillis)
         synchronized(state.lock) {
             state.engine(endpoint).load = load
             state.loads.report(report)
             val nowMillis = state.clock.nowMillis()
-            state.cold.accept(ColdStartEvent.Seen(endpoint, load.startCount, load.cold), nowMillis)
-            state.cold.loadRead(endpoint, askedMillis, load.running, nowMillis)
+            state.coldStartGuard.accept(ColdStartEvent.Seen(endpoint, load.startCount, load.cold), nowMillis)
+            state.coldStartGuard.loadRead(endpoint, requestedMillis, load.running, nowMillis)
         }
     }
 
-    /** Takes in a load report of a store that was asked for at [askedMillis]. */
-    fun report(store: EndpointId, load: StoreLoad, askedMillis: Long) {
-        synchronized(state.lock) { state.stores.state(store).report(load, askedMillis) }
+    /** Takes in a load report of a store that was asked for at [requestedMillis]. */
+    fun report(store: EndpointId, load: StoreLoad, requestedMillis: Long) {
+        synchronized(state.lock) { state.stores.state(store).report(load, requestedMillis) }
     }
 
     /** Takes in a report of a cache and returns which snapshots to fetch. */
@@ -53,7 +53,7 @@
         return EndpointStatus(
             endpoint = endpoint,
             suspect = state.isSuspect(endpoint),
-            cold = state.cold.isCold(endpoint),
+            cold = state.coldStartGuard.isCold(endpoint),
             running = load.running,
             queued = reported?.queued ?: 0,
             versions = reported?.versions.orEmpty(),
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/FleetState.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/FleetState.kt
@@ -15,7 +15,7 @@
 import org.parsleymoor.placement.PlacementRequest
 
 /** What this gateway knows of the engines. Every use holds [lock]. */
-internal class FleetState(val clock: Clock, val region: RegionId, val cold: ColdStartGuard) {
+internal class FleetState(val clock: Clock, val region: RegionId, val coldStartGuard: ColdStartGuard) {
     val lock: Any = Any()
     val loads: LoadView = LoadView()
     val directory: CacheDirectory = CacheDirectory()
@@ -33,7 +33,7 @@
     fun limit(endpoint: EndpointId, view: ServingView): Int {
         val limits = view.configuration.limits
         val warm = limits.concurrentPerEngine
-        return if (cold.isCold(endpoint)) minOf(limits.coldLimit, warm) else warm
+        return if (coldStartGuard.isCold(endpoint)) minOf(limits.coldLimit, warm) else warm
     }
 
     /** Learns the rate from an attempt that was alone; beside others its time says nothing about the rate. */
@@ -44,32 +44,36 @@
         engine.prefillRate.observe(timing.prefillTokens, timing.prefillMillis, clock.nowMillis())
     }
 
-    fun placementRequest(need: EngineNeed) = PlacementRequest(
-        contextPieces = need.context.pieces.size,
-        remainderTokens = need.context.remainderBytes / BYTES_PER_TOKEN,
+    fun placementRequest(requirements: EngineRequirements) = PlacementRequest(
+        contextPieces = requirements.promptHashes.pieces.size,
+        remainderTokens = requirements.promptHashes.remainderBytes / BYTES_PER_TOKEN,
         region = region,
-        crossRegionTextBytes = need.context.textPieces.size.toLong() * PromptHashes.PIECE_BYTES,
-        matches = directory.match(need.context.pieces),
+        crossRegionTextBytes = requirements.promptHashes.textPieces.size.toLong() * PromptHashes.PIECE_BYTES,
+        matches = directory.match(requirements.promptHashes.pieces),
     )
 
-    fun fleet(need: EngineNeed, view: ServingView?): FleetView =
+    fun fleet(requirements: EngineRequirements, view: ServingView?): FleetView =
         if (view == null) {
             FleetView(emptyList())
         } else {
-            FleetView(view.enginesOf(need.model).map { engineView(it, need, view) }, stores.views(view))
+            FleetView(view.enginesOf(requirements.model).map { engineView(it, requirements, view) }, stores.views(view))
         }
 
-    private fun engineView(engine: EndpointDeclaration, need: EngineNeed, view: ServingView): EngineView {
+    private fun engineView(
+        engine: EndpointDeclaration,
+        requirements: EngineRequirements,
+        view: ServingView,
+    ): EngineView {
         val load = load(engine.name)
         val state = engine(engine.name)
-        val usable = view.takesNewWork(engine.name) && engine.name !in need.avoid && !isSuspect(engine.name)
+        val usable = view.takesNewWork(engine.name) && engine.name !in requirements.avoid && !isSuspect(engine.name)
         val room = load.running < limit(engine.name, view) &&
-            cold.maySend(engine.name, load.running, clock.nowMillis())
+            coldStartGuard.maySend(engine.name, load.running, clock.nowMillis())
         return EngineView(
             endpoint = engine.name,
             zone = engine.zone,
             region = view.regionOf(engine.zone) ?: region,
-            acceptsWork = usable && room && state.holds(need),
+            acceptsWork = usable && room && state.holds(requirements),
             running = load.running,
             queuedPrefillTokens = load.queuedPrefillTokens,
             prefillTokensPerSecond = state.prefillRate.perSecond(clock.nowMillis()),
@@ -90,12 +94,12 @@
         private set
 
     /** Tokens of prefill a second. */
-    val prefillRate: LearnedRate = LearnedRate(PREFILL_TOKENS_PER_SECOND)
+    val prefillRate: RateEstimator = RateEstimator(PREFILL_TOKENS_PER_SECOND)
 
     /** Whether the engine holds the version; an engine without a report is tried and refuses when it does not. */
-    fun holds(need: EngineNeed): Boolean {
+    fun holds(requirements: EngineRequirements): Boolean {
         val versions = load?.versions ?: return true
-        return versions.any { it.model == need.model && it.version == need.version && !it.loading }
+        return versions.any { it.model == requirements.model && it.version == requirements.version && !it.loading }
     }
 
     /** Corrects later estimates by one observation. */
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/ImportOrder.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/ImportJob.kt
@@ -9,7 +9,7 @@
 import org.parsleymoor.placement.PrefixSource
 
 /** An import of the blocks of [source] by the engine behind [client], which is dropped after [deadlineMillis]. */
-internal class ImportOrder(
+internal class ImportJob(
     val source: PrefixSource.Import,
     val client: EngineClient,
     val transfer: TransferRequest,
@@ -25,7 +25,7 @@
     val tier: CacheTier get() = source.blocks.maxOf { it.tier }
 }
 
-/** What became of an [ImportOrder]. */
+/** What became of an [ImportJob]. */
 internal sealed interface ImportOutcome {
     /** The engine answered after [millis]. */
     class Done(val result: TransferResult, val millis: Long) : ImportOutcome
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/EngineFleet.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/PlacementEngineChooser.kt
@@ -15,37 +15,40 @@
 import org.parsleymoor.placement.PlacementPolicy
 
 /** Chooses engines with the placement library. */
-internal class EngineFleet(
+internal class PlacementEngineChooser(
     private val configuration: ConfigurationHolder,
     private val state: FleetState,
     private val policy: PlacementPolicy = CostBasedPolicy(),
-) : EndpointChooser {
+) : EngineChooser {
     private val random = RandomSource.XO_SHI_RO_256_PP.create()
 
     override fun capacity(model: ModelId): Int {
         val view = configuration.current ?: return 0
         return synchronized(state.lock) {
             view.enginesOf(model).filter { view.takesNewWork(it.name) && !state.isSuspect(it.name) }
-                .filter { state.cold.maySend(it.name, 0, state.clock.nowMillis()) }
+                .filter { state.coldStartGuard.maySend(it.name, 0, state.clock.nowMillis()) }
                 .sumOf { state.limit(it.name, view) }
         }
     }
 
-    override fun choose(need: EngineNeed, attempt: AttemptId): Result<Placement, NoEngineAvailable> =
+    override fun choose(requirements: EngineRequirements, attempt: AttemptId): Result<Placement, NoEngineAvailable> =
         synchronized(state.lock) {
-            policy.place(state.placementRequest(need), state.fleet(need, configuration.current), random)
-                .onSuccess { dispatched(it.endpoint, need, attempt) }
+            policy.place(state.placementRequest(requirements), state.fleet(requirements, configuration.current), random)
+                .onSuccess { dispatched(it.endpoint, requirements, attempt) }
         }
 
-    override fun repeat(endpoint: EndpointId, need: EngineNeed, attempt: AttemptId) {
-        synchronized(state.lock) { dispatched(endpoint, need, attempt) }
+    override fun recordRetry(endpoint: EndpointId, requirements: EngineRequirements, attempt: AttemptId) {
+        synchronized(state.lock) { dispatched(endpoint, requirements, attempt) }
     }
 
     override fun started(endpoint: EndpointId, startCount: Long) {
         synchronized(state.lock) {
             // A start that no load report has shown yet is cold.
             val reportedCold = state.engine(endpoint).load?.let { it.cold || it.startCount < startCount } ?: true
-            state.cold.accept(ColdStartEvent.Seen(endpoint, startCount, reportedCold), state.clock.nowMillis())
+            state.coldStartGuard.accept(
+                ColdStartEvent.Seen(endpoint, startCount, reportedCold),
+                state.clock.nowMillis(),
+            )
         }
     }
 
@@ -56,7 +59,7 @@
             state.loads.firstToken(attempt)
             state.observePrefill(endpoint, timing)
             state.engine(endpoint).observe(observedMillis, timing.estimatedMillis)
-            state.cold.accept(event, state.clock.nowMillis())
+            state.coldStartGuard.accept(event, state.clock.nowMillis())
         }
     }
 
@@ -66,7 +69,7 @@
 
     override fun refusedAsCold(endpoint: EndpointId) {
         synchronized(state.lock) {
-            state.cold.accept(ColdStartEvent.RefusedAsCold(endpoint), state.clock.nowMillis())
+            state.coldStartGuard.accept(ColdStartEvent.RefusedAsCold(endpoint), state.clock.nowMillis())
         }
     }
 
@@ -76,8 +79,8 @@
         }
     }
 
-    private fun dispatched(endpoint: EndpointId, need: EngineNeed, attempt: AttemptId) {
-        val tokens = need.context.pieces.size.toLong() * PromptHashes.PIECE_TOKENS
+    private fun dispatched(endpoint: EndpointId, requirements: EngineRequirements, attempt: AttemptId) {
+        val tokens = requirements.promptHashes.pieces.size.toLong() * PromptHashes.PIECE_TOKENS
         state.loads.dispatched(endpoint, attempt, tokens, state.clock.nowMillis())
     }
 
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/LearnedRate.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/RateEstimator.kt
@@ -4,7 +4,7 @@
  * A rate smoothed over observations, [start] a second before the first. Without an observation for [forgetMillis] it is
  * [start] again, so that a source that was slow once is tried again. Not safe for use from several threads.
  */
-internal class LearnedRate(private val start: Double, private val forgetMillis: Long = Long.MAX_VALUE) {
+internal class RateEstimator(private val start: Double, private val forgetMillis: Long = Long.MAX_VALUE) {
     private var rate = start
     private var observedMillis: Long? = null
 
@@ -24,8 +24,8 @@
     }
 
     /** Takes in at [nowMillis] that [amount] was not complete after [millis], and expects it to take far longer. */
-    fun missed(amount: Long, millis: Long, nowMillis: Long) {
-        rate = minOf(perSecond(nowMillis), amount * MILLIS_PER_SECOND / (MISSED_FACTOR * maxOf(1, millis)))
+    fun observeTimeout(amount: Long, millis: Long, nowMillis: Long) {
+        rate = minOf(perSecond(nowMillis), amount * MILLIS_PER_SECOND / (TIMEOUT_FACTOR * maxOf(1, millis)))
         observedMillis = nowMillis
     }
 
@@ -35,6 +35,6 @@
 
         // An import may take as long as recomputing; a placement that prices prefill double would choose it again at
         // twice that time.
-        const val MISSED_FACTOR = 4
+        const val TIMEOUT_FACTOR = 4
     }
 }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/ReportedWarmth.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/ReportedColdStates.kt
@@ -7,13 +7,13 @@
  * Which engines are cold by their own reports. An engine that has not been heard of is cold, and so is one whose start
  * count has risen, until a report of that start says otherwise. Not safe for use from several threads.
  */
-internal class ReportedWarmth {
+internal class ReportedColdStates {
     private val engines = HashMap<EndpointId, Warmth>()
 
     fun isCold(endpoint: EndpointId): Boolean = engines[endpoint]?.cold ?: true
 
     /** The cold engines that have been heard of. */
-    fun cold(): List<EndpointId> = engines.filterValues { it.cold }.keys.toList()
+    fun coldEngines(): List<EndpointId> = engines.filterValues { it.cold }.keys.toList()
 
     /** Takes in [event] and returns whether the engine turned cold or warm, or is new. */
     fun accept(event: ColdStartEvent): Boolean {
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/ServiceRunner.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/ServiceRunner.kt
@@ -26,28 +26,28 @@
 import java.util.concurrent.atomic.AtomicInteger
 
 /** A call for a service group that is ready to be sent. */
-internal class GroupCall(
+internal class ServiceGroupCall(
     val request: RequestId,
     val group: ServiceDeclaration,
-    val call: ServiceCall,
+    val serviceCall: ServiceCall,
     val deadlineMillis: Long,
     val span: Span,
 )
 
 /** Sends calls to the replicas of service groups under the retry rules. */
-internal class ServiceRunner(private val tools: ServingTools) {
+internal class ServiceRunner(private val dependencies: ServingDependencies) {
     private val running = ConcurrentHashMap<EndpointId, AtomicInteger>()
 
     /** Suspends until a replica has answered [call], or until the rules allow no further attempt. */
-    suspend fun run(call: GroupCall): Result<ServiceAnswer, Refusal> {
+    suspend fun run(call: ServiceGroupCall): Result<ServiceAnswer, Refusal> {
         val machine = AttemptTracker(
             call.request,
-            call.call.repeatable,
+            call.serviceCall.repeatable,
             call.deadlineMillis,
-            tools.budget,
-            tools.streams.maximumAttempts,
+            dependencies.budget,
+            dependencies.streams.maximumAttempts,
         )
-        tools.budget.firstAttempt(tools.clock.nowMillis())
+        dependencies.budget.firstAttempt(dependencies.clock.nowMillis())
         var failure: BackEndFailure? = null
         var action: AttemptAction = AttemptAction.TryElsewhere(emptySet())
         while (action !is AttemptAction.GiveUp) {
@@ -64,7 +64,7 @@
     }
 
     private fun replica(group: ServiceDeclaration, action: AttemptAction): EndpointDeclaration? {
-        val view = tools.configuration.current ?: return null
+        val view = dependencies.configuration.current ?: return null
         val candidates = view.replicasOf(group.name)
         return when (action) {
             is AttemptAction.TryFreshConnection -> candidates.firstOrNull { it.name == action.endpoint }
@@ -76,26 +76,26 @@
     }
 
     /** A pooled connection may have gone silent, so a repeatable call waits for the deadline on a fresh one only. */
-    private fun timeoutMillis(call: GroupCall, action: AttemptAction): Long {
-        val remaining = maxOf(1, call.deadlineMillis - tools.clock.nowMillis())
-        val mayBePooled = call.call.repeatable && action !is AttemptAction.TryFreshConnection
-        return if (mayBePooled) minOf(remaining, tools.streams.silenceMillis) else remaining
+    private fun timeoutMillis(call: ServiceGroupCall, action: AttemptAction): Long {
+        val remaining = maxOf(1, call.deadlineMillis - dependencies.clock.nowMillis())
+        val mayBePooled = call.serviceCall.repeatable && action !is AttemptAction.TryFreshConnection
+        return if (mayBePooled) minOf(remaining, dependencies.streams.silenceMillis) else remaining
     }
 
     private suspend fun send(
-        call: GroupCall,
+        call: ServiceGroupCall,
         replica: EndpointDeclaration,
         timeoutMillis: Long,
     ): Result<ServiceAnswer, BackEndFailure> {
-        val span = tools.tracing.hop("call", replica.name.value, call.span)
+        val span = dependencies.tracing.hop("call", replica.name.value, call.span)
         val traced = ServiceCall(
-            call.call.method,
-            call.call.path,
-            call.call.headers + HeaderField("traceparent", tools.tracing.header(span)),
-            call.call.body,
-            call.call.repeatable,
+            call.serviceCall.method,
+            call.serviceCall.path,
+            call.serviceCall.headers + HeaderField("traceparent", dependencies.tracing.header(span)),
+            call.serviceCall.body,
+            call.serviceCall.repeatable,
         )
-        tools.records.add(
+        dependencies.records.add(
             call.request,
             RequestStepKind.ATTEMPTED,
             replica.name.value,
@@ -103,10 +103,10 @@
         )
         count(replica.name).incrementAndGet()
         try {
-            val result = tools.backEnds.service(replica).call(traced, timeoutMillis)
+            val result = dependencies.backEnds.service(replica).call(traced, timeoutMillis)
             return result.onFailure { failure ->
                 span.fail(failure)
-                tools.records.add(call.request, RequestStepKind.REFUSED, replica.name.value, failure.message)
+                dependencies.records.add(call.request, RequestStepKind.REFUSED, replica.name.value, failure.message)
             }
         } finally {
             count(replica.name).decrementAndGet()
@@ -119,9 +119,9 @@
         replica: EndpointDeclaration,
         failure: BackEndFailure,
     ): AttemptAction {
-        val end = failure.attemptEnd
-        val action = machine.failed(replica.name, end, tools.clock.nowMillis())
-        if (action !is AttemptAction.GiveUp) tools.metrics.retried(end.name.lowercase())
+        val end = failure.attemptError
+        val action = machine.failed(replica.name, end, dependencies.clock.nowMillis())
+        if (action !is AttemptAction.GiveUp) dependencies.metrics.retried(end.name.lowercase())
         return action
     }
 
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/ServingTools.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/ServingDependencies.kt
@@ -12,9 +12,9 @@
 internal class Telemetry(val records: RequestRecords, val metrics: GatewayMetrics, val tracing: Tracing)
 
 /** What every runner of requests uses. Work in [background] outlives the request that started it. */
-internal class ServingTools(
+internal class ServingDependencies(
     val configuration: ConfigurationHolder,
-    val backEnds: BackEnds,
+    val backEnds: BackEndClients,
     private val telemetry: Telemetry,
     val clock: Clock,
     val streams: StreamSettings,
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/SharedRetention.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/SharedRetention.kt
@@ -23,7 +23,7 @@
 
     /** Returns those of [pieces] that are worth an export from [engine] to [store]. */
     @Synchronized
-    fun worthExport(
+    fun selectForExport(
         engine: EndpointId,
         store: EndpointId,
         pieces: List<PieceHash>,
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/StoreObserver.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/StorePoller.kt
@@ -6,9 +6,9 @@
 import org.parsleymoor.gateway.ConfigurationHolder
 
 /** Reads load reports and cache events of the KV cache stores every [intervalMillis] until it is cancelled. */
-internal class StoreObserver(
+internal class StorePoller(
     private val configuration: ConfigurationHolder,
-    private val backEnds: BackEnds,
+    private val backEnds: BackEndClients,
     private val reports: FleetReports,
     private val clock: Clock,
     private val intervalMillis: Long = 500,
@@ -16,9 +16,9 @@
     private val caches = CacheReader(configuration, backEnds, reports)
 
     suspend fun run(): Unit = configuration.pollEndpoints(EndpointKind.STORE, intervalMillis) { store ->
-        val askedMillis = clock.nowMillis()
+        val requestedMillis = clock.nowMillis()
         backEnds.store(store).load().onSuccess { load ->
-            reports.report(store.name, load, askedMillis)
+            reports.report(store.name, load, requestedMillis)
             caches.read(store)
         }
     }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/StoreTable.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/StoreTable.kt
@@ -16,8 +16,8 @@
     fun state(store: EndpointId): StoreState = stores.getOrPut(store) { StoreState() }
 
     /** Whether the store's load report is recent enough to use the store. */
-    fun answers(store: EndpointId): Boolean {
-        val read = state(store).readMillis ?: return false
+    fun hasRecentReport(store: EndpointId): Boolean {
+        val read = state(store).reportRequestedMillis ?: return false
         return clock.nowMillis() - read < STALE_MILLIS
     }
 
@@ -33,7 +33,7 @@
         return StoreView(
             endpoint = store.name,
             region = region,
-            available = view.takesNewWork(store.name) && answers(store.name),
+            available = view.takesNewWork(store.name) && hasRecentReport(store.name),
             memoryBytesPerSecond = state.rate(CacheTier.STORE_MEMORY).perSecond(nowMillis),
             diskBytesPerSecond = state.rate(CacheTier.STORE_DISK).perSecond(nowMillis),
             queuedMemoryBytes = queuedBytes,
@@ -49,23 +49,23 @@
 
 /** What this gateway knows of one store. */
 internal class StoreState {
-    private val memory = LearnedRate(MEMORY_BYTES_PER_SECOND, FORGET_MILLIS)
-    private val disk = LearnedRate(DISK_BYTES_PER_SECOND, FORGET_MILLIS)
+    private val memory = RateEstimator(MEMORY_BYTES_PER_SECOND, FORGET_MILLIS)
+    private val disk = RateEstimator(DISK_BYTES_PER_SECOND, FORGET_MILLIS)
 
     /** The last load report. */
     var load: StoreLoad? = null
         private set
 
     /** When the last load report was asked for; null before the first. */
-    var readMillis: Long? = null
+    var reportRequestedMillis: Long? = null
         private set
 
     /** The observed rate of the link for blocks in [tier]. */
-    fun rate(tier: CacheTier): LearnedRate = if (tier == CacheTier.STORE_DISK) disk else memory
+    fun rate(tier: CacheTier): RateEstimator = if (tier == CacheTier.STORE_DISK) disk else memory
 
-    fun report(load: StoreLoad, askedMillis: Long) {
+    fun report(load: StoreLoad, requestedMillis: Long) {
         this.load = load
-        readMillis = askedMillis
+        reportRequestedMillis = requestedMillis
     }
 
     private companion object {
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/StoreTiers.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/StoreTierManager.kt
@@ -22,17 +22,17 @@
  * Moves blocks between the tiers of the stores that this gateway leads and drops what is worth least. A store carries
  * out one batch at a time, block after block.
  */
-internal class StoreTiers(
-    private val tools: ServingTools,
+internal class StoreTierManager(
+    private val dependencies: ServingDependencies,
     private val state: FleetState,
     private val retention: SharedRetention,
-    private val leads: StoreLeader,
+    private val leadership: CacheLeadership,
 ) {
-    private val metrics = StoreMetrics(tools.metrics.registry)
+    private val metrics = StoreMetrics(dependencies.metrics.registry)
     private val busy = ConcurrentHashMap.newKeySet<EndpointId>()
 
     /** Starts what is due, without waiting for it. */
-    fun tick(view: ServingView) {
+    fun startDueActions(view: ServingView) {
         view.endpoints(EndpointKind.STORE).filter { isLed(it, view) }.forEach { store ->
             val load = synchronized(state.lock) { state.stores.state(store.name).load }
             if (load != null) start(store, load)
@@ -41,13 +41,14 @@
 
     private fun isLed(store: EndpointDeclaration, view: ServingView): Boolean {
         val region = view.regionOf(store.zone) ?: return false
-        return leads.leads(region, store.name) && synchronized(state.lock) { state.stores.answers(store.name) }
+        return leadership.isLeader(region, store.name) &&
+            synchronized(state.lock) { state.stores.hasRecentReport(store.name) }
     }
 
     private fun start(store: EndpointDeclaration, load: StoreLoad) {
         if (!busy.add(store.name)) return
         val actions = actions(content(store.name, load), load)
-        tools.background.launch {
+        dependencies.background.launch {
             try {
                 actions.forEach { perform(it, store) }
             } finally {
@@ -59,7 +60,7 @@
     /** Prefetches wait until nothing is queued at the store, so that they do not delay imports. */
     private fun actions(content: StoreContent, load: StoreLoad): List<RetentionAction> {
         val incoming = maxOf(1, content.memoryBlocks / ROOM_PARTS)
-        val nowMillis = tools.clock.nowMillis()
+        val nowMillis = dependencies.clock.nowMillis()
         return when {
             load.memoryBytes + incoming * BLOCK_BYTES > load.memoryCapacityBytes ->
                 retention.makeRoom(content, incoming, nowMillis)
@@ -78,7 +79,7 @@
     /** What the store has done counts at once, or the next tick would ask for it again before its events arrive. */
     private suspend fun perform(action: RetentionAction, store: EndpointDeclaration) {
         when (action) {
-            is RetentionAction.Drop -> tools.backEnds.store(store).delete(action.piece.toString()).onSuccess {
+            is RetentionAction.Drop -> dependencies.backEnds.store(store).delete(action.piece.toString()).onSuccess {
                 metrics.kept("dropped")
                 synchronized(state.lock) { state.directory.forget(store.name, action.piece) }
             }
@@ -93,14 +94,17 @@
     private suspend fun move(store: EndpointDeclaration, piece: PieceHash, tier: BlockTier): Boolean {
         val matches = synchronized(state.lock) { state.directory.match(listOf(piece)) }
         val block = matches.firstOrNull { it.endpoint == store.name }?.blocks?.firstOrNull() ?: return false
-        val moved = tools.backEnds.store(store).move(piece.toString(), block.generation, tier)
+        val moved = dependencies.backEnds.store(store).move(piece.toString(), block.generation, tier)
         moved.onSuccess { confirm(store.name, block.copy(tier = cacheTierOf(tier))) }
         return moved.isOk
     }
 
     private fun confirm(store: EndpointId, block: HeldBlock): Unit = synchronized(state.lock) {
         val load = state.stores.state(store).load ?: return
-        state.directory.accept(CacheReport.Digest(store, load.startCount, listOf(block)), tools.clock.nowMillis())
+        state.directory.accept(
+            CacheReport.Digest(store, load.startCount, listOf(block)),
+            dependencies.clock.nowMillis(),
+        )
     }
 
     private companion object {
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/TicketDesk.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/TicketExecutor.kt
@@ -19,11 +19,11 @@
  * Runs calls under tickets that this process issued and sends those with tickets of other processes to the issuer. A
  * call under a caller's own key is refused; [org.parsleymoor.gateway.control.ClaimDesk] runs those.
  */
-internal class TicketDesk(
+internal class TicketExecutor(
     self: Incarnation,
-    private val route: CallRoute,
+    private val route: PeerCallForwarder,
     private val scope: CoroutineScope,
-) : AtMostOnce {
+) : AtMostOnceExecutor {
     private val lock = Any()
     private val ledger = TicketLedger(self, ByteArray(MAC_KEY_BYTES).also { SecureRandom().nextBytes(it) })
     private val waiters = HashMap<RequestId, CompletableDeferred<ExecutionAnswer>>()
@@ -31,7 +31,7 @@
     override fun issue(organisation: OrganisationId): String =
         synchronized(lock) { ledger.issue(organisation) }.toString()
 
-    override suspend fun execute(call: OnceCall, origin: CallOrigin): ExecutionAnswer {
+    override suspend fun execute(call: AtMostOnceCall, origin: CallOrigin): ExecutionAnswer {
         val ticket = Ticket.parse(call.keyed.key) ?: return ExecutionAnswer.NotRun(NotRunReason.PLATFORM_UNAVAILABLE)
         val answer = CompletableDeferred<ExecutionAnswer>()
         val action = synchronized(lock) {
@@ -42,7 +42,7 @@
         return answer.await()
     }
 
-    private fun perform(ticket: Ticket, action: ExecutionAction, call: OnceCall, origin: CallOrigin) {
+    private fun perform(ticket: Ticket, action: ExecutionAction, call: AtMostOnceCall, origin: CallOrigin) {
         when (action) {
             is ExecutionAction.Answer -> answer(action)
             is ExecutionAction.Forward -> scope.launch { forward(ticket, call, origin) }
@@ -50,10 +50,10 @@
         }
     }
 
-    private suspend fun forward(ticket: Ticket, call: OnceCall, origin: CallOrigin) {
+    private suspend fun forward(ticket: Ticket, call: AtMostOnceCall, origin: CallOrigin) {
         var answer: ExecutionAnswer? = ExecutionAnswer.Unknown(UnknownReason.NO_ANSWER_FROM_PEER)
         try {
-            val forwarded = if (origin == CallOrigin.CALLER) route.toIssuer(ticket, call) else Forwarded.NotSent
+            val forwarded = if (origin == CallOrigin.CALLER) route.toIssuer(ticket, call) else ForwardResult.NotSent
             answer = forwarded.toAnswer()
         } finally {
             answer(synchronized(lock) { ledger.forwarded(call.keyed, answer) })
@@ -80,8 +80,8 @@
 }
 
 /** Returns the answer of a call that only one process may run; null when that process has ended. */
-internal fun Forwarded.toAnswer(): ExecutionAnswer? = when (this) {
-    is Forwarded.Answered -> answer
-    is Forwarded.NotSent -> ExecutionAnswer.NotRun(NotRunReason.PEER_UNREACHABLE)
-    is Forwarded.Gone -> null
+internal fun ForwardResult.toAnswer(): ExecutionAnswer? = when (this) {
+    is ForwardResult.Answered -> answer
+    is ForwardResult.NotSent -> ExecutionAnswer.NotRun(NotRunReason.PEER_UNREACHABLE)
+    is ForwardResult.Gone -> null
 }
--- a/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/StoreRetentionTest.kt
+++ b/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/StoreRetentionTest.kt
@@ -20,14 +20,14 @@
 import org.parsleymoor.gateway.operations.GatewayMetrics
 import org.parsleymoor.gateway.operations.RequestRecords
 import org.parsleymoor.gateway.operations.Tracing
-import org.parsleymoor.gateway.serving.BackEnds
+import org.parsleymoor.gateway.serving.BackEndClients
 import org.parsleymoor.gateway.serving.FleetReports
 import org.parsleymoor.gateway.serving.FleetState
-import org.parsleymoor.gateway.serving.ReportedColdStart
-import org.parsleymoor.gateway.serving.ServingTools
+import org.parsleymoor.gateway.serving.LocalColdStartGuard
+import org.parsleymoor.gateway.serving.ServingDependencies
 import org.parsleymoor.gateway.serving.SharedRetention
-import org.parsleymoor.gateway.serving.StoreKeeper
-import org.parsleymoor.gateway.serving.StoreObserver
+import org.parsleymoor.gateway.serving.StoreMaintenance
+import org.parsleymoor.gateway.serving.StorePoller
 import org.parsleymoor.gateway.serving.Telemetry
 import org.parsleymoor.placement.RetentionPolicy
 import org.parsleymoor.placement.RetentionSettings
@@ -117,16 +117,16 @@
     }
 
     /** A keeper beside the one of the gateway, whose retention expects nothing within half an hour. */
-    private fun keeper(scope: CoroutineScope, policy: RetentionPolicy): StoreKeeper {
+    private fun keeper(scope: CoroutineScope, policy: RetentionPolicy): StoreMaintenance {
         val holder = ConfigurationHolder().also { it.accept(fleet.configuration) }
-        val backEnds = BackEnds(harness.vertx)
-        val state = FleetState(Clock.System, RegionId("north"), ReportedColdStart { 1 })
+        val backEnds = BackEndClients(harness.vertx)
+        val state = FleetState(Clock.System, RegionId("north"), LocalColdStartGuard { 1 })
         val instance = InstanceId("keeper")
         val tracing = Tracing.of(instance, TracingSettings())
         val telemetry = Telemetry(RequestRecords(instance, Clock.System), GatewayMetrics(), tracing)
-        val tools = ServingTools(holder, backEnds, telemetry, Clock.System, StreamSettings(), scope)
-        scope.launch { StoreObserver(holder, backEnds, FleetReports(holder, state), Clock.System).run() }
-        return StoreKeeper(tools, state, { _, _ -> true }, SharedRetention(policy))
+        val tools = ServingDependencies(holder, backEnds, telemetry, Clock.System, StreamSettings(), scope)
+        scope.launch { StorePoller(holder, backEnds, FleetReports(holder, state), Clock.System).run() }
+        return StoreMaintenance(tools, state, { _, _ -> true }, SharedRetention(policy))
     }
 
     @Test
--- a/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/control/ClaimDeskTest.kt
+++ b/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/control/ClaimDeskTest.kt
@@ -32,11 +32,11 @@
 import org.parsleymoor.execution.atmostonce.RunOutcome
 import org.parsleymoor.execution.atmostonce.ServiceResponse
 import org.parsleymoor.execution.atmostonce.Ticket
-import org.parsleymoor.gateway.serving.CallRoute
-import org.parsleymoor.gateway.serving.Forwarded
-import org.parsleymoor.gateway.serving.GroupCall
-import org.parsleymoor.gateway.serving.OnceCall
-import org.parsleymoor.gateway.serving.TicketDesk
+import org.parsleymoor.gateway.serving.AtMostOnceCall
+import org.parsleymoor.gateway.serving.ForwardResult
+import org.parsleymoor.gateway.serving.PeerCallForwarder
+import org.parsleymoor.gateway.serving.ServiceGroupCall
+import org.parsleymoor.gateway.serving.TicketExecutor
 import strikt.api.expectThat
 import strikt.assertions.all
 import strikt.assertions.isA
@@ -95,15 +95,16 @@
 
     private fun desk(name: String): ClaimDesk {
         val self = Incarnation(InstanceId(name), 1)
-        return ClaimDesk(self, platform, TicketDesk(self, NoPeers, scope), NoPeers, Clock.System, scope)
+        return ClaimDesk(self, platform, TicketExecutor(self, NoPeers, scope), NoPeers, Clock.System, scope)
             .also { it.start() }
     }
 
     private suspend fun run(desk: ClaimDesk, request: String): ExecutionAnswer {
         val keyed = KeyedCall(RequestId(request), OrganisationId("estate"), "weighing-1", "fingerprint")
         val group = ServiceDeclaration("payouts", "kind=service")
-        val sent = GroupCall(keyed.request, group, ServiceCall("POST", "/pay"), Long.MAX_VALUE, Span.getInvalid())
-        val call = OnceCall(keyed, sent) {
+        val sent =
+            ServiceGroupCall(keyed.request, group, ServiceCall("POST", "/pay"), Long.MAX_VALUE, Span.getInvalid())
+        val call = AtMostOnceCall(keyed, sent) {
             runs.incrementAndGet()
             RunOutcome.Responded(ServiceResponse(200, "text/plain", "done".encodeToByteArray()))
         }
@@ -112,12 +113,12 @@
 }
 
 /** No other gateway can be reached. */
-private object NoPeers : CallRoute {
-    override suspend fun toIssuer(ticket: Ticket, call: OnceCall): Forwarded = Forwarded.NotSent
+private object NoPeers : PeerCallForwarder {
+    override suspend fun toIssuer(ticket: Ticket, call: AtMostOnceCall): ForwardResult = ForwardResult.NotSent
 
-    override suspend fun toOwner(shard: Int, call: OnceCall): Forwarded = Forwarded.NotSent
+    override suspend fun toOwner(shard: Int, call: AtMostOnceCall): ForwardResult = ForwardResult.NotSent
 
-    override suspend fun toClaimer(claimer: Incarnation, call: OnceCall): Forwarded = Forwarded.NotSent
+    override suspend fun toClaimer(claimer: Incarnation, call: AtMostOnceCall): ForwardResult = ForwardResult.NotSent
 }
 
 /** An object service in memory. */
--- a/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/serving/CacheReaderTest.kt
+++ b/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/serving/CacheReaderTest.kt
@@ -29,10 +29,10 @@
 
 class CacheReaderTest {
     private val vertx = Vertx.vertx()
-    private val backEnds = BackEnds(vertx)
+    private val backEnds = BackEndClients(vertx)
     private val holder = ConfigurationHolder()
     private val clock = ManualClock()
-    private val reports = FleetReports(holder, FleetState(clock, RegionId("north"), ReportedColdStart { 1 }))
+    private val reports = FleetReports(holder, FleetState(clock, RegionId("north"), LocalColdStartGuard { 1 }))
     private val second = EndpointId("engine-1")
 
     @AfterEach
