--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/AdmissionGate.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/AdmissionGate.kt
@@ -16,88 +16,89 @@
 import org.parsleymoor.limits.QueuedRequest
 
 /**
- * Lets at most [capacity] requests of one model run at once; others wait in the fair queue. One lock guards its state
- * and is not held while a request waits.
+ * Runs at most [capacity] requests of one model at once; others wait in a fair queue. One lock guards the state and is
+ * not held while a request waits.
  */
 internal class AdmissionGate(private val clock: Clock, private val capacity: () -> Int) {
     private val lock = Any()
     private val waiters = HashMap<RequestId, CompletableDeferred<Unit>>()
-    private var limits = FairQueueLimits()
-    private var queue = FairQueue(limits)
+    private var queueLimits = FairQueueLimits()
+    private var queue = FairQueue(queueLimits)
     private var admission = AdmissionControl(queue)
     private var runningCount = 0
 
-    /** Requests that run now. */
+    /** Number of running requests. */
     val running: Int get() = synchronized(lock) { runningCount }
 
-    /** Requests that wait now. */
+    /** Number of waiting requests. */
     val queued: Int get() = synchronized(lock) { queue.size }
 
     /**
-     * Suspends until [request] may run; fails with a [Refusal] when a bound of the queue is reached or its deadline
-     * passes. The caller releases the place with [release].
+     * Suspends until [request] may run; fails with a [Refusal] when a limit of the queue is reached or the request's
+     * deadline passes. The caller must call [release] when the request has ended. [newLimits] replace the limits of the
+     * queue if they differ.
      */
-    suspend fun enter(request: QueuedRequest, bounds: FairQueueLimits) {
-        val turn = CompletableDeferred<Unit>()
-        var entered = false
+    suspend fun acquire(request: QueuedRequest, newLimits: FairQueueLimits) {
+        val admitted = CompletableDeferred<Unit>()
+        var acquired = false
         synchronized(lock) {
-            if (bounds != limits) resize(bounds)
+            if (newLimits != queueLimits) applyLimits(newLimits)
             admission.offer(request, clock.nowMillis()).getOrElse { throw refusal(it) }
-            waiters[request.request] = turn
+            waiters[request.request] = admitted
         }
         try {
             admitWaiting()
-            withTimeoutOrNull(request.deadlineMillis - clock.nowMillis()) { turn.await() } ?: throw expired()
-            entered = true
+            withTimeoutOrNull(request.deadlineMillis - clock.nowMillis()) { admitted.await() } ?: throw expired()
+            acquired = true
         } finally {
-            if (!entered) abandon(request.request, turn)
+            if (!acquired) cancelWaiting(request.request, admitted)
         }
     }
 
-    /** Gives a place back. */
+    /** Ends a running request and admits the next one. */
     fun release() {
         synchronized(lock) { runningCount-- }
         admitWaiting()
     }
 
-    /** Starts waiting requests while there is room; called when capacity may have grown. */
+    /** Admits waiting requests up to the current capacity; called when the capacity may have grown. */
     fun admitWaiting() {
-        val room = capacity()
+        val limit = capacity()
         synchronized(lock) {
-            var next = nextWithin(room)
+            var next = nextWithin(limit)
             while (next != null) {
                 waiters.remove(next.request)?.let { waiter ->
                     runningCount++
                     waiter.complete(Unit)
                 }
-                next = nextWithin(room)
+                next = nextWithin(limit)
             }
         }
     }
 
-    private fun nextWithin(room: Int): QueuedRequest? =
-        if (runningCount < room) admission.next(clock.nowMillis()) else null
+    private fun nextWithin(limit: Int): QueuedRequest? =
+        if (runningCount < limit) admission.next(clock.nowMillis()) else null
 
-    private fun abandon(request: RequestId, turn: CompletableDeferred<Unit>) {
+    private fun cancelWaiting(request: RequestId, admitted: CompletableDeferred<Unit>) {
         val wasAdmitted = synchronized(lock) {
             queue.cancel(request)
             waiters.remove(request)
-            turn.isCompleted
+            admitted.isCompleted
         }
         if (wasAdmitted) release()
     }
 
-    private fun resize(bounds: FairQueueLimits) {
-        val moved = generateSequence { queue.poll(clock.nowMillis()) }.toList()
-        limits = bounds
-        queue = FairQueue(bounds)
+    private fun applyLimits(newLimits: FairQueueLimits) {
+        val waiting = generateSequence { queue.poll(clock.nowMillis()) }.toList()
+        queueLimits = newLimits
+        queue = FairQueue(newLimits)
         admission = AdmissionControl(queue)
-        moved.forEach { item -> queue.offer(item).getOrElse { refuseWaiting(item, it) } }
+        waiting.forEach { item -> queue.offer(item).getOrElse { refuseWaiting(item, it) } }
     }
 
     private fun refuseWaiting(item: QueuedRequest, cause: Failure) {
         waiters.remove(item.request)?.completeExceptionally(
-            Refusal(RefusalKind.OVERLOADED, cause.message, retryAfterMillis = RETRY_MILLIS).toException(),
+            Refusal(RefusalKind.OVERLOADED, cause.message, retryAfterMillis = RETRY_AFTER_MILLIS).toException(),
         )
     }
 
@@ -106,11 +107,11 @@
 
     private fun expired(): FailureException = Refusal(
         RefusalKind.DEADLINE_PASSED,
-        "expected a free engine before the deadline, found $queued requests waiting",
-        retryAfterMillis = RETRY_MILLIS,
+        "no engine became free before the deadline; $queued requests are waiting",
+        retryAfterMillis = RETRY_AFTER_MILLIS,
     ).toException()
 
     private companion object {
-        const val RETRY_MILLIS = 1_000L
+        const val RETRY_AFTER_MILLIS = 1_000L
     }
 }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/AtMostOnceCallFactory.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/AtMostOnceCallFactory.kt
@@ -14,13 +14,19 @@
 import java.security.MessageDigest
 import java.util.HexFormat
 
-/** Makes calls that [runner] sends at most once. */
+/** Creates calls that [runner] sends at most once. */
 internal class AtMostOnceCallFactory(private val runner: ServiceRunner) {
-    /** Returns [call] under [key]; it is sent at most once whatever its group says. */
+    /** Returns [call] with [key]; it is sent at most once even if its service group is declared repeatable. */
     fun of(organisation: OrganisationId, key: String, call: ServiceGroupCall): AtMostOnceCall {
-        val once = ServiceGroupCall(call.request, call.group, call.serviceCall.once(), call.deadlineMillis, call.span)
-        val keyed = KeyedCall(call.request, organisation, key, fingerprint(once))
-        return AtMostOnceCall(keyed, once) { outcome(runner.run(once)) }
+        val singleAttempt = ServiceGroupCall(
+            call.request,
+            call.group,
+            call.serviceCall.notRepeatable(),
+            call.deadlineMillis,
+            call.span,
+        )
+        val keyed = KeyedCall(call.request, organisation, key, fingerprint(singleAttempt))
+        return AtMostOnceCall(keyed, singleAttempt) { outcome(runner.run(singleAttempt)) }
     }
 
     private fun outcome(result: Result<ServiceAnswer, Refusal>): RunOutcome = result.mapBoth(
@@ -35,13 +41,13 @@
     }
 }
 
-/** Returns the response as it goes to a caller. */
+/** Converts the response to the answer for a caller. */
 internal fun ServiceResponse.toAnswer() =
     ServiceAnswer(status, listOfNotNull(contentType.ifEmpty { null }?.let { HeaderField(CONTENT_TYPE, it) }), body)
 
 private const val CONTENT_TYPE = "Content-Type"
 
-private fun ServiceCall.once() = ServiceCall(method, path, headers, body, repeatable = false)
+private fun ServiceCall.notRepeatable() = ServiceCall(method, path, headers, body, repeatable = false)
 
 private fun ServiceAnswer.contentType(): String =
     headers.firstOrNull { it.name.equals(CONTENT_TYPE, ignoreCase = true) }?.value.orEmpty()
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/AttemptErrors.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/AttemptErrors.kt
@@ -3,7 +3,7 @@
 import org.parsleymoor.clients.BackEndFailure
 import org.parsleymoor.execution.AttemptError
 
-/** How an attempt with this failure ended, for the retry rules. */
+/** The error that the retry rules see for this failure. */
 internal val BackEndFailure.attemptError: AttemptError
     get() = when (this) {
         is BackEndFailure.NotConnected -> AttemptError.NOT_CONNECTED
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/BackEndClients.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/BackEndClients.kt
@@ -13,45 +13,48 @@
 import org.parsleymoor.configuration.EndpointKind
 import java.util.concurrent.ConcurrentHashMap
 
-/** Decides how an engine is reached, for example through a gateway of its region; `direct` goes to its address. */
+/**
+ * Selects the client for an engine, for example one that goes through a gateway of the engine's region. `direct` calls
+ * the engine's own address.
+ */
 internal fun interface EngineRouter {
     fun route(endpoint: EndpointDeclaration, direct: EngineClient): EngineClient
 }
 
-/** The clients of the endpoints, one for each address. */
+/** The clients of the declared endpoints, one per address. */
 internal class BackEndClients(
     private val vertx: Vertx,
-    private val route: EngineRouter = EngineRouter { _, direct -> direct },
+    private val router: EngineRouter = EngineRouter { _, direct -> direct },
 ) : AutoCloseable {
     private val engines = ConcurrentHashMap<String, VertxEngineClient>()
     private val stores = ConcurrentHashMap<String, VertxStoreClient>()
     private val services = ConcurrentHashMap<String, VertxServiceClient>()
 
-    /** The client of an engine's own address. */
+    /** Returns the client that calls an engine's own address. */
     fun direct(endpoint: EndpointDeclaration): EngineClient =
         engines.computeIfAbsent(endpoint.address) { VertxEngineClient(vertx, HttpAddress.parse(it)) }
 
-    /** The client that new work for an engine goes through. */
-    fun engine(endpoint: EndpointDeclaration): EngineClient = route.route(endpoint, direct(endpoint))
+    /** Returns the client for new requests to an engine, which the router may send through another gateway. */
+    fun engine(endpoint: EndpointDeclaration): EngineClient = router.route(endpoint, direct(endpoint))
 
-    /** The client of a KV cache store. */
+    /** Returns the client of a KV cache store. */
     fun store(endpoint: EndpointDeclaration): StoreClient =
         stores.computeIfAbsent(endpoint.address) {
-            VertxStoreClient(vertx, HttpAddress.parse(it), STORE_CALL_MILLIS)
+            VertxStoreClient(vertx, HttpAddress.parse(it), STORE_TIMEOUT_MILLIS)
         }
 
-    /** The client of an endpoint that holds blocks; null for an application replica, which holds none. */
+    /** Returns the cache client of an endpoint; null for a service replica, which holds no blocks. */
     fun cache(endpoint: EndpointDeclaration): CacheClient? = when (endpoint.kind) {
         EndpointKind.ENGINE -> direct(endpoint)
         EndpointKind.STORE -> store(endpoint)
         EndpointKind.SERVICE -> null
     }
 
-    /** The client of an application replica. */
+    /** Returns the client of a service replica. */
     fun service(endpoint: EndpointDeclaration): ServiceClient =
         services.computeIfAbsent(endpoint.address) { VertxServiceClient(vertx, HttpAddress.parse(it)) }
 
-    /** Closes the clients of addresses that are no longer declared. */
+    /** Closes all clients except those of [addresses]. */
     fun retain(addresses: Set<String>) {
         engines.keys.filter { it !in addresses }.forEach { engines.remove(it)?.close() }
         stores.keys.filter { it !in addresses }.forEach { stores.remove(it)?.close() }
@@ -63,7 +66,7 @@
     }
 
     private companion object {
-        // A silent store is noticed within a few reports and does not hold up those of the others.
-        const val STORE_CALL_MILLIS = 1_000L
+        // Short, so that an unresponsive store is noticed within a few polls and does not delay those of other stores.
+        const val STORE_TIMEOUT_MILLIS = 1_000L
     }
 }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/BlockExporter.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/BlockExporter.kt
@@ -19,9 +19,10 @@
 import java.util.concurrent.ConcurrentHashMap
 
 /**
- * Orders engines to export blocks to a store of their region, soon after a block is stored, since an engine does not
- * say beforehand what it evicts. Every gateway follows the events of every engine, so that another one can take over,
- * but only the one that [leads] an engine orders exports. An engine runs one export at a time.
+ * Instructs engines to export blocks to a KV cache store of their region. A block is exported soon after the engine
+ * stored it, because engines do not announce evictions in advance. Every gateway follows the cache events of every
+ * engine, so that it can take over, but only the leader of an engine starts exports. An engine runs one export at a
+ * time.
  */
 internal class BlockExporter(
     private val dependencies: ServingDependencies,
@@ -30,39 +31,39 @@
     private val leadership: CacheLeadership,
 ) {
     private val metrics = StoreMetrics(dependencies.metrics.registry)
-    private val lanes = ConcurrentHashMap<EndpointId, EngineExportQueue>()
-    private val pauses = ExportBackoff()
-    private val running = Semaphore(CONCURRENT_EXPORTS)
+    private val queues = ConcurrentHashMap<EndpointId, EngineExportQueue>()
+    private val backoff = ExportBackoff()
+    private val permits = Semaphore(CONCURRENT_EXPORTS)
 
-    /** Takes in the cache events of [engine]. */
+    /** Records the cache events of [engine]. */
     fun acceptChanges(engine: EndpointId, changes: List<CacheChange>) {
-        lane(engine).accept(changes)
+        queue(engine).accept(changes)
         val stored = changes.filterIsInstance<CacheChange.Stored>().map { it.piece }
         retention.stored(stored, dependencies.clock.nowMillis())
     }
 
-    /** Starts the exports that are due, without waiting for them. */
+    /** Starts the due exports in the background. */
     fun startDueExports(view: ServingView) {
         val engines = view.endpoints(EndpointKind.ENGINE)
-        lanes.keys.retainAll(engines.map { it.name }.toSet())
-        engines.forEach { engine -> start(engine, view) }
+        queues.keys.retainAll(engines.map { it.name }.toSet())
+        engines.forEach { engine -> startExport(engine, view) }
     }
 
-    private fun lane(engine: EndpointId) = lanes.computeIfAbsent(engine) { EngineExportQueue() }
+    private fun queue(engine: EndpointId) = queues.computeIfAbsent(engine) { EngineExportQueue() }
 
-    private fun start(engine: EndpointDeclaration, view: ServingView) {
-        val stores = view.storesNear(engine)
-        val store = target(engine, stores, view) ?: return
-        val holders = stores.map { it.name }.toSet()
-        val batch = lane(engine.name).takeBatch(BATCH) { isHeld(it, holders) }
+    private fun startExport(engine: EndpointDeclaration, view: ServingView) {
+        val stores = view.storesInRegionOf(engine)
+        val store = targetStore(engine, stores, view) ?: return
+        val storeIds = stores.map { it.name }.toSet()
+        val batch = queue(engine.name).takeBatch(BATCH_SIZE) { isHeld(it, storeIds) }
         if (batch.isEmpty()) return
-        val wanted = retention.selectForExport(engine.name, store.name, batch, dependencies.clock.nowMillis())
+        val selected = retention.selectForExport(engine.name, store.name, batch, dependencies.clock.nowMillis())
         dependencies.background.launch {
-            var again = wanted
+            var retry = selected
             try {
-                if (wanted.isNotEmpty()) running.withPermit { again = export(engine, store, wanted) }
+                if (selected.isNotEmpty()) permits.withPermit { retry = export(engine, store, selected) }
             } finally {
-                lane(engine.name).finishBatch(again)
+                queue(engine.name).finishBatch(retry)
             }
         }
     }
@@ -70,8 +71,8 @@
     private fun isHeld(piece: PieceHash, stores: Set<EndpointId>): Boolean =
         synchronized(state.lock) { state.directory.holdersOf(piece).any { it in stores } }
 
-    /** The store for blocks of [engine]; null when another gateway leads the engine or no store takes blocks now. */
-    private fun target(
+    /** Returns the store to export to; null if another gateway leads [engine] or no store accepts blocks. */
+    private fun targetStore(
         engine: EndpointDeclaration,
         stores: List<EndpointDeclaration>,
         view: ServingView,
@@ -80,7 +81,7 @@
         if (region == null || !leadership.isLeader(region, engine.name)) return null
         val nowMillis = dependencies.clock.nowMillis()
         val usable = stores.filter { view.takesNewWork(it.name) && hasRoom(it.name) }
-            .filterNot { pauses.isPaused(it.name, nowMillis) }
+            .filterNot { backoff.isPaused(it.name, nowMillis) }
         return rendezvousOrder(engine.name.value, usable) { it.name.value }.firstOrNull()
     }
 
@@ -90,7 +91,7 @@
             load.memoryBytes + load.diskBytes < load.memoryCapacityBytes + load.diskCapacityBytes
     }
 
-    /** Returns the pieces to try again. */
+    /** Exports [pieces] and returns those to retry. */
     private suspend fun export(
         engine: EndpointDeclaration,
         store: EndpointDeclaration,
@@ -98,17 +99,20 @@
     ): List<PieceHash> {
         val transfer = TransferRequest(store.address, pieces.map { TransferPiece(it.toString()) })
         return dependencies.backEnds.direct(engine).export(transfer).mapBoth(
-            { exported(engine.name, store.name, pieces, it) },
+            { exportFinished(engine.name, store.name, pieces, it) },
             {
                 metrics.exportFailed(TransferFailureReason.of(it), pieces.size)
-                pauses.failed(store.name, dependencies.clock.nowMillis())
+                backoff.failed(store.name, dependencies.clock.nowMillis())
                 pieces
             },
         )
     }
 
-    /** A store that took nothing is full or does not answer the engine; without a pause it would be asked for ever. */
-    private fun exported(
+    /**
+     * Records the result of an export and returns the pieces to retry. A store that copied nothing is full or
+     * unreachable for the engine; the backoff keeps exports to it from being repeated without end.
+     */
+    private fun exportFinished(
         engine: EndpointId,
         store: EndpointId,
         pieces: List<PieceHash>,
@@ -116,7 +120,7 @@
     ): List<PieceHash> {
         metrics.exported(result.copied.size, result.bytes)
         metrics.exportFailed(TransferFailureReason.BLOCK, pieces.size - result.copied.size)
-        if (result.copied.isEmpty()) pauses.failed(store, dependencies.clock.nowMillis()) else pauses.succeeded(store)
+        if (result.copied.isEmpty()) backoff.failed(store, dependencies.clock.nowMillis()) else backoff.succeeded(store)
         val copied = result.copied.map { it.piece }.toSet()
         val missing = pieces.filter { it.toString() !in copied }
         return synchronized(state.lock) { missing.filter { engine in state.directory.holdersOf(it) } }
@@ -124,9 +128,9 @@
 
     private companion object {
         const val CONCURRENT_EXPORTS = 4
-        const val BATCH = 8
+        const val BATCH_SIZE = 8
     }
 }
 
-private fun ServingView.storesNear(engine: EndpointDeclaration): List<EndpointDeclaration> =
+private fun ServingView.storesInRegionOf(engine: EndpointDeclaration): List<EndpointDeclaration> =
     endpoints(EndpointKind.STORE).filter { regionOf(it.zone) == regionOf(engine.zone) }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/CacheReader.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/CacheReader.kt
@@ -15,24 +15,27 @@
 import org.parsleymoor.context.SequencedChange
 import org.parsleymoor.gateway.ConfigurationHolder
 
-/** Reads the cache events of engines and stores, and the snapshots that the directory asks for. */
+/** Reads the cache events of engines and stores, and the snapshots that the cache directory requests. */
 internal class CacheReader(
     private val configuration: ConfigurationHolder,
     private val backEnds: BackEndClients,
     private val reports: FleetReports,
 ) {
-    /** Takes in the events of [endpoint] since the last call and returns what they say. */
+    /** Applies the events of [endpoint] since the last call to the directory and returns the changes. */
     suspend fun read(endpoint: EndpointDeclaration): List<CacheChange> {
         var changes = emptyList<SequencedChange>()
         backEnds.cache(endpoint)?.cacheEvents(reports.cacheSequence(endpoint.name))?.onSuccess { page ->
-            changes = page.events.mapNotNull { endpoint.change(it) }
+            changes = page.events.mapNotNull { endpoint.toSequencedChange(it) }
             val report = CacheReport.Changes(endpoint.name, page.startCount, page.newestSequence, changes)
             reports.report(report).forEach { fetch(it) }
         }
         return changes.map { it.change }
     }
 
-    /** The directory may ask for another source than the one that has just reported, such as after a lost snapshot. */
+    /**
+     * Fetches the snapshot that the directory requests. Its source may differ from the endpoint that has just reported,
+     * for example after a lost snapshot.
+     */
     private suspend fun fetch(action: DirectoryAction) {
         val endpoint = configuration.current?.endpoint(action.source) ?: return
         backEnds.cache(endpoint)?.cacheSnapshot()?.onSuccess { snapshot ->
@@ -43,7 +46,7 @@
         }
     }
 
-    private fun EndpointDeclaration.change(event: CacheEvent): SequencedChange? =
+    private fun EndpointDeclaration.toSequencedChange(event: CacheEvent): SequencedChange? =
         PieceHash.parse(event.piece)?.let { hash ->
             val change = when (event.kind) {
                 CacheEventKind.STORED -> CacheChange.Stored(hash, cacheTier(event.tier), event.generation)
@@ -56,6 +59,6 @@
         if (kind == EndpointKind.ENGINE) CacheTier.ENGINE else cacheTierOf(tier)
 }
 
-/** The tier of a store's block as the directory has it. */
+/** Returns the directory's tier for a block that a store holds in [tier]. */
 internal fun cacheTierOf(tier: BlockTier): CacheTier =
     if (tier == BlockTier.DISK) CacheTier.STORE_DISK else CacheTier.STORE_MEMORY
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/ChooseWithRetry.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/ChooseWithRetry.kt
@@ -8,8 +8,8 @@
 import org.parsleymoor.placement.Placement
 
 /**
- * Chooses an engine and suspends up to [waitMillis] for one: another gateway may have taken the slot that the request
- * was admitted for, and the engines that can take over a broken stream may be full for a moment.
+ * Chooses an engine, and retries for up to [waitMillis] while none is available: another gateway may have taken the
+ * slot that the request was admitted for, and the engines that can resume a broken stream may be full for a moment.
  */
 internal suspend fun EngineChooser.chooseWithRetry(
     requirements: EngineRequirements,
@@ -17,13 +17,13 @@
     clock: Clock,
     waitMillis: Long = 2_000,
 ): Result<Placement, NoEngineAvailable> {
-    val lastMillis = clock.nowMillis() + waitMillis
+    val giveUpMillis = clock.nowMillis() + waitMillis
     var placement = choose(requirements, attempt)
-    while (placement.isErr && clock.nowMillis() < lastMillis) {
-        delay(RETRY_MILLIS)
+    while (placement.isErr && clock.nowMillis() < giveUpMillis) {
+        delay(RETRY_INTERVAL_MILLIS)
         placement = choose(requirements, attempt)
     }
     return placement
 }
 
-private const val RETRY_MILLIS = 50L
+private const val RETRY_INTERVAL_MILLIS = 50L
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/CompletionAttempts.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/CompletionAttempts.kt
@@ -30,7 +30,7 @@
 import org.parsleymoor.placement.Placement
 import kotlin.coroutines.cancellation.CancellationException
 
-/** The attempts of one completion. */
+/** Runs the attempts of one completion. */
 internal class CompletionAttempts(
     private val dependencies: ServingDependencies,
     private val chooser: EngineChooser,
@@ -39,38 +39,38 @@
     private val sink: CompletionSink,
 ) {
     private val assembler = StreamAssembler()
-    private val machine = AttemptTracker(
+    private val tracker = AttemptTracker(
         call.request,
         RetryRules.COMPLETION_REPEATABLE,
         call.deadlineMillis,
-        dependencies.budget,
+        dependencies.retryBudget,
         dependencies.streams.maximumAttempts,
     )
     private var inFlight = false
     private var lastFailure: Failure? = null
 
-    /** What is known about the request now. */
-    val execution: Execution get() = if (inFlight) Execution.Unknown else machine.execution
+    /** What is currently known about the execution of the request. */
+    val execution: Execution get() = if (inFlight) Execution.Unknown else tracker.execution
 
-    /** Tries engines until the answer is whole; fails with a [Refusal] when the rules allow no further attempt. */
+    /** Tries engines until the answer is complete; fails with a [Refusal] when no further attempt is allowed. */
     suspend fun run() {
-        dependencies.budget.firstAttempt(dependencies.clock.nowMillis())
+        dependencies.retryBudget.firstAttempt(dependencies.clock.nowMillis())
         var action: AttemptAction? = AttemptAction.TryElsewhere(emptySet())
         while (action != null) {
             action = when (action) {
                 is AttemptAction.TryElsewhere -> tryElsewhere(action.avoid)
-                is AttemptAction.TryFreshConnection -> tryAgain(action.endpoint)
+                is AttemptAction.TryFreshConnection -> tryFreshConnection(action.endpoint)
                 is AttemptAction.GiveUp -> throw refusal(action).toException()
             }
         }
     }
 
     private suspend fun tryElsewhere(avoid: Set<EndpointId>): AttemptAction? {
-        val attempt = machine.nextAttempt()
+        val attempt = tracker.nextAttempt()
         val requirements = call.requirements(avoid)
         val placement = chooser.chooseWithRetry(requirements, attempt, dependencies.clock).getOrElse {
             lastFailure = lastFailure ?: it
-            return machine.noEndpoint()
+            return tracker.noEndpoint()
         }
         val reason = "estimated ${placement.estimate.totalMillis.toLong()} ms, " +
             "${placement.recomputedPieces} of ${call.promptHashes.pieces.size} pieces to recompute"
@@ -78,13 +78,13 @@
         return attempt(Target(placement.endpoint, attempt, placement))
     }
 
-    private suspend fun tryAgain(endpoint: EndpointId): AttemptAction? {
-        val attempt = machine.nextAttempt()
+    private suspend fun tryFreshConnection(endpoint: EndpointId): AttemptAction? {
+        val attempt = tracker.nextAttempt()
         chooser.recordRetry(endpoint, call.requirements(emptySet()), attempt)
         return attempt(Target(endpoint, attempt, null))
     }
 
-    /** Runs one attempt; returns null when the answer is whole. */
+    /** Runs one attempt; returns null when the answer is complete. */
     private suspend fun attempt(target: Target): AttemptAction? {
         val span = dependencies.tracing.hop("generate", target.endpoint.value, call.span)
         val failure = try {
@@ -107,8 +107,9 @@
         inFlight = true
         val reader = AttemptReader(target)
         return try {
-            val silenceMillis = dependencies.streams.silenceMillis + SLACK * target.estimateMillis.toLong()
-            engine.generate(generateRequest(target, resume, span), silenceMillis).collect { reader.take(it) }
+            val silenceMillis =
+                dependencies.streams.silenceMillis + SILENCE_ESTIMATE_FACTOR * target.estimateMillis.toLong()
+            engine.generate(generateRequest(target, resume, span), silenceMillis).collect { reader.accept(it) }
             null
         } catch (cause: FailureException) {
             cause.failure.also {
@@ -146,7 +147,7 @@
         traceParent = dependencies.tracing.header(span),
     )
 
-    /** An abandoned attempt is cancelled by name too, because a silent connection does not carry its own end. */
+    /** Also cancels an abandoned attempt by its id, because a silent connection may not deliver its closure. */
     private fun cancelAtEngine(engine: EngineClient, target: Target, failure: Failure?) {
         val neverRan = failure is BackEndFailure && !failure.mayHaveRun
         if (!neverRan) dependencies.background.launch { engine.cancel(target.attempt) }
@@ -158,12 +159,12 @@
         if ((failure as? BackEndFailure.Refused)?.refusal?.reason == EngineRefusalReason.COLD) {
             chooser.refusedAsCold(target.endpoint)
         }
-        val end = (failure as? BackEndFailure)?.attemptError ?: AttemptError.BROKEN
-        val action = machine.failed(target.endpoint, end, dependencies.clock.nowMillis())
+        val error = (failure as? BackEndFailure)?.attemptError ?: AttemptError.BROKEN
+        val next = tracker.failed(target.endpoint, error, dependencies.clock.nowMillis())
         inFlight = false
-        if (action !is AttemptAction.GiveUp) dependencies.metrics.retried(end.name.lowercase())
-        if (end != AttemptError.REFUSED && action !is AttemptAction.TryFreshConnection) chooser.suspect(target.endpoint)
-        return action
+        if (next !is AttemptAction.GiveUp) dependencies.metrics.retried(error.name.lowercase())
+        if (error != AttemptError.REFUSED && next !is AttemptAction.TryFreshConnection) chooser.suspect(target.endpoint)
+        return next
     }
 
     private fun refusal(action: AttemptAction.GiveUp): Refusal {
@@ -175,22 +176,22 @@
                 if (action.execution == Execution.NotRun) RefusalKind.NO_ENDPOINT else RefusalKind.ENDPOINT_FAILED
         }
         val detail = "${action.cause.name.lowercase()}: ${lastFailure?.message.orEmpty()}"
-        return Refusal(kind, detail, action.execution, RETRY_MILLIS)
+        return Refusal(kind, detail, action.execution, RETRY_AFTER_MILLIS)
     }
 
-    /** An attempt that begins now; [placement] is null when an engine is tried again. */
+    /** An attempt that starts now; [placement] is null when the same engine is retried. */
     private inner class Target(val endpoint: EndpointId, val attempt: AttemptId, val placement: Placement?) {
-        val beganMillis = dependencies.clock.nowMillis()
+        val startMillis = dependencies.clock.nowMillis()
         val estimateMillis: Double get() = placement?.estimate?.totalMillis ?: 0.0
     }
 
-    /** Takes the events of one attempt; throws a [FailureException] that ends it. */
+    /** Processes the events of one attempt; throws a [FailureException] to end it. */
     private inner class AttemptReader(private val target: Target) {
-        private var awaitsFirstToken = true
-        private var startedMillis = 0L
+        private var awaitingFirstToken = true
+        private var prefillStartMillis = 0L
         private var prefillTokens = 0L
 
-        suspend fun take(event: EngineEvent) {
+        suspend fun accept(event: EngineEvent) {
             when (event) {
                 is EngineEvent.Started -> if (event.attempt == target.attempt) started(event)
                 is EngineEvent.Token -> handle(StreamChunk.Token(event.attempt, event.sequence, event.text))
@@ -199,7 +200,7 @@
         }
 
         private fun started(event: EngineEvent.Started) {
-            startedMillis = dependencies.clock.nowMillis()
+            prefillStartMillis = dependencies.clock.nowMillis()
             prefillTokens = event.recomputedPieces.toLong() * PromptHashes.PIECE_TOKENS
             chooser.started(target.endpoint, event.startCount)
             dependencies.metrics.context(event.cachedPieces, event.recomputedPieces)
@@ -215,17 +216,17 @@
         }
 
         private suspend fun handle(chunk: StreamChunk) {
-            when (val verdict = assembler.accept(chunk)) {
-                is ChunkResult.Deliver -> deliver(verdict.text)
-                is ChunkResult.Complete -> complete(verdict)
-                is ChunkResult.Dropped -> dependencies.metrics.dropped(verdict.cause.name.lowercase())
-                is ChunkResult.Invalid -> throw FailureException(verdict.failure)
+            when (val result = assembler.accept(chunk)) {
+                is ChunkResult.Deliver -> deliver(result.text)
+                is ChunkResult.Complete -> complete(result)
+                is ChunkResult.Dropped -> dependencies.metrics.dropped(result.cause.name.lowercase())
+                is ChunkResult.Invalid -> throw FailureException(result.failure)
             }
         }
 
         private suspend fun deliver(text: String) {
-            if (awaitsFirstToken) {
-                awaitsFirstToken = false
+            if (awaitingFirstToken) {
+                awaitingFirstToken = false
                 firstToken()
             }
             sink.text(text)
@@ -235,34 +236,34 @@
             val now = dependencies.clock.nowMillis()
             val estimate = maxOf(target.estimateMillis, 1.0)
             val timing = FirstTokenTiming(
-                observedMillis = now - target.beganMillis,
+                observedMillis = now - target.startMillis,
                 estimatedMillis = target.estimateMillis,
                 prefillTokens = prefillTokens,
-                prefillMillis = now - startedMillis,
+                prefillMillis = now - prefillStartMillis,
             )
             chooser.firstToken(target.endpoint, target.attempt, timing)
             dependencies.metrics.firstToken(
                 call.model.name,
                 now - call.requestContext.receivedMillis,
-                (now - target.beganMillis) / estimate
+                (now - target.startMillis) / estimate
             )
         }
 
-        private suspend fun complete(verdict: ChunkResult.Complete) {
+        private suspend fun complete(result: ChunkResult.Complete) {
             inFlight = false
             dependencies.records.add(
                 call.request,
                 RequestStepKind.FINISHED,
                 target.endpoint.value,
-                "${verdict.tokens} tokens",
+                "${result.tokens} tokens",
             )
-            sink.complete(verdict.reason, verdict.tokens)
+            sink.complete(result.reason, result.tokens)
         }
     }
 
     private companion object {
-        const val SLACK = 2L
-        const val RETRY_MILLIS = 1_000L
+        const val SILENCE_ESTIMATE_FACTOR = 2L
+        const val RETRY_AFTER_MILLIS = 1_000L
     }
 }
 
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/CompletionCall.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/CompletionCall.kt
@@ -7,7 +7,7 @@
 import org.parsleymoor.context.PromptHashes
 import org.parsleymoor.core.RequestId
 
-/** Who asks, and the [span] that the request's hops belong to. */
+/** The identity of a caller's request, and the tracing [span] that is the parent of its hops. */
 internal class RequestContext(
     val request: RequestId,
     val organisation: OrganisationDeclaration,
@@ -15,7 +15,7 @@
     val span: Span,
 )
 
-/** A completion to run. The weight version is that of [model] when the request was received. */
+/** A completion to run, with the weight version that [model] had when the request was received. */
 internal class CompletionCall(
     val requestContext: RequestContext,
     val model: ModelDeclaration,
@@ -28,15 +28,15 @@
     val organisation: OrganisationDeclaration get() = requestContext.organisation
     val span: Span get() = requestContext.span
 
-    /** When the request is given up, in milliseconds since the epoch. */
+    /** The deadline of the request, in milliseconds since the epoch. */
     val deadlineMillis: Long get() = requestContext.receivedMillis + limits.requestDeadlineMillis
 }
 
-/** Takes the parts of one whole answer, in order. Both functions suspend while the caller does not read. */
+/** Receives the parts of one answer in order. Both functions suspend while the caller does not read. */
 internal interface CompletionSink {
-    /** The next text. */
+    /** Sends the next part of the text. */
     suspend fun text(text: String)
 
-    /** The answer is whole. */
+    /** Ends the answer, which is complete. */
     suspend fun complete(finishReason: String, tokens: Int)
 }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/CompletionRunner.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/CompletionRunner.kt
@@ -19,14 +19,22 @@
     private val gates = ConcurrentHashMap<ModelId, AdmissionGate>()
 
     /**
-     * Runs [call] and hands its answer to [sink]. Suspends until the answer is whole; fails with a [Refusal] otherwise.
-     * A cancellation stops the attempt at the engine.
+     * Runs [call] and sends its answer to [sink]. Suspends until the answer is complete; fails with a [Refusal]
+     * otherwise. Cancellation also cancels the attempt at the engine.
      */
     suspend fun run(call: CompletionCall, sink: CompletionSink) {
         val gate = gate(call.model.name)
-        gate.enter(queued(call), FairQueueLimits(call.limits.queueLength, call.limits.queueLengthPerOrganisation))
+        gate.acquire(
+            queuedRequest(call),
+            FairQueueLimits(call.limits.queueLength, call.limits.queueLengthPerOrganisation),
+        )
         try {
-            dependencies.records.add(call.request, RequestStepKind.ADMITTED, call.model.name.value, "there is room")
+            dependencies.records.add(
+                call.request,
+                RequestStepKind.ADMITTED,
+                call.model.name.value,
+                "capacity is available",
+            )
             val attempts = CompletionAttempts(dependencies, chooser, imports, call, sink)
             withTimeoutOrNull(call.deadlineMillis - dependencies.clock.nowMillis()) { attempts.run() }
                 ?: throw deadlinePassed(call, attempts).toException()
@@ -35,18 +43,18 @@
         }
     }
 
-    /** Starts waiting requests for which there may be room now. */
+    /** Admits waiting requests for which capacity may have become available. */
     fun admitWaiting() {
         gates.values.forEach { it.admitWaiting() }
     }
 
-    /** The requests that run and wait, by model. */
+    /** The numbers of running and waiting requests of each model. */
     fun traffic(): List<ModelTraffic> = gates.map { ModelTraffic(it.key, it.value.running, it.value.queued) }
 
     private fun gate(model: ModelId): AdmissionGate =
         gates.computeIfAbsent(model) { AdmissionGate(dependencies.clock) { chooser.capacity(model) } }
 
-    private fun queued(call: CompletionCall) = QueuedRequest(
+    private fun queuedRequest(call: CompletionCall) = QueuedRequest(
         request = call.request,
         organisation = call.organisation.name,
         tokens = (call.prompt.length / BYTES_PER_TOKEN + call.maximumTokens).toLong(),
@@ -57,7 +65,7 @@
 
     private fun deadlinePassed(call: CompletionCall, attempts: CompletionAttempts) = Refusal(
         RefusalKind.DEADLINE_PASSED,
-        "expected a whole answer within ${call.limits.requestDeadlineMillis} ms",
+        "the answer was not complete within ${call.limits.requestDeadlineMillis} ms",
         attempts.execution,
     )
 
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/EndpointPolling.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/EndpointPolling.kt
@@ -10,18 +10,18 @@
 import org.parsleymoor.gateway.ConfigurationHolder
 
 /**
- * Calls [observe] for every declared endpoint of [kind] every [intervalMillis], for 32 endpoints at a time, until it is
- * cancelled.
+ * Calls [poll] for every declared endpoint of [kind], at most 32 at a time, and repeats this after [intervalMillis]
+ * until it is cancelled.
  */
 internal suspend fun ConfigurationHolder.pollEndpoints(
     kind: EndpointKind,
     intervalMillis: Long,
-    observe: suspend (EndpointDeclaration) -> Unit,
+    poll: suspend (EndpointDeclaration) -> Unit,
 ) {
     val calls = Semaphore(CONCURRENT_CALLS)
     while (true) {
         coroutineScope {
-            current?.endpoints(kind).orEmpty().forEach { launch { calls.withPermit { observe(it) } } }
+            current?.endpoints(kind).orEmpty().forEach { launch { calls.withPermit { poll(it) } } }
         }
         delay(intervalMillis)
     }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/EngineChooser.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/EngineChooser.kt
@@ -9,7 +9,7 @@
 import org.parsleymoor.placement.NoEngineAvailable
 import org.parsleymoor.placement.Placement
 
-/** What a request needs of an engine; the engines in [avoid] have failed it. */
+/** What a request requires of an engine; attempts at the engines in [avoid] have failed. */
 internal data class EngineRequirements(
     val model: ModelId,
     val version: WeightVersion,
@@ -18,8 +18,9 @@
 )
 
 /**
- * The first token came [observedMillis] after the attempt began, where [estimatedMillis] had been expected. The engine
- * prefilled [prefillTokens] in the last [prefillMillis] of that time; 0 tokens when it did not say.
+ * The time to the first token of an attempt: [observedMillis] since the attempt started, and the [estimatedMillis] of
+ * its placement. The engine prefilled [prefillTokens] in the last [prefillMillis] of that time; the tokens are 0 if it
+ * did not report them.
  */
 internal data class FirstTokenTiming(
     val observedMillis: Long,
@@ -28,29 +29,29 @@
     val prefillMillis: Long,
 )
 
-/** Chooses engines and is told how attempts go. Functions return without waiting and are safe from any thread. */
+/** Chooses engines and tracks their attempts. Functions return without waiting and are thread-safe. */
 internal interface EngineChooser {
     /** Number of requests of [model] that the engines in service may run at once. */
     fun capacity(model: ModelId): Int
 
-    /** Chooses an engine for [requirements] and counts [attempt] there until [finished]. */
+    /** Chooses an engine that meets [requirements] and counts [attempt] there until [finished]. */
     fun choose(requirements: EngineRequirements, attempt: AttemptId): Result<Placement, NoEngineAvailable>
 
     /** Counts another attempt at an engine that was chosen before. */
     fun recordRetry(endpoint: EndpointId, requirements: EngineRequirements, attempt: AttemptId)
 
-    /** An engine began [attempt]; [startCount] is from the stream's header. */
+    /** Records that [endpoint] started an attempt; [startCount] is from the stream's header. */
     fun started(endpoint: EndpointId, startCount: Long)
 
-    /** The first token of [attempt] has come as [timing] says. */
+    /** Records the arrival of the first token of [attempt]. */
     fun firstToken(endpoint: EndpointId, attempt: AttemptId, timing: FirstTokenTiming)
 
-    /** [attempt] has ended. */
+    /** Records the end of [attempt]. */
     fun finished(attempt: AttemptId)
 
-    /** [endpoint] refused because it is cold. */
+    /** Records that [endpoint] refused an attempt because it is cold. */
     fun refusedAsCold(endpoint: EndpointId)
 
-    /** [endpoint] failed also over a new connection, or cannot be reached. */
+    /** Suspects [endpoint] of being down: it failed on a new connection too, or cannot be reached. */
     fun suspect(endpoint: EndpointId)
 }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/EngineExportQueue.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/EngineExportQueue.kt
@@ -3,12 +3,12 @@
 import org.parsleymoor.context.CacheChange
 import org.parsleymoor.context.PieceHash
 
-/** The blocks of one engine that no store may hold yet, in the order in which the engine stored them. */
+/** The blocks of one engine that may not be in any store yet, in the order in which the engine stored them. */
 internal class EngineExportQueue {
     private val waiting = LinkedHashSet<PieceHash>()
-    private var busy = false
+    private var exporting = false
 
-    /** Takes in what the engine reported. */
+    /** Applies the engine's cache events. */
     @Synchronized
     fun accept(changes: List<CacheChange>) {
         changes.forEach { change ->
@@ -17,31 +17,34 @@
                 is CacheChange.Evicted -> waiting -= change.piece
             }
         }
-        repeat(waiting.size - MAXIMUM_WAITING) { waiting.remove(waiting.first()) }
+        repeat(waiting.size - MAXIMUM_PIECES) { waiting.remove(waiting.first()) }
     }
 
-    /** Removes the pieces that [isDone] names, and then takes the first [count] unless an export is in progress. */
+    /**
+     * Drops the pieces for which [isStored] returns true and takes up to [count] of the others for an export.
+     * While an export is in progress, changes nothing and returns an empty list.
+     */
     @Synchronized
-    fun takeBatch(count: Int, isDone: (PieceHash) -> Boolean): List<PieceHash> {
-        if (busy) return emptyList()
-        waiting.removeIf(isDone)
+    fun takeBatch(count: Int, isStored: (PieceHash) -> Boolean): List<PieceHash> {
+        if (exporting) return emptyList()
+        waiting.removeIf(isStored)
         val batch = waiting.take(count)
         waiting -= batch.toSet()
-        busy = batch.isNotEmpty()
+        exporting = batch.isNotEmpty()
         return batch
     }
 
-    /** Ends an export; [again] are tried once more. */
+    /** Ends the export of a batch and puts the pieces in [retry] back at the front. */
     @Synchronized
-    fun finishBatch(again: List<PieceHash>) {
-        val later = waiting.toList()
+    fun finishBatch(retry: List<PieceHash>) {
+        val rest = waiting.toList()
         waiting.clear()
-        waiting += again
-        waiting += later
-        busy = false
+        waiting += retry
+        waiting += rest
+        exporting = false
     }
 
     private companion object {
-        const val MAXIMUM_WAITING = 10_000
+        const val MAXIMUM_PIECES = 10_000
     }
 }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/EnginePoller.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/EnginePoller.kt
@@ -7,7 +7,7 @@
 import org.parsleymoor.core.EndpointId
 import org.parsleymoor.gateway.ConfigurationHolder
 
-/** Reads load reports and cache events of the engines every [intervalMillis] until it is cancelled. */
+/** Polls the engines for load reports and cache events every [intervalMillis] until it is cancelled. */
 internal class EnginePoller(
     private val configuration: ConfigurationHolder,
     private val backEnds: BackEndClients,
@@ -16,11 +16,11 @@
     private val intervalMillis: Long = 500,
     private val onCacheChanges: (EndpointId, List<CacheChange>) -> Unit = { _, _ -> },
 ) {
-    private val caches = CacheReader(configuration, backEnds, reports)
+    private val cacheReader = CacheReader(configuration, backEnds, reports)
 
     suspend fun run(): Unit = configuration.pollEndpoints(EndpointKind.ENGINE, intervalMillis) { engine ->
         val requestedMillis = clock.nowMillis()
         backEnds.direct(engine).load().onSuccess { reports.report(engine.name, it, requestedMillis) }
-        onCacheChanges(engine.name, caches.read(engine))
+        onCacheChanges(engine.name, cacheReader.read(engine))
     }
 }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/ExportBackoff.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/ExportBackoff.kt
@@ -2,7 +2,7 @@
 
 import org.parsleymoor.core.EndpointId
 
-/** Holds back exports to stores that took nothing; each failure in a row doubles the pause. Safe from any thread. */
+/** Pauses exports to stores that copied nothing; each consecutive failure doubles the pause. Thread-safe. */
 internal class ExportBackoff {
     private val pauses = HashMap<EndpointId, Pause>()
 
@@ -10,14 +10,15 @@
     fun isPaused(store: EndpointId, nowMillis: Long): Boolean =
         pauses[store]?.let { nowMillis < it.untilMillis } ?: false
 
-    /** An export to [store] copied nothing. */
+    /** Records that an export to [store] copied nothing. */
     @Synchronized
     fun failed(store: EndpointId, nowMillis: Long) {
-        val length = pauses[store]?.let { minOf(2 * it.lengthMillis, LONGEST_MILLIS) } ?: FIRST_MILLIS
-        pauses[store] = Pause(nowMillis + length, length)
+        val pauseMillis =
+            pauses[store]?.let { minOf(2 * it.lengthMillis, MAXIMUM_PAUSE_MILLIS) } ?: INITIAL_PAUSE_MILLIS
+        pauses[store] = Pause(nowMillis + pauseMillis, pauseMillis)
     }
 
-    /** An export to [store] copied a block. */
+    /** Records that an export to [store] copied a block. */
     @Synchronized
     fun succeeded(store: EndpointId) {
         pauses -= store
@@ -26,7 +27,7 @@
     private class Pause(val untilMillis: Long, val lengthMillis: Long)
 
     private companion object {
-        const val FIRST_MILLIS = 1_000L
-        const val LONGEST_MILLIS = 60_000L
+        const val INITIAL_PAUSE_MILLIS = 1_000L
+        const val MAXIMUM_PAUSE_MILLIS = 60_000L
     }
 }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/FleetReports.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/FleetReports.kt
@@ -11,9 +11,9 @@
 import org.parsleymoor.limits.ColdStartEvent
 import org.parsleymoor.limits.LoadReport
 
-/** Takes in what engines report and tells what is known of them. */
+/** Applies the reports of engines and stores to the fleet state, and reads the status of the engines from it. */
 internal class FleetReports(private val configuration: ConfigurationHolder, private val state: FleetState) {
-    /** Takes in a load report that was asked for at [requestedMillis]. */
+    /** Applies a load report of an engine that was requested at [requestedMillis]. */
     fun report(endpoint: EndpointId, load: EngineLoad, requestedMillis: Long) {
         val report =
             LoadReport(endpoint, load.startCount, load.cold, load.running, load.queuedPrefillTokens, requestedMillis)
@@ -26,22 +26,22 @@
         }
     }
 
-    /** Takes in a load report of a store that was asked for at [requestedMillis]. */
+    /** Applies a load report of a store that was requested at [requestedMillis]. */
     fun report(store: EndpointId, load: StoreLoad, requestedMillis: Long) {
         synchronized(state.lock) { state.stores.state(store).report(load, requestedMillis) }
     }
 
-    /** Takes in a report of a cache and returns which snapshots to fetch. */
+    /** Applies a cache report to the directory and returns the snapshots to fetch. */
     fun report(report: CacheReport): List<DirectoryAction> =
         synchronized(state.lock) { state.directory.accept(report, state.clock.nowMillis()) }
 
-    /** The sequence number of the last cache event of [source] that was taken in. */
+    /** The sequence number of the last applied cache event of [source]. */
     fun cacheSequence(source: EndpointId): Long = synchronized(state.lock) { state.directory.sequence(source) }
 
     /** The number of blocks that engines and stores are known to hold. */
     fun knownBlocks(): Int = synchronized(state.lock) { state.directory.size }
 
-    /** What is known of each engine. */
+    /** Returns the status of each declared engine. */
     fun status(): List<EndpointStatus> {
         val engines = configuration.current?.endpoints(EndpointKind.ENGINE).orEmpty()
         return synchronized(state.lock) { engines.map { statusOf(it.name) } }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/FleetState.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/FleetState.kt
@@ -14,7 +14,7 @@
 import org.parsleymoor.placement.FleetView
 import org.parsleymoor.placement.PlacementRequest
 
-/** What this gateway knows of the engines. Every use holds [lock]. */
+/** What this gateway knows about the engines and stores. All access must hold [lock]. */
 internal class FleetState(val clock: Clock, val region: RegionId, val coldStartGuard: ColdStartGuard) {
     val lock: Any = Any()
     val loads: LoadView = LoadView()
@@ -32,11 +32,11 @@
     /** The number of requests that [endpoint] may run at once. */
     fun limit(endpoint: EndpointId, view: ServingView): Int {
         val limits = view.configuration.limits
-        val warm = limits.concurrentPerEngine
-        return if (coldStartGuard.isCold(endpoint)) minOf(limits.coldLimit, warm) else warm
+        val warmLimit = limits.concurrentPerEngine
+        return if (coldStartGuard.isCold(endpoint)) minOf(limits.coldLimit, warmLimit) else warmLimit
     }
 
-    /** Learns the rate from an attempt that was alone; beside others its time says nothing about the rate. */
+    /** Updates the prefill rate from an attempt that ran alone; the time of concurrent ones does not show the rate. */
     fun observePrefill(endpoint: EndpointId, timing: FirstTokenTiming) {
         val engine = engine(endpoint)
         val alone = load(endpoint).ownRunning == 1 && engine.load?.let { it.running <= 1 } ?: false
@@ -52,7 +52,7 @@
         matches = directory.match(requirements.promptHashes.pieces),
     )
 
-    fun fleet(requirements: EngineRequirements, view: ServingView?): FleetView =
+    fun fleetView(requirements: EngineRequirements, view: ServingView?): FleetView =
         if (view == null) {
             FleetView(emptyList())
         } else {
@@ -67,13 +67,13 @@
         val load = load(engine.name)
         val state = engine(engine.name)
         val usable = view.takesNewWork(engine.name) && engine.name !in requirements.avoid && !isSuspect(engine.name)
-        val room = load.running < limit(engine.name, view) &&
+        val hasCapacity = load.running < limit(engine.name, view) &&
             coldStartGuard.maySend(engine.name, load.running, clock.nowMillis())
         return EngineView(
             endpoint = engine.name,
             zone = engine.zone,
             region = view.regionOf(engine.zone) ?: region,
-            acceptsWork = usable && room && state.holds(requirements),
+            acceptsWork = usable && hasCapacity && state.holds(requirements),
             running = load.running,
             queuedPrefillTokens = load.queuedPrefillTokens,
             prefillTokensPerSecond = state.prefillRate.perSecond(clock.nowMillis()),
@@ -86,33 +86,36 @@
     }
 }
 
-/** What this gateway knows of one engine; [correction] is the smoothed ratio of observed to estimated time. */
+/** What this gateway knows about one engine; [correction] is the smoothed ratio of observed to estimated time. */
 internal class EngineState {
     var load: EngineLoad? = null
     var suspectUntilMillis: Long = 0
     var correction: Double = 1.0
         private set
 
-    /** Tokens of prefill a second. */
-    val prefillRate: RateEstimator = RateEstimator(PREFILL_TOKENS_PER_SECOND)
+    /** Prefill rate in tokens per second. */
+    val prefillRate: RateEstimator = RateEstimator(INITIAL_PREFILL_TOKENS_PER_SECOND)
 
-    /** Whether the engine holds the version; an engine without a report is tried and refuses when it does not. */
+    /**
+     * Whether the engine holds the required weight version. True without a load report: the engine then refuses the
+     * request if it lacks the version.
+     */
     fun holds(requirements: EngineRequirements): Boolean {
         val versions = load?.versions ?: return true
         return versions.any { it.model == requirements.model && it.version == requirements.version && !it.loading }
     }
 
-    /** Corrects later estimates by one observation. */
+    /** Updates [correction] with one observation. */
     fun observe(observedMillis: Double, estimatedMillis: Double) {
         if (estimatedMillis < MINIMUM_ESTIMATE_MILLIS) return
-        val ratio = (correction * observedMillis / estimatedMillis).coerceIn(CORRECTIONS)
+        val ratio = (correction * observedMillis / estimatedMillis).coerceIn(CORRECTION_RANGE)
         correction += SMOOTHING * (ratio - correction)
     }
 
     private companion object {
         const val MINIMUM_ESTIMATE_MILLIS = 1.0
         const val SMOOTHING = 0.1
-        const val PREFILL_TOKENS_PER_SECOND = 20_000.0
-        val CORRECTIONS = 0.05..20.0
+        const val INITIAL_PREFILL_TOKENS_PER_SECOND = 20_000.0
+        val CORRECTION_RANGE = 0.05..20.0
     }
 }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/ImportJob.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/ImportJob.kt
@@ -8,28 +8,28 @@
 import org.parsleymoor.placement.PlacementSettings
 import org.parsleymoor.placement.PrefixSource
 
-/** An import of the blocks of [source] by the engine behind [client], which is dropped after [deadlineMillis]. */
+/** An import of the blocks of [source] by the engine of [client], which is abandoned after [timeoutMillis]. */
 internal class ImportJob(
     val source: PrefixSource.Import,
     val client: EngineClient,
     val transfer: TransferRequest,
-    val deadlineMillis: Long,
+    val timeoutMillis: Long,
 ) {
-    /** Number of blocks that are wanted. */
+    /** Number of requested blocks. */
     val blocks: Int get() = transfer.pieces.size
 
-    /** Size of the wanted blocks as the placement assumes it. */
+    /** Size of the requested blocks, at the block size that placement assumes. */
     val bytes: Long get() = blocks * PlacementSettings().blockBytes
 
-    /** The slower tier sets the rate of an import from both. */
+    /** The slowest tier of the blocks, which determines the rate of the import. */
     val tier: CacheTier get() = source.blocks.maxOf { it.tier }
 }
 
-/** What became of an [ImportJob]. */
+/** Outcome of an [ImportJob]. */
 internal sealed interface ImportOutcome {
     /** The engine answered after [millis]. */
     class Done(val result: TransferResult, val millis: Long) : ImportOutcome
 
-    /** There is no answer that says which blocks were copied. */
+    /** No answer says which blocks were copied. */
     class Dropped(val reason: TransferFailureReason) : ImportOutcome
 }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/PlacementEngineChooser.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/PlacementEngineChooser.kt
@@ -14,7 +14,7 @@
 import org.parsleymoor.placement.Placement
 import org.parsleymoor.placement.PlacementPolicy
 
-/** Chooses engines with the placement library. */
+/** Chooses engines with a [PlacementPolicy] and updates [state] as attempts proceed. */
 internal class PlacementEngineChooser(
     private val configuration: ConfigurationHolder,
     private val state: FleetState,
@@ -33,17 +33,21 @@
 
     override fun choose(requirements: EngineRequirements, attempt: AttemptId): Result<Placement, NoEngineAvailable> =
         synchronized(state.lock) {
-            policy.place(state.placementRequest(requirements), state.fleet(requirements, configuration.current), random)
-                .onSuccess { dispatched(it.endpoint, requirements, attempt) }
+            policy.place(
+                state.placementRequest(requirements),
+                state.fleetView(requirements, configuration.current),
+                random,
+            )
+                .onSuccess { recordDispatch(it.endpoint, requirements, attempt) }
         }
 
     override fun recordRetry(endpoint: EndpointId, requirements: EngineRequirements, attempt: AttemptId) {
-        synchronized(state.lock) { dispatched(endpoint, requirements, attempt) }
+        synchronized(state.lock) { recordDispatch(endpoint, requirements, attempt) }
     }
 
     override fun started(endpoint: EndpointId, startCount: Long) {
         synchronized(state.lock) {
-            // A start that no load report has shown yet is cold.
+            // An engine start that no load report has shown yet counts as cold.
             val reportedCold = state.engine(endpoint).load?.let { it.cold || it.startCount < startCount } ?: true
             state.coldStartGuard.accept(
                 ColdStartEvent.Seen(endpoint, startCount, reportedCold),
@@ -79,9 +83,9 @@
         }
     }
 
-    private fun dispatched(endpoint: EndpointId, requirements: EngineRequirements, attempt: AttemptId) {
-        val tokens = requirements.promptHashes.pieces.size.toLong() * PromptHashes.PIECE_TOKENS
-        state.loads.dispatched(endpoint, attempt, tokens, state.clock.nowMillis())
+    private fun recordDispatch(endpoint: EndpointId, requirements: EngineRequirements, attempt: AttemptId) {
+        val prefillTokens = requirements.promptHashes.pieces.size.toLong() * PromptHashes.PIECE_TOKENS
+        state.loads.dispatched(endpoint, attempt, prefillTokens, state.clock.nowMillis())
     }
 
     private companion object {
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/ReportedColdStates.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/ReportedColdStates.kt
@@ -4,31 +4,31 @@
 import org.parsleymoor.limits.ColdStartEvent
 
 /**
- * Which engines are cold by their own reports. An engine that has not been heard of is cold, and so is one whose start
- * count has risen, until a report of that start says otherwise. Not safe for use from several threads.
+ * Tracks which engines are cold according to their own reports. An engine without a report is cold; an engine whose
+ * start count has increased is cold until a report of that start says otherwise. Not thread-safe.
  */
 internal class ReportedColdStates {
-    private val engines = HashMap<EndpointId, Warmth>()
+    private val engines = HashMap<EndpointId, ColdState>()
 
     fun isCold(endpoint: EndpointId): Boolean = engines[endpoint]?.cold ?: true
 
-    /** The cold engines that have been heard of. */
+    /** The cold engines for which an event has been received. */
     fun coldEngines(): List<EndpointId> = engines.filterValues { it.cold }.keys.toList()
 
-    /** Takes in [event] and returns whether the engine turned cold or warm, or is new. */
+    /** Applies [event]; returns whether the engine is new or has become cold or warm. */
     fun accept(event: ColdStartEvent): Boolean {
-        val known = engines[event.endpoint]
+        val prior = engines[event.endpoint]
         val next = when (event) {
-            is ColdStartEvent.Seen -> seen(known, event)
-            is ColdStartEvent.RefusedAsCold -> Warmth(known?.startCount ?: 0, cold = true)
-            is ColdStartEvent.Answered, is ColdStartEvent.LeaseHeld, is ColdStartEvent.LeaseLost -> known
+            is ColdStartEvent.Seen -> stateAfter(prior, event)
+            is ColdStartEvent.RefusedAsCold -> ColdState(prior?.startCount ?: 0, cold = true)
+            is ColdStartEvent.Answered, is ColdStartEvent.LeaseHeld, is ColdStartEvent.LeaseLost -> prior
         }
         if (next != null) engines[event.endpoint] = next
-        return next?.cold != known?.cold
+        return next?.cold != prior?.cold
     }
 
-    private fun seen(known: Warmth?, event: ColdStartEvent.Seen): Warmth =
-        if (known != null && event.startCount < known.startCount) known else Warmth(event.startCount, event.cold)
+    private fun stateAfter(prior: ColdState?, event: ColdStartEvent.Seen): ColdState =
+        if (prior != null && event.startCount < prior.startCount) prior else ColdState(event.startCount, event.cold)
 
-    private data class Warmth(val startCount: Long, val cold: Boolean)
+    private data class ColdState(val startCount: Long, val cold: Boolean)
 }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/ServiceRunner.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/ServiceRunner.kt
@@ -25,7 +25,7 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
 
-/** A call for a service group that is ready to be sent. */
+/** A call to a service group, ready to be sent. */
 internal class ServiceGroupCall(
     val request: RequestId,
     val group: ServiceDeclaration,
@@ -34,48 +34,51 @@
     val span: Span,
 )
 
-/** Sends calls to the replicas of service groups under the retry rules. */
+/** Sends calls to replicas of service groups and retries them as the retry rules allow. */
 internal class ServiceRunner(private val dependencies: ServingDependencies) {
-    private val running = ConcurrentHashMap<EndpointId, AtomicInteger>()
+    private val runningCounts = ConcurrentHashMap<EndpointId, AtomicInteger>()
 
-    /** Suspends until a replica has answered [call], or until the rules allow no further attempt. */
+    /** Suspends until a replica has answered [call] or the retry rules allow no further attempt. */
     suspend fun run(call: ServiceGroupCall): Result<ServiceAnswer, Refusal> {
-        val machine = AttemptTracker(
+        val tracker = AttemptTracker(
             call.request,
             call.serviceCall.repeatable,
             call.deadlineMillis,
-            dependencies.budget,
+            dependencies.retryBudget,
             dependencies.streams.maximumAttempts,
         )
-        dependencies.budget.firstAttempt(dependencies.clock.nowMillis())
+        dependencies.retryBudget.firstAttempt(dependencies.clock.nowMillis())
         var failure: BackEndFailure? = null
         var action: AttemptAction = AttemptAction.TryElsewhere(emptySet())
         while (action !is AttemptAction.GiveUp) {
-            val replica = replica(call.group, action)
+            val replica = chooseReplica(call.group, action)
             action = if (replica == null) {
-                machine.noEndpoint()
+                tracker.noEndpoint()
             } else {
-                machine.nextAttempt()
+                tracker.nextAttempt()
                 failure = send(call, replica, timeoutMillis(call, action)).mapBoth({ return Ok(it) }, { it })
-                afterFailure(machine, replica, failure)
+                afterFailure(tracker, replica, failure)
             }
         }
         return Err(refusal(action, failure))
     }
 
-    private fun replica(group: ServiceDeclaration, action: AttemptAction): EndpointDeclaration? {
+    private fun chooseReplica(group: ServiceDeclaration, action: AttemptAction): EndpointDeclaration? {
         val view = dependencies.configuration.current ?: return null
         val candidates = view.replicasOf(group.name)
         return when (action) {
             is AttemptAction.TryFreshConnection -> candidates.firstOrNull { it.name == action.endpoint }
             is AttemptAction.TryElsewhere ->
                 candidates.filter { view.takesNewWork(it.name) && it.name !in action.avoid }.shuffled()
-                    .minByOrNull { count(it.name).get() }
+                    .minByOrNull { runningCount(it.name).get() }
             is AttemptAction.GiveUp -> null
         }
     }
 
-    /** A pooled connection may have gone silent, so a repeatable call waits for the deadline on a fresh one only. */
+    /**
+     * Returns the timeout of the next attempt. A repeatable call waits until its deadline only on a fresh connection,
+     * because a pooled connection may be dead without notice.
+     */
     private fun timeoutMillis(call: ServiceGroupCall, action: AttemptAction): Long {
         val remaining = maxOf(1, call.deadlineMillis - dependencies.clock.nowMillis())
         val mayBePooled = call.serviceCall.repeatable && action !is AttemptAction.TryFreshConnection
@@ -101,7 +104,7 @@
             replica.name.value,
             "${traced.method} ${traced.path}"
         )
-        count(replica.name).incrementAndGet()
+        runningCount(replica.name).incrementAndGet()
         try {
             val result = dependencies.backEnds.service(replica).call(traced, timeoutMillis)
             return result.onFailure { failure ->
@@ -109,19 +112,19 @@
                 dependencies.records.add(call.request, RequestStepKind.REFUSED, replica.name.value, failure.message)
             }
         } finally {
-            count(replica.name).decrementAndGet()
+            runningCount(replica.name).decrementAndGet()
             span.end()
         }
     }
 
     private fun afterFailure(
-        machine: AttemptTracker,
+        tracker: AttemptTracker,
         replica: EndpointDeclaration,
         failure: BackEndFailure,
     ): AttemptAction {
-        val end = failure.attemptError
-        val action = machine.failed(replica.name, end, dependencies.clock.nowMillis())
-        if (action !is AttemptAction.GiveUp) dependencies.metrics.retried(end.name.lowercase())
+        val error = failure.attemptError
+        val action = tracker.failed(replica.name, error, dependencies.clock.nowMillis())
+        if (action !is AttemptAction.GiveUp) dependencies.metrics.retried(error.name.lowercase())
         return action
     }
 
@@ -132,12 +135,13 @@
             else -> RefusalKind.NO_ENDPOINT
         }
         val detail = "${action.cause.name.lowercase()}: ${failure?.message ?: "no replica of the group is in service"}"
-        return Refusal(kind, detail, action.execution, if (kind == RefusalKind.NO_ENDPOINT) RETRY_MILLIS else 0)
+        return Refusal(kind, detail, action.execution, if (kind == RefusalKind.NO_ENDPOINT) RETRY_AFTER_MILLIS else 0)
     }
 
-    private fun count(replica: EndpointId): AtomicInteger = running.computeIfAbsent(replica) { AtomicInteger() }
+    private fun runningCount(replica: EndpointId): AtomicInteger =
+        runningCounts.computeIfAbsent(replica) { AtomicInteger() }
 
     private companion object {
-        const val RETRY_MILLIS = 1_000L
+        const val RETRY_AFTER_MILLIS = 1_000L
     }
 }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/ServingDependencies.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/ServingDependencies.kt
@@ -8,10 +8,10 @@
 import org.parsleymoor.gateway.operations.RequestRecords
 import org.parsleymoor.gateway.operations.Tracing
 
-/** Where requests leave their traces. */
+/** Request records, metrics and tracing of the gateway. */
 internal class Telemetry(val records: RequestRecords, val metrics: GatewayMetrics, val tracing: Tracing)
 
-/** What every runner of requests uses. Work in [background] outlives the request that started it. */
+/** Dependencies of the request path and of cache maintenance. Work in [background] outlives its request. */
 internal class ServingDependencies(
     val configuration: ConfigurationHolder,
     val backEnds: BackEndClients,
@@ -20,7 +20,7 @@
     val streams: StreamSettings,
     val background: CoroutineScope,
 ) {
-    val budget: SharedRetryBudget = SharedRetryBudget()
+    val retryBudget: SharedRetryBudget = SharedRetryBudget()
     val records: RequestRecords get() = telemetry.records
     val metrics: GatewayMetrics get() = telemetry.metrics
     val tracing: Tracing get() = telemetry.tracing
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/SharedRetention.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/SharedRetention.kt
@@ -8,20 +8,20 @@
 import org.parsleymoor.placement.ReturnAwareRetention
 import org.parsleymoor.placement.StoreContent
 
-/** A retention policy for use from several threads. Its lock is taken alone. */
+/** A thread-safe retention policy. Its lock is not held together with another lock. */
 internal class SharedRetention(private val policy: RetentionPolicy = ReturnAwareRetention()) {
-    /** A request of [organisation] through this gateway uses [pieces]. */
+    /** Records that a request of [organisation] through this gateway uses [pieces]. */
     @Synchronized
     fun used(organisation: OrganisationId, pieces: List<PieceHash>, nowMillis: Long) {
         policy.used(organisation, pieces, nowMillis)
     }
 
-    /** An engine has computed or imported [pieces] for a request that may have come through another gateway. */
+    /** Records that an engine computed or imported [pieces], possibly for a request through another gateway. */
     fun stored(pieces: List<PieceHash>, nowMillis: Long) {
         if (pieces.isNotEmpty()) used(ANY_ORGANISATION, pieces, nowMillis)
     }
 
-    /** Returns those of [pieces] that are worth an export from [engine] to [store]. */
+    /** Returns the [pieces] that are worth exporting from [engine] to [store]. */
     @Synchronized
     fun selectForExport(
         engine: EndpointId,
@@ -38,7 +38,7 @@
     fun prefetch(content: StoreContent, nowMillis: Long): List<RetentionAction> = policy.prefetch(content, nowMillis)
 
     private companion object {
-        // Cache events do not say whose block it is. A piece that this gateway has seen keeps its organisation.
+        // Cache events do not name the organisation. A piece known from a request here keeps its organisation.
         val ANY_ORGANISATION = OrganisationId("any")
     }
 }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/StoreMaintenance.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/StoreMaintenance.kt
@@ -5,12 +5,12 @@
 import org.parsleymoor.core.EndpointId
 import org.parsleymoor.core.RegionId
 
-/** Says whether this gateway decides what is copied from an engine, or kept by a store, of a region. */
+/** Tells whether this gateway manages the exports of an engine, or the contents of a store, in a region. */
 internal fun interface CacheLeadership {
     fun isLeader(region: RegionId, endpoint: EndpointId): Boolean
 }
 
-/** Keeps blocks in the stores: exports from engines and the tiers of the stores. */
+/** Maintains the blocks in the KV cache stores: exports from engines and the tiers of the stores. */
 internal class StoreMaintenance(
     private val dependencies: ServingDependencies,
     state: FleetState,
@@ -21,10 +21,10 @@
     private val exports = BlockExporter(dependencies, state, retention, leadership)
     private val tiers = StoreTierManager(dependencies, state, retention, leadership)
 
-    /** Takes in the cache events of [engine]. */
+    /** Records the cache events of [engine]. */
     fun acceptChanges(engine: EndpointId, changes: List<CacheChange>): Unit = exports.acceptChanges(engine, changes)
 
-    /** Starts what is due every [intervalMillis] until it is cancelled. */
+    /** Starts due exports and tier changes every [intervalMillis] until it is cancelled. */
     suspend fun run() {
         while (true) {
             dependencies.configuration.current?.let { view ->
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/StorePoller.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/StorePoller.kt
@@ -5,7 +5,7 @@
 import org.parsleymoor.core.Clock
 import org.parsleymoor.gateway.ConfigurationHolder
 
-/** Reads load reports and cache events of the KV cache stores every [intervalMillis] until it is cancelled. */
+/** Polls the KV cache stores for load reports and cache events every [intervalMillis] until it is cancelled. */
 internal class StorePoller(
     private val configuration: ConfigurationHolder,
     private val backEnds: BackEndClients,
@@ -13,13 +13,13 @@
     private val clock: Clock,
     private val intervalMillis: Long = 500,
 ) {
-    private val caches = CacheReader(configuration, backEnds, reports)
+    private val cacheReader = CacheReader(configuration, backEnds, reports)
 
     suspend fun run(): Unit = configuration.pollEndpoints(EndpointKind.STORE, intervalMillis) { store ->
         val requestedMillis = clock.nowMillis()
         backEnds.store(store).load().onSuccess { load ->
             reports.report(store.name, load, requestedMillis)
-            caches.read(store)
+            cacheReader.read(store)
         }
     }
 }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/StoreTable.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/StoreTable.kt
@@ -9,19 +9,19 @@
 import org.parsleymoor.gateway.ServingView
 import org.parsleymoor.placement.StoreView
 
-/** What this gateway knows of the KV cache stores. Every use holds the fleet's lock. */
+/** What this gateway knows about the KV cache stores. All access must hold [FleetState.lock]. */
 internal class StoreTable(private val clock: Clock) {
     private val stores = HashMap<EndpointId, StoreState>()
 
     fun state(store: EndpointId): StoreState = stores.getOrPut(store) { StoreState() }
 
-    /** Whether the store's load report is recent enough to use the store. */
+    /** Whether the last load report is recent enough to use the store. */
     fun hasRecentReport(store: EndpointId): Boolean {
-        val read = state(store).reportRequestedMillis ?: return false
-        return clock.nowMillis() - read < STALE_MILLIS
+        val requestedMillis = state(store).reportRequestedMillis ?: return false
+        return clock.nowMillis() - requestedMillis < STALE_REPORT_MILLIS
     }
 
-    /** The stores as the placement sees them. */
+    /** Returns the stores in the form that placement uses. */
     fun views(view: ServingView): List<StoreView> =
         view.endpoints(EndpointKind.STORE).mapNotNull { storeView(it, view) }
 
@@ -42,26 +42,26 @@
     }
 
     private companion object {
-        // Four missed reports: a store that is lost stops being a source before many imports wait for it.
-        const val STALE_MILLIS = 2_000L
+        // Four missed reports, so that few imports wait for a store that is down.
+        const val STALE_REPORT_MILLIS = 2_000L
     }
 }
 
-/** What this gateway knows of one store. */
+/** What this gateway knows about one store. */
 internal class StoreState {
-    private val memory = RateEstimator(MEMORY_BYTES_PER_SECOND, FORGET_MILLIS)
-    private val disk = RateEstimator(DISK_BYTES_PER_SECOND, FORGET_MILLIS)
+    private val memoryRate = RateEstimator(INITIAL_MEMORY_BYTES_PER_SECOND, RATE_EXPIRY_MILLIS)
+    private val diskRate = RateEstimator(INITIAL_DISK_BYTES_PER_SECOND, RATE_EXPIRY_MILLIS)
 
     /** The last load report. */
     var load: StoreLoad? = null
         private set
 
-    /** When the last load report was asked for; null before the first. */
+    /** When the last load report was requested; null before the first. */
     var reportRequestedMillis: Long? = null
         private set
 
-    /** The observed rate of the link for blocks in [tier]. */
-    fun rate(tier: CacheTier): RateEstimator = if (tier == CacheTier.STORE_DISK) disk else memory
+    /** The transfer rate of blocks in [tier], in bytes per second. */
+    fun rate(tier: CacheTier): RateEstimator = if (tier == CacheTier.STORE_DISK) diskRate else memoryRate
 
     fun report(load: StoreLoad, requestedMillis: Long) {
         this.load = load
@@ -69,8 +69,8 @@
     }
 
     private companion object {
-        const val MEMORY_BYTES_PER_SECOND = 4_000_000_000.0
-        const val DISK_BYTES_PER_SECOND = 2_000_000_000.0
-        const val FORGET_MILLIS = 30_000L
+        const val INITIAL_MEMORY_BYTES_PER_SECOND = 4_000_000_000.0
+        const val INITIAL_DISK_BYTES_PER_SECOND = 2_000_000_000.0
+        const val RATE_EXPIRY_MILLIS = 30_000L
     }
 }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/StoreTierManager.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/StoreTierManager.kt
@@ -19,8 +19,8 @@
 import java.util.concurrent.ConcurrentHashMap
 
 /**
- * Moves blocks between the tiers of the stores that this gateway leads and drops what is worth least. A store carries
- * out one batch at a time, block after block.
+ * Moves blocks between the tiers of the stores that this gateway leads, and drops the least valuable blocks. A store
+ * runs one batch of actions at a time, one block after another.
  */
 internal class StoreTierManager(
     private val dependencies: ServingDependencies,
@@ -29,13 +29,13 @@
     private val leadership: CacheLeadership,
 ) {
     private val metrics = StoreMetrics(dependencies.metrics.registry)
-    private val busy = ConcurrentHashMap.newKeySet<EndpointId>()
+    private val busyStores = ConcurrentHashMap.newKeySet<EndpointId>()
 
-    /** Starts what is due, without waiting for it. */
+    /** Starts the due actions in the background. */
     fun startDueActions(view: ServingView) {
         view.endpoints(EndpointKind.STORE).filter { isLed(it, view) }.forEach { store ->
             val load = synchronized(state.lock) { state.stores.state(store.name).load }
-            if (load != null) start(store, load)
+            if (load != null) startActions(store, load)
         }
     }
 
@@ -45,21 +45,21 @@
             synchronized(state.lock) { state.stores.hasRecentReport(store.name) }
     }
 
-    private fun start(store: EndpointDeclaration, load: StoreLoad) {
-        if (!busy.add(store.name)) return
-        val actions = actions(content(store.name, load), load)
+    private fun startActions(store: EndpointDeclaration, load: StoreLoad) {
+        if (!busyStores.add(store.name)) return
+        val actions = dueActions(content(store.name, load), load)
         dependencies.background.launch {
             try {
                 actions.forEach { perform(it, store) }
             } finally {
-                busy -= store.name
+                busyStores -= store.name
             }
         }
     }
 
-    /** Prefetches wait until nothing is queued at the store, so that they do not delay imports. */
-    private fun actions(content: StoreContent, load: StoreLoad): List<RetentionAction> {
-        val incoming = maxOf(1, content.memoryBlocks / ROOM_PARTS)
+    /** Returns the due actions. Prefetches wait until nothing is queued at the store, so as not to delay imports. */
+    private fun dueActions(content: StoreContent, load: StoreLoad): List<RetentionAction> {
+        val incoming = maxOf(1, content.memoryBlocks / MEMORY_BATCHES)
         val nowMillis = dependencies.clock.nowMillis()
         return when {
             load.memoryBytes + incoming * BLOCK_BYTES > load.memoryCapacityBytes ->
@@ -76,7 +76,10 @@
         diskBlocks = (load.diskCapacityBytes / BLOCK_BYTES).toInt(),
     )
 
-    /** What the store has done counts at once, or the next tick would ask for it again before its events arrive. */
+    /**
+     * Performs [action] and updates the directory at once; otherwise the next round would repeat the action before the
+     * store's events arrive.
+     */
     private suspend fun perform(action: RetentionAction, store: EndpointDeclaration) {
         when (action) {
             is RetentionAction.Drop -> dependencies.backEnds.store(store).delete(action.piece.toString()).onSuccess {
@@ -95,11 +98,11 @@
         val matches = synchronized(state.lock) { state.directory.match(listOf(piece)) }
         val block = matches.firstOrNull { it.endpoint == store.name }?.blocks?.firstOrNull() ?: return false
         val moved = dependencies.backEnds.store(store).move(piece.toString(), block.generation, tier)
-        moved.onSuccess { confirm(store.name, block.copy(tier = cacheTierOf(tier))) }
+        moved.onSuccess { recordMove(store.name, block.copy(tier = cacheTierOf(tier))) }
         return moved.isOk
     }
 
-    private fun confirm(store: EndpointId, block: HeldBlock): Unit = synchronized(state.lock) {
+    private fun recordMove(store: EndpointId, block: HeldBlock): Unit = synchronized(state.lock) {
         val load = state.stores.state(store).load ?: return
         state.directory.accept(
             CacheReport.Digest(store, load.startCount, listOf(block)),
@@ -110,12 +113,12 @@
     private companion object {
         val BLOCK_BYTES = PlacementSettings().blockBytes
 
-        // Room is made for a fiftieth of the memory at once, so that ordering the blocks is not paid for each block.
-        const val ROOM_PARTS = 50
+        // A batch frees a fiftieth of the memory, so that the blocks are not sorted again for each incoming block.
+        const val MEMORY_BATCHES = 50
     }
 }
 
-/** Reads the blocks only when the policy asks for them, which it does when it makes a plan. */
+/** Reads the blocks only when the retention policy uses them, which it does when it computes a plan. */
 private class LazyBlocks(read: () -> List<HeldBlock>) : AbstractCollection<HeldBlock>() {
     private val blocks by lazy(read)
 
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/TicketExecutor.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/TicketExecutor.kt
@@ -16,12 +16,12 @@
 import java.security.SecureRandom
 
 /**
- * Runs calls under tickets that this process issued and sends those with tickets of other processes to the issuer. A
- * call under a caller's own key is refused; [org.parsleymoor.gateway.control.ClaimDesk] runs those.
+ * Executes calls with tickets that this process issued, and forwards calls with other tickets to their issuer. Refuses
+ * calls with a key that the caller chose; [org.parsleymoor.gateway.control.ClaimDesk] executes those.
  */
 internal class TicketExecutor(
     self: Incarnation,
-    private val route: PeerCallForwarder,
+    private val forwarder: PeerCallForwarder,
     private val scope: CoroutineScope,
 ) : AtMostOnceExecutor {
     private val lock = Any()
@@ -53,7 +53,7 @@
     private suspend fun forward(ticket: Ticket, call: AtMostOnceCall, origin: CallOrigin) {
         var answer: ExecutionAnswer? = ExecutionAnswer.Unknown(UnknownReason.NO_ANSWER_FROM_PEER)
         try {
-            val forwarded = if (origin == CallOrigin.CALLER) route.toIssuer(ticket, call) else ForwardResult.NotSent
+            val forwarded = if (origin == CallOrigin.CALLER) forwarder.toIssuer(ticket, call) else ForwardResult.NotSent
             answer = forwarded.toAnswer()
         } finally {
             answer(synchronized(lock) { ledger.forwarded(call.keyed, answer) })
@@ -79,7 +79,7 @@
     }
 }
 
-/** Returns the answer of a call that only one process may run; null when that process has ended. */
+/** Returns the answer to a call that only one process may run; null if that process has ended. */
 internal fun ForwardResult.toAnswer(): ExecutionAnswer? = when (this) {
     is ForwardResult.Answered -> answer
     is ForwardResult.NotSent -> ExecutionAnswer.NotRun(NotRunReason.PEER_UNREACHABLE)
--- a/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/serving/CacheReaderTest.kt
+++ b/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/serving/CacheReaderTest.kt
@@ -41,7 +41,7 @@
         vertx.close().coAwait()
     }
 
-    /** Guards against a snapshot that is read from the reporting engine when the directory asks for another's. */
+    /** Guards against fetching the snapshot from the reporting engine when the directory requests another engine's. */
     @Test
     fun `a lost snapshot is read from its own engine when another engine reports next`(): Unit = runBlocking {
         val ports = List(2) { EngineStandIn(vertx, EngineSettings(EndpointId("engine-$it"))).start() }
@@ -74,7 +74,7 @@
     private companion object {
         const val HASH_DIGITS = 32
 
-        // Longer than the interval of snapshots and the time after which one counts as lost.
+        // Longer than the snapshot interval and than the time after which a snapshot counts as lost.
         const val LOST_MILLIS = 10_001L
     }
 }
