--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/OnceCalls.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/AtMostOnceCallFactory.kt
@@ -14,13 +14,19 @@
 import java.security.MessageDigest
 import java.util.HexFormat
 
-/** Makes calls that [runner] sends at most once. */
-internal class OnceCalls(private val runner: ServiceRunner) {
-    /** Returns [call] under [key]; it is sent at most once whatever its group says. */
-    fun of(organisation: OrganisationId, key: String, call: GroupCall): OnceCall {
-        val once = GroupCall(call.request, call.group, call.call.once(), call.deadlineMillis, call.span)
-        val keyed = KeyedCall(call.request, organisation, key, fingerprint(once))
-        return OnceCall(keyed, once) { outcome(runner.run(once)) }
+/** Creates calls that [runner] sends at most once. */
+internal class AtMostOnceCallFactory(private val runner: ServiceRunner) {
+    /** Returns [call] with [key]; it is sent at most once even if its service group is declared repeatable. */
+    fun of(organisation: OrganisationId, key: String, call: ServiceGroupCall): AtMostOnceCall {
+        val singleAttempt = ServiceGroupCall(
+            call.request,
+            call.group,
+            call.serviceCall.notRepeatable(),
+            call.deadlineMillis,
+            call.span,
+        )
+        val keyed = KeyedCall(call.request, organisation, key, fingerprint(singleAttempt))
+        return AtMostOnceCall(keyed, singleAttempt) { outcome(runner.run(singleAttempt)) }
     }
 
     private fun outcome(result: Result<ServiceAnswer, Refusal>): RunOutcome = result.mapBoth(
@@ -28,20 +34,20 @@
         { if (it.execution == Execution.NotRun) RunOutcome.NotRun else RunOutcome.Unknown },
     )
 
-    private fun fingerprint(call: GroupCall): String {
+    private fun fingerprint(call: ServiceGroupCall): String {
         val digest = MessageDigest.getInstance("SHA-256")
-        digest.update("${call.group.name}\n${call.call.method}\n${call.call.path}\n".encodeToByteArray())
-        return HexFormat.of().formatHex(digest.digest(call.call.body))
+        digest.update("${call.group.name}\n${call.serviceCall.method}\n${call.serviceCall.path}\n".encodeToByteArray())
+        return HexFormat.of().formatHex(digest.digest(call.serviceCall.body))
     }
 }
 
-/** Returns the response as it goes to a caller. */
+/** Converts the response to the answer for a caller. */
 internal fun ServiceResponse.toAnswer() =
     ServiceAnswer(status, listOfNotNull(contentType.ifEmpty { null }?.let { HeaderField(CONTENT_TYPE, it) }), body)
 
 private const val CONTENT_TYPE = "Content-Type"
 
-private fun ServiceCall.once() = ServiceCall(method, path, headers, body, repeatable = false)
+private fun ServiceCall.notRepeatable() = ServiceCall(method, path, headers, body, repeatable = false)
 
 private fun ServiceAnswer.contentType(): String =
     headers.firstOrNull { it.name.equals(CONTENT_TYPE, ignoreCase = true) }?.value.orEmpty()
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/StoreObserver.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/StorePoller.kt
@@ -5,21 +5,21 @@
 import org.parsleymoor.core.Clock
 import org.parsleymoor.gateway.ConfigurationHolder
 
-/** Reads load reports and cache events of the KV cache stores every [intervalMillis] until it is cancelled. */
-internal class StoreObserver(
+/** Polls the KV cache stores for load reports and cache events every [intervalMillis] until it is cancelled. */
+internal class StorePoller(
     private val configuration: ConfigurationHolder,
-    private val backEnds: BackEnds,
+    private val backEnds: BackEndClients,
     private val reports: FleetReports,
     private val clock: Clock,
     private val intervalMillis: Long = 500,
 ) {
-    private val caches = CacheReader(configuration, backEnds, reports)
+    private val cacheReader = CacheReader(configuration, backEnds, reports)
 
     suspend fun run(): Unit = configuration.pollEndpoints(EndpointKind.STORE, intervalMillis) { store ->
-        val askedMillis = clock.nowMillis()
+        val requestedMillis = clock.nowMillis()
         backEnds.store(store).load().onSuccess { load ->
-            reports.report(store.name, load, askedMillis)
-            caches.read(store)
+            reports.report(store.name, load, requestedMillis)
+            cacheReader.read(store)
         }
     }
 }
