--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/BodyParts.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/BodyParts.kt
@@ -20,7 +20,7 @@
 }
 
 /** Sends what follows the first part of [body]; returns why the connection ended when it has. */
-public suspend fun PeerExchange.sendRest(body: ByteArray): Result<Unit, PeerFailure> {
+public suspend fun PeerExchange.sendRemainingParts(body: ByteArray): Result<Unit, PeerFailure> {
     for (from in BodyParts.PART_BYTES until body.size step BodyParts.PART_BYTES) {
         val part = body.copyOfRange(from, minOf(from + BodyParts.PART_BYTES, body.size))
         send(PeerMessage.BodyPart(number, part)).onFailure { return Err(it) }
@@ -30,9 +30,12 @@
 
 /**
  * Suspends until the body of [totalBytes] bytes that starts with [first] is complete; returns why the connection ended
- * when it has, or [PeerFailure.BrokenBody] when other messages or more bytes arrive.
+ * when it has, or [PeerFailure.InvalidBody] when other messages or more bytes arrive.
  */
-public suspend fun PeerExchange.receiveRest(first: ByteArray, totalBytes: Int): Result<ByteArray, PeerFailure> {
+public suspend fun PeerExchange.receiveRemainingParts(
+    first: ByteArray,
+    totalBytes: Int,
+): Result<ByteArray, PeerFailure> {
     val body = ByteArrayOutputStream(first.size).apply { writeBytes(first) }
     var failure: PeerFailure? = null
     while (failure == null && body.size() < totalBytes) {
@@ -40,9 +43,9 @@
         if (message is PeerMessage.BodyPart && message.bytes.isNotEmpty()) {
             body.writeBytes(message.bytes)
         } else {
-            failure = PeerFailure.BrokenBody(totalBytes, "${message::class.simpleName} after ${body.size()} bytes")
+            failure = PeerFailure.InvalidBody(totalBytes, "${message::class.simpleName} after ${body.size()} bytes")
         }
     }
-    if (body.size() > totalBytes) failure = PeerFailure.BrokenBody(totalBytes, "${body.size()} bytes")
+    if (body.size() > totalBytes) failure = PeerFailure.InvalidBody(totalBytes, "${body.size()} bytes")
     return failure?.let { Err(it) } ?: Ok(body.toByteArray())
 }
--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/FrameCodec.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/FrameCodec.kt
@@ -40,8 +40,8 @@
     private fun decode(bytes: ByteArray): Result<PeerMessage, PeerFailure> = try {
         Ok(cbor.decodeFromByteArray(PeerMessage.serializer(), bytes))
     } catch (cause: SerializationException) {
-        Err(PeerFailure.UnknownFrame(bytes.size, cause.toString()))
+        Err(PeerFailure.UndecodableFrame(bytes.size, cause.toString()))
     } catch (cause: IllegalArgumentException) {
-        Err(PeerFailure.UnknownFrame(bytes.size, cause.toString()))
+        Err(PeerFailure.UndecodableFrame(bytes.size, cause.toString()))
     }
 }
--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerConnection.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerConnection.kt
@@ -31,13 +31,13 @@
  */
 public class PeerConnection internal constructor(
     private val socket: Socket,
-    private val wire: PeerWire,
+    private val wire: FramedSocket,
     public val remote: PeerMessage.Hello,
     private val options: PeerOptions,
 ) : AutoCloseable {
-    private val control = Channel<ByteArray>(options.queuedFrames)
-    private val data = Channel<ByteArray>(options.queuedFrames)
-    private val received = Channel<PeerMessage>(options.queuedFrames)
+    private val control = Channel<ByteArray>(options.queueCapacityFrames)
+    private val data = Channel<ByteArray>(options.queueCapacityFrames)
+    private val received = Channel<PeerMessage>(options.queueCapacityFrames)
     private val ended = AtomicReference<PeerFailure?>(null)
 
     @Volatile
@@ -131,10 +131,10 @@
     }
 }
 
-private fun PeerMessage.isControl(): Boolean = this !is PeerMessage.OfExchange && this !is PeerMessage.CacheDigest
+private fun PeerMessage.isControl(): Boolean = this !is PeerMessage.ExchangeMessage && this !is PeerMessage.CacheDigest
 
 /** The two directions of a socket and the codec between them. */
-internal class PeerWire(socket: Socket, val codec: FrameCodec, val traffic: TrafficCounter) {
+internal class FramedSocket(socket: Socket, val codec: FrameCodec, val traffic: TrafficCounter) {
     val input = socket.openReadChannel()
     val output = socket.openWriteChannel()
 }
--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerDialer.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerDialer.kt
@@ -45,7 +45,7 @@
     options: PeerOptions,
     traffic: TrafficCounter,
 ): Result<PeerConnection, PeerFailure> {
-    val wire = PeerWire(socket, FrameCodec(options.frameLimitBytes), traffic)
+    val wire = FramedSocket(socket, FrameCodec(options.frameLimitBytes), traffic)
     val greeting = withTimeoutOrNull(options.silenceMillis) { greet(wire, identity) }
         ?: Err(PeerFailure.Silent(options.silenceMillis))
     val outcome = greeting.andThen { checkGreeting(it) }.andThen { Ok(PeerConnection(socket, wire, it, options)) }
@@ -53,7 +53,7 @@
     return outcome
 }
 
-private suspend fun greet(wire: PeerWire, identity: PeerMessage.Hello): Result<PeerMessage, PeerFailure> = try {
+private suspend fun greet(wire: FramedSocket, identity: PeerMessage.Hello): Result<PeerMessage, PeerFailure> = try {
     wire.codec.encode(identity).andThen {
         wire.codec.write(wire.output, it)
         wire.codec.read(wire.input)
@@ -63,9 +63,9 @@
 }
 
 private fun checkGreeting(first: PeerMessage): Result<PeerMessage.Hello, PeerFailure> = when {
-    first !is PeerMessage.Hello -> Err(PeerFailure.Handshake("a greeting", first::class.simpleName.orEmpty()))
+    first !is PeerMessage.Hello -> Err(PeerFailure.HandshakeFailed("a greeting", first::class.simpleName.orEmpty()))
     first.protocolVersion != PeerMessage.PROTOCOL_VERSION -> Err(
-        PeerFailure.Handshake("version ${PeerMessage.PROTOCOL_VERSION}", "version ${first.protocolVersion}"),
+        PeerFailure.HandshakeFailed("version ${PeerMessage.PROTOCOL_VERSION}", "version ${first.protocolVersion}"),
     )
     else -> Ok(first)
 }
--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerExchange.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerExchange.kt
@@ -14,19 +14,19 @@
     private val link: PeerLink,
     queuedMessages: Int,
 ) : AutoCloseable {
-    private val received = Channel<PeerMessage.OfExchange>(queuedMessages)
+    private val received = Channel<PeerMessage.ExchangeMessage>(queuedMessages)
 
     /** The gateway on the other side. */
     public val remote: PeerMessage.Hello get() = link.remote
 
     /** Queues [message], whose exchange number has to be [number]. */
-    public suspend fun send(message: PeerMessage.OfExchange): Result<Unit, PeerFailure> {
+    public suspend fun send(message: PeerMessage.ExchangeMessage): Result<Unit, PeerFailure> {
         require(message.exchange == number) { "expected exchange $number, found ${message.exchange}" }
         return link.send(message)
     }
 
     /** Suspends until the other side's next message; returns why the connection ended when it has. */
-    public suspend fun receive(): Result<PeerMessage.OfExchange, PeerFailure> {
+    public suspend fun receive(): Result<PeerMessage.ExchangeMessage, PeerFailure> {
         val message = received.receiveCatching().getOrNull()
         return if (message == null) Err(link.failure ?: PeerFailure.Closed("the exchange ended")) else Ok(message)
     }
@@ -37,7 +37,7 @@
         received.close()
     }
 
-    internal fun offer(message: PeerMessage.OfExchange): Boolean = received.trySend(message).isSuccess
+    internal fun offer(message: PeerMessage.ExchangeMessage): Boolean = received.trySend(message).isSuccess
 }
 
 /** Ends the exchange with a refusal of [type]; returns why the connection ended when it has. */
--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerFailure.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerFailure.kt
@@ -10,7 +10,7 @@
     }
 
     /** The first frame was not a greeting of the same protocol version. */
-    public data class Handshake(public val expected: String, public val found: String) : PeerFailure {
+    public data class HandshakeFailed(public val expected: String, public val found: String) : PeerFailure {
         override val message: String get() = "peer handshake: expected $expected, found $found"
     }
 
@@ -20,7 +20,7 @@
     }
 
     /** A frame is not a message of this protocol version. */
-    public data class UnknownFrame(public val bytes: Int, public val cause: String) : PeerFailure {
+    public data class UndecodableFrame(public val bytes: Int, public val cause: String) : PeerFailure {
         override val message: String get() = "expected a known message, found $bytes unreadable bytes: $cause"
     }
 
@@ -35,7 +35,7 @@
     }
 
     /** The parts of a body do not add up to [expectedBytes]. */
-    public data class BrokenBody(public val expectedBytes: Int, public val found: String) : PeerFailure {
+    public data class InvalidBody(public val expectedBytes: Int, public val found: String) : PeerFailure {
         override val message: String get() = "expected a body of $expectedBytes bytes, found $found"
     }
 }
--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerHandler.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerHandler.kt
@@ -8,13 +8,13 @@
     }
 
     /** A connection has ended for the reason in [PeerLink.failure]. */
-    public suspend fun onEnded(link: PeerLink) {
+    public suspend fun onDisconnected(link: PeerLink) {
         // Most handlers need no action here.
     }
 
     /** A message outside of exchanges arrived; called in order of arrival and must not wait for the peer. */
-    public suspend fun onControl(link: PeerLink, message: PeerMessage)
+    public suspend fun onConnectionMessage(link: PeerLink, message: PeerMessage)
 
     /** The peer opened [exchange] with [opening]; the exchange is closed when this returns. */
-    public suspend fun onExchange(exchange: PeerExchange, opening: PeerMessage.OfExchange)
+    public suspend fun onExchange(exchange: PeerExchange, opening: PeerMessage.ExchangeMessage)
 }
--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerLink.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerLink.kt
@@ -17,13 +17,13 @@
  */
 public class PeerLink internal constructor(
     private val connection: PeerConnection,
-    internal val dialled: Boolean,
+    internal val isOutbound: Boolean,
     private val handler: PeerHandler,
     private val queuedMessages: Int,
 ) : AutoCloseable {
     private val exchanges = ConcurrentHashMap<Long, PeerExchange>()
-    private val nextNumber = AtomicLong(if (dialled) 1 else 2)
-    private val oddRemote = !dialled
+    private val nextNumber = AtomicLong(if (isOutbound) 1 else 2)
+    private val oddRemote = !isOutbound
 
     /** The gateway on the other side. */
     public val remote: PeerMessage.Hello get() = connection.remote
@@ -41,7 +41,7 @@
         connection.send(message, frame)
 
     /** Opens an exchange with the message that [opening] makes for its number. */
-    public suspend fun open(opening: (Long) -> PeerMessage.OfExchange): Result<PeerExchange, PeerFailure> {
+    public suspend fun open(opening: (Long) -> PeerMessage.ExchangeMessage): Result<PeerExchange, PeerFailure> {
         val number = nextNumber.getAndAdd(2)
         val exchange = PeerExchange(number, this, queuedMessages)
         exchanges[number] = exchange
@@ -56,8 +56,8 @@
     internal suspend fun run(scope: CoroutineScope) {
         for (message in connection.incoming) {
             when (message) {
-                is PeerMessage.OfExchange -> dispatch(message, scope)
-                else -> handler.onControl(this, message)
+                is PeerMessage.ExchangeMessage -> dispatch(message, scope)
+                else -> handler.onConnectionMessage(this, message)
             }
         }
         exchanges.values.forEach { it.close() }
@@ -67,7 +67,7 @@
         exchanges.remove(number)
     }
 
-    private fun dispatch(message: PeerMessage.OfExchange, scope: CoroutineScope) {
+    private fun dispatch(message: PeerMessage.ExchangeMessage, scope: CoroutineScope) {
         val known = exchanges[message.exchange]
         when {
             known != null -> deliver(known, message)
@@ -77,13 +77,13 @@
     }
 
     // An exchange whose reader does not keep up is ended, so that it cannot hold up the others on the connection.
-    private fun deliver(exchange: PeerExchange, message: PeerMessage.OfExchange) {
+    private fun deliver(exchange: PeerExchange, message: PeerMessage.ExchangeMessage) {
         if (exchange.offer(message)) return
         logger.warn { "exchange ${exchange.number} with ${remote.incarnation}: over $queuedMessages unread messages" }
         exchange.close()
     }
 
-    private fun accept(message: PeerMessage.OfExchange, scope: CoroutineScope) {
+    private fun accept(message: PeerMessage.ExchangeMessage, scope: CoroutineScope) {
         val exchange = PeerExchange(message.exchange, this, queuedMessages)
         exchanges[message.exchange] = exchange
         scope.launch { exchange.use { handler.onExchange(it, message) } }
@@ -92,7 +92,7 @@
     private fun isRemoteNumber(number: Long): Boolean = (number % 2 == 1L) == oddRemote
 }
 
-private fun PeerMessage.OfExchange.isOpening(): Boolean = when (this) {
+private fun PeerMessage.ExchangeMessage.isOpening(): Boolean = when (this) {
     is PeerMessage.Forward, is PeerMessage.ExecuteTicket, is PeerMessage.ExecuteClaim -> true
     is PeerMessage.PiecesWanted, is PeerMessage.Pieces, is PeerMessage.Started, is PeerMessage.Chunk,
     is PeerMessage.Finished, is PeerMessage.Refused, is PeerMessage.Cancel, is PeerMessage.ExecutionAnswer,
--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerLinks.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerLinks.kt
@@ -24,7 +24,7 @@
 
     /** Returns the connections that this side dialled and that neither side uses any more. */
     fun surplus(): List<PeerLink> =
-        all().filter { it.dialled && it.isIdle && get(it.remote.incarnation.instance) !== it }
+        all().filter { it.isOutbound && it.isIdle && get(it.remote.incarnation.instance) !== it }
 
     @Synchronized
     fun add(link: PeerLink) {
@@ -42,10 +42,10 @@
         val latterStart = latter.remote.incarnation.startMillis
         return when {
             formerStart != latterStart -> if (formerStart > latterStart) former else latter
-            former.dialled == latter.dialled -> latter
+            former.isOutbound == latter.isOutbound -> latter
             else -> if (dialler(former).value < dialler(latter).value) former else latter
         }
     }
 
-    private fun dialler(link: PeerLink): InstanceId = if (link.dialled) self else link.remote.incarnation.instance
+    private fun dialler(link: PeerLink): InstanceId = if (link.isOutbound) self else link.remote.incarnation.instance
 }
--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerMessage.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerMessage.kt
@@ -85,11 +85,11 @@
     public data class InstanceNews(
         public val passOn: String,
         public val loads: List<EngineLoadDigest> = emptyList(),
-        public val silent: List<SilentEngineDigest> = emptyList(),
+        public val silent: List<UnresponsiveEngineDigest> = emptyList(),
         public val sent: List<SentPromptDigest> = emptyList(),
-        public val ordered: List<OrderedEngineDigest> = emptyList(),
+        public val ordered: List<EngineOrderDigest> = emptyList(),
         public val stores: List<CacheStoreDigest> = emptyList(),
-        public val known: List<KnownObjectsDigest> = emptyList(),
+        public val known: List<ObjectFreshnessDigest> = emptyList(),
     ) : PeerMessage
 
     /** Asks for all that the KV cache store at [store] holds, as far as the receiver knows. */
@@ -123,7 +123,7 @@
 
     /** A message that belongs to one exchange; the side that opened the exchange chose the number. */
     @Serializable
-    public sealed interface OfExchange : PeerMessage {
+    public sealed interface ExchangeMessage : PeerMessage {
         /** Number of the exchange, unique among those that one side opened on one connection. */
         public val exchange: Long
     }
@@ -139,7 +139,7 @@
         public val endpoint: EndpointId,
         public val completion: ForwardedCompletion,
         public val inline: List<TextPiece> = emptyList(),
-    ) : OfExchange
+    ) : ExchangeMessage
 
     /** Asks for the texts of the pieces with these hashes, joined as in [ForwardedCompletion.textPieces]. */
     @OptIn(ExperimentalSerializationApi::class)
@@ -148,12 +148,12 @@
     public data class PiecesWanted(
         override val exchange: Long,
         @ByteString public val hashes: ByteArray,
-    ) : OfExchange
+    ) : ExchangeMessage
 
     /** Delivers texts of pieces. */
     @Serializable
     @SerialName("pieces")
-    public data class Pieces(override val exchange: Long, public val pieces: List<TextPiece>) : OfExchange
+    public data class Pieces(override val exchange: Long, public val pieces: List<TextPiece>) : ExchangeMessage
 
     /** The endpoint has started a forwarded completion; the fields are those of the engine's own report. */
     @Serializable
@@ -164,7 +164,7 @@
         public val version: WeightVersion,
         public val cachedPieces: Int,
         public val recomputedPieces: Int,
-    ) : OfExchange
+    ) : ExchangeMessage
 
     /** One token of a forwarded completion; [sequence] counts from 0 within the attempt. */
     @Serializable
@@ -173,7 +173,7 @@
         override val exchange: Long,
         public val sequence: Int,
         public val text: String,
-    ) : OfExchange
+    ) : ExchangeMessage
 
     /** End of a forwarded completion after [tokens] chunks. */
     @Serializable
@@ -182,7 +182,7 @@
         override val exchange: Long,
         public val tokens: Int,
         public val reason: String,
-    ) : OfExchange
+    ) : ExchangeMessage
 
     /** The exchange ended without an answer; [execution] is what the caller may be told. */
     @Serializable
@@ -193,12 +193,12 @@
         public val detail: String,
         public val execution: Execution,
         public val retryAfterMillis: Long = 0,
-    ) : OfExchange
+    ) : ExchangeMessage
 
     /** The opener no longer wants the exchange. */
     @Serializable
     @SerialName("cancel")
-    public data class Cancel(override val exchange: Long) : OfExchange
+    public data class Cancel(override val exchange: Long) : ExchangeMessage
 
     /** Asks the issuer of [ticket] to run [call] once; [BodyPart]s with the rest of its body follow. */
     @Serializable
@@ -207,7 +207,7 @@
         override val exchange: Long,
         public val ticket: String,
         public val call: ForwardedCall,
-    ) : OfExchange
+    ) : ExchangeMessage
 
     /**
      * Asks the owner of the key's shard, or with [claimed] the process that claimed it, to run [call] at most once;
@@ -220,7 +220,7 @@
         public val key: String,
         public val call: ForwardedCall,
         public val claimed: Boolean = false,
-    ) : OfExchange
+    ) : ExchangeMessage
 
     /** The next bytes of the body of a call or of its answer. */
     @OptIn(ExperimentalSerializationApi::class)
@@ -229,7 +229,7 @@
     public data class BodyPart(
         override val exchange: Long,
         @ByteString public val bytes: ByteArray,
-    ) : OfExchange
+    ) : ExchangeMessage
 
     /** The answer of a call that ran; [BodyPart]s with the rest of its body follow. */
     @Serializable
@@ -237,7 +237,7 @@
     public data class ExecutionAnswer(
         override val exchange: Long,
         public val answer: ForwardedAnswer,
-    ) : OfExchange
+    ) : ExchangeMessage
 
     public companion object {
         /** Version of the messages in this file; raised by a change that an older peer cannot read. */
@@ -282,13 +282,13 @@
 @OptIn(ExperimentalSerializationApi::class)
 @CborArray
 @Serializable
-public data class SilentEngineDigest(public val endpoint: EndpointId, public val ageMillis: Long)
+public data class UnresponsiveEngineDigest(public val endpoint: EndpointId, public val ageMillis: Long)
 
 /** An engine that is being given orders by [holder], or is no longer when not [active]. */
 @OptIn(ExperimentalSerializationApi::class)
 @CborArray
 @Serializable
-public data class OrderedEngineDigest(
+public data class EngineOrderDigest(
     public val holder: InstanceId,
     public val endpoint: EndpointId,
     public val active: Boolean,
@@ -326,7 +326,7 @@
 @OptIn(ExperimentalSerializationApi::class)
 @CborArray
 @Serializable
-public data class KnownObjectsDigest(
+public data class ObjectFreshnessDigest(
     public val kind: String,
     public val changedRevision: Long,
     public val ageMillis: Long,
--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerNode.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerNode.kt
@@ -138,7 +138,7 @@
             link.run(scope)
         } finally {
             links.remove(link)
-            handler.onEnded(link)
+            handler.onDisconnected(link)
         }
     }
 
--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PieceTextStore.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PieceTextCache.kt
@@ -4,7 +4,7 @@
  * Texts of prompt pieces by hash, least recently used first out, at most [capacityBytes] in all. Safe for use from
  * several threads.
  */
-public class PieceTextStore(private val capacityBytes: Long) {
+public class PieceTextCache(private val capacityBytes: Long) {
     private val texts = LinkedHashMap<TextHash, ByteArray>(INITIAL_CAPACITY, LOAD_FACTOR, true)
     private var heldBytes = 0L
 
--- a/libraries/peering/src/test/kotlin/org/parsleymoor/peering/PeerNodeTest.kt
+++ b/libraries/peering/src/test/kotlin/org/parsleymoor/peering/PeerNodeTest.kt
@@ -113,7 +113,7 @@
     fun `a peer that falls silent after the handshake is dropped at the deadline`(): Unit = runBlocking {
         val ended = Channel<PeerFailure?>(1)
         val handler = object : EchoHandler() {
-            override suspend fun onEnded(link: PeerLink) {
+            override suspend fun onDisconnected(link: PeerLink) {
                 ended.send(link.failure)
             }
         }
@@ -144,7 +144,7 @@
     fun `gateways that dial each other at once keep one connection and lose none to silence`(): Unit = runBlocking {
         val ended = Channel<PeerFailure?>(Channel.UNLIMITED)
         val handler = object : EchoHandler() {
-            override suspend fun onEnded(link: PeerLink) {
+            override suspend fun onDisconnected(link: PeerLink) {
                 ended.send(link.failure)
             }
         }
@@ -233,9 +233,9 @@
 
     /** Answers a forwarded completion with its own text. */
     private open class EchoHandler : PeerHandler {
-        override suspend fun onControl(link: PeerLink, message: PeerMessage) = Unit
+        override suspend fun onConnectionMessage(link: PeerLink, message: PeerMessage) = Unit
 
-        override suspend fun onExchange(exchange: PeerExchange, opening: PeerMessage.OfExchange) {
+        override suspend fun onExchange(exchange: PeerExchange, opening: PeerMessage.ExchangeMessage) {
             val completion = (opening as PeerMessage.Forward).completion
             exchange.send(PeerMessage.Chunk(exchange.number, 0, completion.tail.decodeToString()))
             exchange.send(PeerMessage.Finished(exchange.number, 1, "stop"))
--- a/libraries/peering/src/test/kotlin/org/parsleymoor/peering/PieceTextStoreTest.kt
+++ b/libraries/peering/src/test/kotlin/org/parsleymoor/peering/PieceTextCacheTest.kt
@@ -6,8 +6,8 @@
 import strikt.assertions.isNotNull
 import strikt.assertions.isNull
 
-class PieceTextStoreTest {
-    private val store = PieceTextStore(capacityBytes = 30)
+class PieceTextCacheTest {
+    private val store = PieceTextCache(capacityBytes = 30)
 
     @Test
     fun `the least recently used text is dropped beyond the capacity`() {
--- a/programs/bench/src/main/kotlin/org/parsleymoor/bench/slopes/PeerControlSlopes.kt
+++ b/programs/bench/src/main/kotlin/org/parsleymoor/bench/slopes/PeerControlSlopes.kt
@@ -98,9 +98,9 @@
     private data class Run(val bytesPerSecond: Double, val processorShare: Double, val connections: Double)
 
     private object IgnoringHandler : PeerHandler {
-        override suspend fun onControl(link: PeerLink, message: PeerMessage) = Unit
+        override suspend fun onConnectionMessage(link: PeerLink, message: PeerMessage) = Unit
 
-        override suspend fun onExchange(exchange: PeerExchange, opening: PeerMessage.OfExchange) = Unit
+        override suspend fun onExchange(exchange: PeerExchange, opening: PeerMessage.ExchangeMessage) = Unit
     }
 
     private companion object {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/NewsDigests.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/NewsDigests.kt
@@ -4,12 +4,12 @@
 import org.parsleymoor.peering.CacheStoreDigest
 import org.parsleymoor.peering.CachedPartDigest
 import org.parsleymoor.peering.EngineLoadDigest
+import org.parsleymoor.peering.EngineOrderDigest
 import org.parsleymoor.peering.NamespaceDigest
 import org.parsleymoor.peering.OfferedObject
-import org.parsleymoor.peering.OrderedEngineDigest
 import org.parsleymoor.peering.PeerMessage
 import org.parsleymoor.peering.SentPromptDigest
-import org.parsleymoor.peering.SilentEngineDigest
+import org.parsleymoor.peering.UnresponsiveEngineDigest
 import org.parsleymoor.relay.cache.CachedPart
 import org.parsleymoor.relay.cache.ContextKey
 import org.parsleymoor.relay.cache.StoreChange
@@ -23,9 +23,9 @@
 internal fun List<News>.toMessage(passOn: PassOn, nowMillis: Long): PeerMessage.InstanceNews = PeerMessage.InstanceNews(
     passOn = passOn.name,
     loads = filterIsInstance<News.Load>().map { it.digest(nowMillis) },
-    silent = filterIsInstance<News.Silent>().map { SilentEngineDigest(it.endpoint, nowMillis - it.atMillis) },
+    silent = filterIsInstance<News.Silent>().map { UnresponsiveEngineDigest(it.endpoint, nowMillis - it.atMillis) },
     sent = filterIsInstance<News.Sent>().map { it.digest(nowMillis) },
-    ordered = filterIsInstance<News.Ordered>().map { OrderedEngineDigest(it.holder, it.endpoint, it.active) },
+    ordered = filterIsInstance<News.Ordered>().map { EngineOrderDigest(it.holder, it.endpoint, it.active) },
     stores = mapNotNull { news ->
         when (news) {
             is News.StoreEvents -> news.digest()
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/NewsTeller.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/NewsTeller.kt
@@ -1,6 +1,6 @@
 package org.parsleymoor.entry.control
 
-import org.parsleymoor.peering.KnownObjectsDigest
+import org.parsleymoor.peering.ObjectFreshnessDigest
 import org.parsleymoor.peering.PeerLink
 import org.parsleymoor.peering.PeerMessage
 import org.parsleymoor.peering.PeerNode
@@ -70,10 +70,10 @@
         node.send(message.copy(known = known()), links)
     }
 
-    private fun known(): List<KnownObjectsDigest> {
+    private fun known(): List<ObjectFreshnessDigest> {
         val nowMillis = clock.nowMillis()
         return watches.filterValues { it.knownRevision > 0 }.map { (kind, watch) ->
-            KnownObjectsDigest(kind, watch.changedRevision, nowMillis - watch.currentMillis, watch.isLost)
+            ObjectFreshnessDigest(kind, watch.changedRevision, nowMillis - watch.currentMillis, watch.isLost)
         }
     }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Peers.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Peers.kt
@@ -66,7 +66,7 @@
         log.write("peer.connected") { put("peer", link.remote.incarnation.instance.value) }
     }
 
-    override suspend fun onEnded(link: PeerLink) {
+    override suspend fun onDisconnected(link: PeerLink) {
         contacts.ended(link)
         log.write("peer.lost") {
             put("peer", link.remote.incarnation.instance.value)
@@ -74,7 +74,7 @@
         }
     }
 
-    override suspend fun onControl(link: PeerLink, message: PeerMessage) {
+    override suspend fun onConnectionMessage(link: PeerLink, message: PeerMessage) {
         contacts.heard(link)
         when (message) {
             is PeerMessage.InstanceNews -> take(link, message)
@@ -90,7 +90,7 @@
         }
     }
 
-    override suspend fun onExchange(exchange: PeerExchange, opening: PeerMessage.OfExchange) {
+    override suspend fun onExchange(exchange: PeerExchange, opening: PeerMessage.ExchangeMessage) {
         log.write("peer.unexpected") { put("message", opening::class.simpleName) }
     }
 
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/Gateway.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/Gateway.kt
@@ -59,7 +59,7 @@
 import org.parsleymoor.gateway.serving.Telemetry
 import org.parsleymoor.gateway.serving.TicketDesk
 import org.parsleymoor.peering.PeerIdentity
-import org.parsleymoor.peering.PieceTextStore
+import org.parsleymoor.peering.PieceTextCache
 
 /** The ports that a started gateway listens on. */
 public data class GatewayPorts(public val callers: Int, public val operations: Int, public val peers: Int)
@@ -80,7 +80,7 @@
     private val platform = settings.platform?.let { VertxPlatformClient(vertx, it) }
     private val linkMeter = RegionLinkMeter(clock, metrics) { peers.members.gatewaysInRegion() }
     private val backEnds = BackEnds(vertx, RegionRoute(settings.region, holder, { peers }, linkMeter))
-    private val receiver = ForwardReceiver(PieceTextStore(TEXT_STORE_BYTES)) { forwardTarget(it) }
+    private val receiver = ForwardReceiver(PieceTextCache(TEXT_STORE_BYTES)) { forwardTarget(it) }
     private val identity = PeerIdentity(incarnation, settings.zone, settings.region)
     private val peers: PeerControl = PeerControl(identity, platform, holder, receiver, clock, background)
     private val configurationControl =
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/CallForwarder.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/CallForwarder.kt
@@ -25,8 +25,8 @@
 import org.parsleymoor.peering.PeerFailure
 import org.parsleymoor.peering.PeerLink
 import org.parsleymoor.peering.PeerMessage
-import org.parsleymoor.peering.receiveRest
-import org.parsleymoor.peering.sendRest
+import org.parsleymoor.peering.receiveRemainingParts
+import org.parsleymoor.peering.sendRemainingParts
 
 /**
  * Sends calls with a key to the process that may run them. Once the opening frame is queued, a lost connection or a
@@ -58,7 +58,7 @@
     private suspend fun toProcess(
         process: Incarnation,
         call: OnceCall,
-        opening: (Long, ForwardedCall) -> PeerMessage.OfExchange,
+        opening: (Long, ForwardedCall) -> PeerMessage.ExchangeMessage,
     ): Forwarded = when (val reached = directory().connect(process)) {
         is Reached.Open -> send(reached.link, call, opening)
         is Reached.Unreachable -> notSent(call, reached.failure)
@@ -68,7 +68,7 @@
     private suspend fun send(
         link: PeerLink,
         call: OnceCall,
-        opening: (Long, ForwardedCall) -> PeerMessage.OfExchange,
+        opening: (Long, ForwardedCall) -> PeerMessage.ExchangeMessage,
     ): Forwarded {
         val remaining = call.sent.deadlineMillis - clock.nowMillis()
         if (remaining <= 0) return Forwarded.Answered(ExecutionAnswer.NotRun(NotRunReason.DEADLINE_PASSED))
@@ -87,7 +87,7 @@
     /** A peer that refused before it looked at the key leaves the call as if it had not been sent. */
     private suspend fun answer(exchange: PeerExchange, body: ByteArray, remainingMillis: Long): Forwarded {
         val message = withTimeoutOrNull(remainingMillis + ANSWER_MILLIS) {
-            exchange.sendRest(body)
+            exchange.sendRemainingParts(body)
             exchange.receive().getOrElse { null }
         }
         val answer = when (message) {
@@ -102,7 +102,7 @@
     private suspend fun response(exchange: PeerExchange, message: PeerMessage.ExecutionAnswer): ExecutionAnswer {
         val answer = message.answer
         val body: Result<ByteArray, PeerFailure>? = withTimeoutOrNull(ANSWER_MILLIS) {
-            exchange.receiveRest(answer.body, minOf(answer.bodyBytes, CallReceiver.MAXIMUM_ANSWER_BYTES))
+            exchange.receiveRemainingParts(answer.body, minOf(answer.bodyBytes, CallReceiver.MAXIMUM_ANSWER_BYTES))
         }
         return body?.mapBoth({ ServiceResponse(answer.status, answer.contentType, it) }, { null })
             ?.let { ExecutionAnswer.Response(it) } ?: ExecutionAnswer.Unknown(UnknownReason.NO_ANSWER_FROM_PEER)
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/CallReceiver.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/CallReceiver.kt
@@ -21,9 +21,9 @@
 import org.parsleymoor.peering.ForwardedCall
 import org.parsleymoor.peering.PeerExchange
 import org.parsleymoor.peering.PeerMessage
-import org.parsleymoor.peering.receiveRest
+import org.parsleymoor.peering.receiveRemainingParts
 import org.parsleymoor.peering.refuse
-import org.parsleymoor.peering.sendRest
+import org.parsleymoor.peering.sendRemainingParts
 
 /** Runs calls with a key that other gateways forward, or answers them from memory. */
 internal class CallReceiver(
@@ -33,7 +33,7 @@
     private val atMostOnce: AtMostOnce,
 ) {
     /** Serves [opening] and suspends until it is answered; returns false when it is not a call with a key. */
-    suspend fun serve(exchange: PeerExchange, opening: PeerMessage.OfExchange): Boolean {
+    suspend fun serve(exchange: PeerExchange, opening: PeerMessage.ExchangeMessage): Boolean {
         when (opening) {
             is PeerMessage.ExecuteTicket ->
                 serve(exchange, IncomingCall(opening.ticket, opening.call, CallOrigin.PROCESS_FORWARD))
@@ -78,7 +78,7 @@
         if (refusal != null) exchange.refuse(refusal.name, message.service)
         if (refusal != null || group == null) return null
         val deadline = tools.clock.nowMillis() + message.remainingMillis
-        val body = exchange.receiveRest(message.body, message.bodyBytes)
+        val body = exchange.receiveRemainingParts(message.body, message.bodyBytes)
             .onFailure { exchange.refuse(BAD_REQUEST, it.message) }.getOrElse { null }
         return body?.let { GroupCall(message.request, group, message.toCall(it), deadline, span(message)) }
     }
@@ -99,7 +99,7 @@
         } else {
             val message = ForwardedAnswer(response.status, response.contentType, body.size, BodyParts.first(body))
             exchange.send(PeerMessage.ExecutionAnswer(exchange.number, message))
-            exchange.sendRest(body)
+            exchange.sendRemainingParts(body)
         }
     }
 
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/PeerControl.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/PeerControl.kt
@@ -96,7 +96,7 @@
         link.send(heartbeat())
     }
 
-    override suspend fun onControl(link: PeerLink, message: PeerMessage) {
+    override suspend fun onConnectionMessage(link: PeerLink, message: PeerMessage) {
         val peer = link.remote.incarnation.instance
         when (message) {
             is PeerMessage.Heartbeat -> {
@@ -109,7 +109,7 @@
                 val root = ConfigurationRoot.parse(message.root).get()
                 configuration?.handle(SyncEvent.PeerOffers(peer, root, message.sections))
             }
-            is PeerMessage.Hello, is PeerMessage.CacheDigest, is PeerMessage.OfExchange,
+            is PeerMessage.Hello, is PeerMessage.CacheDigest, is PeerMessage.ExchangeMessage,
             is PeerMessage.InstanceNews, is PeerMessage.ObjectsWanted, is PeerMessage.ObjectsOffered,
             is PeerMessage.CacheContentsWanted, is PeerMessage.CacheContentsOffered,
             ->
@@ -117,7 +117,7 @@
         }
     }
 
-    override suspend fun onExchange(exchange: PeerExchange, opening: PeerMessage.OfExchange) {
+    override suspend fun onExchange(exchange: PeerExchange, opening: PeerMessage.ExchangeMessage) {
         val served = calls?.serve(exchange, opening) ?: false
         when {
             served -> Unit
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/forwarding/ForwardReceiver.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/forwarding/ForwardReceiver.kt
@@ -18,7 +18,7 @@
 import org.parsleymoor.peering.PeerExchange
 import org.parsleymoor.peering.PeerFailure
 import org.parsleymoor.peering.PeerMessage
-import org.parsleymoor.peering.PieceTextStore
+import org.parsleymoor.peering.PieceTextCache
 import org.parsleymoor.peering.TextHash
 import org.parsleymoor.peering.refuse
 import java.io.ByteArrayOutputStream
@@ -28,7 +28,7 @@
  * new work now, or null. Texts of pieces stay in [texts] for later requests.
  */
 internal class ForwardReceiver(
-    private val texts: PieceTextStore,
+    private val texts: PieceTextCache,
     private val engineFor: (EndpointId) -> EngineClient?,
 ) {
     /** Serves one exchange; suspends until the answer has been sent or the sender has given up. */
@@ -118,7 +118,7 @@
 /** A prompt as the sender had it and the hashes of its context pieces. */
 private class AssembledPrompt(val text: String, val contextPieces: List<String>)
 
-private fun EngineEvent.toMessage(exchange: Long): PeerMessage.OfExchange = when (this) {
+private fun EngineEvent.toMessage(exchange: Long): PeerMessage.ExchangeMessage = when (this) {
     is EngineEvent.Started ->
         PeerMessage.Started(exchange, startCount, version, cachedPieces, recomputedPieces)
     is EngineEvent.Token -> PeerMessage.Chunk(exchange, sequence, text)
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/forwarding/ForwardingEngineClient.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/forwarding/ForwardingEngineClient.kt
@@ -65,14 +65,14 @@
             }
         }
 
-        private suspend fun next(): PeerMessage.OfExchange {
+        private suspend fun next(): PeerMessage.ExchangeMessage {
             val received = withTimeoutOrNull(silenceMillis) { exchange.receive() }
                 ?: throw FailureException(BackEndFailure.Silent(endpoint.value, silenceMillis))
             return received.getOrElse { throw broken(it.message) }
         }
 
         /** Returns whether [message] ends the stream. */
-        private suspend fun take(message: PeerMessage.OfExchange, collector: FlowCollector<EngineEvent>): Boolean {
+        private suspend fun take(message: PeerMessage.ExchangeMessage, collector: FlowCollector<EngineEvent>): Boolean {
             when (message) {
                 is PeerMessage.PiecesWanted -> sendTexts(TextHash.split(message.hashes).toSet())
                 is PeerMessage.Started -> collector.emit(message.toEvent())
--- a/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/forwarding/ForwardingTest.kt
+++ b/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/forwarding/ForwardingTest.kt
@@ -43,7 +43,7 @@
 import org.parsleymoor.peering.PeerLink
 import org.parsleymoor.peering.PeerMessage
 import org.parsleymoor.peering.PeerNode
-import org.parsleymoor.peering.PieceTextStore
+import org.parsleymoor.peering.PieceTextCache
 import strikt.api.expectThat
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
@@ -53,14 +53,14 @@
 
 class ForwardingTest {
     private val engine = FakeEngine()
-    private var texts = PieceTextStore(1_000_000)
+    private var texts = PieceTextCache(1_000_000)
     private var open = true
     private val south = node(
         "south",
         object : PeerHandler {
-            override suspend fun onControl(link: PeerLink, message: PeerMessage) = Unit
+            override suspend fun onConnectionMessage(link: PeerLink, message: PeerMessage) = Unit
 
-            override suspend fun onExchange(exchange: PeerExchange, opening: PeerMessage.OfExchange) {
+            override suspend fun onExchange(exchange: PeerExchange, opening: PeerMessage.ExchangeMessage) {
                 ForwardReceiver(texts) { engine.takeIf { open } }.serve(exchange, opening as PeerMessage.Forward)
             }
         }
@@ -68,9 +68,9 @@
     private val north = node(
         "north",
         object : PeerHandler {
-            override suspend fun onControl(link: PeerLink, message: PeerMessage) = Unit
+            override suspend fun onConnectionMessage(link: PeerLink, message: PeerMessage) = Unit
 
-            override suspend fun onExchange(exchange: PeerExchange, opening: PeerMessage.OfExchange) = Unit
+            override suspend fun onExchange(exchange: PeerExchange, opening: PeerMessage.ExchangeMessage) = Unit
         }
     )
     private val address = runBlocking {
@@ -106,7 +106,7 @@
     @Test
     fun `a receiver that lost the texts asks for them again`(): Unit = runBlocking {
         client.generate(request(longPrompt)).toList()
-        texts = PieceTextStore(1_000_000)
+        texts = PieceTextCache(1_000_000)
         client.generate(request(longPrompt)).toList()
         expectThat(engine.prompts).isEqualTo(mutableListOf(longPrompt, longPrompt))
     }
