--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/BodyParts.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/BodyParts.kt
@@ -8,29 +8,30 @@
 import java.io.ByteArrayOutputStream
 
 /**
- * Splits bodies over frames. A part is far below the frame limit, so that a body holds up heartbeats on a connection of
- * 2.5 MB/s for about a tenth of a second.
+ * Splits bodies into parts that are sent in separate frames. A part is far smaller than the frame limit: heartbeats
+ * wait only for the part that is being written, which takes about 0.1 s on a connection of 2.5 MB/s.
  */
 public object BodyParts {
-    /** Size of every part but the last. */
+    /** Size of every part except the last. */
     public const val PART_BYTES: Int = 262_144
 
-    /** Returns the part of [body] that goes into the opening frame. */
+    /** Returns the first part of [body], which is sent in the message that announces the body. */
     public fun first(body: ByteArray): ByteArray = if (body.size <= PART_BYTES) body else body.copyOf(PART_BYTES)
 }
 
-/** Sends what follows the first part of [body]; returns why the connection ended when it has. */
+/** Sends all parts of [body] after the first; returns the failure if the connection has ended. */
 public suspend fun PeerExchange.sendRemainingParts(body: ByteArray): Result<Unit, PeerFailure> {
-    for (from in BodyParts.PART_BYTES until body.size step BodyParts.PART_BYTES) {
-        val part = body.copyOfRange(from, minOf(from + BodyParts.PART_BYTES, body.size))
+    for (offset in BodyParts.PART_BYTES until body.size step BodyParts.PART_BYTES) {
+        val part = body.copyOfRange(offset, minOf(offset + BodyParts.PART_BYTES, body.size))
         send(PeerMessage.BodyPart(number, part)).onFailure { return Err(it) }
     }
     return Ok(Unit)
 }
 
 /**
- * Suspends until the body of [totalBytes] bytes that starts with [first] is complete; returns why the connection ended
- * when it has, or [PeerFailure.InvalidBody] when other messages or more bytes arrive.
+ * Receives the rest of a body of [totalBytes] bytes whose first part is [first], and returns the whole body. Returns
+ * the failure if the connection ends, or [PeerFailure.InvalidBody] if another message, an empty part or more than
+ * [totalBytes] arrive.
  */
 public suspend fun PeerExchange.receiveRemainingParts(
     first: ByteArray,
--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/FrameCodec.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/FrameCodec.kt
@@ -13,7 +13,7 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
 
-/** Reads and writes CBOR messages behind a four-byte length of at most [limitBytes]. */
+/** Encodes and decodes frames: a four-byte length, at most [limitBytes], followed by a message in CBOR. */
 @OptIn(ExperimentalSerializationApi::class)
 internal class FrameCodec(private val limitBytes: Int) {
     private val cbor = Cbor { ignoreUnknownKeys = true }
@@ -29,14 +29,14 @@
         channel.flush()
     }
 
-    /** Suspends until a whole frame has arrived; throws [java.io.IOException] when the connection ends. */
+    /** Suspends until a whole frame has arrived; throws [java.io.IOException] if the connection ends. */
     suspend fun read(channel: ByteReadChannel): Result<PeerMessage, PeerFailure> {
         val size = channel.readInt()
         if (size !in 1..limitBytes) return Err(PeerFailure.FrameSize(size.toUInt().toLong(), limitBytes))
         return decode(channel.readByteArray(size))
     }
 
-    // The decoder reports malformed input by either exception, depending on where it stops.
+    // Depending on where decoding stops, malformed input raises either of the two exceptions.
     private fun decode(bytes: ByteArray): Result<PeerMessage, PeerFailure> = try {
         Ok(cbor.decodeFromByteArray(PeerMessage.serializer(), bytes))
     } catch (cause: SerializationException) {
--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerConnection.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerConnection.kt
@@ -25,57 +25,61 @@
 private val logger = KotlinLogging.logger {}
 
 /**
- * An open connection to the gateway that sent [remote]. Messages are sent in order within their class; heartbeats and
- * configuration go before all others. The connection closes by itself when it breaks, stays silent for
- * [PeerOptions.silenceMillis] or carries a frame that cannot be read.
+ * An open connection to the peer that sent [remote] in the handshake. Messages of exchanges and cache digests are data
+ * messages, all others are control messages. Control messages are sent before queued data messages; within each class
+ * the order is kept. The connection closes itself when the socket fails, when nothing arrives for
+ * [PeerOptions.silenceMillis] or when an invalid frame arrives.
  */
 public class PeerConnection internal constructor(
     private val socket: Socket,
-    private val wire: FramedSocket,
+    private val framed: FramedSocket,
     public val remote: PeerMessage.Hello,
     private val options: PeerOptions,
 ) : AutoCloseable {
-    private val control = Channel<ByteArray>(options.queueCapacityFrames)
-    private val data = Channel<ByteArray>(options.queueCapacityFrames)
-    private val received = Channel<PeerMessage>(options.queueCapacityFrames)
-    private val ended = AtomicReference<PeerFailure?>(null)
+    private val controlQueue = Channel<ByteArray>(options.queueCapacityFrames)
+    private val dataQueue = Channel<ByteArray>(options.queueCapacityFrames)
+    private val incomingQueue = Channel<PeerMessage>(options.queueCapacityFrames)
+    private val endReason = AtomicReference<PeerFailure?>(null)
 
     @Volatile
     private var job: Job? = null
 
-    /** Messages in order of arrival; closed when the connection ends. Taken by one consumer. */
-    public val incoming: ReceiveChannel<PeerMessage> get() = received
+    /** Received messages in order of arrival, for a single consumer; closed when the connection ends. */
+    public val incoming: ReceiveChannel<PeerMessage> get() = incomingQueue
 
     /** Why the connection ended, or null while it is open. */
-    public val failure: PeerFailure? get() = ended.get()
+    public val failure: PeerFailure? get() = endReason.get()
 
-    /** Queues [message]; suspends while the queue is full; returns why the connection ended when it has. */
+    /**
+     * Queues [message] and suspends while the queue is full. Returns the failure if the message is too large for a
+     * frame or the connection has ended.
+     */
     public suspend fun send(message: PeerMessage): Result<Unit, PeerFailure> =
-        wire.codec.encode(message).fold({ send(message, it) }, { Err(it) })
+        framed.codec.encode(message).fold({ send(message, it) }, { Err(it) })
 
-    /** Queues [message], which is encoded as [frame]; suspends while the queue is full. */
+    /** Queues [message], already encoded as [frame], and suspends while the queue is full. */
     internal suspend fun send(message: PeerMessage, frame: ByteArray): Result<Unit, PeerFailure> {
         val isControl = message.isControl()
         return try {
-            (if (isControl) control else data).send(frame)
-            Ok(wire.traffic.count(isControl, frame.size))
+            (if (isControl) controlQueue else dataQueue).send(frame)
+            Ok(framed.counter.count(isControl, frame.size))
         } catch (cause: ClosedSendChannelException) {
             Err(failure ?: PeerFailure.Closed(cause.toString()))
         }
     }
 
     override fun close() {
-        end(PeerFailure.Closed("closed by this side"))
+        end(PeerFailure.Closed("closed locally"))
     }
 
     internal fun start(scope: CoroutineScope) {
-        val running = scope.launch(start = CoroutineStart.LAZY) {
+        val connectionJob = scope.launch(start = CoroutineStart.LAZY) {
             launch { writeFrames() }
             readFrames()
         }
-        running.invokeOnCompletion { end(PeerFailure.Closed("the process stops")) }
-        job = running
-        running.start()
+        connectionJob.invokeOnCompletion { end(PeerFailure.Closed("the connection's coroutine was stopped")) }
+        job = connectionJob
+        connectionJob.start()
     }
 
     private suspend fun readFrames() {
@@ -88,14 +92,14 @@
 
     private suspend fun deliver(message: PeerMessage) {
         try {
-            received.send(message)
+            incomingQueue.send(message)
         } catch (cause: ClosedSendChannelException) {
-            logger.debug(cause) { "a message from ${remote.incarnation} arrived after the connection ended" }
+            logger.debug(cause) { "dropped a message from ${remote.incarnation} after the connection ended" }
         }
     }
 
     private suspend fun readFrame(): Result<PeerMessage, PeerFailure> = try {
-        wire.codec.read(wire.input)
+        framed.codec.read(framed.input)
     } catch (cause: IOException) {
         Err(PeerFailure.Closed(cause.toString()))
     }
@@ -104,7 +108,7 @@
         while (failure == null) {
             val frame = nextFrame() ?: return
             try {
-                wire.codec.write(wire.output, frame)
+                framed.codec.write(framed.output, frame)
             } catch (cause: IOException) {
                 end(PeerFailure.Closed(cause.toString()))
             }
@@ -112,29 +116,29 @@
     }
 
     private suspend fun nextFrame(): ByteArray? {
-        val urgent = control.tryReceive().getOrNull()
-        if (urgent != null) return urgent
+        val controlFrame = controlQueue.tryReceive().getOrNull()
+        if (controlFrame != null) return controlFrame
         return select {
-            control.onReceiveCatching { it.getOrNull() }
-            data.onReceiveCatching { it.getOrNull() }
+            controlQueue.onReceiveCatching { it.getOrNull() }
+            dataQueue.onReceiveCatching { it.getOrNull() }
         }
     }
 
     private fun end(reason: PeerFailure) {
-        if (!ended.compareAndSet(null, reason)) return
+        if (!endReason.compareAndSet(null, reason)) return
         logger.info { "connection to peer ${remote.incarnation} ended: ${reason.message}" }
-        control.close()
-        data.close()
+        controlQueue.close()
+        dataQueue.close()
         socket.close()
         job?.cancel()
-        received.close()
+        incomingQueue.close()
     }
 }
 
 private fun PeerMessage.isControl(): Boolean = this !is PeerMessage.ExchangeMessage && this !is PeerMessage.CacheDigest
 
-/** The two directions of a socket and the codec between them. */
-internal class FramedSocket(socket: Socket, val codec: FrameCodec, val traffic: TrafficCounter) {
+/** The read and write channels of a socket, with the codec and the traffic counter for their frames. */
+internal class FramedSocket(socket: Socket, val codec: FrameCodec, val counter: TrafficCounter) {
     val input = socket.openReadChannel()
     val output = socket.openWriteChannel()
 }
--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerDialer.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerDialer.kt
@@ -13,23 +13,26 @@
 import kotlinx.io.IOException
 import java.nio.channels.UnresolvedAddressException
 
-/** Opens connections to other gateways as [identity]; their coroutines run in [scope]. */
+/** Opens connections to peers and sends them [hello] in the handshake. The connections' coroutines run in [scope]. */
 public class PeerDialer(
     private val selector: SelectorManager,
     private val scope: CoroutineScope,
-    private val identity: PeerMessage.Hello,
+    private val hello: PeerMessage.Hello,
     private val options: PeerOptions = PeerOptions(),
 ) {
-    internal var traffic: TrafficCounter = TrafficCounter()
+    internal var counter: TrafficCounter = TrafficCounter()
 
-    /** Connects to [host] and [port] and suspends until the handshake ends, within the connect timeout. */
+    /**
+     * Connects to [host] and [port] and performs the handshake. Opening the socket may take
+     * [PeerOptions.connectTimeoutMillis], the handshake another [PeerOptions.silenceMillis].
+     */
     public suspend fun dial(host: String, port: Int): Result<PeerConnection, PeerFailure> {
-        val opened = withTimeoutOrNull(options.connectTimeoutMillis) { open(host, port) }
-            ?: Err(PeerFailure.NotConnected("$host:$port", "no answer in ${options.connectTimeoutMillis} ms"))
-        return opened.andThen { handshake(it, identity, options, traffic) }.onSuccess { it.start(scope) }
+        val opened = withTimeoutOrNull(options.connectTimeoutMillis) { openSocket(host, port) }
+            ?: Err(PeerFailure.NotConnected("$host:$port", "not connected within ${options.connectTimeoutMillis} ms"))
+        return opened.andThen { handshake(it, hello, options, counter) }.onSuccess { it.start(scope) }
     }
 
-    private suspend fun open(host: String, port: Int): Result<Socket, PeerFailure> = try {
+    private suspend fun openSocket(host: String, port: Int): Result<Socket, PeerFailure> = try {
         Ok(aSocket(selector).tcp().connect(host, port))
     } catch (cause: IOException) {
         Err(PeerFailure.NotConnected("$host:$port", cause.toString()))
@@ -38,34 +41,40 @@
     }
 }
 
-/** Sends [identity], reads the other side's greeting and checks its version; closes [socket] on a failure. */
+/**
+ * Sends [hello], then reads the peer's [PeerMessage.Hello] and checks its protocol version; closes [socket] on a
+ * failure.
+ */
 internal suspend fun handshake(
     socket: Socket,
-    identity: PeerMessage.Hello,
+    hello: PeerMessage.Hello,
     options: PeerOptions,
-    traffic: TrafficCounter,
+    counter: TrafficCounter,
 ): Result<PeerConnection, PeerFailure> {
-    val wire = FramedSocket(socket, FrameCodec(options.frameLimitBytes), traffic)
-    val greeting = withTimeoutOrNull(options.silenceMillis) { greet(wire, identity) }
+    val framed = FramedSocket(socket, FrameCodec(options.frameLimitBytes), counter)
+    val reply = withTimeoutOrNull(options.silenceMillis) { sendAndReceiveHello(framed, hello) }
         ?: Err(PeerFailure.Silent(options.silenceMillis))
-    val outcome = greeting.andThen { checkGreeting(it) }.andThen { Ok(PeerConnection(socket, wire, it, options)) }
+    val outcome = reply.andThen { checkHello(it) }.andThen { Ok(PeerConnection(socket, framed, it, options)) }
     if (outcome.isErr) socket.close()
     return outcome
 }
 
-private suspend fun greet(wire: FramedSocket, identity: PeerMessage.Hello): Result<PeerMessage, PeerFailure> = try {
-    wire.codec.encode(identity).andThen {
-        wire.codec.write(wire.output, it)
-        wire.codec.read(wire.input)
+private suspend fun sendAndReceiveHello(
+    framed: FramedSocket,
+    hello: PeerMessage.Hello,
+): Result<PeerMessage, PeerFailure> = try {
+    framed.codec.encode(hello).andThen {
+        framed.codec.write(framed.output, it)
+        framed.codec.read(framed.input)
     }
 } catch (cause: IOException) {
     Err(PeerFailure.Closed(cause.toString()))
 }
 
-private fun checkGreeting(first: PeerMessage): Result<PeerMessage.Hello, PeerFailure> = when {
-    first !is PeerMessage.Hello -> Err(PeerFailure.HandshakeFailed("a greeting", first::class.simpleName.orEmpty()))
-    first.protocolVersion != PeerMessage.PROTOCOL_VERSION -> Err(
-        PeerFailure.HandshakeFailed("version ${PeerMessage.PROTOCOL_VERSION}", "version ${first.protocolVersion}"),
+private fun checkHello(message: PeerMessage): Result<PeerMessage.Hello, PeerFailure> = when {
+    message !is PeerMessage.Hello -> Err(PeerFailure.HandshakeFailed("a Hello", message::class.simpleName.orEmpty()))
+    message.protocolVersion != PeerMessage.PROTOCOL_VERSION -> Err(
+        PeerFailure.HandshakeFailed("version ${PeerMessage.PROTOCOL_VERSION}", "version ${message.protocolVersion}"),
     )
-    else -> Ok(first)
+    else -> Ok(message)
 }
--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerExchange.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerExchange.kt
@@ -6,41 +6,43 @@
 import kotlinx.coroutines.channels.Channel
 
 /**
- * One numbered conversation on a connection, such as a forwarded completion. Both sides send and receive until one of
- * them sends a closing message or calls [close].
+ * A bidirectional sequence of messages on a connection, such as a forwarded completion and its answer. Both sides send
+ * and receive until one of them sends a final message or calls [close].
  */
 public class PeerExchange internal constructor(
     public val number: Long,
     private val link: PeerLink,
-    queuedMessages: Int,
+    queueCapacity: Int,
 ) : AutoCloseable {
-    private val received = Channel<PeerMessage.ExchangeMessage>(queuedMessages)
+    private val incomingQueue = Channel<PeerMessage.ExchangeMessage>(queueCapacity)
 
-    /** The gateway on the other side. */
+    /** The message with which the peer identified itself in the handshake. */
     public val remote: PeerMessage.Hello get() = link.remote
 
-    /** Queues [message], whose exchange number has to be [number]. */
+    /** Queues [message] for sending; its exchange number must be [number]. */
     public suspend fun send(message: PeerMessage.ExchangeMessage): Result<Unit, PeerFailure> {
         require(message.exchange == number) { "expected exchange $number, found ${message.exchange}" }
         return link.send(message)
     }
 
-    /** Suspends until the other side's next message; returns why the connection ended when it has. */
+    /**
+     * Suspends until the peer's next message arrives; returns the failure if the connection or the exchange has ended.
+     */
     public suspend fun receive(): Result<PeerMessage.ExchangeMessage, PeerFailure> {
-        val message = received.receiveCatching().getOrNull()
-        return if (message == null) Err(link.failure ?: PeerFailure.Closed("the exchange ended")) else Ok(message)
+        val message = incomingQueue.receiveCatching().getOrNull()
+        return if (message == null) Err(link.failure ?: PeerFailure.Closed("the exchange was closed")) else Ok(message)
     }
 
-    /** Forgets the exchange; later messages for it are dropped. */
+    /** Removes the exchange from its link; later messages for it are dropped. */
     override fun close() {
-        link.forget(number)
-        received.close()
+        link.removeExchange(number)
+        incomingQueue.close()
     }
 
-    internal fun offer(message: PeerMessage.ExchangeMessage): Boolean = received.trySend(message).isSuccess
+    internal fun offer(message: PeerMessage.ExchangeMessage): Boolean = incomingQueue.trySend(message).isSuccess
 }
 
-/** Ends the exchange with a refusal of [type]; returns why the connection ended when it has. */
+/** Ends the exchange with a refusal of [type]; returns the failure if the connection has ended. */
 public suspend fun PeerExchange.refuse(
     type: String,
     detail: String,
--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerLink.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerLink.kt
@@ -12,20 +12,20 @@
 private val logger = KotlinLogging.logger {}
 
 /**
- * A connection with its exchanges. The dialling side numbers its exchanges oddly and the accepting side evenly, so that
- * both can open exchanges without agreeing on numbers.
+ * A connection that carries exchanges. The dialling side gives its exchanges odd numbers and the accepting side even
+ * ones, so that both can open exchanges without coordination.
  */
 public class PeerLink internal constructor(
     private val connection: PeerConnection,
     internal val isOutbound: Boolean,
     private val handler: PeerHandler,
-    private val queuedMessages: Int,
+    private val queueCapacity: Int,
 ) : AutoCloseable {
     private val exchanges = ConcurrentHashMap<Long, PeerExchange>()
     private val nextNumber = AtomicLong(if (isOutbound) 1 else 2)
-    private val oddRemote = !isOutbound
+    private val remoteNumbersAreOdd = !isOutbound
 
-    /** The gateway on the other side. */
+    /** The message with which the peer identified itself in the handshake. */
     public val remote: PeerMessage.Hello get() = connection.remote
 
     /** Why the connection ended, or null while it is open. */
@@ -33,17 +33,17 @@
 
     internal val isIdle: Boolean get() = exchanges.isEmpty()
 
-    /** Queues a message. */
+    /** Queues [message] for sending. */
     public suspend fun send(message: PeerMessage): Result<Unit, PeerFailure> = connection.send(message)
 
-    /** Queues [message], which is encoded as [frame]. */
+    /** Queues [message], already encoded as [frame]. */
     internal suspend fun send(message: PeerMessage, frame: ByteArray): Result<Unit, PeerFailure> =
         connection.send(message, frame)
 
-    /** Opens an exchange with the message that [opening] makes for its number. */
+    /** Opens an exchange with the message that [opening] returns for the exchange's number. */
     public suspend fun open(opening: (Long) -> PeerMessage.ExchangeMessage): Result<PeerExchange, PeerFailure> {
         val number = nextNumber.getAndAdd(2)
-        val exchange = PeerExchange(number, this, queuedMessages)
+        val exchange = PeerExchange(number, this, queueCapacity)
         exchanges[number] = exchange
         return send(opening(number)).map { exchange }.onFailure { exchange.close() }
     }
@@ -52,7 +52,10 @@
         connection.close()
     }
 
-    /** Hands on every message until the connection ends; exchanges opened by the other side run in [scope]. */
+    /**
+     * Dispatches received messages until the connection ends; the handlers of exchanges that the peer opens run in
+     * [scope].
+     */
     internal suspend fun run(scope: CoroutineScope) {
         for (message in connection.incoming) {
             when (message) {
@@ -63,33 +66,33 @@
         exchanges.values.forEach { it.close() }
     }
 
-    internal fun forget(number: Long) {
+    internal fun removeExchange(number: Long) {
         exchanges.remove(number)
     }
 
     private fun dispatch(message: PeerMessage.ExchangeMessage, scope: CoroutineScope) {
-        val known = exchanges[message.exchange]
+        val exchange = exchanges[message.exchange]
         when {
-            known != null -> deliver(known, message)
+            exchange != null -> deliver(exchange, message)
             message.isOpening() && isRemoteNumber(message.exchange) -> accept(message, scope)
-            else -> logger.debug { "a message for the unknown exchange ${message.exchange} was dropped" }
+            else -> logger.debug { "dropped a message for unknown exchange ${message.exchange}" }
         }
     }
 
-    // An exchange whose reader does not keep up is ended, so that it cannot hold up the others on the connection.
+    // An exchange whose queue is full is closed: waiting for its reader would block the connection's other exchanges.
     private fun deliver(exchange: PeerExchange, message: PeerMessage.ExchangeMessage) {
         if (exchange.offer(message)) return
-        logger.warn { "exchange ${exchange.number} with ${remote.incarnation}: over $queuedMessages unread messages" }
+        logger.warn { "exchange ${exchange.number} with ${remote.incarnation} closed: $queueCapacity unread messages" }
         exchange.close()
     }
 
     private fun accept(message: PeerMessage.ExchangeMessage, scope: CoroutineScope) {
-        val exchange = PeerExchange(message.exchange, this, queuedMessages)
+        val exchange = PeerExchange(message.exchange, this, queueCapacity)
         exchanges[message.exchange] = exchange
         scope.launch { exchange.use { handler.onExchange(it, message) } }
     }
 
-    private fun isRemoteNumber(number: Long): Boolean = (number % 2 == 1L) == oddRemote
+    private fun isRemoteNumber(number: Long): Boolean = (number % 2 == 1L) == remoteNumbersAreOdd
 }
 
 private fun PeerMessage.ExchangeMessage.isOpening(): Boolean = when (this) {
--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerLinks.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerLinks.kt
@@ -3,49 +3,53 @@
 import org.parsleymoor.core.InstanceId
 
 /**
- * The open connections of the gateway [self]. Two gateways that dial each other at once have two connections. Both
- * sides prefer the same one, that of the dialling side whose name sorts first; otherwise each would send its heartbeats
- * on the connection that the other does not use, and both would be dropped as silent.
+ * The open links of the instance [self]. Two instances that dial each other at the same time have two links. Both
+ * prefer the same one, dialled by the instance whose name sorts first. Otherwise each would send its heartbeats on the
+ * link that the other does not use, and both links would be closed for silence.
  */
 internal class PeerLinks(private val self: InstanceId) {
-    private val open = LinkedHashSet<PeerLink>()
+    private val openLinks = LinkedHashSet<PeerLink>()
 
-    /** Returns the connection to use for new messages to [instance], or null. */
+    /** Returns the link to use for new messages to [instance], or null if there is none. */
     @Synchronized
     operator fun get(instance: InstanceId): PeerLink? =
-        open.filter { it.remote.incarnation.instance == instance && it.failure == null }.reduceOrNull(::better)
+        openLinks.filter { it.remote.incarnation.instance == instance && it.failure == null }.reduceOrNull(::choose)
 
-    /** Returns all open connections. */
+    /** Returns all open links. */
     @Synchronized
-    fun all(): List<PeerLink> = open.filter { it.failure == null }
+    fun all(): List<PeerLink> = openLinks.filter { it.failure == null }
 
-    /** Returns the connection to use for each connected instance. */
+    /** Returns the link to use for each connected instance. */
     fun preferred(): List<PeerLink> = all().groupBy { it.remote.incarnation.instance }.keys.mapNotNull { get(it) }
 
-    /** Returns the connections that this side dialled and that neither side uses any more. */
-    fun surplus(): List<PeerLink> =
+    /** Returns the links dialled by this instance that neither side uses: not preferred and without open exchanges. */
+    fun redundant(): List<PeerLink> =
         all().filter { it.isOutbound && it.isIdle && get(it.remote.incarnation.instance) !== it }
 
     @Synchronized
     fun add(link: PeerLink) {
-        open += link
+        openLinks += link
     }
 
     @Synchronized
     fun remove(link: PeerLink) {
-        open -= link
+        openLinks -= link
     }
 
-    /** Of two connections in the order of their making, a later start of the remote process comes first. */
-    private fun better(former: PeerLink, latter: PeerLink): PeerLink {
-        val formerStart = former.remote.incarnation.startMillis
-        val latterStart = latter.remote.incarnation.startMillis
+    /**
+     * Returns the preferred one of two links, given in the order in which they were opened: the one to the remote
+     * process that started later; of two dialled by the same side, [newer]; otherwise the one whose dialling instance
+     * sorts first.
+     */
+    private fun choose(older: PeerLink, newer: PeerLink): PeerLink {
+        val olderStart = older.remote.incarnation.startMillis
+        val newerStart = newer.remote.incarnation.startMillis
         return when {
-            formerStart != latterStart -> if (formerStart > latterStart) former else latter
-            former.isOutbound == latter.isOutbound -> latter
-            else -> if (dialler(former).value < dialler(latter).value) former else latter
+            olderStart != newerStart -> if (olderStart > newerStart) older else newer
+            older.isOutbound == newer.isOutbound -> newer
+            else -> if (dialerOf(older).value < dialerOf(newer).value) older else newer
         }
     }
 
-    private fun dialler(link: PeerLink): InstanceId = if (link.isOutbound) self else link.remote.incarnation.instance
+    private fun dialerOf(link: PeerLink): InstanceId = if (link.isOutbound) self else link.remote.incarnation.instance
 }
--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerMessage.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerMessage.kt
@@ -18,10 +18,10 @@
 import org.parsleymoor.core.WeightVersion
 import org.parsleymoor.core.ZoneId
 
-/** A message between two gateways. The first message on a connection in each direction is [Hello]. */
+/** A message between two instances. The first message in each direction of a connection is [Hello]. */
 @Serializable
 public sealed interface PeerMessage {
-    /** Says who is calling. A peer with another [protocolVersion] is refused. */
+    /** Identifies the sender. A peer with another [protocolVersion] is rejected. */
     @OptIn(ExperimentalSerializationApi::class)
     @Serializable
     @SerialName("hello")
@@ -30,7 +30,7 @@
         public val zone: ZoneId,
         public val region: RegionId,
         public val address: String,
-        // Without this the default would be left out of the frame and a reader would take its own version for it.
+        // A default value would be omitted from the frame, and the receiver would fill in its own version.
         @EncodeDefault public val protocolVersion: Int = PROTOCOL_VERSION,
     ) : PeerMessage
 
@@ -47,7 +47,10 @@
         public val loads: List<EndpointLoadDigest> = emptyList(),
     ) : PeerMessage
 
-    /** Asks for the root when it is newer than [haveRevision], and for the [sections] with these content hashes. */
+    /**
+     * Requests the configuration root if it is newer than [haveRevision], and the sections with the content hashes in
+     * [sections].
+     */
     @Serializable
     @SerialName("cwant")
     public data class ConfigurationWanted(
@@ -55,7 +58,7 @@
         public val sections: List<String> = emptyList(),
     ) : PeerMessage
 
-    /** Offers the encoded configuration [root] of [revision] and encoded [sections] by content hash. */
+    /** Delivers the encoded configuration [root] of [revision] and encoded [sections] by content hash. */
     @Serializable
     @SerialName("coffer")
     public data class ConfigurationOffered(
@@ -64,7 +67,10 @@
         public val sections: Map<String, String> = emptyMap(),
     ) : PeerMessage
 
-    /** Tells which blocks an endpoint or store holds, as the leading hash bytes of each piece. */
+    /**
+     * Reports which blocks an endpoint or store holds. Each block is identified by the leading bytes of its piece's
+     * hash.
+     */
     @Serializable
     @SerialName("cache")
     public data class CacheDigest(
@@ -77,8 +83,9 @@
     ) : PeerMessage
 
     /**
-     * Tells what an instance has learned itself or heard from others, and how current its copies of the store's objects
-     * are; shows that the sender is alive. The receiver passes the news on as far as [passOn] says, by name.
+     * Reports what an instance has observed itself or received from others, and how current its copies of the store's
+     * objects are. Also shows that the sender is alive. [passOn] names the scope in which the receiver forwards the
+     * report.
      */
     @Serializable
     @SerialName("news")
@@ -92,24 +99,24 @@
         public val known: List<ObjectFreshnessDigest> = emptyList(),
     ) : PeerMessage
 
-    /** Asks for all that the KV cache store at [store] holds, as far as the receiver knows. */
+    /** Requests the contents of the KV cache store at [store], as far as the receiver knows them. */
     @Serializable
     @SerialName("swant")
     public data class CacheContentsWanted(public val store: String) : PeerMessage
 
-    /** Offers all that a KV cache store holds, as changes of an empty one. */
+    /** Delivers the contents of a KV cache store, as changes to an empty store. */
     @Serializable
     @SerialName("soffer")
     public data class CacheContentsOffered(public val contents: CacheStoreDigest) : PeerMessage
 
-    /** Asks for the objects of [kind] when any of them has changed since [haveRevision]. */
+    /** Requests the objects of [kind] if any of them has changed since [haveRevision]. */
     @Serializable
     @SerialName("owant")
     public data class ObjectsWanted(public val kind: String, public val haveRevision: Long) : PeerMessage
 
     /**
-     * Offers the objects of [kind] as of [revision]: all of them, or, when [since] is given, those that have changed
-     * after that revision and the names of those that were [removed].
+     * Delivers the objects of [kind] as of [revision]. If [since] is null, these are all objects; otherwise [objects]
+     * are those changed after revision [since], and [removed] names those deleted after it.
      */
     @Serializable
     @SerialName("ooffer")
@@ -121,16 +128,16 @@
         public val removed: List<String> = emptyList(),
     ) : PeerMessage
 
-    /** A message that belongs to one exchange; the side that opened the exchange chose the number. */
+    /** A message of one exchange. The side that opens the exchange chooses its number. */
     @Serializable
     public sealed interface ExchangeMessage : PeerMessage {
-        /** Number of the exchange, unique among those that one side opened on one connection. */
+        /** Number of the exchange, unique within the connection. */
         public val exchange: Long
     }
 
     /**
-     * Asks a gateway of another region to run [completion] on [endpoint]. Pieces of the prompt's text are named by
-     * hash; [inline] has those that the sender has not sent on this connection before.
+     * Asks an instance in another region to run [completion] on [endpoint]. The completion refers to pieces of the
+     * prompt's text by hash; [inline] contains the pieces that the sender has not yet sent on this connection.
      */
     @Serializable
     @SerialName("fwd")
@@ -141,7 +148,7 @@
         public val inline: List<TextPiece> = emptyList(),
     ) : ExchangeMessage
 
-    /** Asks for the texts of the pieces with these hashes, joined as in [ForwardedCompletion.textPieces]. */
+    /** Requests the texts of the pieces with these [hashes], concatenated as in [ForwardedCompletion.textPieces]. */
     @OptIn(ExperimentalSerializationApi::class)
     @Serializable
     @SerialName("pwant")
@@ -150,12 +157,12 @@
         @ByteString public val hashes: ByteArray,
     ) : ExchangeMessage
 
-    /** Delivers texts of pieces. */
+    /** Delivers the texts of [pieces]. */
     @Serializable
     @SerialName("pieces")
     public data class Pieces(override val exchange: Long, public val pieces: List<TextPiece>) : ExchangeMessage
 
-    /** The endpoint has started a forwarded completion; the fields are those of the engine's own report. */
+    /** The endpoint has started a forwarded completion; the fields are copied from the engine's own report. */
     @Serializable
     @SerialName("started")
     public data class Started(
@@ -175,7 +182,7 @@
         public val text: String,
     ) : ExchangeMessage
 
-    /** End of a forwarded completion after [tokens] chunks. */
+    /** A forwarded completion has ended after [tokens] chunks. */
     @Serializable
     @SerialName("fin")
     public data class Finished(
@@ -184,7 +191,9 @@
         public val reason: String,
     ) : ExchangeMessage
 
-    /** The exchange ended without an answer; [execution] is what the caller may be told. */
+    /**
+     * The exchange ended without an answer; [execution] is what the caller may be told about whether the request ran.
+     */
     @Serializable
     @SerialName("refused")
     public data class Refused(
@@ -195,12 +204,12 @@
         public val retryAfterMillis: Long = 0,
     ) : ExchangeMessage
 
-    /** The opener no longer wants the exchange. */
+    /** The side that opened the exchange cancels it. */
     @Serializable
     @SerialName("cancel")
     public data class Cancel(override val exchange: Long) : ExchangeMessage
 
-    /** Asks the issuer of [ticket] to run [call] once; [BodyPart]s with the rest of its body follow. */
+    /** Asks the issuer of [ticket] to run [call] once. The rest of the call's body follows in [BodyPart]s. */
     @Serializable
     @SerialName("ticket")
     public data class ExecuteTicket(
@@ -210,8 +219,8 @@
     ) : ExchangeMessage
 
     /**
-     * Asks the owner of the key's shard, or with [claimed] the process that claimed it, to run [call] at most once;
-     * [BodyPart]s with the rest of its body follow.
+     * Asks the owner of the key's shard, or the process that claimed the key if [claimed] is set, to run [call] at most
+     * once. The rest of the call's body follows in [BodyPart]s.
      */
     @Serializable
     @SerialName("claim")
@@ -222,7 +231,7 @@
         public val claimed: Boolean = false,
     ) : ExchangeMessage
 
-    /** The next bytes of the body of a call or of its answer. */
+    /** The next part of the body of a call or of its answer. */
     @OptIn(ExperimentalSerializationApi::class)
     @Serializable
     @SerialName("part")
@@ -231,7 +240,7 @@
         @ByteString public val bytes: ByteArray,
     ) : ExchangeMessage
 
-    /** The answer of a call that ran; [BodyPart]s with the rest of its body follow. */
+    /** The answer to a call that ran. The rest of the answer's body follows in [BodyPart]s. */
     @Serializable
     @SerialName("answer")
     public data class ExecutionAnswer(
@@ -240,7 +249,7 @@
     ) : ExchangeMessage
 
     public companion object {
-        /** Version of the messages in this file; raised by a change that an older peer cannot read. */
+        /** Version of the messages in this file; incremented by each change that an older peer cannot decode. */
         public const val PROTOCOL_VERSION: Int = 3
     }
 }
@@ -249,7 +258,7 @@
 @Serializable
 public enum class Execution { NOT_RUN, RUN, UNKNOWN }
 
-/** An endpoint's load as one gateway read it [ageMillis] ago. Member names are left out to keep heartbeats small. */
+/** An endpoint's load as one instance read it [ageMillis] ago. Encoded without field names to keep heartbeats small. */
 @OptIn(ExperimentalSerializationApi::class)
 @CborArray
 @Serializable
@@ -278,13 +287,13 @@
     public val ageMillis: Long,
 )
 
-/** An engine that was asked [ageMillis] ago and did not answer. */
+/** An engine that was polled [ageMillis] ago and did not answer. */
 @OptIn(ExperimentalSerializationApi::class)
 @CborArray
 @Serializable
 public data class UnresponsiveEngineDigest(public val endpoint: EndpointId, public val ageMillis: Long)
 
-/** An engine that is being given orders by [holder], or is no longer when not [active]. */
+/** An engine to which [holder] is sending orders; [active] is false once it has stopped. */
 @OptIn(ExperimentalSerializationApi::class)
 @CborArray
 @Serializable
@@ -294,19 +303,22 @@
     public val active: Boolean,
 )
 
-/** Changes of one name space of a KV cache store. */
+/** Changes to one namespace of a KV cache store. */
 @OptIn(ExperimentalSerializationApi::class)
 @CborArray
 @Serializable
 public data class NamespaceDigest(public val namespace: String, public val parts: List<CachedPartDigest>)
 
-/** A part that a KV cache store holds with [tokens] tokens, or no longer when not [held]. */
+/** A part of [tokens] tokens that a KV cache store holds; [held] is false if it has been removed. */
 @OptIn(ExperimentalSerializationApi::class)
 @CborArray
 @Serializable
 public data class CachedPartDigest(public val part: String, public val tokens: Long, public val held: Boolean)
 
-/** Changes of a KV cache store that started as [epoch], between two positions of its events; or that it is [lost]. */
+/**
+ * Changes to a KV cache store between the positions [from] and [to] of its events; [epoch] identifies the start of the
+ * store. [lost] is set, without changes, if the store does not answer.
+ */
 @OptIn(ExperimentalSerializationApi::class)
 @CborArray
 @Serializable
@@ -320,8 +332,8 @@
 )
 
 /**
- * How current the sender's copy of the objects of [kind] is: it has all changes up to [changedRevision], and there were
- * no others [ageMillis] ago. [lost] when the store does not answer.
+ * How current the sender's copy of the objects of [kind] is: it includes all changes up to [changedRevision], and there
+ * were no later ones [ageMillis] ago. [lost] is set if the store does not answer.
  */
 @OptIn(ExperimentalSerializationApi::class)
 @CborArray
@@ -334,8 +346,8 @@
 )
 
 /**
- * A prompt that [origin] sent to an engine [ageMillis] ago: its [tokens], those that the engine has to read, and the
- * hash that names its shared parts.
+ * A prompt that [origin] sent to an engine [ageMillis] ago: its length in [tokens], the number of tokens that the
+ * engine has to prefill ([tokensToRead]), and the hash that identifies its shared parts ([context]).
  */
 @OptIn(ExperimentalSerializationApi::class)
 @CborArray
@@ -356,10 +368,10 @@
 public data class OfferedObject(public val name: String, public val revision: Long, public val content: String)
 
 /**
- * A completion whose prompt is the texts of [textPieces] in order followed by [tail]. [textPieces] joins the hashes of
- * [TextHash.BYTES] bytes each. [contextHash] is the chained hash of the last full context piece, in lower-case
- * hexadecimal, and empty when there is none; it proves that the prompt was put together right. Texts are UTF-8 that may
- * end inside a character.
+ * A completion request. Its prompt consists of the texts of [textPieces] in order, followed by [tail]. [textPieces]
+ * concatenates hashes of [TextHash.BYTES] bytes each. [contextHash] is the chained hash of the last full context piece
+ * in lower-case hexadecimal, or empty if there is none; the receiver uses it to verify the reassembled prompt. Texts
+ * are UTF-8 and may end inside a multi-byte character.
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
@@ -380,7 +392,7 @@
     public val traceParent: String = "",
 )
 
-/** The text of one piece of a prompt and its hash, salted with the organisation. */
+/** The text of one piece of a prompt, and its hash, which is salted with the organisation. */
 @OptIn(ExperimentalSerializationApi::class)
 @CborArray
 @Serializable
@@ -393,8 +405,8 @@
 public data class ForwardedHeader(public val name: String, public val value: String)
 
 /**
- * A call to a service group, passed on unchanged. [body] is the first part of a body of [bodyBytes] bytes, and
- * [remainingMillis] is the time until its deadline.
+ * A call to a service group, forwarded unchanged. [body] is the first part of a body of [bodyBytes] bytes, and
+ * [remainingMillis] is the time left until the call's deadline.
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
@@ -411,7 +423,7 @@
     public val traceParent: String = "",
 )
 
-/** The answer of a service call; [body] is the first part of a body of [bodyBytes] bytes. */
+/** The answer to a service call; [body] is the first part of a body of [bodyBytes] bytes. */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
 public data class ForwardedAnswer(
--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerNode.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerNode.kt
@@ -26,7 +26,7 @@
 
 private val logger = KotlinLogging.logger {}
 
-/** What a gateway says of itself to its peers. */
+/** The identity that an instance announces to its peers. */
 public data class PeerIdentity(
     public val incarnation: Incarnation,
     public val zone: ZoneId,
@@ -36,8 +36,8 @@
 }
 
 /**
- * A gateway's connections to other gateways: accepts theirs, keeps one to each neighbour open and replaces those that
- * break or fall silent. Connects to others on demand. [close] ends all of them.
+ * Manages an instance's connections to its peers. It accepts connections, keeps one open to each neighbour, replaces
+ * those that fail or fall silent, and connects to other peers on demand. [close] closes all connections.
  */
 public class PeerNode(
     private val identity: PeerIdentity,
@@ -47,13 +47,13 @@
 ) : AutoCloseable {
     private val scope = CoroutineScope(SupervisorJob() + dispatcher)
 
-    // A selector blocks its thread while it waits, which would take one of the few threads of the default dispatcher.
+    // The selector blocks its thread while it waits, and the default dispatcher has only a few threads.
     private val selector = SelectorManager(Dispatchers.IO)
     private val links = PeerLinks(identity.incarnation.instance)
-    private val dialling = ConcurrentHashMap<InstanceId, Mutex>()
+    private val dialLocks = ConcurrentHashMap<InstanceId, Mutex>()
     private val counter = TrafficCounter()
     private val codec = FrameCodec(options.frameLimitBytes)
-    private val server = PeerServer(selector, scope, options) { serve(PeerLink(it, false, handler, QUEUED_MESSAGES)) }
+    private val server = PeerServer(selector, scope, options) { serve(PeerLink(it, false, handler, QUEUE_MESSAGES)) }
 
     @Volatile
     private var neighbours: Map<InstanceId, String> = emptyMap()
@@ -61,41 +61,41 @@
     @Volatile
     private var dialer: PeerDialer? = null
 
-    /** The open connections, at most one for each remote instance. */
+    /** The open links, at most one for each remote instance. */
     public val connected: List<PeerLink> get() = links.preferred()
 
-    /** What this node has sent since its start. */
+    /** Frames and bytes that this node has sent since it was created. */
     public val traffic: PeerTraffic get() = counter.total()
 
-    /** Binds [host] and [port] (0 for a free one), starts accepting and returns the bound port. */
+    /** Binds to [host] and [port] (0 for any free port), starts accepting connections and returns the bound port. */
     public suspend fun start(host: String, port: Int): Int {
-        server.traffic = counter
+        server.counter = counter
         val bound = server.start(host, port) { identity.hello("$host:$it") }
-        dialer = PeerDialer(selector, scope, identity.hello("$host:$bound"), options).also { it.traffic = counter }
-        scope.launch { keepNeighbours() }
+        dialer = PeerDialer(selector, scope, identity.hello("$host:$bound"), options).also { it.counter = counter }
+        scope.launch { maintainNeighbourLinks() }
         return bound
     }
 
-    /** Sets the instances (with `host:port`) that connections are kept to. */
+    /** Sets the neighbours: instances to which a connection is kept open, with their addresses (`host:port`). */
     public fun keepConnectedTo(peers: Map<InstanceId, String>) {
         neighbours = peers - identity.incarnation.instance
     }
 
-    /** Returns the open connection to [instance] or makes one to [address]. */
+    /** Returns the open link to [instance], or connects to [address] if there is none. */
     public suspend fun connect(instance: InstanceId, address: String): Result<PeerLink, PeerFailure> =
-        dialling.computeIfAbsent(instance) { Mutex() }.withLock {
-            val open = links[instance]
-            if (open != null) Ok(open) else dial(address)
+        dialLocks.computeIfAbsent(instance) { Mutex() }.withLock {
+            val existing = links[instance]
+            if (existing != null) Ok(existing) else dial(address)
         }
 
-    /** Sends [message] on every open connection. */
+    /** Sends [message] on every open link. */
     public suspend fun broadcast(message: PeerMessage) {
         send(message, links.all())
     }
 
     /**
-     * Sends [message] on each of [to], which are connections of this node. It is encoded once; a slow connection is
-     * waited for when its queue is full.
+     * Sends [message] on each link in [to], all of which belong to this node. The message is encoded once. Suspends
+     * while the send queue of a link is full.
      */
     public suspend fun send(message: PeerMessage, to: Collection<PeerLink>) {
         if (to.isEmpty()) return
@@ -103,10 +103,10 @@
             .onSuccess { frame ->
                 to.forEach { link ->
                     link.send(message, frame)
-                        .onFailure { logger.debug { "${link.remote.incarnation}: ${it.message}" } }
+                        .onFailure { logger.debug { "could not send to ${link.remote.incarnation}: ${it.message}" } }
                 }
             }
-            .onFailure { logger.warn { "a message was not sent: ${it.message}" } }
+            .onFailure { logger.warn { "could not encode a message for peers: ${it.message}" } }
     }
 
     override fun close() {
@@ -117,13 +117,13 @@
     }
 
     private suspend fun dial(address: String): Result<PeerLink, PeerFailure> {
-        val started = dialer
+        val startedDialer = dialer
         val port = address.substringAfterLast(':').toIntOrNull()
         return when {
-            started == null -> Err(PeerFailure.Closed("this gateway has not started"))
+            startedDialer == null -> Err(PeerFailure.Closed("this node has not been started"))
             port == null -> Err(PeerFailure.NotConnected(address, "not of the form host:port"))
-            else -> started.dial(address.substringBeforeLast(':'), port).map { connection ->
-                PeerLink(connection, true, handler, QUEUED_MESSAGES).also { link ->
+            else -> startedDialer.dial(address.substringBeforeLast(':'), port).map { connection ->
+                PeerLink(connection, true, handler, QUEUE_MESSAGES).also { link ->
                     links.add(link)
                     scope.launch { serve(link) }
                 }
@@ -142,17 +142,17 @@
         }
     }
 
-    private suspend fun keepNeighbours() {
+    private suspend fun maintainNeighbourLinks() {
         while (scope.isActive) {
             neighbours.filterKeys { links[it] == null }.forEach { (instance, address) ->
                 scope.launch { connect(instance, address).onFailure { logger.debug { it.message } } }
             }
-            links.surplus().forEach { it.close() }
+            links.redundant().forEach { it.close() }
             delay(options.heartbeatMillis)
         }
     }
 
     private companion object {
-        const val QUEUED_MESSAGES = 4_096
+        const val QUEUE_MESSAGES = 4_096
     }
 }
--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerOptions.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerOptions.kt
@@ -1,8 +1,10 @@
 package org.parsleymoor.peering
 
 /**
- * Bounds of a connection between gateways. [silenceMillis] is three heartbeat periods, so that one lost or late
- * heartbeat does not end a connection. [queueCapacityFrames] bounds each outgoing queue.
+ * Limits and timeouts of a connection between instances. A connection that receives nothing for [silenceMillis] is
+ * closed; this is three heartbeat intervals, so that one lost or late heartbeat does not close it.
+ * [queueCapacityFrames] is the capacity of each of its queues: control messages to send, data messages to send, and
+ * received messages.
  */
 public data class PeerOptions(
     public val frameLimitBytes: Int = 4_194_304,
--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerServer.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerServer.kt
@@ -15,28 +15,31 @@
 
 private val logger = KotlinLogging.logger {}
 
-/** Accepts connections from other gateways and hands each to [onConnection] after the handshake. */
+/** Accepts connections from peers and passes each to [onConnection] after a successful handshake. */
 public class PeerServer(
     private val selector: SelectorManager,
     private val scope: CoroutineScope,
     private val options: PeerOptions = PeerOptions(),
     private val onConnection: suspend (PeerConnection) -> Unit,
 ) : AutoCloseable {
-    internal var traffic: TrafficCounter = TrafficCounter()
-    private var listener: ServerSocket? = null
+    internal var counter: TrafficCounter = TrafficCounter()
+    private var serverSocket: ServerSocket? = null
 
-    /** Binds [host] and [port] (0 for a free one), accepts in the background and returns the bound port. */
-    public suspend fun start(host: String, port: Int, identity: (boundPort: Int) -> PeerMessage.Hello): Int {
+    /**
+     * Binds to [host] and [port] (0 for any free port), accepts connections in the background and returns the bound
+     * port. [createHello] returns the message that is sent in each handshake.
+     */
+    public suspend fun start(host: String, port: Int, createHello: (boundPort: Int) -> PeerMessage.Hello): Int {
         val bound = aSocket(selector).tcp().bind(host, port) { reuseAddress = true }
-        listener = bound
+        serverSocket = bound
         val boundPort = (bound.localAddress as InetSocketAddress).port
-        val hello = identity(boundPort)
+        val hello = createHello(boundPort)
         scope.launch { acceptAll(bound, hello) }
         return boundPort
     }
 
     override fun close() {
-        listener?.close()
+        serverSocket?.close()
     }
 
     private suspend fun acceptAll(bound: ServerSocket, hello: PeerMessage.Hello) {
@@ -49,17 +52,17 @@
     private suspend fun acceptOne(bound: ServerSocket): Socket? = try {
         bound.accept()
     } catch (cause: IOException) {
-        logger.info(cause) { "the peer listener stopped" }
+        logger.info(cause) { "stopped accepting peer connections" }
         null
     }
 
     private suspend fun serve(socket: Socket, hello: PeerMessage.Hello) {
-        val caller = socket.remoteAddress
-        handshake(socket, hello, options, traffic)
+        val peerAddress = socket.remoteAddress
+        handshake(socket, hello, options, counter)
             .onSuccess {
                 it.start(scope)
                 onConnection(it)
             }
-            .onFailure { logger.warn { "a connection from $caller was refused: ${it.message}" } }
+            .onFailure { logger.warn { "rejected a peer connection from $peerAddress: ${it.message}" } }
     }
 }
--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerTraffic.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerTraffic.kt
@@ -2,7 +2,9 @@
 
 import java.util.concurrent.atomic.LongAdder
 
-/** Frames and bytes that a node has sent, by class; the length prefix of each frame is included. */
+/**
+ * Control and data messages that a node has sent, as frames and bytes. Bytes include the length prefix of each frame.
+ */
 public data class PeerTraffic(
     public val controlFrames: Long,
     public val controlBytes: Long,
@@ -10,16 +12,16 @@
     public val dataBytes: Long,
 )
 
-/** Adds up what all connections of a node send. */
+/** Counts the frames and bytes that all connections of a node send. */
 internal class TrafficCounter {
     private val controlFrames = LongAdder()
     private val controlBytes = LongAdder()
     private val dataFrames = LongAdder()
     private val dataBytes = LongAdder()
 
-    fun count(control: Boolean, frameBytes: Int) {
-        (if (control) controlFrames else dataFrames).increment()
-        (if (control) controlBytes else dataBytes).add(frameBytes.toLong() + Int.SIZE_BYTES)
+    fun count(isControl: Boolean, frameBytes: Int) {
+        (if (isControl) controlFrames else dataFrames).increment()
+        (if (isControl) controlBytes else dataBytes).add(frameBytes.toLong() + Int.SIZE_BYTES)
     }
 
     fun total() = PeerTraffic(controlFrames.sum(), controlBytes.sum(), dataFrames.sum(), dataBytes.sum())
--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PieceTextCache.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PieceTextCache.kt
@@ -1,26 +1,23 @@
 package org.parsleymoor.peering
 
-/**
- * Texts of prompt pieces by hash, least recently used first out, at most [capacityBytes] in all. Safe for use from
- * several threads.
- */
+/** LRU cache for the texts of prompt pieces, by hash; holds at most [capacityBytes] of text. Thread-safe. */
 public class PieceTextCache(private val capacityBytes: Long) {
     private val texts = LinkedHashMap<TextHash, ByteArray>(INITIAL_CAPACITY, LOAD_FACTOR, true)
-    private var heldBytes = 0L
+    private var cachedBytes = 0L
 
-    /** Bytes of text held. */
-    public val bytes: Long get() = synchronized(texts) { heldBytes }
+    /** Total size of the cached texts. */
+    public val bytes: Long get() = synchronized(texts) { cachedBytes }
 
-    /** Returns the text with this [hash], or null when it is not held. */
+    /** Returns the text with this [hash], or null if it is not cached. */
     public operator fun get(hash: TextHash): ByteArray? = synchronized(texts) { texts[hash] }
 
-    /** Keeps [piece] and drops the least recently used ones beyond the capacity. */
+    /** Adds [piece] and evicts the least recently used pieces until the cache is within its capacity. */
     public fun put(piece: TextPiece) {
         synchronized(texts) {
-            heldBytes += piece.text.size - (texts.put(piece.hash, piece.text)?.size ?: 0)
+            cachedBytes += piece.text.size - (texts.put(piece.hash, piece.text)?.size ?: 0)
             val eldest = texts.entries.iterator()
-            while (heldBytes > capacityBytes && eldest.hasNext()) {
-                heldBytes -= eldest.next().value.size
+            while (cachedBytes > capacityBytes && eldest.hasNext()) {
+                cachedBytes -= eldest.next().value.size
                 eldest.remove()
             }
         }
--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/TextHash.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/TextHash.kt
@@ -19,14 +19,14 @@
             digest
         ).let { TextHash(it.getLong(), it.getLong()) }
 
-        /** Joins [hashes] in order. */
+        /** Concatenates the bytes of [hashes] in order. */
         public fun join(hashes: List<TextHash>): ByteArray {
             val joined = ByteBuffer.allocate(hashes.size * BYTES)
             hashes.forEach { joined.putLong(it.high).putLong(it.low) }
             return joined.array()
         }
 
-        /** Splits what [join] made; bytes after the last whole hash are left out. */
+        /** Reverses [join]; trailing bytes that do not make up a whole hash are ignored. */
         public fun split(joined: ByteArray): List<TextHash> {
             val buffer = ByteBuffer.wrap(joined)
             return List(joined.size / BYTES) { TextHash(buffer.getLong(), buffer.getLong()) }
--- a/libraries/peering/src/test/kotlin/org/parsleymoor/peering/PeerNodeTest.kt
+++ b/libraries/peering/src/test/kotlin/org/parsleymoor/peering/PeerNodeTest.kt
@@ -46,7 +46,7 @@
     }
 
     @Test
-    fun `answers reach the exchange that asked, also when they cross`(): Unit = runBlocking {
+    fun `answers reach the exchange that asked when two exchanges are open`(): Unit = runBlocking {
         val server = node("a", EchoHandler())
         val client = node("b", EchoHandler())
         val link = requireNotNull(client.node.connect(InstanceId("a"), server.address).get())
@@ -69,10 +69,10 @@
         )
         val client = node("b", EchoHandler())
         val link = requireNotNull(client.node.connect(InstanceId("a"), server.address).get())
-        val forth = requireNotNull(link.open { forward(it, "forth") }.get())
-        val back = requireNotNull(connected.await().open { forward(it, "back") }.get())
-        expectThat(forth.receive().get()).isA<PeerMessage.Chunk>().get { text }.isEqualTo("forth")
-        expectThat(back.receive().get()).isA<PeerMessage.Chunk>().get { text }.isEqualTo("back")
+        val fromClient = requireNotNull(link.open { forward(it, "forth") }.get())
+        val fromServer = requireNotNull(connected.await().open { forward(it, "back") }.get())
+        expectThat(fromClient.receive().get()).isA<PeerMessage.Chunk>().get { text }.isEqualTo("forth")
+        expectThat(fromServer.receive().get()).isA<PeerMessage.Chunk>().get { text }.isEqualTo("back")
     }
 
     @Test
@@ -80,15 +80,17 @@
         val server = node("a", EchoHandler())
         val client = node("b", EchoHandler())
         val link = requireNotNull(client.node.connect(InstanceId("a"), server.address).get())
-        val closed = rawConnection(server.port) { output -> output.writeInt(Int.MAX_VALUE) }
+        val closed = isClosedAfter(server.port) { output -> output.writeInt(Int.MAX_VALUE) }
         expectThat(closed).isEqualTo(true)
         expectThat(link.open { forward(it, "still open") }.get()).isNotNull()
         expectThat(link.failure).isNull()
     }
 
-    /** Guards against a version that is left out as a default, which every reader would take for its own. */
+    /**
+     * Guards against omitting the version as a default value, for which each receiver would substitute its own version.
+     */
     @Test
-    fun `a greeting carries its protocol version`() {
+    fun `an encoded Hello message contains its protocol version`() {
         val hello = PeerMessage.Hello(Incarnation(InstanceId("a"), 1), ZoneId("z"), RegionId("r"), "")
 
         val frame = FrameCodec(PeerOptions().frameLimitBytes).encode(hello).get()
@@ -97,11 +99,11 @@
     }
 
     @Test
-    fun `an unknown frame closes its own connection and no other`(): Unit = runBlocking {
+    fun `an undecodable frame closes its own connection and no other`(): Unit = runBlocking {
         val server = node("a", EchoHandler())
         val client = node("b", EchoHandler())
         val link = requireNotNull(client.node.connect(InstanceId("a"), server.address).get())
-        val closed = rawConnection(server.port) { output ->
+        val closed = isClosedAfter(server.port) { output ->
             output.writeInt(3)
             output.writeByteArray(byteArrayOf(1, 2, 3))
         }
@@ -110,7 +112,7 @@
     }
 
     @Test
-    fun `a peer that falls silent after the handshake is dropped at the deadline`(): Unit = runBlocking {
+    fun `a connection that is silent after the handshake is closed at the silence limit`(): Unit = runBlocking {
         val ended = Channel<PeerFailure?>(1)
         val handler = object : EchoHandler() {
             override suspend fun onDisconnected(link: PeerLink) {
@@ -124,7 +126,7 @@
     }
 
     @Test
-    fun `a neighbour is connected again after its connection broke`(): Unit = runBlocking {
+    fun `a neighbour is reconnected after its connection was closed`(): Unit = runBlocking {
         val connections = Channel<PeerLink>(Channel.UNLIMITED)
         val server = node(
             "a",
@@ -141,7 +143,7 @@
     }
 
     @Test
-    fun `gateways that dial each other at once keep one connection and lose none to silence`(): Unit = runBlocking {
+    fun `instances that dial each other at once keep one connection and none falls silent`(): Unit = runBlocking {
         val ended = Channel<PeerFailure?>(Channel.UNLIMITED)
         val handler = object : EchoHandler() {
             override suspend fun onDisconnected(link: PeerLink) {
@@ -149,26 +151,26 @@
             }
         }
         val options = PeerOptions(heartbeatMillis = 50, silenceMillis = 1_000)
-        val one = node("a", handler, options)
-        val other = node("b", handler, options)
-        one.node.keepConnectedTo(mapOf(InstanceId("b") to other.address))
-        other.node.keepConnectedTo(mapOf(InstanceId("a") to one.address))
+        val nodeA = node("a", handler, options)
+        val nodeB = node("b", handler, options)
+        nodeA.node.keepConnectedTo(mapOf(InstanceId("b") to nodeB.address))
+        nodeB.node.keepConnectedTo(mapOf(InstanceId("a") to nodeA.address))
         repeat(60) {
-            listOf(one, other).forEach { it.node.broadcast(PeerMessage.Heartbeat(1)) }
+            listOf(nodeA, nodeB).forEach { it.node.broadcast(PeerMessage.Heartbeat(1)) }
             delay(50)
         }
         val failures = generateSequence { ended.tryReceive().getOrNull() }.toList()
         expectThat(failures.filterIsInstance<PeerFailure.Silent>()).isEqualTo(emptyList())
-        expectThat(one.node.connected).hasSize(1)
-        expectThat(other.node.connected).hasSize(1)
+        expectThat(nodeA.node.connected).hasSize(1)
+        expectThat(nodeB.node.connected).hasSize(1)
     }
 
     @Test
-    fun `a peer of another protocol version is refused`(): Unit = runBlocking {
+    fun `a peer with another protocol version is rejected`(): Unit = runBlocking {
         val server = node("a", EchoHandler())
         val hello = PeerMessage.Hello(Incarnation(InstanceId("old"), 1), zone, region, "", protocolVersion = 0)
         val frame = requireNotNull(FrameCodec(1_024).encode(hello).get())
-        val closed = rawConnection(server.port) { output ->
+        val closed = isClosedAfter(server.port) { output ->
             output.writeInt(frame.size)
             output.writeByteArray(frame)
         }
@@ -177,7 +179,7 @@
     }
 
     @Test
-    fun `a message over the frame limit is refused before it is sent`(): Unit = runBlocking {
+    fun `a message over the frame limit is rejected before it is sent`(): Unit = runBlocking {
         val server = node("a", EchoHandler())
         val client = node("b", EchoHandler(), PeerOptions(frameLimitBytes = 1_024))
         val link = requireNotNull(client.node.connect(InstanceId("a"), server.address).get())
@@ -186,14 +188,17 @@
     }
 
     @Test
-    fun `nobody listening is a typed failure`(): Unit = runBlocking {
+    fun `connecting to a port without a listener returns NotConnected`(): Unit = runBlocking {
         val client = node("b", EchoHandler())
         val failure = client.node.connect(InstanceId("a"), "127.0.0.1:1").getError()
         expectThat(failure).isA<PeerFailure.NotConnected>()
     }
 
-    /** Returns whether the server closed a connection on which [write] sent its bytes. */
-    private suspend fun rawConnection(
+    /**
+     * Connects to [port], reads the server's Hello message, sends bytes with [write] and returns whether the server
+     * closed the connection.
+     */
+    private suspend fun isClosedAfter(
         port: Int,
         write: suspend (io.ktor.utils.io.ByteWriteChannel) -> Unit,
     ): Boolean {
--- a/libraries/peering/src/test/kotlin/org/parsleymoor/peering/PieceTextCacheTest.kt
+++ b/libraries/peering/src/test/kotlin/org/parsleymoor/peering/PieceTextCacheTest.kt
@@ -7,22 +7,22 @@
 import strikt.assertions.isNull
 
 class PieceTextCacheTest {
-    private val store = PieceTextCache(capacityBytes = 30)
+    private val cache = PieceTextCache(capacityBytes = 30)
 
     @Test
-    fun `the least recently used text is dropped beyond the capacity`() {
-        (1L..3L).forEach { store.put(piece(it)) }
-        store[hash(1)]
-        store.put(piece(4))
-        expectThat(store[hash(1)]).isNotNull()
-        expectThat(store[hash(2)]).isNull()
-        expectThat(store.bytes).isEqualTo(30)
+    fun `the least recently used text is evicted when the capacity is exceeded`() {
+        (1L..3L).forEach { cache.put(piece(it)) }
+        cache[hash(1)]
+        cache.put(piece(4))
+        expectThat(cache[hash(1)]).isNotNull()
+        expectThat(cache[hash(2)]).isNull()
+        expectThat(cache.bytes).isEqualTo(30)
     }
 
     @Test
     fun `putting the same text twice counts it once`() {
-        repeat(2) { store.put(piece(1)) }
-        expectThat(store.bytes).isEqualTo(10)
+        repeat(2) { cache.put(piece(1)) }
+        expectThat(cache.bytes).isEqualTo(10)
     }
 
     @Test
