--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerMessageMapping.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerMessageMapping.kt
@@ -4,12 +4,12 @@
 import org.parsleymoor.peering.CacheStoreDigest
 import org.parsleymoor.peering.CachedPartDigest
 import org.parsleymoor.peering.EngineLoadDigest
+import org.parsleymoor.peering.EngineOrderDigest
 import org.parsleymoor.peering.NamespaceDigest
 import org.parsleymoor.peering.OfferedObject
-import org.parsleymoor.peering.OrderedEngineDigest
 import org.parsleymoor.peering.PeerMessage
 import org.parsleymoor.peering.SentPromptDigest
-import org.parsleymoor.peering.SilentEngineDigest
+import org.parsleymoor.peering.UnresponsiveEngineDigest
 import org.parsleymoor.relay.cache.CacheStoreChange
 import org.parsleymoor.relay.cache.CachedPart
 import org.parsleymoor.relay.cache.ContextKey
@@ -27,9 +27,9 @@
     passOn = passOn.name,
     loads = filterIsInstance<PeerUpdate.Load>().map { it.toDigest(nowMillis) },
     silent = filterIsInstance<PeerUpdate.Unresponsive>()
-        .map { SilentEngineDigest(it.endpoint, nowMillis - it.atMillis) },
+        .map { UnresponsiveEngineDigest(it.endpoint, nowMillis - it.atMillis) },
     sent = filterIsInstance<PeerUpdate.Sent>().map { it.toDigest(nowMillis) },
-    ordered = filterIsInstance<PeerUpdate.Ordered>().map { OrderedEngineDigest(it.holder, it.endpoint, it.active) },
+    ordered = filterIsInstance<PeerUpdate.Ordered>().map { EngineOrderDigest(it.holder, it.endpoint, it.active) },
     stores = mapNotNull { update ->
         when (update) {
             is PeerUpdate.CacheStoreEvents -> update.toDigest()
