--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/Gateway.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/Gateway.kt
@@ -24,7 +24,7 @@
 import org.parsleymoor.gateway.callers.ServiceRoutes
 import org.parsleymoor.gateway.control.CallForwarder
 import org.parsleymoor.gateway.control.CallReceiver
-import org.parsleymoor.gateway.control.ClaimDesk
+import org.parsleymoor.gateway.control.ClaimExecutor
 import org.parsleymoor.gateway.control.ConfigurationControl
 import org.parsleymoor.gateway.control.LeasedColdStart
 import org.parsleymoor.gateway.control.OrderClients
@@ -32,9 +32,9 @@
 import org.parsleymoor.gateway.control.OrderLease
 import org.parsleymoor.gateway.control.OrderMeters
 import org.parsleymoor.gateway.control.PeerControl
+import org.parsleymoor.gateway.control.RegionEngineRouter
 import org.parsleymoor.gateway.control.RegionLeader
 import org.parsleymoor.gateway.control.RegionLinkMeter
-import org.parsleymoor.gateway.control.RegionRoute
 import org.parsleymoor.gateway.control.RolloutProgress
 import org.parsleymoor.gateway.forwarding.ForwardReceiver
 import org.parsleymoor.gateway.operations.GatewayMetrics
@@ -79,7 +79,7 @@
     private val telemetry = Telemetry(RequestRecords(settings.instance, clock), metrics, tracing)
     private val platform = settings.platform?.let { VertxPlatformClient(vertx, it) }
     private val linkMeter = RegionLinkMeter(clock, metrics) { peers.members.gatewaysInRegion() }
-    private val backEnds = BackEndClients(vertx, RegionRoute(settings.region, holder, { peers }, linkMeter))
+    private val backEnds = BackEndClients(vertx, RegionEngineRouter(settings.region, holder, { peers }, linkMeter))
     private val receiver = ForwardReceiver(PieceTextStore(TEXT_STORE_BYTES)) { forwardTarget(it) }
     private val identity = PeerIdentity(incarnation, settings.zone, settings.region)
     private val peers: PeerControl = PeerControl(identity, platform, holder, receiver, clock, background)
@@ -92,7 +92,7 @@
     private val orders = platform?.let {
         val lease = OrderLease(incarnation, it, settings.orders.lease(), clock, background)
         val meters = OrderMeters(metrics, rollouts)
-        OrderDriver(incarnation, lease, OrderClients(vertx), holder, meters) { peers.members.contends("orders") }
+        OrderDriver(incarnation, lease, OrderClients(vertx), holder, meters) { peers.members.mayContend("orders") }
     }
     private val tools = ServingDependencies(
         configuration = holder,
@@ -106,7 +106,7 @@
     private val forwarder = CallForwarder({ peers.directory }, clock, tracing)
     private val tickets = TicketExecutor(incarnation, forwarder, background)
     private val claims =
-        platform?.let { ClaimDesk(incarnation, it, tickets, forwarder, clock, background) }?.also { it.start() }
+        platform?.let { ClaimExecutor(incarnation, it, tickets, forwarder, clock, background) }?.also { it.start() }
     private val keeper = StoreMaintenance(tools, fleetState, RegionLeader(settings.instance, peers.members))
     private val completions = CompletionRunner(
         tools,
@@ -174,7 +174,7 @@
     private fun coldStart(): ColdStartGuard {
         val limit = { holder.current?.configuration?.limits?.coldLimit ?: 0 }
         val source = platform ?: return LocalColdStartGuard(limit)
-        return LeasedColdStart(incarnation, source, clock, background, limit) { peers.members.contends("cold.$it") }
+        return LeasedColdStart(incarnation, source, clock, background, limit) { peers.members.mayContend("cold.$it") }
             .also { it.start() }
     }
 
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/CallForwarder.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/CallForwarder.kt
@@ -29,8 +29,8 @@
 import org.parsleymoor.peering.sendRest
 
 /**
- * Sends calls with a key to the process that may run them. Once the opening frame is queued, a lost connection or a
- * passed deadline makes the outcome unknown; the call is never sent a second time.
+ * Forwards keyed calls to the process that may execute them. Once the opening frame is queued, a lost connection or a
+ * passed deadline makes the outcome unknown, and the call is never sent again.
  */
 internal class CallForwarder(
     private val directory: () -> PeerDirectory,
@@ -51,7 +51,7 @@
         val owner = directory().ownerOf("claims.$shard") ?: return ForwardResult.NotSent
         return directory().connect(owner).mapBoth(
             { send(it, call) { number, message -> PeerMessage.ExecuteClaim(number, call.keyed.key, message) } },
-            { notSent(call, it) },
+            { toNotSent(call, it) },
         )
     }
 
@@ -59,10 +59,10 @@
         process: Incarnation,
         call: AtMostOnceCall,
         opening: (Long, ForwardedCall) -> PeerMessage.OfExchange,
-    ): ForwardResult = when (val reached = directory().connect(process)) {
-        is Reached.Open -> send(reached.link, call, opening)
-        is Reached.Unreachable -> notSent(call, reached.failure)
-        is Reached.Gone -> ForwardResult.Gone
+    ): ForwardResult = when (val connection = directory().connect(process)) {
+        is ConnectionResult.Connected -> send(connection.link, call, opening)
+        is ConnectionResult.Unreachable -> toNotSent(call, connection.failure)
+        is ConnectionResult.Gone -> ForwardResult.Gone
     }
 
     private suspend fun send(
@@ -76,40 +76,43 @@
         try {
             val message = call.toMessage(remaining, span)
             return link.open { opening(it, message) }.mapBoth(
-                { exchange -> exchange.use { answer(it, call.groupCall.serviceCall.body, remaining) } },
-                { notSent(call, it) },
+                { exchange -> exchange.use { exchangeCall(it, call.groupCall.serviceCall.body, remaining) } },
+                { toNotSent(call, it) },
             )
         } finally {
             span.end()
         }
     }
 
-    /** A peer that refused before it looked at the key leaves the call as if it had not been sent. */
-    private suspend fun answer(exchange: PeerExchange, body: ByteArray, remainingMillis: Long): ForwardResult {
-        val message = withTimeoutOrNull(remainingMillis + ANSWER_MILLIS) {
+    /**
+     * Sends the rest of [body] and receives the answer. A peer that is shutting down refuses a call before it looks at
+     * the key, so that call counts as not sent.
+     */
+    private suspend fun exchangeCall(exchange: PeerExchange, body: ByteArray, remainingMillis: Long): ForwardResult {
+        val message = withTimeoutOrNull(remainingMillis + ANSWER_TIMEOUT_MILLIS) {
             exchange.sendRest(body)
             exchange.receive().getOrElse { null }
         }
         val answer = when (message) {
-            is PeerMessage.ExecutionAnswer -> response(exchange, message)
-            is PeerMessage.Refused -> refusal(message)
+            is PeerMessage.ExecutionAnswer -> receiveResponse(exchange, message)
+            is PeerMessage.Refused -> answerOf(message)
             else -> ExecutionAnswer.Unknown(UnknownReason.NO_ANSWER_FROM_PEER)
         }
         val stopping = message is PeerMessage.Refused && message.type == CallReceiver.STOPPING
         return if (stopping) ForwardResult.NotSent else ForwardResult.Answered(answer)
     }
 
-    private suspend fun response(exchange: PeerExchange, message: PeerMessage.ExecutionAnswer): ExecutionAnswer {
+    private suspend fun receiveResponse(exchange: PeerExchange, message: PeerMessage.ExecutionAnswer): ExecutionAnswer {
         val answer = message.answer
-        val body: Result<ByteArray, PeerFailure>? = withTimeoutOrNull(ANSWER_MILLIS) {
+        val body: Result<ByteArray, PeerFailure>? = withTimeoutOrNull(ANSWER_TIMEOUT_MILLIS) {
             exchange.receiveRest(answer.body, minOf(answer.bodyBytes, CallReceiver.MAXIMUM_ANSWER_BYTES))
         }
         return body?.mapBoth({ ServiceResponse(answer.status, answer.contentType, it) }, { null })
             ?.let { ExecutionAnswer.Response(it) } ?: ExecutionAnswer.Unknown(UnknownReason.NO_ANSWER_FROM_PEER)
     }
 
-    // Reasons travel by name; one that this version does not know keeps its meaning for the caller.
-    private fun refusal(message: PeerMessage.Refused): ExecutionAnswer = when (message.execution) {
+    // Reasons are sent by name. An unknown name, of a newer version, still says whether the call was executed.
+    private fun answerOf(message: PeerMessage.Refused): ExecutionAnswer = when (message.execution) {
         Execution.NOT_RUN -> ExecutionAnswer.NotRun(
             NotRunReason.entries.firstOrNull { it.name == message.type } ?: NotRunReason.ENDPOINT_REFUSED,
         )
@@ -118,7 +121,7 @@
         )
     }
 
-    private fun notSent(call: AtMostOnceCall, failure: PeerFailure): ForwardResult {
+    private fun toNotSent(call: AtMostOnceCall, failure: PeerFailure): ForwardResult {
         logger.info { "request ${call.keyed.request} was not forwarded: ${failure.message}" }
         val tooLarge = failure is PeerFailure.FrameSize
         return if (tooLarge) {
@@ -144,7 +147,7 @@
     private companion object {
         val logger = KotlinLogging.logger {}
 
-        // The other gateway gives up at the deadline too; its answer needs this long to arrive.
-        const val ANSWER_MILLIS = 10_000L
+        // The other gateway stops at the same deadline; this is the time allowed for its answer to arrive.
+        const val ANSWER_TIMEOUT_MILLIS = 10_000L
     }
 }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/CallReceiver.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/CallReceiver.kt
@@ -25,14 +25,14 @@
 import org.parsleymoor.peering.refuse
 import org.parsleymoor.peering.sendRest
 
-/** Runs calls with a key that other gateways forward, or answers them from memory. */
+/** Executes keyed calls that other gateways forward, or answers them from retained outcomes. */
 internal class CallReceiver(
-    private val tools: ServingDependencies,
+    private val dependencies: ServingDependencies,
     private val work: WorkCount,
-    private val onceCalls: AtMostOnceCallFactory,
+    private val callFactory: AtMostOnceCallFactory,
     private val atMostOnce: AtMostOnceExecutor,
 ) {
-    /** Serves [opening] and suspends until it is answered; returns false when it is not a call with a key. */
+    /** Serves [opening] and suspends until it is answered; returns false when it does not open a keyed call. */
     suspend fun serve(exchange: PeerExchange, opening: PeerMessage.OfExchange): Boolean {
         when (opening) {
             is PeerMessage.ExecuteTicket ->
@@ -54,7 +54,7 @@
         try {
             val group = receive(exchange, call)
             if (group != null) {
-                val once = onceCalls.of(call.message.organisation, call.key, group)
+                val once = callFactory.of(call.message.organisation, call.key, group)
                 answer(exchange, atMostOnce.execute(once, call.origin))
                 group.span.end()
             }
@@ -63,10 +63,10 @@
         }
     }
 
-    /** Returns the whole call; null when it was refused or its sender has gone. */
+    /** Receives the complete call; returns null when it was refused or the sender disconnected. */
     private suspend fun receive(exchange: PeerExchange, call: IncomingCall): ServiceGroupCall? {
         val message = call.message
-        val view = tools.configuration.current
+        val view = dependencies.configuration.current
         val group = view?.service(message.service)
         val limit = view?.configuration?.limits?.maximumBodyBytes ?: 0
         val refusal = when {
@@ -77,7 +77,7 @@
         }
         if (refusal != null) exchange.refuse(refusal.name, message.service)
         if (refusal != null || group == null) return null
-        val deadline = tools.clock.nowMillis() + message.remainingMillis
+        val deadline = dependencies.clock.nowMillis() + message.remainingMillis
         val body = exchange.receiveRest(message.body, message.bodyBytes)
             .onFailure { exchange.refuse(BAD_REQUEST, it.message) }.getOrElse { null }
         return body?.let { ServiceGroupCall(message.request, group, message.toCall(it), deadline, span(message)) }
@@ -103,7 +103,7 @@
         }
     }
 
-    private fun span(message: ForwardedCall) = tools.tracing.request(
+    private fun span(message: ForwardedCall) = dependencies.tracing.request(
         "forwarded call",
         MultiMap.caseInsensitiveMultiMap().add("traceparent", message.traceParent),
     )
@@ -111,10 +111,10 @@
     private class IncomingCall(val key: String, val message: ForwardedCall, val origin: CallOrigin)
 
     companion object {
-        /** Refusal of a gateway that takes no new work; it has not looked at the key. */
+        /** Refusal by a gateway that is shutting down; the key has not been looked up. */
         const val STOPPING = "STOPPING"
 
-        /** A larger answer is not forwarded, because both gateways hold it in memory. */
+        /** Larger responses are not forwarded, because both gateways buffer them in memory. */
         const val MAXIMUM_ANSWER_BYTES = 16_777_216
         private const val BAD_REQUEST = "BAD_REQUEST"
     }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/ClaimDesk.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/ClaimExecutor.kt
@@ -24,16 +24,16 @@
 import org.parsleymoor.gateway.serving.toAnswer
 
 /**
- * Runs calls under callers' own keys with claims in the platform, and leaves calls under tickets to [tickets]. A
- * caller's call goes to the owner of its key's shard, so that the claims of all gateways share writes. When the owner
- * cannot be reached, this gateway claims the key: the conditional update admits one claim. A call whose key another
- * process has claimed goes to that process.
+ * Executes calls with keys that callers chose, using claims stored in the platform, and delegates calls with tickets to
+ * [tickets]. A caller's call is forwarded to the gateway that owns the shard of its key, so that calls from all
+ * gateways share claim writes. When the owner is unreachable, this gateway claims the key itself; the conditional
+ * update admits only one claim. A call whose key another process has claimed is forwarded to that process.
  */
-internal class ClaimDesk(
+internal class ClaimExecutor(
     self: Incarnation,
     platform: PlatformClient,
     private val tickets: AtMostOnceExecutor,
-    private val route: PeerCallForwarder,
+    private val forwarder: PeerCallForwarder,
     private val clock: Clock,
     private val scope: CoroutineScope,
 ) : AtMostOnceExecutor by tickets {
@@ -42,7 +42,7 @@
     private val objects = ClaimObjects(platform)
     private val waiters = HashMap<RequestId, Waiter>()
 
-    /** Starts the writes that wait for their turn, until the scope ends. */
+    /** Starts the periodic tick that issues queued writes; runs until the scope ends. */
     fun start() {
         scope.launch {
             while (true) {
@@ -52,7 +52,7 @@
         }
     }
 
-    /** Keeps claims for [hours] from the next write on. */
+    /** Retains claims for [hours], starting with the next write. */
     fun retain(hours: Int) {
         synchronized(lock) { ledger.retain(hours * MILLIS_PER_HOUR) }
     }
@@ -60,17 +60,17 @@
     override suspend fun execute(call: AtMostOnceCall, origin: CallOrigin): ExecutionAnswer {
         if (Ticket.parse(call.keyed.key) != null) return tickets.execute(call, origin)
         val forwarded = if (origin == CallOrigin.CALLER) toOwner(call) else ForwardResult.NotSent
-        return if (forwarded is ForwardResult.Answered) forwarded.answer else executeHere(call, origin)
+        return if (forwarded is ForwardResult.Answered) forwarded.answer else executeLocally(call, origin)
     }
 
     private suspend fun toOwner(call: AtMostOnceCall): ForwardResult {
         val shard = synchronized(lock) {
             ledger.shardOf(call.keyed.organisation, call.keyed.key).takeUnless { ledger.knows(call.keyed) }
         }
-        return if (shard == null) ForwardResult.NotSent else route.toOwner(shard, call)
+        return if (shard == null) ForwardResult.NotSent else forwarder.toOwner(shard, call)
     }
 
-    private suspend fun executeHere(call: AtMostOnceCall, origin: CallOrigin): ExecutionAnswer {
+    private suspend fun executeLocally(call: AtMostOnceCall, origin: CallOrigin): ExecutionAnswer {
         val waiter = Waiter(call, origin)
         val actions = synchronized(lock) {
             waiters[call.keyed.request] = waiter
@@ -103,7 +103,7 @@
         var answer: ExecutionAnswer? = ExecutionAnswer.Unknown(UnknownReason.NO_ANSWER_FROM_PEER)
         try {
             val mayForward = waiter != null && waiter.origin != CallOrigin.PROCESS_FORWARD
-            answer = if (mayForward) route.toClaimer(action.to, waiter.call).toAnswer() else null
+            answer = if (mayForward) forwarder.toClaimer(action.to, waiter.call).toAnswer() else null
         } finally {
             perform(listOf(synchronized(lock) { ledger.forwarded(action.call, answer) }))
         }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/ClaimObjects.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/ClaimObjects.kt
@@ -17,9 +17,9 @@
 import org.parsleymoor.execution.atmostonce.ClaimHead
 import org.parsleymoor.execution.atmostonce.StoredHead
 
-/** The objects `claims/{shard}` and `claims/{shard}.{number}` of the platform. */
+/** Reads and writes the platform objects `claims/{shard}` (heads) and `claims/{shard}.{number}` (segments). */
 internal class ClaimObjects(private val platform: PlatformClient) {
-    /** Carries out [action] and suspends until its outcome; null when there is nothing to report. */
+    /** Performs [action] and suspends until its outcome; null when the ledger needs no event. */
     suspend fun perform(action: ClaimAction): ClaimEvent? = when (action) {
         is ClaimAction.ReadHead -> readHead(action)
         is ClaimAction.ReadSegment -> readSegment(action)
@@ -55,7 +55,7 @@
         )
     }
 
-    // A conflict whose object cannot be read is taken for a lost response, so that the head is read again.
+    // A conflict with an undecodable object is handled like a lost response, so that the head is read again.
     private fun failedWrite(action: ClaimAction.WriteHead, failure: PlatformFailure): ClaimEvent {
         val current = (failure as? PlatformFailure.Conflict)?.current?.asHead()
         return when (failure) {
@@ -92,7 +92,7 @@
 
     private fun <T> decode(found: StoredObject, read: () -> T): T? {
         val outcome: Result<T, Throwable> = runCatching(read)
-        outcome.mapError { logger.error(it) { "claims/${found.name}: expected claims in JSON" } }
+        outcome.mapError { logger.error(it) { "claims/${found.name}: cannot decode claims from JSON" } }
         return outcome.get()
     }
 
@@ -101,7 +101,7 @@
         val CLAIMS = ListSerializer(Claim.serializer())
         const val KIND = "claims"
 
-        // A segment is written once.
+        // Segments are immutable, so they stay at the first version.
         const val SEGMENT_VERSION = 1L
     }
 }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/ConfigurationControl.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/ConfigurationControl.kt
@@ -23,14 +23,14 @@
 
 /** Sends messages to connected peers. */
 internal fun interface PeerSender {
-    /** Queues [message] for [peer]; a peer that is not connected does not get it. */
+    /** Queues [message] for [peer]; it is dropped when the peer is not connected. */
     suspend fun send(peer: InstanceId, message: PeerMessage)
 }
 
 /**
- * Carries out what [ConfigurationSync] decides: watches and reads the platform, asks and answers peers, and puts
- * whole configurations into effect. Without a platform the configuration comes from peers and the operators' program
- * alone.
+ * Executes the actions of [ConfigurationSync]: watches and reads the platform, requests configurations from peers,
+ * answers their requests and applies complete configurations. Without a platform the configuration comes only from
+ * peers and the operators' program.
  */
 internal class ConfigurationControl(
     self: InstanceId,
@@ -41,12 +41,12 @@
     private val peers: PeerSender,
 ) {
     private val lock = Any()
-    private val spread = ConfigurationSync(self)
+    private val sync = ConfigurationSync(self)
 
     @Volatile
     private var watch: Job? = null
 
-    /** Follows the configuration until the scope ends. */
+    /** Keeps the configuration up to date until the scope ends. */
     fun start() {
         holder.onOffer = { root, sections -> handle(SyncEvent.PeerOffers(null, root, sections)) }
         scope.launch {
@@ -57,9 +57,9 @@
         }
     }
 
-    /** Takes in [event] and starts what follows from it. */
+    /** Handles [event] and starts the resulting actions. */
     fun handle(event: SyncEvent) {
-        val actions = synchronized(lock) { spread.handle(clock.nowMillis(), event) }
+        val actions = synchronized(lock) { sync.handle(clock.nowMillis(), event) }
         actions.forEach { perform(it) }
     }
 
@@ -79,7 +79,7 @@
 
     private fun apply(action: SyncAction.Apply) {
         assembleConfiguration(action.root) { action.sections[it.hash] }
-            .onFailure { logger.error { "revision ${action.root.revision} is not in effect: ${it.message}" } }
+            .onFailure { logger.error { "cannot apply configuration revision ${action.root.revision}: ${it.message}" } }
             .get()?.let { holder.accept(it) }
     }
 
@@ -88,15 +88,15 @@
         val source = platform ?: return
         watch = scope.launch {
             try {
-                source.watch(ConfigurationRoot.KIND, 0).collect { watched(it) }
+                source.watch(ConfigurationRoot.KIND, 0).collect { onWatchEvent(it) }
             } catch (cause: FailureException) {
-                logger.warn { "the configuration watch ended: ${cause.failure.message}" }
+                logger.warn { "configuration watch ended: ${cause.failure.message}" }
             }
             handle(SyncEvent.WatchEnded)
         }
     }
 
-    private fun watched(event: WatchEvent) {
+    private fun onWatchEvent(event: WatchEvent) {
         handle(SyncEvent.WatchActivity)
         val stored = (event as? WatchEvent.Changed)?.stored ?: return
         if (stored.name == ConfigurationRoot.NAME) accept(stored.value)
@@ -111,7 +111,7 @@
 
     private fun accept(text: String) {
         ConfigurationRoot.parse(text)
-            .onFailure { logger.error { "the configuration root is not in effect: ${it.message}" } }
+            .onFailure { logger.error { "cannot apply the configuration root: ${it.message}" } }
             .get()?.let { handle(SyncEvent.PlatformRoot(it)) }
     }
 
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/EngineContent.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/EngineContent.kt
@@ -19,13 +19,17 @@
     override fun toString(): String = "$model $version"
 }
 
-/** What an engine holds or shall hold, as far as the configuration says; [role] is null when it says nothing of it. */
+/**
+ * The weight versions and role that an engine has or should have; [role] is null when the configuration does not set
+ * one.
+ */
 internal data class EngineContent(val versions: Set<ModelVersion>, val role: String?)
 
 /**
- * What one configuration wants of the engines. An engine holds the version of each model whose selector matches it, the
- * version of a rollout that moves it, and the role in its label `role`. Versions of models that are not declared for
- * the engine are left alone, and so are those that [isRetained] names, because runs may still go on with them.
+ * The content that a configuration wants on each engine: the version of each model whose selector matches the engine,
+ * the target version of each rollout that includes it, and the role in its label `role`. Versions of models that are
+ * not declared for the engine are left alone. So are versions for which [isRetained] returns true, because requests may
+ * still be running on them.
  */
 internal class WantedContents(
     private val configuration: Configuration,
@@ -34,21 +38,24 @@
     private val engines = configuration.endpoints.filter { it.kind == EndpointKind.ENGINE }.associateBy { it.name }
     private val wanted: Map<EndpointId, EngineContent> = contents()
 
-    /** The endpoint [name] when it is a declared engine. */
+    /** The declaration of [name]; null when it is not a declared engine. */
     fun engine(name: EndpointId): EndpointDeclaration? = engines[name]
 
-    /** The engines and what they shall hold; one with nothing to hold is left out. */
+    /** The engines with their wanted content; engines without any are omitted. */
     fun targets(): List<OrderTarget<EngineContent>> = engines.values.mapNotNull { engine ->
         wanted[engine.name]?.let { OrderTarget(engine.name, it, engine.fencing()) }
     }
 
-    /** How many engines may load at once so that one of each model under rollout stays free of loading. */
+    /**
+     * How many engines may load at the same time, so that at least one engine of each model under rollout is not
+     * loading.
+     */
     fun concurrentLoads(): Int = configuration.rollouts.minOfOrNull { rollout ->
         val spared = configuration.enginesOf(rollout.model).size - 1
         minOf(rollout.concurrent, spared)
-    }?.coerceAtLeast(1) ?: MOST_CONCURRENT_LOADS
+    }?.coerceAtLeast(1) ?: MAXIMUM_CONCURRENT_LOADS
 
-    /** What [endpoint] holds according to [load]; a load of any version counts as loading. */
+    /** The state of [endpoint] according to [load]; loading any version counts as loading. */
     fun state(endpoint: EndpointId, load: EngineLoad): EngineState<EngineContent> {
         val relevant = load.versions.filter { isRelevant(endpoint, ModelVersion(it.model, it.version)) }
         val role = load.role.takeIf { wanted[endpoint]?.role != null }
@@ -57,9 +64,9 @@
     }
 
     /**
-     * The next step from [load] to [content]: loads come before a change of role, and both before unloading, so that an
-     * engine serves throughout. Nothing that the configuration wants is unloaded, and nothing else is loaded. Without a
-     * step it is an order for the role that the engine has, which changes nothing.
+     * The next step from [load] to [content]. Loads come before a role change, and unloads come last, so that the
+     * engine keeps serving. Versions that the configuration wants are never unloaded, and no others are loaded. When
+     * nothing is left to do, the step sets the role that the engine already has, which changes nothing.
      */
     fun nextStep(endpoint: EndpointId, load: EngineLoad, content: EngineContent): WantedState {
         val declared = wanted[endpoint]?.versions.orEmpty()
@@ -94,13 +101,13 @@
 
     private companion object {
         const val ROLE_LABEL = "role"
-        const val MOST_CONCURRENT_LOADS = 2
+        const val MAXIMUM_CONCURRENT_LOADS = 2
     }
 }
 
 private fun List<LoadedVersion>.held(): Set<ModelVersion> =
     map { ModelVersion(it.model, it.version) }.toSet()
 
-/** An engine without the label is taken to ignore fencing tokens, the safer of the two. */
+/** An engine without the label is assumed to ignore fencing tokens, which is the safer assumption. */
 private fun EndpointDeclaration.fencing(): Fencing =
     if (labels["fencing"] == "checked") Fencing.CHECKED else Fencing.IGNORED
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/GatewayMembers.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/GatewayMembers.kt
@@ -18,60 +18,60 @@
 import org.parsleymoor.peering.PeerMessage
 
 /**
- * The gateways that are believed to run. [onNeighbours] is told the instances and peer addresses that connections are
- * to be kept to whenever they change.
+ * The known gateways and their state. [onNeighboursChanged] receives the instances and peer addresses to stay connected
+ * to whenever they change.
  */
 internal class GatewayMembers(
     private val identity: PeerIdentity,
     private val platform: PlatformClient?,
     private val holder: ConfigurationHolder,
     private val clock: Clock,
-    private val onNeighbours: (Map<InstanceId, String>) -> Unit,
+    private val onNeighboursChanged: (Map<InstanceId, String>) -> Unit,
 ) {
     private val lock = Any()
     private var membership = Membership(identity.member(""))
 
-    /** Whether the platform's list was read; before that, an instance that is not known may still run. */
+    /** Whether the platform's instance list has been read; until then, an unknown instance may still be running. */
     @Volatile
-    var hasList = false
+    var hasReadList = false
         private set
 
-    /** Starts anew with this gateway at [peerAddress]. */
+    /** Resets the membership to this gateway at [peerAddress]. */
     fun start(peerAddress: String) {
         synchronized(lock) { membership = Membership(identity.member(peerAddress)) }
     }
 
-    /** Reads the platform's list; without an answer the known members stay. */
+    /** Reads the platform's instance list; on failure the known members are kept. */
     suspend fun readList() {
         platform?.instances()?.onSuccess { listed ->
             handle(
                 MembershipEvent.Listed(listed.map { it.toMember(holder.current?.regionOf(it.zone) ?: identity.region) })
             )
-            hasList = true
+            hasReadList = true
         }
     }
 
-    /** Takes in a sign of life of [remote], which says itself whether it is [leaving]. */
-    fun heard(remote: PeerMessage.Hello, leaving: Boolean) {
+    /** Records a heartbeat or handshake of [remote]; [leaving] is what the peer reports of itself. */
+    fun recordHeartbeat(remote: PeerMessage.Hello, leaving: Boolean) {
         val member = Member(remote.incarnation.instance, remote.zone, remote.region, remote.address, leaving)
         handle(MembershipEvent.HeartbeatReceived(member, remote.incarnation))
     }
 
-    /** The instances of this zone that are not known to be silent. */
+    /** The instances of this zone, except those known to be silent. */
     fun instancesOfZone(): List<InstanceId> =
         view().filter { it.member.zone == identity.zone && it.state != MemberState.SILENT }.map { it.member.instance }
 
     /** The number of gateways of this region in the larger of the platform's list and the heartbeat view. */
     fun gatewaysInRegion(): Int = view().count { it.member.region == identity.region }
 
-    /** Whether this gateway is among the first two that try for what [key] names. */
-    fun contends(key: String): Boolean =
-        order(key).take(CONTENDERS).any { it.instance == identity.incarnation.instance }
+    /** Whether this gateway is one of the first two candidates for [key]. */
+    fun mayContend(key: String): Boolean =
+        preferenceOrder(key).take(CONTENDERS).any { it.instance == identity.incarnation.instance }
 
-    /** The gateways that do not leave, in the order in which they try for what [key] names. */
-    fun order(key: String): List<Member> = synchronized(lock) { membership.order(key, clock.nowMillis()) }
+    /** The gateways that are not leaving, in order of preference for [key]. */
+    fun preferenceOrder(key: String): List<Member> = synchronized(lock) { membership.order(key, clock.nowMillis()) }
 
-    /** The first two gateways of [region] for [key] that are not silent or leaving. */
+    /** The first two candidates for [key] among the gateways of [region] that are neither silent nor leaving. */
     fun contenders(region: RegionId, key: String): List<Member> {
         val candidates = view().filter { it.member.region == region && it.state in AVAILABLE }.map { it.member }
         return rendezvousOrder(key, candidates) { it.instance.value }.take(CONTENDERS)
@@ -80,13 +80,13 @@
     /** All known gateways with their state. */
     fun view(): List<MembershipEntry> = synchronized(lock) { membership.view(clock.nowMillis()) }
 
-    /** Takes in [event] and passes on what follows from it. */
+    /** Handles [event] and performs the resulting actions. */
     fun handle(event: MembershipEvent) {
         val actions = synchronized(lock) { membership.handle(clock.nowMillis(), event) }
         actions.forEach { action ->
             when (action) {
                 is MembershipAction.KeepConnectedTo ->
-                    onNeighbours(action.neighbours.associate { it.instance to it.peerAddress })
+                    onNeighboursChanged(action.neighbours.associate { it.instance to it.peerAddress })
             }
         }
     }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/LeaseObjects.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/LeaseObjects.kt
@@ -12,31 +12,31 @@
 import org.parsleymoor.coordination.LeaseRecord
 import org.parsleymoor.coordination.StoredLease
 
-/** The objects `leases/{name}` of the platform. */
+/** Reads and writes the platform objects `leases/{name}`. */
 internal class LeaseObjects(private val platform: PlatformClient) {
-    /** Carries out [action] and suspends until its outcome. */
+    /** Performs [action] and suspends until its outcome. */
     suspend fun perform(action: LeaseAction): LeaseEvent = when (action) {
         is LeaseAction.Read -> read(action.name)
         is LeaseAction.Write -> write(action)
     }
 
     private suspend fun read(name: String): LeaseEvent = platform.read(KIND, name).fold(
-        { found -> if (found == null) LeaseEvent.Seen(null) else seen(found) },
+        { found -> if (found == null) LeaseEvent.Seen(null) else readEvent(found) },
         { LeaseEvent.ReadFailed },
     )
 
-    private fun seen(found: StoredObject): LeaseEvent =
+    private fun readEvent(found: StoredObject): LeaseEvent =
         found.asLease()?.let { LeaseEvent.Seen(it) } ?: LeaseEvent.ReadFailed
 
     private suspend fun write(action: LeaseAction.Write): LeaseEvent {
         val value = WireJson.encodeToString(LeaseRecord.serializer(), action.record)
         return platform.write(KIND, action.name, value, action.expectedVersion, action.writeId).fold(
             { version -> LeaseEvent.Written(action.writeId, version) },
-            { failure -> failed(action.writeId, failure) },
+            { failure -> failedWrite(action.writeId, failure) },
         )
     }
 
-    private fun failed(writeId: String, failure: PlatformFailure): LeaseEvent = when (failure) {
+    private fun failedWrite(writeId: String, failure: PlatformFailure): LeaseEvent = when (failure) {
         is PlatformFailure.Conflict -> LeaseEvent.Conflicted(writeId, failure.current?.asLease())
         is PlatformFailure.Unavailable -> LeaseEvent.WriteFailed(writeId, failure.mayHaveTakenEffect)
         is PlatformFailure.Rejected -> LeaseEvent.WriteFailed(writeId, false)
@@ -45,7 +45,7 @@
     private fun StoredObject.asLease(): StoredLease? = try {
         StoredLease(WireJson.decodeFromString(LeaseRecord.serializer(), value), version, writeId)
     } catch (cause: SerializationException) {
-        logger.error(cause) { "leases/$name: expected a lease in JSON" }
+        logger.error(cause) { "leases/$name: cannot decode a lease from JSON" }
         null
     }
 
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/LeasedColdStart.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/LeasedColdStart.kt
@@ -15,9 +15,9 @@
 import org.parsleymoor.limits.ColdStartEvent
 
 /**
- * Holds the limit of a cold endpoint for all gateways combined (I4): only the holder of `leases/cold.{endpoint}` sends
- * to it. Without the platform no lease is taken, and cold endpoints get no new work. [contends] says whether this
- * gateway is among the first to try for a lease. The guard's lock comes after the fleet's.
+ * Enforces the limit of a cold endpoint across all gateways (I4): only the holder of `leases/cold.{endpoint}` sends to
+ * it. While the platform is unavailable no lease is acquired, and cold endpoints get no new work. [mayContend] says
+ * whether this gateway is one of the first candidates for a lease. Lock order: the fleet's lock before this guard's.
  */
 internal class LeasedColdStart(
     self: Incarnation,
@@ -25,13 +25,13 @@
     private val clock: Clock,
     private val scope: CoroutineScope,
     private val limit: () -> Int,
-    private val contends: (EndpointId) -> Boolean,
+    private val mayContend: (EndpointId) -> Boolean,
 ) : ColdStartGuard {
     private val leases = ColdStartLeases(self)
-    private val warmth = ReportedColdStates()
+    private val coldStates = ReportedColdStates()
     private val objects = LeaseObjects(platform)
 
-    /** Renews and takes leases until the scope ends. */
+    /** Acquires and renews leases until the scope ends. */
     fun start() {
         scope.launch {
             while (true) {
@@ -45,18 +45,18 @@
     override fun maySend(endpoint: EndpointId, running: Int, nowMillis: Long): Boolean {
         val grant = leases.grant(nowMillis, endpoint)
         return when {
-            !warmth.isCold(endpoint) -> true
+            !coldStates.isCold(endpoint) -> true
             grant == null -> false
             else -> maxOf(running, grant.foreignRunning) < limit()
         }
     }
 
     @Synchronized
-    override fun isCold(endpoint: EndpointId): Boolean = warmth.isCold(endpoint)
+    override fun isCold(endpoint: EndpointId): Boolean = coldStates.isCold(endpoint)
 
     @Synchronized
     override fun accept(event: ColdStartEvent, nowMillis: Long) {
-        if (warmth.accept(event)) want(event.endpoint, nowMillis)
+        if (coldStates.accept(event)) updateColdState(event.endpoint, nowMillis)
     }
 
     @Synchronized
@@ -67,12 +67,12 @@
     @Synchronized
     private fun tick() {
         val nowMillis = clock.nowMillis()
-        warmth.coldEngines().forEach { want(it, nowMillis) }
+        coldStates.coldEngines().forEach { updateColdState(it, nowMillis) }
         leases.tick(nowMillis).forEach { (endpoint, actions) -> perform(endpoint, actions) }
     }
 
-    private fun want(endpoint: EndpointId, nowMillis: Long) {
-        val event = ColdLeaseEvent.ColdState(warmth.isCold(endpoint), contends(endpoint))
+    private fun updateColdState(endpoint: EndpointId, nowMillis: Long) {
+        val event = ColdLeaseEvent.ColdState(coldStates.isCold(endpoint), mayContend(endpoint))
         perform(endpoint, leases.handle(nowMillis, endpoint, event))
     }
 
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/OrderClients.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/OrderClients.kt
@@ -14,9 +14,9 @@
 import java.util.concurrent.ConcurrentHashMap
 
 /**
- * Clients for orders and the reads around them, one for each address. Connecting and the exchange take at most
- * [PHASE_MILLIS] each, so that an order is delivered or given up within nine tenths of the longest delivery time. A
- * client whose call got no answer is replaced, because its open connections may be silent for good.
+ * HTTP clients for engine orders and load reports, one per address. Connecting and the exchange take at most
+ * [PHASE_TIMEOUT_MILLIS] each, so that an order is delivered or abandoned within nine tenths of the maximum delivery
+ * time. A client whose call got no answer is replaced, because its open connections may never respond again.
  */
 internal class OrderClients(private val vertx: Vertx) : AutoCloseable {
     private val clients = ConcurrentHashMap<String, VertxEngineClient>()
@@ -27,24 +27,24 @@
         return client.load().onFailure { replace(address, client, it) }
     }
 
-    /** Sends [order] once and suspends until its outcome. */
+    /** Sends [order] once, without retries, and suspends until its outcome. */
     suspend fun order(address: String, order: EngineOrder): OrderOutcome {
         val client = client(address)
         return client.order(order).onFailure { replace(address, client, it) }
             .fold({ OrderOutcome.ACCEPTED }, ::outcomeOf)
     }
 
-    /** Closes the clients of addresses outside [addresses]. */
-    fun retain(addresses: Set<String>) {
+    /** Closes the clients of all addresses that are not in [addresses]. */
+    fun retainOnly(addresses: Set<String>) {
         clients.keys.filter { it !in addresses }.forEach { clients.remove(it)?.close() }
     }
 
     override fun close() {
-        retain(emptySet())
+        retainOnly(emptySet())
     }
 
     private fun client(address: String): VertxEngineClient = clients.computeIfAbsent(address) {
-        VertxEngineClient(vertx, HttpAddress.parse(it), POOL_SIZE, PHASE_MILLIS)
+        VertxEngineClient(vertx, HttpAddress.parse(it), POOL_SIZE, PHASE_TIMEOUT_MILLIS)
     }
 
     private fun replace(address: String, client: VertxEngineClient, failure: BackEndFailure) {
@@ -53,7 +53,7 @@
 
     private companion object {
         const val POOL_SIZE = 2
-        const val PHASE_MILLIS = 900L
+        const val PHASE_TIMEOUT_MILLIS = 900L
     }
 }
 
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/OrderDriver.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/OrderDriver.kt
@@ -21,9 +21,9 @@
 import java.util.concurrent.ConcurrentHashMap
 
 /**
- * Carries out what [OrderReconciler] decides while this gateway holds the lease on orders: reads the engines' load
- * reports, compares them with the configuration and sends orders with the fencing token. The plan's lock is not held
- * during a call. [contends] says whether this gateway is among the first to try for the lease.
+ * Executes the actions of [OrderReconciler] while this gateway holds the lease on orders: reads the engines' load
+ * reports, compares them with the configuration and sends orders with the fencing token. The reconciler's lock is not
+ * held during a call. [mayContend] says whether this gateway is one of the first candidates for the lease.
  */
 internal class OrderDriver(
     self: Incarnation,
@@ -31,9 +31,9 @@
     private val clients: OrderClients,
     private val configuration: ConfigurationHolder,
     private val meters: OrderMeters,
-    private val contends: () -> Boolean,
+    private val mayContend: () -> Boolean,
 ) {
-    private val plan = OrderReconciler<EngineContent>(self)
+    private val reconciler = OrderReconciler<EngineContent>(self)
     private val retired = RetiredVersions()
     private val reports = ConcurrentHashMap<EndpointId, EngineLoad>()
     private lateinit var clock: Clock
@@ -43,7 +43,7 @@
     private var wanted: WantedContents? = null
     private var wantedRevision = 0L
 
-    /** Takes the lease and sends orders until [scope] ends. */
+    /** Acquires the lease and sends orders until [scope] ends. */
     fun start(clock: Clock, scope: CoroutineScope) {
         this.clock = clock
         this.scope = scope
@@ -56,13 +56,13 @@
         }
     }
 
-    /** Gives the lease up and sends no further order. */
+    /** Releases the lease and stops sending orders. */
     suspend fun stop() {
         lease.release()
         clients.close()
     }
 
-    /** The state of the lease and the engines that are not as the configuration wants them. */
+    /** The state of the lease and the engines that do not match the configuration yet. */
     fun status(): OrderStatus {
         val held = lease.held() ?: return OrderStatus()
         val nowMillis = clock.nowMillis()
@@ -70,28 +70,28 @@
             lease = if (nowMillis < held.unfencedFromMillis) OrderLeaseState.WAITING else OrderLeaseState.HELD,
             fencingToken = held.fencingToken,
             remainingMillis = held.untilMillis - nowMillis,
-            unfinished = synchronized(plan) { plan.unfinished() },
+            unfinished = synchronized(reconciler) { reconciler.unfinished() },
         )
     }
 
     private fun tick() {
-        lease.tick(contends())
+        lease.tick(mayContend())
         val view = configuration.current?.configuration ?: return
         synchronized(retired) { retired.observe(view, clock.nowMillis()) }
         if (view.revision == wantedRevision) return handle(OrderEvent.Tick)
         val contents = WantedContents(view) { synchronized(retired) { retired.isRetained(it, clock.nowMillis()) } }
         wantedRevision = view.revision
         wanted = contents
-        clients.retain(view.endpoints.map { it.address }.toSet())
+        clients.retainOnly(view.endpoints.map { it.address }.toSet())
         handle(OrderEvent.Targets(contents.targets(), contents.concurrentLoads()))
     }
 
     private fun handle(event: OrderEvent<EngineContent>) {
-        val actions = synchronized(plan) { plan.handle(clock.nowMillis(), event, lease.held()) }
+        val actions = synchronized(reconciler) { reconciler.handle(clock.nowMillis(), event, lease.held()) }
         actions.forEach { action ->
             scope.launch {
                 when (action) {
-                    is OrderAction.ReadState -> read(action)
+                    is OrderAction.ReadState -> readState(action)
                     is OrderAction.SendOrder -> handle(
                         OrderEvent.Answered(action.endpoint, action.orderId, send(action))
                     )
@@ -100,7 +100,7 @@
         }
     }
 
-    private suspend fun read(action: OrderAction.ReadState) {
+    private suspend fun readState(action: OrderAction.ReadState) {
         val contents = wanted
         val load = contents?.engine(action.endpoint)?.let { clients.load(it.address).get() }
         load?.let { reports[action.endpoint] = it }
@@ -121,10 +121,10 @@
     }
 
     private suspend fun send(engine: EndpointDeclaration, order: EngineOrder): OrderOutcome {
-        // Nothing that can suspend stands between this look at the lease and the call.
+        // No suspension point may come between this check of the lease and the call.
         val mayUse = lease.held()?.fencingToken == order.fencing
         val outcome = if (mayUse) clients.order(engine.address, order) else OrderOutcome.REFUSED
-        meters.sent(order.wanted, if (mayUse) outcome.name.lowercase() else "withheld")
+        meters.recordOrder(order.wanted, if (mayUse) outcome.name.lowercase() else "withheld")
         logger.info { "order ${order.order} to ${engine.name}: ${outcome.name.lowercase()}" }
         return outcome
     }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/OrderLease.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/OrderLease.kt
@@ -14,7 +14,7 @@
 import org.parsleymoor.core.Clock
 import org.parsleymoor.core.Incarnation
 
-/** The lease `leases/orders`: only its holder sends orders to engines. Functions are safe from any thread. */
+/** The lease `leases/orders`; only its holder sends orders to engines. Thread-safe. */
 internal class OrderLease(
     self: Incarnation,
     platform: PlatformClient,
@@ -22,31 +22,34 @@
     private val clock: Clock,
     private val scope: CoroutineScope,
 ) {
-    private val holder = LeaseManager(NAME, self, settings)
+    private val leaseManager = LeaseManager(NAME, self, settings)
     private val objects = LeaseObjects(platform)
     private var leaving = false
 
-    /** The lease when it may be used now; asked again immediately before each order. */
+    /** The lease if it may be used now; checked again immediately before each order. */
     @Synchronized
-    fun held(): HeldLease? = holder.held(clock.nowMillis())
+    fun held(): HeldLease? = leaseManager.held(clock.nowMillis())
 
-    /** Renews the lease that is held, or tries for it when this gateway [contends]. */
+    /** Renews the lease if it is held; otherwise tries to acquire it if this gateway [mayContend]. */
     @Synchronized
-    fun tick(contends: Boolean) {
-        val keeps = holder.held(clock.nowMillis()) != null
-        handle(LeaseEvent.Wanted((contends || keeps) && !leaving))
+    fun tick(mayContend: Boolean) {
+        val keeps = leaseManager.held(clock.nowMillis()) != null
+        handle(LeaseEvent.Wanted((mayContend || keeps) && !leaving))
     }
 
-    /** Gives the lease up, so that another gateway takes it at once; suspends until the platform has answered. */
+    /**
+     * Releases the lease, so that another gateway can acquire it at once; suspends until the platform has answered or
+     * the timeout has passed.
+     */
     suspend fun release() {
         val calls = synchronized(this) {
             leaving = true
             handle(LeaseEvent.Wanted(false))
         }
-        withTimeoutOrNull(RELEASE_MILLIS) { calls.joinAll() }
+        withTimeoutOrNull(RELEASE_TIMEOUT_MILLIS) { calls.joinAll() }
     }
 
-    private fun handle(event: LeaseEvent): List<Job> = holder.handle(clock.nowMillis(), event).map { perform(it) }
+    private fun handle(event: LeaseEvent): List<Job> = leaseManager.handle(clock.nowMillis(), event).map { perform(it) }
 
     private fun perform(action: LeaseAction): Job = scope.launch {
         val outcome = objects.perform(action)
@@ -55,6 +58,6 @@
 
     private companion object {
         const val NAME = "orders"
-        const val RELEASE_MILLIS = 2_000L
+        const val RELEASE_TIMEOUT_MILLIS = 2_000L
     }
 }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/OrderMeters.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/OrderMeters.kt
@@ -6,7 +6,7 @@
 import org.parsleymoor.clients.WantedState
 import org.parsleymoor.gateway.operations.GatewayMetrics
 
-/** The meters of the lease on orders, of the orders and of rollouts. */
+/** Metrics of the lease on orders, of orders and of rollouts. */
 internal class OrderMeters(private val metrics: GatewayMetrics, private val rollouts: RolloutProgress) {
     /** Registers the gauges, which read [status] when they are scraped. */
     fun register(status: () -> OrderStatus) {
@@ -24,8 +24,8 @@
         }
     }
 
-    /** Counts an order that had [outcome]. */
-    fun sent(wanted: WantedState, outcome: String) {
+    /** Counts an order with [outcome]. */
+    fun recordOrder(wanted: WantedState, outcome: String) {
         Counter.builder("parsleymoor.orders").tag("kind", kindOf(wanted)).tag("outcome", outcome)
             .register(metrics.registry).increment()
     }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/PeerControl.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/PeerControl.kt
@@ -27,8 +27,8 @@
 import org.parsleymoor.peering.refuse
 
 /**
- * This gateway's connections to the others: keeps them to its neighbours, passes configuration revisions on and serves
- * forwarded completions and calls.
+ * Manages this gateway's connections to the others: keeps its neighbours connected, exchanges configuration revisions
+ * and serves forwarded completions and calls.
  */
 internal class PeerControl(
     identity: PeerIdentity,
@@ -40,10 +40,10 @@
 ) : PeerHandler, PeerSender {
     private val node = PeerNode(identity, this)
 
-    /** The gateways that are believed to run. */
+    /** The known gateways and their state. */
     val members: GatewayMembers = GatewayMembers(identity, platform, holder, clock) { node.keepConnectedTo(it) }
 
-    /** Connections to gateways by name. */
+    /** Connects to gateways by instance or process. */
     val directory: PeerDirectory = PeerDirectory(identity.incarnation, node, members, clock)
 
     @Volatile
@@ -55,14 +55,14 @@
     @Volatile
     private var leaving = false
 
-    /** Binds the peer socket and starts the loops; returns the bound port. */
+    /** Binds the peer socket and starts the periodic tasks; returns the bound port. */
     suspend fun start(listen: ListenSettings, control: ConfigurationControl, receiver: CallReceiver): Int {
         configuration = control
         calls = receiver
         val port = node.start(listen.host, listen.port)
         members.start("${listen.host}:$port")
-        scope.launch { repeatEvery(HEARTBEAT_MILLIS) { beat() } }
-        scope.launch { repeatEvery(LIST_MILLIS) { members.readList() } }
+        scope.launch { repeatEvery(HEARTBEAT_INTERVAL_MILLIS) { sendHeartbeat() } }
+        scope.launch { repeatEvery(LIST_INTERVAL_MILLIS) { members.readList() } }
         return port
     }
 
@@ -76,7 +76,7 @@
         node.close()
     }
 
-    /** Connects to a gateway of [region]; those with the same [key] go to the same one while the members stay. */
+    /** Connects to a gateway of [region]; the same [key] selects the same gateway while the membership is unchanged. */
     suspend fun connect(region: RegionId, key: String): Result<PeerLink, PeerFailure> {
         var outcome: Result<PeerLink, PeerFailure> =
             Err(PeerFailure.NotConnected("a gateway of region $region", "none is known"))
@@ -92,7 +92,7 @@
     }
 
     override suspend fun onConnected(link: PeerLink) {
-        members.heard(link.remote, leaving = false)
+        members.recordHeartbeat(link.remote, leaving = false)
         link.send(heartbeat())
     }
 
@@ -100,7 +100,7 @@
         val peer = link.remote.incarnation.instance
         when (message) {
             is PeerMessage.Heartbeat -> {
-                members.heard(link.remote, message.leaving)
+                members.recordHeartbeat(link.remote, message.leaving)
                 configuration?.handle(SyncEvent.PeerRevision(peer, message.configurationRevision))
             }
             is PeerMessage.ConfigurationWanted ->
@@ -113,7 +113,7 @@
             is PeerMessage.InstanceNews, is PeerMessage.ObjectsWanted, is PeerMessage.ObjectsOffered,
             is PeerMessage.CacheContentsWanted, is PeerMessage.CacheContentsOffered,
             ->
-                logger.debug { "$peer: ${message::class.simpleName} is not used" }
+                logger.debug { "$peer: ${message::class.simpleName} is not handled by gateways" }
         }
     }
 
@@ -129,7 +129,7 @@
         }
     }
 
-    private suspend fun beat() {
+    private suspend fun sendHeartbeat() {
         node.broadcast(heartbeat())
         members.handle(MembershipEvent.Tick)
         val connected = node.connected.map { it.remote.incarnation.instance }.toSet()
@@ -140,8 +140,8 @@
 
     private companion object {
         val logger = KotlinLogging.logger {}
-        const val HEARTBEAT_MILLIS = 1_000L
-        const val LIST_MILLIS = 2_000L
+        const val HEARTBEAT_INTERVAL_MILLIS = 1_000L
+        const val LIST_INTERVAL_MILLIS = 2_000L
     }
 }
 
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/RegionRoute.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/RegionEngineRouter.kt
@@ -10,10 +10,10 @@
 import org.parsleymoor.gateway.serving.EngineRouter
 
 /**
- * Reaches engines of other regions through a gateway there, so that texts cross the inter-region link once. An engine
- * of a region without a known gateway is called at its own address.
+ * Routes calls for engines of other regions through a gateway there, so that each text crosses the inter-region link
+ * once. Engines of a region without an available gateway are called directly.
  */
-internal class RegionRoute(
+internal class RegionEngineRouter(
     private val region: RegionId,
     private val holder: ConfigurationHolder,
     private val peers: () -> PeerControl,
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/RegionLeader.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/RegionLeader.kt
@@ -6,8 +6,8 @@
 import org.parsleymoor.gateway.serving.CacheLeadership
 
 /**
- * Names the first gateway of a region for an endpoint, the one that requests from other regions go through. Gateways
- * with differing views may both take an endpoint for theirs for a while; a block is then written twice.
+ * Selects one gateway of a region as the leader for an endpoint; requests from other regions go through it. While
+ * membership views differ, two gateways may both consider themselves the leader, and a block is then written twice.
  */
 internal class RegionLeader(private val self: InstanceId, private val members: GatewayMembers) : CacheLeadership {
     override fun isLeader(region: RegionId, endpoint: EndpointId): Boolean =
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/RegionLinkMeter.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/RegionLinkMeter.kt
@@ -8,7 +8,10 @@
 import org.parsleymoor.gateway.operations.GatewayMetrics
 import org.parsleymoor.placement.RegionLinkBudget
 
-/** Delays what goes over the inter-region link to this gateway's share of its rate, and counts it by organisation. */
+/**
+ * Limits traffic over the inter-region link to this gateway's share of the link rate, and counts the bytes by
+ * organisation.
+ */
 internal class RegionLinkMeter(
     private val clock: Clock,
     private val metrics: GatewayMetrics,
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/RetiredVersions.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/RetiredVersions.kt
@@ -3,31 +3,31 @@
 import org.parsleymoor.configuration.Configuration
 
 /**
- * Which weight versions may still have runs. A run keeps the version that was current when its request was received,
- * until its deadline; a gateway may learn of a change [spreadMillis] late. What was current before this process had a
- * configuration is not known, so that every version counts as current at that moment. Not safe for use from several
- * threads.
+ * Tracks which weight versions may still have running requests. A request keeps the version that was current when it
+ * was received, until its deadline, and a gateway may learn of a change up to [propagationMillis] late. Which versions
+ * were current before this process had a configuration is unknown, so every version counts as current at that moment.
+ * Not thread-safe.
  */
-internal class RetiredVersions(private val spreadMillis: Long = LONGEST_SPREAD_MILLIS) {
+internal class RetiredVersions(private val propagationMillis: Long = MAXIMUM_PROPAGATION_MILLIS) {
     private val lastCurrentMillis = HashMap<ModelVersion, Long>()
-    private var firstMillis: Long? = null
-    private var deadlineMillis = 0L
+    private var firstObservedMillis: Long? = null
+    private var longestDeadlineMillis = 0L
 
-    /** Takes in that [configuration] is in effect at [nowMillis]; to be told often. */
+    /** Records that [configuration] is in effect at [nowMillis]; must be called often. */
     fun observe(configuration: Configuration, nowMillis: Long) {
-        if (firstMillis == null) firstMillis = nowMillis
-        deadlineMillis = maxOf(deadlineMillis, configuration.limits.requestDeadlineMillis)
+        if (firstObservedMillis == null) firstObservedMillis = nowMillis
+        longestDeadlineMillis = maxOf(longestDeadlineMillis, configuration.limits.requestDeadlineMillis)
         configuration.models.forEach { lastCurrentMillis[ModelVersion(it.name, it.version)] = nowMillis }
     }
 
-    /** Whether runs of [version] may go on at [nowMillis]. */
+    /** Whether requests with [version] may still be running at [nowMillis]. */
     fun isRetained(version: ModelVersion, nowMillis: Long): Boolean {
-        val sinceMillis = lastCurrentMillis[version] ?: firstMillis ?: nowMillis
-        return nowMillis - sinceMillis < deadlineMillis + spreadMillis
+        val sinceMillis = lastCurrentMillis[version] ?: firstObservedMillis ?: nowMillis
+        return nowMillis - sinceMillis < longestDeadlineMillis + propagationMillis
     }
 
     private companion object {
-        // A change is in effect everywhere within this time at the planned scale.
-        const val LONGEST_SPREAD_MILLIS = 14_000L
+        // At the planned scale, a change takes effect on every gateway within this time.
+        const val MAXIMUM_PROPAGATION_MILLIS = 14_000L
     }
 }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/RolloutProgress.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/RolloutProgress.kt
@@ -7,15 +7,15 @@
 import org.parsleymoor.configuration.enginesOf
 import org.parsleymoor.gateway.ConfigurationHolder
 
-/** How far the rollouts are according to what [reported] says of the engines; any gateway knows it. */
+/** Progress of the rollouts according to the engine states from [endpointStatuses]; available on every gateway. */
 internal class RolloutProgress(
     private val configuration: ConfigurationHolder,
-    private val reported: () -> List<EndpointStatus>,
+    private val endpointStatuses: () -> List<EndpointStatus>,
 ) {
-    /** The rollouts in effect, in the order of the configuration. */
+    /** The status of each rollout in effect, in configuration order. */
     fun current(): List<RolloutStatus> {
         val view = configuration.current?.configuration ?: return emptyList()
-        val endpoints = if (view.rollouts.isEmpty()) emptyList() else reported()
+        val endpoints = if (view.rollouts.isEmpty()) emptyList() else endpointStatuses()
         return view.rollouts.map { progress(view, it, endpoints) }
     }
 
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/TicketExecutor.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/TicketExecutor.kt
@@ -17,7 +17,7 @@
 
 /**
  * Executes calls with tickets that this process issued, and forwards calls with other tickets to their issuer. Refuses
- * calls with a key that the caller chose; [org.parsleymoor.gateway.control.ClaimDesk] executes those.
+ * calls with a key that the caller chose; [org.parsleymoor.gateway.control.ClaimExecutor] executes those.
  */
 internal class TicketExecutor(
     self: Incarnation,
--- a/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/control/AtMostOnceAcrossGatewaysTest.kt
+++ b/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/control/AtMostOnceAcrossGatewaysTest.kt
@@ -28,7 +28,7 @@
     @AfterEach
     fun close() = gateways.close()
 
-    /** Guards against a second run, or another answer, when a caller repeats its key elsewhere (I8). */
+    /** A key that is repeated at another gateway must neither run again nor get another answer (I8). */
     @Test
     fun `a repeated key gets the same answer through every gateway`(): Unit = runBlocking {
         val key = gateways.keyOwnedBy(1)
@@ -40,7 +40,7 @@
         expectThat(gateways.journal()).hasSize(1)
     }
 
-    /** Guards against a key that another gateway runs again with another body. */
+    /** Another gateway must not run the key again with a different body. */
     @Test
     fun `a key repeated with another body through another gateway is refused`(): Unit = runBlocking {
         val key = gateways.keyOwnedBy(1)
@@ -52,7 +52,7 @@
         expectThat(gateways.journal()).hasSize(1)
     }
 
-    /** Guards against one run for each gateway when a new key arrives at two of them at once. */
+    /** A new key that arrives at two gateways at once must not run at each of them. */
     @Test
     fun `a new key at two gateways at once runs once`(): Unit = runBlocking {
         val keys = (0..2).map { gateways.keyOwnedBy(it, "album") }
@@ -63,7 +63,7 @@
         expectThat(gateways.journal().map { it.key }.sorted()).isEqualTo(keys.sorted())
     }
 
-    /** Guards against a ticket that is of use at its issuer only. */
+    /** Guards against a ticket that only its issuer accepts. */
     @Test
     fun `a ticket runs once through any gateway`(): Unit = runBlocking {
         val ticket = gateways.ticketOf(0)
@@ -75,7 +75,7 @@
         expectThat(gateways.journal()).hasSize(1)
     }
 
-    /** Guards against a second run by a process that has not seen the first. */
+    /** Guards against a second run by a restarted process that has no record of the first. */
     @Test
     fun `a ticket whose issuer has restarted is unknown`(): Unit = runBlocking {
         val ticket = gateways.ticketOf(0)
@@ -90,7 +90,7 @@
         expectThat(gateways.journal()).hasSize(1)
     }
 
-    /** Guards against a refusal that asks callers to retry a ticket that no process can run any more. */
+    /** Guards against a refusal that tells callers to retry a ticket that no process can run any more. */
     @Test
     fun `a ticket whose issuer has left is unknown`(): Unit = runBlocking {
         val ticket = gateways.ticketOf(0)
@@ -102,7 +102,7 @@
         expectThat(gateways.journal()).hasSize(0)
     }
 
-    /** Guards against a second run, or a false not_run, when the owner is lost after it was sent the call. */
+    /** Guards against a second run, or a wrong `not_run`, when the owner is lost after the call was sent to it. */
     @Test
     fun `a call whose owner is cut off while it runs is unknown and never runs again`(): Unit = runBlocking {
         val key = gateways.keyOwnedBy(1)
@@ -118,9 +118,9 @@
         expectThat(gateways.journal().size).isLessThan(2)
     }
 
-    /** Guards against keys that cannot be used while the owner of their shard is gone. */
+    /** Guards against keys that are unusable while the owner of their shard is down. */
     @Test
-    fun `a new key whose owner is gone is claimed by the gateway that got the call`(): Unit = runBlocking {
+    fun `a new key whose owner is down is claimed by the gateway that received the call`(): Unit = runBlocking {
         val key = gateways.keyOwnedBy(1)
         gateways.stopGateway(1)
 
@@ -130,9 +130,9 @@
         expectThat(gateways.journal()).hasSize(1)
     }
 
-    /** Guards against a run without a claim, and against tickets that need the platform. */
+    /** Guards against a run without a claim, and against tickets that depend on the platform. */
     @Test
-    fun `tickets run and own keys are refused as not run while the platform is down`(): Unit = runBlocking {
+    fun `tickets run and caller keys are refused as not run while the platform is down`(): Unit = runBlocking {
         val key = gateways.keyOwnedBy(1)
         gateways.platformFaults(PlatformFaults(down = true))
 
@@ -145,7 +145,7 @@
         expectThat(gateways.journal()).hasSize(1)
     }
 
-    /** Guards against a caller that cannot learn the outcome of its call because the platform failed after it. */
+    /** Guards against a caller that cannot learn the outcome of its call because the platform failed afterwards. */
     @Test
     fun `a key that ran before the platform failed is answered through every gateway`(): Unit = runBlocking {
         val key = gateways.keyOwnedBy(1)
@@ -170,16 +170,16 @@
         expectThat(gateways.journal()).hasSize(1)
     }
 
-    /** Guards against a frame over the limit: the default body limit is that of a frame. */
+    /** Guards against an oversized frame: the default body limit equals the frame limit. */
     @Test
-    fun `a body of the greatest allowed size is forwarded`(): Unit = runBlocking {
+    fun `a body of the maximum size is forwarded`(): Unit = runBlocking {
         val answer = gateways.pay(0, gateways.ticketOf(2), body = "x".repeat(MAXIMUM_BODY_BYTES))
 
         expectThat(answer.statusCode()).isEqualTo(200)
         expectThat(gateways.journal()).hasSize(1)
     }
 
-    /** Guards against one write to the platform for each call under load; prints the figures. */
+    /** Guards against one platform write per call under load; prints the measured ratios. */
     @Test
     fun `claims of concurrent calls share writes`(): Unit = runBlocking {
         val perCall = CONCURRENCIES.associateWith { writesPerCall(it) }
--- a/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/control/ClaimDeskTest.kt
+++ b/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/control/ClaimDeskTest.kt
@@ -45,7 +45,7 @@
 
 class ClaimDeskTest {
     private val scope = CoroutineScope(Dispatchers.Default)
-    private val platform = MemoryPlatform()
+    private val platform = InMemoryPlatform()
     private val runs = AtomicInteger()
 
     @AfterEach
@@ -54,30 +54,30 @@
     /** Guards against a second run when a caller repeats its call at another gateway (I8). */
     @Test
     fun `a key that is used at three gateways at once runs once`() {
-        val desks = (1..3).map { desk("gateway-$it") }
+        val executors = (1..3).map { executor("gateway-$it") }
 
-        runBlocking { desks.mapIndexed { index, desk -> async { run(desk, "r$index") } }.awaitAll() }
+        runBlocking { executors.mapIndexed { index, executor -> async { run(executor, "r$index") } }.awaitAll() }
 
         expectThat(runs.get()).isEqualTo(1)
     }
 
-    /** Guards against a repeated call that does not get the response of the first. */
+    /** Guards against a repeated call that does not get the response of the first call. */
     @Test
-    fun `a repeated call at the same gateway gets the kept response`() {
-        val desk = desk("gateway-1")
+    fun `a repeated call at the same gateway gets the retained response`() {
+        val executor = executor("gateway-1")
 
-        val answers = runBlocking { listOf(run(desk, "r1"), run(desk, "r2")) }
+        val answers = runBlocking { listOf(run(executor, "r1"), run(executor, "r2")) }
 
         expectThat(answers).all { isA<ExecutionAnswer.Response>() }
         expectThat(runs.get()).isEqualTo(1)
     }
 
-    /** Guards against a second run, and a lost call, when the response to the claim was lost. */
+    /** Guards against a second run, or a lost call, when the response to the claim is lost. */
     @Test
     fun `a call runs once when the response to its claim was lost`() {
         platform.loseWriteResponses = 1
 
-        val answer = runBlocking { run(desk("gateway-1"), "r1") }
+        val answer = runBlocking { run(executor("gateway-1"), "r1") }
 
         expectThat(answer).isA<ExecutionAnswer.Response>()
     }
@@ -87,32 +87,32 @@
     fun `a call is refused as not run while the platform is down`() {
         platform.up = false
 
-        val answer = runBlocking { run(desk("gateway-1"), "r1") }
+        val answer = runBlocking { run(executor("gateway-1"), "r1") }
 
         expectThat(answer).isEqualTo(ExecutionAnswer.NotRun(NotRunReason.PLATFORM_UNAVAILABLE))
         expectThat(runs.get()).isEqualTo(0)
     }
 
-    private fun desk(name: String): ClaimDesk {
+    private fun executor(name: String): ClaimExecutor {
         val self = Incarnation(InstanceId(name), 1)
-        return ClaimDesk(self, platform, TicketExecutor(self, NoPeers, scope), NoPeers, Clock.System, scope)
+        return ClaimExecutor(self, platform, TicketExecutor(self, NoPeers, scope), NoPeers, Clock.System, scope)
             .also { it.start() }
     }
 
-    private suspend fun run(desk: ClaimDesk, request: String): ExecutionAnswer {
+    private suspend fun run(executor: ClaimExecutor, request: String): ExecutionAnswer {
         val keyed = KeyedCall(RequestId(request), OrganisationId("estate"), "weighing-1", "fingerprint")
         val group = ServiceDeclaration("payouts", "kind=service")
-        val sent =
+        val serviceCall =
             ServiceGroupCall(keyed.request, group, ServiceCall("POST", "/pay"), Long.MAX_VALUE, Span.getInvalid())
-        val call = AtMostOnceCall(keyed, sent) {
+        val call = AtMostOnceCall(keyed, serviceCall) {
             runs.incrementAndGet()
             RunOutcome.Responded(ServiceResponse(200, "text/plain", "done".encodeToByteArray()))
         }
-        return desk.execute(call)
+        return executor.execute(call)
     }
 }
 
-/** No other gateway can be reached. */
+/** A forwarder that reaches no other gateway. */
 private object NoPeers : PeerCallForwarder {
     override suspend fun toIssuer(ticket: Ticket, call: AtMostOnceCall): ForwardResult = ForwardResult.NotSent
 
@@ -121,8 +121,8 @@
     override suspend fun toClaimer(claimer: Incarnation, call: AtMostOnceCall): ForwardResult = ForwardResult.NotSent
 }
 
-/** An object service in memory. */
-private class MemoryPlatform : PlatformClient {
+/** An in-memory object service. */
+private class InMemoryPlatform : PlatformClient {
     var up = true
     var loseWriteResponses = 0
     private val objects = HashMap<String, StoredObject>()
--- a/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/control/ControlTest.kt
+++ b/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/control/ControlTest.kt
@@ -53,7 +53,7 @@
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isNotEqualTo
 
-/** Several gateways with one platform in this process, over real connections. */
+/** Two gateways and a platform in this process, over real connections. */
 class ControlTest {
     private val vertx = Vertx.vertx()
     private val client = WebClient.create(vertx)
@@ -66,7 +66,7 @@
         vertx.close().coAwait()
     }
 
-    /** Guards against two servers that share a random port, where either gateway gets the callers of the other. */
+    /** Guards against two servers that share a random port, so that callers of one gateway reach the other. */
     @Test
     fun `gateways of one process listen on different ports`(): Unit = runBlocking {
         val platform = startPlatform()
@@ -76,15 +76,15 @@
     }
 
     @Test
-    fun `a change handed to one gateway reaches the other while the platform is down`(): Unit = runBlocking {
+    fun `a change submitted to one gateway reaches the other while the platform is down`(): Unit = runBlocking {
         val platform = startPlatform()
         publish(vertx, platform, configuration(revision = 1, engines = emptyList()))
         val (first, second) = startGateways(platform)
         eventually { revision(first) == 1L && revision(second) == 1L }
-        fault(platform, PlatformFaults(down = true))
-        handOver(first, configuration(revision = 2, engines = emptyList()))
+        setFaults(platform, PlatformFaults(down = true))
+        submit(first, configuration(revision = 2, engines = emptyList()))
         eventually { revision(second) == 2L }
-        handOver(first, configuration(revision = 1, engines = emptyList()))
+        submit(first, configuration(revision = 1, engines = emptyList()))
         expectThat(revision(first)).isEqualTo(2)
     }
 
@@ -96,7 +96,7 @@
         eventually { revision(first) == 1L }
         val second = startGateway(1, platform)
         eventually { revision(second) == 1L }
-        fault(platform, PlatformFaults(down = true))
+        setFaults(platform, PlatformFaults(down = true))
         gateways.removeAt(1).stop()
         val restarted = startGateway(1, platform)
         eventually { revision(restarted) == 1L }
@@ -118,7 +118,7 @@
     }
 
     @Test
-    fun `two gateways together send no more to a cold engine than it bears`(): Unit = runBlocking {
+    fun `two gateways together stay within the limit of a cold engine`(): Unit = runBlocking {
         val platform = startPlatform()
         val engine = startEngine(cold = true)
         val limits = LimitsDeclaration(coldLimit = 1, requestDeadlineMillis = 3_000)
@@ -172,7 +172,7 @@
         return Gateway(vertx, settings).also { gateways += it }.start()
     }
 
-    private suspend fun handOver(gateway: GatewayPorts, configuration: Configuration) {
+    private suspend fun submit(gateway: GatewayPorts, configuration: Configuration) {
         val body = WireJson.encodeToString(ConfigurationOffer.serializer(), offerOf(configuration))
         post(gateway.operations, "/configuration", body)
     }
@@ -180,7 +180,7 @@
     private suspend fun revision(gateway: GatewayPorts): Long =
         Regex("\"revision\":(\\d+)").find(get(gateway.operations, "/status"))?.groupValues?.get(1)?.toLong() ?: 0
 
-    private suspend fun fault(platform: Int, faults: PlatformFaults) {
+    private suspend fun setFaults(platform: Int, faults: PlatformFaults) {
         post(platform, "/faults", WireJson.encodeToString(PlatformFaults.serializer(), faults))
     }
 
--- a/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/control/RolloutHarness.kt
+++ b/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/control/RolloutHarness.kt
@@ -40,19 +40,22 @@
 import org.parsleymoor.standins.PlatformStandIn
 import java.util.concurrent.atomic.AtomicLong
 
-/** Two gateways, each with its own connections and clock, a platform and engines with weight version 1. */
+/** Two gateways, each with its own Vert.x instance and clock, a platform, and engines with weight version 1. */
 internal class RolloutHarness : AutoCloseable {
     private val vertx = Vertx.vertx()
     private val gatewayVertx = List(GATEWAYS) { Vertx.vertx() }
     private val client = WebClient.create(vertx)
     private val peerPorts = FreePorts().take(GATEWAYS)
-    private val skews = List(GATEWAYS) { AtomicLong() }
+    private val clockOffsets = List(GATEWAYS) { AtomicLong() }
     private val gateways = mutableListOf<Gateway>()
     private var platform = 0
     var engines: List<Int> = emptyList()
     var ports: List<GatewayPorts> = emptyList()
 
-    /** Starts [count] engines and two gateways with [configuration] of the engines' ports in effect. */
+    /**
+     * Starts [count] engines and two gateways, and waits until [configuration], built from the engines' ports, is in
+     * effect.
+     */
     suspend fun start(count: Int, fencing: Fencing = Fencing.CHECKED, configuration: (List<Int>) -> Configuration) {
         engines = (0 until count).map { EngineStandIn(vertx, engineSettings(it, fencing)).start() }
         platform = PlatformStandIn(vertx, PlatformSettings(instances = peerPorts.mapIndexed(::listed))).start()
@@ -61,10 +64,10 @@
         eventually { ports.indices.all { status(it).revision == 1L } }
     }
 
-    /** Makes [configuration], whose revision follows the last, the accepted one. */
+    /** Publishes [configuration], whose revision must follow the last one. */
     suspend fun publish(configuration: Configuration): Unit = publish(vertx, platform, configuration)
 
-    /** Breaks every connection of a gateway for good, as its death does. */
+    /** Closes all connections of a gateway permanently, as when its process dies. */
     suspend fun kill(index: Int) {
         gatewayVertx[index].close().coAwait()
     }
@@ -73,9 +76,9 @@
         gateways[index].stop()
     }
 
-    /** Moves the clock of a gateway forward, as a pause of its process does. */
-    fun skipTime(index: Int, millis: Long) {
-        skews[index].addAndGet(millis)
+    /** Moves the clock of a gateway forward, as after a pause of its process. */
+    fun advanceClock(index: Int, millis: Long) {
+        clockOffsets[index].addAndGet(millis)
     }
 
     suspend fun platformFaults(faults: PlatformFaults) {
@@ -127,7 +130,7 @@
             orders = OrderLeaseSettings(LEASE_MILLIS),
             drainMillis = 500,
         )
-        val clock = Clock { Clock.System.nowMillis() + skews[index].get() }
+        val clock = Clock { Clock.System.nowMillis() + clockOffsets[index].get() }
         return Gateway(gatewayVertx[index], settings, clock).also { gateways += it }.start()
     }
 
@@ -143,7 +146,7 @@
     companion object {
         const val LEASE_MILLIS = 3_000L
 
-        /** Two thirds of the lease, after which its holder may send nothing. */
+        /** Two thirds of the lease; after that its holder may not send orders. */
         const val USABLE_MILLIS = 2_000L
         private const val GATEWAYS = 2
         private const val LIMIT_MILLIS = 40_000L
--- a/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/control/RolloutTest.kt
+++ b/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/control/RolloutTest.kt
@@ -36,19 +36,19 @@
 import strikt.assertions.isLessThanOrEqualTo
 import java.util.concurrent.atomic.AtomicBoolean
 
-/** Rollouts by two gateways over real connections while the parts around them fail. */
+/** Rollouts by two gateways over real connections while the components around them fail. */
 class RolloutTest {
     private val harness = RolloutHarness()
-    private val new = WantedState.Loaded(ModelId("leaf"), WeightVersion("2"))
+    private val target = WantedState.Loaded(ModelId("leaf"), WeightVersion("2"))
 
     @AfterEach
     fun close() {
         harness.close()
     }
 
-    /** Guards against a rollout that takes service away and against completions that get another version. */
+    /** Guards against a rollout that interrupts service, and against completions from the wrong version. */
     @Test
-    fun `a rollout of eight engines and its end leave every completion answered`(): Unit = runBlocking {
+    fun `every completion is answered during a rollout of eight engines and after its end`(): Unit = runBlocking {
         harness.start(ENGINES) { configuration(it, revision = 1) }
         val finished = AtomicBoolean()
         val callers = List(CALLERS) { caller -> async { answers(caller, finished) } }
@@ -69,33 +69,35 @@
             .isEmpty()
         expectThat(runs.count { it.version.value == "2" }).isGreaterThan(0)
         expectThat(unloads()).isEmpty()
-        expectOneLoadEachAndTwoAtOnce()
+        expectOneLoadEachAndAtMostTwoAtOnce()
     }
 
-    /** Guards against a rollout that ends with its holder, and against a second load of what the holder began. */
+    /**
+     * Guards against a rollout that stops when the lease holder dies, and against loading again what it had started.
+     */
     @Test
-    fun `the other gateway ends the rollout of a holder that dies`(): Unit = runBlocking {
+    fun `the other gateway completes the rollout of a lease holder that dies`(): Unit = runBlocking {
         harness.start(ENGINES) { configuration(it, revision = 1) }
         harness.publish(rollout(revision = 2))
         harness.eventually { loads().size >= 3 }
-        val dead = lease()
+        val dead = leaseHolder()
         harness.kill(dead)
         val other = 1 - dead
         harness.eventually { harness.status(other).rollouts.single().loaded.size == ENGINES }
         expectThat(senders(loads())).isEqualTo(setOf("gateway-$dead", "gateway-$other"))
-        expectOneLoadEachAndTwoAtOnce()
+        expectOneLoadEachAndAtMostTwoAtOnce()
     }
 
-    /** Guards against a planned stop that makes the other gateway wait for the lease to run out. */
+    /** Guards against a planned stop that makes the other gateway wait until the lease expires. */
     @Test
     fun `a holder that stops hands its rollout over`(): Unit = runBlocking {
         harness.start(ENGINES) { configuration(it, revision = 1) }
         harness.publish(rollout(revision = 2))
         harness.eventually { loads().size >= 3 }
-        val leaving = lease()
+        val leaving = leaseHolder()
         harness.stop(leaving)
         harness.eventually { harness.status(1 - leaving).rollouts.single().loaded.size == ENGINES }
-        expectOneLoadEachAndTwoAtOnce()
+        expectOneLoadEachAndAtMostTwoAtOnce()
     }
 
     /** Guards against a second load order after the answer to the first was lost. */
@@ -105,11 +107,11 @@
         harness.engineFaults(0, EngineFaults(loseOrderAnswers = 1))
         harness.publish(rollout(revision = 2, fencing = "ignored"))
         harness.eventually { loaded() == 3 }
-        expectThat(harness.get(harness.ports[lease()].operations, "/metrics")).contains("outcome=\"lost\"")
-        expectOneLoadEachAndTwoAtOnce()
+        expectThat(harness.get(harness.ports[leaseHolder()].operations, "/metrics")).contains("outcome=\"lost\"")
+        expectOneLoadEachAndAtMostTwoAtOnce()
     }
 
-    /** Guards against a confirmation that is taken as given although its answer was lost. */
+    /** Guards against treating a confirmation as successful although its answer was lost. */
     @Test
     fun `an engine that checks fencing is confirmed again when the answer is lost`(): Unit = runBlocking {
         harness.start(count = 3) { configuration(it, revision = 1) }
@@ -117,12 +119,12 @@
         harness.publish(rollout(revision = 2))
         harness.eventually { loaded() == 3 }
         expectThat(harness.orders(0).count { it.order.wanted is WantedState.Role }).isEqualTo(2)
-        expectOneLoadEachAndTwoAtOnce()
+        expectOneLoadEachAndAtMostTwoAtOnce()
     }
 
-    /** Guards against orders under a lease that can no longer be renewed. */
+    /** Guards against orders under a lease that cannot be renewed. */
     @Test
-    fun `no order is sent after the lease lapses while the platform is down`(): Unit = runBlocking {
+    fun `no order is sent after the lease expires while the platform is down`(): Unit = runBlocking {
         harness.start(ENGINES) { configuration(it, revision = 1) }
         harness.publish(rollout(revision = 2))
         harness.eventually { loads().isNotEmpty() }
@@ -136,17 +138,17 @@
         expectThat((0..1).map { harness.status(it).orders.lease }).all { isEqualTo(OrderLeaseState.NOT_HELD) }
         harness.platformFaults(PlatformFaults())
         harness.eventually { loaded() == ENGINES }
-        expectOneLoadEachAndTwoAtOnce()
+        expectOneLoadEachAndAtMostTwoAtOnce()
     }
 
-    /** Guards against a holder that goes on with its orders when it wakes after its lease. */
+    /** Guards against a lease holder that resumes sending orders when it wakes after its lease has expired. */
     @Test
     fun `a holder paused beyond its lease sends nothing when it wakes`(): Unit = runBlocking {
         harness.start(ENGINES, Fencing.IGNORED) { configuration(it, revision = 1, fencing = "ignored") }
         harness.publish(rollout(revision = 2, fencing = "ignored"))
         harness.eventually { loads().isNotEmpty() }
         harness.platformFaults(PlatformFaults(down = true))
-        harness.skipTime(lease(), 2 * RolloutHarness.LEASE_MILLIS)
+        harness.advanceClock(leaseHolder(), 2 * RolloutHarness.LEASE_MILLIS)
         val wokenMillis = Clock.System.nowMillis()
         delay(RolloutHarness.LEASE_MILLIS)
         expectThat(harness.allOrders().filter { it.arrivedAtMillis > wokenMillis + IN_FLIGHT_MILLIS }).isEmpty()
@@ -154,39 +156,39 @@
     }
 
     /**
-     * Guards against orders of two holders that cross at an engine which cannot tell them apart. The lease is given up,
-     * so that nothing but the longest delivery time keeps the new holder waiting.
+     * Guards against interleaved orders of two lease holders at an engine that cannot tell them apart. The lease is
+     * released, so that only the maximum delivery time keeps the new holder waiting.
      */
     @Test
     fun `engines that ignore fencing get orders of one holder after those of the other`(): Unit = runBlocking {
         harness.start(ENGINES, Fencing.IGNORED) { configuration(it, revision = 1, fencing = "ignored") }
         harness.publish(rollout(revision = 2, fencing = "ignored"))
         harness.eventually { loads().size >= 3 }
-        val leaving = lease()
+        val leaving = leaseHolder()
         harness.stop(leaving)
         harness.eventually { harness.status(1 - leaving).rollouts.single().loaded.size == ENGINES }
         val orders = harness.allOrders()
         val last = orders.filter { sender(it) == "gateway-$leaving" }.maxOf { it.arrivedAtMillis }
         val first = orders.filter { sender(it) != "gateway-$leaving" }.minOf { it.arrivedAtMillis }
         expectThat(first - last).isGreaterThanOrEqualTo(DELIVERY_MILLIS)
-        expectOneLoadEachAndTwoAtOnce()
+        expectOneLoadEachAndAtMostTwoAtOnce()
     }
 
-    /** Guards against engines that keep the version of a rollout that was given up. */
+    /** Guards against engines that keep the version of an abandoned rollout. */
     @Test
-    fun `a rollout that is undone half way leaves the version before on every engine`(): Unit = runBlocking {
+    fun `a rollout that is reverted half way leaves the previous version on every engine`(): Unit = runBlocking {
         val limits = LimitsDeclaration(requestDeadlineMillis = 1_000)
         harness.start(count = 4) { configuration(it, revision = 1).copy(limits = limits) }
         harness.publish(rollout(revision = 2).copy(limits = limits))
         harness.eventually { loads().size >= 2 }
         harness.publish(configuration(harness.engines, revision = 3).copy(limits = limits))
-        harness.eventually { unloads().size == 2 && harness.status(lease()).orders.unfinished.isEmpty() }
+        harness.eventually { unloads().size == 2 && harness.status(leaseHolder()).orders.unfinished.isEmpty() }
         expectThat(harness.engines.map { held(it) }).all { isEqualTo(listOf("1")) }
         expectThat(unloads().map { it.order.order }.toSet()).hasSize(loads().size)
         expectThat(harness.complete(0)).contains(expected)
     }
 
-    /** Guards against a role that is declared and never ordered. */
+    /** Guards against a declared role that is never ordered. */
     @Test
     fun `an engine gets the role in its label`(): Unit = runBlocking {
         harness.start(count = 2) { ports ->
@@ -206,7 +208,7 @@
         return answers
     }
 
-    private suspend fun lease(): Int {
+    private suspend fun leaseHolder(): Int {
         var holder = -1
         harness.eventually {
             holder = (0..1).firstOrNull { harness.status(it).orders.lease == OrderLeaseState.HELD } ?: -1
@@ -215,9 +217,9 @@
         return holder
     }
 
-    private suspend fun loaded(): Int = harness.status(lease()).rollouts.sumOf { it.loaded.size }
+    private suspend fun loaded(): Int = harness.status(leaseHolder()).rollouts.sumOf { it.loaded.size }
 
-    private suspend fun loads(): List<OrderRun> = harness.allOrders().filter { it.order.wanted == new }
+    private suspend fun loads(): List<OrderRun> = harness.allOrders().filter { it.order.wanted == target }
 
     private suspend fun unloads(): List<OrderRun> =
         harness.allOrders().filter { it.order.wanted is WantedState.Unloaded }
@@ -226,13 +228,13 @@
         WireJson.decodeFromString(EngineLoad.serializer(), harness.get(engine, "/v1/load")).versions
             .map { it.version.value }
 
-    private suspend fun expectOneLoadEachAndTwoAtOnce() {
+    private suspend fun expectOneLoadEachAndAtMostTwoAtOnce() {
         val loads = loads()
         val atOnce = loads.maxOf { one ->
             loads.count { it.arrivedAtMillis <= one.arrivedAtMillis && one.arrivedAtMillis < it.loadedAtMillis }
         }
         expectThat(loads).hasSize(harness.engines.size)
-        expectThat(harness.engines.indices.map { engine -> harness.orders(engine).count { it.order.wanted == new } })
+        expectThat(harness.engines.indices.map { engine -> harness.orders(engine).count { it.order.wanted == target } })
             .all { isEqualTo(1) }
         expectThat(atOnce).isLessThanOrEqualTo(2)
     }
@@ -266,7 +268,7 @@
         const val CALLERS = 4
         const val SETTLE_MILLIS = 1_000L
 
-        // A request or an order that left its gateway just before may still arrive.
+        // Requests and orders sent just before may still arrive within this time.
         const val IN_FLIGHT_MILLIS = 300L
         const val DELIVERY_MILLIS = 2_000L
     }
--- a/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/control/ThreeGateways.kt
+++ b/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/control/ThreeGateways.kt
@@ -55,7 +55,7 @@
     private var platform = 0
     private var service = 0
 
-    /** Starts all and waits until every gateway is connected to the others. */
+    /** Starts all components and waits until the gateways are connected to each other. */
     suspend fun start() {
         val instances = peerPorts.indices.map {
             ListedInstance(nameOf(it), ZoneId("north-1"), "127.0.0.1:${peerPorts[it]}")
@@ -83,13 +83,13 @@
         withTimeout(LIMIT_MILLIS) { while ("\"revision\":1" !in status(started)) delay(POLL_MILLIS) }
     }
 
-    /** Ends a gateway at once, with all its connections; running calls are cut off. */
+    /** Stops a gateway at once and closes its connections; running calls are cut off. */
     suspend fun stopGateway(index: Int) {
         gateways.remove(index)?.stop()
         withTimeout(LIMIT_MILLIS) { while (!isFree(peerPorts[index])) delay(POLL_MILLIS) }
     }
 
-    /** Sends a call under [key] to the gateway [index]. */
+    /** Sends a call with [key] to the gateway [index]. */
     suspend fun pay(index: Int, key: String, body: String = "5"): HttpResponse<Buffer> =
         client.request(HttpMethod.POST, requireNotNull(ports[index]).callers, HOST, "/services/payouts/pay?to=x")
             .putHeader("Authorization", "Bearer ${GatewayHarness.KEY}").putHeader("Idempotency-Key", key)
@@ -101,7 +101,7 @@
         return WireJson.decodeFromString(IssuedTicket.serializer(), answer).ticket
     }
 
-    /** A key whose shard the gateway [index] owns; [series] tells the keys of one test apart. */
+    /** A key whose shard is owned by the gateway [index]; [series] separates the keys within a test. */
     fun keyOwnedBy(index: Int, series: String = "weighing"): String = generateSequence(0) { it + 1 }
         .map { "$series-$it" }.first { key ->
             val shard = SHARDS.shardOf(OrganisationId("tea"), key)
@@ -124,7 +124,7 @@
         return WireJson.decodeFromString(ListSerializer(ServiceEffect.serializer()), json)
     }
 
-    /** Writes that the object service had. */
+    /** The number of writes that the object service received. */
     suspend fun platformWrites(): Long {
         val json = client.get(platform, HOST, "/calls").send().coAwait().bodyAsString()
         return WireJson.decodeFromString(CallCount.serializer(), json).writes
@@ -135,7 +135,7 @@
         vertx.close()
     }
 
-    // A listener's port becomes free a moment after the listener was closed.
+    // A port is released shortly after its listener is closed.
     private fun isFree(port: Int): Boolean = try {
         ServerSocket(port).close()
         true
@@ -155,7 +155,7 @@
         const val LIMIT_MILLIS = 20_000L
         const val POLL_MILLIS = 20L
 
-        // Two periods of the instance list and one of the heartbeat.
+        // Covers a read of the instance list (every 2 s) with a margin for connecting.
         const val SETTLE_MILLIS = 2_500L
         val SHARDS = ClaimLedger(Incarnation(InstanceId("test"), 1))
 
--- a/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/control/WantedContentsTest.kt
+++ b/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/control/WantedContentsTest.kt
@@ -22,7 +22,7 @@
     private val engine = EndpointId("engine-0")
     private val leaf = ModelId("leaf")
 
-    /** Guards against a rollout that takes the version in use away before the new one serves. */
+    /** Guards against a rollout that unloads the current version before the new one can serve. */
     @Test
     fun `a rollout wants its version beside the one in use`() {
         val contents = contents(configuration("1", rollout = "2"))
@@ -30,7 +30,7 @@
         expectThat(contents.next(load("1", "2"))).isEqualTo(WantedState.Role("serve"))
     }
 
-    /** Guards against an engine that is left without a version while the next one is missing. */
+    /** Guards against an engine that has no version while the next one is not loaded yet. */
     @Test
     fun `the version in use is loaded before another is unloaded`() {
         val contents = contents(configuration("2"))
@@ -38,16 +38,16 @@
         expectThat(contents.next(load("1", "2"))).isEqualTo(WantedState.Unloaded(leaf, WeightVersion("1")))
     }
 
-    /** Guards against unloading a version under runs that began before the switch. */
+    /** Guards against unloading a version while requests that began before the switch use it. */
     @Test
-    fun `a version that may still have runs counts neither as held nor as surplus`() {
+    fun `a version that may still have running requests counts neither as held nor as surplus`() {
         val contents = contents(configuration("2"), retained = setOf("1"))
         expectThat(contents.next(load("1", "2"))).isEqualTo(WantedState.Role("serve"))
         val target = contents.targets().single()
         expectThat(contents.state(engine, load("1", "2")).content).isEqualTo(target.wanted)
     }
 
-    /** Guards against orders for what the configuration does not name. */
+    /** Guards against orders for models that the configuration does not name. */
     @Test
     fun `the version of a model that is not declared is left alone`() {
         val load = load("1").let { it.copy(versions = it.versions + LoadedVersion(ModelId("bud"), WeightVersion("7"))) }
@@ -56,7 +56,7 @@
         expectThat(contents.state(engine, load).content).isEqualTo(contents.targets().single().wanted)
     }
 
-    /** Guards against a confirmation of the state that loads the next version by the way. */
+    /** Guards against an order that should only confirm the state but loads the next version. */
     @Test
     fun `an order for the content that the engine has changes nothing`() {
         val contents = contents(configuration("1", rollout = "2"))
@@ -64,15 +64,15 @@
         expectThat(contents.nextStep(engine, load("1"), held)).isEqualTo(WantedState.Role("serve"))
     }
 
-    /** Guards against trust in fencing tokens that nobody has declared. */
+    /** Guards against relying on fencing tokens when no support is declared. */
     @Test
-    fun `an engine without the label is taken to ignore fencing`() {
+    fun `an engine without the label is assumed to ignore fencing`() {
         expectThat(contents(configuration("1")).targets().single().fencing).isEqualTo(Fencing.IGNORED)
     }
 
-    /** Guards against a rollout that has every engine of a model loading. */
+    /** Guards against a rollout that loads on every engine of a model at once. */
     @Test
-    fun `one engine of a model under rollout stays free of loading`() {
+    fun `one engine of a model under rollout is not loading`() {
         val two = GatewayHarness.configuration(listOf(1, 2)).copy(rollouts = listOf(rollout("2")))
         expectThat(contents(two).concurrentLoads()).isEqualTo(1)
         val eight = GatewayHarness.configuration((1..8).toList()).copy(rollouts = listOf(rollout("2")))
@@ -81,8 +81,8 @@
 
     /** Guards against unloading a version whose last requests are still within their deadline. */
     @Test
-    fun `a version is retained for the deadline and the spread after it was last current`() {
-        val retired = RetiredVersions(spreadMillis = 100)
+    fun `a version is retained for the deadline and the propagation time after it was last current`() {
+        val retired = RetiredVersions(propagationMillis = 100)
         val limits = LimitsDeclaration(requestDeadlineMillis = 1_000)
         retired.observe(configuration("1").copy(limits = limits), nowMillis = 0)
         retired.observe(configuration("1").copy(limits = limits), nowMillis = 5_000)
