--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/CacheClient.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/CacheClient.kt
@@ -5,8 +5,8 @@
 /** What engines and stores have in common: both report the blocks that they hold. */
 public interface CacheClient {
     /** Reads the cache events after [sequence]. */
-    public suspend fun cacheEvents(sequence: Long): Result<CacheEvents, BackEndFailure>
+    public suspend fun cacheEvents(sequence: Long): Result<CacheEvents, EndpointFailure>
 
     /** Reads the whole content; a store leaves out blocks that are not committed. */
-    public suspend fun cacheSnapshot(): Result<CacheSnapshot, BackEndFailure>
+    public suspend fun cacheSnapshot(): Result<CacheSnapshot, EndpointFailure>
 }
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/EngineClient.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/EngineClient.kt
@@ -11,25 +11,25 @@
 public interface EngineClient : CacheClient {
     /**
      * Starts [request] and returns its events in order of arrival. The flow fails with a
-     * [org.parsleymoor.core.FailureException] that carries a [BackEndFailure] when the stream breaks, stays silent for
+     * [org.parsleymoor.core.FailureException] that carries a [EndpointFailure] when the stream breaks, stays silent for
      * [silenceMillis] or ends with no final event. Cancelling the collection closes the connection.
      */
     public fun generate(request: GenerateRequest, silenceMillis: Long = DEFAULT_SILENCE_MILLIS): Flow<EngineEvent>
 
     /** Asks the engine to stop [attempt]; an attempt that it does not know is no failure. */
-    public suspend fun cancel(attempt: AttemptId): Result<Unit, BackEndFailure>
+    public suspend fun cancel(attempt: AttemptId): Result<Unit, EndpointFailure>
 
     /** Reads the load report. */
-    public suspend fun load(): Result<EngineLoad, BackEndFailure>
+    public suspend fun load(): Result<EngineLoad, EndpointFailure>
 
     /** Copies blocks from the engine to a store. */
-    public suspend fun export(transfer: TransferRequest): Result<TransferResult, BackEndFailure>
+    public suspend fun export(transfer: TransferRequest): Result<TransferResult, EndpointFailure>
 
     /** Copies blocks from a store to the engine. */
-    public suspend fun import(transfer: TransferRequest): Result<TransferResult, BackEndFailure>
+    public suspend fun import(transfer: TransferRequest): Result<TransferResult, EndpointFailure>
 
     /** Gives an order. */
-    public suspend fun order(order: EngineOrder): Result<EngineLoad, BackEndFailure>
+    public suspend fun order(order: EngineOrder): Result<EngineLoad, EndpointFailure>
 
     public companion object {
         /** Time without an event after which a stream counts as silent. */
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/EngineWire.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/EngineWire.kt
@@ -174,29 +174,29 @@
 public data class EngineOrder(
     public val order: String,
     public val fencing: Long,
-    public val wanted: WantedState,
+    public val wanted: DesiredState,
 )
 
 /** The state an order asks for. */
 @Serializable
-public sealed interface WantedState {
+public sealed interface DesiredState {
     /** The engine holds [version] of [model]. */
     @Serializable
     @SerialName("loaded")
-    public data class Loaded(public val model: ModelId, public val version: WeightVersion) : WantedState
+    public data class Loaded(public val model: ModelId, public val version: WeightVersion) : DesiredState
 
     /** The engine no longer holds [version] of [model]. */
     @Serializable
     @SerialName("unloaded")
-    public data class Unloaded(public val model: ModelId, public val version: WeightVersion) : WantedState
+    public data class Unloaded(public val model: ModelId, public val version: WeightVersion) : DesiredState
 
     /** The engine holds [adapter] for [model]. */
     @Serializable
     @SerialName("adapter")
-    public data class AdapterLoaded(public val model: ModelId, public val adapter: AdapterId) : WantedState
+    public data class AdapterLoaded(public val model: ModelId, public val adapter: AdapterId) : DesiredState
 
     /** The engine works in [role], for example `serve` or `prefill`. */
     @Serializable
     @SerialName("role")
-    public data class Role(public val role: String) : WantedState
+    public data class Role(public val role: String) : DesiredState
 }
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/FutureOutcome.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/FutureOutcome.kt
@@ -12,7 +12,7 @@
 import kotlin.coroutines.cancellation.CancellationException
 
 /** Suspends until the future completes; a connection error becomes the [failure] made from its text. */
-internal suspend fun <T> Future<T>.awaitOr(failure: (String) -> BackEndFailure): Result<T, BackEndFailure> = try {
+internal suspend fun <T> Future<T>.awaitOr(failure: (String) -> EndpointFailure): Result<T, EndpointFailure> = try {
     Ok(coAwait())
 } catch (cause: IOException) {
     Err(failure(cause.toString()))
@@ -22,12 +22,12 @@
 
 /** Opens a request to [address]; a client that was closed in the meantime makes no connection. */
 internal suspend fun HttpClient.open(
-    outgoing: Outgoing,
+    outgoing: OutgoingRequest,
     address: HttpAddress,
-): Result<HttpClientRequest, BackEndFailure> = try {
-    request(outgoing.to(address)).awaitOr { BackEndFailure.NotConnected(address.text, it) }
+): Result<HttpClientRequest, EndpointFailure> = try {
+    request(outgoing.to(address)).awaitOr { EndpointFailure.NotConnected(address.text, it) }
 } catch (cause: CancellationException) {
     throw cause
 } catch (cause: IllegalStateException) {
-    Err(BackEndFailure.NotConnected(address.text, cause.toString()))
+    Err(EndpointFailure.NotConnected(address.text, cause.toString()))
 }
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/HttpExchanges.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/HttpExchanges.kt
@@ -14,12 +14,12 @@
 import java.net.HttpURLConnection
 
 /** A whole answer of any status. */
-internal class HttpAnswer(val status: Int, val headers: MultiMap, val body: Buffer) {
+internal class BufferedResponse(val status: Int, val headers: MultiMap, val body: Buffer) {
     val text: String get() = body.toString()
 }
 
 /** A request to be sent; [path] starts with a slash and holds the query. */
-internal class Outgoing(
+internal class OutgoingRequest(
     val method: HttpMethod,
     val path: String,
     val body: Buffer? = null,
@@ -36,21 +36,21 @@
     private val timeoutMillis: Long,
 ) {
     /**
-     * Sends [outgoing]. A time-out before a connection is made is [BackEndFailure.NotConnected]; a later one closes
-     * the connection and is [BackEndFailure.Silent].
+     * Sends [outgoing]. A time-out before a connection is made is [EndpointFailure.NotConnected]; a later one closes
+     * the connection and is [EndpointFailure.Silent].
      */
-    suspend fun send(outgoing: Outgoing): Result<HttpAnswer, BackEndFailure> {
+    suspend fun send(outgoing: OutgoingRequest): Result<BufferedResponse, EndpointFailure> {
         val opened = withTimeoutOrNull(timeoutMillis) {
             http.open(outgoing, address)
-        } ?: Err(BackEndFailure.NotConnected(address.text, "no connection within $timeoutMillis ms"))
+        } ?: Err(EndpointFailure.NotConnected(address.text, "no connection within $timeoutMillis ms"))
         return opened.andThen { exchange(it, outgoing.body) }
     }
 
-    private suspend fun exchange(request: HttpClientRequest, body: Buffer?): Result<HttpAnswer, BackEndFailure> {
+    private suspend fun exchange(request: HttpClientRequest, body: Buffer?): Result<BufferedResponse, EndpointFailure> {
         var finished = false
         try {
             val answer = withTimeoutOrNull(timeoutMillis) { answer(request, body) }
-                ?: return Err(BackEndFailure.Silent(address.text, timeoutMillis))
+                ?: return Err(EndpointFailure.Silent(address.text, timeoutMillis))
             finished = true
             return answer
         } finally {
@@ -58,19 +58,19 @@
         }
     }
 
-    private suspend fun answer(request: HttpClientRequest, body: Buffer?): Result<HttpAnswer, BackEndFailure> {
+    private suspend fun answer(request: HttpClientRequest, body: Buffer?): Result<BufferedResponse, EndpointFailure> {
         // Asked for before the request is sent, the body is read on the connection's thread; asked for later, from
         // another thread, it may miss the chunks that came first.
         val answer = request.response().compose { response ->
-            response.body().map { HttpAnswer(response.statusCode(), response.headers(), it) }
+            response.body().map { BufferedResponse(response.statusCode(), response.headers(), it) }
         }
         if (body == null) request.send() else request.send(body)
-        return answer.awaitOr { BackEndFailure.Broken(address.text, it) }
+        return answer.awaitOr { EndpointFailure.Broken(address.text, it) }
     }
 }
 
 private val SUCCESS = HttpURLConnection.HTTP_OK until HttpURLConnection.HTTP_MULT_CHOICE
 
 /** Returns the body of a successful answer, or the refusal that it carries. */
-internal fun HttpAnswer.successText(address: HttpAddress): Result<String, BackEndFailure> =
+internal fun BufferedResponse.successText(address: HttpAddress): Result<String, EndpointFailure> =
     if (status in SUCCESS) Ok(text) else Err(refusalOf(address, status, text))
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/JsonCalls.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/JsonCalls.kt
@@ -12,27 +12,28 @@
 
 /** Calls with a JSON body and a JSON answer to one address. */
 internal class JsonCalls(private val exchanges: () -> HttpExchanges, private val address: HttpAddress) {
-    suspend inline fun <reified T> get(path: String): Result<T, BackEndFailure> =
+    suspend inline fun <reified T> get(path: String): Result<T, EndpointFailure> =
         send(HttpMethod.GET, path).andThen { decode(serializer<T>(), it) }
 
-    suspend inline fun <reified B, reified T> post(path: String, body: B): Result<T, BackEndFailure> =
+    suspend inline fun <reified B, reified T> post(path: String, body: B): Result<T, EndpointFailure> =
         send(HttpMethod.POST, path, WireJson.encodeToString(serializer<B>(), body))
             .andThen { decode(serializer<T>(), it) }
 
-    suspend fun send(method: HttpMethod, path: String, body: String? = null): Result<String, BackEndFailure> =
-        exchanges().send(Outgoing(method, path, body?.let { Buffer.buffer(it) })).andThen { it.successText(address) }
+    suspend fun send(method: HttpMethod, path: String, body: String? = null): Result<String, EndpointFailure> =
+        exchanges().send(OutgoingRequest(method, path, body?.let { Buffer.buffer(it) }))
+            .andThen { it.successText(address) }
 
-    fun <T> decode(serializer: KSerializer<T>, text: String): Result<T, BackEndFailure> = try {
+    fun <T> decode(serializer: KSerializer<T>, text: String): Result<T, EndpointFailure> = try {
         Ok(WireJson.decodeFromString(serializer, text))
     } catch (cause: SerializationException) {
         val expected = serializer.descriptor.serialName.substringAfterLast('.')
-        Err(BackEndFailure.Malformed(address.text, expected, cause.message ?: "an unreadable body"))
+        Err(EndpointFailure.Malformed(address.text, expected, cause.message ?: "an unreadable body"))
     }
 }
 
-/** Reads the body of a refusal; a body of another form is [BackEndFailure.Malformed]. */
-internal fun refusalOf(address: HttpAddress, status: Int, text: String): BackEndFailure = try {
-    BackEndFailure.Refused(address.text, WireJson.decodeFromString(EngineRefusal.serializer(), text))
+/** Reads the body of a refusal; a body of another form is [EndpointFailure.Malformed]. */
+internal fun refusalOf(address: HttpAddress, status: Int, text: String): EndpointFailure = try {
+    EndpointFailure.Refused(address.text, WireJson.decodeFromString(EngineRefusal.serializer(), text))
 } catch (cause: SerializationException) {
-    BackEndFailure.Malformed(address.text, "a refusal body", "status $status, ${cause.message}")
+    EndpointFailure.Malformed(address.text, "a refusal body", "status $status, ${cause.message}")
 }
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/JsonLines.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/JsonLines.kt
@@ -22,11 +22,11 @@
 ) {
     /**
      * Sends [outgoing] and emits each line of the answer until [isLast] accepts one. The flow fails with a
-     * [FailureException] that carries a [BackEndFailure], also when the answer ends before the last line. A collection
+     * [FailureException] that carries a [EndpointFailure], also when the answer ends before the last line. A collection
      * that stops early closes the connection, so that the sender stops too.
      */
     fun <T> read(
-        outgoing: Outgoing,
+        outgoing: OutgoingRequest,
         serializer: KSerializer<T>,
         isLast: (T) -> Boolean = { false },
     ): Flow<T> = flow {
@@ -47,10 +47,10 @@
         }
     }
 
-    private suspend fun open(outgoing: Outgoing): HttpClientRequest {
+    private suspend fun open(outgoing: OutgoingRequest): HttpClientRequest {
         val outcome = withTimeoutOrNull(silenceMillis) {
             http.open(outgoing, address)
-        } ?: Err(BackEndFailure.NotConnected(address.text, "no connection within $silenceMillis ms"))
+        } ?: Err(EndpointFailure.NotConnected(address.text, "no connection within $silenceMillis ms"))
         return outcome.getOrElse { throw FailureException(it) }
     }
 
@@ -68,16 +68,16 @@
 
     private suspend fun <T> await(future: Future<T>): T {
         val outcome = withTimeoutOrNull(silenceMillis) {
-            future.awaitOr { BackEndFailure.Broken(address.text, it) }
-        } ?: Err(BackEndFailure.Silent(address.text, silenceMillis))
+            future.awaitOr { EndpointFailure.Broken(address.text, it) }
+        } ?: Err(EndpointFailure.Silent(address.text, silenceMillis))
         return outcome.getOrElse { throw FailureException(it) }
     }
 
     private suspend fun nextLine(lines: LineQueue): Buffer {
         val received = withTimeoutOrNull(silenceMillis) { lines.next() }
-            ?: throw FailureException(BackEndFailure.Silent(address.text, silenceMillis))
+            ?: throw FailureException(EndpointFailure.Silent(address.text, silenceMillis))
         return received.getOrNull()
-            ?: throw FailureException(BackEndFailure.Broken(address.text, "the stream ended with no final event"))
+            ?: throw FailureException(EndpointFailure.Broken(address.text, "the stream ended with no final event"))
     }
 
     private fun <T> decode(line: Buffer, serializer: KSerializer<T>): T = try {
@@ -85,7 +85,7 @@
     } catch (cause: SerializationException) {
         val expected = serializer.descriptor.serialName.substringAfterLast('.')
         throw FailureException(
-            BackEndFailure.Malformed(address.text, expected, cause.message ?: "an unreadable line"),
+            EndpointFailure.Malformed(address.text, expected, cause.message ?: "an unreadable line"),
             cause,
         )
     }
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/PlatformAnswers.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/PlatformAnswers.kt
@@ -10,23 +10,23 @@
 import java.net.URLEncoder
 
 /** Reads the current object from a conflict. */
-internal fun <T> HttpAnswer.conflict(expectedVersion: Long): Result<T, PlatformFailure> =
+internal fun <T> BufferedResponse.conflict(expectedVersion: Long): Result<T, PlatformFailure> =
     decode(StoredObject.serializer().nullable)
         .andThen { Err(PlatformFailure.Conflict(expectedVersion, it)) }
 
 /** A server error or a rate limit passes; any other status means that the call breaks the protocol. */
-internal fun HttpAnswer.unexpected(): PlatformFailure = when {
-    status == PlatformStatus.TOO_MANY -> PlatformFailure.Unavailable(
-        "status ${PlatformStatus.TOO_MANY}",
+internal fun BufferedResponse.unexpected(): PlatformFailure = when {
+    status == PlatformStatusCode.TOO_MANY -> PlatformFailure.Unavailable(
+        "status ${PlatformStatusCode.TOO_MANY}",
         mayHaveTakenEffect = false
     )
-    status >= PlatformStatus.SERVER_ERROR ->
+    status >= PlatformStatusCode.SERVER_ERROR ->
         PlatformFailure.Unavailable("status $status", mayHaveTakenEffect = true)
-    else -> PlatformFailure.Rejected("status ${PlatformStatus.OK}", "status $status: $text")
+    else -> PlatformFailure.Rejected("status ${PlatformStatusCode.OK}", "status $status: $text")
 }
 
 /** Decodes the body. */
-internal fun <T> HttpAnswer.decode(serializer: KSerializer<T>): Result<T, PlatformFailure> = try {
+internal fun <T> BufferedResponse.decode(serializer: KSerializer<T>): Result<T, PlatformFailure> = try {
     Ok(WireJson.decodeFromString(serializer, text))
 } catch (cause: SerializationException) {
     Err(PlatformFailure.Rejected(serializer.descriptor.serialName, cause.message ?: "an unreadable body"))
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/PlatformStatus.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/PlatformStatusCode.kt
@@ -1,7 +1,7 @@
 package org.parsleymoor.clients
 
 /** Statuses of the platform's answers. */
-internal object PlatformStatus {
+internal object PlatformStatusCode {
     const val OK: Int = 200
     const val NO_CONTENT: Int = 204
     const val NOT_FOUND: Int = 404
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/RenewablePool.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/ReplaceablePool.kt
@@ -11,7 +11,7 @@
  * A connection pool that can be replaced when its open connections have gone silent. A replaced pool finishes the
  * exchanges in flight and then closes.
  */
-internal class RenewablePool(private val vertx: Vertx, private val size: Int) : AutoCloseable {
+internal class ReplaceablePool(private val vertx: Vertx, private val size: Int) : AutoCloseable {
     private val pool = AtomicReference(create())
 
     /** The pool for the next exchange. */
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/ServiceClient.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/ServiceClient.kt
@@ -6,12 +6,12 @@
 public interface ServiceClient {
     /**
      * Sends [call] and suspends until its answer, whatever its status, or until [timeoutMillis] have passed. A
-     * [BackEndFailure.Refused] is a `503` problem document whose `execution` member is `not_run`.
+     * [EndpointFailure.Refused] is a `503` problem document whose `execution` member is `not_run`.
      */
     public suspend fun call(
         call: ServiceCall,
         timeoutMillis: Long = DEFAULT_TIMEOUT_MILLIS,
-    ): Result<ServiceAnswer, BackEndFailure>
+    ): Result<ServiceCallResponse, EndpointFailure>
 
     public companion object {
         /** Time after which a call without an answer counts as silent. */
@@ -35,7 +35,7 @@
 )
 
 /** The answer of a plain service. */
-public class ServiceAnswer(
+public class ServiceCallResponse(
     public val status: Int,
     public val headers: List<HeaderField>,
     public val body: ByteArray,
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/VertxEngineClient.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/VertxEngineClient.kt
@@ -24,36 +24,37 @@
     poolSize: Int = DEFAULT_POOL_SIZE,
     private val callTimeoutMillis: Long = DEFAULT_CALL_TIMEOUT_MILLIS,
 ) : EngineClient, AutoCloseable {
-    private val pool = RenewablePool(vertx, poolSize)
+    private val pool = ReplaceablePool(vertx, poolSize)
     private val calls = JsonCalls({ HttpExchanges(pool.current, address, callTimeoutMillis) }, address)
 
     override fun generate(request: GenerateRequest, silenceMillis: Long): Flow<EngineEvent> = flow {
         val http = pool.current
         emitAll(
             stream(http, request, silenceMillis).catch { cause ->
-                if ((cause as? FailureException)?.failure is BackEndFailure.Silent) pool.renew(http)
+                if ((cause as? FailureException)?.failure is EndpointFailure.Silent) pool.renew(http)
                 throw cause
             }
         )
     }
 
-    override suspend fun cancel(attempt: AttemptId): Result<Unit, BackEndFailure> =
+    override suspend fun cancel(attempt: AttemptId): Result<Unit, EndpointFailure> =
         calls.send(HttpMethod.DELETE, "/v1/generate/$attempt").map { }
 
-    override suspend fun load(): Result<EngineLoad, BackEndFailure> = calls.get("/v1/load")
+    override suspend fun load(): Result<EngineLoad, EndpointFailure> = calls.get("/v1/load")
 
-    override suspend fun cacheEvents(sequence: Long): Result<CacheEvents, BackEndFailure> =
+    override suspend fun cacheEvents(sequence: Long): Result<CacheEvents, EndpointFailure> =
         calls.get("/v1/cache/events?after=$sequence")
 
-    override suspend fun cacheSnapshot(): Result<CacheSnapshot, BackEndFailure> = calls.get("/v1/cache/snapshot")
+    override suspend fun cacheSnapshot(): Result<CacheSnapshot, EndpointFailure> = calls.get("/v1/cache/snapshot")
 
-    override suspend fun export(transfer: TransferRequest): Result<TransferResult, BackEndFailure> =
+    override suspend fun export(transfer: TransferRequest): Result<TransferResult, EndpointFailure> =
         calls.post("/v1/cache/export", transfer)
 
-    override suspend fun import(transfer: TransferRequest): Result<TransferResult, BackEndFailure> =
+    override suspend fun import(transfer: TransferRequest): Result<TransferResult, EndpointFailure> =
         calls.post("/v1/cache/import", transfer)
 
-    override suspend fun order(order: EngineOrder): Result<EngineLoad, BackEndFailure> = calls.post("/v1/orders", order)
+    override suspend fun order(order: EngineOrder): Result<EngineLoad, EndpointFailure> =
+        calls.post("/v1/orders", order)
 
     override fun close() {
         pool.close()
@@ -64,7 +65,7 @@
         val headers = MultiMap.caseInsensitiveMultiMap().add("Content-Type", "application/json")
         if (request.traceParent.isNotEmpty()) headers.add("traceparent", request.traceParent)
         return JsonLines(http, address, silenceMillis)
-            .read(Outgoing(HttpMethod.POST, "/v1/generate", body, headers), EngineEvent.serializer()) {
+            .read(OutgoingRequest(HttpMethod.POST, "/v1/generate", body, headers), EngineEvent.serializer()) {
                 it is EngineEvent.Final && it.attempt == request.attempt
             }
     }
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/VertxOperationsClient.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/VertxOperationsClient.kt
@@ -22,15 +22,15 @@
 ) : OperationsClient, AutoCloseable {
     private val web = WebClient.create(vertx, WebClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS))
 
-    override suspend fun status(): Result<GatewayStatus, BackEndFailure> =
+    override suspend fun status(): Result<GatewayStatus, EndpointFailure> =
         call(HttpMethod.GET, "/status", null, GatewayStatus.serializer())
 
-    override suspend fun offer(offer: ConfigurationOffer): Result<ConfigurationInEffect, BackEndFailure> {
+    override suspend fun offer(offer: ConfigurationOffer): Result<ConfigurationInEffect, EndpointFailure> {
         val body = WireJson.encodeToString(ConfigurationOffer.serializer(), offer)
         return call(HttpMethod.POST, "/configuration", body, ConfigurationInEffect.serializer())
     }
 
-    override suspend fun history(request: RequestId): Result<RequestHistory, BackEndFailure> =
+    override suspend fun history(request: RequestId): Result<RequestHistory, EndpointFailure> =
         call(HttpMethod.GET, "/requests/$request", null, RequestHistory.serializer())
 
     override fun close() {
@@ -42,21 +42,21 @@
         path: String,
         body: String?,
         serializer: KSerializer<T>,
-    ): Result<T, BackEndFailure> {
+    ): Result<T, EndpointFailure> {
         val request = web.request(method, address.port, address.host, path).timeout(callTimeoutMillis)
         val sent = if (body == null) request.send() else request.sendBuffer(Buffer.buffer(body))
-        return sent.awaitOr { BackEndFailure.Broken(address.text, it) }.andThen { decode(it, serializer) }
+        return sent.awaitOr { EndpointFailure.Broken(address.text, it) }.andThen { decode(it, serializer) }
     }
 
     private fun <T> decode(
         response: HttpResponse<Buffer>,
         serializer: KSerializer<T>,
-    ): Result<T, BackEndFailure> = try {
+    ): Result<T, EndpointFailure> = try {
         Ok(WireJson.decodeFromString(serializer, response.bodyAsString().orEmpty()))
     } catch (cause: SerializationException) {
         val expected = serializer.descriptor.serialName.substringAfterLast('.')
         val found = "status ${response.statusCode()}, ${cause.message.orEmpty().lineSequence().first()}"
-        Err(BackEndFailure.Malformed(address.text, expected, found))
+        Err(EndpointFailure.Malformed(address.text, expected, found))
     }
 
     private companion object {
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/VertxPlatformClient.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/VertxPlatformClient.kt
@@ -31,15 +31,15 @@
     override suspend fun read(kind: String, name: String): Result<StoredObject?, PlatformFailure> =
         exchange(HttpMethod.GET, objectPath(kind, name)).andThen { answer ->
             when (answer.status) {
-                PlatformStatus.OK -> answer.decode(StoredObject.serializer())
-                PlatformStatus.NOT_FOUND -> Ok(null)
+                PlatformStatusCode.OK -> answer.decode(StoredObject.serializer())
+                PlatformStatusCode.NOT_FOUND -> Ok(null)
                 else -> Err(answer.unexpected())
             }
         }
 
     override suspend fun list(kind: String): Result<List<StoredObject>, PlatformFailure> =
         exchange(HttpMethod.GET, "/objects/${encoded(kind)}").andThen { answer ->
-            if (answer.status == PlatformStatus.OK) {
+            if (answer.status == PlatformStatusCode.OK) {
                 answer.decode(ListSerializer(StoredObject.serializer()))
             } else {
                 Err(answer.unexpected())
@@ -60,8 +60,8 @@
         val path = "${objectPath(kind, name)}?expectedVersion=$expectedVersion&writeId=${encoded(writeId)}"
         return exchange(HttpMethod.PUT, path, value).andThen { answer ->
             when (answer.status) {
-                PlatformStatus.OK -> answer.decode(StoredObject.serializer()).map { it.version }
-                PlatformStatus.CONFLICT -> answer.conflict(expectedVersion)
+                PlatformStatusCode.OK -> answer.decode(StoredObject.serializer()).map { it.version }
+                PlatformStatusCode.CONFLICT -> answer.conflict(expectedVersion)
                 else -> Err(answer.unexpected())
             }
         }
@@ -70,19 +70,19 @@
     override suspend fun delete(kind: String, name: String, expectedVersion: Long): Result<Unit, PlatformFailure> =
         exchange(HttpMethod.DELETE, "${objectPath(kind, name)}?expectedVersion=$expectedVersion").andThen { answer ->
             when (answer.status) {
-                PlatformStatus.OK, PlatformStatus.NO_CONTENT -> Ok(Unit)
-                PlatformStatus.CONFLICT -> answer.conflict(expectedVersion)
+                PlatformStatusCode.OK, PlatformStatusCode.NO_CONTENT -> Ok(Unit)
+                PlatformStatusCode.CONFLICT -> answer.conflict(expectedVersion)
                 else -> Err(answer.unexpected())
             }
         }
 
     override fun watch(kind: String, revision: Long, silenceMillis: Long): Flow<WatchEvent> =
         JsonLines(http, address, silenceMillis)
-            .read(Outgoing(HttpMethod.GET, "/watch/${encoded(kind)}?after=$revision"), WatchEvent.serializer())
+            .read(OutgoingRequest(HttpMethod.GET, "/watch/${encoded(kind)}?after=$revision"), WatchEvent.serializer())
 
     override suspend fun instances(): Result<List<ListedInstance>, PlatformFailure> =
         exchange(HttpMethod.GET, "/instances").andThen { answer ->
-            if (answer.status == PlatformStatus.OK) {
+            if (answer.status == PlatformStatusCode.OK) {
                 answer.decode(ListSerializer(ListedInstance.serializer()))
             } else {
                 Err(answer.unexpected())
@@ -97,8 +97,8 @@
         method: HttpMethod,
         path: String,
         body: String? = null,
-    ): Result<HttpAnswer, PlatformFailure> = exchanges.send(
-        Outgoing(method, path, body?.let { Buffer.buffer(it) })
+    ): Result<BufferedResponse, PlatformFailure> = exchanges.send(
+        OutgoingRequest(method, path, body?.let { Buffer.buffer(it) })
     ).mapError {
         PlatformFailure.Unavailable(it.message, it.mayHaveRun && method != HttpMethod.GET)
     }
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/VertxServiceClient.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/VertxServiceClient.kt
@@ -21,20 +21,20 @@
     private val address: HttpAddress,
     poolSize: Int = DEFAULT_POOL_SIZE,
 ) : ServiceClient, AutoCloseable {
-    private val pool = RenewablePool(vertx, poolSize)
+    private val pool = ReplaceablePool(vertx, poolSize)
     private val single: HttpClient = vertx.createHttpClient(
         HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS).setKeepAlive(false),
         PoolOptions().setHttp1MaxSize(poolSize),
     )
 
-    override suspend fun call(call: ServiceCall, timeoutMillis: Long): Result<ServiceAnswer, BackEndFailure> {
+    override suspend fun call(call: ServiceCall, timeoutMillis: Long): Result<ServiceCallResponse, EndpointFailure> {
         val http = if (call.repeatable) pool.current else single
         val headers = MultiMap.caseInsensitiveMultiMap()
         call.headers.forEach { headers.add(it.name, it.value) }
         val body = call.body.takeIf { it.isNotEmpty() }?.let { Buffer.buffer(it) }
         return HttpExchanges(http, address, timeoutMillis)
-            .send(Outgoing(HttpMethod.valueOf(call.method), call.path, body, headers))
-            .onFailure { if (call.repeatable && it is BackEndFailure.Silent) pool.renew(http) }
+            .send(OutgoingRequest(HttpMethod.valueOf(call.method), call.path, body, headers))
+            .onFailure { if (call.repeatable && it is EndpointFailure.Silent) pool.renew(http) }
             .andThen { answerOrRefusal(it) }
     }
 
@@ -43,11 +43,11 @@
         single.close()
     }
 
-    private fun answerOrRefusal(answer: HttpAnswer): Result<ServiceAnswer, BackEndFailure> {
+    private fun answerOrRefusal(answer: BufferedResponse): Result<ServiceCallResponse, EndpointFailure> {
         val refusal = if (answer.status == UNAVAILABLE) notRun(answer.text) else null
-        if (refusal != null) return Err(BackEndFailure.Refused(address.text, refusal))
+        if (refusal != null) return Err(EndpointFailure.Refused(address.text, refusal))
         val headers = answer.headers.entries().map { HeaderField(it.key, it.value) }
-        return Ok(ServiceAnswer(answer.status, headers, answer.body.bytes))
+        return Ok(ServiceCallResponse(answer.status, headers, answer.body.bytes))
     }
 
     private fun notRun(text: String): EngineRefusal? = try {
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/VertxStoreClient.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/VertxStoreClient.kt
@@ -17,46 +17,46 @@
     private val address: HttpAddress,
     callTimeoutMillis: Long = DEFAULT_CALL_TIMEOUT_MILLIS,
 ) : StoreClient, AutoCloseable {
-    private val pool = RenewablePool(vertx, POOL_SIZE)
+    private val pool = ReplaceablePool(vertx, POOL_SIZE)
     private val exchanges = { HttpExchanges(pool.current, address, callTimeoutMillis) }
     private val calls = JsonCalls(exchanges, address)
 
-    override suspend fun write(piece: String, generation: Long, bytes: ByteArray): Result<Unit, BackEndFailure> {
+    override suspend fun write(piece: String, generation: Long, bytes: ByteArray): Result<Unit, EndpointFailure> {
         val headers = MultiMap.caseInsensitiveMultiMap().add(CHECKSUM_HEADER, bytes.sha256Hex())
-        val outgoing = Outgoing(HttpMethod.PUT, blockPath(piece, generation), Buffer.buffer(bytes), headers)
+        val outgoing = OutgoingRequest(HttpMethod.PUT, blockPath(piece, generation), Buffer.buffer(bytes), headers)
         return exchanges().send(outgoing)
             .andThen { it.successText(address) }.map { }
     }
 
-    override suspend fun read(piece: String, generation: Long): Result<ByteArray, BackEndFailure> =
-        exchanges().send(Outgoing(HttpMethod.GET, blockPath(piece, generation))).andThen { answer ->
+    override suspend fun read(piece: String, generation: Long): Result<ByteArray, EndpointFailure> =
+        exchanges().send(OutgoingRequest(HttpMethod.GET, blockPath(piece, generation))).andThen { answer ->
             answer.successText(address).andThen { verified(answer) }
         }
 
-    override suspend fun delete(piece: String): Result<Unit, BackEndFailure> =
+    override suspend fun delete(piece: String): Result<Unit, EndpointFailure> =
         calls.send(HttpMethod.DELETE, "/v1/blocks/$piece").map { }
 
-    override suspend fun move(piece: String, generation: Long, tier: BlockTier): Result<Unit, BackEndFailure> {
+    override suspend fun move(piece: String, generation: Long, tier: BlockTier): Result<Unit, EndpointFailure> {
         val path = "/v1/blocks/$piece/tier?generation=$generation&tier=${tier.name.lowercase()}"
         return calls.send(HttpMethod.POST, path).map { }
     }
 
-    override suspend fun load(): Result<StoreLoad, BackEndFailure> = calls.get("/v1/load")
+    override suspend fun load(): Result<StoreLoad, EndpointFailure> = calls.get("/v1/load")
 
-    override suspend fun cacheEvents(sequence: Long): Result<CacheEvents, BackEndFailure> =
+    override suspend fun cacheEvents(sequence: Long): Result<CacheEvents, EndpointFailure> =
         calls.get("/v1/cache/events?after=$sequence")
 
-    override suspend fun cacheSnapshot(): Result<CacheSnapshot, BackEndFailure> = calls.get("/v1/cache/snapshot")
+    override suspend fun cacheSnapshot(): Result<CacheSnapshot, EndpointFailure> = calls.get("/v1/cache/snapshot")
 
     override fun close() {
         pool.close()
     }
 
-    private fun verified(answer: HttpAnswer): Result<ByteArray, BackEndFailure> {
+    private fun verified(answer: BufferedResponse): Result<ByteArray, EndpointFailure> {
         val expected = answer.headers[CHECKSUM_HEADER].orEmpty()
         val found = answer.body.bytes.sha256Hex()
         if (expected == found) return Ok(answer.body.bytes)
-        return Err(BackEndFailure.Malformed(address.text, "a block with SHA-256 \"$expected\"", found))
+        return Err(EndpointFailure.Malformed(address.text, "a block with SHA-256 \"$expected\"", found))
     }
 
     private fun blockPath(piece: String, generation: Long) = "/v1/blocks/$piece?generation=$generation"
--- a/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/ConfigurationCheck.kt
+++ b/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/ConfigurationCheck.kt
@@ -3,7 +3,7 @@
 import org.parsleymoor.core.Failure
 
 /** A mistake in a configuration: the [item] at [index] of its list has a wrong value at [key]. */
-public data class ConfigurationMistake(
+public data class ConfigurationError(
     public val item: ItemReference,
     public val index: Int,
     public val key: String,
@@ -14,7 +14,7 @@
 }
 
 /** Returns every mistake of [configuration]; an empty list means that every gateway accepts it. */
-public fun checkConfiguration(configuration: Configuration): List<ConfigurationMistake> {
+public fun checkConfiguration(configuration: Configuration): List<ConfigurationError> {
     val check = ConfigurationCheck()
     checkZones(configuration, check)
     checkEndpoints(configuration, check)
@@ -28,7 +28,7 @@
 
 /** Collects the mistakes of a configuration. */
 internal class ConfigurationCheck {
-    val mistakes: MutableList<ConfigurationMistake> = mutableListOf()
+    val mistakes: MutableList<ConfigurationError> = mutableListOf()
 
     /** Checks each of [items], and that no two have the same name. */
     fun <T> each(kind: ItemKind, items: List<T>, name: (T) -> String, check: ItemCheck.(T) -> Unit) {
@@ -51,9 +51,9 @@
 internal class ItemCheck(
     private val item: ItemReference,
     private val index: Int,
-    private val mistakes: MutableList<ConfigurationMistake>,
+    private val mistakes: MutableList<ConfigurationError>,
 ) {
     fun expect(valid: Boolean, key: String, found: String, expected: String) {
-        if (!valid) mistakes += ConfigurationMistake(item, index, key, found, expected)
+        if (!valid) mistakes += ConfigurationError(item, index, key, found, expected)
     }
 }
--- a/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/ConfigurationPlan.kt
+++ b/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/ConfigurationPlan.kt
@@ -31,7 +31,7 @@
  * the state that is in effect, so that an unrelated change does not return what was taken out of service. A rollout
  * in effect stays until the declared version of its model is the one that it moves to.
  */
-public fun Declarations.over(current: Configuration): Configuration {
+public fun Declarations.appliedTo(current: Configuration): Configuration {
     val zoneStates = current.zones.associate { it.name to it.state }
     val endpointStates = current.endpoints.associate { it.name to it.state }
     val declared = configuration
@@ -41,11 +41,11 @@
     return declared.copy(
         revision = current.revision,
         zones = declared.zones.map {
-            val given = ItemReference(ItemKind.ZONE, it.name.value) in statesGiven
+            val given = ItemReference(ItemKind.ZONE, it.name.value) in declaredStates
             if (given) it else it.copy(state = zoneStates[it.name] ?: it.state)
         },
         endpoints = declared.endpoints.map {
-            val given = ItemReference(ItemKind.ENDPOINT, it.name.value) in statesGiven
+            val given = ItemReference(ItemKind.ENDPOINT, it.name.value) in declaredStates
             if (given) it else it.copy(state = endpointStates[it.name] ?: it.state)
         },
         rollouts = declared.rollouts + kept,
--- a/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/ConfigurationSections.kt
+++ b/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/ConfigurationSections.kt
@@ -79,7 +79,10 @@
     }
 
     /** The text has another hash than the root says. */
-    public data class Altered(public val reference: SectionReference, public val foundHash: String) : SectionFailure {
+    public data class HashMismatch(
+        public val reference: SectionReference,
+        public val foundHash: String
+    ) : SectionFailure {
         override val message: String
             get() = "section ${reference.name}: expected hash ${reference.hash}, found $foundHash"
     }
@@ -145,7 +148,7 @@
     val hash = text?.encodeToByteArray()?.sha256Hex()
     return when {
         text == null || hash == null -> Err(SectionFailure.Missing(reference))
-        hash != reference.hash -> Err(SectionFailure.Altered(reference, hash))
+        hash != reference.hash -> Err(SectionFailure.HashMismatch(reference, hash))
         else -> decodeSection(reference.name, text)
     }
 }
--- a/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/Danger.kt
+++ b/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/Danger.kt
@@ -20,7 +20,7 @@
     /** After the change the group has no endpoint that takes new work. */
     @Serializable
     @SerialName("none-left")
-    public data class NoneLeft(public val item: ItemReference, public val matched: Int) : Danger {
+    public data class NoEndpointLeft(public val item: ItemReference, public val matched: Int) : Danger {
         override val effect: String
             get() = "leaves $item without an endpoint in service ($matched matched): its requests are refused"
     }
--- a/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/DangerCheck.kt
+++ b/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/DangerCheck.kt
@@ -45,7 +45,7 @@
     ): Danger? {
         val served = old.any { before.takesNewWork(it) }
         val lost = new.isNotEmpty() && new.none { after.takesNewWork(it) }
-        return if (served && lost) Danger.NoneLeft(ItemReference(kind, name), new.size) else null
+        return if (served && lost) Danger.NoEndpointLeft(ItemReference(kind, name), new.size) else null
     }
 
     private fun selectors(): List<Danger> = after.models.mapNotNull {
@@ -71,8 +71,8 @@
     }
 
     private fun capacity(demand: List<ModelDemand>): List<Danger> = demand.mapNotNull { (model, requests) ->
-        val places = after.placesOf(model)
-        val shrinks = places < before.placesOf(model)
+        val places = after.capacityOf(model)
+        val shrinks = places < before.capacityOf(model)
         if (shrinks && requests > places) Danger.Capacity(model.value, requests, places) else null
     }
 
@@ -92,7 +92,7 @@
 }
 
 /** Returns how many requests of [model] its engines in service hold at once. */
-public fun Configuration.placesOf(model: ModelId): Int =
+public fun Configuration.capacityOf(model: ModelId): Int =
     enginesOf(model).count { takesNewWork(it) } * limits.concurrentPerEngine
 
 /** Returns the application replicas of the service [name], in service or not. */
--- a/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/DeclarationTables.kt
+++ b/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/DeclarationTables.kt
@@ -31,12 +31,12 @@
     fun check() {
         checkConfiguration(configuration()).forEach { mistake ->
             val section = sectionOf(mistake)?.takeUnless { isConsequence(mistake, it) }
-            section?.mistakeUnlessKnown(mistake.key, mistake.expected, mistake.found)
+            section?.addErrorUnlessReported(mistake.key, mistake.expected, mistake.found)
         }
     }
 
     /** Whether the mistake only follows from one that has been listed already. */
-    private fun isConsequence(mistake: ConfigurationMistake, section: TomlSection): Boolean = when (mistake.key) {
+    private fun isConsequence(mistake: ConfigurationError, section: TomlSection): Boolean = when (mistake.key) {
         "zone" -> zones.any { "name" in it.section.faulty }
         "model" -> models.any { "name" in it.section.faulty }
         "labels.fencing" -> "kind" in section.faulty
@@ -45,7 +45,7 @@
         else -> false
     }
 
-    fun declarations(): Declarations = Declarations(configuration(), statesGiven())
+    fun declarations(): Declarations = Declarations(configuration(), declaredStates())
 
     private fun configuration() = Configuration(
         zones = zones.map { it.item },
@@ -57,7 +57,7 @@
         rollouts = rollouts.map { it.item },
     )
 
-    private fun statesGiven(): Set<ItemReference> {
+    private fun declaredStates(): Set<ItemReference> {
         val zoneStates = zones.filter { it.section.has("state") }
             .map { ItemReference(ItemKind.ZONE, it.item.name.value) }
         val endpointStates = endpoints.filter { it.section.has("state") }
@@ -65,7 +65,7 @@
         return (zoneStates + endpointStates).toSet()
     }
 
-    private fun sectionOf(mistake: ConfigurationMistake): TomlSection? {
+    private fun sectionOf(mistake: ConfigurationError): TomlSection? {
         val placed = when (mistake.item.kind) {
             ItemKind.ZONE -> zones
             ItemKind.ENDPOINT -> endpoints
@@ -81,7 +81,7 @@
     private fun readLimits(root: TomlSection, section: TomlSection) {
         val earlier = limits?.section
         if (earlier != null) {
-            root.mistake("limits", "one [limits] table (it is also in ${earlier.source})", "a second one")
+            root.addError("limits", "one [limits] table (it is also in ${earlier.source})", "a second one")
         }
         limits = Placed(section, limits(section))
     }
@@ -128,7 +128,7 @@
 private fun service(section: TomlSection) = ServiceDeclaration(
     name = section.text("name"),
     selector = section.text("selector"),
-    repeatable = section.truth("repeatable", false),
+    repeatable = section.boolean("repeatable", false),
 )
 
 private fun rollout(section: TomlSection) = RolloutDeclaration(
@@ -146,13 +146,13 @@
         queueLengthPerOrganisation =
         section.count("queueLengthPerOrganisation", default.queueLengthPerOrganisation, AnyCount),
         concurrentPerEngine = section.count("concurrentPerEngine", default.concurrentPerEngine, AnyCount),
-        requestDeadlineMillis = section.whole("requestDeadlineMillis", default.requestDeadlineMillis, AnyWhole),
+        requestDeadlineMillis = section.long("requestDeadlineMillis", default.requestDeadlineMillis, AnyWhole),
         maximumBodyBytes = section.count("maximumBodyBytes", default.maximumBodyBytes, AnyCount),
         coldLimit = section.count("coldLimit", default.coldLimit, AnyCount),
         coldAnswers = section.count("coldAnswers", default.coldAnswers, AnyCount),
-        coldMillis = section.whole("coldMillis", default.coldMillis, AnyWhole),
+        coldMillis = section.long("coldMillis", default.coldMillis, AnyWhole),
         regionLinkBytesPerSecond =
-        section.whole("regionLinkBytesPerSecond", default.regionLinkBytesPerSecond, AnyWhole),
+        section.long("regionLinkBytesPerSecond", default.regionLinkBytesPerSecond, AnyWhole),
         claimRetentionHours = section.count("claimRetentionHours", default.claimRetentionHours, AnyCount),
     )
 }
--- a/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/EndpointLabels.kt
+++ b/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/EndpointLabels.kt
@@ -7,9 +7,9 @@
 import org.parsleymoor.core.Selector
 
 /** Labels that every endpoint has without declaring them; a declaration may not set them. */
-public val ImpliedLabels: Set<String> = setOf("name", "kind", "zone", "region", "state")
+public val ReservedLabels: Set<String> = setOf("name", "kind", "zone", "region", "state")
 
-/** Returns the labels that selectors see: those declared and the [ImpliedLabels]; `state` is that of [stateOf]. */
+/** Returns the labels that selectors match: the declared ones and the [ReservedLabels], with the effective `state`. */
 public fun Configuration.labelsOf(endpoint: EndpointDeclaration): Labels {
     val region = zones.firstOrNull { it.name == endpoint.zone }?.region?.value.orEmpty()
     return Labels.of(endpoint.labels)
@@ -17,17 +17,18 @@
         .with("kind", endpoint.kind.name.lowercase())
         .with("zone", endpoint.zone.value)
         .with("region", region)
-        .with("state", stateOf(endpoint).name.lowercase())
+        .with("state", effectiveStateOf(endpoint).name.lowercase())
 }
 
 /** Returns the stricter of the endpoint's own state and that of its zone. */
-public fun Configuration.stateOf(endpoint: EndpointDeclaration): PlacementState {
+public fun Configuration.effectiveStateOf(endpoint: EndpointDeclaration): PlacementState {
     val zone = zones.firstOrNull { it.name == endpoint.zone }
     return maxOf(endpoint.state, zone?.state ?: PlacementState.IN)
 }
 
 /** Returns whether new work may be sent to the endpoint. */
-public fun Configuration.takesNewWork(endpoint: EndpointDeclaration): Boolean = stateOf(endpoint) == PlacementState.IN
+public fun Configuration.takesNewWork(endpoint: EndpointDeclaration): Boolean =
+    effectiveStateOf(endpoint) == PlacementState.IN
 
 /** Returns the endpoints of [kind] that the [selector] matches; text that is no selector matches none. */
 public fun Configuration.endpointsMatching(kind: EndpointKind, selector: String): List<EndpointDeclaration> {
--- a/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/SettingsReader.kt
+++ b/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/SettingsReader.kt
@@ -9,42 +9,42 @@
 
 /** Reads a program's settings from TOML and lists every mistake in them. */
 public object SettingsReader {
-    /** Reads the file at [path] with [read]; returns all [Mistakes], also the keys that [read] did not ask for. */
-    public fun <T> read(path: Path, read: (TomlSection) -> T): Result<T, Mistakes> = try {
+    /** Reads the file at [path] with [read]; returns every error, including keys that [read] did not ask for. */
+    public fun <T> read(path: Path, read: (TomlSection) -> T): Result<T, ValidationErrors> = try {
         parse(path.toString(), Files.readString(path), read)
     } catch (cause: IOException) {
-        Err(Mistakes(listOf(unreadable(path, cause))))
+        Err(ValidationErrors(listOf(unreadable(path, cause))))
     }
 
-    /** Reads [text], the content of [file], with [read]; returns all [Mistakes]. */
-    public fun <T> parse(file: String, text: String, read: (TomlSection) -> T): Result<T, Mistakes> {
-        val mistakes = mutableListOf<Mistake>()
+    /** Reads [text], the content of [file], with [read]; returns all [ValidationErrors]. */
+    public fun <T> parse(file: String, text: String, read: (TomlSection) -> T): Result<T, ValidationErrors> {
+        val mistakes = mutableListOf<ValidationError>()
         val value = parseInto(file, text, mistakes, read)
-        return if (mistakes.isEmpty()) Ok(value) else Err(Mistakes(mistakes.sortedBy { it.line }))
+        return if (mistakes.isEmpty()) Ok(value) else Err(ValidationErrors(mistakes.sortedBy { it.line }))
     }
 
     /** Returns the keys that [read] asks for, in that order, without any file. */
     public fun describe(read: (TomlSection) -> Unit): List<KeyDescription> {
         val described = mutableListOf<KeyDescription>()
-        read(TomlSection(TomlReading("", mutableListOf(), described), "", TomlItem.Table(0, emptyMap())))
+        read(TomlSection(TomlReadContext("", mutableListOf(), described), "", TomlItem.Table(0, emptyMap())))
         return described
     }
 
     internal fun <T> parseInto(
         file: String,
         text: String,
-        mistakes: MutableList<Mistake>,
+        mistakes: MutableList<ValidationError>,
         read: (TomlSection) -> T,
     ): T {
         val document = TomlDocument(file, text, mistakes)
-        val root = TomlSection(TomlReading(file, mistakes, isWhole = document.isWhole), "", document.root)
+        val root = TomlSection(TomlReadContext(file, mistakes, isWhole = document.isWhole), "", document.root)
         val value = read(root)
         root.reportUnreadKeys()
         return value
     }
 
-    internal fun unreadable(path: Path, cause: IOException): Mistake =
-        Mistake(path.toString(), 0, "", cause.toString(), "a readable file in UTF-8")
+    internal fun unreadable(path: Path, cause: IOException): ValidationError =
+        ValidationError(path.toString(), 0, "", cause.toString(), "a readable file in UTF-8")
 }
 
 /**
--- a/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/TomlDocument.kt
+++ b/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/TomlDocument.kt
@@ -17,7 +17,11 @@
 import com.akuleshov7.ktoml.tree.nodes.pairs.values.TomlValue
 
 /** The items of one TOML [file]; lines that are no TOML and keys set twice are added to [mistakes]. */
-internal class TomlDocument(private val file: String, text: String, private val mistakes: MutableList<Mistake>) {
+internal class TomlDocument(
+    private val file: String,
+    text: String,
+    private val mistakes: MutableList<ValidationError>
+) {
     /** Whether every line is TOML. */
     var isWhole: Boolean = true
         private set
@@ -48,10 +52,10 @@
         return Attempt(null, isFinal = !blanked)
     }
 
-    private fun syntaxMistake(line: Int, lines: List<String>, message: String): Mistake {
+    private fun syntaxMistake(line: Int, lines: List<String>, message: String): ValidationError {
         val found = lines.getOrNull(line - 1)?.trim() ?: "text that is no TOML"
         val reason = message.replace(LINE, "").trim().trimStart(':', ' ').lineSequence().first()
-        return Mistake(file, line, "", found, "a line of TOML ($reason)")
+        return ValidationError(file, line, "", found, "a line of TOML ($reason)")
     }
 
     private fun table(node: TomlNode, line: Int, path: String): TomlItem.Table {
@@ -65,9 +69,9 @@
         return TomlItem.Table(line, entries)
     }
 
-    private fun setTwice(key: String, item: TomlItem, earlier: TomlItem): Mistake {
+    private fun setTwice(key: String, item: TomlItem, earlier: TomlItem): ValidationError {
         val expected = "a key that is set once (it is also set on line ${earlier.line})"
-        return Mistake(file, item.line, key, item.shown, expected)
+        return ValidationError(file, item.line, key, item.shown, expected)
     }
 
     private fun item(node: TomlNode, path: String): TomlItem? = when (node) {
--- a/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/TomlSection.kt
+++ b/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/TomlSection.kt
@@ -1,11 +1,11 @@
 package org.parsleymoor.configuration
 
 /**
- * A table of a TOML file whose keys are read one by one. A key that is missing or has a wrong value adds a [Mistake]
- * and yields a stand-in value, so that reading goes on and the caller sees every mistake at the end.
+ * A TOML table whose keys are read one by one. A key that is missing or has an invalid value adds a [ValidationError]
+ * and returns a placeholder, so that reading continues and the caller sees every error at the end.
  */
 public class TomlSection internal constructor(
-    private val reading: TomlReading,
+    private val reading: TomlReadContext,
     private val path: String,
     private val table: TomlItem.Table,
 ) {
@@ -30,7 +30,7 @@
         return when (val item = table.entries[key]) {
             null -> if (reading.described == null) null else child("$path$key.", NoTable)
             is TomlItem.Table -> child("$path$key.", item)
-            else -> null.also { mistake(key, item, "a table") }
+            else -> null.also { addError(key, item, "a table") }
         }
     }
 
@@ -40,29 +40,29 @@
         return when (val item = table.entries[key]) {
             null -> if (reading.described == null) emptyList() else listOf(child("$path$key[].", NoTable))
             is TomlItem.TableArray -> item.tables.map { child("$path$key.", it) }
-            else -> emptyList<TomlSection>().also { mistake(key, item, "tables headed [[$path$key]]") }
+            else -> emptyList<TomlSection>().also { addError(key, item, "tables headed [[$path$key]]") }
         }
     }
 
     /** Adds a mistake about [key] that only the caller can see, for example a reference to something not declared. */
-    public fun mistake(key: String, expected: String, found: String? = null) {
+    public fun addError(key: String, expected: String, found: String? = null) {
         faulty += key
         val item = itemAt(key)
         val shown = found ?: item?.shown ?: "nothing"
-        reading.mistakes += Mistake(reading.file, item?.line ?: line, "$path$key", shown, expected)
+        reading.mistakes += ValidationError(reading.file, item?.line ?: line, "$path$key", shown, expected)
     }
 
     /** Adds a mistake about [key], or a key below it, unless reading it has already added one. */
-    internal fun mistakeUnlessKnown(key: String, expected: String, found: String) {
+    internal fun addErrorUnlessReported(key: String, expected: String, found: String) {
         val below = children.flatMap { child -> child.faulty.map { child.path + it } }
         val known = key in faulty || path + key in below
-        if (!known) mistake(key, expected, found)
+        if (!known) addError(key, expected, found)
     }
 
     /** Adds a mistake for every key, here and below, that no caller asked for. */
     internal fun reportUnreadKeys() {
         for ((key, item) in table.entries) {
-            if (key !in read) mistake(key, item, "one of the keys ${read.sorted().joinToString()}", "an unknown key")
+            if (key !in read) addError(key, item, "one of the keys ${read.sorted().joinToString()}", "an unknown key")
         }
         children.forEach { it.reportUnreadKeys() }
     }
@@ -85,18 +85,18 @@
         val item = table.entries[key]
         if (item == null) return default ?: standIn.also { missing(key, expected) }
         val converted = convert(item)
-        if (converted == null) mistake(key, item, expected)
+        if (converted == null) addError(key, item, expected)
         return converted ?: standIn
     }
 
     /** A key may be missing because its line is no TOML, which has been said already. */
     private fun missing(key: String, expected: String) {
-        if (reading.isWhole) mistake(key, expected) else faulty += key
+        if (reading.isWhole) addError(key, expected) else faulty += key
     }
 
-    private fun mistake(key: String, item: TomlItem, expected: String, found: String = item.shown) {
+    private fun addError(key: String, item: TomlItem, expected: String, found: String = item.shown) {
         faulty += key
-        reading.mistakes += Mistake(reading.file, item.line, "$path$key", found, expected)
+        reading.mistakes += ValidationError(reading.file, item.line, "$path$key", found, expected)
     }
 }
 
@@ -104,9 +104,9 @@
 public fun TomlSection.has(key: String): Boolean = key in keys
 
 /** What the sections of one file share; [isWhole] is false when a line of the file is no TOML. */
-internal class TomlReading(
+internal class TomlReadContext(
     val file: String,
-    val mistakes: MutableList<Mistake>,
+    val mistakes: MutableList<ValidationError>,
     val described: MutableList<KeyDescription>? = null,
     val isWhole: Boolean = true,
 )
--- a/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/TomlValues.kt
+++ b/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/TomlValues.kt
@@ -9,14 +9,14 @@
 ): String = value(key, default, "", expected) { item -> (item as? TomlItem.Text)?.value?.takeIf(valid) }
 
 /** Reads a whole number within [range]; without a [default] the key is required. */
-public fun TomlSection.whole(key: String, default: Long? = null, range: LongRange = 0L..Long.MAX_VALUE): Long =
+public fun TomlSection.long(key: String, default: Long? = null, range: LongRange = 0L..Long.MAX_VALUE): Long =
     value(key, default, range.first, "a whole number ${shown(range)}".trim()) { item ->
         (item as? TomlItem.Whole)?.value?.takeIf { it in range }
     }
 
 /** Reads a whole number within [range] that fits in 32 bits; without a [default] the key is required. */
 public fun TomlSection.count(key: String, default: Int? = null, range: IntRange = 0..Int.MAX_VALUE): Int =
-    whole(key, default?.toLong(), range.first.toLong()..range.last.toLong()).toInt()
+    long(key, default?.toLong(), range.first.toLong()..range.last.toLong()).toInt()
 
 /** Reads a number within [range]; without a [default] the key is required. */
 public fun TomlSection.number(
@@ -28,7 +28,7 @@
 }
 
 /** Reads `true` or `false`; without a [default] the key is required. */
-public fun TomlSection.truth(key: String, default: Boolean? = null): Boolean =
+public fun TomlSection.boolean(key: String, default: Boolean? = null): Boolean =
     value(key, default, false, "true or false") { (it as? TomlItem.Truth)?.value }
 
 /** Reads one of the [choices] by its name; without a [default] the key is required. */
--- a/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/Mistake.kt
+++ b/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/ValidationError.kt
@@ -5,7 +5,7 @@
 
 /** One mistake in a file. [key] is the dotted path of the key; [line] counts from 1, or is 0 when no line has it. */
 @Serializable
-public data class Mistake(
+public data class ValidationError(
     public val file: String,
     public val line: Int,
     public val key: String,
@@ -19,6 +19,6 @@
 }
 
 /** Every mistake of a set of files, in the order of their places; never empty. */
-public data class Mistakes(public val list: List<Mistake>) : Failure {
+public data class ValidationErrors(public val list: List<ValidationError>) : Failure {
     override val message: String get() = list.joinToString("\n") { it.message }
 }
--- a/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/ValueChecks.kt
+++ b/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/ValueChecks.kt
@@ -26,8 +26,13 @@
         val key = "labels.$label"
         expect(LabelName.matches(label), key, "the label name \"$label\"", "a label name such as tier or team/role")
         expect(LabelValue.matches(value), key, "\"$value\"", "1 to 63 letters, digits, dots, underscores or hyphens")
-        val reserved = ImpliedLabels.joinToString()
-        expect(label !in ImpliedLabels, key, "the label name \"$label\"", "a label other than $reserved, which are set")
+        val reserved = ReservedLabels.joinToString()
+        expect(
+            label !in ReservedLabels,
+            key,
+            "the label name \"$label\"",
+            "a label other than $reserved, which are set"
+        )
     }
 }
 
--- a/libraries/configuration/src/test/kotlin/org/parsleymoor/configuration/ConfigurationPlanTest.kt
+++ b/libraries/configuration/src/test/kotlin/org/parsleymoor/configuration/ConfigurationPlanTest.kt
@@ -40,7 +40,7 @@
         val dangers = ConfigurationPlan.of(before, after).dangers
         expectThat(dangers).containsExactly(
             Danger.LastZone(listOf("b")),
-            Danger.NoneLeft(ItemReference(ItemKind.MODEL, "leaf"), 2),
+            Danger.NoEndpointLeft(ItemReference(ItemKind.MODEL, "leaf"), 2),
         )
     }
 
@@ -85,7 +85,7 @@
             revision = 3,
             zones = declared.configuration.zones.map { it.copy(state = PlacementState.OUT) },
         )
-        val after = declared.over(before)
+        val after = declared.appliedTo(before)
         expectThat(after.revision).isEqualTo(3)
         expectThat(after.zones.map { it.state }).containsExactly(PlacementState.IN, PlacementState.OUT)
     }
@@ -94,10 +94,10 @@
     fun `a rollout in effect stays until the files declare its version`() {
         val declared = requireNotNull(DeclarationReader.parse(listOf("a.toml" to Declared)).get())
         val files = declared.copy(configuration = declared.configuration.copy(rollouts = emptyList()))
-        expectThat(files.over(declared.configuration).rollouts.map { it.name }).containsExactly("leaf-2")
+        expectThat(files.appliedTo(declared.configuration).rollouts.map { it.name }).containsExactly("leaf-2")
         val models = declared.configuration.models.map { it.copy(version = WeightVersion("2")) }
         val finished = files.copy(configuration = files.configuration.copy(models = models))
-        expectThat(finished.over(declared.configuration).rollouts).isEmpty()
+        expectThat(finished.appliedTo(declared.configuration).rollouts).isEmpty()
     }
 
     private fun withZone(name: String, state: PlacementState): Configuration =
--- a/libraries/configuration/src/test/kotlin/org/parsleymoor/configuration/ConfigurationSectionsTest.kt
+++ b/libraries/configuration/src/test/kotlin/org/parsleymoor/configuration/ConfigurationSectionsTest.kt
@@ -41,7 +41,7 @@
     fun `a section whose text was altered or is missing is refused`() {
         val root = root(configuration)
         val altered = assembleConfiguration(root) { "{}" }.getError()
-        expectThat(altered).isA<SectionFailure.Altered>()
+        expectThat(altered).isA<SectionFailure.HashMismatch>()
         val missing = assembleConfiguration(root) { null }.getError()
         expectThat(missing).isA<SectionFailure.Missing>()
     }
--- a/libraries/configuration/src/test/kotlin/org/parsleymoor/configuration/DeclarationReaderTest.kt
+++ b/libraries/configuration/src/test/kotlin/org/parsleymoor/configuration/DeclarationReaderTest.kt
@@ -71,7 +71,7 @@
     @Test
     fun `only the states that a file sets are given`() {
         val declarations = DeclarationReader.parse(listOf("a.toml" to Declared)).get()
-        expectThat(declarations?.statesGiven).isEqualTo(setOf(ItemReference(ItemKind.ZONE, "north-a")))
+        expectThat(declarations?.declaredStates).isEqualTo(setOf(ItemReference(ItemKind.ZONE, "north-a")))
     }
 
     @Test
@@ -99,7 +99,7 @@
         expectThat(keys["limits.coldLimit"]?.default).isEqualTo("2")
     }
 
-    private fun mistakesOf(vararg texts: Pair<String, String>): List<Mistake> =
+    private fun mistakesOf(vararg texts: Pair<String, String>): List<ValidationError> =
         DeclarationReader.parse(texts.toList()).getError()?.list.orEmpty()
 
     private fun literal(text: String): String =
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntrySettings.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntrySettings.kt
@@ -1,9 +1,9 @@
 package org.parsleymoor.entry
 
 import com.github.michaelbull.result.Result
-import org.parsleymoor.configuration.Mistakes
 import org.parsleymoor.configuration.SettingsReader
 import org.parsleymoor.configuration.TomlSection
+import org.parsleymoor.configuration.ValidationErrors
 import org.parsleymoor.configuration.number
 import org.parsleymoor.configuration.text
 import org.parsleymoor.configuration.textMap
@@ -56,10 +56,10 @@
 ) {
     public companion object {
         /** Reads the file at [path]; returns every mistake in it. */
-        public fun read(path: Path): Result<EntrySettings, Mistakes> = SettingsReader.read(path, ::entry)
+        public fun read(path: Path): Result<EntrySettings, ValidationErrors> = SettingsReader.read(path, ::entry)
 
         /** Reads [text], the content of [file]; returns every mistake in it. */
-        public fun parse(file: String, text: String): Result<EntrySettings, Mistakes> =
+        public fun parse(file: String, text: String): Result<EntrySettings, ValidationErrors> =
             SettingsReader.parse(file, text, ::entry)
     }
 }
@@ -114,7 +114,7 @@
 private fun TomlSection.address(key: String): SocketAddress {
     val written = text(key)
     val address = SocketAddress.parse(written)
-    if (address == null) mistake(key, "an address of the form host:port", written)
+    if (address == null) addError(key, "an address of the form host:port", written)
     return address ?: NOWHERE
 }
 
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/GatewaySettings.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/GatewaySettings.kt
@@ -2,12 +2,12 @@
 
 import com.github.michaelbull.result.Result
 import org.parsleymoor.clients.HttpAddress
-import org.parsleymoor.configuration.Mistakes
 import org.parsleymoor.configuration.SettingsReader
 import org.parsleymoor.configuration.TomlSection
+import org.parsleymoor.configuration.ValidationErrors
 import org.parsleymoor.configuration.count
+import org.parsleymoor.configuration.long
 import org.parsleymoor.configuration.text
-import org.parsleymoor.configuration.whole
 import org.parsleymoor.coordination.LeaseSettings
 import org.parsleymoor.core.InstanceId
 import org.parsleymoor.core.RegionId
@@ -33,10 +33,10 @@
         public const val DEFAULT_DRAIN_MILLIS: Long = 30_000
 
         /** Reads the file at [path]; returns every mistake in it. */
-        public fun read(path: Path): Result<GatewaySettings, Mistakes> = SettingsReader.read(path, ::gateway)
+        public fun read(path: Path): Result<GatewaySettings, ValidationErrors> = SettingsReader.read(path, ::gateway)
 
         /** Reads [text], the content of [file]; returns every mistake in it. */
-        public fun parse(file: String, text: String): Result<GatewaySettings, Mistakes> =
+        public fun parse(file: String, text: String): Result<GatewaySettings, ValidationErrors> =
             SettingsReader.parse(file, text, ::gateway)
     }
 }
@@ -89,7 +89,7 @@
     streams = section.section("streams")?.let { streams(it) } ?: StreamSettings(),
     tracing = section.section("tracing")?.let { tracing(it) } ?: TracingSettings(),
     orders = section.section("orders")?.let { orders(it) } ?: OrderLeaseSettings(),
-    drainMillis = section.whole("drainMillis", GatewaySettings.DEFAULT_DRAIN_MILLIS, 0..MAXIMUM_MILLIS),
+    drainMillis = section.long("drainMillis", GatewaySettings.DEFAULT_DRAIN_MILLIS, 0..MAXIMUM_MILLIS),
 )
 
 private fun callers(section: TomlSection): CallerSettings {
@@ -97,7 +97,7 @@
     return CallerSettings(
         listen = listen(section),
         maximumHeaderBytes = section.count("maximumHeaderBytes", defaults.maximumHeaderBytes, HEADER_BYTES),
-        senderMillis = section.whole("senderMillis", defaults.senderMillis, 1..MAXIMUM_MILLIS),
+        senderMillis = section.long("senderMillis", defaults.senderMillis, 1..MAXIMUM_MILLIS),
         eventLoops = section.count("eventLoops", defaults.eventLoops, 1..MAXIMUM_EVENT_LOOPS),
     )
 }
@@ -110,7 +110,7 @@
 private fun streams(section: TomlSection): StreamSettings {
     val defaults = StreamSettings()
     return StreamSettings(
-        silenceMillis = section.whole("silenceMillis", defaults.silenceMillis, 1..MAXIMUM_MILLIS),
+        silenceMillis = section.long("silenceMillis", defaults.silenceMillis, 1..MAXIMUM_MILLIS),
         maximumAttempts = section.count("maximumAttempts", defaults.maximumAttempts, 1..MAXIMUM_ATTEMPTS),
     )
 }
@@ -120,7 +120,7 @@
 )
 
 private fun orders(section: TomlSection) = OrderLeaseSettings(
-    leaseMillis = section.whole(
+    leaseMillis = section.long(
         "leaseMillis",
         OrderLeaseSettings().leaseMillis,
         MINIMUM_LEASE_MILLIS..MAXIMUM_MILLIS,
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/callers/ServiceRoutes.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/callers/ServiceRoutes.kt
@@ -7,8 +7,8 @@
 import io.vertx.core.buffer.Buffer
 import io.vertx.kotlin.coroutines.coAwait
 import org.parsleymoor.clients.HeaderField
-import org.parsleymoor.clients.ServiceAnswer
 import org.parsleymoor.clients.ServiceCall
+import org.parsleymoor.clients.ServiceCallResponse
 import org.parsleymoor.clients.WireJson
 import org.parsleymoor.configuration.ServiceDeclaration
 import org.parsleymoor.execution.Execution
@@ -63,7 +63,11 @@
         return GroupCall(call.request, group, outgoing, call.deadlineMillis, call.span)
     }
 
-    private suspend fun keyed(call: CallerCall, outgoing: GroupCall, key: String): Result<ServiceAnswer, Refusal> =
+    private suspend fun keyed(
+        call: CallerCall,
+        outgoing: GroupCall,
+        key: String,
+    ): Result<ServiceCallResponse, Refusal> =
         when (val answer = atMostOnce.execute(onceCalls.of(call.organisation.name, key, outgoing))) {
             is ExecutionAnswer.Response -> Ok(answer.response.toAnswer())
             is ExecutionAnswer.NotRun -> Err(notRun(answer.reason))
@@ -71,7 +75,7 @@
                 Err(Refusal(RefusalKind.OUTCOME_UNKNOWN, answer.reason.name.lowercase(), Execution.Unknown))
         }
 
-    private suspend fun send(call: CallerCall, answer: ServiceAnswer) {
+    private suspend fun send(call: CallerCall, answer: ServiceCallResponse) {
         val response = call.response.setStatusCode(answer.status)
         answer.headers.filter { it.name.lowercase() !in NOT_RETURNED }.forEach { response.putHeader(it.name, it.value) }
         response.putHeader("X-Request-Id", call.request.value)
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/EngineContent.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/EngineContent.kt
@@ -1,8 +1,8 @@
 package org.parsleymoor.gateway.control
 
+import org.parsleymoor.clients.DesiredState
 import org.parsleymoor.clients.EngineLoad
 import org.parsleymoor.clients.LoadedVersion
-import org.parsleymoor.clients.WantedState
 import org.parsleymoor.configuration.Configuration
 import org.parsleymoor.configuration.EndpointDeclaration
 import org.parsleymoor.configuration.EndpointKind
@@ -61,17 +61,17 @@
      * engine serves throughout. Nothing that the configuration wants is unloaded, and nothing else is loaded. Without a
      * step it is an order for the role that the engine has, which changes nothing.
      */
-    fun nextStep(endpoint: EndpointId, load: EngineLoad, content: EngineContent): WantedState {
+    fun nextStep(endpoint: EndpointId, load: EngineLoad, content: EngineContent): DesiredState {
         val declared = wanted[endpoint]?.versions.orEmpty()
         val held = load.versions.held()
         val missing = content.versions.firstOrNull { it in declared && it !in held }
         val surplus = held.firstOrNull { isRelevant(endpoint, it) && it !in declared && it !in content.versions }
         val role = content.role?.takeIf { it != load.role }
         return when {
-            missing != null -> WantedState.Loaded(missing.model, missing.version)
-            role != null -> WantedState.Role(role)
-            surplus != null -> WantedState.Unloaded(surplus.model, surplus.version)
-            else -> WantedState.Role(load.role)
+            missing != null -> DesiredState.Loaded(missing.model, missing.version)
+            role != null -> DesiredState.Role(role)
+            surplus != null -> DesiredState.Unloaded(surplus.model, surplus.version)
+            else -> DesiredState.Role(load.role)
         }
     }
 
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/OrderClients.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/OrderClients.kt
@@ -4,7 +4,7 @@
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.onFailure
 import io.vertx.core.Vertx
-import org.parsleymoor.clients.BackEndFailure
+import org.parsleymoor.clients.EndpointFailure
 import org.parsleymoor.clients.EngineLoad
 import org.parsleymoor.clients.EngineOrder
 import org.parsleymoor.clients.EngineRefusalReason
@@ -22,7 +22,7 @@
     private val clients = ConcurrentHashMap<String, VertxEngineClient>()
 
     /** Reads the load report of the engine at [address]. */
-    suspend fun load(address: String): Result<EngineLoad, BackEndFailure> {
+    suspend fun load(address: String): Result<EngineLoad, EndpointFailure> {
         val client = client(address)
         return client.load().onFailure { replace(address, client, it) }
     }
@@ -47,8 +47,8 @@
         VertxEngineClient(vertx, HttpAddress.parse(it), POOL_SIZE, PHASE_MILLIS)
     }
 
-    private fun replace(address: String, client: VertxEngineClient, failure: BackEndFailure) {
-        if (failure !is BackEndFailure.Refused && clients.remove(address, client)) client.close()
+    private fun replace(address: String, client: VertxEngineClient, failure: EndpointFailure) {
+        if (failure !is EndpointFailure.Refused && clients.remove(address, client)) client.close()
     }
 
     private companion object {
@@ -57,9 +57,9 @@
     }
 }
 
-private fun outcomeOf(failure: BackEndFailure): OrderOutcome = when (failure) {
-    is BackEndFailure.NotConnected -> OrderOutcome.REFUSED
-    is BackEndFailure.Refused ->
+private fun outcomeOf(failure: EndpointFailure): OrderOutcome = when (failure) {
+    is EndpointFailure.NotConnected -> OrderOutcome.REFUSED
+    is EndpointFailure.Refused ->
         if (failure.refusal.reason == EngineRefusalReason.STALE_FENCING) OrderOutcome.STALE else OrderOutcome.REFUSED
-    is BackEndFailure.Broken, is BackEndFailure.Silent, is BackEndFailure.Malformed -> OrderOutcome.LOST
+    is EndpointFailure.Broken, is EndpointFailure.Silent, is EndpointFailure.Malformed -> OrderOutcome.LOST
 }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/OrderMeters.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/OrderMeters.kt
@@ -1,9 +1,9 @@
 package org.parsleymoor.gateway.control
 
 import io.micrometer.core.instrument.Counter
+import org.parsleymoor.clients.DesiredState
 import org.parsleymoor.clients.OrderLeaseState
 import org.parsleymoor.clients.OrderStatus
-import org.parsleymoor.clients.WantedState
 import org.parsleymoor.gateway.operations.GatewayMetrics
 
 /** The meters of the lease on orders, of the orders and of rollouts. */
@@ -25,15 +25,15 @@
     }
 
     /** Counts an order that had [outcome]. */
-    fun sent(wanted: WantedState, outcome: String) {
+    fun sent(wanted: DesiredState, outcome: String) {
         Counter.builder("parsleymoor.orders").tag("kind", kindOf(wanted)).tag("outcome", outcome)
             .register(metrics.registry).increment()
     }
 
-    private fun kindOf(wanted: WantedState): String = when (wanted) {
-        is WantedState.Loaded -> "loaded"
-        is WantedState.Unloaded -> "unloaded"
-        is WantedState.AdapterLoaded -> "adapter"
-        is WantedState.Role -> "role"
+    private fun kindOf(wanted: DesiredState): String = when (wanted) {
+        is DesiredState.Loaded -> "loaded"
+        is DesiredState.Unloaded -> "unloaded"
+        is DesiredState.AdapterLoaded -> "adapter"
+        is DesiredState.Role -> "role"
     }
 }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/forwarding/ForwardReceiver.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/forwarding/ForwardReceiver.kt
@@ -6,7 +6,7 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.flow.collect
 import kotlinx.coroutines.launch
-import org.parsleymoor.clients.BackEndFailure
+import org.parsleymoor.clients.EndpointFailure
 import org.parsleymoor.clients.EngineClient
 import org.parsleymoor.clients.EngineEvent
 import org.parsleymoor.clients.GenerateRequest
@@ -86,7 +86,7 @@
         try {
             engine.generate(request).collect { event -> exchange.send(event.toMessage(exchange.number)).orStop() }
         } catch (cause: FailureException) {
-            val failure = cause.failure as? BackEndFailure ?: throw cause
+            val failure = cause.failure as? EndpointFailure ?: throw cause
             exchange.refuse(failure)
         }
     }
@@ -125,15 +125,15 @@
     is EngineEvent.Final -> PeerMessage.Finished(exchange, tokens, reason)
 }
 
-private suspend fun PeerExchange.refuse(failure: BackEndFailure): Result<Unit, PeerFailure> = when (failure) {
-    is BackEndFailure.Refused ->
+private suspend fun PeerExchange.refuse(failure: EndpointFailure): Result<Unit, PeerFailure> = when (failure) {
+    is EndpointFailure.Refused ->
         refuse(failure.refusal.reason.name, failure.refusal.detail, retryAfterMillis = failure.refusal.retryAfterMillis)
-    is BackEndFailure.NotConnected -> refuse("FULL", failure.message)
-    is BackEndFailure.Broken, is BackEndFailure.Silent, is BackEndFailure.Malformed ->
+    is EndpointFailure.NotConnected -> refuse("FULL", failure.message)
+    is EndpointFailure.Broken, is EndpointFailure.Silent, is EndpointFailure.Malformed ->
         refuse("BROKEN", failure.message, Execution.UNKNOWN)
 }
 
 /** Ends the answer when the sender's connection is gone; the engine's stream is closed with it. */
 private fun Result<Unit, PeerFailure>.orStop() {
-    onFailure { throw FailureException(BackEndFailure.Broken("peer", it.message)) }
+    onFailure { throw FailureException(EndpointFailure.Broken("peer", it.message)) }
 }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/forwarding/ForwardingEngineClient.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/forwarding/ForwardingEngineClient.kt
@@ -8,7 +8,7 @@
 import kotlinx.coroutines.flow.flow
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
-import org.parsleymoor.clients.BackEndFailure
+import org.parsleymoor.clients.EndpointFailure
 import org.parsleymoor.clients.EngineClient
 import org.parsleymoor.clients.EngineEvent
 import org.parsleymoor.clients.EngineRefusal
@@ -46,7 +46,7 @@
     }
 
     private fun notConnected(failure: PeerFailure) =
-        FailureException(BackEndFailure.NotConnected(endpoint.value, failure.message))
+        FailureException(EndpointFailure.NotConnected(endpoint.value, failure.message))
 
     /** The answer of one exchange as engine events. */
     private inner class ForwardedStream(
@@ -67,7 +67,7 @@
 
         private suspend fun next(): PeerMessage.OfExchange {
             val received = withTimeoutOrNull(silenceMillis) { exchange.receive() }
-                ?: throw FailureException(BackEndFailure.Silent(endpoint.value, silenceMillis))
+                ?: throw FailureException(EndpointFailure.Silent(endpoint.value, silenceMillis))
             return received.getOrElse { throw broken(it.message) }
         }
 
@@ -99,7 +99,7 @@
 
         private fun refusal(message: PeerMessage.Refused): FailureException = when (message.execution) {
             Execution.NOT_RUN -> FailureException(
-                BackEndFailure.Refused(
+                EndpointFailure.Refused(
                     endpoint.value,
                     EngineRefusal(reasonOf(message.type), message.detail, message.retryAfterMillis),
                 ),
@@ -107,7 +107,7 @@
             Execution.RUN, Execution.UNKNOWN -> broken(message.detail)
         }
 
-        private fun broken(detail: String) = FailureException(BackEndFailure.Broken(endpoint.value, detail))
+        private fun broken(detail: String) = FailureException(EndpointFailure.Broken(endpoint.value, detail))
     }
 }
 
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/operations/StoreMetrics.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/operations/StoreMetrics.kt
@@ -2,7 +2,7 @@
 
 import io.micrometer.core.instrument.Counter
 import io.micrometer.core.instrument.MeterRegistry
-import org.parsleymoor.clients.BackEndFailure
+import org.parsleymoor.clients.EndpointFailure
 
 /** Why blocks were not copied between an engine and a store; [tag] is the value of the metrics' label. */
 internal enum class TransferFailureReason(val tag: String) {
@@ -18,12 +18,12 @@
     ;
 
     companion object {
-        fun of(failure: BackEndFailure): TransferFailureReason = when (failure) {
-            is BackEndFailure.NotConnected -> NOT_CONNECTED
-            is BackEndFailure.Refused -> REFUSED
-            is BackEndFailure.Broken -> BROKEN
-            is BackEndFailure.Silent -> SILENT
-            is BackEndFailure.Malformed -> MALFORMED
+        fun of(failure: EndpointFailure): TransferFailureReason = when (failure) {
+            is EndpointFailure.NotConnected -> NOT_CONNECTED
+            is EndpointFailure.Refused -> REFUSED
+            is EndpointFailure.Broken -> BROKEN
+            is EndpointFailure.Silent -> SILENT
+            is EndpointFailure.Malformed -> MALFORMED
         }
     }
 }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/CompletionAttempts.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/CompletionAttempts.kt
@@ -3,7 +3,7 @@
 import com.github.michaelbull.result.getOrElse
 import io.opentelemetry.api.trace.Span
 import kotlinx.coroutines.launch
-import org.parsleymoor.clients.BackEndFailure
+import org.parsleymoor.clients.EndpointFailure
 import org.parsleymoor.clients.EngineClient
 import org.parsleymoor.clients.EngineEvent
 import org.parsleymoor.clients.EngineRefusalReason
@@ -100,7 +100,7 @@
 
     private suspend fun stream(target: Target, span: Span): Failure? {
         val engine = tools.configuration.current?.endpoint(target.endpoint)?.let { tools.backEnds.engine(it) }
-            ?: return BackEndFailure.NotConnected(target.endpoint.value, "the engine is no longer declared")
+            ?: return EndpointFailure.NotConnected(target.endpoint.value, "the engine is no longer declared")
         val resume = assembler.begin(target.attempt)
         recordAttempt(target, resume)
         inFlight = true
@@ -142,17 +142,17 @@
 
     /** An abandoned attempt is cancelled by name too, because a silent connection does not carry its own end. */
     private fun cancelAtEngine(engine: EngineClient, target: Target, failure: Failure?) {
-        val neverRan = failure is BackEndFailure && !failure.mayHaveRun
+        val neverRan = failure is EndpointFailure && !failure.mayHaveRun
         if (!neverRan) tools.background.launch { engine.cancel(target.attempt) }
     }
 
     private fun afterFailure(target: Target, failure: Failure): AttemptAction {
         lastFailure = failure
         tools.records.add(call.request, RequestStepKind.REFUSED, target.endpoint.value, failure.message)
-        if ((failure as? BackEndFailure.Refused)?.refusal?.reason == EngineRefusalReason.COLD) {
+        if ((failure as? EndpointFailure.Refused)?.refusal?.reason == EngineRefusalReason.COLD) {
             chooser.refusedAsCold(target.endpoint)
         }
-        val end = (failure as? BackEndFailure)?.attemptEnd ?: AttemptFailure.BROKEN
+        val end = (failure as? EndpointFailure)?.attemptEnd ?: AttemptFailure.BROKEN
         val action = machine.failed(target.endpoint, end, tools.clock.nowMillis())
         inFlight = false
         if (action !is AttemptAction.GiveUp) tools.metrics.retried(end.name.lowercase())
@@ -203,7 +203,7 @@
             tools.metrics.context(event.cachedPieces, event.recomputedPieces)
             if (event.version != call.model.version) {
                 throw FailureException(
-                    BackEndFailure.Malformed(
+                    EndpointFailure.Malformed(
                         target.endpoint.value,
                         "weight version ${call.model.version}",
                         "weight version ${event.version}",
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/OnceCalls.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/OnceCalls.kt
@@ -3,8 +3,8 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.mapBoth
 import org.parsleymoor.clients.HeaderField
-import org.parsleymoor.clients.ServiceAnswer
 import org.parsleymoor.clients.ServiceCall
+import org.parsleymoor.clients.ServiceCallResponse
 import org.parsleymoor.core.OrganisationId
 import org.parsleymoor.execution.Execution
 import org.parsleymoor.execution.atmostonce.KeyedCall
@@ -23,7 +23,7 @@
         return OnceCall(keyed, once) { outcome(runner.run(once)) }
     }
 
-    private fun outcome(result: Result<ServiceAnswer, Refusal>): RunOutcome = result.mapBoth(
+    private fun outcome(result: Result<ServiceCallResponse, Refusal>): RunOutcome = result.mapBoth(
         { RunOutcome.Responded(ServiceResponse(it.status, it.contentType(), it.body)) },
         { if (it.execution == Execution.NotRun) RunOutcome.NotRun else RunOutcome.Unknown },
     )
@@ -37,11 +37,15 @@
 
 /** Returns the response as it goes to a caller. */
 internal fun ServiceResponse.toAnswer() =
-    ServiceAnswer(status, listOfNotNull(contentType.ifEmpty { null }?.let { HeaderField(CONTENT_TYPE, it) }), body)
+    ServiceCallResponse(
+        status,
+        listOfNotNull(contentType.ifEmpty { null }?.let { HeaderField(CONTENT_TYPE, it) }),
+        body,
+    )
 
 private const val CONTENT_TYPE = "Content-Type"
 
 private fun ServiceCall.once() = ServiceCall(method, path, headers, body, repeatable = false)
 
-private fun ServiceAnswer.contentType(): String =
+private fun ServiceCallResponse.contentType(): String =
     headers.firstOrNull { it.name.equals(CONTENT_TYPE, ignoreCase = true) }?.value.orEmpty()
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/ServiceRunner.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/ServiceRunner.kt
@@ -6,11 +6,11 @@
 import com.github.michaelbull.result.mapBoth
 import com.github.michaelbull.result.onFailure
 import io.opentelemetry.api.trace.Span
-import org.parsleymoor.clients.BackEndFailure
+import org.parsleymoor.clients.EndpointFailure
 import org.parsleymoor.clients.HeaderField
 import org.parsleymoor.clients.RequestStepKind
-import org.parsleymoor.clients.ServiceAnswer
 import org.parsleymoor.clients.ServiceCall
+import org.parsleymoor.clients.ServiceCallResponse
 import org.parsleymoor.configuration.EndpointDeclaration
 import org.parsleymoor.configuration.ServiceDeclaration
 import org.parsleymoor.core.EndpointId
@@ -39,7 +39,7 @@
     private val running = ConcurrentHashMap<EndpointId, AtomicInteger>()
 
     /** Suspends until a replica has answered [call], or until the rules allow no further attempt. */
-    suspend fun run(call: GroupCall): Result<ServiceAnswer, Refusal> {
+    suspend fun run(call: GroupCall): Result<ServiceCallResponse, Refusal> {
         val machine = AttemptTracker(
             call.request,
             call.call.repeatable,
@@ -48,7 +48,7 @@
             tools.streams.maximumAttempts,
         )
         tools.budget.firstAttempt(tools.clock.nowMillis())
-        var failure: BackEndFailure? = null
+        var failure: EndpointFailure? = null
         var action: AttemptAction = AttemptAction.TryElsewhere(emptySet())
         while (action !is AttemptAction.GiveUp) {
             val replica = replica(call.group, action)
@@ -86,7 +86,7 @@
         call: GroupCall,
         replica: EndpointDeclaration,
         timeoutMillis: Long,
-    ): Result<ServiceAnswer, BackEndFailure> {
+    ): Result<ServiceCallResponse, EndpointFailure> {
         val span = tools.tracing.hop("call", replica.name.value, call.span)
         val traced = ServiceCall(
             call.call.method,
@@ -117,7 +117,7 @@
     private fun afterFailure(
         machine: AttemptTracker,
         replica: EndpointDeclaration,
-        failure: BackEndFailure,
+        failure: EndpointFailure,
     ): AttemptAction {
         val end = failure.attemptEnd
         val action = machine.failed(replica.name, end, tools.clock.nowMillis())
@@ -125,7 +125,7 @@
         return action
     }
 
-    private fun refusal(action: AttemptAction.GiveUp, failure: BackEndFailure?): Refusal {
+    private fun refusal(action: AttemptAction.GiveUp, failure: EndpointFailure?): Refusal {
         val kind = when {
             action.execution != Execution.NotRun -> RefusalKind.OUTCOME_UNKNOWN
             action.cause == GiveUpCause.DEADLINE_PASSED -> RefusalKind.DEADLINE_PASSED
--- a/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/control/RolloutTest.kt
+++ b/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/control/RolloutTest.kt
@@ -6,9 +6,9 @@
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
+import org.parsleymoor.clients.DesiredState
 import org.parsleymoor.clients.EngineLoad
 import org.parsleymoor.clients.OrderLeaseState
-import org.parsleymoor.clients.WantedState
 import org.parsleymoor.clients.WireJson
 import org.parsleymoor.configuration.Configuration
 import org.parsleymoor.configuration.LimitsDeclaration
@@ -39,7 +39,7 @@
 /** Rollouts by two gateways over real connections while the parts around them fail. */
 class RolloutTest {
     private val harness = RolloutHarness()
-    private val new = WantedState.Loaded(ModelId("leaf"), WeightVersion("2"))
+    private val new = DesiredState.Loaded(ModelId("leaf"), WeightVersion("2"))
 
     @AfterEach
     fun close() {
@@ -116,7 +116,7 @@
         harness.engineFaults(0, EngineFaults(loseOrderAnswers = 1))
         harness.publish(rollout(revision = 2))
         harness.eventually { loaded() == 3 }
-        expectThat(harness.orders(0).count { it.order.wanted is WantedState.Role }).isEqualTo(2)
+        expectThat(harness.orders(0).count { it.order.wanted is DesiredState.Role }).isEqualTo(2)
         expectOneLoadEachAndTwoAtOnce()
     }
 
@@ -220,7 +220,7 @@
     private suspend fun loads(): List<OrderRun> = harness.allOrders().filter { it.order.wanted == new }
 
     private suspend fun unloads(): List<OrderRun> =
-        harness.allOrders().filter { it.order.wanted is WantedState.Unloaded }
+        harness.allOrders().filter { it.order.wanted is DesiredState.Unloaded }
 
     private suspend fun held(engine: Int): List<String> =
         WireJson.decodeFromString(EngineLoad.serializer(), harness.get(engine, "/v1/load")).versions
--- a/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/control/WantedContentsTest.kt
+++ b/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/control/WantedContentsTest.kt
@@ -1,9 +1,9 @@
 package org.parsleymoor.gateway.control
 
 import org.junit.jupiter.api.Test
+import org.parsleymoor.clients.DesiredState
 import org.parsleymoor.clients.EngineLoad
 import org.parsleymoor.clients.LoadedVersion
-import org.parsleymoor.clients.WantedState
 import org.parsleymoor.configuration.Configuration
 import org.parsleymoor.configuration.LimitsDeclaration
 import org.parsleymoor.configuration.ModelDeclaration
@@ -26,23 +26,23 @@
     @Test
     fun `a rollout wants its version beside the one in use`() {
         val contents = contents(configuration("1", rollout = "2"))
-        expectThat(contents.next(load("1"))).isEqualTo(WantedState.Loaded(leaf, WeightVersion("2")))
-        expectThat(contents.next(load("1", "2"))).isEqualTo(WantedState.Role("serve"))
+        expectThat(contents.next(load("1"))).isEqualTo(DesiredState.Loaded(leaf, WeightVersion("2")))
+        expectThat(contents.next(load("1", "2"))).isEqualTo(DesiredState.Role("serve"))
     }
 
     /** Guards against an engine that is left without a version while the next one is missing. */
     @Test
     fun `the version in use is loaded before another is unloaded`() {
         val contents = contents(configuration("2"))
-        expectThat(contents.next(load("1"))).isEqualTo(WantedState.Loaded(leaf, WeightVersion("2")))
-        expectThat(contents.next(load("1", "2"))).isEqualTo(WantedState.Unloaded(leaf, WeightVersion("1")))
+        expectThat(contents.next(load("1"))).isEqualTo(DesiredState.Loaded(leaf, WeightVersion("2")))
+        expectThat(contents.next(load("1", "2"))).isEqualTo(DesiredState.Unloaded(leaf, WeightVersion("1")))
     }
 
     /** Guards against unloading a version under runs that began before the switch. */
     @Test
     fun `a version that may still have runs counts neither as held nor as surplus`() {
         val contents = contents(configuration("2"), retained = setOf("1"))
-        expectThat(contents.next(load("1", "2"))).isEqualTo(WantedState.Role("serve"))
+        expectThat(contents.next(load("1", "2"))).isEqualTo(DesiredState.Role("serve"))
         val target = contents.targets().single()
         expectThat(contents.state(engine, load("1", "2")).content).isEqualTo(target.wanted)
     }
@@ -52,7 +52,7 @@
     fun `the version of a model that is not declared is left alone`() {
         val load = load("1").let { it.copy(versions = it.versions + LoadedVersion(ModelId("bud"), WeightVersion("7"))) }
         val contents = contents(configuration("1"))
-        expectThat(contents.next(load)).isEqualTo(WantedState.Role("serve"))
+        expectThat(contents.next(load)).isEqualTo(DesiredState.Role("serve"))
         expectThat(contents.state(engine, load).content).isEqualTo(contents.targets().single().wanted)
     }
 
@@ -61,7 +61,7 @@
     fun `an order for the content that the engine has changes nothing`() {
         val contents = contents(configuration("1", rollout = "2"))
         val held = contents.state(engine, load("1")).content
-        expectThat(contents.nextStep(engine, load("1"), held)).isEqualTo(WantedState.Role("serve"))
+        expectThat(contents.nextStep(engine, load("1"), held)).isEqualTo(DesiredState.Role("serve"))
     }
 
     /** Guards against trust in fencing tokens that nobody has declared. */
@@ -96,7 +96,7 @@
     private fun contents(configuration: Configuration, retained: Set<String> = emptySet()) =
         WantedContents(configuration) { it.version.value in retained }
 
-    private fun WantedContents.next(load: EngineLoad): WantedState =
+    private fun WantedContents.next(load: EngineLoad): DesiredState =
         nextStep(engine, load, targets().single().wanted)
 
     private fun configuration(version: String, rollout: String? = null): Configuration =
--- a/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/forwarding/ForwardingTest.kt
+++ b/programs/gateway/src/test/kotlin/org/parsleymoor/gateway/forwarding/ForwardingTest.kt
@@ -16,9 +16,9 @@
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.assertThrows
-import org.parsleymoor.clients.BackEndFailure
 import org.parsleymoor.clients.CacheEvents
 import org.parsleymoor.clients.CacheSnapshot
+import org.parsleymoor.clients.EndpointFailure
 import org.parsleymoor.clients.EngineClient
 import org.parsleymoor.clients.EngineEvent
 import org.parsleymoor.clients.EngineLoad
@@ -122,15 +122,15 @@
     fun `an endpoint that takes no new work is refused as not run`(): Unit = runBlocking {
         open = false
         val failure = failureOf { client.generate(request("short")).toList() }
-        expectThat(failure).isA<BackEndFailure.Refused>().get { mayHaveRun }.isFalse()
+        expectThat(failure).isA<EndpointFailure.Refused>().get { mayHaveRun }.isFalse()
         expectThat(engine.prompts).isEqualTo(mutableListOf())
     }
 
     @Test
     fun `an engine lost in mid-stream is reported as possibly run`(): Unit = runBlocking {
-        engine.failure = BackEndFailure.Broken("engine", "reset")
+        engine.failure = EndpointFailure.Broken("engine", "reset")
         val failure = failureOf { client.generate(request("short")).toList() }
-        expectThat(failure).isA<BackEndFailure.Broken>().get { mayHaveRun }.isEqualTo(true)
+        expectThat(failure).isA<EndpointFailure.Broken>().get { mayHaveRun }.isEqualTo(true)
     }
 
     @Test
@@ -139,7 +139,7 @@
         val failure = failureOf {
             client.generate(request("short")).onEach { north.connected.forEach { it.close() } }.toList()
         }
-        expectThat(failure).isA<BackEndFailure.Broken>().get { mayHaveRun }.isEqualTo(true)
+        expectThat(failure).isA<EndpointFailure.Broken>().get { mayHaveRun }.isEqualTo(true)
     }
 
     @Test
@@ -153,12 +153,12 @@
     fun `no gateway to forward to is refused as not run`(): Unit = runBlocking {
         south.close()
         val failure = failureOf { client.generate(request("short")).toList() }
-        expectThat(failure).isA<BackEndFailure.NotConnected>()
+        expectThat(failure).isA<EndpointFailure.NotConnected>()
     }
 
-    private fun failureOf(work: suspend () -> Unit): BackEndFailure {
+    private fun failureOf(work: suspend () -> Unit): EndpointFailure {
         val thrown = assertThrows<FailureException> { runBlocking { work() } }
-        return thrown.failure as BackEndFailure
+        return thrown.failure as EndpointFailure
     }
 
     private suspend fun linkBytes(work: suspend () -> Unit): Long {
@@ -184,7 +184,7 @@
     private class FakeEngine : EngineClient {
         val prompts = mutableListOf<String>()
         val stopped = CompletableDeferred<Unit>()
-        var failure: BackEndFailure? = null
+        var failure: EndpointFailure? = null
         var endless = false
 
         override fun generate(request: GenerateRequest, silenceMillis: Long): Flow<EngineEvent> = flow {
@@ -204,21 +204,21 @@
             }
         }
 
-        override suspend fun cancel(attempt: AttemptId): Result<Unit, BackEndFailure> = Ok(Unit)
+        override suspend fun cancel(attempt: AttemptId): Result<Unit, EndpointFailure> = Ok(Unit)
 
-        override suspend fun load(): Result<EngineLoad, BackEndFailure> = unused()
+        override suspend fun load(): Result<EngineLoad, EndpointFailure> = unused()
 
-        override suspend fun cacheEvents(sequence: Long): Result<CacheEvents, BackEndFailure> = unused()
+        override suspend fun cacheEvents(sequence: Long): Result<CacheEvents, EndpointFailure> = unused()
 
-        override suspend fun cacheSnapshot(): Result<CacheSnapshot, BackEndFailure> = unused()
+        override suspend fun cacheSnapshot(): Result<CacheSnapshot, EndpointFailure> = unused()
 
-        override suspend fun export(transfer: TransferRequest): Result<TransferResult, BackEndFailure> = unused()
+        override suspend fun export(transfer: TransferRequest): Result<TransferResult, EndpointFailure> = unused()
 
-        override suspend fun import(transfer: TransferRequest): Result<TransferResult, BackEndFailure> = unused()
+        override suspend fun import(transfer: TransferRequest): Result<TransferResult, EndpointFailure> = unused()
 
-        override suspend fun order(order: EngineOrder): Result<EngineLoad, BackEndFailure> = unused()
+        override suspend fun order(order: EngineOrder): Result<EngineLoad, EndpointFailure> = unused()
 
-        private fun unused() = Err(BackEndFailure.NotConnected("fake", "this call is not part of the test"))
+        private fun unused() = Err(EndpointFailure.NotConnected("fake", "this call is not part of the test"))
 
         companion object {
             val TOKENS = listOf("one ", "two ", "three ")
--- a/programs/operator/src/main/kotlin/org/parsleymoor/operator/CapacityCommand.kt
+++ b/programs/operator/src/main/kotlin/org/parsleymoor/operator/CapacityCommand.kt
@@ -6,7 +6,7 @@
 import kotlinx.serialization.Serializable
 import org.parsleymoor.configuration.Configuration
 import org.parsleymoor.configuration.PlacementState
-import org.parsleymoor.configuration.placesOf
+import org.parsleymoor.configuration.capacityOf
 
 /** The places of a model's engines in service against the requests that it has now. */
 @Serializable
@@ -36,8 +36,8 @@
                     CapacityOutput(
                         model = model.name.value,
                         requests = demand[model.name] ?: 0,
-                        places = stored.configuration.placesOf(model.name),
-                        withoutZone = zones.associateWith { stored.configuration.without(it).placesOf(model.name) },
+                        places = stored.configuration.capacityOf(model.name),
+                        withoutZone = zones.associateWith { stored.configuration.without(it).capacityOf(model.name) },
                     )
                 }
                 report(CapacitiesOutput(answers.count { it.answer.isOk }, models), zones)
--- a/programs/operator/src/main/kotlin/org/parsleymoor/operator/ConfigurationEdit.kt
+++ b/programs/operator/src/main/kotlin/org/parsleymoor/operator/ConfigurationEdit.kt
@@ -11,8 +11,8 @@
 import org.parsleymoor.configuration.ModelDeclaration
 import org.parsleymoor.configuration.PlacementState
 import org.parsleymoor.configuration.RolloutDeclaration
+import org.parsleymoor.configuration.appliedTo
 import org.parsleymoor.configuration.labelsOf
-import org.parsleymoor.configuration.over
 import org.parsleymoor.configuration.sorted
 import org.parsleymoor.core.Selector
 
@@ -26,7 +26,7 @@
     /** Makes the declarations of a directory the configuration. */
     data class Apply(val declarations: Declarations, override val summary: String) : ConfigurationEdit {
         override fun edit(current: Configuration): Result<Configuration, OperatorFailure> =
-            Ok(declarations.over(current))
+            Ok(declarations.appliedTo(current))
     }
 
     /** Sets the state of a zone. */
--- a/programs/operator/src/main/kotlin/org/parsleymoor/operator/Deployment.kt
+++ b/programs/operator/src/main/kotlin/org/parsleymoor/operator/Deployment.kt
@@ -10,7 +10,7 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.sync.Semaphore
 import kotlinx.coroutines.sync.withPermit
-import org.parsleymoor.clients.BackEndFailure
+import org.parsleymoor.clients.EndpointFailure
 import org.parsleymoor.clients.GatewayStatus
 import org.parsleymoor.clients.HttpAddress
 import org.parsleymoor.clients.OperationsClient
@@ -21,7 +21,7 @@
 internal data class GatewayAt(val address: String, val client: OperationsClient)
 
 /** A gateway's answer, or why there is none. */
-internal data class GatewayAnswer<T>(val address: String, val answer: Result<T, BackEndFailure>)
+internal data class GatewayAnswer<T>(val address: String, val answer: Result<T, EndpointFailure>)
 
 /** The platform and the gateways of one deployment; [connect] makes the client of an operations port. */
 internal class Deployment(
@@ -43,7 +43,7 @@
     /** Makes [call] to each of [gateways], at most [CALLS_AT_ONCE] at a time, and returns all answers in order. */
     suspend fun <T> ask(
         gateways: List<GatewayAt>,
-        call: suspend (OperationsClient) -> Result<T, BackEndFailure>,
+        call: suspend (OperationsClient) -> Result<T, EndpointFailure>,
     ): List<GatewayAnswer<T>> = coroutineScope {
         val permits = Semaphore(CALLS_AT_ONCE)
         gateways.map { async { permits.withPermit { GatewayAnswer(it.address, call(it.client)) } } }.awaitAll()
--- a/programs/operator/src/main/kotlin/org/parsleymoor/operator/ItemTable.kt
+++ b/programs/operator/src/main/kotlin/org/parsleymoor/operator/ItemTable.kt
@@ -5,8 +5,8 @@
 import kotlinx.serialization.json.jsonObject
 import org.parsleymoor.configuration.Configuration
 import org.parsleymoor.configuration.EndpointDeclaration
+import org.parsleymoor.configuration.effectiveStateOf
 import org.parsleymoor.configuration.labelsOf
-import org.parsleymoor.configuration.stateOf
 import org.parsleymoor.core.Labels
 
 /** The kinds that `get` lists, with their columns; [rows] reads them from the configuration. */
@@ -61,7 +61,7 @@
 
 private fun endpointRow(configuration: Configuration, endpoint: EndpointDeclaration): ItemRow {
     val zone = endpoint.zone.value
-    val place = listOf(zone, configuration.regionOf(zone), configuration.stateOf(endpoint).shown)
+    val place = listOf(zone, configuration.regionOf(zone), configuration.effectiveStateOf(endpoint).shown)
     val cells = listOf(endpoint.name.value, endpoint.kind.name.lowercase(), endpoint.address) + place
     return ItemRow(cells + shown(endpoint.labels), configuration.labelsOf(endpoint))
 }
--- a/programs/operator/src/main/kotlin/org/parsleymoor/operator/OperatorFailure.kt
+++ b/programs/operator/src/main/kotlin/org/parsleymoor/operator/OperatorFailure.kt
@@ -1,9 +1,9 @@
 package org.parsleymoor.operator
 
 import org.parsleymoor.configuration.ChangeRecord
-import org.parsleymoor.configuration.ConfigurationMistake
+import org.parsleymoor.configuration.ConfigurationError
 import org.parsleymoor.configuration.Danger
-import org.parsleymoor.configuration.Mistakes
+import org.parsleymoor.configuration.ValidationErrors
 import org.parsleymoor.core.Failure
 
 /** Why a command failed. [next] is the command to try next. */
@@ -12,14 +12,14 @@
     val next: String
 
     /** Files with mistakes, each of which is listed. */
-    data class InvalidFiles(val mistakes: Mistakes, override val next: String) : OperatorFailure {
+    data class InvalidFiles(val mistakes: ValidationErrors, override val next: String) : OperatorFailure {
         override val status get() = ExitStatus.INVALID
         override val message: String
             get() = "${mistakes.message}\n${mistakes.list.size} mistakes; nothing was changed"
     }
 
     /** The change would make the configuration invalid. */
-    data class InvalidChange(val mistakes: List<ConfigurationMistake>) : OperatorFailure {
+    data class InvalidChange(val mistakes: List<ConfigurationError>) : OperatorFailure {
         override val status get() = ExitStatus.INVALID
         override val message: String get() = mistakes.joinToString("\n") { it.message } + "\nnothing was changed"
         override val next get() = "parsleymoor get changes"
--- a/programs/operator/src/test/kotlin/org/parsleymoor/operator/FakeGateway.kt
+++ b/programs/operator/src/test/kotlin/org/parsleymoor/operator/FakeGateway.kt
@@ -4,9 +4,9 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.get
-import org.parsleymoor.clients.BackEndFailure
 import org.parsleymoor.clients.ConfigurationInEffect
 import org.parsleymoor.clients.ConfigurationOffer
+import org.parsleymoor.clients.EndpointFailure
 import org.parsleymoor.clients.GatewayStatus
 import org.parsleymoor.clients.ModelTraffic
 import org.parsleymoor.clients.OperationsClient
@@ -32,12 +32,12 @@
     private var configuration = Configuration()
     private val engines = FakeEngines()
     private val instance = InstanceId("gateway-$number")
-    private val silence = BackEndFailure.NotConnected("127.0.0.1:709$number", "refused")
+    private val silence = EndpointFailure.NotConnected("127.0.0.1:709$number", "refused")
 
-    override suspend fun status(): Result<GatewayStatus, BackEndFailure> =
+    override suspend fun status(): Result<GatewayStatus, EndpointFailure> =
         if (isDown) Err(silence) else Ok(live()).also { engines.step(configuration) }
 
-    override suspend fun offer(offer: ConfigurationOffer): Result<ConfigurationInEffect, BackEndFailure> {
+    override suspend fun offer(offer: ConfigurationOffer): Result<ConfigurationInEffect, EndpointFailure> {
         if (isDown) return Err(silence)
         val offered = ConfigurationRoot.parse(offer.root).get()?.revision ?: 0
         if (!isStuck && offered > revision) accept(offer)
@@ -51,7 +51,7 @@
         engines.apply(configuration)
     }
 
-    override suspend fun history(request: RequestId): Result<RequestHistory, BackEndFailure> {
+    override suspend fun history(request: RequestId): Result<RequestHistory, EndpointFailure> {
         val steps = listOf(
             step(RequestStepKind.RECEIVED, 0, "hill-estate", "model leaf, 3 pieces"),
             step(RequestStepKind.PLACED, 1, "engine-1", "holds 2 of 3 pieces; least estimated time"),
--- a/programs/standins/src/main/kotlin/org/parsleymoor/standins/OrderBook.kt
+++ b/programs/standins/src/main/kotlin/org/parsleymoor/standins/OrderBook.kt
@@ -1,8 +1,8 @@
 package org.parsleymoor.standins
 
+import org.parsleymoor.clients.DesiredState
 import org.parsleymoor.clients.EngineOrder
 import org.parsleymoor.clients.LoadedVersion
-import org.parsleymoor.clients.WantedState
 
 /** The orders that an engine accepted and the versions, adapters and role that follow from them. */
 internal class OrderBook(first: List<LoadedVersion>, private val fencing: Fencing) {
@@ -27,10 +27,10 @@
         highestFencing = maxOf(highestFencing, order.fencing)
         accepted[order.order] = order
         return when (val wanted = order.wanted) {
-            is WantedState.Loaded -> startLoading(LoadedVersion(wanted.model, wanted.version, loading = true))
-            is WantedState.Unloaded -> null.also { unload(wanted) }
-            is WantedState.AdapterLoaded -> null.also { addAdapter(wanted) }
-            is WantedState.Role -> null.also { role = wanted.role }
+            is DesiredState.Loaded -> startLoading(LoadedVersion(wanted.model, wanted.version, loading = true))
+            is DesiredState.Unloaded -> null.also { unload(wanted) }
+            is DesiredState.AdapterLoaded -> null.also { addAdapter(wanted) }
+            is DesiredState.Role -> null.also { role = wanted.role }
         }
     }
 
@@ -45,11 +45,11 @@
         return version
     }
 
-    private fun unload(wanted: WantedState.Unloaded) {
+    private fun unload(wanted: DesiredState.Unloaded) {
         versions = versions.filterNot { it.model == wanted.model && it.version == wanted.version }
     }
 
-    private fun addAdapter(wanted: WantedState.AdapterLoaded) {
+    private fun addAdapter(wanted: DesiredState.AdapterLoaded) {
         versions = versions.map {
             if (it.model == wanted.model) it.copy(adapters = (it.adapters + wanted.adapter).distinct()) else it
         }
--- a/programs/standins/src/main/kotlin/org/parsleymoor/standins/SettingsFiles.kt
+++ b/programs/standins/src/main/kotlin/org/parsleymoor/standins/SettingsFiles.kt
@@ -3,11 +3,11 @@
 import org.parsleymoor.clients.ListedInstance
 import org.parsleymoor.clients.LoadedVersion
 import org.parsleymoor.configuration.TomlSection
+import org.parsleymoor.configuration.boolean
 import org.parsleymoor.configuration.choice
 import org.parsleymoor.configuration.count
+import org.parsleymoor.configuration.long
 import org.parsleymoor.configuration.text
-import org.parsleymoor.configuration.truth
-import org.parsleymoor.configuration.whole
 import org.parsleymoor.core.EndpointId
 import org.parsleymoor.core.InstanceId
 import org.parsleymoor.core.ModelId
@@ -18,25 +18,25 @@
 internal fun TomlSection.engineSettings(): EngineSettings {
     val default = EngineSettings(EndpointId(text("endpoint")))
     val speed = default.copy(
-        prefillMillisPerPiece = whole("prefillMillisPerPiece", default.prefillMillisPerPiece),
-        millisPerToken = whole("millisPerToken", default.millisPerToken),
+        prefillMillisPerPiece = long("prefillMillisPerPiece", default.prefillMillisPerPiece),
+        millisPerToken = long("millisPerToken", default.millisPerToken),
         concurrent = count("concurrent", default.concurrent),
         queueLength = count("queueLength", default.queueLength),
-        bytesPerPiece = whole("bytesPerPiece", default.bytesPerPiece),
-        cacheBytes = whole("cacheBytes", default.cacheBytes),
+        bytesPerPiece = long("bytesPerPiece", default.bytesPerPiece),
+        cacheBytes = long("cacheBytes", default.cacheBytes),
     )
     val reports = speed.copy(
-        loadReportMillis = whole("loadReportMillis", default.loadReportMillis),
-        loadLagMillis = whole("loadLagMillis", default.loadLagMillis),
-        eventLagMillis = whole("eventLagMillis", default.eventLagMillis),
+        loadReportMillis = long("loadReportMillis", default.loadReportMillis),
+        loadLagMillis = long("loadLagMillis", default.loadLagMillis),
+        eventLagMillis = long("eventLagMillis", default.eventLagMillis),
         eventHistory = count("eventHistory", default.eventHistory),
     )
     return coldSettings(reports).copy(
         host = text("host", default.host),
         port = port(),
-        startCount = whole("startCount", default.startCount),
+        startCount = long("startCount", default.startCount),
         models = sections("models").map { LoadedVersion(ModelId(it.text("model")), WeightVersion(it.text("version"))) },
-        weightLoadMillis = whole("weightLoadMillis", default.weightLoadMillis),
+        weightLoadMillis = long("weightLoadMillis", default.weightLoadMillis),
         weightStore = text("weightStore", default.weightStore),
         fencing = choice("fencing", Fencing.entries.associateBy { it.name.lowercase() }, default.fencing),
         journalFile = text("journalFile", default.journalFile),
@@ -44,16 +44,16 @@
 }
 
 private fun TomlSection.coldSettings(default: EngineSettings): EngineSettings = default.copy(
-    startsCold = truth("startsCold", default.startsCold),
+    startsCold = boolean("startsCold", default.startsCold),
     coldLimit = count("coldLimit", default.coldLimit),
     coldAnswers = count("coldAnswers", default.coldAnswers),
-    coldMillis = whole("coldMillis", default.coldMillis),
+    coldMillis = long("coldMillis", default.coldMillis),
     coldOverload = choice(
         "coldOverload",
         mapOf("refuse" to ColdOverload.REFUSE, "fall-over" to ColdOverload.FALL_OVER),
         default.coldOverload,
     ),
-    restartMillis = whole("restartMillis", default.restartMillis),
+    restartMillis = long("restartMillis", default.restartMillis),
 )
 
 /** Reads the settings of a KV cache store; keys and defaults are those of [StoreSettings]. */
@@ -62,12 +62,12 @@
     return default.copy(
         host = text("host", default.host),
         port = port(),
-        startCount = whole("startCount", default.startCount),
-        memoryBytes = whole("memoryBytes", default.memoryBytes),
-        diskBytes = whole("diskBytes", default.diskBytes),
-        memoryBytesPerSecond = whole("memoryBytesPerSecond", default.memoryBytesPerSecond, 1..Long.MAX_VALUE),
-        diskBytesPerSecond = whole("diskBytesPerSecond", default.diskBytesPerSecond, 1..Long.MAX_VALUE),
-        eventLagMillis = whole("eventLagMillis", default.eventLagMillis),
+        startCount = long("startCount", default.startCount),
+        memoryBytes = long("memoryBytes", default.memoryBytes),
+        diskBytes = long("diskBytes", default.diskBytes),
+        memoryBytesPerSecond = long("memoryBytesPerSecond", default.memoryBytesPerSecond, 1..Long.MAX_VALUE),
+        diskBytesPerSecond = long("diskBytesPerSecond", default.diskBytesPerSecond, 1..Long.MAX_VALUE),
+        eventLagMillis = long("eventLagMillis", default.eventLagMillis),
         eventHistory = count("eventHistory", default.eventHistory),
         journalFile = text("journalFile", default.journalFile),
     )
@@ -79,7 +79,7 @@
     return default.copy(
         host = text("host", default.host),
         port = port(),
-        delayMillis = whole("delayMillis", default.delayMillis),
+        delayMillis = long("delayMillis", default.delayMillis),
         journalFile = text("journalFile", default.journalFile),
     )
 }
@@ -90,7 +90,7 @@
     return default.copy(
         host = text("host", default.host),
         port = port(),
-        loadMillis = whole("loadMillis", default.loadMillis),
+        loadMillis = long("loadMillis", default.loadMillis),
         loadsAtFullRate = count("loadsAtFullRate", default.loadsAtFullRate),
     )
 }
@@ -101,12 +101,12 @@
     return default.copy(
         host = text("host", default.host),
         port = port(),
-        delayMillis = whole("delayMillis", default.delayMillis),
+        delayMillis = long("delayMillis", default.delayMillis),
         writesPerSecond = count("writesPerSecond", default.writesPerSecond),
         readsPerSecond = count("readsPerSecond", default.readsPerSecond),
         maximumValueBytes = count("maximumValueBytes", default.maximumValueBytes),
-        heartbeatMillis = whole("heartbeatMillis", default.heartbeatMillis),
-        instanceLagMillis = whole("instanceLagMillis", default.instanceLagMillis),
+        heartbeatMillis = long("heartbeatMillis", default.heartbeatMillis),
+        instanceLagMillis = long("instanceLagMillis", default.instanceLagMillis),
         instances = sections("instances").map { it.listedInstance() },
     )
 }
--- a/programs/standins/src/test/kotlin/org/parsleymoor/standins/EngineStandInTest.kt
+++ b/programs/standins/src/test/kotlin/org/parsleymoor/standins/EngineStandInTest.kt
@@ -12,7 +12,8 @@
 import kotlinx.serialization.builtins.ListSerializer
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
-import org.parsleymoor.clients.BackEndFailure
+import org.parsleymoor.clients.DesiredState
+import org.parsleymoor.clients.EndpointFailure
 import org.parsleymoor.clients.EngineEvent
 import org.parsleymoor.clients.EngineOrder
 import org.parsleymoor.clients.EngineRefusalReason
@@ -21,7 +22,6 @@
 import org.parsleymoor.clients.TransferPiece
 import org.parsleymoor.clients.TransferRequest
 import org.parsleymoor.clients.VertxEngineClient
-import org.parsleymoor.clients.WantedState
 import org.parsleymoor.clients.WireJson
 import org.parsleymoor.core.AttemptId
 import org.parsleymoor.core.EndpointId
@@ -81,7 +81,7 @@
         val running = async { engine.generate(request("a", emptyList())).toList() }
         awaitRunning(engine)
         val failure = failureOf { engine.generate(request("b", emptyList())).toList() }
-        expectThat(failure).isA<BackEndFailure.Refused>().get { refusal.reason }
+        expectThat(failure).isA<EndpointFailure.Refused>().get { refusal.reason }
             .isEqualTo(EngineRefusalReason.COLD)
         running.await()
     }
@@ -109,7 +109,7 @@
         val ignoring = client(start(settings.copy(fencing = Fencing.IGNORED)))
         checking.order(order("a", fencing = 2))
         ignoring.order(order("a", fencing = 2))
-        expectThat(checking.order(order("b", fencing = 1)).getError()).isA<BackEndFailure.Refused>()
+        expectThat(checking.order(order("b", fencing = 1)).getError()).isA<EndpointFailure.Refused>()
         expectThat(ignoring.order(order("b", fencing = 1)).isOk).isEqualTo(true)
     }
 
@@ -118,7 +118,7 @@
         val engine = client(start(settings.copy(weightLoadMillis = 50)))
         engine.order(order("a", fencing = 1))
         val failure = failureOf { engine.generate(request("a", emptyList())).toList() }
-        expectThat(failure).isA<BackEndFailure.Refused>()
+        expectThat(failure).isA<EndpointFailure.Refused>()
         awaitUntil { engine.load().unwrap().versions.any { !it.loading } }
         expectThat(engine.generate(request("b", emptyList())).toList().last()).isA<EngineEvent.Final>()
     }
@@ -131,7 +131,7 @@
         awaitRunning(client(port))
         setFaults(port, EngineFaults(silenceOpenConnections = true))
         val failure = running.await().exceptionOrNull() as FailureException
-        expectThat(failure.failure).isA<BackEndFailure.Silent>()
+        expectThat(failure.failure).isA<EndpointFailure.Silent>()
         expectThat(client(port).generate(request("b", emptyList())).toList().last()).isA<EngineEvent.Final>()
     }
 
@@ -201,7 +201,7 @@
     )
 
     private fun order(id: String, fencing: Long) =
-        EngineOrder(id, fencing, WantedState.Loaded(ModelId("leaf"), WeightVersion("2")))
+        EngineOrder(id, fencing, DesiredState.Loaded(ModelId("leaf"), WeightVersion("2")))
 
     private suspend fun awaitRunning(engine: VertxEngineClient) {
         awaitUntil { engine.load().unwrap().running > 0 }
