--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/EngineClient.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/EngineClient.kt
@@ -5,18 +5,19 @@
 import org.parsleymoor.core.AttemptId
 
 /**
- * An engine at one address. Another engine is fitted by another implementation; `docs/engine-protocol.md` lists the
- * calls. Every function suspends until the engine has answered or its time is up.
+ * Client of an inference engine at one address. `docs/engine-protocol.md` lists the calls; another kind of engine needs
+ * another implementation. Every function suspends until the engine responds or the call times out.
  */
 public interface EngineClient : CacheClient {
     /**
      * Starts [request] and returns its events in order of arrival. The flow fails with a
-     * [org.parsleymoor.core.FailureException] that carries a [EndpointFailure] when the stream breaks, stays silent for
-     * [silenceMillis] or ends with no final event. Cancelling the collection closes the connection.
+     * [org.parsleymoor.core.FailureException] that carries an [EndpointFailure] if the connection fails, nothing
+     * arrives for [silenceMillis] or the stream ends without a final event. Cancelling the collection resets the
+     * request.
      */
     public fun generate(request: GenerateRequest, silenceMillis: Long = DEFAULT_SILENCE_MILLIS): Flow<EngineEvent>
 
-    /** Asks the engine to stop [attempt]; an attempt that it does not know is no failure. */
+    /** Asks the engine to cancel [attempt]; an unknown attempt is not a failure. */
     public suspend fun cancel(attempt: AttemptId): Result<Unit, EndpointFailure>
 
     /** Reads the load report. */
@@ -28,11 +29,11 @@
     /** Copies blocks from a store to the engine. */
     public suspend fun import(transfer: TransferRequest): Result<TransferResult, EndpointFailure>
 
-    /** Gives an order. */
+    /** Sends an order and returns the resulting load report. */
     public suspend fun order(order: EngineOrder): Result<EngineLoad, EndpointFailure>
 
     public companion object {
-        /** Time without an event after which a stream counts as silent. */
+        /** Time without an event after which a stream fails with [EndpointFailure.Silent]. */
         public const val DEFAULT_SILENCE_MILLIS: Long = 5_000
     }
 }
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/EngineWire.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/EngineWire.kt
@@ -12,10 +12,10 @@
 import org.parsleymoor.core.WeightVersion
 
 /**
- * Asks an engine to generate. [pieces] are the chained hashes of the prompt's full pieces, in order, in lower-case
- * hexadecimal; [prompt] is the whole text. [resumeAfterTokens] is the number of tokens that the caller already has,
- * whose text is [resumeText]; the engine's first token follows them.
- * [traceParent] travels in the `traceparent` header.
+ * A request to generate a completion of [prompt]. [pieces] are the chained hashes, in lower-case hexadecimal, of the
+ * prompt's full pieces (blocks of fixed length) in order. To resume an interrupted generation, [resumeAfterTokens] is
+ * the number of tokens already received and [resumeText] their text; generation continues after them. [traceParent] is
+ * sent as the `traceparent` header.
  */
 @Serializable
 public data class GenerateRequest(
@@ -35,13 +35,13 @@
     public val traceParent: String = "",
 )
 
-/** One line of an engine's answer stream, in newline-delimited JSON. */
+/** One line of an engine's response stream of newline-delimited JSON. */
 @Serializable
 public sealed interface EngineEvent {
     /** The attempt that the line belongs to. */
     public val attempt: AttemptId
 
-    /** First line: [startCount] counts the engine's starts, [cachedPieces] the leading pieces found in its memory. */
+    /** First line. [startCount] counts the engine's starts; [cachedPieces] of the leading pieces were in its cache. */
     @Serializable
     @SerialName("start")
     public data class Started(
@@ -52,7 +52,7 @@
         public val recomputedPieces: Int,
     ) : EngineEvent
 
-    /** A token's [text]; [sequence] counts from 0 within the attempt. */
+    /** A generated token; [sequence] starts at 0 for each attempt. */
     @Serializable
     @SerialName("token")
     public data class Token(
@@ -61,7 +61,7 @@
         public val text: String,
     ) : EngineEvent
 
-    /** Last line: [tokens] is the number of token lines of this attempt. */
+    /** Last line. [tokens] is the number of tokens sent in this attempt. */
     @Serializable
     @SerialName("final")
     public data class Final(
@@ -71,11 +71,11 @@
     ) : EngineEvent
 }
 
-/** Why an engine refused a request before running it. */
+/** Why an engine refused a request without running it. */
 @Serializable
 public enum class EngineRefusalReason { COLD, FULL, VERSION_NOT_LOADED, BAD_REQUEST, STALE_FENCING, STOPPING }
 
-/** Body of an engine's refusal; the request was not run. */
+/** Body of an engine's refusal of a request that it did not run. */
 @Serializable
 public data class EngineRefusal(
     public val reason: EngineRefusalReason,
@@ -83,7 +83,7 @@
     public val retryAfterMillis: Long = 0,
 )
 
-/** An engine's load report, taken at [reportedAtMillis] on the engine's own clock and older than that when read. */
+/** Load report of an engine, created at [reportedAtMillis] on the engine's clock. */
 @Serializable
 public data class EngineLoad(
     public val endpoint: EndpointId,
@@ -99,7 +99,7 @@
     public val reportedAtMillis: Long,
 )
 
-/** A model version that an engine holds; [loading] until its weights are complete. */
+/** A model version on an engine; [loading] is true until its weights are fully loaded. */
 @Serializable
 public data class LoadedVersion(
     public val model: ModelId,
@@ -108,15 +108,15 @@
     public val adapters: List<AdapterId> = emptyList(),
 )
 
-/** What happened to a block in an engine's or a store's cache. */
+/** What happened to a block in the cache of an engine or a store. */
 @Serializable
 public enum class CacheEventKind { STORED, EVICTED }
 
-/** The tier of a store that a block lies in; an engine has one tier and reports [MEMORY]. */
+/** The storage tier of a block; an engine has one tier and reports [MEMORY]. */
 @Serializable
 public enum class BlockTier { MEMORY, DISK }
 
-/** One change of a cache; [sequence] rises by one for each event of one start of the source. */
+/** One change of a cache. [sequence] increases by one per event and restarts with the source. */
 @Serializable
 public data class CacheEvent(
     public val sequence: Long,
@@ -127,7 +127,10 @@
     public val tier: BlockTier = BlockTier.MEMORY,
 )
 
-/** Events after the sequence asked for; [oldestSequence] above that plus one means that events were dropped. */
+/**
+ * The events after a requested sequence number. Events were dropped if [oldestSequence] is greater than that number
+ * plus one.
+ */
 @Serializable
 public data class CacheEvents(
     public val startCount: Long,
@@ -136,7 +139,7 @@
     public val events: List<CacheEvent>,
 )
 
-/** The whole content of a cache as of [sequence]. */
+/** All blocks of a cache as of the event [sequence]. */
 @Serializable
 public data class CacheSnapshot(
     public val startCount: Long,
@@ -144,7 +147,6 @@
     public val blocks: List<CachedBlock>,
 )
 
-/** One block of a cache. */
 @Serializable
 public data class CachedBlock(
     public val piece: String,
@@ -153,15 +155,15 @@
     public val tier: BlockTier = BlockTier.MEMORY,
 )
 
-/** Copies the blocks of [pieces] between the engine and the store at [storeAddress]. */
+/** A request to copy the blocks of [pieces] between the engine and the store at [storeAddress]. */
 @Serializable
 public data class TransferRequest(public val storeAddress: String, public val pieces: List<TransferPiece>)
 
-/** A piece to copy; [generation] is the store's generation on import and is chosen by the store on export. */
+/** A block to copy. On import, [generation] is the one in the store; on export, the store assigns it. */
 @Serializable
 public data class TransferPiece(public val piece: String, public val generation: Long = 0)
 
-/** The pieces that were copied whole and those that were not, each with the generation that it has now. */
+/** The blocks that were copied completely, with their generation in the target, and those that were not. */
 @Serializable
 public data class TransferResult(
     public val copied: List<TransferPiece>,
@@ -169,7 +171,7 @@
     public val bytes: Long,
 )
 
-/** An idempotent order: the engine reaches [wanted] or refuses. [fencing] is the lease's fencing number. */
+/** An idempotent order to reach the state [wanted]. [fencing] is the fencing token of the sender's lease. */
 @Serializable
 public data class EngineOrder(
     public val order: String,
@@ -177,25 +179,25 @@
     public val wanted: DesiredState,
 )
 
-/** The state an order asks for. */
+/** The state that an order asks an engine to reach. */
 @Serializable
 public sealed interface DesiredState {
-    /** The engine holds [version] of [model]. */
+    /** The engine has [version] of [model] loaded. */
     @Serializable
     @SerialName("loaded")
     public data class Loaded(public val model: ModelId, public val version: WeightVersion) : DesiredState
 
-    /** The engine no longer holds [version] of [model]. */
+    /** The engine does not have [version] of [model] loaded. */
     @Serializable
     @SerialName("unloaded")
     public data class Unloaded(public val model: ModelId, public val version: WeightVersion) : DesiredState
 
-    /** The engine holds [adapter] for [model]. */
+    /** The engine has [adapter] of [model] loaded. */
     @Serializable
     @SerialName("adapter")
     public data class AdapterLoaded(public val model: ModelId, public val adapter: AdapterId) : DesiredState
 
-    /** The engine works in [role], for example `serve` or `prefill`. */
+    /** The engine runs in [role], for example `serve` or `prefill`. */
     @Serializable
     @SerialName("role")
     public data class Role(public val role: String) : DesiredState
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/HttpAddress.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/HttpAddress.kt
@@ -1,12 +1,12 @@
 package org.parsleymoor.clients
 
-/** A host and port; [text] is `host:port`. */
+/** A host and a port. */
 public data class HttpAddress(public val host: String, public val port: Int) {
     /** The address as `host:port`. */
     public val text: String get() = "$host:$port"
 
     public companion object {
-        /** Parses `host:port`; throws [IllegalArgumentException] for other text. */
+        /** Parses `host:port`; throws [IllegalArgumentException] if [text] has another form. */
         public fun parse(text: String): HttpAddress {
             val port = text.substringAfterLast(':', "").toIntOrNull()
             require(port != null && port in PORTS) { "expected host:port, found \"$text\"" }
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/HttpExchanges.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/HttpExchanges.kt
@@ -13,31 +13,34 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import java.net.HttpURLConnection
 
-/** A whole answer of any status. */
+/** A complete response of any status. */
 internal class BufferedResponse(val status: Int, val headers: MultiMap, val body: Buffer) {
     val text: String get() = body.toString()
 }
 
-/** A request to be sent; [path] starts with a slash and holds the query. */
+/** A request to be sent. [path] starts with a slash and includes the query. */
 internal class OutgoingRequest(
     val method: HttpMethod,
     val path: String,
     val body: Buffer? = null,
     val headers: MultiMap = MultiMap.caseInsensitiveMultiMap(),
 ) {
-    fun to(address: HttpAddress): RequestOptions = RequestOptions().setHost(address.host).setPort(address.port)
+    fun optionsFor(address: HttpAddress): RequestOptions = RequestOptions().setHost(address.host).setPort(address.port)
         .setMethod(method).setURI(path).setHeaders(headers)
 }
 
-/** Whole exchanges with one address; each ends within [timeoutMillis]. */
+/**
+ * Sends requests to one address and buffers the responses. Opening the connection and the exchange on it each time out
+ * after [timeoutMillis].
+ */
 internal class HttpExchanges(
     private val http: HttpClient,
     private val address: HttpAddress,
     private val timeoutMillis: Long,
 ) {
     /**
-     * Sends [outgoing]. A time-out before a connection is made is [EndpointFailure.NotConnected]; a later one closes
-     * the connection and is [EndpointFailure.Silent].
+     * Sends [outgoing]. A timeout while connecting is [EndpointFailure.NotConnected]; a timeout after that is
+     * [EndpointFailure.Silent] and resets the request.
      */
     suspend fun send(outgoing: OutgoingRequest): Result<BufferedResponse, EndpointFailure> {
         val opened = withTimeoutOrNull(timeoutMillis) {
@@ -49,28 +52,28 @@
     private suspend fun exchange(request: HttpClientRequest, body: Buffer?): Result<BufferedResponse, EndpointFailure> {
         var finished = false
         try {
-            val answer = withTimeoutOrNull(timeoutMillis) { answer(request, body) }
+            val outcome = withTimeoutOrNull(timeoutMillis) { execute(request, body) }
                 ?: return Err(EndpointFailure.Silent(address.text, timeoutMillis))
             finished = true
-            return answer
+            return outcome
         } finally {
             if (!finished) request.reset()
         }
     }
 
-    private suspend fun answer(request: HttpClientRequest, body: Buffer?): Result<BufferedResponse, EndpointFailure> {
-        // Asked for before the request is sent, the body is read on the connection's thread; asked for later, from
-        // another thread, it may miss the chunks that came first.
-        val answer = request.response().compose { response ->
+    private suspend fun execute(request: HttpClientRequest, body: Buffer?): Result<BufferedResponse, EndpointFailure> {
+        // The body handler is registered on the connection's event loop before the request is sent. Registered later
+        // from another thread, it could miss the first chunks.
+        val buffered = request.response().compose { response ->
             response.body().map { BufferedResponse(response.statusCode(), response.headers(), it) }
         }
         if (body == null) request.send() else request.send(body)
-        return answer.awaitOr { EndpointFailure.Broken(address.text, it) }
+        return buffered.awaitResult { EndpointFailure.Broken(address.text, it) }
     }
 }
 
-private val SUCCESS = HttpURLConnection.HTTP_OK until HttpURLConnection.HTTP_MULT_CHOICE
+private val SUCCESS_STATUSES = HttpURLConnection.HTTP_OK until HttpURLConnection.HTTP_MULT_CHOICE
 
-/** Returns the body of a successful answer, or the refusal that it carries. */
+/** Returns the body of a successful response, or the failure that the response describes. */
 internal fun BufferedResponse.successText(address: HttpAddress): Result<String, EndpointFailure> =
-    if (status in SUCCESS) Ok(text) else Err(refusalOf(address, status, text))
+    if (status in SUCCESS_STATUSES) Ok(text) else Err(refusalOf(address, status, text))
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/JsonCalls.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/JsonCalls.kt
@@ -10,7 +10,7 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.serializer
 
-/** Calls with a JSON body and a JSON answer to one address. */
+/** Sends JSON requests to one address and decodes the JSON responses. */
 internal class JsonCalls(private val exchanges: () -> HttpExchanges, private val address: HttpAddress) {
     suspend inline fun <reified T> get(path: String): Result<T, EndpointFailure> =
         send(HttpMethod.GET, path).andThen { decode(serializer<T>(), it) }
@@ -27,11 +27,11 @@
         Ok(WireJson.decodeFromString(serializer, text))
     } catch (cause: SerializationException) {
         val expected = serializer.descriptor.serialName.substringAfterLast('.')
-        Err(EndpointFailure.Malformed(address.text, expected, cause.message ?: "an unreadable body"))
+        Err(EndpointFailure.Malformed(address.text, expected, cause.message ?: "a body that is not valid JSON"))
     }
 }
 
-/** Reads the body of a refusal; a body of another form is [EndpointFailure.Malformed]. */
+/** Decodes the body of an error response; one that is not an [EngineRefusal] is [EndpointFailure.Malformed]. */
 internal fun refusalOf(address: HttpAddress, status: Int, text: String): EndpointFailure = try {
     EndpointFailure.Refused(address.text, WireJson.decodeFromString(EngineRefusal.serializer(), text))
 } catch (cause: SerializationException) {
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/JsonLines.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/JsonLines.kt
@@ -14,16 +14,19 @@
 import kotlinx.serialization.SerializationException
 import org.parsleymoor.core.FailureException
 
-/** Answers in newline-delimited JSON; the connection, the head and each line have to arrive within [silenceMillis]. */
+/**
+ * Streams responses in newline-delimited JSON. Connecting, the response head and each line time out after
+ * [silenceMillis].
+ */
 internal class JsonLines(
     private val http: HttpClient,
     private val address: HttpAddress,
     private val silenceMillis: Long,
 ) {
     /**
-     * Sends [outgoing] and emits each line of the answer until [isLast] accepts one. The flow fails with a
-     * [FailureException] that carries a [EndpointFailure], also when the answer ends before the last line. A collection
-     * that stops early closes the connection, so that the sender stops too.
+     * Sends [outgoing] and emits each line of the response up to the first that [isLast] accepts. The flow fails with a
+     * [FailureException] that carries an [EndpointFailure], also if the response ends before that line. Cancelling the
+     * collection resets the request, so that the server stops sending.
      */
     fun <T> read(
         outgoing: OutgoingRequest,
@@ -33,15 +36,15 @@
         val request = open(outgoing)
         var finished = false
         try {
-            val response = response(request, outgoing.body)
+            val response = awaitResponse(request, outgoing.body)
             finished = response.statusCode() != HTTP_OK
-            if (finished) throw refused(response)
+            if (finished) throw refusalFailure(response)
             val lines = LineQueue(response, MAXIMUM_LINE_BYTES)
             do {
                 val item = decode(nextLine(lines), serializer)
                 emit(item)
             } while (!isLast(item))
-            finished = withTimeoutOrNull(END_MILLIS) { lines.next() }?.isClosed ?: false
+            finished = withTimeoutOrNull(END_OF_BODY_TIMEOUT_MILLIS) { lines.next() }?.isClosed ?: false
         } finally {
             if (!finished) request.reset()
         }
@@ -54,13 +57,13 @@
         return outcome.getOrElse { throw FailureException(it) }
     }
 
-    private suspend fun response(request: HttpClientRequest, body: Buffer?): HttpClientResponse {
-        // The response is paused on its event loop before any byte of its body can be delivered.
-        val arrived = (if (body == null) request.send() else request.send(body)).map { it.apply { pause() } }
-        return await(arrived)
+    private suspend fun awaitResponse(request: HttpClientRequest, body: Buffer?): HttpClientResponse {
+        // Pausing on the event loop takes effect before any part of the body is delivered.
+        val pending = (if (body == null) request.send() else request.send(body)).map { it.apply { pause() } }
+        return await(pending)
     }
 
-    private suspend fun refused(response: HttpClientResponse): FailureException {
+    private suspend fun refusalFailure(response: HttpClientResponse): FailureException {
         val body = response.body()
         response.resume()
         return FailureException(refusalOf(address, response.statusCode(), await(body).toString()))
@@ -68,7 +71,7 @@
 
     private suspend fun <T> await(future: Future<T>): T {
         val outcome = withTimeoutOrNull(silenceMillis) {
-            future.awaitOr { EndpointFailure.Broken(address.text, it) }
+            future.awaitResult { EndpointFailure.Broken(address.text, it) }
         } ?: Err(EndpointFailure.Silent(address.text, silenceMillis))
         return outcome.getOrElse { throw FailureException(it) }
     }
@@ -85,7 +88,7 @@
     } catch (cause: SerializationException) {
         val expected = serializer.descriptor.serialName.substringAfterLast('.')
         throw FailureException(
-            EndpointFailure.Malformed(address.text, expected, cause.message ?: "an unreadable line"),
+            EndpointFailure.Malformed(address.text, expected, cause.message ?: "a line that is not valid JSON"),
             cause,
         )
     }
@@ -93,8 +96,8 @@
     private companion object {
         const val HTTP_OK = 200
 
-        // A pooled connection is used again only after the end of the answer; a sender that delays it is cut off.
-        const val END_MILLIS = 200L
+        // A pooled connection can be reused only once the response has ended; a connection that delays this is closed.
+        const val END_OF_BODY_TIMEOUT_MILLIS = 200L
         const val MAXIMUM_LINE_BYTES = 1_048_576
     }
 }
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/LineQueue.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/LineQueue.kt
@@ -8,16 +8,17 @@
 import java.util.concurrent.atomic.AtomicInteger
 
 /**
- * The lines of a paused [response], which is resumed here and paused again while many lines wait. The parser itself is
- * never paused: a paused parser reports its end before the lines that it still holds, and these were lost.
+ * Splits a paused [response] into lines with backpressure: resumes the response and pauses it while many lines are
+ * queued. The parser itself is never paused, because a paused parser signals the end before it delivers its buffered
+ * lines, which would then be lost.
  */
 internal class LineQueue(private val response: HttpClientResponse, maximumLineBytes: Int) {
     private val lines = Channel<Buffer>(Channel.UNLIMITED)
-    private val waiting = AtomicInteger()
+    private val queuedLines = AtomicInteger()
 
     init {
         val parser = RecordParser.newDelimited("\n").maxRecordSize(maximumLineBytes)
-        parser.handler { arrived(it) }
+        parser.handler { enqueue(it) }
         parser.exceptionHandler { lines.close(it) }
         response.exceptionHandler { lines.close(it) }
         response.endHandler { lines.close() }
@@ -25,21 +26,21 @@
         response.resume()
     }
 
-    /** Suspends until the next line; the result is closed after the last one. */
+    /** Returns the next line, or a closed result after the last one. */
     suspend fun next(): ChannelResult<Buffer> = lines.receiveCatching().also {
-        if (it.isSuccess && waiting.decrementAndGet() == RESUME_AT) response.resume()
+        if (it.isSuccess && queuedLines.decrementAndGet() == RESUME_AT_LINES) response.resume()
     }
 
-    private fun arrived(line: Buffer) {
+    private fun enqueue(line: Buffer) {
         lines.trySend(line)
-        if (waiting.incrementAndGet() < PAUSE_AT) return
+        if (queuedLines.incrementAndGet() < PAUSE_AT_LINES) return
         response.pause()
-        // The reader may have taken the lines since they were counted, and then nothing else resumes the response.
-        if (waiting.get() < PAUSE_AT) response.resume()
+        // The reader may have drained the queue before the pause, in which case only this check resumes the response.
+        if (queuedLines.get() < PAUSE_AT_LINES) response.resume()
     }
 
     private companion object {
-        const val PAUSE_AT = 256
-        const val RESUME_AT = 64
+        const val PAUSE_AT_LINES = 256
+        const val RESUME_AT_LINES = 64
     }
 }
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/OperationsWire.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/OperationsWire.kt
@@ -7,7 +7,7 @@
 import org.parsleymoor.core.RequestId
 import org.parsleymoor.core.ZoneId
 
-/** The answer of a gateway to `GET /status`. [revision] is the configuration in effect there, 0 for none. */
+/** Response to `GET /status`. [revision] is the revision of the configuration in effect, or 0 if there is none. */
 @Serializable
 public data class GatewayStatus(
     public val instance: InstanceId,
@@ -22,11 +22,11 @@
     public val rollouts: List<RolloutStatus> = emptyList(),
 )
 
-/** The requests of a model that one gateway holds now. */
+/** The current requests for a model on one gateway. */
 @Serializable
 public data class ModelTraffic(public val model: ModelId, public val running: Int, public val queued: Int)
 
-/** What a gateway knows of an endpoint; [reportAgeMillis] is the age of the load report behind it. */
+/** A gateway's view of an endpoint, from a load report that is [reportAgeMillis] old. */
 @Serializable
 public data class EndpointStatus(
     public val endpoint: EndpointId,
@@ -38,19 +38,19 @@
     public val reportAgeMillis: Long = 0,
 )
 
-/** The body of `POST /configuration`: a root and the texts of its sections by content hash, all as JSON text. */
+/** Body of `POST /configuration`: the root as JSON text and the JSON texts of its sections by content hash. */
 @Serializable
 public data class ConfigurationOffer(public val root: String, public val sections: Map<String, String>)
 
-/** The answer to [ConfigurationOffer]: the revision in effect after it, which is never lower than before. */
+/** Response to a [ConfigurationOffer]: the revision now in effect, which never decreases. */
 @Serializable
 public data class ConfigurationInEffect(public val instance: InstanceId, public val revision: Long)
 
-/** The answer to `GET /requests/{id}`: what one gateway did with a request, in order. */
+/** Response to `GET /requests/{id}`: the steps of a request on one gateway, in order. */
 @Serializable
 public data class RequestHistory(public val request: RequestId, public val steps: List<RequestStep>)
 
-/** A step of a request. [subject] is what was chosen or refused, such as an endpoint; [reason] says why. */
+/** A step of a request. [subject] is what the step is about, such as an endpoint; [reason] explains it. */
 @Serializable
 public data class RequestStep(
     public val atMillis: Long,
@@ -60,7 +60,7 @@
     public val reason: String,
 )
 
-/** What happened to a request in a [RequestStep]. */
+/** The kind of a [RequestStep]. */
 @Serializable
 public enum class RequestStepKind {
     RECEIVED,
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/OrderStatus.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/OrderStatus.kt
@@ -8,10 +8,10 @@
 /** Whether a gateway may send orders to engines. */
 @Serializable
 public enum class OrderLeaseState {
-    /** Another gateway or none holds the lease on orders. */
+    /** This gateway does not hold the lease for sending orders. */
     NOT_HELD,
 
-    /** The gateway holds the lease and waits until orders of the holder before it can no longer arrive. */
+    /** The gateway holds the lease and waits until orders of the previous holder can no longer arrive. */
     WAITING,
 
     /** The gateway holds the lease and sends orders. */
@@ -19,8 +19,8 @@
 }
 
 /**
- * What a gateway says of its orders to engines. The lease can be used for [remainingMillis] unless it is renewed;
- * [unfinished] engines do not hold yet what the configuration wants, empty without the lease.
+ * A gateway's status as a sender of orders to engines. The lease expires after [remainingMillis] unless it is renewed.
+ * The [unfinished] engines have not reached their configured state; the list is empty without the lease.
  */
 @Serializable
 public data class OrderStatus(
@@ -30,7 +30,7 @@
     public val unfinished: List<EndpointId> = emptyList(),
 )
 
-/** How far a rollout is according to the load reports of one gateway: of [engines], these hold or load its version. */
+/** Progress of a rollout to [engines] engines, according to the load reports that one gateway received. */
 @Serializable
 public data class RolloutStatus(
     public val name: String,
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/PlatformClient.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/PlatformClient.kt
@@ -8,7 +8,7 @@
 import org.parsleymoor.core.InstanceId
 import org.parsleymoor.core.ZoneId
 
-/** The platform's object service and instance list. Every function suspends until an answer or [PlatformFailure]. */
+/** Client of the platform's object service and instance list. */
 public interface PlatformClient {
     /** Reads an object, or null when there is none. */
     public suspend fun read(kind: String, name: String): Result<StoredObject?, PlatformFailure>
@@ -17,8 +17,8 @@
     public suspend fun list(kind: String): Result<List<StoredObject>, PlatformFailure>
 
     /**
-     * Writes [value] when the object's version is [expectedVersion] (0: it does not exist) and returns its new
-     * version. [writeId] is kept with the object, so that a write whose answer was lost is recognised on reading back.
+     * Writes [value] if the object's version is [expectedVersion] (0 if it must not exist) and returns the new version.
+     * The object stores [writeId], so that a caller that lost the response can read back whether its write succeeded.
      */
     public suspend fun write(
         kind: String,
@@ -28,20 +28,20 @@
         writeId: String,
     ): Result<Long, PlatformFailure>
 
-    /** Deletes an object when its version is [expectedVersion]. */
+    /** Deletes an object if its version is [expectedVersion]. */
     public suspend fun delete(kind: String, name: String, expectedVersion: Long): Result<Unit, PlatformFailure>
 
     /**
-     * Watches a kind for changes after [revision]. Heartbeats arrive as [WatchEvent.Heartbeat]; the flow fails with a
-     * [org.parsleymoor.core.FailureException] when nothing arrives for [silenceMillis].
+     * Watches the objects of a kind for changes after [revision]. The flow fails with a
+     * [org.parsleymoor.core.FailureException] if neither an event nor a heartbeat arrives within [silenceMillis].
      */
     public fun watch(kind: String, revision: Long, silenceMillis: Long = 3_000): Flow<WatchEvent>
 
-    /** Reads the list of instances, which lags behind what runs. */
+    /** Reads the list of instances, which may be out of date. */
     public suspend fun instances(): Result<List<ListedInstance>, PlatformFailure>
 }
 
-/** An object of the platform; [revision] is the platform-wide revision of its last change. */
+/** An object in the platform's object service; [revision] is the platform-wide revision of its last change. */
 @Serializable
 public data class StoredObject(
     public val kind: String,
@@ -52,7 +52,7 @@
     public val value: String,
 )
 
-/** What a watch reports. */
+/** An event of a watch. */
 @Serializable
 public sealed interface WatchEvent {
     /** An object was created or changed. */
@@ -65,15 +65,15 @@
     @SerialName("deleted")
     public data class Deleted(public val kind: String, public val name: String, public val revision: Long) : WatchEvent
 
-    /** Nothing changed; the watch is alive and complete up to [revision]. */
+    /** Keep-alive: every change up to [revision] has been sent. */
     @Serializable
     @SerialName("heartbeat")
     public data class Heartbeat(public val revision: Long) : WatchEvent
 }
 
 /**
- * An entry of the platform's instance list; [peerAddress] is `host:port` of the gateway's peer socket and
- * [operationsAddress] that of its operations port, empty when the platform does not list it.
+ * An entry of the platform's instance list. [peerAddress] and [operationsAddress] are the `host:port` of the gateway's
+ * peer and operations ports; [operationsAddress] is empty if the platform does not list it.
  */
 @Serializable
 public data class ListedInstance(
@@ -86,7 +86,7 @@
 
 /** Why a call to the platform failed. */
 public sealed interface PlatformFailure : Failure {
-    /** The object has another version; [current] is what is there now, null when there is no object. */
+    /** The object has another version; [current] is the stored object, or null if there is none. */
     public data class Conflict(
         public val expectedVersion: Long,
         public val current: StoredObject?,
@@ -95,16 +95,16 @@
             get() = "expected version $expectedVersion, found ${current?.version ?: 0}"
     }
 
-    /** No answer. When [mayHaveTakenEffect], the caller reads back by its write id before it goes on. */
+    /** No usable response. If [mayHaveTakenEffect], the caller reads the object back to look for its write id. */
     public data class Unavailable(
         public val cause: String,
         public val mayHaveTakenEffect: Boolean,
     ) : PlatformFailure {
         override val message: String
-            get() = "the platform's object service did not answer: $cause"
+            get() = "the platform's object service is unavailable: $cause"
     }
 
-    /** The call or its answer does not follow the protocol, for example a value over one megabyte. */
+    /** The request or its response violates the protocol, for example a value over the size limit. */
     public data class Rejected(public val expected: String, public val found: String) : PlatformFailure {
         override val message: String get() = "expected $expected, found $found"
     }
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/ReplaceablePool.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/ReplaceablePool.kt
@@ -8,8 +8,8 @@
 import java.util.concurrent.atomic.AtomicReference
 
 /**
- * A connection pool that can be replaced when its open connections have gone silent. A replaced pool finishes the
- * exchanges in flight and then closes.
+ * An HTTP connection pool that can be replaced if its connections stop responding. The old pool closes once its
+ * exchanges in flight are complete.
  */
 internal class ReplaceablePool(private val vertx: Vertx, private val size: Int) : AutoCloseable {
     private val pool = AtomicReference(create())
@@ -17,15 +17,15 @@
     /** The pool for the next exchange. */
     val current: HttpClient get() = pool.get()
 
-    /** Replaces [silent] unless another caller has done so. */
-    fun renew(silent: HttpClient) {
-        val fresh = create()
-        val replaced = if (pool.compareAndSet(silent, fresh)) silent else fresh
-        replaced.shutdown(DRAIN_MINUTES, TimeUnit.MINUTES)
+    /** Replaces [unresponsive] unless another caller has already replaced it. */
+    fun replace(unresponsive: HttpClient) {
+        val replacement = create()
+        val retired = if (pool.compareAndSet(unresponsive, replacement)) unresponsive else replacement
+        retired.shutdown(DRAIN_MINUTES, TimeUnit.MINUTES)
     }
 
     override fun close() {
-        // An endpoint that is no longer declared finishes the exchanges that run there.
+        // Exchanges with an endpoint that was removed from the configuration may still complete.
         pool.get().shutdown(DRAIN_MINUTES, TimeUnit.MINUTES)
     }
 
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/ServiceClient.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/ServiceClient.kt
@@ -2,11 +2,11 @@
 
 import com.github.michaelbull.result.Result
 
-/** A plain service (application replica) at one address. */
+/** Client of an application replica at one address. */
 public interface ServiceClient {
     /**
-     * Sends [call] and suspends until its answer, whatever its status, or until [timeoutMillis] have passed. A
-     * [EndpointFailure.Refused] is a `503` problem document whose `execution` member is `not_run`.
+     * Sends [call] and returns its response, whatever its status; times out after [timeoutMillis]. A `503` problem
+     * document whose `execution` member is `not_run` is returned as [EndpointFailure.Refused].
      */
     public suspend fun call(
         call: ServiceCall,
@@ -14,17 +14,17 @@
     ): Result<ServiceCallResponse, EndpointFailure>
 
     public companion object {
-        /** Time after which a call without an answer counts as silent. */
+        /** Default timeout of a call. */
         public const val DEFAULT_TIMEOUT_MILLIS: Long = 30_000
     }
 }
 
-/** One header field. */
+/** An HTTP header field. */
 public data class HeaderField(public val name: String, public val value: String)
 
 /**
- * A call to a plain service. [path] starts with a slash and holds the query. A call that is not [repeatable] gets a
- * connection of its own, because a pooled connection that the peer is closing makes the outcome unknown.
+ * A call to an application replica. [path] starts with a slash and includes the query. A call that is not [repeatable]
+ * uses a new connection: if the server closes a pooled connection during the call, the outcome is unknown.
  */
 public class ServiceCall(
     public val method: String,
@@ -34,7 +34,7 @@
     public val repeatable: Boolean = false,
 )
 
-/** The answer of a plain service. */
+/** The response of an application replica. */
 public class ServiceCallResponse(
     public val status: Int,
     public val headers: List<HeaderField>,
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/VertxEngineClient.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/VertxEngineClient.kt
@@ -15,8 +15,8 @@
 import org.parsleymoor.core.FailureException
 
 /**
- * [EngineClient] over HTTP with newline-delimited JSON streams. Owns a connection pool of [poolSize] connections and
- * replaces it after a silent stream, because open connections can go silent while new ones work.
+ * [EngineClient] over HTTP with newline-delimited JSON streams. It owns a pool of at most [poolSize] connections and
+ * replaces it after a stream timed out, because existing connections can stop responding while new ones work.
  */
 public class VertxEngineClient(
     private val vertx: Vertx,
@@ -31,7 +31,7 @@
         val http = pool.current
         emitAll(
             stream(http, request, silenceMillis).catch { cause ->
-                if ((cause as? FailureException)?.failure is EndpointFailure.Silent) pool.renew(http)
+                if ((cause as? FailureException)?.failure is EndpointFailure.Silent) pool.replace(http)
                 throw cause
             }
         )
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/FutureOutcome.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/VertxExtensions.kt
@@ -11,8 +11,8 @@
 import java.io.IOException
 import kotlin.coroutines.cancellation.CancellationException
 
-/** Suspends until the future completes; a connection error becomes the [failure] made from its text. */
-internal suspend fun <T> Future<T>.awaitOr(failure: (String) -> EndpointFailure): Result<T, EndpointFailure> = try {
+/** Awaits the future; an I/O or Vert.x error becomes a [failure], which gets the text of the error. */
+internal suspend fun <T> Future<T>.awaitResult(failure: (String) -> EndpointFailure): Result<T, EndpointFailure> = try {
     Ok(coAwait())
 } catch (cause: IOException) {
     Err(failure(cause.toString()))
@@ -20,12 +20,12 @@
     Err(failure(cause.toString()))
 }
 
-/** Opens a request to [address]; a client that was closed in the meantime makes no connection. */
+/** Opens a request to [address]; a client that is already closed yields [EndpointFailure.NotConnected]. */
 internal suspend fun HttpClient.open(
     outgoing: OutgoingRequest,
     address: HttpAddress,
 ): Result<HttpClientRequest, EndpointFailure> = try {
-    request(outgoing.to(address)).awaitOr { EndpointFailure.NotConnected(address.text, it) }
+    request(outgoing.optionsFor(address)).awaitResult { EndpointFailure.NotConnected(address.text, it) }
 } catch (cause: CancellationException) {
     throw cause
 } catch (cause: IllegalStateException) {
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/VertxOperationsClient.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/VertxOperationsClient.kt
@@ -14,7 +14,7 @@
 import kotlinx.serialization.SerializationException
 import org.parsleymoor.core.RequestId
 
-/** [OperationsClient] over HTTP and JSON; each call ends within [callTimeoutMillis]. */
+/** [OperationsClient] over HTTP and JSON; each call times out after [callTimeoutMillis]. */
 public class VertxOperationsClient(
     vertx: Vertx,
     private val address: HttpAddress,
@@ -45,7 +45,7 @@
     ): Result<T, EndpointFailure> {
         val request = web.request(method, address.port, address.host, path).timeout(callTimeoutMillis)
         val sent = if (body == null) request.send() else request.sendBuffer(Buffer.buffer(body))
-        return sent.awaitOr { EndpointFailure.Broken(address.text, it) }.andThen { decode(it, serializer) }
+        return sent.awaitResult { EndpointFailure.Broken(address.text, it) }.andThen { decode(it, serializer) }
     }
 
     private fun <T> decode(
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/VertxPlatformClient.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/VertxPlatformClient.kt
@@ -15,7 +15,7 @@
 import kotlinx.coroutines.flow.Flow
 import kotlinx.serialization.builtins.ListSerializer
 
-/** [PlatformClient] over HTTP and JSON; each call but a watch ends within [callTimeoutMillis]. */
+/** [PlatformClient] over HTTP and JSON; each call except a watch times out after [callTimeoutMillis]. */
 public class VertxPlatformClient(
     private val vertx: Vertx,
     private val address: HttpAddress,
@@ -29,20 +29,20 @@
     private val exchanges = HttpExchanges(http, address, callTimeoutMillis)
 
     override suspend fun read(kind: String, name: String): Result<StoredObject?, PlatformFailure> =
-        exchange(HttpMethod.GET, objectPath(kind, name)).andThen { answer ->
-            when (answer.status) {
-                PlatformStatusCode.OK -> answer.decode(StoredObject.serializer())
+        exchange(HttpMethod.GET, objectPath(kind, name)).andThen { response ->
+            when (response.status) {
+                PlatformStatusCode.OK -> response.decode(StoredObject.serializer())
                 PlatformStatusCode.NOT_FOUND -> Ok(null)
-                else -> Err(answer.unexpected())
+                else -> Err(response.statusFailure())
             }
         }
 
     override suspend fun list(kind: String): Result<List<StoredObject>, PlatformFailure> =
-        exchange(HttpMethod.GET, "/objects/${encoded(kind)}").andThen { answer ->
-            if (answer.status == PlatformStatusCode.OK) {
-                answer.decode(ListSerializer(StoredObject.serializer()))
+        exchange(HttpMethod.GET, "/objects/${encoded(kind)}").andThen { response ->
+            if (response.status == PlatformStatusCode.OK) {
+                response.decode(ListSerializer(StoredObject.serializer()))
             } else {
-                Err(answer.unexpected())
+                Err(response.statusFailure())
             }
         }
 
@@ -58,21 +58,21 @@
             return Err(PlatformFailure.Rejected("a value of at most $maximumValueBytes bytes", "$bytes bytes"))
         }
         val path = "${objectPath(kind, name)}?expectedVersion=$expectedVersion&writeId=${encoded(writeId)}"
-        return exchange(HttpMethod.PUT, path, value).andThen { answer ->
-            when (answer.status) {
-                PlatformStatusCode.OK -> answer.decode(StoredObject.serializer()).map { it.version }
-                PlatformStatusCode.CONFLICT -> answer.conflict(expectedVersion)
-                else -> Err(answer.unexpected())
+        return exchange(HttpMethod.PUT, path, value).andThen { response ->
+            when (response.status) {
+                PlatformStatusCode.OK -> response.decode(StoredObject.serializer()).map { it.version }
+                PlatformStatusCode.CONFLICT -> response.conflictFailure(expectedVersion)
+                else -> Err(response.statusFailure())
             }
         }
     }
 
     override suspend fun delete(kind: String, name: String, expectedVersion: Long): Result<Unit, PlatformFailure> =
-        exchange(HttpMethod.DELETE, "${objectPath(kind, name)}?expectedVersion=$expectedVersion").andThen { answer ->
-            when (answer.status) {
+        exchange(HttpMethod.DELETE, "${objectPath(kind, name)}?expectedVersion=$expectedVersion").andThen { response ->
+            when (response.status) {
                 PlatformStatusCode.OK, PlatformStatusCode.NO_CONTENT -> Ok(Unit)
-                PlatformStatusCode.CONFLICT -> answer.conflict(expectedVersion)
-                else -> Err(answer.unexpected())
+                PlatformStatusCode.CONFLICT -> response.conflictFailure(expectedVersion)
+                else -> Err(response.statusFailure())
             }
         }
 
@@ -81,11 +81,11 @@
             .read(OutgoingRequest(HttpMethod.GET, "/watch/${encoded(kind)}?after=$revision"), WatchEvent.serializer())
 
     override suspend fun instances(): Result<List<ListedInstance>, PlatformFailure> =
-        exchange(HttpMethod.GET, "/instances").andThen { answer ->
-            if (answer.status == PlatformStatusCode.OK) {
-                answer.decode(ListSerializer(ListedInstance.serializer()))
+        exchange(HttpMethod.GET, "/instances").andThen { response ->
+            if (response.status == PlatformStatusCode.OK) {
+                response.decode(ListSerializer(ListedInstance.serializer()))
             } else {
-                Err(answer.unexpected())
+                Err(response.statusFailure())
             }
         }
 
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/VertxServiceClient.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/VertxServiceClient.kt
@@ -15,42 +15,42 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 
-/** [ServiceClient] over HTTP. */
+/** [ServiceClient] over HTTP. A request that may not be repeated gets its own connection; see [ServiceCall]. */
 public class VertxServiceClient(
     vertx: Vertx,
     private val address: HttpAddress,
     poolSize: Int = DEFAULT_POOL_SIZE,
 ) : ServiceClient, AutoCloseable {
     private val pool = ReplaceablePool(vertx, poolSize)
-    private val single: HttpClient = vertx.createHttpClient(
+    private val unpooled: HttpClient = vertx.createHttpClient(
         HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS).setKeepAlive(false),
         PoolOptions().setHttp1MaxSize(poolSize),
     )
 
     override suspend fun call(call: ServiceCall, timeoutMillis: Long): Result<ServiceCallResponse, EndpointFailure> {
-        val http = if (call.repeatable) pool.current else single
+        val http = if (call.repeatable) pool.current else unpooled
         val headers = MultiMap.caseInsensitiveMultiMap()
         call.headers.forEach { headers.add(it.name, it.value) }
         val body = call.body.takeIf { it.isNotEmpty() }?.let { Buffer.buffer(it) }
         return HttpExchanges(http, address, timeoutMillis)
             .send(OutgoingRequest(HttpMethod.valueOf(call.method), call.path, body, headers))
-            .onFailure { if (call.repeatable && it is EndpointFailure.Silent) pool.renew(http) }
-            .andThen { answerOrRefusal(it) }
+            .onFailure { if (call.repeatable && it is EndpointFailure.Silent) pool.replace(http) }
+            .andThen { responseOrRefusal(it) }
     }
 
     override fun close() {
         pool.close()
-        single.close()
+        unpooled.close()
     }
 
-    private fun answerOrRefusal(answer: BufferedResponse): Result<ServiceCallResponse, EndpointFailure> {
-        val refusal = if (answer.status == UNAVAILABLE) notRun(answer.text) else null
+    private fun responseOrRefusal(response: BufferedResponse): Result<ServiceCallResponse, EndpointFailure> {
+        val refusal = if (response.status == SERVICE_UNAVAILABLE) parseRefusal(response.text) else null
         if (refusal != null) return Err(EndpointFailure.Refused(address.text, refusal))
-        val headers = answer.headers.entries().map { HeaderField(it.key, it.value) }
-        return Ok(ServiceCallResponse(answer.status, headers, answer.body.bytes))
+        val headers = response.headers.entries().map { HeaderField(it.key, it.value) }
+        return Ok(ServiceCallResponse(response.status, headers, response.body.bytes))
     }
 
-    private fun notRun(text: String): EngineRefusal? = try {
+    private fun parseRefusal(text: String): EngineRefusal? = try {
         WireJson.decodeFromString(ServiceRefusal.serializer(), text)
             .takeIf { it.execution == "not_run" }
             ?.let { EngineRefusal(EngineRefusalReason.FULL, it.detail, it.retryAfterMillis) }
@@ -68,6 +68,6 @@
     private companion object {
         const val DEFAULT_POOL_SIZE = 256
         const val CONNECT_TIMEOUT_MILLIS = 1_000
-        const val UNAVAILABLE = 503
+        const val SERVICE_UNAVAILABLE = 503
     }
 }
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/VertxStoreClient.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/VertxStoreClient.kt
@@ -11,7 +11,7 @@
 import io.vertx.core.http.HttpMethod
 import org.parsleymoor.core.sha256Hex
 
-/** [StoreClient] over HTTP; the checksum travels in the `Content-Digest` header in hexadecimal. */
+/** [StoreClient] over HTTP. The `Content-Digest` header carries a block's SHA-256 in hexadecimal. */
 public class VertxStoreClient(
     vertx: Vertx,
     private val address: HttpAddress,
@@ -23,14 +23,14 @@
 
     override suspend fun write(piece: String, generation: Long, bytes: ByteArray): Result<Unit, EndpointFailure> {
         val headers = MultiMap.caseInsensitiveMultiMap().add(CHECKSUM_HEADER, bytes.sha256Hex())
-        val outgoing = OutgoingRequest(HttpMethod.PUT, blockPath(piece, generation), Buffer.buffer(bytes), headers)
-        return exchanges().send(outgoing)
+        val request = OutgoingRequest(HttpMethod.PUT, blockPath(piece, generation), Buffer.buffer(bytes), headers)
+        return exchanges().send(request)
             .andThen { it.successText(address) }.map { }
     }
 
     override suspend fun read(piece: String, generation: Long): Result<ByteArray, EndpointFailure> =
-        exchanges().send(OutgoingRequest(HttpMethod.GET, blockPath(piece, generation))).andThen { answer ->
-            answer.successText(address).andThen { verified(answer) }
+        exchanges().send(OutgoingRequest(HttpMethod.GET, blockPath(piece, generation))).andThen { response ->
+            response.successText(address).andThen { verifyChecksum(response) }
         }
 
     override suspend fun delete(piece: String): Result<Unit, EndpointFailure> =
@@ -52,10 +52,10 @@
         pool.close()
     }
 
-    private fun verified(answer: BufferedResponse): Result<ByteArray, EndpointFailure> {
-        val expected = answer.headers[CHECKSUM_HEADER].orEmpty()
-        val found = answer.body.bytes.sha256Hex()
-        if (expected == found) return Ok(answer.body.bytes)
+    private fun verifyChecksum(response: BufferedResponse): Result<ByteArray, EndpointFailure> {
+        val expected = response.headers[CHECKSUM_HEADER].orEmpty()
+        val found = response.body.bytes.sha256Hex()
+        if (expected == found) return Ok(response.body.bytes)
         return Err(EndpointFailure.Malformed(address.text, "a block with SHA-256 \"$expected\"", found))
     }
 
--- a/libraries/clients/src/main/kotlin/org/parsleymoor/clients/WireJson.kt
+++ b/libraries/clients/src/main/kotlin/org/parsleymoor/clients/WireJson.kt
@@ -2,7 +2,7 @@
 
 import kotlinx.serialization.json.Json
 
-/** The JSON form of every message to and from endpoints and the platform; unknown members are skipped. */
+/** The JSON format of messages to and from endpoints and the platform; unknown members are ignored. */
 public val WireJson: Json = Json {
     ignoreUnknownKeys = true
     encodeDefaults = true
