--- a/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/Configuration.kt
+++ b/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/Configuration.kt
@@ -10,8 +10,8 @@
 import org.parsleymoor.core.ZoneId
 
 /**
- * Everything that operators declare, at one [revision] of the platform. Names are unique within each list; every
- * reference points at a declared item. [DeclarationReader] and [checkConfiguration] enforce both.
+ * Everything that operators declare, at one [revision]. Names are unique within each list and every reference names a
+ * declared item; [DeclarationReader] and [checkConfiguration] enforce both.
  */
 @Serializable
 public data class Configuration(
@@ -38,7 +38,7 @@
     OUT,
 }
 
-/** An availability zone, the region that holds it and its labels. */
+/** An availability zone and its region. */
 @Serializable
 public data class ZoneDeclaration(
     public val name: ZoneId,
@@ -47,7 +47,7 @@
     public val labels: Map<String, String> = emptyMap(),
 )
 
-/** What an endpoint is: a model replica, an application replica or a KV cache store. */
+/** The kind of an endpoint: a model replica (engine), an application replica or a KV cache store. */
 @Serializable
 public enum class EndpointKind {
     @SerialName("engine")
@@ -60,7 +60,7 @@
     STORE,
 }
 
-/** A back end at [address] (`host:port`) in [zone]. */
+/** An endpoint at [address] (`host:port`) in [zone]. */
 @Serializable
 public data class EndpointDeclaration(
     public val name: EndpointId,
@@ -72,8 +72,8 @@
 )
 
 /**
- * An organisation, the SHA-256 digests (lower-case hexadecimal) of its bearer keys, and its [weight] in the fair
- * queue. [priority] is handed to engines; higher goes first.
+ * An organisation, the SHA-256 digests (lower-case hexadecimal) of its bearer keys, and its [weight] in fair
+ * queueing. [priority] is passed to engines; a higher value is served first.
  */
 @Serializable
 public data class OrganisationDeclaration(
@@ -84,7 +84,7 @@
     public val labels: Map<String, String> = emptyMap(),
 )
 
-/** A model, the weight [version] that new requests use and the [selector] of the engines that may serve it. */
+/** A model, the weight [version] for new requests and the [selector] of the engines that may serve it. */
 @Serializable
 public data class ModelDeclaration(
     public val name: ModelId,
@@ -93,7 +93,7 @@
     public val labels: Map<String, String> = emptyMap(),
 )
 
-/** A group of application replicas chosen by [selector]; [repeatable] says that any call may be repeated. */
+/** A group of application replicas chosen by [selector]. If [repeatable], any of its calls may be retried. */
 @Serializable
 public data class ServiceDeclaration(
     public val name: String,
@@ -101,7 +101,7 @@
     public val repeatable: Boolean = false,
 )
 
-/** Bounds that hold for the whole deployment. Counts are requests; sizes are bytes; times are milliseconds. */
+/** Limits of the whole deployment. Counts without a unit in their name are requests. */
 @Serializable
 public data class LimitsDeclaration(
     public val queueLength: Int = 1_000,
@@ -116,7 +116,7 @@
     public val claimRetentionHours: Int = 168,
 )
 
-/** Moves the engines chosen by [selector] to [version] of [model], at most [concurrent] at a time. */
+/** Updates the engines chosen by [selector] to [version] of [model], at most [concurrent] at a time. */
 @Serializable
 public data class RolloutDeclaration(
     public val name: String,
--- a/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/ConfigurationChange.kt
+++ b/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/ConfigurationChange.kt
@@ -9,27 +9,26 @@
 import kotlinx.serialization.json.encodeToJsonElement
 import kotlinx.serialization.json.jsonObject
 
-/** A difference between two configurations in one [item]. */
+/** A difference in one [item] between two configurations. */
 @Serializable
 public sealed interface ConfigurationChange {
-    /** The item that differs. */
     public val item: ItemReference
 
-    /** The item is new. */
+    /** The item was added. */
     @Serializable
     @SerialName("added")
     public data class Added(override val item: ItemReference) : ConfigurationChange {
         override fun toString(): String = "+ $item"
     }
 
-    /** The item is gone. */
+    /** The item was removed. */
     @Serializable
     @SerialName("removed")
     public data class Removed(override val item: ItemReference) : ConfigurationChange {
         override fun toString(): String = "- $item"
     }
 
-    /** Some [fields] of the item have other values. */
+    /** The values of [fields] changed. */
     @Serializable
     @SerialName("changed")
     public data class Changed(
@@ -46,7 +45,7 @@
     override fun toString(): String = "$key $before -> $after"
 }
 
-/** Returns how [after] differs from [before], in the order of kinds and names; revisions are not compared. */
+/** Returns the differences between [before] and [after], ordered by kind and name; revisions are not compared. */
 public fun changesBetween(before: Configuration, after: Configuration): List<ConfigurationChange> {
     val old = before.items()
     val new = after.items()
@@ -63,21 +62,21 @@
 
 private fun fieldChanges(old: JsonObject, new: JsonObject): List<FieldChange> = new.keys
     .filter { old[it] != new[it] }
-    .map { FieldChange(it, shown(old[it]), shown(new[it])) }
+    .map { FieldChange(it, displayText(old[it]), displayText(new[it])) }
 
-private fun shown(value: JsonElement?): String = when {
+private fun displayText(value: JsonElement?): String = when {
     value is JsonPrimitive -> value.content.ifEmpty { "\"\"" }
-    value is JsonObject -> value.entries.joinToString(",", "{", "}") { "${it.key}=${shown(it.value)}" }
+    value is JsonObject -> value.entries.joinToString(",", "{", "}") { "${it.key}=${displayText(it.value)}" }
     else -> value.toString()
 }
 
-private val Values = Json { encodeDefaults = true }
+private val ChangeJson = Json { encodeDefaults = true }
 
 private inline fun <reified T> List<T>.byReference(
     kind: ItemKind,
     name: (T) -> String,
 ): Map<ItemReference, JsonObject> = associate {
-    ItemReference(kind, name(it)) to Values.encodeToJsonElement(it).jsonObject
+    ItemReference(kind, name(it)) to ChangeJson.encodeToJsonElement(it).jsonObject
 }
 
 private fun Configuration.items(): Map<ItemReference, JsonObject> =
--- a/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/ConfigurationCheck.kt
+++ b/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/ConfigurationCheck.kt
@@ -2,7 +2,7 @@
 
 import org.parsleymoor.core.Failure
 
-/** A mistake in a configuration: the [item] at [index] of its list has a wrong value at [key]. */
+/** An error in a configuration: the [item] at [index] of its list has an invalid value at [key]. */
 public data class ConfigurationError(
     public val item: ItemReference,
     public val index: Int,
@@ -13,7 +13,7 @@
     override val message: String get() = "$item: $key: expected $expected, found $found"
 }
 
-/** Returns every mistake of [configuration]; an empty list means that every gateway accepts it. */
+/** Returns all errors in [configuration]; gateways accept it if there are none. */
 public fun checkConfiguration(configuration: Configuration): List<ConfigurationError> {
     val check = ConfigurationCheck()
     checkZones(configuration, check)
@@ -23,18 +23,18 @@
     checkServices(configuration, check)
     checkRollouts(configuration, check)
     checkLimits(configuration, check)
-    return check.mistakes
+    return check.errors
 }
 
-/** Collects the mistakes of a configuration. */
+/** Collects the errors of a configuration. */
 internal class ConfigurationCheck {
-    val mistakes: MutableList<ConfigurationError> = mutableListOf()
+    val errors: MutableList<ConfigurationError> = mutableListOf()
 
-    /** Checks each of [items], and that no two have the same name. */
+    /** Runs [check] on each of [items] and checks that their names are valid and unique. */
     fun <T> each(kind: ItemKind, items: List<T>, name: (T) -> String, check: ItemCheck.(T) -> Unit) {
         val seen = mutableSetOf<String>()
         items.forEachIndexed { index, item ->
-            val itemCheck = ItemCheck(ItemReference(kind, name(item)), index, mistakes)
+            val itemCheck = ItemCheck(ItemReference(kind, name(item)), index, errors)
             itemCheck.name(name(item))
             itemCheck.expect(
                 seen.add(name(item)),
@@ -47,13 +47,13 @@
     }
 }
 
-/** Adds the mistakes of one item. */
+/** Adds the errors of one item. */
 internal class ItemCheck(
     private val item: ItemReference,
     private val index: Int,
-    private val mistakes: MutableList<ConfigurationError>,
+    private val errors: MutableList<ConfigurationError>,
 ) {
     fun expect(valid: Boolean, key: String, found: String, expected: String) {
-        if (!valid) mistakes += ConfigurationError(item, index, key, found, expected)
+        if (!valid) errors += ConfigurationError(item, index, key, found, expected)
     }
 }
--- a/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/ConfigurationPlan.kt
+++ b/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/ConfigurationPlan.kt
@@ -2,10 +2,10 @@
 
 import org.parsleymoor.core.ModelId
 
-/** The requests of [model] that are running or queued now, over all gateways. */
+/** The number of requests for [model] that are running or queued on all gateways. */
 public data class ModelDemand(public val model: ModelId, public val requests: Int)
 
-/** What a change from [before] to [after] does. [dangers] need the operator's confirmation. */
+/** The effects of replacing [before] by [after]. The operator has to confirm the [dangers]. */
 public data class ConfigurationPlan(
     public val before: Configuration,
     public val after: Configuration,
@@ -13,7 +13,7 @@
     public val dangers: List<Danger>,
 ) {
     public companion object {
-        /** Compares two valid configurations; [demand] is today's load, against which capacity is checked. */
+        /** Compares two valid configurations and checks the remaining capacity against the current [demand]. */
         public fun of(
             before: Configuration,
             after: Configuration,
@@ -27,9 +27,9 @@
 }
 
 /**
- * Returns the configuration that the declarations make of [current]: zones and endpoints whose state no file sets keep
- * the state that is in effect, so that an unrelated change does not return what was taken out of service. A rollout
- * in effect stays until the declared version of its model is the one that it moves to.
+ * Returns the result of applying the declarations to [current]. A zone or endpoint whose state is not declared keeps
+ * its current state, so that an unrelated change does not put it back in service. An active rollout that is not
+ * declared stays until its version is the declared version of the model.
  */
 public fun Declarations.appliedTo(current: Configuration): Configuration {
     val zoneStates = current.zones.associate { it.name to it.state }
@@ -41,12 +41,12 @@
     return declared.copy(
         revision = current.revision,
         zones = declared.zones.map {
-            val given = ItemReference(ItemKind.ZONE, it.name.value) in declaredStates
-            if (given) it else it.copy(state = zoneStates[it.name] ?: it.state)
+            val isDeclared = ItemReference(ItemKind.ZONE, it.name.value) in declaredStates
+            if (isDeclared) it else it.copy(state = zoneStates[it.name] ?: it.state)
         },
         endpoints = declared.endpoints.map {
-            val given = ItemReference(ItemKind.ENDPOINT, it.name.value) in declaredStates
-            if (given) it else it.copy(state = endpointStates[it.name] ?: it.state)
+            val isDeclared = ItemReference(ItemKind.ENDPOINT, it.name.value) in declaredStates
+            if (isDeclared) it else it.copy(state = endpointStates[it.name] ?: it.state)
         },
         rollouts = declared.rollouts + kept,
     ).sorted()
--- a/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/ConfigurationSections.kt
+++ b/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/ConfigurationSections.kt
@@ -12,8 +12,9 @@
 import org.parsleymoor.core.sha256Hex
 
 /**
- * The object `configuration/root`. A set of changes takes effect by one conditional update of it. [writeId] recognises
- * the write on reading back. [recent] holds the latest changes, newest first, of which the first made this revision.
+ * The object `configuration/root`. A set of changes takes effect by one conditional update of this object. A writer
+ * that lost the response finds its [writeId] when it reads the object back. [recent] holds the latest changes,
+ * newest first; the first one created this revision.
  */
 @Serializable
 public data class ConfigurationRoot(
@@ -22,23 +23,23 @@
     public val sections: List<SectionReference>,
     public val recent: List<ChangeRecord> = emptyList(),
 ) {
-    /** Returns the JSON form that the platform keeps. */
+    /** Returns the JSON text that is stored in the platform. */
     public fun toJson(): String = ConfigurationJson.encodeToString(serializer(), this)
 
     public companion object {
-        /** The kind of the root and of every section in the platform's object service. */
+        /** The object kind of the root and of every section. */
         public const val KIND: String = "configuration"
 
         /** The name of the root object. */
         public const val NAME: String = "root"
 
-        /** The number of changes that [recent] keeps; a lost response is recognised among as many later changes. */
+        /** The size of [recent]: a writer that lost the response can find its write after this many changes. */
         public const val RECENT_CHANGES: Int = 20
 
         /** The root before the first change. */
         public val Empty: ConfigurationRoot = ConfigurationRoot(0, "", emptyList())
 
-        /** Reads the JSON form; returns [SectionFailure.Unreadable] for other text. */
+        /** Decodes the JSON text of a root; invalid text is [SectionFailure.Unreadable]. */
         public fun parse(text: String): Result<ConfigurationRoot, SectionFailure> = try {
             Ok(ConfigurationJson.decodeFromString(serializer(), text))
         } catch (cause: SerializationException) {
@@ -47,7 +48,7 @@
     }
 }
 
-/** Who changed the configuration to [revision], what the change was, and the id of its write. */
+/** A change of the configuration, which created [revision]. */
 @Serializable
 public data class ChangeRecord(
     public val revision: Long,
@@ -57,28 +58,28 @@
     public val atMillis: Long,
 )
 
-/** Names a section and the SHA-256 digest (lower-case hexadecimal) of its text. */
+/** The name of a section and the SHA-256 digest (lower-case hexadecimal) of its text. */
 @Serializable
 public data class SectionReference(public val name: String, public val hash: String) {
-    /** The name of the section's object in the platform; objects of that name never change. */
+    /** The name of the section's object in the platform. The object is immutable: its name contains its hash. */
     public val objectName: String get() = "section.$hash"
 }
 
-/** A section's name and its JSON [text]. */
+/** A section of the configuration as JSON [text]. */
 public data class ConfigurationSection(public val name: String, public val text: String) {
-    /** The reference that the root holds. */
+    /** The reference to this section in the root. */
     public val reference: SectionReference by lazy { SectionReference(name, text.encodeToByteArray().sha256Hex()) }
 }
 
-/** Why a configuration could not be put together from its root. */
+/** Why a configuration could not be assembled from its root and sections. */
 public sealed interface SectionFailure : Failure {
-    /** The root names a section that the caller does not have. */
+    /** The caller does not have a section that the root refers to. */
     public data class Missing(public val reference: SectionReference) : SectionFailure {
         override val message: String
             get() = "expected the text of section ${reference.name} with hash ${reference.hash}, found nothing"
     }
 
-    /** The text has another hash than the root says. */
+    /** The hash of the text differs from the one in the root. */
     public data class HashMismatch(
         public val reference: SectionReference,
         public val foundHash: String
@@ -87,13 +88,13 @@
             get() = "section ${reference.name}: expected hash ${reference.hash}, found $foundHash"
     }
 
-    /** The text is no section of this version's form. */
+    /** The text is not valid JSON of a root or section. */
     public data class Unreadable(public val name: String, public val cause: String) : SectionFailure {
         override val message: String get() = "$name: expected a JSON configuration section, found: $cause"
     }
 }
 
-/** The items of one section; a section fills one list and leaves the others empty. */
+/** The content of a section; only one of the properties is set. */
 @Serializable
 internal data class SectionContent(
     val zones: List<ZoneDeclaration> = emptyList(),
@@ -105,7 +106,7 @@
     val rollouts: List<RolloutDeclaration> = emptyList(),
 )
 
-/** Returns the configuration with every list sorted by name, so that equal content has equal sections. */
+/** Sorts every list by name, so that equal configurations have equal sections. */
 public fun Configuration.sorted(): Configuration = copy(
     zones = zones.sortedBy { it.name.value },
     endpoints = endpoints.sortedBy { it.name.value },
@@ -116,8 +117,8 @@
 )
 
 /**
- * Divides the configuration into sections: one for each zone's endpoints, [ORGANISATION_SECTIONS] for organisations
- * and one for each other list. A change of one item rewrites one section, which stays far below a megabyte.
+ * Splits the configuration into sections: one for the endpoints of each zone, [ORGANISATION_SECTIONS] for organisations
+ * and one for each other list. A change of one item rewrites one section, which is far smaller than a megabyte.
  */
 public fun Configuration.toSections(): List<ConfigurationSection> {
     val sorted = sorted()
@@ -135,14 +136,14 @@
 }
 
 /**
- * Puts the configuration of [root] together. [text] returns a section's text, or null when the caller lacks it;
- * each text's hash is checked.
+ * Assembles the configuration from the sections that [root] refers to. [text] returns the text of a section, or null if
+ * the caller does not have it. The hash of every text is verified.
  */
 public fun assembleConfiguration(
     root: ConfigurationRoot,
     text: (SectionReference) -> String?,
 ): Result<Configuration, SectionFailure> = root.sections.map { readSection(it, text(it)) }.combine()
-    .map { join(root.revision, it) }
+    .map { mergeSections(root.revision, it) }
 
 private fun readSection(reference: SectionReference, text: String?): Result<SectionContent, SectionFailure> {
     val hash = text?.encodeToByteArray()?.sha256Hex()
@@ -159,7 +160,7 @@
     Err(SectionFailure.Unreadable(name, cause.message.orEmpty()))
 }
 
-private fun join(revision: Long, contents: List<SectionContent>): Configuration = Configuration(
+private fun mergeSections(revision: Long, contents: List<SectionContent>): Configuration = Configuration(
     revision = revision,
     zones = contents.flatMap { it.zones },
     endpoints = contents.flatMap { it.endpoints },
@@ -175,7 +176,7 @@
 
 private fun organisationSection(name: String): String = "organisations.${name.encodeToByteArray().sha256Hex().first()}"
 
-/** The number of sections over which organisations are spread by the first hexadecimal digit of their name's hash. */
+/** The number of sections for organisations, one per first hexadecimal digit of the hash of their names. */
 public const val ORGANISATION_SECTIONS: Int = 16
 
 private val ConfigurationJson = Json {
--- a/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/Danger.kt
+++ b/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/Danger.kt
@@ -3,13 +3,13 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
-/** A change that is valid but may harm the service; it is made only when the operator confirms it. */
+/** A valid change that may disrupt the service; it is applied only if the operator confirms it. */
 @Serializable
 public sealed interface Danger {
-    /** What happens when the change is made. */
+    /** The consequence of the change, for the operator. */
     public val effect: String
 
-    /** After the change no zone is in service. */
+    /** No zone is in service after the change. */
     @Serializable
     @SerialName("last-zone")
     public data class LastZone(public val zones: List<String>) : Danger {
@@ -17,7 +17,7 @@
             get() = "takes the last zone in service out (${zones.joinToString()}): every request is refused"
     }
 
-    /** After the change the group has no endpoint that takes new work. */
+    /** None of the [matched] endpoints of [item] takes new work after the change. */
     @Serializable
     @SerialName("none-left")
     public data class NoEndpointLeft(public val item: ItemReference, public val matched: Int) : Danger {
@@ -32,7 +32,7 @@
         override val effect: String get() = "the selector \"$selector\" of $subject matches nothing"
     }
 
-    /** The selector matches all [count] endpoints that it could match. */
+    /** The selector matches all [count] endpoints of its kind. */
     @Serializable
     @SerialName("matches-all")
     public data class MatchesAll(
@@ -43,7 +43,7 @@
         override val effect: String get() = "the selector \"$selector\" of $subject matches all $count endpoints"
     }
 
-    /** The engines that are left hold fewer requests at once than are in progress now. */
+    /** The remaining engines can run only [places] requests at once, fewer than the current [requests]. */
     @Serializable
     @SerialName("capacity")
     public data class Capacity(public val model: String, public val requests: Int, public val places: Int) : Danger {
@@ -52,7 +52,7 @@
                 "${requests - places} wait or are refused"
     }
 
-    /** An endpoint that takes new work is removed without a drain. */
+    /** An endpoint that takes new work is removed without being drained first. */
     @Serializable
     @SerialName("removed-in-service")
     public data class RemovedInService(public val endpoint: String) : Danger {
@@ -60,7 +60,7 @@
             get() = "removes endpoint $endpoint while it is in service: its running requests are moved or lost"
     }
 
-    /** New requests use another version at once; engines that lack it refuse until it is loaded. */
+    /** New requests use another version immediately; engines refuse them until they have loaded it. */
     @Serializable
     @SerialName("version-switched")
     public data class VersionSwitched(
@@ -69,10 +69,10 @@
         public val after: String,
     ) : Danger {
         override val effect: String
-            get() = "switches model $model from version $before to $after with no rollout: its cached context is void"
+            get() = "switches model $model from version $before to $after without a rollout: its cached context is lost"
     }
 
-    /** Only [loaded] of [engines] hold the version that new requests are about to use. */
+    /** Only [loaded] of [engines] engines have loaded the version that new requests will use. */
     @Serializable
     @SerialName("not-loaded")
     public data class NotLoaded(
@@ -86,7 +86,7 @@
                 "no requests until it is loaded"
     }
 
-    /** Callers of the organisation are refused. */
+    /** The organisation is removed, so its callers are refused. */
     @Serializable
     @SerialName("organisation-removed")
     public data class OrganisationRemoved(public val organisation: String) : Danger {
--- a/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/DangerCheck.kt
+++ b/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/DangerCheck.kt
@@ -2,7 +2,7 @@
 
 import org.parsleymoor.core.ModelId
 
-/** Finds the dangers of a change; the first configuration of a deployment endangers nothing that is in service. */
+/** Finds the dangers of a change. An initial configuration has none, since nothing is in service yet. */
 internal class DangerCheck(
     private val before: Configuration,
     private val after: Configuration,
@@ -43,21 +43,21 @@
         old: List<EndpointDeclaration>,
         new: List<EndpointDeclaration>,
     ): Danger? {
-        val served = old.any { before.takesNewWork(it) }
-        val lost = new.isNotEmpty() && new.none { after.takesNewWork(it) }
-        return if (served && lost) Danger.NoEndpointLeft(ItemReference(kind, name), new.size) else null
+        val hadEndpoint = old.any { before.takesNewWork(it) }
+        val hasNoneLeft = new.isNotEmpty() && new.none { after.takesNewWork(it) }
+        return if (hadEndpoint && hasNoneLeft) Danger.NoEndpointLeft(ItemReference(kind, name), new.size) else null
     }
 
     private fun selectors(): List<Danger> = after.models.mapNotNull {
-        matches(ItemReference(ItemKind.MODEL, it.name.value), it.selector, EndpointKind.ENGINE)
+        selectorDanger(ItemReference(ItemKind.MODEL, it.name.value), it.selector, EndpointKind.ENGINE)
     } + after.services.mapNotNull {
-        matches(ItemReference(ItemKind.SERVICE, it.name), it.selector, EndpointKind.SERVICE)
+        selectorDanger(ItemReference(ItemKind.SERVICE, it.name), it.selector, EndpointKind.SERVICE)
     } + after.rollouts.mapNotNull {
-        matches(ItemReference(ItemKind.ROLLOUT, it.name), it.selector, EndpointKind.ENGINE)
+        selectorDanger(ItemReference(ItemKind.ROLLOUT, it.name), it.selector, EndpointKind.ENGINE)
     }
 
-    /** A selector is shown when it changed, or when the change leaves it with nothing to match. */
-    private fun matches(item: ItemReference, selector: String, kind: EndpointKind): Danger? {
+    /** Reports a selector that was changed, or that no longer matches any endpoint. */
+    private fun selectorDanger(item: ItemReference, selector: String, kind: EndpointKind): Danger? {
         val matched = after.endpointsMatching(kind, selector).size
         val all = after.endpoints.count { it.kind == kind }
         val matchedBefore = before.endpointsMatching(kind, selector).size
@@ -71,9 +71,9 @@
     }
 
     private fun capacity(demand: List<ModelDemand>): List<Danger> = demand.mapNotNull { (model, requests) ->
-        val places = after.capacityOf(model)
-        val shrinks = places < before.capacityOf(model)
-        if (shrinks && requests > places) Danger.Capacity(model.value, requests, places) else null
+        val capacity = after.capacityOf(model)
+        val shrinks = capacity < before.capacityOf(model)
+        if (shrinks && requests > capacity) Danger.Capacity(model.value, requests, capacity) else null
     }
 
     private fun removed(): List<Danger> {
@@ -91,11 +91,11 @@
     }
 }
 
-/** Returns how many requests of [model] its engines in service hold at once. */
+/** Returns how many requests for [model] its engines in service can run at once. */
 public fun Configuration.capacityOf(model: ModelId): Int =
     enginesOf(model).count { takesNewWork(it) } * limits.concurrentPerEngine
 
-/** Returns the application replicas of the service [name], in service or not. */
+/** Returns the application replicas of the service [name], whether in service or not. */
 public fun Configuration.replicasOf(name: String): List<EndpointDeclaration> =
     services.firstOrNull { it.name == name }?.let { endpointsMatching(EndpointKind.SERVICE, it.selector) }.orEmpty()
 
--- a/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/DeclarationReader.kt
+++ b/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/DeclarationReader.kt
@@ -11,24 +11,24 @@
 import kotlin.io.path.listDirectoryEntries
 
 /**
- * What a directory of declarations says. [configuration] has revision 0. [declaredStates] are the zones and endpoints
- * whose `state` a file sets; the others keep the state that is in effect when the declarations are applied.
+ * The content of a set of declaration files. [configuration] has revision 0. [declaredStates] are the zones and
+ * endpoints whose `state` is set in a file; the others keep their current state when the declarations are applied.
  */
 public data class Declarations(
     public val configuration: Configuration,
     public val declaredStates: Set<ItemReference> = emptySet(),
 )
 
-/** Reads declarations in TOML and lists every mistake in all files. */
+/** Reads declarations in TOML and reports all errors in all files. */
 public object DeclarationReader {
-    /** Reads the `.toml` files of [directory] as one configuration; returns all [ValidationErrors] of all files. */
+    /** Reads the `.toml` files of [directory] as one configuration, or returns all errors in them. */
     public fun read(directory: Path): Result<Declarations, ValidationErrors> {
-        val mistakes = mutableListOf<ValidationError>()
-        val texts = files(directory, mistakes).mapNotNull { readText(it, mistakes) }
-        return if (mistakes.isEmpty()) parse(texts) else parse(texts, mistakes)
+        val errors = mutableListOf<ValidationError>()
+        val texts = files(directory, errors).mapNotNull { readText(it, errors) }
+        return if (errors.isEmpty()) parse(texts) else parse(texts, errors)
     }
 
-    /** Reads [texts], pairs of file name and content, as one configuration; returns all [ValidationErrors]. */
+    /** Reads [texts], pairs of file name and content, as one configuration, or returns all errors. */
     public fun parse(texts: List<Pair<String, String>>): Result<Declarations, ValidationErrors> =
         parse(texts, mutableListOf())
 
@@ -37,21 +37,21 @@
 
     private fun parse(
         texts: List<Pair<String, String>>,
-        mistakes: MutableList<ValidationError>,
+        errors: MutableList<ValidationError>,
     ): Result<Declarations, ValidationErrors> {
         val tables = DeclarationTables()
-        texts.forEach { (file, text) -> SettingsReader.parseInto(file, text, mistakes, tables::read) }
+        texts.forEach { (file, text) -> SettingsReader.parseInto(file, text, errors, tables::read) }
         tables.check()
         val order = compareBy<ValidationError>({ it.file }, { it.line })
-        return if (mistakes.isEmpty()) Ok(tables.declarations()) else Err(ValidationErrors(mistakes.sortedWith(order)))
+        return if (errors.isEmpty()) Ok(tables.declarations()) else Err(ValidationErrors(errors.sortedWith(order)))
     }
 
-    private fun files(directory: Path, mistakes: MutableList<ValidationError>): List<Path> {
+    private fun files(directory: Path, errors: MutableList<ValidationError>): List<Path> {
         val entries = if (directory.isDirectory()) directory.listDirectoryEntries() else null
         val files = entries?.filter { it.extension == "toml" }
         if (files.isNullOrEmpty()) {
             val found = if (files == null) "no directory" else "a directory without such a file"
-            mistakes += ValidationError(
+            errors += ValidationError(
                 directory.toString(),
                 0,
                 "",
@@ -62,10 +62,10 @@
         return files.orEmpty().sorted()
     }
 
-    private fun readText(path: Path, mistakes: MutableList<ValidationError>): Pair<String, String>? = try {
+    private fun readText(path: Path, errors: MutableList<ValidationError>): Pair<String, String>? = try {
         path.toString() to Files.readString(path)
     } catch (cause: IOException) {
-        mistakes += SettingsReader.unreadable(path, cause)
+        errors += SettingsReader.unreadable(path, cause)
         null
     }
 }
--- a/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/DeclarationTables.kt
+++ b/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/DeclarationTables.kt
@@ -7,41 +7,41 @@
 import org.parsleymoor.core.WeightVersion
 import org.parsleymoor.core.ZoneId
 
-/** The tables of all files of declarations, each item with the section that it was read from. */
+/** Collects the items of all declaration files, each with the TOML table that it was read from. */
 internal class DeclarationTables {
-    private val zones = mutableListOf<Placed<ZoneDeclaration>>()
-    private val endpoints = mutableListOf<Placed<EndpointDeclaration>>()
-    private val organisations = mutableListOf<Placed<OrganisationDeclaration>>()
-    private val models = mutableListOf<Placed<ModelDeclaration>>()
-    private val services = mutableListOf<Placed<ServiceDeclaration>>()
-    private val rollouts = mutableListOf<Placed<RolloutDeclaration>>()
-    private var limits: Placed<LimitsDeclaration>? = null
+    private val zones = mutableListOf<ParsedItem<ZoneDeclaration>>()
+    private val endpoints = mutableListOf<ParsedItem<EndpointDeclaration>>()
+    private val organisations = mutableListOf<ParsedItem<OrganisationDeclaration>>()
+    private val models = mutableListOf<ParsedItem<ModelDeclaration>>()
+    private val services = mutableListOf<ParsedItem<ServiceDeclaration>>()
+    private val rollouts = mutableListOf<ParsedItem<RolloutDeclaration>>()
+    private var limits: ParsedItem<LimitsDeclaration>? = null
 
     fun read(root: TomlSection) {
-        root.sections("zone").mapTo(zones) { Placed(it, zone(it)) }
-        root.sections("endpoint").mapTo(endpoints) { Placed(it, endpoint(it)) }
-        root.sections("organisation").mapTo(organisations) { Placed(it, organisation(it)) }
-        root.sections("model").mapTo(models) { Placed(it, model(it)) }
-        root.sections("service").mapTo(services) { Placed(it, service(it)) }
-        root.sections("rollout").mapTo(rollouts) { Placed(it, rollout(it)) }
+        root.sections("zone").mapTo(zones) { ParsedItem(it, zone(it)) }
+        root.sections("endpoint").mapTo(endpoints) { ParsedItem(it, endpoint(it)) }
+        root.sections("organisation").mapTo(organisations) { ParsedItem(it, organisation(it)) }
+        root.sections("model").mapTo(models) { ParsedItem(it, model(it)) }
+        root.sections("service").mapTo(services) { ParsedItem(it, service(it)) }
+        root.sections("rollout").mapTo(rollouts) { ParsedItem(it, rollout(it)) }
         root.section("limits")?.let { readLimits(root, it) }
     }
 
-    /** Adds the mistakes that only the whole configuration shows, each at the line of its key. */
+    /** Checks the combined configuration and adds each error at the line of its key. */
     fun check() {
-        checkConfiguration(configuration()).forEach { mistake ->
-            val section = sectionOf(mistake)?.takeUnless { isConsequence(mistake, it) }
-            section?.addErrorUnlessReported(mistake.key, mistake.expected, mistake.found)
+        checkConfiguration(configuration()).forEach { problem ->
+            val section = sectionOf(problem)?.takeUnless { isConsequence(problem, it) }
+            section?.addErrorUnlessReported(problem.key, problem.expected, problem.found)
         }
     }
 
-    /** Whether the mistake only follows from one that has been listed already. */
-    private fun isConsequence(mistake: ConfigurationError, section: TomlSection): Boolean = when (mistake.key) {
-        "zone" -> zones.any { "name" in it.section.faulty }
-        "model" -> models.any { "name" in it.section.faulty }
-        "labels.fencing" -> "kind" in section.faulty
-        "queueLengthPerOrganisation" -> "queueLength" in section.faulty
-        "coldLimit" -> "concurrentPerEngine" in section.faulty
+    /** Whether the error is only a consequence of one that has already been reported. */
+    private fun isConsequence(problem: ConfigurationError, section: TomlSection): Boolean = when (problem.key) {
+        "zone" -> zones.any { "name" in it.section.invalidKeys }
+        "model" -> models.any { "name" in it.section.invalidKeys }
+        "labels.fencing" -> "kind" in section.invalidKeys
+        "queueLengthPerOrganisation" -> "queueLength" in section.invalidKeys
+        "coldLimit" -> "concurrentPerEngine" in section.invalidKeys
         else -> false
     }
 
@@ -65,8 +65,8 @@
         return (zoneStates + endpointStates).toSet()
     }
 
-    private fun sectionOf(mistake: ConfigurationError): TomlSection? {
-        val placed = when (mistake.item.kind) {
+    private fun sectionOf(problem: ConfigurationError): TomlSection? {
+        val parsedItems = when (problem.item.kind) {
             ItemKind.ZONE -> zones
             ItemKind.ENDPOINT -> endpoints
             ItemKind.ORGANISATION -> organisations
@@ -75,24 +75,24 @@
             ItemKind.ROLLOUT -> rollouts
             ItemKind.LIMITS -> listOfNotNull(limits)
         }
-        return placed.getOrNull(mistake.index)?.section
+        return parsedItems.getOrNull(problem.index)?.section
     }
 
     private fun readLimits(root: TomlSection, section: TomlSection) {
         val earlier = limits?.section
         if (earlier != null) {
-            root.addError("limits", "one [limits] table (it is also in ${earlier.source})", "a second one")
+            root.addError("limits", "one [limits] table (it is also in ${earlier.source})", "a second table")
         }
-        limits = Placed(section, limits(section))
+        limits = ParsedItem(section, limits(section))
     }
 
-    private class Placed<T>(val section: TomlSection, val item: T)
+    private class ParsedItem<T>(val section: TomlSection, val item: T)
 }
 
 private val States = PlacementState.entries.associateBy { it.name.lowercase() }
 private val Kinds = EndpointKind.entries.associateBy { it.name.lowercase() }
 private val AnyCount = Int.MIN_VALUE..Int.MAX_VALUE
-private val AnyWhole = Long.MIN_VALUE..Long.MAX_VALUE
+private val AnyLong = Long.MIN_VALUE..Long.MAX_VALUE
 
 private fun zone(section: TomlSection) = ZoneDeclaration(
     name = ZoneId(section.text("name")),
@@ -146,13 +146,13 @@
         queueLengthPerOrganisation =
         section.count("queueLengthPerOrganisation", default.queueLengthPerOrganisation, AnyCount),
         concurrentPerEngine = section.count("concurrentPerEngine", default.concurrentPerEngine, AnyCount),
-        requestDeadlineMillis = section.long("requestDeadlineMillis", default.requestDeadlineMillis, AnyWhole),
+        requestDeadlineMillis = section.long("requestDeadlineMillis", default.requestDeadlineMillis, AnyLong),
         maximumBodyBytes = section.count("maximumBodyBytes", default.maximumBodyBytes, AnyCount),
         coldLimit = section.count("coldLimit", default.coldLimit, AnyCount),
         coldAnswers = section.count("coldAnswers", default.coldAnswers, AnyCount),
-        coldMillis = section.long("coldMillis", default.coldMillis, AnyWhole),
+        coldMillis = section.long("coldMillis", default.coldMillis, AnyLong),
         regionLinkBytesPerSecond =
-        section.long("regionLinkBytesPerSecond", default.regionLinkBytesPerSecond, AnyWhole),
+        section.long("regionLinkBytesPerSecond", default.regionLinkBytesPerSecond, AnyLong),
         claimRetentionHours = section.count("claimRetentionHours", default.claimRetentionHours, AnyCount),
     )
 }
--- a/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/ItemChecks.kt
+++ b/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/ItemChecks.kt
@@ -1,11 +1,11 @@
 package org.parsleymoor.configuration
 
 private val FencingValues = setOf("checked", "ignored")
-private const val MOST_WEIGHT = 1_000L
-private const val MOST_PRIORITY = 100L
+private const val MAX_WEIGHT = 1_000L
+private const val MAX_PRIORITY = 100L
 
-/** A version is loaded on at most two replicas at a time, so that loading does not slow down; see the design, 6. */
-private const val MOST_CONCURRENT_LOADS = 2L
+/** Loading a version on more than two replicas at a time slows the loading down; see section 6 of the design. */
+private const val MAX_CONCURRENT_LOADS = 2L
 
 internal fun checkZones(configuration: Configuration, check: ConfigurationCheck) {
     check.each(ItemKind.ZONE, configuration.zones, { it.name.value }) { zone ->
@@ -19,9 +19,9 @@
     val addresses = mutableSetOf<String>()
     check.each(ItemKind.ENDPOINT, configuration.endpoints, { it.name.value }) { endpoint ->
         address(endpoint.address)
-        val unused = addresses.add(endpoint.address)
-        expect(unused, "address", "\"${endpoint.address}\"", "an address that no other endpoint has")
-        expect(endpoint.zone in zones, "zone", "\"${endpoint.zone}\"", "a declared zone${oneOf(zones)}")
+        val isUnique = addresses.add(endpoint.address)
+        expect(isUnique, "address", "\"${endpoint.address}\"", "an address that no other endpoint has")
+        expect(endpoint.zone in zones, "zone", "\"${endpoint.zone}\"", "a declared zone${oneOfHint(zones)}")
         labels(endpoint.labels)
         fencing(endpoint)
     }
@@ -32,7 +32,7 @@
     val known = fencing == null || fencing in FencingValues
     expect(known, "labels.fencing", "\"$fencing\"", "checked or ignored")
     val isEngine = endpoint.kind == EndpointKind.ENGINE
-    expect(!isEngine || fencing != null, "labels.fencing", "nothing", "checked or ignored, which every engine states")
+    expect(!isEngine || fencing != null, "labels.fencing", "nothing", "checked or ignored (required for engines)")
 }
 
 internal fun checkOrganisations(configuration: Configuration, check: ConfigurationCheck) {
@@ -43,8 +43,8 @@
             keyDigest(it)
             expect(digests.add(it), "keyDigests", "\"$it\"", "a key that is listed once, for one organisation")
         }
-        range("weight", organisation.weight.toLong(), 1..MOST_WEIGHT)
-        range("priority", organisation.priority.toLong(), -MOST_PRIORITY..MOST_PRIORITY)
+        range("weight", organisation.weight.toLong(), 1..MAX_WEIGHT)
+        range("priority", organisation.priority.toLong(), -MAX_PRIORITY..MAX_PRIORITY)
         labels(organisation.labels)
     }
 }
@@ -63,33 +63,33 @@
 
 internal fun checkRollouts(configuration: Configuration, check: ConfigurationCheck) {
     val models = configuration.models.associateBy { it.name }
-    val moving = mutableSetOf<String>()
+    val modelsInRollout = mutableSetOf<String>()
     check.each(ItemKind.ROLLOUT, configuration.rollouts, { it.name }) { rollout ->
         val model = models[rollout.model]
-        expect(model != null, "model", "\"${rollout.model}\"", "a declared model${oneOf(models.keys)}")
-        val only = moving.add(rollout.model.value)
-        expect(only, "model", "\"${rollout.model}\"", "a model that no other rollout moves")
+        expect(model != null, "model", "\"${rollout.model}\"", "a declared model${oneOfHint(models.keys)}")
+        val isFirst = modelsInRollout.add(rollout.model.value)
+        expect(isFirst, "model", "\"${rollout.model}\"", "a model that no other rollout updates")
         version(rollout.version.value)
-        val differs = model?.version != rollout.version
-        expect(differs, "version", "\"${rollout.version}\"", "a version other than the one that the model has")
+        val isOtherVersion = model?.version != rollout.version
+        expect(isOtherVersion, "version", "\"${rollout.version}\"", "a version other than the current one of the model")
         selector(rollout.selector)
-        range("concurrent", rollout.concurrent.toLong(), 1..MOST_CONCURRENT_LOADS)
+        range("concurrent", rollout.concurrent.toLong(), 1..MAX_CONCURRENT_LOADS)
     }
 }
 
 internal fun checkLimits(configuration: Configuration, check: ConfigurationCheck) {
     val limits = configuration.limits
-    val item = ItemCheck(ItemReference(ItemKind.LIMITS, ItemKind.LIMITS.table), 0, check.mistakes)
+    val item = ItemCheck(ItemReference(ItemKind.LIMITS, ItemKind.LIMITS.table), 0, check.errors)
     LimitRule.All.forEach { item.range(it.key, it.value(limits), it.range) }
     val perOrganisation = limits.queueLengthPerOrganisation
-    val whole = "at most queueLength, which is ${limits.queueLength}"
-    val fits = perOrganisation <= limits.queueLength
-    item.expect(fits, "queueLengthPerOrganisation", perOrganisation.toString(), whole)
-    val cold = "at most concurrentPerEngine, which is ${limits.concurrentPerEngine}"
-    item.expect(limits.coldLimit <= limits.concurrentPerEngine, "coldLimit", limits.coldLimit.toString(), cold)
+    val queueBound = "at most queueLength, which is ${limits.queueLength}"
+    val isWithinQueue = perOrganisation <= limits.queueLength
+    item.expect(isWithinQueue, "queueLengthPerOrganisation", perOrganisation.toString(), queueBound)
+    val coldBound = "at most concurrentPerEngine, which is ${limits.concurrentPerEngine}"
+    item.expect(limits.coldLimit <= limits.concurrentPerEngine, "coldLimit", limits.coldLimit.toString(), coldBound)
 }
 
-private fun oneOf(names: Collection<Any>): String =
+private fun oneOfHint(names: Collection<Any>): String =
     if (names.isEmpty()) "" else " (one of ${names.map { it.toString() }.sorted().take(NAMES_SHOWN).joinToString()})"
 
 private const val NAMES_SHOWN = 8
--- a/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/ItemReference.kt
+++ b/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/ItemReference.kt
@@ -2,7 +2,7 @@
 
 import kotlinx.serialization.Serializable
 
-/** What kind of item a declaration makes; [table] is the heading of its TOML table. */
+/** The kind of a declared item; [table] is the name of its TOML table. */
 @Serializable
 public enum class ItemKind(public val table: String) {
     ZONE("zone"),
@@ -14,7 +14,7 @@
     LIMITS("limits"),
 }
 
-/** Names one item of a configuration; the limits have the name `limits`. */
+/** Identifies an item of a configuration. The limits are one item named `limits`. */
 @Serializable
 public data class ItemReference(public val kind: ItemKind, public val name: String) {
     override fun toString(): String = if (kind == ItemKind.LIMITS) kind.table else "${kind.table} $name"
--- a/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/TomlDocument.kt
+++ b/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/TomlDocument.kt
@@ -16,45 +16,45 @@
 import com.akuleshov7.ktoml.tree.nodes.pairs.values.TomlLong
 import com.akuleshov7.ktoml.tree.nodes.pairs.values.TomlValue
 
-/** The items of one TOML [file]; lines that are no TOML and keys set twice are added to [mistakes]. */
+/** The parsed content of one TOML [file]; invalid lines and duplicate keys are added to [errors]. */
 internal class TomlDocument(
     private val file: String,
     text: String,
-    private val mistakes: MutableList<ValidationError>
+    private val errors: MutableList<ValidationError>
 ) {
-    /** Whether every line is TOML. */
-    var isWhole: Boolean = true
+    /** Whether the file is free of syntax errors. */
+    var isSyntaxValid: Boolean = true
         private set
 
     val root: TomlItem.Table = parse(text)
 
     private fun parse(text: String): TomlItem.Table {
         val lines = text.lines().toMutableList()
-        val node = generateSequence { attempt(lines) }.take(SYNTAX_MISTAKES_LISTED).firstOrNull { it.isFinal }?.node
+        val node = generateSequence { tryParse(lines) }.take(MAX_SYNTAX_ERRORS).firstOrNull { it.isFinal }?.node
         return node?.let { table(it, FIRST_LINE, "") } ?: TomlItem.Table(FIRST_LINE, emptyMap())
     }
 
-    /** Blanks the line that the parser refuses, so that the next attempt finds the next such line. */
-    private fun attempt(lines: MutableList<String>): Attempt = try {
-        Attempt(TomlParser(INPUT).parseString(lines.joinToString("\n")), isFinal = true)
+    /** Parses the lines; the parser stops at the first invalid line, which is blanked so that the next call goes on. */
+    private fun tryParse(lines: MutableList<String>): ParseAttempt = try {
+        ParseAttempt(TomlParser(INPUT).parseString(lines.joinToString("\n")), isFinal = true)
     } catch (cause: TomlDecodingException) {
-        blank(cause.message.orEmpty(), lines)
+        blankInvalidLine(cause.message.orEmpty(), lines)
     } catch (cause: NumberFormatException) {
-        blank(cause.message.orEmpty(), lines)
+        blankInvalidLine(cause.message.orEmpty(), lines)
     }
 
-    private fun blank(message: String, lines: MutableList<String>): Attempt {
-        val line = LINE.find(message)?.groupValues?.get(1)?.toIntOrNull() ?: 0
-        isWhole = false
-        mistakes += syntaxMistake(line, lines, message)
+    private fun blankInvalidLine(message: String, lines: MutableList<String>): ParseAttempt {
+        val line = LINE_NUMBER.find(message)?.groupValues?.get(1)?.toIntOrNull() ?: 0
+        isSyntaxValid = false
+        errors += syntaxError(line, lines, message)
         val blanked = lines.getOrNull(line - 1)?.isNotBlank() == true
         if (blanked) lines[line - 1] = ""
-        return Attempt(null, isFinal = !blanked)
+        return ParseAttempt(null, isFinal = !blanked)
     }
 
-    private fun syntaxMistake(line: Int, lines: List<String>, message: String): ValidationError {
-        val found = lines.getOrNull(line - 1)?.trim() ?: "text that is no TOML"
-        val reason = message.replace(LINE, "").trim().trimStart(':', ' ').lineSequence().first()
+    private fun syntaxError(line: Int, lines: List<String>, message: String): ValidationError {
+        val found = lines.getOrNull(line - 1)?.trim() ?: "text that is not valid TOML"
+        val reason = message.replace(LINE_NUMBER, "").trim().trimStart(':', ' ').lineSequence().first()
         return ValidationError(file, line, "", found, "a line of TOML ($reason)")
     }
 
@@ -64,14 +64,14 @@
             val item = item(child, path) ?: continue
             val name = child.name.trim('"', '\'')
             val earlier = entries.putIfAbsent(name, item)
-            if (earlier != null) mistakes += setTwice(path + name, item, earlier)
+            if (earlier != null) errors += duplicateKey(path + name, item, earlier)
         }
         return TomlItem.Table(line, entries)
     }
 
-    private fun setTwice(key: String, item: TomlItem, earlier: TomlItem): ValidationError {
+    private fun duplicateKey(key: String, item: TomlItem, earlier: TomlItem): ValidationError {
         val expected = "a key that is set once (it is also set on line ${earlier.line})"
-        return ValidationError(file, item.line, key, item.shown, expected)
+        return ValidationError(file, item.line, key, item.displayText, expected)
     }
 
     private fun item(node: TomlNode, path: String): TomlItem? = when (node) {
@@ -89,24 +89,24 @@
         }
 
     private fun value(value: TomlValue, line: Int): TomlItem = when (value) {
-        is TomlBasicString -> TomlItem.Text(line, value.content.toString())
-        is TomlLiteralString -> TomlItem.Text(line, value.content.toString())
-        is TomlLong -> TomlItem.Whole(line, value.content as Long)
-        is TomlDouble -> TomlItem.Real(line, value.content as Double)
-        is TomlBoolean -> TomlItem.Truth(line, value.content as Boolean)
+        is TomlBasicString -> TomlItem.StringValue(line, value.content.toString())
+        is TomlLiteralString -> TomlItem.StringValue(line, value.content.toString())
+        is TomlLong -> TomlItem.IntegerValue(line, value.content as Long)
+        is TomlDouble -> TomlItem.FloatValue(line, value.content as Double)
+        is TomlBoolean -> TomlItem.BooleanValue(line, value.content as Boolean)
         is TomlArray -> TomlItem.Array(line, elements(value, line))
-        else -> TomlItem.Other(line, value.content.toString())
+        else -> TomlItem.OtherValue(line, value.content.toString())
     }
 
     private fun elements(array: TomlArray, line: Int): List<TomlItem> =
         (array.content as List<*>).filterIsInstance<TomlValue>().map { value(it, line) }
 
-    private data class Attempt(val node: TomlNode?, val isFinal: Boolean)
+    private data class ParseAttempt(val node: TomlNode?, val isFinal: Boolean)
 
     private companion object {
-        const val SYNTAX_MISTAKES_LISTED = 20
+        const val MAX_SYNTAX_ERRORS = 20
         const val FIRST_LINE = 1
         val INPUT = TomlInputConfig(allowEmptyValues = false, allowNullValues = false)
-        val LINE = Regex("""[Ll]ine (\d+):?""")
+        val LINE_NUMBER = Regex("""[Ll]ine (\d+):?""")
     }
 }
--- a/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/TomlSection.kt
+++ b/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/TomlSection.kt
@@ -5,115 +5,114 @@
  * and returns a placeholder, so that reading continues and the caller sees every error at the end.
  */
 public class TomlSection internal constructor(
-    private val reading: TomlReadContext,
+    private val context: TomlReadContext,
     private val path: String,
     private val table: TomlItem.Table,
 ) {
-    private val read = mutableSetOf<String>()
+    private val used = mutableSetOf<String>()
 
-    /** The keys about which a mistake has been added. */
-    internal val faulty: MutableSet<String> = mutableSetOf()
+    /** The keys for which an error has been added. */
+    internal val invalidKeys: MutableSet<String> = mutableSetOf()
     private val children = mutableListOf<TomlSection>()
 
-    /** The line on which the section starts, from 1. */
+    /** The line on which the table starts, counted from 1. */
     public val line: Int get() = table.line
 
-    /** The file that the section belongs to. */
-    public val source: String get() = reading.file
+    /** The file that contains the table. */
+    public val source: String get() = context.file
 
-    /** The keys that are set, in the order of the file. */
+    /** The keys that are set, in file order. */
     public val keys: List<String> get() = table.entries.keys.toList()
 
-    /** Reads the table [key], or returns null when it is not set. */
+    /** Reads the table [key]; null if it is not set. */
     public fun section(key: String): TomlSection? {
-        read += key
+        used += key
         return when (val item = table.entries[key]) {
-            null -> if (reading.described == null) null else child("$path$key.", NoTable)
+            null -> if (context.descriptions == null) null else child("$path$key.", EmptyTable)
             is TomlItem.Table -> child("$path$key.", item)
             else -> null.also { addError(key, item, "a table") }
         }
     }
 
-    /** Reads the tables `[[key]]`; none is an empty list. */
+    /** Reads the array of tables `[[key]]`; empty if it is not set. */
     public fun sections(key: String): List<TomlSection> {
-        read += key
+        used += key
         return when (val item = table.entries[key]) {
-            null -> if (reading.described == null) emptyList() else listOf(child("$path$key[].", NoTable))
+            null -> if (context.descriptions == null) emptyList() else listOf(child("$path$key[].", EmptyTable))
             is TomlItem.TableArray -> item.tables.map { child("$path$key.", it) }
             else -> emptyList<TomlSection>().also { addError(key, item, "tables headed [[$path$key]]") }
         }
     }
 
-    /** Adds a mistake about [key] that only the caller can see, for example a reference to something not declared. */
+    /** Adds an error about [key] that only the caller can detect, such as a reference to an undeclared item. */
     public fun addError(key: String, expected: String, found: String? = null) {
-        faulty += key
+        invalidKeys += key
         val item = itemAt(key)
-        val shown = found ?: item?.shown ?: "nothing"
-        reading.mistakes += ValidationError(reading.file, item?.line ?: line, "$path$key", shown, expected)
+        val displayText = found ?: item?.displayText ?: "nothing"
+        context.errors += ValidationError(context.file, item?.line ?: line, "$path$key", displayText, expected)
     }
 
-    /** Adds a mistake about [key], or a key below it, unless reading it has already added one. */
+    /** Adds an error about [key] unless there already is one, here or in a nested table. */
     internal fun addErrorUnlessReported(key: String, expected: String, found: String) {
-        val below = children.flatMap { child -> child.faulty.map { child.path + it } }
-        val known = key in faulty || path + key in below
-        if (!known) addError(key, expected, found)
+        val invalidChildKeys = children.flatMap { child -> child.invalidKeys.map { child.path + it } }
+        val alreadyReported = key in invalidKeys || path + key in invalidChildKeys
+        if (!alreadyReported) addError(key, expected, found)
     }
 
-    /** Adds a mistake for every key, here and below, that no caller asked for. */
-    internal fun reportUnreadKeys() {
+    /** Adds an error for every key, including those of nested tables, that was not used. */
+    internal fun reportUnusedKeys() {
         for ((key, item) in table.entries) {
-            if (key !in read) addError(key, item, "one of the keys ${read.sorted().joinToString()}", "an unknown key")
+            if (key !in used) addError(key, item, "one of the keys ${used.sorted().joinToString()}", "an unknown key")
         }
-        children.forEach { it.reportUnreadKeys() }
+        children.forEach { it.reportUnusedKeys() }
     }
 
-    /** Returns the item at a key or at a dotted key below it. */
+    /** Returns the item at [key], which may be a dotted key into a nested table. */
     private fun itemAt(key: String): TomlItem? {
-        val below = table.entries[key.substringBefore('.')]
-        return if (below is TomlItem.Table) below.entries[key.substringAfter('.')] ?: below else below
+        val item = table.entries[key.substringBefore('.')]
+        return if (item is TomlItem.Table) item.entries[key.substringAfter('.')] ?: item else item
     }
 
     private fun child(childPath: String, item: TomlItem.Table): TomlSection {
-        val section = TomlSection(reading, childPath, item)
+        val section = TomlSection(context, childPath, item)
         children += section
         return section
     }
 
-    internal fun <T> value(key: String, default: T?, standIn: T, expected: String, convert: (TomlItem) -> T?): T {
-        read += key
-        reading.described?.add(KeyDescription("$path$key", expected, default?.let { shownDefault(it) }))
+    internal fun <T> value(key: String, default: T?, placeholder: T, expected: String, convert: (TomlItem) -> T?): T {
+        used += key
+        context.descriptions?.add(KeyDescription("$path$key", expected, default?.let { defaultAsToml(it) }))
         val item = table.entries[key]
-        if (item == null) return default ?: standIn.also { missing(key, expected) }
+        if (item == null) return default ?: placeholder.also { reportMissing(key, expected) }
         val converted = convert(item)
         if (converted == null) addError(key, item, expected)
-        return converted ?: standIn
+        return converted ?: placeholder
     }
 
-    /** A key may be missing because its line is no TOML, which has been said already. */
-    private fun missing(key: String, expected: String) {
-        if (reading.isWhole) addError(key, expected) else faulty += key
+    /** After a syntax error the key may be on an invalid line, which has already been reported. */
+    private fun reportMissing(key: String, expected: String) {
+        if (context.isSyntaxValid) addError(key, expected) else invalidKeys += key
     }
 
-    private fun addError(key: String, item: TomlItem, expected: String, found: String = item.shown) {
-        faulty += key
-        reading.mistakes += ValidationError(reading.file, item.line, "$path$key", found, expected)
+    private fun addError(key: String, item: TomlItem, expected: String, found: String = item.displayText) {
+        invalidKeys += key
+        context.errors += ValidationError(context.file, item.line, "$path$key", found, expected)
     }
 }
 
-/** Returns whether [key] is set. */
 public fun TomlSection.has(key: String): Boolean = key in keys
 
-/** What the sections of one file share; [isWhole] is false when a line of the file is no TOML. */
+/** State shared by all tables of a file. [descriptions] is set when keys are described instead of read. */
 internal class TomlReadContext(
     val file: String,
-    val mistakes: MutableList<ValidationError>,
-    val described: MutableList<KeyDescription>? = null,
-    val isWhole: Boolean = true,
+    val errors: MutableList<ValidationError>,
+    val descriptions: MutableList<KeyDescription>? = null,
+    val isSyntaxValid: Boolean = true,
 )
 
-private val NoTable = TomlItem.Table(0, emptyMap())
+private val EmptyTable = TomlItem.Table(0, emptyMap())
 
-private fun shownDefault(default: Any): String = when (default) {
+private fun defaultAsToml(default: Any): String = when (default) {
     is String -> "\"$default\""
     is Enum<*> -> "\"${default.name.lowercase()}\""
     else -> default.toString()
--- a/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/ValidationError.kt
+++ b/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/ValidationError.kt
@@ -3,7 +3,7 @@
 import kotlinx.serialization.Serializable
 import org.parsleymoor.core.Failure
 
-/** One mistake in a file. [key] is the dotted path of the key; [line] counts from 1, or is 0 when no line has it. */
+/** An error in a file. [key] is a dotted path; [line] starts at 1 and is 0 for an error of the whole file. */
 @Serializable
 public data class ValidationError(
     public val file: String,
@@ -13,12 +13,12 @@
     public val expected: String,
 ) : Failure {
     override val message: String
-        get() = "${place()}: ${if (key.isEmpty()) "" else "$key: "}expected $expected, found $found"
+        get() = "${location()}: ${if (key.isEmpty()) "" else "$key: "}expected $expected, found $found"
 
-    private fun place(): String = if (line > 0) "$file:$line" else file
+    private fun location(): String = if (line > 0) "$file:$line" else file
 }
 
-/** Every mistake of a set of files, in the order of their places; never empty. */
+/** All errors in a set of files, ordered by file and line; never empty. */
 public data class ValidationErrors(public val list: List<ValidationError>) : Failure {
     override val message: String get() = list.joinToString("\n") { it.message }
 }
--- a/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/ValueChecks.kt
+++ b/libraries/configuration/src/main/kotlin/org/parsleymoor/configuration/ValueChecks.kt
@@ -9,8 +9,8 @@
 private val LabelValue = Regex("[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 private val KeyDigest = Regex("[0-9a-f]{64}")
 private val NumericAddress = Regex("""((\d{1,3})(\.\d{1,3}){3}|\[[0-9a-fA-F:]+])""")
-private const val LAST_PORT = 65_535
-private const val MOST_OCTET = 255
+private const val MAX_PORT = 65_535
+private const val MAX_OCTET = 255
 
 internal fun ItemCheck.name(value: String, key: String = "name") {
     val expected = "a lower-case letter followed by at most 62 lower-case letters, digits or hyphens"
@@ -31,7 +31,7 @@
             label !in ReservedLabels,
             key,
             "the label name \"$label\"",
-            "a label other than $reserved, which are set"
+            "a label other than $reserved (reserved)"
         )
     }
 }
@@ -46,7 +46,7 @@
     val host = value.substringBeforeLast(':')
     val port = value.substringAfterLast(':', "").toIntOrNull()
     val octets = host.split('.').mapNotNull { it.toIntOrNull() }
-    val valid = NumericAddress.matches(host) && port in 1..LAST_PORT && octets.all { it <= MOST_OCTET }
+    val valid = NumericAddress.matches(host) && port in 1..MAX_PORT && octets.all { it <= MAX_OCTET }
     expect(valid, "address", "\"$value\"", "a numeric IP address and a port from 1 to 65535, such as 10.0.0.1:8080")
 }
 
--- a/libraries/configuration/src/test/kotlin/org/parsleymoor/configuration/ConfigurationPlanTest.kt
+++ b/libraries/configuration/src/test/kotlin/org/parsleymoor/configuration/ConfigurationPlanTest.kt
@@ -22,7 +22,7 @@
     )
 
     @Test
-    fun `a plan names each changed item with the values before and after`() {
+    fun `a plan lists each changed item with its old and new values`() {
         val after = withZone(
             "a",
             PlacementState.OUT
@@ -53,7 +53,7 @@
     }
 
     @Test
-    fun `a new version of a model whose selector always matched everything is not a danger of its selector`() {
+    fun `a new version of a model with an unchanged selector that matches everything is not dangerous`() {
         val before = withSelector("tier!=test")
         val rollout = RolloutDeclaration("leaf-2", leaf, WeightVersion("2"))
         val after = before.copy(models = before.models.map { it.copy(version = rollout.version) })
@@ -61,7 +61,7 @@
     }
 
     @Test
-    fun `capacity below today's load is dangerous only when the change lowers it`() {
+    fun `capacity below the current load is dangerous only if the change reduces it`() {
         val after = withZone("a", PlacementState.DRAIN)
         val demand = listOf(ModelDemand(leaf, 17))
         expectThat(ConfigurationPlan.of(current, after, demand).dangers)
@@ -79,7 +79,7 @@
     }
 
     @Test
-    fun `applying declarations keeps the states that no file sets`() {
+    fun `applying declarations keeps states that are not declared`() {
         val declared = requireNotNull(DeclarationReader.parse(listOf("a.toml" to Declared)).get())
         val before = declared.configuration.copy(
             revision = 3,
@@ -91,7 +91,7 @@
     }
 
     @Test
-    fun `a rollout in effect stays until the files declare its version`() {
+    fun `an active rollout stays until the files declare its version`() {
         val declared = requireNotNull(DeclarationReader.parse(listOf("a.toml" to Declared)).get())
         val files = declared.copy(configuration = declared.configuration.copy(rollouts = emptyList()))
         expectThat(files.appliedTo(declared.configuration).rollouts.map { it.name }).containsExactly("leaf-2")
--- a/libraries/configuration/src/test/kotlin/org/parsleymoor/configuration/ConfigurationSectionsTest.kt
+++ b/libraries/configuration/src/test/kotlin/org/parsleymoor/configuration/ConfigurationSectionsTest.kt
@@ -27,7 +27,7 @@
     }
 
     @Test
-    fun `a change of one endpoint rewrites one section, of under a tenth of a megabyte`() {
+    fun `a change of one endpoint rewrites one section of less than 100 kB`() {
         val first = configuration.endpoints.first()
         val changed = configuration.copy(
             endpoints = listOf(first.copy(state = PlacementState.OUT)) + configuration.endpoints.drop(1),
@@ -38,7 +38,7 @@
     }
 
     @Test
-    fun `a section whose text was altered or is missing is refused`() {
+    fun `a section whose hash differs or whose text is missing is refused`() {
         val root = root(configuration)
         val altered = assembleConfiguration(root) { "{}" }.getError()
         expectThat(altered).isA<SectionFailure.HashMismatch>()
--- a/libraries/configuration/src/test/kotlin/org/parsleymoor/configuration/DeclarationReaderTest.kt
+++ b/libraries/configuration/src/test/kotlin/org/parsleymoor/configuration/DeclarationReaderTest.kt
@@ -28,12 +28,12 @@
         numLinesToSkip = 1,
         emptyValue = "",
     )
-    fun `a broken declaration is refused with its place, what was found and what was expected`(row: ArgumentsAccessor) {
-        val broken = Declared.replaceFirst(literal(row.getString(TEXT)), literal(row.getString(BY).orEmpty()))
-        expectThat(broken).isNotEqualTo(Declared)
-        val mistakes = mistakesOf("tally.toml" to broken)
-        expectThat(mistakes).hasSize(1)
-        expectThat(mistakes.single()) {
+    fun `an invalid declaration is refused with its location and found and expected values`(row: ArgumentsAccessor) {
+        val invalid = Declared.replaceFirst(literal(row.getString(TEXT)), literal(row.getString(BY).orEmpty()))
+        expectThat(invalid).isNotEqualTo(Declared)
+        val errors = errorsOf("tally.toml" to invalid)
+        expectThat(errors).hasSize(1)
+        expectThat(errors.single()) {
             get { file }.isEqualTo("tally.toml")
             get { line }.isEqualTo(row.getInteger(LINE))
             get { key }.isEqualTo(row.getString(KEY).orEmpty())
@@ -43,7 +43,7 @@
     }
 
     @Test
-    fun `declarations without a mistake are read whole`() {
+    fun `valid declarations are read completely`() {
         val configuration = DeclarationReader.parse(listOf("a.toml" to Declared)).get()?.configuration
         expectThat(configuration).isNotNull().and {
             get { zones.map { it.name.value } }.containsExactly("north-a", "south-a")
@@ -55,11 +55,11 @@
     }
 
     @Test
-    fun `mistakes of several files are all listed, in the order of files and lines`() {
+    fun `errors in several files are all reported, ordered by file and line`() {
         val first = Declared.replace("weight = 2", "weight = 0").replace("region = \"south\"", "region = 4")
         val second = "[limits]\nqueueLength = 5\n[[zone]]\nname = \"north-a\"\nregion = \"north\"\n"
-        val mistakes = mistakesOf("a.toml" to first, "b.toml" to second)
-        expectThat(mistakes.map { "${it.file}:${it.line} ${it.key}" }).containsExactly(
+        val errors = errorsOf("a.toml" to first, "b.toml" to second)
+        expectThat(errors.map { "${it.file}:${it.line} ${it.key}" }).containsExactly(
             "a.toml:9 zone.region",
             "a.toml:28 organisation.weight",
             "b.toml:1 limits",
@@ -69,7 +69,7 @@
     }
 
     @Test
-    fun `only the states that a file sets are given`() {
+    fun `only states that are set in a file count as declared`() {
         val declarations = DeclarationReader.parse(listOf("a.toml" to Declared)).get()
         expectThat(declarations?.declaredStates).isEqualTo(setOf(ItemReference(ItemKind.ZONE, "north-a")))
     }
@@ -83,11 +83,11 @@
     }
 
     @Test
-    fun `a file that is not UTF-8 is refused beside the mistakes of the others`(@TempDir directory: Path) {
+    fun `a file that is not UTF-8 is reported together with the errors in other files`(@TempDir directory: Path) {
         directory.resolve("a.toml").writeText(Declared.replace("weight = 2", "weight = 0"))
         directory.resolve("b.toml").writeBytes(byteArrayOf(-1, -2))
-        val mistakes = DeclarationReader.read(directory).getError()?.list.orEmpty()
-        expectThat(mistakes.map { it.expected })
+        val errors = DeclarationReader.read(directory).getError()?.list.orEmpty()
+        expectThat(errors.map { it.expected })
             .containsExactly("a whole number from 1 to 1000", "a readable file in UTF-8")
     }
 
@@ -99,7 +99,7 @@
         expectThat(keys["limits.coldLimit"]?.default).isEqualTo("2")
     }
 
-    private fun mistakesOf(vararg texts: Pair<String, String>): List<ValidationError> =
+    private fun errorsOf(vararg texts: Pair<String, String>): List<ValidationError> =
         DeclarationReader.parse(texts.toList()).getError()?.list.orEmpty()
 
     private fun literal(text: String): String =
--- a/libraries/configuration/src/test/kotlin/org/parsleymoor/configuration/Declared.kt
+++ b/libraries/configuration/src/test/kotlin/org/parsleymoor/configuration/Declared.kt
@@ -3,7 +3,7 @@
 internal val DigestA: String = "a1".repeat(32)
 internal val DigestB: String = "b2".repeat(32)
 
-/** Declarations with one item of each kind, without a mistake. */
+/** Valid declarations with at least one item of each kind. */
 internal val Declared: String = """
     [[zone]]
     name = "north-a"
--- a/libraries/configuration/src/test/kotlin/org/parsleymoor/configuration/SettingsReaderTest.kt
+++ b/libraries/configuration/src/test/kotlin/org/parsleymoor/configuration/SettingsReaderTest.kt
@@ -9,7 +9,7 @@
 
 class SettingsReaderTest {
     @Test
-    fun `every mistake of a file is listed with its line, key, found and expected`() {
+    fun `every error in a file is reported with its line, key, found and expected value`() {
         val text = """
             instance = 7
             port = 70000
@@ -17,8 +17,8 @@
             [limits]
             share = "half"
         """.trimIndent()
-        val mistakes = SettingsReader.parse("a.toml", text, ::settings).getError()?.list.orEmpty()
-        expectThat(mistakes.map { it.message }).containsExactly(
+        val errors = SettingsReader.parse("a.toml", text, ::settings).getError()?.list.orEmpty()
+        expectThat(errors.map { it.message }).containsExactly(
             "a.toml:1: instance: expected a string, found 7",
             "a.toml:1: zone: expected a string, found nothing",
             "a.toml:2: port: expected a whole number from 1 to 65535, found 70000",
@@ -28,14 +28,14 @@
     }
 
     @Test
-    fun `lines that are no TOML and keys set twice are all listed`() {
+    fun `invalid TOML lines and duplicate keys are all reported`() {
         val text = "instance = \"a\"\nzone \nport = = 3\nzone = \"x\"\nzone = \"y\"\n"
-        val mistakes = SettingsReader.parse("a.toml", text, ::settings).getError()?.list.orEmpty()
-        expectThat(mistakes.map { it.line to it.key }).containsExactly(2 to "", 3 to "", 5 to "zone")
+        val errors = SettingsReader.parse("a.toml", text, ::settings).getError()?.list.orEmpty()
+        expectThat(errors.map { it.line to it.key }).containsExactly(2 to "", 3 to "", 5 to "zone")
     }
 
     @Test
-    fun `a complete file is read with defaults for what it leaves out`() {
+    fun `a valid file is read with defaults for missing keys`() {
         val text = "instance = \"a\"\nzone = 'z'\ntags = [\"b\", \"c\"]\n[limits]\nshare = 1\n"
         val read = SettingsReader.parse("a.toml", text, ::settings).get()
         expectThat(read).isEqualTo("a z 80 [b, c] 1.0")
