--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntrySettings.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntrySettings.kt
@@ -1,9 +1,9 @@
 package org.parsleymoor.entry
 
 import com.github.michaelbull.result.Result
-import org.parsleymoor.configuration.Mistakes
 import org.parsleymoor.configuration.SettingsReader
 import org.parsleymoor.configuration.TomlSection
+import org.parsleymoor.configuration.ValidationErrors
 import org.parsleymoor.configuration.number
 import org.parsleymoor.configuration.text
 import org.parsleymoor.configuration.textMap
@@ -56,10 +56,13 @@
 ) {
     public companion object {
         /** Reads the settings file at [path]; a failure lists every mistake in it. */
-        public fun read(path: Path): Result<EntrySettings, Mistakes> = SettingsReader.read(path, ::entrySettings)
+        public fun read(path: Path): Result<EntrySettings, ValidationErrors> = SettingsReader.read(
+            path,
+            ::entrySettings
+        )
 
         /** Parses [text], the content of [file]; a failure lists every mistake in it. */
-        public fun parse(file: String, text: String): Result<EntrySettings, Mistakes> =
+        public fun parse(file: String, text: String): Result<EntrySettings, ValidationErrors> =
             SettingsReader.parse(file, text, ::entrySettings)
     }
 }
@@ -114,7 +117,7 @@
 private fun TomlSection.address(key: String): SocketAddress {
     val value = text(key)
     val address = SocketAddress.parse(value)
-    if (address == null) mistake(key, "an address of the form host:port", value)
+    if (address == null) addError(key, "an address of the form host:port", value)
     return address ?: PLACEHOLDER_ADDRESS
 }
 
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/EngineContent.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/control/EngineContent.kt
@@ -1,8 +1,8 @@
 package org.parsleymoor.gateway.control
 
+import org.parsleymoor.clients.DesiredState
 import org.parsleymoor.clients.EngineLoad
 import org.parsleymoor.clients.LoadedVersion
-import org.parsleymoor.clients.WantedState
 import org.parsleymoor.configuration.Configuration
 import org.parsleymoor.configuration.EndpointDeclaration
 import org.parsleymoor.configuration.EndpointKind
@@ -68,17 +68,17 @@
      * engine keeps serving. Versions that the configuration wants are never unloaded, and no others are loaded. When
      * nothing is left to do, the step sets the role that the engine already has, which changes nothing.
      */
-    fun nextStep(endpoint: EndpointId, load: EngineLoad, content: EngineContent): WantedState {
+    fun nextStep(endpoint: EndpointId, load: EngineLoad, content: EngineContent): DesiredState {
         val declared = wanted[endpoint]?.versions.orEmpty()
         val held = load.versions.held()
         val missing = content.versions.firstOrNull { it in declared && it !in held }
         val surplus = held.firstOrNull { isRelevant(endpoint, it) && it !in declared && it !in content.versions }
         val role = content.role?.takeIf { it != load.role }
         return when {
-            missing != null -> WantedState.Loaded(missing.model, missing.version)
-            role != null -> WantedState.Role(role)
-            surplus != null -> WantedState.Unloaded(surplus.model, surplus.version)
-            else -> WantedState.Role(load.role)
+            missing != null -> DesiredState.Loaded(missing.model, missing.version)
+            role != null -> DesiredState.Role(role)
+            surplus != null -> DesiredState.Unloaded(surplus.model, surplus.version)
+            else -> DesiredState.Role(load.role)
         }
     }
 
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/AttemptErrors.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/AttemptErrors.kt
@@ -1,13 +1,13 @@
 package org.parsleymoor.gateway.serving
 
-import org.parsleymoor.clients.BackEndFailure
+import org.parsleymoor.clients.EndpointFailure
 import org.parsleymoor.execution.AttemptError
 
 /** The error that the retry rules see for this failure. */
-internal val BackEndFailure.attemptError: AttemptError
+internal val EndpointFailure.attemptError: AttemptError
     get() = when (this) {
-        is BackEndFailure.NotConnected -> AttemptError.NOT_CONNECTED
-        is BackEndFailure.Refused -> AttemptError.REFUSED
-        is BackEndFailure.Silent -> AttemptError.SILENT
-        is BackEndFailure.Broken, is BackEndFailure.Malformed -> AttemptError.BROKEN
+        is EndpointFailure.NotConnected -> AttemptError.NOT_CONNECTED
+        is EndpointFailure.Refused -> AttemptError.REFUSED
+        is EndpointFailure.Silent -> AttemptError.SILENT
+        is EndpointFailure.Broken, is EndpointFailure.Malformed -> AttemptError.BROKEN
     }
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/CompletionAttempts.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/CompletionAttempts.kt
@@ -3,7 +3,7 @@
 import com.github.michaelbull.result.getOrElse
 import io.opentelemetry.api.trace.Span
 import kotlinx.coroutines.launch
-import org.parsleymoor.clients.BackEndFailure
+import org.parsleymoor.clients.EndpointFailure
 import org.parsleymoor.clients.EngineClient
 import org.parsleymoor.clients.EngineEvent
 import org.parsleymoor.clients.EngineRefusalReason
@@ -101,7 +101,7 @@
     private suspend fun stream(target: Target, span: Span): Failure? {
         val engine = dependencies.configuration.current?.endpoint(target.endpoint)
             ?.let { dependencies.backEnds.engine(it) }
-            ?: return BackEndFailure.NotConnected(target.endpoint.value, "the engine is no longer declared")
+            ?: return EndpointFailure.NotConnected(target.endpoint.value, "the engine is no longer declared")
         val resume = assembler.begin(target.attempt)
         recordAttempt(target, resume)
         inFlight = true
@@ -149,17 +149,17 @@
 
     /** Also cancels an abandoned attempt by its id, because a silent connection may not deliver its closure. */
     private fun cancelAtEngine(engine: EngineClient, target: Target, failure: Failure?) {
-        val neverRan = failure is BackEndFailure && !failure.mayHaveRun
+        val neverRan = failure is EndpointFailure && !failure.mayHaveRun
         if (!neverRan) dependencies.background.launch { engine.cancel(target.attempt) }
     }
 
     private fun afterFailure(target: Target, failure: Failure): AttemptAction {
         lastFailure = failure
         dependencies.records.add(call.request, RequestStepKind.REFUSED, target.endpoint.value, failure.message)
-        if ((failure as? BackEndFailure.Refused)?.refusal?.reason == EngineRefusalReason.COLD) {
+        if ((failure as? EndpointFailure.Refused)?.refusal?.reason == EngineRefusalReason.COLD) {
             chooser.refusedAsCold(target.endpoint)
         }
-        val error = (failure as? BackEndFailure)?.attemptError ?: AttemptError.BROKEN
+        val error = (failure as? EndpointFailure)?.attemptError ?: AttemptError.BROKEN
         val next = tracker.failed(target.endpoint, error, dependencies.clock.nowMillis())
         inFlight = false
         if (next !is AttemptAction.GiveUp) dependencies.metrics.retried(error.name.lowercase())
@@ -206,7 +206,7 @@
             dependencies.metrics.context(event.cachedPieces, event.recomputedPieces)
             if (event.version != call.model.version) {
                 throw FailureException(
-                    BackEndFailure.Malformed(
+                    EndpointFailure.Malformed(
                         target.endpoint.value,
                         "weight version ${call.model.version}",
                         "weight version ${event.version}",
--- a/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/ServiceRunner.kt
+++ b/programs/gateway/src/main/kotlin/org/parsleymoor/gateway/serving/ServiceRunner.kt
@@ -6,11 +6,11 @@
 import com.github.michaelbull.result.mapBoth
 import com.github.michaelbull.result.onFailure
 import io.opentelemetry.api.trace.Span
-import org.parsleymoor.clients.BackEndFailure
+import org.parsleymoor.clients.EndpointFailure
 import org.parsleymoor.clients.HeaderField
 import org.parsleymoor.clients.RequestStepKind
-import org.parsleymoor.clients.ServiceAnswer
 import org.parsleymoor.clients.ServiceCall
+import org.parsleymoor.clients.ServiceCallResponse
 import org.parsleymoor.configuration.EndpointDeclaration
 import org.parsleymoor.configuration.ServiceDeclaration
 import org.parsleymoor.core.EndpointId
@@ -39,7 +39,7 @@
     private val runningCounts = ConcurrentHashMap<EndpointId, AtomicInteger>()
 
     /** Suspends until a replica has answered [call] or the retry rules allow no further attempt. */
-    suspend fun run(call: ServiceGroupCall): Result<ServiceAnswer, Refusal> {
+    suspend fun run(call: ServiceGroupCall): Result<ServiceCallResponse, Refusal> {
         val tracker = AttemptTracker(
             call.request,
             call.serviceCall.repeatable,
@@ -48,7 +48,7 @@
             dependencies.streams.maximumAttempts,
         )
         dependencies.retryBudget.firstAttempt(dependencies.clock.nowMillis())
-        var failure: BackEndFailure? = null
+        var failure: EndpointFailure? = null
         var action: AttemptAction = AttemptAction.TryElsewhere(emptySet())
         while (action !is AttemptAction.GiveUp) {
             val replica = chooseReplica(call.group, action)
@@ -89,7 +89,7 @@
         call: ServiceGroupCall,
         replica: EndpointDeclaration,
         timeoutMillis: Long,
-    ): Result<ServiceAnswer, BackEndFailure> {
+    ): Result<ServiceCallResponse, EndpointFailure> {
         val span = dependencies.tracing.hop("call", replica.name.value, call.span)
         val traced = ServiceCall(
             call.serviceCall.method,
@@ -120,7 +120,7 @@
     private fun afterFailure(
         tracker: AttemptTracker,
         replica: EndpointDeclaration,
-        failure: BackEndFailure,
+        failure: EndpointFailure,
     ): AttemptAction {
         val error = failure.attemptError
         val action = tracker.failed(replica.name, error, dependencies.clock.nowMillis())
@@ -128,7 +128,7 @@
         return action
     }
 
-    private fun refusal(action: AttemptAction.GiveUp, failure: BackEndFailure?): Refusal {
+    private fun refusal(action: AttemptAction.GiveUp, failure: EndpointFailure?): Refusal {
         val kind = when {
             action.execution != Execution.NotRun -> RefusalKind.OUTCOME_UNKNOWN
             action.cause == GiveUpCause.DEADLINE_PASSED -> RefusalKind.DEADLINE_PASSED
