Answer a caller whose request fails with an unexpected error

What callers could see: the connection closes without an answer. Cause: an exception while a request is handled ends the coroutine of the connection; the log had coroutine.failed without the request. Seen with an endpoint to whose address no connection can be opened, the way in which an odd entry of the discovery list would show. Now the request is answered, with 503 if it was not sent and 502 otherwise, and request.failed names it.

--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Refusal.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Refusal.kt
@@ -25,6 +25,10 @@
     /** This instance is shutting down and would probably not finish the request. */
     data object Stopping : Refusal(HttpStatus.UNAVAILABLE, "this instance is shutting down", STOPPING_MILLIS)
 
+    /** An unexpected error on this instance before the request was sent to an endpoint. */
+    data object InternalError :
+        Refusal(HttpStatus.UNAVAILABLE, "an unexpected error on this instance", INTERNAL_ERROR_MILLIS)
+
     /** The event loop is [lagMillis] behind, too far to respond in time. Another instance may be able to. */
     class EventLoopBehind(lagMillis: Long) : Refusal(
         HttpStatus.UNAVAILABLE,
@@ -70,6 +74,9 @@
         // Another instance can serve the request at once.
         const val STOPPING_MILLIS = 50L
 
+        // Another instance may not have the error.
+        const val INTERNAL_ERROR_MILLIS = 50L
+
         // An instance that has just started catches up within one to two seconds.
         const val MAX_BEHIND_RETRY_MILLIS = 1_000L
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/RelayHandler.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/RelayHandler.kt
@@ -1,5 +1,6 @@
 package org.parsleymoor.entry.serving
 
+import kotlinx.coroutines.CancellationException
 import kotlinx.serialization.json.put
 import org.parsleymoor.core.RequestId
 import org.parsleymoor.entry.callers.CallerRequest
@@ -31,7 +32,7 @@
         val id = RequestId(request.head.headers[names.caller.attemptId].orEmpty())
         when (val routed = route(request, id)) {
             is RoutingResult.Refused -> refusals.write(writer, id, routed.refusal)
-            is RoutingResult.Accepted -> deliver(routed.pending, writer)
+            is RoutingResult.Accepted -> deliverOrFail(routed.pending, writer)
         }
         val millis = clock.nowMillis() - request.receivedMillis
         metrics.latency.record(millis)
@@ -43,6 +44,26 @@
         }
     }
 
+    /** Delivers [pending], and answers its caller as well if that ends with an unexpected error. */
+    @Suppress("TooGenericExceptionCaught") // Whatever fails, the caller has to learn whether the request has run.
+    private suspend fun deliverOrFail(pending: PendingRequest, writer: ResponseWriter) {
+        try {
+            deliver(pending, writer)
+        } catch (cancelled: CancellationException) {
+            throw cancelled
+        } catch (cause: RuntimeException) {
+            log.write("request.failed", always = true) {
+                put("request", pending.id.value)
+                put("route", pending.route.name)
+                put("sends", pending.sendCount)
+                put("cause", cause.stackTraceToString())
+            }
+            val refusal =
+                if (pending.sendCount == 0) Refusal.InternalError else Refusal.OutcomeUnknown("unexpected error")
+            if (!writer.complete) refusals.write(writer, pending.id, refusal)
+        }
+    }
+
     private suspend fun deliver(pending: PendingRequest, writer: ResponseWriter) {
         try {
             delivery.deliver(pending, writer)
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
@@ -4,6 +4,7 @@
 import io.vertx.kotlin.coroutines.dispatcher
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import org.parsleymoor.core.Clock
 import org.parsleymoor.core.EndpointId
@@ -61,6 +62,7 @@
     attempts: Int = 2,
     configured: Boolean = true,
     timeoutMillis: Long = 2_000,
+    unconnectable: Boolean = false,
 ) : AutoCloseable {
     private val vertx = Vertx.vertx()
     private val dispatcher = vertx.orCreateContext.dispatcher()
@@ -69,6 +71,10 @@
     private val deployment = DeploymentView(InstanceId("test"))
     val lag = EventLoopLag(Clock.System)
 
+    /** The limits in force. */
+    @Volatile
+    var limits = CallerLimits(headBytes = 2_048, bodyBytes = 10_000)
+
     /** The closed connections of callers. */
     val closures = LinkedBlockingQueue<ConnectionClosure>()
     val port: Int = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
@@ -78,6 +84,8 @@
         deployment.endpointsKnown = true
         deployment.members = setOf(deployment.self)
         endpoints.forEachIndexed { index, endpoint -> deployment.endpoints.put(entry("e$index", endpoint.port), 0) }
+        // A port that no connection can be opened to, so that handling a request throws.
+        if (unconnectable) deployment.endpoints.put(entry("unconnectable", port = 70_000), 0)
         val context = ServingContext(deployment, log, EntryMetrics(), Clock.System, lag)
         val refusals = RefusalWriter(TestProtocol, log, context.metrics)
         val pool = ConnectionPool(vertx.createNetClient(), Clock.System)
@@ -95,7 +103,7 @@
         val callers = CallerContext(
             clock = Clock.System,
             handler = RelayHandler(context, NAMES, delivery, refusals, stopping),
-            limits = { CallerLimits(headBytes = 2_048, bodyBytes = 10_000) },
+            limits = { limits },
             stopping = { stopping.begun },
             onFault = {},
             lagMillis = { lag.millis },
@@ -113,6 +121,11 @@
         String(socket.getInputStream().readAllBytes())
     }
 
+    /** Keeps the event loop busy for [millis]; returns at once. */
+    fun blockEventLoop(millis: Long) {
+        scope.launch { Thread.sleep(millis) }
+    }
+
     override fun close() {
         vertx.close()
     }
