Keep idle connections open for the idle limit that callers count on

What callers could see beside a change of the idle limit: a complete request on a kept connection gets neither an answer nor a refusal. Cause: the limit was read once, when a connection began to wait. After a change that raises it, the connection was closed at the former limit; callers that count on the new one send into the close. Now a connection stays open for the longest limit in force while it waits, and its socket is read once more before it is closed.

Test: UnansweredRequestTest; keeps idle connections open for a raised idle limit failed before with an empty response.

--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/CallerConnection.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/CallerConnection.kt
@@ -67,15 +67,32 @@
         socket.close()
     }
 
+    /**
+     * Waits for a request up to the idle limit, the longest one in force during the wait: callers count on the newest
+     * limit, and after it has been lowered, some still on the former one. Returns whether one has begun to arrive.
+     */
     private suspend fun awaitRequest(): Boolean {
+        val sinceMillis = context.clock.nowMillis()
+        var limitMillis = context.limits().idleMillis
         input.queue.skipEmptyLines()
-        val arrived = withTimeoutOrNull(context.limits().idleMillis) {
-            while (input.queue.size == 0 && input.end == null) {
-                input.awaitMore()
-                input.queue.skipEmptyLines()
-            }
+        while (isSilent()) {
+            val remainingMillis = sinceMillis + limitMillis - context.clock.nowMillis()
+            if (remainingMillis <= 0) break
+            withTimeoutOrNull(remainingMillis) { awaitFirstBytes() }
+            limitMillis = maxOf(limitMillis, context.limits().idleMillis)
+        }
+        // Lets the event loop read its sockets once more: a request may have arrived while it was busy.
+        if (isSilent()) withTimeoutOrNull(POLL_MILLIS) { awaitFirstBytes() }
+        return input.queue.size > 0
+    }
+
+    private fun isSilent() = input.queue.size == 0 && input.end == null
+
+    private suspend fun awaitFirstBytes() {
+        while (isSilent()) {
+            input.awaitMore()
+            input.queue.skipEmptyLines()
         }
-        return arrived != null && input.queue.size > 0
     }
 
     private suspend fun readRequest(): Result<CallerRequest, MessageFailure> {
@@ -132,6 +149,8 @@
     }
 
     private companion object {
+        // Any timer, however short, fires after the event loop has polled its sockets.
+        const val POLL_MILLIS = 1L
         val ENDED_EARLY: Result<RequestHead, MessageFailure> = Err(MessageFailure.ENDED_EARLY)
         const val CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n"
 
--- /dev/null
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/UnansweredRequestTest.kt
@@ -0,0 +1,103 @@
+package org.parsleymoor.entry
+
+import org.junit.jupiter.api.Test
+import org.parsleymoor.relay.routing.CallerLimits
+import org.parsleymoor.relay.routing.RequestKind
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.endsWith
+import strikt.assertions.startsWith
+import java.net.Socket
+
+/** Guards against complete requests that get neither an answer nor a refusal. */
+class UnansweredRequestTest {
+    // Callers count on the idle limit that is in force when they send, not on the one of their previous request.
+    @Test
+    fun `keeps idle connections open for a raised idle limit`() {
+        RelayHarness(answering()).use { harness ->
+            harness.limits = limits(idleMillis = 400)
+            harness.caller().use { socket ->
+                Thread.sleep(100)
+                harness.limits = limits(idleMillis = 5_000)
+                Thread.sleep(600)
+                socket.send(request())
+                expectThat(socket.readAll()).startsWith("HTTP/1.1 200 ")
+            }
+        }
+    }
+
+    // Callers that still count on the former limit would send on a connection that is being closed.
+    @Test
+    fun `keeps connections that are idle already open when the idle limit is lowered`() {
+        RelayHarness(answering()).use { harness ->
+            harness.limits = limits(idleMillis = 5_000)
+            harness.caller().use { socket ->
+                Thread.sleep(100)
+                harness.limits = limits(idleMillis = 50)
+                Thread.sleep(400)
+                socket.send(request())
+                expectThat(socket.readAll()).startsWith("HTTP/1.1 200 ")
+            }
+        }
+    }
+
+    // The event loop finds the request and the end of the idle time together when it was busy meanwhile.
+    @Test
+    fun `serves a request that arrived before the idle limit while the event loop was busy`() {
+        RelayHarness(answering()).use { harness ->
+            harness.limits = limits(idleMillis = 300)
+            harness.caller().use { socket ->
+                Thread.sleep(200)
+                harness.blockEventLoop(millis = 300)
+                Thread.sleep(50)
+                socket.send(request())
+                expectThat(socket.readAll()).startsWith("HTTP/1.1 200 ")
+            }
+        }
+    }
+
+    // An exception while a request is handled ended its coroutine, which closed the connection without an answer.
+    @Test
+    fun `answers when handling a request fails unexpectedly`() {
+        RelayHarness(unconnectable = true).use { harness ->
+            expectThat(harness.exchange(request())).startsWith("HTTP/1.1 50").contains("Connection: close")
+        }
+    }
+
+    // Reading pauses while the caller is slow; the data that arrives with the resumption was not noticed.
+    @Test
+    fun `relays a large stream to a slow caller to its end`() {
+        val event = "x".repeat(60_000)
+        val endpoint = ScriptedEndpoint { socket, _, _ ->
+            socket.send(STREAM_HEAD)
+            repeat(200) { number -> socket.send(chunk("id: ${number + 1}\ndata: $event\n\n")) }
+            socket.send("0\r\n\r\n")
+        }
+        RelayHarness(endpoint, kind = RequestKind.STREAM, timeoutMillis = 20_000).use { harness ->
+            harness.caller().use { socket ->
+                socket.send(request(waitMillis = 20_000))
+                Thread.sleep(1_000)
+                expectThat(socket.readAll()).endsWith("0\r\n\r\n")
+            }
+        }
+    }
+
+    private fun answering() = ScriptedEndpoint { socket, _, _ ->
+        socket.send("HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s1\r\nContent-Length: 2\r\n\r\nok")
+    }
+
+    private fun limits(idleMillis: Long) = CallerLimits(headBytes = 2_048, bodyBytes = 10_000, idleMillis = idleMillis)
+
+    private fun Socket.readAll() = String(getInputStream().readAllBytes())
+
+    private fun request(bodyBytes: Int = 0, waitMillis: Long = 2_000) =
+        "POST /r/x HTTP/1.1\r\nHost: h\r\nId: 1\r\nWait: $waitMillis\r\nAuthorization: Key secret\r\n" +
+            "Connection: close\r\nContent-Length: $bodyBytes\r\n\r\n"
+
+    private fun chunk(text: String) = "${text.length.toString(16)}\r\n$text\r\n"
+
+    private companion object {
+        const val STREAM_HEAD = "HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s1\r\nContent-Type: text/event-stream\r\n" +
+            "Transfer-Encoding: chunked\r\n\r\n"
+    }
+}
