Apply the idle limit to pauses of a request body, not to the whole of it

What callers could see: after a change that lowers the idle limit, an upload that takes longer than the limit is refused with 408 while it keeps arriving. Cause: the limit bounded the whole body.

Test: UnansweredRequestTest; serves a body that takes longer than the idle limit without such a pause failed before (broken pipe).

--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/CallerConnection.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/CallerConnection.kt
@@ -106,8 +106,7 @@
     private suspend fun readBodyOf(head: RequestHead, limits: CallerLimits): Result<CallerRequest, MessageFailure> {
         val framing = head.framing().getOrElse { return Err(it) }
         if (head.headers.tokens("Expect") == listOf("100-continue")) socket.write(Buffer.buffer(CONTINUE))
-        val body = withTimeoutOrNull(limits.idleMillis) { input.readBody(framing, limits.bodyBytes) }
-            ?: Err(MessageFailure.TOO_SLOW)
+        val body = input.readBody(framing, limits.bodyBytes, limits.idleMillis, context.clock)
         return body.map { CallerRequest(head, it, context.clock.nowMillis() - context.lagMillis()) }
     }
 
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/UnansweredRequestTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/UnansweredRequestTest.kt
@@ -8,6 +8,7 @@
 import strikt.assertions.endsWith
 import strikt.assertions.startsWith
 import java.net.Socket
+import kotlin.concurrent.thread
 
 /** Guards against complete requests that get neither an answer nor a refusal. */
 class UnansweredRequestTest {
@@ -56,6 +57,46 @@
         }
     }
 
+    // The idle limit bounds a pause; a body that keeps arriving may take longer.
+    @Test
+    fun `serves a body that takes longer than the idle limit without such a pause`() {
+        RelayHarness(answering()).use { harness ->
+            harness.limits = limits(idleMillis = 400)
+            harness.caller().use { socket ->
+                socket.send(request(bodyBytes = 3_000))
+                repeat(6) {
+                    Thread.sleep(150)
+                    socket.send("x".repeat(500))
+                }
+                expectThat(socket.readAll()).startsWith("HTTP/1.1 200 ")
+            }
+        }
+    }
+
+    @Test
+    fun `refuses a body that stops arriving`() {
+        RelayHarness(answering()).use { harness ->
+            harness.limits = limits(idleMillis = 300)
+            harness.caller().use { socket ->
+                socket.send(request(bodyBytes = 3_000) + "x")
+                expectThat(socket.readAll()).startsWith("HTTP/1.1 408 ")
+            }
+        }
+    }
+
+    // A body of which a few bytes arrive now and then would occupy its connection for ever.
+    @Test
+    fun `refuses a body that arrives too slowly to ever end`() {
+        RelayHarness(answering()).use { harness ->
+            harness.limits = limits(idleMillis = 300)
+            harness.caller().use { socket ->
+                socket.send(request(bodyBytes = 9_000))
+                thread(isDaemon = true) { runCatching { socket.sendSlowly(pauseMillis = 100, times = 40) } }
+                expectThat(socket.readAll()).startsWith("HTTP/1.1 408 ")
+            }
+        }
+    }
+
     // An exception while a request is handled ended its coroutine, which closed the connection without an answer.
     @Test
     fun `answers when handling a request fails unexpectedly`() {
@@ -90,6 +131,13 @@
 
     private fun Socket.readAll() = String(getInputStream().readAllBytes())
 
+    private fun Socket.sendSlowly(pauseMillis: Long, times: Int) {
+        repeat(times) {
+            Thread.sleep(pauseMillis)
+            send("x")
+        }
+    }
+
     private fun request(bodyBytes: Int = 0, waitMillis: Long = 2_000) =
         "POST /r/x HTTP/1.1\r\nHost: h\r\nId: 1\r\nWait: $waitMillis\r\nAuthorization: Key secret\r\n" +
             "Connection: close\r\nContent-Length: $bodyBytes\r\n\r\n"
