Give up a silent attempt only when the request can go on elsewhere

What callers could see: a stream that closes without its end, or a 502, while its endpoint is sound and silent for a second or two. Cause: a repeatable request was given up after 1.2 s (stream) or 1.5 s (first byte) of silence whether or not it could be sent again. With its attempts or the retry budget used up, or no other endpoint with room, the caller lost an answer that was under way. A change of a route's time or of its service, after which endpoints are slow or fewer, makes that more likely. Now the time limit, the attempts, the budget and the choice of another endpoint are checked first, and again every 100 ms; until then the attempt goes on up to the request's deadline.

Ruled out: requests that may not be repeated were never ended by silence. Remains: an endpoint chosen as the alternative may refuse a moment later.

Test: SilentEndpointTest; all five cases failed before, three streams without their second event and two 502.

--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/limits/SharedRetryBudget.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/limits/SharedRetryBudget.kt
@@ -20,12 +20,17 @@
 
     /** Takes one retry from the budget of [service]; returns false, and takes nothing, when it is used up. */
     public fun tryTakeRetry(service: String, instances: Int, nowMillis: Long): Boolean {
+        if (!hasRetry(service, instances, nowMillis)) return false
+        counts(service).retries.add(nowMillis)
+        return true
+    }
+
+    /** Whether the budget of [service] has a retry left. */
+    public fun hasRetry(service: String, instances: Int, nowMillis: Long): Boolean {
         val counts = counts(service)
         val extra = limit.extra / maxOf(1, instances)
         val allowed = USABLE_SHARE * (extra + limit.share * counts.requests.count(nowMillis))
-        if (counts.retries.count(nowMillis) + 1 > allowed) return false
-        counts.retries.add(nowMillis)
-        return true
+        return counts.retries.count(nowMillis) + 1 <= allowed
     }
 
     private fun counts(service: String): Counts =
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
@@ -2,6 +2,9 @@
 
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
+import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.withTimeoutOrNull
 import org.parsleymoor.entry.callers.ResponseWriter
 import org.parsleymoor.entry.net.EndpointConnection
@@ -26,7 +29,10 @@
     val stateUpdater = EndpointStateUpdater(names, context.clock)
 }
 
-/** Sends [pending] to [target] over [connection] once and relays the response to [writer]. */
+/**
+ * Sends [pending] to [target] over [connection] once and relays the response to [writer]. While the endpoint is silent,
+ * [mayMove] says whether the request could be sent to another endpoint now.
+ */
 internal class Attempt(
     private val context: AttemptContext,
     private val pending: PendingRequest,
@@ -34,6 +40,7 @@
     private val connection: EndpointConnection,
     private val writer: ResponseWriter,
     private val progress: AttemptProgress,
+    private val mayMove: () -> Boolean,
 ) {
     private val clock = context.clock
     private val names = context.names
@@ -54,26 +61,38 @@
         connection.send(message(context.requestBuilder.head(pending, target, remaining), pending.request.body))
         progress.sent = true
         pending.sendCount++
-        val timeoutMillis = pending.responseTimeoutMillis(target, remaining)
-        return awaitResponse(timeoutMillis)?.fold({ handleResponse(it) }, { onFault(it) }) ?: onTimeout(timeoutMillis)
+        val sentMillis = clock.nowMillis()
+        return awaitResponse(remaining, sentMillis)?.fold({ handleResponse(it) }, { onFault(it) })
+            ?: onTimeout(clock.nowMillis() - sentMillis)
     }
 
     /**
-     * Waits up to [timeoutMillis] for the response head. Returns null at the shorter silence timeout if the endpoint
-     * has responded to no request of this instance in the meantime.
+     * Waits up to [remainingMillis] for the response head. Returns null earlier if the endpoint is silent and the
+     * request can move to another one.
      */
-    private suspend fun awaitResponse(timeoutMillis: Long): Result<IncomingResponse, MessageFailure>? {
-        val sentMillis = clock.nowMillis()
-        return withTimeoutOrNull(timeoutMillis) {
-            val first = withTimeoutOrNull(minOf(timeoutMillis, pending.silenceTimeoutMillis(target))) { reader.head() }
-            if (first == null && state.answeredMillis >= sentMillis) reader.head() else first
+    private suspend fun awaitResponse(
+        remainingMillis: Long,
+        sentMillis: Long,
+    ): Result<IncomingResponse, MessageFailure>? = coroutineScope {
+        val head = async(start = CoroutineStart.UNDISPATCHED) { reader.head() }
+        val silenceMillis = minOf(remainingMillis, pending.silenceTimeoutMillis(target))
+        var response = withTimeoutOrNull(silenceMillis) { head.await() }
+        val untilMillis = sentMillis + remainingMillis
+        while (response == null && clock.nowMillis() < untilMillis && !(isSilentSince(sentMillis) && mayMove())) {
+            val waitMillis = minOf(SILENCE_POLL_MILLIS, untilMillis - clock.nowMillis())
+            response = withTimeoutOrNull(waitMillis) { head.await() }
         }
+        head.cancel()
+        response
     }
 
-    private fun onTimeout(timeoutMillis: Long): AttemptResult {
+    /** Engines answer slowly under load, but then they answer some request of this instance. */
+    private fun isSilentSince(sentMillis: Long): Boolean = pending.prompt == null || state.answeredMillis < sentMillis
+
+    private fun onTimeout(waitedMillis: Long): AttemptResult {
         note(AttemptOutcome.SILENT)
         if (connection.requests > 1) context.discardIdle(connection.address)
-        return AttemptResult.Uncertain("no response within $timeoutMillis ms")
+        return AttemptResult.Uncertain("no response within $waitedMillis ms")
     }
 
     private fun onFault(fault: MessageFailure): AttemptResult {
@@ -108,7 +127,7 @@
     }
 
     private suspend fun relayStream(response: IncomingResponse): AttemptResult {
-        val relay = StreamRelay(clock, pending, connection, writer, progress)
+        val relay = StreamRelay(clock, pending, connection, writer, progress, mayMove)
         val result = relay.relay(response, response.head.toCallerHead(names))
         note(if (result is AttemptResult.Delivered) AttemptOutcome.ANSWERED else AttemptOutcome.FAILED)
         return result
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Delivery.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Delivery.kt
@@ -53,7 +53,7 @@
 
     private suspend fun attempt(pending: PendingRequest, target: Target, writer: ResponseWriter): AttemptResult {
         val startMillis = clock.nowMillis()
-        val result = attemptRunner.run(pending, target, writer)
+        val result = attemptRunner.run(pending, target, writer) { canMove(pending, target) }
         val nowMillis = clock.nowMillis()
         metrics.attempts.increment()
         log.write("request.attempt", always = result !is AttemptResult.Delivered) {
@@ -92,8 +92,6 @@
     }
 
     private fun mayRetry(pending: PendingRequest, result: AttemptResult): Boolean {
-        val untilMillis = if (pending.streamStarted) pending.deadlineMillis else pending.firstByteDeadlineMillis
-        val enoughTime = untilMillis - clock.nowMillis() > MIN_REMAINING_MILLIS
         val allowed = when (result) {
             is AttemptResult.Delivered -> false
             is AttemptResult.NotRun ->
@@ -101,9 +99,20 @@
             is AttemptResult.Failed, is AttemptResult.Uncertain ->
                 pending.route.repeatable && pending.possibleRuns < pending.route.attempts
         }
-        return enoughTime && allowed && withinRetryBudget(pending, result)
+        return hasTimeLeft(pending) && allowed && withinRetryBudget(pending, result)
     }
 
+    private fun hasTimeLeft(pending: PendingRequest): Boolean {
+        val untilMillis = if (pending.streamStarted) pending.deadlineMillis else pending.firstByteDeadlineMillis
+        return untilMillis - clock.nowMillis() > MIN_REMAINING_MILLIS
+    }
+
+    /** Whether [pending], whose attempt at [target] may be running, could be sent to another endpoint now. */
+    private fun canMove(pending: PendingRequest, target: Target): Boolean =
+        pending.route.repeatable && pending.possibleRuns + 1 < pending.route.attempts && hasTimeLeft(pending) &&
+            budget.hasRetry(pending.service.name, deployment.instances, clock.nowMillis()) &&
+            selector.hasAlternative(pending, target.endpoint)
+
     private fun withinRetryBudget(pending: PendingRequest, result: AttemptResult): Boolean =
         (result is AttemptResult.NotRun && !result.sent && pending.sendCount == 0) ||
             budget.tryTakeRetry(pending.service.name, deployment.instances, clock.nowMillis())
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/EndpointSelector.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/EndpointSelector.kt
@@ -57,6 +57,20 @@
         }
     }
 
+    /** Whether [pending] could be sent to an endpoint other than [current] now, without using up any limit. */
+    fun hasAlternative(pending: PendingRequest, current: EndpointState): Boolean {
+        val nowMillis = clock.nowMillis()
+        val query = pending.placeRequest(nowMillis).copy(tried = pending.tried + current.entry.id)
+        val prompt = pending.prompt
+        val place = if (prompt == null || pending.service.engine == null) {
+            services.choose(query, deployment.endpoints, nowMillis)
+        } else {
+            val cacheInfo = PromptCacheInfo(pending, prompt, deployment, transfers)
+            engines.choose(engineQuery(query, cacheInfo, nowMillis), deployment.endpoints, nowMillis).result
+        }
+        return place is PlacementResult.Selected && !place.endpoint.isCold(nowMillis)
+    }
+
     private fun choose(
         request: PlacementQuery,
         prompt: PromptContext?,
@@ -69,25 +83,30 @@
                 is PlacementResult.Unavailable -> Choice.None(place.reason, place.retryAfterMillis)
             }
         }
-        val named = deployment.weights[prompt.model]
         val cacheInfo = PromptCacheInfo(pending, prompt, deployment, transfers)
-        val engineRequest = EnginePlacementQuery(
-            base = request,
-            prompt = prompt,
-            targetWeights = named,
-            instances = deployment.instances,
-            fetchMillis = cacheInfo::fetchMillis,
-            cachedProbability = {
-                deployment.contexts.cachedProbability(cacheInfo.context(it), it.incarnation, nowMillis)
-            },
-        )
-        val enginePlace = engines.choose(engineRequest, deployment.endpoints, nowMillis)
+        val enginePlace =
+            engines.choose(engineQuery(request, cacheInfo, nowMillis), deployment.endpoints, nowMillis)
         return when (val place = enginePlace.result) {
             is PlacementResult.Unavailable -> Choice.None(place.reason, place.retryAfterMillis)
             is PlacementResult.Selected -> Choice.Chosen(target(cacheInfo, place, enginePlace, nowMillis))
         }
     }
 
+    private fun engineQuery(
+        base: PlacementQuery,
+        cacheInfo: PromptCacheInfo,
+        nowMillis: Long,
+    ): EnginePlacementQuery = EnginePlacementQuery(
+        base = base,
+        prompt = cacheInfo.prompt,
+        targetWeights = deployment.weights[cacheInfo.prompt.model],
+        instances = deployment.instances,
+        fetchMillis = cacheInfo::fetchMillis,
+        cachedProbability = {
+            deployment.contexts.cachedProbability(cacheInfo.context(it), it.incarnation, nowMillis)
+        },
+    )
+
     private fun target(
         cacheInfo: PromptCacheInfo,
         place: PlacementResult.Selected,
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/ResponseTimeouts.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/ResponseTimeouts.kt
@@ -1,22 +1,17 @@
 package org.parsleymoor.entry.serving
 
 /**
- * Returns how long to wait for the response head of [target] with [remainingMillis] left: shorter only if another
- * endpoint can be tried after it and [target] is no engine.
+ * Returns how long [target] may be silent before a repeatable request moves to another endpoint, if there is one: an
+ * engine to all requests of this instance, another endpoint to this one.
  */
-internal fun PendingRequest.responseTimeoutMillis(target: Target, remainingMillis: Long): Long {
-    val canRetry = route.repeatable && possibleRuns + 1 < route.attempts
-    if (!canRetry || prompt != null) return remainingMillis
-    val expected = maxOf(target.estimateMillis * SILENCE_FACTOR, route.objectiveMillis * SILENCE_OBJECTIVES)
-    return expected.toLong().coerceAtMost(remainingMillis)
+internal fun PendingRequest.silenceTimeoutMillis(target: Target): Long = when {
+    !route.repeatable -> Long.MAX_VALUE
+    prompt != null -> maxOf(ENGINE_SILENCE_MILLIS, target.estimateMillis.toLong() * 2)
+    else -> maxOf(target.estimateMillis * SILENCE_FACTOR, route.objectiveMillis * SILENCE_OBJECTIVES).toLong()
 }
 
-/** Returns how long an engine may send nothing to this instance before a repeatable request moves to another. */
-internal fun PendingRequest.silenceTimeoutMillis(target: Target): Long = if (prompt == null || !route.repeatable) {
-    Long.MAX_VALUE
-} else {
-    maxOf(ENGINE_SILENCE_MILLIS, target.estimateMillis.toLong() * 2)
-}
+// Interval at which a request whose endpoint is silent looks for another endpoint.
+internal const val SILENCE_POLL_MILLIS = 100L
 
 // An endpoint is taken to be silent after this many times the estimate and this many objectives, the longer of both.
 private const val SILENCE_FACTOR = 4.0
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/StreamRelay.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/StreamRelay.kt
@@ -11,13 +11,17 @@
 import org.parsleymoor.relay.stream.EventSplitter
 import org.parsleymoor.relay.stream.StreamEvent
 
-/** Relays the events of a stream as they arrive, each complete and exactly once. */
+/**
+ * Relays the events of a stream as they arrive, each complete and exactly once. A stalled stream is abandoned only if
+ * [mayMove] says that another endpoint can go on with it now: a sound endpoint may be silent for a second or more.
+ */
 internal class StreamRelay(
     private val clock: Clock,
     private val pending: PendingRequest,
     private val connection: EndpointConnection,
     private val writer: ResponseWriter,
     private val progress: AttemptProgress,
+    private val mayMove: () -> Boolean,
 ) {
     private val splitter = EventSplitter()
     private var lastEventMillis = clock.nowMillis()
@@ -44,23 +48,30 @@
     private val eventTooLarge: Boolean get() = splitter.pendingBytes > MAX_EVENT_BYTES
 
     /**
-     * Waits for more of the stream. Returns null at the deadline, or if neither this stream nor any other request of
-     * this instance has received an event from the endpoint for a while. Bytes that complete no event do not count,
-     * because a stalled stream may still send some.
+     * Waits for more of the stream. Returns null at the deadline, or earlier if the stream is stalled and can go on at
+     * another endpoint.
      */
     private suspend fun nextPart(response: IncomingResponse): ByteArray? {
-        val nowMillis = clock.nowMillis()
-        val remaining = (pending.deadlineMillis - nowMillis).coerceAtLeast(1)
-        val waitMillis =
-            if (pending.route.resumable) minOf(remaining, lastEventMillis + STALL_MILLIS - nowMillis) else remaining
-        val first = withTimeoutOrNull(waitMillis) { connection.readPart(response) }
-        return if (first == null && waitMillis < remaining && progress.hasActivitySince(lastEventMillis + 1)) {
-            withTimeoutOrNull(pending.deadlineMillis - clock.nowMillis()) { connection.readPart(response) }
-        } else {
-            first
+        var part: ByteArray? = null
+        var ended = false
+        while (part == null && !ended) {
+            val nowMillis = clock.nowMillis()
+            val remaining = (pending.deadlineMillis - nowMillis).coerceAtLeast(1)
+            val patience = (lastEventMillis + STALL_MILLIS - nowMillis).coerceAtLeast(SILENCE_POLL_MILLIS)
+            val stalled = isStalled(nowMillis) && mayMove()
+            if (!stalled) part = withTimeoutOrNull(minOf(remaining, patience)) { connection.readPart(response) }
+            ended = stalled || clock.nowMillis() >= pending.deadlineMillis
         }
+        return part
     }
 
+    /**
+     * Whether neither this stream nor any other request of this instance has received an event from the endpoint for a
+     * while. Bytes that complete no event do not count, because a stalled stream may still send some.
+     */
+    private fun isStalled(nowMillis: Long): Boolean = pending.route.resumable &&
+        nowMillis - lastEventMillis >= STALL_MILLIS && !progress.hasActivitySince(lastEventMillis + 1)
+
     private suspend fun deliver(head: CallerResponseHead, events: List<StreamEvent>) {
         if (events.isEmpty()) return
         progress.recordEvents(events.size)
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
@@ -63,6 +63,7 @@
     configured: Boolean = true,
     timeoutMillis: Long = 2_000,
     unconnectable: Boolean = false,
+    retries: Double = 100.0,
 ) : AutoCloseable {
     private val vertx = Vertx.vertx()
     private val dispatcher = vertx.orCreateContext.dispatcher()
@@ -89,7 +90,7 @@
         val context = ServingContext(deployment, log, EntryMetrics(), Clock.System, lag)
         val refusals = RefusalWriter(TestProtocol, log, context.metrics)
         val pool = ConnectionPool(vertx.createNetClient(), Clock.System)
-        val budget = SharedRetryBudget(RetryLimit(share = 1.0, extra = 100.0, windowMillis = 10_000))
+        val budget = SharedRetryBudget(RetryLimit(share = if (retries > 0) 1.0 else 0.0, extra = retries, windowMillis = 10_000))
         val quarantine = QuarantineGate(context)
         val delivery = Delivery(
             context,
--- /dev/null
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/SilentEndpointTest.kt
@@ -0,0 +1,85 @@
+package org.parsleymoor.entry
+
+import org.junit.jupiter.api.Test
+import org.parsleymoor.relay.routing.RequestKind
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.endsWith
+import strikt.assertions.isEqualTo
+
+/** Guards against answers that are given up because a sound endpoint is silent and no other one can take over. */
+class SilentEndpointTest {
+    @Test
+    fun `waits for a silent stream when no other endpoint can go on with it`() {
+        RelayHarness(pausingStream(), kind = RequestKind.STREAM, resumable = true, timeoutMillis = 6_000).use {
+            expectThat(it.exchange(request())).contains("data: b").endsWith("0\r\n\r\n")
+        }
+    }
+
+    @Test
+    fun `waits for a silent stream when its attempts are used up`() {
+        val endpoints = List(2) { pausingStream() }
+        val harness = RelayHarness(
+            *endpoints.toTypedArray(),
+            kind = RequestKind.STREAM,
+            resumable = true,
+            attempts = 1,
+            timeoutMillis = 6_000,
+        )
+        harness.use { expectThat(it.exchange(request())).contains("data: b").endsWith("0\r\n\r\n") }
+        expectThat(endpoints.sumOf { it.requests.size }).isEqualTo(1)
+    }
+
+    @Test
+    fun `waits for a silent stream when the retry budget is used up`() {
+        val endpoints = List(2) { pausingStream() }
+        val harness = RelayHarness(
+            *endpoints.toTypedArray(),
+            kind = RequestKind.STREAM,
+            resumable = true,
+            timeoutMillis = 6_000,
+            retries = 0.0,
+        )
+        harness.use { expectThat(it.exchange(request())).contains("data: b").endsWith("0\r\n\r\n") }
+        expectThat(endpoints.sumOf { it.requests.size }).isEqualTo(1)
+    }
+
+    @Test
+    fun `waits for the answer of a silent engine when no other engine can take the prompt`() {
+        RelayHarness(pausingAnswer(), kind = RequestKind.IDEMPOTENT, timeoutMillis = 6_000).use {
+            expectThat(it.exchange(request(fields = "Model: m\r\nUsage: 10,10\r\nParts: a:10,b:10\r\n"))).endsWith("ok")
+        }
+    }
+
+    @Test
+    fun `waits for the answer of a silent endpoint when there is no other`() {
+        RelayHarness(pausingAnswer(), kind = RequestKind.IDEMPOTENT, timeoutMillis = 6_000).use {
+            expectThat(it.exchange(request())).endsWith("ok")
+        }
+    }
+
+    private fun pausingStream() = ScriptedEndpoint { socket, _, _ ->
+        socket.send(
+            "HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s1\r\nContent-Type: text/event-stream\r\n" +
+                "Transfer-Encoding: chunked\r\n\r\n" + chunk("id: 1\ndata: a\n\n"),
+        )
+        Thread.sleep(SILENCE_MILLIS)
+        socket.send(chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n")
+    }
+
+    private fun pausingAnswer() = ScriptedEndpoint { socket, _, _ ->
+        Thread.sleep(SILENCE_MILLIS)
+        socket.send("HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s1\r\nContent-Length: 2\r\n\r\nok")
+    }
+
+    private fun request(fields: String = "") =
+        "POST /r/x HTTP/1.1\r\nHost: h\r\nId: 1\r\nWait: 6000\r\nAuthorization: Key secret\r\n" + fields +
+            "Connection: close\r\nContent-Length: 0\r\n\r\n"
+
+    private fun chunk(text: String) = "${text.length.toString(16)}\r\n$text\r\n"
+
+    private companion object {
+        // Longer than any time after which a silent endpoint is given up for another one.
+        const val SILENCE_MILLIS = 2_000L
+    }
+}
