Keep the readable objects of a response when one cannot be decoded

What callers could see: one object of another writer without metadata, or with a revision that is no whole number, made the whole list of its kind and every watch response that contained it unreadable. The instance read the list again without a pause, followed no change, and started without any endpoint.

Cause: a response of the store was decoded as one document. The list that replaces an unreadable watch response was read again at once, without backoff.

Ruled out: the decoding of the content of an entry, which already was a failure of that entry alone.

One that cannot be decoded is left out and logged once as object.unreadable; in a watch it removes the object of its name. A page without any name that says that there is more is a failure, as is a page that ends where the one before ended. Unreadable changes lead to at most one list a second.

--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
@@ -35,6 +35,7 @@
 import org.parsleymoor.entry.control.PeerContext
 import org.parsleymoor.entry.control.Peers
 import org.parsleymoor.entry.control.RolloutLoop
+import org.parsleymoor.entry.control.UnreadableObjectLog
 import org.parsleymoor.entry.control.WatchContext
 import org.parsleymoor.entry.control.WatchPolicy
 import org.parsleymoor.entry.control.WeightsListener
@@ -86,9 +87,11 @@
     )
     private val pool = ConnectionPool(client, clock)
     private val controlClient = ControlClient(ConnectionPool(client, clock))
-    private val store = ObjectStore(protocol.objects) { call, timeoutMillis ->
-        controlClient.call(settings.objectStore, call, timeoutMillis)
-    }
+    private val store = ObjectStore(
+        protocol = protocol.objects,
+        send = { call, timeoutMillis -> controlClient.call(settings.objectStore, call, timeoutMillis) },
+        onUnreadable = UnreadableObjectLog(log)::record,
+    )
     private val membership = Membership(
         Member(settings.instance, settings.listen.peers.toString(), settings.zone, settings.processors),
     )
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectStore.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectStore.kt
@@ -7,6 +7,7 @@
 import com.github.michaelbull.result.getOrElse
 import com.github.michaelbull.result.map
 import com.github.michaelbull.result.mapError
+import com.github.michaelbull.result.onSuccess
 import org.parsleymoor.core.Failure
 import org.parsleymoor.entry.net.CallFailure
 import org.parsleymoor.entry.net.ControlResponse
@@ -14,8 +15,10 @@
 import org.parsleymoor.entry.protocol.DecodeFailure
 import org.parsleymoor.entry.protocol.ObjectChanges
 import org.parsleymoor.entry.protocol.ObjectKind
+import org.parsleymoor.entry.protocol.ObjectPage
 import org.parsleymoor.entry.protocol.ObjectProtocol
 import org.parsleymoor.entry.protocol.StoredObject
+import org.parsleymoor.entry.protocol.UnreadableObject
 import org.parsleymoor.relay.http.HttpStatus
 
 /** Reason why a call to the object store failed. */
@@ -53,17 +56,22 @@
 /** Makes a call to the object store and waits for the response up to a number of milliseconds. */
 internal typealias StoreCall = suspend (ControlRequest, Long) -> Result<ControlResponse, CallFailure>
 
-/** Client of the object store, which is called through [send]. */
-internal class ObjectStore(private val protocol: ObjectProtocol, private val send: StoreCall) {
+/**
+ * Client of the object store, which is called through [send]. [onUnreadable] receives the objects that are left out of
+ * a response because they cannot be decoded.
+ */
+internal class ObjectStore(
+    private val protocol: ObjectProtocol,
+    private val send: StoreCall,
+    private val onUnreadable: (ObjectKind, List<UnreadableObject>) -> Unit = { _, _ -> },
+) {
     /** Reads all objects of [kind], page by page; with [allowStale] they may be seconds old. */
     suspend fun list(kind: ObjectKind, allowStale: Boolean = false): Result<ObjectList, StoreFailure> {
         val items = ArrayList<StoredObject>()
         var after: String? = null
         var revision: Long? = null
         do {
-            val page = call(protocol.list(kind, after, allowStale), TIMEOUT_MILLIS)
-                .andThen { response -> protocol.page(response.body).mapError { StoreFailure.Unreadable(it) } }
-                .getOrElse { return Err(it) }
+            val page = page(kind, after, allowStale).getOrElse { return Err(it) }
             items += page.items
             // The first page's revision counts: a watch from there repeats changes made between two pages.
             revision = revision ?: page.revision
@@ -81,6 +89,7 @@
     ): Result<ObjectChanges, StoreFailure> =
         call(protocol.watch(kind, revision, waitMillis), waitMillis + marginMillis)
             .andThen { response -> protocol.changes(response.body).mapError { StoreFailure.Unreadable(it) } }
+            .onSuccess { onUnreadable(kind, it.unreadable) }
 
     /** Reads an object. */
     suspend fun read(kind: ObjectKind, name: String): Result<StoredObject, StoreFailure> =
@@ -106,6 +115,15 @@
     private fun stored(response: ControlResponse): Result<StoredObject, StoreFailure> =
         protocol.stored(response.body).mapError { StoreFailure.Unreadable(it) }
 
+    private suspend fun page(kind: ObjectKind, after: String?, allowStale: Boolean): Result<ObjectPage, StoreFailure> =
+        call(protocol.list(kind, after, allowStale), TIMEOUT_MILLIS)
+            .andThen { response -> protocol.page(response.body).mapError { StoreFailure.Unreadable(it) } }
+            .andThen { page -> if (page.after == null || page.after != after) Ok(page) else Err(repeatedPage(after)) }
+            .onSuccess { onUnreadable(kind, it.unreadable) }
+
+    private fun repeatedPage(cursor: String) =
+        StoreFailure.Unreadable(DecodeFailure("a page after \"$cursor\"", "one that ends there again"))
+
     private suspend fun call(call: ControlRequest, timeoutMillis: Long): Result<ControlResponse, StoreFailure> {
         val response = send(call, timeoutMillis).getOrElse { failure ->
             return Err(
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectWatch.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectWatch.kt
@@ -127,6 +127,8 @@
                     put("reason", failure.message)
                 }
                 readList()
+                // The list may be readable while the changes stay unreadable.
+                if (failure is StoreFailure.Unreadable) delay(UNREADABLE_DELAY_MILLIS)
             } else {
                 failed(failure)
             }
@@ -176,6 +178,7 @@
         const val IDLE_TICKS = 2
         const val PROBE_WAIT_MILLIS = 10L
         const val BURST_DELAY_MILLIS = 120L
+        const val UNREADABLE_DELAY_MILLIS = 1_000L
 
         // A peer's report that the store does not respond counts if the last confirmations are less than this apart.
         const val STATUS_TOLERANCE_MILLIS = 300L
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/protocol/ServingProtocol.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/protocol/ServingProtocol.kt
@@ -32,14 +32,32 @@
     public val content: String,
 )
 
-/** A page of a list as of [revision]; [after] is the cursor of the next page, or null on the last one. */
-public data class ObjectPage(public val items: List<StoredObject>, public val after: String?, public val revision: Long)
+/** An object in a response of the store that could not be decoded; [name] is null if that is unreadable too. */
+public data class UnreadableObject(public val name: String?, public val cause: DecodeFailure)
+
+/**
+ * A page of a list as of [revision]; [after] is the cursor of the next page, or null on the last one. [unreadable] are
+ * the objects that are missing from [items].
+ */
+public data class ObjectPage(
+    public val items: List<StoredObject>,
+    public val after: String?,
+    public val revision: Long,
+    public val unreadable: List<UnreadableObject> = emptyList(),
+)
 
 /** A change of an object; [removed] is true if the object was deleted. */
 public data class ObjectChange(public val value: StoredObject, public val removed: Boolean)
 
-/** Changes of a collection up to [revision]. */
-public data class ObjectChanges(public val changes: List<ObjectChange>, public val revision: Long)
+/**
+ * Changes of a collection up to [revision]. [unreadable] are changed objects that could not be decoded; one whose name
+ * is known is removed in [changes].
+ */
+public data class ObjectChanges(
+    public val changes: List<ObjectChange>,
+    public val revision: Long,
+    public val unreadable: List<UnreadableObject> = emptyList(),
+)
 
 /** Encodes requests to the object store and decodes its responses. */
 public interface ObjectProtocol {
