Order copies of stored objects by the store's era and revision

When the object store came back from a copy some seconds old, revisions went back and were given out again. Callers got 404 on a route that was added after the restore, on every instance, requests followed old routes, and endpoints that were leaving still received requests.

Cause: copies, offers between peers and statuses were ordered by the revision alone, and nothing read the header Store-Era. A list of a lower revision was dropped but counted as a confirmation, and the next watch asked again from a revision that the store did not have, without a pause. A copy that was just as far as the restored store saw no 410 and missed the gap without noticing.

Now StorePosition, the era and then the revision, orders all of them. Each response is checked against the newest era that the instance knows from the store or from a peer; responses of a former era are failures. A copy enters a later era with a whole list only; waiting watches are cancelled when a later era is known, and a list whose pages are of two eras is read again. A list that is not taken counts as a failed call, which is followed by a pause. The era travels in optional fields of the messages between peers, so that the former build decodes them; the digests without field names are unchanged. A connection attempt that is cancelled is closed when it succeeds.

store.newEra, store.eraUnreadable and parsleymoor_store_restores_total show when an era was learned and from whom.

--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerMessage.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerMessage.kt
@@ -85,7 +85,7 @@
     /**
      * Reports what an instance has observed itself or received from others, and how current its copies of the store's
      * objects are. Also shows that the sender is alive. [passOn] names the scope in which the receiver forwards the
-     * report.
+     * report. [era] is the newest era of the store that the sender knows, and the era of all copies in [known].
      */
     @Serializable
     @SerialName("news")
@@ -100,6 +100,7 @@
         public val crashed: List<EndpointCrashDigest> = emptyList(),
         public val answered: List<AnsweredPartsDigest> = emptyList(),
         public val quarantined: List<QuarantinedPartDigest> = emptyList(),
+        public val era: Long = 0,
     ) : PeerMessage
 
     /** Requests the contents of the KV cache store at [store], as far as the receiver knows them. */
@@ -112,13 +113,17 @@
     @SerialName("soffer")
     public data class CacheContentsOffered(public val contents: CacheStoreDigest) : PeerMessage
 
-    /** Requests the objects of [kind] if any of them has changed since [haveRevision]. */
+    /** Requests the objects of [kind] if any of them has changed since [haveRevision] in [era] of the store. */
     @Serializable
     @SerialName("owant")
-    public data class ObjectsWanted(public val kind: String, public val haveRevision: Long) : PeerMessage
+    public data class ObjectsWanted(
+        public val kind: String,
+        public val haveRevision: Long,
+        public val era: Long = 0,
+    ) : PeerMessage
 
     /**
-     * Delivers the objects of [kind] as of [revision]. If [since] is null, these are all objects; otherwise [objects]
+     * Delivers the objects of [kind] as of [revision] in [era] of the store. If [since] is null, these are all objects; otherwise [objects]
      * are those changed after revision [since], and [removed] names those deleted after it.
      */
     @Serializable
@@ -129,6 +134,7 @@
         public val objects: List<OfferedObject>,
         public val since: Long? = null,
         public val removed: List<String> = emptyList(),
+        public val era: Long = 0,
     ) : PeerMessage
 
     /** A message of one exchange. The side that opens the exchange chooses its number. */
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
@@ -35,6 +35,7 @@
 import org.parsleymoor.entry.control.PeerContext
 import org.parsleymoor.entry.control.Peers
 import org.parsleymoor.entry.control.RolloutLoop
+import org.parsleymoor.entry.control.StoreEra
 import org.parsleymoor.entry.control.WatchContext
 import org.parsleymoor.entry.control.WatchPolicy
 import org.parsleymoor.entry.control.WeightsListener
@@ -86,7 +87,8 @@
     )
     private val pool = ConnectionPool(client, clock)
     private val controlClient = ControlClient(ConnectionPool(client, clock))
-    private val store = ObjectStore(protocol.objects) { call, timeoutMillis ->
+    private val era = StoreEra(log, metrics.storeRestores)
+    private val store = ObjectStore(protocol.objects, era) { call, timeoutMillis ->
         controlClient.call(settings.objectStore, call, timeoutMillis)
     }
     private val membership = Membership(
@@ -121,7 +123,7 @@
         scope.launch { membershipLoop.run() }
         val incarnation = Incarnation(settings.instance, clock.nowMillis())
         val context = ControlContext(deployment, membership, controlClient, protocol.engines, runtime)
-        val peers = Peers(PeerContext(settings, deployment, membership, runtime), incarnation, dispatcher)
+        val peers = Peers(PeerContext(settings, deployment, membership, era, runtime), incarnation, dispatcher)
         scope.launch { peers.run(watches) }
         scope.launch { EngineLoadLoop(context, peers).run() }
         val lease = OrderLease(incarnation, store, scope, log, PauseDetector(clock), settings.times.leaseMillis)
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Listeners.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Listeners.kt
@@ -10,6 +10,7 @@
 import org.parsleymoor.entry.log.StructuredLog
 import org.parsleymoor.entry.protocol.ContentDecoder
 import org.parsleymoor.entry.protocol.ObjectChange
+import org.parsleymoor.entry.protocol.StorePosition
 import org.parsleymoor.entry.protocol.StoredObject
 import org.parsleymoor.entry.serving.DeploymentView
 import org.parsleymoor.relay.fleet.SocketAddress
@@ -58,7 +59,8 @@
     private val log: StructuredLog,
     private val clock: Clock,
 ) : ObjectListener {
-    private val revisions = HashMap<String, Long>()
+    private val positions = HashMap<String, StorePosition>()
+    private var era: Long? = null
 
     override fun onKnownCurrent() {
         deployment.endpoints.markListAvailable(clock.nowMillis())
@@ -68,6 +70,10 @@
         deployment.endpoints.markListUnavailable()
     }
 
+    override fun onEra(era: Long) {
+        this.era = era
+    }
+
     override fun onList(objects: List<StoredObject>) {
         val listed = objects.map { it.name }.toSet()
         (deployment.endpoints.all.map { it.entry.id.value } - listed).forEach(::remove)
@@ -76,15 +82,16 @@
     }
 
     override fun onChange(change: ObjectChange) {
-        val known = revisions[change.value.name]
-        if (known != null && change.value.revision < known) return
+        val known = positions[change.value.name]
+        if (known != null && positionOf(change.value) < known) return
         if (change.removed) remove(change.value.name) else put(change.value)
     }
 
     private fun put(value: StoredObject) {
-        val known = revisions[value.name]
-        if (known != null && value.revision <= known) return
-        revisions[value.name] = value.revision
+        val position = positionOf(value)
+        val known = positions[value.name]
+        if (known != null && position <= known) return
+        positions[value.name] = position
         decoder.endpoint(value.name, value.content).onSuccess { entry ->
             val before = deployment.endpoints[entry.id]?.entry
             deployment.endpoints.put(entry, clock.nowMillis())
@@ -108,6 +115,8 @@
         }
     }
 
+    private fun positionOf(value: StoredObject) = StorePosition(era ?: 0, value.revision)
+
     private fun remove(name: String) {
         if (deployment.endpoints[EndpointId(name)] == null) return
         val gone = deployment.endpoints.remove(EndpointId(name), clock.nowMillis())
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectCopy.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectCopy.kt
@@ -1,15 +1,16 @@
 package org.parsleymoor.entry.control
 
 import org.parsleymoor.entry.protocol.ObjectChange
-import org.parsleymoor.entry.protocol.ObjectChanges
+import org.parsleymoor.entry.protocol.StorePosition
 import org.parsleymoor.entry.protocol.StoredObject
 
 /**
- * Objects of one kind for a peer whose copy is behind, as of [revision]. When [since] is null, [objects] is the whole
- * list; otherwise [objects] and [removed] are the changes and the names of the removals after revision [since].
+ * Objects of one kind for a peer whose copy is behind, as of [position]. When [since] is null, [objects] is the whole
+ * list; otherwise [objects] and [removed] are the changes and the names of the removals after revision [since] of the
+ * same era.
  */
 internal class ObjectOffer(
-    val revision: Long,
+    val position: StorePosition,
     val objects: List<StoredObject>,
     val since: Long? = null,
     val removed: List<String> = emptyList(),
@@ -17,89 +18,104 @@
 
 /**
  * Local copy of the stored objects of one kind, which notifies [listener] of changes. Objects arrive from the store and
- * from peers; a change that is older than the copy is ignored.
+ * from peers; a change that is older than the copy is ignored. The copy enters a later era of the store only with a
+ * whole list, because the changes between two eras are unknown.
  */
 internal class ObjectCopy(private val listener: ObjectListener) {
     private val objects = LinkedHashMap<String, StoredObject>()
     private val removals = LinkedHashMap<String, Long>()
     private var removalsSince = 0L
 
-    /** Revision up to which the copy is complete, or null before the first list. */
-    var revision: Long? = null
+    /** Position up to which the copy is complete, or null before the first list. */
+    var position: StorePosition? = null
         private set
 
-    /** Revision of the last change in the copy. */
-    var changedRevision = 0L
+    /** Position of the last change in the copy. */
+    var changedPosition = StorePosition.START
         private set
 
-    /** Replaces the copy by [list], unless that is older. */
-    fun replace(list: ObjectList) {
-        if (list.revision < (revision ?: 0)) return
+    /** Returns whether a list as of [position] is at least as new as the copy. */
+    fun takes(position: StorePosition): Boolean = position >= (this.position ?: StorePosition.START)
+
+    /** Replaces the copy by [list], unless that is older; returns whether it was replaced. */
+    fun replace(list: ObjectList): Boolean {
+        if (!takes(list.position)) return false
+        if (position?.era != list.position.era) listener.onEra(list.position.era)
         objects.clear()
         removals.clear()
         list.items.associateByTo(objects) { it.name }
-        revision = list.revision
-        changedRevision = list.revision
-        removalsSince = list.revision
+        position = list.position
+        changedPosition = list.position
+        removalsSince = list.position.revision
         listener.onList(list.items)
+        return true
     }
 
-    /** Applies changes that follow the copy without a gap. */
-    fun apply(changes: ObjectChanges) {
-        val before = revision ?: 0
-        changes.changes.forEach { change ->
+    /** Applies [list], which follows the copy without a gap; returns false when it is of another era. */
+    fun apply(list: ChangeList): Boolean {
+        val before = position ?: StorePosition.START
+        if (list.position.era != before.era) return false
+        list.changes.forEach { change ->
             val known = objects[change.value.name]
             val outdated = if (change.removed) {
                 known != null && change.value.revision < known.revision
             } else {
-                change.value.revision <= before
+                change.value.revision <= before.revision
             }
-            if (!outdated) applyChange(change, maxOf(changes.revision, before))
+            if (!outdated) applyChange(change, maxOf(list.position, before))
         }
-        revision = maxOf(before, changes.revision)
+        position = maxOf(before, list.position)
+        return true
     }
 
     /** Applies [offer] if it is newer than the copy and leaves no gap; returns whether it was applied. */
     fun accept(offer: ObjectOffer): Boolean {
-        val before = revision ?: 0
-        val continues = offer.since == null || revision != null && offer.since <= before
-        if (!continues || offer.revision <= before) return false
-        if (offer.since == null) {
-            replace(ObjectList(offer.objects, offer.revision))
-        } else {
-            val removed = offer.removed.mapNotNull { objects[it] }.map { ObjectChange(it, removed = true) }
-            val changed = offer.objects.filter { it.revision > before }.map { ObjectChange(it, removed = false) }
-            (removed + changed).forEach { applyChange(it, offer.revision) }
-            revision = offer.revision
-        }
-        return true
+        val before = position ?: StorePosition.START
+        val taken = continues(offer) && offer.position > before
+        if (taken && offer.since == null) replace(ObjectList(offer.objects, offer.position))
+        if (taken && offer.since != null) applyChanges(offer, before.revision)
+        return taken
+    }
+
+    private fun applyChanges(offer: ObjectOffer, beforeRevision: Long) {
+        val removed = offer.removed.mapNotNull { objects[it] }.map { ObjectChange(it, removed = true) }
+        val changed = offer.objects.filter { it.revision > beforeRevision }.map { ObjectChange(it, removed = false) }
+        (removed + changed).forEach { applyChange(it, offer.position) }
+        position = offer.position
+    }
+
+    private fun continues(offer: ObjectOffer): Boolean {
+        val known = position
+        return offer.since == null ||
+            known != null && known.era == offer.position.era && offer.since <= known.revision
     }
 
-    /** Returns what a peer with a copy at [haveRevision] lacks, or null when this copy is not newer. */
-    fun offer(haveRevision: Long): ObjectOffer? {
-        val known = revision
+    /** Returns what a peer with a copy as of [have] lacks, or null when this copy is not newer. */
+    fun offer(have: StorePosition): ObjectOffer? {
+        val known = position
         return when {
-            known == null || known <= haveRevision -> null
-            haveRevision < removalsSince || haveRevision == 0L -> ObjectOffer(known, objects.values.toList())
+            known == null || known <= have -> null
+            have.era < known.era || have.revision < removalsSince || have.revision == 0L ->
+                ObjectOffer(known, objects.values.toList())
             else -> ObjectOffer(
-                revision = known,
-                objects = objects.values.filter { it.revision > haveRevision },
-                since = haveRevision,
-                removed = removals.filter { (name, at) -> at > haveRevision && name !in objects }.keys.toList(),
+                position = known,
+                objects = objects.values.filter { it.revision > have.revision },
+                since = have.revision,
+                removed = removals.filter { (name, at) -> at > have.revision && name !in objects }.keys.toList(),
             )
         }
     }
 
-    private fun applyChange(change: ObjectChange, atRevision: Long) {
+    private fun applyChange(change: ObjectChange, at: StorePosition) {
         val name = change.value.name
         if (change.removed) {
             objects -= name
-            removals[name] = atRevision
+            removals[name] = at.revision
         } else {
             objects[name] = change.value
             removals -= name
         }
-        changedRevision = maxOf(changedRevision, atRevision)
+        changedPosition = maxOf(changedPosition, at)
         dropOldestRemoval()
         listener.onChange(change)
     }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectStore.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectStore.kt
@@ -4,17 +4,21 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.andThen
+import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getOrElse
 import com.github.michaelbull.result.map
 import com.github.michaelbull.result.mapError
+import com.github.michaelbull.result.onFailure
 import org.parsleymoor.core.Failure
 import org.parsleymoor.entry.net.CallFailure
 import org.parsleymoor.entry.net.ControlResponse
 import org.parsleymoor.entry.protocol.ControlRequest
 import org.parsleymoor.entry.protocol.DecodeFailure
-import org.parsleymoor.entry.protocol.ObjectChanges
+import org.parsleymoor.entry.protocol.ObjectChange
 import org.parsleymoor.entry.protocol.ObjectKind
+import org.parsleymoor.entry.protocol.ObjectPage
 import org.parsleymoor.entry.protocol.ObjectProtocol
+import org.parsleymoor.entry.protocol.StorePosition
 import org.parsleymoor.entry.protocol.StoredObject
 import org.parsleymoor.relay.http.HttpStatus
 
@@ -27,8 +31,8 @@
     data class Unanswered(override val message: String) : StoreFailure
 
     /** The object has another revision; [current] is the stored object, if the response contains it. */
-    data class Conflict(val current: StoredObject?) : StoreFailure {
-        override val message: String get() = "the object has revision ${current?.revision}"
+    data class Conflict(val current: StoredVersion?) : StoreFailure {
+        override val message: String get() = "the object has revision ${current?.position}"
     }
 
     /** The object does not exist. */
@@ -41,35 +45,47 @@
         override val message: String get() = "the store no longer has the changes since this revision"
     }
 
+    /** The response is of the former era [era]: what it says was overtaken when the store came back from a copy. */
+    data class FormerEra(val era: Long) : StoreFailure {
+        override val message: String get() = "the response is of the former era $era of the store"
+    }
+
+    /** The store came back from a copy time and again while a list was read. */
+    data object EraChanged : StoreFailure {
+        override val message: String get() = "the pages of the list are of different eras of the store"
+    }
+
     /** The response could not be decoded. */
     data class Unreadable(val cause: DecodeFailure) : StoreFailure {
         override val message: String get() = cause.message
     }
 }
 
-/** All objects of a kind, as of [revision]. */
-internal class ObjectList(val items: List<StoredObject>, val revision: Long)
+/** All objects of a kind, as of [position]. */
+internal class ObjectList(val items: List<StoredObject>, val position: StorePosition)
+
+/** Changes of the objects of a kind up to [position]. */
+internal class ChangeList(val changes: List<ObjectChange>, val position: StorePosition)
+
+/** The [content] of an object, last changed at [position]. */
+internal class StoredVersion(val content: String, val position: StorePosition)
 
 /** Makes a call to the object store and waits for the response up to a number of milliseconds. */
 internal typealias StoreCall = suspend (ControlRequest, Long) -> Result<ControlResponse, CallFailure>
 
-/** Client of the object store, which is called through [send]. */
-internal class ObjectStore(private val protocol: ObjectProtocol, private val send: StoreCall) {
+/**
+ * Client of the object store, which is called through [send]. Each response is checked against the newest known [era]
+ * of the store, which it may raise; one of a former era is a failure.
+ */
+internal class ObjectStore(private val protocol: ObjectProtocol, val era: StoreEra, private val send: StoreCall) {
     /** Reads all objects of [kind], page by page; with [allowStale] they may be seconds old. */
     suspend fun list(kind: ObjectKind, allowStale: Boolean = false): Result<ObjectList, StoreFailure> {
-        val items = ArrayList<StoredObject>()
-        var after: String? = null
-        var revision: Long? = null
-        do {
-            val page = call(protocol.list(kind, after, allowStale), TIMEOUT_MILLIS)
-                .andThen { response -> protocol.page(response.body).mapError { StoreFailure.Unreadable(it) } }
-                .getOrElse { return Err(it) }
-            items += page.items
-            // The first page's revision counts: a watch from there repeats changes made between two pages.
-            revision = revision ?: page.revision
-            after = page.after
-        } while (after != null)
-        return Ok(ObjectList(items, revision ?: 0))
+        var list = pages(kind, allowStale)
+        var attempts = 1
+        while (attempts++ < LIST_ATTEMPTS && list.get()?.let { it.position.era < era.newest } == true) {
+            list = pages(kind, allowStale)
+        }
+        return list.andThen { if (it.position.era == era.newest) Ok(it) else Err(StoreFailure.EraChanged) }
     }
 
     /** Waits up to [waitMillis] for changes of [kind] after [revision], and [marginMillis] longer for the response. */
@@ -78,16 +94,19 @@
         revision: Long,
         waitMillis: Long,
         marginMillis: Long = TIMEOUT_MILLIS,
-    ): Result<ObjectChanges, StoreFailure> =
-        call(protocol.watch(kind, revision, waitMillis), waitMillis + marginMillis)
-            .andThen { response -> protocol.changes(response.body).mapError { StoreFailure.Unreadable(it) } }
+    ): Result<ChangeList, StoreFailure> =
+        call(protocol.watch(kind, revision, waitMillis), waitMillis + marginMillis).andThen { response ->
+            protocol.changes(response.body)
+                .map { ChangeList(it.changes, StorePosition(response.era, it.revision)) }
+                .mapError { StoreFailure.Unreadable(it) }
+        }
 
     /** Reads an object. */
-    suspend fun read(kind: ObjectKind, name: String): Result<StoredObject, StoreFailure> =
+    suspend fun read(kind: ObjectKind, name: String): Result<StoredVersion, StoreFailure> =
         call(protocol.read(kind, name), TIMEOUT_MILLIS).andThen(::stored)
 
     /** Creates an object; fails with [StoreFailure.Conflict] when it exists. */
-    suspend fun create(kind: ObjectKind, name: String, content: String): Result<StoredObject, StoreFailure> =
+    suspend fun create(kind: ObjectKind, name: String, content: String): Result<StoredVersion, StoreFailure> =
         call(protocol.create(kind, name, content), TIMEOUT_MILLIS).andThen(::stored)
 
     /** Replaces an object if its revision is [revision], or unconditionally when that is null. */
@@ -96,37 +115,73 @@
         name: String,
         content: String,
         revision: Long?,
-    ): Result<StoredObject, StoreFailure> =
+    ): Result<StoredVersion, StoreFailure> =
         call(protocol.replace(kind, name, content, revision), TIMEOUT_MILLIS).andThen(::stored)
 
     /** Removes an object. */
     suspend fun remove(kind: ObjectKind, name: String): Result<Unit, StoreFailure> =
         call(protocol.remove(kind, name), TIMEOUT_MILLIS).map { }
 
-    private fun stored(response: ControlResponse): Result<StoredObject, StoreFailure> =
-        protocol.stored(response.body).mapError { StoreFailure.Unreadable(it) }
-
-    private suspend fun call(call: ControlRequest, timeoutMillis: Long): Result<ControlResponse, StoreFailure> {
-        val response = send(call, timeoutMillis).getOrElse { failure ->
-            return Err(
-                when (failure) {
-                    is CallFailure.NotSent -> StoreFailure.Refused(failure.message)
-                    is CallFailure.Unanswered -> StoreFailure.Unanswered(failure.message)
-                },
-            )
+    /** Reads the pages of a list; stops when a page shows that the store has come back from a copy. */
+    private suspend fun pages(kind: ObjectKind, allowStale: Boolean): Result<ObjectList, StoreFailure> {
+        val items = ArrayList<StoredObject>()
+        var after: String? = null
+        var position: StorePosition? = null
+        do {
+            val (page, pageEra) = call(protocol.list(kind, after, allowStale), TIMEOUT_MILLIS).andThen { response ->
+                protocol.page(response.body)
+                    .map { PageOfEra(it, response.era) }
+                    .mapError { StoreFailure.Unreadable(it) }
+            }.getOrElse { return Err(it) }
+            items += page.items
+            // The first page's revision counts: a watch from there repeats changes made between two pages.
+            val first = position ?: StorePosition(pageEra, page.revision)
+            position = first
+            after = page.after
+        } while (after != null && pageEra == first.era)
+        return Ok(ObjectList(items, position))
+    }
+
+    private fun stored(response: StoreResponse): Result<StoredVersion, StoreFailure> =
+        protocol.stored(response.body)
+            .map { StoredVersion(it.content, StorePosition(response.era, it.revision)) }
+            .mapError { StoreFailure.Unreadable(it) }
+
+    private suspend fun call(call: ControlRequest, timeoutMillis: Long): Result<StoreResponse, StoreFailure> =
+        send(call, timeoutMillis).mapError { failure ->
+            when (failure) {
+                is CallFailure.NotSent -> StoreFailure.Refused(failure.message)
+                is CallFailure.Unanswered -> StoreFailure.Unanswered(failure.message)
+            }
+        }.andThen { response ->
+            protocol.era(response.headers)
+                .onFailure { era.logUnreadable(it) }
+                .mapError { StoreFailure.Unreadable(it) }
+                .andThen { responseEra -> result(response.status, StoreResponse(response.body, responseEra)) }
         }
-        return when (response.status) {
-            in SUCCESS -> Ok(response)
-            HttpStatus.NOT_FOUND.code -> Err(StoreFailure.Absent)
-            HttpStatus.GONE.code -> Err(StoreFailure.HistoryGone)
-            HttpStatus.CONFLICT.code -> Err(StoreFailure.Conflict(protocol.stored(response.body).getOrElse { null }))
-            else -> Err(StoreFailure.Refused("the object store responded with status ${response.status}"))
+
+    private fun result(status: Int, response: StoreResponse): Result<StoreResponse, StoreFailure> {
+        era.learnFromStore(response.era)
+        return when {
+            response.era < era.newest -> Err(StoreFailure.FormerEra(response.era))
+            status in SUCCESS -> Ok(response)
+            status == HttpStatus.NOT_FOUND.code -> Err(StoreFailure.Absent)
+            status == HttpStatus.GONE.code -> Err(StoreFailure.HistoryGone)
+            status == HttpStatus.CONFLICT.code -> Err(StoreFailure.Conflict(stored(response).getOrElse { null }))
+            else -> Err(StoreFailure.Refused("the object store responded with status $status"))
         }
     }
 
+    private class StoreResponse(val body: String, val era: Long)
+
+    private data class PageOfEra(val page: ObjectPage, val era: Long)
+
     private companion object {
         // The store responds in 4 ms, and in up to 300 ms when it is slow.
         const val TIMEOUT_MILLIS = 1_000L
+
+        // Two restores in a row while one list is read.
+        const val LIST_ATTEMPTS = 3
         val SUCCESS = 200..299
     }
 }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectWatch.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectWatch.kt
@@ -5,6 +5,7 @@
 import kotlinx.serialization.json.put
 import org.parsleymoor.entry.protocol.ObjectChange
 import org.parsleymoor.entry.protocol.ObjectKind
+import org.parsleymoor.entry.protocol.StorePosition
 import org.parsleymoor.entry.protocol.StoredObject
 
 /** Receives the objects and the changes that an [ObjectWatch] reads. */
@@ -15,6 +16,9 @@
     /** The store does not respond. */
     fun onStoreUnreachable() = Unit
 
+    /** The objects that follow are of [era] of the store; called before its first list. */
+    fun onEra(era: Long) = Unit
+
     /** The whole list of objects was read. */
     fun onList(objects: List<StoredObject>)
 
@@ -33,7 +37,8 @@
 /**
  * Keeps a copy of the objects of one [kind] up to date: reads the list, then watches for changes. The changes come from
  * the store when [WatchContext.policy] says so, and from peers otherwise. A call without a response is repeated on
- * another connection. The copy never goes back to an older revision.
+ * another connection. The copy never goes back to an older revision of the same era of the store; once a later era is
+ * known, only a whole list of that era is applied.
  */
 internal class ObjectWatch(
     val kind: ObjectKind,
@@ -44,6 +49,7 @@
     private val policy = context.policy
     private val log = context.log
     private val clock = context.clock
+    private val era = store.era
     private val copy = ObjectCopy(listener)
     private var unreachableSinceMillis: Long? = null
     private var probeNext = false
@@ -55,33 +61,37 @@
     /** Whether the store does not respond to this instance, or to a peer that reports it. */
     val isStoreUnreachable: Boolean get() = unreachableSinceMillis != null
 
-    /** Revision up to which the copy is complete, or 0 before the first list. */
-    val knownRevision: Long get() = copy.revision ?: 0
+    /** Position up to which the copy is complete, or [StorePosition.START] before the first list. */
+    val knownPosition: StorePosition get() = copy.position ?: StorePosition.START
+
+    /** Position of the last change in the copy, or [StorePosition.START]. */
+    val changedPosition: StorePosition get() = copy.changedPosition
 
-    /** Revision of the last change in the copy, or 0. */
-    val changedRevision: Long get() = copy.changedRevision
+    /** Whether the copy has been read and is of the newest known era of the store. */
+    val isOfNewestEra: Boolean get() = copy.position?.era == era.newest
 
-    /** Returns what a peer with a copy at [haveRevision] lacks, or null when the copy here is not newer. */
-    fun offer(haveRevision: Long): ObjectOffer? = copy.offer(haveRevision)
+    /** Returns what a peer with a copy as of [have] lacks, or null when the copy here is not newer. */
+    fun offer(have: StorePosition): ObjectOffer? = copy.offer(have)
 
-    /** Applies objects that a peer sent, if they are newer. */
+    /** Applies objects that a peer sent, if they are newer and not of a former era. */
     fun accept(offer: ObjectOffer) {
-        val applied = copy.accept(offer)
-        if (!applied) return
+        if (offer.position.era < era.newest || !copy.accept(offer)) return
         log.write("objects.fromPeer") {
             put("kind", kind.name)
-            put("revision", offer.revision)
+            put("revision", offer.position.revision)
+            put("era", offer.position.era)
             put("changes", offer.objects.size + offer.removed.size)
         }
     }
 
     /**
-     * Applies the status of a peer's copy, which has all changes up to [changedRevision] and was confirmed at
-     * [atMillis]; [storeUnreachable] when the store does not respond to the peer. Returns whether the copy here lacks
-     * changes.
+     * Applies the status of a peer's copy, which has all changes up to [changed] and was confirmed at [atMillis];
+     * [storeUnreachable] when the store does not respond to the peer. A status of a former era of the store says
+     * nothing. Returns whether the copy here lacks changes.
      */
-    fun onPeerStatus(changedRevision: Long, atMillis: Long, storeUnreachable: Boolean): Boolean {
-        val lacks = copy.revision == null || changedRevision > knownRevision
+    fun onPeerStatus(changed: StorePosition, atMillis: Long, storeUnreachable: Boolean): Boolean {
+        if (changed.era < era.newest) return false
+        val lacks = copy.position == null || changed > knownPosition
         when {
             lacks -> Unit
             atMillis > currentMillis && !storeUnreachable -> confirmCurrent(atMillis)
@@ -96,9 +106,15 @@
     /** Keeps the copy up to date until the coroutine is cancelled. */
     suspend fun run() {
         while (true) {
-            val due = copy.revision == null || policy.isDue(currentMillis)
+            val due = copy.position == null || policy.isDue(currentMillis)
             if (due && context.backoff.mayCall(kind, policy.follows)) {
-                if (copy.revision == null) readList() else readChanges()
+                if (copy.position == null) {
+                    readList()
+                } else if (!isOfNewestEra) {
+                    readList("the store came back from a copy, in era ${era.newest}")
+                } else {
+                    readChanges()
+                }
             } else {
                 // The first call after a pause waits only briefly, so that the copy is confirmed without delay.
                 probeNext = true
@@ -107,46 +123,58 @@
         }
     }
 
-    private suspend fun readList() {
+    /** Reads the list for the first time, or again because of [reason]. */
+    private suspend fun readList(reason: String? = null) {
+        reason?.let { logRelist(it) }
         val list = store.list(kind).getOrElse { failure ->
-            failed(failure)
+            failed(failure.message)
             return
         }
-        responded()
-        copy.replace(list)
+        if (copy.takes(list.position)) {
+            context.backoff.recordSuccess()
+            confirmCurrent(clock.nowMillis())
+            copy.replace(list)
+        } else {
+            failed("the list of revision ${list.position} is older than the copy")
+        }
+        // The watch from the list may be answered with the same reason, so that lists would follow without pause.
+        if (reason != null) delay(BURST_DELAY_MILLIS)
     }
 
     private suspend fun readChanges() {
         val waitMillis = if (probeNext) PROBE_WAIT_MILLIS else policy.waitMillis
         probeNext = false
-        val changes = store.watch(kind, knownRevision, waitMillis, policy.marginMillis).getOrElse { failure ->
+        val changes = era.whileNotAfter(knownPosition.era) {
+            store.watch(kind, knownPosition.revision, waitMillis, policy.marginMillis)
+        }?.getOrElse { failure ->
             if (failure == StoreFailure.HistoryGone || failure is StoreFailure.Unreadable) {
-                log.write("store.relist", always = true) {
-                    put("kind", kind.name)
-                    put("revision", knownRevision)
-                    put("reason", failure.message)
-                }
-                readList()
+                readList(failure.message)
             } else {
-                failed(failure)
+                failed(failure.message)
             }
             return
         }
-        responded()
+        if (changes == null || changes.position.era != knownPosition.era) return
+        context.backoff.recordSuccess()
+        confirmCurrent(clock.nowMillis())
         copy.apply(changes)
         // Changes come in bursts and each call is billed: a short delay reads them together.
         if (changes.changes.isNotEmpty()) delay(BURST_DELAY_MILLIS)
     }
 
-    private fun responded() {
-        context.backoff.recordSuccess()
-        confirmCurrent(clock.nowMillis())
-    }
-
-    private fun failed(failure: StoreFailure) {
+    private fun failed(reason: String) {
         context.backoff.recordFailure()
         probeNext = true
-        storeFailed(failure.message)
+        storeFailed(reason)
+    }
+
+    private fun logRelist(reason: String) {
+        log.write("store.relist", always = true) {
+            put("kind", kind.name)
+            put("revision", knownPosition.revision)
+            put("era", knownPosition.era)
+            put("reason", reason)
+        }
     }
 
     private fun confirmCurrent(atMillis: Long) {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/OrderLease.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/OrderLease.kt
@@ -15,7 +15,6 @@
 import org.parsleymoor.core.PauseDetector
 import org.parsleymoor.entry.log.StructuredLog
 import org.parsleymoor.entry.protocol.ObjectKind
-import org.parsleymoor.entry.protocol.StoredObject
 
 /** Lease, kept in the object store, that allows one instance at a time to give orders to engines. */
 internal class OrderLease(
@@ -92,20 +91,20 @@
         } else {
             store.replace(ObjectKind.LEASES, NAME, text, action.expectedVersion)
         }
-        handle(result.fold({ LeaseEvent.Written(action.writeId, it.revision) }, { failureEvent(action, it) }))
+        handle(result.fold({ LeaseEvent.Written(action.writeId, it.position.revision) }, { failureEvent(action, it) }))
     }
 
     private fun failureEvent(action: LeaseAction.Write, failure: StoreFailure): LeaseEvent = when (failure) {
         is StoreFailure.Conflict -> LeaseEvent.Conflicted(action.writeId, failure.current?.let(::toStoredLease))
         is StoreFailure.Refused, StoreFailure.Absent, StoreFailure.HistoryGone ->
             LeaseEvent.WriteFailed(action.writeId, mayHaveTakenEffect = false)
-        is StoreFailure.Unanswered, is StoreFailure.Unreadable ->
+        is StoreFailure.Unanswered, is StoreFailure.Unreadable, is StoreFailure.FormerEra, StoreFailure.EraChanged ->
             LeaseEvent.WriteFailed(action.writeId, mayHaveTakenEffect = true)
     }
 
-    private fun toStoredLease(value: StoredObject): StoredLease? = try {
+    private fun toStoredLease(value: StoredVersion): StoredLease? = try {
         val record = Json.decodeFromString(StoredLeaseRecord.serializer(), value.content)
-        StoredLease(record.record, value.revision, record.writeId)
+        StoredLease(record.record, value.position.revision, record.writeId)
     } catch (cause: IllegalArgumentException) {
         log.write("lease.unreadable", always = true) { put("reason", cause.message) }
         null
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerContext.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerContext.kt
@@ -8,6 +8,7 @@
     val settings: EntrySettings,
     val deployment: DeploymentView,
     val membership: Membership,
+    val era: StoreEra,
     private val runtime: ControlRuntime,
 ) {
     val ticks get() = runtime.ticks
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerMessageMapping.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerMessageMapping.kt
@@ -1,5 +1,6 @@
 package org.parsleymoor.entry.control
 
+import org.parsleymoor.entry.protocol.StorePosition
 import org.parsleymoor.entry.protocol.StoredObject
 import org.parsleymoor.peering.CacheStoreDigest
 import org.parsleymoor.peering.CachedPartDigest
@@ -88,14 +89,20 @@
 
 internal fun ObjectOffer.toMessage(kind: String): PeerMessage.ObjectsOffered = PeerMessage.ObjectsOffered(
     kind = kind,
-    revision = revision,
+    revision = position.revision,
     objects = objects.map { OfferedObject(it.name, it.revision, it.content) },
     since = since,
     removed = removed,
+    era = position.era,
 )
 
 internal fun PeerMessage.ObjectsOffered.toOffer(): ObjectOffer =
-    ObjectOffer(revision, objects.map { StoredObject(it.name, it.revision, it.content) }, since, removed)
+    ObjectOffer(
+        position = StorePosition(era, revision),
+        objects = objects.map { StoredObject(it.name, it.revision, it.content) },
+        since = since,
+        removed = removed,
+    )
 
 private fun PeerUpdate.Load.toDigest(nowMillis: Long): EngineLoadDigest = EngineLoadDigest(
     endpoint = endpoint,
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerUpdateSender.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerUpdateSender.kt
@@ -1,6 +1,5 @@
 package org.parsleymoor.entry.control
 
-import org.parsleymoor.peering.ObjectFreshnessDigest
 import org.parsleymoor.peering.PeerLink
 import org.parsleymoor.peering.PeerMessage
 import org.parsleymoor.peering.PeerNode
@@ -23,8 +22,8 @@
     private var announcedMillis = 0L
     private var quarantineAnnouncedMillis = 0L
 
-    /** The watches that keep copies of the stored objects, by kind. */
-    var watches: Map<String, ObjectWatch> = emptyMap()
+    /** The copies of the stored objects, whose status is sent with each message, or null before they are known. */
+    var copies: PeerCopies? = null
 
     /** Queues an update that originates from this instance for the next message. */
     fun publish(update: PeerUpdate) {
@@ -72,19 +71,7 @@
 
     private suspend fun send(message: PeerMessage.InstanceNews, links: List<PeerLink>) {
         connections.recordSent(links)
-        node.send(message.copy(known = copyStatus()), links)
-    }
-
-    private fun copyStatus(): List<ObjectFreshnessDigest> {
-        val nowMillis = clock.nowMillis()
-        return watches.filterValues { it.knownRevision > 0 }.map { (kind, watch) ->
-            ObjectFreshnessDigest(
-                kind,
-                watch.changedRevision,
-                nowMillis - watch.currentMillis,
-                watch.isStoreUnreachable
-            )
-        }
+        node.send(copies?.addStatus(message) ?: message, links)
     }
 
     private companion object {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Peers.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Peers.kt
@@ -36,11 +36,13 @@
     )
     private val connections = PeerConnections(context)
     private val sender = PeerUpdateSender(context, connections, node)
+    private var copies: PeerCopies? = null
     private val requestedMillis = HashMap<String, Long>()
 
     /** Listens for peers and exchanges messages with them until the coroutine is cancelled. */
     suspend fun run(watches: Map<ObjectKind, ObjectWatch>) {
-        sender.watches = watches.mapKeys { it.key.name }
+        copies = PeerCopies(watches.mapKeys { it.key.name }, context.era, clock)
+        sender.copies = copies
         node.start(settings.listen.peers.host, settings.listen.peers.port)
         deployment.announce = ::publish
         while (true) {
@@ -78,9 +80,8 @@
         connections.recordReceived(link)
         when (message) {
             is PeerMessage.InstanceNews -> receive(link, message)
-            is PeerMessage.ObjectsWanted -> sender.watches[message.kind]?.offer(message.haveRevision)
-                ?.let { send(link, it.toMessage(message.kind)) }
-            is PeerMessage.ObjectsOffered -> sender.watches[message.kind]?.accept(message.toOffer())
+            is PeerMessage.ObjectsWanted -> copies?.offer(message)?.let { send(link, it) }
+            is PeerMessage.ObjectsOffered -> copies?.accept(message, link.remote.incarnation.instance.value)
             is PeerMessage.CacheContentsWanted -> SocketAddress.parse(message.store)
                 ?.let { deployment.stores.contents(it) }
                 ?.let { send(link, PeerMessage.CacheContentsOffered(it.toDigest())) }
@@ -103,11 +104,8 @@
             }
             sender.passOn(update, passOn)
         }
-        message.known.forEach { known ->
-            val watch = sender.watches[known.kind]
-            if (watch != null && watch.onPeerStatus(known.changedRevision, nowMillis - known.ageMillis, known.lost)) {
-                request(link, PeerMessage.ObjectsWanted(known.kind, watch.knownRevision), known.kind)
-            }
+        copies?.receiveStatus(message, link.remote.incarnation.instance.value)?.forEach { wanted ->
+            request(link, wanted, wanted.kind)
         }
     }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/ConnectionPool.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/ConnectionPool.kt
@@ -46,11 +46,10 @@
         if ((open[address] ?: 0) >= limit) return Err(ConnectFailure.AT_LIMIT)
         open.merge(address, 1, Int::plus)
         var connected = false
+        val connecting = client.connect(inetSocketAddress(address.port, address.host))
         return try {
-            val connecting = client.connect(inetSocketAddress(address.port, address.host))
             val socket = withTimeoutOrNull(timeoutMillis) { connecting.coAwait() }
             if (socket == null) {
-                connecting.onSuccess { it.close() }
                 Err(ConnectFailure.TIMED_OUT)
             } else {
                 connected = true
@@ -59,7 +58,11 @@
         } catch (_: IOException) {
             Err(ConnectFailure.REFUSED)
         } finally {
-            if (!connected) closed(address)
+            if (!connected) {
+                // A connection that is established after a timeout or a cancellation belongs to no request.
+                connecting.onSuccess { it.close() }
+                closed(address)
+            }
         }
     }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/ControlClient.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/ControlClient.kt
@@ -10,9 +10,10 @@
 import org.parsleymoor.entry.protocol.ControlRequest
 import org.parsleymoor.relay.fleet.SocketAddress
 import org.parsleymoor.relay.http.HeaderField
+import org.parsleymoor.relay.http.HeaderFields
 
 /** Response to a [ControlRequest]. */
-internal class ControlResponse(val status: Int, val body: String)
+internal class ControlResponse(val status: Int, val body: String, val headers: HeaderFields = HeaderFields(emptyList()))
 
 /** Why a [ControlRequest] has no response. */
 internal sealed interface CallFailure : Failure {
@@ -54,7 +55,7 @@
             .getOrElse { return Err(CallFailure.Unanswered(it.message)) }
         if (!response.head.keepsAlive) connection.noNewRequests = true
         return connection.readBody(response)
-            .map { ControlResponse(response.head.status, it.decodeToString()) }
+            .map { ControlResponse(response.head.status, it.decodeToString(), response.head.headers) }
             .mapError { CallFailure.Unanswered(it.message) }
     }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/protocol/ServingProtocol.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/protocol/ServingProtocol.kt
@@ -7,6 +7,7 @@
 import org.parsleymoor.relay.cache.CacheStoreChange
 import org.parsleymoor.relay.cache.CachedPart
 import org.parsleymoor.relay.fleet.EndpointEntry
+import org.parsleymoor.relay.http.HeaderFields
 import org.parsleymoor.relay.routing.ServingConfiguration
 
 /** A request to the object store, an engine or a KV cache store; [target] is path and query. */
@@ -61,6 +62,9 @@
     /** Removes an object. */
     public fun remove(kind: ObjectKind, name: String): ControlRequest
 
+    /** Decodes the era of the store from the [headers] of any response; 0 when it states none. */
+    public fun era(headers: HeaderFields): Result<Long, DecodeFailure>
+
     /** Decodes a page of a list. */
     public fun page(body: String): Result<ObjectPage, DecodeFailure>
 
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/ControlLoopsTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/ControlLoopsTest.kt
@@ -69,16 +69,17 @@
         val watch = watch(this)
         backgroundScope.launch { watch.run() }
         advanceTimeBy(100)
-        val known = watch.knownRevision
+        val known = watch.knownPosition
         memory.unresponsive = true
         advanceTimeBy(10_000)
         expectThat(watch.isStoreUnreachable).isTrue()
         expectThat(listener.failures).isGreaterThan(0)
-        watch.accept(ObjectOffer(known - 1, listOf(StoredObject("older", known - 1, "1"))))
+        val (_, revision) = known
+        watch.accept(ObjectOffer(known.copy(revision = revision - 1), listOf(StoredObject("older", revision - 1, "1"))))
         expectThat(listener.names).containsExactly("a")
-        watch.accept(ObjectOffer(known, listOf(StoredObject("same", known, "1"))))
+        watch.accept(ObjectOffer(known, listOf(StoredObject("same", revision, "1"))))
         expectThat(listener.names).containsExactly("a")
-        watch.accept(ObjectOffer(known + 9, listOf(StoredObject("b", known + 9, "1"))))
+        watch.accept(ObjectOffer(known.copy(revision = revision + 9), listOf(StoredObject("b", revision + 9, "1"))))
         expectThat(listener.names).containsExactly("b")
     }
 
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/MemoryStore.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/MemoryStore.kt
@@ -5,6 +5,8 @@
 import com.github.michaelbull.result.Result
 import kotlinx.coroutines.delay
 import org.parsleymoor.entry.control.ObjectStore
+import org.parsleymoor.entry.control.StoreEra
+import org.parsleymoor.entry.log.StructuredLog
 import org.parsleymoor.entry.net.CallFailure
 import org.parsleymoor.entry.net.ControlResponse
 import org.parsleymoor.entry.protocol.ControlRequest
@@ -15,6 +17,10 @@
 import org.parsleymoor.entry.protocol.ObjectPage
 import org.parsleymoor.entry.protocol.ObjectProtocol
 import org.parsleymoor.entry.protocol.StoredObject
+import org.parsleymoor.relay.http.HeaderField
+import org.parsleymoor.relay.http.HeaderFields
+import java.io.OutputStream
+import java.io.PrintStream
 
 /** In-memory object store whose responses can be refused, withheld or lost. */
 internal class MemoryStore {
@@ -22,6 +28,8 @@
     private val history = ArrayList<Pair<ObjectKind, ObjectChange>>()
     private var revision = 1L
     private var historyFrom = 0L
+    private var era = 0L
+    private var copy: Copy? = null
 
     /** Whether calls get no response. */
     var unresponsive = false
@@ -36,7 +44,32 @@
     /** Whether writes take effect but their responses are lost. */
     var losesResponses = false
 
-    val store = ObjectStore(MemoryProtocol, ::respond)
+    /** Whether calls get a response whose era cannot be read. */
+    var statesUnreadableEra = false
+
+    val store = client()
+
+    /** Returns a client of an instance that learns of new eras through [era] and is [cutOff] from the store. */
+    fun client(era: StoreEra = StoreEra(SILENT_LOG), cutOff: () -> Boolean = { false }): ObjectStore =
+        ObjectStore(MemoryProtocol, era) { call, timeoutMillis ->
+            if (cutOff()) Err(CallFailure.Unanswered("cut off")) else respond(call, timeoutMillis)
+        }
+
+    /** Keeps a copy of the objects, for [restore]. */
+    fun keepCopy() {
+        copy = Copy(LinkedHashMap(objects), history.toList(), revision)
+    }
+
+    /** Comes back from the kept copy in a new era; later changes are lost and their revisions are given out again. */
+    fun restore() {
+        val kept = requireNotNull(copy) { "expected a kept copy" }
+        objects.clear()
+        objects += kept.objects
+        history.clear()
+        history += kept.history
+        revision = kept.revision
+        era++
+    }
 
     fun put(kind: ObjectKind, name: String, content: String): StoredObject {
         val value = StoredObject(name, ++revision, content)
@@ -57,7 +90,7 @@
     private suspend fun respond(call: ControlRequest, timeoutMillis: Long): Result<ControlResponse, CallFailure> {
         calls++
         return when {
-            unavailable -> Ok(ControlResponse(503, ""))
+            unavailable -> Ok(response(503, ""))
             unresponsive -> {
                 delay(timeoutMillis)
                 Err(CallFailure.Unanswered("silent"))
@@ -71,9 +104,9 @@
         val kind = ObjectKind.valueOf(name)
         delay(RESPONSE_MILLIS)
         return when (call.method) {
-            "LIST" -> Ok(ControlResponse(200, text(objects.filterKeys { it.first == kind }.values.map { it to false })))
+            "LIST" -> Ok(response(200, text(objects.filterKeys { it.first == kind }.values.map { it to false })))
             "WATCH" -> watch(kind, since.toLong(), timeoutMillis)
-            "READ" -> Ok(objects[kind to since]?.let { ControlResponse(200, text(listOf(it to false))) } ?: ABSENT)
+            "READ" -> Ok(objects[kind to since]?.let { response(200, text(listOf(it to false))) } ?: response(404, ""))
             else -> write(kind, since, expected, call.body.orEmpty())
         }
     }
@@ -84,9 +117,9 @@
             delay(POLL_INTERVAL_MILLIS)
             waited += POLL_INTERVAL_MILLIS
         }
-        if (since < historyFrom) return Ok(ControlResponse(410, ""))
+        if (since < historyFrom || since > revision) return Ok(response(410, ""))
         val changes = history.filter { it.first == kind && it.second.value.revision > since }
-        return Ok(ControlResponse(200, text(changes.map { it.second.value to it.second.removed })))
+        return Ok(response(200, text(changes.map { it.second.value to it.second.removed })))
     }
 
     private fun write(
@@ -97,15 +130,26 @@
     ): Result<ControlResponse, CallFailure> {
         val known = objects[kind to name]
         val response = when {
-            expected == "new" && known != null -> ControlResponse(409, text(listOf(known to false)))
-            expected != "new" && known == null -> ABSENT
+            expected == "new" && known != null -> response(409, text(listOf(known to false)))
+            expected != "new" && known == null -> response(404, "")
             expected.toLongOrNull()?.let { it != known?.revision } ?: false ->
-                ControlResponse(409, text(listOfNotNull(known?.to(false))))
-            else -> ControlResponse(200, text(listOf(put(kind, name, content) to false)))
+                response(409, text(listOfNotNull(known?.to(false))))
+            else -> response(200, text(listOf(put(kind, name, content) to false)))
         }
         return if (losesResponses) Err(CallFailure.Unanswered("the response was lost")) else Ok(response)
     }
 
+    private fun response(status: Int, body: String): ControlResponse {
+        val text = if (statesUnreadableEra) "unreadable" else "$era"
+        return ControlResponse(status, body, HeaderFields(listOf(HeaderField(ERA_HEADER, text))))
+    }
+
+    private class Copy(
+        val objects: Map<Pair<ObjectKind, String>, StoredObject>,
+        val history: List<Pair<ObjectKind, ObjectChange>>,
+        val revision: Long,
+    )
+
     private fun text(values: List<Pair<StoredObject, Boolean>>): String =
         (
             listOf("$revision") + values.map { (value, removed) ->
@@ -116,11 +160,21 @@
     private companion object {
         const val RESPONSE_MILLIS = 4L
         const val POLL_INTERVAL_MILLIS = 20L
-        val ABSENT = ControlResponse(404, "")
     }
 }
 
-private object MemoryProtocol : ObjectProtocol {
+/** Log whose lines are discarded. */
+internal val SILENT_LOG = StructuredLog({ 0 }, "test", PrintStream(OutputStream.nullOutputStream()))
+
+/** Header of the era in the responses of [MemoryStore]. */
+internal const val ERA_HEADER = "Era"
+
+internal object MemoryProtocol : ObjectProtocol {
+    override fun era(headers: HeaderFields): Result<Long, DecodeFailure> {
+        val text = headers[ERA_HEADER] ?: return Ok(0)
+        return text.toLongOrNull()?.let { Ok(it) } ?: Err(DecodeFailure("an era", text))
+    }
+
     override fun list(kind: ObjectKind, after: String?, allowStale: Boolean) = ControlRequest("LIST", "$kind - -")
 
     override fun watch(kind: ObjectKind, revision: Long, waitMillis: Long) = ControlRequest(
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/StoreFollowersTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/StoreFollowersTest.kt
@@ -85,12 +85,12 @@
     fun `an instance that relies on peers notices when the store becomes unreachable and recovers`() = simulate {
         val other = start(members.first { !Membership(it).also { own -> own.update(members) }.tree.watchesObjectStore })
         advanceTimeBy(100)
-        val revision = other.watch.changedRevision
-        other.watch.onPeerStatus(revision, currentTime, storeUnreachable = false)
-        other.watch.onPeerStatus(revision, currentTime - 10, storeUnreachable = true)
+        val changed = other.watch.changedPosition
+        other.watch.onPeerStatus(changed, currentTime, storeUnreachable = false)
+        other.watch.onPeerStatus(changed, currentTime - 10, storeUnreachable = true)
         expectThat(other.failures).isGreaterThan(0)
         advanceTimeBy(500)
-        other.watch.onPeerStatus(revision, currentTime, storeUnreachable = false)
+        other.watch.onPeerStatus(changed, currentTime, storeUnreachable = false)
         expectThat(other.watch.isStoreUnreachable).isFalse()
     }
 
@@ -98,8 +98,8 @@
         advanceTimeBy(STATUS_PERIOD_MILLIS)
         val newest = all.maxBy { it.watch.currentMillis }.watch
         all.forEach { peer ->
-            if (peer.watch.onPeerStatus(newest.changedRevision, newest.currentMillis, newest.isStoreUnreachable)) {
-                newest.offer(peer.watch.knownRevision)?.let { peer.watch.accept(it) }
+            if (peer.watch.onPeerStatus(newest.changedPosition, newest.currentMillis, newest.isStoreUnreachable)) {
+                newest.offer(peer.watch.knownPosition)?.let { peer.watch.accept(it) }
             }
         }
     }
