--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
@@ -36,6 +36,7 @@
 import org.parsleymoor.entry.control.PeerContext
 import org.parsleymoor.entry.control.Peers
 import org.parsleymoor.entry.control.RolloutLoop
+import org.parsleymoor.entry.control.StoreEra
 import org.parsleymoor.entry.control.UnreadableObjectLog
 import org.parsleymoor.entry.control.WatchContext
 import org.parsleymoor.entry.control.WatchPolicy
@@ -88,8 +89,10 @@
     )
     private val pool = ConnectionPool(client, clock)
     private val controlClient = ControlClient(ConnectionPool(client, clock))
+    private val era = StoreEra(log, metrics.storeRestores)
     private val store = ObjectStore(
         protocol = protocol.objects,
+        era = era,
         send = { call, timeoutMillis -> controlClient.call(settings.objectStore, call, timeoutMillis) },
         onUnreadable = UnreadableObjectLog(log)::record,
     )
@@ -125,7 +128,7 @@
         scope.launch { membershipLoop.run() }
         val incarnation = Incarnation(settings.instance, clock.nowMillis())
         val context = ControlContext(deployment, membership, controlClient, protocol.engines, runtime)
-        val peers = Peers(PeerContext(settings, deployment, membership, runtime), incarnation, dispatcher)
+        val peers = Peers(PeerContext(settings, deployment, membership, era, runtime), incarnation, dispatcher)
         scope.launch { peers.run(watches) }
         scope.launch { EngineLoadLoop(context, peers).run() }
         val lease = OrderLease(incarnation, store, scope, log, PauseDetector(clock), settings.times.leaseMillis)
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/UnreadableResponsesTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/UnreadableResponsesTest.kt
@@ -22,6 +22,7 @@
 import org.parsleymoor.entry.control.ObjectStore
 import org.parsleymoor.entry.control.ObjectWatch
 import org.parsleymoor.entry.control.StoreFailure
+import org.parsleymoor.entry.control.StoreEra
 import org.parsleymoor.entry.control.UnreadableObjectLog
 import org.parsleymoor.entry.control.WatchContext
 import org.parsleymoor.entry.control.WatchPolicy
@@ -37,6 +38,7 @@
 import org.parsleymoor.entry.protocol.StoredObject
 import org.parsleymoor.entry.protocol.UnreadableObject
 import org.parsleymoor.relay.exchange.Member
+import org.parsleymoor.relay.http.HeaderFields
 import strikt.api.expectThat
 import strikt.assertions.hasSize
 import strikt.assertions.isA
@@ -93,6 +95,7 @@
 
     private fun TestScope.store(log: StructuredLog = log()) = ObjectStore(
         protocol = protocol,
+        era = StoreEra(log),
         send = { _, _ ->
             calls++
             delay(4)
@@ -135,6 +138,8 @@
 
         override fun remove(kind: ObjectKind, name: String) = ControlRequest("REMOVE", "")
 
+        override fun era(headers: HeaderFields): Result<Long, DecodeFailure> = Ok(0)
+
         override fun page(body: String) = page()
 
         override fun changes(body: String) = changes
