Move the closing of callers' connections in a stop into a class of its own

No change of behaviour: the loop of EntryDaemon.stop becomes GracefulShutdown, so that tests over raw sockets can run the same sequence as the process (RelayHarness.stop). CallerServerShutdownTest, RelayTest and EventLoopLagTest pass as before.

--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
@@ -7,7 +7,6 @@
 import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeoutOrNull
@@ -49,6 +48,7 @@
 import org.parsleymoor.entry.serving.DeploymentView
 import org.parsleymoor.entry.serving.EndpointSelector
 import org.parsleymoor.entry.serving.EventLoopLag
+import org.parsleymoor.entry.serving.GracefulShutdown
 import org.parsleymoor.entry.serving.QuarantineGate
 import org.parsleymoor.entry.serving.RefusalWriter
 import org.parsleymoor.entry.serving.RelayHandler
@@ -137,21 +137,10 @@
     public fun stop() {
         runBlocking(dispatcher) {
             stopState.begin()
+            val startMillis = clock.nowMillis()
             log.write("stopping", always = true) { put("connections", callerServer.openConnections) }
-            val untilMillis = clock.nowMillis() + settings.times.graceMillis - EXIT_MARGIN_MILLIS
             withTimeoutOrNull(DEREGISTER_MILLIS) { membershipLoop.deregister() }
-            val closeIdleMillis = clock.nowMillis() + CLOSE_IDLE_MILLIS
-            val earliestMillis = clock.nowMillis() + UNREADY_MILLIS
-            while (clock.nowMillis() < if (callerServer.openConnections > 0) untilMillis else earliestMillis) {
-                if (clock.nowMillis() >= closeIdleMillis) callerServer.closeIdle()
-                delay(STOP_POLL_MILLIS)
-            }
-            // A caller may connect while the last connection closes; its request is served, or the connection refused.
-            val draining = scope.launch { callerServer.shutdown((untilMillis - clock.nowMillis()).coerceAtLeast(1)) }
-            while (draining.isActive && clock.nowMillis() < untilMillis) {
-                callerServer.closeIdle()
-                delay(STOP_POLL_MILLIS)
-            }
+            GracefulShutdown(callerServer, scope, clock, settings.times.graceMillis).run(startMillis)
             log.write("stopped", always = true) { put("connections", callerServer.openConnections) }
         }
         log.flush(FLUSH_MILLIS)
@@ -223,16 +212,7 @@
         const val METRICS_PATH = "/metrics"
         const val CONNECT_MILLIS = 2_000
 
-        // Time left for the process to exit after the last response.
-        const val EXIT_MARGIN_MILLIS = 500L
-
-        // Idle connections are closed after this time; until then, a request on one of them is served and closes it.
-        const val CLOSE_IDLE_MILLIS = 800L
-
-        // The platform probes readiness once a second and opens no new connections after two negative responses.
-        const val UNREADY_MILLIS = 2_200L
         const val DEREGISTER_MILLIS = 300L
-        const val STOP_POLL_MILLIS = 20L
         const val FLUSH_MILLIS = 200L
         const val HOUSEKEEPING_TICKS = 3
 
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
@@ -3,7 +3,10 @@
 import io.vertx.core.Vertx
 import io.vertx.kotlin.coroutines.dispatcher
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import org.parsleymoor.core.Clock
 import org.parsleymoor.core.EndpointId
@@ -28,6 +31,7 @@
 import org.parsleymoor.entry.serving.DeploymentView
 import org.parsleymoor.entry.serving.EndpointSelector
 import org.parsleymoor.entry.serving.EventLoopLag
+import org.parsleymoor.entry.serving.GracefulShutdown
 import org.parsleymoor.entry.serving.QuarantineGate
 import org.parsleymoor.entry.serving.RefusalWriter
 import org.parsleymoor.entry.serving.RelayHandler
@@ -65,6 +69,8 @@
     private val scope = CoroutineScope(SupervisorJob() + dispatcher)
     private val log = StructuredLog(Clock.System, "test", PrintStream(OutputStream.nullOutputStream()))
     private val deployment = DeploymentView(InstanceId("test"))
+    private val shutdown = ShutdownState(GRACE_MILLIS, Clock.System)
+    private val server: CallerServer
     val lag = EventLoopLag(Clock.System)
     val port: Int = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
 
@@ -86,16 +92,23 @@
             budget,
             quarantine,
         )
-        val stopping = ShutdownState(8_000, Clock.System)
         val callers = CallerContext(
             clock = Clock.System,
-            handler = RelayHandler(context, NAMES, delivery, refusals, stopping),
+            handler = RelayHandler(context, NAMES, delivery, refusals, shutdown),
             limits = { CallerLimits(headBytes = 2_048, bodyBytes = 10_000) },
-            stopping = { stopping.begun },
+            stopping = { shutdown.begun },
             onFault = {},
             lagMillis = { lag.millis },
         )
-        runBlocking(dispatcher) { CallerServer(vertx, scope, callers).start(SocketAddress("127.0.0.1", port)) }
+        server = CallerServer(vertx, scope, callers)
+        runBlocking(dispatcher) { server.start(SocketAddress("127.0.0.1", port)) }
+    }
+
+    /** Starts the grace period, at the end of which all connections are cut off as by the exit of the process. */
+    fun stop(): Job = scope.launch {
+        shutdown.begin()
+        GracefulShutdown(server, scope, Clock.System, GRACE_MILLIS).run(Clock.System.nowMillis())
+        scope.cancel()
     }
 
     /** Opens a connection as a caller. */
@@ -120,7 +133,12 @@
             zones = mapOf(ZoneId("a") to RegionId("north")),
             listen = ListenAddresses(address, address, address, address),
             objectStore = address,
-            times = EntryTimes(graceMillis = 8_000, leaseMillis = 3_000, weightsMillis = 10_000, applyMillis = 5_000),
+            times = EntryTimes(
+                graceMillis = GRACE_MILLIS,
+                leaseMillis = 3_000,
+                weightsMillis = 10_000,
+                applyMillis = 5_000
+            ),
             retries = RetryLimit(share = 1.0, extra = 100.0, windowMillis = 10_000),
             cold = ColdAllowance(overage = 1.5, slack = 5.0),
         )
@@ -159,6 +177,11 @@
         organisations = listOf(Organisation(OrganisationId("org"), setOf("secret"))),
         limits = CallerLimits(),
     )
+
+    companion object {
+        /** Grace period of a stop. */
+        const val GRACE_MILLIS = 5_000L
+    }
 }
 
 /** Header names that no deployment uses, to show that nothing depends on the real ones. */
