Send a request during a stop only if the time left covers it, and answer all that were sent before the exit

Callers saw: in a planned stop, a request that arrived late in the grace period was passed on and, at the end of the period, its connection was closed without an answer; also for requests that may not run twice, whose outcome the caller then does not know.

Cause: ShutdownState accepted requests by fixed shares of the grace period (0.3 for streams, 0.75 for calls), whatever time the request itself could take, and only on arrival: repeats were not judged at all. Nothing ended the requests in flight before the process exited. Besides, idle connections were closed every 20 ms after the first 0.8 s, which also closed new connections whose first request was on its way.

Ruled out: the deployments' routes of 1.5 s do fit into a grace period of 8 s (0.75 x 8 s + 1.5 s = 7.5 s), so this needs a route or a caller's deadline longer than a quarter of the period less 0.5 s, or a slow stream.

What does not fit is refused with 503 and Retry-After before anything is sent. Idle connections are closed every 0.8 s.

ShutdownStateTest and RouteDurationsTest test the decision alone.

--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
@@ -53,6 +53,7 @@
 import org.parsleymoor.entry.serving.RefusalWriter
 import org.parsleymoor.entry.serving.RelayHandler
 import org.parsleymoor.entry.serving.ServingContext
+import org.parsleymoor.entry.serving.ShutdownGate
 import org.parsleymoor.entry.serving.ShutdownState
 import org.parsleymoor.relay.exchange.Member
 import org.parsleymoor.relay.fleet.SocketAddress
@@ -96,7 +97,7 @@
         if (membership.tree.direct) DIRECT_TICK_MILLIS else HUB_TICK_MILLIS
     }
     private val membershipLoop = MembershipLoop(store, deployment, membership, log, clock)
-    private val stopState = ShutdownState(settings.times.graceMillis, clock)
+    private val shutdown = ShutdownGate(ShutdownState(settings.times.graceMillis, clock), clock)
     private val lag = EventLoopLag(clock)
     private var knownSinceMillis: Long? = null
     private val callerServer = CallerServer(vertx, scope, callerContext())
@@ -136,11 +137,10 @@
      */
     public fun stop() {
         runBlocking(dispatcher) {
-            stopState.begin()
-            val startMillis = clock.nowMillis()
+            shutdown.state.begin()
             log.write("stopping", always = true) { put("connections", callerServer.openConnections) }
             withTimeoutOrNull(DEREGISTER_MILLIS) { membershipLoop.deregister() }
-            GracefulShutdown(callerServer, scope, clock, settings.times.graceMillis).run(startMillis)
+            GracefulShutdown(callerServer, scope, clock, shutdown).run()
             log.write("stopped", always = true) { put("connections", callerServer.openConnections) }
         }
         log.flush(FLUSH_MILLIS)
@@ -152,7 +152,7 @@
     }
 
     private fun callerContext(): CallerContext {
-        val context = ServingContext(deployment, log, metrics, clock, lag)
+        val context = ServingContext(deployment, log, metrics, clock, shutdown, lag)
         val refusals = RefusalWriter(protocol, log, metrics)
         val selector = EndpointSelector(settings, deployment, clock)
         val quarantine = QuarantineGate(context)
@@ -161,9 +161,9 @@
         val delivery = Delivery(context, selector, attempts, refusals, budget, quarantine)
         return CallerContext(
             clock = clock,
-            handler = RelayHandler(context, protocol.headers, delivery, refusals, stopState),
+            handler = RelayHandler(context, protocol.headers, delivery, refusals),
             limits = { deployment.routes?.configuration?.limits ?: CallerLimits() },
-            stopping = { stopState.begun },
+            stopping = { shutdown.state.begun },
             lagMillis = { lag.millis },
             onFault = { fault ->
                 log.write("request.malformed", always = true) {
@@ -193,7 +193,7 @@
         val sinceMillis = if (known) knownSinceMillis ?: clock.nowMillis() else null
         knownSinceMillis = sinceMillis
         val settled = lag.settled || sinceMillis != null && clock.nowMillis() - sinceMillis >= MAX_SETTLE_MILLIS
-        val ready = !stopState.begun && known && settled
+        val ready = !shutdown.state.begun && known && settled
         return ProbeResponse(if (ready) HttpStatus.OK else HttpStatus.UNAVAILABLE)
     }
 
@@ -202,6 +202,7 @@
             ticks.await(HOUSEKEEPING_TICKS)
             pool.expire()
             deployment.quarantine.expire(clock.nowMillis())
+            deployment.routes?.let { shutdown.durations.retain(it.configuration.routes) }
             deployment.endpoints.expire(clock.nowMillis()).forEach { gone ->
                 log.write("endpoint.expired") { put("endpoint", gone.value) }
             }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
@@ -22,6 +22,7 @@
     val discardIdle: (SocketAddress) -> Unit,
 ) {
     val clock = context.clock
+    val shutdown = context.shutdown
     val requestBuilder = EndpointRequestBuilder(names)
     val stateUpdater = EndpointStateUpdater(names, context.clock)
 }
@@ -47,6 +48,7 @@
             remaining <= 0 -> "the request's deadline had passed"
             !pending.streamStarted && clock.nowMillis() >= pending.firstByteDeadlineMillis ->
                 "the caller no longer waits for the first byte"
+            !context.shutdown.covers(pending, target) -> "this instance exits too soon"
             !connection.reusable -> "the connection was closed before the request was sent"
             else -> null
         }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Delivery.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Delivery.kt
@@ -22,6 +22,7 @@
     private val log = context.log
     private val metrics = context.metrics
     private val clock = context.clock
+    private val shutdown = context.shutdown
 
     /** Delivers [pending] and writes the response to [writer]; suspends until it is written or aborted. */
     suspend fun deliver(pending: PendingRequest, writer: ResponseWriter) {
@@ -35,7 +36,11 @@
             retry = mayRetry(pending, last)
             if (retry) choice = chooseOrWait(pending)
         }
-        if (last !is AttemptResult.Delivered) giveUp(pending, writer, last, choice)
+        if (last is AttemptResult.Delivered) {
+            shutdown.recordAnswer(pending)
+        } else {
+            giveUp(pending, writer, last, choice)
+        }
     }
 
     /** Chooses an endpoint. While all are full, waits for a share of the route's objective, as one usually frees up. */
@@ -43,17 +48,33 @@
         val untilMillis =
             pending.request.receivedMillis + (pending.route.objectiveMillis * CAPACITY_WAIT_SHARE).toLong()
         quarantine.check(pending)?.let { return Choice.Quarantined(it.retryAfterMillis) }
-        var choice = selector.choose(pending)
+        var choice = choose(pending)
         while ((choice as? Choice.None)?.reason == UnavailableReason.OVERLOADED && clock.nowMillis() < untilMillis) {
             delay(CAPACITY_POLL_MILLIS)
-            choice = selector.choose(pending)
+            choice = choose(pending)
         }
         return choice
     }
 
+    private fun choose(pending: PendingRequest): Choice {
+        if (!shutdown.covers(pending)) return Choice.Stopping
+        val choice = selector.choose(pending)
+        val tooLate = choice is Choice.Chosen && !shutdown.covers(pending, choice.target)
+        return if (tooLate) Choice.Stopping else choice
+    }
+
+    /** Runs one attempt, which ends without a response when the last responses before the exit are due. */
+    private suspend fun run(pending: PendingRequest, target: Target, writer: ResponseWriter): AttemptResult {
+        val sends = pending.sendCount
+        return shutdown.cutoff.runUntilDue { attemptRunner.run(pending, target, writer) } ?: when (pending.sendCount) {
+            sends -> AttemptResult.NotRun(EXITS, sent = false)
+            else -> AttemptResult.Uncertain(EXITS)
+        }
+    }
+
     private suspend fun attempt(pending: PendingRequest, target: Target, writer: ResponseWriter): AttemptResult {
         val startMillis = clock.nowMillis()
-        val result = attemptRunner.run(pending, target, writer)
+        val result = run(pending, target, writer)
         val nowMillis = clock.nowMillis()
         metrics.attempts.increment()
         log.write("request.attempt", always = result !is AttemptResult.Delivered) {
@@ -117,6 +138,7 @@
             pending.possibleRuns > 0 -> refusals.write(writer, pending.id, Refusal.OutcomeUnknown(last.outcome))
             choice is Choice.Quarantined ->
                 refusals.write(writer, pending.id, Refusal.PartQuarantined(choice.retryAfterMillis))
+            choice is Choice.Stopping -> refusals.write(writer, pending.id, Refusal.Stopping)
             choice is Choice.None && pending.sendCount == 0 ->
                 refusals.write(writer, pending.id, Refusal.NoEndpoint(choice.reason, choice.retryAfterMillis))
             else -> refusals.write(writer, pending.id, Refusal.EndpointsRefused(last.outcome))
@@ -124,6 +146,8 @@
     }
 
     private companion object {
+        const val EXITS = "this instance exits"
+
         // Less time than this is too short for an endpoint to respond.
         const val MIN_REMAINING_MILLIS = 30L
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/EndpointSelector.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/EndpointSelector.kt
@@ -22,6 +22,9 @@
 
     data class None(val reason: UnavailableReason, val retryAfterMillis: Long) : Choice
 
+    /** The time left before this instance exits does not cover the request. */
+    data object Stopping : Choice
+
     /** The prompt has a part on which endpoints crash. */
     data class Quarantined(val retryAfterMillis: Long) : Choice
 }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/GracefulShutdown.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/GracefulShutdown.kt
@@ -6,35 +6,48 @@
 import org.parsleymoor.core.Clock
 import org.parsleymoor.entry.callers.CallerServer
 
-/** Closes [server] within a grace period of [graceMillis]. Confined to the event loop. */
+/** Closes [server] within the grace period of [gate]. Confined to the event loop. */
 internal class GracefulShutdown(
     private val server: CallerServer,
     private val scope: CoroutineScope,
     private val clock: Clock,
-    private val graceMillis: Long,
+    private val gate: ShutdownGate,
 ) {
-    /** Suspends until no connection is open or the grace period, which began at [startMillis], is nearly over. */
-    suspend fun run(startMillis: Long) {
-        val untilMillis = startMillis + graceMillis - EXIT_MARGIN_MILLIS
-        val closeIdleMillis = clock.nowMillis() + CLOSE_IDLE_MILLIS
-        val earliestMillis = clock.nowMillis() + UNREADY_MILLIS
-        while (clock.nowMillis() < if (server.openConnections > 0) untilMillis else earliestMillis) {
-            if (clock.nowMillis() >= closeIdleMillis) server.closeIdle()
+    /**
+     * Suspends until no connection is open or the process has to exit. When the last responses are due, the requests
+     * that are still in flight get theirs. Requires that the grace period has begun.
+     */
+    suspend fun run() {
+        val lastAnswerMillis = checkNotNull(gate.state.lastAnswerMillis) { "the grace period has not begun" }
+        val exitMillis = checkNotNull(gate.state.exitMillis) { "the grace period has not begun" }
+        val sweep = IdleSweep()
+        val earliestMillis = minOf(clock.nowMillis() + UNREADY_MILLIS, lastAnswerMillis)
+        while (clock.nowMillis() < if (server.openConnections > 0) lastAnswerMillis else earliestMillis) {
+            sweep.closeIfDue()
             delay(POLL_MILLIS)
         }
         // A caller may connect while the last connection closes; its request is served, or the connection refused.
-        val draining = scope.launch { server.shutdown((untilMillis - clock.nowMillis()).coerceAtLeast(1)) }
-        while (draining.isActive && clock.nowMillis() < untilMillis) {
-            server.closeIdle()
+        val draining = scope.launch { server.shutdown((exitMillis - clock.nowMillis()).coerceAtLeast(1)) }
+        while (draining.isActive && clock.nowMillis() < exitMillis) {
+            if (clock.nowMillis() >= lastAnswerMillis) gate.cutoff.pass()
+            sweep.closeIfDue()
             delay(POLL_MILLIS)
         }
     }
 
-    private companion object {
-        // Time left for the process to exit after the last response.
-        const val EXIT_MARGIN_MILLIS = 500L
+    private inner class IdleSweep {
+        private var dueMillis = clock.nowMillis() + CLOSE_IDLE_MILLIS
 
-        // Idle connections are closed after this time; until then, a request on one of them is served and closes it.
+        fun closeIfDue() {
+            if (clock.nowMillis() < dueMillis) return
+            dueMillis += CLOSE_IDLE_MILLIS
+            server.closeIdle()
+        }
+    }
+
+    private companion object {
+        // Idle connections are closed at this interval; until then, a request on one of them is served and closes it.
+        // A shorter interval would close many new connections before their first request has arrived.
         const val CLOSE_IDLE_MILLIS = 800L
 
         // The platform probes readiness once a second and opens no new connections after two negative responses.
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Refusal.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Refusal.kt
@@ -22,7 +22,7 @@
         NO_CONFIGURATION_MILLIS
     )
 
-    /** This instance is shutting down and would probably not finish the request. */
+    /** This instance is shutting down, and the time left does not cover the request, which has not run. */
     data object Stopping : Refusal(HttpStatus.UNAVAILABLE, "this instance is shutting down", STOPPING_MILLIS)
 
     /** The event loop is [lagMillis] behind, too far to respond in time. Another instance may be able to. */
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/RelayHandler.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/RelayHandler.kt
@@ -18,7 +18,6 @@
     private val names: HeaderNames,
     private val delivery: Delivery,
     private val refusals: RefusalWriter,
-    private val shutdown: ShutdownState,
 ) : RequestHandler {
     private val deployment = context.deployment
     private val log = context.log
@@ -63,7 +62,6 @@
         val route = table?.route(request.head.headers["Host"].orEmpty(), path(request.head.target))
         return when {
             table == null || !deployment.endpointsKnown -> RoutingResult.Refused(Refusal.NoConfiguration)
-            route != null && shutdown.tooLateFor(route.kind) -> RoutingResult.Refused(Refusal.Stopping)
             route == null -> RoutingResult.Refused(Refusal.NoRoute(table.configuration.version))
             id.value.isEmpty() || hasDuplicateField(request) -> RoutingResult.Refused(Refusal.Malformed)
             else -> admit(request, id, table, route)
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/ServingContext.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/ServingContext.kt
@@ -10,5 +10,6 @@
     val log: StructuredLog,
     val metrics: EntryMetrics,
     val clock: Clock,
+    val shutdown: ShutdownGate,
     val lag: EventLoopLag = EventLoopLag(clock),
 )
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
@@ -36,6 +36,7 @@
 import org.parsleymoor.entry.serving.RefusalWriter
 import org.parsleymoor.entry.serving.RelayHandler
 import org.parsleymoor.entry.serving.ServingContext
+import org.parsleymoor.entry.serving.ShutdownGate
 import org.parsleymoor.entry.serving.ShutdownState
 import org.parsleymoor.relay.fleet.EndpointEntry
 import org.parsleymoor.relay.fleet.SocketAddress
@@ -69,7 +70,7 @@
     private val scope = CoroutineScope(SupervisorJob() + dispatcher)
     private val log = StructuredLog(Clock.System, "test", PrintStream(OutputStream.nullOutputStream()))
     private val deployment = DeploymentView(InstanceId("test"))
-    private val shutdown = ShutdownState(GRACE_MILLIS, Clock.System)
+    private val shutdown = ShutdownGate(ShutdownState(GRACE_MILLIS, Clock.System), Clock.System)
     private val server: CallerServer
     val lag = EventLoopLag(Clock.System)
     val port: Int = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
@@ -79,7 +80,7 @@
         deployment.endpointsKnown = true
         deployment.members = setOf(deployment.self)
         endpoints.forEachIndexed { index, endpoint -> deployment.endpoints.put(entry("e$index", endpoint.port), 0) }
-        val context = ServingContext(deployment, log, EntryMetrics(), Clock.System, lag)
+        val context = ServingContext(deployment, log, EntryMetrics(), Clock.System, shutdown, lag)
         val refusals = RefusalWriter(TestProtocol, log, context.metrics)
         val pool = ConnectionPool(vertx.createNetClient(), Clock.System)
         val budget = SharedRetryBudget(RetryLimit(share = 1.0, extra = 100.0, windowMillis = 10_000))
@@ -94,9 +95,9 @@
         )
         val callers = CallerContext(
             clock = Clock.System,
-            handler = RelayHandler(context, NAMES, delivery, refusals, shutdown),
+            handler = RelayHandler(context, NAMES, delivery, refusals),
             limits = { CallerLimits(headBytes = 2_048, bodyBytes = 10_000) },
-            stopping = { shutdown.begun },
+            stopping = { shutdown.state.begun },
             onFault = {},
             lagMillis = { lag.millis },
         )
@@ -106,8 +107,8 @@
 
     /** Starts the grace period, at the end of which all connections are cut off as by the exit of the process. */
     fun stop(): Job = scope.launch {
-        shutdown.begin()
-        GracefulShutdown(server, scope, Clock.System, GRACE_MILLIS).run(Clock.System.nowMillis())
+        shutdown.state.begin()
+        GracefulShutdown(server, scope, Clock.System, shutdown).run()
         scope.cancel()
     }
 
