--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
@@ -7,7 +7,6 @@
 import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeoutOrNull
@@ -52,10 +51,12 @@
 import org.parsleymoor.entry.serving.DeploymentView
 import org.parsleymoor.entry.serving.EndpointSelector
 import org.parsleymoor.entry.serving.EventLoopLag
+import org.parsleymoor.entry.serving.GracefulShutdown
 import org.parsleymoor.entry.serving.QuarantineGate
 import org.parsleymoor.entry.serving.RefusalWriter
 import org.parsleymoor.entry.serving.RelayHandler
 import org.parsleymoor.entry.serving.ServingContext
+import org.parsleymoor.entry.serving.ShutdownGate
 import org.parsleymoor.entry.serving.ShutdownState
 import org.parsleymoor.relay.exchange.Member
 import org.parsleymoor.relay.fleet.SocketAddress
@@ -103,7 +104,7 @@
         if (membership.tree.direct) DIRECT_TICK_MILLIS else HUB_TICK_MILLIS
     }
     private val membershipLoop = MembershipLoop(store, deployment, membership, log, clock)
-    private val stopState = ShutdownState(settings.times.graceMillis, clock)
+    private val shutdown = ShutdownGate(ShutdownState(settings.times.graceMillis, clock), clock)
     private val lag = EventLoopLag(clock)
     private var knownSinceMillis: Long? = null
     private val callerServer = CallerServer(vertx, scope, callerContext())
@@ -143,22 +144,10 @@
      */
     public fun stop() {
         runBlocking(dispatcher) {
-            stopState.begin()
+            shutdown.state.begin()
             log.write("stopping", always = true) { put("connections", callerServer.openConnections) }
-            val untilMillis = clock.nowMillis() + settings.times.graceMillis - EXIT_MARGIN_MILLIS
             withTimeoutOrNull(DEREGISTER_MILLIS) { membershipLoop.deregister() }
-            val closeIdleMillis = clock.nowMillis() + CLOSE_IDLE_MILLIS
-            val earliestMillis = clock.nowMillis() + UNREADY_MILLIS
-            while (clock.nowMillis() < if (callerServer.openConnections > 0) untilMillis else earliestMillis) {
-                if (clock.nowMillis() >= closeIdleMillis) callerServer.closeIdle()
-                delay(STOP_POLL_MILLIS)
-            }
-            // A caller may connect while the last connection closes; its request is served, or the connection refused.
-            val draining = scope.launch { callerServer.shutdown((untilMillis - clock.nowMillis()).coerceAtLeast(1)) }
-            while (draining.isActive && clock.nowMillis() < untilMillis) {
-                callerServer.closeIdle()
-                delay(STOP_POLL_MILLIS)
-            }
+            GracefulShutdown(callerServer, scope, clock, shutdown).run()
             log.write("stopped", always = true) { put("connections", callerServer.openConnections) }
         }
         log.flush(FLUSH_MILLIS)
@@ -170,7 +159,7 @@
     }
 
     private fun callerContext(): CallerContext {
-        val context = ServingContext(deployment, log, metrics, clock, lag)
+        val context = ServingContext(deployment, log, metrics, clock, shutdown, lag)
         val refusals = RefusalWriter(protocol, log, metrics)
         val selector = EndpointSelector(settings, deployment, clock)
         val quarantine = QuarantineGate(context)
@@ -179,9 +168,9 @@
         val delivery = Delivery(context, selector, attempts, refusals, budget, quarantine)
         return CallerContext(
             clock = clock,
-            handler = RelayHandler(context, protocol.headers, delivery, refusals, stopState),
+            handler = RelayHandler(context, protocol.headers, delivery, refusals),
             limits = { deployment.routes?.configuration?.limits ?: CallerLimits() },
-            stopping = { stopState.begun },
+            stopping = { shutdown.state.begun },
             lagMillis = { lag.millis },
             onFault = { fault ->
                 log.write("request.malformed", always = true) {
@@ -222,7 +211,7 @@
         val sinceMillis = if (known) knownSinceMillis ?: clock.nowMillis() else null
         knownSinceMillis = sinceMillis
         val settled = lag.settled || sinceMillis != null && clock.nowMillis() - sinceMillis >= MAX_SETTLE_MILLIS
-        val ready = !stopState.begun && known && settled
+        val ready = !shutdown.state.begun && known && settled
         return ProbeResponse(if (ready) HttpStatus.OK else HttpStatus.UNAVAILABLE)
     }
 
@@ -231,6 +220,7 @@
             ticks.await(HOUSEKEEPING_TICKS)
             pool.expire()
             deployment.quarantine.expire(clock.nowMillis())
+            deployment.routes?.let { shutdown.durations.retain(it.configuration.routes) }
             deployment.endpoints.expire(clock.nowMillis()).forEach { gone ->
                 log.write("endpoint.expired") { put("endpoint", gone.value) }
             }
@@ -241,16 +231,7 @@
         const val METRICS_PATH = "/metrics"
         const val CONNECT_MILLIS = 2_000
 
-        // Time left for the process to exit after the last response.
-        const val EXIT_MARGIN_MILLIS = 500L
-
-        // Idle connections are closed after this time; until then, a request on one of them is served and closes it.
-        const val CLOSE_IDLE_MILLIS = 800L
-
-        // The platform probes readiness once a second and opens no new connections after two negative responses.
-        const val UNREADY_MILLIS = 2_200L
         const val DEREGISTER_MILLIS = 300L
-        const val STOP_POLL_MILLIS = 20L
         const val FLUSH_MILLIS = 200L
         const val HOUSEKEEPING_TICKS = 3
 
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
@@ -3,7 +3,9 @@
 import io.vertx.core.Vertx
 import io.vertx.kotlin.coroutines.dispatcher
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import org.parsleymoor.core.Clock
@@ -30,10 +32,12 @@
 import org.parsleymoor.entry.serving.DeploymentView
 import org.parsleymoor.entry.serving.EndpointSelector
 import org.parsleymoor.entry.serving.EventLoopLag
+import org.parsleymoor.entry.serving.GracefulShutdown
 import org.parsleymoor.entry.serving.QuarantineGate
 import org.parsleymoor.entry.serving.RefusalWriter
 import org.parsleymoor.entry.serving.RelayHandler
 import org.parsleymoor.entry.serving.ServingContext
+import org.parsleymoor.entry.serving.ShutdownGate
 import org.parsleymoor.entry.serving.ShutdownState
 import org.parsleymoor.relay.fleet.EndpointEntry
 import org.parsleymoor.relay.fleet.SocketAddress
@@ -70,6 +74,8 @@
     private val scope = CoroutineScope(SupervisorJob() + dispatcher)
     private val log = StructuredLog(Clock.System, "test", PrintStream(OutputStream.nullOutputStream()))
     private val deployment = DeploymentView(InstanceId("test"))
+    private val shutdown = ShutdownGate(ShutdownState(GRACE_MILLIS, Clock.System), Clock.System)
+    private val server: CallerServer
     val lag = EventLoopLag(Clock.System)
 
     /** The limits in force. */
@@ -87,10 +93,11 @@
         endpoints.forEachIndexed { index, endpoint -> deployment.endpoints.put(entry("e$index", endpoint.port), 0) }
         // A port that no connection can be opened to, so that handling a request throws.
         if (unconnectable) deployment.endpoints.put(entry("unconnectable", port = 70_000), 0)
-        val context = ServingContext(deployment, log, EntryMetrics(), Clock.System, lag)
+        val context = ServingContext(deployment, log, EntryMetrics(), Clock.System, shutdown, lag)
         val refusals = RefusalWriter(TestProtocol, log, context.metrics)
         val pool = ConnectionPool(vertx.createNetClient(), Clock.System)
-        val budget = SharedRetryBudget(RetryLimit(share = if (retries > 0) 1.0 else 0.0, extra = retries, windowMillis = 10_000))
+        val limit = RetryLimit(share = if (retries > 0) 1.0 else 0.0, extra = retries, windowMillis = 10_000)
+        val budget = SharedRetryBudget(limit)
         val quarantine = QuarantineGate(context)
         val delivery = Delivery(
             context,
@@ -100,17 +107,24 @@
             budget,
             quarantine,
         )
-        val stopping = ShutdownState(8_000, Clock.System)
         val callers = CallerContext(
             clock = Clock.System,
-            handler = RelayHandler(context, NAMES, delivery, refusals, stopping),
+            handler = RelayHandler(context, NAMES, delivery, refusals),
             limits = { limits },
-            stopping = { stopping.begun },
+            stopping = { shutdown.state.begun },
             onFault = {},
             lagMillis = { lag.millis },
             onClosed = closures::add,
         )
-        runBlocking(dispatcher) { CallerServer(vertx, scope, callers).start(SocketAddress("127.0.0.1", port)) }
+        server = CallerServer(vertx, scope, callers)
+        runBlocking(dispatcher) { server.start(SocketAddress("127.0.0.1", port)) }
+    }
+
+    /** Starts the grace period, at the end of which all connections are cut off as by the exit of the process. */
+    fun stop(): Job = scope.launch {
+        shutdown.state.begin()
+        GracefulShutdown(server, scope, Clock.System, shutdown).run()
+        scope.cancel()
     }
 
     /** Opens a connection as a caller. */
@@ -140,7 +154,12 @@
             zones = mapOf(ZoneId("a") to RegionId("north")),
             listen = ListenAddresses(address, address, address, address),
             objectStore = address,
-            times = EntryTimes(graceMillis = 8_000, leaseMillis = 3_000, weightsMillis = 10_000, applyMillis = 5_000),
+            times = EntryTimes(
+                graceMillis = GRACE_MILLIS,
+                leaseMillis = 3_000,
+                weightsMillis = 10_000,
+                applyMillis = 5_000
+            ),
             retries = RetryLimit(share = 1.0, extra = 100.0, windowMillis = 10_000),
             cold = ColdAllowance(overage = 1.5, slack = 5.0),
         )
@@ -179,6 +198,11 @@
         organisations = listOf(Organisation(OrganisationId("org"), setOf("secret"))),
         limits = CallerLimits(),
     )
+
+    companion object {
+        /** Grace period of a stop. */
+        const val GRACE_MILLIS = 5_000L
+    }
 }
 
 /** Header names that no deployment uses, to show that nothing depends on the real ones. */
