Read what a socket held back before its connection ended

What callers could see: a large stream that is cut off while its endpoint is sound, if the endpoint ends its response with its connection and the caller reads slowly. A cut between two events would have looked complete. Cause: reading pauses at 128 KB of unread data; the end of the connection was recorded while the socket still held back data, which was dropped. Now a connection that was ever paused ends when deliveries have stopped. Ruled out by the review: the end handler of the socket, after which two to three more buffers were delivered.

Test: UnansweredRequestTest, relays a large stream that ends with its connection to a slow caller to its end; failed before at line 141.

--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
@@ -18,6 +18,7 @@
 import org.parsleymoor.entry.callers.CallerContext
 import org.parsleymoor.entry.callers.CallerServer
 import org.parsleymoor.entry.callers.ConnectionClosure
+import org.parsleymoor.entry.callers.ConnectionEvents
 import org.parsleymoor.entry.control.CacheStoreLoop
 import org.parsleymoor.entry.control.ConfigurationListener
 import org.parsleymoor.entry.control.ControlContext
@@ -61,6 +62,7 @@
 import org.parsleymoor.relay.exchange.Member
 import org.parsleymoor.relay.fleet.SocketAddress
 import org.parsleymoor.relay.http.HttpStatus
+import org.parsleymoor.relay.http.MessageFailure
 import org.parsleymoor.relay.limits.SharedRetryBudget
 import org.parsleymoor.relay.routing.CallerLimits
 
@@ -172,16 +174,17 @@
             limits = { deployment.routes?.configuration?.limits ?: CallerLimits() },
             stopping = { shutdown.state.begun },
             lagMillis = { lag.millis },
-            onFault = { fault ->
-                log.write("request.malformed", always = true) {
-                    put("status", fault.status.code)
-                    put("reason", fault.message)
-                }
-            },
-            onClosed = ::recordClosure,
+            events = ConnectionEvents(onFault = ::logFault, onClosed = ::recordClosure),
         )
     }
 
+    private fun logFault(fault: MessageFailure) {
+        log.write("request.malformed", always = true) {
+            put("status", fault.status.code)
+            put("reason", fault.message)
+        }
+    }
+
     private fun recordClosure(closure: ConnectionClosure) {
         metrics.recordClosure(closure.reason)
         if (!closure.isSuspicious) return
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/CallerConnection.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/CallerConnection.kt
@@ -19,19 +19,23 @@
 import org.parsleymoor.relay.http.parseRequestHead
 import org.parsleymoor.relay.routing.CallerLimits
 
+/** [onFault] is called for each malformed request, [onClosed] for each connection that ends. */
+internal class ConnectionEvents(
+    val onFault: (MessageFailure) -> Unit = {},
+    val onClosed: (ConnectionClosure) -> Unit = {},
+)
+
 /**
  * Dependencies shared by the connections of a server. [stopping] tells whether this instance is shutting down,
- * [lagMillis] how far its event loop is behind. [onFault] is called for each malformed request, [onClosed] for each
- * connection that ends.
+ * [lagMillis] how far its event loop is behind.
  */
 internal class CallerContext(
     val clock: Clock,
     val handler: RequestHandler,
     val limits: () -> CallerLimits,
     val stopping: () -> Boolean,
-    val onFault: (MessageFailure) -> Unit,
+    val events: ConnectionEvents = ConnectionEvents(),
     val lagMillis: () -> Long = { 0 },
-    val onClosed: (ConnectionClosure) -> Unit = {},
 )
 
 /** Reads requests from [socket] and handles them one after the other. Confined to the event loop. */
@@ -57,7 +61,7 @@
             close(CloseReason.IDLE)
         } finally {
             val reason = closeReason ?: if (input.end == null) CloseReason.FAILED else CloseReason.CALLER_CLOSED
-            context.onClosed(ConnectionClosure(reason, requests, input.queue.size))
+            context.events.onClosed(ConnectionClosure(reason, requests, input.queue.size))
         }
     }
 
@@ -127,7 +131,7 @@
     }
 
     private suspend fun refuse(fault: MessageFailure): Boolean {
-        context.onFault(fault)
+        context.events.onFault(fault)
         if (input.end != null) return false
         val writer = ResponseWriter(socket, keepAliveAllowed = false, chunked = true, stopping = context.stopping)
         val body = fault.message.encodeToByteArray()
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/SocketInput.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/SocketInput.kt
@@ -1,5 +1,6 @@
 package org.parsleymoor.entry.net
 
+import io.vertx.core.Vertx
 import io.vertx.core.net.NetSocket
 import kotlinx.coroutines.CancellableContinuation
 import kotlinx.coroutines.suspendCancellableCoroutine
@@ -27,20 +28,38 @@
     var onEnd: () -> Unit = {}
 
     private var failed = false
+    private var closed = false
     private var paused = false
+    private var everPaused = false
+    private var receivedBytes = 0L
     private var waiter: CancellableContinuation<Unit>? = null
 
     init {
         socket.handler { buffer ->
             queue.append(buffer.bytes)
-            if (queue.size > MAX_BUFFERED_BYTES && !paused) pause()
+            receivedBytes += buffer.length()
+            if (queue.size > MAX_BUFFERED_BYTES && !paused && !closed) pause()
             if (waiter == null) onUnsolicitedData() else wake()
         }
         socket.exceptionHandler { failed = true }
         socket.closeHandler {
-            end = if (failed) InputEnd.RESET else InputEnd.ORDERLY
-            wake()
-            onEnd()
+            closed = true
+            if (everPaused) endAfterDelivery() else finish()
+        }
+    }
+
+    private fun finish() {
+        end = if (failed) InputEnd.RESET else InputEnd.ORDERLY
+        wake()
+        onEnd()
+    }
+
+    /** Ends the input once the data that the socket held back while reading was paused has been delivered. */
+    private fun endAfterDelivery() {
+        if (paused) resumeReading()
+        val receivedBefore = receivedBytes
+        Vertx.currentContext().owner().setTimer(DELIVERY_POLL_MILLIS) {
+            if (receivedBytes == receivedBefore) finish() else endAfterDelivery()
         }
     }
 
@@ -56,6 +75,7 @@
 
     private fun pause() {
         paused = true
+        everPaused = true
         socket.pause()
     }
 
@@ -71,6 +91,9 @@
     }
 
     private companion object {
+        // A timer fires after the deliveries that were already scheduled on the event loop.
+        const val DELIVERY_POLL_MILLIS = 1L
+
         // Several times the largest prompt in the data sheets. Larger bodies are read in steps.
         const val MAX_BUFFERED_BYTES = 131_072
     }
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/CallerServerShutdownTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/CallerServerShutdownTest.kt
@@ -43,7 +43,7 @@
     private val server = CallerServer(
         vertx,
         scope,
-        CallerContext(Clock.System, slowHandler, limits = { CallerLimits() }, stopping = { true }, onFault = {}),
+        CallerContext(Clock.System, slowHandler, limits = { CallerLimits() }, stopping = { true }),
     )
 
     @AfterEach
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
@@ -17,6 +17,7 @@
 import org.parsleymoor.entry.callers.CallerContext
 import org.parsleymoor.entry.callers.CallerServer
 import org.parsleymoor.entry.callers.ConnectionClosure
+import org.parsleymoor.entry.callers.ConnectionEvents
 import org.parsleymoor.entry.log.StructuredLog
 import org.parsleymoor.entry.net.ConnectionPool
 import org.parsleymoor.entry.protocol.CallerHeaders
@@ -66,8 +67,6 @@
     attempts: Int = 2,
     configured: Boolean = true,
     timeoutMillis: Long = 2_000,
-    unconnectable: Boolean = false,
-    retries: Double = 100.0,
 ) : AutoCloseable {
     private val vertx = Vertx.vertx()
     private val dispatcher = vertx.orCreateContext.dispatcher()
@@ -75,6 +74,7 @@
     private val log = StructuredLog(Clock.System, "test", PrintStream(OutputStream.nullOutputStream()))
     private val deployment = DeploymentView(InstanceId("test"))
     private val shutdown = ShutdownGate(ShutdownState(GRACE_MILLIS, Clock.System), Clock.System)
+    private val budget = SharedRetryBudget(RetryLimit(share = 0.0, extra = 100.0, windowMillis = 10_000))
     private val server: CallerServer
     val lag = EventLoopLag(Clock.System)
 
@@ -91,13 +91,9 @@
         deployment.endpointsKnown = true
         deployment.members = setOf(deployment.self)
         endpoints.forEachIndexed { index, endpoint -> deployment.endpoints.put(entry("e$index", endpoint.port), 0) }
-        // A port that no connection can be opened to, so that handling a request throws.
-        if (unconnectable) deployment.endpoints.put(entry("unconnectable", port = 70_000), 0)
         val context = ServingContext(deployment, log, EntryMetrics(), Clock.System, shutdown, lag)
         val refusals = RefusalWriter(TestProtocol, log, context.metrics)
         val pool = ConnectionPool(vertx.createNetClient(), Clock.System)
-        val limit = RetryLimit(share = if (retries > 0) 1.0 else 0.0, extra = retries, windowMillis = 10_000)
-        val budget = SharedRetryBudget(limit)
         val quarantine = QuarantineGate(context)
         val delivery = Delivery(
             context,
@@ -112,9 +108,8 @@
             handler = RelayHandler(context, NAMES, delivery, refusals),
             limits = { limits },
             stopping = { shutdown.state.begun },
-            onFault = {},
+            events = ConnectionEvents(onClosed = closures::add),
             lagMillis = { lag.millis },
-            onClosed = closures::add,
         )
         server = CallerServer(vertx, scope, callers)
         runBlocking(dispatcher) { server.start(SocketAddress("127.0.0.1", port)) }
@@ -136,6 +131,27 @@
         String(socket.getInputStream().readAllBytes())
     }
 
+    /** Adds an endpoint at a port that no connection can be opened to. */
+    fun addUnconnectableEndpoint() {
+        runBlocking(dispatcher) { deployment.endpoints.put(entry("unconnectable", port = 70_000), 0) }
+    }
+
+    /** Uses up the retry budget. */
+    fun useUpRetries() {
+        runBlocking(dispatcher) {
+            while (budget.tryTakeRetry("s", 1, Clock.System.nowMillis())) continue
+        }
+    }
+
+    /** Allows [limit] connections to each endpoint. */
+    fun limitConnections(limit: Int) {
+        runBlocking(dispatcher) {
+            val table = checkNotNull(deployment.routes)
+            val services = table.configuration.services.mapValues { it.value.copy(connectionLimit = limit) }
+            deployment.routes = RouteTable(table.configuration.copy(services = services))
+        }
+    }
+
     /** Keeps the event loop busy for [millis]; returns at once. */
     fun blockEventLoop(millis: Long) {
         scope.launch { Thread.sleep(millis) }
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/UnansweredRequestTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/UnansweredRequestTest.kt
@@ -100,7 +100,8 @@
     // An exception while a request is handled ended its coroutine, which closed the connection without an answer.
     @Test
     fun `answers when handling a request fails unexpectedly`() {
-        RelayHarness(unconnectable = true).use { harness ->
+        RelayHarness().use { harness ->
+            harness.addUnconnectableEndpoint()
             expectThat(harness.exchange(request())).startsWith("HTTP/1.1 50").contains("Connection: close")
         }
     }
@@ -123,6 +124,26 @@
         }
     }
 
+    // What the socket held back when its endpoint closed was dropped, and the stream looked broken off.
+    @Test
+    fun `relays a large stream that ends with its connection to a slow caller to its end`() {
+        repeat(4) {
+            val event = "x".repeat(20_000)
+            val endpoint = ScriptedEndpoint { socket, _, _ ->
+                socket.send("HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s1\r\nContent-Type: text/event-stream\r\n\r\n")
+                repeat(300) { number -> socket.send("id: ${number + 1}\ndata: $event\n\n") }
+                socket.close()
+            }
+            RelayHarness(endpoint, kind = RequestKind.STREAM, timeoutMillis = 6_000).use { harness ->
+                harness.caller().use { socket ->
+                    socket.send(request(waitMillis = 6_000))
+                    Thread.sleep(400)
+                    expectThat(socket.readAll()).contains("id: 300\n").endsWith("0\r\n\r\n")
+                }
+            }
+        }
+    }
+
     private fun answering() = ScriptedEndpoint { socket, _, _ ->
         socket.send("HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s1\r\nContent-Length: 2\r\n\r\nok")
     }
