Do not take the pause of a caller for silence of its endpoint

What callers could see: a resumable stream that moves to another endpoint because its caller did not read for a second, which uses up an attempt and ends a run of a sound endpoint. Cause: the time of the last event was taken before the event was written, and writing waits for a slow caller. Found by review.

Test: SilentEndpointTest, does not take the pause of a caller for silence of the endpoint; failed before at line 104 (two requests at endpoints, not one).

--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/ConnectionPool.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/ConnectionPool.kt
@@ -37,6 +37,10 @@
         return mostRecent
     }
 
+    /** Whether an idle connection to [address] is left, or fewer than [limit] are open. */
+    fun hasRoom(address: SocketAddress, limit: Int): Boolean =
+        (open[address] ?: 0) < limit || idle[address].orEmpty().any { it.reusable }
+
     /** Opens a connection to [address]. Fails if [limit] are open already or it takes longer than [timeoutMillis]. */
     suspend fun connect(
         address: SocketAddress,
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
@@ -1,13 +1,8 @@
 package org.parsleymoor.entry.serving
 
-import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
-import kotlinx.coroutines.CoroutineStart
-import kotlinx.coroutines.async
-import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.withTimeoutOrNull
 import org.parsleymoor.entry.callers.ResponseWriter
-import org.parsleymoor.entry.net.EndpointConnection
 import org.parsleymoor.entry.net.IncomingResponse
 import org.parsleymoor.entry.net.message
 import org.parsleymoor.entry.protocol.HeaderNames
@@ -30,19 +25,16 @@
     val stateUpdater = EndpointStateUpdater(names, context.clock)
 }
 
-/**
- * Sends [pending] to [target] over [connection] once and relays the response to [writer]. While the endpoint is silent,
- * [mayMove] says whether the request could be sent to another endpoint now.
- */
+/** Sends [pending] to the endpoint of [exchange] once and relays the response to [writer]. */
 internal class Attempt(
     private val context: AttemptContext,
     private val pending: PendingRequest,
-    private val target: Target,
-    private val connection: EndpointConnection,
+    private val exchange: EndpointExchange,
     private val writer: ResponseWriter,
-    private val progress: AttemptProgress,
-    private val mayMove: () -> Boolean,
 ) {
+    private val target = exchange.target
+    private val connection = exchange.connection
+    private val progress = exchange.progress
     private val clock = context.clock
     private val names = context.names
     private val state = target.endpoint
@@ -64,33 +56,10 @@
         progress.sent = true
         pending.sendCount++
         val sentMillis = clock.nowMillis()
-        return awaitResponse(remaining, sentMillis)?.fold({ handleResponse(it) }, { onFault(it) })
+        return ResponseAwaiter(clock, pending, exchange).await(reader, remaining)?.fold({ handleResponse(it) }, { onFault(it) })
             ?: onTimeout(clock.nowMillis() - sentMillis)
     }
 
-    /**
-     * Waits up to [remainingMillis] for the response head. Returns null earlier if the endpoint is silent and the
-     * request can move to another one.
-     */
-    private suspend fun awaitResponse(
-        remainingMillis: Long,
-        sentMillis: Long,
-    ): Result<IncomingResponse, MessageFailure>? = coroutineScope {
-        val head = async(start = CoroutineStart.UNDISPATCHED) { reader.head() }
-        val silenceMillis = minOf(remainingMillis, pending.silenceTimeoutMillis(target))
-        var response = withTimeoutOrNull(silenceMillis) { head.await() }
-        val untilMillis = sentMillis + remainingMillis
-        while (response == null && clock.nowMillis() < untilMillis && !(isSilentSince(sentMillis) && mayMove())) {
-            val waitMillis = minOf(SILENCE_POLL_MILLIS, untilMillis - clock.nowMillis())
-            response = withTimeoutOrNull(waitMillis) { head.await() }
-        }
-        head.cancel()
-        response
-    }
-
-    /** Engines answer slowly under load, but then they answer some request of this instance. */
-    private fun isSilentSince(sentMillis: Long): Boolean = pending.prompt == null || state.answeredMillis < sentMillis
-
     private fun onTimeout(waitedMillis: Long): AttemptResult {
         note(AttemptOutcome.SILENT)
         if (connection.requests > 1) context.discardIdle(connection.address)
@@ -129,7 +98,7 @@
     }
 
     private suspend fun relayStream(response: IncomingResponse): AttemptResult {
-        val relay = StreamRelay(clock, pending, connection, writer, progress, mayMove)
+        val relay = StreamRelay(clock, pending, exchange, writer)
         val result = relay.relay(response, response.head.toCallerHead(names))
         note(if (result is AttemptResult.Delivered) AttemptOutcome.ANSWERED else AttemptOutcome.FAILED)
         return result
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/AttemptRunner.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/AttemptRunner.kt
@@ -57,7 +57,7 @@
             // Lets the event loop read its sockets, so that a request is cancelled here if its caller disconnected
             // while this instance was short of CPU time.
             delay(YIELD_MILLIS)
-            val result = Attempt(attemptContext, pending, target, connection, writer, progress, mayMove).run()
+            val result = Attempt(attemptContext, pending, EndpointExchange(target, connection, progress, mayMove), writer).run()
             if (result is AttemptResult.Uncertain && connection.input.end != null) onCutOff(pending, progress)
             if (result is AttemptResult.Delivered && result.status in SUCCESS) progress.recordAnswered()
             return result
@@ -71,6 +71,13 @@
         }
     }
 
+    /** Whether the limit of connections to the endpoint of [state] allows another request of [pending] there. */
+    fun canConnect(pending: PendingRequest, state: EndpointState): Boolean =
+        pool.hasRoom(state.entry.address, connectionLimit(pending))
+
+    private fun connectionLimit(pending: PendingRequest): Int =
+        maxOf(MIN_CONNECTIONS, pending.service.connectionLimit / deployment.instances)
+
     private suspend fun connect(
         pending: PendingRequest,
         state: EndpointState,
@@ -78,8 +85,7 @@
         val address = state.entry.address
         pool.takeIdle(address)?.let { return Ok(it) }
         val remaining = pending.deadlineMillis - clock.nowMillis()
-        val limit = maxOf(MIN_CONNECTIONS, pending.service.connectionLimit / deployment.instances)
-        return pool.connect(address, limit, minOf(remaining / 2, CONNECT_MILLIS).coerceAtLeast(1))
+        return pool.connect(address, connectionLimit(pending), minOf(remaining / 2, CONNECT_MILLIS).coerceAtLeast(1))
     }
 
     private fun notConnected(state: EndpointState, failure: ConnectFailure): AttemptResult {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/StreamRelay.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/StreamRelay.kt
@@ -4,7 +4,6 @@
 import org.parsleymoor.core.Clock
 import org.parsleymoor.entry.callers.CallerResponseHead
 import org.parsleymoor.entry.callers.ResponseWriter
-import org.parsleymoor.entry.net.EndpointConnection
 import org.parsleymoor.entry.net.IncomingResponse
 import org.parsleymoor.relay.http.BodyFraming
 import org.parsleymoor.relay.http.BodyProgress
@@ -13,16 +12,16 @@
 
 /**
  * Relays the events of a stream as they arrive, each complete and exactly once. A stalled stream is abandoned only if
- * [mayMove] says that another endpoint can go on with it now: a sound endpoint may be silent for a second or more.
+ * [EndpointExchange.mayMove] says that another endpoint can go on with it now: a sound endpoint may be silent for a second or more.
  */
 internal class StreamRelay(
     private val clock: Clock,
     private val pending: PendingRequest,
-    private val connection: EndpointConnection,
+    private val exchange: EndpointExchange,
     private val writer: ResponseWriter,
-    private val progress: AttemptProgress,
-    private val mayMove: () -> Boolean,
 ) {
+    private val connection = exchange.connection
+    private val progress = exchange.progress
     private val splitter = EventSplitter()
     private var lastEventMillis = clock.nowMillis()
 
@@ -58,7 +57,7 @@
             val nowMillis = clock.nowMillis()
             val remaining = (pending.deadlineMillis - nowMillis).coerceAtLeast(1)
             val patience = (lastEventMillis + STALL_MILLIS - nowMillis).coerceAtLeast(SILENCE_POLL_MILLIS)
-            val stalled = isStalled(nowMillis) && mayMove()
+            val stalled = isStalled(nowMillis) && exchange.mayMove()
             if (!stalled) part = withTimeoutOrNull(minOf(remaining, patience)) { connection.readPart(response) }
             ended = stalled || clock.nowMillis() >= pending.deadlineMillis
         }
@@ -75,10 +74,8 @@
     private suspend fun deliver(head: CallerResponseHead, events: List<StreamEvent>) {
         if (events.isEmpty()) return
         progress.recordEvents(events.size)
-        if (events.any { it.id != null }) {
-            lastEventMillis = clock.nowMillis()
-            progress.recordActivity(lastEventMillis)
-        }
+        val progressed = events.any { it.id != null }
+        if (progressed) progress.recordActivity(clock.nowMillis())
         progress.prefillDone()
         if (!pending.streamStarted) {
             writer.startStream(head)
@@ -87,6 +84,8 @@
         }
         events.lastOrNull { it.id != null }?.let { pending.lastEventId = it.id }
         writer.writePart(events.map { it.bytes }.reduce(ByteArray::plus))
+        // Time in which the caller did not read is no silence of the endpoint.
+        if (progressed) lastEventMillis = clock.nowMillis()
     }
 
     private fun end(head: CallerResponseHead): AttemptResult {
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/SilentEndpointTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/SilentEndpointTest.kt
@@ -38,8 +38,8 @@
             kind = RequestKind.STREAM,
             resumable = true,
             timeoutMillis = 6_000,
-            retries = 0.0,
         )
+        harness.useUpRetries()
         harness.use { expectThat(it.exchange(request())).contains("data: b").endsWith("0\r\n\r\n") }
         expectThat(endpoints.sumOf { it.requests.size }).isEqualTo(1)
     }
@@ -58,11 +58,54 @@
         }
     }
 
-    private fun pausingStream() = ScriptedEndpoint { socket, _, _ ->
-        socket.send(
-            "HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s1\r\nContent-Type: text/event-stream\r\n" +
-                "Transfer-Encoding: chunked\r\n\r\n" + chunk("id: 1\ndata: a\n\n"),
+    // A stream that was given up ended when no connection to the other endpoint could be opened.
+    @Test
+    fun `waits for silent streams when the other endpoint has no connections left`() {
+        val endpoints = List(2) { pausingStream() }
+        val harness = RelayHarness(
+            *endpoints.toTypedArray(),
+            kind = RequestKind.STREAM,
+            resumable = true,
+            timeoutMillis = 6_000,
+        )
+        harness.use {
+            harness.limitConnections(2)
+            val callers = List(4) { harness.caller().also { it.send(request()) }.also { Thread.sleep(50) } }
+            callers.forEach { socket ->
+                expectThat(String(socket.getInputStream().readAllBytes())).contains("data: b").endsWith("0\r\n\r\n")
+            }
+        }
+    }
+
+    // A sound endpoint whose caller did not read for a while lost the stream to another endpoint.
+    @Test
+    fun `does not take the pause of a caller for silence of the endpoint`() {
+        val event = "x".repeat(20_000)
+        val endpoints = List(2) {
+            ScriptedEndpoint { socket, _, _ ->
+                socket.send(STREAM_HEAD)
+                repeat(600) { number -> socket.send(chunk("id: ${number + 1}\ndata: $event\n\n")) }
+                socket.send("0\r\n\r\n")
+            }
+        }
+        val harness = RelayHarness(
+            *endpoints.toTypedArray(),
+            kind = RequestKind.STREAM,
+            resumable = true,
+            timeoutMillis = 10_000,
         )
+        harness.use {
+            harness.caller().use { socket ->
+                socket.send(request(waitMillis = 10_000))
+                Thread.sleep(SILENCE_MILLIS)
+                expectThat(String(socket.getInputStream().readAllBytes())).contains("id: 600\n").endsWith("0\r\n\r\n")
+            }
+        }
+        expectThat(endpoints.sumOf { it.requests.size }).isEqualTo(1)
+    }
+
+    private fun pausingStream() = ScriptedEndpoint { socket, _, _ ->
+        socket.send(STREAM_HEAD + chunk("id: 1\ndata: a\n\n"))
         Thread.sleep(SILENCE_MILLIS)
         socket.send(chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n")
     }
@@ -72,13 +115,16 @@
         socket.send("HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s1\r\nContent-Length: 2\r\n\r\nok")
     }
 
-    private fun request(fields: String = "") =
-        "POST /r/x HTTP/1.1\r\nHost: h\r\nId: 1\r\nWait: 6000\r\nAuthorization: Key secret\r\n" + fields +
+    private fun request(fields: String = "", waitMillis: Long = 6_000) =
+        "POST /r/x HTTP/1.1\r\nHost: h\r\nId: 1\r\nWait: $waitMillis\r\nAuthorization: Key secret\r\n" + fields +
             "Connection: close\r\nContent-Length: 0\r\n\r\n"
 
     private fun chunk(text: String) = "${text.length.toString(16)}\r\n$text\r\n"
 
     private companion object {
+        const val STREAM_HEAD = "HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s1\r\nContent-Type: text/event-stream\r\n" +
+            "Transfer-Encoding: chunked\r\n\r\n"
+
         // Longer than any time after which a silent endpoint is given up for another one.
         const val SILENCE_MILLIS = 2_000L
     }
