Count an endpoint as an alternative only if a request can be sent there

What callers could see: a stream that ends early although its endpoint is sound and only silent. Cause: a silent attempt was given up for an endpoint to which no further connection is allowed, or with a part that was quarantined meanwhile. Cold endpoints hid others that could take the request.

Test: SilentEndpointTest, waits for silent streams when the other endpoint has no connections left; failed before at line 75. Quarantined parts and cold endpoints: no test.

--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Delivery.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Delivery.kt
@@ -131,11 +131,13 @@
     }
 
     /** Whether [pending], whose attempt at [target] may be running, could be sent to another endpoint now. */
-    private fun canMove(pending: PendingRequest, target: Target): Boolean =
+    private fun canMove(pending: PendingRequest, target: Target): Boolean = mayRunAgain(pending) &&
+        budget.hasRetry(pending.service.name, deployment.instances, clock.nowMillis()) &&
+        selector.alternative(pending, target.endpoint)?.let { attemptRunner.canConnect(pending, it) } == true
+
+    private fun mayRunAgain(pending: PendingRequest): Boolean =
         pending.route.repeatable && pending.possibleRuns + 1 < pending.route.attempts && hasTimeLeft(pending) &&
-            shutdown.covers(pending) &&
-            budget.hasRetry(pending.service.name, deployment.instances, clock.nowMillis()) &&
-            selector.hasAlternative(pending, target.endpoint)
+            shutdown.covers(pending) && quarantine.allows(pending)
 
     private fun withinRetryBudget(pending: PendingRequest, result: AttemptResult): Boolean =
         (result is AttemptResult.NotRun && !result.sent && pending.sendCount == 0) ||
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/EndpointSelector.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/EndpointSelector.kt
@@ -60,10 +60,15 @@
         }
     }
 
-    /** Whether [pending] could be sent to an endpoint other than [current] now, without using up any limit. */
-    fun hasAlternative(pending: PendingRequest, current: EndpointState): Boolean {
+    /**
+     * Returns an endpoint other than [current] to which [pending] could be sent now, or null. Uses up no limit. Cold
+     * endpoints do not count, because their limit may be used up.
+     */
+    fun alternative(pending: PendingRequest, current: EndpointState): EndpointState? {
         val nowMillis = clock.nowMillis()
-        val query = pending.placeRequest(nowMillis).copy(tried = pending.tried + current.entry.id)
+        val excluded = pending.tried + current.entry.id +
+            deployment.endpoints.all.filter { it.isCold(nowMillis) }.map { it.entry.id }
+        val query = pending.placeRequest(nowMillis).copy(tried = excluded)
         val prompt = pending.prompt
         val place = if (prompt == null || pending.service.engine == null) {
             services.choose(query, deployment.endpoints, nowMillis)
@@ -71,7 +76,7 @@
             val cacheInfo = PromptCacheInfo(pending, prompt, deployment, transfers)
             engines.choose(engineQuery(query, cacheInfo, nowMillis), deployment.endpoints, nowMillis).result
         }
-        return place is PlacementResult.Selected && !place.endpoint.isCold(nowMillis)
+        return (place as? PlacementResult.Selected)?.endpoint
     }
 
     private fun choose(
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/QuarantineGate.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/QuarantineGate.kt
@@ -30,6 +30,10 @@
         }
     }
 
+    /** Whether [pending] may be sent to an endpoint now other than as a probe. */
+    fun allows(pending: PendingRequest): Boolean =
+        quarantine.decide(pending.sharedParts, clock.nowMillis()) { false } == QuarantineDecision.Allowed
+
     /** Records that an endpoint crashed before it had answered [pending], as far as [progress] says. */
     fun recordCrash(pending: PendingRequest, progress: AttemptProgress) {
         if (pending.sharedParts.isEmpty()) return
