Answer a caller also when routing its request fails unexpectedly

Only the delivery of a request was covered, though what a configuration lacks is looked up before. A stream that has begun is no longer logged as refused. Found by review, by reading; nothing is known to throw there.

--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/RelayHandler.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/RelayHandler.kt
@@ -26,12 +26,23 @@
     private val clock = context.clock
     private val lag = context.lag
 
+    @Suppress("TooGenericExceptionCaught") // Whatever fails, the caller has to learn whether the request has run.
     override suspend fun handle(request: CallerRequest, writer: ResponseWriter) {
         metrics.requests.increment()
         val id = RequestId(request.head.headers[names.caller.attemptId].orEmpty())
-        when (val routed = route(request, id)) {
-            is RoutingResult.Refused -> refusals.write(writer, id, routed.refusal)
-            is RoutingResult.Accepted -> deliverOrFail(routed.pending, writer)
+        var pending: PendingRequest? = null
+        try {
+            when (val routed = route(request, id)) {
+                is RoutingResult.Refused -> refusals.write(writer, id, routed.refusal)
+                is RoutingResult.Accepted -> {
+                    pending = routed.pending
+                    deliver(routed.pending, writer)
+                }
+            }
+        } catch (cancelled: CancellationException) {
+            throw cancelled
+        } catch (cause: RuntimeException) {
+            answerFailed(id, pending, writer, cause)
         }
         val millis = clock.nowMillis() - request.receivedMillis
         metrics.latency.record(millis)
@@ -43,24 +54,17 @@
         }
     }
 
-    /** Delivers [pending], and answers its caller as well if that ends with an unexpected error. */
-    @Suppress("TooGenericExceptionCaught") // Whatever fails, the caller has to learn whether the request has run.
-    private suspend fun deliverOrFail(pending: PendingRequest, writer: ResponseWriter) {
-        try {
-            deliver(pending, writer)
-        } catch (cancelled: CancellationException) {
-            throw cancelled
-        } catch (cause: RuntimeException) {
-            log.write("request.failed", always = true) {
-                put("request", pending.id.value)
-                put("route", pending.route.name)
-                put("sends", pending.sendCount)
-                put("cause", cause.stackTraceToString())
-            }
-            val refusal =
-                if (pending.sendCount == 0) Refusal.InternalError else Refusal.OutcomeUnknown("unexpected error")
-            if (!writer.complete) refusals.write(writer, pending.id, refusal)
+    /** Answers a request whose handling ended with an unexpected error, unless its response has begun. */
+    private fun answerFailed(id: RequestId, pending: PendingRequest?, writer: ResponseWriter, cause: RuntimeException) {
+        val sends = pending?.sendCount ?: 0
+        log.write("request.failed", always = true) {
+            put("request", id.value)
+            put("route", pending?.route?.name)
+            put("sends", sends)
+            put("cause", cause.stackTraceToString())
         }
+        val refusal = if (sends == 0) Refusal.InternalError else Refusal.OutcomeUnknown("unexpected error")
+        if (writer.status == null) refusals.write(writer, id, refusal)
     }
 
     private suspend fun deliver(pending: PendingRequest, writer: ResponseWriter) {
