Treat an address that cannot be connected to as a failure of the connection

What callers could see: an entry with an address such as a..b:80 passed as valid. Opening a connection to it threw IllegalArgumentException, which ended the coroutine of the request, without an answer, or of the engine's poll, after which that engine was never polled again. A member's record with port 70000 raised an exception at each heartbeat of every instance. A cache store with an invalid address in a configuration was left out without a word.

Cause: only the port of an address was checked, the pool of connections and the dialler of peers expected I/O errors only, and the peer address in a member's record was not checked at all.

Change: an address is a host name or an IP address with a port from 1 to 65535 wherever one is decoded, member records included. What Vert.x and Ktor refuse is a typed failure of the connection.

--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerDialer.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerDialer.kt
@@ -11,7 +11,6 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.IOException
-import java.nio.channels.UnresolvedAddressException
 
 /** Opens connections to peers and sends them [hello] in the handshake. The connections' coroutines run in [scope]. */
 public class PeerDialer(
@@ -36,7 +35,8 @@
         Ok(aSocket(selector).tcp().connect(host, port))
     } catch (cause: IOException) {
         Err(PeerFailure.NotConnected("$host:$port", cause.toString()))
-    } catch (cause: UnresolvedAddressException) {
+    } catch (cause: IllegalArgumentException) {
+        // The host is no valid name, or does not resolve.
         Err(PeerFailure.NotConnected("$host:$port", cause.toString()))
     }
 }
--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerNode.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerNode.kt
@@ -118,10 +118,11 @@
 
     private suspend fun dial(address: String): Result<PeerLink, PeerFailure> {
         val startedDialer = dialer
-        val port = address.substringAfterLast(':').toIntOrNull()
+        val port = address.substringAfterLast(':').toIntOrNull()?.takeIf { it in PORTS }
         return when {
             startedDialer == null -> Err(PeerFailure.Closed("this node has not been started"))
-            port == null -> Err(PeerFailure.NotConnected(address, "not of the form host:port"))
+            port == null ->
+                Err(PeerFailure.NotConnected(address, "not host:port with a port from 1 to 65535"))
             else -> startedDialer.dial(address.substringBeforeLast(':'), port).map { connection ->
                 PeerLink(connection, true, handler, QUEUE_MESSAGES).also { link ->
                     links.add(link)
@@ -154,5 +155,6 @@
 
     private companion object {
         const val QUEUE_MESSAGES = 4_096
+        val PORTS = 1..65_535
     }
 }
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointEntry.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointEntry.kt
@@ -9,14 +9,26 @@
     override fun toString(): String = "$host:$port"
 
     public companion object {
-        /** Parses `host:port`; returns null for other text. */
+        /** Parses `host:port` with a host name or an IP address; returns null for other text. */
         public fun parse(text: String): SocketAddress? {
             val port = text.substringAfterLast(':', "").toIntOrNull()
             val host = text.substringBeforeLast(':')
-            return if (port != null && port in PORTS && host.isNotEmpty()) SocketAddress(host, port) else null
+            return if (port != null && port in PORTS && isHost(host)) SocketAddress(host, port) else null
+        }
+
+        private fun isHost(text: String): Boolean =
+            if (':' in text) text.all { it in ADDRESS_CHARACTERS } else text.length <= MAX_HOST && isHostName(text)
+
+        private fun isHostName(text: String): Boolean = text.split('.').all { label ->
+            label.length in 1..MAX_LABEL && label.all { it in LETTERS || it in DIGITS || it in "-_" }
         }
 
         private val PORTS = 1..65_535
+        private val LETTERS = ('a'..'z') + ('A'..'Z')
+        private val DIGITS = '0'..'9'
+        private const val ADDRESS_CHARACTERS = "0123456789abcdefABCDEF:.[]"
+        private const val MAX_HOST = 253
+        private const val MAX_LABEL = 63
     }
 }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/MemberRecord.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/MemberRecord.kt
@@ -1,6 +1,7 @@
 package org.parsleymoor.entry.control
 
 import kotlinx.serialization.Serializable
+import org.parsleymoor.relay.fleet.SocketAddress
 
 /**
  * Registration of an instance in the object store: the [address] on which it listens for peers, the number of its
@@ -12,4 +13,11 @@
     val beats: Long,
     val zone: String = "",
     val processors: Double = 1.0,
-)
+) {
+    init {
+        require(SocketAddress.parse(address) != null) { "expected host:port in \"address\", found \"$address\"" }
+        require(processors in 0.0..MAX_PROCESSORS) { "expected 0 to $MAX_PROCESSORS processors, found $processors" }
+    }
+}
+
+private const val MAX_PROCESSORS = 100_000.0
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/ConnectionPool.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/ConnectionPool.kt
@@ -15,6 +15,7 @@
 /** Why no connection to an endpoint could be used. Nothing has been sent. */
 internal enum class ConnectFailure(override val message: String) : Failure {
     REFUSED("connection failed or was refused"),
+    INVALID_ADDRESS("no connection can be opened to this address"),
     TIMED_OUT("connection timed out"),
     AT_LIMIT("this instance has reached its limit of connections to the endpoint"),
 }
@@ -58,6 +59,8 @@
             }
         } catch (_: IOException) {
             Err(ConnectFailure.REFUSED)
+        } catch (_: IllegalArgumentException) {
+            Err(ConnectFailure.INVALID_ADDRESS)
         } finally {
             if (!connected) closed(address)
         }
