Close a peer connection whose message handler throws

What callers could see: after an exception in the handler of a message, the connection stayed open while nothing read it, and the instance at the other end went on sending to it.

Cause: the link was removed from the open links without being closed, and the exception went to the handler of the thread, past the log.

Change: the connection is closed, so that the peer opens a new one, and the exception is logged.

--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerNode.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerNode.kt
@@ -9,6 +9,7 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.ktor.network.selector.SelectorManager
 import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -45,7 +46,11 @@
     private val options: PeerOptions = PeerOptions(),
     dispatcher: CoroutineDispatcher = Dispatchers.Default,
 ) : AutoCloseable {
-    private val scope = CoroutineScope(SupervisorJob() + dispatcher)
+    private val scope = CoroutineScope(
+        SupervisorJob() + dispatcher + CoroutineExceptionHandler { _, cause ->
+            logger.error(cause) { "a coroutine of the connections to peers failed" }
+        },
+    )
 
     // The selector blocks its thread while it waits, and the default dispatcher has only a few threads.
     private val selector = SelectorManager(Dispatchers.IO)
@@ -138,6 +143,8 @@
             handler.onConnected(link)
             link.run(scope)
         } finally {
+            // After an exception of the handler, nothing would read the connection any more.
+            link.close()
             links.remove(link)
             handler.onDisconnected(link)
         }
