Start a control loop again after a failure

What callers could see: a control loop whose coroutine ended with an exception was never started again. An instance without its watch served an old configuration, one without the loop of members lost its heartbeat, one without the loop of engine loads placed requests blindly, and none of them was reported as unhealthy.

Cause: the loops were launched without supervision. A poll of an engine, a read of a cache store or a rollout that ended with an exception also left its endpoint or store marked as busy for good.

The removal of the marks has no test of its own.

--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
@@ -26,6 +26,7 @@
 import org.parsleymoor.entry.control.EndpointListener
 import org.parsleymoor.entry.control.EngineLoadLoop
 import org.parsleymoor.entry.control.EvacuationListener
+import org.parsleymoor.entry.control.LoopSupervisor
 import org.parsleymoor.entry.control.Membership
 import org.parsleymoor.entry.control.MembershipLoop
 import org.parsleymoor.entry.control.ObjectListener
@@ -119,18 +120,22 @@
         val runtime = ControlRuntime(scope, ticks, log, clock)
         val watchContext = WatchContext(store, policy, runtime)
         val watches = listeners().mapValues { (kind, listener) -> ObjectWatch(kind, watchContext, listener) }
-        watches.values.forEach { scope.launch { it.run() } }
-        scope.launch { ticks.measure(lag) }
-        scope.launch { membershipLoop.run() }
+        val loops = LoopSupervisor(scope, log, clock, metrics::recordLoopFailure)
+        watches.forEach { (kind, watch) -> loops.start("watch ${kind.name.lowercase()}") { watch.run() } }
+        loops.start("lag") { ticks.measure(lag) }
+        loops.start("members") { membershipLoop.run() }
         val incarnation = Incarnation(settings.instance, clock.nowMillis())
         val context = ControlContext(deployment, membership, controlClient, protocol.engines, runtime)
         val peers = Peers(PeerContext(settings, deployment, membership, runtime), incarnation, dispatcher)
-        scope.launch { peers.run(watches) }
-        scope.launch { EngineLoadLoop(context, peers).run() }
+        val engineLoads = EngineLoadLoop(context, peers)
+        loops.start("peers") { peers.run(watches) }
+        loops.start("engine loads") { engineLoads.run() }
         val lease = OrderLease(incarnation, store, scope, log, PauseDetector(clock), settings.times.leaseMillis)
-        scope.launch { RolloutLoop(context, lease, peers).run() }
-        scope.launch { CacheStoreLoop(context, peers).run() }
-        scope.launch { housekeeping() }
+        val rollouts = RolloutLoop(context, lease, peers)
+        val cacheStores = CacheStoreLoop(context, peers)
+        loops.start("rollouts") { rollouts.run() }
+        loops.start("cache stores") { cacheStores.run() }
+        loops.start("housekeeping") { housekeeping() }
     }
 
     /**
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryMetrics.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryMetrics.kt
@@ -65,6 +65,13 @@
         cutOffs.getValue(stage).increment()
     }
 
+    private val loopFailures = sortedMapOf<String, Counter>()
+
+    /** Counts a failure of the control loop [name], which is started again. */
+    public fun recordLoopFailure(name: String) {
+        synchronized(loopFailures) { loopFailures.getOrPut(name) { Counter() } }.increment()
+    }
+
     /** Returns all metrics in the Prometheus text format. */
     public fun prometheusText(): String {
         val refused = synchronized(refusals) {
@@ -78,7 +85,10 @@
         val cutOff = cutOffs.map { (stage, counter) ->
             "parsleymoor_responses_cut_off_total{stage=\"${stage.name.lowercase()}\"} ${counter.count}"
         }
-        return (lines + refused + cutOff + latency.prometheusText("parsleymoor_request_duration_milliseconds"))
+        val failed = synchronized(loopFailures) {
+            loopFailures.map { (name, counter) -> "parsleymoor_loop_failures_total{loop=\"$name\"} ${counter.count}" }
+        }
+        return (lines + refused + cutOff + failed + latency.prometheusText("parsleymoor_request_duration_milliseconds"))
             .joinToString("\n") + "\n"
     }
 }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/CacheStoreLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/CacheStoreLoop.kt
@@ -44,8 +44,11 @@
             deployment.cacheStores.filter { it.address !in pending && isDue(it) }.forEach { store ->
                 pending += store.address
                 scope.launch {
-                    read(store.address)
-                    pending -= store.address
+                    try {
+                        read(store.address)
+                    } finally {
+                        pending -= store.address
+                    }
                 }
             }
             if (clock.nowMillis() - freeCheckMillis >= FREE_CHECK_MILLIS) {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/EngineLoadLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/EngineLoadLoop.kt
@@ -29,7 +29,13 @@
             val nowMillis = clock.nowMillis()
             deployment.endpoints.all.filter { isDue(it, nowMillis) }.forEach { state ->
                 polling += state.entry.id
-                scope.launch { poll(state) }
+                scope.launch {
+                    try {
+                        poll(state)
+                    } finally {
+                        polling -= state.entry.id
+                    }
+                }
             }
             context.ticks.await()
         }
@@ -57,7 +63,6 @@
         } else {
             applyReport(state, report, requestedMillis)
         }
-        polling -= state.entry.id
     }
 
     private fun applyReport(state: EndpointState, report: EngineReport, requestedMillis: Long) {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Peers.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Peers.kt
@@ -37,11 +37,14 @@
     private val connections = PeerConnections(context)
     private val sender = PeerUpdateSender(context, connections, node)
     private val requestedMillis = HashMap<String, Long>()
+    private var listening = false
 
     /** Listens for peers and exchanges messages with them until the coroutine is cancelled. */
     suspend fun run(watches: Map<ObjectKind, ObjectWatch>) {
         sender.watches = watches.mapKeys { it.key.name }
-        node.start(settings.listen.peers.host, settings.listen.peers.port)
+        // A second start after a failure must not bind the address again.
+        if (!listening) node.start(settings.listen.peers.host, settings.listen.peers.port)
+        listening = true
         deployment.announce = ::publish
         while (true) {
             val links = node.connected
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/RolloutLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/RolloutLoop.kt
@@ -70,12 +70,13 @@
 
     private suspend fun rollOut(state: EndpointState, named: TargetWeights) {
         peers.announceOrders(state, active = true)
-        val loaded = try {
-            load(state, named)
+        var loaded = false
+        try {
+            loaded = load(state, named)
         } finally {
             peers.announceOrders(state, active = false)
+            plan.loadEnded(state.entry.id, loaded, clock.nowMillis())
         }
-        plan.loadEnded(state.entry.id, loaded, clock.nowMillis())
     }
 
     /**
