Go on with the other objects when a listener throws at one

What callers could see: an exception or an overflow of the stack while one object was applied left the rest of its list unapplied for good, because the copy of the objects already counted as current, and stopped the changes after it.

Cause: listeners were called for all objects without a boundary between them.

Change: each object is applied by itself; what a listener throws is logged as listener.failed.

Tests: FailingListenerTest; with the boundary taken out it fails at line 57.

--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
@@ -26,6 +26,7 @@
 import org.parsleymoor.entry.control.EndpointListener
 import org.parsleymoor.entry.control.EngineLoadLoop
 import org.parsleymoor.entry.control.EvacuationListener
+import org.parsleymoor.entry.control.IsolatedListener
 import org.parsleymoor.entry.control.LoopSupervisor
 import org.parsleymoor.entry.control.Membership
 import org.parsleymoor.entry.control.MembershipLoop
@@ -119,7 +120,9 @@
         val policy = WatchPolicy(membership.tree, clock, settings.times.applyMillis)
         val runtime = ControlRuntime(scope, ticks, log, clock)
         val watchContext = WatchContext(store, policy, runtime)
-        val watches = listeners().mapValues { (kind, listener) -> ObjectWatch(kind, watchContext, listener) }
+        val watches = listeners().mapValues { (kind, listener) ->
+            ObjectWatch(kind, watchContext, IsolatedListener(kind, listener, log))
+        }
         val loops = LoopSupervisor(scope, log, clock, metrics::recordLoopFailure)
         watches.forEach { (kind, watch) -> loops.start("watch ${kind.name.lowercase()}") { watch.run() } }
         loops.start("lag") { ticks.measure(lag) }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Listeners.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Listeners.kt
@@ -10,6 +10,7 @@
 import org.parsleymoor.entry.log.StructuredLog
 import org.parsleymoor.entry.protocol.ContentDecoder
 import org.parsleymoor.entry.protocol.ObjectChange
+import org.parsleymoor.entry.protocol.ObjectKind
 import org.parsleymoor.entry.protocol.StoredObject
 import org.parsleymoor.entry.serving.DeploymentView
 import org.parsleymoor.relay.fleet.SocketAddress
@@ -23,7 +24,7 @@
     private val log: StructuredLog,
 ) : ObjectListener {
     override fun onList(objects: List<StoredObject>) {
-        objects.forEach(::accept)
+        objects.forEachIsolated(log, ObjectKind.CONFIGURATION, ::accept)
     }
 
     override fun onChange(change: ObjectChange) {
@@ -71,7 +72,7 @@
     override fun onList(objects: List<StoredObject>) {
         val listed = objects.map { it.name }.toSet()
         (deployment.endpoints.all.map { it.entry.id.value } - listed).forEach(::remove)
-        objects.forEach(::put)
+        objects.forEachIsolated(log, ObjectKind.ENDPOINTS, ::put)
         deployment.endpointsKnown = true
     }
 
@@ -134,7 +135,7 @@
     }
 
     override fun onList(objects: List<StoredObject>) {
-        objects.forEach(::accept)
+        objects.forEachIsolated(log, ObjectKind.WEIGHTS, ::accept)
     }
 
     override fun onChange(change: ObjectChange) {
