--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerNode.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerNode.kt
@@ -9,6 +9,7 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.ktor.network.selector.SelectorManager
 import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -45,7 +46,11 @@
     private val options: PeerOptions = PeerOptions(),
     dispatcher: CoroutineDispatcher = Dispatchers.Default,
 ) : AutoCloseable {
-    private val scope = CoroutineScope(SupervisorJob() + dispatcher)
+    private val scope = CoroutineScope(
+        SupervisorJob() + dispatcher + CoroutineExceptionHandler { _, cause ->
+            logger.error(cause) { "a coroutine of the connections to peers failed" }
+        },
+    )
 
     // The selector blocks its thread while it waits, and the default dispatcher has only a few threads.
     private val selector = SelectorManager(Dispatchers.IO)
@@ -118,10 +123,11 @@
 
     private suspend fun dial(address: String): Result<PeerLink, PeerFailure> {
         val startedDialer = dialer
-        val port = address.substringAfterLast(':').toIntOrNull()
+        val port = address.substringAfterLast(':').toIntOrNull()?.takeIf { it in PORTS }
         return when {
             startedDialer == null -> Err(PeerFailure.Closed("this node has not been started"))
-            port == null -> Err(PeerFailure.NotConnected(address, "not of the form host:port"))
+            port == null ->
+                Err(PeerFailure.NotConnected(address, "not host:port with a port from 1 to 65535"))
             else -> startedDialer.dial(address.substringBeforeLast(':'), port).map { connection ->
                 PeerLink(connection, true, handler, QUEUE_MESSAGES).also { link ->
                     links.add(link)
@@ -137,6 +143,8 @@
             handler.onConnected(link)
             link.run(scope)
         } finally {
+            // After an exception of the handler, nothing would read the connection any more.
+            link.close()
             links.remove(link)
             handler.onDisconnected(link)
         }
@@ -154,5 +162,6 @@
 
     private companion object {
         const val QUEUE_MESSAGES = 4_096
+        val PORTS = 1..65_535
     }
 }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryMetrics.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryMetrics.kt
@@ -74,6 +74,13 @@
         closures.getValue(reason).increment()
     }
 
+    private val loopFailures = sortedMapOf<String, Counter>()
+
+    /** Counts a failure of the control loop [name], which is started again. */
+    public fun recordLoopFailure(name: String) {
+        synchronized(loopFailures) { loopFailures.getOrPut(name) { Counter() } }.increment()
+    }
+
     /** Returns all metrics in the Prometheus text format. */
     public fun prometheusText(): String {
         val refused = synchronized(refusals) {
@@ -91,7 +98,11 @@
         val closed = closures.map { (reason, counter) ->
             "parsleymoor_caller_connections_closed_total{reason=\"${reason.name.lowercase()}\"} ${counter.count}"
         }
-        return (lines + refused + cutOff + closed + latency.prometheusText("parsleymoor_request_duration_milliseconds"))
+        val failed = synchronized(loopFailures) {
+            loopFailures.map { (name, counter) -> "parsleymoor_loop_failures_total{loop=\"$name\"} ${counter.count}" }
+        }
+        val durations = latency.prometheusText("parsleymoor_request_duration_milliseconds")
+        return (lines + refused + cutOff + closed + failed + durations)
             .joinToString("\n") + "\n"
     }
 }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Peers.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Peers.kt
@@ -38,12 +38,15 @@
     private val sender = PeerUpdateSender(context, connections, node)
     private var copies: PeerCopies? = null
     private val requestedMillis = HashMap<String, Long>()
+    private var listening = false
 
     /** Listens for peers and exchanges messages with them until the coroutine is cancelled. */
     suspend fun run(watches: Map<ObjectKind, ObjectWatch>) {
         copies = PeerCopies(watches.mapKeys { it.key.name }, context.era, clock)
         sender.copies = copies
-        node.start(settings.listen.peers.host, settings.listen.peers.port)
+        // A second start after a failure must not bind the address again.
+        if (!listening) node.start(settings.listen.peers.host, settings.listen.peers.port)
+        listening = true
         deployment.announce = ::publish
         while (true) {
             val links = node.connected
