Void the order lease when the store comes back from a copy

After a restore, the fencing token of orders to engines could fall, or be given out twice: it was the revision of the lease object, and revisions go back. The record of the holder could be gone, so that a second instance took the lease at once while the first still used its own.

The token is now era and revision in one number, which rises over all eras, is exact as a JSON number and stays the bare revision in era 0. LeaseManager has an event for a restore: the lease is void at once, a write that was under way is uncertain and gives no lease, and nobody takes or renews the lease for a whole duration, whether its record is absent, released or its own. That is longer than a holder that has not learned of the restore may use it, plus the lease period. A write that was decided on in a former era is not sent, because its expected revision may have been given out again. The gateway sends no such event and is unchanged.

--- a/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/LeaseEvent.kt
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/LeaseEvent.kt
@@ -20,6 +20,12 @@
     /** The write [writeId] failed; [mayHaveTakenEffect] if its response was lost. */
     public data class WriteFailed(public val writeId: String, public val mayHaveTakenEffect: Boolean) : LeaseEvent
 
+    /**
+     * The store came back from an older copy, so that acknowledged writes may be gone, also those of other holders.
+     * Versions seen from now on are above all earlier ones.
+     */
+    public data object StoreRestored : LeaseEvent
+
     /** Time has passed. */
     public data object Tick : LeaseEvent
 }
--- a/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/LeaseManager.kt
+++ b/libraries/coordination/src/main/kotlin/org/parsleymoor/coordination/LeaseManager.kt
@@ -18,7 +18,9 @@
  * Takes and renews one lease by conditional update of `leases/{name}`. The holder counts the lease from before the
  * request that wrote it and uses it for two thirds of its duration; a contender waits for the whole duration after it
  * saw the object. So two processes never use the lease at the same time while clock rates differ by less than a third.
- * A write whose response was lost is recognised by its write id when the object is read back. Not thread-safe.
+ * A write whose response was lost is recognised by its write id when the object is read back. After a restore of the
+ * store nobody takes or renews the lease for a whole duration, because the record of its holder may be gone. Not
+ * thread-safe.
  */
 public class LeaseManager(
     private val name: String,
@@ -32,6 +34,7 @@
     private var held: HeldLease? = null
     private var unfencedFromMillis: Long? = null
     private var nextPollMillis = Long.MIN_VALUE
+    private var restoredMillis = Long.MIN_VALUE / 2
     private var writeCount = 0L
 
     /** Returns the lease if it may be used at [nowMillis]; to be checked again immediately before each order. */
@@ -46,6 +49,7 @@
             is LeaseEvent.Written -> confirm(nowMillis, event.writeId, event.version)
             is LeaseEvent.Conflicted -> conflict(nowMillis, event)
             is LeaseEvent.WriteFailed -> operations.failWrite(nowMillis, event)
+            is LeaseEvent.StoreRestored -> restore(nowMillis)
             is LeaseEvent.Tick -> Unit
         }
         return listOfNotNull(nextAction(nowMillis))
@@ -56,10 +60,14 @@
         return when {
             !operations.isIdle(nowMillis) -> null
             !wanted && held == null -> null
+            nowMillis - restoredMillis < settings.durationMillis -> null
             operations.write.pending != null || versionSeenMillis == null -> read(nowMillis)
             !wanted -> write(nowMillis, released = true)
             heldBySelf && !renewalDue(nowMillis) -> null
-            heldBySelf || mayTake(nowMillis) -> write(nowMillis, released = false)
+            heldBySelf || stored.mayBeTaken(versionSeenMillis, nowMillis) -> write(
+                nowMillis,
+                released = false
+            )
             nowMillis >= nextPollMillis -> read(nowMillis)
             else -> null
         }
@@ -70,10 +78,14 @@
         return nowMillis - sentMillis >= settings.renewMillis
     }
 
-    private fun mayTake(nowMillis: Long): Boolean {
-        val record = stored?.record
-        val seenMillis = versionSeenMillis ?: nowMillis
-        return record == null || record.released || nowMillis - seenMillis >= record.durationMillis
+    /** Ends the use of the lease; a write that is under way may or may not be in the restored store. */
+    private fun restore(nowMillis: Long) {
+        held = null
+        unfencedFromMillis = null
+        stored = null
+        versionSeenMillis = null
+        operations.write.markUncertain()
+        restoredMillis = nowMillis
     }
 
     private fun read(nowMillis: Long): LeaseAction {
@@ -115,7 +127,8 @@
         val unfenced = unfencedFromMillis?.takeIf { continued }
             ?: (pending.sentMillis + settings.deliveryTimeoutMillis)
         unfencedFromMillis = unfenced.takeUnless { pending.content }
-        held = HeldLease(version, pending.sentMillis + settings.usableMillis, unfenced).takeUnless { pending.content }
+        held = HeldLease(version, pending.sentMillis + settings.usableMillis, unfenced)
+            .takeUnless { pending.content || pending.sentMillis <= restoredMillis }
     }
 
     private fun conflict(nowMillis: Long, event: LeaseEvent.Conflicted) {
@@ -125,4 +138,7 @@
     }
 }
 
+private fun StoredLease?.mayBeTaken(seenMillis: Long?, nowMillis: Long): Boolean =
+    this == null || record.released || nowMillis - (seenMillis ?: nowMillis) >= record.durationMillis
+
 private fun StoredLease.isHeldBy(self: Incarnation): Boolean = record.holder == self && !record.released
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
@@ -114,6 +114,9 @@
             )
         }
         log.write("started", always = true) { put("callers", settings.listen.callers.toString()) }
+        val incarnation = Incarnation(settings.instance, clock.nowMillis())
+        // Before the first call to the store, so that the lease learns of every era.
+        val lease = OrderLease(incarnation, store, scope, log, PauseDetector(clock), settings.times.leaseMillis)
         val policy = WatchPolicy(membership.tree, clock, settings.times.applyMillis)
         val runtime = ControlRuntime(scope, ticks, log, clock)
         val watchContext = WatchContext(store, policy, runtime)
@@ -121,12 +124,10 @@
         watches.values.forEach { scope.launch { it.run() } }
         scope.launch { ticks.measure(lag) }
         scope.launch { membershipLoop.run() }
-        val incarnation = Incarnation(settings.instance, clock.nowMillis())
         val context = ControlContext(deployment, membership, controlClient, protocol.engines, runtime)
         val peers = Peers(PeerContext(settings, deployment, membership, era, runtime), incarnation, dispatcher)
         scope.launch { peers.run(watches) }
         scope.launch { EngineLoadLoop(context, peers).run() }
-        val lease = OrderLease(incarnation, store, scope, log, PauseDetector(clock), settings.times.leaseMillis)
         scope.launch { RolloutLoop(context, lease, peers).run() }
         scope.launch { CacheStoreLoop(context, peers).run() }
         scope.launch { housekeeping() }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/OrderLease.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/OrderLease.kt
@@ -15,6 +15,7 @@
 import org.parsleymoor.core.PauseDetector
 import org.parsleymoor.entry.log.StructuredLog
 import org.parsleymoor.entry.protocol.ObjectKind
+import org.parsleymoor.entry.protocol.StorePosition
 
 /** Lease, kept in the object store, that allows one instance at a time to give orders to engines. */
 internal class OrderLease(
@@ -33,6 +34,11 @@
     /** Time to hold the lease after the last order, because no other holder may give one within the lease period. */
     val holdAfterOrderMillis: Long = leaseMillis + ORDER_DELIVERY_MILLIS
 
+    init {
+        store.era.onNewEra(::endBeforeRestore)
+        if (store.era.newest > 0) endBeforeRestore()
+    }
+
     /**
      * Returns the lease if it may be used now. After the process was suspended, it may not be used before it has been
      * renewed, because another instance may have acquired it in the meantime.
@@ -65,6 +71,16 @@
         loggedToken = token
     }
 
+    private fun endBeforeRestore() {
+        holder.held(clock.nowMillis())?.let { held ->
+            log.write("lease.void", always = true) {
+                put("token", held.fencingToken)
+                put("era", store.era.newest)
+            }
+        }
+        handle(LeaseEvent.StoreRestored)
+    }
+
     private fun handle(event: LeaseEvent) {
         holder.handle(clock.nowMillis(), event).forEach { action -> scope.launch { perform(action) } }
     }
@@ -85,13 +101,19 @@
     }
 
     private suspend fun write(action: LeaseAction.Write) {
+        val expected = StorePosition.ofNumber(action.expectedVersion)
+        if (action.expectedVersion > 0 && expected.era < store.era.newest) {
+            // The same revision may have been given out again, to the record of another holder.
+            handle(LeaseEvent.WriteFailed(action.writeId, mayHaveTakenEffect = false))
+            return
+        }
         val text = Json.encodeToString(StoredLeaseRecord.serializer(), StoredLeaseRecord(action.record, action.writeId))
         val result = if (action.expectedVersion == 0L) {
             store.create(ObjectKind.LEASES, NAME, text)
         } else {
-            store.replace(ObjectKind.LEASES, NAME, text, action.expectedVersion)
+            store.replace(ObjectKind.LEASES, NAME, text, expected.revision)
         }
-        handle(result.fold({ LeaseEvent.Written(action.writeId, it.position.revision) }, { failureEvent(action, it) }))
+        handle(result.fold({ LeaseEvent.Written(action.writeId, it.position.number) }, { failureEvent(action, it) }))
     }
 
     private fun failureEvent(action: LeaseAction.Write, failure: StoreFailure): LeaseEvent = when (failure) {
@@ -104,7 +126,7 @@
 
     private fun toStoredLease(value: StoredVersion): StoredLease? = try {
         val record = Json.decodeFromString(StoredLeaseRecord.serializer(), value.content)
-        StoredLease(record.record, value.position.revision, record.writeId)
+        StoredLease(record.record, value.position.number, record.writeId)
     } catch (cause: IllegalArgumentException) {
         log.write("lease.unreadable", always = true) { put("reason", cause.message) }
         null
