Keep instances that are missing from a list after a restore

Shared limits are divided by the number of live instances. After the store came back from a copy, the registrations written since were missing until the next heartbeat of their instances, up to six seconds; meanwhile each instance took a larger part of the limits, and all together more than allowed. A registration whose revision was given out again also looked like one that had been silent since before the restore.

The decision moved from MembershipLoop to MemberObservations: registrations are compared by era and revision, and those that are missing after a restore count for two heartbeat periods. Instances write them again at their own time, as before: a replacement of a missing registration creates it.

MemberObservationsTest covers it with 9, 50 and 300 instances. The class is new, so that the test did not run on the code before, which dropped every instance that a list lacked.

--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/MembershipLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/MembershipLoop.kt
@@ -17,8 +17,7 @@
 
 /**
  * Registers this instance in the object store and determines which instances are alive, for limits that all instances
- * share and for [membership]. An instance expires when its object has not changed for [EXPIRY_MILLIS], not counting the
- * time in which the store could not be read.
+ * share and for [membership].
  */
 internal class MembershipLoop(
     private val store: ObjectStore,
@@ -27,10 +26,9 @@
     private val log: StructuredLog,
     private val clock: Clock,
 ) {
-    private val observations = HashMap<String, Observation>()
+    private val observations = MemberObservations(HEARTBEAT_MILLIS, EXPIRY_MILLIS)
     private var heartbeats = 0L
     private var registeredMillis: Long? = null
-    private var listedMillis: Long? = null
 
     /** Renews the registration and reads those of the others until the coroutine is cancelled. */
     suspend fun run() {
@@ -38,7 +36,7 @@
         while (true) {
             if (clock.nowMillis() - (registeredMillis ?: Long.MIN_VALUE / 2) >= HEARTBEAT_MILLIS) register()
             store.list(ObjectKind.MEMBERS, allowStale = true)
-                .onSuccess { updateMembers(it.items) }
+                .onSuccess { updateMembers(it) }
                 .onFailure { failure -> log.write("members.unknown") { put("reason", failure.message) } }
             delay(if (lists++ < INITIAL_LISTS) INITIAL_LIST_MILLIS else HEARTBEAT_MILLIS)
         }
@@ -75,24 +73,14 @@
     private suspend fun replace(text: String): StoreFailure? =
         store.replace(ObjectKind.MEMBERS, deployment.self.value, text, revision = null).getError()
 
-    private fun updateMembers(items: List<StoredObject>) {
-        val nowMillis = clock.nowMillis()
-        // Time in which the store could not be read does not count: no heartbeat could be observed.
-        val unreadableMillis = listedMillis?.let { nowMillis - it - HEARTBEAT_MILLIS }?.coerceAtLeast(0) ?: 0
-        listedMillis = nowMillis
-        items.forEach { item ->
-            val known = observations[item.name]
-            val since = if (known?.revision == item.revision) known.sinceMillis + unreadableMillis else nowMillis
-            observations[item.name] = Observation(item.revision, since)
-        }
-        observations.keys.retainAll(items.map { it.name }.toSet())
-        val alive = observations.filterValues { nowMillis - it.sinceMillis < EXPIRY_MILLIS }.keys
-        val members = alive.map { InstanceId(it) }.toSet() + deployment.self
+    private fun updateMembers(list: ObjectList) {
+        val alive = observations.update(list, clock.nowMillis())
+        val members = alive.map { InstanceId(it.name) }.toSet() + deployment.self
         if (members != deployment.members) {
             log.write("members.changed", always = true) { put("count", members.size) }
         }
         deployment.members = members
-        membership.update(items.filter { it.name in alive }.mapNotNull(::member))
+        membership.update(alive.mapNotNull(::member))
     }
 
     private fun member(item: StoredObject): Member? = try {
@@ -106,8 +94,6 @@
         null
     }
 
-    private class Observation(val revision: Long, val sinceMillis: Long)
-
     private companion object {
         // Shared limits tolerate a view that is some seconds old, and every heartbeat is a billed write.
         const val HEARTBEAT_MILLIS = 6_000L
