--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
@@ -124,6 +124,9 @@
             )
         }
         log.write("started", always = true) { put("callers", settings.listen.callers.toString()) }
+        val incarnation = Incarnation(settings.instance, clock.nowMillis())
+        // Before the first call to the store, so that the lease learns of every era.
+        val lease = OrderLease(incarnation, store, scope, log, PauseDetector(clock), settings.times.leaseMillis)
         val policy = WatchPolicy(membership.tree, clock, settings.times.applyMillis)
         val runtime = ControlRuntime(scope, ticks, log, clock)
         val watchContext = WatchContext(store, policy, runtime)
@@ -134,13 +137,11 @@
         watches.forEach { (kind, watch) -> loops.start("watch ${kind.name.lowercase()}") { watch.run() } }
         loops.start("lag") { ticks.measure(lag) }
         loops.start("members") { membershipLoop.run() }
-        val incarnation = Incarnation(settings.instance, clock.nowMillis())
         val context = ControlContext(deployment, membership, controlClient, protocol.engines, runtime)
         val peers = Peers(PeerContext(settings, deployment, membership, era, runtime), incarnation, dispatcher)
         val engineLoads = EngineLoadLoop(context, peers)
         loops.start("peers") { peers.run(watches) }
         loops.start("engine loads") { engineLoads.run() }
-        val lease = OrderLease(incarnation, store, scope, log, PauseDetector(clock), settings.times.leaseMillis)
         val rollouts = RolloutLoop(context, lease, peers)
         val cacheStores = CacheStoreLoop(context, peers)
         loops.start("rollouts") { rollouts.run() }
