Count one silence of an endpoint once, and end its ejection with its next answer

Callers could see: an endpoint that was silent for about a second was left out for up to four more seconds, so that the others were overloaded meanwhile.

Cause: each request that timed out during the silence counted as a further failure in a row, so that six requests in flight ejected the endpoint for 4 s at once (0.5 s doubled three times), and an answer did not end the ejection.

Ruled out: unanswered load polls and their reports to peers, which only choose who polls the engine next (EnginePollSchedule); quarantine, which counts only connections that end.

Change: timeouts during an ejection do not lengthen it; an answer ends an ejection that a silence began. Failures and refused connections count as before, and an endpoint that stays silent is ejected for 0.5, 1, 2 and then 4 s.

EndpointTableTest failed before at lines 94 (ejected 0.6 s after the first of six timeouts) and 103 (ejected after an answer) and passes now.

--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointHealth.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointHealth.kt
@@ -10,12 +10,14 @@
 
 /**
  * Health of an endpoint, derived from the outcomes of recent attempts. An endpoint that fails is ejected for a time
- * that doubles with each further failure in a row. Not thread-safe.
+ * that doubles with each further failure in a row. Requests that time out while it is ejected belong to the same
+ * silence and do not lengthen the ejection, which its next answer ends. Not thread-safe.
  */
 internal class EndpointHealth {
     private var failureShare = 0.0
     private var consecutiveFailures = 0
     private var ejectedUntilMillis = Long.MIN_VALUE
+    private var ejectedForSilence = false
 
     /** Returns whether the endpoint receives requests only when there is no other. */
     fun isEjected(nowMillis: Long): Boolean = nowMillis < ejectedUntilMillis
@@ -28,10 +30,13 @@
             AttemptOutcome.ANSWERED -> {
                 consecutiveFailures = 0
                 failureShare *= 1 - SMOOTHING
+                if (ejectedForSilence) ejectedUntilMillis = Long.MIN_VALUE
             }
             AttemptOutcome.REFUSED -> Unit
-            AttemptOutcome.FAILED, AttemptOutcome.SILENT -> recordFailure(nowMillis, FAILURES_BEFORE_EJECTION)
-            AttemptOutcome.UNREACHABLE -> recordFailure(nowMillis, 1)
+            AttemptOutcome.SILENT ->
+                if (!isEjected(nowMillis)) recordFailure(nowMillis, FAILURES_BEFORE_EJECTION, isSilence = true)
+            AttemptOutcome.FAILED -> recordFailure(nowMillis, FAILURES_BEFORE_EJECTION, isSilence = false)
+            AttemptOutcome.UNREACHABLE -> recordFailure(nowMillis, 1, isSilence = false)
         }
     }
 
@@ -41,12 +46,13 @@
         ejectedUntilMillis = Long.MIN_VALUE
     }
 
-    private fun recordFailure(nowMillis: Long, threshold: Int) {
+    private fun recordFailure(nowMillis: Long, threshold: Int, isSilence: Boolean) {
         consecutiveFailures++
         failureShare = failureShare * (1 - SMOOTHING) + SMOOTHING
         if (consecutiveFailures < threshold && failureShare < MAX_FAILURE_SHARE) return
         val doublings = minOf(consecutiveFailures - threshold, MAX_DOUBLINGS).coerceAtLeast(0)
         ejectedUntilMillis = nowMillis + (FIRST_EJECTION_MILLIS shl doublings)
+        ejectedForSilence = isSilence
     }
 
     private companion object {
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/fleet/EndpointTableTest.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/fleet/EndpointTableTest.kt
@@ -84,4 +84,35 @@
         expectThat(state.health.isEjected(101)).isTrue()
         expectThat(state.health.isEjected(601)).isFalse()
     }
+
+    // Six requests in flight at an endpoint that was silent for a second took it out for four seconds.
+    @Test
+    fun `one silence ejects an endpoint for half a second, however many requests were in flight`() {
+        val state = table[EndpointId("one")]!!
+        repeat(6) { state.recordOutcome(AttemptOutcome.SILENT, 100L + it * 20) }
+        expectThat(state.health.isEjected(200)).isTrue()
+        expectThat(state.health.isEjected(700)).isFalse()
+    }
+
+    // An endpoint that answered again after a short silence was used again only at the end of its ejection.
+    @Test
+    fun `an answer ends an ejection for silence, but not one for failures`() {
+        val state = table[EndpointId("one")]!!
+        repeat(2) { state.recordOutcome(AttemptOutcome.SILENT, 100) }
+        state.recordOutcome(AttemptOutcome.ANSWERED, 150)
+        expectThat(state.health.isEjected(151)).isFalse()
+        repeat(2) { state.recordOutcome(AttemptOutcome.FAILED, 200) }
+        state.recordOutcome(AttemptOutcome.ANSWERED, 250)
+        expectThat(state.health.isEjected(251)).isTrue()
+    }
+
+    @Test
+    fun `an endpoint that stays silent is ejected for longer each time`() {
+        val state = table[EndpointId("one")]!!
+        repeat(2) { state.recordOutcome(AttemptOutcome.SILENT, 100) }
+        state.recordOutcome(AttemptOutcome.SILENT, 700)
+        expectThat(state.health.isEjected(1_600)).isTrue()
+        state.recordOutcome(AttemptOutcome.SILENT, 1_800)
+        expectThat(state.health.isEjected(3_700)).isTrue()
+    }
 }
