Take over a lease whose record cannot be decoded

What callers could see: after another writer had left an unreadable record in the lease object, no instance ever held the lease again, and no engine loaded new weights. A record that states a duration of centuries did the same.

Cause: unreadable content counted as an absent object. The instance then tried to create the object, which exists, and read it as absent again.

Change: unreadable content, or a duration above ten times the own one, counts as the lease of an unknown holder, which ends after the own duration without a change of the object.

Tests: DeepRecordTest, the cases of the lease; before, none held the lease after 10 s (line 62).

--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/OrderLease.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/OrderLease.kt
@@ -10,7 +10,6 @@
 import org.parsleymoor.coordination.LeaseEvent
 import org.parsleymoor.coordination.LeaseManager
 import org.parsleymoor.coordination.LeaseSettings
-import org.parsleymoor.coordination.StoredLease
 import org.parsleymoor.core.Incarnation
 import org.parsleymoor.core.PauseDetector
 import org.parsleymoor.entry.log.StructuredLog
@@ -27,7 +26,8 @@
     leaseMillis: Long,
 ) {
     private val clock = pauseDetector.clock
-    private val holder = LeaseManager(NAME, self, orderLeaseSettings(leaseMillis))
+    private val settings = orderLeaseSettings(leaseMillis)
+    private val holder = LeaseManager(NAME, self, settings)
     private var unusableToken: Long? = null
     private var loggedToken: Long? = null
 
@@ -103,12 +103,8 @@
             LeaseEvent.WriteFailed(action.writeId, mayHaveTakenEffect = true)
     }
 
-    private fun toStoredLease(value: StoredObject): StoredLease? = try {
-        val record = Json.decodeFromString(StoredLeaseRecord.serializer(), value.content)
-        StoredLease(record.record, value.revision, record.writeId)
-    } catch (cause: IllegalArgumentException) {
-        log.write("lease.unreadable", always = true) { put("reason", cause.message) }
-        null
+    private fun toStoredLease(value: StoredObject) = value.toStoredLease(settings.durationMillis) { reason ->
+        log.write("lease.unreadable", always = true) { put("reason", reason) }
     }
 
     private companion object {
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/DeepRecordTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/DeepRecordTest.kt
@@ -9,10 +9,13 @@
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.ValueSource
 import org.parsleymoor.core.Clock
+import org.parsleymoor.core.Incarnation
 import org.parsleymoor.core.InstanceId
+import org.parsleymoor.core.PauseDetector
 import org.parsleymoor.core.ZoneId
 import org.parsleymoor.entry.control.Membership
 import org.parsleymoor.entry.control.MembershipLoop
+import org.parsleymoor.entry.control.OrderLease
 import org.parsleymoor.entry.log.StructuredLog
 import org.parsleymoor.entry.protocol.ObjectKind
 import org.parsleymoor.entry.serving.DeploymentView
@@ -45,6 +48,21 @@
         expectThat(deployment.members).isNotNull().contains(InstanceId("good"))
     }
 
+    // Otherwise no instance ever holds the lease again, and no engine loads new weights.
+    @ParameterizedTest
+    @ValueSource(ints = [10, 1_000, 100_000])
+    fun `a deeply nested lease record is replaced`(depth: Int) = onSmallStack {
+        memory.put(ObjectKind.LEASES, "orders", "[".repeat(depth) + "]".repeat(depth))
+        val clock = PauseDetector(Clock { currentTime }) { currentTime }
+        val lease =
+            OrderLease(Incarnation(InstanceId("one"), 1), memory.store, backgroundScope, log(), clock, 3_000)
+        repeat(100) {
+            lease.tick(wanted = true)
+            advanceTimeBy(100)
+        }
+        expectThat(lease.held()).isNotNull()
+    }
+
     private fun TestScope.log() =
         StructuredLog(Clock { currentTime }, "test", PrintStream(OutputStream.nullOutputStream()))
 
