Send nothing to an endpoint after a response in which it leaves

What callers could see: an endpoint that is about to end says so in its responses (Server-Leaving), but it went on to receive requests until its entry in the discovery list said `draining` or was removed. With the list out of reach, or an entry that says `ready` throughout, that was until its end, and requests that had started there were lost with it.

Cause: the header was not read.

Ruled out: treating `Connection: close` as the announcement (other responses carry it too), and a flag in the entry of the endpoint (the next `ready` entry would have taken it back).

Change: the header is read in the head of every response of an endpoint, of callers' requests as well as of reports, orders and cache calls. It belongs to the start of the endpoint that the request was sent to, or to the endpoint that the response names. Such an endpoint is not chosen, and once more not sent to immediately before a request is written; it gets no reports and orders, and its idle connections are closed. Peers are told at once and, while the list says `ready`, once a second, in a new optional list of the news message. Each change is logged (`endpoint.leaving`, `endpoint.leavingEnded`) and counted (`parsleymoor_endpoints_leaving_total`).

--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerMessage.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerMessage.kt
@@ -100,6 +100,7 @@
         public val crashed: List<EndpointCrashDigest> = emptyList(),
         public val answered: List<AnsweredPartsDigest> = emptyList(),
         public val quarantined: List<QuarantinedPartDigest> = emptyList(),
+        public val leaving: List<LeavingEndpointDigest> = emptyList(),
     ) : PeerMessage
 
     /** Requests the contents of the KV cache store at [store], as far as the receiver knows them. */
@@ -402,6 +403,12 @@
     public val failedProbes: Int,
 )
 
+/** The start [startMillis] of [endpoint] announced that it leaves. */
+@OptIn(ExperimentalSerializationApi::class)
+@CborArray
+@Serializable
+public data class LeavingEndpointDigest(public val endpoint: EndpointId, public val startMillis: Long?)
+
 /** An object of the platform's store at [revision]. */
 @OptIn(ExperimentalSerializationApi::class)
 @CborArray
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/exchange/PeerUpdate.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/exchange/PeerUpdate.kt
@@ -4,6 +4,7 @@
 import org.parsleymoor.core.InstanceId
 import org.parsleymoor.core.ModelId
 import org.parsleymoor.relay.cache.CacheStoreChange
+import org.parsleymoor.relay.cache.EngineIncarnation
 import org.parsleymoor.relay.fleet.EngineLoad
 import org.parsleymoor.relay.fleet.SentPrompt
 import org.parsleymoor.relay.fleet.SocketAddress
@@ -38,6 +39,9 @@
         public val active: Boolean,
     ) : PeerUpdate
 
+    /** An instance read in a response that [endpoint] leaves. */
+    public data class Leaving(public val endpoint: EngineIncarnation) : PeerUpdate
+
     /** What an instance learned about prompt parts on which endpoints may crash. */
     public sealed interface PartEvidence : PeerUpdate
 
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/exchange/PeerUpdateQueue.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/exchange/PeerUpdateQueue.kt
@@ -14,9 +14,9 @@
 
 /**
  * Updates that wait to be sent, by the scope in which their receivers forward them. A newer load report, unanswered
- * poll or order replaces an earlier one about the same engine, and a newer quarantine one of the same prompt part. Of
- * the other updates the newest [MAX_QUEUED_UPDATES] in each scope are kept, so that an instance without connections
- * does not run out of memory. Not thread-safe.
+ * poll or order replaces an earlier one about the same engine, and a newer quarantine one of the same prompt part; that
+ * an endpoint leaves is kept once. Of the other updates the newest [MAX_QUEUED_UPDATES] in each scope are kept, so that
+ * an instance without connections does not run out of memory. Not thread-safe.
  */
 public class PeerUpdateQueue {
     private val queues = ForwardScope.entries.associateWith { Queue() }
@@ -58,6 +58,7 @@
                 is PeerUpdate.Load -> newest[update.endpoint to PeerUpdate.Load::class] = update
                 is PeerUpdate.Unresponsive -> newest[update.endpoint to PeerUpdate.Unresponsive::class] = update
                 is PeerUpdate.Ordered -> newest[update.endpoint to PeerUpdate.Ordered::class] = update
+                is PeerUpdate.Leaving -> newest[update.endpoint] = update
                 is PeerUpdate.Quarantined -> newest[update.entry.part] = update
                 is PeerUpdate.Sent, is PeerUpdate.Crashed, is PeerUpdate.Answered, is PeerUpdate.CacheStoreEvents,
                 is PeerUpdate.CacheStoreUnreachable -> others.addLast(update)
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointTable.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointTable.kt
@@ -2,6 +2,7 @@
 
 import org.parsleymoor.core.EndpointId
 import org.parsleymoor.core.ZoneId
+import org.parsleymoor.relay.cache.EngineIncarnation
 
 /**
  * The endpoints that this instance may send requests to. After an outage of the discovery list, missing entries are
@@ -12,6 +13,7 @@
     private val states = LinkedHashMap<EndpointId, EndpointState>()
     private var listUnavailable = false
     private var graceUntilMillis = Long.MIN_VALUE
+    internal val leaving = LeavingEndpoints()
 
     /** Availability zones that receive no new requests. */
     public var evacuated: Set<ZoneId> = emptySet()
@@ -64,8 +66,28 @@
         return expired
     }
 
+    /** Records that [endpoint] announced that it leaves; returns false if that is known or it has started again. */
+    public fun markLeaving(endpoint: EngineIncarnation): Boolean {
+        val known = states[endpoint.endpoint]?.incarnation
+        return (known == null || !known.startedAfter(endpoint)) && leaving.record(endpoint)
+    }
+
+    /** Whether [endpoint] announced that it leaves, whatever its entry says. */
+    public fun isLeaving(endpoint: EngineIncarnation): Boolean = endpoint in leaving
+
+    /** The listed endpoints that announced that they leave. */
+    public val leavingListed: List<EndpointState>
+        get() = leaving.all.mapNotNull { states[it.endpoint] }.filter { isLeaving(it.incarnation) }
+
     /** Returns the endpoints of [service] that may receive new requests. */
     public fun serving(service: String): List<EndpointState> = states.values.filter {
-        it.entry.service == service && !it.entry.draining && it.entry.zone !in evacuated
+        it.entry.service == service && !it.entry.draining && it.entry.zone !in evacuated && !isLeaving(it.incarnation)
     }
 }
+
+/** Returns the endpoints that are listed at [address]. */
+public fun EndpointTable.at(address: SocketAddress): List<EndpointState> = all.filter { it.entry.address == address }
+
+/** Removes and returns the endpoints that no longer count as leaving. */
+public fun EndpointTable.expireLeaving(nowMillis: Long): Map<EngineIncarnation, LeavingEnd> =
+    leaving.expire(all.associateBy { it.entry.id }, nowMillis)
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/rollout/RolloutPlan.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/rollout/RolloutPlan.kt
@@ -22,10 +22,11 @@
 
     /** Returns the engines whose weights are older than [targets]. */
     public fun outdatedEngines(table: EndpointTable, targets: Map<ModelId, TargetWeights>): List<PendingWeightLoad> =
-        table.all.filter { !it.entry.draining && it.missingSinceMillis == null }.mapNotNull { state ->
-            targets.values.firstOrNull { (state.weights(it.model) ?: Long.MAX_VALUE) < it.version }
-                ?.let { PendingWeightLoad(state, it) }
-        }
+        table.all.filter { !it.entry.draining && it.missingSinceMillis == null && !table.isLeaving(it.incarnation) }
+            .mapNotNull { state ->
+                targets.values.firstOrNull { (state.weights(it.model) ?: Long.MAX_VALUE) < it.version }
+                    ?.let { PendingWeightLoad(state, it) }
+            }
 
     /** Returns the engines to which to send orders at [nowMillis]. */
     public fun enginesToLoad(
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/exchange/SimulatedFleet.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/exchange/SimulatedFleet.kt
@@ -86,7 +86,7 @@
         private val pending = HashMap<EndpointId, Long>()
         private var tickMillis = random.nextLong(TICK_MILLIS)
         private var keepAliveSentMillis = 0L
-        private var quarantineSentMillis = 0L
+        private var repeatedMillis = 0L
 
         /** Records that this instance sends a prompt with [context] to [engine]. */
         fun send(context: ContextKey, engine: EndpointId) {
@@ -101,6 +101,11 @@
             queue.addLocal(update, tree, nowMillis)
         }
 
+        /** Records that a response to this instance said that [endpoint] leaves. */
+        fun readLeaving(endpoint: EngineIncarnation) {
+            if (table.markLeaving(endpoint)) queue.addLocal(PeerUpdate.Leaving(endpoint), tree, nowMillis)
+        }
+
         /** Whether this instance refuses prompts with [part]. */
         fun refuses(part: PartKey): Boolean {
             quarantine.assess(setOf(part), nowMillis)
@@ -160,9 +165,10 @@
 
         private fun sendUpdates() {
             tickMillis += TICK_MILLIS
-            if (nowMillis - quarantineSentMillis >= QUARANTINE_PERIOD_MILLIS) {
-                quarantineSentMillis = nowMillis
+            if (nowMillis - repeatedMillis >= REPEAT_PERIOD_MILLIS) {
+                repeatedMillis = nowMillis
                 quarantine.parts.forEach { queue.addLocal(PeerUpdate.Quarantined(it), tree, nowMillis) }
+                table.leavingListed.forEach { queue.addLocal(PeerUpdate.Leaving(it.incarnation), tree, nowMillis) }
             }
             val recentlyHeard = connected.filter { nowMillis - (heard[it] ?: 0) < RECENT_MILLIS }.ifEmpty { connected }
             val recipients = tree.recipients(
@@ -216,6 +222,7 @@
                 is PeerUpdate.Load -> table[update.endpoint]!!.learnLoad(update.load)
                 is PeerUpdate.Unresponsive -> table[update.endpoint]!!.recordUnansweredPoll(update.atMillis)
                 is PeerUpdate.Sent -> if (update.origin != member.id) prompts.merge(update.prompt.context, 1, Int::plus)
+                is PeerUpdate.Leaving -> table.markLeaving(update.endpoint)
                 is PeerUpdate.PartEvidence -> learn(update)
                 is PeerUpdate.Ordered, is PeerUpdate.CacheStoreEvents, is PeerUpdate.CacheStoreUnreachable -> Unit
             }
@@ -229,7 +236,7 @@
         private const val STEP_MILLIS = 10L
         private const val TICK_MILLIS = 100L
         private const val KEEP_ALIVE_MILLIS = 450L
-        private const val QUARANTINE_PERIOD_MILLIS = 1_000L
+        private const val REPEAT_PERIOD_MILLIS = 1_000L
         private const val PROMPT_MILLIS = 300L
         private const val RECENT_MILLIS = 1_200L
         private const val SILENCE_MILLIS = 3_000L
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
@@ -49,6 +49,8 @@
 import org.parsleymoor.entry.serving.DeploymentView
 import org.parsleymoor.entry.serving.EndpointSelector
 import org.parsleymoor.entry.serving.EventLoopLag
+import org.parsleymoor.entry.serving.LeavingLog
+import org.parsleymoor.entry.serving.LeavingReader
 import org.parsleymoor.entry.serving.QuarantineGate
 import org.parsleymoor.entry.serving.RefusalWriter
 import org.parsleymoor.entry.serving.RelayHandler
@@ -56,6 +58,7 @@
 import org.parsleymoor.entry.serving.ShutdownState
 import org.parsleymoor.relay.exchange.Member
 import org.parsleymoor.relay.fleet.SocketAddress
+import org.parsleymoor.relay.fleet.expireLeaving
 import org.parsleymoor.relay.http.HttpStatus
 import org.parsleymoor.relay.limits.SharedRetryBudget
 import org.parsleymoor.relay.routing.CallerLimits
@@ -85,7 +88,9 @@
         NetClientOptions().setTcpNoDelay(true).setConnectTimeout(CONNECT_MILLIS),
     )
     private val pool = ConnectionPool(client, clock)
-    private val controlClient = ControlClient(ConnectionPool(client, clock))
+    private val controlPool = ConnectionPool(client, clock)
+    private val controlClient = ControlClient(controlPool, LeavingReader(deployment, protocol.headers))
+    private val leavingLog = LeavingLog(log, metrics).also { deployment.onLeaving = it::learned }
     private val store = ObjectStore(protocol.objects) { call, timeoutMillis ->
         controlClient.call(settings.objectStore, call, timeoutMillis)
     }
@@ -213,6 +218,10 @@
             ticks.await(HOUSEKEEPING_TICKS)
             pool.expire()
             deployment.quarantine.expire(clock.nowMillis())
+            deployment.endpoints.expireLeaving(clock.nowMillis()).forEach(leavingLog::ended)
+            listOf(pool, controlPool).forEach { connections ->
+                deployment.endpoints.leavingListed.forEach { connections.discardIdle(it.entry.address) }
+            }
             deployment.endpoints.expire(clock.nowMillis()).forEach { gone ->
                 log.write("endpoint.expired") { put("endpoint", gone.value) }
             }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryMetrics.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryMetrics.kt
@@ -65,6 +65,13 @@
         cutOffs.getValue(stage).increment()
     }
 
+    private val leaving = listOf(true, false).associateWith { Counter() }
+
+    /** Counts an endpoint that this daemon learned is leaving, [fromPeer] or from a response. */
+    public fun recordLeaving(fromPeer: Boolean) {
+        leaving.getValue(fromPeer).increment()
+    }
+
     /** Returns all metrics in the Prometheus text format. */
     public fun prometheusText(): String {
         val refused = synchronized(refusals) {
@@ -78,7 +85,10 @@
         val cutOff = cutOffs.map { (stage, counter) ->
             "parsleymoor_responses_cut_off_total{stage=\"${stage.name.lowercase()}\"} ${counter.count}"
         }
-        return (lines + refused + cutOff + latency.prometheusText("parsleymoor_request_duration_milliseconds"))
+        val left = leaving.map { (fromPeer, counter) ->
+            "parsleymoor_endpoints_leaving_total{source=\"${if (fromPeer) "peer" else "response"}\"} ${counter.count}"
+        }
+        return (lines + refused + cutOff + left + latency.prometheusText("parsleymoor_request_duration_milliseconds"))
             .joinToString("\n") + "\n"
     }
 }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/EngineLoadLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/EngineLoadLoop.kt
@@ -36,7 +36,8 @@
     }
 
     private fun isDue(state: EndpointState, nowMillis: Long): Boolean =
-        state.entry.weights.isNotEmpty() && state.entry.id !in polling && schedule.isDue(state, nowMillis)
+        state.entry.weights.isNotEmpty() && state.entry.id !in polling && schedule.isDue(state, nowMillis) &&
+            !deployment.endpoints.isLeaving(state.incarnation)
 
     private suspend fun poll(state: EndpointState) {
         val requestedMillis = clock.nowMillis()
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerMessageMapping.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerMessageMapping.kt
@@ -5,6 +5,7 @@
 import org.parsleymoor.peering.CachedPartDigest
 import org.parsleymoor.peering.EngineLoadDigest
 import org.parsleymoor.peering.EngineOrderDigest
+import org.parsleymoor.peering.LeavingEndpointDigest
 import org.parsleymoor.peering.NamespaceDigest
 import org.parsleymoor.peering.OfferedObject
 import org.parsleymoor.peering.PeerMessage
@@ -13,6 +14,7 @@
 import org.parsleymoor.relay.cache.CacheStoreChange
 import org.parsleymoor.relay.cache.CachedPart
 import org.parsleymoor.relay.cache.ContextKey
+import org.parsleymoor.relay.cache.EngineIncarnation
 import org.parsleymoor.relay.exchange.ForwardScope
 import org.parsleymoor.relay.exchange.PeerUpdate
 import org.parsleymoor.relay.fleet.EngineLoad
@@ -42,12 +44,14 @@
                 lost = true
             )
             is PeerUpdate.Load, is PeerUpdate.Unresponsive, is PeerUpdate.Sent, is PeerUpdate.Ordered,
-            is PeerUpdate.PartEvidence -> null
+            is PeerUpdate.Leaving, is PeerUpdate.PartEvidence -> null
         }
     },
     crashed = filterIsInstance<PeerUpdate.Crashed>().map { it.toDigest(nowMillis) },
     answered = filterIsInstance<PeerUpdate.Answered>().map { it.toDigest(nowMillis) },
     quarantined = filterIsInstance<PeerUpdate.Quarantined>().map { it.toDigest(nowMillis) },
+    leaving = filterIsInstance<PeerUpdate.Leaving>()
+        .map { LeavingEndpointDigest(it.endpoint.endpoint, it.endpoint.startMillis) },
 )
 
 /** Decodes the updates in this message, which arrived at [nowMillis]: ages are converted to local times. */
@@ -59,7 +63,8 @@
         stores.mapNotNull { it.toUpdate() } +
         crashed.map { it.toUpdate(nowMillis) } +
         answered.map { it.toUpdate(nowMillis) } +
-        quarantined.map { it.toUpdate(nowMillis) }
+        quarantined.map { it.toUpdate(nowMillis) } +
+        leaving.map { PeerUpdate.Leaving(EngineIncarnation(it.endpoint, it.startMillis)) }
 
 /** Encodes these changes of a KV cache store, grouped by namespace. */
 internal fun PeerUpdate.CacheStoreEvents.toDigest(): CacheStoreDigest = CacheStoreDigest(
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerUpdateSender.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerUpdateSender.kt
@@ -21,7 +21,7 @@
     private val queue = PeerUpdateQueue()
     private val orderedEndpoints = LinkedHashSet<EndpointState>()
     private var announcedMillis = 0L
-    private var quarantineAnnouncedMillis = 0L
+    private var repeatedMillis = 0L
 
     /** The watches that keep copies of the stored objects, by kind. */
     var watches: Map<String, ObjectWatch> = emptyMap()
@@ -56,9 +56,11 @@
 
     private fun repeatAnnouncements() {
         val nowMillis = clock.nowMillis()
-        if (nowMillis - quarantineAnnouncedMillis >= QUARANTINE_PERIOD_MILLIS) {
-            quarantineAnnouncedMillis = nowMillis
+        if (nowMillis - repeatedMillis >= REPEAT_PERIOD_MILLIS) {
+            repeatedMillis = nowMillis
             context.deployment.quarantine.parts.forEach { publish(PeerUpdate.Quarantined(it)) }
+            context.deployment.endpoints.leavingListed.filterNot { it.entry.draining }
+                .forEach { publish(PeerUpdate.Leaving(it.incarnation)) }
         }
         if (orderedEndpoints.isEmpty() || nowMillis - announcedMillis < ANNOUNCEMENT_PERIOD_MILLIS) return
         announcedMillis = nowMillis
@@ -90,7 +92,8 @@
     private companion object {
         const val ANNOUNCEMENT_PERIOD_MILLIS = 200L
 
-        // An instance that starts or was cut off learns within this time which parts are quarantined.
-        const val QUARANTINE_PERIOD_MILLIS = 1_000L
+        // An instance that starts or was cut off learns within this time which parts are quarantined and which
+        // endpoints leave.
+        const val REPEAT_PERIOD_MILLIS = 1_000L
     }
 }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerUpdates.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerUpdates.kt
@@ -1,6 +1,7 @@
 package org.parsleymoor.entry.control
 
 import org.parsleymoor.entry.serving.DeploymentView
+import org.parsleymoor.entry.serving.LeavingSource
 import org.parsleymoor.relay.exchange.PeerUpdate
 import org.parsleymoor.relay.fleet.recordUnansweredPoll
 
@@ -21,6 +22,7 @@
             }
         }
         is PeerUpdate.Ordered -> if (update.holder != self) applyPeerUpdate(update, nowMillis)
+        is PeerUpdate.Leaving -> learnLeaving(update.endpoint, LeavingSource.Peer)
         is PeerUpdate.PartEvidence -> applyPeerUpdate(update, nowMillis)
         is PeerUpdate.CacheStoreEvents -> {
             lastStoreResponseMillis[update.store] = nowMillis
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/RolloutLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/RolloutLoop.kt
@@ -86,7 +86,7 @@
         val untilMillis = clock.nowMillis() + LOAD_TIMEOUT_MILLIS
         var step = LoadStep.UNDER_WAY
         while (step == LoadStep.UNDER_WAY && clock.nowMillis() < untilMillis) {
-            step = loadStep(state, named)
+            step = if (deployment.endpoints.isLeaving(state.incarnation)) LoadStep.GIVEN_UP else loadStep(state, named)
             if (step == LoadStep.UNDER_WAY) delay(POLL_INTERVAL_MILLIS)
         }
         return step == LoadStep.LOADED
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/ControlClient.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/ControlClient.kt
@@ -10,6 +10,7 @@
 import org.parsleymoor.entry.protocol.ControlRequest
 import org.parsleymoor.relay.fleet.SocketAddress
 import org.parsleymoor.relay.http.HeaderField
+import org.parsleymoor.relay.http.ResponseHead
 
 /** Response to a [ControlRequest]. */
 internal class ControlResponse(val status: Int, val body: String)
@@ -26,7 +27,10 @@
 }
 
 /** Sends control requests to the object store, engines and KV cache stores, each with its own timeout. */
-internal class ControlClient(private val pool: ConnectionPool) {
+internal class ControlClient(
+    private val pool: ConnectionPool,
+    private val observer: ResponseObserver = ResponseObserver { _, _ -> {} },
+) {
     /** Sends [request] to [address] and suspends until the complete response has arrived, at most [timeoutMillis]. */
     suspend fun call(
         address: SocketAddress,
@@ -36,10 +40,11 @@
         val connection = pool.takeIdle(address)
             ?: pool.connect(address, MAX_CONNECTIONS, minOf(timeoutMillis, CONNECT_MILLIS))
                 .getOrElse { return Err(CallFailure.NotSent(it)) }
+        val onHead = observer.sent(address, request)
         var response: Result<ControlResponse, CallFailure>? = null
         try {
             connection.send(message(head(address, request), request.body.orEmpty().encodeToByteArray()))
-            response = withTimeoutOrNull(timeoutMillis) { receive(connection, request) }
+            response = withTimeoutOrNull(timeoutMillis) { receive(connection, request, onHead) }
         } finally {
             if (response?.isOk == true) pool.release(connection, null) else connection.close()
         }
@@ -49,9 +54,11 @@
     private suspend fun receive(
         connection: EndpointConnection,
         request: ControlRequest,
+        onHead: (ResponseHead) -> Unit,
     ): Result<ControlResponse, CallFailure> {
         val response = connection.readResponse(request.method)
             .getOrElse { return Err(CallFailure.Unanswered(it.message)) }
+        onHead(response.head)
         if (!response.head.keepsAlive) connection.noNewRequests = true
         return connection.readBody(response)
             .map { ControlResponse(response.head.status, it.decodeToString()) }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/protocol/HeaderNames.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/protocol/HeaderNames.kt
@@ -59,6 +59,8 @@
     public val coldMillis: String,
     /** Version of the weights that the response was made with. */
     public val weights: String,
+    /** Present, other than as 0, if the endpoint leaves. */
+    public val leaving: String,
 )
 
 /** All header names of a deployment's protocol. */
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
@@ -24,6 +24,8 @@
     val clock = context.clock
     val requestBuilder = EndpointRequestBuilder(names)
     val stateUpdater = EndpointStateUpdater(names, context.clock)
+    val leavingReader = LeavingReader(context.deployment, names)
+    val endpoints = context.deployment.endpoints
 }
 
 /** Sends [pending] to [target] over [connection] once and relays the response to [writer]. */
@@ -48,6 +50,8 @@
             !pending.streamStarted && clock.nowMillis() >= pending.firstByteDeadlineMillis ->
                 "the caller no longer waits for the first byte"
             !connection.reusable -> "the connection was closed before the request was sent"
+            // It may have announced that after it was chosen.
+            context.endpoints.isLeaving(progress.incarnation) -> "the endpoint leaves"
             else -> null
         }
         if (skipReason != null) return AttemptResult.NotRun(skipReason, sent = false)
@@ -87,6 +91,7 @@
         val head = response.head
         progress.responding = true
         context.stateUpdater.update(pending, state, head)
+        context.leavingReader.read(pending, progress.incarnation, connection.address, head)
         if (!head.keepsAlive) connection.noNewRequests = true
         progress.keepAliveMillis = head.keepAliveMillis
         return when {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/AttemptRunner.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/AttemptRunner.kt
@@ -109,7 +109,10 @@
             val remaining = pending.deadlineMillis - clock.nowMillis()
             val reader = ResponseReader(pending, connection, names)
             withTimeoutOrNull(remaining) {
-                reader.head().map { progress.complete = reader.body(it) != null }
+                reader.head().map {
+                    attemptContext.leavingReader.read(pending, progress.incarnation, connection.address, it.head)
+                    progress.complete = reader.body(it) != null
+                }
             }
             releaseOrClose(connection, progress)
         }
@@ -117,7 +120,10 @@
     }
 
     private fun releaseOrClose(connection: EndpointConnection, progress: AttemptProgress) {
-        if (progress.complete || !progress.sent) {
+        if (deployment.endpoints.isLeaving(progress.incarnation)) {
+            connection.close()
+            pool.discardIdle(connection.address)
+        } else if (progress.complete || !progress.sent) {
             pool.release(connection, progress.keepAliveMillis)
         } else {
             connection.close()
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/DeploymentView.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/DeploymentView.kt
@@ -5,6 +5,7 @@
 import org.parsleymoor.relay.cache.CacheStore
 import org.parsleymoor.relay.cache.CacheStoreDirectory
 import org.parsleymoor.relay.cache.EngineClock
+import org.parsleymoor.relay.cache.EngineIncarnation
 import org.parsleymoor.relay.cache.RecentContexts
 import org.parsleymoor.relay.exchange.PeerUpdate
 import org.parsleymoor.relay.fleet.EndpointState
@@ -48,6 +49,16 @@
     /** Called for each update that peers have to receive. */
     var announce: (PeerUpdate) -> Unit = {}
 
+    /** Called when this instance learns that an endpoint leaves, with where it learned that. */
+    var onLeaving: (EngineIncarnation, LeavingSource) -> Unit = { _, _ -> }
+
+    /** Records that [endpoint] leaves, unless that is known, and announces it to peers if no peer has told it. */
+    fun learnLeaving(endpoint: EngineIncarnation, source: LeavingSource) {
+        if (!endpoints.markLeaving(endpoint)) return
+        onLeaving(endpoint, source)
+        if (source !is LeavingSource.Peer) announce(PeerUpdate.Leaving(endpoint))
+    }
+
     /** Estimate of the clock that the engines share. */
     val engineClock = EngineClock()
 
--- /dev/null
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/LeavingReader.kt
@@ -0,0 +1,45 @@
+package org.parsleymoor.entry.serving
+
+import org.parsleymoor.core.EndpointId
+import org.parsleymoor.entry.net.ResponseObserver
+import org.parsleymoor.entry.protocol.ControlRequest
+import org.parsleymoor.entry.protocol.HeaderNames
+import org.parsleymoor.relay.cache.EngineIncarnation
+import org.parsleymoor.relay.fleet.SocketAddress
+import org.parsleymoor.relay.fleet.at
+import org.parsleymoor.relay.http.HttpStatus
+import org.parsleymoor.relay.http.ResponseHead
+
+/** Reads in the heads of responses which endpoints leave. */
+internal class LeavingReader(
+    private val deployment: DeploymentView,
+    private val names: HeaderNames
+) : ResponseObserver {
+    /** Reads [head], the response to [pending] from the endpoint at [address] that was [endpoint] when it was sent. */
+    fun read(pending: PendingRequest, endpoint: EngineIncarnation, address: SocketAddress, head: ResponseHead) {
+        // Another endpoint than the expected one refuses the request with this status.
+        val misdirected = head.status == HttpStatus.MISDIRECTED.code
+        read(listOf(endpoint) + if (misdirected) endpointsAt(address) else emptyList(), pending.id.value, head)
+    }
+
+    override fun sent(address: SocketAddress, request: ControlRequest): (ResponseHead) -> Unit {
+        val endpoints = endpointsAt(address)
+        return { head -> read(endpoints, "${request.method} ${request.target}", head) }
+    }
+
+    private fun read(endpoints: List<EngineIncarnation>, request: String, head: ResponseHead) {
+        val value = head.leaving(names) ?: return
+        val source = LeavingSource.Response(request, head.status, value)
+        responders(endpoints, head).forEach { deployment.learnLeaving(it, source) }
+    }
+
+    /** Returns those of [endpoints] that sent [head]: the one that it names, or all if it names none. */
+    private fun responders(endpoints: List<EngineIncarnation>, head: ResponseHead): List<EngineIncarnation> {
+        val named = head.headers[names.endpoint.endpoint]?.let(::EndpointId) ?: return endpoints
+        return endpoints.filter { it.endpoint == named }
+            .ifEmpty { listOfNotNull(deployment.endpoints[named]?.incarnation) }
+    }
+
+    private fun endpointsAt(address: SocketAddress): List<EngineIncarnation> =
+        deployment.endpoints.at(address).map { it.incarnation }
+}
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/ResponseHeads.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/ResponseHeads.kt
@@ -14,6 +14,10 @@
 internal fun ResponseHead.isRefusal(names: HeaderNames): Boolean =
     headers[names.endpoint.notRun] != null || status == HttpStatus.MISDIRECTED.code
 
+/** What the endpoint states about its leaving, or null if it does not leave. */
+internal fun ResponseHead.leaving(names: HeaderNames): String? =
+    headers[names.endpoint.leaving]?.takeIf { it.trim() != NOT_LEAVING }
+
 /** Whether this is a successful response whose body is a stream of server-sent events. */
 internal val ResponseHead.isEventStream: Boolean
     get() = status in SUCCESS && headers["Content-Type"].orEmpty().startsWith("text/event-stream")
@@ -29,6 +33,7 @@
     return CallerResponseHead(status, reason, headers.filter { it.name.lowercase() !in dropped }.fields)
 }
 
+private const val NOT_LEAVING = "0"
 private const val TIMEOUT = "timeout="
 private const val MILLIS_PER_SECOND = 1_000L
 private const val FIRST_SUCCESS = 200
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
@@ -28,6 +28,7 @@
 import org.parsleymoor.entry.serving.DeploymentView
 import org.parsleymoor.entry.serving.EndpointSelector
 import org.parsleymoor.entry.serving.EventLoopLag
+import org.parsleymoor.entry.serving.LeavingLog
 import org.parsleymoor.entry.serving.QuarantineGate
 import org.parsleymoor.entry.serving.RefusalWriter
 import org.parsleymoor.entry.serving.RelayHandler
@@ -45,7 +46,7 @@
 import org.parsleymoor.relay.routing.RouteTarget
 import org.parsleymoor.relay.routing.Service
 import org.parsleymoor.relay.routing.ServingConfiguration
-import java.io.OutputStream
+import java.io.ByteArrayOutputStream
 import java.io.PrintStream
 import java.net.InetAddress
 import java.net.ServerSocket
@@ -63,8 +64,10 @@
     private val vertx = Vertx.vertx()
     private val dispatcher = vertx.orCreateContext.dispatcher()
     private val scope = CoroutineScope(SupervisorJob() + dispatcher)
-    private val log = StructuredLog(Clock.System, "test", PrintStream(OutputStream.nullOutputStream()))
+    private val logged = ByteArrayOutputStream()
+    private val log = StructuredLog(Clock.System, "test", PrintStream(logged))
     private val deployment = DeploymentView(InstanceId("test"))
+    val metrics = EntryMetrics()
     val lag = EventLoopLag(Clock.System)
     val port: Int = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
 
@@ -73,7 +76,8 @@
         deployment.endpointsKnown = true
         deployment.members = setOf(deployment.self)
         endpoints.forEachIndexed { index, endpoint -> deployment.endpoints.put(entry("e$index", endpoint.port), 0) }
-        val context = ServingContext(deployment, log, EntryMetrics(), Clock.System, lag)
+        deployment.onLeaving = LeavingLog(log, metrics)::learned
+        val context = ServingContext(deployment, log, metrics, Clock.System, lag)
         val refusals = RefusalWriter(TestProtocol, log, context.metrics)
         val pool = ConnectionPool(vertx.createNetClient(), Clock.System)
         val budget = SharedRetryBudget(RetryLimit(share = 1.0, extra = 100.0, windowMillis = 10_000))
@@ -107,6 +111,15 @@
         String(socket.getInputStream().readAllBytes())
     }
 
+    /** Runs [action] on the event loop, to which the state is confined. */
+    fun <T> onEventLoop(action: suspend (DeploymentView) -> T): T = runBlocking(dispatcher) { action(deployment) }
+
+    /** Returns the log lines of [event]. */
+    fun logged(event: String): List<String> {
+        log.flush(LOG_FLUSH_MILLIS)
+        return logged.toString().lines().filter { it.contains("\"event\":\"$event\"") }
+    }
+
     override fun close() {
         vertx.close()
     }
@@ -159,6 +172,10 @@
         organisations = listOf(Organisation(OrganisationId("org"), setOf("secret"))),
         limits = CallerLimits(),
     )
+
+    private companion object {
+        const val LOG_FLUSH_MILLIS = 1_000L
+    }
 }
 
 /** Header names that no deployment uses, to show that nothing depends on the real ones. */
@@ -185,6 +202,7 @@
         endpoint = "Endpoint",
         coldMillis = "Cold",
         weights = "Weights",
+        leaving = "Leaving",
     ),
 )
 
