Send nothing to an endpoint in the pause that it asked for

What callers could see: an endpoint that refuses with 503 and `Retry-After` got the next requests of the same instance at once. Each was refused again, cost its caller an attempt and the service a part of its retry budget.

Cause: `Retry-After` of endpoints was not read.

Ruled out: ejecting the endpoint (it has not failed, and an ejected endpoint is still the last resort), and telling peers (the pause is asked of one instance).

Change: EndpointPauses keeps the pauses by start of the endpoint. Until the end this instance sends the endpoint no requests, which is checked once more immediately before one is written, no reports and no orders. A paused endpoint is left out of placement, before the allowance of cold endpoints, and its health stays as it is, also without the header field that confirms the refusal. If all endpoints of a service are paused, a request waits when the first pause ends within the time that it waits for capacity; otherwise it is refused with the shortest remaining time. A pause ends up to a quarter (at most 1 s) later than asked and then with one request; the others follow when that was answered, or not refused within 250 ms. With pauses of 2 s that began together, the test bounds the first requests of 95 instances to 30 in any 100 ms.

A `Retry-After` that is no number of seconds is a RetryAfterFailure, logged once, and begins no pause; one that is longer than the longest timeout of a route is logged and cut to that. Pauses are logged (`endpoint.paused`, `endpoint.pauseEnded`, `endpoint.pauseInvalid`) and counted (`parsleymoor_endpoint_pauses_total`). LeavingReader reads both fields now and is called AnnouncementReader.

In LeavingNewsTest the exchange of control requests has moved to ControlExchange, which both classes use; its checks are the same.

--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointTable.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointTable.kt
@@ -15,6 +15,9 @@
     private var graceUntilMillis = Long.MIN_VALUE
     internal val leaving = LeavingEndpoints()
 
+    /** The pauses that endpoints asked this instance for. */
+    public val pauses: EndpointPauses = EndpointPauses()
+
     /** Availability zones that receive no new requests. */
     public var evacuated: Set<ZoneId> = emptySet()
 
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/EnginePlacement.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/EnginePlacement.kt
@@ -3,7 +3,9 @@
 import org.parsleymoor.core.rendezvousOrder
 import org.parsleymoor.relay.fleet.EndpointState
 import org.parsleymoor.relay.fleet.EndpointTable
+import org.parsleymoor.relay.fleet.isPaused
 import org.parsleymoor.relay.fleet.sentPromptsSince
+import org.parsleymoor.relay.fleet.shortestPauseMillis
 import org.parsleymoor.relay.prompt.PromptContext
 import kotlin.random.Random
 
@@ -71,9 +73,12 @@
     /** Selects one of the engines in [table] that serve [query]. */
     public fun choose(query: EnginePlacementQuery, table: EndpointTable, nowMillis: Long): EnginePlacementResult {
         val (request, prompt, target) = query
-        val allowed = table.serving(request.service).filter { state ->
-            state.entry.id !in request.tried && request.allowedRegions.all { topology.isAllowed(state.entry.zone, it) }
+        val inRegions = table.serving(request.service).filter { state ->
+            request.allowedRegions.all { topology.isAllowed(state.entry.zone, it) }
         }
+        table.shortestPauseMillis(inRegions, nowMillis)?.let { return unavailable(UnavailableReason.PAUSED, it) }
+        val allowed =
+            inRegions.filter { it.entry.id !in request.tried && !table.isPaused(it.incarnation, nowMillis) }
         val usable = allowed.filter { it.weights(prompt.model) != null && isRecent(it, target, nowMillis) }
         val ready = usable.filter { nowMillis >= it.orderedUntilMillis }.ifEmpty { usable }
         val healthy = ready.filterNot { it.health.isEjected(nowMillis) }.ifEmpty { ready }
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/PlacementResult.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/PlacementResult.kt
@@ -5,7 +5,7 @@
 import org.parsleymoor.relay.fleet.EndpointState
 
 /** Why no endpoint is selected for a request. */
-public enum class UnavailableReason { NO_ENDPOINT, NO_WEIGHTS, COLD, OVERLOADED }
+public enum class UnavailableReason { NO_ENDPOINT, NO_WEIGHTS, COLD, OVERLOADED, PAUSED }
 
 /** A request that needs an endpoint; endpoints in [tried] have already received it and are excluded. */
 public data class PlacementQuery(
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/ServicePlacement.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/ServicePlacement.kt
@@ -2,6 +2,8 @@
 
 import org.parsleymoor.relay.fleet.EndpointState
 import org.parsleymoor.relay.fleet.EndpointTable
+import org.parsleymoor.relay.fleet.isPaused
+import org.parsleymoor.relay.fleet.shortestPauseMillis
 
 /**
  * Settings of [ServicePlacement]. The first three are costs, expressed as a number of waiting requests: the cost of an
@@ -24,10 +26,20 @@
 ) {
     /** Selects one of the endpoints in [table] that serve [query]. */
     public fun choose(query: PlacementQuery, table: EndpointTable, nowMillis: Long): PlacementResult {
-        val allowed = table.serving(query.service).filter { state ->
-            state.entry.id !in query.tried &&
-                query.allowedRegions.all { topology.isAllowed(state.entry.zone, it) }
+        val inRegions = table.serving(query.service).filter { state ->
+            query.allowedRegions.all { topology.isAllowed(state.entry.zone, it) }
         }
+        val pausedMillis = table.shortestPauseMillis(inRegions, nowMillis)
+        return if (pausedMillis != null) {
+            PlacementResult.Unavailable(UnavailableReason.PAUSED, pausedMillis)
+        } else {
+            val allowed =
+                inRegions.filter { it.entry.id !in query.tried && !table.isPaused(it.incarnation, nowMillis) }
+            select(query, allowed, nowMillis)
+        }
+    }
+
+    private fun select(query: PlacementQuery, allowed: List<EndpointState>, nowMillis: Long): PlacementResult {
         val healthy = allowed.filterNot { it.health.isEjected(nowMillis) }.ifEmpty { allowed }
         val selected = healthy.minByOrNull { cost(it, nowMillis) }
             ?: return PlacementResult.Unavailable(UnavailableReason.NO_ENDPOINT, NO_ENDPOINT_RETRY_MILLIS)
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/rollout/RolloutPlan.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/rollout/RolloutPlan.kt
@@ -4,6 +4,7 @@
 import org.parsleymoor.core.ModelId
 import org.parsleymoor.relay.fleet.EndpointState
 import org.parsleymoor.relay.fleet.EndpointTable
+import org.parsleymoor.relay.fleet.isPaused
 import org.parsleymoor.relay.placement.TargetWeights
 import kotlin.math.roundToInt
 
@@ -37,6 +38,7 @@
         val engines = table.all.count { state -> targets.keys.any { state.weights(it) != null } }
         val available = maxOf(MIN_CONCURRENT_LOADS, (engines * CONCURRENT_LOAD_SHARE).roundToInt()) - loading.size
         return outdatedEngines(table, targets)
+            .filterNot { table.isPaused(it.endpoint.incarnation, nowMillis) }
             .filter { it.endpoint.entry.id !in loading && nowMillis >= (retryAtMillis[it.endpoint.entry.id] ?: 0) }
             .sortedBy { it.endpoint.engineLoad?.running ?: it.endpoint.inFlight }
             .take(maxOf(available, 0))
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
@@ -44,13 +44,14 @@
 import org.parsleymoor.entry.net.ControlClient
 import org.parsleymoor.entry.protocol.ObjectKind
 import org.parsleymoor.entry.protocol.ServingProtocol
+import org.parsleymoor.entry.serving.AnnouncementReader
 import org.parsleymoor.entry.serving.AttemptRunner
 import org.parsleymoor.entry.serving.Delivery
 import org.parsleymoor.entry.serving.DeploymentView
 import org.parsleymoor.entry.serving.EndpointSelector
 import org.parsleymoor.entry.serving.EventLoopLag
 import org.parsleymoor.entry.serving.LeavingLog
-import org.parsleymoor.entry.serving.LeavingReader
+import org.parsleymoor.entry.serving.PauseRecorder
 import org.parsleymoor.entry.serving.QuarantineGate
 import org.parsleymoor.entry.serving.RefusalWriter
 import org.parsleymoor.entry.serving.RelayHandler
@@ -89,7 +90,8 @@
     )
     private val pool = ConnectionPool(client, clock)
     private val controlPool = ConnectionPool(client, clock)
-    private val controlClient = ControlClient(controlPool, LeavingReader(deployment, protocol.headers))
+    private val pauses = PauseRecorder(deployment, log, metrics, clock)
+    private val controlClient = ControlClient(controlPool, AnnouncementReader(deployment, protocol.headers, pauses))
     private val leavingLog = LeavingLog(log, metrics).also { deployment.onLeaving = it::learned }
     private val store = ObjectStore(protocol.objects) { call, timeoutMillis ->
         controlClient.call(settings.objectStore, call, timeoutMillis)
@@ -218,6 +220,7 @@
             ticks.await(HOUSEKEEPING_TICKS)
             pool.expire()
             deployment.quarantine.expire(clock.nowMillis())
+            pauses.expire()
             deployment.endpoints.expireLeaving(clock.nowMillis()).forEach(leavingLog::ended)
             listOf(pool, controlPool).forEach { connections ->
                 deployment.endpoints.leavingListed.forEach { connections.discardIdle(it.entry.address) }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryMetrics.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryMetrics.kt
@@ -50,6 +50,7 @@
     public val requests: Counter = Counter()
     public val attempts: Counter = Counter()
     public val partsQuarantined: Counter = Counter()
+    public val endpointPauses: Counter = Counter()
     public val latency: LatencyHistogram = LatencyHistogram()
     private val refusals = sortedMapOf<Int, Counter>()
 
@@ -81,6 +82,7 @@
             "parsleymoor_requests_total ${requests.count}",
             "parsleymoor_attempts_total ${attempts.count}",
             "parsleymoor_prompt_parts_quarantined_total ${partsQuarantined.count}",
+            "parsleymoor_endpoint_pauses_total ${endpointPauses.count}",
         )
         val cutOff = cutOffs.map { (stage, counter) ->
             "parsleymoor_responses_cut_off_total{stage=\"${stage.name.lowercase()}\"} ${counter.count}"
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/EngineLoadLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/EngineLoadLoop.kt
@@ -8,6 +8,7 @@
 import org.parsleymoor.relay.exchange.PeerUpdate
 import org.parsleymoor.relay.fleet.EndpointState
 import org.parsleymoor.relay.fleet.EngineLoad
+import org.parsleymoor.relay.fleet.isPaused
 import org.parsleymoor.relay.fleet.recordUnansweredPoll
 
 /**
@@ -37,7 +38,8 @@
 
     private fun isDue(state: EndpointState, nowMillis: Long): Boolean =
         state.entry.weights.isNotEmpty() && state.entry.id !in polling && schedule.isDue(state, nowMillis) &&
-            !deployment.endpoints.isLeaving(state.incarnation)
+            !deployment.endpoints.isLeaving(state.incarnation) &&
+            !deployment.endpoints.isPaused(state.incarnation, nowMillis)
 
     private suspend fun poll(state: EndpointState) {
         val requestedMillis = clock.nowMillis()
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/RolloutLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/RolloutLoop.kt
@@ -11,6 +11,7 @@
 import org.parsleymoor.entry.protocol.WeightOrder
 import org.parsleymoor.relay.exchange.PeerUpdate
 import org.parsleymoor.relay.fleet.EndpointState
+import org.parsleymoor.relay.fleet.isPaused
 import org.parsleymoor.relay.http.HttpStatus
 import org.parsleymoor.relay.placement.TargetWeights
 import org.parsleymoor.relay.rollout.RolloutPlan
@@ -86,12 +87,16 @@
         val untilMillis = clock.nowMillis() + LOAD_TIMEOUT_MILLIS
         var step = LoadStep.UNDER_WAY
         while (step == LoadStep.UNDER_WAY && clock.nowMillis() < untilMillis) {
-            step = if (deployment.endpoints.isLeaving(state.incarnation)) LoadStep.GIVEN_UP else loadStep(state, named)
+            step = if (wantsNothing(state)) LoadStep.GIVEN_UP else loadStep(state, named)
             if (step == LoadStep.UNDER_WAY) delay(POLL_INTERVAL_MILLIS)
         }
         return step == LoadStep.LOADED
     }
 
+    private fun wantsNothing(state: EndpointState): Boolean =
+        deployment.endpoints.isLeaving(state.incarnation) ||
+            deployment.endpoints.isPaused(state.incarnation, clock.nowMillis())
+
     private suspend fun loadStep(state: EndpointState, named: TargetWeights): LoadStep {
         val report = report(state)
         report?.weights?.forEach { (model, version) -> state.learnWeights(model, version) }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/protocol/HeaderNames.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/protocol/HeaderNames.kt
@@ -61,6 +61,8 @@
     public val weights: String,
     /** Present, other than as 0, if the endpoint leaves. */
     public val leaving: String,
+    /** With status 503, the seconds for which the endpoint wants nothing from this instance. */
+    public val pause: String,
 )
 
 /** All header names of a deployment's protocol. */
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/LeavingReader.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/AnnouncementReader.kt
@@ -10,16 +10,18 @@
 import org.parsleymoor.relay.http.HttpStatus
 import org.parsleymoor.relay.http.ResponseHead
 
-/** Reads in the heads of responses which endpoints leave. */
-internal class LeavingReader(
+/** Reads in the heads of responses which endpoints leave and which ask for a pause. */
+internal class AnnouncementReader(
     private val deployment: DeploymentView,
-    private val names: HeaderNames
+    private val names: HeaderNames,
+    private val pauses: PauseRecorder,
 ) : ResponseObserver {
     /** Reads [head], the response to [pending] from the endpoint at [address] that was [endpoint] when it was sent. */
     fun read(pending: PendingRequest, endpoint: EngineIncarnation, address: SocketAddress, head: ResponseHead) {
         // Another endpoint than the expected one refuses the request with this status.
         val misdirected = head.status == HttpStatus.MISDIRECTED.code
         read(listOf(endpoint) + if (misdirected) endpointsAt(address) else emptyList(), pending.id.value, head)
+        if (head.pause(names) == null) pauses.answered(endpoint)
     }
 
     override fun sent(address: SocketAddress, request: ControlRequest): (ResponseHead) -> Unit {
@@ -28,9 +30,13 @@
     }
 
     private fun read(endpoints: List<EngineIncarnation>, request: String, head: ResponseHead) {
-        val value = head.leaving(names) ?: return
-        val source = LeavingSource.Response(request, head.status, value)
-        responders(endpoints, head).forEach { deployment.learnLeaving(it, source) }
+        val leaving = head.leaving(names)?.let { LeavingSource.Response(request, head.status, it) }
+        val pause = head.pause(names)
+        if (leaving == null && pause == null) return
+        responders(endpoints, head).forEach { endpoint ->
+            leaving?.let { deployment.learnLeaving(endpoint, it) }
+            pause?.let { pauses.begin(endpoint, request, it) }
+        }
     }
 
     /** Returns those of [endpoints] that sent [head]: the one that it names, or all if it names none. */
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
@@ -10,6 +10,7 @@
 import org.parsleymoor.entry.protocol.HeaderNames
 import org.parsleymoor.relay.fleet.AttemptOutcome
 import org.parsleymoor.relay.fleet.SocketAddress
+import org.parsleymoor.relay.fleet.isPaused
 import org.parsleymoor.relay.fleet.recordOutcome
 import org.parsleymoor.relay.http.HttpStatus
 import org.parsleymoor.relay.http.MessageFailure
@@ -24,7 +25,11 @@
     val clock = context.clock
     val requestBuilder = EndpointRequestBuilder(names)
     val stateUpdater = EndpointStateUpdater(names, context.clock)
-    val leavingReader = LeavingReader(context.deployment, names)
+    val announcements = AnnouncementReader(
+        context.deployment,
+        names,
+        PauseRecorder(context.deployment, context.log, context.metrics, context.clock),
+    )
     val endpoints = context.deployment.endpoints
 }
 
@@ -52,10 +57,12 @@
             !connection.reusable -> "the connection was closed before the request was sent"
             // It may have announced that after it was chosen.
             context.endpoints.isLeaving(progress.incarnation) -> "the endpoint leaves"
+            context.endpoints.isPaused(progress.incarnation, clock.nowMillis()) -> "the endpoint asked for a pause"
             else -> null
         }
         if (skipReason != null) return AttemptResult.NotRun(skipReason, sent = false)
         connection.send(message(context.requestBuilder.head(pending, target, remaining), pending.request.body))
+        context.endpoints.pauses.requestSent(progress.incarnation, clock.nowMillis())
         progress.sent = true
         pending.sendCount++
         val timeoutMillis = pending.responseTimeoutMillis(target, remaining)
@@ -91,13 +98,14 @@
         val head = response.head
         progress.responding = true
         context.stateUpdater.update(pending, state, head)
-        context.leavingReader.read(pending, progress.incarnation, connection.address, head)
+        context.announcements.read(pending, progress.incarnation, connection.address, head)
         if (!head.keepsAlive) connection.noNewRequests = true
         progress.keepAliveMillis = head.keepAliveMillis
         return when {
             head.isRefusal(names) -> onRefusal(response)
-            head.status in NOT_RUN_STATUSES ->
-                recordFailure("status ${head.status} without the header field that confirms the request was not run")
+            // An endpoint that asks for a pause has not failed.
+            head.pause(names) != null -> AttemptResult.Uncertain(UNCONFIRMED_REFUSAL.format(head.status))
+            head.status in NOT_RUN_STATUSES -> recordFailure(UNCONFIRMED_REFUSAL.format(head.status))
             head.status in SUCCESS && !head.isSealed(names) -> recordFailure("successful response without a seal")
             pending.route.kind == RequestKind.STREAM && head.isEventStream -> relayStream(response)
             pending.streamStarted -> recordFailure("status ${head.status} instead of the rest of the stream")
@@ -141,6 +149,7 @@
 
     private companion object {
         const val REFUSAL_BODY_MILLIS = 200L
+        const val UNCONFIRMED_REFUSAL = "status %d without the header field that confirms the request was not run"
 
         // Callers read these statuses as "not run". An endpoint has to confirm that with a header field.
         val NOT_RUN_STATUSES = setOf(HttpStatus.REQUEST_TIMEOUT, HttpStatus.TOO_MANY_REQUESTS, HttpStatus.UNAVAILABLE)
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/AttemptRunner.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/AttemptRunner.kt
@@ -110,7 +110,7 @@
             val reader = ResponseReader(pending, connection, names)
             withTimeoutOrNull(remaining) {
                 reader.head().map {
-                    attemptContext.leavingReader.read(pending, progress.incarnation, connection.address, it.head)
+                    attemptContext.announcements.read(pending, progress.incarnation, connection.address, it.head)
                     progress.complete = reader.body(it) != null
                 }
             }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Delivery.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Delivery.kt
@@ -38,19 +38,28 @@
         if (last !is AttemptResult.Delivered) giveUp(pending, writer, last, choice)
     }
 
-    /** Chooses an endpoint. While all are full, waits for a share of the route's objective, as one usually frees up. */
+    /**
+     * Chooses an endpoint. While all are full, waits for a share of the route's objective, as one usually frees up; it
+     * waits as long for one whose pause is over by then.
+     */
     private suspend fun chooseOrWait(pending: PendingRequest): Choice {
         val untilMillis =
             pending.request.receivedMillis + (pending.route.objectiveMillis * CAPACITY_WAIT_SHARE).toLong()
         quarantine.check(pending)?.let { return Choice.Quarantined(it.retryAfterMillis) }
         var choice = selector.choose(pending)
-        while ((choice as? Choice.None)?.reason == UnavailableReason.OVERLOADED && clock.nowMillis() < untilMillis) {
+        while (choice is Choice.None && mayFreeUp(choice, untilMillis - clock.nowMillis())) {
             delay(CAPACITY_POLL_MILLIS)
             choice = selector.choose(pending)
         }
         return choice
     }
 
+    private fun mayFreeUp(choice: Choice.None, withinMillis: Long): Boolean = when (choice.reason) {
+        UnavailableReason.OVERLOADED -> withinMillis > 0
+        UnavailableReason.PAUSED -> choice.retryAfterMillis < withinMillis
+        UnavailableReason.NO_ENDPOINT, UnavailableReason.NO_WEIGHTS, UnavailableReason.COLD -> false
+    }
+
     private suspend fun attempt(pending: PendingRequest, target: Target, writer: ResponseWriter): AttemptResult {
         val startMillis = clock.nowMillis()
         val result = attemptRunner.run(pending, target, writer)
@@ -117,7 +126,7 @@
             pending.possibleRuns > 0 -> refusals.write(writer, pending.id, Refusal.OutcomeUnknown(last.outcome))
             choice is Choice.Quarantined ->
                 refusals.write(writer, pending.id, Refusal.PartQuarantined(choice.retryAfterMillis))
-            choice is Choice.None && pending.sendCount == 0 ->
+            choice is Choice.None && (pending.sendCount == 0 || choice.reason == UnavailableReason.PAUSED) ->
                 refusals.write(writer, pending.id, Refusal.NoEndpoint(choice.reason, choice.retryAfterMillis))
             else -> refusals.write(writer, pending.id, Refusal.EndpointsRefused(last.outcome))
         }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/ResponseHeads.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/ResponseHeads.kt
@@ -18,6 +18,10 @@
 internal fun ResponseHead.leaving(names: HeaderNames): String? =
     headers[names.endpoint.leaving]?.takeIf { it.trim() != NOT_LEAVING }
 
+/** The pause that the endpoint asks for as it refuses, as it stands in the response, or null if it asks for none. */
+internal fun ResponseHead.pause(names: HeaderNames): String? =
+    headers[names.endpoint.pause]?.takeIf { status == HttpStatus.UNAVAILABLE.code }
+
 /** Whether this is a successful response whose body is a stream of server-sent events. */
 internal val ResponseHead.isEventStream: Boolean
     get() = status in SUCCESS && headers["Content-Type"].orEmpty().startsWith("text/event-stream")
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/LeavingNewsTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/LeavingNewsTest.kt
@@ -1,30 +1,17 @@
 package org.parsleymoor.entry
 
-import com.github.michaelbull.result.get
-import io.vertx.core.Vertx
-import io.vertx.kotlin.coroutines.dispatcher
-import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.yield
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.ValueSource
-import org.parsleymoor.core.Clock
-import org.parsleymoor.core.EndpointId
 import org.parsleymoor.core.InstanceId
-import org.parsleymoor.core.ZoneId
 import org.parsleymoor.entry.control.applyPeerUpdate
 import org.parsleymoor.entry.control.toMessage
 import org.parsleymoor.entry.control.toUpdates
-import org.parsleymoor.entry.net.ConnectionPool
-import org.parsleymoor.entry.net.ControlClient
-import org.parsleymoor.entry.protocol.ControlRequest
 import org.parsleymoor.entry.serving.DeploymentView
-import org.parsleymoor.entry.serving.LeavingReader
 import org.parsleymoor.relay.cache.EngineIncarnation
 import org.parsleymoor.relay.exchange.ForwardScope
 import org.parsleymoor.relay.exchange.PeerUpdate
-import org.parsleymoor.relay.fleet.EndpointEntry
-import org.parsleymoor.relay.fleet.SocketAddress
 import strikt.api.expectThat
 import strikt.assertions.contains
 import strikt.assertions.containsExactly
@@ -38,7 +25,7 @@
 
 /** What instances learn of leaving endpoints beside their own requests, and tell each other. */
 class LeavingNewsTest {
-    private val leaves = PeerUpdate.Leaving(EngineIncarnation(EndpointId("e0"), startMillis = null))
+    private val leaves = PeerUpdate.Leaving(LISTED_ENDPOINT)
 
     // Otherwise each instance sends the endpoint requests until it has read the announcement itself.
     @ParameterizedTest
@@ -67,7 +54,7 @@
             harness.caller().use { caller ->
                 caller.send(request())
                 harness.onEventLoop { deployment ->
-                    while (deployment.endpoints[EndpointId("e0")]!!.inFlight == 0) yield()
+                    while (deployment.endpoints[LISTED_ENDPOINT.endpoint]!!.inFlight == 0) yield()
                     deployment.receive(leaves)
                 }
                 expectThat(String(caller.getInputStream().readAllBytes())).startsWith("HTTP/1.1 503 ")
@@ -106,7 +93,7 @@
         ],
     )
     fun `the response to a control request says that its endpoint leaves`(response: String) {
-        val deployment = call(response)
+        val deployment = controlExchange(response)
         expectThat(deployment.endpoints.isLeaving(leaves.endpoint)).isTrue()
     }
 
@@ -114,54 +101,27 @@
     @Test
     fun `a response that names another endpoint says nothing of the one that is listed at its address`() {
         val other = "HTTP/1.1 200 OK\r\nEndpoint: e9\r\nLeaving: 1\r\nContent-Length: 2\r\n\r\n{}"
-        expectThat(call(other).endpoints.isLeaving(leaves.endpoint)).isFalse()
+        expectThat(controlExchange(other).endpoints.isLeaving(leaves.endpoint)).isFalse()
     }
 
     @Test
     fun `a response with the value 0 does not say that its endpoint leaves`() {
         val staying = "HTTP/1.1 200 OK\r\nLeaving: 0\r\nContent-Length: 2\r\n\r\n{}"
-        expectThat(call(staying).endpoints.isLeaving(leaves.endpoint)).isFalse()
+        expectThat(controlExchange(staying).endpoints.isLeaving(leaves.endpoint)).isFalse()
     }
 
     // Otherwise an announcement that is still repeated would take the new start out.
     @Test
     fun `an announcement of an earlier start that a peer repeats changes nothing`() {
-        val deployment = deployment(80)
-        deployment.endpoints.put(entry(80).copy(startMillis = 5), 0)
+        val deployment = DeploymentView(InstanceId("self"))
+        deployment.endpoints.put(listedEndpoint(80).copy(startMillis = 5), 0)
         val learned = ArrayList<EngineIncarnation>()
         deployment.onLeaving = { endpoint, _ -> learned += endpoint }
-        repeat(3) { deployment.receive(PeerUpdate.Leaving(EngineIncarnation(EndpointId("e0"), startMillis = 4))) }
+        repeat(3) { deployment.receive(PeerUpdate.Leaving(LISTED_ENDPOINT.copy(startMillis = 4))) }
         expectThat(learned).isEmpty()
         expectThat(deployment.endpoints.serving("s").size).isEqualTo(1)
     }
 
-    private fun call(response: String): DeploymentView = ScriptedEndpoint { socket, _, _ ->
-        socket.send(response)
-        socket.close()
-    }.use { endpoint ->
-        val deployment = deployment(endpoint.port)
-        val vertx = Vertx.vertx()
-        val pool = ConnectionPool(vertx.createNetClient(), Clock.System)
-        val client = ControlClient(pool, LeavingReader(deployment, NAMES))
-        runBlocking(vertx.orCreateContext.dispatcher()) {
-            client.call(SocketAddress("127.0.0.1", endpoint.port), ControlRequest("GET", "/report"), 2_000).get()
-        }
-        vertx.close()
-        deployment
-    }
-
-    private fun deployment(port: Int) =
-        DeploymentView(InstanceId("self")).also { it.endpoints.put(entry(port), 0) }
-
-    private fun entry(port: Int) = EndpointEntry(
-        id = EndpointId("e0"),
-        service = "s",
-        address = SocketAddress("127.0.0.1", port),
-        zone = ZoneId("a"),
-        draining = false,
-        slots = 4,
-    )
-
     private fun endpoint() = ScriptedEndpoint { socket, _, _ ->
         socket.send("HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s1\r\nContent-Length: 2\r\n\r\nok")
     }
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
@@ -203,6 +203,7 @@
         coldMillis = "Cold",
         weights = "Weights",
         leaving = "Leaving",
+        pause = "Retry-After",
     ),
 )
 
