Refuse with the remaining pause before a retry draws on the budget

What callers could see: refused by the only endpoint, which asked for a pause, a caller was told 0.5 s in place of the remaining time when the retry budget was used up; while all endpoints were paused, each refusal used up a retry that was never sent.

Cause: the budget was asked before the choice of the next endpoint.

Ruled out: choosing before asking the budget, which would draw on the allowance of cold endpoints for requests that are not sent.

Change: a retry first asks whether all endpoints that could serve it are paused.

Tests: PausingEndpointTest, `a caller is told the remaining time also when the retry budget is used up`, failed before (line 78: 0.696 s instead of 0.9 to 1.875) and passes now. Added, passing before and after: a request that waits with its connection when a pause begins, the end of the connection to an endpoint that leaves, and 9 and 95 instances at an endpoint that asks for pauses and leaves in turn and then starts again.

--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointPauses.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointPauses.kt
@@ -69,7 +69,7 @@
  * Returns how much longer all of [endpoints] are paused, in milliseconds: until the first of them is not. Returns null
  * if any of them is not paused.
  */
-internal fun EndpointTable.shortestPauseMillis(endpoints: List<EndpointState>, nowMillis: Long): Long? {
+public fun EndpointTable.shortestPauseMillis(endpoints: List<EndpointState>, nowMillis: Long): Long? {
     val remaining = endpoints.map { pauses.remainingMillis(it.incarnation, nowMillis) }
     return if (remaining.any { it == null }) null else remaining.filterNotNull().minOrNull()
 }
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/exchange/LeavingSpreadTest.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/exchange/LeavingSpreadTest.kt
@@ -4,8 +4,10 @@
 import org.junit.jupiter.params.provider.ValueSource
 import org.parsleymoor.core.EndpointId
 import org.parsleymoor.relay.cache.EngineIncarnation
+import org.parsleymoor.relay.fleet.isPaused
 import strikt.api.expectThat
 import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
 import strikt.assertions.isLessThanOrEqualTo
 
 /** Checks that 9 and 95 instances learn that an endpoint leaves, which only one of them has read. */
@@ -25,6 +27,29 @@
         expectThat(fleet.all.filter { sends(it) }).isEmpty()
     }
 
+    // The end of a pause would bring the endpoint back to the instances that were refused, and an announcement of the
+    // former start would keep its next start out.
+    @ParameterizedTest
+    @ValueSource(ints = [9, 95])
+    fun `an endpoint that asks for pauses and leaves in turn gets requests again only after its next start`(
+        instances: Int,
+    ) {
+        val fleet = SimulatedFleet(instances, ENGINES).also { it.run(SETTLE_MILLIS) }
+        val first = leaving.copy(startMillis = 1)
+        val entry = fleet.all.first().table[leaving.endpoint]!!.entry.copy(startMillis = 1)
+        fleet.all.forEach { it.table.put(entry, fleet.nowMillis) }
+        repeat(4) { round ->
+            fleet.all.forEach { it.table.pauses.begin(first, 300, fleet.nowMillis) }
+            if (round % 2 == 1) fleet.all[round].readLeaving(first)
+            fleet.run(SPREAD_MILLIS)
+            expectThat(fleet.all.count { receives(it, fleet.nowMillis) }).isEqualTo(if (round == 0) instances else 0)
+        }
+        fleet.all.forEach { it.table.put(entry.copy(startMillis = 2), fleet.nowMillis) }
+        expectThat(fleet.all.count { receives(it, fleet.nowMillis) }).isEqualTo(instances)
+        fleet.run(3_000)
+        expectThat(fleet.all.count { receives(it, fleet.nowMillis) }).isEqualTo(instances)
+    }
+
     // An instance that starts, or is reached again, has missed the announcement.
     @ParameterizedTest
     @ValueSource(ints = [9, 95])
@@ -53,6 +78,9 @@
     private fun sends(instance: SimulatedFleet.Instance) =
         instance.table.serving("engines").any { it.entry.id == leaving.endpoint }
 
+    private fun receives(instance: SimulatedFleet.Instance, nowMillis: Long) = sends(instance) &&
+        !instance.table.isPaused(instance.table[leaving.endpoint]!!.incarnation, nowMillis)
+
     private fun messages(fleet: SimulatedFleet): Int {
         val before = fleet.messages
         fleet.run(MEASURED_MILLIS)
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Delivery.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Delivery.kt
@@ -32,8 +32,9 @@
         while (retry && choice is Choice.Chosen) {
             last = attempt(pending, choice.target, writer)
             recordOutcome(pending, choice.target, last)
-            retry = mayRetry(pending, last)
-            if (retry) choice = chooseOrWait(pending)
+            val next = if (mayRetry(pending, last)) chooseForRetry(pending, last) else null
+            retry = next != null
+            choice = next ?: choice
         }
         if (last !is AttemptResult.Delivered) giveUp(pending, writer, last, choice)
     }
@@ -54,6 +55,10 @@
         return choice
     }
 
+    /** Chooses an endpoint for a retry; returns null if the retry budget is used up, on which no pause draws. */
+    private suspend fun chooseForRetry(pending: PendingRequest, last: AttemptResult): Choice? =
+        selector.allPaused(pending) ?: if (withinRetryBudget(pending, last)) chooseOrWait(pending) else null
+
     private fun mayFreeUp(choice: Choice.None, withinMillis: Long): Boolean = when (choice.reason) {
         UnavailableReason.OVERLOADED -> withinMillis > 0
         UnavailableReason.PAUSED -> choice.retryAfterMillis < withinMillis
@@ -110,7 +115,7 @@
             is AttemptResult.Failed, is AttemptResult.Uncertain ->
                 pending.route.repeatable && pending.possibleRuns < pending.route.attempts
         }
-        return enoughTime && allowed && withinRetryBudget(pending, result)
+        return enoughTime && allowed
     }
 
     private fun withinRetryBudget(pending: PendingRequest, result: AttemptResult): Boolean =
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/EndpointSelector.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/EndpointSelector.kt
@@ -3,6 +3,7 @@
 import org.parsleymoor.core.Clock
 import org.parsleymoor.entry.EntrySettings
 import org.parsleymoor.relay.fleet.EndpointState
+import org.parsleymoor.relay.fleet.shortestPauseMillis
 import org.parsleymoor.relay.limits.ColdEndpointBudget
 import org.parsleymoor.relay.limits.ColdEndpointLimit
 import org.parsleymoor.relay.placement.EnginePlacement
@@ -57,6 +58,16 @@
         }
     }
 
+    /** Returns that there is no endpoint for [pending] if all that could serve it are paused, otherwise null. */
+    fun allPaused(pending: PendingRequest): Choice.None? {
+        val nowMillis = clock.nowMillis()
+        val endpoints = deployment.endpoints.serving(pending.service.name).filter { state ->
+            pending.allowedRegions.all { topology.isAllowed(state.entry.zone, it) }
+        }
+        return deployment.endpoints.shortestPauseMillis(endpoints, nowMillis)
+            ?.let { Choice.None(UnavailableReason.PAUSED, it) }
+    }
+
     private fun choose(
         request: PlacementQuery,
         prompt: PromptContext?,
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/LeavingEndpointTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/LeavingEndpointTest.kt
@@ -9,6 +9,7 @@
 import strikt.assertions.doesNotContain
 import strikt.assertions.endsWith
 import strikt.assertions.isEqualTo
+import strikt.assertions.isTrue
 import strikt.assertions.startsWith
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
@@ -45,6 +46,16 @@
         }
     }
 
+    // An idle connection would keep a place of the endpoint that other instances need for its last requests.
+    @Test
+    fun `the connection to an endpoint that leaves is closed when its response is complete`() {
+        val leaving = ScriptedEndpoint { socket, _, _ -> socket.send(OK_LEAVING) }
+        RelayHarness(leaving).use { harness ->
+            expectThat(harness.exchange(request())).endsWith("ok")
+            expectThat(leaving.connectionEnded.await(1, TimeUnit.SECONDS)).isTrue()
+        }
+    }
+
     // A stream lasts for seconds; read at its end, the announcement would come too late.
     @Test
     fun `no request reaches an endpoint while its stream whose head said that it leaves goes on`() {
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/PausingEndpointTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/PausingEndpointTest.kt
@@ -1,5 +1,6 @@
 package org.parsleymoor.entry
 
+import kotlinx.coroutines.yield
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.ValueSource
@@ -65,6 +66,36 @@
         expectThat(long.requests.size + short.requests.size).isEqualTo(2)
     }
 
+    // A pause is certain before the retry budget is asked.
+    @Test
+    fun `a caller is told the remaining time also when the retry budget is used up`() {
+        lateinit var harness: RelayHarness
+        val endpoint = ScriptedEndpoint { socket, _, _ ->
+            harness.useUpRetryBudget()
+            socket.send(pause("1"))
+        }
+        harness = RelayHarness(endpoint)
+        expectThat(harness.use { retryAfter(it.exchange(request())) }).isIn(0.9..1.875)
+    }
+
+    // The request was placed, and has its connection, before the pause begins.
+    @Test
+    fun `a request that waits with its connection is not sent to an endpoint whose pause begins meanwhile`() {
+        val endpoint = ScriptedEndpoint { socket, _, _ -> socket.send(OK) }
+        RelayHarness(endpoint).use { harness ->
+            expectThat(harness.exchange(request())).endsWith("ok")
+            harness.caller().use { caller ->
+                caller.send(request())
+                harness.onEventLoop { deployment ->
+                    while (deployment.endpoints[LISTED_ENDPOINT.endpoint]!!.inFlight == 0) yield()
+                    deployment.endpoints.pauses.begin(LISTED_ENDPOINT, 1_000, Clock.System.nowMillis())
+                }
+                expectThat(retryAfter(String(caller.getInputStream().readAllBytes()))).isIn(0.9..1.875)
+            }
+        }
+        expectThat(endpoint.requests).hasSize(1)
+    }
+
     // A refusal would cost the caller more than the wait.
     @Test
     fun `a request waits for the end of a short pause`() {
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
@@ -68,6 +68,7 @@
     private val log = StructuredLog(Clock.System, "test", PrintStream(logged))
     private val deployment = DeploymentView(InstanceId("test"))
     val metrics = EntryMetrics()
+    private val budget = SharedRetryBudget(RetryLimit(share = 1.0, extra = 100.0, windowMillis = 10_000))
     val lag = EventLoopLag(Clock.System)
     val port: Int = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
 
@@ -80,7 +81,6 @@
         val context = ServingContext(deployment, log, metrics, Clock.System, lag)
         val refusals = RefusalWriter(TestProtocol, log, context.metrics)
         val pool = ConnectionPool(vertx.createNetClient(), Clock.System)
-        val budget = SharedRetryBudget(RetryLimit(share = 1.0, extra = 100.0, windowMillis = 10_000))
         val quarantine = QuarantineGate(context)
         val delivery = Delivery(
             context,
@@ -114,6 +114,11 @@
     /** Runs [action] on the event loop, to which the state is confined. */
     fun <T> onEventLoop(action: suspend (DeploymentView) -> T): T = runBlocking(dispatcher) { action(deployment) }
 
+    /** Takes all that is left of the retry budget. */
+    fun useUpRetryBudget() {
+        onEventLoop { while (budget.tryTakeRetry("s", it.instances, Clock.System.nowMillis())) Unit }
+    }
+
     /** Returns the log lines of [event]. */
     fun logged(event: String): List<String> {
         log.flush(LOG_FLUSH_MILLIS)
