--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
@@ -49,12 +49,15 @@
 import org.parsleymoor.entry.net.ControlClient
 import org.parsleymoor.entry.protocol.ObjectKind
 import org.parsleymoor.entry.protocol.ServingProtocol
+import org.parsleymoor.entry.serving.AnnouncementReader
 import org.parsleymoor.entry.serving.AttemptRunner
 import org.parsleymoor.entry.serving.Delivery
 import org.parsleymoor.entry.serving.DeploymentView
 import org.parsleymoor.entry.serving.EndpointSelector
 import org.parsleymoor.entry.serving.EventLoopLag
 import org.parsleymoor.entry.serving.GracefulShutdown
+import org.parsleymoor.entry.serving.LeavingLog
+import org.parsleymoor.entry.serving.PauseRecorder
 import org.parsleymoor.entry.serving.QuarantineGate
 import org.parsleymoor.entry.serving.RefusalWriter
 import org.parsleymoor.entry.serving.RelayHandler
@@ -63,6 +66,7 @@
 import org.parsleymoor.entry.serving.ShutdownState
 import org.parsleymoor.relay.exchange.Member
 import org.parsleymoor.relay.fleet.SocketAddress
+import org.parsleymoor.relay.fleet.expireLeaving
 import org.parsleymoor.relay.http.HttpStatus
 import org.parsleymoor.relay.http.MessageFailure
 import org.parsleymoor.relay.limits.SharedRetryBudget
@@ -93,7 +97,10 @@
         NetClientOptions().setTcpNoDelay(true).setConnectTimeout(CONNECT_MILLIS),
     )
     private val pool = ConnectionPool(client, clock)
-    private val controlClient = ControlClient(ConnectionPool(client, clock))
+    private val controlPool = ConnectionPool(client, clock)
+    private val pauses = PauseRecorder(deployment, log, metrics, clock)
+    private val controlClient = ControlClient(controlPool, AnnouncementReader(deployment, protocol.headers, pauses))
+    private val leavingLog = LeavingLog(log, metrics).also { deployment.onLeaving = it::learned }
     private val era = StoreEra(log, metrics.storeRestores)
     private val store = ObjectStore(
         protocol = protocol.objects,
@@ -233,6 +240,11 @@
             pool.expire()
             deployment.quarantine.expire(clock.nowMillis())
             deployment.routes?.let { shutdown.durations.retain(it.configuration.routes) }
+            pauses.expire()
+            deployment.endpoints.expireLeaving(clock.nowMillis()).forEach(leavingLog::ended)
+            listOf(pool, controlPool).forEach { connections ->
+                deployment.endpoints.leavingListed.forEach { connections.discardIdle(it.entry.address) }
+            }
             deployment.endpoints.expire(clock.nowMillis()).forEach { gone ->
                 log.write("endpoint.expired") { put("endpoint", gone.value) }
             }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryMetrics.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryMetrics.kt
@@ -52,6 +52,7 @@
     public val attempts: Counter = Counter()
     public val partsQuarantined: Counter = Counter()
     public val storeRestores: Counter = Counter()
+    public val endpointPauses: Counter = Counter()
     public val latency: LatencyHistogram = LatencyHistogram()
     private val refusals = sortedMapOf<Int, Counter>()
 
@@ -81,6 +82,13 @@
         synchronized(loopFailures) { loopFailures.getOrPut(name) { Counter() } }.increment()
     }
 
+    private val leaving = listOf(true, false).associateWith { Counter() }
+
+    /** Counts an endpoint that this daemon learned is leaving, [fromPeer] or from a response. */
+    public fun recordLeaving(fromPeer: Boolean) {
+        leaving.getValue(fromPeer).increment()
+    }
+
     /** Returns all metrics in the Prometheus text format. */
     public fun prometheusText(): String {
         val refused = synchronized(refusals) {
@@ -91,6 +99,7 @@
             "parsleymoor_attempts_total ${attempts.count}",
             "parsleymoor_prompt_parts_quarantined_total ${partsQuarantined.count}",
             "parsleymoor_store_restores_total ${storeRestores.count}",
+            "parsleymoor_endpoint_pauses_total ${endpointPauses.count}",
         )
         val cutOff = cutOffs.map { (stage, counter) ->
             "parsleymoor_responses_cut_off_total{stage=\"${stage.name.lowercase()}\"} ${counter.count}"
@@ -101,8 +110,11 @@
         val failed = synchronized(loopFailures) {
             loopFailures.map { (name, counter) -> "parsleymoor_loop_failures_total{loop=\"$name\"} ${counter.count}" }
         }
+        val left = leaving.map { (fromPeer, counter) ->
+            "parsleymoor_endpoints_leaving_total{source=\"${if (fromPeer) "peer" else "response"}\"} ${counter.count}"
+        }
         val durations = latency.prometheusText("parsleymoor_request_duration_milliseconds")
-        return (lines + refused + cutOff + closed + failed + durations)
+        return (lines + refused + cutOff + closed + failed + left + durations)
             .joinToString("\n") + "\n"
     }
 }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/AttemptRunner.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/AttemptRunner.kt
@@ -121,7 +121,10 @@
             val remaining = pending.deadlineMillis - clock.nowMillis()
             val reader = ResponseReader(pending, connection, names)
             withTimeoutOrNull(remaining) {
-                reader.head().map { progress.complete = reader.body(it) != null }
+                reader.head().map {
+                    attemptContext.announcements.read(pending, progress.incarnation, connection.address, it.head)
+                    progress.complete = reader.body(it) != null
+                }
             }
             releaseOrClose(connection, progress)
         }
@@ -129,7 +132,10 @@
     }
 
     private fun releaseOrClose(connection: EndpointConnection, progress: AttemptProgress) {
-        if (progress.complete || !progress.sent) {
+        if (deployment.endpoints.isLeaving(progress.incarnation)) {
+            connection.close()
+            pool.discardIdle(connection.address)
+        } else if (progress.complete || !progress.sent) {
             pool.release(connection, progress.keepAliveMillis)
         } else {
             connection.close()
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Delivery.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Delivery.kt
@@ -33,8 +33,9 @@
         while (retry && choice is Choice.Chosen) {
             last = attempt(pending, choice.target, writer)
             recordOutcome(pending, choice.target, last)
-            retry = mayRetry(pending, last)
-            if (retry) choice = chooseOrWait(pending)
+            val next = if (mayRetry(pending, last)) chooseForRetry(pending, last) else null
+            retry = next != null
+            choice = next ?: choice
         }
         if (last is AttemptResult.Delivered) {
             shutdown.recordAnswer(pending)
@@ -43,19 +44,32 @@
         }
     }
 
-    /** Chooses an endpoint. While all are full, waits for a share of the route's objective, as one usually frees up. */
+    /**
+     * Chooses an endpoint. While all are full, waits for a share of the route's objective, as one usually frees up; it
+     * waits as long for one whose pause is over by then.
+     */
     private suspend fun chooseOrWait(pending: PendingRequest): Choice {
         val untilMillis =
             pending.request.receivedMillis + (pending.route.objectiveMillis * CAPACITY_WAIT_SHARE).toLong()
         quarantine.check(pending)?.let { return Choice.Quarantined(it.retryAfterMillis) }
         var choice = choose(pending)
-        while ((choice as? Choice.None)?.reason == UnavailableReason.OVERLOADED && clock.nowMillis() < untilMillis) {
+        while (choice is Choice.None && mayFreeUp(choice, untilMillis - clock.nowMillis())) {
             delay(CAPACITY_POLL_MILLIS)
             choice = choose(pending)
         }
         return choice
     }
 
+    /** Chooses an endpoint for a retry; returns null if the retry budget is used up, on which no pause draws. */
+    private suspend fun chooseForRetry(pending: PendingRequest, last: AttemptResult): Choice? =
+        selector.allPaused(pending) ?: if (withinRetryBudget(pending, last)) chooseOrWait(pending) else null
+
+    private fun mayFreeUp(choice: Choice.None, withinMillis: Long): Boolean = when (choice.reason) {
+        UnavailableReason.OVERLOADED -> withinMillis > 0
+        UnavailableReason.PAUSED -> choice.retryAfterMillis < withinMillis
+        UnavailableReason.NO_ENDPOINT, UnavailableReason.NO_WEIGHTS, UnavailableReason.COLD -> false
+    }
+
     private fun choose(pending: PendingRequest): Choice {
         if (!shutdown.covers(pending)) return Choice.Stopping
         val choice = selector.choose(pending)
@@ -122,7 +136,7 @@
             is AttemptResult.Failed, is AttemptResult.Uncertain ->
                 pending.route.repeatable && pending.possibleRuns < pending.route.attempts
         }
-        return hasTimeLeft(pending) && allowed && withinRetryBudget(pending, result)
+        return hasTimeLeft(pending) && allowed
     }
 
     private fun hasTimeLeft(pending: PendingRequest): Boolean {
@@ -153,7 +167,7 @@
             choice is Choice.Quarantined ->
                 refusals.write(writer, pending.id, Refusal.PartQuarantined(choice.retryAfterMillis))
             choice is Choice.Stopping -> refusals.write(writer, pending.id, Refusal.Stopping)
-            choice is Choice.None && pending.sendCount == 0 ->
+            choice is Choice.None && (pending.sendCount == 0 || choice.reason == UnavailableReason.PAUSED) ->
                 refusals.write(writer, pending.id, Refusal.NoEndpoint(choice.reason, choice.retryAfterMillis))
             else -> refusals.write(writer, pending.id, Refusal.EndpointsRefused(last.outcome))
         }
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
@@ -34,6 +34,7 @@
 import org.parsleymoor.entry.serving.EndpointSelector
 import org.parsleymoor.entry.serving.EventLoopLag
 import org.parsleymoor.entry.serving.GracefulShutdown
+import org.parsleymoor.entry.serving.LeavingLog
 import org.parsleymoor.entry.serving.QuarantineGate
 import org.parsleymoor.entry.serving.RefusalWriter
 import org.parsleymoor.entry.serving.RelayHandler
@@ -52,7 +53,7 @@
 import org.parsleymoor.relay.routing.RouteTarget
 import org.parsleymoor.relay.routing.Service
 import org.parsleymoor.relay.routing.ServingConfiguration
-import java.io.OutputStream
+import java.io.ByteArrayOutputStream
 import java.io.PrintStream
 import java.net.InetAddress
 import java.net.ServerSocket
@@ -71,10 +72,12 @@
     private val vertx = Vertx.vertx()
     private val dispatcher = vertx.orCreateContext.dispatcher()
     private val scope = CoroutineScope(SupervisorJob() + dispatcher)
-    private val log = StructuredLog(Clock.System, "test", PrintStream(OutputStream.nullOutputStream()))
+    private val logged = ByteArrayOutputStream()
+    private val log = StructuredLog(Clock.System, "test", PrintStream(logged))
     private val deployment = DeploymentView(InstanceId("test"))
     private val shutdown = ShutdownGate(ShutdownState(GRACE_MILLIS, Clock.System), Clock.System)
-    private val budget = SharedRetryBudget(RetryLimit(share = 0.0, extra = 100.0, windowMillis = 10_000))
+    val metrics = EntryMetrics()
+    private val budget = SharedRetryBudget(RetryLimit(share = 1.0, extra = 100.0, windowMillis = 10_000))
     private val server: CallerServer
     val lag = EventLoopLag(Clock.System)
 
@@ -91,7 +94,8 @@
         deployment.endpointsKnown = true
         deployment.members = setOf(deployment.self)
         endpoints.forEachIndexed { index, endpoint -> deployment.endpoints.put(entry("e$index", endpoint.port), 0) }
-        val context = ServingContext(deployment, log, EntryMetrics(), Clock.System, shutdown, lag)
+        deployment.onLeaving = LeavingLog(log, metrics)::learned
+        val context = ServingContext(deployment, log, metrics, Clock.System, shutdown, lag)
         val refusals = RefusalWriter(TestProtocol, log, context.metrics)
         val pool = ConnectionPool(vertx.createNetClient(), Clock.System)
         val quarantine = QuarantineGate(context)
@@ -136,13 +140,6 @@
         runBlocking(dispatcher) { deployment.endpoints.put(entry("unconnectable", port = 70_000), 0) }
     }
 
-    /** Uses up the retry budget. */
-    fun useUpRetries() {
-        runBlocking(dispatcher) {
-            while (budget.tryTakeRetry("s", 1, Clock.System.nowMillis())) continue
-        }
-    }
-
     /** Allows [limit] connections to each endpoint. */
     fun limitConnections(limit: Int) {
         runBlocking(dispatcher) {
@@ -157,6 +154,20 @@
         scope.launch { Thread.sleep(millis) }
     }
 
+    /** Runs [action] on the event loop, to which the state is confined. */
+    fun <T> onEventLoop(action: suspend (DeploymentView) -> T): T = runBlocking(dispatcher) { action(deployment) }
+
+    /** Takes all that is left of the retry budget. */
+    fun useUpRetryBudget() {
+        onEventLoop { while (budget.tryTakeRetry("s", it.instances, Clock.System.nowMillis())) Unit }
+    }
+
+    /** Returns the log lines of [event]. */
+    fun logged(event: String): List<String> {
+        log.flush(LOG_FLUSH_MILLIS)
+        return logged.toString().lines().filter { it.contains("\"event\":\"$event\"") }
+    }
+
     override fun close() {
         vertx.close()
     }
@@ -218,6 +229,7 @@
     companion object {
         /** Grace period of a stop. */
         const val GRACE_MILLIS = 5_000L
+        private const val LOG_FLUSH_MILLIS = 1_000L
     }
 }
 
@@ -245,6 +257,8 @@
         endpoint = "Endpoint",
         coldMillis = "Cold",
         weights = "Weights",
+        leaving = "Leaving",
+        pause = "Retry-After",
     ),
 )
 
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/SilentEndpointTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/SilentEndpointTest.kt
@@ -39,7 +39,7 @@
             resumable = true,
             timeoutMillis = 6_000,
         )
-        harness.useUpRetries()
+        harness.useUpRetryBudget()
         harness.use { expectThat(it.exchange(request())).contains("data: b").endsWith("0\r\n\r\n") }
         expectThat(endpoints.sumOf { it.requests.size }).isEqualTo(1)
     }
