Do not let a restored list of endpoints undo what is known of them

When the store comes back from a copy, its list says that endpoints which are leaving are ready, and lists again some that had been removed while they serve out their last requests; each instance then sent them new requests. Endpoints that had registered since were missing from the list, and dropped at once when the outage itself had gone unnoticed.

RestoredEndpoints, in the endpoint table, keeps what is known of each start of an endpoint. One that was draining goes on draining; one that had been removed is withheld until its entry changes in the new era, or is still listed after four heartbeats, one more than after which the store removes the entries of silent endpoints. Another start of the endpoint ends both. Missing endpoints are kept for the existing grace period from the restored list on. The heartbeat period is a setting. The cold time in an entry of the copy is not counted again.

--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointTable.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointTable.kt
@@ -16,6 +16,9 @@
     /** Availability zones that receive no new requests. */
     public var evacuated: Set<ZoneId> = emptySet()
 
+    /** What is kept when the list comes back from an older copy. */
+    public val restored: RestoredEndpoints = RestoredEndpoints()
+
     /** All endpoints, including those that are missing from the list and may register again. */
     public val all: Collection<EndpointState> get() = states.values
 
@@ -35,6 +38,12 @@
         return outageEnded
     }
 
+    /** Records that the list comes back from an older copy, which may lack endpoints until they register again. */
+    public fun restore(nowMillis: Long) {
+        graceUntilMillis = nowMillis + graceMillis
+        restored.restore(states.values.map { it.entry })
+    }
+
     /** Adds or updates an entry. */
     public fun put(entry: EndpointEntry, nowMillis: Long) {
         val state = states[entry.id]
@@ -45,7 +54,12 @@
     public fun remove(id: EndpointId, nowMillis: Long): Boolean {
         val state = states[id] ?: return false
         val mayRegisterAgain = (listUnavailable || nowMillis < graceUntilMillis) && !state.entry.draining
-        if (mayRegisterAgain) state.missingSinceMillis = state.missingSinceMillis ?: nowMillis else states -= id
+        if (mayRegisterAgain) {
+            state.missingSinceMillis = state.missingSinceMillis ?: nowMillis
+        } else {
+            states -= id
+            restored.recordRemoval(state.entry, nowMillis)
+        }
         return !mayRegisterAgain
     }
 
@@ -59,9 +73,12 @@
     /** Removes and returns the endpoints that did not register again within the grace period. */
     public fun expire(nowMillis: Long): List<EndpointId> {
         if (listUnavailable || nowMillis < graceUntilMillis) return emptyList()
-        val expired = states.values.filter { it.missingSinceMillis != null }.map { it.entry.id }
-        states -= expired.toSet()
-        return expired
+        val expired = states.values.filter { it.missingSinceMillis != null }.map { it.entry }
+        expired.forEach {
+            states -= it.id
+            restored.recordRemoval(it, nowMillis)
+        }
+        return expired.map { it.id }
     }
 
     /** Returns the endpoints of [service] that may receive new requests. */
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
@@ -190,7 +190,13 @@
 
     private fun listeners(): Map<ObjectKind, ObjectListener> = mapOf(
         ObjectKind.CONFIGURATION to ConfigurationListener(deployment, protocol.content, log),
-        ObjectKind.ENDPOINTS to EndpointListener(deployment, protocol.content, log, clock),
+        ObjectKind.ENDPOINTS to EndpointListener(
+            deployment,
+            protocol.content,
+            log,
+            clock,
+            heartbeatMillis = settings.times.heartbeatMillis,
+        ),
         ObjectKind.WEIGHTS to WeightsListener(deployment, protocol.content, log, clock),
         ObjectKind.EVACUATIONS to EvacuationListener(deployment, protocol.content, log),
     )
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntrySettings.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntrySettings.kt
@@ -26,13 +26,14 @@
 /**
  * Times set by the operators. Orders of two holders of the order lease are at least [leaseMillis] apart; a request must
  * not start on older weights later than [weightsMillis] after newer ones were set; an accepted configuration takes
- * effect within [applyMillis].
+ * effect within [applyMillis]. Endpoints renew their entries every [heartbeatMillis].
  */
 public data class EntryTimes(
     public val graceMillis: Long,
     public val leaseMillis: Long,
     public val weightsMillis: Long,
     public val applyMillis: Long,
+    public val heartbeatMillis: Long = DEFAULT_HEARTBEAT_MILLIS,
 )
 
 /** Allowed load of a cold endpoint beyond its stated rate: [overage] times the rate, plus [slack] requests. */
@@ -93,6 +94,8 @@
     leaseMillis = section?.number("leaseMillis")?.toLong() ?: 0,
     weightsMillis = section?.number("weightsMillis")?.toLong() ?: 0,
     applyMillis = section?.number("applyMillis")?.toLong() ?: 0,
+    heartbeatMillis = section?.number("heartbeatMillis", default = DEFAULT_HEARTBEAT_MILLIS.toDouble())?.toLong()
+        ?: DEFAULT_HEARTBEAT_MILLIS,
 )
 
 private fun retries(section: TomlSection?): RetryLimit = RetryLimit(
@@ -123,4 +126,5 @@
 
 // Stands in for an address that is missing or invalid, which is recorded as a mistake.
 private val PLACEHOLDER_ADDRESS = SocketAddress("0.0.0.0", 1)
+private const val DEFAULT_HEARTBEAT_MILLIS = 1_200L
 private const val MILLIS_PER_SECOND = 1_000
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Listeners.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Listeners.kt
@@ -13,6 +13,7 @@
 import org.parsleymoor.entry.protocol.StorePosition
 import org.parsleymoor.entry.protocol.StoredObject
 import org.parsleymoor.entry.serving.DeploymentView
+import org.parsleymoor.relay.fleet.EndpointEntry
 import org.parsleymoor.relay.fleet.SocketAddress
 import org.parsleymoor.relay.placement.TargetWeights
 import org.parsleymoor.relay.routing.RouteTable
@@ -58,12 +59,19 @@
     private val decoder: ContentDecoder,
     private val log: StructuredLog,
     private val clock: Clock,
+    private val heartbeatMillis: Long,
 ) : ObjectListener {
+    private val restored = deployment.endpoints.restored
     private val positions = HashMap<String, StorePosition>()
     private var era: Long? = null
+    private var listIsFromCopy = false
 
     override fun onKnownCurrent() {
         deployment.endpoints.markListAvailable(clock.nowMillis())
+        restored.release(clock.nowMillis()).forEach { entry ->
+            deployment.endpoints.put(entry, clock.nowMillis())
+            log.write("endpoint.released") { put("endpoint", entry.id.value) }
+        }
     }
 
     override fun onStoreUnreachable() {
@@ -71,13 +79,17 @@
     }
 
     override fun onEra(era: Long) {
+        listIsFromCopy = this.era != null
         this.era = era
+        if (listIsFromCopy) deployment.endpoints.restore(clock.nowMillis())
     }
 
     override fun onList(objects: List<StoredObject>) {
         val listed = objects.map { it.name }.toSet()
         (deployment.endpoints.all.map { it.entry.id.value } - listed).forEach(::remove)
+        restored.retain(listed.map { EndpointId(it) }.toSet())
         objects.forEach(::put)
+        listIsFromCopy = false
         deployment.endpointsKnown = true
     }
 
@@ -93,18 +105,7 @@
         if (known != null && position <= known) return
         positions[value.name] = position
         decoder.endpoint(value.name, value.content).onSuccess { entry ->
-            val before = deployment.endpoints[entry.id]?.entry
-            deployment.endpoints.put(entry, clock.nowMillis())
-            if (before?.draining != entry.draining || before.address != entry.address) {
-                log.write("endpoint.changed") {
-                    put("endpoint", value.name)
-                    put("service", entry.service)
-                    put("address", entry.address.toString())
-                    put("draining", entry.draining)
-                    put("coldMillis", entry.coldMillis)
-                    put("revision", value.revision)
-                }
-            }
+            put(entry, value.revision)
         }.onFailure { failure ->
             remove(value.name)
             log.write("endpoint.unreadable") {
@@ -115,9 +116,37 @@
         }
     }
 
+    private fun put(listed: EndpointEntry, revision: Long) {
+        val nowMillis = clock.nowMillis()
+        val before = deployment.endpoints[listed.id]?.entry
+        val entry = restored.admit(listed, listIsFromCopy, nowMillis + WITHHELD_HEARTBEATS * heartbeatMillis)
+        when {
+            entry == null -> log.write("endpoint.withheld") { put("endpoint", listed.id.value) }
+            // The time for which the endpoint was still cold when the copy was made is known already.
+            listIsFromCopy && before?.startMillis == entry.startMillis ->
+                deployment.endpoints.put(entry.copy(coldMillis = 0), nowMillis)
+            else -> deployment.endpoints.put(entry, nowMillis)
+        }
+        if (entry != null && (before?.draining != entry.draining || before.address != entry.address)) {
+            logChange(entry, revision)
+        }
+    }
+
+    private fun logChange(entry: EndpointEntry, revision: Long) {
+        log.write("endpoint.changed") {
+            put("endpoint", entry.id.value)
+            put("service", entry.service)
+            put("address", entry.address.toString())
+            put("draining", entry.draining)
+            put("coldMillis", entry.coldMillis)
+            put("revision", revision)
+        }
+    }
+
     private fun positionOf(value: StoredObject) = StorePosition(era ?: 0, value.revision)
 
     private fun remove(name: String) {
+        restored.remove(EndpointId(name))
         if (deployment.endpoints[EndpointId(name)] == null) return
         val gone = deployment.endpoints.remove(EndpointId(name), clock.nowMillis())
         log.write("endpoint.removed") {
@@ -125,6 +154,11 @@
             put("gone", gone)
         }
     }
+
+    private companion object {
+        // The store removes entries after three heartbeats of silence; one more for the time until this is known.
+        const val WITHHELD_HEARTBEATS = 4
+    }
 }
 
 /** Tracks the weights version that operators set for each model; a version that is not higher is ignored. */
