Keep evacuations that a restored store lacks for a bounded time

When the store came back from a copy without a recent evacuation, each instance sent requests to the zone again until the operator had written the evacuation once more.

EvacuationListener keeps such a zone evacuated for the time after which the store counts as stable plus the longest delay of operators' changes by a disruption; both are settings. A removal of the evacuation ends it at once, and a list of the same era without it as before.

--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
@@ -198,7 +198,13 @@
             heartbeatMillis = settings.times.heartbeatMillis,
         ),
         ObjectKind.WEIGHTS to WeightsListener(deployment, protocol.content, log, clock),
-        ObjectKind.EVACUATIONS to EvacuationListener(deployment, protocol.content, log),
+        ObjectKind.EVACUATIONS to EvacuationListener(
+            deployment,
+            protocol.content,
+            log,
+            clock,
+            keepMillis = settings.times.rewriteMillis,
+        ),
     )
 
     private suspend fun startProbeServer(
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntrySettings.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntrySettings.kt
@@ -26,7 +26,8 @@
 /**
  * Times set by the operators. Orders of two holders of the order lease are at least [leaseMillis] apart; a request must
  * not start on older weights later than [weightsMillis] after newer ones were set; an accepted configuration takes
- * effect within [applyMillis]. Endpoints renew their entries every [heartbeatMillis].
+ * effect within [applyMillis]. Endpoints renew their entries every [heartbeatMillis]. The object
+ * store counts as stable [stableMillis] after a disruption, which delays operators' changes by [skewMillis] at most.
  */
 public data class EntryTimes(
     public val graceMillis: Long,
@@ -34,7 +35,12 @@
     public val weightsMillis: Long,
     public val applyMillis: Long,
     public val heartbeatMillis: Long = DEFAULT_HEARTBEAT_MILLIS,
-)
+    public val stableMillis: Long = DEFAULT_STABLE_MILLIS,
+    public val skewMillis: Long = DEFAULT_SKEW_MILLIS,
+) {
+    /** Time that operators have to write again what the object store lost. */
+    public val rewriteMillis: Long get() = stableMillis + skewMillis
+}
 
 /** Allowed load of a cold endpoint beyond its stated rate: [overage] times the rate, plus [slack] requests. */
 public data class ColdAllowance(public val overage: Double, public val slack: Double)
@@ -96,6 +102,10 @@
     applyMillis = section?.number("applyMillis")?.toLong() ?: 0,
     heartbeatMillis = section?.number("heartbeatMillis", default = DEFAULT_HEARTBEAT_MILLIS.toDouble())?.toLong()
         ?: DEFAULT_HEARTBEAT_MILLIS,
+    stableMillis = section?.number("stableMillis", default = DEFAULT_STABLE_MILLIS.toDouble())?.toLong()
+        ?: DEFAULT_STABLE_MILLIS,
+    skewMillis = section?.number("skewMillis", default = DEFAULT_SKEW_MILLIS.toDouble())?.toLong()
+        ?: DEFAULT_SKEW_MILLIS,
 )
 
 private fun retries(section: TomlSection?): RetryLimit = RetryLimit(
@@ -127,4 +137,6 @@
 // Stands in for an address that is missing or invalid, which is recorded as a mistake.
 private val PLACEHOLDER_ADDRESS = SocketAddress("0.0.0.0", 1)
 private const val DEFAULT_HEARTBEAT_MILLIS = 1_200L
+private const val DEFAULT_STABLE_MILLIS = 4_000L
+private const val DEFAULT_SKEW_MILLIS = 6_000L
 private const val MILLIS_PER_SECOND = 1_000
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Listeners.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Listeners.kt
@@ -215,24 +215,54 @@
     }
 }
 
-/** Tracks the availability zones that are evacuated. */
+/**
+ * Tracks the availability zones that are evacuated. When the object store comes back from an older copy that lacks an
+ * evacuation, it stays in force for [keepMillis], in which operators write it again.
+ */
 internal class EvacuationListener(
     private val deployment: DeploymentView,
     private val decoder: ContentDecoder,
     private val log: StructuredLog,
+    private val clock: Clock,
+    private val keepMillis: Long,
 ) : ObjectListener {
+    private var listed: Set<ZoneId> = emptySet()
+    private var keptUntilMillis: Map<ZoneId, Long> = emptyMap()
+    private var era: Long? = null
+
+    override fun onKnownCurrent() {
+        update()
+    }
+
+    override fun onEra(era: Long) {
+        if (this.era != null) {
+            val untilMillis = clock.nowMillis() + keepMillis
+            keptUntilMillis = deployment.endpoints.evacuated.associateWith { untilMillis }
+        }
+        this.era = era
+    }
+
     override fun onList(objects: List<StoredObject>) {
-        set(objects.map { decoder.evacuatedZone(it.name) }.toSet())
+        listed = objects.map { decoder.evacuatedZone(it.name) }.toSet()
+        keptUntilMillis -= listed
+        update()
     }
 
     override fun onChange(change: ObjectChange) {
         val zone = decoder.evacuatedZone(change.value.name)
-        set(if (change.removed) deployment.endpoints.evacuated - zone else deployment.endpoints.evacuated + zone)
+        listed = if (change.removed) listed - zone else listed + zone
+        keptUntilMillis -= zone
+        update()
     }
 
-    private fun set(zones: Set<ZoneId>) {
+    private fun update() {
+        keptUntilMillis = keptUntilMillis.filterValues { clock.nowMillis() < it }
+        val zones = listed + keptUntilMillis.keys
         if (zones == deployment.endpoints.evacuated) return
         deployment.endpoints.evacuated = zones
-        log.write("evacuation.changed", always = true) { put("zones", zones.joinToString(",") { it.value }) }
+        log.write("evacuation.changed", always = true) {
+            put("zones", zones.joinToString(",") { it.value })
+            put("kept", keptUntilMillis.keys.joinToString(",") { it.value })
+        }
     }
 }
