--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
@@ -7,7 +7,6 @@
 import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.json.put
@@ -213,9 +212,21 @@
 
     private fun listeners(): Map<ObjectKind, ObjectListener> = mapOf(
         ObjectKind.CONFIGURATION to ConfigurationListener(deployment, protocol.content, log),
-        ObjectKind.ENDPOINTS to EndpointListener(deployment, protocol.content, log, clock),
+        ObjectKind.ENDPOINTS to EndpointListener(
+            deployment,
+            protocol.content,
+            log,
+            clock,
+            heartbeatMillis = settings.times.heartbeatMillis,
+        ),
         ObjectKind.WEIGHTS to WeightsListener(deployment, protocol.content, log, clock),
-        ObjectKind.EVACUATIONS to EvacuationListener(deployment, protocol.content, log),
+        ObjectKind.EVACUATIONS to EvacuationListener(
+            deployment,
+            protocol.content,
+            log,
+            clock,
+            keepMillis = settings.times.rewriteMillis,
+        ),
     )
 
     private suspend fun startProbeServer(
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectStore.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectStore.kt
@@ -112,11 +112,11 @@
 
     /** Reads an object. */
     suspend fun read(kind: ObjectKind, name: String): Result<StoredVersion, StoreFailure> =
-        call(protocol.read(kind, name), TIMEOUT_MILLIS).andThen(::stored)
+        call(protocol.read(kind, name), TIMEOUT_MILLIS).andThen(protocol::version)
 
     /** Creates an object; fails with [StoreFailure.Conflict] when it exists. */
     suspend fun create(kind: ObjectKind, name: String, content: String): Result<StoredVersion, StoreFailure> =
-        call(protocol.create(kind, name, content), TIMEOUT_MILLIS).andThen(::stored)
+        call(protocol.create(kind, name, content), TIMEOUT_MILLIS).andThen(protocol::version)
 
     /** Replaces an object if its revision is [revision], or unconditionally when that is null. */
     suspend fun replace(
@@ -125,7 +125,7 @@
         content: String,
         revision: Long?,
     ): Result<StoredVersion, StoreFailure> =
-        call(protocol.replace(kind, name, content, revision), TIMEOUT_MILLIS).andThen(::stored)
+        call(protocol.replace(kind, name, content, revision), TIMEOUT_MILLIS).andThen(protocol::version)
 
     /** Removes an object. */
     suspend fun remove(kind: ObjectKind, name: String): Result<Unit, StoreFailure> =
@@ -157,14 +157,6 @@
             .andThen { if (it.page.after == null || it.page.after != after) Ok(it) else Err(repeatedPage(after)) }
             .onSuccess { onUnreadable(kind, it.page.unreadable) }
 
-    private fun repeatedPage(cursor: String) =
-        StoreFailure.Unreadable(DecodeFailure("a page after \"$cursor\"", "one that ends there again"))
-
-    private fun stored(response: StoreResponse): Result<StoredVersion, StoreFailure> =
-        protocol.stored(response.body)
-            .map { StoredVersion(it.content, StorePosition(response.era, it.revision)) }
-            .mapError { StoreFailure.Unreadable(it) }
-
     private suspend fun call(call: ControlRequest, timeoutMillis: Long): Result<StoreResponse, StoreFailure> =
         send(call, timeoutMillis).mapError { failure ->
             when (failure) {
@@ -185,15 +177,13 @@
             status in SUCCESS -> Ok(response)
             status == HttpStatus.NOT_FOUND.code -> Err(StoreFailure.Absent)
             status == HttpStatus.GONE.code -> Err(StoreFailure.HistoryGone)
-            status == HttpStatus.CONFLICT.code -> Err(StoreFailure.Conflict(stored(response).getOrElse { null }))
+            status == HttpStatus.CONFLICT.code -> Err(
+                StoreFailure.Conflict(protocol.version(response).getOrElse { null })
+            )
             else -> Err(StoreFailure.Refused("the object store responded with status $status"))
         }
     }
 
-    private class StoreResponse(val body: String, val era: Long)
-
-    private data class PageOfEra(val page: ObjectPage, val era: Long)
-
     private companion object {
         // The store responds in 4 ms, and in up to 300 ms when it is slow.
         const val TIMEOUT_MILLIS = 1_000L
@@ -203,3 +193,15 @@
         val SUCCESS = 200..299
     }
 }
+
+private class StoreResponse(val body: String, val era: Long)
+
+private data class PageOfEra(val page: ObjectPage, val era: Long)
+
+private fun ObjectProtocol.version(response: StoreResponse): Result<StoredVersion, StoreFailure> =
+    stored(response.body)
+        .map { StoredVersion(it.content, StorePosition(response.era, it.revision)) }
+        .mapError { StoreFailure.Unreadable(it) }
+
+private fun repeatedPage(cursor: String) =
+    StoreFailure.Unreadable(DecodeFailure("a page after \"$cursor\"", "one that ends there again"))
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
@@ -67,7 +67,8 @@
         progress.sent = true
         pending.sendCount++
         val sentMillis = clock.nowMillis()
-        return ResponseAwaiter(clock, pending, exchange).await(reader, remaining)?.fold({ handleResponse(it) }, { onFault(it) })
+        val response = ResponseAwaiter(clock, pending, exchange).await(reader, remaining)
+        return response?.fold({ handleResponse(it) }, { onFault(it) })
             ?: onTimeout(clock.nowMillis() - sentMillis)
     }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/AttemptRunner.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/AttemptRunner.kt
@@ -57,7 +57,8 @@
             // Lets the event loop read its sockets, so that a request is cancelled here if its caller disconnected
             // while this instance was short of CPU time.
             delay(YIELD_MILLIS)
-            val result = Attempt(attemptContext, pending, EndpointExchange(target, connection, progress, mayMove), writer).run()
+            val exchange = EndpointExchange(target, connection, progress, mayMove)
+            val result = Attempt(attemptContext, pending, exchange, writer).run()
             if (result is AttemptResult.Uncertain && connection.input.end != null) onCutOff(pending, progress)
             if (result is AttemptResult.Delivered && result.status in SUCCESS) progress.recordAnswered()
             return result
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Delivery.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Delivery.kt
@@ -23,6 +23,7 @@
     private val metrics = context.metrics
     private val clock = context.clock
     private val shutdown = context.shutdown
+    private val retries = RetryRules(context, selector, attemptRunner, budget, quarantine)
 
     /** Delivers [pending] and writes the response to [writer]; suspends until it is written or aborted. */
     suspend fun deliver(pending: PendingRequest, writer: ResponseWriter) {
@@ -33,7 +34,7 @@
         while (retry && choice is Choice.Chosen) {
             last = attempt(pending, choice.target, writer)
             recordOutcome(pending, choice.target, last)
-            val next = if (mayRetry(pending, last)) chooseForRetry(pending, last) else null
+            val next = if (retries.mayRetry(pending, last)) chooseForRetry(pending, last) else null
             retry = next != null
             choice = next ?: choice
         }
@@ -62,7 +63,7 @@
 
     /** Chooses an endpoint for a retry; returns null if the retry budget is used up, on which no pause draws. */
     private suspend fun chooseForRetry(pending: PendingRequest, last: AttemptResult): Choice? =
-        selector.allPaused(pending) ?: if (withinRetryBudget(pending, last)) chooseOrWait(pending) else null
+        selector.allPaused(pending) ?: if (retries.tryTake(pending, last)) chooseOrWait(pending) else null
 
     private fun mayFreeUp(choice: Choice.None, withinMillis: Long): Boolean = when (choice.reason) {
         UnavailableReason.OVERLOADED -> withinMillis > 0
@@ -81,7 +82,7 @@
     private suspend fun run(pending: PendingRequest, target: Target, writer: ResponseWriter): AttemptResult {
         val sends = pending.sendCount
         return shutdown.cutoff.runUntilDue {
-            attemptRunner.run(pending, target, writer) { canMove(pending, target) }
+            attemptRunner.run(pending, target, writer) { retries.canMove(pending, target) }
         } ?: when (pending.sendCount) {
             sends -> AttemptResult.NotRun(EXITS, sent = false)
             else -> AttemptResult.Uncertain(EXITS)
@@ -128,35 +129,6 @@
         pending.tried += target.endpoint.entry.id
     }
 
-    private fun mayRetry(pending: PendingRequest, result: AttemptResult): Boolean {
-        val allowed = when (result) {
-            is AttemptResult.Delivered -> false
-            is AttemptResult.NotRun ->
-                pending.possibleRuns < pending.route.attempts && pending.sendCount < MAX_SENDS
-            is AttemptResult.Failed, is AttemptResult.Uncertain ->
-                pending.route.repeatable && pending.possibleRuns < pending.route.attempts
-        }
-        return hasTimeLeft(pending) && allowed
-    }
-
-    private fun hasTimeLeft(pending: PendingRequest): Boolean {
-        val untilMillis = if (pending.streamStarted) pending.deadlineMillis else pending.firstByteDeadlineMillis
-        return untilMillis - clock.nowMillis() > MIN_REMAINING_MILLIS
-    }
-
-    /** Whether [pending], whose attempt at [target] may be running, could be sent to another endpoint now. */
-    private fun canMove(pending: PendingRequest, target: Target): Boolean = mayRunAgain(pending) &&
-        budget.hasRetry(pending.service.name, deployment.instances, clock.nowMillis()) &&
-        selector.alternative(pending, target.endpoint)?.let { attemptRunner.canConnect(pending, it) } == true
-
-    private fun mayRunAgain(pending: PendingRequest): Boolean =
-        pending.route.repeatable && pending.possibleRuns + 1 < pending.route.attempts && hasTimeLeft(pending) &&
-            shutdown.covers(pending) && quarantine.allows(pending)
-
-    private fun withinRetryBudget(pending: PendingRequest, result: AttemptResult): Boolean =
-        (result is AttemptResult.NotRun && !result.sent && pending.sendCount == 0) ||
-            budget.tryTakeRetry(pending.service.name, deployment.instances, clock.nowMillis())
-
     private fun giveUp(pending: PendingRequest, writer: ResponseWriter, last: AttemptResult, choice: Choice) {
         when {
             writer.status != null -> writer.abort()
@@ -176,14 +148,8 @@
     private companion object {
         const val EXITS = "this instance exits"
 
-        // Less time than this is too short for an endpoint to respond.
-        const val MIN_REMAINING_MILLIS = 30L
-
         // Engines report their load every 250 ms. Waiting longer would only delay a refusal that is already certain.
         const val CAPACITY_WAIT_SHARE = 0.12
         const val CAPACITY_POLL_MILLIS = 40L
-
-        // Limits how often a request is sent when endpoints refuse it.
-        const val MAX_SENDS = 4
     }
 }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/ResponseAwaiter.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/ResponseAwaiter.kt
@@ -19,8 +19,8 @@
     private val sentMillis = clock.nowMillis()
 
     /**
-     * Waits up to [remainingMillis] for the response head, which [reader] reads. Returns null earlier if the endpoint is
-     * silent and the request can move to another one.
+     * Waits up to [remainingMillis] for the response head, which [reader] reads. Returns null earlier if the endpoint
+     * is silent and the request can move to another one.
      */
     suspend fun await(
         reader: ResponseReader,
--- /dev/null
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/RetryRules.kt
@@ -0,0 +1,55 @@
+package org.parsleymoor.entry.serving
+
+import org.parsleymoor.relay.limits.SharedRetryBudget
+
+/** Decides whether a request may be sent to another endpoint, after an attempt or while its endpoint is silent. */
+internal class RetryRules(
+    context: ServingContext,
+    private val selector: EndpointSelector,
+    private val attemptRunner: AttemptRunner,
+    private val budget: SharedRetryBudget,
+    private val quarantine: QuarantineGate,
+) {
+    private val deployment = context.deployment
+    private val clock = context.clock
+    private val shutdown = context.shutdown
+
+    /** Whether [pending] may be sent again after [result], apart from the retry budget. */
+    fun mayRetry(pending: PendingRequest, result: AttemptResult): Boolean {
+        val allowed = when (result) {
+            is AttemptResult.Delivered -> false
+            is AttemptResult.NotRun ->
+                pending.possibleRuns < pending.route.attempts && pending.sendCount < MAX_SENDS
+            is AttemptResult.Failed, is AttemptResult.Uncertain ->
+                pending.route.repeatable && pending.possibleRuns < pending.route.attempts
+        }
+        return hasTimeLeft(pending) && allowed
+    }
+
+    private fun hasTimeLeft(pending: PendingRequest): Boolean {
+        val untilMillis = if (pending.streamStarted) pending.deadlineMillis else pending.firstByteDeadlineMillis
+        return untilMillis - clock.nowMillis() > MIN_REMAINING_MILLIS
+    }
+
+    /** Whether [pending], whose attempt at [target] may be running, could be sent to another endpoint now. */
+    fun canMove(pending: PendingRequest, target: Target): Boolean = mayRunAgain(pending) &&
+        budget.hasRetry(pending.service.name, deployment.instances, clock.nowMillis()) &&
+        selector.alternative(pending, target.endpoint)?.let { attemptRunner.canConnect(pending, it) } == true
+
+    private fun mayRunAgain(pending: PendingRequest): Boolean =
+        pending.route.repeatable && pending.possibleRuns + 1 < pending.route.attempts && hasTimeLeft(pending) &&
+            shutdown.covers(pending) && quarantine.allows(pending)
+
+    /** Takes a retry of [pending] after [result] from the budget, unless nothing was sent; returns false without one. */
+    fun tryTake(pending: PendingRequest, result: AttemptResult): Boolean =
+        (result is AttemptResult.NotRun && !result.sent && pending.sendCount == 0) ||
+            budget.tryTakeRetry(pending.service.name, deployment.instances, clock.nowMillis())
+
+    private companion object {
+        // Less time than this is too short for an endpoint to respond.
+        const val MIN_REMAINING_MILLIS = 30L
+
+        // Limits how often a request is sent when endpoints refuse it.
+        const val MAX_SENDS = 4
+    }
+}
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/StreamRelay.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/StreamRelay.kt
@@ -12,7 +12,8 @@
 
 /**
  * Relays the events of a stream as they arrive, each complete and exactly once. A stalled stream is abandoned only if
- * [EndpointExchange.mayMove] says that another endpoint can go on with it now: a sound endpoint may be silent for a second or more.
+ * [EndpointExchange.mayMove] says that another endpoint can go on with it now: a sound endpoint may be silent for a
+ * second or more.
  */
 internal class StreamRelay(
     private val clock: Clock,
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/FailingListenerTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/FailingListenerTest.kt
@@ -49,7 +49,7 @@
         val membership = Membership(Member(InstanceId("self"), "h:2", ZoneId("a")))
         val policy = WatchPolicy(membership.tree, clock, applyMillis = 5_000)
         val runtime = ControlRuntime(backgroundScope, ControlTicks(clock, offsetMillis = 0) { 100 }, log, clock)
-        val listener = EndpointListener(deployment, ThrowingDecoder, log, clock)
+        val listener = EndpointListener(deployment, ThrowingDecoder, log, clock, heartbeatMillis = 1_000)
         val isolated = IsolatedListener(ObjectKind.ENDPOINTS, listener, log)
         val watch = ObjectWatch(ObjectKind.ENDPOINTS, WatchContext(memory.store, policy, runtime), isolated)
         backgroundScope.launch { watch.run() }
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/UnreadableResponsesTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/UnreadableResponsesTest.kt
@@ -21,8 +21,8 @@
 import org.parsleymoor.entry.control.ObjectListener
 import org.parsleymoor.entry.control.ObjectStore
 import org.parsleymoor.entry.control.ObjectWatch
-import org.parsleymoor.entry.control.StoreFailure
 import org.parsleymoor.entry.control.StoreEra
+import org.parsleymoor.entry.control.StoreFailure
 import org.parsleymoor.entry.control.UnreadableObjectLog
 import org.parsleymoor.entry.control.WatchContext
 import org.parsleymoor.entry.control.WatchPolicy
