Count a connection only once its attempt has begun

The count of open connections to an address was raised before the attempt and lowered in a finally block, which the start of the attempt left when it moved out of that block in: an attempt that failed to begin would have occupied a connection for good. Found by reading; no test shows it, because the client throws there only after it was closed. RelayTest, MisbehavingEndpointTest and StoreRestoreTest pass.

--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/ConnectionPool.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/ConnectionPool.kt
@@ -44,9 +44,9 @@
         timeoutMillis: Long,
     ): Result<EndpointConnection, ConnectFailure> {
         if ((open[address] ?: 0) >= limit) return Err(ConnectFailure.AT_LIMIT)
+        val connecting = client.connect(inetSocketAddress(address.port, address.host))
         open.merge(address, 1, Int::plus)
         var connected = false
-        val connecting = client.connect(inetSocketAddress(address.port, address.host))
         return try {
             val socket = withTimeoutOrNull(timeoutMillis) { connecting.coAwait() }
             if (socket == null) {
