Fail with a type when no connection can be opened to an address

UnansweredRequestTest brings its unexpected error about in another way, because an invalid address is no longer one; it now also asks for the status 502.

--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/ConnectionPool.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/ConnectionPool.kt
@@ -3,7 +3,10 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
+import io.vertx.core.Future
 import io.vertx.core.net.NetClient
+import io.vertx.core.net.NetSocket
 import io.vertx.core.net.SocketAddress.inetSocketAddress
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.withTimeoutOrNull
@@ -47,9 +50,23 @@
         address: SocketAddress,
         limit: Int,
         timeoutMillis: Long,
+    ): Result<EndpointConnection, ConnectFailure> = if ((open[address] ?: 0) >= limit) {
+        Err(ConnectFailure.AT_LIMIT)
+    } else {
+        begin(address).andThen { connecting -> await(address, connecting, timeoutMillis) }
+    }
+
+    private fun begin(address: SocketAddress): Result<Future<NetSocket>, ConnectFailure> = try {
+        Ok(client.connect(inetSocketAddress(address.port, address.host)))
+    } catch (_: IllegalArgumentException) {
+        Err(ConnectFailure.INVALID_ADDRESS)
+    }
+
+    private suspend fun await(
+        address: SocketAddress,
+        connecting: Future<NetSocket>,
+        timeoutMillis: Long,
     ): Result<EndpointConnection, ConnectFailure> {
-        if ((open[address] ?: 0) >= limit) return Err(ConnectFailure.AT_LIMIT)
-        val connecting = client.connect(inetSocketAddress(address.port, address.host))
         open.merge(address, 1, Int::plus)
         var connected = false
         return try {
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/UnansweredRequestTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/UnansweredRequestTest.kt
@@ -100,9 +100,20 @@
     // An exception while a request is handled ended its coroutine, which closed the connection without an answer.
     @Test
     fun `answers when handling a request fails unexpectedly`() {
+        val leaving = ScriptedEndpoint { socket, _, _ ->
+            socket.send("HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s1\r\nLeaving: 1\r\nContent-Length: 2\r\n\r\nok")
+        }
+        RelayHarness(leaving).use { harness ->
+            harness.onEventLoop { it.onLeaving = { _, _ -> error("unexpected") } }
+            expectThat(harness.exchange(request())).startsWith("HTTP/1.1 502").contains("Connection: close")
+        }
+    }
+
+    @Test
+    fun `refuses a request whose endpoint has an invalid address`() {
         RelayHarness().use { harness ->
             harness.addUnconnectableEndpoint()
-            expectThat(harness.exchange(request())).startsWith("HTTP/1.1 50").contains("Connection: close")
+            expectThat(harness.exchange(request())).startsWith("HTTP/1.1 503")
         }
     }
 
