Do not take a restore of the store for a heartbeat of every instance

After a restore, registrations of instances that had crashed long ago counted as alive for 20 s, because their position had another era: shared limits shrank and dead instances took part in choices. The content, which holds the number of the heartbeat, decides now.

The test of a revision that is given out again had the same content in both eras, which no heartbeat has; it has another one now and expects the same.

--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/MemberObservations.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/MemberObservations.kt
@@ -26,7 +26,9 @@
         list.items.forEach { item ->
             val position = StorePosition(list.position.era, item.revision)
             val known = observations[item.name]
-            val since = if (known?.position == position) known.sinceMillis + unreadableMillis else nowMillis
+            // Each heartbeat changes the content; the position alone also changes when the store is restored.
+            val silent = known != null && (known.position == position || known.registration.content == item.content)
+            val since = if (known != null && silent) known.sinceMillis + unreadableMillis else nowMillis
             observations[item.name] = Observation(item, position, since)
         }
         if (nowMillis >= keepMissingUntilMillis) observations.keys.retainAll(list.items.map { it.name }.toSet())
