Do not take a list that a peer overtook for an outage of the store

A list of the same era that is older than the copy, because a peer sent a newer state meanwhile, counted as a failed call: endpoints that were removed stayed in use for another two seconds. It is a response now, followed by a pause. Changes are applied only if the copy is still of the era they were asked for: a whole list of a peer could arrive in between and the gap before it be skipped.

--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectWatch.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectWatch.kt
@@ -130,22 +130,20 @@
             failed(failure.message)
             return
         }
-        if (copy.takes(list.position)) {
-            context.backoff.recordSuccess()
-            confirmCurrent(clock.nowMillis())
-            copy.replace(list)
-        } else {
-            failed("the list of revision ${list.position} is older than the copy")
-        }
+        context.backoff.recordSuccess()
+        confirmCurrent(clock.nowMillis())
+        // A peer may have sent a newer state of the same era while the list was read.
+        val replaced = copy.replace(list)
         // The watch from the list may be answered with the same reason, so that lists would follow without pause.
-        if (reason != null) delay(BURST_DELAY_MILLIS)
+        if (reason != null || !replaced) delay(BURST_DELAY_MILLIS)
     }
 
     private suspend fun readChanges() {
         val waitMillis = if (probeNext) PROBE_WAIT_MILLIS else policy.waitMillis
         probeNext = false
-        val changes = era.whileNotAfter(knownPosition.era) {
-            store.watch(kind, knownPosition.revision, waitMillis, policy.marginMillis)
+        val from = knownPosition
+        val changes = era.whileNotAfter(from.era) {
+            store.watch(kind, from.revision, waitMillis, policy.marginMillis)
         }?.getOrElse { failure ->
             if (failure == StoreFailure.HistoryGone || failure is StoreFailure.Unreadable) {
                 readList(failure.message)
@@ -156,7 +154,8 @@
             }
             return
         }
-        if (changes == null || changes.position.era != knownPosition.era) return
+        // Changes that follow another era than the copy's would leave a gap.
+        if (changes == null || changes.position.era != from.era || knownPosition.era != from.era) return
         context.backoff.recordSuccess()
         confirmCurrent(clock.nowMillis())
         copy.apply(changes)
