Keep the later start of an endpoint that a restored list does not know

A copy of the store that was made before an endpoint started again lists its former start, which replaced the later one. Found by review, by reading; no test.

--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Listeners.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Listeners.kt
@@ -120,6 +120,7 @@
     private fun put(listed: EndpointEntry, revision: Long) {
         val nowMillis = clock.nowMillis()
         val before = deployment.endpoints[listed.id]?.entry
+        if (listIsFromCopy && before != null && isEarlierStart(listed, before)) return
         val entry = restored.admit(listed, listIsFromCopy, nowMillis + WITHHELD_HEARTBEATS * heartbeatMillis)
         when {
             entry == null -> log.write("endpoint.withheld") { put("endpoint", listed.id.value) }
@@ -133,6 +134,12 @@
         }
     }
 
+    private fun isEarlierStart(listed: EndpointEntry, known: EndpointEntry): Boolean {
+        val start = listed.startMillis
+        val knownStart = known.startMillis
+        return start != null && knownStart != null && start < knownStart
+    }
+
     private fun logChange(entry: EndpointEntry, revision: Long) {
         log.write("endpoint.changed") {
             put("endpoint", entry.id.value)
