--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointTable.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointTable.kt
@@ -68,13 +68,6 @@
         return !mayRegisterAgain
     }
 
-    /** Replaces the whole list with [entries]. */
-    public fun replaceAll(entries: List<EndpointEntry>, nowMillis: Long) {
-        entries.forEach { put(it, nowMillis) }
-        val listed = entries.map { it.id }.toSet()
-        (states.keys - listed).toList().forEach { remove(it, nowMillis) }
-    }
-
     /** Removes and returns the endpoints that did not register again within the grace period. */
     public fun expire(nowMillis: Long): List<EndpointId> {
         if (listUnavailable || nowMillis < graceUntilMillis) return emptyList()
@@ -111,3 +104,10 @@
 /** Removes and returns the endpoints that no longer count as leaving. */
 public fun EndpointTable.expireLeaving(nowMillis: Long): Map<EngineIncarnation, LeavingEnd> =
     leaving.expire(all.associateBy { it.entry.id }, nowMillis)
+
+/** Replaces the whole list with [entries]. */
+public fun EndpointTable.replaceAll(entries: List<EndpointEntry>, nowMillis: Long) {
+    entries.forEach { put(it, nowMillis) }
+    val listed = entries.map { it.id }.toSet()
+    (all.map { it.entry.id } - listed).forEach { remove(it, nowMillis) }
+}
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/Fixtures.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/Fixtures.kt
@@ -9,6 +9,7 @@
 import org.parsleymoor.relay.fleet.EndpointTable
 import org.parsleymoor.relay.fleet.EngineLoad
 import org.parsleymoor.relay.fleet.SocketAddress
+import org.parsleymoor.relay.fleet.replaceAll
 import org.parsleymoor.relay.placement.PlacementQuery
 import org.parsleymoor.relay.placement.Topology
 import org.parsleymoor.relay.prompt.PromptContext
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Listeners.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Listeners.kt
@@ -134,12 +134,6 @@
         }
     }
 
-    private fun isEarlierStart(listed: EndpointEntry, known: EndpointEntry): Boolean {
-        val start = listed.startMillis
-        val knownStart = known.startMillis
-        return start != null && knownStart != null && start < knownStart
-    }
-
     private fun logChange(entry: EndpointEntry, revision: Long) {
         log.write("endpoint.changed") {
             put("endpoint", entry.id.value)
@@ -169,6 +163,12 @@
     }
 }
 
+private fun isEarlierStart(listed: EndpointEntry, known: EndpointEntry): Boolean {
+    val start = listed.startMillis
+    val knownStart = known.startMillis
+    return start != null && knownStart != null && start < knownStart
+}
+
 /** Tracks the weights version that operators set for each model; a version that is not higher is ignored. */
 internal class WeightsListener(
     private val deployment: DeploymentView,
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/RetryRules.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/RetryRules.kt
@@ -40,7 +40,10 @@
         pending.route.repeatable && pending.possibleRuns + 1 < pending.route.attempts && hasTimeLeft(pending) &&
             shutdown.covers(pending) && quarantine.allows(pending)
 
-    /** Takes a retry of [pending] after [result] from the budget, unless nothing was sent; returns false without one. */
+    /**
+     * Takes a retry of [pending] after [result] from the budget, unless nothing was sent; returns false if none is
+     * left.
+     */
     fun tryTake(pending: PendingRequest, result: AttemptResult): Boolean =
         (result is AttemptResult.NotRun && !result.sent && pending.sendCount == 0) ||
             budget.tryTakeRetry(pending.service.name, deployment.instances, clock.nowMillis())
