--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/exchange/SimulatedFleet.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/exchange/SimulatedFleet.kt
@@ -12,6 +12,7 @@
 import org.parsleymoor.relay.fleet.SentPrompt
 import org.parsleymoor.relay.fleet.SocketAddress
 import org.parsleymoor.relay.fleet.recordUnansweredPoll
+import org.parsleymoor.relay.fleet.replaceAll
 import org.parsleymoor.relay.quarantine.EndpointCrash
 import org.parsleymoor.relay.quarantine.PartKey
 import org.parsleymoor.relay.quarantine.PromptQuarantine
