Keep a silent attempt until its successor goes on

Cause: a sound attempt was ended before another one was known to go on. That the other endpoint is under an order, which placement knew, is one case; tests with endpoints that are full, ask for a pause, have other weights, fail, reset the connection or are silent too lost the request in the same way, as did prompts before their first event and plain repeatable requests.

Ruled out: leaving out endpoints under an order alone. It mends the case and none of the others.

Change: while an endpoint is silent, the request is also sent to another one, and the first attempt goes on beside it (Handover). The attempt that first has something for the caller ends the other; a refusal costs nothing. Of two attempts with a prompt one is ended after 300 ms, by whether the second endpoint has given a sign of life, because two engines may work on a prompt for 400 ms. A successor is started only where the request is expected to be accepted, and one silence counts once for the health of an endpoint.

--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/EnginePlacement.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/EnginePlacement.kt
@@ -80,8 +80,9 @@
         val allowed =
             inRegions.filter { it.entry.id !in request.tried && !table.isPaused(it.incarnation, nowMillis) }
         val usable = allowed.filter { it.weights(prompt.model) != null && isRecent(it, target, nowMillis) }
-        val ready = usable.filter { nowMillis >= it.orderedUntilMillis }.ifEmpty { usable }
-        val healthy = ready.filterNot { it.health.isEjected(nowMillis) }.ifEmpty { ready }
+        val ready = usable.filter { nowMillis >= it.orderedUntilMillis }.orElseFor(request, usable)
+        val healthy = ready.filterNot { it.health.isEjected(nowMillis) }.orElseFor(request, ready)
+            .filterNot { request.isSuccessor && hasRefused(it, nowMillis) }
         val withMemory = healthy.filter { it.hasMemoryFor(prompt, nowMillis) }
         return when {
             allowed.isEmpty() -> unavailable(UnavailableReason.NO_ENDPOINT, NO_ENDPOINT_RETRY_MILLIS)
@@ -170,10 +171,13 @@
         val older = target != null && (state.weights(prompt.model) ?: 0) < target.version
         val failures = settings.failurePenaltyMillis * state.health.recentFailures
         val cold = if (state.isCold(nowMillis)) COLD_PENALTY_MILLIS else 0.0
-        val refused = if (state.refusedMillis > nowMillis - REFUSAL_MILLIS) REFUSAL_PENALTY_MILLIS else 0.0
+        val refused = if (hasRefused(state, nowMillis)) REFUSAL_PENALTY_MILLIS else 0.0
         return failures + cold + refused + if (older) settings.olderWeightsPenaltyMillis else 0.0
     }
 
+    private fun hasRefused(state: EndpointState, nowMillis: Long): Boolean =
+        state.refusedMillis > nowMillis - REFUSAL_MILLIS
+
     private fun isRecent(state: EndpointState, target: TargetWeights?, nowMillis: Long): Boolean =
         target == null ||
             (state.weights(target.model) ?: 0) >= target.version ||
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/PlacementResult.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/PlacementResult.kt
@@ -17,6 +17,11 @@
     public val urgency: Int,
     /** Whether the caller has probably been refused before: it waits for less time than its route allows. */
     public val isRetry: Boolean = false,
+    /**
+     * Whether the request already has an endpoint. It is then sent to another one only if that is expected to accept
+     * it; otherwise an endpoint that will probably refuse is better than none.
+     */
+    public val isSuccessor: Boolean = false,
 )
 
 /** The endpoint selected for a request, or the reason why there is none. */
@@ -30,3 +35,7 @@
         public val retryAfterMillis: Long,
     ) : PlacementResult
 }
+
+/** Returns these endpoints, or [others] if there are none and [query] has no endpoint yet. */
+internal fun List<EndpointState>.orElseFor(query: PlacementQuery, others: List<EndpointState>): List<EndpointState> =
+    if (isEmpty() && !query.isSuccessor) others else this
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/placement/EnginePlacementTest.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/placement/EnginePlacementTest.kt
@@ -175,6 +175,24 @@
         repeat(10) { expectThat(selected(table, prompt("t$it"))).isNotEqualTo(second.entry.id) }
     }
 
+    // A stream whose engine was only silent was sent to engines that were known to refuse it.
+    @Test
+    fun `a request that has an engine goes only to one that is expected to accept it`() {
+        val refusing = mapOf<String, (EndpointState) -> Unit>(
+            "ordered" to { it.orderedUntilMillis = 1_000 },
+            "ejected" to { it.recordOutcome(AttemptOutcome.UNREACHABLE, 50) },
+            "refused" to { it.refusedMillis = 50 },
+            "full" to { it.learnLoad(load(memoryUsed = 100_000, atMillis = 50, waiting = 9)) },
+        )
+        refusing.forEach { (state, apply) ->
+            val table = engines(1)
+            table.all.forEach(apply)
+            val successor = query(prompt("s")).copy(base = placementQuery().copy(isSuccessor = true))
+            expectThat(placement.choose(successor, table, 100).result).describedAs(state)
+                .isA<PlacementResult.Unavailable>()
+        }
+    }
+
     @Test
     fun `without an untried engine the result is unavailable`() {
         val empty = EndpointTable()
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
@@ -67,6 +67,7 @@
         progress.sent = true
         pending.sendCount++
         val sentMillis = clock.nowMillis()
+        exchange.handover.requestSent(pending.maxOverlapMillis) { state.showsLifeSince(sentMillis) }
         val response = ResponseAwaiter(clock, pending, exchange).await(reader, remaining)
         return response?.fold({ handleResponse(it) }, { onFault(it) })
             ?: onTimeout(clock.nowMillis() - sentMillis)
@@ -125,7 +126,10 @@
         val head = response.head.toCallerHead(names)
         val failure = head.status in SERVER_FAILURES
         note(if (failure) AttemptOutcome.FAILED else AttemptOutcome.ANSWERED)
-        if (!failure) writer.writeResponse(head, body)
+        if (!failure) {
+            exchange.handover.takeOver()
+            writer.writeResponse(head, body)
+        }
         return if (failure) AttemptResult.Failed(head, body) else AttemptResult.Delivered(head.status)
     }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/AttemptRunner.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/AttemptRunner.kt
@@ -35,13 +35,13 @@
 
     /**
      * Sends [pending] to [target] and relays a successful response to [writer]; suspends until the outcome is known.
-     * While the endpoint is silent, [mayMove] says whether the request could be sent to another one now.
+     * While the endpoint is silent, [handover] sends the request to another one too.
      */
     suspend fun run(
         pending: PendingRequest,
         target: Target,
         writer: ResponseWriter,
-        mayMove: () -> Boolean,
+        handover: Handover,
     ): AttemptResult {
         val state = target.endpoint
         val connection = connect(pending, state).getOrElse { return notConnected(state, it) }
@@ -57,7 +57,7 @@
             // Lets the event loop read its sockets, so that a request is cancelled here if its caller disconnected
             // while this instance was short of CPU time.
             delay(YIELD_MILLIS)
-            val exchange = EndpointExchange(target, connection, progress, mayMove)
+            val exchange = EndpointExchange(target, connection, progress, handover)
             val result = Attempt(attemptContext, pending, exchange, writer).run()
             if (result is AttemptResult.Uncertain && connection.input.end != null) onCutOff(pending, progress)
             if (result is AttemptResult.Delivered && result.status in SUCCESS) progress.recordAnswered()
--- /dev/null
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/AttemptSequence.kt
@@ -0,0 +1,85 @@
+package org.parsleymoor.entry.serving
+
+import kotlinx.coroutines.coroutineScope
+import kotlinx.serialization.json.put
+import org.parsleymoor.entry.callers.ResponseWriter
+import org.parsleymoor.relay.fleet.AttemptOutcome
+import org.parsleymoor.relay.fleet.recordOutcome
+
+/** Runs an attempt and, while its endpoint is silent, a successor beside it at another endpoint. */
+internal class AttemptSequence(
+    context: ServingContext,
+    private val attemptRunner: AttemptRunner,
+    private val retries: RetryRules,
+) {
+    private val deployment = context.deployment
+    private val log = context.log
+    private val metrics = context.metrics
+    private val clock = context.clock
+
+    /** Sends [pending] to [target]; returns the result of the attempt that counts for the caller. */
+    suspend fun run(
+        pending: PendingRequest,
+        target: Target,
+        writer: ResponseWriter,
+        predecessor: Handover? = null,
+    ): AttemptResult = coroutineScope {
+        val startMillis = clock.nowMillis()
+        pending.tried += target.endpoint.entry.id
+        val handover = Handover(this, predecessor) { self ->
+            retries.takeSuccessor(pending)?.let { next ->
+                // The other requests of this instance then prefer other endpoints too.
+                target.endpoint.recordOutcome(AttemptOutcome.SILENT, clock.nowMillis())
+                suspend { run(pending, next, writer, self) }
+            }
+        }
+        val own = handover.run { attemptRunner.run(pending, target, writer, handover) } ?: ended(target, handover)
+        if (own is AttemptResult.Uncertain || own is AttemptResult.Failed) pending.possibleRuns++
+        record(pending, target, own, startMillis)
+        handover.decisive(own)
+    }
+
+    private fun ended(target: Target, handover: Handover): AttemptResult {
+        val end = checkNotNull(handover.end) { "an attempt without a result was ended by another one" }
+        if (end == AttemptEnd.NO_SIGN_OF_LIFE) {
+            target.endpoint.recordOutcome(AttemptOutcome.SILENT, clock.nowMillis())
+        }
+        return if (handover.sent) {
+            AttemptResult.Uncertain(end.reason)
+        } else {
+            AttemptResult.NotRun(end.reason, sent = false)
+        }
+    }
+
+    private fun record(pending: PendingRequest, target: Target, result: AttemptResult, startMillis: Long) {
+        val nowMillis = clock.nowMillis()
+        metrics.attempts.increment()
+        log.write("request.attempt", always = result !is AttemptResult.Delivered) {
+            val endpoint = target.endpoint
+            put("request", pending.id.value)
+            put("route", pending.route.name)
+            put("endpoint", endpoint.entry.id.value)
+            put("entryAgeMillis", nowMillis - endpoint.entryReceivedMillis)
+            put("configuration", deployment.routes?.configuration?.version)
+            put("estimateMillis", target.estimateMillis.toLong())
+            pending.prompt?.let { prompt ->
+                put("context", prompt.affinityKey)
+                put("sharedTokens", prompt.sharedTokens)
+                put("promptTokens", prompt.promptTokens)
+            }
+            target.weights?.let { put("weights", it) }
+            target.transfer.source?.let { put("fetchFrom", it) }
+            target.transfer.target?.let { put("saveTo", it) }
+            target.load?.let { load ->
+                put("running", load.running)
+                put("waiting", load.waiting)
+                put("prefilling", load.prefilling)
+                put("memoryUsed", load.memoryUsed)
+                put("loadAgeMillis", startMillis - load.atMillis)
+            }
+            pending.firstByteMillis?.let { put("firstByteMillis", it - startMillis) }
+            put("millis", nowMillis - startMillis)
+            put("outcome", result.outcome)
+        }
+    }
+}
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Delivery.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Delivery.kt
@@ -1,7 +1,6 @@
 package org.parsleymoor.entry.serving
 
 import kotlinx.coroutines.delay
-import kotlinx.serialization.json.put
 import org.parsleymoor.entry.callers.ResponseWriter
 import org.parsleymoor.relay.limits.SharedRetryBudget
 import org.parsleymoor.relay.placement.UnavailableReason
@@ -13,17 +12,15 @@
 internal class Delivery(
     context: ServingContext,
     private val selector: EndpointSelector,
-    private val attemptRunner: AttemptRunner,
+    attemptRunner: AttemptRunner,
     private val refusals: RefusalWriter,
     private val budget: SharedRetryBudget,
     private val quarantine: QuarantineGate,
 ) {
-    private val deployment = context.deployment
-    private val log = context.log
-    private val metrics = context.metrics
     private val clock = context.clock
     private val shutdown = context.shutdown
     private val retries = RetryRules(context, selector, attemptRunner, budget, quarantine)
+    private val attempts = AttemptSequence(context, attemptRunner, retries)
 
     /** Delivers [pending] and writes the response to [writer]; suspends until it is written or aborted. */
     suspend fun deliver(pending: PendingRequest, writer: ResponseWriter) {
@@ -32,8 +29,7 @@
         var choice = chooseOrWait(pending)
         var retry = true
         while (retry && choice is Choice.Chosen) {
-            last = attempt(pending, choice.target, writer)
-            recordOutcome(pending, choice.target, last)
+            last = run(pending, choice.target, writer)
             val next = if (retries.mayRetry(pending, last)) chooseForRetry(pending, last) else null
             retry = next != null
             choice = next ?: choice
@@ -78,57 +74,17 @@
         return if (tooLate) Choice.Stopping else choice
     }
 
-    /** Runs one attempt, which ends without a response when the last responses before the exit are due. */
+    /** Runs the attempts, which end without a response when the last responses before the exit are due. */
     private suspend fun run(pending: PendingRequest, target: Target, writer: ResponseWriter): AttemptResult {
         val sends = pending.sendCount
         return shutdown.cutoff.runUntilDue {
-            attemptRunner.run(pending, target, writer) { retries.canMove(pending, target) }
+            attempts.run(pending, target, writer)
         } ?: when (pending.sendCount) {
             sends -> AttemptResult.NotRun(EXITS, sent = false)
-            else -> AttemptResult.Uncertain(EXITS)
+            else -> AttemptResult.Uncertain(EXITS).also { pending.possibleRuns++ }
         }
     }
 
-    private suspend fun attempt(pending: PendingRequest, target: Target, writer: ResponseWriter): AttemptResult {
-        val startMillis = clock.nowMillis()
-        val result = run(pending, target, writer)
-        val nowMillis = clock.nowMillis()
-        metrics.attempts.increment()
-        log.write("request.attempt", always = result !is AttemptResult.Delivered) {
-            val endpoint = target.endpoint
-            put("request", pending.id.value)
-            put("route", pending.route.name)
-            put("endpoint", endpoint.entry.id.value)
-            put("entryAgeMillis", nowMillis - endpoint.entryReceivedMillis)
-            put("configuration", deployment.routes?.configuration?.version)
-            put("estimateMillis", target.estimateMillis.toLong())
-            pending.prompt?.let { prompt ->
-                put("context", prompt.affinityKey)
-                put("sharedTokens", prompt.sharedTokens)
-                put("promptTokens", prompt.promptTokens)
-            }
-            target.weights?.let { put("weights", it) }
-            target.transfer.source?.let { put("fetchFrom", it) }
-            target.transfer.target?.let { put("saveTo", it) }
-            target.load?.let { load ->
-                put("running", load.running)
-                put("waiting", load.waiting)
-                put("prefilling", load.prefilling)
-                put("memoryUsed", load.memoryUsed)
-                put("loadAgeMillis", startMillis - load.atMillis)
-            }
-            pending.firstByteMillis?.let { put("firstByteMillis", it - startMillis) }
-            put("millis", nowMillis - startMillis)
-            put("outcome", result.outcome)
-        }
-        return result
-    }
-
-    private fun recordOutcome(pending: PendingRequest, target: Target, result: AttemptResult) {
-        if (result is AttemptResult.Uncertain || result is AttemptResult.Failed) pending.possibleRuns++
-        pending.tried += target.endpoint.entry.id
-    }
-
     private fun giveUp(pending: PendingRequest, writer: ResponseWriter, last: AttemptResult, choice: Choice) {
         when {
             writer.status != null -> writer.abort()
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/EndpointExchange.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/EndpointExchange.kt
@@ -2,13 +2,10 @@
 
 import org.parsleymoor.entry.net.EndpointConnection
 
-/**
- * One attempt at [target] over [connection]. While the endpoint is silent, [mayMove] says whether the request could be
- * sent to another endpoint now.
- */
+/** One attempt at [target] over [connection]. [handover] moves the request to another endpoint while it is silent. */
 internal class EndpointExchange(
     val target: Target,
     val connection: EndpointConnection,
     val progress: AttemptProgress,
-    val mayMove: () -> Boolean,
+    val handover: Handover,
 )
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/EndpointSelector.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/EndpointSelector.kt
@@ -62,22 +62,15 @@
     }
 
     /**
-     * Returns an endpoint other than [current] to which [pending] could be sent now, or null. Uses up no limit. Cold
+     * Returns an endpoint that is expected to accept [pending] now beside an attempt at another one, or null. Cold
      * endpoints do not count, because their limit may be used up.
      */
-    fun alternative(pending: PendingRequest, current: EndpointState): EndpointState? {
+    fun successor(pending: PendingRequest): Target? {
         val nowMillis = clock.nowMillis()
-        val excluded = pending.tried + current.entry.id +
-            deployment.endpoints.all.filter { it.isCold(nowMillis) }.map { it.entry.id }
-        val query = pending.placeRequest(nowMillis).copy(tried = excluded)
-        val prompt = pending.prompt
-        val place = if (prompt == null || pending.service.engine == null) {
-            services.choose(query, deployment.endpoints, nowMillis)
-        } else {
-            val cacheInfo = PromptCacheInfo(pending, prompt, deployment, transfers)
-            engines.choose(engineQuery(query, cacheInfo, nowMillis), deployment.endpoints, nowMillis).result
-        }
-        return (place as? PlacementResult.Selected)?.endpoint
+        val cold = deployment.endpoints.all.filter { it.isCold(nowMillis) }.map { it.entry.id }
+        val request = pending.placeRequest(nowMillis)
+            .copy(tried = pending.tried + cold, isRetry = false, isSuccessor = true)
+        return (choose(request, pending.prompt, pending, nowMillis) as? Choice.Chosen)?.target
     }
 
     /** Returns that there is no endpoint for [pending] if all that could serve it are paused, otherwise null. */
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/ResponseAwaiter.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/ResponseAwaiter.kt
@@ -2,7 +2,6 @@
 
 import com.github.michaelbull.result.Result
 import kotlinx.coroutines.CoroutineStart
-import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.withTimeoutOrNull
@@ -19,8 +18,8 @@
     private val sentMillis = clock.nowMillis()
 
     /**
-     * Waits up to [remainingMillis] for the response head, which [reader] reads. Returns null earlier if the endpoint
-     * is silent and the request can move to another one.
+     * Waits up to [remainingMillis] for the response head, which [reader] reads; returns null if it has not arrived by
+     * then. While the endpoint is silent, the request is sent to another one too, if there is one.
      */
     suspend fun await(
         reader: ResponseReader,
@@ -30,7 +29,8 @@
         val silenceMillis = minOf(remainingMillis, pending.silenceTimeoutMillis(exchange.target))
         var response = withTimeoutOrNull(silenceMillis) { head.await() }
         val untilMillis = sentMillis + remainingMillis
-        while (response == null && clock.nowMillis() < untilMillis && !leaves(head)) {
+        while (response == null && clock.nowMillis() < untilMillis) {
+            if (!head.isCompleted && isSilent()) exchange.handover.onSilence()
             val waitMillis = minOf(SILENCE_POLL_MILLIS, untilMillis - clock.nowMillis())
             response = withTimeoutOrNull(waitMillis) { head.await() }
         }
@@ -38,8 +38,6 @@
         response
     }
 
-    private fun leaves(head: Deferred<*>): Boolean = !head.isCompleted && isSilent() && exchange.mayMove()
-
     /** Engines answer slowly under load, but then they answer some request of this instance. */
     private fun isSilent(): Boolean =
         pending.prompt == null || exchange.target.endpoint.answeredMillis < sentMillis
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/ResponseTimeouts.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/ResponseTimeouts.kt
@@ -1,5 +1,8 @@
 package org.parsleymoor.entry.serving
 
+import org.parsleymoor.relay.fleet.EndpointState
+import org.parsleymoor.relay.routing.RequestKind
+
 /**
  * Returns how long [target] may be silent before a repeatable request moves to another endpoint, if there is one: an
  * engine to all requests of this instance, another endpoint to this one.
@@ -10,6 +13,22 @@
     else -> maxOf(target.estimateMillis * SILENCE_FACTOR, route.objectiveMillis * SILENCE_OBJECTIVES).toLong()
 }
 
+/**
+ * How long an engine and its successor may both work on this request, or null if there is no limit. A prompt may be run
+ * by two engines for up to 400 ms; the rest is for the way to the engine.
+ */
+internal val PendingRequest.maxOverlapMillis: Long?
+    get() = if (prompt != null || route.kind == RequestKind.STREAM) MAX_OVERLAP_MILLIS else null
+
+/** Whether this endpoint has sent anything to this instance, or reported its load, since [sinceMillis]. */
+internal fun EndpointState.showsLifeSince(sinceMillis: Long): Boolean =
+    answeredMillis >= sinceMillis || (engineLoad?.atMillis ?: Long.MIN_VALUE) >= sinceMillis - REPORT_PERIOD_MILLIS
+
+private const val MAX_OVERLAP_MILLIS = 300L
+
+// Engines report their load at this interval.
+private const val REPORT_PERIOD_MILLIS = 250L
+
 // Interval at which a request whose endpoint is silent looks for another endpoint.
 internal const val SILENCE_POLL_MILLIS = 100L
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/RetryRules.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/RetryRules.kt
@@ -31,13 +31,21 @@
         return untilMillis - clock.nowMillis() > MIN_REMAINING_MILLIS
     }
 
-    /** Whether [pending], whose attempt at [target] may be running, could be sent to another endpoint now. */
-    fun canMove(pending: PendingRequest, target: Target): Boolean = mayRunAgain(pending) &&
-        budget.hasRetry(pending.service.name, deployment.instances, clock.nowMillis()) &&
-        selector.alternative(pending, target.endpoint)?.let { attemptRunner.canConnect(pending, it) } == true
+    /**
+     * Returns the endpoint to which [pending] is sent now beside an attempt at a silent one, and takes a retry from the
+     * budget; returns null if there is none, or it is not expected to accept the request.
+     */
+    fun takeSuccessor(pending: PendingRequest): Target? {
+        val target = if (mayRunBeside(pending)) selector.successor(pending) else null
+        return target?.takeIf {
+            shutdown.covers(pending, it) && attemptRunner.canConnect(pending, it.endpoint) && takeRetry(pending)
+        }
+    }
 
-    private fun mayRunAgain(pending: PendingRequest): Boolean =
-        pending.route.repeatable && pending.possibleRuns + 1 < pending.route.attempts && hasTimeLeft(pending) &&
+    /** Whether [pending] may be sent once more while an attempt is running, which may have run it too. */
+    private fun mayRunBeside(pending: PendingRequest): Boolean =
+        pending.route.repeatable && pending.possibleRuns + 1 < pending.route.attempts &&
+            pending.sendCount < MAX_SENDS && hasTimeLeft(pending) &&
             shutdown.covers(pending) && quarantine.allows(pending)
 
     /**
@@ -46,7 +54,10 @@
      */
     fun tryTake(pending: PendingRequest, result: AttemptResult): Boolean =
         (result is AttemptResult.NotRun && !result.sent && pending.sendCount == 0) ||
-            budget.tryTakeRetry(pending.service.name, deployment.instances, clock.nowMillis())
+            takeRetry(pending)
+
+    private fun takeRetry(pending: PendingRequest): Boolean =
+        budget.tryTakeRetry(pending.service.name, deployment.instances, clock.nowMillis())
 
     private companion object {
         // Less time than this is too short for an endpoint to respond.
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/StreamRelay.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/StreamRelay.kt
@@ -11,9 +11,8 @@
 import org.parsleymoor.relay.stream.StreamEvent
 
 /**
- * Relays the events of a stream as they arrive, each complete and exactly once. A stalled stream is abandoned only if
- * [EndpointExchange.mayMove] says that another endpoint can go on with it now: a sound endpoint may be silent for a
- * second or more.
+ * Relays the events of a stream as they arrive, each complete and exactly once. A stalled stream is resumed at another
+ * endpoint and abandoned only when that has the next event: a sound endpoint may be silent for a second or more.
  */
 internal class StreamRelay(
     private val clock: Clock,
@@ -47,10 +46,7 @@
 
     private val eventTooLarge: Boolean get() = splitter.pendingBytes > MAX_EVENT_BYTES
 
-    /**
-     * Waits for more of the stream. Returns null at the deadline, or earlier if the stream is stalled and can go on at
-     * another endpoint.
-     */
+    /** Waits for more of the stream; returns null if none has arrived by the deadline. */
     private suspend fun nextPart(response: IncomingResponse): ByteArray? {
         var part: ByteArray? = null
         var ended = false
@@ -58,9 +54,9 @@
             val nowMillis = clock.nowMillis()
             val remaining = (pending.deadlineMillis - nowMillis).coerceAtLeast(1)
             val patience = (lastEventMillis + STALL_MILLIS - nowMillis).coerceAtLeast(SILENCE_POLL_MILLIS)
-            val stalled = isStalled(nowMillis) && exchange.mayMove()
-            if (!stalled) part = withTimeoutOrNull(minOf(remaining, patience)) { connection.readPart(response) }
-            ended = stalled || clock.nowMillis() >= pending.deadlineMillis
+            if (isStalled(nowMillis)) exchange.handover.onSilence()
+            part = withTimeoutOrNull(minOf(remaining, patience)) { connection.readPart(response) }
+            ended = clock.nowMillis() >= pending.deadlineMillis
         }
         return part
     }
@@ -78,6 +74,8 @@
         val progressed = events.any { it.id != null }
         if (progressed) progress.recordActivity(clock.nowMillis())
         progress.prefillDone()
+        // Before its first event an endpoint may send bytes that only keep the connection open.
+        if (progressed || !pending.streamStarted) exchange.handover.takeOver()
         if (!pending.streamStarted) {
             writer.startStream(head)
             pending.streamStarted = true
@@ -89,7 +87,8 @@
         if (progressed) lastEventMillis = clock.nowMillis()
     }
 
-    private fun end(head: CallerResponseHead): AttemptResult {
+    private suspend fun end(head: CallerResponseHead): AttemptResult {
+        exchange.handover.takeOver()
         progress.complete = true
         if (!pending.streamStarted) writer.startStream(head)
         writer.endStream()
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/SilentEndpointTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/SilentEndpointTest.kt
@@ -12,7 +12,7 @@
     @Test
     fun `waits for a silent stream when no other endpoint can go on with it`() {
         RelayHarness(pausingStream(), kind = RequestKind.STREAM, resumable = true, timeoutMillis = 6_000).use {
-            expectThat(it.exchange(request())).contains("data: b").endsWith("0\r\n\r\n")
+            expectThat(it.exchange(relayRequest())).contains("data: b").endsWith(STREAM_END)
         }
     }
 
@@ -26,7 +26,7 @@
             attempts = 1,
             timeoutMillis = 6_000,
         )
-        harness.use { expectThat(it.exchange(request())).contains("data: b").endsWith("0\r\n\r\n") }
+        harness.use { expectThat(it.exchange(relayRequest())).contains("data: b").endsWith(STREAM_END) }
         expectThat(endpoints.sumOf { it.requests.size }).isEqualTo(1)
     }
 
@@ -40,21 +40,21 @@
             timeoutMillis = 6_000,
         )
         harness.useUpRetryBudget()
-        harness.use { expectThat(it.exchange(request())).contains("data: b").endsWith("0\r\n\r\n") }
+        harness.use { expectThat(it.exchange(relayRequest())).contains("data: b").endsWith(STREAM_END) }
         expectThat(endpoints.sumOf { it.requests.size }).isEqualTo(1)
     }
 
     @Test
     fun `waits for the answer of a silent engine when no other engine can take the prompt`() {
         RelayHarness(pausingAnswer(), kind = RequestKind.IDEMPOTENT, timeoutMillis = 6_000).use {
-            expectThat(it.exchange(request(fields = "Model: m\r\nUsage: 10,10\r\nParts: a:10,b:10\r\n"))).endsWith("ok")
+            expectThat(it.exchange(relayRequest(PROMPT_FIELDS))).endsWith("ok")
         }
     }
 
     @Test
     fun `waits for the answer of a silent endpoint when there is no other`() {
         RelayHarness(pausingAnswer(), kind = RequestKind.IDEMPOTENT, timeoutMillis = 6_000).use {
-            expectThat(it.exchange(request())).endsWith("ok")
+            expectThat(it.exchange(relayRequest())).endsWith("ok")
         }
     }
 
@@ -70,9 +70,9 @@
         )
         harness.use {
             harness.limitConnections(2)
-            val callers = List(4) { harness.caller().also { it.send(request()) }.also { Thread.sleep(50) } }
+            val callers = List(4) { harness.caller().also { it.send(relayRequest()) }.also { Thread.sleep(50) } }
             callers.forEach { socket ->
-                expectThat(String(socket.getInputStream().readAllBytes())).contains("data: b").endsWith("0\r\n\r\n")
+                expectThat(String(socket.getInputStream().readAllBytes())).contains("data: b").endsWith(STREAM_END)
             }
         }
     }
@@ -80,12 +80,12 @@
     // A sound endpoint whose caller did not read for a while lost the stream to another endpoint.
     @Test
     fun `does not take the pause of a caller for silence of the endpoint`() {
-        val event = "x".repeat(20_000)
+        val data = "x".repeat(20_000)
         val endpoints = List(2) {
             ScriptedEndpoint { socket, _, _ ->
                 socket.send(STREAM_HEAD)
-                repeat(600) { number -> socket.send(chunk("id: ${number + 1}\ndata: $event\n\n")) }
-                socket.send("0\r\n\r\n")
+                repeat(600) { number -> socket.send(event(number + 1, data)) }
+                socket.send(STREAM_END)
             }
         }
         val harness = RelayHarness(
@@ -96,18 +96,18 @@
         )
         harness.use {
             harness.caller().use { socket ->
-                socket.send(request(waitMillis = 10_000))
+                socket.send(relayRequest(waitMillis = 10_000))
                 Thread.sleep(SILENCE_MILLIS)
-                expectThat(String(socket.getInputStream().readAllBytes())).contains("id: 600\n").endsWith("0\r\n\r\n")
+                expectThat(String(socket.getInputStream().readAllBytes())).contains("id: 600\n").endsWith(STREAM_END)
             }
         }
         expectThat(endpoints.sumOf { it.requests.size }).isEqualTo(1)
     }
 
     private fun pausingStream() = ScriptedEndpoint { socket, _, _ ->
-        socket.send(STREAM_HEAD + chunk("id: 1\ndata: a\n\n"))
+        socket.send(STREAM_HEAD + event(1, "a"))
         Thread.sleep(SILENCE_MILLIS)
-        socket.send(chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n")
+        socket.send(event(2, "b") + STREAM_END)
     }
 
     private fun pausingAnswer() = ScriptedEndpoint { socket, _, _ ->
@@ -115,16 +115,7 @@
         socket.send("HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s1\r\nContent-Length: 2\r\n\r\nok")
     }
 
-    private fun request(fields: String = "", waitMillis: Long = 6_000) =
-        "POST /r/x HTTP/1.1\r\nHost: h\r\nId: 1\r\nWait: $waitMillis\r\nAuthorization: Key secret\r\n" + fields +
-            "Connection: close\r\nContent-Length: 0\r\n\r\n"
-
-    private fun chunk(text: String) = "${text.length.toString(16)}\r\n$text\r\n"
-
     private companion object {
-        const val STREAM_HEAD = "HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s1\r\nContent-Type: text/event-stream\r\n" +
-            "Transfer-Encoding: chunked\r\n\r\n"
-
         // Longer than any time after which a silent endpoint is given up for another one.
         const val SILENCE_MILLIS = 2_000L
     }
