Use a share of the retry budget only once all instances count it

Cause: the extra retries were divided by the instances that each instance knew at the time. One that starts first knows itself alone and took all of them, the second took half, and so on; a restart began the window anew and used its share again.

Change: InstanceShare. A share begins when the registration has stood for a list period and a window, ends when the others may have stopped counting the instance, and grows only when those that are gone have used nothing for a window. What follows from an instance's own requests is never withheld.

--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/limits/SharedRetryBudget.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/limits/SharedRetryBudget.kt
@@ -8,9 +8,10 @@
 
 /**
  * This instance's part of a retry budget that all instances share: [share][RetryLimit.share] of the requests that it
- * has received itself, plus an equal part of the extra retries. Not thread-safe.
+ * has received itself, plus the part of the extra retries that [extraShare] returns for a time, see [InstanceShare].
+ * Not thread-safe.
  */
-public class SharedRetryBudget(private val limit: RetryLimit) {
+public class SharedRetryBudget(private val limit: RetryLimit, private val extraShare: (Long) -> Double) {
     private val services = HashMap<String, Counts>()
 
     /** Counts a caller's request for [service]. */
@@ -19,18 +20,13 @@
     }
 
     /** Takes one retry from the budget of [service]; returns false, and takes nothing, when it is used up. */
-    public fun tryTakeRetry(service: String, instances: Int, nowMillis: Long): Boolean {
-        if (!hasRetry(service, instances, nowMillis)) return false
-        counts(service).retries.add(nowMillis)
-        return true
-    }
-
-    /** Whether the budget of [service] has a retry left. */
-    public fun hasRetry(service: String, instances: Int, nowMillis: Long): Boolean {
+    public fun tryTakeRetry(service: String, nowMillis: Long): Boolean {
         val counts = counts(service)
-        val extra = limit.extra / maxOf(1, instances)
+        val extra = limit.extra * extraShare(nowMillis)
         val allowed = USABLE_SHARE * (extra + limit.share * counts.requests.count(nowMillis))
-        return counts.retries.count(nowMillis) + 1 <= allowed
+        val left = counts.retries.count(nowMillis) + 1 <= allowed
+        if (left) counts.retries.add(nowMillis)
+        return left
     }
 
     private fun counts(service: String): Counts =
@@ -41,7 +37,7 @@
     private class Counts(val requests: SlidingWindowCounter, val retries: SlidingWindowCounter)
 
     private companion object {
-        // The rest is for instances that this one does not know yet.
+        // The rest is for requests that take different times to reach their endpoints.
         const val USABLE_SHARE = 0.8
     }
 }
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/limits/SharedLimitsTest.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/limits/SharedLimitsTest.kt
@@ -32,12 +32,12 @@
     @ValueSource(ints = [1, 9, 88])
     fun `instances together retry no more than the budget allows in any window`(instances: Int) {
         val retryLimit = RetryLimit(share = 0.2, extra = 58.0, windowMillis = 10_000)
-        val budgets = (1..instances).map { SharedRetryBudget(retryLimit) }
+        val budgets = (1..instances).map { SharedRetryBudget(retryLimit) { 1.0 / instances } }
         var retries = 0
         (0L until 10_000L step 100).forEach { now ->
             budgets.forEach { budget ->
                 budget.recordRequest("s", now)
-                repeat(3) { if (budget.tryTakeRetry("s", instances, now)) retries++ }
+                repeat(3) { if (budget.tryTakeRetry("s", now)) retries++ }
             }
         }
         expectThat(retries.toDouble()).isLessThanOrEqualTo(0.2 * 100 * instances + 58)
@@ -45,9 +45,9 @@
 
     @Test
     fun `a budget that is used up is available again after the window`() {
-        val budget = SharedRetryBudget(RetryLimit(share = 0.0, extra = 2.0, windowMillis = 1_000))
-        val first = (1..5).count { budget.tryTakeRetry("s", 1, 0) }
-        val later = (1..5).count { budget.tryTakeRetry("s", 1, 1_000) }
+        val budget = SharedRetryBudget(RetryLimit(share = 0.0, extra = 2.0, windowMillis = 1_000)) { 1.0 }
+        val first = (1..5).count { budget.tryTakeRetry("s", 0) }
+        val later = (1..5).count { budget.tryTakeRetry("s", 1_000) }
         expectThat(first).isLessThanOrEqualTo(2)
         expectThat(later).isGreaterThan(0)
     }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
@@ -68,6 +68,7 @@
 import org.parsleymoor.relay.fleet.expireLeaving
 import org.parsleymoor.relay.http.HttpStatus
 import org.parsleymoor.relay.http.MessageFailure
+import org.parsleymoor.relay.limits.InstanceShare
 import org.parsleymoor.relay.limits.SharedRetryBudget
 import org.parsleymoor.relay.routing.CallerLimits
 
@@ -113,7 +114,8 @@
     private val ticks = ControlTicks(clock, settings.instance.value.stableHash().mod(HUB_TICK_MILLIS)) {
         if (membership.tree.direct) DIRECT_TICK_MILLIS else HUB_TICK_MILLIS
     }
-    private val membershipLoop = MembershipLoop(store, deployment, membership, log, clock)
+    private val retryShare = InstanceShare(MembershipLoop.shareTimes(settings.retries.windowMillis))
+    private val membershipLoop = MembershipLoop(store, deployment, membership, log, clock, retryShare)
     private val shutdown = ShutdownGate(ShutdownState(settings.times.graceMillis, clock), clock)
     private val lag = EventLoopLag(clock)
     private var knownSinceMillis: Long? = null
@@ -181,7 +183,7 @@
         val selector = EndpointSelector(settings, deployment, clock)
         val quarantine = QuarantineGate(context)
         val attempts = AttemptRunner(context, pool, protocol.headers, scope, quarantine)
-        val budget = SharedRetryBudget(settings.retries)
+        val budget = SharedRetryBudget(settings.retries, retryShare::at)
         val delivery = Delivery(context, selector, attempts, refusals, budget, quarantine)
         return CallerContext(
             clock = clock,
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/MembershipLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/MembershipLoop.kt
@@ -14,6 +14,8 @@
 import org.parsleymoor.entry.protocol.StoredObject
 import org.parsleymoor.entry.serving.DeploymentView
 import org.parsleymoor.relay.exchange.Member
+import org.parsleymoor.relay.limits.InstanceShare
+import org.parsleymoor.relay.limits.ShareTimes
 
 /**
  * Registers this instance in the object store and determines which instances are alive, for limits that all instances
@@ -25,6 +27,7 @@
     private val membership: Membership,
     private val log: StructuredLog,
     private val clock: Clock,
+    private val retryShare: InstanceShare,
 ) {
     private val observations = MemberObservations(HEARTBEAT_MILLIS, EXPIRY_MILLIS)
     private var heartbeats = 0L
@@ -49,12 +52,14 @@
 
     private suspend fun register() {
         heartbeats++
+        val startMillis = clock.nowMillis()
         val self = membership.self
         val record = MemberRecord(self.address, heartbeats, self.zone.value, self.processors)
         val text = Json.encodeToString(MemberRecord.serializer(), record)
         val failure = if (registeredMillis == null) createOrReplace(text) else replaceOrCreate(text)
         if (failure == null) {
             registeredMillis = clock.nowMillis()
+            retryShare.renewed(startMillis)
         } else {
             log.write("members.notRegistered") { put("reason", failure.message) }
         }
@@ -80,6 +85,7 @@
             log.write("members.changed", always = true) { put("count", members.size) }
         }
         deployment.members = members
+        retryShare.listed(members.size, clock.nowMillis())
         membership.update(alive.mapNotNull(::member))
     }
 
@@ -94,14 +100,21 @@
         null
     }
 
-    private companion object {
+    companion object {
         // Shared limits tolerate a view that is some seconds old, and every heartbeat is a billed write.
-        const val HEARTBEAT_MILLIS = 6_000L
-        const val EXPIRY_MILLIS = 20_000L
+        private const val HEARTBEAT_MILLIS = 6_000L
+        private const val EXPIRY_MILLIS = 20_000L
 
         // Lists more often after a start, when instances that started at the same time may not have registered yet.
-        const val INITIAL_LISTS = 4
-        const val INITIAL_LIST_MILLIS = 1_500L
-        val JSON = Json { ignoreUnknownKeys = true }
+        private const val INITIAL_LISTS = 4
+        private const val INITIAL_LIST_MILLIS = 1_500L
+        private val JSON = Json { ignoreUnknownKeys = true }
+
+        /** When an instance may use its share of a limit that holds in any [windowMillis]. */
+        fun shareTimes(windowMillis: Long): ShareTimes = ShareTimes(
+            listMillis = HEARTBEAT_MILLIS,
+            expiryMillis = EXPIRY_MILLIS,
+            windowMillis = windowMillis,
+        )
     }
 }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/RetryRules.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/RetryRules.kt
@@ -10,7 +10,6 @@
     private val budget: SharedRetryBudget,
     private val quarantine: QuarantineGate,
 ) {
-    private val deployment = context.deployment
     private val clock = context.clock
     private val shutdown = context.shutdown
 
@@ -57,7 +56,7 @@
             takeRetry(pending)
 
     private fun takeRetry(pending: PendingRequest): Boolean =
-        budget.tryTakeRetry(pending.service.name, deployment.instances, clock.nowMillis())
+        budget.tryTakeRetry(pending.service.name, clock.nowMillis())
 
     private companion object {
         // Less time than this is too short for an endpoint to respond.
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/ControlLoopsTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/ControlLoopsTest.kt
@@ -88,7 +88,7 @@
     fun `an instance whose registration does not change for twenty seconds expires`() = runLoops {
         memory.put(ObjectKind.MEMBERS, "gone", "{\"address\":\"h:1\",\"beats\":1}")
         val deployment = DeploymentView(InstanceId("self"))
-        val loop = MembershipLoop(memory.store, deployment, membership, log(this), clock(this))
+        val loop = MembershipLoop(memory.store, deployment, membership, log(this), clock(this), retryShare())
         backgroundScope.launch { loop.run() }
         advanceTimeBy(1_000)
         expectThat(deployment.instances).isEqualTo(2)
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/DeepRecordTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/DeepRecordTest.kt
@@ -42,7 +42,7 @@
         memory.put(ObjectKind.MEMBERS, "good", """{"address":"h:2","beats":1}""")
         val deployment = DeploymentView(InstanceId("self"))
         val membership = Membership(Member(InstanceId("self"), "h:3", ZoneId("a")))
-        val loop = MembershipLoop(memory.store, deployment, membership, log(), Clock { currentTime })
+        val loop = MembershipLoop(memory.store, deployment, membership, log(), Clock { currentTime }, retryShare())
         backgroundScope.launch { loop.run() }
         advanceTimeBy(1_000)
         expectThat(deployment.members).isNotNull().contains(InstanceId("good"))
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/InvalidAddressTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/InvalidAddressTest.kt
@@ -89,7 +89,7 @@
         val membership = Membership(Member(InstanceId("self"), "10.0.0.3:80", ZoneId("a")))
         val log = StructuredLog(Clock { currentTime }, "test", PrintStream(OutputStream.nullOutputStream()))
         val deployment = DeploymentView(InstanceId("self"))
-        val loop = MembershipLoop(memory.store, deployment, membership, log, Clock { currentTime })
+        val loop = MembershipLoop(memory.store, deployment, membership, log, Clock { currentTime }, retryShare())
         backgroundScope.launch { loop.run() }
         advanceTimeBy(1_000)
         val neighbours = membership.tree.neighbours(emptySet(), currentTime).map { it.id.value }
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
@@ -77,7 +77,7 @@
     private val deployment = DeploymentView(InstanceId("test"))
     private val shutdown = ShutdownGate(ShutdownState(GRACE_MILLIS, Clock.System), Clock.System)
     val metrics = EntryMetrics()
-    private val budget = SharedRetryBudget(RetryLimit(share = 1.0, extra = 100.0, windowMillis = 10_000))
+    private val budget = SharedRetryBudget(RetryLimit(share = 1.0, extra = 100.0, windowMillis = 10_000)) { 1.0 }
     private val server: CallerServer
     val lag = EventLoopLag(Clock.System)
 
@@ -159,7 +159,7 @@
 
     /** Takes all that is left of the retry budget. */
     fun useUpRetryBudget() {
-        onEventLoop { while (budget.tryTakeRetry("s", it.instances, Clock.System.nowMillis())) Unit }
+        onEventLoop { while (budget.tryTakeRetry("s", Clock.System.nowMillis())) Unit }
     }
 
     /** Returns the log lines of [event]. */
