Reset the connection of a request that is given up

What endpoints saw: one that had paused before it read a request got the rest of it after the request had been answered by another endpoint, and ran it (TWICE).

Cause: closing a socket first sends all that is queued, so that the close waits for the endpoint, and the endpoint reads a complete request.

Change: the connection of an unfinished request, or of a control call without a response, is reset below the socket's handler, and what is queued is dropped. Closing the channel through its pipeline is not enough (tried: the handler of the socket sends the queue first).

Evidence: AbandonedRequestTest.

--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/ControlClient.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/ControlClient.kt
@@ -47,7 +47,7 @@
             connection.send(message(head(address, request), request.body.orEmpty().encodeToByteArray()))
             response = withTimeoutOrNull(timeoutMillis) { receive(connection, request, onHead) }
         } finally {
-            if (response?.isOk == true) pool.release(connection, null) else connection.close()
+            if (response?.isOk == true) pool.release(connection, null) else connection.abort()
         }
         return response ?: Err(CallFailure.Unanswered("no response within $timeoutMillis ms"))
     }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/EndpointConnection.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/EndpointConnection.kt
@@ -6,7 +6,9 @@
 import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.map
+import io.netty.channel.ChannelOption
 import io.vertx.core.buffer.Buffer
+import io.vertx.core.internal.net.NetSocketInternal
 import io.vertx.core.net.NetSocket
 import org.parsleymoor.relay.fleet.SocketAddress
 import org.parsleymoor.relay.http.BodyDecoder
@@ -95,12 +97,24 @@
         }
     }
 
-    /** Closes the connection, which makes the endpoint abort a request in flight. */
+    /** Closes the connection after everything has been sent. */
     fun close() {
         noNewRequests = true
         socket.close()
     }
 
+    /**
+     * Resets the connection, which makes the endpoint abort a request in flight. Unlike [close], it does not send what
+     * is still queued: an endpoint that has paused would read it later and run a request that was given up.
+     */
+    fun abort() {
+        noNewRequests = true
+        // Closes the channel below the handler of the socket, which would first send what it has queued.
+        val context = (socket as NetSocketInternal).channelHandlerContext()
+        if (context.channel().isOpen) context.channel().config().setOption(ChannelOption.SO_LINGER, 0)
+        context.close()
+    }
+
     private companion object {
         const val MAX_HEAD_BYTES = 32_768
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/AttemptRunner.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/AttemptRunner.kt
@@ -133,14 +133,13 @@
     }
 
     private fun releaseOrClose(connection: EndpointConnection, progress: AttemptProgress) {
-        if (deployment.endpoints.isLeaving(progress.incarnation)) {
-            connection.close()
-            pool.discardIdle(connection.address)
-        } else if (progress.complete || !progress.sent) {
-            pool.release(connection, progress.keepAliveMillis)
-        } else {
-            connection.close()
+        val leaving = deployment.endpoints.isLeaving(progress.incarnation)
+        when {
+            progress.sent && !progress.complete -> connection.abort()
+            leaving -> connection.close()
+            else -> pool.release(connection, progress.keepAliveMillis)
         }
+        if (leaving) pool.discardIdle(connection.address)
     }
 
     private companion object {
--- /dev/null
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/AbandonedRequestTest.kt
@@ -0,0 +1,68 @@
+package org.parsleymoor.entry
+
+import org.junit.jupiter.api.Test
+import org.parsleymoor.relay.routing.CallerLimits
+import org.parsleymoor.relay.routing.RequestKind
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.endsWith
+import strikt.assertions.isLessThan
+import strikt.assertions.isTrue
+import java.net.Socket
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
+
+/** Guards against an endpoint that runs a request after the request was given up there. */
+class AbandonedRequestTest {
+    // The connection was closed only after the queued body had been read, so that two endpoints ran the request.
+    @Test
+    fun `an endpoint that pauses does not get the rest of a request that went on elsewhere`() {
+        val received = AtomicInteger()
+        val readBytes = AtomicLong()
+        val pauseEnded = CountDownLatch(1)
+        val script: (Socket, Int, String) -> Unit = { socket, _, head ->
+            if (received.incrementAndGet() == 1) {
+                Thread.sleep(PAUSE_MILLIS)
+                socket.readToEnd(readBytes)
+                pauseEnded.countDown()
+            } else {
+                socket.getInputStream().skipNBytes(bodyLength(head).toLong())
+                socket.send(STREAM_HEAD + event(1, "a") + STREAM_END)
+            }
+        }
+        val endpoints = List(2) { ScriptedEndpoint(script, readsBodies = false) }
+        val harness = RelayHarness(
+            *endpoints.toTypedArray(),
+            kind = RequestKind.STREAM,
+            resumable = true,
+            timeoutMillis = 6_000,
+        )
+        harness.limits = CallerLimits(headBytes = 2_048, bodyBytes = BODY_BYTES)
+        harness.use { expectThat(it.exchange(request())).contains("data: a").endsWith(STREAM_END) }
+        expectThat(pauseEnded.await(10, TimeUnit.SECONDS)).isTrue()
+        expectThat(readBytes.get()).isLessThan(BODY_BYTES.toLong())
+    }
+
+    private fun Socket.readToEnd(count: AtomicLong) {
+        val buffer = ByteArray(65_536)
+        runCatching {
+            while (true) {
+                val bytes = getInputStream().read(buffer)
+                if (bytes < 0) break
+                count.addAndGet(bytes.toLong())
+            }
+        }
+    }
+
+    private fun request(): String =
+        relayRequest(PROMPT_FIELDS).replace("Content-Length: 0", "Content-Length: $BODY_BYTES") + "x".repeat(BODY_BYTES)
+
+    private companion object {
+        const val PAUSE_MILLIS = 4_000L
+
+        // More than the buffers of both sockets take.
+        const val BODY_BYTES = 16_000_000
+    }
+}
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/ScriptedEndpoint.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/ScriptedEndpoint.kt
@@ -9,21 +9,34 @@
 
 /** Reads a request head and a body of the stated length from this socket; returns null at the end of input. */
 internal fun Socket.readRequest(): String? {
+    val head = readHead() ?: return null
+    return head + String(getInputStream().readNBytes(bodyLength(head)))
+}
+
+/** Returns the length that [head] states for its body. */
+internal fun bodyLength(head: String): Int =
+    Regex("Content-Length: (\\d+)", RegexOption.IGNORE_CASE).find(head)?.groupValues?.get(1)?.toInt() ?: 0
+
+private fun Socket.readHead(): String? {
     val text = StringBuilder()
     while (!text.endsWith("\r\n\r\n")) {
         val byte = getInputStream().read()
         if (byte < 0) return null
         text.append(byte.toChar())
     }
-    val length = Regex("Content-Length: (\\d+)", RegexOption.IGNORE_CASE).find(text)?.groupValues?.get(1)?.toInt() ?: 0
-    return text.toString() + String(getInputStream().readNBytes(length))
+    return text.toString()
 }
 
 /**
  * An endpoint that responds to each request with what [script] writes to the raw socket. The script gets the socket,
- * the number of the request counted from 1, and its text.
+ * the number of the request counted from 1, and its text; unless it [readsBodies], it reads the body itself.
  */
-internal class ScriptedEndpoint(private val script: (Socket, Int, String) -> Unit) : AutoCloseable {
+internal class ScriptedEndpoint(
+    private val script: (Socket, Int, String) -> Unit,
+    private val readsBodies: Boolean,
+) : AutoCloseable {
+    constructor(script: (Socket, Int, String) -> Unit) : this(script, readsBodies = true)
+
     private val server = ServerSocket(0, 50, InetAddress.getLoopbackAddress())
     val requests = CopyOnWriteArrayList<String>()
     val connectionEnded = CountDownLatch(1)
@@ -45,7 +58,7 @@
     private fun serve(socket: Socket) {
         try {
             while (true) {
-                val request = socket.readRequest() ?: break
+                val request = (if (readsBodies) socket.readRequest() else socket.readHead()) ?: break
                 requests += request
                 script(socket, requests.size, request)
             }
