--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
@@ -62,11 +62,13 @@
             else -> null
         }
         if (skipReason != null) return AttemptResult.NotRun(skipReason, sent = false)
-        connection.send(message(context.requestBuilder.head(pending, target, remaining), pending.request.body))
-        context.endpoints.pauses.requestSent(progress.incarnation, clock.nowMillis())
+        val message = message(context.requestBuilder.head(pending, target, remaining), pending.request.body)
+        // Counted first: a send that fails may have sent a part.
         progress.sent = true
         pending.sendCount++
+        connection.send(message)
         val sentMillis = clock.nowMillis()
+        context.endpoints.pauses.requestSent(progress.incarnation, sentMillis)
         exchange.handover.requestSent(pending.maxOverlapMillis) { state.showsLifeSince(sentMillis) }
         val response = ResponseAwaiter(clock, pending, exchange).await(reader, remaining)
         return response?.fold({ handleResponse(it) }, { onFault(it) })
