Leave a stream at its endpoint during a silence of a second or so

What endpoints saw: an endpoint that stopped for 0.6 to 1.6 s, which is no fault, went on with streams that had been resumed at another endpoint after 1.2 s, and both worked on them (TWICE).

Cause: a stopped endpoint does not notice the end of a connection, and the silence after which a stream moved was shorter than that of a sound endpoint.

Change: a stream looks for another endpoint after half of the time that its caller waits for the next event, at least 1.2 s and at most 2 s; a prompt before its first event too, which waited 1.5 s.

What callers lose whose endpoint is dead: their stream goes on 0.8 s later, within the time that they wait.

AbandonedRequestTest, a stream is not run by a second endpoint while its own stops for a second or so: failed before with two requests.

--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/ResponseTimeouts.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/ResponseTimeouts.kt
@@ -9,10 +9,18 @@
  */
 internal fun PendingRequest.silenceTimeoutMillis(target: Target): Long = when {
     !route.repeatable -> Long.MAX_VALUE
-    prompt != null -> maxOf(ENGINE_SILENCE_MILLIS, target.estimateMillis.toLong() * 2)
+    prompt != null -> maxOf(eventSilenceMillis, target.estimateMillis.toLong() * 2)
     else -> maxOf(target.estimateMillis * SILENCE_FACTOR, route.objectiveMillis * SILENCE_OBJECTIVES).toLong()
 }
 
+/**
+ * How long a stream may be silent before it is sent to another endpoint too. A sound endpoint may be silent for a
+ * second or more, and one that stopped for that time does not notice that its connection was closed: it goes on with
+ * the request beside its successor. The other half of the time for which callers wait is left for the successor.
+ */
+internal val PendingRequest.eventSilenceMillis: Long
+    get() = (route.firstByteWaitMillis(caller.waitMillis) / 2).coerceIn(MIN_SILENCE_MILLIS, MAX_SILENCE_MILLIS)
+
 /**
  * How long an engine and its successor may both work on this request, or null if there is no limit. A prompt may be run
  * by two engines for up to 400 ms; the rest is for the way to the engine.
@@ -36,5 +44,8 @@
 private const val SILENCE_FACTOR = 4.0
 private const val SILENCE_OBJECTIVES = 1.5
 
-// An engine under load responds to some request of an instance at shorter intervals than this.
-private const val ENGINE_SILENCE_MILLIS = 1_500L
+// Callers abandon a stream after a gap of two seconds at the earliest, and resuming it takes part of that time.
+private const val MIN_SILENCE_MILLIS = 1_200L
+
+// Longer than the silence of a sound endpoint.
+private const val MAX_SILENCE_MILLIS = 2_000L
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/StreamRelay.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/StreamRelay.kt
@@ -23,6 +23,7 @@
     private val connection = exchange.connection
     private val progress = exchange.progress
     private val splitter = EventSplitter()
+    private val silenceMillis = pending.eventSilenceMillis
     private var lastEventMillis = clock.nowMillis()
 
     /** Relays [response]. A stream resumed at another endpoint continues the response that was started with [head]. */
@@ -53,7 +54,7 @@
         while (part == null && !ended) {
             val nowMillis = clock.nowMillis()
             val remaining = (pending.deadlineMillis - nowMillis).coerceAtLeast(1)
-            val patience = (lastEventMillis + STALL_MILLIS - nowMillis).coerceAtLeast(SILENCE_POLL_MILLIS)
+            val patience = (lastEventMillis + silenceMillis - nowMillis).coerceAtLeast(SILENCE_POLL_MILLIS)
             if (isStalled(nowMillis)) exchange.handover.onSilence()
             part = withTimeoutOrNull(minOf(remaining, patience)) { connection.readPart(response) }
             ended = clock.nowMillis() >= pending.deadlineMillis
@@ -66,7 +67,7 @@
      * while. Bytes that complete no event do not count, because a stalled stream may still send some.
      */
     private fun isStalled(nowMillis: Long): Boolean = pending.route.resumable &&
-        nowMillis - lastEventMillis >= STALL_MILLIS && !progress.hasActivitySince(lastEventMillis + 1)
+        nowMillis - lastEventMillis >= silenceMillis && !progress.hasActivitySince(lastEventMillis + 1)
 
     private suspend fun deliver(head: CallerResponseHead, events: List<StreamEvent>) {
         if (events.isEmpty()) return
@@ -105,9 +106,6 @@
     }
 
     private companion object {
-        // Callers abandon a stream after a gap of two seconds, and resuming it elsewhere takes part of that time.
-        const val STALL_MILLIS = 1_200L
-
         // Events hold a few tokens, so a larger one is taken to be endless.
         const val MAX_EVENT_BYTES = 262_144
     }
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/AbandonedRequestTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/AbandonedRequestTest.kt
@@ -6,6 +6,7 @@
 import strikt.api.expectThat
 import strikt.assertions.contains
 import strikt.assertions.endsWith
+import strikt.assertions.hasSize
 import strikt.assertions.isLessThan
 import strikt.assertions.isTrue
 import java.net.Socket
@@ -45,6 +46,30 @@
         expectThat(readBytes.get()).isLessThan(BODY_BYTES.toLong())
     }
 
+    // An endpoint that stopped for a second went on with a stream that had been resumed elsewhere meanwhile.
+    @Test
+    fun `a stream is not run by a second endpoint while its own stops for a second or so`() {
+        val endpoints = List(2) {
+            ScriptedEndpoint { socket, _, _ ->
+                socket.send(STREAM_HEAD + event(1, "a"))
+                Thread.sleep(STOP_MILLIS)
+                repeat(3) { number ->
+                    socket.send(event(number + 2, "b"))
+                    Thread.sleep(EVENT_MILLIS)
+                }
+                socket.send(STREAM_END)
+            }
+        }
+        val harness = RelayHarness(
+            *endpoints.toTypedArray(),
+            kind = RequestKind.STREAM,
+            resumable = true,
+            timeoutMillis = 6_000,
+        )
+        harness.use { expectThat(it.exchange(relayRequest(PROMPT_FIELDS))).endsWith(STREAM_END) }
+        expectThat(endpoints.flatMap { it.requests }).hasSize(1)
+    }
+
     private fun Socket.readToEnd(count: AtomicLong) {
         val buffer = ByteArray(65_536)
         runCatching {
@@ -61,6 +86,8 @@
 
     private companion object {
         const val PAUSE_MILLIS = 4_000L
+        const val STOP_MILLIS = 1_600L
+        const val EVENT_MILLIS = 300L
 
         // More than the buffers of both sockets take.
         const val BODY_BYTES = 16_000_000
