--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/EnginePlacement.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/EnginePlacement.kt
@@ -80,8 +80,8 @@
         val allowed =
             inRegions.filter { it.entry.id !in request.tried && !table.isPaused(it.incarnation, nowMillis) }
         val usable = allowed.filter { it.weights(prompt.model) != null && isRecent(it, target, nowMillis) }
-        val ready = usable.filter { nowMillis >= it.orderedUntilMillis }.orElseFor(request, usable)
-        val healthy = ready.filterNot { it.health.isEjected(nowMillis) }.orElseFor(request, ready)
+        val ready = usable.filter { nowMillis >= it.orderedUntilMillis }.orLastResort(request, usable)
+        val healthy = ready.filterNot { it.health.isEjected(nowMillis) }.orLastResort(request, ready)
             .filterNot { request.isSuccessor && hasRefused(it, nowMillis) }
         val withMemory = healthy.filter { it.hasMemoryFor(prompt, nowMillis) }
         return when {
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/PlacementResult.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/PlacementResult.kt
@@ -36,6 +36,11 @@
     ) : PlacementResult
 }
 
-/** Returns these endpoints, or [others] if there are none and [query] has no endpoint yet. */
-internal fun List<EndpointState>.orElseFor(query: PlacementQuery, others: List<EndpointState>): List<EndpointState> =
-    if (isEmpty() && !query.isSuccessor) others else this
+/**
+ * Returns these endpoints. If there are none, returns [lastResort], which will probably refuse or fail, unless [query]
+ * has an endpoint already.
+ */
+internal fun List<EndpointState>.orLastResort(
+    query: PlacementQuery,
+    lastResort: List<EndpointState>,
+): List<EndpointState> = if (isEmpty() && !query.isSuccessor) lastResort else this
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/ServicePlacement.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/ServicePlacement.kt
@@ -40,7 +40,7 @@
     }
 
     private fun select(query: PlacementQuery, allowed: List<EndpointState>, nowMillis: Long): PlacementResult {
-        val healthy = allowed.filterNot { it.health.isEjected(nowMillis) }.orElseFor(query, allowed)
+        val healthy = allowed.filterNot { it.health.isEjected(nowMillis) }.orLastResort(query, allowed)
         val selected = healthy.minByOrNull { cost(it, nowMillis) }
             ?: return PlacementResult.Unavailable(UnavailableReason.NO_ENDPOINT, NO_ENDPOINT_RETRY_MILLIS)
         val wait = waitMillis(selected, nowMillis)
