--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/HandoverTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/HandoverTest.kt
@@ -122,6 +122,24 @@
         expectThat(closedMillis.get() - startedMillis.get()).isLessThan(MAX_OVERLAP_MILLIS)
     }
 
+    // A stream that had moved once was not watched again.
+    @Test
+    fun `moves a stream again when the endpoint that took it over falls silent`() {
+        val received = AtomicInteger()
+        val endpoints = List(3) {
+            ScriptedEndpoint { socket, _, _ ->
+                val number = received.incrementAndGet()
+                socket.send(STREAM_HEAD + event(number, "e$number"))
+                if (number < 3) socket.closedMillis() else socket.send(STREAM_END)
+            }
+        }
+        harness(endpoints, attempts = 3, timeoutMillis = 10_000).use {
+            expectThat(it.exchange(relayRequest(PROMPT_FIELDS, waitMillis = 10_000)))
+                .contains("e1").contains("e2").contains("e3").endsWith(STREAM_END)
+        }
+        expectThat(endpoints.sumOf { it.requests.size }).isEqualTo(3)
+    }
+
     // A successor that is silent as well was preferred to the endpoint that had the request.
     @Test
     fun `ends a successor without a sign of life in time`() {
@@ -157,11 +175,17 @@
         }
     }
 
-    private fun harness(endpoints: List<ScriptedEndpoint>, kind: RequestKind = RequestKind.STREAM) = RelayHarness(
+    private fun harness(
+        endpoints: List<ScriptedEndpoint>,
+        kind: RequestKind = RequestKind.STREAM,
+        attempts: Int = 2,
+        timeoutMillis: Long = 6_000,
+    ) = RelayHarness(
         *endpoints.toTypedArray(),
         kind = kind,
         resumable = kind == RequestKind.STREAM,
-        timeoutMillis = 6_000,
+        attempts = attempts,
+        timeoutMillis = timeoutMillis,
     )
 
     /** Reads until the peer closes the connection; returns when it did. */
