Wait for the successor in the test of a resumed stream, and name the caller's result

The endpoint now waits for the successor instead; the expectations are as before. No change of behaviour elsewhere.

--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/AttemptSequence.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/AttemptSequence.kt
@@ -36,7 +36,7 @@
         val own = handover.run { attemptRunner.run(pending, target, writer, handover) } ?: ended(target, handover)
         if (own is AttemptResult.Uncertain || own is AttemptResult.Failed) pending.possibleRuns++
         record(pending, target, own, startMillis)
-        handover.decisive(own)
+        handover.resultForCaller(own)
     }
 
     private fun ended(target: Target, handover: Handover): AttemptResult {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Handover.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Handover.kt
@@ -87,11 +87,18 @@
         predecessor?.attempt?.join()
     }
 
-    /** Returns the result that counts for the caller: [own], the result of this attempt, or that of its successor. */
-    suspend fun decisive(own: AttemptResult): AttemptResult {
-        val next = successorResult?.takeIf { end == AttemptEnd.TAKEN_OVER || it.isActive }?.await()
-        val counts = end == AttemptEnd.TAKEN_OVER || next is AttemptResult.Delivered || next is AttemptResult.Failed
-        return if (next != null && own !is AttemptResult.Delivered && counts) next else own
+    /**
+     * Returns the result that the caller learns of: [own], the result of this attempt, or that of its successor if the
+     * successor has taken over or has a response. Suspends while a successor is running.
+     */
+    suspend fun resultForCaller(own: AttemptResult): AttemptResult {
+        val takenOver = end == AttemptEnd.TAKEN_OVER
+        val next = successorResult?.takeIf { takenOver || it.isActive }?.await()
+        return when {
+            own is AttemptResult.Delivered || next == null -> own
+            takenOver || next is AttemptResult.Delivered || next is AttemptResult.Failed -> next
+            else -> own
+        }
     }
 
     private fun stop(reason: AttemptEnd) {
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/HandoverTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/HandoverTest.kt
@@ -82,9 +82,15 @@
     // The events of two runs must not be mixed when the first endpoint goes on while the second has begun to work.
     @Test
     fun `relays a stream once when its endpoint goes on before the successor`() {
+        val successorBegun = CountDownLatch(1)
         val successorClosed = CountDownLatch(1)
-        val endpoints = endpoints(firstScript = silentStream(STALL_MILLIS + 200)) { socket ->
-            socket.send(STREAM_HEAD)
+        val resumed: (Socket) -> Unit = { socket ->
+            socket.send(STREAM_HEAD + event(1, "a"))
+            successorBegun.await()
+            socket.send(event(2, "b") + STREAM_END)
+        }
+        val endpoints = endpoints(firstScript = resumed) { socket ->
+            successorBegun.countDown()
             socket.closedMillis()
             successorClosed.countDown()
         }
@@ -93,7 +99,7 @@
             expectThat(answer).endsWith(STREAM_END)
             expectThat(Regex("data: ").findAll(answer).count()).isEqualTo(2)
         }
-        expectThat(successorClosed.await(1, TimeUnit.SECONDS)).isTrue()
+        expectThat(successorClosed.await(5, TimeUnit.SECONDS)).isTrue()
     }
 
     // A stream whose endpoint has ended without a word was lost, or worked on by two endpoints for too long.
@@ -200,9 +206,6 @@
         const val SILENCE_MILLIS = 3_000L
         const val LONG_SILENCE_MILLIS = 5_000L
 
-        // A silent stream looks for another endpoint after this time.
-        const val STALL_MILLIS = 2_000L
-
         // Callers abandon a stream after such a gap.
         const val CALLERS_WAIT_MILLIS = 4_000L
 
