--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
@@ -141,11 +141,23 @@
     }
 
     /** Allows [limit] connections to each endpoint. */
-    fun limitConnections(limit: Int) {
-        runBlocking(dispatcher) {
-            val table = checkNotNull(deployment.routes)
-            val services = table.configuration.services.mapValues { it.value.copy(connectionLimit = limit) }
-            deployment.routes = RouteTable(table.configuration.copy(services = services))
+    fun limitConnections(limit: Int) = configure { configuration ->
+        configuration.copy(services = configuration.services.mapValues { it.value.copy(connectionLimit = limit) })
+    }
+
+    /** Puts a new version of the configuration in force, made from the present one by [change]. */
+    fun configure(change: (ServingConfiguration) -> ServingConfiguration) {
+        onEventLoop { deployment ->
+            val configuration = checkNotNull(deployment.routes).configuration
+            deployment.routes = RouteTable(change(configuration).copy(version = configuration.version + 1))
+        }
+    }
+
+    /** Lists all endpoints under [service]. */
+    fun moveEndpoints(service: String) {
+        onEventLoop { deployment ->
+            deployment.endpoints.all.map { it.entry.copy(service = service) }
+                .forEach { deployment.endpoints.put(it, Clock.System.nowMillis()) }
         }
     }
 
