Answer a request whose handling ends with any throwable

What callers saw: the connection closed with neither an answer nor a refusal when handling a request ended with anything but a RuntimeException: an error such as a full heap or stack, a checked exception of a library, or a cancellation of something else. Log: coroutine.failed without a request, for a stray cancellation only connection.closed with the reason failed.

Cause: RelayHandler answered RuntimeExceptions only, and took every CancellationException for the end of its own coroutine.

Change: every throwable is answered and logged as request.failed, with 503 if nothing was sent and 502 otherwise; only a coroutine that is itself cancelled, because its caller has left, ends without.

Test: UnansweredRequestTest, 5 of 5 new cases failed before (no byte of an answer), all pass; AbandonedRequestTest still passes, so callers that leave still end their requests.

--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/RelayHandler.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/RelayHandler.kt
@@ -1,6 +1,7 @@
 package org.parsleymoor.entry.serving
 
-import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
 import kotlinx.serialization.json.put
 import org.parsleymoor.core.RequestId
 import org.parsleymoor.entry.callers.CallerRequest
@@ -39,9 +40,9 @@
                     deliver(routed.pending, writer)
                 }
             }
-        } catch (cancelled: CancellationException) {
-            throw cancelled
-        } catch (cause: RuntimeException) {
+        } catch (cause: Throwable) {
+            // Unless the caller has left, even a cancellation is a fault: it ended something else.
+            currentCoroutineContext().ensureActive()
             answerFailed(id, pending, writer, cause)
         }
         val millis = clock.nowMillis() - request.receivedMillis
@@ -55,7 +56,7 @@
     }
 
     /** Answers a request whose handling ended with an unexpected error, unless its response has begun. */
-    private fun answerFailed(id: RequestId, pending: PendingRequest?, writer: ResponseWriter, cause: RuntimeException) {
+    private fun answerFailed(id: RequestId, pending: PendingRequest?, writer: ResponseWriter, cause: Throwable) {
         val sends = pending?.sendCount ?: 0
         log.write("request.failed", always = true) {
             put("request", id.value)
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/UnansweredRequestTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/UnansweredRequestTest.kt
@@ -1,17 +1,32 @@
 package org.parsleymoor.entry
 
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.EnumSource
+import org.parsleymoor.core.ZoneId
 import org.parsleymoor.relay.routing.CallerLimits
 import org.parsleymoor.relay.routing.RequestKind
 import strikt.api.expectThat
 import strikt.assertions.contains
 import strikt.assertions.endsWith
+import strikt.assertions.hasSize
 import strikt.assertions.startsWith
+import java.io.IOException
 import java.net.Socket
 import kotlin.concurrent.thread
+import kotlin.coroutines.cancellation.CancellationException
 
 /** Guards against complete requests that get neither an answer nor a refusal. */
 class UnansweredRequestTest {
+    /** A fault of the program or of a library while a request is handled. */
+    enum class Fault(val create: () -> Throwable) {
+        CHECKED_EXCEPTION({ IOException("unexpected") }),
+        STRAY_CANCELLATION({ CancellationException("of something else") }),
+        STACK_OVERFLOW({ StackOverflowError() }),
+        OUT_OF_MEMORY({ OutOfMemoryError("simulated") }),
+        BARE_THROWABLE({ object : Throwable("unexpected") {} }),
+    }
+
     // Callers count on the idle limit that is in force when they send, not on the one of their previous request.
     @Test
     fun `keeps idle connections open for a raised idle limit`() {
@@ -97,6 +112,17 @@
         }
     }
 
+    // Only runtime exceptions were answered; anything else closed the connection without an answer.
+    @ParameterizedTest
+    @EnumSource
+    fun `refuses a request when choosing an endpoint fails with any kind of throwable`(fault: Fault) {
+        RelayHarness(answering()).use { harness ->
+            harness.onEventLoop { it.endpoints.evacuated = FailingSet(fault) }
+            expectThat(harness.exchange(request())).startsWith("HTTP/1.1 503").contains("Connection: close")
+            expectThat(harness.logged("request.failed")).hasSize(1)
+        }
+    }
+
     // An exception while a request is handled ended its coroutine, which closed the connection without an answer.
     @Test
     fun `answers when handling a request fails unexpectedly`() {
@@ -155,6 +181,13 @@
         }
     }
 
+    /** A set that fails when it is searched. */
+    private class FailingSet(private val fault: Fault) : AbstractSet<ZoneId>() {
+        override val size: Int get() = 1
+
+        override fun iterator(): Iterator<ZoneId> = throw fault.create()
+    }
+
     private fun answering() = ScriptedEndpoint { socket, _, _ ->
         socket.send("HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s1\r\nContent-Length: 2\r\n\r\nok")
     }
