End only the attempt when an attempt fails unexpectedly

What callers saw: a stream or request at a sound endpoint that was silent for a moment was closed or answered 502 when the attempt beside it met an unexpected error, and a repeatable request was answered 502 although another endpoint could take it.

Cause: attempts are children of one coroutine scope, so that the fault of one ended all. The class: the fault of a part ends the whole.

Change: an unexpected error is logged as attempt.failed and counts as an outcome of its attempt, unknown if any byte may have been sent. The handover is marked as sent before the bytes are handed over, so that a send that throws is never taken for a request that was not sent.

--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
@@ -63,13 +63,13 @@
         }
         if (skipReason != null) return AttemptResult.NotRun(skipReason, sent = false)
         val message = message(context.requestBuilder.head(pending, target, remaining), pending.request.body)
+        val sentMillis = clock.nowMillis()
         // Counted first: a send that fails may have sent a part.
         progress.sent = true
         pending.sendCount++
+        exchange.handover.requestSent(pending.maxOverlapMillis) { state.showsLifeSince(sentMillis) }
         connection.send(message)
-        val sentMillis = clock.nowMillis()
         context.endpoints.pauses.requestSent(progress.incarnation, sentMillis)
-        exchange.handover.requestSent(pending.maxOverlapMillis) { state.showsLifeSince(sentMillis) }
         val response = ResponseAwaiter(clock, pending, exchange).await(reader, remaining)
         return response?.fold({ handleResponse(it) }, { onFault(it) })
             ?: onTimeout(clock.nowMillis() - sentMillis)
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/AttemptSequence.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/AttemptSequence.kt
@@ -1,6 +1,8 @@
 package org.parsleymoor.entry.serving
 
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
 import kotlinx.serialization.json.put
 import org.parsleymoor.entry.callers.ResponseWriter
 import org.parsleymoor.relay.fleet.AttemptOutcome
@@ -33,12 +35,32 @@
                 suspend { run(pending, next, writer, self) }
             }
         }
-        val own = handover.run { attemptRunner.run(pending, target, writer, handover) } ?: ended(target, handover)
+        val own = handover.run { runIsolated(pending, target, writer, handover) } ?: ended(target, handover)
         if (own is AttemptResult.Uncertain || own is AttemptResult.Failed) pending.possibleRuns++
         record(pending, target, own, startMillis)
         handover.resultForCaller(own)
     }
 
+    /** Runs one attempt; an unexpected error ends only this attempt, not the request or the attempt beside it. */
+    @Suppress("TooGenericExceptionCaught")
+    private suspend fun runIsolated(
+        pending: PendingRequest,
+        target: Target,
+        writer: ResponseWriter,
+        handover: Handover,
+    ): AttemptResult = try {
+        attemptRunner.run(pending, target, writer, handover)
+    } catch (cause: Throwable) {
+        currentCoroutineContext().ensureActive()
+        log.write("attempt.failed", always = true) {
+            put("request", pending.id.value)
+            put("endpoint", target.endpoint.entry.id.value)
+            put("sent", handover.sent)
+            put("cause", cause.stackTraceToString())
+        }
+        if (handover.sent) AttemptResult.Uncertain(ERROR) else AttemptResult.NotRun(ERROR, sent = false)
+    }
+
     private fun ended(target: Target, handover: Handover): AttemptResult {
         val end = checkNotNull(handover.end) { "an attempt without a result was ended by another one" }
         if (end == AttemptEnd.NO_SIGN_OF_LIFE) {
@@ -82,4 +104,8 @@
             put("outcome", result.outcome)
         }
     }
+
+    private companion object {
+        const val ERROR = "an unexpected error on this instance"
+    }
 }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Handover.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Handover.kt
@@ -32,7 +32,7 @@
     var end: AttemptEnd? = null
         private set
 
-    /** Whether the request was written. */
+    /** Whether the request, or a part of it, may have been written. */
     var sent = false
         private set
 
@@ -56,7 +56,7 @@
     }
 
     /**
-     * Records that the request was written. If [maxOverlapMillis] is not null, no more than this time passes until one
+     * Records that the request is being written. If [maxOverlapMillis] is not null, no more than this time passes until one
      * of two attempts is ended: the earlier if [showsLife] says that the endpoint of this one has given a sign of life.
      */
     fun requestSent(maxOverlapMillis: Long?, showsLife: () -> Boolean) {
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/HandoverTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/HandoverTest.kt
@@ -42,6 +42,17 @@
         }
     }
 
+    // The fault of an attempt beside the first ended both.
+    @Test
+    fun `keeps a silent stream whose successor fails with an unexpected error`() {
+        val leaving: (Socket) -> Unit = { it.send(STREAM_HEAD.replace("Seal: s1", "Seal: s1\r\nLeaving: 1")) }
+        harness(endpoints(firstScript = silentStream(), other = leaving)).use { harness ->
+            harness.onEventLoop { it.onLeaving = { _, _ -> error("unexpected") } }
+            expectThat(harness.exchange(relayRequest(PROMPT_FIELDS)))
+                .contains("data: a").contains("data: b").endsWith(STREAM_END)
+        }
+    }
+
     // A request that had no event yet was answered 502.
     @ParameterizedTest
     @EnumSource
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/UnansweredRequestTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/UnansweredRequestTest.kt
@@ -13,6 +13,7 @@
 import strikt.assertions.startsWith
 import java.io.IOException
 import java.net.Socket
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
 import kotlin.coroutines.cancellation.CancellationException
 
@@ -123,6 +124,37 @@
         }
     }
 
+    // The fault of one attempt ended the request, although it could go on elsewhere.
+    @ParameterizedTest
+    @EnumSource
+    fun `serves a repeatable request elsewhere when an attempt fails with any kind of throwable`(fault: Fault) {
+        val received = AtomicInteger()
+        val endpoints = List(2) {
+            ScriptedEndpoint { socket, _, _ ->
+                val leaving = if (received.incrementAndGet() == 1) "Leaving: 1\r\n" else ""
+                socket.send("HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s1\r\n${leaving}Content-Length: 2\r\n\r\nok")
+            }
+        }
+        RelayHarness(*endpoints.toTypedArray(), kind = RequestKind.IDEMPOTENT).use { harness ->
+            harness.onEventLoop { it.onLeaving = { _, _ -> throw fault.create() } }
+            expectThat(harness.exchange(request())).startsWith("HTTP/1.1 200")
+            expectThat(harness.logged("attempt.failed")).hasSize(1)
+        }
+    }
+
+    // The endpoint has the request, so that it must not be said not to have run.
+    @ParameterizedTest
+    @EnumSource
+    fun `answers 502 when the only attempt fails after the request was sent`(fault: Fault) {
+        val leaving = ScriptedEndpoint { socket, _, _ ->
+            socket.send("HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s1\r\nLeaving: 1\r\nContent-Length: 2\r\n\r\nok")
+        }
+        RelayHarness(leaving).use { harness ->
+            harness.onEventLoop { it.onLeaving = { _, _ -> throw fault.create() } }
+            expectThat(harness.exchange(request())).startsWith("HTTP/1.1 502")
+        }
+    }
+
     // An exception while a request is handled ended its coroutine, which closed the connection without an answer.
     @Test
     fun `answers when handling a request fails unexpectedly`() {
