--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Handover.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Handover.kt
@@ -56,8 +56,9 @@
     }
 
     /**
-     * Records that the request is being written. If [maxOverlapMillis] is not null, no more than this time passes until one
-     * of two attempts is ended: the earlier if [showsLife] says that the endpoint of this one has given a sign of life.
+     * Records that the request is being written. If [maxOverlapMillis] is not null, no more than this time passes until
+     * one of two attempts is ended: the earlier if [showsLife] says that the endpoint of this one has given a sign of
+     * life.
      */
     fun requestSent(maxOverlapMillis: Long?, showsLife: () -> Boolean) {
         sent = true
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/ConfigurationChangeTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/ConfigurationChangeTest.kt
@@ -1,6 +1,5 @@
 package org.parsleymoor.entry
 
-import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.EnumSource
 import org.parsleymoor.relay.routing.RequestKind
