Keep a stream that has begun until its caller stops waiting

What callers saw: a stream closed in the middle although its endpoint, or another one, could go on with it a moment later: when a successor that had shown a sign of life refused later than the 300 ms after which the silent first attempt is ended, when the other endpoints refused for a second (new weights), and when the only endpoint had broken off but was still there.

Cause: a stream that had begun was placed like a new request: endpoints that had been tried were never asked again, and without one that accepted at once it was refused, which for a stream that has begun means cut off.

Change: such a stream may go to an endpoint that was tried before, if that is expected to accept it, and waits for one as long as its caller waits for the next event, within attempts, retry budget and at most 8 sends. Plain services too remember a refusal for a moment when they choose such an endpoint.

Ruled out: keeping both attempts for longer, because two engines may work on one prompt for no more than 400 ms.

--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/EnginePlacement.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/EnginePlacement.kt
@@ -82,7 +82,7 @@
         val usable = allowed.filter { it.weights(prompt.model) != null && isRecent(it, target, nowMillis) }
         val ready = usable.filter { nowMillis >= it.orderedUntilMillis }.orLastResort(request, usable)
         val healthy = ready.filterNot { it.health.isEjected(nowMillis) }.orLastResort(request, ready)
-            .filterNot { request.isSuccessor && hasRefused(it, nowMillis) }
+            .filterNot { request.isSuccessor && it.hasRefused(nowMillis) }
         val withMemory = healthy.filter { it.hasMemoryFor(prompt, nowMillis) }
         return when {
             allowed.isEmpty() -> unavailable(UnavailableReason.NO_ENDPOINT, NO_ENDPOINT_RETRY_MILLIS)
@@ -171,13 +171,10 @@
         val older = target != null && (state.weights(prompt.model) ?: 0) < target.version
         val failures = settings.failurePenaltyMillis * state.health.recentFailures
         val cold = if (state.isCold(nowMillis)) COLD_PENALTY_MILLIS else 0.0
-        val refused = if (hasRefused(state, nowMillis)) REFUSAL_PENALTY_MILLIS else 0.0
+        val refused = if (state.hasRefused(nowMillis)) REFUSAL_PENALTY_MILLIS else 0.0
         return failures + cold + refused + if (older) settings.olderWeightsPenaltyMillis else 0.0
     }
 
-    private fun hasRefused(state: EndpointState, nowMillis: Long): Boolean =
-        state.refusedMillis > nowMillis - REFUSAL_MILLIS
-
     private fun isRecent(state: EndpointState, target: TargetWeights?, nowMillis: Long): Boolean =
         target == null ||
             (state.weights(target.model) ?: 0) >= target.version ||
@@ -201,8 +198,6 @@
         // Long prompts occupy memory for two seconds or more, so some memory is free again after this time.
         const val FULL_RETRY_MILLIS = 800L
 
-        // An engine that refuses a request is full or is loading weights, which takes about a second.
-        const val REFUSAL_MILLIS = 700L
         const val REFUSAL_PENALTY_MILLIS = 600.0
         const val COLD_PENALTY_MILLIS = 300.0
 
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/PlacementResult.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/PlacementResult.kt
@@ -44,3 +44,9 @@
     query: PlacementQuery,
     lastResort: List<EndpointState>,
 ): List<EndpointState> = if (isEmpty() && !query.isSuccessor) lastResort else this
+
+/** Whether this endpoint has refused a request a moment ago, and is likely to refuse the next one too. */
+internal fun EndpointState.hasRefused(nowMillis: Long): Boolean = refusedMillis > nowMillis - REFUSAL_MILLIS
+
+// An engine that refuses a request is full or is loading weights, which takes about a second.
+private const val REFUSAL_MILLIS = 700L
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/ServicePlacement.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/placement/ServicePlacement.kt
@@ -41,6 +41,7 @@
 
     private fun select(query: PlacementQuery, allowed: List<EndpointState>, nowMillis: Long): PlacementResult {
         val healthy = allowed.filterNot { it.health.isEjected(nowMillis) }.orLastResort(query, allowed)
+            .filterNot { query.isSuccessor && it.hasRefused(nowMillis) }
         val selected = healthy.minByOrNull { cost(it, nowMillis) }
             ?: return PlacementResult.Unavailable(UnavailableReason.NO_ENDPOINT, NO_ENDPOINT_RETRY_MILLIS)
         val wait = waitMillis(selected, nowMillis)
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Delivery.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Delivery.kt
@@ -43,14 +43,14 @@
 
     /**
      * Chooses an endpoint. While all are full, waits for a share of the route's objective, as one usually frees up; it
-     * waits as long for one whose pause is over by then.
+     * waits as long for one whose pause is over by then. A stream that has begun waits as long as its caller does.
      */
     private suspend fun chooseOrWait(pending: PendingRequest): Choice {
-        val untilMillis =
-            pending.request.receivedMillis + (pending.route.objectiveMillis * CAPACITY_WAIT_SHARE).toLong()
+        val untilMillis = pending.nextEventDeadlineMillis
+            ?: (pending.request.receivedMillis + (pending.route.objectiveMillis * CAPACITY_WAIT_SHARE).toLong())
         quarantine.check(pending)?.let { return Choice.Quarantined(it.retryAfterMillis) }
         var choice = choose(pending)
-        while (choice is Choice.None && mayFreeUp(choice, untilMillis - clock.nowMillis())) {
+        while (choice is Choice.None && mayFreeUp(pending, choice, untilMillis - clock.nowMillis())) {
             delay(CAPACITY_POLL_MILLIS)
             choice = choose(pending)
         }
@@ -58,15 +58,19 @@
     }
 
     /** Chooses an endpoint for a retry; returns null if the retry budget is used up, on which no pause draws. */
-    private suspend fun chooseForRetry(pending: PendingRequest, last: AttemptResult): Choice? =
-        selector.allPaused(pending) ?: if (retries.tryTake(pending, last)) chooseOrWait(pending) else null
-
-    private fun mayFreeUp(choice: Choice.None, withinMillis: Long): Boolean = when (choice.reason) {
-        UnavailableReason.OVERLOADED -> withinMillis > 0
-        UnavailableReason.PAUSED -> choice.retryAfterMillis < withinMillis
-        UnavailableReason.NO_ENDPOINT, UnavailableReason.NO_WEIGHTS, UnavailableReason.COLD -> false
+    private suspend fun chooseForRetry(pending: PendingRequest, last: AttemptResult): Choice? {
+        val paused = if (pending.streamStarted) null else selector.allPaused(pending)
+        return paused ?: if (retries.tryTake(pending, last)) chooseOrWait(pending) else null
     }
 
+    private fun mayFreeUp(pending: PendingRequest, choice: Choice.None, withinMillis: Long): Boolean =
+        when (choice.reason) {
+            UnavailableReason.OVERLOADED -> withinMillis > 0
+            UnavailableReason.PAUSED -> choice.retryAfterMillis < withinMillis
+            UnavailableReason.NO_ENDPOINT, UnavailableReason.NO_WEIGHTS, UnavailableReason.COLD ->
+                pending.streamStarted && withinMillis > 0
+        }
+
     private fun choose(pending: PendingRequest): Choice {
         if (!shutdown.covers(pending)) return Choice.Stopping
         val choice = selector.choose(pending)
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/EndpointSelector.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/EndpointSelector.kt
@@ -1,6 +1,7 @@
 package org.parsleymoor.entry.serving
 
 import org.parsleymoor.core.Clock
+import org.parsleymoor.core.EndpointId
 import org.parsleymoor.entry.EntrySettings
 import org.parsleymoor.relay.fleet.EndpointState
 import org.parsleymoor.relay.fleet.shortestPauseMillis
@@ -48,8 +49,18 @@
     )
     private val cold = ColdEndpointBudget(settings.instance)
 
-    /** Chooses an endpoint for [pending]; skips a cold endpoint once this instance's share of its limit is used up. */
+    /**
+     * Chooses an endpoint for [pending]. For a stream that has begun, which would end in the middle, it may be one that
+     * was tried before, if it is expected to accept the rest: it may have been silent or full for a moment.
+     */
     fun choose(pending: PendingRequest): Choice {
+        val choice = chooseUntried(pending)
+        val again = if (choice is Choice.None && pending.streamStarted) accepting(pending, tried = emptySet()) else null
+        return again?.let { Choice.Chosen(it) } ?: choice
+    }
+
+    /** Skips a cold endpoint once this instance's share of its limit is used up. */
+    private fun chooseUntried(pending: PendingRequest): Choice {
         val nowMillis = clock.nowMillis()
         val excluded = HashSet(pending.tried)
         while (true) {
@@ -61,15 +72,18 @@
         }
     }
 
+    /** Returns an endpoint that is expected to accept [pending] now beside an attempt at another one, or null. */
+    fun successor(pending: PendingRequest): Target? = accepting(pending, pending.tried)
+
     /**
-     * Returns an endpoint that is expected to accept [pending] now beside an attempt at another one, or null. Cold
-     * endpoints do not count, because their limit may be used up.
+     * Returns an endpoint except [tried] that is expected to accept [pending] now, or null. Cold endpoints do not
+     * count, because their limit may be used up.
      */
-    fun successor(pending: PendingRequest): Target? {
+    private fun accepting(pending: PendingRequest, tried: Set<EndpointId>): Target? {
         val nowMillis = clock.nowMillis()
         val cold = deployment.endpoints.all.filter { it.isCold(nowMillis) }.map { it.entry.id }
         val request = pending.placeRequest(nowMillis)
-            .copy(tried = pending.tried + cold, isRetry = false, isSuccessor = true)
+            .copy(tried = tried + cold, isRetry = false, isSuccessor = true)
         return (choose(request, pending.prompt, pending, nowMillis) as? Choice.Chosen)?.target
     }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/PendingRequest.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/PendingRequest.kt
@@ -83,6 +83,13 @@
     /** Whether events of a stream have been relayed. */
     var streamStarted = false
 
+    /** When the last event that continued the stream was relayed, or null. */
+    var lastEventMillis: Long? = null
+
+    /** When the caller stops waiting for the next event of a stream that has begun, or null before that. */
+    val nextEventDeadlineMillis: Long?
+        get() = lastEventMillis?.let { minOf(deadlineMillis, it + route.firstByteWaitMillis(caller.waitMillis)) }
+
     /** Keys of the parts of the prompt that other prompts may share; empty without a prompt. */
     val sharedParts: Set<PartKey> by lazy(LazyThreadSafetyMode.NONE) { prompt?.sharedPartKeys.orEmpty() }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/RetryRules.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/RetryRules.kt
@@ -18,13 +18,16 @@
         val allowed = when (result) {
             is AttemptResult.Delivered -> false
             is AttemptResult.NotRun ->
-                pending.possibleRuns < pending.route.attempts && pending.sendCount < MAX_SENDS
+                pending.possibleRuns < pending.route.attempts && maySend(pending)
             is AttemptResult.Failed, is AttemptResult.Uncertain ->
                 pending.route.repeatable && pending.possibleRuns < pending.route.attempts
         }
         return hasTimeLeft(pending) && allowed
     }
 
+    private fun maySend(pending: PendingRequest): Boolean =
+        pending.sendCount < if (pending.streamStarted) MAX_STREAM_SENDS else MAX_SENDS
+
     private fun hasTimeLeft(pending: PendingRequest): Boolean {
         val untilMillis = if (pending.streamStarted) pending.deadlineMillis else pending.firstByteDeadlineMillis
         return untilMillis - clock.nowMillis() > MIN_REMAINING_MILLIS
@@ -44,7 +47,7 @@
     /** Whether [pending] may be sent once more while an attempt is running, which may have run it too. */
     private fun mayRunBeside(pending: PendingRequest): Boolean =
         pending.route.repeatable && pending.possibleRuns + 1 < pending.route.attempts &&
-            pending.sendCount < MAX_SENDS && hasTimeLeft(pending) &&
+            maySend(pending) && hasTimeLeft(pending) &&
             shutdown.covers(pending) && quarantine.allows(pending)
 
     /**
@@ -64,5 +67,8 @@
 
         // Limits how often a request is sent when endpoints refuse it.
         const val MAX_SENDS = 4
+
+        // A stream that has begun cannot be refused any more, and waits for its endpoints.
+        const val MAX_STREAM_SENDS = 8
     }
 }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/StreamRelay.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/StreamRelay.kt
@@ -85,7 +85,10 @@
         events.lastOrNull { it.id != null }?.let { pending.lastEventId = it.id }
         writer.writePart(events.map { it.bytes }.reduce(ByteArray::plus))
         // Time in which the caller did not read is no silence of the endpoint.
-        if (progressed) lastEventMillis = clock.nowMillis()
+        if (progressed) {
+            lastEventMillis = clock.nowMillis()
+            pending.lastEventMillis = lastEventMillis
+        }
     }
 
     private suspend fun end(head: CallerResponseHead): AttemptResult {
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/HandoverTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/HandoverTest.kt
@@ -4,6 +4,7 @@
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.EnumSource
 import org.junit.jupiter.params.provider.ValueSource
+import org.parsleymoor.core.Clock
 import org.parsleymoor.relay.routing.RequestKind
 import strikt.api.expectThat
 import strikt.assertions.contains
@@ -19,6 +20,7 @@
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
+import kotlin.concurrent.thread
 
 /** Guards against a sound answer that is given up before another endpoint goes on with the request. */
 class HandoverTest {
@@ -139,6 +141,39 @@
         expectThat(closedMillis.get() - startedMillis.get()).isLessThan(MAX_OVERLAP_MILLIS)
     }
 
+    // The first endpoint was given up for a successor that was alive but then refused, and no other was left.
+    @Test
+    fun `completes a stream whose successor shows life and refuses later`() {
+        val received = AtomicInteger()
+        val successorAsked = CountDownLatch(1)
+        val endpoints = List(2) {
+            ScriptedEndpoint { socket, _, request ->
+                val first = received.incrementAndGet() == 1
+                when {
+                    first -> silentStream()(socket)
+                    request.contains("Last-Event-Id: 1") && received.get() > 2 ->
+                        socket.send(STREAM_HEAD + event(2, "b") + STREAM_END)
+                    else -> {
+                        successorAsked.countDown()
+                        Thread.sleep(LATE_REFUSAL_MILLIS)
+                        Other.FULL.act(socket)
+                    }
+                }
+            }
+        }
+        harness(endpoints).use { harness ->
+            val alive = thread(isDaemon = true) {
+                successorAsked.await()
+                harness.onEventLoop { view ->
+                    view.endpoints.all.forEach { it.answeredMillis = Clock.System.nowMillis() }
+                }
+            }
+            val answer = harness.exchange(relayRequest(PROMPT_FIELDS))
+            alive.join()
+            expectThat(answer).contains("data: a").contains("data: b").endsWith(STREAM_END)
+        }
+    }
+
     // A stream that had moved once was not watched again.
     @Test
     fun `moves a stream again when the endpoint that took it over falls silent`() {
@@ -215,6 +250,9 @@
         const val NOT_RUN = "HTTP/1.1 %s\r\nId: 1\r\nNot-Run: 1\r\n%sContent-Length: 0\r\n\r\n"
         const val COMPLETE = "HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s1\r\nContent-Length: 2\r\n\r\nok"
         const val SILENCE_MILLIS = 3_000L
+
+        // Longer than two attempts run beside each other.
+        const val LATE_REFUSAL_MILLIS = 600L
         const val LONG_SILENCE_MILLIS = 5_000L
 
         // Callers abandon a stream after such a gap.
