--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
@@ -136,8 +136,11 @@
     }
 
     /** Adds an endpoint at a port that no connection can be opened to. */
-    fun addUnconnectableEndpoint() {
-        runBlocking(dispatcher) { deployment.endpoints.put(entry("unconnectable", port = 70_000), 0) }
+    fun addUnconnectableEndpoint() = addEndpoint("unconnectable", port = 70_000)
+
+    /** Lists an endpoint [name] at [port]. */
+    fun addEndpoint(name: String, port: Int) {
+        runBlocking(dispatcher) { deployment.endpoints.put(entry(name, port), 0) }
     }
 
     /** Allows [limit] connections to each endpoint. */
