--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/ResetConnectionsTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/ResetConnectionsTest.kt
@@ -20,7 +20,9 @@
             harness.addEndpoint("resetting", endpoint.port)
             harness.use {
                 val callers = Executors.newFixedThreadPool(CALLERS)
-                val results = callers.invokeAll(List(REQUESTS) { Callable { harness.timedExchange() } }).map { it.get() }
+                val results = callers.invokeAll(
+                    List(REQUESTS) { Callable { harness.timedExchange() } }
+                ).map { it.get() }
                 callers.shutdown()
                 expectThat(results.map { it.first }).all { matches(Regex("HTTP/1.1 50[23] .*")) }
                 expectThat(results.maxOf { it.second }).isLessThan(TIMEOUT_MILLIS / 2)
