Confirm a later era of the store before it counts for good

What callers saw: nothing yet; found by review. One response of the object store with a wrong, higher era made an instance, and peers that it told, take every later response for one of a former era, until all processes restarted. Configuration, endpoints and leases stood still meanwhile.

Cause: one response was proof enough of an era, and an era was never given up.

Ruled out: a bound on how far an era may rise in one step, because an era that is wrong by one has the same effect; giving up an era after some failures alone, because copies, peers and fencing tokens of the wrong era would remain.

Change: a later era counts at once for what can be undone (watches, leases void, lists read again) and is confirmed by the next response or by a peer. Before that no copy enters it, no peer is told and no lease is taken. Two later calls in a row that are answered as of a lower era withdraw it.

MemoryStore can state an era once.

--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectCopy.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectCopy.kt
@@ -34,6 +34,15 @@
     var changedPosition = StorePosition.START
         private set
 
+    /** Forgets how new the copy is if it is of an era after [era], which is the newest that the store has. */
+    fun forgetErasAfter(era: Long) {
+        if (position.let { it == null || it.era <= era }) return
+        position = null
+        changedPosition = StorePosition.START
+        removals.clear()
+        removalsSince = 0
+    }
+
     /** Returns whether a list as of [position] is at least as new as the copy. */
     fun takes(position: StorePosition): Boolean = position >= (this.position ?: StorePosition.START)
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectStore.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectStore.kt
@@ -52,6 +52,11 @@
         override val message: String get() = "the response is of the former era $era of the store"
     }
 
+    /** Only this response states the later era [era], which may be wrong; a write has probably taken effect. */
+    data class EraUnconfirmed(val era: Long) : StoreFailure {
+        override val message: String get() = "only one response states the era $era of the store"
+    }
+
     /** The store came back from a copy time and again while a list was read. */
     data object EraChanged : StoreFailure {
         override val message: String get() = "the pages of the list are of different eras of the store"
@@ -77,8 +82,8 @@
 
 /**
  * Client of the object store, which is called through [send]. Each response is checked against the newest known [era]
- * of the store, which it may raise; one of a former era is a failure. [onUnreadable] receives the objects that are left
- * out of a response because they cannot be decoded.
+ * of the store, which it may raise; one of a former era, or of a later era that is not confirmed, is a failure.
+ * [onUnreadable] receives the objects that are left out of a response because they cannot be decoded.
  */
 internal class ObjectStore(
     private val protocol: ObjectProtocol,
@@ -137,7 +142,11 @@
         var after: String? = null
         var position: StorePosition? = null
         do {
-            val (page, pageEra) = page(kind, after, allowStale).getOrElse { return Err(it) }
+            val (page, pageEra) = page(kind, after, allowStale).getOrElse { failure ->
+                // As after a page of a later era, the list is read again; that confirms the era or not.
+                val read = position.takeIf { failure is StoreFailure.EraUnconfirmed }
+                return if (read == null) Err(failure) else Ok(ObjectList(items, read))
+            }
             items += page.items
             // The first page's revision counts: a watch from there repeats changes made between two pages.
             val first = position ?: StorePosition(pageEra, page.revision)
@@ -157,8 +166,9 @@
             .andThen { if (it.page.after == null || it.page.after != after) Ok(it) else Err(repeatedPage(after)) }
             .onSuccess { onUnreadable(kind, it.page.unreadable) }
 
-    private suspend fun call(call: ControlRequest, timeoutMillis: Long): Result<StoreResponse, StoreFailure> =
-        send(call, timeoutMillis).mapError { failure ->
+    private suspend fun call(call: ControlRequest, timeoutMillis: Long): Result<StoreResponse, StoreFailure> {
+        val changesBefore = era.changes
+        return send(call, timeoutMillis).mapError { failure ->
             when (failure) {
                 is CallFailure.NotSent -> StoreFailure.Refused(failure.message)
                 is CallFailure.Unanswered -> StoreFailure.Unanswered(failure.message)
@@ -167,13 +177,15 @@
             protocol.era(response.headers)
                 .onFailure { era.logUnreadable(it) }
                 .mapError { StoreFailure.Unreadable(it) }
+                .onSuccess { era.learnFromStore(it, changesBefore) }
                 .andThen { responseEra -> result(response.status, StoreResponse(response.body, responseEra)) }
         }
+    }
 
-    private fun result(status: Int, response: StoreResponse): Result<StoreResponse, StoreFailure> {
-        era.learnFromStore(response.era)
-        return when {
+    private fun result(status: Int, response: StoreResponse): Result<StoreResponse, StoreFailure> =
+        when {
             response.era < era.newest -> Err(StoreFailure.FormerEra(response.era))
+            !era.isUsable -> Err(StoreFailure.EraUnconfirmed(response.era))
             status in SUCCESS -> Ok(response)
             status == HttpStatus.NOT_FOUND.code -> Err(StoreFailure.Absent)
             status == HttpStatus.GONE.code -> Err(StoreFailure.HistoryGone)
@@ -182,7 +194,6 @@
             )
             else -> Err(StoreFailure.Refused("the object store responded with status $status"))
         }
-    }
 
     private companion object {
         // The store responds in 4 ms, and in up to 300 ms when it is slow.
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectWatch.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectWatch.kt
@@ -54,6 +54,10 @@
     private var unreachableSinceMillis: Long? = null
     private var probeNext = false
 
+    init {
+        era.onWithdrawn { copy.forgetErasAfter(era.newest) }
+    }
+
     /** Time at which the objects were last confirmed to be current. */
     var currentMillis: Long = Long.MIN_VALUE / 2
         private set
@@ -70,8 +74,9 @@
     /** Whether the copy has been read and is of the newest known era of the store. */
     val isOfNewestEra: Boolean get() = copy.position?.era == era.newest
 
-    /** Returns what a peer with a copy as of [have] lacks, or null when the copy here is not newer. */
-    fun offer(have: StorePosition): ObjectOffer? = copy.offer(have)
+    /** Returns what a peer with a copy as of [have] lacks, or null when the copy here is not newer or not confirmed. */
+    fun offer(have: StorePosition): ObjectOffer? =
+        copy.offer(have)?.takeIf { knownPosition.era <= era.confirmed }
 
     /** Applies objects that a peer sent, if they are newer and not of a former era. */
     fun accept(offer: ObjectOffer) {
@@ -149,7 +154,7 @@
                 readList(failure.message)
                 // The list may be readable while the changes stay unreadable.
                 if (failure is StoreFailure.Unreadable) delay(UNREADABLE_DELAY_MILLIS)
-            } else {
+            } else if (failure !is StoreFailure.EraUnconfirmed) {
                 failed(failure.message)
             }
             return
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/OrderLease.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/OrderLease.kt
@@ -1,5 +1,7 @@
 package org.parsleymoor.entry.control
 
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
@@ -93,7 +95,7 @@
     }
 
     private suspend fun read() {
-        val event = store.read(ObjectKind.LEASES, NAME).fold(
+        val event = store.read(ObjectKind.LEASES, NAME).ofConfirmedEra(store.era).fold(
             { LeaseEvent.Seen(toStoredLease(it)) },
             { if (it == StoreFailure.Absent) LeaseEvent.Seen(null) else LeaseEvent.ReadFailed },
         )
@@ -113,14 +115,19 @@
         } else {
             store.replace(ObjectKind.LEASES, NAME, text, expected.revision)
         }
-        handle(result.fold({ LeaseEvent.Written(action.writeId, it.position.number) }, { failureEvent(action, it) }))
+        handle(
+            result.ofConfirmedEra(store.era).fold({
+                LeaseEvent.Written(action.writeId, it.position.number)
+            }, { failureEvent(action, it) })
+        )
     }
 
     private fun failureEvent(action: LeaseAction.Write, failure: StoreFailure): LeaseEvent = when (failure) {
         is StoreFailure.Conflict -> LeaseEvent.Conflicted(action.writeId, failure.current?.let(::toStoredLease))
         is StoreFailure.Refused, StoreFailure.Absent, StoreFailure.HistoryGone ->
             LeaseEvent.WriteFailed(action.writeId, mayHaveTakenEffect = false)
-        is StoreFailure.Unanswered, is StoreFailure.Unreadable, is StoreFailure.FormerEra, StoreFailure.EraChanged ->
+        is StoreFailure.Unanswered, is StoreFailure.Unreadable, is StoreFailure.FormerEra,
+        is StoreFailure.EraUnconfirmed, StoreFailure.EraChanged ->
             LeaseEvent.WriteFailed(action.writeId, mayHaveTakenEffect = true)
     }
 
@@ -136,6 +143,10 @@
     }
 }
 
+/** Fails while the [era] is not confirmed: engines that saw a token of a wrong era would refuse all later orders. */
+private fun Result<StoredVersion, StoreFailure>.ofConfirmedEra(era: StoreEra): Result<StoredVersion, StoreFailure> =
+    if (era.isConfirmed) this else Err(StoreFailure.EraUnconfirmed(era.newest))
+
 /**
  * Returns lease settings that keep the orders of two holders at least [leaseMillis] apart: a contender waits that long
  * after the last order that the former holder may have given.
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerCopies.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerCopies.kt
@@ -7,7 +7,8 @@
 
 /**
  * The part that the copies of the stored objects, kept by [watches] by kind, have in the messages between peers: what
- * this instance tells of them, requests and offers. Each message also tells its receiver the newest era of the store.
+ * this instance tells of them, requests and offers. Each message also tells its receiver the confirmed era of the
+ * store.
  */
 internal class PeerCopies(
     private val watches: Map<String, ObjectWatch>,
@@ -17,7 +18,7 @@
     /** Returns [message] with the status of the copies; a copy of a former era says nothing about the current one. */
     fun addStatus(message: PeerMessage.InstanceNews): PeerMessage.InstanceNews {
         val nowMillis = clock.nowMillis()
-        val current = watches.filterValues { it.isOfNewestEra && it.knownPosition.revision > 0 }
+        val current = watches.filterValues { it.knownPosition.era == era.confirmed && it.knownPosition.revision > 0 }
         val known = current.map { (kind, watch) ->
             ObjectFreshnessDigest(
                 kind = kind,
@@ -26,7 +27,7 @@
                 lost = watch.isStoreUnreachable,
             )
         }
-        return message.copy(known = known, era = era.newest)
+        return message.copy(known = known, era = era.confirmed)
     }
 
     /** Applies the status that [peer] sent, and returns the requests for what the copies here lack. */
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/MemoryStore.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/MemoryStore.kt
@@ -47,6 +47,9 @@
     /** Whether calls get a response whose era cannot be read. */
     var statesUnreadableEra = false
 
+    /** Era that the next response states instead of the real one, once. */
+    var nextEra: Long? = null
+
     val store = client()
 
     /** Returns a client of an instance that learns of new eras through [era] and is [cutOff] from the store. */
@@ -140,7 +143,8 @@
     }
 
     private fun response(status: Int, body: String): ControlResponse {
-        val text = if (statesUnreadableEra) "unreadable" else "$era"
+        val text = if (statesUnreadableEra) "unreadable" else "${nextEra ?: era}"
+        nextEra = null
         return ControlResponse(status, body, HeaderFields(listOf(HeaderField(ERA_HEADER, text))))
     }
 
