Bound the bytes of all endpoints' answers together

Callers saw: no answer and no refusal, from 100 at once whose endpoint sent bytes without end; the process ran out of memory.

Cause: each answer was bounded (4 MB, in a buffer that doubled and was copied twice more), all of them together were not.

Ruled out: heads without end and refusals with such a body lost nothing.

Change: HeldBytes accounts for what an instance holds, a quarter of its heap. A holder gets no more than the room that is left after it. Answers, kept failures, incomplete events and control responses are counted, an answer in blocks that are not copied again. An answer without room ends its attempt (response.oversized names the endpoint). Bodies that are not needed (refusals, answers after the caller left) are discarded as they arrive.

--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
@@ -55,6 +55,7 @@
 import org.parsleymoor.entry.serving.EndpointSelector
 import org.parsleymoor.entry.serving.EventLoopLag
 import org.parsleymoor.entry.serving.GracefulShutdown
+import org.parsleymoor.entry.serving.InstanceLoad
 import org.parsleymoor.entry.serving.LeavingLog
 import org.parsleymoor.entry.serving.PauseRecorder
 import org.parsleymoor.entry.serving.QuarantineGate
@@ -68,6 +69,7 @@
 import org.parsleymoor.relay.fleet.expireLeaving
 import org.parsleymoor.relay.http.HttpStatus
 import org.parsleymoor.relay.http.MessageFailure
+import org.parsleymoor.relay.limits.HeldBytes
 import org.parsleymoor.relay.limits.InstanceShare
 import org.parsleymoor.relay.limits.SharedRetryBudget
 import org.parsleymoor.relay.routing.CallerLimits
@@ -92,6 +94,7 @@
             log.write("coroutine.failed", always = true) { put("cause", cause.stackTraceToString()) }
         },
     )
+    private val held = HeldBytes(Runtime.getRuntime().maxMemory() / HELD_SHARE)
     private val deployment = DeploymentView(settings.instance)
     private val client = vertx.createNetClient(
         NetClientOptions().setTcpNoDelay(true).setConnectTimeout(CONNECT_MILLIS),
@@ -99,7 +102,8 @@
     private val pool = ConnectionPool(client, clock)
     private val controlPool = ConnectionPool(client, clock)
     private val pauses = PauseRecorder(deployment, log, metrics, clock)
-    private val controlClient = ControlClient(controlPool, AnnouncementReader(deployment, protocol.headers, pauses))
+    private val controlClient =
+        ControlClient(controlPool, held, AnnouncementReader(deployment, protocol.headers, pauses))
     private val leavingLog = LeavingLog(log, metrics).also { deployment.onLeaving = it::learned }
     private val era = StoreEra(log, metrics.storeRestores)
     private val store = ObjectStore(
@@ -178,7 +182,7 @@
     }
 
     private fun callerContext(): CallerContext {
-        val context = ServingContext(deployment, log, metrics, clock, shutdown, lag)
+        val context = ServingContext(deployment, log, metrics, clock, shutdown, InstanceLoad(lag, held))
         val refusals = RefusalWriter(protocol, log, metrics)
         val selector = EndpointSelector(settings, deployment, clock)
         val quarantine = QuarantineGate(context)
@@ -265,6 +269,9 @@
     }
 
     private companion object {
+        // The share of the heap that messages may take; the rest is for the state, buffers of sockets and garbage.
+        const val HELD_SHARE = 4
+
         const val METRICS_PATH = "/metrics"
         const val CONNECT_MILLIS = 2_000
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryMetrics.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryMetrics.kt
@@ -1,6 +1,7 @@
 package org.parsleymoor.entry
 
 import org.parsleymoor.entry.callers.CloseReason
+import org.parsleymoor.relay.http.MessageFailure
 import java.util.concurrent.atomic.AtomicLong
 
 /** A monotonically increasing counter. */
@@ -68,6 +69,13 @@
         cutOffs.getValue(stage).increment()
     }
 
+    private val oversized = listOf(MessageFailure.BODY_TOO_LARGE, MessageFailure.NO_ROOM).associateWith { Counter() }
+
+    /** Counts a response that was given up because it is too large, as [fault] says. */
+    public fun recordOversized(fault: MessageFailure) {
+        oversized.getValue(fault).increment()
+    }
+
     private val closures = CloseReason.entries.associateWith { Counter() }
 
     /** Counts a connection of a caller that was closed for [reason]. */
@@ -104,6 +112,9 @@
         val cutOff = cutOffs.map { (stage, counter) ->
             "parsleymoor_responses_cut_off_total{stage=\"${stage.name.lowercase()}\"} ${counter.count}"
         }
+        val tooLarge = oversized.map { (fault, counter) ->
+            "parsleymoor_responses_oversized_total{reason=\"${fault.name.lowercase()}\"} ${counter.count}"
+        }
         val closed = closures.map { (reason, counter) ->
             "parsleymoor_caller_connections_closed_total{reason=\"${reason.name.lowercase()}\"} ${counter.count}"
         }
@@ -114,7 +125,7 @@
             "parsleymoor_endpoints_leaving_total{source=\"${if (fromPeer) "peer" else "response"}\"} ${counter.count}"
         }
         val durations = latency.prometheusText("parsleymoor_request_duration_milliseconds")
-        return (lines + refused + cutOff + closed + failed + left + durations)
+        return (lines + refused + cutOff + tooLarge + closed + failed + left + durations)
             .joinToString("\n") + "\n"
     }
 }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/ResponseWriter.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/ResponseWriter.kt
@@ -3,9 +3,11 @@
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.net.NetSocket
 import kotlinx.coroutines.suspendCancellableCoroutine
+import org.parsleymoor.entry.net.forEachPiece
 import org.parsleymoor.entry.net.headBytes
 import org.parsleymoor.entry.net.message
 import org.parsleymoor.relay.http.HeaderField
+import org.parsleymoor.relay.http.HeldBody
 import org.parsleymoor.relay.http.HttpStatus
 import kotlin.coroutines.resume
 
@@ -45,6 +47,17 @@
         complete = true
     }
 
+    /** Writes a complete response, or aborts the response that has been started; suspends while [body] is needed. */
+    suspend fun writeResponse(head: CallerResponseHead, body: HeldBody) {
+        if (status != null) return abort()
+        val length = HeaderField("Content-Length", body.size.toString())
+        body.forEachPiece(headWithFraming(head, listOf(length))) { piece ->
+            socket.write(piece)
+            if (socket.writeQueueFull()) awaitDrain()
+        }
+        complete = true
+    }
+
     /** Writes the head of a response of unknown length. */
     fun startStream(head: CallerResponseHead) {
         if (!chunked) keepAlive = false
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/ControlClient.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/ControlClient.kt
@@ -11,7 +11,9 @@
 import org.parsleymoor.relay.fleet.SocketAddress
 import org.parsleymoor.relay.http.HeaderField
 import org.parsleymoor.relay.http.HeaderFields
+import org.parsleymoor.relay.http.HeldBody
 import org.parsleymoor.relay.http.ResponseHead
+import org.parsleymoor.relay.limits.HeldBytes
 
 /** Response to a [ControlRequest]. */
 internal class ControlResponse(val status: Int, val body: String, val headers: HeaderFields = HeaderFields(emptyList()))
@@ -30,6 +32,7 @@
 /** Sends control requests to the object store, engines and KV cache stores, each with its own timeout. */
 internal class ControlClient(
     private val pool: ConnectionPool,
+    private val held: HeldBytes,
     private val observer: ResponseObserver = ResponseObserver { _, _ -> {} },
 ) {
     /** Sends [request] to [address] and suspends until the complete response has arrived, at most [timeoutMillis]. */
@@ -43,10 +46,12 @@
                 .getOrElse { return Err(CallFailure.NotSent(it)) }
         val onHead = observer.sent(address, request)
         var response: Result<ControlResponse, CallFailure>? = null
+        val body = HeldBody(held)
         try {
             connection.send(message(head(address, request), request.body.orEmpty().encodeToByteArray()))
-            response = withTimeoutOrNull(timeoutMillis) { receive(connection, request, onHead) }
+            response = withTimeoutOrNull(timeoutMillis) { receive(connection, request, body, onHead) }
         } finally {
+            body.release()
             if (response?.isOk == true) pool.release(connection, null) else connection.abort()
         }
         return response ?: Err(CallFailure.Unanswered("no response within $timeoutMillis ms"))
@@ -55,14 +60,15 @@
     private suspend fun receive(
         connection: EndpointConnection,
         request: ControlRequest,
+        body: HeldBody,
         onHead: (ResponseHead) -> Unit,
     ): Result<ControlResponse, CallFailure> {
         val response = connection.readResponse(request.method)
             .getOrElse { return Err(CallFailure.Unanswered(it.message)) }
         onHead(response.head)
         if (!response.head.keepsAlive) connection.noNewRequests = true
-        return connection.readBody(response)
-            .map { ControlResponse(response.head.status, it.decodeToString(), response.head.headers) }
+        return connection.readBody(response, body)
+            .map { ControlResponse(response.head.status, body.decodeToString(), response.head.headers) }
             .mapError { CallFailure.Unanswered(it.message) }
     }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/EndpointConnection.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/EndpointConnection.kt
@@ -5,7 +5,6 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.get
-import com.github.michaelbull.result.map
 import io.netty.channel.ChannelOption
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.internal.net.NetSocketInternal
@@ -14,11 +13,11 @@
 import org.parsleymoor.relay.http.BodyDecoder
 import org.parsleymoor.relay.http.BodyFraming
 import org.parsleymoor.relay.http.BodyProgress
+import org.parsleymoor.relay.http.HeldBody
 import org.parsleymoor.relay.http.MessageFailure
 import org.parsleymoor.relay.http.ResponseHead
 import org.parsleymoor.relay.http.framing
 import org.parsleymoor.relay.http.parseResponseHead
-import java.io.ByteArrayOutputStream
 
 /** A response whose head has arrived and whose body is still read from its connection. */
 internal class IncomingResponse(val head: ResponseHead, val framing: BodyFraming) {
@@ -64,24 +63,31 @@
         return Err(MessageFailure.TOO_MANY_RESPONSES)
     }
 
-    /** Suspends until the complete body of [response] has arrived. Fails if it has more than [MAX_BODY_BYTES]. */
-    suspend fun readBody(response: IncomingResponse): Result<ByteArray, MessageFailure> {
-        val body = ByteArrayOutputStream()
-        return readBody(response) { body.writeBytes(it) }.map { body.toByteArray() }
-    }
+    /**
+     * Suspends until the complete body of [response] has been added to [body]. Fails if it has more than
+     * [MAX_BODY_BYTES] or the account of [body] has no room for it.
+     */
+    suspend fun readBody(response: IncomingResponse, body: HeldBody): Result<Unit, MessageFailure> =
+        readBody(response, body::append)
 
     /** Reads and discards the body of [response], with the same limit. */
-    suspend fun discardBody(response: IncomingResponse): Result<Unit, MessageFailure> = readBody(response) {}
+    suspend fun discardBody(response: IncomingResponse): Result<Unit, MessageFailure> = readBody(response) { true }
 
-    private suspend fun readBody(response: IncomingResponse, take: (ByteArray) -> Unit): Result<Unit, MessageFailure> {
+    /** Calls [take] with each part of the body, until it returns that it has no room. */
+    private suspend fun readBody(
+        response: IncomingResponse,
+        take: (ByteArray) -> Boolean,
+    ): Result<Unit, MessageFailure> {
         var bytes = (response.framing as? BodyFraming.Length)?.bytes?.takeIf { it > MAX_BODY_BYTES } ?: 0
-        while (response.decoder.progress == BodyProgress.INCOMPLETE && bytes <= MAX_BODY_BYTES) {
+        var room = true
+        while (response.decoder.progress == BodyProgress.INCOMPLETE && bytes <= MAX_BODY_BYTES && room) {
             val part = readPart(response)
             bytes += part.size
-            take(part)
+            room = take(part)
         }
         return when {
             bytes > MAX_BODY_BYTES -> Err(MessageFailure.BODY_TOO_LARGE)
+            !room -> Err(MessageFailure.NO_ROOM)
             response.decoder.progress == BodyProgress.COMPLETE -> Ok(Unit)
             else -> Err(MessageFailure.ENDED_EARLY)
         }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
@@ -1,6 +1,7 @@
 package org.parsleymoor.entry.serving
 
 import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.getError
 import kotlinx.coroutines.withTimeoutOrNull
 import org.parsleymoor.entry.callers.ResponseWriter
 import org.parsleymoor.entry.net.IncomingResponse
@@ -21,6 +22,8 @@
     val discardIdle: (SocketAddress) -> Unit,
 ) {
     val clock = context.clock
+    val held = context.held
+    val oversized = OversizedLog(context.log, context.metrics)
     val shutdown = context.shutdown
     val requestBuilder = EndpointRequestBuilder(names)
     val stateUpdater = EndpointStateUpdater(names, context.clock)
@@ -110,20 +113,26 @@
     private suspend fun onRefusal(response: IncomingResponse): AttemptResult {
         note(AttemptOutcome.REFUSED)
         state.refusedMillis = clock.nowMillis()
-        progress.complete = withTimeoutOrNull(REFUSAL_BODY_MILLIS) { reader.body(response) } != null
+        progress.complete = withTimeoutOrNull(REFUSAL_BODY_MILLIS) { reader.discardBody(response) } == true
         return AttemptResult.NotRun("endpoint refused with ${response.head.status}", sent = true)
     }
 
     private suspend fun relayStream(response: IncomingResponse): AttemptResult {
-        val relay = StreamRelay(clock, pending, exchange, writer)
+        val relay = StreamRelay(context, pending, exchange, writer)
         val result = relay.relay(response, response.head.toCallerHead(names))
         note(if (result is AttemptResult.Delivered) AttemptOutcome.ANSWERED else AttemptOutcome.FAILED)
         return result
     }
 
     private suspend fun relayComplete(response: IncomingResponse): AttemptResult {
-        val body = withTimeoutOrNull(pending.deadlineMillis - clock.nowMillis()) { reader.body(response) }
-            ?: return recordFailure("the response body was incomplete")
+        val body = pending.holdBody(context.held)
+        val read = withTimeoutOrNull(pending.deadlineMillis - clock.nowMillis()) { reader.body(response, body) }
+        if (read?.isOk != true) {
+            body.release()
+            val fault = read?.getError()
+            if (fault in OVERSIZED) context.oversized.record(pending, progress.incarnation, checkNotNull(fault))
+            return recordFailure(fault?.message ?: "the response body was incomplete")
+        }
         progress.complete = true
         val head = response.head.toCallerHead(names)
         val failure = head.status in SERVER_FAILURES
@@ -146,6 +155,7 @@
 
     private companion object {
         const val REFUSAL_BODY_MILLIS = 200L
+        val OVERSIZED = setOf(MessageFailure.BODY_TOO_LARGE, MessageFailure.NO_ROOM)
         const val UNCONFIRMED_REFUSAL = "status %d without the header field that confirms the request was not run"
 
         // Callers read these statuses as "not run". An endpoint has to confirm that with a header field.
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/AttemptResult.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/AttemptResult.kt
@@ -1,6 +1,7 @@
 package org.parsleymoor.entry.serving
 
 import org.parsleymoor.entry.callers.CallerResponseHead
+import org.parsleymoor.relay.http.HeldBody
 
 /** How one attempt at an endpoint ended. */
 internal sealed interface AttemptResult {
@@ -13,7 +14,7 @@
     }
 
     /** The endpoint responded with a server error, which has not been relayed. */
-    class Failed(val head: CallerResponseHead, val body: ByteArray) : AttemptResult {
+    class Failed(val head: CallerResponseHead, val body: HeldBody) : AttemptResult {
         override val outcome: String get() = "endpoint responded with ${head.status}"
     }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/AttemptRunner.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/AttemptRunner.kt
@@ -124,7 +124,7 @@
             withTimeoutOrNull(remaining) {
                 reader.head().map {
                     attemptContext.announcements.read(pending, progress.incarnation, connection.address, it.head)
-                    progress.complete = reader.body(it) != null
+                    progress.complete = reader.discardBody(it)
                 }
             }
             releaseOrClose(connection, progress)
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Delivery.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Delivery.kt
@@ -24,11 +24,21 @@
 
     /** Delivers [pending] and writes the response to [writer]; suspends until it is written or aborted. */
     suspend fun deliver(pending: PendingRequest, writer: ResponseWriter) {
+        try {
+            deliverHeld(pending, writer)
+        } finally {
+            pending.releaseBodies()
+        }
+    }
+
+    private suspend fun deliverHeld(pending: PendingRequest, writer: ResponseWriter) {
         budget.recordRequest(pending.service.name, clock.nowMillis())
         var last: AttemptResult = AttemptResult.NotRun("no endpoint was tried", sent = false)
         var choice = chooseOrWait(pending)
         var retry = true
         while (retry && choice is Choice.Chosen) {
+            // A failure that is not the last result is not relayed.
+            (last as? AttemptResult.Failed)?.body?.release()
             last = run(pending, choice.target, writer)
             val next = if (retries.mayRetry(pending, last)) chooseForRetry(pending, last) else null
             retry = next != null
@@ -85,7 +95,7 @@
         }
     }
 
-    private fun giveUp(pending: PendingRequest, writer: ResponseWriter, last: AttemptResult, choice: Choice) {
+    private suspend fun giveUp(pending: PendingRequest, writer: ResponseWriter, last: AttemptResult, choice: Choice) {
         when {
             writer.status != null -> writer.abort()
             last is AttemptResult.Failed -> writer.writeResponse(last.head, last.body)
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/PendingRequest.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/PendingRequest.kt
@@ -4,6 +4,8 @@
 import org.parsleymoor.core.RegionId
 import org.parsleymoor.core.RequestId
 import org.parsleymoor.entry.callers.CallerRequest
+import org.parsleymoor.relay.http.HeldBody
+import org.parsleymoor.relay.limits.HeldBytes
 import org.parsleymoor.relay.placement.PlacementQuery
 import org.parsleymoor.relay.prompt.PromptContext
 import org.parsleymoor.relay.quarantine.PartKey
@@ -74,6 +76,16 @@
     /** Number of attempts in which the request ran or may have run. */
     var possibleRuns = 0
 
+    private val heldBodies = ArrayList<HeldBody>()
+
+    /** Starts a body in the account [held] that is released with this request at the latest. */
+    fun holdBody(held: HeldBytes): HeldBody = HeldBody(held).also { heldBodies += it }
+
+    /** Releases everything that is held for this request, which has ended. */
+    fun releaseBodies() {
+        heldBodies.forEach { it.release() }
+    }
+
     /** Id of the last event that was relayed to the caller, or null. */
     var lastEventId: String? = null
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/ResponseReader.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/ResponseReader.kt
@@ -11,6 +11,7 @@
 import org.parsleymoor.entry.net.IncomingResponse
 import org.parsleymoor.entry.protocol.HeaderNames
 import org.parsleymoor.relay.http.BodyFraming
+import org.parsleymoor.relay.http.HeldBody
 import org.parsleymoor.relay.http.MessageFailure
 
 /** Reads the response to [pending] from [connection], skipping responses to other requests. */
@@ -45,8 +46,12 @@
         return if (connection.echoesRequestIds) UNIDENTIFIED else Ok(response)
     }
 
-    /** Suspends until the body of [response] is read; returns null if it is incomplete or too large. */
-    suspend fun body(response: IncomingResponse): ByteArray? = connection.readBody(response).get()
+    /** Suspends until the body of [response] has been added to [body]; fails if it is incomplete or too large. */
+    suspend fun body(response: IncomingResponse, body: HeldBody): Result<Unit, MessageFailure> =
+        connection.readBody(response, body)
+
+    /** Suspends until the body of [response] has been read and discarded; returns whether it was complete. */
+    suspend fun discardBody(response: IncomingResponse): Boolean = connection.discardBody(response).isOk
 
     /**
      * Discards [response], which belongs to another request. Fails if its body is delimited by the connection's end.
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/ServingContext.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/ServingContext.kt
@@ -11,5 +11,8 @@
     val metrics: EntryMetrics,
     val clock: Clock,
     val shutdown: ShutdownGate,
-    val lag: EventLoopLag = EventLoopLag(clock),
-)
+    load: InstanceLoad,
+) {
+    val lag = load.lag
+    val held = load.held
+}
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/StreamRelay.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/StreamRelay.kt
@@ -1,12 +1,12 @@
 package org.parsleymoor.entry.serving
 
 import kotlinx.coroutines.withTimeoutOrNull
-import org.parsleymoor.core.Clock
 import org.parsleymoor.entry.callers.CallerResponseHead
 import org.parsleymoor.entry.callers.ResponseWriter
 import org.parsleymoor.entry.net.IncomingResponse
 import org.parsleymoor.relay.http.BodyFraming
 import org.parsleymoor.relay.http.BodyProgress
+import org.parsleymoor.relay.http.MessageFailure
 import org.parsleymoor.relay.stream.EventSplitter
 import org.parsleymoor.relay.stream.StreamEvent
 
@@ -15,27 +15,37 @@
  * endpoint and abandoned only when that has the next event: a sound endpoint may be silent for a second or more.
  */
 internal class StreamRelay(
-    private val clock: Clock,
+    private val context: AttemptContext,
     private val pending: PendingRequest,
     private val exchange: EndpointExchange,
     private val writer: ResponseWriter,
 ) {
+    private val clock = context.clock
     private val connection = exchange.connection
     private val progress = exchange.progress
     private val splitter = EventSplitter()
+    private val holder = context.held.newHolder()
     private val silenceMillis = pending.eventSilenceMillis
     private var lastEventMillis = clock.nowMillis()
 
     /** Relays [response]. A stream resumed at another endpoint continues the response that was started with [head]. */
-    suspend fun relay(response: IncomingResponse, head: CallerResponseHead): AttemptResult {
+    suspend fun relay(response: IncomingResponse, head: CallerResponseHead): AttemptResult = try {
+        relayEvents(response, head)
+    } finally {
+        holder.release()
+    }
+
+    private suspend fun relayEvents(response: IncomingResponse, head: CallerResponseHead): AttemptResult {
         var stalled = false
-        while (!stalled && !eventTooLarge && response.decoder.progress == BodyProgress.INCOMPLETE) {
+        var oversized: AttemptResult? = null
+        while (!stalled && oversized == null && response.decoder.progress == BodyProgress.INCOMPLETE) {
             val part = nextPart(response)
             stalled = part == null
             if (part != null) deliver(head, splitter.add(part).filter(::isNew))
+            oversized = oversizedEvent()
         }
         return when {
-            eventTooLarge -> AttemptResult.Uncertain("an event has more than $MAX_EVENT_BYTES bytes")
+            oversized != null -> oversized
             stalled -> AttemptResult.Uncertain("the stream stalled")
             response.decoder.progress == BodyProgress.BROKEN -> AttemptResult.Uncertain("the stream was cut off")
             splitter.pendingBytes > 0 -> AttemptResult.Uncertain("the stream ended inside an event")
@@ -45,7 +55,18 @@
         }
     }
 
-    private val eventTooLarge: Boolean get() = splitter.pendingBytes > MAX_EVENT_BYTES
+    /** The result if the incomplete event is too large or this instance has no room for it, otherwise null. */
+    private fun oversizedEvent(): AttemptResult? {
+        val bytes = splitter.pendingBytes
+        val fault = when {
+            bytes > MAX_EVENT_BYTES -> MessageFailure.BODY_TOO_LARGE
+            !holder.tryResize(bytes.toLong()) -> MessageFailure.NO_ROOM
+            else -> return null
+        }
+        val reason = if (bytes > MAX_EVENT_BYTES) "an event has more than $MAX_EVENT_BYTES bytes" else fault.message
+        context.oversized.record(pending, progress.incarnation, fault, reason)
+        return AttemptResult.Uncertain(reason)
+    }
 
     /** Waits for more of the stream; returns null if none has arrived by the deadline. */
     private suspend fun nextPart(response: IncomingResponse): ByteArray? {
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/ControlExchange.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/ControlExchange.kt
@@ -18,6 +18,7 @@
 import org.parsleymoor.relay.cache.EngineIncarnation
 import org.parsleymoor.relay.fleet.EndpointEntry
 import org.parsleymoor.relay.fleet.SocketAddress
+import org.parsleymoor.relay.limits.HeldBytes
 import java.io.OutputStream
 import java.io.PrintStream
 
@@ -44,7 +45,7 @@
     val pauses = PauseRecorder(deployment, log, EntryMetrics(), Clock.System)
     val vertx = Vertx.vertx()
     val pool = ConnectionPool(vertx.createNetClient(), Clock.System)
-    val client = ControlClient(pool, AnnouncementReader(deployment, NAMES, pauses))
+    val client = ControlClient(pool, HeldBytes(1_000_000), AnnouncementReader(deployment, NAMES, pauses))
     runBlocking(vertx.orCreateContext.dispatcher()) {
         client.call(SocketAddress("127.0.0.1", endpoint.port), ControlRequest("GET", "/report"), 2_000).get()
     }
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/InvalidAddressTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/InvalidAddressTest.kt
@@ -30,6 +30,7 @@
 import org.parsleymoor.peering.CacheStoreDigest
 import org.parsleymoor.relay.exchange.Member
 import org.parsleymoor.relay.fleet.SocketAddress
+import org.parsleymoor.relay.limits.HeldBytes
 import strikt.api.expectThat
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
@@ -66,7 +67,10 @@
     @MethodSource("unusable")
     fun `a control request to an invalid address is a typed failure`(address: SocketAddress) {
         runBlocking(vertx.orCreateContext.dispatcher()) {
-            val failure = ControlClient(pool).call(address, ControlRequest("GET", "/report"), 2_000).getError()
+            val failure = ControlClient(
+                pool,
+                HeldBytes(1_000_000)
+            ).call(address, ControlRequest("GET", "/report"), 2_000).getError()
             expectThat(failure).isNotNull()
         }
     }
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
@@ -34,6 +34,7 @@
 import org.parsleymoor.entry.serving.EndpointSelector
 import org.parsleymoor.entry.serving.EventLoopLag
 import org.parsleymoor.entry.serving.GracefulShutdown
+import org.parsleymoor.entry.serving.InstanceLoad
 import org.parsleymoor.entry.serving.LeavingLog
 import org.parsleymoor.entry.serving.QuarantineGate
 import org.parsleymoor.entry.serving.RefusalWriter
@@ -43,6 +44,7 @@
 import org.parsleymoor.entry.serving.ShutdownState
 import org.parsleymoor.relay.fleet.EndpointEntry
 import org.parsleymoor.relay.fleet.SocketAddress
+import org.parsleymoor.relay.limits.HeldBytes
 import org.parsleymoor.relay.limits.RetryLimit
 import org.parsleymoor.relay.limits.SharedRetryBudget
 import org.parsleymoor.relay.routing.CallerLimits
@@ -81,6 +83,9 @@
     private val server: CallerServer
     val lag = EventLoopLag(Clock.System)
 
+    /** The account of the messages that are held. */
+    val held = HeldBytes(Runtime.getRuntime().maxMemory() / 4)
+
     /** The limits in force. */
     @Volatile
     var limits = CallerLimits(headBytes = 2_048, bodyBytes = 10_000)
@@ -95,7 +100,7 @@
         deployment.members = setOf(deployment.self)
         endpoints.forEachIndexed { index, endpoint -> deployment.endpoints.put(entry("e$index", endpoint.port), 0) }
         deployment.onLeaving = LeavingLog(log, metrics)::learned
-        val context = ServingContext(deployment, log, metrics, Clock.System, shutdown, lag)
+        val context = ServingContext(deployment, log, metrics, Clock.System, shutdown, InstanceLoad(lag, held))
         val refusals = RefusalWriter(TestProtocol, log, context.metrics)
         val pool = ConnectionPool(vertx.createNetClient(), Clock.System)
         val quarantine = QuarantineGate(context)
@@ -140,6 +145,11 @@
         runBlocking(dispatcher) { deployment.endpoints.put(entry("unconnectable", port = 70_000), 0) }
     }
 
+    /** Lists the endpoint [name] of [service] at [port]. */
+    fun putEndpoint(name: String, port: Int, service: String) {
+        onEventLoop { it.endpoints.put(entry(name, port).copy(service = service), 0) }
+    }
+
     /** Allows [limit] connections to each endpoint. */
     fun limitConnections(limit: Int) = configure { configuration ->
         configuration.copy(services = configuration.services.mapValues { it.value.copy(connectionLimit = limit) })
@@ -180,6 +190,12 @@
         return logged.toString().lines().filter { it.contains("\"event\":\"$event\"") }
     }
 
+    /** Returns the whole log. */
+    fun allLogged(): String {
+        log.flush(LOG_FLUSH_MILLIS)
+        return logged.toString()
+    }
+
     override fun close() {
         vertx.close()
     }
