End a request whose caller could not be written to

What callers saw: a stream went on after an event whose write had failed and looked complete without it (ORDER), a request whose answer was being written ran again elsewhere, a fault in the choice of a successor ended a sound silent attempt with 502, and a fault that could not be logged left the request without an answer.

Cause: every error counted as the outcome of the attempt, also one on the caller's side, and the log line came before the refusal.

Change: an error while the caller is written to ends the request; choosing a successor that fails means that there is none; the refusal comes first, and traces in the log are cut.

--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/ResponseWriter.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/ResponseWriter.kt
@@ -35,6 +35,10 @@
     var complete = false
         private set
 
+    /** Whether a write failed, so that what the caller has received is not known and nothing can be added to it. */
+    var failed = false
+        private set
+
     /** Whether the connection stays open for another request. */
     var keepAlive = keepAliveAllowed
         private set
@@ -43,7 +47,7 @@
     fun writeResponse(head: CallerResponseHead, body: ByteArray) {
         if (status != null) return abort()
         val length = HeaderField("Content-Length", body.size.toString())
-        socket.write(message(headWithFraming(head, listOf(length)), body))
+        write { message(headWithFraming(head, listOf(length)), body) }
         complete = true
     }
 
@@ -52,7 +56,7 @@
         if (status != null) return abort()
         val length = HeaderField("Content-Length", body.size.toString())
         body.forEachPiece(headWithFraming(head, listOf(length))) { piece ->
-            socket.write(piece)
+            write { piece }
             if (socket.writeQueueFull()) awaitDrain()
         }
         complete = true
@@ -62,23 +66,19 @@
     fun startStream(head: CallerResponseHead) {
         if (!chunked) keepAlive = false
         val framing = if (chunked) listOf(HeaderField("Transfer-Encoding", "chunked")) else emptyList()
-        socket.write(Buffer.buffer(headWithFraming(head, framing)))
+        write { Buffer.buffer(headWithFraming(head, framing)) }
     }
 
     /** Writes a part of the body; suspends while the socket's write queue is full. */
     suspend fun writePart(bytes: ByteArray) {
         if (bytes.isEmpty()) return
-        val buffer = Buffer.buffer(bytes.size + CHUNK_FRAMING_BYTES)
-        if (chunked) buffer.appendString(bytes.size.toString(HEX_RADIX)).appendString(CRLF)
-        buffer.appendBytes(bytes)
-        if (chunked) buffer.appendString(CRLF)
-        socket.write(buffer)
+        write { if (chunked) chunk(bytes) else Buffer.buffer(bytes) }
         if (socket.writeQueueFull()) awaitDrain()
     }
 
     /** Ends a response that was started with [startStream]. */
     fun endStream() {
-        if (chunked) socket.write(Buffer.buffer("0\r\n\r\n"))
+        if (chunked) write { Buffer.buffer("0\r\n\r\n") }
         complete = true
     }
 
@@ -94,6 +94,16 @@
         return headBytes("HTTP/1.1 ${head.status} ${head.reason}", head.fields + framing + connection)
     }
 
+    private fun chunk(bytes: ByteArray): Buffer = Buffer.buffer(bytes.size + CHUNK_FRAMING_BYTES)
+        .appendString(bytes.size.toString(HEX_RADIX)).appendString(CRLF)
+        .appendBytes(bytes).appendString(CRLF)
+
+    private fun write(buffer: () -> Buffer) {
+        failed = true
+        socket.write(buffer())
+        failed = false
+    }
+
     private suspend fun awaitDrain() {
         suspendCancellableCoroutine { continuation ->
             socket.drainHandler { if (continuation.isActive) continuation.resume(Unit) }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/LoopSupervisor.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/LoopSupervisor.kt
@@ -10,6 +10,7 @@
 import kotlinx.serialization.json.put
 import org.parsleymoor.core.Clock
 import org.parsleymoor.entry.log.StructuredLog
+import org.parsleymoor.entry.log.shortTrace
 
 /**
  * Runs the control loops of an instance in [scope] and starts one that fails again, after a pause that doubles with
@@ -40,7 +41,7 @@
         log.write("loop.failed", always = true) {
             put("loop", name)
             put("pauseMillis", pauseMillis)
-            put("cause", failure.stackTraceToString().take(MAX_CAUSE_CHARACTERS))
+            put("cause", failure.shortTrace())
         }
     }
 
@@ -52,9 +53,6 @@
 
         // A loop that has run for this long is not failing at its start.
         const val STEADY_MILLIS = 10_000L
-
-        // The trace of an overflow of the stack has a thousand lines.
-        const val MAX_CAUSE_CHARACTERS = 4_000
     }
 }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/AttemptSequence.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/AttemptSequence.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.ensureActive
 import kotlinx.serialization.json.put
 import org.parsleymoor.entry.callers.ResponseWriter
+import org.parsleymoor.entry.log.shortTrace
 import org.parsleymoor.relay.fleet.AttemptOutcome
 import org.parsleymoor.relay.fleet.recordOutcome
 
@@ -28,12 +29,9 @@
     ): AttemptResult = coroutineScope {
         val startMillis = clock.nowMillis()
         pending.tried += target.endpoint.entry.id
+        pending.attemptCount++
         val handover = Handover(this, predecessor) { self ->
-            retries.takeSuccessor(pending)?.let { next ->
-                // The other requests of this instance then prefer other endpoints too.
-                target.endpoint.recordOutcome(AttemptOutcome.SILENT, clock.nowMillis())
-                suspend { run(pending, next, writer, self) }
-            }
+            successor(pending, target)?.let { next -> suspend { run(pending, next, writer, self) } }
         }
         val own = handover.run { runIsolated(pending, target, writer, handover) } ?: ended(target, handover)
         if (own is AttemptResult.Uncertain || own is AttemptResult.Failed) pending.possibleRuns++
@@ -41,7 +39,10 @@
         handover.resultForCaller(own)
     }
 
-    /** Runs one attempt; an unexpected error ends only this attempt, not the request or the attempt beside it. */
+    /**
+     * Runs one attempt; an unexpected error ends only this attempt, not the request or the attempt beside it. An error
+     * while the caller is written to ends the request: what the caller has received is not known.
+     */
     @Suppress("TooGenericExceptionCaught")
     private suspend fun runIsolated(
         pending: PendingRequest,
@@ -52,13 +53,30 @@
         attemptRunner.run(pending, target, writer, handover)
     } catch (cause: Throwable) {
         currentCoroutineContext().ensureActive()
+        if (writer.failed || writer.complete) throw cause
+        logFailure(pending, target, handover.sent, cause)
+        if (handover.sent) AttemptResult.Uncertain(ERROR) else AttemptResult.NotRun(ERROR, sent = false)
+    }
+
+    /** Returns the endpoint that the request is sent to beside [silent], or null; an unexpected error means none. */
+    @Suppress("TooGenericExceptionCaught")
+    private fun successor(pending: PendingRequest, silent: Target): Target? = try {
+        retries.takeSuccessor(pending)?.also {
+            // The other requests of this instance then prefer other endpoints too.
+            silent.endpoint.recordOutcome(AttemptOutcome.SILENT, clock.nowMillis())
+        }
+    } catch (cause: Throwable) {
+        logFailure(pending, silent, sent = true, cause)
+        null
+    }
+
+    private fun logFailure(pending: PendingRequest, target: Target, sent: Boolean, cause: Throwable) {
         log.write("attempt.failed", always = true) {
             put("request", pending.id.value)
             put("endpoint", target.endpoint.entry.id.value)
-            put("sent", handover.sent)
-            put("cause", cause.stackTraceToString())
+            put("sent", sent)
+            put("cause", cause.shortTrace())
         }
-        if (handover.sent) AttemptResult.Uncertain(ERROR) else AttemptResult.NotRun(ERROR, sent = false)
     }
 
     private fun ended(target: Target, handover: Handover): AttemptResult {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/PendingRequest.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/PendingRequest.kt
@@ -67,9 +67,12 @@
         request.receivedMillis + route.firstByteWaitMillis(caller.waitMillis),
     )
 
-    /** Endpoints already tried, which are not chosen again. */
+    /** Endpoints already tried, which are chosen again only for a stream that has begun. */
     val tried = HashSet<EndpointId>()
 
+    /** Number of attempts, including those in which nothing was sent. */
+    var attemptCount = 0
+
     /** Number of times the request was sent to an endpoint. */
     var sendCount = 0
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/RelayHandler.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/RelayHandler.kt
@@ -7,6 +7,7 @@
 import org.parsleymoor.entry.callers.CallerRequest
 import org.parsleymoor.entry.callers.RequestHandler
 import org.parsleymoor.entry.callers.ResponseWriter
+import org.parsleymoor.entry.log.shortTrace
 import org.parsleymoor.entry.protocol.HeaderNames
 import org.parsleymoor.relay.prompt.PromptContext
 import org.parsleymoor.relay.routing.Organisation
@@ -58,14 +59,15 @@
     /** Answers a request whose handling ended with an unexpected error, unless its response has begun. */
     private fun answerFailed(id: RequestId, pending: PendingRequest?, writer: ResponseWriter, cause: Throwable) {
         val sends = pending?.sendCount ?: 0
+        val refusal = if (sends == 0) Refusal.InternalError else Refusal.OutcomeUnknown("unexpected error")
+        // Before the log line, which may fail too.
+        if (writer.status == null) refusals.write(writer, id, refusal)
         log.write("request.failed", always = true) {
             put("request", id.value)
             put("route", pending?.route?.name)
             put("sends", sends)
-            put("cause", cause.stackTraceToString())
+            put("cause", cause.shortTrace())
         }
-        val refusal = if (sends == 0) Refusal.InternalError else Refusal.OutcomeUnknown("unexpected error")
-        if (writer.status == null) refusals.write(writer, id, refusal)
     }
 
     private suspend fun deliver(pending: PendingRequest, writer: ResponseWriter) {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/StreamRelay.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/StreamRelay.kt
@@ -103,8 +103,9 @@
             pending.streamStarted = true
             pending.firstByteMillis = clock.nowMillis()
         }
+        val bytes = events.map { it.bytes }.reduce(ByteArray::plus)
         events.lastOrNull { it.id != null }?.let { pending.lastEventId = it.id }
-        writer.writePart(events.map { it.bytes }.reduce(ByteArray::plus))
+        writer.writePart(bytes)
         // Time in which the caller did not read is no silence of the endpoint.
         if (progressed) {
             lastEventMillis = clock.nowMillis()
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/HandoverTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/HandoverTest.kt
@@ -44,6 +44,25 @@
         }
     }
 
+    // The fault in the choice of a successor ended the attempt at the sound endpoint.
+    @Test
+    fun `keeps a silent request when choosing a successor fails`() {
+        val arrived = CountDownLatch(1)
+        val late: (Socket) -> Unit = { socket ->
+            arrived.countDown()
+            Thread.sleep(SILENCE_MILLIS)
+            socket.send(COMPLETE)
+        }
+        harness(endpoints(firstScript = late) {}, RequestKind.IDEMPOTENT).use { harness ->
+            val fault = thread {
+                arrived.await()
+                harness.onEventLoop { it.endpoints.evacuated = FailingSet { IllegalStateException("unexpected") } }
+            }
+            expectThat(harness.exchange(relayRequest())).startsWith("HTTP/1.1 200").endsWith("ok")
+            fault.join()
+        }
+    }
+
     // The fault of an attempt beside the first ended both.
     @Test
     fun `keeps a silent stream whose successor fails with an unexpected error`() {
