Wait before a stream asks an endpoint again that could not be asked

A stream that had begun and whose endpoint was at its limit of connections asked it again without a pause (83 attempts in 0.1 s) until the retry budget was used up, and was cut off.

Change: the limit of connections counts as no room yet; after an attempt in which nothing was sent there is a pause; the retry is taken when the wait is over, and one that was not used serves for the next attempt.

--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Delivery.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Delivery.kt
@@ -68,9 +68,19 @@
     }
 
     /** Chooses an endpoint for a retry; returns null if the retry budget is used up, on which no pause draws. */
-    private suspend fun chooseForRetry(pending: PendingRequest, last: AttemptResult): Choice? {
-        val paused = if (pending.streamStarted) null else selector.allPaused(pending)
-        return paused ?: if (retries.tryTake(pending, last)) chooseOrWait(pending) else null
+    private suspend fun chooseForRetry(pending: PendingRequest, last: AttemptResult): Choice? =
+        if (pending.streamStarted) {
+            chooseForStream(pending, last)
+        } else {
+            selector.allPaused(pending) ?: if (retries.tryTake(pending, last)) chooseOrWait(pending) else null
+        }
+
+    /** The same for a stream that has begun, which takes its retry from the budget when its wait is over. */
+    private suspend fun chooseForStream(pending: PendingRequest, last: AttemptResult): Choice? {
+        // The endpoint that could not be asked may be chosen again.
+        if (last is AttemptResult.NotRun && !last.sent) delay(CAPACITY_POLL_MILLIS)
+        val choice = chooseOrWait(pending)
+        return choice.takeIf { it !is Choice.Chosen || retries.tryTake(pending, last) }
     }
 
     private fun mayFreeUp(pending: PendingRequest, choice: Choice.None, withinMillis: Long): Boolean =
@@ -84,8 +94,13 @@
     private fun choose(pending: PendingRequest): Choice {
         if (!shutdown.covers(pending)) return Choice.Stopping
         val choice = selector.choose(pending)
-        val tooLate = choice is Choice.Chosen && !shutdown.covers(pending, choice.target)
-        return if (tooLate) Choice.Stopping else choice
+        return when {
+            choice !is Choice.Chosen -> choice
+            !shutdown.covers(pending, choice.target) -> Choice.Stopping
+            pending.streamStarted && !retries.canConnect(pending, choice.target) ->
+                Choice.None(UnavailableReason.OVERLOADED, CAPACITY_POLL_MILLIS)
+            else -> choice
+        }
     }
 
     /** Runs the attempts, which end without a response when the last responses before the exit are due. */
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/RetryRules.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/RetryRules.kt
@@ -26,7 +26,11 @@
     }
 
     private fun maySend(pending: PendingRequest): Boolean =
-        pending.sendCount < if (pending.streamStarted) MAX_STREAM_SENDS else MAX_SENDS
+        if (pending.streamStarted) {
+            pending.sendCount < MAX_STREAM_SENDS && pending.attemptCount < MAX_STREAM_ATTEMPTS
+        } else {
+            pending.sendCount < MAX_SENDS
+        }
 
     private fun hasTimeLeft(pending: PendingRequest): Boolean {
         val untilMillis = if (pending.streamStarted) pending.deadlineMillis else pending.firstByteDeadlineMillis
@@ -40,7 +44,7 @@
     fun takeSuccessor(pending: PendingRequest): Target? {
         val target = if (mayRunBeside(pending)) selector.successor(pending) else null
         return target?.takeIf {
-            shutdown.covers(pending, it) && attemptRunner.canConnect(pending, it.endpoint) && takeRetry(pending)
+            shutdown.covers(pending, it) && canConnect(pending, it) && takeRetry(pending)
         }
     }
 
@@ -51,12 +55,15 @@
             shutdown.covers(pending) && quarantine.allows(pending)
 
     /**
-     * Takes a retry of [pending] after [result] from the budget, unless nothing was sent; returns false if none is
-     * left.
+     * Takes a retry of [pending] after [result] from the budget; returns false if none is left. The retry that was taken
+     * for an attempt in which nothing was sent serves for the next one.
      */
     fun tryTake(pending: PendingRequest, result: AttemptResult): Boolean =
-        (result is AttemptResult.NotRun && !result.sent && pending.sendCount == 0) ||
-            takeRetry(pending)
+        (result is AttemptResult.NotRun && !result.sent) || takeRetry(pending)
+
+    /** Whether the limit of connections allows [pending] to be sent to [target]. */
+    fun canConnect(pending: PendingRequest, target: Target): Boolean =
+        attemptRunner.canConnect(pending, target.endpoint)
 
     private fun takeRetry(pending: PendingRequest): Boolean =
         budget.tryTakeRetry(pending.service.name, clock.nowMillis())
@@ -70,5 +77,8 @@
 
         // A stream that has begun cannot be refused any more, and waits for its endpoints.
         const val MAX_STREAM_SENDS = 8
+
+        // Includes attempts in which no connection could be opened.
+        const val MAX_STREAM_ATTEMPTS = 32
     }
 }
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/StreamResumptionTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/StreamResumptionTest.kt
@@ -1,15 +1,20 @@
 package org.parsleymoor.entry
 
 import org.junit.jupiter.api.Test
+import org.parsleymoor.core.InstanceId
 import org.parsleymoor.relay.routing.RequestKind
 import strikt.api.expectThat
 import strikt.assertions.contains
 import strikt.assertions.doesNotContain
 import strikt.assertions.endsWith
+import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThan
 import java.net.Socket
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.CountDownLatch
 import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
 
 /** Guards against streams that are cut off in the middle although they could be resumed a moment later. */
 class StreamResumptionTest {
@@ -62,6 +67,44 @@
         expectThat(received.get()).isGreaterThan(1).isLessThan(MAX_SENDS + 1)
     }
 
+    // An endpoint at the limit of connections was asked again and again without a pause, until no retry was left.
+    @Test
+    fun `waits for a connection at the limit without using up the retry budget`() {
+        val begun = CountDownLatch(1)
+        val lowered = CountDownLatch(1)
+        val received = AtomicInteger()
+        val endpoint = ScriptedEndpoint { socket, _, request ->
+            when {
+                request.contains("Last-Event-Id") -> socket.send(STREAM_HEAD + event(2, "b") + STREAM_END)
+                received.incrementAndGet() <= HOLDERS -> socket.holdStream()
+                else -> {
+                    socket.send(STREAM_HEAD + event(1, "a"))
+                    Thread.sleep(BEGIN_MILLIS)
+                    begun.countDown()
+                    lowered.await()
+                    socket.reset()
+                }
+            }
+        }
+        harness(endpoint).use { harness ->
+            val holders = List(HOLDERS) { thread { harness.exchange(relayRequest(PROMPT_FIELDS)) } }
+            while (received.get() < HOLDERS) Thread.sleep(10)
+            val answer = CompletableFuture.supplyAsync { harness.exchange(relayRequest(PROMPT_FIELDS)) }
+            begun.await()
+            harness.onEventLoop { view -> view.members = List(5) { InstanceId("m$it") }.toSet() }
+            lowered.countDown()
+            expectThat(answer.get()).contains("data: a").contains("data: b").endsWith(STREAM_END)
+            holders.forEach { it.join() }
+            expectThat(harness.logged("request.attempt").count { it.contains("limit of connections") }).isEqualTo(0)
+        }
+    }
+
+    private fun Socket.holdStream() {
+        send(STREAM_HEAD + event(1, "hold"))
+        Thread.sleep(HOLD_MILLIS)
+        send(event(2, "x") + STREAM_END)
+    }
+
     private fun harness(vararg endpoints: ScriptedEndpoint) =
         RelayHarness(*endpoints, kind = RequestKind.STREAM, resumable = true, timeoutMillis = 6_000)
 
@@ -75,6 +118,9 @@
         const val REFUSAL = "HTTP/1.1 503 Full\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
         const val REFUSAL_MILLIS = 1_200L
 
+        const val HOLDERS = 3
+        const val HOLD_MILLIS = 1_000L
+
         // Time for the first event to be relayed.
         const val BEGIN_MILLIS = 100L
 
