Keep errors of this process on a connection apart from those of the network

An error such as a full heap in the channel of a caller closed it as if the caller had left, without a log line; what the handler of received data threw was dropped, and the connection went on without the data; a failure while the answer to a caller that had left was read kept the connection to its endpoint for ever.

Change: such an error ends the connection, is recorded as failed and logged with its cause (connection.closed); the connection is released in every case.

Test: SocketInputTest (new).

--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
@@ -44,6 +44,7 @@
 import org.parsleymoor.entry.control.WeightsListener
 import org.parsleymoor.entry.log.LibraryLogHandler
 import org.parsleymoor.entry.log.StructuredLog
+import org.parsleymoor.entry.log.shortTrace
 import org.parsleymoor.entry.net.ConnectionPool
 import org.parsleymoor.entry.net.ControlClient
 import org.parsleymoor.entry.protocol.ObjectKind
@@ -213,6 +214,7 @@
             put("reason", closure.reason.name.lowercase())
             put("requests", closure.requests)
             put("unreadBytes", closure.unreadBytes)
+            closure.fault?.let { put("cause", it.shortTrace()) }
         }
     }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/CallerConnection.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/CallerConnection.kt
@@ -60,8 +60,9 @@
             }
             close(CloseReason.IDLE)
         } finally {
-            val reason = closeReason ?: if (input.end == null) CloseReason.FAILED else CloseReason.CALLER_CLOSED
-            context.events.onClosed(ConnectionClosure(reason, requests, input.queue.size))
+            val failed = input.end == null || input.fault != null
+            val reason = closeReason ?: if (failed) CloseReason.FAILED else CloseReason.CALLER_CLOSED
+            context.events.onClosed(ConnectionClosure(reason, requests, input.queue.size, input.fault))
         }
     }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/ConnectionClosure.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/ConnectionClosure.kt
@@ -17,7 +17,7 @@
     /** A request ended without a complete response. */
     UNFINISHED,
 
-    /** Handling a request ended with an unexpected error. */
+    /** Reading or handling a request ended with an unexpected error. */
     FAILED,
 
     /** It was idle while this instance was shutting down. */
@@ -26,9 +26,14 @@
 
 /**
  * The end of a caller's connection on which [requests] requests were read; [unreadBytes] bytes had arrived and were not
- * read as part of a request.
+ * read as part of a request. [fault] is the error of this process that ended it, if it is known.
  */
-internal class ConnectionClosure(val reason: CloseReason, val requests: Int, val unreadBytes: Int) {
+internal class ConnectionClosure(
+    val reason: CloseReason,
+    val requests: Int,
+    val unreadBytes: Int,
+    val fault: Throwable? = null,
+) {
     /** Whether a caller may have been left without an answer. */
     val isSuspicious: Boolean
         get() = when (reason) {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/SocketInput.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/SocketInput.kt
@@ -1,10 +1,12 @@
 package org.parsleymoor.entry.net
 
 import io.vertx.core.Vertx
+import io.vertx.core.buffer.Buffer
 import io.vertx.core.net.NetSocket
 import kotlinx.coroutines.CancellableContinuation
 import kotlinx.coroutines.suspendCancellableCoroutine
 import org.parsleymoor.relay.http.ByteQueue
+import java.io.IOException
 import kotlin.coroutines.resume
 
 /** How a connection ended: closed, or failed with an error such as a reset. */
@@ -27,6 +29,10 @@
     /** Called when the connection ends. */
     var onEnd: () -> Unit = {}
 
+    /** An error of this process, not of the network, on the connection, which it has ended; null without one. */
+    var fault: Throwable? = null
+        private set
+
     private var failed = false
     private var closed = false
     private var paused = false
@@ -36,18 +42,33 @@
 
     init {
         socket.handler { buffer ->
-            queue.append(buffer.bytes)
-            receivedBytes += buffer.length()
-            if (queue.size > MAX_BUFFERED_BYTES && !paused && !closed) pause()
-            if (waiter == null) onUnsolicitedData() else wake()
+            // The socket would go on without the data whose handler failed.
+            runCatching { receive(buffer) }.onFailure { fail(it) }
+        }
+        socket.exceptionHandler { cause ->
+            failed = true
+            if (cause !is IOException) fault = cause
         }
-        socket.exceptionHandler { failed = true }
         socket.closeHandler {
             closed = true
             if (everPaused) endAfterDelivery() else finish()
         }
     }
 
+    private fun receive(buffer: Buffer) {
+        if (fault != null) return
+        queue.append(buffer.bytes)
+        receivedBytes += buffer.length()
+        if (queue.size > MAX_BUFFERED_BYTES && !paused && !closed) pause()
+        if (waiter == null) onUnsolicitedData() else wake()
+    }
+
+    private fun fail(cause: Throwable) {
+        failed = true
+        fault = cause
+        socket.close()
+    }
+
     private fun finish() {
         end = if (failed) InputEnd.RESET else InputEnd.ORDERLY
         wake()
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/AttemptRunner.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/AttemptRunner.kt
@@ -121,13 +121,16 @@
         scope.launch {
             val remaining = pending.deadlineMillis - clock.nowMillis()
             val reader = ResponseReader(pending, connection, names)
-            withTimeoutOrNull(remaining) {
-                reader.head().map {
-                    attemptContext.announcements.read(pending, progress.incarnation, connection.address, it.head)
-                    progress.complete = reader.discardBody(it)
+            try {
+                withTimeoutOrNull(remaining) {
+                    reader.head().map {
+                        attemptContext.announcements.read(pending, progress.incarnation, connection.address, it.head)
+                        progress.complete = reader.discardBody(it)
+                    }
                 }
+            } finally {
+                releaseOrClose(connection, progress)
             }
-            releaseOrClose(connection, progress)
         }
         return true
     }
