Count an end as orderly only if it is known to be one

Cause: an end without a reported error counted as orderly. While bytes are still to be sent, a reset shows itself as a failed write, which closes the connection without an error for the socket.

Ruled out: resets that a read reports. They were recognised, with every framing.

Change: SocketInput counts an end as orderly only if the end of input was read while no write had failed or was under way. The end of input is learned from the channel's event; the connection is closed at it as before.

--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/EndpointConnection.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/EndpointConnection.kt
@@ -50,7 +50,7 @@
     /** Sends a complete request. */
     fun send(request: Buffer) {
         requests++
-        socket.write(request)
+        input.send(request)
     }
 
     /** Suspends until the head of the next response has arrived, skipping interim (1xx) responses. */
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/SocketInput.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/SocketInput.kt
@@ -1,13 +1,17 @@
 package org.parsleymoor.entry.net
 
 import io.vertx.core.Vertx
+import io.vertx.core.buffer.Buffer
 import io.vertx.core.net.NetSocket
 import kotlinx.coroutines.CancellableContinuation
 import kotlinx.coroutines.suspendCancellableCoroutine
 import org.parsleymoor.relay.http.ByteQueue
 import kotlin.coroutines.resume
 
-/** How a connection ended: closed, or failed with an error such as a reset. */
+/**
+ * How a connection ended: [ORDERLY] when its peer closed it after everything that was sent to it had left, [RESET] in
+ * all other cases. What was received before a reset may not be all that the peer sent.
+ */
 internal enum class InputEnd { ORDERLY, RESET }
 
 /**
@@ -28,6 +32,8 @@
     var onEnd: () -> Unit = {}
 
     private var failed = false
+    private var endOfInputRead = false
+    private var unsent = 0
     private var closed = false
     private var paused = false
     private var everPaused = false
@@ -42,14 +48,21 @@
             if (waiter == null) onUnsolicitedData() else wake()
         }
         socket.exceptionHandler { failed = true }
+        socket.onEndOfInput { endOfInputRead = unsent == 0 }
         socket.closeHandler {
             closed = true
             if (everPaused) endAfterDelivery() else finish()
         }
     }
 
+    /** Sends [bytes] to the peer. A reset can show itself as a write that fails, without any other sign. */
+    fun send(bytes: Buffer) {
+        unsent++
+        socket.write(bytes).onSuccess { unsent-- }.onFailure { failed = true }
+    }
+
     private fun finish() {
-        end = if (failed) InputEnd.RESET else InputEnd.ORDERLY
+        end = if (endOfInputRead && !failed) InputEnd.ORDERLY else InputEnd.RESET
         wake()
         onEnd()
     }
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/BrokenOffResponseTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/BrokenOffResponseTest.kt
@@ -149,8 +149,8 @@
         end(this)
     }
 
-    private fun request() = "POST /r/x HTTP/1.1\r\nHost: h\r\nId: 1\r\nWait: $DEADLINE_MILLIS\r\nAuthorization: Key secret\r\n" +
-        "Connection: close\r\nContent-Length: 0\r\n\r\n"
+    private fun request() = "POST /r/x HTTP/1.1\r\nHost: h\r\nId: 1\r\nWait: $DEADLINE_MILLIS\r\n" +
+        "Authorization: Key secret\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
     private companion object {
         // The tests wait for the end of the response; a deadline that passes on a busy machine is answered with 504.
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/ScriptedEndpoint.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/ScriptedEndpoint.kt
@@ -1,6 +1,7 @@
 package org.parsleymoor.entry
 
 import java.net.InetAddress
+import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
@@ -29,15 +30,20 @@
 
 /**
  * An endpoint that responds to each request with what [script] writes to the raw socket. The script gets the socket,
- * the number of the request counted from 1, and its text; unless it [readsBodies], it reads the body itself.
+ * the number of the request counted from 1, and its text; unless it [readsBodies], it reads the body itself. Its
+ * connections buffer about [receiveBufferBytes], when that is set.
  */
 internal class ScriptedEndpoint(
     private val script: (Socket, Int, String) -> Unit,
     private val readsBodies: Boolean,
+    receiveBufferBytes: Int? = null,
 ) : AutoCloseable {
     constructor(script: (Socket, Int, String) -> Unit) : this(script, readsBodies = true)
 
-    private val server = ServerSocket(0, 50, InetAddress.getLoopbackAddress())
+    private val server = ServerSocket().apply {
+        receiveBufferBytes?.let { receiveBufferSize = it }
+        bind(InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+    }
     val requests = CopyOnWriteArrayList<String>()
     val connectionEnded = CountDownLatch(1)
     val port: Int get() = server.localPort
