--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/SocketInput.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/SocketInput.kt
@@ -9,7 +9,10 @@
 import java.io.IOException
 import kotlin.coroutines.resume
 
-/** How a connection ended: closed, or failed with an error such as a reset. */
+/**
+ * How a connection ended: [ORDERLY] when its peer closed it after everything that was sent to it had left, [RESET] in
+ * all other cases. What was received before a reset may not be all that the peer sent.
+ */
 internal enum class InputEnd { ORDERLY, RESET }
 
 /**
@@ -34,6 +37,8 @@
         private set
 
     private var failed = false
+    private var endOfInputRead = false
+    private var unsent = 0
     private var closed = false
     private var paused = false
     private var everPaused = false
@@ -49,12 +54,19 @@
             failed = true
             if (cause !is IOException) fault = cause
         }
+        socket.onEndOfInput { endOfInputRead = unsent == 0 }
         socket.closeHandler {
             closed = true
             if (everPaused) endAfterDelivery() else finish()
         }
     }
 
+    /** Sends [bytes] to the peer. A reset can show itself as a write that fails, without any other sign. */
+    fun send(bytes: Buffer) {
+        unsent++
+        socket.write(bytes).onSuccess { unsent-- }.onFailure { failed = true }
+    }
+
     private fun receive(buffer: Buffer) {
         if (fault != null) return
         queue.append(buffer.bytes)
@@ -70,7 +82,7 @@
     }
 
     private fun finish() {
-        end = if (failed) InputEnd.RESET else InputEnd.ORDERLY
+        end = if (endOfInputRead && !failed) InputEnd.ORDERLY else InputEnd.RESET
         wake()
         onEnd()
     }
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/CallerWriteFailureTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/CallerWriteFailureTest.kt
@@ -63,7 +63,10 @@
 
     /** A writer to a caller's socket that takes what passes [check]. */
     private fun writer(check: (String) -> Unit): ResponseWriter {
-        val socket = Proxy.newProxyInstance(javaClass.classLoader, arrayOf(NetSocket::class.java)) { _, method, arguments ->
+        val socket = Proxy.newProxyInstance(
+            javaClass.classLoader,
+            arrayOf(NetSocket::class.java)
+        ) { _, method, arguments ->
             when (method.name) {
                 "write" -> {
                     val text = (arguments[0] as Buffer).toString()
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/SocketInputTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/SocketInputTest.kt
@@ -1,8 +1,10 @@
 package org.parsleymoor.entry
 
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.embedded.EmbeddedChannel
 import io.vertx.core.Handler
 import io.vertx.core.buffer.Buffer
-import io.vertx.core.net.NetSocket
+import io.vertx.core.internal.net.NetSocketInternal
 import org.junit.jupiter.api.Test
 import org.parsleymoor.entry.net.SocketInput
 import strikt.api.expectThat
@@ -14,16 +16,17 @@
 
 /** Guards against errors of this process on a connection that go unnoticed. */
 class SocketInputTest {
+    private val channel = EmbeddedChannel(ChannelInboundHandlerAdapter())
     private val handlers = HashMap<String, Handler<Any?>>()
     private var closes = 0
 
     @Suppress("UNCHECKED_CAST")
     private val socket =
-        Proxy.newProxyInstance(javaClass.classLoader, arrayOf(NetSocket::class.java)) { proxy, method, arguments ->
+        Proxy.newProxyInstance(javaClass.classLoader, arrayOf(NetSocketInternal::class.java)) { self, method, arguments ->
             if (arguments?.firstOrNull() is Handler<*>) handlers[method.name] = arguments[0] as Handler<Any?>
             if (method.name == "close") closes++
-            proxy.takeIf { method.returnType == NetSocket::class.java }
-        } as NetSocket
+            if (method.name == "channelHandlerContext") channel.pipeline().firstContext() else self.takeIf { method.returnType.isInstance(self) }
+        } as NetSocketInternal
 
     // The socket library drops what the handler of received data throws, and goes on without the data.
     @Test
