--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/ResponseEndTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/ResponseEndTest.kt
@@ -14,6 +14,7 @@
 import org.parsleymoor.entry.protocol.ControlRequest
 import org.parsleymoor.relay.fleet.SocketAddress
 import org.parsleymoor.relay.routing.CallerLimits
+import org.parsleymoor.relay.limits.HeldBytes
 import org.parsleymoor.relay.routing.RequestKind
 import strikt.api.expectThat
 import strikt.assertions.contains
@@ -125,7 +126,7 @@
         val vertx = Vertx.vertx()
         val request = ControlRequest("PUT", "/x", "b".repeat(BODY_BYTES))
         val response = runBlocking(vertx.orCreateContext.dispatcher()) {
-            val client = ControlClient(ConnectionPool(vertx.createNetClient(), Clock.System))
+            val client = ControlClient(ConnectionPool(vertx.createNetClient(), Clock.System), HeldBytes(1_000_000))
             client.call(SocketAddress("127.0.0.1", endpoint.port), request, DEADLINE_MILLIS)
         }
         vertx.close()
