Count callers' bodies in the account of held bytes

Callers would see: nothing, when many large bodies arrive at once and the process runs out of memory (not reproduced with callers' bodies; the cause is that of endpoints' answers, a bound for each and none for the sum).

Change: a body without room is refused with 503, Retry-After and request.refused, at its head if its length is stated, else when it finds none; the connection is then closed with the reason no_room. A body over the limit of the configuration stays 413. Bodies are held in blocks and joined with the head in pieces, and given back when the request ends or its caller leaves.

Not done: room is not reserved at the head, and a slow sender keeps what it has.

--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
@@ -13,8 +13,10 @@
 import org.parsleymoor.core.Clock
 import org.parsleymoor.core.Incarnation
 import org.parsleymoor.core.PauseDetector
+import org.parsleymoor.core.RequestId
 import org.parsleymoor.core.stableHash
 import org.parsleymoor.entry.callers.CallerContext
+import org.parsleymoor.entry.callers.CallerLoad
 import org.parsleymoor.entry.callers.CallerServer
 import org.parsleymoor.entry.callers.ConnectionClosure
 import org.parsleymoor.entry.callers.ConnectionEvents
@@ -59,6 +61,7 @@
 import org.parsleymoor.entry.serving.LeavingLog
 import org.parsleymoor.entry.serving.PauseRecorder
 import org.parsleymoor.entry.serving.QuarantineGate
+import org.parsleymoor.entry.serving.Refusal
 import org.parsleymoor.entry.serving.RefusalWriter
 import org.parsleymoor.entry.serving.RelayHandler
 import org.parsleymoor.entry.serving.ServingContext
@@ -194,8 +197,11 @@
             handler = RelayHandler(context, protocol.headers, delivery, refusals),
             limits = { deployment.routes?.configuration?.limits ?: CallerLimits() },
             stopping = { shutdown.state.begun },
-            lagMillis = { lag.millis },
-            events = ConnectionEvents(onFault = ::logFault, onClosed = ::recordClosure),
+            load = CallerLoad(held) { lag.millis },
+            events = ConnectionEvents(::logFault, ::recordClosure) { head, writer ->
+                val id = RequestId(head.headers[protocol.headers.caller.attemptId].orEmpty())
+                refusals.write(writer, id, Refusal.NoRoom)
+            },
         )
     }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/CallerConnection.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/CallerConnection.kt
@@ -4,7 +4,7 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.fold
-import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.get
 import com.github.michaelbull.result.map
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.net.NetSocket
@@ -13,29 +13,38 @@
 import org.parsleymoor.entry.net.SocketInput
 import org.parsleymoor.entry.net.readBody
 import org.parsleymoor.entry.net.readHead
+import org.parsleymoor.relay.http.BodyFraming
+import org.parsleymoor.relay.http.HeldBody
 import org.parsleymoor.relay.http.MessageFailure
 import org.parsleymoor.relay.http.RequestHead
 import org.parsleymoor.relay.http.framing
 import org.parsleymoor.relay.http.parseRequestHead
+import org.parsleymoor.relay.limits.HeldBytes
 import org.parsleymoor.relay.routing.CallerLimits
 
-/** [onFault] is called for each malformed request, [onClosed] for each connection that ends. */
+/**
+ * [onFault] is called for each malformed request, [onClosed] for each connection that ends. [onNoRoom] refuses a
+ * request for whose body there is no room.
+ */
 internal class ConnectionEvents(
     val onFault: (MessageFailure) -> Unit = {},
     val onClosed: (ConnectionClosure) -> Unit = {},
+    val onNoRoom: (RequestHead, ResponseWriter) -> Unit = { _, writer -> writer.abort() },
 )
 
+/** The account of the messages that this instance holds, and how far its event loop is behind. */
+internal class CallerLoad(val held: HeldBytes, val lagMillis: () -> Long = { 0 })
+
 /**
- * Dependencies shared by the connections of a server. [stopping] tells whether this instance is shutting down,
- * [lagMillis] how far its event loop is behind.
+ * Dependencies shared by the connections of a server. [stopping] tells whether this instance is shutting down.
  */
 internal class CallerContext(
     val clock: Clock,
     val handler: RequestHandler,
     val limits: () -> CallerLimits,
     val stopping: () -> Boolean,
+    val load: CallerLoad,
     val events: ConnectionEvents = ConnectionEvents(),
-    val lagMillis: () -> Long = { 0 },
 )
 
 /** Reads requests from [socket] and handles them one after the other. Confined to the event loop. */
@@ -47,6 +56,8 @@
         private set
 
     private var requests = 0
+    private var refusedHead: RequestHead? = null
+    private var held: HeldBody? = null
     private var closeReason: CloseReason? = null
 
     /** Serves requests until either side closes the connection. */
@@ -56,10 +67,12 @@
             while (open && awaitRequest()) {
                 idle = false
                 open = readRequest().fold({ handle(it) }, { refuse(it) })
+                held?.release()
                 idle = true
             }
             close(CloseReason.IDLE)
         } finally {
+            held?.release()
             val reason = closeReason ?: if (input.end == null) CloseReason.FAILED else CloseReason.CALLER_CLOSED
             context.events.onClosed(ConnectionClosure(reason, requests, input.queue.size))
         }
@@ -104,14 +117,22 @@
         val head = withTimeoutOrNull(limits.headMillis) {
             input.readHead(limits.headBytes).andThen { if (it == null) ENDED_EARLY else parseRequestHead(it) }
         } ?: return Err(MessageFailure.TOO_SLOW)
-        return head.andThen { readBodyOf(it, limits) }
+        refusedHead = head.get()
+        return head.andThen { request -> request.framing().andThen { readBodyOf(request, it, limits) } }
     }
 
-    private suspend fun readBodyOf(head: RequestHead, limits: CallerLimits): Result<CallerRequest, MessageFailure> {
-        val framing = head.framing().getOrElse { return Err(it) }
+    private suspend fun readBodyOf(
+        head: RequestHead,
+        framing: BodyFraming,
+        limits: CallerLimits,
+    ): Result<CallerRequest, MessageFailure> {
+        val statedBytes = (framing as? BodyFraming.Length)?.bytes ?: 0
+        val room = statedBytes > limits.bodyBytes || context.load.held.hasRoomFor(statedBytes)
+        if (!room) return Err(MessageFailure.NO_ROOM)
         if (head.headers.tokens("Expect") == listOf("100-continue")) socket.write(Buffer.buffer(CONTINUE))
-        val body = input.readBody(framing, limits.bodyBytes, limits.idleMillis, context.clock)
-        return body.map { CallerRequest(head, it, context.clock.nowMillis() - context.lagMillis()) }
+        val body = HeldBody(context.load.held).also { held = it }
+        return input.readBody(framing, body, limits, context.clock)
+            .map { CallerRequest(head, body, context.clock.nowMillis() - context.load.lagMillis()) }
     }
 
     private suspend fun handle(request: CallerRequest): Boolean {
@@ -131,13 +152,18 @@
     }
 
     private suspend fun refuse(fault: MessageFailure): Boolean {
-        context.events.onFault(fault)
+        held?.release()
+        val noRoomHead = refusedHead.takeIf { fault == MessageFailure.NO_ROOM }
+        if (noRoomHead == null) context.events.onFault(fault)
         if (input.end != null) return false
         val writer = ResponseWriter(socket, keepAliveAllowed = false, chunked = true, stopping = context.stopping)
-        val body = fault.message.encodeToByteArray()
-        writer.writeResponse(CallerResponseHead(fault.status), body)
+        if (noRoomHead != null) {
+            context.events.onNoRoom(noRoomHead, writer)
+        } else {
+            writer.writeResponse(CallerResponseHead(fault.status), fault.message.encodeToByteArray())
+        }
         discardInput()
-        close(CloseReason.MALFORMED)
+        close(if (noRoomHead == null) CloseReason.MALFORMED else CloseReason.NO_ROOM)
         return false
     }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/CallerRequest.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/CallerRequest.kt
@@ -1,12 +1,13 @@
 package org.parsleymoor.entry.callers
 
+import org.parsleymoor.relay.http.HeldBody
 import org.parsleymoor.relay.http.RequestHead
 
 /**
  * A complete request. [receivedMillis] is when it was read minus the lag of the event loop, because it may have waited
  * unread that long.
  */
-internal class CallerRequest(val head: RequestHead, val body: ByteArray, val receivedMillis: Long)
+internal class CallerRequest(val head: RequestHead, val body: HeldBody, val receivedMillis: Long)
 
 /** Handles the requests of callers. */
 internal interface RequestHandler {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/ConnectionClosure.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/ConnectionClosure.kt
@@ -14,6 +14,9 @@
     /** What the caller sent is not a request within the limits; the refusal was written. */
     MALFORMED,
 
+    /** There was no room for the body of a request; the refusal was written. */
+    NO_ROOM,
+
     /** A request ended without a complete response. */
     UNFINISHED,
 
@@ -34,6 +37,6 @@
         get() = when (reason) {
             CloseReason.UNFINISHED, CloseReason.FAILED -> true
             CloseReason.IDLE, CloseReason.SHUTDOWN -> unreadBytes > 0
-            CloseReason.CALLER_CLOSED, CloseReason.ANSWERED, CloseReason.MALFORMED -> false
+            CloseReason.CALLER_CLOSED, CloseReason.ANSWERED, CloseReason.MALFORMED, CloseReason.NO_ROOM -> false
         }
 }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/EndpointConnection.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/EndpointConnection.kt
@@ -52,6 +52,12 @@
         socket.write(request)
     }
 
+    /** Sends a complete request of [head] and [body]. */
+    fun send(head: ByteArray, body: HeldBody) {
+        requests++
+        body.forEachPiece(head) { socket.write(it) }
+    }
+
     /** Suspends until the head of the next response has arrived, skipping interim (1xx) responses. */
     suspend fun readResponse(method: String): Result<IncomingResponse, MessageFailure> {
         repeat(MAX_INTERIM_RESPONSES) {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/MessageInput.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/MessageInput.kt
@@ -8,8 +8,9 @@
 import org.parsleymoor.relay.http.BodyDecoder
 import org.parsleymoor.relay.http.BodyFraming
 import org.parsleymoor.relay.http.BodyProgress
+import org.parsleymoor.relay.http.HeldBody
 import org.parsleymoor.relay.http.MessageFailure
-import java.io.ByteArrayOutputStream
+import org.parsleymoor.relay.routing.CallerLimits
 
 /**
  * Suspends until a message head of at most [limitBytes] has arrived; returns null if the connection ends before its
@@ -30,42 +31,46 @@
 }
 
 /**
- * Suspends until the complete body has arrived. Fails if it has more than [limitBytes], if nothing arrives for
- * [pauseMillis], or if after that time it arrives at less than [MIN_BODY_BYTES_PER_MILLI] on average.
+ * Suspends until the complete body has been added to [body]. Fails if it has more bytes than [limits] allow, if the
+ * account of [body] has no room for it, if nothing arrives for the idle limit, or if after that time it arrives at less
+ * than [MIN_BODY_BYTES_PER_MILLI] on average.
  */
 internal suspend fun SocketInput.readBody(
     framing: BodyFraming,
-    limitBytes: Int,
-    pauseMillis: Long,
+    body: HeldBody,
+    limits: CallerLimits,
     clock: Clock,
-): Result<ByteArray, MessageFailure> {
+): Result<Unit, MessageFailure> {
     val startMillis = clock.nowMillis()
     val decoder = BodyDecoder(framing)
-    val content = ByteArrayOutputStream()
-    var tooSlow = false
-    var tooLarge = framing is BodyFraming.Length && framing.bytes > limitBytes
-    while (decoder.progress == BodyProgress.INCOMPLETE && !tooLarge && !tooSlow) {
-        content.writeBytes(decoder.decode(queue))
-        tooLarge = content.size() > limitBytes
-        if (decoder.progress == BodyProgress.INCOMPLETE && !tooLarge) {
-            val ended = end
-            if (ended != null) {
-                decoder.endOfInput(ended == InputEnd.ORDERLY)
-            } else {
-                val earnedMillis = content.size() / MIN_BODY_BYTES_PER_MILLI
-                val remainingMillis = startMillis + pauseMillis + earnedMillis - clock.nowMillis()
-                tooSlow = withTimeoutOrNull(minOf(pauseMillis, remainingMillis)) { awaitMore() } == null
-            }
+    val tooLarge = framing is BodyFraming.Length && framing.bytes > limits.bodyBytes
+    var fault = if (tooLarge) MessageFailure.BODY_TOO_LARGE else null
+    while (decoder.progress == BodyProgress.INCOMPLETE && fault == null) {
+        val part = decoder.decode(queue)
+        val earnedMillis = (body.size + part.size) / MIN_BODY_BYTES_PER_MILLI
+        val remainingMillis = startMillis + limits.idleMillis + earnedMillis - clock.nowMillis()
+        fault = when {
+            body.size + part.size > limits.bodyBytes -> MessageFailure.BODY_TOO_LARGE
+            !body.append(part) -> MessageFailure.NO_ROOM
+            decoder.progress != BodyProgress.INCOMPLETE -> null
+            else -> awaitMoreOf(decoder, minOf(limits.idleMillis, remainingMillis))
         }
     }
     return when {
-        tooLarge -> Err(MessageFailure.BODY_TOO_LARGE)
-        tooSlow -> Err(MessageFailure.TOO_SLOW)
-        decoder.progress == BodyProgress.COMPLETE -> Ok(content.toByteArray())
+        fault != null -> Err(fault)
+        decoder.progress == BodyProgress.COMPLETE -> Ok(Unit)
         else -> Err(faultOf(framing, end))
     }
 }
 
+/** Waits up to [millis] for more bytes or the end of the connection; returns a failure if neither has come by then. */
+private suspend fun SocketInput.awaitMoreOf(decoder: BodyDecoder, millis: Long): MessageFailure? {
+    val ended = end
+    if (ended != null) decoder.endOfInput(ended == InputEnd.ORDERLY)
+    val waited = ended != null || withTimeoutOrNull(millis) { awaitMore() } != null
+    return if (waited) null else MessageFailure.TOO_SLOW
+}
+
 // A body that arrives more slowly than this would occupy its connection for hours.
 private const val MIN_BODY_BYTES_PER_MILLI = 1L
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
@@ -5,7 +5,6 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.parsleymoor.entry.callers.ResponseWriter
 import org.parsleymoor.entry.net.IncomingResponse
-import org.parsleymoor.entry.net.message
 import org.parsleymoor.entry.protocol.HeaderNames
 import org.parsleymoor.relay.fleet.AttemptOutcome
 import org.parsleymoor.relay.fleet.SocketAddress
@@ -65,13 +64,13 @@
             else -> null
         }
         if (skipReason != null) return AttemptResult.NotRun(skipReason, sent = false)
-        val message = message(context.requestBuilder.head(pending, target, remaining), pending.request.body)
+        val head = context.requestBuilder.head(pending, target, remaining)
         val sentMillis = clock.nowMillis()
         // Counted first: a send that fails may have sent a part.
         progress.sent = true
         pending.sendCount++
         exchange.handover.requestSent(pending.maxOverlapMillis) { state.showsLifeSince(sentMillis) }
-        connection.send(message)
+        connection.send(head, pending.request.body)
         context.endpoints.pauses.requestSent(progress.incarnation, sentMillis)
         val response = ResponseAwaiter(clock, pending, exchange).await(reader, remaining)
         return response?.fold({ handleResponse(it) }, { onFault(it) })
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/EndpointRequestBuilder.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/EndpointRequestBuilder.kt
@@ -53,7 +53,7 @@
         pending.organisation?.let { fields += HeaderField(names.system.organisation, it.id.value) }
         pending.lastEventId?.let { fields += HeaderField(names.caller.lastEventId, it) }
         if (pending.prompt != null) fields += engineFields(pending, target)
-        if (pending.request.body.isNotEmpty() || head.method in METHODS_WITH_BODY) {
+        if (pending.request.body.size > 0 || head.method in METHODS_WITH_BODY) {
             fields += HeaderField("Content-Length", pending.request.body.size.toString())
         }
         return headBytes("${head.method} ${head.target} HTTP/1.1", fields)
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Refusal.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Refusal.kt
@@ -29,6 +29,10 @@
     data object InternalError :
         Refusal(HttpStatus.UNAVAILABLE, "an unexpected error on this instance", INTERNAL_ERROR_MILLIS)
 
+    /** This instance has no room for the body of the request, which has not run. Another instance may have. */
+    data object NoRoom :
+        Refusal(HttpStatus.UNAVAILABLE, "this instance has no room for the body of the request", NO_ROOM_MILLIS)
+
     /** The event loop is [lagMillis] behind, too far to respond in time. Another instance may be able to. */
     class EventLoopBehind(lagMillis: Long) : Refusal(
         HttpStatus.UNAVAILABLE,
@@ -77,6 +81,9 @@
         // Another instance may not have the error.
         const val INTERNAL_ERROR_MILLIS = 50L
 
+        // Most bodies that take the room are gone by then: they arrive and are answered within a second or so.
+        const val NO_ROOM_MILLIS = 500L
+
         // An instance that has just started catches up within one to two seconds.
         const val MAX_BEHIND_RETRY_MILLIS = 1_000L
 
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/CallerServerShutdownTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/CallerServerShutdownTest.kt
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.assertThrows
 import org.parsleymoor.core.Clock
 import org.parsleymoor.entry.callers.CallerContext
+import org.parsleymoor.entry.callers.CallerLoad
 import org.parsleymoor.entry.callers.CallerRequest
 import org.parsleymoor.entry.callers.CallerResponseHead
 import org.parsleymoor.entry.callers.CallerServer
@@ -20,6 +21,7 @@
 import org.parsleymoor.entry.callers.ResponseWriter
 import org.parsleymoor.relay.fleet.SocketAddress
 import org.parsleymoor.relay.http.HttpStatus
+import org.parsleymoor.relay.limits.HeldBytes
 import org.parsleymoor.relay.routing.CallerLimits
 import strikt.api.expectThat
 import strikt.assertions.contains
@@ -43,7 +45,7 @@
     private val server = CallerServer(
         vertx,
         scope,
-        CallerContext(Clock.System, slowHandler, limits = { CallerLimits() }, stopping = { true }),
+        CallerContext(Clock.System, slowHandler, { CallerLimits() }, { true }, CallerLoad(HeldBytes(1_000_000))),
     )
 
     @AfterEach
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
@@ -13,8 +13,10 @@
 import org.parsleymoor.core.InstanceId
 import org.parsleymoor.core.OrganisationId
 import org.parsleymoor.core.RegionId
+import org.parsleymoor.core.RequestId
 import org.parsleymoor.core.ZoneId
 import org.parsleymoor.entry.callers.CallerContext
+import org.parsleymoor.entry.callers.CallerLoad
 import org.parsleymoor.entry.callers.CallerServer
 import org.parsleymoor.entry.callers.ConnectionClosure
 import org.parsleymoor.entry.callers.ConnectionEvents
@@ -37,6 +39,7 @@
 import org.parsleymoor.entry.serving.InstanceLoad
 import org.parsleymoor.entry.serving.LeavingLog
 import org.parsleymoor.entry.serving.QuarantineGate
+import org.parsleymoor.entry.serving.Refusal
 import org.parsleymoor.entry.serving.RefusalWriter
 import org.parsleymoor.entry.serving.RelayHandler
 import org.parsleymoor.entry.serving.ServingContext
@@ -117,8 +120,10 @@
             handler = RelayHandler(context, NAMES, delivery, refusals),
             limits = { limits },
             stopping = { shutdown.state.begun },
-            events = ConnectionEvents(onClosed = closures::add),
-            lagMillis = { lag.millis },
+            load = CallerLoad(held) { lag.millis },
+            events = ConnectionEvents(onClosed = closures::add) { head, writer ->
+                refusals.write(writer, RequestId(head.headers[NAMES.caller.attemptId].orEmpty()), Refusal.NoRoom)
+            },
         )
         server = CallerServer(vertx, scope, callers)
         runBlocking(dispatcher) { server.start(SocketAddress("127.0.0.1", port)) }
@@ -179,6 +184,17 @@
     /** Runs [action] on the event loop, to which the state is confined. */
     fun <T> onEventLoop(action: suspend (DeploymentView) -> T): T = runBlocking(dispatcher) { action(deployment) }
 
+    /** Takes all but [bytes] of the room for messages. */
+    fun leaveRoom(bytes: Long) {
+        onEventLoop {
+            var left = held.limitBytes - held.totalBytes
+            while (left > bytes) {
+                held.newHolder().tryResize(minOf(left - bytes, left / 2))
+                left = held.limitBytes - held.totalBytes
+            }
+        }
+    }
+
     /** Takes all that is left of the retry budget. */
     fun useUpRetryBudget() {
         onEventLoop { while (budget.tryTakeRetry("s", Clock.System.nowMillis())) Unit }
