Give up a caller that takes nothing of its response for the idle limit

What callers saw: nothing; a caller that did not read kept its response, the connection to its endpoint and their memory without a time limit (found by review; 16 MB of 24 MB held by four callers 5 s after their deadline).

Change: a write that waits for the idle limit resets the connection, with a close reason of its own that is logged. Control calls have an account of held bytes of their own, so that callers cannot keep responses of the store out, and a small response without room does not count against its endpoint.

Test: UnansweredRequestTest (gives up a caller that takes nothing): the closure did not come within 5 s before.

--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
@@ -99,6 +99,9 @@
         },
     )
     private val held = HeldBytes(Runtime.getRuntime().maxMemory() / HELD_SHARE)
+
+    // Apart from callers and endpoints, which must not keep the store's responses out.
+    private val heldByControl = HeldBytes(Runtime.getRuntime().maxMemory() / CONTROL_SHARE)
     private val deployment = DeploymentView(settings.instance)
     private val client = vertx.createNetClient(
         NetClientOptions().setTcpNoDelay(true).setConnectTimeout(CONNECT_MILLIS),
@@ -107,7 +110,7 @@
     private val controlPool = ConnectionPool(client, clock)
     private val pauses = PauseRecorder(deployment, log, metrics, clock)
     private val controlClient =
-        ControlClient(controlPool, held, AnnouncementReader(deployment, protocol.headers, pauses))
+        ControlClient(controlPool, heldByControl, AnnouncementReader(deployment, protocol.headers, pauses))
     private val leavingLog = LeavingLog(log, metrics).also { deployment.onLeaving = it::learned }
     private val era = StoreEra(log, metrics.storeRestores)
     private val store = ObjectStore(
@@ -279,6 +282,7 @@
     private companion object {
         // The share of the heap that messages may take; the rest is for the state, buffers of sockets and garbage.
         const val HELD_SHARE = 4
+        const val CONTROL_SHARE = 8
 
         const val METRICS_PATH = "/metrics"
         const val CONNECT_MILLIS = 2_000
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/CallerConnection.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/CallerConnection.kt
@@ -11,6 +11,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.parsleymoor.core.Clock
 import org.parsleymoor.entry.net.SocketInput
+import org.parsleymoor.entry.net.abort
 import org.parsleymoor.entry.net.readBody
 import org.parsleymoor.entry.net.readHead
 import org.parsleymoor.relay.http.BodyFraming
@@ -85,6 +86,12 @@
         socket.close()
     }
 
+    /** Resets the connection of a caller that does not read, because a close would wait for what is still queued. */
+    private fun giveUp() {
+        if (closeReason == null) closeReason = CloseReason.NOT_READING
+        socket.abort()
+    }
+
     /**
      * Waits for a request up to the idle limit, the longest one in force during the wait: callers count on the newest
      * limit, and after it has been lowered, some still on the former one. Returns whether one has begun to arrive.
@@ -143,6 +150,7 @@
             keepAliveAllowed = request.head.keepsAlive,
             chunked = request.head.minorVersion == 1,
             stopping = context.stopping,
+            stall = WriteStall(context.limits().idleMillis, ::giveUp),
         )
         context.handler.handle(request, writer)
         when {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/ConnectionClosure.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/ConnectionClosure.kt
@@ -17,6 +17,9 @@
     /** There was no room for the body of a request; the refusal was written. */
     NO_ROOM,
 
+    /** The caller took nothing of its response for the idle limit. */
+    NOT_READING,
+
     /** A request ended without a complete response. */
     UNFINISHED,
 
@@ -40,7 +43,7 @@
     /** Whether a caller may have been left without an answer. */
     val isSuspicious: Boolean
         get() = when (reason) {
-            CloseReason.UNFINISHED, CloseReason.FAILED -> true
+            CloseReason.UNFINISHED, CloseReason.FAILED, CloseReason.NOT_READING -> true
             CloseReason.IDLE, CloseReason.SHUTDOWN -> unreadBytes > 0
             CloseReason.CALLER_CLOSED, CloseReason.ANSWERED, CloseReason.MALFORMED, CloseReason.NO_ROOM -> false
         }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/ResponseWriter.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/ResponseWriter.kt
@@ -2,7 +2,9 @@
 
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.net.NetSocket
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.suspendCancellableCoroutine
+import kotlinx.coroutines.withTimeoutOrNull
 import org.parsleymoor.entry.net.forEachPiece
 import org.parsleymoor.entry.net.headBytes
 import org.parsleymoor.entry.net.message
@@ -16,16 +18,20 @@
     constructor(status: HttpStatus, fields: List<HeaderField> = emptyList()) : this(status.code, status.phrase, fields)
 }
 
+/** What to do, [close], about a caller that takes nothing of its response for [limitMillis]. */
+internal class WriteStall(val limitMillis: Long, val close: () -> Unit)
+
 /**
  * Writes the response to one request to [socket]. [keepAliveAllowed] is false if the caller asked for the connection to
  * be closed, [chunked] is true if it understands chunked transfer coding. [stopping] tells whether this instance is
- * shutting down.
+ * shutting down. Without a [stall], a caller that does not read is waited for as long as the response is needed.
  */
 internal class ResponseWriter(
     private val socket: NetSocket,
     private val keepAliveAllowed: Boolean,
     private val chunked: Boolean,
     private val stopping: () -> Boolean,
+    private val stall: WriteStall? = null,
 ) {
     /** Status of the response, or null before its head is written. */
     var status: Int? = null
@@ -105,9 +111,15 @@
     }
 
     private suspend fun awaitDrain() {
-        suspendCancellableCoroutine { continuation ->
-            socket.drainHandler { if (continuation.isActive) continuation.resume(Unit) }
+        val drained = withTimeoutOrNull(stall?.limitMillis ?: Long.MAX_VALUE) {
+            suspendCancellableCoroutine { continuation ->
+                socket.drainHandler { if (continuation.isActive) continuation.resume(Unit) }
+            }
         }
+        if (drained != null || stall == null) return
+        // The end of the connection cancels the request.
+        stall.close()
+        awaitCancellation()
     }
 
     private companion object {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/EndpointConnection.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/EndpointConnection.kt
@@ -5,9 +5,7 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.get
-import io.netty.channel.ChannelOption
 import io.vertx.core.buffer.Buffer
-import io.vertx.core.internal.net.NetSocketInternal
 import io.vertx.core.net.NetSocket
 import org.parsleymoor.relay.fleet.SocketAddress
 import org.parsleymoor.relay.http.BodyDecoder
@@ -121,10 +119,7 @@
      */
     fun abort() {
         noNewRequests = true
-        // Closes the channel below the handler of the socket, which would first send what it has queued.
-        val context = (socket as NetSocketInternal).channelHandlerContext()
-        if (context.channel().isOpen) context.channel().config().setOption(ChannelOption.SO_LINGER, 0)
-        context.close()
+        socket.abort()
     }
 
     private companion object {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
@@ -127,10 +127,17 @@
         val body = pending.holdBody(context.held)
         val read = withTimeoutOrNull(pending.deadlineMillis - clock.nowMillis()) { reader.body(response, body) }
         if (read?.isOk != true) {
-            body.release()
             val fault = read?.getError()
+            val isSmall = body.size <= SMALL_BODY_BYTES
+            body.release()
             if (fault in OVERSIZED) context.oversized.record(pending, progress.incarnation, checkNotNull(fault))
-            return recordFailure(fault?.message ?: "the response body was incomplete")
+            val reason = fault?.message ?: "the response body was incomplete"
+            // That a small response finds no room is no fault of its endpoint.
+            return if (fault == MessageFailure.NO_ROOM && isSmall) {
+                AttemptResult.Uncertain(reason)
+            } else {
+                recordFailure(reason)
+            }
         }
         progress.complete = true
         val head = response.head.toCallerHead(names)
@@ -154,6 +161,7 @@
 
     private companion object {
         const val REFUSAL_BODY_MILLIS = 200L
+        const val SMALL_BODY_BYTES = 65_536
         val OVERSIZED = setOf(MessageFailure.BODY_TOO_LARGE, MessageFailure.NO_ROOM)
         const val UNCONFIRMED_REFUSAL = "status %d without the header field that confirms the request was not run"
 
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/CallerWriteFailureTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/CallerWriteFailureTest.kt
@@ -8,7 +8,9 @@
 import org.parsleymoor.core.Clock
 import org.parsleymoor.entry.callers.CallerRequest
 import org.parsleymoor.entry.callers.ResponseWriter
+import org.parsleymoor.relay.http.HeldBody
 import org.parsleymoor.relay.http.parseRequestHead
+import org.parsleymoor.relay.limits.HeldBytes
 import org.parsleymoor.relay.routing.RequestKind
 import strikt.api.expectThat
 import strikt.assertions.doesNotContain
@@ -58,7 +60,7 @@
 
     private fun RelayHarness.handle(writer: ResponseWriter, request: String) {
         val head = checkNotNull(parseRequestHead(request.toByteArray()).get())
-        onEventLoop { handler.handle(CallerRequest(head, ByteArray(0), Clock.System.nowMillis()), writer) }
+        onEventLoop { handler.handle(CallerRequest(head, HeldBody(HeldBytes(1_000)), Clock.System.nowMillis()), writer) }
     }
 
     /** A writer to a caller's socket that takes what passes [check]. */
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/UnansweredRequestTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/UnansweredRequestTest.kt
@@ -3,16 +3,20 @@
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.EnumSource
+import org.parsleymoor.entry.callers.CloseReason
 import org.parsleymoor.relay.routing.CallerLimits
 import org.parsleymoor.relay.routing.RequestKind
 import strikt.api.expectThat
 import strikt.assertions.contains
 import strikt.assertions.endsWith
 import strikt.assertions.hasSize
+import strikt.assertions.isEqualTo
+import strikt.assertions.isTrue
 import strikt.assertions.startsWith
 import java.io.IOException
 import java.io.PrintWriter
 import java.net.Socket
+import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
 import kotlin.coroutines.cancellation.CancellationException
@@ -200,6 +204,23 @@
         }
     }
 
+    // A caller that never reads held its response, its endpoint's connection and their memory without a time limit.
+    @Test
+    fun `gives up a caller that takes nothing of its response for the idle limit`() {
+        val endpoint = ScriptedEndpoint { socket, _, _ ->
+            socket.send(STREAM_HEAD)
+            repeat(2_000) { number -> socket.send(chunk("id: ${number + 1}\ndata: ${"x".repeat(60_000)}\n\n")) }
+        }
+        RelayHarness(endpoint, kind = RequestKind.STREAM, timeoutMillis = 20_000).use { harness ->
+            harness.limits = limits(idleMillis = 500)
+            harness.caller().use { socket ->
+                socket.send(request(waitMillis = 20_000))
+                expectThat(harness.closures.poll(5, TimeUnit.SECONDS)?.reason).isEqualTo(CloseReason.NOT_READING)
+                expectThat(endpoint.connectionEnded.await(1, TimeUnit.SECONDS)).isTrue()
+            }
+        }
+    }
+
     // What the socket held back when its endpoint closed was dropped, and the stream looked broken off.
     @Test
     fun `relays a large stream that ends with its connection to a slow caller to its end`() {
