--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/CallerConnection.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/callers/CallerConnection.kt
@@ -12,6 +12,7 @@
 import org.parsleymoor.core.Clock
 import org.parsleymoor.entry.net.SocketInput
 import org.parsleymoor.entry.net.abort
+import org.parsleymoor.entry.net.discard
 import org.parsleymoor.entry.net.readBody
 import org.parsleymoor.entry.net.readHead
 import org.parsleymoor.relay.http.BodyFraming
@@ -171,21 +172,11 @@
         } else {
             writer.writeResponse(CallerResponseHead(fault.status), fault.message.encodeToByteArray())
         }
-        discardInput()
+        input.discard(DISCARD_MILLIS)
         close(if (noRoomHead == null) CloseReason.MALFORMED else CloseReason.NO_ROOM)
         return false
     }
 
-    /** Reads for a while longer, because closing a socket with unread data resets it and can destroy the response. */
-    private suspend fun discardInput() {
-        withTimeoutOrNull(DISCARD_MILLIS) {
-            while (input.end == null) {
-                input.queue.take(input.queue.size)
-                input.awaitMore()
-            }
-        }
-    }
-
     private companion object {
         // Any timer, however short, fires after the event loop has polled its sockets.
         const val POLL_MILLIS = 1L
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/MessageInput.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/MessageInput.kt
@@ -71,6 +71,19 @@
     return if (waited) null else MessageFailure.TOO_SLOW
 }
 
+/**
+ * Reads and drops what arrives within [millis], because closing a socket with unread data resets it and can destroy a
+ * response that was written before.
+ */
+internal suspend fun SocketInput.discard(millis: Long) {
+    withTimeoutOrNull(millis) {
+        while (end == null) {
+            queue.take(queue.size)
+            awaitMore()
+        }
+    }
+}
+
 // A body that arrives more slowly than this would occupy its connection for hours.
 private const val MIN_BODY_BYTES_PER_MILLI = 1L
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/RetryRules.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/RetryRules.kt
@@ -55,8 +55,8 @@
             shutdown.covers(pending) && quarantine.allows(pending)
 
     /**
-     * Takes a retry of [pending] after [result] from the budget; returns false if none is left. The retry that was taken
-     * for an attempt in which nothing was sent serves for the next one.
+     * Takes a retry of [pending] after [result] from the budget; returns false if none is left. The retry that was
+     * taken for an attempt in which nothing was sent serves for the next one.
      */
     fun tryTake(pending: PendingRequest, result: AttemptResult): Boolean =
         (result is AttemptResult.NotRun && !result.sent) || takeRetry(pending)
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/CallerWriteFailureTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/CallerWriteFailureTest.kt
@@ -60,7 +60,12 @@
 
     private fun RelayHarness.handle(writer: ResponseWriter, request: String) {
         val head = checkNotNull(parseRequestHead(request.toByteArray()).get())
-        onEventLoop { handler.handle(CallerRequest(head, HeldBody(HeldBytes(1_000)), Clock.System.nowMillis()), writer) }
+        onEventLoop {
+            handler.handle(
+                CallerRequest(head, HeldBody(HeldBytes(1_000)), Clock.System.nowMillis()),
+                writer
+            )
+        }
     }
 
     /** A writer to a caller's socket that takes what passes [check]. */
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/HandoverTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/HandoverTest.kt
@@ -196,10 +196,9 @@
     // A stream that had moved once was not watched again.
     @Test
     fun `moves a stream again when the endpoint that took it over falls silent`() {
-        val received = AtomicInteger()
         val endpoints = List(3) {
-            ScriptedEndpoint { socket, _, _ ->
-                val number = received.incrementAndGet()
+            ScriptedEndpoint { socket, _, request ->
+                val number = lastEventId(request) + 1
                 socket.send(STREAM_HEAD + event(number, "e$number"))
                 if (number < 3) socket.closedMillis() else socket.send(STREAM_END)
             }
@@ -259,6 +258,9 @@
         timeoutMillis = timeoutMillis,
     )
 
+    private fun lastEventId(request: String): Int =
+        Regex("Last-Event-Id: (\\d+)").find(request)?.groupValues?.get(1)?.toInt() ?: 0
+
     /** Reads until the peer closes the connection; returns when it did. */
     private fun Socket.closedMillis(): Long {
         runCatching { while (getInputStream().read() >= 0) Unit }
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/ResponseEndTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/ResponseEndTest.kt
@@ -13,8 +13,8 @@
 import org.parsleymoor.entry.net.ControlClient
 import org.parsleymoor.entry.protocol.ControlRequest
 import org.parsleymoor.relay.fleet.SocketAddress
-import org.parsleymoor.relay.routing.CallerLimits
 import org.parsleymoor.relay.limits.HeldBytes
+import org.parsleymoor.relay.routing.CallerLimits
 import org.parsleymoor.relay.routing.RequestKind
 import strikt.api.expectThat
 import strikt.assertions.contains
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/SocketInputTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/SocketInputTest.kt
@@ -22,10 +22,17 @@
 
     @Suppress("UNCHECKED_CAST")
     private val socket =
-        Proxy.newProxyInstance(javaClass.classLoader, arrayOf(NetSocketInternal::class.java)) { self, method, arguments ->
+        Proxy.newProxyInstance(
+            javaClass.classLoader,
+            arrayOf(NetSocketInternal::class.java)
+        ) { self, method, arguments ->
             if (arguments?.firstOrNull() is Handler<*>) handlers[method.name] = arguments[0] as Handler<Any?>
             if (method.name == "close") closes++
-            if (method.name == "channelHandlerContext") channel.pipeline().firstContext() else self.takeIf { method.returnType.isInstance(self) }
+            when {
+                method.name == "channelHandlerContext" -> channel.pipeline().firstContext()
+                method.returnType.isInstance(self) -> self
+                else -> null
+            }
         } as NetSocketInternal
 
     // The socket library drops what the handler of received data throws, and goes on without the data.
