Count the pieces of a request as under way until they are sent

After the merge of the two parts, a request was written in pieces past the count of writes that tells an orderly end from a broken one. ResponseEndTest failed in 2 of 32 cases, and passes.

--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/EndpointConnection.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/EndpointConnection.kt
@@ -53,7 +53,7 @@
     /** Sends a complete request of [head] and [body]. */
     fun send(head: ByteArray, body: HeldBody) {
         requests++
-        body.forEachPiece(head) { socket.write(it) }
+        body.forEachPiece(head) { input.send(it) }
     }
 
     /** Suspends until the head of the next response has arrived, skipping interim (1xx) responses. */
