Read on while more than the read-ahead is needed

What callers saw: a proper head of more than 128 KB, within a head limit that a change of the configuration had set, was refused with 408.

Cause: reading stopped at 128 KB and went on below 64 KB, but a head is taken from the buffer only when it is whole.

Change: whoever waits for more gets more; each reader has a limit of its own.

Test: UnansweredRequestTest (reads a head of more than the read-ahead), answered 408 before.

--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/SocketInput.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/SocketInput.kt
@@ -16,8 +16,8 @@
 internal enum class InputEnd { ORDERLY, RESET }
 
 /**
- * Buffers the bytes that arrive on [socket]. Reading pauses while more than [MAX_BUFFERED_BYTES] are buffered, so that
- * a sender cannot exhaust the memory. Confined to the event loop of the socket.
+ * Buffers the bytes that arrive on [socket]. Reading pauses while more than [MAX_BUFFERED_BYTES] are buffered and no
+ * coroutine waits for more, so that a sender cannot exhaust the memory. Confined to the event loop of the socket.
  */
 internal class SocketInput(private val socket: NetSocket) {
     val queue = ByteQueue()
@@ -99,7 +99,8 @@
     /** Suspends until more bytes have arrived or the connection has ended. */
     suspend fun awaitMore() {
         if (end != null) return
-        if (paused && queue.size <= MAX_BUFFERED_BYTES / 2) resumeReading()
+        // Whoever waits needs more than is buffered, such as the rest of a large head, and has a limit of its own.
+        if (paused) resumeReading()
         suspendCancellableCoroutine { continuation ->
             waiter = continuation
             continuation.invokeOnCancellation { waiter = null }
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/UnansweredRequestTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/UnansweredRequestTest.kt
@@ -204,6 +204,17 @@
         }
     }
 
+    // Reading stopped at 128 KB and never went on, so that a proper head was refused as too slow.
+    @Test
+    fun `reads a head of more than the read-ahead within its limit`() {
+        RelayHarness(answering()).use { harness ->
+            harness.limits = CallerLimits(headBytes = 400_000)
+            val filler = List(30) { "X-Filler-$it: ${"x".repeat(10_000)}\r\n" }.joinToString("")
+            val answer = harness.exchange(request().replace("Host: h\r\n", "Host: h\r\n$filler"))
+            expectThat(answer).startsWith("HTTP/1.1 200 ")
+        }
+    }
+
     // A caller that never reads held its response, its endpoint's connection and their memory without a time limit.
     @Test
     fun `gives up a caller that takes nothing of its response for the idle limit`() {
