End a stream at its deadline while bytes keep arriving

What callers saw: a stream whose endpoint repeated events without end never ended. Cause: the deadline was looked at only while nothing arrived.

--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/StreamRelay.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/StreamRelay.kt
@@ -40,7 +40,8 @@
         var oversized: AttemptResult? = null
         while (!stalled && oversized == null && response.decoder.progress == BodyProgress.INCOMPLETE) {
             val part = nextPart(response)
-            stalled = part == null
+            // An endpoint that sends without end must not run past the deadline either.
+            stalled = part == null || clock.nowMillis() >= pending.deadlineMillis
             if (part != null) deliver(head, splitter.add(part).filter(::isNew))
             oversized = oversizedEvent()
         }
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/MisbehavingEndpointTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/MisbehavingEndpointTest.kt
@@ -95,6 +95,19 @@
         expectThat(endpoint.connectionEnded.await(1, TimeUnit.SECONDS)).isTrue()
     }
 
+    // The deadline was looked at only while nothing arrived.
+    @Test
+    fun `ends a stream at its deadline when events that were relayed already are repeated without end`() {
+        val endpoint = ScriptedEndpoint { socket, _, _ ->
+            socket.send(STREAM_HEAD)
+            socket.sendForever(chunk("id: 1\ndata: a\n\n".repeat(500)))
+        }
+        val started = System.nanoTime()
+        val response = RelayHarness(endpoint, kind = RequestKind.STREAM).use { it.exchange(request()) }
+        expectThat(response).contains("data: a").doesNotContain("0\r\n\r\n")
+        expectThat(millisSince(started)).isLessThan(MAX_STREAM_MILLIS)
+    }
+
     @Test
     fun `does not retry an endpoint that sends malformed responses while another is available`() {
         val broken = ScriptedEndpoint { socket, _, _ -> socket.sendForever("x".repeat(8_192)) }
@@ -259,5 +272,8 @@
 
         // Well below the request's deadline of two seconds, which therefore did not end it.
         const val MAX_FAILURE_MILLIS = 1_500L
+
+        // The deadline of two seconds and a second for a busy machine.
+        const val MAX_STREAM_MILLIS = 3_000L
     }
 }
