--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/exchange/PeerUpdate.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/exchange/PeerUpdate.kt
@@ -10,9 +10,9 @@
 import org.parsleymoor.relay.fleet.SentPrompt
 import org.parsleymoor.relay.fleet.SocketAddress
 import org.parsleymoor.relay.limits.ServiceDemand
+import org.parsleymoor.relay.quarantine.ContentKey
 import org.parsleymoor.relay.quarantine.EndpointCrash
-import org.parsleymoor.relay.quarantine.PartKey
-import org.parsleymoor.relay.quarantine.QuarantinedPart
+import org.parsleymoor.relay.quarantine.QuarantinedContent
 
 /** Information that instances share. Times are on the clock of the instance that holds the update. */
 public sealed interface PeerUpdate {
@@ -60,10 +60,10 @@
     public data class Crashed(public val origin: InstanceId, public val crash: EndpointCrash) : PartEvidence
 
     /** An answer with prompt [parts] that were suspected of crashes went on at [atMillis] after it had begun. */
-    public data class Answered(public val parts: Set<PartKey>, public val atMillis: Long) : PartEvidence
+    public data class Answered(public val parts: Set<ContentKey>, public val atMillis: Long) : PartEvidence
 
     /** A prompt part is quarantined. */
-    public data class Quarantined(public val entry: QuarantinedPart) : PartEvidence
+    public data class Quarantined(public val entry: QuarantinedContent) : PartEvidence
 
     /** A KV cache store reported [changes] in its events after [from] up to [to], in its current [epoch]. */
     public data class CacheStoreEvents(
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/quarantine/CrashLog.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/quarantine/CrashLog.kt
@@ -3,7 +3,7 @@
 import org.parsleymoor.relay.cache.EngineIncarnation
 
 /** A crash of which a part is suspected: when it was, and the [parts] of the prompts there that have the part. */
-internal class Suspicion(val atMillis: Long, val parts: Set<PartKey>)
+internal class Suspicion(val atMillis: Long, val parts: Set<ContentKey>)
 
 /**
  * The recent crashes of endpoints with the prompts that they had not answered, from all instances. A part that is
@@ -11,7 +11,7 @@
  */
 internal class CrashLog {
     private val crashes = LinkedHashMap<EngineIncarnation, Crash>()
-    private val answeredMillis = LinkedHashMap<PartKey, Long>()
+    private val answeredMillis = LinkedHashMap<ContentKey, Long>()
 
     /** Records [crash]; all prompts of one start of an endpoint belong to the same crash. */
     fun record(crash: EndpointCrash) {
@@ -26,7 +26,7 @@
     }
 
     /** Records that an answer with [part] went on at [atMillis] after it had begun. */
-    fun recordAnswer(part: PartKey, atMillis: Long) {
+    fun recordAnswer(part: ContentKey, atMillis: Long) {
         val newest = maxOf(atMillis, answeredMillis.remove(part) ?: atMillis)
         answeredMillis[part] = newest
         while (answeredMillis.size > MAX_ANSWERED) answeredMillis -= answeredMillis.keys.first()
@@ -34,10 +34,10 @@
     }
 
     /** When [part] was last answered while it was suspected, or null. */
-    fun answeredMillis(part: PartKey): Long? = answeredMillis[part]
+    fun answeredMillis(part: ContentKey): Long? = answeredMillis[part]
 
     /** Whether [part] is suspected of any crash. */
-    fun isSuspect(part: PartKey): Boolean =
+    fun isSuspect(part: ContentKey): Boolean =
         crashes.values.any { crash -> !isCleared(part, crash) && crash.prompts.any { part in it.parts } }
 
     /**
@@ -45,7 +45,7 @@
      * part was sent in between: prompts at endpoints that are lost together may have a harmless part in common, but the
      * next prompt with that part is answered.
      */
-    fun suspicions(part: PartKey, nowMillis: Long): List<Suspicion> {
+    fun suspicions(part: ContentKey, nowMillis: Long): List<Suspicion> {
         var previousMillis = Long.MIN_VALUE / 2
         return crashes.values.sortedBy { it.atMillis }.filterNot { isCleared(part, it) }.mapNotNull { crash ->
             val apart = crash.atMillis - previousMillis >= SAME_TIME_MILLIS
@@ -60,16 +60,16 @@
         }
     }
 
-    private fun isCleared(part: PartKey, crash: Crash) = (answeredMillis[part] ?: Long.MIN_VALUE) >= crash.atMillis
+    private fun isCleared(part: ContentKey, crash: Crash) = (answeredMillis[part] ?: Long.MIN_VALUE) >= crash.atMillis
 
     private class Crash(val atMillis: Long) {
-        val prompts = LinkedHashSet<UnansweredPrompt>()
+        val prompts = LinkedHashSet<UnansweredRequest>()
 
         /**
          * The prompts to which a response had begun. If there are none, all prompts, once the peers have reported those
          * that they know of.
          */
-        fun suspects(nowMillis: Long): List<UnansweredPrompt> {
+        fun suspects(nowMillis: Long): List<UnansweredRequest> {
             val responding = prompts.filter { it.responding }
             val complete = nowMillis - atMillis >= REPORTED_MILLIS
             return if (responding.isEmpty() && complete) prompts.toList() else responding
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/quarantine/EndpointCrash.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/quarantine/EndpointCrash.kt
@@ -7,8 +7,8 @@
  * other prompts, [sentMillis] is when it was sent, and [responding] says whether the response had begun: its head had
  * arrived, but no event.
  */
-public data class UnansweredPrompt(
-    public val parts: Set<PartKey>,
+public data class UnansweredRequest(
+    public val parts: Set<ContentKey>,
     public val sentMillis: Long,
     public val responding: Boolean,
 )
@@ -17,5 +17,5 @@
 public data class EndpointCrash(
     public val endpoint: EngineIncarnation,
     public val atMillis: Long,
-    public val prompt: UnansweredPrompt,
+    public val prompt: UnansweredRequest,
 )
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/quarantine/QuarantineDecision.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/quarantine/QuarantineDecision.kt
@@ -6,8 +6,8 @@
     public data object Allowed : QuarantineDecision
 
     /** The prompt may be sent in order to find out whether endpoints still crash on [part]. */
-    public data class Probe(public val part: PartKey) : QuarantineDecision
+    public data class Probe(public val part: ContentKey) : QuarantineDecision
 
     /** The prompt must not be sent because of [part]; the part is not probed again for [retryAfterMillis]. */
-    public data class Refused(public val part: PartKey, public val retryAfterMillis: Long) : QuarantineDecision
+    public data class Refused(public val part: ContentKey, public val retryAfterMillis: Long) : QuarantineDecision
 }
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/quarantine/QuarantinedPart.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/quarantine/QuarantinedContent.kt
@@ -8,9 +8,9 @@
  * including [part] itself, that the prompts on which endpoints crashed had in common; a prompt without one of them may
  * be harmless. The last crash was at [lastCrashMillis]; [failedProbes] is how often a probe has crashed an endpoint.
  */
-public data class QuarantinedPart(
-    public val part: PartKey,
-    public val companions: Set<PartKey>,
+public data class QuarantinedContent(
+    public val part: ContentKey,
+    public val companions: Set<ContentKey>,
     public val lastCrashMillis: Long,
     public val failedProbes: Int = 0,
 ) {
@@ -24,17 +24,17 @@
         get() = FIRST_PAUSE_MILLIS shl (minOf(failedProbes, MAX_LENGTHENINGS) * DOUBLINGS_PER_PROBE)
 
     /** Whether a prompt with [parts] has everything that the crashes had in common. */
-    internal fun matches(parts: Set<PartKey>): Boolean = part in parts && parts.containsAll(companions)
+    internal fun matches(parts: Set<ContentKey>): Boolean = part in parts && parts.containsAll(companions)
 
     /** Joins what two instances know about the same part. */
-    internal fun merge(other: QuarantinedPart): QuarantinedPart = copy(
+    internal fun merge(other: QuarantinedContent): QuarantinedContent = copy(
         companions = companions intersect other.companions,
         lastCrashMillis = maxOf(lastCrashMillis, other.lastCrashMillis),
         failedProbes = maxOf(failedProbes, other.failedProbes),
     )
 
     /** This entry after [answered] was answered elsewhere. */
-    internal fun withoutCompanion(answered: PartKey): QuarantinedPart =
+    internal fun withoutCompanion(answered: ContentKey): QuarantinedContent =
         if (answered == part || answered !in companions) this else copy(companions = companions - answered)
 
     private companion object {
@@ -52,7 +52,7 @@
  * The one of [members] that may probe this part at [nowMillis]. The members take turns, because callers with the part
  * may reach only some of them.
  */
-public fun QuarantinedPart.prober(members: Collection<InstanceId>, nowMillis: Long): InstanceId? {
+public fun QuarantinedContent.prober(members: Collection<InstanceId>, nowMillis: Long): InstanceId? {
     if (members.isEmpty() || nowMillis < probeMillis) return null
     val turn = (nowMillis - probeMillis) / PROBE_MILLIS
     return rendezvousOrder(part.hash.toString(), members) { it.value }[turn.mod(members.size)]
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/quarantine/PromptQuarantine.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/quarantine/RequestQuarantine.kt
@@ -6,14 +6,14 @@
  * or starts of one, without an answer in between, and released as soon as an answer with it goes on after it has begun.
  * What is remembered is bounded in size and age. Not thread-safe.
  */
-public class PromptQuarantine {
+public class RequestQuarantine {
     private val crashes = CrashLog()
-    private val quarantined = LinkedHashMap<PartKey, QuarantinedPart>()
-    private val probes = HashMap<PartKey, Long>()
-    private var suspects: Set<PartKey> = emptySet()
+    private val quarantined = LinkedHashMap<ContentKey, QuarantinedContent>()
+    private val probes = HashMap<ContentKey, Long>()
+    private var suspects: Set<ContentKey> = emptySet()
 
     /** The parts that are quarantined. */
-    public val parts: List<QuarantinedPart> get() = quarantined.values.toList()
+    public val parts: List<QuarantinedContent> get() = quarantined.values.toList()
 
     /** Number of parts that are suspected of crashes or quarantined. */
     internal val suspectCount: Int get() = suspects.size
@@ -37,7 +37,7 @@
      * Records that an answer with [parts] went on at [atMillis] after it had begun. Returns those of the parts that
      * were suspected until then, which peers have to be told.
      */
-    public fun recordAnswer(parts: Set<PartKey>, atMillis: Long): Set<PartKey> {
+    public fun recordAnswer(parts: Set<ContentKey>, atMillis: Long): Set<ContentKey> {
         val cleared = if (suspects.isEmpty()) emptySet() else parts intersect suspects
         cleared.forEach { part ->
             crashes.recordAnswer(part, atMillis)
@@ -52,7 +52,7 @@
      * Records that a peer has quarantined [entry]. Returns when the part was answered if that was after the last of its
      * crashes: the peer does not know of the answer, and the entry is ignored.
      */
-    public fun recordQuarantine(entry: QuarantinedPart, nowMillis: Long): Long? {
+    public fun recordQuarantine(entry: QuarantinedContent, nowMillis: Long): Long? {
         val answeredMillis = crashes.answeredMillis(entry.part)
         if (answeredMillis != null && answeredMillis >= entry.lastCrashMillis) return answeredMillis
         if (nowMillis < entry.expiryMillis) {
@@ -63,7 +63,7 @@
     }
 
     /** Quarantines those of [parts] that have to be, and returns them. */
-    public fun assess(parts: Set<PartKey>, nowMillis: Long): List<QuarantinedPart> {
+    public fun assess(parts: Set<ContentKey>, nowMillis: Long): List<QuarantinedContent> {
         val candidates = if (suspects.isEmpty()) emptySet() else parts intersect suspects
         return candidates.filter { it !in quarantined }.mapNotNull { part ->
             val suspicions = crashes.suspicions(part, nowMillis)
@@ -71,7 +71,7 @@
                 null
             } else {
                 val common = suspicions.map { it.parts }.reduce { one, other -> one intersect other }
-                val entry = QuarantinedPart(part, common, suspicions.last().atMillis)
+                val entry = QuarantinedContent(part, common, suspicions.last().atMillis)
                 withoutAnswered(entry, suspicions.first().atMillis).also { put(it) }
             }
         }
@@ -82,9 +82,9 @@
      * its turn to send one.
      */
     public fun decide(
-        parts: Set<PartKey>,
+        parts: Set<ContentKey>,
         nowMillis: Long,
-        mayProbe: (QuarantinedPart) -> Boolean,
+        mayProbe: (QuarantinedContent) -> Boolean,
     ): QuarantineDecision {
         val matching =
             parts.mapNotNull { quarantined[it] }.filter { nowMillis < it.expiryMillis && it.matches(parts) }
@@ -111,20 +111,20 @@
         updateSuspects(suspects)
     }
 
-    private fun isProbeDue(entry: QuarantinedPart, nowMillis: Long): Boolean =
+    private fun isProbeDue(entry: QuarantinedContent, nowMillis: Long): Boolean =
         nowMillis >= entry.probeMillis && nowMillis - (probes[entry.part] ?: Long.MIN_VALUE / 2) >= PROBE_MILLIS
 
-    private fun withoutAnswered(entry: QuarantinedPart, sinceMillis: Long): QuarantinedPart =
+    private fun withoutAnswered(entry: QuarantinedContent, sinceMillis: Long): QuarantinedContent =
         entry.companions.filter { (crashes.answeredMillis(it) ?: Long.MIN_VALUE) >= sinceMillis }
             .fold(entry) { rest, answered -> rest.withoutCompanion(answered) }
 
-    private fun put(entry: QuarantinedPart) {
+    private fun put(entry: QuarantinedContent) {
         quarantined -= entry.part
         quarantined[entry.part] = entry
         while (quarantined.size > MAX_QUARANTINED) quarantined -= quarantined.keys.first()
     }
 
-    private fun updateSuspects(candidates: Set<PartKey>) {
+    private fun updateSuspects(candidates: Set<ContentKey>) {
         val companions = quarantined.values.flatMap { it.companions }.toSet()
         suspects = candidates.filter { it in companions || crashes.isSuspect(it) }.toSet()
     }
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/exchange/QuarantineSpreadTest.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/exchange/QuarantineSpreadTest.kt
@@ -3,7 +3,7 @@
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.ValueSource
 import org.parsleymoor.core.EndpointId
-import org.parsleymoor.relay.quarantine.PartKey
+import org.parsleymoor.relay.quarantine.ContentKey
 import strikt.api.expectThat
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
@@ -13,7 +13,7 @@
 
 /** Checks that 9 to 300 instances act on crashes that each of them has seen only a part of. */
 class QuarantineSpreadTest {
-    private val bad = PartKey(1)
+    private val bad = ContentKey(1)
 
     // Requests with the part come at any instance, and none of them sees enough crashes by itself.
     @ParameterizedTest
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/exchange/SimulatedFleet.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/exchange/SimulatedFleet.kt
@@ -15,11 +15,11 @@
 import org.parsleymoor.relay.fleet.limitedServices
 import org.parsleymoor.relay.fleet.recordUnansweredPoll
 import org.parsleymoor.relay.fleet.replaceAll
+import org.parsleymoor.relay.quarantine.ContentKey
 import org.parsleymoor.relay.quarantine.EndpointCrash
-import org.parsleymoor.relay.quarantine.PartKey
-import org.parsleymoor.relay.quarantine.PromptQuarantine
 import org.parsleymoor.relay.quarantine.QuarantineDecision
-import org.parsleymoor.relay.quarantine.UnansweredPrompt
+import org.parsleymoor.relay.quarantine.RequestQuarantine
+import org.parsleymoor.relay.quarantine.UnansweredRequest
 import kotlin.random.Random
 
 /** Simulates instances and engines in [ZONES] zones under one clock, with the production poll and peer decisions. */
@@ -84,7 +84,7 @@
 
         /** The requests a second that callers send, any of which may go to any engine that names a limit. */
         var demandPerSecond = 0.0
-        val quarantine = PromptQuarantine()
+        val quarantine = RequestQuarantine()
         val tree = PeerTree(member).also { it.update(members) }
 
         /** How often this instance learned of each prompt of another instance, by context. */
@@ -104,8 +104,8 @@
         }
 
         /** Records that [engine] ended before it had answered a prompt with [part] of this instance. */
-        fun crash(engine: EndpointId, part: PartKey) {
-            val prompt = UnansweredPrompt(setOf(part), nowMillis - PROMPT_MILLIS, responding = true)
+        fun crash(engine: EndpointId, part: ContentKey) {
+            val prompt = UnansweredRequest(setOf(part), nowMillis - PROMPT_MILLIS, responding = true)
             val update = PeerUpdate.Crashed(member.id, EndpointCrash(EngineIncarnation(engine, 1), nowMillis, prompt))
             quarantine.recordCrash(update.crash)
             queue.addLocal(update, tree, nowMillis)
@@ -154,13 +154,13 @@
         }
 
         /** Whether this instance refuses prompts with [part]. */
-        fun refuses(part: PartKey): Boolean {
+        fun refuses(part: ContentKey): Boolean {
             quarantine.assess(setOf(part), nowMillis)
             return quarantine.decide(setOf(part), nowMillis) { false } is QuarantineDecision.Refused
         }
 
         /** Records an answer with [part]. */
-        fun answer(part: PartKey) {
+        fun answer(part: ContentKey) {
             val cleared = quarantine.recordAnswer(setOf(part), nowMillis)
             queue.addLocal(PeerUpdate.Answered(cleared, nowMillis), tree, nowMillis)
         }
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/quarantine/QuarantineTrafficTest.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/quarantine/QuarantineTrafficTest.kt
@@ -52,7 +52,7 @@
         private val earlyHeads: Boolean,
         private val deadlyShare: Double,
     ) {
-        private val quarantine = PromptQuarantine()
+        private val quarantine = RequestQuarantine()
         private val events = PriorityQueue<Event>(compareBy { it.atMillis })
         private val endpoints = Array(ENDPOINTS) { Endpoint(0) }
         private var nowMillis = 0L
@@ -83,7 +83,7 @@
         private fun arrive() {
             val deadly = random.nextDouble() < deadlyShare
             val second = if (deadly) DEADLY else (random.nextDouble() * random.nextDouble() * CONTEXTS).toLong()
-            val parts = setOf(PartKey(-1 - random.nextLong(FIRST_PARTS)), PartKey(second))
+            val parts = setOf(ContentKey(-1 - random.nextLong(FIRST_PARTS)), ContentKey(second))
             quarantine.assess(parts, nowMillis)
             if (quarantine.decide(parts, nowMillis) { true } is QuarantineDecision.Refused) {
                 if (!deadly) harmlessRefused++
@@ -114,7 +114,7 @@
             crashes++
             val incarnation = EngineIncarnation(EndpointId("e$number"), endpoints[number].upMillis)
             endpoints[number].inFlight.forEach {
-                val prompt = UnansweredPrompt(it.parts, it.sentMillis, it.responding || earlyHeads)
+                val prompt = UnansweredRequest(it.parts, it.sentMillis, it.responding || earlyHeads)
                 quarantine.recordCrash(EndpointCrash(incarnation, nowMillis, prompt))
             }
             endpoints[number] = Endpoint(nowMillis + DOWN_MILLIS)
@@ -131,7 +131,7 @@
         val inFlight = LinkedHashSet<InFlight>()
     }
 
-    private class InFlight(val parts: Set<PartKey>, val sentMillis: Long) {
+    private class InFlight(val parts: Set<ContentKey>, val sentMillis: Long) {
         var responding = false
     }
 
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/quarantine/PromptQuarantineTest.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/quarantine/RequestQuarantineTest.kt
@@ -16,8 +16,8 @@
 import strikt.assertions.isNull
 
 /** The decisions about prompt parts on which endpoints crash, without network and with a clock that the test sets. */
-class PromptQuarantineTest {
-    private val quarantine = PromptQuarantine()
+class RequestQuarantineTest {
+    private val quarantine = RequestQuarantine()
     private var endpoints = 0
 
     @Test
@@ -149,7 +149,7 @@
     @Test
     fun `an instance refuses a part that a peer has quarantined`() {
         crashThreeTimes("shared", "bad")
-        val other = PromptQuarantine()
+        val other = RequestQuarantine()
         quarantine.parts.forEach { expectThat(other.recordQuarantine(it, 4_000)).isNull() }
         expectThat(other.decide(keys("shared", "bad"), 4_000) { true }).isA<QuarantineDecision.Refused>()
         expectThat(other.recordAnswer(keys("shared"), 4_100)).containsExactly(key("shared"))
@@ -199,7 +199,7 @@
         endpoint: EngineIncarnation = EngineIncarnation(EndpointId("e${endpoints++}"), 1),
     ) {
         quarantine.recordCrash(
-            EndpointCrash(endpoint, atMillis, UnansweredPrompt(keys(*parts), sentMillis, responding))
+            EndpointCrash(endpoint, atMillis, UnansweredRequest(keys(*parts), sentMillis, responding))
         )
     }
 
@@ -212,7 +212,7 @@
         return quarantine.decide(keys(*parts), nowMillis) { probes }
     }
 
-    private fun key(part: String) = PartKey(part.hashCode().toLong())
+    private fun key(part: String) = ContentKey(part.hashCode().toLong())
 
     private fun keys(vararg parts: String) = parts.map(::key).toSet()
 }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PartEvidenceMapping.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PartEvidenceMapping.kt
@@ -5,10 +5,10 @@
 import org.parsleymoor.peering.QuarantinedPartDigest
 import org.parsleymoor.relay.cache.EngineIncarnation
 import org.parsleymoor.relay.exchange.PeerUpdate
+import org.parsleymoor.relay.quarantine.ContentKey
 import org.parsleymoor.relay.quarantine.EndpointCrash
-import org.parsleymoor.relay.quarantine.PartKey
-import org.parsleymoor.relay.quarantine.QuarantinedPart
-import org.parsleymoor.relay.quarantine.UnansweredPrompt
+import org.parsleymoor.relay.quarantine.QuarantinedContent
+import org.parsleymoor.relay.quarantine.UnansweredRequest
 
 internal fun PeerUpdate.Crashed.toDigest(nowMillis: Long): EndpointCrashDigest = EndpointCrashDigest(
     origin = origin,
@@ -21,7 +21,7 @@
 )
 
 internal fun EndpointCrashDigest.toUpdate(nowMillis: Long): PeerUpdate.Crashed {
-    val prompt = UnansweredPrompt(parts.toKeys(), nowMillis - sentAgeMillis, responding)
+    val prompt = UnansweredRequest(parts.toKeys(), nowMillis - sentAgeMillis, responding)
     val crash = EndpointCrash(EngineIncarnation(endpoint, startMillis), nowMillis - ageMillis, prompt)
     return PeerUpdate.Crashed(origin, crash)
 }
@@ -40,9 +40,9 @@
 )
 
 internal fun QuarantinedPartDigest.toUpdate(nowMillis: Long): PeerUpdate.Quarantined = PeerUpdate.Quarantined(
-    QuarantinedPart(PartKey(part), companions.toKeys(), nowMillis - lastCrashAgeMillis, failedProbes),
+    QuarantinedContent(ContentKey(part), companions.toKeys(), nowMillis - lastCrashAgeMillis, failedProbes),
 )
 
-private fun Set<PartKey>.toHashes(): Set<Long> = map { it.hash }.toSet()
+private fun Set<ContentKey>.toHashes(): Set<Long> = map { it.hash }.toSet()
 
-private fun Set<Long>.toKeys(): Set<PartKey> = map { PartKey(it) }.toSet()
+private fun Set<Long>.toKeys(): Set<ContentKey> = map { ContentKey(it) }.toSet()
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/DeploymentView.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/DeploymentView.kt
@@ -16,7 +16,7 @@
 import org.parsleymoor.relay.fleet.SocketAddress
 import org.parsleymoor.relay.fleet.limitedServices
 import org.parsleymoor.relay.placement.TargetWeights
-import org.parsleymoor.relay.quarantine.PromptQuarantine
+import org.parsleymoor.relay.quarantine.RequestQuarantine
 import org.parsleymoor.relay.routing.RouteTable
 
 /** This instance's possibly outdated view of the deployment. Confined to the event loop. */
@@ -107,7 +107,7 @@
     }
 
     /** The prompt parts that are not sent to endpoints, because they crash them. */
-    val quarantine = PromptQuarantine()
+    val quarantine = RequestQuarantine()
 
     /** Contents of the KV cache stores. */
     val stores = CacheStoreDirectory()
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/PendingRequest.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/PendingRequest.kt
@@ -8,7 +8,7 @@
 import org.parsleymoor.relay.limits.HeldBytes
 import org.parsleymoor.relay.placement.PlacementQuery
 import org.parsleymoor.relay.prompt.PromptContext
-import org.parsleymoor.relay.quarantine.PartKey
+import org.parsleymoor.relay.quarantine.ContentKey
 import org.parsleymoor.relay.quarantine.sharedPartKeys
 import org.parsleymoor.relay.routing.Organisation
 import org.parsleymoor.relay.routing.RequestKind
@@ -109,7 +109,7 @@
         get() = lastEventMillis?.let { minOf(deadlineMillis, it + route.firstByteWaitMillis(caller.waitMillis)) }
 
     /** Keys of the parts of the prompt that other prompts may share; empty without a prompt. */
-    val sharedParts: Set<PartKey> by lazy(LazyThreadSafetyMode.NONE) { prompt?.sharedPartKeys.orEmpty() }
+    val sharedParts: Set<ContentKey> by lazy(LazyThreadSafetyMode.NONE) { prompt?.sharedPartKeys.orEmpty() }
 
     /** Priority of the request; 0 is the highest. */
     val urgency: Int get() = organisation?.priority ?: route.priority
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/QuarantineGate.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/QuarantineGate.kt
@@ -2,11 +2,11 @@
 
 import kotlinx.serialization.json.put
 import org.parsleymoor.relay.exchange.PeerUpdate
+import org.parsleymoor.relay.quarantine.ContentKey
 import org.parsleymoor.relay.quarantine.EndpointCrash
-import org.parsleymoor.relay.quarantine.PartKey
 import org.parsleymoor.relay.quarantine.QuarantineDecision
-import org.parsleymoor.relay.quarantine.QuarantinedPart
-import org.parsleymoor.relay.quarantine.UnansweredPrompt
+import org.parsleymoor.relay.quarantine.QuarantinedContent
+import org.parsleymoor.relay.quarantine.UnansweredRequest
 import org.parsleymoor.relay.quarantine.partId
 import org.parsleymoor.relay.quarantine.prober
 
@@ -38,7 +38,7 @@
     fun recordCrash(pending: PendingRequest, progress: AttemptProgress) {
         if (pending.sharedParts.isEmpty()) return
         val responding = progress.responding && progress.events == 0
-        val prompt = UnansweredPrompt(pending.sharedParts, progress.sentMillis, responding)
+        val prompt = UnansweredRequest(pending.sharedParts, progress.sentMillis, responding)
         val crash = EndpointCrash(progress.incarnation, clock.nowMillis(), prompt)
         quarantine.recordCrash(crash)
         deployment.announce(PeerUpdate.Crashed(deployment.self, crash))
@@ -51,16 +51,16 @@
         if (cleared.isNotEmpty()) deployment.announce(PeerUpdate.Answered(cleared, nowMillis))
     }
 
-    private fun mayProbe(entry: QuarantinedPart, nowMillis: Long): Boolean =
+    private fun mayProbe(entry: QuarantinedContent, nowMillis: Long): Boolean =
         entry.prober(deployment.members.orEmpty(), nowMillis) == deployment.self
 
-    private fun logQuarantined(pending: PendingRequest, entry: QuarantinedPart) {
+    private fun logQuarantined(pending: PendingRequest, entry: QuarantinedContent) {
         metrics.partsQuarantined.increment()
         deployment.announce(PeerUpdate.Quarantined(entry))
         logPart("part.quarantined", pending, entry.part)
     }
 
-    private fun logPart(event: String, pending: PendingRequest, part: PartKey) {
+    private fun logPart(event: String, pending: PendingRequest, part: ContentKey) {
         log.write(event, always = true) {
             put("request", pending.id.value)
             put("part", pending.prompt?.partId(part))
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/PeerUpdatesTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/PeerUpdatesTest.kt
@@ -18,10 +18,10 @@
 import org.parsleymoor.relay.fleet.EngineLoad
 import org.parsleymoor.relay.fleet.SentPrompt
 import org.parsleymoor.relay.fleet.SocketAddress
+import org.parsleymoor.relay.quarantine.ContentKey
 import org.parsleymoor.relay.quarantine.EndpointCrash
-import org.parsleymoor.relay.quarantine.PartKey
-import org.parsleymoor.relay.quarantine.QuarantinedPart
-import org.parsleymoor.relay.quarantine.UnansweredPrompt
+import org.parsleymoor.relay.quarantine.QuarantinedContent
+import org.parsleymoor.relay.quarantine.UnansweredRequest
 import org.parsleymoor.relay.routing.CallerLimits
 import org.parsleymoor.relay.routing.EngineSpec
 import org.parsleymoor.relay.routing.RouteTable
@@ -88,7 +88,7 @@
     // Otherwise each instance has to see as many endpoints crash as one alone would.
     @Test
     fun `crashes that peers report quarantine a prompt part, and the answer that a peer reports releases it`() {
-        val bad = setOf(PartKey(1))
+        val bad = setOf(ContentKey(1))
         repeat(3) { receive(crash("e$it", bad, atMillis = 1_000L * (it + 1)), 3_020, 3_040) }
         expectThat(deployment.quarantine.assess(bad, 3_050).map { it.part }).isEqualTo(bad.toList())
         receive(PeerUpdate.Answered(bad, atMillis = 3_060), 3_070, 3_080)
@@ -98,7 +98,7 @@
     // Hubs send an update back to the zone that it came from.
     @Test
     fun `a crash that a hub sends back to its origin is not recorded again`() {
-        val bad = setOf(PartKey(1))
+        val bad = setOf(ContentKey(1))
         repeat(3) {
             receive(crash("e$it", bad, atMillis = 1_000L * (it + 1), origin = deployment.self), 3_020, 3_040)
         }
@@ -108,7 +108,7 @@
     // An instance that starts or was cut off has seen none of the crashes.
     @Test
     fun `a quarantine that a peer reports is applied, and refuted when the part was answered since`() {
-        val entry = QuarantinedPart(PartKey(1), setOf(PartKey(1)), lastCrashMillis = 1_000, failedProbes = 1)
+        val entry = QuarantinedContent(ContentKey(1), setOf(ContentKey(1)), lastCrashMillis = 1_000, failedProbes = 1)
         val announced = ArrayList<PeerUpdate>()
         deployment.announce = { announced += it }
         receive(PeerUpdate.Quarantined(entry), sentMillis = 1_500, receivedMillis = 5_000)
@@ -131,7 +131,7 @@
 
     private fun crash(
         endpoint: String,
-        parts: Set<PartKey>,
+        parts: Set<ContentKey>,
         atMillis: Long,
         origin: InstanceId = InstanceId("peer"),
     ) = PeerUpdate.Crashed(
@@ -139,7 +139,7 @@
         EndpointCrash(
             EngineIncarnation(EndpointId(endpoint), startMillis = null),
             atMillis,
-            UnansweredPrompt(parts, sentMillis = atMillis - 200, responding = true),
+            UnansweredRequest(parts, sentMillis = atMillis - 200, responding = true),
         ),
     )
 
