Quarantine requests that crash the endpoints that run them

Cause: the quarantine related crashes to the shared parts of prompts only. A plain request has none, and the last part of a prompt was left out, so that the next request like it was sent to the next endpoint.

If other requests were unanswered at each of the crashes, it is probed after a second: a popular request that is harmless is in every crash. One turn is enough to probe a request with several entries.

A request is hashed only while something is suspected.

--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerMessage.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerMessage.kt
@@ -86,6 +86,9 @@
      * Reports what an instance has observed itself or received from others, and how current its copies of the store's
      * objects are. Also shows that the sender is alive. [passOn] names the scope in which the receiver forwards the
      * report. [era] is the newest era of the store that the sender knows, and the era of all copies in [known].
+     * [crashedRequests] are the keys of the whole requests in [crashed], in the same order, and [ambiguous] those of
+     * [quarantined] that may be harmless: they are lists of their own because the build before reads [crashed] and
+     * [quarantined] field by field.
      */
     @Serializable
     @SerialName("news")
@@ -104,6 +107,8 @@
         public val limits: List<EndpointLimitDigest> = emptyList(),
         public val demands: List<ServiceDemandDigest> = emptyList(),
         public val era: Long = 0,
+        public val crashedRequests: List<Long?> = emptyList(),
+        public val ambiguous: Set<Long> = emptySet(),
     ) : PeerMessage
 
     /** Requests the contents of the KV cache store at [store], as far as the receiver knows them. */
@@ -374,9 +379,9 @@
 )
 
 /**
- * The connection to [endpoint] ended [ageMillis] ago before it had answered a prompt of [origin] with [parts], which
- * was sent [sentAgeMillis] ago; [responding] says whether a response had begun. [startMillis] tells one start of the
- * endpoint from another.
+ * The connection to [endpoint] ended [ageMillis] ago before it had answered a request of [origin] with prompt [parts],
+ * which was sent [sentAgeMillis] ago; [responding] says whether a response had begun. [startMillis] tells one start of
+ * the endpoint from another.
  */
 @OptIn(ExperimentalSerializationApi::class)
 @CborArray
@@ -391,15 +396,15 @@
     public val responding: Boolean,
 )
 
-/** Prompt [parts] that were suspected of crashes were answered [ageMillis] ago. */
+/** Prompt [parts] and requests that were suspected of crashes were answered [ageMillis] ago. */
 @OptIn(ExperimentalSerializationApi::class)
 @CborArray
 @Serializable
 public data class AnsweredPartsDigest(public val parts: Set<Long>, public val ageMillis: Long)
 
 /**
- * A prompt [part] is quarantined together with its [companions]. The last crash was [lastCrashAgeMillis] ago, and
- * [failedProbes] probes have crashed an endpoint.
+ * A prompt [part] or a request is quarantined together with its [companions]. The last crash was [lastCrashAgeMillis]
+ * ago, and [failedProbes] probes have crashed an endpoint.
  */
 @OptIn(ExperimentalSerializationApi::class)
 @CborArray
--- a/libraries/peering/src/test/kotlin/org/parsleymoor/peering/FormerBuildTest.kt
+++ b/libraries/peering/src/test/kotlin/org/parsleymoor/peering/FormerBuildTest.kt
@@ -9,6 +9,7 @@
 import kotlinx.serialization.cbor.Cbor
 import org.junit.jupiter.api.Test
 import org.parsleymoor.core.EndpointId
+import org.parsleymoor.core.InstanceId
 import strikt.api.expectThat
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
@@ -45,6 +46,21 @@
         expectThat(news?.leaving.orEmpty()).isEmpty()
     }
 
+    // Crashes are told field by field; a new field there would end the connection to an instance not updated yet.
+    @Test
+    fun `the build before decodes crashes of which this one tells the whole request`() {
+        val crashed = EndpointCrashDigest(InstanceId("i"), EndpointId("e"), 1, 2, setOf(3), 4, responding = true)
+        val news = PeerMessage.InstanceNews(
+            passOn = "NOBODY",
+            crashed = listOf(crashed),
+            crashedRequests = listOf(5, null),
+            ambiguous = setOf(6),
+        )
+        val frame = checkNotNull(codec.encode(news).get())
+        val former = formerCbor.decodeFromByteArray(FormerMessage.serializer(), frame)
+        expectThat(former).isEqualTo(FormerMessage.InstanceNews(passOn = "NOBODY", crashed = listOf(crashed)))
+    }
+
     /** The messages of the build before, without those that have not changed. */
     @Serializable
     private sealed interface FormerMessage {
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/exchange/PeerUpdate.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/exchange/PeerUpdate.kt
@@ -53,17 +53,17 @@
     /** The demand for a service at an instance, by which limits of its endpoints are divided. */
     public data class Demanded(public val demand: ServiceDemand) : LimitNews
 
-    /** What an instance learned about prompt parts on which endpoints may crash. */
-    public sealed interface PartEvidence : PeerUpdate
+    /** What an instance learned about prompt parts and requests on which endpoints may crash. */
+    public sealed interface CrashEvidence : PeerUpdate
 
     /** The instance [origin] saw [crash]. */
-    public data class Crashed(public val origin: InstanceId, public val crash: EndpointCrash) : PartEvidence
+    public data class Crashed(public val origin: InstanceId, public val crash: EndpointCrash) : CrashEvidence
 
-    /** An answer with prompt [parts] that were suspected of crashes went on at [atMillis] after it had begun. */
-    public data class Answered(public val parts: Set<ContentKey>, public val atMillis: Long) : PartEvidence
+    /** A request with [keys], which were suspected of crashes, was answered at [atMillis]. */
+    public data class Answered(public val keys: Set<ContentKey>, public val atMillis: Long) : CrashEvidence
 
-    /** A prompt part is quarantined. */
-    public data class Quarantined(public val entry: QuarantinedContent) : PartEvidence
+    /** A prompt part or a request is quarantined. */
+    public data class Quarantined(public val entry: QuarantinedContent) : CrashEvidence
 
     /** A KV cache store reported [changes] in its events after [from] up to [to], in its current [epoch]. */
     public data class CacheStoreEvents(
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/exchange/PeerUpdateQueue.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/exchange/PeerUpdateQueue.kt
@@ -14,7 +14,7 @@
 
 /**
  * Updates that wait to be sent, by the scope in which their receivers forward them. A newer load report, unanswered
- * poll or order replaces an earlier one about the same engine, a newer quarantine one of the same prompt part, a newer
+ * poll or order replaces an earlier one about the same engine, a newer quarantine one of the same content, a newer
  * limit one of the same endpoint, and a newer demand one of the same instance; that an endpoint leaves is kept once. Of
  * the other updates the newest [MAX_QUEUED_UPDATES] in each scope are kept, so that an instance without connections
  * does not run out of memory. Not thread-safe.
@@ -60,7 +60,7 @@
                 is PeerUpdate.Unresponsive -> newest[update.endpoint to PeerUpdate.Unresponsive::class] = update
                 is PeerUpdate.Ordered -> newest[update.endpoint to PeerUpdate.Ordered::class] = update
                 is PeerUpdate.Leaving -> newest[update.endpoint] = update
-                is PeerUpdate.Quarantined -> newest[update.entry.part] = update
+                is PeerUpdate.Quarantined -> newest[update.entry.key] = update
                 is PeerUpdate.Limited -> addLimit(update)
                 is PeerUpdate.Demanded -> newest[update.demand.origin to update.demand.service] = update
                 is PeerUpdate.Sent, is PeerUpdate.Crashed, is PeerUpdate.Answered, is PeerUpdate.CacheStoreEvents,
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/quarantine/ContentKey.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/quarantine/ContentKey.kt
@@ -2,10 +2,16 @@
 
 import org.parsleymoor.core.stableHash
 import org.parsleymoor.relay.prompt.PromptContext
+import java.util.HexFormat
 
-/** Identifies what requests may have in common, a prompt part of a model, by a 64-bit hash, which peers exchange. */
+/**
+ * Identifies what requests may have in common, a prompt part of a model or all that an endpoint is sent of a request,
+ * by a 64-bit hash, which peers exchange.
+ */
 @JvmInline
-public value class ContentKey(public val hash: Long)
+public value class ContentKey(public val hash: Long) {
+    override fun toString(): String = HexFormat.of().toHexDigits(hash)
+}
 
 /**
  * The keys of the parts that this prompt may share with others, which exclude its last part. Of a prompt with very many
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/quarantine/QuarantinedContent.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/quarantine/QuarantinedContent.kt
@@ -4,59 +4,75 @@
 import org.parsleymoor.core.rendezvousOrder
 
 /**
- * A prompt part that is not sent to endpoints, because they crash when they answer it. [companions] are the parts,
- * including [part] itself, that the prompts on which endpoints crashed had in common; a prompt without one of them may
- * be harmless. The last crash was at [lastCrashMillis]; [failedProbes] is how often a probe has crashed an endpoint.
+ * A prompt part or a whole request, [key], that is not sent to endpoints, because they crash when they answer it.
+ * [companions] are the keys, including [key] itself, that the requests on which endpoints crashed had in common; a
+ * request without one of them may be harmless. The last crash was at [lastCrashMillis]; [failedProbes] is how often a
+ * probe has crashed an endpoint. If [ambiguous], other requests were unanswered at each of the crashes.
  */
 public data class QuarantinedContent(
-    public val part: ContentKey,
+    public val key: ContentKey,
     public val companions: Set<ContentKey>,
     public val lastCrashMillis: Long,
     public val failedProbes: Int = 0,
+    public val ambiguous: Boolean = false,
 ) {
-    /** When the part may be probed next. Each failed probe makes the pause longer. */
-    public val probeMillis: Long get() = lastCrashMillis + pauseMillis
+    /** When a request may be sent as the next probe, or null if enough have failed. */
+    public val probeMillis: Long? get() {
+        val pauseMillis = (if (ambiguous) AMBIGUOUS_PAUSES_MILLIS else PAUSES_MILLIS).getOrNull(failedProbes)
+        return pauseMillis?.let { lastCrashMillis + it + if (ambiguous) key.hash.mod(it / SPREAD_SHARE) else 0 }
+    }
 
-    /** When the part is forgotten, because no prompt with it has arrived to probe it. */
-    internal val expiryMillis: Long get() = lastCrashMillis + pauseMillis * PAUSES_UNTIL_EXPIRY
+    /** When the content is forgotten. */
+    internal val expiryMillis: Long get() = lastCrashMillis + LIFE_MILLIS
 
-    private val pauseMillis: Long
-        get() = FIRST_PAUSE_MILLIS shl (minOf(failedProbes, MAX_LENGTHENINGS) * DOUBLINGS_PER_PROBE)
+    /** Whether a request with [keys] has everything that the crashes had in common. */
+    internal fun matches(keys: Set<ContentKey>): Boolean = key in keys && keys.containsAll(companions)
 
-    /** Whether a prompt with [parts] has everything that the crashes had in common. */
-    internal fun matches(parts: Set<ContentKey>): Boolean = part in parts && parts.containsAll(companions)
+    /** This entry after [crash] of an endpoint that had been sent a request like this. */
+    internal fun afterCrash(crash: EndpointCrash): QuarantinedContent {
+        val isProbe = crash.request.sentMillis >= (probeMillis ?: Long.MAX_VALUE)
+        return copy(
+            lastCrashMillis = maxOf(lastCrashMillis, crash.atMillis),
+            failedProbes = if (isProbe) failedProbes + 1 else failedProbes,
+        )
+    }
 
-    /** Joins what two instances know about the same part. */
+    /** Joins what two instances know about the same content. */
     internal fun merge(other: QuarantinedContent): QuarantinedContent = copy(
         companions = companions intersect other.companions,
         lastCrashMillis = maxOf(lastCrashMillis, other.lastCrashMillis),
         failedProbes = maxOf(failedProbes, other.failedProbes),
+        ambiguous = ambiguous && other.ambiguous,
     )
 
     /** This entry after [answered] was answered elsewhere. */
     internal fun withoutCompanion(answered: ContentKey): QuarantinedContent =
-        if (answered == part || answered !in companions) this else copy(companions = companions - answered)
+        if (answered == key || answered !in companions) this else copy(companions = companions - answered)
 
     private companion object {
-        // A failed probe costs an endpoint and the responses that it was writing.
-        const val FIRST_PAUSE_MILLIS = 30_000L
-        const val DOUBLINGS_PER_PROBE = 2
+        // Each failed probe costs an endpoint and the responses that it was writing. The users' rules allow three.
+        val PAUSES_MILLIS = listOf(30_000L, 120_000L)
+
+        // May be a popular request that is harmless. It is probed as soon as endpoints may be back.
+        val AMBIGUOUS_PAUSES_MILLIS = listOf(1_000L, 30_000L)
+
+        // What was quarantined by the same crashes is probed apart, so that one does not fail the probe of another.
+        const val SPREAD_SHARE = 2
 
-        // The longest pause is about half an hour.
-        const val MAX_LENGTHENINGS = 3
-        const val PAUSES_UNTIL_EXPIRY = 8
+        const val LIFE_MILLIS = 24 * 3_600_000L
     }
 }
 
 /**
- * The one of [members] that may probe this part at [nowMillis]. The members take turns, because callers with the part
- * may reach only some of them.
+ * The one of [members] that may probe this content at [nowMillis]. The members take turns, because callers with it may
+ * reach only some of them.
  */
 public fun QuarantinedContent.prober(members: Collection<InstanceId>, nowMillis: Long): InstanceId? {
-    if (members.isEmpty() || nowMillis < probeMillis) return null
-    val turn = (nowMillis - probeMillis) / PROBE_MILLIS
-    return rendezvousOrder(part.hash.toString(), members) { it.value }[turn.mod(members.size)]
+    val fromMillis = probeMillis?.takeIf { nowMillis >= it }
+    if (members.isEmpty() || fromMillis == null) return null
+    val turn = (nowMillis - fromMillis) / PROBE_MILLIS
+    return rendezvousOrder(key.hash.toString(), members) { it.value }[turn.mod(members.size)]
 }
 
-/** How long an instance has its turn to probe a part; the result of a probe is known after about this time. */
+/** How long an instance has its turn to probe; the result of a probe is known after about this time. */
 internal const val PROBE_MILLIS: Long = 5_000
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PartEvidenceMapping.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/CrashEvidenceMapping.kt
@@ -15,33 +15,46 @@
     endpoint = crash.endpoint.endpoint,
     startMillis = crash.endpoint.startMillis,
     ageMillis = nowMillis - crash.atMillis,
-    parts = crash.prompt.parts.toHashes(),
-    sentAgeMillis = nowMillis - crash.prompt.sentMillis,
-    responding = crash.prompt.responding,
+    parts = crash.request.parts.toHashes(),
+    sentAgeMillis = nowMillis - crash.request.sentMillis,
+    responding = crash.request.responding,
 )
 
-internal fun EndpointCrashDigest.toUpdate(nowMillis: Long): PeerUpdate.Crashed {
-    val prompt = UnansweredRequest(parts.toKeys(), nowMillis - sentAgeMillis, responding)
-    val crash = EndpointCrash(EngineIncarnation(endpoint, startMillis), nowMillis - ageMillis, prompt)
+/** Decodes this digest; [request] is the key of the whole request, or null if the sender does not tell it. */
+internal fun EndpointCrashDigest.toUpdate(request: Long?, nowMillis: Long): PeerUpdate.Crashed {
+    val unanswered = UnansweredRequest(
+        parts = parts.toKeys(),
+        sentMillis = nowMillis - sentAgeMillis,
+        responding = responding,
+        request = request?.let { ContentKey(it) },
+    )
+    val crash = EndpointCrash(EngineIncarnation(endpoint, startMillis), nowMillis - ageMillis, unanswered)
     return PeerUpdate.Crashed(origin, crash)
 }
 
 internal fun PeerUpdate.Answered.toDigest(nowMillis: Long): AnsweredPartsDigest =
-    AnsweredPartsDigest(parts.toHashes(), nowMillis - atMillis)
+    AnsweredPartsDigest(keys.toHashes(), nowMillis - atMillis)
 
 internal fun AnsweredPartsDigest.toUpdate(nowMillis: Long): PeerUpdate.Answered =
     PeerUpdate.Answered(parts.toKeys(), nowMillis - ageMillis)
 
 internal fun PeerUpdate.Quarantined.toDigest(nowMillis: Long): QuarantinedPartDigest = QuarantinedPartDigest(
-    part = entry.part.hash,
+    part = entry.key.hash,
     companions = entry.companions.toHashes(),
     lastCrashAgeMillis = nowMillis - entry.lastCrashMillis,
     failedProbes = entry.failedProbes,
 )
 
-internal fun QuarantinedPartDigest.toUpdate(nowMillis: Long): PeerUpdate.Quarantined = PeerUpdate.Quarantined(
-    QuarantinedContent(ContentKey(part), companions.toKeys(), nowMillis - lastCrashAgeMillis, failedProbes),
-)
+internal fun QuarantinedPartDigest.toUpdate(ambiguous: Boolean, nowMillis: Long): PeerUpdate.Quarantined =
+    PeerUpdate.Quarantined(
+        QuarantinedContent(
+            key = ContentKey(part),
+            companions = companions.toKeys(),
+            lastCrashMillis = nowMillis - lastCrashAgeMillis,
+            failedProbes = failedProbes,
+            ambiguous = ambiguous,
+        ),
+    )
 
 private fun Set<ContentKey>.toHashes(): Set<Long> = map { it.hash }.toSet()
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerMessageMapping.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerMessageMapping.kt
@@ -45,7 +45,7 @@
                 lost = true
             )
             is PeerUpdate.Load, is PeerUpdate.Unresponsive, is PeerUpdate.Sent, is PeerUpdate.Ordered,
-            is PeerUpdate.Leaving, is PeerUpdate.LimitNews, is PeerUpdate.PartEvidence -> null
+            is PeerUpdate.Leaving, is PeerUpdate.LimitNews, is PeerUpdate.CrashEvidence -> null
         }
     },
     crashed = filterIsInstance<PeerUpdate.Crashed>().map { it.toDigest(nowMillis) },
@@ -55,6 +55,9 @@
         .map { LeavingEndpointDigest(it.endpoint.endpoint, it.endpoint.startMillis) },
     limits = filterIsInstance<PeerUpdate.Limited>().map { it.limit.toDigest() },
     demands = filterIsInstance<PeerUpdate.Demanded>().map { it.demand.toDigest() },
+    crashedRequests = filterIsInstance<PeerUpdate.Crashed>().map { it.crash.request.request?.hash },
+    ambiguous = filterIsInstance<PeerUpdate.Quarantined>().map { it.entry }.filter { it.ambiguous }
+        .map { it.key.hash }.toSet(),
 )
 
 /** Decodes the updates in this message, which arrived at [nowMillis]: ages are converted to local times. */
@@ -64,9 +67,9 @@
         sent.map { it.toUpdate(nowMillis) } +
         ordered.map { PeerUpdate.Ordered(it.holder, it.endpoint, it.active) } +
         stores.mapNotNull { it.toUpdate() } +
-        crashed.map { it.toUpdate(nowMillis) } +
+        crashed.mapIndexed { index, digest -> digest.toUpdate(crashedRequests.getOrNull(index), nowMillis) } +
         answered.map { it.toUpdate(nowMillis) } +
-        quarantined.map { it.toUpdate(nowMillis) } +
+        quarantined.map { it.toUpdate(it.part in ambiguous, nowMillis) } +
         leaving.map { PeerUpdate.Leaving(EngineIncarnation(it.endpoint, it.startMillis)) } +
         limits.map { PeerUpdate.Limited(it.toLimit()) } +
         demands.map { PeerUpdate.Demanded(it.toDemand()) }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerUpdateSender.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerUpdateSender.kt
@@ -58,7 +58,7 @@
         context.deployment.endpoints.limits.refresh(context.deployment.endpoints.all, nowMillis)
         if (nowMillis - repeatedMillis >= REPEAT_PERIOD_MILLIS) {
             repeatedMillis = nowMillis
-            context.deployment.quarantine.parts.forEach { publish(PeerUpdate.Quarantined(it)) }
+            context.deployment.quarantine.contents.forEach { publish(PeerUpdate.Quarantined(it)) }
             context.deployment.endpoints.leavingListed.filterNot { it.entry.draining }
                 .forEach { publish(PeerUpdate.Leaving(it.incarnation)) }
             context.deployment.endpoints.limits.named.toRepeat(nowMillis).forEach { publish(PeerUpdate.Limited(it)) }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerUpdates.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerUpdates.kt
@@ -24,7 +24,7 @@
         is PeerUpdate.Ordered -> if (update.holder != self) applyPeerUpdate(update, nowMillis)
         is PeerUpdate.Leaving -> learnLeaving(update.endpoint, LeavingSource.Peer)
         is PeerUpdate.LimitNews -> applyPeerUpdate(update, nowMillis)
-        is PeerUpdate.PartEvidence -> applyPeerUpdate(update, nowMillis)
+        is PeerUpdate.CrashEvidence -> applyPeerUpdate(update, nowMillis)
         is PeerUpdate.CacheStoreEvents -> {
             lastStoreResponseMillis[update.store] = nowMillis
             return stores.applyPeerEvents(update)
@@ -50,12 +50,12 @@
 // lease holder, which includes forwarding by two hubs.
 internal const val ORDERED_EXPIRY_MILLIS = 800L
 
-private fun DeploymentView.applyPeerUpdate(update: PeerUpdate.PartEvidence, nowMillis: Long) {
+private fun DeploymentView.applyPeerUpdate(update: PeerUpdate.CrashEvidence, nowMillis: Long) {
     when (update) {
         is PeerUpdate.Crashed -> if (update.origin != self) quarantine.recordCrash(update.crash)
-        is PeerUpdate.Answered -> quarantine.recordAnswer(update.parts, update.atMillis)
+        is PeerUpdate.Answered -> quarantine.recordAnswer(update.keys, update.atMillis)
         is PeerUpdate.Quarantined -> quarantine.recordQuarantine(update.entry, nowMillis)
-            ?.let { announce(PeerUpdate.Answered(setOf(update.entry.part), it)) }
+            ?.let { announce(PeerUpdate.Answered(setOf(update.entry.key), it)) }
     }
 }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/AttemptRunner.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/AttemptRunner.kt
@@ -47,7 +47,7 @@
         val connection = connect(pending, state).getOrElse { return notConnected(state, it) }
         val tokens = pending.prompt?.promptTokens ?: 0
         val progress =
-            AttemptProgress(state, tokens, clock.nowMillis()) { quarantine.recordAnswer(pending) }
+            AttemptProgress(state, tokens, clock.nowMillis()) { quarantine.recordProgress(pending) }
         var drainingInBackground = false
         state.requestStarted(tokens)
         target.prefill?.let {
@@ -61,6 +61,7 @@
             val result = Attempt(attemptContext, pending, exchange, writer).run()
             if (result is AttemptResult.Uncertain && connection.input.end != null) onCutOff(pending, progress)
             if (result is AttemptResult.Delivered && result.status in SUCCESS) progress.recordAnswered()
+            if (result is AttemptResult.Delivered || result is AttemptResult.Failed) quarantine.recordAnswer(pending)
             return result
         } catch (cancelled: CancellationException) {
             drainingInBackground = drainInBackground(pending, connection, progress)
@@ -108,9 +109,10 @@
             put("endpointStart", progress.incarnation.startMillis)
             put("stage", progress.stage.name.lowercase())
             put("events", progress.events)
+            put("content", pending.key.toString())
             pending.prompt?.let { prompt -> put("parts", prompt.parts.joinToString(",") { it.id }) }
         }
-        if (!progress.answered) quarantine.recordCrash(pending, progress)
+        quarantine.recordCrash(pending, progress)
     }
 
     /**
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Delivery.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Delivery.kt
@@ -60,12 +60,13 @@
     private suspend fun chooseOrWait(pending: PendingRequest): Choice {
         val untilMillis = pending.nextEventDeadlineMillis
             ?: (pending.request.receivedMillis + (pending.route.objectiveMillis * CAPACITY_WAIT_SHARE).toLong())
-        quarantine.check(pending)?.let { return Choice.Quarantined(it.retryAfterMillis) }
+        quarantine.check(pending)?.let { return Choice.Quarantined(it) }
         var choice = choose(pending)
         while (choice is Choice.None && mayFreeUp(pending, choice, untilMillis - clock.nowMillis())) {
             delay(CAPACITY_POLL_MILLIS)
             choice = choose(pending)
         }
+        if (choice !is Choice.Chosen) quarantine.recordNotSent(pending)
         return choice
     }
 
@@ -124,8 +125,7 @@
             pending.possibleRuns > 0 && clock.nowMillis() >= pending.deadlineMillis ->
                 refusals.write(writer, pending.id, Refusal.TimedOut(last.outcome))
             pending.possibleRuns > 0 -> refusals.write(writer, pending.id, Refusal.OutcomeUnknown(last.outcome))
-            choice is Choice.Quarantined ->
-                refusals.write(writer, pending.id, Refusal.PartQuarantined(choice.retryAfterMillis))
+            choice is Choice.Quarantined -> refusals.write(writer, pending.id, choice.refusal)
             choice is Choice.Stopping -> refusals.write(writer, pending.id, Refusal.Stopping)
             choice is Choice.None && (pending.sendCount == 0 || choice.reason in CERTAIN) ->
                 refusals.write(writer, pending.id, Refusal.NoEndpoint(choice.reason, choice.retryAfterMillis))
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/DeploymentView.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/DeploymentView.kt
@@ -106,7 +106,7 @@
         contexts.record(prompt.context, state.incarnation, prompt.atMillis)
     }
 
-    /** The prompt parts that are not sent to endpoints, because they crash them. */
+    /** The prompt parts and requests that are not sent to endpoints, because they crash them. */
     val quarantine = RequestQuarantine()
 
     /** Contents of the KV cache stores. */
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/EndpointSelector.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/EndpointSelector.kt
@@ -28,8 +28,8 @@
     /** The time left before this instance exits does not cover the request. */
     data object Stopping : Choice
 
-    /** The prompt has a part on which endpoints crash. */
-    data class Quarantined(val retryAfterMillis: Long) : Choice
+    /** Endpoints crash on the request or on a part of its prompt. */
+    class Quarantined(val refusal: Refusal.Quarantined) : Choice
 }
 
 /** Chooses the endpoint for each attempt, using the placement rules of the relay library on [deployment]. */
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/PendingRequest.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/PendingRequest.kt
@@ -111,6 +111,9 @@
     /** Keys of the parts of the prompt that other prompts may share; empty without a prompt. */
     val sharedParts: Set<ContentKey> by lazy(LazyThreadSafetyMode.NONE) { prompt?.sharedPartKeys.orEmpty() }
 
+    /** Key of the whole request. Computed when it is first needed, as it takes time that depends on the body. */
+    val key: ContentKey by lazy(LazyThreadSafetyMode.NONE) { computeKey() }
+
     /** Priority of the request; 0 is the highest. */
     val urgency: Int get() = organisation?.priority ?: route.priority
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/QuarantineGate.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/QuarantineGate.kt
@@ -10,7 +10,7 @@
 import org.parsleymoor.relay.quarantine.partId
 import org.parsleymoor.relay.quarantine.prober
 
-/** Keeps prompts with quarantined parts from endpoints, and tells peers what attempts show about prompt parts. */
+/** Keeps quarantined requests from endpoints, and tells peers what attempts show about requests and prompt parts. */
 internal class QuarantineGate(context: ServingContext) {
     private val deployment = context.deployment
     private val quarantine = deployment.quarantine
@@ -19,51 +19,78 @@
     private val clock = context.clock
 
     /** Returns why [pending] must not be sent to an endpoint, or null if it may be. */
-    fun check(pending: PendingRequest): QuarantineDecision.Refused? {
-        val parts = pending.sharedParts
+    fun check(pending: PendingRequest): Refusal.Quarantined? {
+        if (!quarantine.isActive) return null
+        val keys = pending.keys
         val nowMillis = clock.nowMillis()
-        quarantine.assess(parts, nowMillis).forEach { logQuarantined(pending, it) }
-        return when (val decision = quarantine.decide(parts, nowMillis) { mayProbe(it, nowMillis) }) {
+        quarantine.assess(keys, nowMillis).forEach { logQuarantined(pending, it) }
+        return when (val decision = quarantine.decide(keys, nowMillis) { mayProbe(it, nowMillis) }) {
             QuarantineDecision.Allowed -> null
-            is QuarantineDecision.Probe -> null.also { logPart("part.probed", pending, decision.part) }
-            is QuarantineDecision.Refused -> decision
+            is QuarantineDecision.Probe -> null.also { logContent("probed", pending, decision.key) }
+            is QuarantineDecision.Refused -> if (decision.key == pending.key) {
+                Refusal.RequestQuarantined(decision.retryAfterMillis)
+            } else {
+                Refusal.PartQuarantined(decision.retryAfterMillis)
+            }
         }
     }
 
     /** Whether [pending] may be sent to an endpoint now other than as a probe. */
-    fun allows(pending: PendingRequest): Boolean =
-        quarantine.decide(pending.sharedParts, clock.nowMillis()) { false } == QuarantineDecision.Allowed
+    fun allows(pending: PendingRequest): Boolean = !quarantine.isActive ||
+        quarantine.decide(pending.keys, clock.nowMillis()) { false } == QuarantineDecision.Allowed
+
+    /** Records that [pending], which may have been a probe, was not sent. */
+    fun recordNotSent(pending: PendingRequest) {
+        if (quarantine.isActive) quarantine.withdrawProbe(pending.keys)
+    }
 
     /** Records that an endpoint crashed before it had answered [pending], as far as [progress] says. */
     fun recordCrash(pending: PendingRequest, progress: AttemptProgress) {
-        if (pending.sharedParts.isEmpty()) return
-        val responding = progress.responding && progress.events == 0
-        val prompt = UnansweredRequest(pending.sharedParts, progress.sentMillis, responding)
-        val crash = EndpointCrash(progress.incarnation, clock.nowMillis(), prompt)
+        // What the response had gone on with is cleared; the whole request is not.
+        val parts = if (progress.answered) emptySet() else pending.sharedParts
+        val unanswered = UnansweredRequest(
+            parts = parts,
+            sentMillis = progress.sentMillis,
+            responding = parts.isNotEmpty() && progress.responding && progress.events == 0,
+            request = pending.key,
+        )
+        val crash = EndpointCrash(progress.incarnation, clock.nowMillis(), unanswered)
         quarantine.recordCrash(crash)
         deployment.announce(PeerUpdate.Crashed(deployment.self, crash))
     }
 
     /** Records that an endpoint went on with the response to [pending] after it had begun. */
+    fun recordProgress(pending: PendingRequest) {
+        if (quarantine.isActive) recordAnswer(pending.sharedParts)
+    }
+
+    /** Records that an endpoint answered [pending] wholly. */
     fun recordAnswer(pending: PendingRequest) {
+        if (quarantine.isActive) recordAnswer(setOf(pending.key))
+    }
+
+    private fun recordAnswer(keys: Set<ContentKey>) {
         val nowMillis = clock.nowMillis()
-        val cleared = quarantine.recordAnswer(pending.sharedParts, nowMillis)
+        val cleared = quarantine.recordAnswer(keys, nowMillis)
         if (cleared.isNotEmpty()) deployment.announce(PeerUpdate.Answered(cleared, nowMillis))
     }
 
+    private val PendingRequest.keys: Set<ContentKey> get() = sharedParts + key
+
     private fun mayProbe(entry: QuarantinedContent, nowMillis: Long): Boolean =
         entry.prober(deployment.members.orEmpty(), nowMillis) == deployment.self
 
     private fun logQuarantined(pending: PendingRequest, entry: QuarantinedContent) {
-        metrics.partsQuarantined.increment()
+        if (entry.key == pending.key) metrics.requestsQuarantined.increment() else metrics.partsQuarantined.increment()
         deployment.announce(PeerUpdate.Quarantined(entry))
-        logPart("part.quarantined", pending, entry.part)
+        logContent("quarantined", pending, entry.key)
     }
 
-    private fun logPart(event: String, pending: PendingRequest, part: ContentKey) {
-        log.write(event, always = true) {
+    private fun logContent(what: String, pending: PendingRequest, key: ContentKey) {
+        val part = if (key == pending.key) null else pending.prompt?.partId(key)
+        log.write(if (part == null) "request.$what" else "part.$what", always = true) {
             put("request", pending.id.value)
-            put("part", pending.prompt?.partId(part))
+            if (part == null) put("content", key.toString()) else put("part", part)
         }
     }
 }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Refusal.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Refusal.kt
@@ -58,9 +58,15 @@
     class NoEndpoint(val cause: UnavailableReason, millis: Long) :
         Refusal(HttpStatus.UNAVAILABLE, "no endpoint can serve the request: ${cause.name.lowercase()}", millis)
 
-    /** Endpoints crash on a part of the prompt. The request has not run; the part is probed after [millis]. */
-    class PartQuarantined(millis: Long) :
-        Refusal(HttpStatus.UNAVAILABLE, "a part of the prompt is quarantined because endpoints crashed on it", millis)
+    /** Endpoints crash on what is [named], which is probed after [millis]. The request has not run. */
+    sealed class Quarantined(named: String, millis: Long) :
+        Refusal(HttpStatus.UNAVAILABLE, "$named is quarantined because endpoints crashed on it", millis)
+
+    /** Endpoints crash on a part of the prompt. */
+    class PartQuarantined(millis: Long) : Quarantined("a part of the prompt", millis)
+
+    /** Endpoints crash on the request. */
+    class RequestQuarantined(millis: Long) : Quarantined("the request", millis)
 
     /** Every endpoint that was tried refused the request, which has not run. */
     class EndpointsRefused(cause: String) : Refusal(HttpStatus.UNAVAILABLE, "not run: $cause", ENDPOINTS_REFUSED_MILLIS)
