Probe a quarantined request once more when its service runs another release

The release that the crashed endpoint ran is now kept with it. Once all endpoints of the service run another one, one request is let through; that is the third and last that the users' rule allows. While releases differ, in the middle of a rollout, the probe could reach the former one.

A case of RequestQuarantineTest plays the three probes, and one of EndpointTableTest the release of a service.

--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerMessage.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerMessage.kt
@@ -86,9 +86,9 @@
      * Reports what an instance has observed itself or received from others, and how current its copies of the store's
      * objects are. Also shows that the sender is alive. [passOn] names the scope in which the receiver forwards the
      * report. [era] is the newest era of the store that the sender knows, and the era of all copies in [known].
-     * [crashedRequests] are the keys of the whole requests in [crashed], in the same order, and [ambiguous] those of
-     * [quarantined] that may be harmless: they are lists of their own because the build before reads [crashed] and
-     * [quarantined] field by field.
+     * [crashedRequests] are the keys of the whole requests in [crashed], in the same order; [ambiguous] are those of
+     * [quarantined] that may be harmless, and [releases] the software on which endpoints crashed on them. They stand by
+     * themselves because the build before reads [crashed] and [quarantined] field by field.
      */
     @Serializable
     @SerialName("news")
@@ -109,6 +109,7 @@
         public val era: Long = 0,
         public val crashedRequests: List<Long?> = emptyList(),
         public val ambiguous: Set<Long> = emptySet(),
+        public val releases: Map<Long, String> = emptyMap(),
     ) : PeerMessage
 
     /** Requests the contents of the KV cache store at [store], as far as the receiver knows them. */
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointEntry.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointEntry.kt
@@ -34,7 +34,8 @@
 
 /**
  * What an endpoint registers in the discovery list. [coldMillis] is how much longer it is cold, that is, can take only
- * little load after a start; [startMillis] tells one start of the endpoint from another.
+ * little load after a start; [startMillis] tells one start of the endpoint from another, and [release] names the
+ * version of its software.
  */
 public data class EndpointEntry(
     public val id: EndpointId,
@@ -46,4 +47,5 @@
     public val coldMillis: Long = 0,
     public val startMillis: Long? = null,
     public val weights: Map<ModelId, Long> = emptyMap(),
+    public val release: String? = null,
 )
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointTable.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointTable.kt
@@ -103,6 +103,10 @@
     }
 }
 
+/** Returns the release that all endpoints of [service] run, or null if that differs or is not known. */
+public fun EndpointTable.release(service: String): String? =
+    all.filter { it.entry.service == service && !it.entry.draining }.map { it.entry.release }.distinct().singleOrNull()
+
 /** Returns the endpoints that are listed at [address]. */
 public fun EndpointTable.at(address: SocketAddress): List<EndpointState> = all.filter { it.entry.address == address }
 
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/quarantine/CrashLog.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/quarantine/CrashLog.kt
@@ -4,13 +4,14 @@
 
 /**
  * A crash of which a key is suspected, with the [parts] and the [requests] of the unanswered requests that have the
- * key. If it is [alone], all other requests there have been cleared.
+ * key. If it is [alone], all other requests there have been cleared. The endpoint ran [release].
  */
 internal class Suspicion(
     val atMillis: Long,
     val parts: Set<ContentKey>,
     val requests: Set<ContentKey>,
     val alone: Boolean,
+    val release: String?,
 )
 
 /**
@@ -30,7 +31,7 @@
 
     /** Records [crash]; all requests at one start of an endpoint belong to the same crash. */
     fun record(crash: EndpointCrash) {
-        val known = crashes.getOrPut(crash.endpoint) { Crash(crash.atMillis) }
+        val known = crashes.getOrPut(crash.endpoint) { Crash(crash.atMillis, crash.release) }
         if (!known.add(crash.request)) return
         requestCount++
         crash.request.keys.forEach { key ->
@@ -75,6 +76,7 @@
                     requests = suspects.mapNotNull { it.request }.toSet(),
                     alone = crash.isReported(nowMillis) &&
                         crash.requests.all { key in it.keys || isCleared(it, crash) },
+                    release = crash.release,
                 )
             }
         }
@@ -109,7 +111,7 @@
     }
 
     /** The requests of a crash. The same request, sent more than once, counts once, with the last time it was sent. */
-    private class Crash(val atMillis: Long) {
+    private class Crash(val atMillis: Long, val release: String?) {
         private val sentMillis = LinkedHashMap<UnansweredRequest, Long>()
         private var responding = 0
         val requests: Set<UnansweredRequest> get() = sentMillis.keys
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/quarantine/EndpointCrash.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/quarantine/EndpointCrash.kt
@@ -18,9 +18,10 @@
     internal val keys: Set<ContentKey> get() = if (request == null) parts else parts + request
 }
 
-/** The connection that carried [request] to [endpoint] ended at [atMillis]. */
+/** The connection that carried [request] to [endpoint], which ran [release], ended at [atMillis]. */
 public data class EndpointCrash(
     public val endpoint: EngineIncarnation,
     public val atMillis: Long,
     public val request: UnansweredRequest,
+    public val release: String? = null,
 )
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/quarantine/ProbeTurns.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/quarantine/ProbeTurns.kt
@@ -4,9 +4,9 @@
 internal class ProbeTurns {
     private val sentMillis = HashMap<ContentKey, Long>()
 
-    /** Whether [entry] may be probed now, apart from whose turn it is. */
-    fun isDue(entry: QuarantinedContent, nowMillis: Long): Boolean =
-        nowMillis >= (entry.probeMillis ?: Long.MAX_VALUE) &&
+    /** Whether [entry] may be probed now, while the endpoints run [release], apart from whose turn it is. */
+    fun isDue(entry: QuarantinedContent, nowMillis: Long, release: String?): Boolean =
+        nowMillis >= (entry.probeMillis(release) ?: Long.MAX_VALUE) &&
             nowMillis - (sentMillis[entry.key] ?: (Long.MIN_VALUE / 2)) >= PROBE_MILLIS
 
     /** Records that all of [entries] are probed with one request. */
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/quarantine/RequestQuarantine.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/quarantine/RequestQuarantine.kt
@@ -79,17 +79,19 @@
         suspicions: List<Suspicion>,
         ambiguous: Boolean,
     ): QuarantinedContent {
-        val entry = QuarantinedContent(key, common, suspicions.last().atMillis, ambiguous = ambiguous)
+        val last = suspicions.last()
+        val entry = QuarantinedContent(key, common, last.atMillis, ambiguous = ambiguous, release = last.release)
         return withoutAnswered(entry, suspicions.first().atMillis).also { quarantined.put(it) }
     }
 
     /**
-     * Decides about a request with [keys]. While a probe is due, [mayProbe] says whether this instance has its turn to
-     * send one.
+     * Decides about a request with [keys] for endpoints that run [release], null if they differ in that. While a probe
+     * is due, [mayProbe] says whether this instance has its turn to send one.
      */
     public fun decide(
         keys: Set<ContentKey>,
         nowMillis: Long,
+        release: String? = null,
         mayProbe: (QuarantinedContent) -> Boolean,
     ): QuarantineDecision {
         val matching = quarantined.matching(keys).filter { nowMillis < it.expiryMillis }
@@ -97,13 +99,13 @@
         val first = matching.minByOrNull { it.key.hash }
         return when {
             first == null -> QuarantineDecision.Allowed
-            matching.all { probes.isDue(it, nowMillis) } && mayProbe(first) -> {
+            matching.all { probes.isDue(it, nowMillis, release) } && mayProbe(first) -> {
                 probes.begin(matching, nowMillis)
                 QuarantineDecision.Probe(first.key)
             }
             else -> {
-                val last = matching.maxBy { it.probeMillis ?: Long.MAX_VALUE }
-                val untilMillis = last.probeMillis ?: (nowMillis + UNPROBED_MILLIS)
+                val last = matching.maxBy { it.probeMillis(release) ?: Long.MAX_VALUE }
+                val untilMillis = last.probeMillis(release) ?: (nowMillis + UNPROBED_MILLIS)
                 QuarantineDecision.Refused(last.key, (untilMillis - nowMillis).coerceAtLeast(PROBE_MILLIS))
             }
         }
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/fleet/EndpointTableTest.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/fleet/EndpointTableTest.kt
@@ -34,6 +34,17 @@
         expectThat(table.serving("engines")).isEmpty()
     }
 
+    // In the middle of a rollout a probe may reach the release that has not been mended.
+    @Test
+    fun `a service has a release once all of its endpoints that stay run it`() {
+        table.put(entry("one").copy(release = "v1"), 0)
+        expectThat(table.release("engines")).isEqualTo("v1")
+        table.put(entry("two").copy(release = "v2"), 0)
+        expectThat(table.release("engines")).isNull()
+        table.put(entry("one").copy(release = "v1", draining = true), 0)
+        expectThat(table.release("engines")).isEqualTo("v2")
+    }
+
     @Test
     fun `an entry that registers again within the grace period stays`() {
         table.markListUnavailable()
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/quarantine/RequestQuarantineTest.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/quarantine/RequestQuarantineTest.kt
@@ -202,6 +202,21 @@
         expectThat(probes).isEqualTo(2)
     }
 
+    // Otherwise a request would be refused although what crashed on it has been mended.
+    @Test
+    fun `a request that failed its probes is probed once more when all endpoints run another release`() {
+        repeat(3) { crashRequests(1_000L * (it + 1), "bad") }
+        listOf(100_000L, 300_000L).forEach { nowMillis ->
+            expectThat(decide(nowMillis, "bad", release = "v1")).isA<QuarantineDecision.Probe>()
+            crashRequests(nowMillis + 50, "bad", sentMillis = nowMillis)
+        }
+        expectThat(decide(900_000, "bad", release = "v1")).isA<QuarantineDecision.Refused>()
+        expectThat(decide(900_000, "bad", release = null)).isA<QuarantineDecision.Refused>()
+        expectThat(decide(900_000, "bad", release = "v2")).isA<QuarantineDecision.Probe>()
+        crashRequests(900_050, "bad", sentMillis = 900_000, release = "v2")
+        expectThat(decide(2_000_000, "bad", release = "v3")).isA<QuarantineDecision.Refused>()
+    }
+
     // Requests that are harmless are unanswered at each of the crashes as well if they come often.
     @Test
     fun `a popular request beside one that crashes endpoints is refused only until it is probed and answered`() {
@@ -294,11 +309,16 @@
     }
 
     /** An endpoint crashes while [requests] without prompt are unanswered. */
-    private fun crashRequests(atMillis: Long, vararg requests: String, sentMillis: Long = atMillis - 10) {
+    private fun crashRequests(
+        atMillis: Long,
+        vararg requests: String,
+        sentMillis: Long = atMillis - 10,
+        release: String? = "v1"
+    ) {
         val endpoint = EngineIncarnation(EndpointId("e${endpoints++}"), 1)
         requests.forEach { request ->
             val unanswered = UnansweredRequest(emptySet(), sentMillis, responding = false, request = key(request))
-            quarantine.recordCrash(EndpointCrash(endpoint, atMillis, unanswered))
+            quarantine.recordCrash(EndpointCrash(endpoint, atMillis, unanswered, release))
         }
     }
 
@@ -312,9 +332,14 @@
         quarantine.recordAnswer(keys(*parts), atMillis)
     }
 
-    private fun decide(nowMillis: Long, vararg parts: String, probes: Boolean = true): QuarantineDecision {
+    private fun decide(
+        nowMillis: Long,
+        vararg parts: String,
+        probes: Boolean = true,
+        release: String? = null,
+    ): QuarantineDecision {
         quarantine.assess(keys(*parts), nowMillis)
-        return quarantine.decide(keys(*parts), nowMillis) { probes }
+        return quarantine.decide(keys(*parts), nowMillis, release) { probes }
     }
 
     private fun key(part: String) = ContentKey(part.hashCode().toLong())
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/CrashEvidenceMapping.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/CrashEvidenceMapping.kt
@@ -45,7 +45,11 @@
     failedProbes = entry.failedProbes,
 )
 
-internal fun QuarantinedPartDigest.toUpdate(ambiguous: Boolean, nowMillis: Long): PeerUpdate.Quarantined =
+internal fun QuarantinedPartDigest.toUpdate(
+    ambiguous: Boolean,
+    release: String?,
+    nowMillis: Long,
+): PeerUpdate.Quarantined =
     PeerUpdate.Quarantined(
         QuarantinedContent(
             key = ContentKey(part),
@@ -53,6 +57,7 @@
             lastCrashMillis = nowMillis - lastCrashAgeMillis,
             failedProbes = failedProbes,
             ambiguous = ambiguous,
+            release = release,
         ),
     )
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerMessageMapping.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerMessageMapping.kt
@@ -58,6 +58,8 @@
     crashedRequests = filterIsInstance<PeerUpdate.Crashed>().map { it.crash.request.request?.hash },
     ambiguous = filterIsInstance<PeerUpdate.Quarantined>().map { it.entry }.filter { it.ambiguous }
         .map { it.key.hash }.toSet(),
+    releases = filterIsInstance<PeerUpdate.Quarantined>()
+        .mapNotNull { update -> update.entry.release?.let { update.entry.key.hash to it } }.toMap(),
 )
 
 /** Decodes the updates in this message, which arrived at [nowMillis]: ages are converted to local times. */
@@ -69,7 +71,7 @@
         stores.mapNotNull { it.toUpdate() } +
         crashed.mapIndexed { index, digest -> digest.toUpdate(crashedRequests.getOrNull(index), nowMillis) } +
         answered.map { it.toUpdate(nowMillis) } +
-        quarantined.map { it.toUpdate(it.part in ambiguous, nowMillis) } +
+        quarantined.map { it.toUpdate(it.part in ambiguous, releases[it.part], nowMillis) } +
         leaving.map { PeerUpdate.Leaving(EngineIncarnation(it.endpoint, it.startMillis)) } +
         limits.map { PeerUpdate.Limited(it.toLimit()) } +
         demands.map { PeerUpdate.Demanded(it.toDemand()) }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerUpdates.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/PeerUpdates.kt
@@ -52,7 +52,7 @@
 
 private fun DeploymentView.applyPeerUpdate(update: PeerUpdate.CrashEvidence, nowMillis: Long) {
     when (update) {
-        is PeerUpdate.Crashed -> if (update.origin != self) quarantine.recordCrash(update.crash)
+        is PeerUpdate.Crashed -> if (update.origin != self) recordCrash(update.crash)
         is PeerUpdate.Answered -> quarantine.recordAnswer(update.keys, update.atMillis)
         is PeerUpdate.Quarantined -> quarantine.recordQuarantine(update.entry, nowMillis)
             ?.let { announce(PeerUpdate.Answered(setOf(update.entry.key), it)) }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/DeploymentView.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/DeploymentView.kt
@@ -16,6 +16,7 @@
 import org.parsleymoor.relay.fleet.SocketAddress
 import org.parsleymoor.relay.fleet.limitedServices
 import org.parsleymoor.relay.placement.TargetWeights
+import org.parsleymoor.relay.quarantine.EndpointCrash
 import org.parsleymoor.relay.quarantine.RequestQuarantine
 import org.parsleymoor.relay.routing.RouteTable
 
@@ -109,6 +110,11 @@
     /** The prompt parts and requests that are not sent to endpoints, because they crash them. */
     val quarantine = RequestQuarantine()
 
+    /** Records [crash], which this instance or a peer has seen, with the release that the endpoint ran. */
+    fun recordCrash(crash: EndpointCrash) {
+        quarantine.recordCrash(crash.copy(release = endpoints[crash.endpoint.endpoint]?.entry?.release))
+    }
+
     /** Contents of the KV cache stores. */
     val stores = CacheStoreDirectory()
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/QuarantineGate.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/QuarantineGate.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.json.put
 import org.parsleymoor.relay.exchange.PeerUpdate
+import org.parsleymoor.relay.fleet.release
 import org.parsleymoor.relay.quarantine.ContentKey
 import org.parsleymoor.relay.quarantine.EndpointCrash
 import org.parsleymoor.relay.quarantine.QuarantineDecision
@@ -24,7 +25,9 @@
         val keys = pending.keys
         val nowMillis = clock.nowMillis()
         quarantine.assess(keys, nowMillis).forEach { logQuarantined(pending, it) }
-        return when (val decision = quarantine.decide(keys, nowMillis) { mayProbe(it, nowMillis) }) {
+        val release = deployment.endpoints.release(pending.service.name)
+        val decision = quarantine.decide(keys, nowMillis, release) { mayProbe(it, nowMillis, release) }
+        return when (decision) {
             QuarantineDecision.Allowed -> null
             is QuarantineDecision.Probe -> null.also { logContent("probed", pending, decision.key) }
             is QuarantineDecision.Refused -> if (decision.key == pending.key) {
@@ -55,7 +58,7 @@
             request = pending.key,
         )
         val crash = EndpointCrash(progress.incarnation, clock.nowMillis(), unanswered)
-        quarantine.recordCrash(crash)
+        deployment.recordCrash(crash)
         deployment.announce(PeerUpdate.Crashed(deployment.self, crash))
     }
 
@@ -77,8 +80,8 @@
 
     private val PendingRequest.keys: Set<ContentKey> get() = sharedParts + key
 
-    private fun mayProbe(entry: QuarantinedContent, nowMillis: Long): Boolean =
-        entry.prober(deployment.members.orEmpty(), nowMillis) == deployment.self
+    private fun mayProbe(entry: QuarantinedContent, nowMillis: Long, release: String?): Boolean =
+        entry.prober(deployment.members.orEmpty(), nowMillis, release) == deployment.self
 
     private fun logQuarantined(pending: PendingRequest, entry: QuarantinedContent) {
         if (entry.key == pending.key) metrics.requestsQuarantined.increment() else metrics.partsQuarantined.increment()
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/PeerUpdatesTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/PeerUpdatesTest.kt
@@ -108,8 +108,9 @@
         expectThat(entry).isEqualTo(QuarantinedContent(bad, setOf(bad), lastCrashMillis = 3_020, ambiguous = true))
         receive(PeerUpdate.Answered(setOf(bad), atMillis = 3_060), 3_070, 3_080)
         expectThat(deployment.quarantine.contents).isEmpty()
-        receive(PeerUpdate.Quarantined(entry.copy(lastCrashMillis = 4_000)), 4_000, 4_000)
-        expectThat(deployment.quarantine.contents.single().ambiguous).isEqualTo(true)
+        val told = entry.copy(lastCrashMillis = 4_000, release = "v1")
+        receive(PeerUpdate.Quarantined(told), 4_000, 4_000)
+        expectThat(deployment.quarantine.contents).containsExactly(told)
     }
 
     // Hubs send an update back to the zone that it came from.
