--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/RequestKeyTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/RequestKeyTest.kt
@@ -26,24 +26,24 @@
 class RequestKeyTest {
     @Test
     fun `attempts of the same request have the same key, however their bodies were divided`() {
-        expectThat(key(id = "2")).isEqualTo(key(id = "1"))
-        expectThat(key(body = listOf("ab", "c"))).isEqualTo(key(body = listOf("a", "bc")))
+        expectThat(Draft().key("2")).isEqualTo(Draft().key("1"))
+        expectThat(Draft(body = listOf("ab", "c")).key()).isEqualTo(Draft(body = listOf("a", "bc")).key())
     }
 
     @Test
     fun `requests that differ in anything that an endpoint is sent have different keys`() {
         val keys = listOf(
-            key(),
-            key(organisation = "other"),
-            key(organisation = null),
-            key(method = "PUT"),
-            key(target = "/r/x?a=2"),
-            key(service = "other"),
-            key(body = listOf("abd")),
-            key(body = emptyList()),
-            key(parts = "a:1,b:2"),
-            key(parts = "a:1,b:3"),
-            key(method = "POS", target = "T/r/x"),
+            Draft().key(),
+            Draft(organisation = "other").key(),
+            Draft(organisation = null).key(),
+            Draft(method = "PUT").key(),
+            Draft(target = "/r/x?a=2").key(),
+            Draft(service = "other").key(),
+            Draft(body = listOf("abd")).key(),
+            Draft(body = emptyList()).key(),
+            Draft(parts = "a:1,b:2").key(),
+            Draft(parts = "a:1,b:3").key(),
+            Draft(method = "POS", target = "T/r/x").key(),
         )
         expectThat(keys.toSet()).hasSize(keys.size)
     }
@@ -52,40 +52,41 @@
     @Test
     fun `of a long body the length, the beginning and the end count`() {
         val long = "x".repeat(200_000)
-        expectThat(key(body = listOf(long))).isEqualTo(key(body = long.chunked(30_001)))
-        expectThat(key(body = listOf(long))).isNotEqualTo(key(body = listOf("y" + long.drop(1))))
-        expectThat(key(body = listOf(long))).isNotEqualTo(key(body = listOf(long.dropLast(1) + "y")))
-        expectThat(key(body = listOf(long))).isNotEqualTo(key(body = listOf(long + "x")))
+        expectThat(Draft(body = listOf(long)).key()).isEqualTo(Draft(body = long.chunked(30_001)).key())
+        expectThat(Draft(body = listOf(long)).key()).isNotEqualTo(Draft(body = listOf("y" + long.drop(1))).key())
+        expectThat(Draft(body = listOf(long)).key()).isNotEqualTo(Draft(body = listOf(long.dropLast(1) + "y")).key())
+        expectThat(Draft(body = listOf(long)).key()).isNotEqualTo(Draft(body = listOf(long + "x")).key())
     }
 
-    private fun key(
-        id: String = "1",
-        organisation: String? = "org",
-        method: String = "POST",
-        target: String = "/r/x",
-        service: String = "s",
-        body: List<String> = listOf("abc"),
-        parts: String? = null,
-    ): ContentKey {
-        val held = HeldBody(HeldBytes(10_000_000))
-        body.forEach { held.append(it.encodeToByteArray()) }
-        val head = RequestHead(method, target, HeaderFields(emptyList()))
-        return PendingRequest(
-            id = RequestId(id),
-            request = CallerRequest(head, held, receivedMillis = 0),
-            route = Route(
-                name = "r",
-                host = "h",
-                pathPrefix = "/r/",
-                kind = RequestKind.IDEMPOTENT,
-                targets = listOf(RouteTarget(service, 1.0)),
-                timeoutMillis = 1_000,
-                objectiveMillis = 1_000,
-                attempts = 2,
-            ),
-            service = Service(service, connectionLimit = 1, coldMillis = 0, coldRequestsPerSecond = 0.0),
-            caller = Caller(organisation?.let { Organisation(OrganisationId(it), emptySet()) }, true, 1_000),
-            prompt = parts?.let { PromptContext.parse("m", "3,1", it) },
-        ).key
+    private class Draft(
+        val organisation: String? = "org",
+        val method: String = "POST",
+        val target: String = "/r/x",
+        val service: String = "s",
+        val body: List<String> = listOf("abc"),
+        val parts: String? = null,
+    ) {
+        fun key(id: String = "1"): ContentKey {
+            val held = HeldBody(HeldBytes(10_000_000))
+            body.forEach { held.append(it.encodeToByteArray()) }
+            val head = RequestHead(method, target, HeaderFields(emptyList()))
+            return PendingRequest(
+                id = RequestId(id),
+                request = CallerRequest(head, held, receivedMillis = 0),
+                route = Route(
+                    name = "r",
+                    host = "h",
+                    pathPrefix = "/r/",
+                    kind = RequestKind.IDEMPOTENT,
+                    targets = listOf(RouteTarget(service, 1.0)),
+                    timeoutMillis = 1_000,
+                    objectiveMillis = 1_000,
+                    attempts = 2,
+                ),
+                service = Service(service, connectionLimit = 1, coldMillis = 0, coldRequestsPerSecond = 0.0),
+                caller = Caller(organisation?.let { Organisation(OrganisationId(it), emptySet()) }, true, 1_000),
+                prompt = parts?.let { PromptContext.parse("m", "3,1", it) },
+            ).key
+        }
     }
 }
