--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/PausingEndpointTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/PausingEndpointTest.kt
@@ -85,8 +85,9 @@
         RelayHarness(endpoint).use { harness ->
             expectThat(harness.exchange(request())).endsWith("ok")
             harness.caller().use { caller ->
-                caller.send(request())
                 harness.onEventLoop { deployment ->
+                    // Sent from the event loop, which cannot answer it before the request in flight is seen.
+                    caller.send(request())
                     while (deployment.endpoints[LISTED_ENDPOINT.endpoint]!!.inFlight == 0) yield()
                     deployment.endpoints.pauses.begin(LISTED_ENDPOINT, 1_000, Clock.System.nowMillis())
                 }
