--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
-exec java -Xmx1g -cp target/review-2 rig.Rig HeadRefused review/7
+exec java -Xmx1g -cp target/review-2 rig.Rig SpoiltReport review/7
--- a/review/standins-2/rig/Client.java
+++ b/review/standins-2/rig/Client.java
@@ -31,7 +31,7 @@
     /** Sends a request without a body on a channel of its own; returns what the consumer sees in a few words. */
     static String call(String address, String method, String path, String id, int deadlineMillis) {
         try (Client client = new Client(address, deadlineMillis)) {
-            client.send(head(method, path, id, deadlineMillis, ""));
+            client.send(head(method, path, id, deadlineMillis, method.equals("POST") ? "Content-Length: 0\r\n" : ""));
             Http.Head head = Http.readHead(client.in);
             if (head == null) return "closed without an answer";
             byte[] body = Http.readBody(client.in, head, true);
--- a/review/standins-2/rig/Engine.java
+++ b/review/standins-2/rig/Engine.java
@@ -12,6 +12,7 @@
 /** A model replica: it tells its load, streams events, and caches the parts of prompts under the salt that it is given. */
 final class Engine {
     static final String MODEL = "model";
+    private static final byte[] SPOILT = ("[" + "0,".repeat(2_000_000)).getBytes();
 
     final Replica replica;
     final AtomicInteger running = new AtomicInteger();
@@ -22,6 +23,9 @@
     volatile int events = 10;
     volatile int pauseMillis = 200;
     volatile boolean quiet;
+    /** Spoils one in so many of its reports; none if 0. */
+    volatile int spoilsOneIn;
+    private final AtomicInteger reports = new AtomicInteger();
     private volatile boolean crashed;
 
     Engine(Store store, String id) throws Exception {
@@ -46,6 +50,12 @@
 
     private void work(Replica self, Http.Head head, InputStream in, OutputStream out, Socket socket) throws Exception {
         String[] parts = head.startParts();
+        if (parts[1].equals("/report") && spoilsOneIn > 0 && reports.incrementAndGet() % spoilsOneIn == 0) {
+            Rig.note(self.id + " spoils a report");
+            out.write(("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " + SPOILT.length + "\r\n\r\n").getBytes());
+            out.write(SPOILT);
+            return;
+        }
         if (parts[1].equals("/report")) {
             byte[] body = Json.write(Json.map("stage", "both", "models", List.of(Json.map("name", MODEL, "version", 1, "adapters", List.of())),
                 "busy", false, "seq", 0, "queued", 0, "running", running.get(), "kvUsed", 1_000 * running.get(), "kvTotal", 100_000, "handles", 0,
--- a/review/standins-2/rig/Replica.java
+++ b/review/standins-2/rig/Replica.java
@@ -42,7 +42,7 @@
             }
         });
         if (service != null) Rig.background("status reports", () -> {
-            while (true) {
+            while (!server.isClosed()) {
                 report("ready");
                 Thread.sleep(1200);
             }
--- a/review/standins-2/rig/Rig.java
+++ b/review/standins-2/rig/Rig.java
@@ -31,6 +31,7 @@
     private static final long START = System.currentTimeMillis();
     private static PrintStream record;
     private static Path temporary;
+    private static boolean ended;
 
     private Rig() {
     }
@@ -59,6 +60,9 @@
     }
 
     private static void end(int status) {
+        synchronized (PROCESSES) {
+            ended = true;
+        }
         record.flush();
         System.exit(status);
     }
@@ -91,6 +95,7 @@
     /** Writes a line to the record. */
     static void note(String line) {
         synchronized (PROCESSES) {
+            if (ended) return;
             record.printf("%8.3f s  %s%n", (System.currentTimeMillis() - START) / 1000.0, line);
         }
     }
