--- a/review/standins-2/rig/Isolated.java
+++ b/review/standins-2/rig/Isolated.java
@@ -11,7 +11,7 @@
     @Override
     public boolean run(boolean trouble, Path temporary) throws Exception {
         Store store = new Store();
-        List<Engine> engines = List.of(new Engine(store, "i-llm-0"), new Engine(store, "i-llm-1"));
+        List<Engine> engines = List.of(new Engine(store, "i-llm-0"), new Engine(store, "i-llm-1"), new Engine(store, "i-llm-2"), new Engine(store, "i-llm-3"));
         for (Engine engine : engines) {
             engine.events = 24;
             engine.pauseMillis = 300;
@@ -40,7 +40,7 @@
         Thread.sleep(1_500);
         if (!trouble) Rig.note("no replica crashes");
         for (Engine engine : engines) engine.pauseMillis = 50;
-        for (int i = 0; i < 6; i++) Rig.note(stream(daemon, "stream-b-" + i, "key-b", "own-b-" + i));
+        for (int i = 0; i < 12; i++) Rig.note(stream(daemon, "stream-b-" + i, "key-b", "own-b-" + i));
         stream.join(DEADLINE);
         int uses = engines.stream().mapToInt(engine -> engine.foreign.size()).sum();
         Rig.note(uses + " parts that a request of one tenant had made were used by a request of the other, after one of them was isolated");
--- a/review/standins-2/rig/SpoiltReport.java
+++ b/review/standins-2/rig/SpoiltReport.java
@@ -6,11 +6,11 @@
 import java.util.List;
 import java.util.Map;
 
-/** Some model replicas spoil one in twenty of their reports. Daemons that end are started again, as the platform does. */
+/** Some model replicas spoil one in fifty of their reports. Daemons that end are started again, as the platform does. */
 public final class SpoiltReport implements Rig.Case {
     private static final int DAEMONS = 3;
     private static final int TIMEOUT = 800;
-    private static final long SECONDS = 40;
+    private static final long SECONDS = 90;
 
     @Override
     public boolean run(boolean trouble, Path temporary) throws Exception {
@@ -30,9 +30,9 @@
         for (Daemon daemon : daemons) daemon.awaitReady(30_000);
         Thread.sleep(5_000);
         if (trouble) {
-            Rig.note("two of four model replicas begin to spoil one in twenty of their reports");
-            engines.get(0).spoilsOneIn = 20;
-            engines.get(1).spoilsOneIn = 20;
+            Rig.note("two of four model replicas begin to spoil one in fifty of their reports");
+            engines.get(0).spoilsOneIn = 50;
+            engines.get(1).spoilsOneIn = 50;
         }
         int[] ends = new int[DAEMONS];
         int served = 0;
