Bound the work for each byte of an event stream

What callers saw: while an endpoint goes on with line feeds inside its streams, the instance answers nobody.

EventSplitter also copied all pending bytes again at each read. An endpoint that sent nothing but such lines or comments began its response with them and was relayed until the deadline.

Change: the splitter keeps one buffer, looks at each byte once and returns the events of a read in one array. Only a block with a data or id field is an event; what precedes the first one is returned with it. A stream with more than 262,144 bytes since its last event is given up like one with a larger event, and resumed if it may be; the log line and the metric name the reason.

MisbehavingEndpointTest "resumes a stream at another endpoint when one sends bytes without events without end" failed before in all three cases and passes. EndlessBytesTest with empty lines passed before too: it gives other requests seconds.

--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/http/MessageFailure.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/http/MessageFailure.kt
@@ -16,6 +16,7 @@
     HEAD_TOO_LARGE(HttpStatus.HEAD_TOO_LARGE, "the message head is larger than the limit"),
     BODY_TOO_LARGE(HttpStatus.CONTENT_TOO_LARGE, "the body is larger than the limit"),
     NO_ROOM(HttpStatus.UNAVAILABLE, "this instance has no room for more of the body"),
+    WITHOUT_EVENTS(HttpStatus.BAD_GATEWAY, "the stream has too many bytes without an event"),
     ENDED_EARLY(HttpStatus.BAD_REQUEST, "the connection ended before the message was complete"),
     TOO_MANY_RESPONSES(HttpStatus.BAD_GATEWAY, "more responses arrived than a request may have"),
     UNIDENTIFIED(HttpStatus.BAD_GATEWAY, "the response carries no request id, unlike earlier ones on its connection"),
--- a/programs/bench/src/main/kotlin/org/parsleymoor/bench/Main.kt
+++ b/programs/bench/src/main/kotlin/org/parsleymoor/bench/Main.kt
@@ -6,4 +6,4 @@
 
 /** Entry point of `bin/bench`. */
 public fun main(arguments: Array<String>): Unit =
-    NoOpCliktCommand("bench").subcommands(RunCommand(), DecideCommand()).main(arguments)
+    NoOpCliktCommand("bench").subcommands(RunCommand(), DecideCommand(), EventsCommand()).main(arguments)
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryMetrics.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryMetrics.kt
@@ -74,7 +74,11 @@
         cutOffs.getValue(stage).increment()
     }
 
-    private val oversized = listOf(MessageFailure.BODY_TOO_LARGE, MessageFailure.NO_ROOM).associateWith { Counter() }
+    private val oversized = listOf(
+        MessageFailure.BODY_TOO_LARGE,
+        MessageFailure.NO_ROOM,
+        MessageFailure.WITHOUT_EVENTS,
+    ).associateWith { Counter() }
 
     /** Counts a response that was given up because it is too large, as [fault] says. */
     public fun recordOversized(fault: MessageFailure) {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/StreamRelay.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/StreamRelay.kt
@@ -7,8 +7,8 @@
 import org.parsleymoor.relay.http.BodyFraming
 import org.parsleymoor.relay.http.BodyProgress
 import org.parsleymoor.relay.http.MessageFailure
+import org.parsleymoor.relay.stream.EventBatch
 import org.parsleymoor.relay.stream.EventSplitter
-import org.parsleymoor.relay.stream.StreamEvent
 
 /**
  * Relays the events of a stream as they arrive, each complete and exactly once. A stalled stream is resumed at another
@@ -42,8 +42,8 @@
             val part = nextPart(response)
             // An endpoint that sends without end must not run past the deadline either.
             stalled = part == null || clock.nowMillis() >= pending.deadlineMillis
-            if (part != null) deliver(head, splitter.add(part).filter(::isNew))
-            oversized = oversizedEvent()
+            if (part != null) deliver(head, splitter.add(part, ::isNew))
+            oversized = oversizedResult()
         }
         return when {
             oversized != null -> oversized
@@ -56,15 +56,19 @@
         }
     }
 
-    /** The result if the incomplete event is too large or this instance has no room for it, otherwise null. */
-    private fun oversizedEvent(): AttemptResult? {
-        val bytes = splitter.pendingBytes
+    /** The result if too much has arrived since the last event or this instance has no room for it, otherwise null. */
+    private fun oversizedResult(): AttemptResult? {
         val fault = when {
-            bytes > MAX_EVENT_BYTES -> MessageFailure.BODY_TOO_LARGE
-            !holder.tryResize(bytes.toLong()) -> MessageFailure.NO_ROOM
+            splitter.pendingBytes > MAX_EVENT_BYTES -> MessageFailure.BODY_TOO_LARGE
+            splitter.bytesSinceEvent > MAX_EVENT_BYTES -> MessageFailure.WITHOUT_EVENTS
+            !holder.tryResize(splitter.heldBytes.toLong()) -> MessageFailure.NO_ROOM
             else -> return null
         }
-        val reason = if (bytes > MAX_EVENT_BYTES) "an event has more than $MAX_EVENT_BYTES bytes" else fault.message
+        val reason = when (fault) {
+            MessageFailure.BODY_TOO_LARGE -> "an event has more than $MAX_EVENT_BYTES bytes"
+            MessageFailure.WITHOUT_EVENTS -> "the stream has more than $MAX_EVENT_BYTES bytes without an event"
+            else -> fault.message
+        }
         context.oversized.record(pending, progress.incarnation, fault, reason)
         return AttemptResult.Uncertain(reason)
     }
@@ -91,13 +95,14 @@
     private fun isStalled(nowMillis: Long): Boolean = pending.route.resumable &&
         nowMillis - lastEventMillis >= silenceMillis && !progress.hasActivitySince(lastEventMillis + 1)
 
-    private suspend fun deliver(head: CallerResponseHead, events: List<StreamEvent>) {
-        if (events.isEmpty()) return
-        progress.recordEvents(events.size)
-        val progressed = events.any { it.id != null }
+    private suspend fun deliver(head: CallerResponseHead, batch: EventBatch) {
+        if (batch.bytes.isEmpty()) return
+        if (batch.count > 0) {
+            progress.recordEvents(batch.count)
+            progress.prefillDone()
+        }
+        val progressed = batch.lastId != null
         if (progressed) progress.recordActivity(clock.nowMillis())
-        progress.prefillDone()
-        // Before its first event an endpoint may send bytes that only keep the connection open.
         if (progressed || !pending.streamStarted) exchange.handover.takeOver()
         if (!pending.streamStarted) {
             context.speeds.firstEvent(pending, exchange)
@@ -105,9 +110,8 @@
             pending.streamStarted = true
             pending.firstByteMillis = clock.nowMillis()
         }
-        val bytes = events.map { it.bytes }.reduce(ByteArray::plus)
-        events.lastOrNull { it.id != null }?.let { pending.lastEventId = it.id }
-        writer.writePart(bytes)
+        batch.lastId?.let { pending.lastEventId = it }
+        writer.writePart(batch.bytes)
         // Time in which the caller did not read is no silence of the endpoint.
         if (progressed) {
             lastEventMillis = clock.nowMillis()
@@ -119,21 +123,24 @@
         exchange.handover.takeOver()
         progress.complete = true
         if (!pending.streamStarted) writer.startStream(head)
+        writer.writePart(splitter.takeKept())
         writer.endStream()
         return AttemptResult.Delivered(head.status)
     }
 
     /**
-     * Whether [event] has not been relayed yet. Ids increase, and an endpoint that resumes a stream may repeat events.
+     * Whether the event with [id] has not been relayed yet. Ids increase, and an endpoint that resumes a stream may
+     * repeat events.
      */
-    private fun isNew(event: StreamEvent): Boolean {
+    private fun isNew(id: String?): Boolean {
         val last = pending.lastEventId?.toLongOrNull()
-        val id = event.id?.toLongOrNull()
-        return !pending.streamStarted || last == null || id == null || id > last
+        val number = id?.toLongOrNull()
+        return !pending.streamStarted || last == null || number == null || number > last
     }
 
     private companion object {
-        // Events hold a few tokens, so a larger one is taken to be endless.
+        // Events hold a few tokens, so a larger one is taken to be endless, and so are as many bytes without an event:
+        // a comment every second for the longest time limit has a hundredth of that.
         const val MAX_EVENT_BYTES = 262_144
     }
 }
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/EndlessBytesTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/EndlessBytesTest.kt
@@ -56,6 +56,22 @@
         it.sendForever(chunk(": a\n\n".repeat(1_000)))
     }
 
+    @Test
+    fun `a stream of empty lines`() = survives(kind = RequestKind.STREAM, fields = EVENTS) {
+        it.sendForever(chunk("\n".repeat(8_192)))
+    }
+
+    @Test
+    fun `a stream of empty lines after an event`() = survives(kind = RequestKind.STREAM, fields = EVENTS) {
+        it.send(chunk("id: 1\ndata: a\n\n"))
+        it.sendForever(chunk("\n".repeat(8_192)))
+    }
+
+    @Test
+    fun `a stream of the smallest events`() = survives(kind = RequestKind.STREAM, fields = EVENTS) {
+        it.sendForever(chunk("data:\n\n".repeat(1_000)))
+    }
+
     /**
      * Asserts that each of [CALLERS] callers gets an answer or a refusal, and that another service is served all the
      * time, when [endpoints] endpoints send a sealed head with [status] and [fields] and then run [script].
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/MisbehavingEndpointTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/MisbehavingEndpointTest.kt
@@ -1,6 +1,8 @@
 package org.parsleymoor.entry
 
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
 import org.parsleymoor.relay.routing.RequestKind
 import strikt.api.expectThat
 import strikt.assertions.contains
@@ -95,6 +97,56 @@
         expectThat(endpoint.connectionEnded.await(1, TimeUnit.SECONDS)).isTrue()
     }
 
+    // Otherwise the stream is relayed at full speed until its deadline, and is never resumed.
+    @ParameterizedTest
+    @ValueSource(strings = ["\n", "\r\n", ": a\n\n"])
+    fun `resumes a stream at another endpoint when one sends bytes without events without end`(block: String) {
+        val script = { socket: Socket, _: Int, request: String ->
+            if (request.contains("Last-Event-Id: 1")) {
+                socket.send(STREAM_HEAD + chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n")
+            } else {
+                socket.send(STREAM_HEAD + chunk("id: 1\ndata: a\n\n"))
+                socket.sendForever(chunk(block.repeat(4_096)))
+            }
+        }
+        val harness = RelayHarness(
+            ScriptedEndpoint(script),
+            ScriptedEndpoint(script),
+            kind = RequestKind.STREAM,
+            resumable = true,
+            timeoutMillis = 5_000,
+        )
+        harness.use {
+            val response = it.exchange(request(waitMillis = 5_000))
+            expectThat(response).contains("data: a").contains("data: b").endsWith("0\r\n\r\n")
+            expectThat(it.logged("response.oversized").single()).contains("without an event")
+            expectThat(it.metrics.prometheusText())
+                .contains("parsleymoor_responses_oversized_total{reason=\"without_events\"} 1")
+        }
+    }
+
+    // Guards against a bound that cuts off an endpoint that only keeps its connection open.
+    @Test
+    fun `relays a stream whose endpoint sends a comment every few milliseconds between its events`() {
+        val comments = chunk(": keep-alive\n\n".repeat(10))
+        val endpoint = ScriptedEndpoint { socket, _, _ ->
+            socket.send(STREAM_HEAD)
+            repeat(3) { number ->
+                repeat(50) {
+                    socket.send(comments)
+                    Thread.sleep(5)
+                }
+                socket.send(chunk("id: ${number + 1}\ndata: $number\n\n"))
+            }
+            socket.send("0\r\n\r\n")
+        }
+        val harness = RelayHarness(endpoint, kind = RequestKind.STREAM, resumable = true, timeoutMillis = 10_000)
+        val response = harness.use { it.exchange(request(waitMillis = 10_000)) }
+        expectThat(Regex("data: (\\d)").findAll(response).count()).isEqualTo(3)
+        expectThat(Regex(": keep-alive").findAll(response).count()).isEqualTo(1_500)
+        expectThat(response).endsWith("0\r\n\r\n")
+    }
+
     // The deadline was looked at only while nothing arrived.
     @Test
     fun `ends a stream at its deadline when events that were relayed already are repeated without end`() {
