Follow one set of configurations in each send of a request

Cause: the cache namespace took the isolation from the organisation of the accepted request and the isolation tag from the configuration in force. Regions were those of the accepted request alone, so that a retry could go to a region that had been taken away meanwhile.

Change: SendScope holds what may change during a request. It is computed in one place with each choice of an endpoint: isolation and regions bind by both configurations, the tag is that in force, and an organisation that no longer exists counts as isolated. If the scope differs when the request is about to be written, nothing is sent and another choice is made. A log line and a metric tell of requests that are sent again in another scope.

SendScopeTest tries all pairs of sends of two organisations: they share a namespace only if neither is isolated in any configuration of the two.

--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/routing/RouteTable.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/routing/RouteTable.kt
@@ -1,5 +1,6 @@
 package org.parsleymoor.relay.routing
 
+import org.parsleymoor.core.OrganisationId
 import org.parsleymoor.core.sha256Hex
 
 /** Looks up the routes and organisations of one [configuration]. */
@@ -7,6 +8,8 @@
     private val routesByHost = configuration.routes
         .groupBy { it.host.lowercase() }
         .mapValues { (_, routes) -> routes.sortedByDescending { it.pathPrefix.length } }
+    private val routesByName = configuration.routes.associateBy { it.name }
+    private val organisationsById = configuration.organisations.orEmpty().associateBy { it.id }
     private val organisationsByKey =
         configuration.organisations.orEmpty().flatMap { owner -> owner.keys.map { it to owner } }.toMap()
 
@@ -22,6 +25,12 @@
     public fun route(host: String, path: String): Route? =
         routesByHost[host.substringBefore(':').lowercase()]?.firstOrNull { path.startsWith(it.pathPrefix) }
 
+    /** Returns the route called [name]. */
+    public fun routeNamed(name: String): Route? = routesByName[name]
+
+    /** Returns the organisation [id]. */
+    public fun organisation(id: OrganisationId): Organisation? = organisationsById[id]
+
     /** Returns the organisation with the API key [key]. */
     public fun organisation(key: String): Organisation? = organisationsByKey[key]
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryMetrics.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryMetrics.kt
@@ -55,6 +55,7 @@
     public val attempts: Counter = Counter()
     public val partsQuarantined: Counter = Counter()
     public val requestsQuarantined: Counter = Counter()
+    public val scopeChanges: Counter = Counter()
     public val storeRestores: Counter = Counter()
     public val endpointPauses: Counter = Counter()
     public val endpointLimits: Counter = Counter()
@@ -138,6 +139,7 @@
             "parsleymoor_attempts_total ${attempts.count}",
             "parsleymoor_prompt_parts_quarantined_total ${partsQuarantined.count}",
             "parsleymoor_requests_quarantined_total ${requestsQuarantined.count}",
+            "parsleymoor_request_scope_changes_total ${scopeChanges.count}",
             "parsleymoor_store_restores_total ${storeRestores.count}",
             "parsleymoor_endpoint_pauses_total ${endpointPauses.count}",
             "parsleymoor_endpoint_limits_total ${endpointLimits.count}",
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/Attempt.kt
@@ -34,7 +34,9 @@
         LimitRecorder(context.deployment, context.log, context.metrics, context.clock),
         stateUpdater,
     )
+    val deployment = context.deployment
     val endpoints = context.deployment.endpoints
+    val scopes = ScopeRecorder(context.log, context.metrics)
     val speeds = SpeedRecorder(context.deployment, context.lag, context.log, context.metrics, context.clock)
 }
 
@@ -65,6 +67,9 @@
             // It may have announced that after it was chosen.
             context.endpoints.isLeaving(progress.incarnation) -> "the endpoint leaves"
             context.endpoints.isPaused(progress.incarnation, clock.nowMillis()) -> "the endpoint asked for a pause"
+            // Its cache namespace and region were chosen for the former configuration.
+            target.scope != context.deployment.sendScope(pending) ->
+                "the configuration changed after the endpoint was chosen"
             !context.endpoints.limits.tryTake(state, clock.nowMillis()) -> "the endpoint's limit is used up"
             else -> null
         }
@@ -75,6 +80,7 @@
         progress.sent = true
         progress.waitsForSlot = state.estimatedRequests(sentMillis) > state.entry.slots
         pending.sendCount++
+        context.scopes.sent(pending, target)
         exchange.handover.requestSent(pending.maxOverlapMillis) { state.showsLifeSince(sentMillis) }
         connection.send(pending.identity, head, pending.request.body)
         context.endpoints.pauses.requestSent(progress.incarnation, sentMillis)
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/CacheTransferPlanner.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/CacheTransferPlanner.kt
@@ -21,10 +21,10 @@
 ) {
     private val storeChoice = CacheStoreSelector(topology, deployment.stores)
 
-    /** Returns the stores that hold the longest shared part of [prompt] in [namespace] and may serve [pending]. */
-    fun holders(pending: PendingRequest, prompt: PromptContext, namespace: String): List<CacheStore> =
+    /** Returns the stores that hold the longest shared part of [prompt] in [namespace] and may serve [scope]. */
+    fun holders(scope: SendScope, prompt: PromptContext, namespace: String): List<CacheStore> =
         prompt.sharedParts.lastOrNull()
-            ?.let { storeChoice.holders(it, namespace, deployment.cacheStores, pending.allowedRegions) }.orEmpty()
+            ?.let { storeChoice.holders(it, namespace, deployment.cacheStores, scope.allowedRegions) }.orEmpty()
 
     /**
      * Estimates the shortest time to fetch the longest shared part of [prompt] from one of [holders]; null without any.
@@ -35,40 +35,40 @@
     }
 
     /**
-     * Plans the transfers for [pending] at the engine that [side] describes. An engine of the same region that probably
-     * has the shared parts cached, [cachedAt], is the source of those that no store offers.
+     * Plans the transfers for a send in [scope] at the engine that [side] describes. An engine of the same region that
+     * probably has the shared parts cached, [cachedAt], is the source of those that no store offers.
      */
     fun plan(
-        pending: PendingRequest,
+        scope: SendScope,
         prompt: PromptContext,
         side: EngineCache,
         cachedAt: EndpointState?,
     ): CacheTransfer {
         val stores = deployment.cacheStores
         val neighbour = cachedAt?.takeIf { topology.distance(it.entry.zone, side.zone) != Distance.OTHER_REGION }
-        val stored = prompt.sharedParts.map { source(pending, it, side, stores) }
+        val stored = prompt.sharedParts.map { source(scope, it, side, stores) }
         val sources = stored.map { it ?: neighbour?.entry?.address }
         val fetched = prompt.sharedParts.zip(stored).filter { it.second != null }.sumOf { it.first.tokens }
-        val targets = prompt.sharedParts.map { target(pending, prompt, it, side, stores) }
+        val targets = prompt.sharedParts.map { target(scope, prompt, it, side, stores) }
         val privateParts = prompt.parts.size - prompt.sharedParts.size
         return CacheTransfer(toFieldValue(sources, privateParts), toFieldValue(targets, privateParts), fetched)
     }
 
     private fun source(
-        pending: PendingRequest,
+        scope: SendScope,
         part: PromptPart,
         side: EngineCache,
         stores: List<CacheStore>,
-    ): SocketAddress? = storeChoice.fetchSource(part, side, stores, pending.allowedRegions)
+    ): SocketAddress? = storeChoice.fetchSource(part, side, stores, scope.allowedRegions)
         ?.takeIf { mayTransfer(it, side, part, saving = false) }?.address
 
     private fun target(
-        pending: PendingRequest,
+        scope: SendScope,
         prompt: PromptContext,
         part: PromptPart,
         side: EngineCache,
         stores: List<CacheStore>,
-    ): SocketAddress? = storeChoice.saveTarget(part, prompt, side, stores, pending.allowedRegions)
+    ): SocketAddress? = storeChoice.saveTarget(part, prompt, side, stores, scope.allowedRegions)
         ?.takeIf { mayTransfer(it, side, part, saving = true) }?.address
 
     private fun mayTransfer(store: CacheStore, side: EngineCache, part: PromptPart, saving: Boolean): Boolean =
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/EndpointRequestBuilder.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/EndpointRequestBuilder.kt
@@ -23,9 +23,10 @@
 /** Number of [tokens] that an engine has to prefill for a prompt whose shared parts are identified by [context]. */
 internal class PlannedPrefill(val tokens: Long, val context: ContextKey)
 
-/** The [place] chosen for a request, and the weights, cache contents and prefill expected there. */
+/** The [place] chosen for a send in [scope], and the weights, cache contents and prefill expected there. */
 internal class Target(
     val place: PlacementResult.Selected,
+    val scope: SendScope,
     val weights: Long? = null,
     val namespace: String? = null,
     val transfer: CacheTransfer = CacheTransfer(),
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/EndpointSelector.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/EndpointSelector.kt
@@ -16,7 +16,6 @@
 import org.parsleymoor.relay.placement.ServicePlacement
 import org.parsleymoor.relay.placement.Topology
 import org.parsleymoor.relay.placement.UnavailableReason
-import org.parsleymoor.relay.prompt.PromptContext
 import org.parsleymoor.relay.release.choices
 
 /** Outcome of choosing an endpoint. */
@@ -63,10 +62,11 @@
     /** Skips a cold endpoint once this instance's share of its limit is used up. */
     private fun chooseUntried(pending: PendingRequest, accepts: (EndpointState) -> Boolean): Choice {
         val nowMillis = clock.nowMillis()
+        val scope = deployment.sendScope(pending)
         val excluded = HashSet(pending.tried)
         while (true) {
-            val request = pending.placeRequest(nowMillis).copy(tried = excluded, accepts = accepts)
-            val choice = choose(request, pending.prompt, pending, nowMillis)
+            val request = pending.placeRequest(scope, nowMillis).copy(tried = excluded, accepts = accepts)
+            val choice = choose(request, pending, scope, nowMillis)
             val endpoint = (choice as? Choice.Chosen)?.target?.endpoint ?: return choice.orColdLimit(excluded, pending)
             if (withinColdLimit(pending, endpoint, nowMillis)) return choice
             excluded += endpoint.entry.id
@@ -84,9 +84,10 @@
         val nowMillis = clock.nowMillis()
         val cold = deployment.endpoints.all.filter { it.isCold(nowMillis) }.map { it.entry.id }
         val accepts = deployment.releases.choices(pending.service.name, toTarget = false, nowMillis).first()
-        val request = pending.placeRequest(nowMillis)
+        val scope = deployment.sendScope(pending)
+        val request = pending.placeRequest(scope, nowMillis)
             .copy(tried = tried + cold, isRetry = false, isSuccessor = true, accepts = accepts)
-        return (choose(request, pending.prompt, pending, nowMillis) as? Choice.Chosen)?.target
+        return (choose(request, pending, scope, nowMillis) as? Choice.Chosen)?.target
     }
 
     /**
@@ -95,8 +96,9 @@
      */
     fun allPausedOrLimited(pending: PendingRequest): Choice.None? {
         val nowMillis = clock.nowMillis()
+        val scope = deployment.sendScope(pending)
         val endpoints = deployment.endpoints.serving(pending.service.name).filter { state ->
-            pending.allowedRegions.all { topology.isAllowed(state.entry.zone, it) }
+            scope.allowedRegions.all { topology.isAllowed(state.entry.zone, it) }
         }
         val untried = endpoints.filter { it.entry.id !in pending.tried }
         return deployment.endpoints.shortestPauseMillis(endpoints, nowMillis)
@@ -107,17 +109,18 @@
 
     private fun choose(
         request: PlacementQuery,
-        prompt: PromptContext?,
         pending: PendingRequest,
+        scope: SendScope,
         nowMillis: Long,
     ): Choice {
+        val prompt = pending.prompt
         if (prompt == null || pending.service.engine == null) {
             return when (val place = services.choose(request, deployment.endpoints, nowMillis)) {
-                is PlacementResult.Selected -> Choice.Chosen(Target(place))
+                is PlacementResult.Selected -> Choice.Chosen(Target(place, scope))
                 is PlacementResult.Unavailable -> Choice.None(place.reason, place.retryAfterMillis)
             }
         }
-        val cacheInfo = PromptCacheInfo(pending, prompt, deployment, transfers)
+        val cacheInfo = PromptCacheInfo(prompt, scope, pending, deployment, transfers)
         // A stream that has begun goes wherever it is continued soonest.
         val withTerms =
             if (request.hasBegun) request else request.copy(spillover = spillover.terms(request.service, nowMillis))
@@ -154,10 +157,11 @@
     ): Target {
         val side = cacheInfo.side(place.endpoint)
         val untilMillis = nowMillis + place.estimateMillis.toLong() + FETCH_SLACK_MILLIS
-        val transfer = transfers.plan(cacheInfo.pending, cacheInfo.prompt, side, enginePlace.cachedAt)
+        val transfer = transfers.plan(cacheInfo.scope, cacheInfo.prompt, side, enginePlace.cachedAt)
             .copy(fetchDeadlineMillis = deployment.engineClock.at(untilMillis))
         return Target(
             place = place,
+            scope = cacheInfo.scope,
             weights = enginePlace.weights,
             namespace = side.namespace,
             transfer = transfer,
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/PendingRequest.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/PendingRequest.kt
@@ -1,7 +1,6 @@
 package org.parsleymoor.entry.serving
 
 import org.parsleymoor.core.EndpointId
-import org.parsleymoor.core.RegionId
 import org.parsleymoor.core.RequestId
 import org.parsleymoor.entry.callers.CallerRequest
 import org.parsleymoor.relay.admission.admissionRank
@@ -80,6 +79,9 @@
     /** Number of times the request was sent to an endpoint. */
     var sendCount = 0
 
+    /** Scope of the last send, or null before the first. */
+    var sentScope: SendScope? = null
+
     /** Number of attempts in which the request ran or may have run. */
     var possibleRuns = 0
 
@@ -124,14 +126,10 @@
     /** Rank of the request where not all can be admitted; the least goes first. */
     val rank: Int get() = admissionRank(urgency, route.priority)
 
-    /** The sets of regions to which the route and the organisation restrict the request; it has to satisfy each. */
-    val allowedRegions: List<Set<RegionId>>
-        get() = listOf(route.allowedRegions, organisation?.allowedRegions.orEmpty()).filter { it.isNotEmpty() }
-
-    /** Describes the request for placement at [nowMillis]. */
-    fun placeRequest(nowMillis: Long): PlacementQuery = PlacementQuery(
+    /** Describes the request, which is to be sent in [scope], for placement at [nowMillis]. */
+    fun placeRequest(scope: SendScope, nowMillis: Long): PlacementQuery = PlacementQuery(
         service = service.name,
-        allowedRegions = allowedRegions,
+        allowedRegions = scope.allowedRegions,
         tried = tried,
         remainingMillis = deadlineMillis - nowMillis,
         objectiveMillis = route.objectiveMillis,
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/PromptCacheInfo.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/PromptCacheInfo.kt
@@ -8,16 +8,18 @@
 import org.parsleymoor.relay.prompt.cacheNamespace
 
 /**
- * Cache namespace, context key and stores of [prompt] for each candidate engine. They depend only on the engine's
- * weights, so they are computed once per version of the weights and not once per engine.
+ * Cache namespace, context key and stores of [prompt], sent in [scope], for each candidate engine. They depend only on
+ * the engine's weights, so they are computed once per version of the weights and not once per engine.
  */
 internal class PromptCacheInfo(
-    val pending: PendingRequest,
     val prompt: PromptContext,
+    val scope: SendScope,
+    pending: PendingRequest,
     private val deployment: DeploymentView,
     private val transfers: CacheTransferPlanner,
 ) {
     private val versions = HashMap<Long, VersionInfo>()
+    private val organisation = pending.organisation?.id
     private val tokenBytes = pending.service.engine?.tokenBytes ?: 1
 
     /** Returns the key of the shared parts of the prompt in the cache of [state]. */
@@ -42,17 +44,14 @@
             VersionInfo(
                 namespace = namespace,
                 context = ContextKey.of(namespace, prompt.affinityKey),
-                holders = transfers.holders(pending, prompt, namespace),
+                holders = transfers.holders(scope, prompt, namespace),
                 current = weights >= (deployment.weights[prompt.model]?.version ?: 0),
             )
         }
     }
 
-    private fun namespace(weights: Long): String {
-        val isolationSuffix = deployment.routes?.isolationTag.orEmpty()
-        val organisation = pending.organisation
-        return cacheNamespace(prompt.model, weights, organisation?.id, organisation?.isolated == true) + isolationSuffix
-    }
+    private fun namespace(weights: Long): String =
+        cacheNamespace(prompt.model, weights, organisation, scope.isolated) + scope.isolationTag
 
     private class VersionInfo(
         val namespace: String,
