Bound what a received message takes when it is decoded

What callers saw: a report of an engine with 4 MB of wrong values ends the instance that asked for it, and all its requests.

Cause: messages were bounded in bytes and depth, not in the number of values. A value of two bytes takes some 76 in a JSON tree: 150 MB in a heap of 96 MB. Responses also left their account before they were decoded, so that those of many endpoints could be decoded together.

Change: each kind of message has a bound that is taken from the largest legal one and checked before decoding: bytes of a report or a status, values of an object, rows of a list, items of a peer's frame. A response of an engine or a cache is decoded while it is in its account. What is refused is logged and counted by reason, and the engine counts as one that did not answer.

--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/FrameCodec.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/FrameCodec.kt
@@ -13,9 +13,12 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
 
-/** Encodes and decodes frames: a four-byte length, at most [limitBytes], followed by a message in CBOR. */
+/**
+ * Encodes and decodes frames: a four-byte length, at most [limitBytes], followed by a message in CBOR of at most
+ * [limitItems] items.
+ */
 @OptIn(ExperimentalSerializationApi::class)
-internal class FrameCodec(private val limitBytes: Int) {
+internal class FrameCodec(private val limitBytes: Int, private val limitItems: Int = MAX_ITEMS) {
     private val cbor = Cbor { ignoreUnknownKeys = true }
 
     fun encode(message: PeerMessage): Result<ByteArray, PeerFailure> {
@@ -38,10 +41,16 @@
 
     // Depending on where decoding stops, malformed input raises either of the two exceptions.
     private fun decode(bytes: ByteArray): Result<PeerMessage, PeerFailure> = try {
+        require(hasAtMostCborItems(bytes, limitItems)) { "expected at most $limitItems items" }
         Ok(cbor.decodeFromByteArray(PeerMessage.serializer(), bytes))
     } catch (cause: SerializationException) {
         Err(PeerFailure.UndecodableFrame(bytes.size, cause.toString()))
     } catch (cause: IllegalArgumentException) {
         Err(PeerFailure.UndecodableFrame(bytes.size, cause.toString()))
     }
+
+    private companion object {
+        // The contents of the largest cache have four items for each of up to 100,000 parts.
+        const val MAX_ITEMS = 524_288
+    }
 }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
@@ -36,6 +36,7 @@
 import org.parsleymoor.entry.control.OrderLease
 import org.parsleymoor.entry.control.PeerContext
 import org.parsleymoor.entry.control.Peers
+import org.parsleymoor.entry.control.RejectedResponseLog
 import org.parsleymoor.entry.control.ReleaseListener
 import org.parsleymoor.entry.control.ReleaseLog
 import org.parsleymoor.entry.control.ReleaseLoop
@@ -176,7 +177,8 @@
         loops.start("housekeeping") { housekeeping() }
         loops.start("exchange") {
             order.awaitCalm()
-            val context = ControlContext(deployment, membership, controlClient, protocol.engines, runtime)
+            val rejected = RejectedResponseLog(log, metrics, clock)
+            val context = ControlContext(deployment, membership, controlClient, protocol.engines, runtime, rejected)
             val peers = Peers(PeerContext(settings, deployment, membership, era, runtime), incarnation, dispatcher)
             ExchangeLoops(context, peers, lease).start(loops, watches)
             if (settings.exposure != null) {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryMetrics.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryMetrics.kt
@@ -56,6 +56,7 @@
     public val partsQuarantined: Counter = Counter()
     public val requestsQuarantined: Counter = Counter()
     public val scopeChanges: Counter = Counter()
+    public val rejectedResponses: ReasonCounter<RejectionReason> = ReasonCounter(RejectionReason.entries)
     public val storeRestores: Counter = Counter()
     public val endpointPauses: Counter = Counter()
     public val endpointLimits: Counter = Counter()
@@ -151,6 +152,7 @@
         val tooLarge = oversized.map { (fault, counter) ->
             "parsleymoor_responses_oversized_total{reason=\"${fault.name.lowercase()}\"} ${counter.count}"
         }
+        val rejected = rejectedResponses.prometheusLines("parsleymoor_control_responses_rejected_total")
         val closed = closures.map { (reason, counter) ->
             "parsleymoor_caller_connections_closed_total{reason=\"${reason.name.lowercase()}\"} ${counter.count}"
         }
@@ -170,7 +172,8 @@
             "parsleymoor_releases_ended_total{state=\"${state.name.lowercase()}\"} ${counter.count}"
         }
         val durations = latency.prometheusText("parsleymoor_request_duration_milliseconds")
-        return (lines + refused + cutOff + tooLarge + closed + failed + left + sentTo + answered + ended + durations)
-            .joinToString("\n") + "\n"
+        val responses = cutOff + tooLarge + rejected
+        val counted = lines + refused + responses + closed + failed + left + sentTo + answered + ended
+        return (counted + durations).joinToString("\n") + "\n"
     }
 }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/ControlClient.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/ControlClient.kt
@@ -12,6 +12,7 @@
 import org.parsleymoor.relay.http.HeaderField
 import org.parsleymoor.relay.http.HeaderFields
 import org.parsleymoor.relay.http.HeldBody
+import org.parsleymoor.relay.http.MessageFailure
 import org.parsleymoor.relay.http.ResponseHead
 import org.parsleymoor.relay.limits.HeldBytes
 
@@ -25,8 +26,10 @@
         override val message: String get() = cause.message
     }
 
-    /** The request was sent and may have been carried out. */
-    data class Unanswered(override val message: String) : CallFailure
+    /** The request was sent and may have been carried out. [fault] is what was wrong with the response, if any came. */
+    data class Unanswered(override val message: String, val fault: MessageFailure? = null) : CallFailure {
+        constructor(fault: MessageFailure) : this(fault.message, fault)
+    }
 }
 
 /** Sends control requests to the object store, engines and KV cache stores, each with its own timeout. */
@@ -40,16 +43,27 @@
         address: SocketAddress,
         request: ControlRequest,
         timeoutMillis: Long,
-    ): Result<ControlResponse, CallFailure> {
+    ): Result<ControlResponse, CallFailure> = call(address, request, timeoutMillis) { it }
+
+    /**
+     * Sends [request] and returns what [read] makes of the response. The response is still in the account of held
+     * bytes meanwhile, so that the responses of many endpoints are not decoded together.
+     */
+    suspend fun <T> call(
+        address: SocketAddress,
+        request: ControlRequest,
+        timeoutMillis: Long,
+        read: (ControlResponse) -> T,
+    ): Result<T, CallFailure> {
         val connection = pool.takeIdle(address)
             ?: pool.connect(address, MAX_CONNECTIONS, minOf(timeoutMillis, CONNECT_MILLIS))
                 .getOrElse { return Err(CallFailure.NotSent(it)) }
         val onHead = observer.sent(address, request)
-        var response: Result<ControlResponse, CallFailure>? = null
+        var response: Result<T, CallFailure>? = null
         val body = HeldBody(held)
         try {
             connection.send(message(head(address, request), request.body.orEmpty().encodeToByteArray()))
-            response = withTimeoutOrNull(timeoutMillis) { receive(connection, request, body, onHead) }
+            response = withTimeoutOrNull(timeoutMillis) { receive(connection, request, body, onHead).map(read) }
         } finally {
             body.release()
             if (response?.isOk == true) pool.release(connection, null) else connection.abort()
@@ -64,12 +78,12 @@
         onHead: (ResponseHead) -> Unit,
     ): Result<ControlResponse, CallFailure> {
         val response = connection.readResponse(request.method)
-            .getOrElse { return Err(CallFailure.Unanswered(it.message)) }
+            .getOrElse { return Err(CallFailure.Unanswered(it)) }
         onHead(response.head)
         if (!response.head.keepsAlive) connection.noNewRequests = true
-        return connection.readBody(response, body)
+        return connection.readBody(response, body, request.maxResponseBytes)
             .map { ControlResponse(response.head.status, body.decodeToString(), response.head.headers) }
-            .mapError { CallFailure.Unanswered(it.message) }
+            .mapError { CallFailure.Unanswered(it) }
     }
 
     private fun head(address: SocketAddress, request: ControlRequest): ByteArray {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/EndpointConnection.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/net/EndpointConnection.kt
@@ -73,29 +73,34 @@
     }
 
     /**
-     * Suspends until the complete body of [response] has been added to [body]. Fails if it has more than
-     * [MAX_BODY_BYTES] or the account of [body] has no room for it.
+     * Suspends until the complete body of [response] has been added to [body]. Fails if it has more than [limitBytes]
+     * or the account of [body] has no room for it.
      */
-    suspend fun readBody(response: IncomingResponse, body: HeldBody): Result<Unit, MessageFailure> =
-        readBody(response, body::append)
+    suspend fun readBody(
+        response: IncomingResponse,
+        body: HeldBody,
+        limitBytes: Long = MAX_BODY_BYTES,
+    ): Result<Unit, MessageFailure> = readBody(response, limitBytes, body::append)
 
-    /** Reads and discards the body of [response], with the same limit. */
-    suspend fun discardBody(response: IncomingResponse): Result<Unit, MessageFailure> = readBody(response) { true }
+    /** Reads and discards the body of [response], with the limit [MAX_BODY_BYTES]. */
+    suspend fun discardBody(response: IncomingResponse): Result<Unit, MessageFailure> =
+        readBody(response, MAX_BODY_BYTES) { true }
 
     /** Calls [take] with each part of the body, until it returns that it has no room. */
     private suspend fun readBody(
         response: IncomingResponse,
+        limitBytes: Long,
         take: (ByteArray) -> Boolean,
     ): Result<Unit, MessageFailure> {
-        var bytes = (response.framing as? BodyFraming.Length)?.bytes?.takeIf { it > MAX_BODY_BYTES } ?: 0
+        var bytes = (response.framing as? BodyFraming.Length)?.bytes?.takeIf { it > limitBytes } ?: 0
         var room = true
-        while (response.decoder.progress == BodyProgress.INCOMPLETE && bytes <= MAX_BODY_BYTES && room) {
+        while (response.decoder.progress == BodyProgress.INCOMPLETE && bytes <= limitBytes && room) {
             val part = readPart(response)
             bytes += part.size
             room = take(part)
         }
         return when {
-            bytes > MAX_BODY_BYTES -> Err(MessageFailure.BODY_TOO_LARGE)
+            bytes > limitBytes -> Err(MessageFailure.BODY_TOO_LARGE)
             !room -> Err(MessageFailure.NO_ROOM)
             response.decoder.progress == BodyProgress.COMPLETE -> Ok(Unit)
             else -> Err(MessageFailure.ENDED_EARLY)
@@ -134,7 +139,7 @@
     private companion object {
         const val MAX_HEAD_BYTES = 32_768
 
-        // Four times the largest object in the object store. Responses of endpoints are hundreds of times smaller.
+        // Responses of endpoints to callers are hundreds of times smaller.
         const val MAX_BODY_BYTES = 4_194_304L
 
         // Endpoints may send a few interim responses while they process a request.
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/protocol/ServingProtocol.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/protocol/ServingProtocol.kt
@@ -12,13 +12,22 @@
 import org.parsleymoor.relay.release.StoredRelease
 import org.parsleymoor.relay.routing.ServingConfiguration
 
-/** A request to the object store, an engine or a KV cache store; [target] is path and query. */
+/**
+ * A request to the object store, an engine or a KV cache store; [target] is path and query. A response with a body of
+ * more than [maxResponseBytes] is not read.
+ */
 public class ControlRequest(
     public val method: String,
     public val target: String,
     public val body: String? = null,
     public val headers: Map<String, String> = emptyMap(),
-)
+    public val maxResponseBytes: Long = MAX_RESPONSE_BYTES,
+) {
+    public companion object {
+        /** Four times the largest object in the object store. */
+        public const val MAX_RESPONSE_BYTES: Long = 4_194_304
+    }
+}
 
 /** A message could not be decoded: [expected] was expected and [found] was read. */
 public data class DecodeFailure(public val expected: String, public val found: String) : Failure {
