Share one counter by reason between three metrics

Oversized responses, closed connections and rejected control responses were each counted by a map of counters and written by the same lines. ReasonCounter serves all three. No behaviour changes.

--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/stream/EventSplitter.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/stream/EventSplitter.kt
@@ -9,6 +9,8 @@
     // Blocks that are kept until the first event, up to blockStart, then the block that is still incomplete.
     private var buffer = EMPTY
     private var size = 0
+
+    // A block is what stands between two empty lines.
     private var blockStart = 0
     private var lineStart = 0
     private var isEvent = false
@@ -38,7 +40,7 @@
             if (isEmptyLine(index)) endBlock(index + 1, output, isNew) else readLine(index)
             lineStart = index + 1
         }
-        return if (hasBegun) take(output) else NOTHING.also { keep(output) }
+        return if (hasBegun) takeBatch(output) else NOTHING.also { closeGap(output) }
     }
 
     /** Returns the complete blocks that are still kept because no event has followed them. */
@@ -90,7 +92,7 @@
         idLine = null
     }
 
-    private fun take(output: Output): EventBatch {
+    private fun takeBatch(output: Output): EventBatch {
         if (blockStart == 0) return NOTHING
         val isWhole = output.end == size && size == buffer.size
         val batch = EventBatch(if (isWhole) buffer else buffer.copyOf(output.end), output.count, output.lastId)
@@ -99,7 +101,7 @@
     }
 
     /** Closes the gap that events left out of [output] leave before the incomplete block. */
-    private fun keep(output: Output) {
+    private fun closeGap(output: Output) {
         val gap = blockStart - output.end
         if (gap == 0) return
         buffer.copyInto(buffer, output.end, blockStart, size)
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryMetrics.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryMetrics.kt
@@ -76,22 +76,19 @@
         cutOffs.getValue(stage).increment()
     }
 
-    private val oversized = listOf(
-        MessageFailure.BODY_TOO_LARGE,
-        MessageFailure.NO_ROOM,
-        MessageFailure.WITHOUT_EVENTS,
-    ).associateWith { Counter() }
+    private val oversized =
+        ReasonCounter(listOf(MessageFailure.BODY_TOO_LARGE, MessageFailure.NO_ROOM, MessageFailure.WITHOUT_EVENTS))
 
     /** Counts a response that was given up because it is too large, as [fault] says. */
     public fun recordOversized(fault: MessageFailure) {
-        oversized.getValue(fault).increment()
+        oversized.increment(fault)
     }
 
-    private val closures = CloseReason.entries.associateWith { Counter() }
+    private val closures = ReasonCounter(CloseReason.entries)
 
     /** Counts a connection of a caller that was closed for [reason]. */
     public fun recordClosure(reason: CloseReason) {
-        closures.getValue(reason).increment()
+        closures.increment(reason)
     }
 
     private val loopFailures = sortedMapOf<String, Counter>()
@@ -149,13 +146,9 @@
         val cutOff = cutOffs.map { (stage, counter) ->
             "parsleymoor_responses_cut_off_total{stage=\"${stage.name.lowercase()}\"} ${counter.count}"
         }
-        val tooLarge = oversized.map { (fault, counter) ->
-            "parsleymoor_responses_oversized_total{reason=\"${fault.name.lowercase()}\"} ${counter.count}"
-        }
+        val tooLarge = oversized.prometheusLines("parsleymoor_responses_oversized_total")
         val rejected = rejectedResponses.prometheusLines("parsleymoor_control_responses_rejected_total")
-        val closed = closures.map { (reason, counter) ->
-            "parsleymoor_caller_connections_closed_total{reason=\"${reason.name.lowercase()}\"} ${counter.count}"
-        }
+        val closed = closures.prometheusLines("parsleymoor_caller_connections_closed_total")
         val failed = synchronized(loopFailures) {
             loopFailures.map { (name, counter) -> "parsleymoor_loop_failures_total{loop=\"$name\"} ${counter.count}" }
         }
