--- a/libraries/peering/src/test/kotlin/org/parsleymoor/peering/LargeFrameTest.kt
+++ b/libraries/peering/src/test/kotlin/org/parsleymoor/peering/LargeFrameTest.kt
@@ -24,7 +24,7 @@
     private val codec = FrameCodec(LIMIT_BYTES)
 
     @Test
-    fun `items are counted by their heads, also within each other and in unknown fields`() {
+    fun `items are counted by their heads, also within each other and when a string is cut off`() {
         val message: PeerMessage = contents(parts = 3)
         val frame = codec.encode(message).getOrThrow { AssertionError(it.message) }
         val items = (1..100).first { hasAtMostCborItems(frame, it) }
