--- a/review/harness-3/src/Case11.java
+++ b/review/harness-3/src/Case11.java
@@ -8,9 +8,14 @@
 final class Case11 {
     private static final int BODY_BYTES = 4_190_000;
     private static final int UPLOADERS = 6;
-    private static final int PAYERS = 40;
+    private static final int PAYERS = 20;
+    private static final int READERS = 40;
     private static final long UPLOADS_MILLIS = 60_000;
-    private static final long READ_ON_MILLIS = 30_000;
+    private static final long READ_ON_MILLIS = 45_000;
+    private static final long FIRST_EVENT_MILLIS = 1_500;
+
+    // A consumer abandons a stream without a first event after four times the objective.
+    private static final int FIRST_EVENT_LIMIT_MILLIS = 4_000;
     private static final int ALLOWED = 3;
 
     public static void main(String[] arguments) { Kit.run(arguments[0], Case11::test); }
@@ -43,6 +48,30 @@
         }
     }
 
+    /** Answers with a stream whose first event takes a while. */
+    private static final class DraftReplica extends Replica {
+        DraftReplica(Kit kit, String id) throws IOException { super(kit, id, "drafts", "tokaj-a"); }
+
+        @Override
+        boolean serve(Http.Message request, Arrival arrival, Socket socket, InputStream in, OutputStream out)
+            throws Exception {
+            Http.readBody(in, request, false);
+            Kit.sleep(FIRST_EVENT_MILLIS);
+            List<String> fields = new ArrayList<>(sealed(arrival));
+            fields.add("Content-Type: text/event-stream");
+            fields.add("Transfer-Encoding: chunked");
+            out.write(Http.head("HTTP/1.1 200 OK", fields));
+            for (int number = 1; number <= 3; number++) {
+                String event = "id: " + number + "\ndata: draft of " + arrival.id + "\n\n";
+                out.write((Integer.toHexString(event.length()) + "\r\n" + event + "\r\n").getBytes());
+            }
+            out.write("0\r\n\r\n".getBytes());
+            out.flush();
+            arrival.outcome = "answered";
+            return true;
+        }
+    }
+
     private static boolean test(Kit kit) throws Exception {
         Store store = new Store();
         List<Replica> replicas = new ArrayList<>();
@@ -53,10 +82,15 @@
             replica.workMillis = 200;
             payouts.add(replica);
         }
+        for (int number = 1; number <= 8; number++) payouts.add(new DraftReplica(kit, "i-drafts-" + number));
+        Map<String, Object> drafts = Kit.route("r-draft", "/draft/", "streaming", "drafts", 15_000, 1);
+        drafts.put("sloMs", 1_000);
+        drafts.put("gapTargetMs", 500);
+        drafts.put("resumable", false);
         store.put("config", "main", Kit.configuration(7,
             List.of(Kit.route("r-up", "/up/", "idempotent", "uploads", 1_000, 2),
-                Kit.route("r-pay", "/pay/", "non_idempotent", "payouts", 800, 1)),
-            List.of(Kit.service("uploads", 0, 0), Kit.service("payouts", 0, 0))));
+                Kit.route("r-pay", "/pay/", "non_idempotent", "payouts", 800, 1), drafts),
+            List.of(Kit.service("uploads", 0, 0), Kit.service("payouts", 0, 0), Kit.service("drafts", 0, 0))));
         for (Replica replica : replicas) replica.register(store, "ready", 0);
         for (Replica replica : payouts) replica.register(store, "ready", 0);
         Kit.Daemon daemon = kit.new Daemon("edge-tokaj-a-1", "tokaj-a");
@@ -70,7 +104,11 @@
         Map<String, String> paid = new ConcurrentHashMap<>();
         Set<String> kept = ConcurrentHashMap.newKeySet();
         for (int number = 0; number < PAYERS; number++) {
-            clients.add(Http.start("payer", () -> payer(kit, daemon, ended, paid, kept)));
+            clients.add(Http.start("payer", () -> consumer(kit, daemon, ended, paid, kept, "/pay/", 1_500, 1_500)));
+        }
+        for (int number = 0; number < READERS; number++) {
+            clients.add(Http.start("reader",
+                () -> consumer(kit, daemon, ended, paid, kept, "/draft/", 15_000, FIRST_EVENT_LIMIT_MILLIS)));
         }
         Kit.sleep(5_000);
         for (int number = 0; number < UPLOADERS; number++) {
@@ -94,10 +132,10 @@
                 String answer = paid.get(arrival.id);
                 if (answer == null || !answer.startsWith("channel ended") || !kept.contains(arrival.id)) continue;
                 lost++;
-                kit.note("payout " + arrival.id + " was passed on to " + replica.id + "; its client got: " + answer);
+                kit.note("request " + arrival.id + " was passed on to " + replica.id + "; its client got: " + answer);
             }
         }
-        kit.say("payouts: " + paid.size() + ", passed on from a kept channel that was then closed without an answer: " + lost);
+        kit.say("payouts and drafts: " + paid.size() + ", passed on from a kept channel that was then closed without an answer: " + lost);
         String log = daemon.log();
         kit.note("last lines of the log: " + log.substring(Math.max(0, log.length() - 800)));
         return lost > ALLOWED;
@@ -119,8 +157,9 @@
         }
     }
 
-    private static void payer(Kit kit, Kit.Daemon daemon, AtomicBoolean ended, Map<String, String> paid,
-        Set<String> kept) {
+    /** Sends requests on a kept channel; gives up after [limitMillis] without a part of the answer. */
+    private static void consumer(Kit kit, Kit.Daemon daemon, AtomicBoolean ended, Map<String, String> paid,
+        Set<String> kept, String path, int deadlineMillis, int limitMillis) {
         Http.Client client = null;
         int requests = 0;
         while (!ended.get()) {
@@ -131,15 +170,16 @@
                     requests = 0;
                 }
                 if (requests++ > 0) kept.add(id);
-                Http.Answer answer = client.call("POST", "/pay/" + id, Kit.fields(id, 1_500), "amount".getBytes(), 2_000);
+                Http.Answer answer =
+                    client.call("POST", path + id, Kit.fields(id, deadlineMillis), "amount".getBytes(), limitMillis);
                 paid.put(id, answer.show());
-                kit.note("payout " + id + ", answered " + answer.show() + " after " + answer.millis + " ms");
+                kit.note(path + id + ", answered " + answer.show() + " after " + answer.millis + " ms");
                 if (answer.failure != null || "close".equals(answer.message.field("connection"))) {
                     client.close();
                     client = null;
                 }
             } catch (IOException e) {
-                kit.note("payer could not connect: " + e.getMessage());
+                kit.note("consumer could not connect: " + e.getMessage());
                 client = null;
                 Kit.sleep(100);
             }
--- a/review/harness-3/src/Kit.java
+++ b/review/harness-3/src/Kit.java
@@ -34,9 +34,19 @@
         System.out.println(String.format("%8.3f %s", millis() / 1000.0, text));
     }
 
+    private static final Random PORTS = new Random();
+    private static final Set<Integer> TAKEN = new HashSet<>();
+
+    /** Returns a free port below those that the system gives to outgoing connections. */
     static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.getLocalPort();
+        while (true) {
+            int port = 12_000 + PORTS.nextInt(18_000);
+            if (!TAKEN.add(port)) continue;
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+                return socket.getLocalPort();
+            } catch (BindException e) {
+                // Another process has it.
+            }
         }
     }
 
