--- a/review/harness-3/src/Kit.java
+++ b/review/harness-3/src/Kit.java
@@ -7,9 +7,9 @@
 /** What the cases share: the record, free ports, the daemons, and what the operator writes. */
 final class Kit {
     static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
-    static final String HOST = "pule25.example";
-    static final String KEY = "nu6wsjnbanfqasnmgkcu";
-    static final String TENANT = "jeye930";
+    static final String HOST = "callers.example";
+    static final String KEY = "key-of-the-first-tenant";
+    static final String TENANT = "first-tenant";
 
     final Path folder;
     final Path temporary;
--- a/review/harness-3/src/Replica.java
+++ b/review/harness-3/src/Replica.java
@@ -68,7 +68,7 @@
     String load() { return "X-Parsleymoor-Server-Load: " + running.get() + ",0,6"; }
 
     List<String> sealed(Arrival arrival) {
-        return List.of("X-Parsleymoor-Attempt-Id: " + arrival.id, "X-Parsleymoor-Response-Seal: 3e1b.07.5a2.600.0." + arrival.id,
+        return List.of("X-Parsleymoor-Attempt-Id: " + arrival.id, "X-Parsleymoor-Response-Seal: seal-of-" + arrival.id,
             "X-Parsleymoor-Instance-Id: " + id, load(), "Keep-Alive: timeout=10");
     }
 
