Count only long outages of the endpoint list as outages

Cause: each failed call for the list of endpoints, such as a watch that was cut off, counted as an outage. The next answer began the two seconds in which missing entries are kept, before the changes of the same answer were applied, and each further failure began them again. A removed endpoint got requests until its process ended.

Change: an entry expires after three heartbeat intervals without renewal and was renewed at most one interval before an outage, so that only two intervals without a confirmation of the list let entries expire. ListOutages measures that; shorter interruptions neither begin nor extend the grace period, which counts from the confirmation itself. Failed calls, outages and kept endpoints are logged and counted apart.

EndpointTableTest stated an outage by one failed call without a length; it now states one of 8 s. What it expects is unchanged. LeavingNewsTest records a failed call, as before, under the new name.

--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointTable.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/fleet/EndpointTable.kt
@@ -7,18 +7,16 @@
 import org.parsleymoor.relay.speed.UsualTimes
 
 /**
- * The endpoints that this instance may send requests to. After an outage of the discovery list, missing entries are
- * kept for another [graceMillis], because endpoints whose entries expired meanwhile need that long to register again.
- * Not thread-safe.
+ * The endpoints that this instance may send requests to. Those whose entries may have expired in an outage of the
+ * discovery list stay in use until they have had time to register again. Not thread-safe.
  */
 public class EndpointTable(
     /** The limits that endpoints name on the requests of all instances together. */
     public val limits: EndpointLimits = EndpointLimits(InstanceId("alone")),
-    private val graceMillis: Long = 2_000,
+    /** The outages of the discovery list. */
+    public val outages: ListOutages = ListOutages(),
 ) {
     private val states = LinkedHashMap<EndpointId, EndpointState>()
-    private var listUnavailable = false
-    private var graceUntilMillis = Long.MIN_VALUE
     internal val leaving = LeavingEndpoints()
 
     /** The times that work usually takes at the endpoints of each service. */
@@ -39,22 +37,9 @@
     /** Returns the state of the endpoint [id], or null when it is unknown. */
     public operator fun get(id: EndpointId): EndpointState? = states[id]
 
-    /** Records that the discovery list cannot be read. */
-    public fun markListUnavailable() {
-        listUnavailable = true
-    }
-
-    /** Records that the discovery list was read or a watch on it answered; returns whether this ends an outage. */
-    public fun markListAvailable(nowMillis: Long): Boolean {
-        val outageEnded = listUnavailable
-        if (outageEnded) graceUntilMillis = nowMillis + graceMillis
-        listUnavailable = false
-        return outageEnded
-    }
-
     /** Records that the list comes back from an older copy, which may lack endpoints until they register again. */
     public fun restore(nowMillis: Long) {
-        graceUntilMillis = nowMillis + graceMillis
+        outages.keepMissing(nowMillis)
         restored.restore(states.values.map { it.entry })
     }
 
@@ -67,7 +52,7 @@
     /** Removes [id], which is no longer listed, unless it may register again; returns whether it was removed. */
     public fun remove(id: EndpointId, nowMillis: Long): Boolean {
         val state = states[id] ?: return false
-        val mayRegisterAgain = (listUnavailable || nowMillis < graceUntilMillis) && !state.entry.draining
+        val mayRegisterAgain = outages.mayHaveExpired(nowMillis) && !state.entry.draining
         if (mayRegisterAgain) {
             state.missingSinceMillis = state.missingSinceMillis ?: nowMillis
         } else {
@@ -79,7 +64,7 @@
 
     /** Removes and returns the endpoints that did not register again within the grace period. */
     public fun expire(nowMillis: Long): List<EndpointId> {
-        if (listUnavailable || nowMillis < graceUntilMillis) return emptyList()
+        if (outages.mayHaveExpired(nowMillis)) return emptyList()
         val expired = states.values.filter { it.missingSinceMillis != null }.map { it.entry }
         expired.forEach {
             states -= it.id
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/fleet/EndpointTableTest.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/fleet/EndpointTableTest.kt
@@ -14,7 +14,7 @@
 import strikt.assertions.isTrue
 
 class EndpointTableTest {
-    private val table = EndpointTable(graceMillis = 2_000).also { it.replaceAll(listOf(entry("one")), 0) }
+    private val table = EndpointTable().also { it.replaceAll(listOf(entry("one")), 0) }
 
     @Test
     fun `an entry that is removed while the discovery list is available is dropped at once`() {
@@ -25,8 +25,7 @@
     // Entries expire while the object store is unavailable; endpoints register again within two seconds of its return.
     @Test
     fun `an entry that is missing after an outage of the list is kept for the grace period and then dropped`() {
-        table.markListUnavailable()
-        table.markListAvailable(1_000)
+        endOutage(1_000)
         table.replaceAll(emptyList(), 1_000)
         expectThat(table.serving("engines")).hasSize(1)
         expectThat(table.expire(2_900)).isEmpty()
@@ -47,8 +46,7 @@
 
     @Test
     fun `an entry that registers again within the grace period stays`() {
-        table.markListUnavailable()
-        table.markListAvailable(1_000)
+        endOutage(1_000)
         table.replaceAll(emptyList(), 1_000)
         table.put(entry("one"), 2_000)
         expectThat(table.expire(5_000)).isEmpty()
@@ -59,7 +57,7 @@
     fun `a draining endpoint receives no requests and is not kept after an outage of the list`() {
         table.put(entry("one", draining = true), 10)
         expectThat(table.serving("engines")).isEmpty()
-        table.markListUnavailable()
+        endOutage(20)
         expectThat(table.remove(EndpointId("one"), 20)).isTrue()
     }
 
@@ -126,4 +124,11 @@
         state.recordOutcome(AttemptOutcome.SILENT, 1_800)
         expectThat(state.health.isEjected(3_700)).isTrue()
     }
+
+    /** Records an outage of the list of 8 s that ends at [atMillis]. */
+    private fun endOutage(atMillis: Long) {
+        table.outages.recordConfirmation(atMillis - 8_000)
+        table.outages.recordFailedCall()
+        table.outages.recordConfirmation(atMillis)
+    }
 }
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/fleet/LeavingEndpointsTest.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/fleet/LeavingEndpointsTest.kt
@@ -19,7 +19,7 @@
 /** What ends the belief that an endpoint leaves, and what does not. */
 class LeavingEndpointsTest {
     private val ready = entry("one").copy(startMillis = 1_000)
-    private val table = EndpointTable(graceMillis = 2_000).also { it.replaceAll(listOf(ready), 0) }
+    private val table = EndpointTable().also { it.replaceAll(listOf(ready), 0) }
     private val leaving = EngineIncarnation(ready.id, startMillis = 1_000)
 
     // Otherwise a `ready` entry, which the endpoint wrote before or goes on writing, brings it requests again.
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
@@ -75,6 +75,7 @@
 import org.parsleymoor.entry.serving.ShutdownState
 import org.parsleymoor.entry.serving.SpeedRecorder
 import org.parsleymoor.relay.exchange.Member
+import org.parsleymoor.relay.fleet.ListOutages
 import org.parsleymoor.relay.fleet.SocketAddress
 import org.parsleymoor.relay.fleet.expireLeaving
 import org.parsleymoor.relay.http.HttpStatus
@@ -109,8 +110,9 @@
 
     // Apart from callers and endpoints, which must not keep the store's responses out.
     private val heldByControl = HeldBytes(Runtime.getRuntime().maxMemory() / CONTROL_SHARE)
-    private val deployment = DeploymentView(settings.instance, settings.exposure)
-        .apply { memberZones = mapOf(self to settings.zone) }
+    private val deployment =
+        DeploymentView(settings.instance, settings.exposure, ListOutages(settings.times.heartbeatMillis))
+            .apply { memberZones = mapOf(self to settings.zone) }
     private val client = vertx.createNetClient(
         NetClientOptions().setTcpNoDelay(true).setConnectTimeout(CONNECT_MILLIS),
     )
@@ -162,7 +164,7 @@
         val lease = OrderLease(incarnation, store, scope, log, PauseDetector(clock), settings.times.leaseMillis)
         val policy = WatchPolicy(membership.tree, clock, settings.times.applyMillis)
         val runtime = ControlRuntime(scope, ticks, log, clock)
-        val watchContext = WatchContext(store, policy, runtime)
+        val watchContext = WatchContext(store, policy, runtime, metrics.storeFailedCalls)
         val watches = listeners().mapValues { (kind, listener) ->
             ObjectWatch(kind, watchContext, IsolatedListener(kind, listener, log))
         }
@@ -239,6 +241,7 @@
             log,
             clock,
             heartbeatMillis = settings.times.heartbeatMillis,
+            metrics = metrics.endpointList,
         ),
         ObjectKind.WEIGHTS to WeightsListener(deployment, protocol.content, log, clock),
         ObjectKind.EVACUATIONS to EvacuationListener(
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryMetrics.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryMetrics.kt
@@ -49,6 +49,15 @@
 /** How far a response has come: nothing has arrived, its head has, or events of a stream have. */
 public enum class ResponseStage { WAITING, RESPONDING, STREAMING }
 
+/** Counters of what outages of the discovery list bring about. */
+public class EndpointListMetrics {
+    /** Outages in which entries may have expired. */
+    public val outages: Counter = Counter()
+
+    /** Removals of entries that were not followed at once, because the entry may have expired in an outage. */
+    public val kept: Counter = Counter()
+}
+
 /** Counters and histograms of one entry daemon. */
 public class EntryMetrics {
     public val requests: Counter = Counter()
@@ -58,6 +67,8 @@
     public val scopeChanges: Counter = Counter()
     public val rejectedResponses: ReasonCounter<RejectionReason> = ReasonCounter(RejectionReason.entries)
     public val storeRestores: Counter = Counter()
+    public val storeFailedCalls: Counter = Counter()
+    public val endpointList: EndpointListMetrics = EndpointListMetrics()
     public val endpointPauses: Counter = Counter()
     public val endpointLimits: Counter = Counter()
     public val endpointSpeeds: Counter = Counter()
@@ -139,6 +150,9 @@
             "parsleymoor_requests_quarantined_total ${requestsQuarantined.count}",
             "parsleymoor_request_scope_changes_total ${scopeChanges.count}",
             "parsleymoor_store_restores_total ${storeRestores.count}",
+            "parsleymoor_store_failed_calls_total ${storeFailedCalls.count}",
+            "parsleymoor_endpoint_list_outages_total ${endpointList.outages.count}",
+            "parsleymoor_endpoints_kept_total ${endpointList.kept.count}",
             "parsleymoor_endpoint_pauses_total ${endpointPauses.count}",
             "parsleymoor_endpoint_limits_total ${endpointLimits.count}",
             "parsleymoor_endpoint_speeds_unusual_total ${endpointSpeeds.count}",
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/IsolatedListener.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/IsolatedListener.kt
@@ -15,12 +15,12 @@
     private val listener: ObjectListener,
     private val log: StructuredLog,
 ) : ObjectListener {
-    override fun onKnownCurrent() {
-        isolated(null) { listener.onKnownCurrent() }
+    override fun onKnownCurrent(atMillis: Long) {
+        isolated(null) { listener.onKnownCurrent(atMillis) }
     }
 
-    override fun onStoreUnreachable() {
-        isolated(null) { listener.onStoreUnreachable() }
+    override fun onCallFailed() {
+        isolated(null) { listener.onCallFailed() }
     }
 
     override fun onEra(era: Long) {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Listeners.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Listeners.kt
@@ -7,6 +7,7 @@
 import org.parsleymoor.core.EndpointId
 import org.parsleymoor.core.ModelId
 import org.parsleymoor.core.ZoneId
+import org.parsleymoor.entry.EndpointListMetrics
 import org.parsleymoor.entry.log.StructuredLog
 import org.parsleymoor.entry.protocol.ContentDecoder
 import org.parsleymoor.entry.protocol.ObjectChange
@@ -61,22 +62,29 @@
     private val log: StructuredLog,
     private val clock: Clock,
     private val heartbeatMillis: Long,
+    private val metrics: EndpointListMetrics = EndpointListMetrics(),
 ) : ObjectListener {
     private val restored = deployment.endpoints.restored
     private val positions = HashMap<String, StorePosition>()
     private var era: Long? = null
     private var listIsFromCopy = false
 
-    override fun onKnownCurrent() {
-        deployment.endpoints.markListAvailable(clock.nowMillis())
+    override fun onKnownCurrent(atMillis: Long) {
+        deployment.endpoints.outages.recordConfirmation(atMillis)?.let { outageMillis ->
+            metrics.outages.increment()
+            log.write("endpoints.outageEnded", always = true) {
+                put("outageMillis", outageMillis)
+                put("endMillis", atMillis)
+            }
+        }
         restored.release(clock.nowMillis()).forEach { entry ->
             deployment.endpoints.put(entry, clock.nowMillis())
             log.write("endpoint.released") { put("endpoint", entry.id.value) }
         }
     }
 
-    override fun onStoreUnreachable() {
-        deployment.endpoints.markListUnavailable()
+    override fun onCallFailed() {
+        deployment.endpoints.outages.recordFailedCall()
     }
 
     override fun onEra(era: Long) {
@@ -151,6 +159,7 @@
         restored.remove(EndpointId(name))
         if (deployment.endpoints[EndpointId(name)] == null) return
         val gone = deployment.endpoints.remove(EndpointId(name), clock.nowMillis())
+        if (!gone) metrics.kept.increment()
         log.write("endpoint.removed") {
             put("endpoint", name)
             put("gone", gone)
@@ -179,7 +188,7 @@
     private var confirmedMillis: Long? = null
     private var previouslyConfirmedMillis: Long? = null
 
-    override fun onKnownCurrent() {
+    override fun onKnownCurrent(atMillis: Long) {
         previouslyConfirmedMillis = confirmedMillis
         confirmedMillis = clock.nowMillis()
     }
@@ -238,7 +247,7 @@
     private var keptUntilMillis: Map<ZoneId, Long> = emptyMap()
     private var era: Long? = null
 
-    override fun onKnownCurrent() {
+    override fun onKnownCurrent(atMillis: Long) {
         update()
     }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectWatch.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectWatch.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.getOrElse
 import kotlinx.coroutines.delay
 import kotlinx.serialization.json.put
+import org.parsleymoor.entry.Counter
 import org.parsleymoor.entry.protocol.ObjectChange
 import org.parsleymoor.entry.protocol.ObjectKind
 import org.parsleymoor.entry.protocol.StorePosition
@@ -10,11 +11,14 @@
 
 /** Receives the objects and the changes that an [ObjectWatch] reads. */
 internal interface ObjectListener {
-    /** The objects were confirmed to be current; called before the changes that came with the confirmation. */
-    fun onKnownCurrent() = Unit
+    /**
+     * The objects were confirmed to be current at [atMillis], which is earlier than now when a peer says so; called
+     * before the changes that came with the confirmation.
+     */
+    fun onKnownCurrent(atMillis: Long) = Unit
 
-    /** The store does not respond. */
-    fun onStoreUnreachable() = Unit
+    /** A call of this instance, or of a peer that reports it, failed. Not each such call is part of an outage. */
+    fun onCallFailed() = Unit
 
     /** The objects that follow are of [era] of the store; called before its first list. */
     fun onEra(era: Long) = Unit
@@ -27,7 +31,12 @@
 }
 
 /** Dependencies shared by the watches of an instance. */
-internal class WatchContext(val store: ObjectStore, val policy: WatchPolicy, private val runtime: ControlRuntime) {
+internal class WatchContext(
+    val store: ObjectStore,
+    val policy: WatchPolicy,
+    private val runtime: ControlRuntime,
+    val failedCalls: Counter = Counter(),
+) {
     val ticks get() = runtime.ticks
     val log get() = runtime.log
     val clock get() = runtime.clock
@@ -169,6 +178,11 @@
     }
 
     private fun failed(reason: String) {
+        context.failedCalls.increment()
+        log.write("store.callFailed") {
+            put("kind", kind.name)
+            put("reason", reason)
+        }
         context.backoff.recordFailure()
         probeNext = true
         storeFailed(reason)
@@ -192,7 +206,7 @@
         }
         unreachableSinceMillis = null
         currentMillis = maxOf(currentMillis, atMillis)
-        listener.onKnownCurrent()
+        listener.onKnownCurrent(atMillis)
     }
 
     private fun storeFailed(reason: String) {
@@ -203,7 +217,7 @@
                 put("reason", reason)
             }
         }
-        listener.onStoreUnreachable()
+        listener.onCallFailed()
     }
 
     private companion object {
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ReleaseListener.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ReleaseListener.kt
@@ -18,7 +18,7 @@
     private val log: StructuredLog,
     private val clock: Clock,
 ) : ObjectListener {
-    override fun onKnownCurrent() {
+    override fun onKnownCurrent(atMillis: Long) {
         deployment.releases.markCurrent(clock.nowMillis())
     }
 
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/DeploymentView.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/DeploymentView.kt
@@ -13,6 +13,7 @@
 import org.parsleymoor.relay.fleet.EndpointLimits
 import org.parsleymoor.relay.fleet.EndpointState
 import org.parsleymoor.relay.fleet.EndpointTable
+import org.parsleymoor.relay.fleet.ListOutages
 import org.parsleymoor.relay.fleet.NamedLimit
 import org.parsleymoor.relay.fleet.SentPrompt
 import org.parsleymoor.relay.fleet.SocketAddress
@@ -25,8 +26,16 @@
 import org.parsleymoor.relay.routing.RouteTable
 import org.parsleymoor.relay.zones.ZoneDemands
 
-/** This instance's possibly outdated view of the deployment. Confined to the event loop. */
-internal class DeploymentView(val self: InstanceId, exposure: ExposureLimit? = null) {
+/**
+ * This instance's possibly outdated view of the deployment. Confined to the event loop.
+ *
+ * @param outages the outages of the list of endpoints
+ */
+internal class DeploymentView(
+    val self: InstanceId,
+    exposure: ExposureLimit? = null,
+    outages: ListOutages = ListOutages(),
+) {
     /** Routes of the newest configuration, or null before one has been read. */
     var routes: RouteTable? = null
         set(value) {
@@ -41,7 +50,7 @@
         private set
 
     /** The endpoints and their state. */
-    val endpoints = EndpointTable(EndpointLimits(self))
+    val endpoints = EndpointTable(EndpointLimits(self), outages)
 
     /** Whether the list of endpoints has been read. */
     var endpointsKnown = false
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/ControlLoopsTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/ControlLoopsTest.kt
@@ -176,7 +176,7 @@
         val names = LinkedHashSet<String>()
         var failures = 0
 
-        override fun onStoreUnreachable() {
+        override fun onCallFailed() {
             failures++
         }
 
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/LeavingNewsTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/LeavingNewsTest.kt
@@ -37,7 +37,7 @@
         val leaving = endpoint()
         val staying = endpoint()
         RelayHarness(leaving, staying).use { harness ->
-            harness.onEventLoop { if (storeDown) it.endpoints.markListUnavailable() }
+            harness.onEventLoop { if (storeDown) it.endpoints.outages.recordFailedCall() }
             expectThat(harness.exchange(request())).endsWith("ok")
             expectThat(leaving.requests.size).isEqualTo(1)
             harness.onEventLoop { it.receive(leaves) }
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/MemoryStore.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/MemoryStore.kt
@@ -42,6 +42,13 @@
     /** Whether calls are rejected immediately, with status 503. */
     var unavailable = false
 
+    /** Ends the watches that wait at this moment without a response. */
+    fun cutWatches() {
+        watchCuts++
+    }
+
+    private var watchCuts = 0
+
     /** Number of calls received. */
     var calls = 0
         private set
@@ -125,16 +132,22 @@
     }
 
     private suspend fun watch(kind: ObjectKind, since: Long, waitMillis: Long): Result<ControlResponse, CallFailure> {
+        val cuts = watchCuts
         var waited = 0L
-        while (waited < waitMillis / 2 && history.none { it.first == kind && it.second.value.revision > since }) {
+        while (cuts == watchCuts && waited < waitMillis / 2 && changesSince(kind, since).isEmpty()) {
             delay(POLL_INTERVAL_MILLIS)
             waited += POLL_INTERVAL_MILLIS
         }
-        if (since < historyFrom || since > revision) return Ok(response(410, ""))
-        val changes = history.filter { it.first == kind && it.second.value.revision > since }
-        return Ok(response(200, text(changes.map { it.second.value to it.second.removed })))
+        return when {
+            cuts != watchCuts -> Err(CallFailure.Unanswered("cut off"))
+            since !in historyFrom..revision -> Ok(response(410, ""))
+            else -> Ok(response(200, text(changesSince(kind, since).map { it.value to it.removed })))
+        }
     }
 
+    private fun changesSince(kind: ObjectKind, since: Long): List<ObjectChange> =
+        history.filter { it.first == kind && it.second.value.revision > since }.map { it.second }
+
     private fun write(
         method: String,
         kind: ObjectKind,
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/RestoredEndpointsTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/RestoredEndpointsTest.kt
@@ -50,11 +50,11 @@
         list(era = 1, entry("a", 5, "ready 1"), entry("gone", 6, "ready 1"), entry("alive", 7, "ready 1"))
         expectThat(serving()).containsExactly("a")
         nowMillis += 3 * HEARTBEAT_MILLIS
-        listener.onKnownCurrent()
+        listener.onKnownCurrent(nowMillis)
         expectThat(serving()).containsExactly("a")
         change(entry("gone", 6, "ready 1"), removed = true)
         nowMillis += HEARTBEAT_MILLIS
-        listener.onKnownCurrent()
+        listener.onKnownCurrent(nowMillis)
         expectThat(serving()).containsExactlyInAnyOrder("a", "alive")
     }
 
@@ -96,7 +96,7 @@
     private var era = -1L
 
     private fun list(era: Long, vararg entries: StoredObject) {
-        listener.onKnownCurrent()
+        listener.onKnownCurrent(nowMillis)
         if (era != this.era) listener.onEra(era)
         this.era = era
         listener.onList(entries.toList())
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/RestoredEvacuationsTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/RestoredEvacuationsTest.kt
@@ -34,11 +34,11 @@
     fun `a zone stays evacuated while operators can write the evacuation again`() {
         restoreWithoutEvacuation()
         nowMillis += KEEP_MILLIS - 1
-        listener.onKnownCurrent()
+        listener.onKnownCurrent(nowMillis)
         expectThat(evacuated()).containsExactly("a")
         change(removed = false)
         nowMillis += KEEP_MILLIS
-        listener.onKnownCurrent()
+        listener.onKnownCurrent(nowMillis)
         expectThat(evacuated()).containsExactly("a")
     }
 
@@ -47,7 +47,7 @@
     fun `a zone whose evacuation is not written again is used after a bounded time`() {
         restoreWithoutEvacuation()
         nowMillis += KEEP_MILLIS
-        listener.onKnownCurrent()
+        listener.onKnownCurrent(nowMillis)
         expectThat(evacuated()).isEmpty()
     }
 
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/StoreFollowersTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/StoreFollowersTest.kt
@@ -122,7 +122,7 @@
         var failures = 0
         val watch = ObjectWatch(ObjectKind.WEIGHTS, context, this)
 
-        override fun onStoreUnreachable() {
+        override fun onCallFailed() {
             failures++
         }
 
