Bound the pause between calls to an object store that fails

Cause: an instance that is no follower paused for up to eight seconds between its calls in an outage of the store, and relied on followers to call every 150 to 300 ms. When these were lost, nothing noticed it before their registrations expired, and the former configuration stayed in use.

Change: the pause is at most half of the time in which the copies have to be current after an outage, whoever else is there; the sum is beside the constant. The time that an instance waits for others of its zone before it takes over is at most a fifth of the time in which a change takes effect. Takeovers are logged. The log lines of a watch moved to WatchLog.

--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
@@ -164,7 +164,8 @@
         val lease = OrderLease(incarnation, store, scope, log, PauseDetector(clock), settings.times.leaseMillis)
         val policy = WatchPolicy(membership.tree, clock, settings.times.applyMillis)
         val runtime = ControlRuntime(scope, ticks, log, clock)
-        val watchContext = WatchContext(store, policy, runtime, metrics.storeFailedCalls)
+        val watchContext =
+            WatchContext(store, policy, runtime, metrics.storeFailedCalls, settings.times.stableMillis)
         val watches = listeners().mapValues { (kind, listener) ->
             ObjectWatch(kind, watchContext, IsolatedListener(kind, listener, log))
         }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntrySettings.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntrySettings.kt
@@ -173,7 +173,7 @@
 // Stands in for an address that is missing or invalid, which is recorded as a mistake.
 private val PLACEHOLDER_ADDRESS = SocketAddress("0.0.0.0", 1)
 private const val DEFAULT_HEARTBEAT_MILLIS = 1_200L
-private const val DEFAULT_STABLE_MILLIS = 4_000L
+internal const val DEFAULT_STABLE_MILLIS = 4_000L
 private const val DEFAULT_SKEW_MILLIS = 6_000L
 private const val DEFAULT_DESCRIPTORS = 4_096
 private const val DEFAULT_UNFINISHED_MILLIS = ConnectionLimits.DEFAULT_UNFINISHED_MILLIS.toDouble()
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectWatch.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/ObjectWatch.kt
@@ -2,12 +2,13 @@
 
 import com.github.michaelbull.result.getOrElse
 import kotlinx.coroutines.delay
-import kotlinx.serialization.json.put
 import org.parsleymoor.entry.Counter
+import org.parsleymoor.entry.DEFAULT_STABLE_MILLIS
 import org.parsleymoor.entry.protocol.ObjectChange
 import org.parsleymoor.entry.protocol.ObjectKind
 import org.parsleymoor.entry.protocol.StorePosition
 import org.parsleymoor.entry.protocol.StoredObject
+import kotlin.random.Random
 
 /** Receives the objects and the changes that an [ObjectWatch] reads. */
 internal interface ObjectListener {
@@ -30,17 +31,19 @@
     fun onChange(change: ObjectChange)
 }
 
-/** Dependencies shared by the watches of an instance. */
+/** Dependencies shared by the watches of an instance, which are up to date [stableMillis] after an outage. */
 internal class WatchContext(
     val store: ObjectStore,
     val policy: WatchPolicy,
     private val runtime: ControlRuntime,
     val failedCalls: Counter = Counter(),
+    stableMillis: Long = DEFAULT_STABLE_MILLIS,
+    random: Random = Random.Default,
 ) {
     val ticks get() = runtime.ticks
     val log get() = runtime.log
     val clock get() = runtime.clock
-    val backoff = StoreCallBackoff(runtime.clock)
+    val backoff = StoreCallBackoff(runtime.clock, stableMillis, random)
 }
 
 /**
@@ -56,7 +59,7 @@
 ) {
     private val store = context.store
     private val policy = context.policy
-    private val log = context.log
+    private val log = WatchLog(kind, context.log)
     private val clock = context.clock
     private val era = store.era
     private val copy = ObjectCopy(listener)
@@ -90,12 +93,7 @@
     /** Applies objects that a peer sent, if they are newer and not of a former era. */
     fun accept(offer: ObjectOffer) {
         if (offer.position.era < era.newest || !copy.accept(offer)) return
-        log.write("objects.fromPeer") {
-            put("kind", kind.name)
-            put("revision", offer.position.revision)
-            put("era", offer.position.era)
-            put("changes", offer.objects.size + offer.removed.size)
-        }
+        log.fromPeer(offer)
     }
 
     /**
@@ -122,6 +120,7 @@
         while (true) {
             val due = copy.position == null || policy.isDue(currentMillis)
             if (due && context.backoff.mayCall(kind, policy.follows)) {
+                if (!policy.follows) log.takeover(copy.position?.let { clock.nowMillis() - currentMillis })
                 if (copy.position == null) {
                     readList()
                 } else if (!isOfNewestEra) {
@@ -139,7 +138,7 @@
 
     /** Reads the list for the first time, or again because of [reason]. */
     private suspend fun readList(reason: String? = null) {
-        reason?.let { logRelist(it) }
+        reason?.let { log.relist(knownPosition, it) }
         val list = store.list(kind).getOrElse { failure ->
             failed(failure.message)
             return
@@ -179,31 +178,14 @@
 
     private fun failed(reason: String) {
         context.failedCalls.increment()
-        log.write("store.callFailed") {
-            put("kind", kind.name)
-            put("reason", reason)
-        }
+        log.callFailed(reason)
         context.backoff.recordFailure()
         probeNext = true
         storeFailed(reason)
     }
 
-    private fun logRelist(reason: String) {
-        log.write("store.relist", always = true) {
-            put("kind", kind.name)
-            put("revision", knownPosition.revision)
-            put("era", knownPosition.era)
-            put("reason", reason)
-        }
-    }
-
     private fun confirmCurrent(atMillis: Long) {
-        unreachableSinceMillis?.let { since ->
-            log.write("store.regained", always = true) {
-                put("kind", kind.name)
-                put("lostMillis", clock.nowMillis() - since)
-            }
-        }
+        unreachableSinceMillis?.let { log.regained(clock.nowMillis() - it) }
         unreachableSinceMillis = null
         currentMillis = maxOf(currentMillis, atMillis)
         listener.onKnownCurrent(atMillis)
@@ -212,10 +194,7 @@
     private fun storeFailed(reason: String) {
         if (unreachableSinceMillis == null) {
             unreachableSinceMillis = clock.nowMillis()
-            log.write("store.lost", always = true) {
-                put("kind", kind.name)
-                put("reason", reason)
-            }
+            log.lost(reason)
         }
         listener.onCallFailed()
     }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/WatchPolicy.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/WatchPolicy.kt
@@ -15,6 +15,7 @@
     /** Additional time for the response, after which its connection is considered dead. */
     val marginMillis: Long = applyMillis * MARGIN_PERCENT / PERCENT
 
+    private val longestTakeoverMillis = applyMillis * TAKEOVER_PERCENT / PERCENT
     private val silenceMillis = waitMillis + applyMillis * SILENCE_PERCENT / PERCENT
 
     /** Whether this instance is a follower. */
@@ -22,7 +23,7 @@
 
     /** Returns whether to read the store when the objects were last confirmed to be current at [currentMillis]. */
     fun isDue(currentMillis: Long): Boolean {
-        val takeoverMillis = minOf(tree.rank, MAX_TAKEOVER_STEPS) * TAKEOVER_STEP_MILLIS
+        val takeoverMillis = (tree.rank * TAKEOVER_STEP_MILLIS).coerceAtMost(longestTakeoverMillis)
         return follows || clock.nowMillis() - currentMillis >= silenceMillis + takeoverMillis
     }
 
@@ -32,10 +33,12 @@
         const val WAIT_PERCENT = 40
         const val MARGIN_PERCENT = 20
         const val SILENCE_PERCENT = 24
+
+        // Leaves 0.16 for the loop to look again and the call, if those that come before are gone as well.
+        const val TAKEOVER_PERCENT = 20
         const val PERCENT = 100
 
         // The instances of a zone take over one after the other, so that the status sent by one stops the next.
         const val TAKEOVER_STEP_MILLIS = 100L
-        const val MAX_TAKEOVER_STEPS = 8
     }
 }
