Give an instance no share of a cold endpoint before it counts

Cause: before the list of registrations was read, the limit of a cold endpoint was divided by one, so that an instance that started while the store rejected it took all of it. An instance that the others did not list yet, or no longer counted, exceeded the limit in the same way, and so did a process that started just after the end of the former one.

Change: KnownInstances tells who counts, as of when and which part of the limit may be used. An instance that is not sure asks a few peers for their list of registrations; it uses its equal part if they count it, a part of a reserve of a fifth if not, and nothing while it knows nobody. Parts grow some time after others have gone. Probes of quarantined content and claims of the order lease no longer assume to be alone.

StreamResumptionTest, ReleaseLoopTest and RelayHarness set the members by the new method; what they expect is unchanged. SharedLimitsTest passes the set as the part that it stands for.

--- a/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerMessage.kt
+++ b/libraries/peering/src/main/kotlin/org/parsleymoor/peering/PeerMessage.kt
@@ -89,7 +89,9 @@
      * [crashedRequests] are the keys of the whole requests in [crashed], in the same order; [ambiguous] are those of
      * [quarantined] that may be harmless, and [releases] the software on which endpoints crashed on them. They stand by
      * themselves because the build before reads [crashed] and [quarantined] field by field, and so do [paces], the
-     * percentages of the usual time that work takes at those engines in [loads] which report it.
+     * percentages of the usual time that work takes at those engines in [loads] which report it. A sender that sets
+     * [wantsInstances] asks for the [instances] that are registered in the store, as one instance read them
+     * [instancesAgeMillis] ago; the set is empty in all other messages.
      */
     @Serializable
     @SerialName("news")
@@ -115,6 +117,9 @@
         public val measured: List<SpeedEvidenceDigest> = emptyList(),
         public val releaseSteps: List<ReleaseStepDigest> = emptyList(),
         public val releaseReports: List<ReleaseReportDigest> = emptyList(),
+        public val wantsInstances: Boolean = false,
+        public val instances: Set<InstanceId> = emptySet(),
+        public val instancesAgeMillis: Long = 0,
     ) : PeerMessage
 
     /** Requests the contents of the KV cache store at [store], as far as the receiver knows them. */
--- a/libraries/peering/src/test/kotlin/org/parsleymoor/peering/FormerBuildTest.kt
+++ b/libraries/peering/src/test/kotlin/org/parsleymoor/peering/FormerBuildTest.kt
@@ -61,6 +61,21 @@
         expectThat(former).isEqualTo(FormerMessage.InstanceNews(passOn = "NOBODY", crashed = listOf(crashed)))
     }
 
+    // An instance that asks for the others would lose its connections to those that are not updated yet.
+    @Test
+    fun `the build before decodes a message with instances or a question for them`() {
+        val news = PeerMessage.InstanceNews(
+            passOn = "NOBODY",
+            quarantined = listOf(crash),
+            wantsInstances = true,
+            instances = setOf(InstanceId("i")),
+            instancesAgeMillis = 1,
+        )
+        val frame = checkNotNull(codec.encode(news).get())
+        val former = formerCbor.decodeFromByteArray(FormerMessage.serializer(), frame)
+        expectThat(former).isEqualTo(FormerMessage.InstanceNews(passOn = "NOBODY", quarantined = listOf(crash)))
+    }
+
     /** The messages of the build before, without those that have not changed. */
     @Serializable
     private sealed interface FormerMessage {
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/limits/SharedLimitsTest.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/limits/SharedLimitsTest.kt
@@ -20,7 +20,7 @@
         val budgets = members.map { ColdEndpointBudget(it) }
         val taken = (0L until 3_000L step 10).flatMap { now ->
             budgets.flatMap { budget ->
-                (1..2).filter { budget.tryTake(EndpointId("e"), limit, members, now) }.map { now }
+                (1..2).filter { budget.tryTake(EndpointId("e"), limit, InstancePart.OfLimit(members), now) }.map { now }
             }
         }
         val busiest = taken.maxOf { from -> taken.count { it in from until from + 1_000 } }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
@@ -63,6 +63,7 @@
 import org.parsleymoor.entry.serving.EventLoopLag
 import org.parsleymoor.entry.serving.GracefulShutdown
 import org.parsleymoor.entry.serving.InstanceLoad
+import org.parsleymoor.entry.serving.InstancePartLog
 import org.parsleymoor.entry.serving.LeavingLog
 import org.parsleymoor.entry.serving.LimitRecorder
 import org.parsleymoor.entry.serving.PauseRecorder
@@ -141,6 +142,7 @@
     private val membershipLoop = MembershipLoop(store, deployment, membership, log, clock, retryShare)
     private val shutdown = ShutdownGate(ShutdownState(settings.times.graceMillis, clock), clock)
     private val lag = EventLoopLag(clock)
+    private val instancePart = InstancePartLog(deployment, log, metrics, clock)
     private val speeds = SpeedRecorder(deployment, lag, log, metrics, clock)
     private var knownSinceMillis: Long? = null
     private val callerServer = CallerServer(vertx, scope, callerContext())
@@ -216,7 +218,7 @@
         val context = ServingContext(deployment, log, metrics, clock, shutdown, InstanceLoad(lag, held))
         val refusals = RefusalWriter(protocol, log, metrics)
         val connections = ConnectionLog(log, metrics, held)
-        val selector = EndpointSelector(settings, context)
+        val selector = EndpointSelector(settings, context, startMillis = clock.nowMillis())
         val quarantine = QuarantineGate(context)
         val attempts = AttemptRunner(context, pool, protocol.headers, scope, quarantine)
         val budget = SharedRetryBudget(settings.retries, retryShare::at)
@@ -281,6 +283,7 @@
             deployment.routes?.let { shutdown.durations.retain(it.configuration.routes) }
             pauses.expire()
             speeds.logChanges()
+            instancePart.logChange()
             deployment.endpoints.expireLeaving(clock.nowMillis()).forEach(leavingLog::ended)
             listOf(pool, controlPool).forEach { connections ->
                 deployment.endpoints.leavingListed.forEach { connections.discardIdle(it.entry.address) }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryMetrics.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryMetrics.kt
@@ -58,6 +58,21 @@
     public val kept: Counter = Counter()
 }
 
+/** The number of instances with which an entry daemon divides shared limits. */
+public class InstancePartGauge {
+    @Volatile
+    private var current: Pair<String, Int>? = null
+
+    /** Sets that [part] of shared limits is divided among [instances], which a peer named if [fromPeer]. */
+    public fun set(part: String, instances: Int, fromPeer: Boolean) {
+        current = "part=\"$part\",source=\"${if (fromPeer) "peer" else "store"}\"" to instances
+    }
+
+    /** Returns the gauge in the Prometheus text format, under [name]; no lines before it is set. */
+    public fun prometheusLines(name: String): List<String> =
+        listOfNotNull(current).map { (labels, instances) -> "$name{$labels} $instances" }
+}
+
 /** Counters and histograms of one entry daemon. */
 public class EntryMetrics {
     public val requests: Counter = Counter()
@@ -131,6 +146,7 @@
         releaseEnds.getValue(state).increment()
     }
 
+    public val instancePart: InstancePartGauge = InstancePartGauge()
     private val leaving = listOf(true, false).associateWith { Counter() }
 
     /** Counts an endpoint that this daemon learned is leaving, [fromPeer] or from a response. */
@@ -180,7 +196,8 @@
         }
         val durations = latency.prometheusText("parsleymoor_request_duration_milliseconds")
         val responses = cutOff + tooLarge + rejected
-        val counted = lines + refused + responses + closed + failed + left + sentTo + answered + ended
+        val sharing = instancePart.prometheusLines("parsleymoor_sharing_instances")
+        val counted = lines + sharing + refused + responses + closed + failed + left + sentTo + answered + ended
         return (counted + durations).joinToString("\n") + "\n"
     }
 }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/MembershipLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/MembershipLoop.kt
@@ -47,6 +47,7 @@
 
     /** Removes the registration of this instance. */
     suspend fun deregister() {
+        deployment.knownInstances.recordRemoval()
         store.remove(ObjectKind.MEMBERS, deployment.self.value)
     }
 
@@ -59,6 +60,7 @@
         val failure = if (registeredMillis == null) createOrReplace(text) else replaceOrCreate(text)
         if (failure == null) {
             registeredMillis = clock.nowMillis()
+            deployment.knownInstances.recordRenewal(startMillis)
             retryShare.renewed(startMillis)
         } else {
             log.write("members.notRegistered") { put("reason", failure.message) }
@@ -84,7 +86,7 @@
         if (members != deployment.members) {
             log.write("members.changed", always = true) { put("count", members.size) }
         }
-        deployment.members = members
+        deployment.listMembers(members, clock.nowMillis())
         retryShare.listed(members.size, clock.nowMillis())
         val described = alive.mapNotNull(::member)
         deployment.memberZones = (described + membership.self).associate { it.id to it.zone }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Peers.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Peers.kt
@@ -36,6 +36,7 @@
     )
     private val connections = PeerConnections(context)
     private val sender = PeerUpdateSender(context, connections, node)
+    private val instances = InstanceQuestions(deployment.knownInstances, clock)
     private var copies: PeerCopies? = null
     private val requestedMillis = HashMap<String, Long>()
     private var listening = false
@@ -52,6 +53,10 @@
             val links = node.connected
             node.keepConnectedTo(connections.desired(links))
             sender.sendPending(links)
+            if (links.isNotEmpty()) {
+                val asked = links.sortedBy { it.remote.zone != settings.zone }.take(ASKED_PEERS)
+                instances.question()?.let { node.send(it, asked) }
+            }
             context.ticks.await()
         }
     }
@@ -99,6 +104,7 @@
     }
 
     private suspend fun receive(link: PeerLink, message: PeerMessage.InstanceNews) {
+        instances.receive(message)?.let { send(link, it) }
         val nowMillis = clock.nowMillis()
         val passOn = ForwardScope.entries.firstOrNull { it.name == message.passOn } ?: ForwardScope.NOBODY
         message.toUpdates(nowMillis).forEach { update ->
@@ -127,5 +133,8 @@
     private companion object {
         // Several round trips between regions.
         const val REQUEST_INTERVAL_MILLIS = 250L
+
+        // One of them may be silent, and another not have the list either.
+        const val ASKED_PEERS = 3
     }
 }
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/RolloutLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/RolloutLoop.kt
@@ -65,7 +65,7 @@
      * only while no other announces orders, because each contender reads the lease several times a second.
      */
     private fun claimDelayMillis(): Long {
-        val members = deployment.members.orEmpty() + deployment.self
+        val members = deployment.knownInstances.ids ?: return UNKNOWN_CLAIM_MILLIS
         if (members != rankedMembers) {
             rankedMembers = members
             claimDelayMillis =
@@ -156,6 +156,9 @@
     private companion object {
         const val CLAIM_STEP_MILLIS = 120L
 
+        // An instance that knows no others contends after most of them.
+        const val UNKNOWN_CLAIM_MILLIS = 2_000L
+
         // A lease holder announces its orders several times in this period.
         const val OTHERS_IDLE_MILLIS = 1_000L
         const val REPORT_TIMEOUT_MILLIS = 500L
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/DeploymentView.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/DeploymentView.kt
@@ -18,6 +18,8 @@
 import org.parsleymoor.relay.fleet.SentPrompt
 import org.parsleymoor.relay.fleet.SocketAddress
 import org.parsleymoor.relay.fleet.limitedServices
+import org.parsleymoor.relay.limits.InstanceList
+import org.parsleymoor.relay.limits.KnownInstances
 import org.parsleymoor.relay.placement.TargetWeights
 import org.parsleymoor.relay.quarantine.EndpointCrash
 import org.parsleymoor.relay.quarantine.RequestQuarantine
@@ -61,13 +63,18 @@
     /** The weights that operators have selected for each model. */
     var weights: Map<ModelId, TargetWeights> = emptyMap()
 
-    /** Running instances including this one, or null before the list has been read. */
-    var members: Set<InstanceId>? = null
-        set(value) {
-            field = value
-            endpoints.limits.members = value
-            releases.members = value
-        }
+    /** The running instances, which divide shared limits, as far as they are known. */
+    val knownInstances = KnownInstances(self)
+
+    /** Running instances including this one, or null before this instance has read the list. */
+    val members: Set<InstanceId>? get() = knownInstances.listed?.ids
+
+    /** Records that [members], which include this instance, were running at [nowMillis]. */
+    fun listMembers(members: Set<InstanceId>, nowMillis: Long) {
+        knownInstances.list(InstanceList(members, nowMillis))
+        endpoints.limits.members = members
+        releases.members = members
+    }
 
     /** The availability zones of the running instances, as far as they are known. */
     var memberZones: Map<InstanceId, ZoneId> = emptyMap()
@@ -155,7 +162,7 @@
     val lastStoreResponseMillis = HashMap<SocketAddress, Long>()
 
     /** Number of instances among which shared limits are divided. */
-    val instances: Int get() = members?.size ?: UNKNOWN_INSTANCES
+    val instances: Int get() = knownInstances.ids?.size ?: UNKNOWN_INSTANCES
 
     private companion object {
         // Assumed until the members are known; larger than current deployments, so that limits are not exceeded.
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/EndpointSelector.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/EndpointSelector.kt
@@ -31,8 +31,16 @@
     class Quarantined(val refusal: Refusal.Quarantined) : Choice
 }
 
-/** Chooses the endpoint for each attempt, using the placement rules of the relay library. */
-internal class EndpointSelector(private val settings: EntrySettings, context: ServingContext) {
+/**
+ * Chooses the endpoint for each attempt, using the placement rules of the relay library.
+ *
+ * @param startMillis when this process started
+ */
+internal class EndpointSelector(
+    private val settings: EntrySettings,
+    context: ServingContext,
+    startMillis: Long = Long.MIN_VALUE / 2,
+) {
     private val deployment = context.deployment
     private val clock = context.clock
     private val topology = Topology(settings.zone, settings.zones)
@@ -45,7 +53,7 @@
             settings.times.weightsMillis * OLDER_WEIGHTS_NUMERATOR / OLDER_WEIGHTS_DENOMINATOR,
         ),
     )
-    private val cold = ColdEndpointBudget(settings.instance)
+    private val cold = ColdEndpointBudget(settings.instance, startMillis)
     private val spillover = ZoneSpillover(topology, settings.spillover, deployment, context.log)
 
     /**
@@ -175,7 +183,7 @@
     private fun withinColdLimit(pending: PendingRequest, endpoint: EndpointState, nowMillis: Long): Boolean {
         if (!endpoint.isCold(nowMillis)) return true
         val bound = ColdEndpointLimit(pending.service.coldRequestsPerSecond, settings.cold.overage, settings.cold.slack)
-        return cold.tryTake(endpoint.entry.id, bound, deployment.members.orEmpty(), nowMillis)
+        return cold.tryTake(endpoint.entry.id, bound, deployment.knownInstances.part(nowMillis), nowMillis)
     }
 
     private fun Choice.orColdLimit(excluded: Set<*>, pending: PendingRequest): Choice =
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/QuarantineGate.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/serving/QuarantineGate.kt
@@ -81,7 +81,7 @@
     private val PendingRequest.keys: Set<ContentKey> get() = sharedParts + key
 
     private fun mayProbe(entry: QuarantinedContent, nowMillis: Long, release: String?): Boolean =
-        entry.prober(deployment.members.orEmpty(), nowMillis, release) == deployment.self
+        deployment.knownInstances.ids?.let { entry.prober(it, nowMillis, release) } == deployment.self
 
     private fun logQuarantined(pending: PendingRequest, entry: QuarantinedContent) {
         if (entry.key == pending.key) metrics.requestsQuarantined.increment() else metrics.partsQuarantined.increment()
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/RelayHarness.kt
@@ -109,7 +109,7 @@
     init {
         if (configured) deployment.routes = RouteTable(configuration(kind, resumable, attempts, timeoutMillis))
         deployment.endpointsKnown = true
-        deployment.members = setOf(deployment.self)
+        deployment.listMembers(setOf(deployment.self), Clock.System.nowMillis())
         endpoints.forEachIndexed { index, endpoint -> deployment.endpoints.put(entry("e$index", endpoint.port), 0) }
         deployment.onLeaving = LeavingLog(log, metrics)::learned
         val context = ServingContext(deployment, log, metrics, Clock.System, shutdown, InstanceLoad(lag, held))
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/ReleaseLoopTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/ReleaseLoopTest.kt
@@ -127,7 +127,7 @@
         val job: Job
 
         init {
-            deployment.members = setOf(InstanceId("i0"), InstanceId("i1"))
+            deployment.listMembers(setOf(InstanceId("i0"), InstanceId("i1")), nowMillis = 0)
             deployment.announce = { update ->
                 val message = listOf(update).toMessage(ForwardScope.NOBODY, clock.nowMillis())
                 instances.filter { it !== this && it.job.isActive }.forEach { other ->
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/StreamResumptionTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/StreamResumptionTest.kt
@@ -115,7 +115,8 @@
             while (received.get() < HOLDERS) Thread.sleep(10)
             val answer = CompletableFuture.supplyAsync { harness.exchange(relayRequest(PROMPT_FIELDS)) }
             begun.await()
-            harness.onEventLoop { view -> view.members = List(5) { InstanceId("m$it") }.toSet() }
+            val members = List(5) { InstanceId("m$it") }.toSet()
+            harness.onEventLoop { view -> view.listMembers(members, System.currentTimeMillis()) }
             lowered.countDown()
             expectThat(answer.get()).contains("data: a").contains("data: b").endsWith(STREAM_END)
             holders.forEach { it.join() }
