Let instances that start again together use cold endpoints at once

After a loss of power no peer has a list from before, so that each instance waited until its new registration was listed, while the endpoints were cold as well. An instance that finds its former registration in the store now uses its part of the limit, unless a peer says that it no longer counts. A registration that a lost answer may have left behind is not taken for a former one.

--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/limits/KnownInstances.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/limits/KnownInstances.kt
@@ -23,6 +23,7 @@
     private var told: InstanceList? = null
     private var toldMillis = Long.MIN_VALUE / 2
     private var countedByPeers = false
+    private var replacedFormer = false
     private var withGone: Set<InstanceId>? = null
     private var withGoneUntilMillis = Long.MIN_VALUE
 
@@ -54,12 +55,20 @@
         // A list from after the registration may have it without the others knowing it.
         val since = registration.sinceMillis
         val isFromBefore = since == null || latest.listedMillis < since || registration.isExpired(nowMillis)
-        if (isFromBefore) countedByPeers = self in latest.ids
+        if (isFromBefore) {
+            countedByPeers = self in latest.ids
+            replacedFormer = replacedFormer && countedByPeers
+        }
         updateIds(nowMillis)
     }
 
-    /** Records that the registration was written or renewed by a call that began at [atMillis]. */
-    public fun recordRenewal(atMillis: Long) {
+    /**
+     * Records that the registration was written or renewed by a call that began at [atMillis]; [replaced] if it took
+     * the place of one that others may have listed.
+     */
+    public fun recordRenewal(atMillis: Long, replaced: Boolean) {
+        // Instances that all start again find all former registrations in the list.
+        if (registration.sinceMillis == null) replacedFormer = replaced && (told == null || countedByPeers)
         registration.renew(atMillis)
     }
 
@@ -78,15 +87,19 @@
      */
     public fun part(nowMillis: Long): InstancePart {
         val instances = withGone?.takeIf { nowMillis < withGoneUntilMillis } ?: ids
-        val isCounted = registration.isListed(nowMillis) || countedByPeers && nowMillis - toldMillis < TOLD_MILLIS
         return when {
             instances == null -> InstancePart.Nothing
-            isCounted && !stopping -> InstancePart.OfLimit(instances)
+            isCounted(nowMillis) && !stopping -> InstancePart.OfLimit(instances)
             registration.isNew(nowMillis) -> InstancePart.Nothing
             else -> InstancePart.OfReserve(instances)
         }
     }
 
+    private fun isCounted(nowMillis: Long): Boolean =
+        registration.isListed(nowMillis) ||
+            replacedFormer && !registration.isExpired(nowMillis) ||
+            countedByPeers && nowMillis - toldMillis < TOLD_MILLIS
+
     private fun updateIds(nowMillis: Long) {
         val former = ids.orEmpty()
         val updated = newest?.ids.orEmpty() + self
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/limits/ColdLimitFleetTest.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/limits/ColdLimitFleetTest.kt
@@ -60,6 +60,26 @@
         fleet.expectWithinLimit(seconds = 20)
     }
 
+    // Endpoints are cold as well after a loss of power; instances may not leave them unused for long.
+    @ParameterizedTest
+    @MethodSource("fleets")
+    fun `instances that all start again soon use the limit within seconds`(fleet: Fleet) {
+        fleet.settle()
+        fleet.restart(fleet.all.toList(), downMillis = 1_000..3_000)
+        fleet.run(seconds = 5)
+        expectThat(fleet.sentInLast(millis = 1_000)).isGreaterThanOrEqualTo(fleet.limit.total / 2)
+        fleet.expectWithinLimit(seconds = 20)
+    }
+
+    // Their former registrations are still in the list when the others have stopped counting them.
+    @ParameterizedTest
+    @MethodSource("fleets")
+    fun `instances that were down for long keep to the limit with those that no longer count them`(fleet: Fleet) {
+        fleet.settle()
+        fleet.restart(fleet.third(), downMillis = 28_000..30_000)
+        fleet.expectWithinLimit(seconds = 60)
+    }
+
     // Cold endpoints have to be used while the store is away; nobody can register or stop counting anyone then.
     @ParameterizedTest
     @MethodSource("fleets")
@@ -89,9 +109,6 @@
         private val registered = HashMap<InstanceId, Long>()
         private val sent = ArrayList<Long>()
         private var nowMillis = 0L
-
-        // Registrations do not expire while nobody reaches the store, nor before all have renewed them after it.
-        private var awayUntilMillis = Long.MIN_VALUE
         val all = ArrayList<Instance>()
 
         override fun toString(): String = "$count instances, limit ${limit.total}, seed $seed"
@@ -120,7 +137,6 @@
             val untilMillis = nowMillis + seconds * 1_000
             while (nowMillis < untilMillis) {
                 nowMillis += STEP_MILLIS
-                if (all.all { it.rejected }) awayUntilMillis = nowMillis + EXPIRY_MILLIS
                 all.filter { it.startMillis <= nowMillis }.forEach { it.step() }
             }
         }
@@ -144,6 +160,8 @@
             private var lists = 0
             private var nextListMillis = startMillis + 300
             private var renewedMillis = Long.MIN_VALUE / 2
+            private var listedMillis: Long? = null
+            private val observations = HashMap<InstanceId, Observation>()
             private var askedMillis = 0L
             private var stopping = false
 
@@ -166,13 +184,24 @@
                 nextListMillis = nowMillis + if (lists++ < 4) 1_500 else 6_000
                 if (rejected) return
                 if (!stopping && nowMillis - renewedMillis >= 6_000) {
-                    known.recordRenewal(nowMillis)
+                    known.recordRenewal(nowMillis, replaced = id in registered)
                     renewedMillis = nowMillis
                     registered[id] = nowMillis
                 }
-                val sinceMillis = if (nowMillis < awayUntilMillis) Long.MIN_VALUE else nowMillis - EXPIRY_MILLIS
-                val alive = registered.filterValues { it > sinceMillis }.keys.toSet()
-                known.list(InstanceList(alive + id, nowMillis))
+                known.list(InstanceList(alive() + id, nowMillis))
+            }
+
+            /** As the list of registrations is read: one expires that has not changed while it could be read. */
+            private fun alive(): Set<InstanceId> {
+                val unreadableMillis = listedMillis?.let { maxOf(0, nowMillis - it - 6_000) } ?: 0
+                listedMillis = nowMillis
+                registered.forEach { (id, renewed) ->
+                    val before = observations[id]?.takeIf { it.renewedMillis == renewed }
+                    val sinceMillis = before?.let { it.sinceMillis + unreadableMillis } ?: nowMillis
+                    observations[id] = Observation(renewed, sinceMillis)
+                }
+                observations.keys.retainAll(registered.keys)
+                return observations.filterValues { nowMillis - it.sinceMillis < EXPIRY_MILLIS }.keys.toSet()
             }
 
             private fun ask() {
@@ -183,6 +212,8 @@
         }
     }
 
+    private class Observation(val renewedMillis: Long, val sinceMillis: Long)
+
     private companion object {
         const val STEP_MILLIS = 50L
         const val EXPIRY_MILLIS = 20_000L
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/limits/KnownInstancesTest.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/limits/KnownInstancesTest.kt
@@ -35,7 +35,7 @@
     // A peer that has listed the new registration does not show that the others have.
     @Test
     fun `an instance that registers uses its part once all others have listed it`() {
-        known.recordRenewal(0)
+        known.recordRenewal(0, replaced = false)
         known.list(list("self", "a", atMillis = 100))
         expectThat(known.part(1_000)).isEqualTo(InstancePart.Nothing)
         known.tell(list("self", "a", atMillis = 3_000), nowMillis = 3_000)
@@ -47,7 +47,7 @@
     // An instance that the store rejected kept a share that the others had divided among themselves.
     @Test
     fun `an instance whose registration expired shares the reserve unless peers still count it`() {
-        known.recordRenewal(0)
+        known.recordRenewal(0, replaced = false)
         known.list(list("self", "a", "b", atMillis = 0))
         expectThat(known.part(19_999)).isA<InstancePart.OfLimit>()
         expectThat(known.isUnsure(15_000)).isTrue()
@@ -58,10 +58,20 @@
         expectThat(known.part(21_000)).isA<InstancePart.OfReserve>()
     }
 
+    // After a loss of power nobody has a list from before, and callers are not to wait until all have a new one.
+    @Test
+    fun `an instance that replaces its former registration uses its part unless peers no longer count it`() {
+        known.recordRenewal(0, replaced = true)
+        known.list(list("self", "a", atMillis = 100))
+        expectThat(known.part(100)).isEqualTo(InstancePart.OfLimit(ids("self", "a")))
+        known.tell(list("a", atMillis = -3_000), nowMillis = 200)
+        expectThat(known.part(2_000)).isEqualTo(InstancePart.OfReserve(ids("self", "a")))
+    }
+
     // Those that are gone may go on for a moment, as they do not know that they are no longer counted.
     @Test
     fun `a part grows some time after others have gone and shrinks at once when others come`() {
-        (0L..18_000L step 6_000).forEach { known.recordRenewal(it) }
+        (0L..18_000L step 6_000).forEach { known.recordRenewal(it, replaced = false) }
         known.list(list("self", "a", "b", atMillis = 10_000))
         known.list(list("self", "a", atMillis = 16_000))
         known.list(list("self", "a", "c", atMillis = 17_000))
@@ -74,7 +84,7 @@
 
     @Test
     fun `an instance that is stopping shares the reserve`() {
-        (0L..6_000L step 6_000).forEach { known.recordRenewal(it) }
+        (0L..6_000L step 6_000).forEach { known.recordRenewal(it, replaced = false) }
         known.list(list("self", "a", atMillis = 6_000))
         known.recordRemoval()
         expectThat(known.part(8_000)).isA<InstancePart.OfReserve>()
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/MembershipLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/MembershipLoop.kt
@@ -32,6 +32,8 @@
     private val observations = MemberObservations(HEARTBEAT_MILLIS, EXPIRY_MILLIS)
     private var heartbeats = 0L
     private var registeredMillis: Long? = null
+    private var mayHaveCreated = false
+    private var replacedFormer = false
 
     /** Renews the registration and reads those of the others until the coroutine is cancelled. */
     suspend fun run() {
@@ -60,7 +62,7 @@
         val failure = if (registeredMillis == null) createOrReplace(text) else replaceOrCreate(text)
         if (failure == null) {
             registeredMillis = clock.nowMillis()
-            deployment.knownInstances.recordRenewal(startMillis)
+            deployment.knownInstances.recordRenewal(startMillis, replacedFormer)
             retryShare.renewed(startMillis)
         } else {
             log.write("members.notRegistered") { put("reason", failure.message) }
@@ -69,7 +71,11 @@
 
     private suspend fun createOrReplace(text: String): StoreFailure? {
         val failure = store.create(ObjectKind.MEMBERS, deployment.self.value, text).getError()
-        return if (failure is StoreFailure.Conflict) replace(text) else failure
+        val exists = failure is StoreFailure.Conflict
+        replacedFormer = exists && !mayHaveCreated
+        // Without an answer, the registration that is found later may be that of this process.
+        mayHaveCreated = mayHaveCreated || failure is StoreFailure.Unanswered
+        return if (exists) replace(text) else failure
     }
 
     private suspend fun replaceOrCreate(text: String): StoreFailure? {
