Choose the peers to ask only when a question is due

The links were sorted on every tick, and the newest list of instances was looked up for every message of a peer, also when nobody had asked for it.

--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/InstanceQuestions.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/InstanceQuestions.kt
@@ -27,7 +27,8 @@
         if (message.instances.isNotEmpty()) {
             known.tell(InstanceList(message.instances, nowMillis - message.instancesAgeMillis), nowMillis)
         }
-        return known.newest?.takeIf { message.wantsInstances }?.let {
+        val list = if (message.wantsInstances) known.newest else null
+        return list?.let {
             PeerMessage.InstanceNews(
                 passOn = ForwardScope.NOBODY.name,
                 instances = it.ids,
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Peers.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/Peers.kt
@@ -54,8 +54,9 @@
             node.keepConnectedTo(connections.desired(links))
             sender.sendPending(links)
             if (links.isNotEmpty()) {
-                val asked = links.sortedBy { it.remote.zone != settings.zone }.take(ASKED_PEERS)
-                instances.question()?.let { node.send(it, asked) }
+                instances.question()?.let { question ->
+                    node.send(question, links.sortedBy { it.remote.zone != settings.zone }.take(ASKED_PEERS))
+                }
             }
             context.ticks.await()
         }
