--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/EndpointListOutageTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/EndpointListOutageTest.kt
@@ -1,7 +1,5 @@
 package org.parsleymoor.entry
 
-import com.github.michaelbull.result.Ok
-import com.github.michaelbull.result.Result
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -13,9 +11,7 @@
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.ValueSource
 import org.parsleymoor.core.Clock
-import org.parsleymoor.core.EndpointId
 import org.parsleymoor.core.InstanceId
-import org.parsleymoor.core.ModelId
 import org.parsleymoor.core.ZoneId
 import org.parsleymoor.entry.control.ControlRuntime
 import org.parsleymoor.entry.control.ControlTicks
@@ -25,15 +21,10 @@
 import org.parsleymoor.entry.control.ObjectWatch
 import org.parsleymoor.entry.control.WatchContext
 import org.parsleymoor.entry.control.WatchPolicy
-import org.parsleymoor.entry.protocol.ContentDecoder
-import org.parsleymoor.entry.protocol.DecodeFailure
 import org.parsleymoor.entry.protocol.ObjectKind
 import org.parsleymoor.entry.protocol.StorePosition
 import org.parsleymoor.entry.serving.DeploymentView
 import org.parsleymoor.relay.exchange.Member
-import org.parsleymoor.relay.fleet.EndpointEntry
-import org.parsleymoor.relay.fleet.SocketAddress
-import org.parsleymoor.relay.routing.ServingConfiguration
 import strikt.api.expectThat
 import strikt.assertions.containsExactlyInAnyOrder
 import strikt.assertions.isEqualTo
@@ -74,7 +65,7 @@
         expectThat(serving()).containsExactlyInAnyOrder("a", "b")
         scope.advanceTimeBy(1_000)
         expectThat(serving()).containsExactlyInAnyOrder("a", "b")
-        memory.put(ObjectKind.ENDPOINTS, "a", "")
+        memory.put(ObjectKind.ENDPOINTS, "a", "ready 1")
         scope.advanceTimeBy(GRACE_MILLIS)
         expectThat(serving()).containsExactlyInAnyOrder("a")
     }
@@ -129,7 +120,7 @@
 
     private fun simulate(vararg endpoints: String, follower: Boolean = true, body: suspend Instance.() -> Unit) =
         runTest {
-            endpoints.forEach { memory.put(ObjectKind.ENDPOINTS, it, "") }
+            endpoints.forEach { memory.put(ObjectKind.ENDPOINTS, it, "ready 1") }
             val instance = Instance(this, follower)
             advanceTimeBy(CUT_INTERVAL_MILLIS)
             instance.body()
@@ -153,7 +144,7 @@
             )
             val policy = WatchPolicy(membership.tree, clock, APPLY_MILLIS)
             val context = WatchContext(memory.store, policy, runtime, failedCalls)
-            val listener = EndpointListener(deployment, Decoder, SILENT_LOG, clock, HEARTBEAT_MILLIS, metrics)
+            val listener = EndpointListener(deployment, EndpointContentDecoder, SILENT_LOG, clock, HEARTBEAT_MILLIS, metrics)
             watch = ObjectWatch(ObjectKind.ENDPOINTS, context, listener)
             scope.backgroundScope.launch { watch.run() }
             scope.backgroundScope.launch {
@@ -187,25 +178,6 @@
         }
     }
 
-    private object Decoder : ContentDecoder {
-        override fun endpoint(name: String, content: String): Result<EndpointEntry, DecodeFailure> = Ok(
-            EndpointEntry(
-                id = EndpointId(name),
-                service = "s",
-                address = SocketAddress("10.0.0.1", 80),
-                zone = ZoneId("z"),
-                draining = false,
-                slots = 1,
-            )
-        )
-
-        override fun configuration(content: String): Result<ServingConfiguration, DecodeFailure> = error("not used")
-
-        override fun weights(content: String): Result<Pair<ModelId, Long>, DecodeFailure> = error("not used")
-
-        override fun evacuatedZone(name: String): ZoneId = error("not used")
-    }
-
     private companion object {
         const val APPLY_MILLIS = 2_500L
         const val HEARTBEAT_MILLIS = 1_200L
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/RestoredEndpointsTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/RestoredEndpointsTest.kt
@@ -1,22 +1,12 @@
 package org.parsleymoor.entry
 
-import com.github.michaelbull.result.Ok
-import com.github.michaelbull.result.Result
 import org.junit.jupiter.api.Test
 import org.parsleymoor.core.Clock
-import org.parsleymoor.core.EndpointId
 import org.parsleymoor.core.InstanceId
-import org.parsleymoor.core.ModelId
-import org.parsleymoor.core.ZoneId
 import org.parsleymoor.entry.control.EndpointListener
-import org.parsleymoor.entry.protocol.ContentDecoder
-import org.parsleymoor.entry.protocol.DecodeFailure
 import org.parsleymoor.entry.protocol.ObjectChange
 import org.parsleymoor.entry.protocol.StoredObject
 import org.parsleymoor.entry.serving.DeploymentView
-import org.parsleymoor.relay.fleet.EndpointEntry
-import org.parsleymoor.relay.fleet.SocketAddress
-import org.parsleymoor.relay.routing.ServingConfiguration
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
 import strikt.assertions.containsExactlyInAnyOrder
@@ -26,8 +16,9 @@
 class RestoredEndpointsTest {
     private var nowMillis = 0L
     private val deployment = DeploymentView(InstanceId("self"))
+    private val clock = Clock { nowMillis }
     private val listener =
-        EndpointListener(deployment, Decoder, SILENT_LOG, Clock { nowMillis }, heartbeatMillis = HEARTBEAT_MILLIS)
+        EndpointListener(deployment, EndpointContentDecoder, SILENT_LOG, clock, heartbeatMillis = HEARTBEAT_MILLIS)
 
     // A request must not reach an endpoint later than the drain time after this instance learned that it is leaving.
     @Test
@@ -108,29 +99,6 @@
 
     private fun entry(name: String, revision: Long, content: String) = StoredObject(name, revision, content)
 
-    private object Decoder : ContentDecoder {
-        override fun endpoint(name: String, content: String): Result<EndpointEntry, DecodeFailure> {
-            val (state, start) = content.split(' ')
-            return Ok(
-                EndpointEntry(
-                    id = EndpointId(name),
-                    service = "s",
-                    address = SocketAddress("10.0.0.1", 80),
-                    zone = ZoneId("z"),
-                    draining = state == "draining",
-                    slots = 1,
-                    startMillis = start.toLong(),
-                )
-            )
-        }
-
-        override fun configuration(content: String): Result<ServingConfiguration, DecodeFailure> = error("not used")
-
-        override fun weights(content: String): Result<Pair<ModelId, Long>, DecodeFailure> = error("not used")
-
-        override fun evacuatedZone(name: String): ZoneId = ZoneId(name)
-    }
-
     private companion object {
         const val HEARTBEAT_MILLIS = 1_200L
     }
