Keep the times of a registration in one place

InstanceRegistration repeated what InstanceShare already kept: since when the registration of this instance counts, when it was renewed and when it expires. KnownInstances also repeated the times of MembershipLoop as defaults. Behaviour is unchanged: the tests keep their assertions, of which InstanceShareTest, SharedRetriesTest, KnownInstancesTest and ColdLimitFleetTest were run.

--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/limits/InstanceRegistration.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/limits/InstanceRegistration.kt
@@ -1,10 +1,7 @@
 package org.parsleymoor.relay.limits
 
-/**
- * The registration of this instance in the object store, of which the others learn when they read the list, every
- * [listMillis]. It no longer counts when it has not been renewed for [expiryMillis].
- */
-internal class InstanceRegistration(private val listMillis: Long, private val expiryMillis: Long) {
+/** The registration of this instance in the object store, of which the others learn when they read the list. */
+internal class InstanceRegistration(private val times: RegistrationTimes) {
     private var renewedMillis = Long.MIN_VALUE / 2
 
     /** When the registration that counts was written, or null before. */
@@ -18,11 +15,11 @@
     }
 
     /** Whether it no longer counts. */
-    fun isExpired(nowMillis: Long): Boolean = nowMillis - renewedMillis >= expiryMillis
+    fun isExpired(nowMillis: Long): Boolean = nowMillis - renewedMillis >= times.expiryMillis
 
     /** Whether it counts, and all others have listed it. */
     fun isListed(nowMillis: Long): Boolean =
-        !isExpired(nowMillis) && sinceMillis.let { it != null && nowMillis - it >= listMillis + LIST_CALL_MILLIS }
+        !isExpired(nowMillis) && sinceMillis.let { it != null && nowMillis - it >= times.listMillis + LIST_CALL_MILLIS }
 
     /** Whether others that start at the same time may not have registered yet. */
     fun isNew(nowMillis: Long): Boolean = sinceMillis.let { it != null && nowMillis - it < NEW_MILLIS }
--- a/libraries/relay/src/main/kotlin/org/parsleymoor/relay/limits/KnownInstances.kt
+++ b/libraries/relay/src/main/kotlin/org/parsleymoor/relay/limits/KnownInstances.kt
@@ -9,16 +9,9 @@
  * The instances that divide shared limits, as far as this instance, [self], knows them: from its own list of the
  * registrations, or from a peer while it cannot read that. Decides which part of a limit this instance may use: an
  * equal one only if the others count it as well. Not thread-safe.
- *
- * @param listMillis interval at which each instance reads the list of registrations
- * @param expiryMillis time after which a registration that is not renewed no longer counts
  */
-public class KnownInstances(
-    private val self: InstanceId,
-    listMillis: Long = 6_000,
-    expiryMillis: Long = 20_000,
-) {
-    private val registration = InstanceRegistration(listMillis, expiryMillis)
+public class KnownInstances(private val self: InstanceId, times: RegistrationTimes = RegistrationTimes()) {
+    private val registration = InstanceRegistration(times)
     private var stopping = false
     private var told: InstanceList? = null
     private var toldMillis = Long.MIN_VALUE / 2
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/limits/InstanceShareTest.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/limits/InstanceShareTest.kt
@@ -5,7 +5,8 @@
 import strikt.assertions.isEqualTo
 
 class InstanceShareTest {
-    private val share = InstanceShare(ShareTimes(listMillis = 6_000, expiryMillis = 20_000, windowMillis = 10_000))
+    private val times = RegistrationTimes(listMillis = 6_000, expiryMillis = 20_000)
+    private val share = InstanceShare(times, windowMillis = 10_000)
 
     // The share of an instance that starts was added to those of instances that did not count it yet.
     @Test
--- a/libraries/relay/src/test/kotlin/org/parsleymoor/relay/limits/KnownInstancesTest.kt
+++ b/libraries/relay/src/test/kotlin/org/parsleymoor/relay/limits/KnownInstancesTest.kt
@@ -10,7 +10,7 @@
 
 class KnownInstancesTest {
     private val self = InstanceId("self")
-    private val known = KnownInstances(self, listMillis = 6_000, expiryMillis = 20_000)
+    private val known = KnownInstances(self, RegistrationTimes(listMillis = 6_000, expiryMillis = 20_000))
 
     // An instance that knew nobody took the whole limit of a cold endpoint.
     @Test
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntryDaemon.kt
@@ -82,6 +82,7 @@
 import org.parsleymoor.relay.http.HttpStatus
 import org.parsleymoor.relay.limits.HeldBytes
 import org.parsleymoor.relay.limits.InstanceShare
+import org.parsleymoor.relay.limits.RegistrationTimes
 import org.parsleymoor.relay.limits.SharedRetryBudget
 import org.parsleymoor.relay.routing.CallerLimits
 
@@ -138,7 +139,7 @@
     private val ticks = ControlTicks(clock, settings.instance.value.stableHash().mod(HUB_TICK_MILLIS)) {
         if (membership.tree.direct) DIRECT_TICK_MILLIS else HUB_TICK_MILLIS
     }
-    private val retryShare = InstanceShare(MembershipLoop.shareTimes(settings.retries.windowMillis))
+    private val retryShare = InstanceShare(RegistrationTimes(), settings.retries.windowMillis)
     private val membershipLoop = MembershipLoop(store, deployment, membership, log, clock, retryShare)
     private val shutdown = ShutdownGate(ShutdownState(settings.times.graceMillis, clock), clock)
     private val lag = EventLoopLag(clock)
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntrySettings.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/EntrySettings.kt
@@ -29,8 +29,9 @@
 /**
  * Times set by the operators. Orders of two holders of the order lease are at least [leaseMillis] apart; a request must
  * not start on older weights later than [weightsMillis] after newer ones were set; an accepted configuration takes
- * effect within [applyMillis]. Endpoints renew their entries every [heartbeatMillis]. The object
- * store counts as stable [stableMillis] after a disruption, which delays operators' changes by [skewMillis] at most.
+ * effect within [applyMillis]. Endpoints renew their entries every [heartbeatMillis]. The object store counts as
+ * stable, and instances have to be up to date, [stableMillis] after a disruption, which delays operators' changes by
+ * [skewMillis] at most.
  */
 public data class EntryTimes(
     public val graceMillis: Long,
--- a/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/MembershipLoop.kt
+++ b/programs/entry/src/main/kotlin/org/parsleymoor/entry/control/MembershipLoop.kt
@@ -15,7 +15,7 @@
 import org.parsleymoor.entry.serving.DeploymentView
 import org.parsleymoor.relay.exchange.Member
 import org.parsleymoor.relay.limits.InstanceShare
-import org.parsleymoor.relay.limits.ShareTimes
+import org.parsleymoor.relay.limits.RegistrationTimes
 
 /**
  * Registers this instance in the object store and determines which instances are alive, for limits that all instances
@@ -29,7 +29,8 @@
     private val clock: Clock,
     private val retryShare: InstanceShare,
 ) {
-    private val observations = MemberObservations(HEARTBEAT_MILLIS, EXPIRY_MILLIS)
+    private val times = RegistrationTimes()
+    private val observations = MemberObservations(times.listMillis, times.expiryMillis)
     private var heartbeats = 0L
     private var registeredMillis: Long? = null
     private var mayHaveCreated = false
@@ -39,11 +40,11 @@
     suspend fun run() {
         var lists = 0
         while (true) {
-            if (clock.nowMillis() - (registeredMillis ?: Long.MIN_VALUE / 2) >= HEARTBEAT_MILLIS) register()
+            if (clock.nowMillis() - (registeredMillis ?: Long.MIN_VALUE / 2) >= times.listMillis) register()
             store.list(ObjectKind.MEMBERS, allowStale = true)
                 .onSuccess { updateMembers(it) }
                 .onFailure { failure -> log.write("members.unknown") { put("reason", failure.message) } }
-            delay(if (lists++ < INITIAL_LISTS) INITIAL_LIST_MILLIS else HEARTBEAT_MILLIS)
+            delay(if (lists++ < INITIAL_LISTS) INITIAL_LIST_MILLIS else times.listMillis)
         }
     }
 
@@ -110,21 +111,10 @@
         null
     }
 
-    companion object {
-        // Shared limits tolerate a view that is some seconds old, and every heartbeat is a billed write.
-        private const val HEARTBEAT_MILLIS = 6_000L
-        private const val EXPIRY_MILLIS = 20_000L
-
+    private companion object {
         // Lists more often after a start, when instances that started at the same time may not have registered yet.
-        private const val INITIAL_LISTS = 4
-        private const val INITIAL_LIST_MILLIS = 1_500L
-        private val JSON = Json { ignoreUnknownKeys = true }
-
-        /** When an instance may use its share of a limit that holds in any [windowMillis]. */
-        fun shareTimes(windowMillis: Long): ShareTimes = ShareTimes(
-            listMillis = HEARTBEAT_MILLIS,
-            expiryMillis = EXPIRY_MILLIS,
-            windowMillis = windowMillis,
-        )
+        const val INITIAL_LISTS = 4
+        const val INITIAL_LIST_MILLIS = 1_500L
+        val JSON = Json { ignoreUnknownKeys = true }
     }
 }
--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/SharedRetriesTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/SharedRetriesTest.kt
@@ -18,6 +18,7 @@
 import org.parsleymoor.entry.serving.DeploymentView
 import org.parsleymoor.relay.exchange.Member
 import org.parsleymoor.relay.limits.InstanceShare
+import org.parsleymoor.relay.limits.RegistrationTimes
 import org.parsleymoor.relay.limits.RetryLimit
 import org.parsleymoor.relay.limits.SharedRetryBudget
 import strikt.api.expectThat
@@ -27,7 +28,7 @@
 import java.io.PrintStream
 
 /** The share of a test that does not look at shared limits. */
-internal fun retryShare(): InstanceShare = InstanceShare(MembershipLoop.shareTimes(windowMillis = 10_000))
+internal fun retryShare(): InstanceShare = InstanceShare(RegistrationTimes(), windowMillis = 10_000)
 
 /** Guards against instances that together retry more than the whole deployment may. */
 @OptIn(ExperimentalCoroutinesApi::class)
