--- a/programs/entry/src/test/kotlin/org/parsleymoor/entry/EndpointListOutageTest.kt
+++ b/programs/entry/src/test/kotlin/org/parsleymoor/entry/EndpointListOutageTest.kt
@@ -144,7 +144,14 @@
             )
             val policy = WatchPolicy(membership.tree, clock, APPLY_MILLIS)
             val context = WatchContext(memory.store, policy, runtime, failedCalls)
-            val listener = EndpointListener(deployment, EndpointContentDecoder, SILENT_LOG, clock, HEARTBEAT_MILLIS, metrics)
+            val listener = EndpointListener(
+                deployment,
+                EndpointContentDecoder,
+                SILENT_LOG,
+                clock,
+                HEARTBEAT_MILLIS,
+                metrics,
+            )
             watch = ObjectWatch(ObjectKind.ENDPOINTS, context, listener)
             scope.backgroundScope.launch { watch.run() }
             scope.backgroundScope.launch {
